--- /dev/null
+++ b/ctl/src/main.rs
@@ -0,0 +1,2 @@
+//! Skeleton.
+fn main() {}
--- /dev/null
+++ b/plugins/callers/src/lib.rs
@@ -0,0 +1,1 @@
+//! Skeleton.
