--- /dev/null
+++ b/policy/src/entity.rs
@@ -0,0 +1,41 @@
+//! Dense indices of the entities of a compiled schema.
+//!
+//! A name is looked up once, when a request or report comes in; from there on the code uses
+//! these indices, which print as `org3` or `model0` in logs and dumps.
+
+use cranelift_entity::entity_impl;
+
+macro_rules! entity {
+    ($(#[$doc:meta])* $name:ident, $prefix:literal) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(u32);
+        entity_impl!($name, $prefix);
+    };
+}
+
+entity!(
+    /// A failure domain.
+    DomainId,
+    "domain"
+);
+entity!(
+    /// An organisation: a tenant with keys, a priority and a weight.
+    OrgId,
+    "org"
+);
+entity!(
+    /// A model.
+    ModelId,
+    "model"
+);
+entity!(
+    /// A pipeline: a model served under a public name.
+    PipelineId,
+    "pipeline"
+);
+entity!(
+    /// A plain service.
+    ServiceId,
+    "service"
+);
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -1,1 +1,11 @@
-//! Skeleton.
+//! Every decision of the router, free of input and output.
+//!
+//! Nothing here opens a socket, reads a clock or draws from a global random source: time,
+//! randomness and every answer from outside come in as arguments, so the same inputs give the
+//! same run. Modules are state machines of the form `(now, event) -> actions`.
+
+pub mod entity;
+pub mod outcome;
+pub mod prelude;
+pub mod schema;
+pub mod time;
