Move the shared records below the wire layer

Cause: the policy decides over layer ranges, heads and members, and may not depend on the wire. Change: those records live in policy, faults in document; wire re-exports them.

--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -5,6 +5,9 @@
 //! same run. Modules are state machines of the form `(now, event) -> actions`.
 
 pub mod entity;
+pub mod head;
+pub mod layers;
+pub mod member;
 pub mod outcome;
 pub mod prelude;
 pub mod schema;
--- a/wire/src/operator.rs
+++ b/wire/src/operator.rs
@@ -12,45 +12,12 @@
 //! | `GET /operator/dump` | | a JSON object, a field a plug-in |
 //! | `GET /metrics` | | Prometheus text |
 
+pub use jacinthweir_document::Fault;
+pub use jacinthweir_policy::head::{Commit, Head, PartRef};
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::schema::Schema;
 use serde::{Deserialize, Serialize};
 
-/// The one object that a commit changes.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Head {
-    /// Grows by one with each commit.
-    pub revision: u64,
-    /// Newest commit first; the first is the commit of this head. Bounded.
-    pub history: Vec<Commit>,
-    /// Parts of the schema.
-    pub parts: Vec<PartRef>,
-}
-
-/// One commit.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Commit {
-    /// Revision it made.
-    pub revision: u64,
-    /// Change id, chosen by the operator's tool: asking again with the same id is idempotent.
-    pub change: Name,
-    /// Who.
-    pub operator: Name,
-    /// Unix time, in milliseconds.
-    pub at_ms: u64,
-    /// Summary of the difference, one line each; bounded.
-    pub summary: Vec<String>,
-}
-
-/// A part of the schema, immutable and named by its hash.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PartRef {
-    /// SHA-256 of its text, as hexadecimal digits.
-    pub hash: Name,
-    /// Size in bytes.
-    pub bytes: u64,
-}
-
 /// What would a schema change?
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct PlanRequest {
@@ -96,7 +63,7 @@
     /// The text is not a valid schema: nothing was written. 400.
     Invalid {
         /// Every fault found.
-        faults: Vec<SchemaFault>,
+        faults: Vec<Fault>,
     },
     /// Another commit came first: nothing was committed. 409.
     Conflict {
@@ -118,18 +85,6 @@
     },
 }
 
-/// One fault of a schema or settings file.
-#[derive(Clone, Debug, PartialEq, Eq, derive_more::Display, Serialize, Deserialize)]
-#[display("line {line}: {field}: {message}")]
-pub struct SchemaFault {
-    /// Line, from 1.
-    pub line: usize,
-    /// Path of the field, as `models[0].layers`.
-    pub field: String,
-    /// What is wrong.
-    pub message: String,
-}
-
 /// The schema in force.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct SchemaReply {
@@ -175,7 +130,7 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct InstanceStatus {
     /// Its state as last heard.
-    pub member: crate::peer::MemberState,
+    pub member: jacinthweir_policy::member::MemberState,
     /// Whether it is suspected to be dead.
     pub suspected: bool,
     /// Time since its heartbeat last grew, in milliseconds.
--- a/wire/src/runner.rs
+++ b/wire/src/runner.rs
@@ -10,32 +10,11 @@
 //! | `POST /v1/kv/export`, `/v1/kv/import` | [`KvRequest`] |
 //! | `POST /v1/orders` | body [`Order`]; 409 with [`Fenced`] where an old number is checked and refused |
 
+pub use jacinthweir_policy::layers::LayerRange;
 use jacinthweir_policy::prelude::*;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
-/// Half-open range of layers `[start, end)`.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    derive_more::Display,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize,
-)]
-#[display("{start}..{end}")]
-pub struct LayerRange {
-    /// First layer.
-    pub start: u32,
-    /// One past the last layer.
-    pub end: u32,
-}
-
 /// One stage of a route.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Stage {
