--- a/policy/src/entity.rs
+++ b/policy/src/entity.rs
@@ -39,3 +39,8 @@
     ServiceId,
     "service"
 );
+entity!(
+    /// A model runner, as an instance numbers those it has seen.
+    RunnerId,
+    "runner"
+);
--- a/policy/src/layers.rs
+++ b/policy/src/layers.rs
@@ -23,3 +23,25 @@
     /// One past the last layer.
     pub end: u32,
 }
+
+impl LayerRange {
+    /// `[start, end)`.
+    pub fn new(start: u32, end: u32) -> Self {
+        Self { start, end }
+    }
+
+    /// Number of layers.
+    pub fn count(self) -> u32 {
+        self.end.saturating_sub(self.start)
+    }
+
+    /// Whether there is no layer in it.
+    pub fn is_empty(self) -> bool {
+        self.end <= self.start
+    }
+
+    /// Whether every layer of `other` is in it.
+    pub fn covers(self, other: Self) -> bool {
+        self.start <= other.start && other.end <= self.end
+    }
+}
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod member;
 pub mod outcome;
 pub mod prelude;
+pub mod route;
 pub mod schema;
 pub mod time;
