--- /dev/null
+++ b/clients/src/peer.rs
@@ -0,0 +1,95 @@
+//! Other instances, as documented in [`jacinthweir_wire::peer`]. Bodies are MessagePack.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use jacinthweir_wire::operator::RequestRecord;
+use reqwest::StatusCode;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::ClientError;
+
+/// Client towards other instances.
+#[derive(Clone, Debug)]
+pub struct PeerClient {
+    client: reqwest::Client,
+    token: String,
+    timeout: Duration,
+}
+
+impl PeerClient {
+    /// A client that shows `token` and ends each call within `timeout`.
+    ///
+    /// # Errors
+    /// When the HTTP client cannot be built.
+    pub fn open(token: String, timeout: Duration) -> Result<PeerClient, ClientError> {
+        let client = crate::pooled()?;
+        Ok(PeerClient {
+            client,
+            token,
+            timeout,
+        })
+    }
+
+    /// Posts `msg` to `path` of `peer` and reads the answer.
+    ///
+    /// # Errors
+    /// See [`ClientError`].
+    pub async fn post<Q, A>(&self, peer: SocketAddr, path: &str, msg: &Q) -> Result<A, ClientError>
+    where
+        Q: Serialize,
+        A: DeserializeOwned,
+    {
+        let body = rmp_serde::to_vec_named(msg).map_err(ClientError::bad)?;
+        let url = format!("http://{peer}{path}");
+        let req = self.client.post(url).bearer_auth(&self.token).body(body);
+        let res = req.timeout(self.timeout).send().await?;
+        if res.status() != StatusCode::OK {
+            return Err(ClientError::bad(format!(
+                "{peer} answered {}",
+                res.status()
+            )));
+        }
+        let bytes = res.bytes().await?;
+        rmp_serde::from_slice(&bytes).map_err(ClientError::bad)
+    }
+
+    /// Fetches a part of the configuration by its hash; `None`: the peer does not have it.
+    ///
+    /// # Errors
+    /// See [`ClientError`].
+    pub async fn part(&self, peer: SocketAddr, hash: &str) -> Result<Option<Bytes>, ClientError> {
+        self.fetch(format!("http://{peer}/peer/parts/{hash}")).await
+    }
+
+    /// Fetches the record of a request that `peer` served; `None`: not known there.
+    ///
+    /// # Errors
+    /// See [`ClientError`].
+    pub async fn request(
+        &self,
+        peer: SocketAddr,
+        id: &str,
+    ) -> Result<Option<RequestRecord>, ClientError> {
+        let bytes = self
+            .fetch(format!("http://{peer}/peer/requests/{id}"))
+            .await?;
+        let Some(bytes) = bytes else {
+            return Ok(None);
+        };
+        let record = rmp_serde::from_slice(&bytes).map_err(ClientError::bad)?;
+        Ok(Some(record))
+    }
+
+    async fn fetch(&self, url: String) -> Result<Option<Bytes>, ClientError> {
+        let req = self.client.get(url).bearer_auth(&self.token);
+        let res = req.timeout(self.timeout).send().await?;
+        match res.status() {
+            StatusCode::OK => Ok(Some(res.bytes().await?)),
+            StatusCode::NOT_FOUND => Ok(None),
+            status => Err(ClientError::bad(format!("peer answered {status}"))),
+        }
+    }
+}
--- /dev/null
+++ b/clients/src/platform.rs
@@ -0,0 +1,195 @@
+//! The platform's service, as documented in [`jacinthweir_wire::platform`].
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures::future::BoxFuture;
+use jacinthweir_wire::platform::*;
+use reqwest::StatusCode;
+use serde::de::DeserializeOwned;
+
+use crate::ClientError;
+
+/// Result of a conditional write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PutResult {
+    /// Written; the new version.
+    Written(u64),
+    /// The condition did not hold; the standing version, 0 where absent.
+    Stands(u64),
+}
+
+/// The platform's service. A trait, since tests put an in-memory one in its place.
+pub trait Platform: Send + Sync {
+    /// Reads an object.
+    fn get<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<Object>, ClientError>>;
+    /// Writes an object under a condition.
+    fn put<'a>(
+        &'a self,
+        key: &'a str,
+        value: String,
+        condition: Condition,
+    ) -> BoxFuture<'a, Result<PutResult, ClientError>>;
+    /// Deletes an object at a version; `false`: it was absent or at another version.
+    fn delete<'a>(&'a self, key: &'a str, version: u64)
+    -> BoxFuture<'a, Result<bool, ClientError>>;
+    /// Lists keys and versions below a prefix.
+    fn list<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, Result<ObjectList, ClientError>>;
+    /// Waits for changes below a prefix.
+    fn watch<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: u64,
+        wait: Duration,
+    ) -> BoxFuture<'a, Result<WatchAnswer, ClientError>>;
+    /// Reads the list of instances, which lags.
+    fn instances(&self) -> BoxFuture<'_, Result<InstanceList, ClientError>>;
+}
+
+/// The platform over HTTP.
+#[derive(Clone, Debug)]
+pub struct HttpPlatform {
+    client: reqwest::Client,
+    address: SocketAddr,
+    timeout: Duration,
+}
+
+impl HttpPlatform {
+    /// A client of the platform at `address`; each call but a watch ends within `timeout`.
+    ///
+    /// # Errors
+    /// When the HTTP client cannot be built.
+    pub fn open(address: SocketAddr, timeout: Duration) -> Result<HttpPlatform, ClientError> {
+        let client = crate::pooled()?;
+        Ok(HttpPlatform {
+            client,
+            address,
+            timeout,
+        })
+    }
+
+    fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.address)
+    }
+
+    async fn read<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        timeout: Duration,
+    ) -> Result<Option<T>, ClientError> {
+        let res = self
+            .client
+            .get(self.url(path))
+            .timeout(timeout)
+            .send()
+            .await?;
+        match res.status() {
+            StatusCode::OK => Ok(Some(res.json().await?)),
+            StatusCode::NOT_FOUND => Ok(None),
+            status => Err(status_error(status)),
+        }
+    }
+
+    async fn put_object(
+        &self,
+        key: &str,
+        value: String,
+        condition: Condition,
+    ) -> Result<PutResult, ClientError> {
+        let url = self.url(&format!("/objects/{key}"));
+        let body = PutObject { value, condition };
+        let res = self
+            .client
+            .put(url)
+            .json(&body)
+            .timeout(self.timeout)
+            .send()
+            .await?;
+        match res.status() {
+            StatusCode::OK => Ok(PutResult::Written(written(res).await?)),
+            StatusCode::PRECONDITION_FAILED => Ok(PutResult::Stands(written(res).await?)),
+            status => Err(status_error(status)),
+        }
+    }
+
+    async fn delete_object(&self, key: &str, version: u64) -> Result<bool, ClientError> {
+        let url = self.url(&format!("/objects/{key}?version={version}"));
+        let res = self.client.delete(url).timeout(self.timeout).send().await?;
+        match res.status() {
+            StatusCode::OK => Ok(true),
+            StatusCode::NOT_FOUND | StatusCode::PRECONDITION_FAILED => Ok(false),
+            status => Err(status_error(status)),
+        }
+    }
+}
+
+/// Reads the body of an answered write. A body that breaks off after the status line still
+/// leaves the status known, but not the version.
+async fn written(res: reqwest::Response) -> Result<u64, ClientError> {
+    let body: Written = res.json().await?;
+    Ok(body.version)
+}
+
+fn status_error(status: StatusCode) -> ClientError {
+    let cause = format!("platform answered {status}");
+    match status {
+        StatusCode::TOO_MANY_REQUESTS
+        | StatusCode::SERVICE_UNAVAILABLE
+        | StatusCode::PAYLOAD_TOO_LARGE
+        | StatusCode::BAD_REQUEST => ClientError::NoEffect { cause },
+        s if s.is_server_error() => ClientError::Unknown { cause },
+        _ => ClientError::BadAnswer { cause },
+    }
+}
+
+impl Platform for HttpPlatform {
+    fn get<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<Object>, ClientError>> {
+        Box::pin(async move { self.read(&format!("/objects/{key}"), self.timeout).await })
+    }
+
+    fn put<'a>(
+        &'a self,
+        key: &'a str,
+        value: String,
+        condition: Condition,
+    ) -> BoxFuture<'a, Result<PutResult, ClientError>> {
+        Box::pin(self.put_object(key, value, condition))
+    }
+
+    fn delete<'a>(
+        &'a self,
+        key: &'a str,
+        version: u64,
+    ) -> BoxFuture<'a, Result<bool, ClientError>> {
+        Box::pin(self.delete_object(key, version))
+    }
+
+    fn list<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, Result<ObjectList, ClientError>> {
+        Box::pin(async move {
+            let path = format!("/objects?prefix={prefix}");
+            let list = self.read(&path, self.timeout).await?;
+            list.ok_or_else(|| ClientError::bad("no list"))
+        })
+    }
+
+    fn watch<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: u64,
+        wait: Duration,
+    ) -> BoxFuture<'a, Result<WatchAnswer, ClientError>> {
+        Box::pin(async move {
+            let wait_ms = wait.as_millis();
+            let path = format!("/watch?prefix={prefix}&after={after}&wait_ms={wait_ms}");
+            let answer = self.read(&path, wait + self.timeout).await?;
+            answer.ok_or_else(|| ClientError::bad("no watch"))
+        })
+    }
+
+    fn instances(&self) -> BoxFuture<'_, Result<InstanceList, ClientError>> {
+        Box::pin(async move {
+            let list = self.read("/instances", self.timeout).await?;
+            list.ok_or_else(|| ClientError::bad("no instance list"))
+        })
+    }
+}
--- /dev/null
+++ b/clients/src/runner.rs
@@ -0,0 +1,144 @@
+//! Model runners, as documented in [`jacinthweir_wire::runner`].
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures::{StreamExt, TryStreamExt};
+use jacinthweir_wire::runner::*;
+use reqwest::StatusCode;
+use tokio_util::codec::{FramedRead, LinesCodec};
+use tokio_util::io::StreamReader;
+
+use crate::ClientError;
+
+/// The longest line that a runner may send, in bytes; a longer one breaks the attempt off.
+const MAX_FRAME_BYTES: usize = 256 * 1024;
+
+/// Client towards model runners.
+#[derive(Clone, Debug)]
+pub struct RunnerClient {
+    client: reqwest::Client,
+    timeout: Duration,
+}
+
+/// Answer to the start of a run.
+pub enum RunStart {
+    /// The attempt was accepted; frames follow.
+    Accepted(Frames),
+    /// The runner refused before anything of the attempt ran.
+    Refused(Refused),
+}
+
+/// Frames of an accepted attempt.
+pub struct Frames {
+    lines: futures::stream::BoxStream<'static, Result<String, ClientError>>,
+}
+
+impl Frames {
+    /// The next frame; `None`: the connection ended.
+    ///
+    /// # Errors
+    /// When the connection breaks or a line is not a frame.
+    pub async fn next(&mut self) -> Result<Option<Frame>, ClientError> {
+        let Some(line) = self.lines.next().await.transpose()? else {
+            return Ok(None);
+        };
+        let frame = serde_json::from_str(&line).map_err(ClientError::bad)?;
+        Ok(Some(frame))
+    }
+}
+
+impl RunnerClient {
+    /// A client whose calls but runs end within `timeout`; a run ends with the caller's deadline.
+    ///
+    /// # Errors
+    /// When the HTTP client cannot be built.
+    pub fn open(timeout: Duration) -> Result<RunnerClient, ClientError> {
+        let client = crate::pooled()?;
+        Ok(RunnerClient { client, timeout })
+    }
+
+    /// Starts an attempt at the first stage of its route.
+    ///
+    /// # Errors
+    /// See [`ClientError`]: only [`ClientError::NoEffect`] says that nothing ran.
+    pub async fn run(&self, req: &RunRequest) -> Result<RunStart, ClientError> {
+        let Some(first) = req.route.first() else {
+            return Err(ClientError::NoEffect {
+                cause: "empty route".into(),
+            });
+        };
+        let url = format!("http://{}/v1/run", first.address);
+        let res = self.client.post(url).json(req).send().await?;
+        match res.status() {
+            StatusCode::OK => Ok(RunStart::Accepted(frames(res))),
+            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
+                Ok(RunStart::Refused(res.json().await?))
+            }
+            status => Err(ClientError::bad(format!("runner answered {status}"))),
+        }
+    }
+
+    /// Stops an attempt.
+    ///
+    /// # Errors
+    /// See [`ClientError`].
+    pub async fn cancel(&self, runner: SocketAddr, msg: &CancelRequest) -> Result<(), ClientError> {
+        let url = format!("http://{runner}/v1/cancel");
+        let res = self
+            .client
+            .post(url)
+            .json(msg)
+            .timeout(self.timeout)
+            .send()
+            .await?;
+        if res.status().is_success() {
+            return Ok(());
+        }
+        Err(ClientError::bad(format!(
+            "runner answered {}",
+            res.status()
+        )))
+    }
+
+    /// Reads a runner's load report, which lags.
+    ///
+    /// # Errors
+    /// See [`ClientError`].
+    pub async fn load(&self, runner: SocketAddr) -> Result<LoadReport, ClientError> {
+        self.read(format!("http://{runner}/v1/load")).await
+    }
+
+    /// Reads a runner's cache events after a number.
+    ///
+    /// # Errors
+    /// See [`ClientError`].
+    pub async fn cache_events(
+        &self,
+        runner: SocketAddr,
+        after: u64,
+    ) -> Result<CacheEvents, ClientError> {
+        self.read(format!("http://{runner}/v1/cache-events?after={after}"))
+            .await
+    }
+
+    async fn read<T: serde::de::DeserializeOwned>(&self, url: String) -> Result<T, ClientError> {
+        let res = self.client.get(url).timeout(self.timeout).send().await?;
+        match res.status() {
+            StatusCode::OK => Ok(res.json().await?),
+            status => Err(ClientError::bad(format!("runner answered {status}"))),
+        }
+    }
+}
+
+fn frames(res: reqwest::Response) -> Frames {
+    let bytes = res.bytes_stream().map_err(std::io::Error::other);
+    let reader = StreamReader::new(bytes);
+    let lines = FramedRead::new(reader, LinesCodec::new_with_max_length(MAX_FRAME_BYTES));
+    let lines = lines.map_err(|e| ClientError::Unknown {
+        cause: e.to_string(),
+    });
+    Frames {
+        lines: lines.boxed(),
+    }
+}
--- /dev/null
+++ b/clients/src/service.rs
@@ -0,0 +1,151 @@
+//! Plain services: one HTTP call each, over a connection of its own.
+//!
+//! `POST /call/{call}` with the caller's body, the request id and attempt number as headers,
+//! which the service echoes. A 429 or 503 with `jacinthweir-ran: no` says that nothing ran; any
+//! other status is the service's own answer.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use jacinthweir_wire::header;
+use reqwest::{Response, StatusCode};
+
+use crate::ClientError;
+
+/// The largest answer taken from a plain service, in bytes.
+pub const MAX_ANSWER_BYTES: usize = 1024 * 1024;
+
+/// One call.
+#[derive(Clone, Debug)]
+pub struct ServiceCall {
+    /// Upstream.
+    pub address: SocketAddr,
+    /// Call name.
+    pub call: String,
+    /// Request id.
+    pub request: String,
+    /// Attempt number, from 1.
+    pub attempt: u32,
+    /// Caller's idempotency key.
+    pub key: Option<String>,
+    /// Caller's content type.
+    pub content_type: Option<String>,
+    /// Body.
+    pub body: Bytes,
+    /// Time left.
+    pub timeout: Duration,
+}
+
+/// What a plain service made of a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ServiceAnswer {
+    /// Its whole answer.
+    Answered {
+        /// HTTP status.
+        status: u16,
+        /// Content type.
+        content_type: Option<String>,
+        /// Body.
+        body: Bytes,
+    },
+    /// It refused before anything ran.
+    Refused {
+        /// When to come back, in milliseconds, where it said so.
+        retry_after_ms: Option<u64>,
+    },
+}
+
+/// Client towards plain services.
+#[derive(Clone, Debug)]
+pub struct ServiceClient {
+    client: reqwest::Client,
+}
+
+impl ServiceClient {
+    /// A client without kept connections, repeats or redirects.
+    ///
+    /// # Errors
+    /// When the HTTP client cannot be built.
+    pub fn open() -> Result<ServiceClient, ClientError> {
+        let client = crate::unpooled()?;
+        Ok(ServiceClient { client })
+    }
+
+    /// Makes the call once.
+    ///
+    /// # Errors
+    /// See [`ClientError`]: only [`ClientError::NoEffect`] says that nothing ran. An answer that
+    /// names another request or attempt is [`ClientError::BadAnswer`]; the call may have run.
+    pub async fn call(&self, call: &ServiceCall) -> Result<ServiceAnswer, ClientError> {
+        let url = format!("http://{}/call/{}", call.address, call.call);
+        let mut req = self.client.post(url).timeout(call.timeout);
+        req = req
+            .header(header::REQUEST, &call.request)
+            .header(header::ATTEMPT, call.attempt);
+        if let Some(key) = &call.key {
+            req = req.header(header::IDEMPOTENCY_KEY, key);
+        }
+        if let Some(kind) = &call.content_type {
+            req = req.header(reqwest::header::CONTENT_TYPE, kind);
+        }
+        let res = req.body(call.body.clone()).send().await?;
+        if refused(&res) {
+            return Ok(ServiceAnswer::Refused {
+                retry_after_ms: retry_after_ms(&res),
+            });
+        }
+        check_echo(&res, call)?;
+        let status = res.status().as_u16();
+        let content_type = text_header(&res, "content-type");
+        let body = bounded_body(res).await?;
+        Ok(ServiceAnswer::Answered {
+            status,
+            content_type,
+            body,
+        })
+    }
+}
+
+fn refused(res: &Response) -> bool {
+    let status = res.status();
+    let may = status == StatusCode::TOO_MANY_REQUESTS || status == StatusCode::SERVICE_UNAVAILABLE;
+    may && text_header(res, header::RAN).as_deref() == Some("no")
+}
+
+fn retry_after_ms(res: &Response) -> Option<u64> {
+    let seconds: u64 = text_header(res, "retry-after")?.parse().ok()?;
+    seconds.checked_mul(1000)
+}
+
+/// A crossed answer (another request's, or an earlier attempt's) must not reach the caller.
+fn check_echo(res: &Response, call: &ServiceCall) -> Result<(), ClientError> {
+    let request = text_header(res, header::REQUEST);
+    let attempt = text_header(res, header::ATTEMPT);
+    let matches = request.as_deref() == Some(call.request.as_str())
+        && attempt == Some(call.attempt.to_string());
+    if matches {
+        return Ok(());
+    }
+    Err(ClientError::bad(format!(
+        "answer names request {request:?}, attempt {attempt:?}"
+    )))
+}
+
+fn text_header(res: &Response, name: &str) -> Option<String> {
+    let value = res.headers().get(name)?;
+    value.to_str().ok().map(str::to_owned)
+}
+
+async fn bounded_body(mut res: Response) -> Result<Bytes, ClientError> {
+    let mut body = Vec::new();
+    while let Some(chunk) = res.chunk().await? {
+        if body.len() + chunk.len() > MAX_ANSWER_BYTES {
+            return Err(ClientError::bad(format!(
+                "answer exceeds {MAX_ANSWER_BYTES} bytes"
+            )));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(Bytes::from(body))
+}
--- /dev/null
+++ b/kernel/src/auth.rs
@@ -0,0 +1,100 @@
+//! Who may call: operators and peers by a token each, callers by a key of their organisation.
+//!
+//! Tokens and keys are compared by their SHA-256 in constant time: a comparison that ends at the
+//! first differing byte would let a caller guess a token byte by byte from the time it takes.
+
+use std::sync::Arc;
+
+use jacinthweir_wire::caller::ErrorCode;
+use salvo::prelude::*;
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+
+use crate::Kernel;
+use crate::reply::Refusal;
+
+/// SHA-256 of a secret, as hexadecimal digits.
+#[must_use]
+pub fn fingerprint(secret: &str) -> String {
+    hex::encode(Sha256::digest(secret.as_bytes()))
+}
+
+/// The bearer token of a request.
+#[must_use]
+pub fn bearer(req: &Request) -> Option<&str> {
+    let value = req.headers().get("authorization")?.to_str().ok()?;
+    let token = value.strip_prefix("Bearer ")?;
+    Some(token.trim())
+}
+
+/// The refusal of a missing or wrong secret, counted by face.
+#[must_use]
+pub fn unauthorized(face: &'static str) -> Refusal {
+    metrics::counter!("jacinthweir_unauthorized_total", "face" => face).increment(1);
+    Refusal::not_run(ErrorCode::Unauthorized, "missing or wrong bearer token")
+}
+
+/// Lets only other instances through.
+pub struct PeersOnly {
+    expected: String,
+}
+
+impl PeersOnly {
+    pub(crate) fn new(cx: &Arc<Kernel>) -> PeersOnly {
+        PeersOnly { expected: fingerprint(&cx.settings.tokens.peers) }
+    }
+}
+
+/// Lets only operators through.
+pub struct OperatorsOnly {
+    expected: String,
+}
+
+impl OperatorsOnly {
+    pub(crate) fn new(cx: &Arc<Kernel>) -> OperatorsOnly {
+        let expected = cx.settings.tokens.operators_sha256.to_lowercase();
+        OperatorsOnly { expected }
+    }
+}
+
+#[async_trait]
+impl Handler for PeersOnly {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        ctrl: &mut FlowCtrl,
+    ) {
+        check(req, res, ctrl, &self.expected, "peers");
+    }
+}
+
+#[async_trait]
+impl Handler for OperatorsOnly {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        ctrl: &mut FlowCtrl,
+    ) {
+        check(req, res, ctrl, &self.expected, "operators");
+    }
+}
+
+fn check(
+    req: &Request,
+    res: &mut Response,
+    ctrl: &mut FlowCtrl,
+    expected: &str,
+    face: &'static str,
+) {
+    let shown = bearer(req).map(fingerprint);
+    let equal = shown.is_some_and(|s| s.as_bytes().ct_eq(expected.as_bytes()).into());
+    if equal {
+        return;
+    }
+    unauthorized(face).write(res, None);
+    ctrl.skip_rest();
+}
--- /dev/null
+++ b/kernel/src/error.rs
@@ -0,0 +1,56 @@
+//! Errors of the kernel.
+
+use std::net::SocketAddr;
+
+use derive_more::{Display, Error, From};
+use jacinthweir_clients::ClientError;
+use jacinthweir_document::Fault;
+
+/// The instance cannot start, or one of its parts ended.
+#[derive(Debug, Display, Error, From)]
+pub enum KernelError {
+    /// The settings file cannot be read.
+    #[display("{path}: {cause}")]
+    #[from(ignore)]
+    Unreadable {
+        /// File.
+        path: String,
+        /// Cause.
+        cause: std::io::Error,
+    },
+    /// The settings are not valid.
+    #[display("{path}: {}", list(faults))]
+    #[from(ignore)]
+    Settings {
+        /// File.
+        path: String,
+        /// Every fault found.
+        faults: Vec<Fault>,
+    },
+    /// A listener cannot be bound.
+    #[display("cannot listen on {address}: {cause}")]
+    #[from(ignore)]
+    Listen {
+        /// Address.
+        address: SocketAddr,
+        /// Cause.
+        cause: String,
+    },
+    /// Logs or metrics cannot be set up.
+    #[display("cannot set up {what}: {cause}")]
+    #[from(ignore)]
+    SetUp {
+        /// What.
+        what: &'static str,
+        /// Cause.
+        cause: String,
+    },
+    /// A client cannot be built.
+    #[display("{_0}")]
+    Client(ClientError),
+}
+
+fn list(faults: &[Fault]) -> String {
+    let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    lines.join("\n")
+}
--- /dev/null
+++ b/kernel/src/kernel.rs
@@ -0,0 +1,133 @@
+//! The shared state of an instance, and its life from start to exit.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use jacinthweir_clients::peer::PeerClient;
+use jacinthweir_clients::platform::{HttpPlatform, Platform};
+use jacinthweir_clients::runner::RunnerClient;
+use jacinthweir_clients::service::ServiceClient;
+use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::route::{Router, RouterConfig};
+use jacinthweir_wire::caller::ErrorCode;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::clock::Clock;
+use crate::config::{ConfigCell, InForce};
+use crate::gate::Gate;
+use crate::parts::Parts;
+use crate::records::Records;
+use crate::reply::Refusal;
+use crate::stats::Stats;
+use crate::{KernelError, Settings};
+
+/// Time for which a runner is avoided after a failure.
+const AVOID_MS: Millis = 2_000;
+
+/// When to come back to an instance that cannot serve now; another may at once.
+const RETRY_ELSEWHERE_MS: u64 = 1_000;
+
+/// The shared state of an instance.
+///
+/// Locks are held for one decision at a time and never across an await point.
+pub struct Kernel {
+    /// Settings.
+    pub settings: Settings,
+    /// Clocks.
+    pub clock: Clock,
+    /// Unix time of the start, in milliseconds: tells two lives of the same name apart.
+    pub incarnation: u64,
+    /// Metrics.
+    pub stats: Stats,
+    /// Cancelled when the instance ends: tasks return.
+    pub stop: CancellationToken,
+    /// Tasks of the plug-ins.
+    pub tasks: TaskTracker,
+    /// The platform's service.
+    pub platform: Arc<dyn Platform>,
+    /// Client towards peers.
+    pub peers: PeerClient,
+    /// Client towards model runners.
+    pub runners: RunnerClient,
+    /// Client towards plain services.
+    pub services: ServiceClient,
+    /// Records of requests.
+    pub records: Arc<Records>,
+    /// The configuration in force.
+    pub config: ConfigCell,
+    /// Parts of the configuration, for peers.
+    pub parts: Parts,
+    /// Admission.
+    pub gate: Arc<Gate>,
+    router: Mutex<Router>,
+}
+
+impl Kernel {
+    /// Opens the shared state of an instance with `settings`.
+    ///
+    /// # Errors
+    /// When a client or the metrics cannot be set up.
+    pub fn open(settings: Settings) -> Result<Arc<Kernel>, KernelError> {
+        let clock = Clock::open();
+        let timing = &settings.timing;
+        let platform_timeout = Duration::from_millis(settings.platform.timeout_ms);
+        let platform = HttpPlatform::open(settings.platform.address, platform_timeout)?;
+        let peer_timeout = Duration::from_millis(timing.peer_timeout_ms);
+        let upstream_timeout = Duration::from_millis(timing.upstream_timeout_ms);
+        let kernel = Kernel {
+            clock,
+            incarnation: clock.unix_ms(),
+            stats: Stats::open()?,
+            stop: CancellationToken::new(),
+            tasks: TaskTracker::new(),
+            platform: Arc::new(platform),
+            peers: PeerClient::open(settings.tokens.peers.to_string(), peer_timeout)?,
+            runners: RunnerClient::open(upstream_timeout)?,
+            services: ServiceClient::open()?,
+            records: Arc::new(Records::open(settings.limits.records)),
+            config: ConfigCell::default(),
+            parts: Parts::default(),
+            gate: Gate::open(clock),
+            router: Mutex::new(Router::new(RouterConfig { instances: 1, avoid_ms: AVOID_MS })),
+            settings,
+        };
+        Ok(Arc::new(kernel))
+    }
+
+    /// The route plan.
+    pub fn router(&self) -> MutexGuard<'_, Router> {
+        self.router.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The configuration to serve a request by.
+    ///
+    /// # Errors
+    /// `no_configuration`: nothing ran.
+    pub fn serving_config(&self) -> Result<Arc<InForce>, Refusal> {
+        if let Some(config) = self.config.get().served() {
+            return Ok(Arc::clone(config));
+        }
+        let msg = "this instance has no configuration that it can vouch for";
+        let refusal = Refusal::not_run(ErrorCode::NoConfiguration, msg);
+        Err(refusal.retry_after(RETRY_ELSEWHERE_MS))
+    }
+
+    /// A new request id: the instance's name, a dot, and a number that is never used again.
+    #[must_use]
+    pub fn new_request_id(&self) -> Name {
+        let number = uuid::Uuid::now_v7().simple();
+        Name::from(format!("{}.{number}", self.settings.name))
+    }
+
+    /// Runs a task until it ends or the instance stops.
+    pub fn spawn<F>(&self, task: F)
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let stop = self.stop.clone();
+        self.tasks.spawn(async move {
+            let _ = stop.run_until_cancelled(task).await;
+        });
+    }
+}
--- /dev/null
+++ b/kernel/src/listener.rs
@@ -0,0 +1,92 @@
+//! The three listeners.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use salvo::catcher::Catcher;
+use salvo::conn::tcp::TcpAcceptor;
+use salvo::fuse::FuseConfig;
+use salvo::prelude::*;
+use salvo::server::ServerHandle;
+use tokio::task::JoinHandle;
+
+use crate::plugin::{Face, sorted};
+use crate::{Kernel, KernelError, auth, reply};
+
+/// A running listener.
+pub struct Listening {
+    /// Whom it is for.
+    pub face: Face,
+    /// Where it listens.
+    pub address: SocketAddr,
+    handle: ServerHandle,
+    task: JoinHandle<()>,
+}
+
+impl Listening {
+    /// Binds a listener for `face` with the routes of every plug-in.
+    ///
+    /// # Errors
+    /// When the address cannot be bound.
+    pub async fn bind(cx: &Arc<Kernel>, face: Face) -> Result<Listening, KernelError> {
+        let address = address(cx, face);
+        let listener = TcpListener::new(address).try_bind().await;
+        let acceptor = listener
+            .map_err(|e| KernelError::Listen { address, cause: e.to_string() })?;
+        let server = server(cx, acceptor);
+        let handle = server.handle();
+        let service = service(cx, face);
+        let task = tokio::spawn(async move {
+            if let Err(e) = server.try_serve(service).await {
+                log::error!("listener for {face} ended: {e}");
+            }
+        });
+        log::info!("listening for {face} on {address}");
+        Ok(Listening { face, address, handle, task })
+    }
+
+    /// Refuses new connections and returns once the last request of the open ones has ended.
+    pub async fn stop(self) {
+        self.handle.stop_graceful(None);
+        let _ = self.task.await;
+    }
+
+    /// Cuts whatever is still open.
+    pub fn abort(&self) {
+        self.handle.stop_forceful();
+    }
+}
+
+fn address(cx: &Kernel, face: Face) -> SocketAddr {
+    let listen = &cx.settings.listen;
+    match face {
+        Face::Callers => listen.callers,
+        Face::Peers => listen.peers,
+        Face::Operators => listen.operators,
+    }
+}
+
+/// Slow senders are cut off by the header time-out here and by the body time-out where a body is
+/// read, so that an idle or dribbling connection holds a bounded amount of memory for a bounded
+/// time.
+fn server(cx: &Kernel, acceptor: TcpAcceptor) -> Server<TcpAcceptor> {
+    let timeout = Duration::from_millis(cx.settings.timing.header_timeout_ms);
+    let fuse = FuseConfig::default().with_http1_header_timeout(timeout);
+    Server::new(acceptor).fuse_config(fuse).max_connections(cx.settings.limits.connections)
+}
+
+fn service(cx: &Arc<Kernel>, face: Face) -> Service {
+    let mut root = Router::new();
+    for plugin in sorted() {
+        for route in (plugin.routes)(cx, face) {
+            root = root.push(route);
+        }
+    }
+    let root = match face {
+        Face::Callers => root,
+        Face::Peers => root.hoop(auth::PeersOnly::new(cx)),
+        Face::Operators => root.hoop(auth::OperatorsOnly::new(cx)),
+    };
+    Service::new(root).catcher(Catcher::default().hoop(reply::NoRoute))
+}
--- /dev/null
+++ b/kernel/src/settings.rs
@@ -0,0 +1,307 @@
+//! Settings of an instance: JSON with comments, checked whole before anything starts.
+//!
+//! Every field has its unit in its name. Unknown fields are errors. docs/SETTINGS.md describes
+//! each field.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::path::Path;
+
+use jacinthweir_document::{Document, Fault};
+use jacinthweir_policy::prelude::*;
+use serde::{Deserialize, Serialize};
+
+use crate::KernelError;
+
+/// Settings of one instance.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of the instance, kept over restarts.
+    pub name: Name,
+    /// Failure domain it runs in.
+    pub failure_domain: Name,
+    /// Addresses it listens on.
+    pub listen: Listen,
+    /// Peers' addresses of some other instances, to start from.
+    #[serde(default)]
+    pub peers: Vec<SocketAddr>,
+    /// The platform's service.
+    pub platform: PlatformSettings,
+    /// Secrets of operators and peers.
+    pub tokens: Tokens,
+    /// Limits on what comes in.
+    #[serde(default)]
+    pub limits: Limits,
+    /// Periods and time-outs.
+    #[serde(default)]
+    pub timing: Timing,
+    /// Logs.
+    #[serde(default)]
+    pub log: LogSettings,
+}
+
+/// Addresses to listen on: three faces that are kept apart.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For other instances.
+    pub peers: SocketAddr,
+    /// For operators.
+    pub operators: SocketAddr,
+}
+
+/// The platform's service.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlatformSettings {
+    /// Address.
+    pub address: SocketAddr,
+    /// The longest a call may take, in milliseconds.
+    #[serde(default = "default_platform_timeout")]
+    pub timeout_ms: u64,
+}
+
+/// Secrets of operators and peers.
+#[derive(Clone, Serialize, Deserialize, derive_more::Debug)]
+#[serde(deny_unknown_fields)]
+pub struct Tokens {
+    /// SHA-256 of the operators' token, as 64 hexadecimal digits.
+    pub operators_sha256: Name,
+    /// Token that instances show one another.
+    #[debug(skip)]
+    pub peers: Name,
+}
+
+/// Limits on what comes in.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// The largest request body of callers, in bytes.
+    pub body_bytes: usize,
+    /// The largest schema of operators, in bytes.
+    pub schema_bytes: usize,
+    /// The most connections on each listener.
+    pub connections: usize,
+    /// The most requests in progress, queued ones counted.
+    pub requests: usize,
+    /// Finished requests whose records are kept.
+    pub records: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            body_bytes: 1 << 20,
+            schema_bytes: 16 << 20,
+            connections: 4096,
+            requests: 2048,
+            records: 10_000,
+        }
+    }
+}
+
+/// Periods and time-outs.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Timing {
+    /// Time a request's headers may take, in milliseconds.
+    pub header_timeout_ms: u64,
+    /// Time a request's body may take, in milliseconds.
+    pub body_timeout_ms: u64,
+    /// How long callers may keep an entry answer, in milliseconds.
+    pub entry_ttl_ms: u64,
+    /// The longest a graceful shutdown may take, in milliseconds.
+    pub drain_deadline_ms: u64,
+    /// Period of exchanges with peers, in milliseconds.
+    pub gossip_ms: u64,
+    /// Time-out of a call to a peer, in milliseconds.
+    pub peer_timeout_ms: u64,
+    /// Period of load reports from runners, in milliseconds.
+    pub load_poll_ms: u64,
+    /// Time-out of a runner's answer to a load poll or cancel, in milliseconds.
+    pub upstream_timeout_ms: u64,
+    /// Period of reading the platform's list of instances, in milliseconds.
+    pub list_poll_ms: u64,
+    /// Period of reading the configuration's head, in milliseconds.
+    pub head_poll_ms: u64,
+    /// How long an instance serves a revision that neither the platform nor a majority of the
+    /// instances confirms, in milliseconds.
+    pub unconfirmed_ms: u64,
+    /// How long the claim of a non-idempotent call is kept, in milliseconds.
+    pub claim_retention_ms: u64,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Timing {
+            header_timeout_ms: 5_000,
+            body_timeout_ms: 10_000,
+            entry_ttl_ms: 3_000,
+            drain_deadline_ms: 120_000,
+            gossip_ms: 500,
+            peer_timeout_ms: 1_000,
+            load_poll_ms: 500,
+            upstream_timeout_ms: 1_000,
+            list_poll_ms: 2_000,
+            head_poll_ms: 1_000,
+            unconfirmed_ms: 15_000,
+            claim_retention_ms: 24 * 3600 * 1000,
+        }
+    }
+}
+
+/// Logs.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LogSettings {
+    /// Least severe level written.
+    pub level: LogLevel,
+    /// Form of a line.
+    pub format: LogFormat,
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        LogSettings { level: LogLevel::Info, format: LogFormat::Json }
+    }
+}
+
+/// Least severe level written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogLevel {
+    /// Faults of this instance.
+    Error,
+    /// What an operator should look at.
+    Warn,
+    /// One line a request and a state change.
+    Info,
+    /// For developers.
+    Debug,
+}
+
+/// Form of a log line.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogFormat {
+    /// One JSON object a line.
+    Json,
+    /// Plain text.
+    Text,
+}
+
+fn default_platform_timeout() -> u64 {
+    1_000
+}
+
+/// The longest name of an instance or failure domain, in bytes.
+const MAX_NAME_BYTES: usize = 64;
+/// Digits of a SHA-256.
+const HASH_DIGITS: usize = 64;
+/// The shortest token between instances, in bytes.
+const MIN_TOKEN_BYTES: usize = 16;
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    /// When the file cannot be read, or with every fault found in it.
+    pub fn open(path: &Path) -> Result<Settings, KernelError> {
+        let shown = path.display().to_string();
+        let text = std::fs::read_to_string(path);
+        let text = text.map_err(|cause| KernelError::Unreadable { path: shown.clone(), cause })?;
+        Settings::parse(&text).map_err(|faults| KernelError::Settings { path: shown, faults })
+    }
+
+    /// Reads and checks settings.
+    ///
+    /// # Errors
+    /// Every fault found.
+    pub fn parse(text: &str) -> Result<Settings, Vec<Fault>> {
+        let doc = Document::parse(text)?;
+        let settings: Settings = doc.read()?;
+        let faults = settings.faults(&doc);
+        if faults.is_empty() { Ok(settings) } else { Err(faults) }
+    }
+
+    fn faults(&self, doc: &Document) -> Vec<Fault> {
+        let mut faults = Vec::new();
+        for (field, name) in [("name", &self.name), ("failure_domain", &self.failure_domain)] {
+            if !valid_name(name) {
+                let msg = "must be 1 to 64 letters, digits, '-', '_' or '.'";
+                faults.push(doc.fault_at(field, msg));
+            }
+        }
+        self.check_addresses(doc, &mut faults);
+        self.check_tokens(doc, &mut faults);
+        for (field, value) in self.positive() {
+            if value == 0 {
+                faults.push(doc.fault_at(field, "must be greater than 0"));
+            }
+        }
+        faults
+    }
+
+    fn check_addresses(&self, doc: &Document, faults: &mut Vec<Fault>) {
+        let listen = &self.listen;
+        let faces = [
+            ("listen.callers", listen.callers),
+            ("listen.peers", listen.peers),
+            ("listen.operators", listen.operators),
+        ];
+        let mut seen = BTreeSet::new();
+        for (field, address) in faces {
+            if address.ip().is_unspecified() {
+                let msg = "must be an address that others can reach, not the unspecified one";
+                faults.push(doc.fault_at(field, msg));
+            }
+            if !seen.insert(address) {
+                faults.push(doc.fault_at(field, "is used by another listener"));
+            }
+        }
+    }
+
+    fn check_tokens(&self, doc: &Document, faults: &mut Vec<Fault>) {
+        let hash = &self.tokens.operators_sha256;
+        if hash.len() != HASH_DIGITS || !hash.bytes().all(|b| b.is_ascii_hexdigit()) {
+            let msg = "must be a SHA-256 as 64 hexadecimal digits";
+            faults.push(doc.fault_at("tokens.operators_sha256", msg));
+        }
+        if self.tokens.peers.len() < MIN_TOKEN_BYTES {
+            faults.push(doc.fault_at("tokens.peers", "must have 16 bytes or more"));
+        }
+    }
+
+    fn positive(&self) -> [(&'static str, u64); 18] {
+        let l = &self.limits;
+        let t = &self.timing;
+        [
+            ("platform.timeout_ms", self.platform.timeout_ms),
+            ("limits.body_bytes", l.body_bytes as u64),
+            ("limits.schema_bytes", l.schema_bytes as u64),
+            ("limits.connections", l.connections as u64),
+            ("limits.requests", l.requests as u64),
+            ("limits.records", l.records as u64),
+            ("timing.header_timeout_ms", t.header_timeout_ms),
+            ("timing.body_timeout_ms", t.body_timeout_ms),
+            ("timing.entry_ttl_ms", t.entry_ttl_ms),
+            ("timing.drain_deadline_ms", t.drain_deadline_ms),
+            ("timing.gossip_ms", t.gossip_ms),
+            ("timing.peer_timeout_ms", t.peer_timeout_ms),
+            ("timing.load_poll_ms", t.load_poll_ms),
+            ("timing.upstream_timeout_ms", t.upstream_timeout_ms),
+            ("timing.list_poll_ms", t.list_poll_ms),
+            ("timing.head_poll_ms", t.head_poll_ms),
+            ("timing.unconfirmed_ms", t.unconfirmed_ms),
+            ("timing.claim_retention_ms", t.claim_retention_ms),
+        ]
+    }
+}
+
+fn valid_name(name: &str) -> bool {
+    let allowed = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.');
+    (1..=MAX_NAME_BYTES).contains(&name.len()) && name.bytes().all(allowed)
+}
--- /dev/null
+++ b/plugins/callers/src/accept.rs
@@ -0,0 +1,71 @@
+//! Checks of a request before anything is done for it.
+
+use jacinthweir_kernel::body;
+use jacinthweir_kernel::config::InForce;
+use jacinthweir_kernel::identity::Caller;
+use jacinthweir_kernel::prelude::*;
+use jacinthweir_kernel::reply::Refusal;
+use jacinthweir_wire::caller::{ChatRequest, CompletionRequest, ErrorCode};
+
+use crate::prompt::{Form, Prompt};
+
+/// A request that was understood.
+pub(crate) struct Accepted {
+    pub(crate) config: Arc<InForce>,
+    pub(crate) caller: Caller,
+    pub(crate) pipeline: PipelineId,
+    pub(crate) prompt: Prompt,
+    /// The most tokens to generate.
+    pub(crate) max_tokens: u32,
+    /// Monotonic time of the deadline, in milliseconds.
+    pub(crate) deadline: Millis,
+}
+
+/// Reads and checks a request.
+///
+/// # Errors
+/// A refusal; nothing has run.
+pub(crate) async fn accept(
+    cx: &Arc<Kernel>,
+    form: Form,
+    req: &mut Request,
+) -> Result<Accepted, Refusal> {
+    let arrived = cx.clock.now();
+    let config = cx.serving_config()?;
+    let caller = Caller::identify(&config, req)?;
+    let prompt = read(cx, form, req).await?;
+    let pipeline = pipeline(&config, &prompt)?;
+    let decl = &config.schema.pipelines()[pipeline];
+    let max_tokens = match prompt.max_tokens {
+        Some(0) => return Err(bad("max_tokens must be greater than 0")),
+        Some(n) => n.min(decl.max_tokens),
+        None => decl.max_tokens,
+    };
+    if prompt.text.is_empty() {
+        return Err(bad("the prompt is empty"));
+    }
+    let deadline_ms = caller.deadline_ms.unwrap_or(decl.default_deadline_ms);
+    let deadline = arrived.saturating_add(deadline_ms);
+    Ok(Accepted { config, caller, pipeline, prompt, max_tokens, deadline })
+}
+
+async fn read(cx: &Kernel, form: Form, req: &mut Request) -> Result<Prompt, Refusal> {
+    let limit = cx.settings.limits.body_bytes;
+    let timeout = cx.settings.timing.body_timeout_ms;
+    match form {
+        Form::Chat => Ok(body::read_json::<ChatRequest>(req, limit, timeout).await?.into()),
+        Form::Plain => Ok(body::read_json::<CompletionRequest>(req, limit, timeout).await?.into()),
+    }
+}
+
+fn pipeline(config: &InForce, prompt: &Prompt) -> Result<PipelineId, Refusal> {
+    let found = config.schema.pipeline_named(&prompt.pipeline);
+    found.ok_or_else(|| {
+        let msg = format!("no such model: {}", prompt.pipeline);
+        Refusal::not_run(ErrorCode::NotFound, msg)
+    })
+}
+
+fn bad(msg: &str) -> Refusal {
+    Refusal::not_run(ErrorCode::BadRequest, msg)
+}
--- /dev/null
+++ b/plugins/callers/src/driver.rs
@@ -0,0 +1,333 @@
+//! The driver of one request: admission, attempts, and what the caller is told.
+
+use std::time::Duration;
+
+use jacinthweir_kernel::gate::{Ask, Permit};
+use jacinthweir_kernel::prelude::*;
+use jacinthweir_kernel::records::{Entry, EntryMeta, Running};
+use jacinthweir_kernel::reply::Refusal;
+use jacinthweir_policy::admission::{self, Work};
+use jacinthweir_policy::journal::{End, Event, Journal, MAX_ATTEMPTS, Repeat};
+use jacinthweir_policy::route::{Pick, Route, RunnerId};
+use jacinthweir_wire::caller::ErrorCode;
+use jacinthweir_wire::runner::{EndFrame, Refused, prefix_hash};
+use tokio::sync::mpsc;
+
+use crate::accept::Accepted;
+use crate::answer::AnswerHead;
+use crate::attempt::AttemptEnd;
+
+/// Tokens that may wait for a slow caller before its upstream is held back.
+const TOLD_CAPACITY: usize = 64;
+/// Bytes of a prompt taken to make a token.
+const BYTES_PER_TOKEN: usize = 4;
+/// When to come back where nothing better is known, in milliseconds.
+const RETRY_AFTER_MS: u64 = 1_000;
+
+/// What the handler passes on to the caller.
+#[derive(Debug)]
+pub(crate) enum Told {
+    /// The next token's text.
+    Token(String),
+    /// The answer is whole.
+    End(EndFrame),
+    /// It is not.
+    Refused(Refusal),
+}
+
+/// Why a request ends without a whole answer.
+enum Stop {
+    Refused(Refusal),
+    NoRoute(String),
+    Busy(Refused),
+    GaveUp(String),
+    DeadlinePassed,
+    CallerLeft,
+}
+
+/// The driver of one request.
+pub(crate) struct Driver {
+    pub(crate) cx: Arc<Kernel>,
+    pub(crate) accepted: Accepted,
+    pub(crate) running: Running,
+    pub(crate) tx: mpsc::Sender<Told>,
+    /// Text of the tokens that the caller has.
+    pub(crate) tokens: Vec<String>,
+    last_token_at: Millis,
+    avoid: Vec<RunnerId>,
+}
+
+impl Driver {
+    /// Starts the driver of an accepted request as a task of its own.
+    pub(crate) fn spawn(
+        cx: &Arc<Kernel>,
+        accepted: Accepted,
+    ) -> (AnswerHead, mpsc::Receiver<Told>) {
+        let id = cx.new_request_id();
+        let journal = Journal::open(id.clone(), Repeat::Idempotent, cx.clock.unix_ms());
+        let meta = EntryMeta {
+            instance: cx.settings.name.clone(),
+            organisation: accepted.caller.organisation.clone(),
+            target: accepted.prompt.pipeline.clone(),
+            revision: accepted.config.revision,
+        };
+        let running = cx.records.begin(Entry::new(journal, cx.clock, meta));
+        let head = AnswerHead {
+            form: accepted.prompt.form,
+            id,
+            model: accepted.prompt.pipeline.clone(),
+            created: cx.clock.unix_ms() / 1000,
+        };
+        let (tx, rx) = mpsc::channel(TOLD_CAPACITY);
+        let driver = Driver {
+            cx: Arc::clone(cx),
+            accepted,
+            running,
+            tx,
+            tokens: Vec::new(),
+            last_token_at: cx.clock.now(),
+            avoid: Vec::new(),
+        };
+        cx.tasks.spawn(driver.drive());
+        (head, rx)
+    }
+
+    async fn drive(mut self) {
+        let served = self.serve().await;
+        let end = match &served {
+            Ok(_) => End::Whole,
+            Err(stop) => {
+                self.note_stop(stop);
+                End::GivenUp
+            }
+        };
+        let outcome = self.running.close(end);
+        self.log(outcome);
+        let told = match served {
+            Ok(end) => Told::End(end),
+            Err(stop) => Told::Refused(stop.refusal(outcome)),
+        };
+        // Fails only where the caller has left: there is nobody to tell.
+        let _ = self.tx.send(told).await;
+    }
+
+    async fn serve(&mut self) -> Result<EndFrame, Stop> {
+        let mut permit = self.enter().await?;
+        self.running.note(Event::Admitted);
+        let result = self.attempts().await;
+        if let Ok(end) = &result {
+            permit.spent(end.prompt_tokens.saturating_add(end.tokens));
+        }
+        result
+    }
+
+    async fn enter(&mut self) -> Result<Permit, Stop> {
+        let gate = Arc::clone(&self.cx.gate);
+        let org = &self.accepted.config.schema.orgs()[self.accepted.caller.org];
+        let ask = Ask {
+            organisation: org.name.clone(),
+            weight: org.weight,
+            pipeline: self.accepted.prompt.pipeline.clone(),
+            priority: self.accepted.caller.priority,
+            cost_tokens: self.prompt_tokens().saturating_add(self.accepted.max_tokens),
+            deadline: self.accepted.deadline,
+        };
+        let queued = || self.running.note(Event::Queued);
+        tokio::select! {
+            entered = gate.enter(&ask, Work::New, queued) => {
+                entered.map_err(|r| Stop::Refused(refused_entry(r)))
+            }
+            () = self.tx.closed() => Err(Stop::CallerLeft),
+        }
+    }
+
+    /// Attempts until one gives the whole answer, or no further one makes sense.
+    async fn attempts(&mut self) -> Result<EndFrame, Stop> {
+        loop {
+            if self.remaining() == Duration::ZERO {
+                return Err(Stop::DeadlinePassed);
+            }
+            let number = self.running.journal().next_attempt();
+            if number as usize > MAX_ATTEMPTS {
+                return Err(Stop::GaveUp("no attempts left".into()));
+            }
+            let route = self.pick()?;
+            self.cx.router().sent(self.cx.clock.now(), &route);
+            let end = self.attempt(number, &route).await;
+            self.count_route(&route, &end);
+            match end {
+                AttemptEnd::Whole(end) => return Ok(end),
+                AttemptEnd::DeadlinePassed => return Err(Stop::DeadlinePassed),
+                AttemptEnd::CallerLeft => return Err(Stop::CallerLeft),
+                AttemptEnd::Refused(refused) => self.after_refusal(&route, refused)?,
+                AttemptEnd::NeverSent => self.avoid_first(&route),
+                AttemptEnd::Broken(runner) => self.after_break(&route, runner)?,
+            }
+        }
+    }
+
+    fn pick(&mut self) -> Result<Route, Stop> {
+        let now = self.cx.clock.now();
+        let mut router = self.cx.router();
+        router.replan(now);
+        let name = self.model_name();
+        let model = router.model(&name);
+        let model = model.ok_or_else(|| Stop::NoRoute(format!("model {name} is not planned")))?;
+        let pick = Pick {
+            model,
+            prefix_hash: prefix_hash(&self.accepted.prompt.text),
+            prompt_tokens: self.prompt_tokens(),
+            max_tokens: self.accepted.max_tokens,
+            avoid: &self.avoid,
+        };
+        let picked = router.pick(now, &pick, &mut rand::rng());
+        picked.map_err(|e| Stop::NoRoute(e.to_string()))
+    }
+
+    fn count_route(&self, route: &Route, end: &AttemptEnd) {
+        let now = self.cx.clock.now();
+        let mut router = self.cx.router();
+        match end {
+            AttemptEnd::Broken(runner) => {
+                let runner = runner.as_ref().and_then(|name| router.runner(name));
+                router.failed(now, route, runner);
+            }
+            AttemptEnd::NeverSent => {
+                let first = route.stages.first().map(|s| s.runner);
+                router.failed(now, route, first);
+            }
+            AttemptEnd::Whole(_)
+            | AttemptEnd::Refused(_)
+            | AttemptEnd::DeadlinePassed
+            | AttemptEnd::CallerLeft => router.finished(now, route),
+        }
+    }
+
+    fn after_refusal(&mut self, route: &Route, refused: Refused) -> Result<(), Stop> {
+        if self.avoid.len() >= MAX_ATTEMPTS {
+            return Err(Stop::Busy(refused));
+        }
+        self.avoid_first(route);
+        Ok(())
+    }
+
+    fn after_break(&mut self, route: &Route, runner: Option<Name>) -> Result<(), Stop> {
+        metrics::counter!("jacinthweir_attempts_broken_total").increment(1);
+        let at_fault = runner.and_then(|name| self.cx.router().runner(&name));
+        match at_fault {
+            Some(runner) => self.avoid(runner),
+            None => self.avoid_first(route),
+        }
+        Ok(())
+    }
+
+    fn avoid_first(&mut self, route: &Route) {
+        if let Some(first) = route.stages.first() {
+            self.avoid(first.runner);
+        }
+    }
+
+    fn avoid(&mut self, runner: RunnerId) {
+        if !self.avoid.contains(&runner) {
+            self.avoid.push(runner);
+        }
+    }
+
+    fn note_stop(&self, stop: &Stop) {
+        match stop {
+            Stop::Refused(refusal) => {
+                let code = Name::from(refusal.code.to_string());
+                self.running.note(Event::Refused { code });
+            }
+            Stop::DeadlinePassed => self.running.note(Event::DeadlinePassed),
+            Stop::CallerLeft => self.running.note(Event::CallerLeft),
+            Stop::NoRoute(_) | Stop::Busy(_) | Stop::GaveUp(_) => {}
+        }
+    }
+
+    fn log(&self, outcome: Outcome) {
+        info!(
+            request = self.running.request.as_ref(),
+            organisation = self.running.organisation.as_ref(),
+            target = self.running.target.as_ref();
+            "request ended: {outcome}, {} tokens", self.tokens.len()
+        );
+        let outcome = outcome.to_string();
+        metrics::counter!("jacinthweir_requests_total", "outcome" => outcome).increment(1);
+    }
+
+    pub(crate) fn model_name(&self) -> Name {
+        let schema = &self.accepted.config.schema;
+        let model = schema.pipelines()[self.accepted.pipeline].model;
+        schema.models()[model].name.clone()
+    }
+
+    fn prompt_tokens(&self) -> u32 {
+        let tokens = self.accepted.prompt.text.len().div_ceil(BYTES_PER_TOKEN);
+        u32::try_from(tokens).unwrap_or(u32::MAX)
+    }
+
+    pub(crate) fn remaining_ms(&self) -> u64 {
+        self.accepted.deadline.saturating_sub(self.cx.clock.now())
+    }
+
+    pub(crate) fn remaining(&self) -> Duration {
+        Duration::from_millis(self.remaining_ms())
+    }
+
+    /// How long to wait for the next frame.
+    pub(crate) fn frame_wait(&self) -> Duration {
+        self.remaining()
+    }
+
+    /// Time since the last token, in milliseconds; the clock for the next begins.
+    pub(crate) fn token_came(&mut self) -> f64 {
+        let now = self.cx.clock.now();
+        let gap = now.saturating_sub(self.last_token_at);
+        self.last_token_at = now;
+        gap as f64
+    }
+}
+
+fn refused_entry(refusal: admission::Refusal) -> Refusal {
+    let (code, msg) = match refusal.code {
+        admission::RefuseCode::OrganisationLimit => {
+            (ErrorCode::OrganisationLimit, "the organisation's limit in flight is reached")
+        }
+        admission::RefuseCode::Overloaded => {
+            (ErrorCode::Overloaded, "the queue does not drain in time for the deadline")
+        }
+        admission::RefuseCode::NoCapacity => {
+            (ErrorCode::NoCapacity, "no runners serve this model now")
+        }
+    };
+    Refusal::not_run(code, msg).retry_after(refusal.retry_after_ms)
+}
+
+impl Stop {
+    /// What the caller is told. The outcome is the journal's: "not run" is never decided here.
+    fn refusal(self, outcome: Outcome) -> Refusal {
+        let (code, message, retry_after_ms) = match self {
+            Stop::Refused(refusal) => (refusal.code, refusal.message, refusal.retry_after_ms),
+            Stop::NoRoute(msg) => (ErrorCode::NoCapacity, msg, Some(RETRY_AFTER_MS)),
+            Stop::Busy(refused) => {
+                let msg = format!("runners refused: {}", refused.code);
+                (ErrorCode::Overloaded, msg, Some(refused.retry_after_ms))
+            }
+            Stop::GaveUp(msg) => (ErrorCode::NoCapacity, msg, Some(RETRY_AFTER_MS)),
+            Stop::DeadlinePassed => {
+                let msg = "the deadline passed".to_owned();
+                (ErrorCode::DeadlineExceeded, msg, None)
+            }
+            Stop::CallerLeft => (ErrorCode::UpstreamFailed, "the caller left".into(), None),
+        };
+        let code = match (code, outcome) {
+            (ErrorCode::DeadlineExceeded, Outcome::NotRun) => ErrorCode::Overloaded,
+            (ErrorCode::NoCapacity | ErrorCode::Overloaded, Outcome::Failed) => {
+                ErrorCode::UpstreamFailed
+            }
+            (code, _) => code,
+        };
+        Refusal { code, message, outcome, retry_after_ms }
+    }
+}
