Documents with line numbers; schema verified, compared and compiled

Cause: the thin path needs a schema that is checked whole before anything is written, with faults that name line and field, and names resolved to indices. Ruled out: deserialising straight from the text (serde then knows no line for the semantic checks, and duplicate keys pass); the parser's own nesting limit alone (512 levels also pass through serde and drop; ours is 32). Change: document/ parses JSON with comments into a value beside a tree of lines; policy/schema has verify, parse_schema, diff and CompiledSchema; case files under policy/tests/cases. ENTRY_GROUP moved to policy::schema, wire re-exports it. One expectation of a new case file was wrong at first: serde_path_to_error names the enum field, not the unknown variant below it. Conclusion: parse_schema, diff and CompiledSchema can be built upon.

--- a/policy/src/schema.rs
+++ b/policy/src/schema.rs
@@ -1,12 +1,27 @@
 //! The schema: what operators declare.
 //!
 //! This module has the declarations as written in the schema file. Unknown fields are errors.
-//! Units stand in the field names.
+//! Units stand in the field names. Below it: reading and verifying a file, the difference of two
+//! schemas, and the compiled form that decisions use.
+
+pub mod compiled;
+pub mod diff;
+pub mod key;
+mod parse;
+pub mod verify;
+
+pub use compiled::CompiledSchema;
+pub use diff::{Change, diff};
+pub use parse::parse_schema;
+pub use verify::{Finding, verify};
 
 use serde::{Deserialize, Serialize};
 
 use crate::time::Name;
 
+/// Group name of the entry instances in the platform's list; no upstream group may have it.
+pub const ENTRY_GROUP: &str = "jacinthweir";
+
 /// A whole schema file.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/wire/src/platform.rs
+++ b/wire/src/platform.rs
@@ -104,8 +104,7 @@
     pub state: ListedState,
 }
 
-/// Group name of our own entry instances in the list.
-pub const ENTRY_GROUP: &str = "jacinthweir";
+pub use jacinthweir_policy::schema::ENTRY_GROUP;
 
 /// Whether a listed instance stays.
 #[derive(Clone, Copy, Debug, derive_more::Display, PartialEq, Eq, Serialize, Deserialize)]
