Bound the number of entries of a schema

Change: verify checks list sizes first and stops there; one test. Conclusion: the whole check is bounded by the size limits.

--- a/policy/src/schema/verify.rs
+++ b/policy/src/schema/verify.rs
@@ -45,6 +45,10 @@
         schema,
         findings: Vec::new(),
     };
+    cx.sizes();
+    if !cx.findings.is_empty() {
+        return cx.findings;
+    }
     cx.accelerators();
     cx.models();
     cx.pipelines();
--- a/policy/tests/schema_cases.rs
+++ b/policy/tests/schema_cases.rs
@@ -106,3 +106,16 @@
         len(eq(1))
     );
 }
+
+#[gtest]
+fn the_number_of_entries_is_bounded() {
+    let accelerator = r#"{"kind": "k", "speed_percent": 1, "memory_bytes": 1}"#;
+    let text = format!(
+        r#"{{"accelerators": [{}]}}"#,
+        vec![accelerator; 1001].join(",")
+    );
+    let faults = parse_schema(&text).unwrap_err();
+    let wanted = "line 1: accelerators: 1001 entries, but 1000 is the most";
+    expect_that!(faults[0].to_string(), eq(wanted));
+    expect_that!(faults, len(eq(1)));
+}
