--- a/kernel/src/auth.rs
+++ b/kernel/src/auth.rs
@@ -41,7 +41,9 @@
 
 impl PeersOnly {
     pub(crate) fn new(cx: &Arc<Kernel>) -> PeersOnly {
-        PeersOnly { expected: fingerprint(&cx.settings.tokens.peers) }
+        PeersOnly {
+            expected: fingerprint(&cx.settings.tokens.peers),
+        }
     }
 }
 
--- a/kernel/src/body.rs
+++ b/kernel/src/body.rs
@@ -23,7 +23,10 @@
     match read {
         Ok(Ok(bytes)) => Ok(bytes.clone()),
         Ok(Err(ParseError::PayloadTooLarge)) => Err(too_large(limit)),
-        Ok(Err(e)) => Err(Refusal::not_run(ErrorCode::BadRequest, format!("body: {e}"))),
+        Ok(Err(e)) => Err(Refusal::not_run(
+            ErrorCode::BadRequest,
+            format!("body: {e}"),
+        )),
         Err(_) => {
             let msg = format!("the body did not arrive whole within {timeout_ms} ms");
             Err(Refusal::not_run(ErrorCode::RequestTimeout, msg))
@@ -44,7 +47,8 @@
     let de = &mut serde_json::Deserializer::from_slice(&bytes);
     let value = serde_path_to_error::deserialize(&mut *de);
     let value = value.map_err(|e| Refusal::not_run(ErrorCode::BadRequest, describe(&e)))?;
-    de.end().map_err(|e| Refusal::not_run(ErrorCode::BadRequest, e.to_string()))?;
+    de.end()
+        .map_err(|e| Refusal::not_run(ErrorCode::BadRequest, e.to_string()))?;
     Ok(value)
 }
 
@@ -61,5 +65,8 @@
 }
 
 fn too_large(limit: usize) -> Refusal {
-    Refusal::not_run(ErrorCode::TooLarge, format!("the body exceeds {limit} bytes"))
+    Refusal::not_run(
+        ErrorCode::TooLarge,
+        format!("the body exceeds {limit} bytes"),
+    )
 }
--- a/kernel/src/clock.rs
+++ b/kernel/src/clock.rs
@@ -26,7 +26,9 @@
     /// A clock that starts now.
     #[must_use]
     pub fn open() -> Clock {
-        Clock { start: Instant::now() }
+        Clock {
+            start: Instant::now(),
+        }
     }
 
     /// Milliseconds since the process started.
@@ -38,13 +40,18 @@
     /// Milliseconds since the Unix epoch.
     #[must_use]
     pub fn unix_ms(&self) -> Millis {
-        SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, millis)
+        SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(0, millis)
     }
 
     /// Both clocks.
     #[must_use]
     pub fn reading(&self) -> Reading {
-        Reading { monotonic: self.now(), unix: self.unix_ms() }
+        Reading {
+            monotonic: self.now(),
+            unix: self.unix_ms(),
+        }
     }
 }
 
--- a/kernel/src/gate.rs
+++ b/kernel/src/gate.rs
@@ -10,7 +10,8 @@
 
 use indexmap::IndexSet;
 use jacinthweir_policy::admission::{
-    Action, Admission, AdmissionConfig, AdmissionDump, Decision, RefuseCode, Refusal, Seen, Slot, Ticket, Work,
+    Action, Admission, AdmissionConfig, AdmissionDump, Decision, Refusal, RefuseCode, Seen, Slot,
+    Ticket, Work,
 };
 use jacinthweir_policy::prelude::*;
 use tokio::sync::{Notify, oneshot};
@@ -47,7 +48,10 @@
 }
 
 /// What a request is told whose waking end is gone: the instance is ending.
-const GATE_GONE: Refusal = Refusal { code: RefuseCode::Overloaded, retry_after_ms: 0 };
+const GATE_GONE: Refusal = Refusal {
+    code: RefuseCode::Overloaded,
+    retry_after_ms: 0,
+};
 
 /// Admission of an instance.
 pub struct Gate {
@@ -96,7 +100,10 @@
     fn drop(&mut self) {
         let now = self.gate.clock.now();
         let latency_ms = now.saturating_sub(self.entered);
-        let seen = Seen { latency_ms, tokens: self.tokens };
+        let seen = Seen {
+            latency_ms,
+            tokens: self.tokens,
+        };
         self.gate.lock().admission.release(now, self.slot, seen);
         self.gate.changed.notify_one();
     }
@@ -132,12 +139,22 @@
     pub fn open(clock: Clock) -> Arc<Gate> {
         let inner = Inner {
             admission: Admission::new(AdmissionConfig::default()),
-            orgs: Indices { names: IndexSet::new(), index: OrgId::from_u32 },
-            pipelines: Indices { names: IndexSet::new(), index: PipelineId::from_u32 },
+            orgs: Indices {
+                names: IndexSet::new(),
+                index: OrgId::from_u32,
+            },
+            pipelines: Indices {
+                names: IndexSet::new(),
+                index: PipelineId::from_u32,
+            },
             waiting: BTreeMap::new(),
             next_slot: 0,
         };
-        Arc::new(Gate { clock, inner: Mutex::new(inner), changed: Notify::new() })
+        Arc::new(Gate {
+            clock,
+            inner: Mutex::new(inner),
+            changed: Notify::new(),
+        })
     }
 
     /// Enters, at once or after waiting. `queued` is called when the request has to wait.
@@ -156,13 +173,22 @@
             Decision::Refuse(refusal) => return Err(refusal),
             Decision::Queue => {
                 queued();
-                let mut guard = Waiting { gate: self, slot, armed: true };
+                let mut guard = Waiting {
+                    gate: self,
+                    slot,
+                    armed: true,
+                };
                 rx.await.unwrap_or(Err(GATE_GONE))?;
                 guard.armed = false;
             }
         }
         let entered = self.clock.now();
-        Ok(Permit { gate: Arc::clone(self), slot, entered, tokens: 0 })
+        Ok(Permit {
+            gate: Arc::clone(self),
+            slot,
+            entered,
+            tokens: 0,
+        })
     }
 
     fn offer(
@@ -199,7 +225,9 @@
         let mut inner = self.lock();
         for c in capacities {
             let pipeline = inner.pipelines.of(&c.pipeline);
-            inner.admission.set_capacity(now, pipeline, c.tokens_per_s, c.in_flight);
+            inner
+                .admission
+                .set_capacity(now, pipeline, c.tokens_per_s, c.in_flight);
         }
         drop(inner);
         self.changed.notify_one();
@@ -271,7 +299,11 @@
         /// Longest time between polls: bounds how late a missed wake-up is made good.
         const LONGEST_MS: Millis = 100;
         let now = self.clock.now();
-        let due = self.lock().admission.next_poll().unwrap_or(now + LONGEST_MS);
+        let due = self
+            .lock()
+            .admission
+            .next_poll()
+            .unwrap_or(now + LONGEST_MS);
         Duration::from_millis(due.saturating_sub(now).clamp(1, LONGEST_MS))
     }
 
--- a/kernel/src/identity.rs
+++ b/kernel/src/identity.rs
@@ -60,10 +60,16 @@
     let Some(value) = req.headers().get(name) else {
         return Ok(None);
     };
-    let parsed = value.to_str().ok().and_then(|s| s.trim().parse::<u64>().ok());
+    let parsed = value
+        .to_str()
+        .ok()
+        .and_then(|s| s.trim().parse::<u64>().ok());
     match parsed {
         Some(n) if n <= max => Ok(Some(n)),
-        _ => Err(bad(name, &format!("must be a whole number from 0 to {max}"))),
+        _ => Err(bad(
+            name,
+            &format!("must be a whole number from 0 to {max}"),
+        )),
     }
 }
 
--- a/kernel/src/kernel.rs
+++ b/kernel/src/kernel.rs
@@ -89,7 +89,10 @@
             config: ConfigCell::default(),
             parts: Parts::default(),
             gate: Gate::open(clock),
-            router: Mutex::new(Router::new(RouterConfig { instances: 1, avoid_ms: AVOID_MS })),
+            router: Mutex::new(Router::new(RouterConfig {
+                instances: 1,
+                avoid_ms: AVOID_MS,
+            })),
             settings,
         };
         Ok(Arc::new(kernel))
--- a/kernel/src/life.rs
+++ b/kernel/src/life.rs
@@ -37,14 +37,19 @@
     logs::open(&settings.log, &settings.name)?;
     let mut signals = Signals::open()?;
     let cx = Kernel::open(settings)?;
-    cx.tasks.spawn(Arc::clone(&cx.gate).run_until(cx.stop.clone()));
+    cx.tasks
+        .spawn(Arc::clone(&cx.gate).run_until(cx.stop.clone()));
     for plugin in sorted() {
         (plugin.spawn)(&cx)?;
     }
     let peers = Listening::bind(&cx, Face::Peers).await?;
     let operators = Listening::bind(&cx, Face::Operators).await?;
     let callers = Listening::bind(&cx, Face::Callers).await?;
-    log::info!("instance {} started, incarnation {}", cx.settings.name, cx.incarnation);
+    log::info!(
+        "instance {} started, incarnation {}",
+        cx.settings.name,
+        cx.incarnation
+    );
 
     signals.next().await;
     let ended = drain(&cx, callers, &mut signals).await;
@@ -103,8 +108,10 @@
 impl Signals {
     fn open() -> Result<Signals, KernelError> {
         let open = |kind| {
-            signal(kind)
-                .map_err(|e| KernelError::SetUp { what: "signals", cause: e.to_string() })
+            signal(kind).map_err(|e| KernelError::SetUp {
+                what: "signals",
+                cause: e.to_string(),
+            })
         };
         let term = open(SignalKind::terminate())?;
         let int = open(SignalKind::interrupt())?;
--- a/kernel/src/listener.rs
+++ b/kernel/src/listener.rs
@@ -32,8 +32,10 @@
     pub async fn bind(cx: &Arc<Kernel>, face: Face) -> Result<Listening, KernelError> {
         let address = address(cx, face);
         let listener = TcpListener::new(address).try_bind().await;
-        let acceptor = listener
-            .map_err(|e| KernelError::Listen { address, cause: e.to_string() })?;
+        let acceptor = listener.map_err(|e| KernelError::Listen {
+            address,
+            cause: e.to_string(),
+        })?;
         let server = server(cx, acceptor);
         let handle = server.handle();
         let service = service(cx, face);
@@ -43,7 +45,12 @@
             }
         });
         log::info!("listening for {face} on {address}");
-        Ok(Listening { face, address, handle, task })
+        Ok(Listening {
+            face,
+            address,
+            handle,
+            task,
+        })
     }
 
     /// Refuses new connections and returns once the last request of the open ones has ended.
@@ -73,7 +80,9 @@
 fn server(cx: &Kernel, acceptor: TcpAcceptor) -> Server<TcpAcceptor> {
     let timeout = Duration::from_millis(cx.settings.timing.header_timeout_ms);
     let fuse = FuseConfig::default().with_http1_header_timeout(timeout);
-    Server::new(acceptor).fuse_config(fuse).max_connections(cx.settings.limits.connections)
+    Server::new(acceptor)
+        .fuse_config(fuse)
+        .max_connections(cx.settings.limits.connections)
 }
 
 fn service(cx: &Arc<Kernel>, face: Face) -> Service {
--- a/kernel/src/logs.rs
+++ b/kernel/src/logs.rs
@@ -32,7 +32,10 @@
         })
         .chain(std::io::stderr());
     let applied = dispatch.apply();
-    applied.map_err(|e| KernelError::SetUp { what: "logs", cause: e.to_string() })
+    applied.map_err(|e| KernelError::SetUp {
+        what: "logs",
+        cause: e.to_string(),
+    })
 }
 
 fn level(level: LogLevel) -> LevelFilter {
@@ -48,7 +51,10 @@
     let mut line = serde_json::Map::new();
     let at = humantime::format_rfc3339_millis(SystemTime::now()).to_string();
     line.insert("at".into(), at.into());
-    line.insert("level".into(), record.level().as_str().to_lowercase().into());
+    line.insert(
+        "level".into(),
+        record.level().as_str().to_lowercase().into(),
+    );
     line.insert("instance".into(), instance.into());
     line.insert("module".into(), record.target().into());
     line.insert("message".into(), msg.into());
--- a/kernel/src/parts.rs
+++ b/kernel/src/parts.rs
@@ -33,7 +33,10 @@
     pub fn size(&self) -> PartsSize {
         let parts = self.lock();
         let bytes = parts.values().map(|text| text.len()).sum();
-        PartsSize { parts: parts.len(), bytes }
+        PartsSize {
+            parts: parts.len(),
+            bytes,
+        }
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, BTreeMap<Name, Arc<str>>> {
--- a/kernel/src/records.rs
+++ b/kernel/src/records.rs
@@ -127,14 +127,22 @@
     /// Keeps `keep` finished records.
     #[must_use]
     pub fn open(keep: usize) -> Records {
-        Records { keep, inner: Mutex::default() }
+        Records {
+            keep,
+            inner: Mutex::default(),
+        }
     }
 
     /// Begins a record; it ends when the handle is dropped.
     pub fn begin(self: &Arc<Self>, entry: Entry) -> Running {
         let entry = Arc::new(entry);
-        self.lock().by_id.insert(entry.request.clone(), Arc::clone(&entry));
-        Running { records: Arc::clone(self), entry }
+        self.lock()
+            .by_id
+            .insert(entry.request.clone(), Arc::clone(&entry));
+        Running {
+            records: Arc::clone(self),
+            entry,
+        }
     }
 
     fn finish(&self, id: &Name) {
@@ -159,7 +167,10 @@
     #[must_use]
     pub fn running(&self) -> Vec<Name> {
         let inner = self.lock();
-        let running = inner.by_id.values().filter(|e| e.journal().closed().is_none());
+        let running = inner
+            .by_id
+            .values()
+            .filter(|e| e.journal().closed().is_none());
         running.map(|e| e.request.clone()).collect()
     }
 
@@ -168,7 +179,10 @@
     pub fn counts(&self) -> RecordCounts {
         let inner = self.lock();
         let finished = inner.finished.len();
-        RecordCounts { running: inner.by_id.len() - finished, finished }
+        RecordCounts {
+            running: inner.by_id.len() - finished,
+            finished,
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
--- a/kernel/src/reply.rs
+++ b/kernel/src/reply.rs
@@ -23,7 +23,12 @@
     /// A refusal of which nothing ran.
     #[must_use]
     pub fn not_run(code: ErrorCode, message: impl Into<String>) -> Refusal {
-        Refusal { code, message: message.into(), outcome: Outcome::NotRun, retry_after_ms: None }
+        Refusal {
+            code,
+            message: message.into(),
+            outcome: Outcome::NotRun,
+            retry_after_ms: None,
+        }
     }
 
     /// A driver ended without a word: a fault of this instance. Part of the request may have run.
@@ -137,9 +142,7 @@
             let msg = format!("{path} does not take {}", req.method());
             Refusal::not_run(ErrorCode::MethodNotAllowed, msg)
         }
-        StatusCode::PAYLOAD_TOO_LARGE => {
-            Refusal::not_run(ErrorCode::TooLarge, "request too large")
-        }
+        StatusCode::PAYLOAD_TOO_LARGE => Refusal::not_run(ErrorCode::TooLarge, "request too large"),
         s if s.is_client_error() => Refusal::not_run(ErrorCode::BadRequest, s.to_string()),
         _ => return None,
     };
--- a/kernel/src/settings.rs
+++ b/kernel/src/settings.rs
@@ -165,7 +165,10 @@
 
 impl Default for LogSettings {
     fn default() -> Self {
-        LogSettings { level: LogLevel::Info, format: LogFormat::Json }
+        LogSettings {
+            level: LogLevel::Info,
+            format: LogFormat::Json,
+        }
     }
 }
 
@@ -212,8 +215,14 @@
     pub fn open(path: &Path) -> Result<Settings, KernelError> {
         let shown = path.display().to_string();
         let text = std::fs::read_to_string(path);
-        let text = text.map_err(|cause| KernelError::Unreadable { path: shown.clone(), cause })?;
-        Settings::parse(&text).map_err(|faults| KernelError::Settings { path: shown, faults })
+        let text = text.map_err(|cause| KernelError::Unreadable {
+            path: shown.clone(),
+            cause,
+        })?;
+        Settings::parse(&text).map_err(|faults| KernelError::Settings {
+            path: shown,
+            faults,
+        })
     }
 
     /// Reads and checks settings.
@@ -224,12 +233,19 @@
         let doc = Document::parse(text)?;
         let settings: Settings = doc.read()?;
         let faults = settings.faults(&doc);
-        if faults.is_empty() { Ok(settings) } else { Err(faults) }
+        if faults.is_empty() {
+            Ok(settings)
+        } else {
+            Err(faults)
+        }
     }
 
     fn faults(&self, doc: &Document) -> Vec<Fault> {
         let mut faults = Vec::new();
-        for (field, name) in [("name", &self.name), ("failure_domain", &self.failure_domain)] {
+        for (field, name) in [
+            ("name", &self.name),
+            ("failure_domain", &self.failure_domain),
+        ] {
             if !valid_name(name) {
                 let msg = "must be 1 to 64 letters, digits, '-', '_' or '.'";
                 faults.push(doc.fault_at(field, msg));
--- a/kernel/src/stats.rs
+++ b/kernel/src/stats.rs
@@ -17,8 +17,10 @@
     /// When a recorder is set up already.
     pub fn open() -> Result<Stats, KernelError> {
         let installed = PrometheusBuilder::new().install_recorder();
-        let handle = installed
-            .map_err(|e| KernelError::SetUp { what: "metrics", cause: e.to_string() })?;
+        let handle = installed.map_err(|e| KernelError::SetUp {
+            what: "metrics",
+            cause: e.to_string(),
+        })?;
         Ok(Stats { handle })
     }
 
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -79,7 +79,9 @@
 }
 
 fn serve(settings: Settings) -> eyre::Result<life::Ended> {
-    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
     let ended: Result<life::Ended, KernelError> = runtime.block_on(life::run(settings));
     Ok(ended?)
 }
--- a/plugins/callers/src/accept.rs
+++ b/plugins/callers/src/accept.rs
@@ -46,15 +46,26 @@
     }
     let deadline_ms = caller.deadline_ms.unwrap_or(decl.default_deadline_ms);
     let deadline = arrived.saturating_add(deadline_ms);
-    Ok(Accepted { config, caller, pipeline, prompt, max_tokens, deadline })
+    Ok(Accepted {
+        config,
+        caller,
+        pipeline,
+        prompt,
+        max_tokens,
+        deadline,
+    })
 }
 
 async fn read(cx: &Kernel, form: Form, req: &mut Request) -> Result<Prompt, Refusal> {
     let limit = cx.settings.limits.body_bytes;
     let timeout = cx.settings.timing.body_timeout_ms;
     match form {
-        Form::Chat => Ok(body::read_json::<ChatRequest>(req, limit, timeout).await?.into()),
-        Form::Plain => Ok(body::read_json::<CompletionRequest>(req, limit, timeout).await?.into()),
+        Form::Chat => Ok(body::read_json::<ChatRequest>(req, limit, timeout)
+            .await?
+            .into()),
+        Form::Plain => Ok(body::read_json::<CompletionRequest>(req, limit, timeout)
+            .await?
+            .into()),
     }
 }
 
--- a/plugins/callers/src/answer.rs
+++ b/plugins/callers/src/answer.rs
@@ -24,10 +24,16 @@
 impl AnswerHead {
     /// The whole answer.
     pub(crate) fn whole(&self, text: String, end: &EndFrame) -> Completion {
-        let mut choice = Choice { finish_reason: Some(end.finish), ..Choice::default() };
+        let mut choice = Choice {
+            finish_reason: Some(end.finish),
+            ..Choice::default()
+        };
         match self.form {
             Form::Chat => {
-                choice.message = Some(ChatMessage { role: "assistant".into(), content: text });
+                choice.message = Some(ChatMessage {
+                    role: "assistant".into(),
+                    content: text,
+                });
             }
             Form::Plain => choice.text = Some(text),
         }
@@ -60,7 +66,10 @@
     }
 
     fn piece(&self, text: Option<String>, finish_reason: Option<FinishReason>) -> Choice {
-        let mut choice = Choice { finish_reason, ..Choice::default() };
+        let mut choice = Choice {
+            finish_reason,
+            ..Choice::default()
+        };
         match self.form {
             Form::Chat => choice.delta = Some(Delta { content: text }),
             Form::Plain => choice.text = Some(text.unwrap_or_default()),
--- a/plugins/callers/src/attempt.rs
+++ b/plugins/callers/src/attempt.rs
@@ -43,7 +43,10 @@
         let Some(first) = route.stages.first() else {
             return AttemptEnd::NeverSent;
         };
-        let handed = Event::Handed { attempt: number, upstream: first.name.clone() };
+        let handed = Event::Handed {
+            attempt: number,
+            upstream: first.name.clone(),
+        };
         if let Err(fault) = self.running.record(handed) {
             error!(request = self.running.request.as_ref(); "not sent: {fault}");
             return AttemptEnd::NeverSent;
@@ -51,7 +54,10 @@
         let req = self.run_request(number, route);
         let end = self.run(&req, route).await;
         self.settle(number, &end);
-        if !matches!(end, AttemptEnd::Whole(_) | AttemptEnd::Refused(_) | AttemptEnd::NeverSent) {
+        if !matches!(
+            end,
+            AttemptEnd::Whole(_) | AttemptEnd::Refused(_) | AttemptEnd::NeverSent
+        ) {
             self.cancel(&req);
         }
         end
@@ -136,7 +142,10 @@
     async fn take_frame(&mut self, frame: Frame, route: &Route) -> Next {
         match frame {
             Frame::Token(token) => {
-                let id = journal::Frame { request: &token.request, attempt: token.attempt };
+                let id = journal::Frame {
+                    request: &token.request,
+                    attempt: token.attempt,
+                };
                 let verdict = self.running.journal().accept(id, token.index);
                 if let Verdict::Drop(reason) = verdict {
                     return self.dropped(&reason.to_string());
@@ -144,7 +153,10 @@
                 self.take_token(token, route).await
             }
             Frame::End(end) => {
-                let id = journal::Frame { request: &end.request, attempt: end.attempt };
+                let id = journal::Frame {
+                    request: &end.request,
+                    attempt: end.attempt,
+                };
                 let verdict = self.running.journal().accept_end(id, end.tokens);
                 match verdict {
                     Verdict::Accept => Next::End(AttemptEnd::Whole(end)),
@@ -152,7 +164,10 @@
                 }
             }
             Frame::Broken(broken) => {
-                let id = journal::Frame { request: &broken.request, attempt: broken.attempt };
+                let id = journal::Frame {
+                    request: &broken.request,
+                    attempt: broken.attempt,
+                };
                 let verdict = self.running.journal().accept_other(id);
                 match verdict {
                     Verdict::Accept => Next::End(AttemptEnd::Broken(broken.runner)),
@@ -163,7 +178,10 @@
     }
 
     async fn take_token(&mut self, token: TokenFrame, route: &Route) -> Next {
-        let event = Event::Token { attempt: token.attempt, index: token.index };
+        let event = Event::Token {
+            attempt: token.attempt,
+            index: token.index,
+        };
         self.running.note(event);
         let gap_ms = self.token_came();
         self.cx.router().token(self.cx.clock.now(), route, gap_ms);
@@ -182,15 +200,26 @@
 
     fn settle(&self, attempt: u32, end: &AttemptEnd) {
         let event = match end {
-            AttemptEnd::Whole(end) => Event::Ended { attempt, tokens: end.tokens },
+            AttemptEnd::Whole(end) => Event::Ended {
+                attempt,
+                tokens: end.tokens,
+            },
             AttemptEnd::Refused(_) => Event::RefusedByUpstream { attempt },
             AttemptEnd::NeverSent => Event::NeverSent { attempt },
             AttemptEnd::Broken(runner) => {
-                let cause = runner.clone().unwrap_or_else(|| Name::from("stream broke off"));
+                let cause = runner
+                    .clone()
+                    .unwrap_or_else(|| Name::from("stream broke off"));
                 Event::Lost { attempt, cause }
             }
-            AttemptEnd::DeadlinePassed => Event::Lost { attempt, cause: "deadline".into() },
-            AttemptEnd::CallerLeft => Event::Lost { attempt, cause: "caller left".into() },
+            AttemptEnd::DeadlinePassed => Event::Lost {
+                attempt,
+                cause: "deadline".into(),
+            },
+            AttemptEnd::CallerLeft => Event::Lost {
+                attempt,
+                cause: "caller left".into(),
+            },
         };
         self.running.note(event);
     }
@@ -201,7 +230,10 @@
         let Some(first) = req.route.first().map(|s| s.address) else {
             return;
         };
-        let msg = CancelRequest { request: req.request.clone(), attempt: req.attempt };
+        let msg = CancelRequest {
+            request: req.request.clone(),
+            attempt: req.attempt,
+        };
         let cx = Arc::clone(&self.cx);
         self.cx.tasks.spawn(async move {
             if let Err(e) = cx.runners.cancel(first, &msg).await {
--- a/plugins/callers/src/driver.rs
+++ b/plugins/callers/src/driver.rs
@@ -129,7 +129,9 @@
             weight: org.weight,
             pipeline: self.accepted.prompt.pipeline.clone(),
             priority: self.accepted.caller.priority,
-            cost_tokens: self.prompt_tokens().saturating_add(self.accepted.max_tokens),
+            cost_tokens: self
+                .prompt_tokens()
+                .saturating_add(self.accepted.max_tokens),
             deadline: self.accepted.deadline,
         };
         let queued = || self.running.note(Event::Queued);
@@ -291,12 +293,14 @@
 
 fn refused_entry(refusal: admission::Refusal) -> Refusal {
     let (code, msg) = match refusal.code {
-        admission::RefuseCode::OrganisationLimit => {
-            (ErrorCode::OrganisationLimit, "the organisation's limit in flight is reached")
-        }
-        admission::RefuseCode::Overloaded => {
-            (ErrorCode::Overloaded, "the queue does not drain in time for the deadline")
-        }
+        admission::RefuseCode::OrganisationLimit => (
+            ErrorCode::OrganisationLimit,
+            "the organisation's limit in flight is reached",
+        ),
+        admission::RefuseCode::Overloaded => (
+            ErrorCode::Overloaded,
+            "the queue does not drain in time for the deadline",
+        ),
         admission::RefuseCode::NoCapacity => {
             (ErrorCode::NoCapacity, "no runners serve this model now")
         }
@@ -328,6 +332,11 @@
             }
             (code, _) => code,
         };
-        Refusal { code, message, outcome, retry_after_ms }
+        Refusal {
+            code,
+            message,
+            outcome,
+            retry_after_ms,
+        }
     }
 }
--- a/plugins/callers/src/handler.rs
+++ b/plugins/callers/src/handler.rs
@@ -15,8 +15,14 @@
 
 /// Routes on the callers' listener.
 pub(crate) fn routes(cx: &Arc<Kernel>) -> Vec<Router> {
-    let chat = Completions { cx: Arc::clone(cx), form: Form::Chat };
-    let plain = Completions { cx: Arc::clone(cx), form: Form::Plain };
+    let chat = Completions {
+        cx: Arc::clone(cx),
+        form: Form::Chat,
+    };
+    let plain = Completions {
+        cx: Arc::clone(cx),
+        form: Form::Plain,
+    };
     vec![
         Router::with_path("v1/chat/completions").post(chat),
         Router::with_path("v1/completions").post(plain),
@@ -102,7 +108,10 @@
         let (head, first, mut rx) = state?;
         let told = match first {
             Some(told) => told,
-            None => rx.recv().await.unwrap_or_else(|| Told::Refused(Refusal::internal())),
+            None => rx
+                .recv()
+                .await
+                .unwrap_or_else(|| Told::Refused(Refusal::internal())),
         };
         match told {
             Told::Token(text) => {
--- a/plugins/callers/src/lib.rs
+++ b/plugins/callers/src/lib.rs
@@ -17,7 +17,12 @@
 use linkme::distributed_slice;
 
 #[distributed_slice(PLUGINS)]
-static CALLERS: Plugin = Plugin { name: "callers", spawn, routes, dump };
+static CALLERS: Plugin = Plugin {
+    name: "callers",
+    spawn,
+    routes,
+    dump,
+};
 
 fn spawn(_cx: &Arc<Kernel>) -> Result<(), KernelError> {
     Ok(())
--- a/plugins/operators/src/lib.rs
+++ b/plugins/operators/src/lib.rs
@@ -11,7 +11,12 @@
 use salvo::prelude::{FlowCtrl, Handler, Json, async_trait};
 
 #[distributed_slice(PLUGINS)]
-static OPERATORS: Plugin = Plugin { name: "operators", spawn, routes, dump };
+static OPERATORS: Plugin = Plugin {
+    name: "operators",
+    spawn,
+    routes,
+    dump,
+};
 
 fn spawn(_cx: &Arc<Kernel>) -> Result<(), KernelError> {
     Ok(())
@@ -104,15 +109,21 @@
         return Ok(record);
     }
     let Some((instance, _)) = id.rsplit_once('.') else {
-        return Err(unknown("a request id is an instance's name, a dot and a number"));
+        return Err(unknown(
+            "a request id is an instance's name, a dot and a number",
+        ));
     };
     let Some(peer) = peer_named(cx, instance) else {
-        return Err(unknown(&format!("no live instance {instance} that could know it")));
+        return Err(unknown(&format!(
+            "no live instance {instance} that could know it"
+        )));
     };
     match cx.peers.request(peer, id).await {
         Ok(Some(record)) => Ok(record),
         Ok(None) => Err(unknown(&format!("instance {instance} has no record of it"))),
-        Err(e) => Err(unknown(&format!("instance {instance} does not answer: {e}"))),
+        Err(e) => Err(unknown(&format!(
+            "instance {instance} does not answer: {e}"
+        ))),
     }
 }
 
