--- /dev/null
+++ b/policy/src/journal/verify.rs
@@ -0,0 +1,230 @@
+//! Checks each event against the ones before it and names the one at fault.
+
+use super::{AttemptState, Event, Journal, MAX_ATTEMPTS, Repeat};
+use crate::prelude::*;
+use derive_more::{Display, Error};
+
+/// Which invariant an event violates.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+pub enum Fault {
+    /// The attempt's number is not greater than the ones handed over before.
+    #[display("attempt {attempt} handed over twice or out of order")]
+    HandedTwice {
+        /// Attempt number.
+        attempt: u32,
+    },
+    /// Non-idempotent work handed over again while an earlier attempt may have run.
+    #[display("attempt {attempt} repeats non-idempotent work that may have run")]
+    RepeatedNonIdempotent {
+        /// Attempt number.
+        attempt: u32,
+    },
+    /// Handed over while the attempt before it is still open.
+    #[display("attempt {attempt} handed over while the one before it is open")]
+    StillOpen {
+        /// Attempt number.
+        attempt: u32,
+    },
+    /// Handed over after an attempt gave the end of the answer.
+    #[display("attempt {attempt} handed over after the answer had ended")]
+    HandedAfterEnd {
+        /// Attempt number.
+        attempt: u32,
+    },
+    /// More than [`MAX_ATTEMPTS`].
+    #[display("attempt {attempt} is over the bound of attempts")]
+    TooManyAttempts {
+        /// Attempt number.
+        attempt: u32,
+    },
+    /// The event concerns an attempt that was never handed over.
+    #[display("attempt {attempt} was never handed over")]
+    NeverHanded {
+        /// Attempt number.
+        attempt: u32,
+    },
+    /// The event concerns an attempt that is over.
+    #[display("attempt {attempt} is over already")]
+    AttemptOver {
+        /// Attempt number.
+        attempt: u32,
+    },
+    /// A refusal after the attempt gave tokens.
+    #[display("attempt {attempt} refused after it gave tokens")]
+    RefusedAfterTokens {
+        /// Attempt number.
+        attempt: u32,
+    },
+    /// The caller has this token already.
+    #[display("token {index} repeats: the caller has {expected}")]
+    TokenRepeated {
+        /// Index of the token.
+        index: u32,
+        /// Index that comes next.
+        expected: u32,
+    },
+    /// A token before this one is missing.
+    #[display("token {index} skips: {expected} comes next")]
+    TokenSkipped {
+        /// Index of the token.
+        index: u32,
+        /// Index that comes next.
+        expected: u32,
+    },
+    /// The end counts another number of tokens than the caller has.
+    #[display("end with {tokens} tokens, the caller has {given}")]
+    WrongLength {
+        /// Tokens that the end counts.
+        tokens: u32,
+        /// Tokens given.
+        given: u32,
+    },
+    /// The outcome told is not the one that the journal decides.
+    #[display("closed as {told}, which the journal does not bear out")]
+    WrongOutcome {
+        /// Outcome told.
+        told: Outcome,
+    },
+    /// The event comes after the outcome was told.
+    #[display("comes after the outcome was told")]
+    AfterClose,
+}
+
+/// The event of a history that violates an invariant.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+#[display("event {position} ({event}): {fault}")]
+pub struct Violation {
+    /// Position in the history, from 0.
+    pub position: usize,
+    /// The event.
+    pub event: Event,
+    /// Invariant violated.
+    pub fault: Fault,
+}
+
+/// Replays a request's history and names the first event that violates an invariant.
+///
+/// # Errors
+///
+/// The violation.
+pub fn verify(repeat: Repeat, history: &[Event]) -> Result<Journal, Violation> {
+    let mut journal = Journal::open("".into(), repeat, 0);
+    for (position, event) in history.iter().enumerate() {
+        journal
+            .record(0, event.clone())
+            .map_err(|fault| Violation {
+                position,
+                event: event.clone(),
+                fault,
+            })?;
+    }
+    Ok(journal)
+}
+
+impl Journal {
+    pub(super) fn check(&self, event: &Event) -> Result<(), Fault> {
+        if self.closed.is_some() {
+            return self.check_closed(event);
+        }
+        match event {
+            Event::Handed { attempt, .. } => self.check_handed(*attempt),
+            Event::RefusedByUpstream { attempt } | Event::NeverSent { attempt } => {
+                self.check_not_run(*attempt)
+            }
+            Event::Broken { attempt, .. } | Event::Lost { attempt, .. } => {
+                self.check_open(*attempt)
+            }
+            Event::Token { attempt, index } => self.check_token(*attempt, *index),
+            Event::Ended { attempt, tokens } => self.check_end(*attempt, *tokens),
+            Event::Closed { outcome } => self.check_outcome(*outcome),
+            Event::Received
+            | Event::Queued
+            | Event::Admitted
+            | Event::Claimed
+            | Event::Recorded { .. }
+            | Event::Refused { .. }
+            | Event::CallerLeft
+            | Event::DeadlinePassed => Ok(()),
+        }
+    }
+
+    /// After the close only the fate of an attempt that was open may still be learned.
+    fn check_closed(&self, event: &Event) -> Result<(), Fault> {
+        match event {
+            Event::CallerLeft | Event::DeadlinePassed => Ok(()),
+            Event::Lost { attempt, .. } | Event::Broken { attempt, .. } => {
+                self.check_open(*attempt)
+            }
+            _ => Err(Fault::AfterClose),
+        }
+    }
+
+    fn check_handed(&self, attempt: u32) -> Result<(), Fault> {
+        if self.attempts.len() >= MAX_ATTEMPTS {
+            return Err(Fault::TooManyAttempts { attempt });
+        }
+        if attempt < self.next_attempt() {
+            return Err(Fault::HandedTwice { attempt });
+        }
+        if self.repeat == Repeat::NonIdempotent && !self.nothing_ran() {
+            return Err(Fault::RepeatedNonIdempotent { attempt });
+        }
+        if self.has_ended() {
+            return Err(Fault::HandedAfterEnd { attempt });
+        }
+        if self
+            .attempts
+            .iter()
+            .any(|a| a.state == AttemptState::Handed)
+        {
+            return Err(Fault::StillOpen { attempt });
+        }
+        Ok(())
+    }
+
+    fn check_open(&self, attempt: u32) -> Result<(), Fault> {
+        match self.attempt(attempt).map(|a| a.state) {
+            None => Err(Fault::NeverHanded { attempt }),
+            Some(AttemptState::Handed) => Ok(()),
+            Some(_) => Err(Fault::AttemptOver { attempt }),
+        }
+    }
+
+    fn check_not_run(&self, attempt: u32) -> Result<(), Fault> {
+        self.check_open(attempt)?;
+        match self.tokens_at_hand_over < self.tokens {
+            true => Err(Fault::RefusedAfterTokens { attempt }),
+            false => Ok(()),
+        }
+    }
+
+    fn check_token(&self, attempt: u32, index: u32) -> Result<(), Fault> {
+        self.check_open(attempt)?;
+        let expected = self.tokens;
+        match index.cmp(&expected) {
+            std::cmp::Ordering::Less => Err(Fault::TokenRepeated { index, expected }),
+            std::cmp::Ordering::Equal => Ok(()),
+            std::cmp::Ordering::Greater => Err(Fault::TokenSkipped { index, expected }),
+        }
+    }
+
+    fn check_end(&self, attempt: u32, tokens: u32) -> Result<(), Fault> {
+        self.check_open(attempt)?;
+        let given = self.tokens;
+        match tokens == given {
+            true => Ok(()),
+            false => Err(Fault::WrongLength { tokens, given }),
+        }
+    }
+
+    /// A history's last event may only tell what the journal decides for one of the two ends.
+    fn check_outcome(&self, told: Outcome) -> Result<(), Fault> {
+        let borne_out = [super::End::Whole, super::End::GivenUp]
+            .iter()
+            .any(|end| self.outcome(*end) == told);
+        match borne_out {
+            true => Ok(()),
+            false => Err(Fault::WrongOutcome { told }),
+        }
+    }
+}
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -4,8 +4,10 @@
 //! randomness and every answer from outside come in as arguments, so the same inputs give the
 //! same run. Modules are state machines of the form `(now, event) -> actions`.
 
+pub mod admission;
 pub mod entity;
 pub mod head;
+pub mod journal;
 pub mod layers;
 pub mod member;
 pub mod outcome;
