--- a/kernel/src/clock.rs
+++ b/kernel/src/clock.rs
@@ -13,15 +13,6 @@
     start: Instant,
 }
 
-/// Both clocks at one moment, in milliseconds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Reading {
-    /// Since the process started.
-    pub monotonic: Millis,
-    /// Since the Unix epoch.
-    pub unix: Millis,
-}
-
 impl Clock {
     /// A clock that starts now.
     #[must_use]
@@ -47,11 +38,8 @@
 
     /// Both clocks.
     #[must_use]
-    pub fn reading(&self) -> Reading {
-        Reading {
-            monotonic: self.now(),
-            unix: self.unix_ms(),
-        }
+    pub fn reading(&self) -> Now {
+        Now { mono_ms: self.now(), unix_ms: self.unix_ms() }
     }
 }
 
--- a/kernel/src/identity.rs
+++ b/kernel/src/identity.rs
@@ -1,7 +1,8 @@
 //! Who calls and what they say of their request in headers.
 
 use jacinthweir_policy::prelude::*;
-use jacinthweir_policy::schema::{KeyHash, OrgDecl};
+use jacinthweir_policy::schema::OrgDecl;
+use jacinthweir_policy::schema::key::KeyHash;
 use jacinthweir_wire::caller::ErrorCode;
 use jacinthweir_wire::header;
 use salvo::Request;
--- a/kernel/src/kernel.rs
+++ b/kernel/src/kernel.rs
@@ -1,5 +1,6 @@
 //! The shared state of an instance, and its life from start to exit.
 
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -7,6 +8,8 @@
 use jacinthweir_clients::platform::{HttpPlatform, Platform};
 use jacinthweir_clients::runner::RunnerClient;
 use jacinthweir_clients::service::ServiceClient;
+use jacinthweir_policy::member::{MemberState, Phase};
+use jacinthweir_policy::membership::{Membership, MembershipConfig};
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::route::{Router, RouterConfig};
 use jacinthweir_wire::caller::ErrorCode;
@@ -20,11 +23,15 @@
 use crate::records::Records;
 use crate::reply::Refusal;
 use crate::stats::Stats;
+use crate::upstreams::Upstreams;
 use crate::{KernelError, Settings};
 
 /// Time for which a runner is avoided after a failure.
 const AVOID_MS: Millis = 2_000;
 
+/// Period of looking whether the last request has ended.
+const ENDED_POLL: Duration = Duration::from_millis(20);
+
 /// When to come back to an instance that cannot serve now; another may at once.
 const RETRY_ELSEWHERE_MS: u64 = 1_000;
 
@@ -60,7 +67,9 @@
     pub parts: Parts,
     /// Admission.
     pub gate: Arc<Gate>,
+    upstreams: Upstreams,
     router: Mutex<Router>,
+    membership: Mutex<Membership>,
 }
 
 impl Kernel {
@@ -75,9 +84,10 @@
         let platform = HttpPlatform::open(settings.platform.address, platform_timeout)?;
         let peer_timeout = Duration::from_millis(timing.peer_timeout_ms);
         let upstream_timeout = Duration::from_millis(timing.upstream_timeout_ms);
+        let incarnation = clock.unix_ms();
         let kernel = Kernel {
             clock,
-            incarnation: clock.unix_ms(),
+            incarnation,
             stats: Stats::open()?,
             stop: CancellationToken::new(),
             tasks: TaskTracker::new(),
@@ -89,6 +99,8 @@
             config: ConfigCell::default(),
             parts: Parts::default(),
             gate: Gate::open(clock),
+            upstreams: Upstreams::default(),
+            membership: Mutex::new(membership(&settings, incarnation, clock)),
             router: Mutex::new(Router::new(RouterConfig {
                 instances: 1,
                 avoid_ms: AVOID_MS,
@@ -103,6 +115,43 @@
         self.router.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// What is known of the instances.
+    pub fn membership(&self) -> MutexGuard<'_, Membership> {
+        self.membership.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// What is known of the upstreams.
+    #[must_use]
+    pub fn upstreams(&self) -> &Upstreams {
+        &self.upstreams
+    }
+
+    /// Says of this instance what phase it is in; a phase never goes back.
+    pub fn set_phase(&self, phase: Phase) {
+        self.membership().set_phase(phase);
+    }
+
+    /// Peers' address of another instance.
+    #[must_use]
+    pub fn peer_address(&self, name: &str) -> Option<SocketAddr> {
+        let membership = self.membership();
+        let peer = membership.peers().find(|s| s.name.as_ref() == name)?;
+        Some(peer.peers)
+    }
+
+    /// Number of instances that serve, this one counted.
+    #[must_use]
+    pub fn live_instances(&self) -> usize {
+        self.membership().live().count()
+    }
+
+    /// Returns once no request is in progress.
+    pub async fn requests_ended(&self) {
+        while !self.records.running().is_empty() {
+            tokio::time::sleep(ENDED_POLL).await;
+        }
+    }
+
     /// The configuration to serve a request by.
     ///
     /// # Errors
@@ -134,3 +183,21 @@
         });
     }
 }
+
+fn membership(settings: &Settings, incarnation: u64, clock: Clock) -> Membership {
+    let own = MemberState {
+        name: settings.name.clone(),
+        incarnation,
+        heartbeat: 0,
+        callers: settings.listen.callers,
+        peers: settings.listen.peers,
+        operators: settings.listen.operators,
+        domain: settings.failure_domain.clone(),
+        phase: Phase::Joining,
+        revision: 0,
+        revision_since_ms: 0,
+        in_flight: 0,
+    };
+    let cfg = MembershipConfig { round_ms: settings.timing.gossip_ms, ..Default::default() };
+    Membership::new(own, settings.peers.clone(), cfg, clock.reading())
+}
--- a/kernel/src/lib.rs
+++ b/kernel/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod reply;
 pub mod settings;
 pub mod stats;
+pub mod upstreams;
 
 pub use error::KernelError;
 pub use kernel::Kernel;
--- a/plugins/callers/src/driver.rs
+++ b/plugins/callers/src/driver.rs
@@ -8,7 +8,7 @@
 use jacinthweir_kernel::reply::Refusal;
 use jacinthweir_policy::admission::{self, Work};
 use jacinthweir_policy::journal::{End, Event, Journal, MAX_ATTEMPTS, Repeat};
-use jacinthweir_policy::route::{Pick, Route, RunnerId};
+use jacinthweir_policy::route::{Pick, Route};
 use jacinthweir_wire::caller::ErrorCode;
 use jacinthweir_wire::runner::{EndFrame, Refused, prefix_hash};
 use tokio::sync::mpsc;
--- a/plugins/upstreams/src/lib.rs
+++ b/plugins/upstreams/src/lib.rs
@@ -27,7 +27,7 @@
 fn dump(cx: &Kernel) -> serde_json::Value {
     serde_json::json!({
         "upstreams": cx.upstreams().to_string(),
-        "routes": cx.router().state().to_string(),
+        "routes": format!("{:?}", cx.router().fleet()),
         "admission": format!("{:?}", cx.gate.dump()),
     })
 }
--- a/plugins/upstreams/src/list.rs
+++ b/plugins/upstreams/src/list.rs
@@ -28,7 +28,7 @@
     let (own, upstreams): (Vec<_>, Vec<_>) =
         list.into_iter().partition(|l| l.group.as_ref() == ENTRY_GROUP);
     cx.upstreams().listed(&upstreams);
-    cx.listed_instances(own);
+    cx.membership().listed(cx.clock.reading(), &own);
     let now = cx.clock.now();
     let mut router = cx.router();
     for upstream in cx.upstreams().all() {
--- a/plugins/upstreams/src/poll.rs
+++ b/plugins/upstreams/src/poll.rs
@@ -6,7 +6,7 @@
 use jacinthweir_kernel::prelude::*;
 use jacinthweir_kernel::upstreams::{Upstream, UpstreamState};
 use jacinthweir_policy::route::{CloseReason, Held, RunnerSeen};
-use jacinthweir_policy::schema::GroupServes;
+use jacinthweir_policy::schema::compiled::GroupServes;
 use jacinthweir_wire::runner::LoadReport;
 
 /// Polls in flight at once.
