Membership and entry answers as decisions

Cause: six to 340 instances have to agree on which of them live, with no balancer and no coordination service, and callers ask each of them which address to use. Ruled out: whole records in each exchange (340 records of some 250 bytes each way every second are beyond the budget for control); counting silence in milliseconds (a stopped and woken process would suspect everybody). Change: policy/membership with digest, delta and push, one merge rule, doubt, confirmation by others and a floor of heartbeats that ends a suspicion; policy/entry with a weighted random order; the platform's list entry, the load report and the entry answer move below wire, which re-exports them; `Now` holds both clocks. Conclusion: usable for the thin path; loss, freeze, cuts and bytes are still to be measured.

--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -5,10 +5,15 @@
 //! same run. Modules are state machines of the form `(now, event) -> actions`.
 
 pub mod entity;
+pub mod entry;
 pub mod head;
 pub mod layers;
+pub mod listed;
+pub mod load;
 pub mod member;
+pub mod membership;
 pub mod outcome;
 pub mod prelude;
+pub mod region;
 pub mod schema;
 pub mod time;
--- a/policy/src/prelude.rs
+++ b/policy/src/prelude.rs
@@ -2,4 +2,4 @@
 
 pub use crate::entity::{DomainId, ModelId, OrgId, PipelineId, ServiceId};
 pub use crate::outcome::Outcome;
-pub use crate::time::{Millis, Name};
+pub use crate::time::{Millis, Name, Now};
--- a/policy/src/time.rs
+++ b/policy/src/time.rs
@@ -8,3 +8,25 @@
 /// Milliseconds of a clock that the caller supplies: monotonic within one process for decisions,
 /// Unix time where a value leaves the process. Field names say which.
 pub type Millis = u64;
+
+/// Both clocks at one moment.
+///
+/// The monotonic clock may stand still while a machine is suspended, and the wall clock may be
+/// set; a process that was stopped shows on at least one of them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Now {
+    /// Monotonic clock of this process, in milliseconds.
+    pub mono_ms: Millis,
+    /// Unix time, in milliseconds.
+    pub unix_ms: Millis,
+}
+
+impl Now {
+    /// Time since an earlier moment, in milliseconds, by the clock on which more has passed.
+    #[must_use]
+    pub fn gap_since(self, earlier: Now) -> Millis {
+        let mono = self.mono_ms.saturating_sub(earlier.mono_ms);
+        let unix = self.unix_ms.saturating_sub(earlier.unix_ms);
+        mono.max(unix)
+    }
+}
--- /dev/null
+++ b/policy/tests/support/fleet.rs
@@ -0,0 +1,263 @@
+//! A fleet of memberships in memory: every message is delivered at once or lost, by a seed.
+
+use jacinthweir_policy::member::{MemberState, Phase};
+use jacinthweir_policy::membership::*;
+use jacinthweir_policy::time::Now;
+use rand::seq::SliceRandom;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::net::SocketAddr;
+
+/// Whether a process runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Run {
+    Up,
+    Frozen,
+    Dead,
+}
+
+/// One instance.
+pub struct Node {
+    pub membership: Membership,
+    pub run: Run,
+}
+
+/// What travels, for those who count bytes.
+pub enum Message<'a> {
+    Digest(&'a MemberDigest),
+    Delta(&'a MemberDelta),
+}
+
+/// Called with sender, receiver and message.
+pub type Meter = Box<dyn FnMut(usize, usize, &Message<'_>)>;
+
+pub struct Fleet {
+    pub nodes: Vec<Node>,
+    pub cfg: MembershipConfig,
+    pub now: Now,
+    pub loss: f64,
+    /// Region cut off from all others.
+    pub cut: Option<usize>,
+    pub regions: usize,
+    pub meter: Option<Meter>,
+    rng: ChaCha8Rng,
+}
+
+const FIRST_PORT: u16 = 10_000;
+const START_MS: u64 = 1_000_000_000;
+
+pub fn address(i: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], FIRST_PORT + i as u16))
+}
+
+pub fn name(i: usize) -> String {
+    format!("entry-{i:03}")
+}
+
+pub fn state(i: usize, regions: usize, incarnation: u64) -> MemberState {
+    MemberState {
+        name: name(i).into(),
+        incarnation,
+        heartbeat: 0,
+        callers: address(i),
+        peers: address(i),
+        operators: address(i),
+        domain: format!("region-{}/domain-{}", i % regions, i % (3 * regions)).into(),
+        phase: Phase::Serving,
+        revision: 1,
+        revision_since_ms: START_MS,
+        in_flight: 0,
+    }
+}
+
+impl Fleet {
+    /// `count` instances that each know the address of the first.
+    pub fn new(count: usize, regions: usize, seed: u64, cfg: &MembershipConfig) -> Fleet {
+        let now = Now {
+            mono_ms: 1_000,
+            unix_ms: START_MS,
+        };
+        let node = |i| Node {
+            membership: Membership::new(
+                state(i, regions, START_MS),
+                vec![address(0)],
+                cfg.clone(),
+                now,
+            ),
+            run: Run::Up,
+        };
+        Fleet {
+            nodes: (0..count).map(node).collect(),
+            cfg: cfg.clone(),
+            now,
+            loss: 0.0,
+            cut: None,
+            regions,
+            meter: None,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// A fleet that runs for `rounds` before anything is done to it.
+    pub fn settled(count: usize, regions: usize, seed: u64, rounds: usize) -> Fleet {
+        let mut fleet = Fleet::new(count, regions, seed, &MembershipConfig::default());
+        fleet.rounds(rounds);
+        fleet
+    }
+
+    /// Starts instance `i` anew, knowing nothing but the seed address.
+    pub fn restart(&mut self, i: usize, seed_address: usize) {
+        let own = state(i, self.regions, self.now.unix_ms);
+        let seeds = vec![address(seed_address)];
+        self.nodes[i].membership = Membership::new(own, seeds, self.cfg.clone(), self.now);
+        self.nodes[i].run = Run::Up;
+    }
+
+    pub fn rounds(&mut self, rounds: usize) {
+        for _ in 0..rounds {
+            self.round();
+        }
+    }
+
+    /// Every running instance ticks once, in random order.
+    pub fn round(&mut self) {
+        let start = self.now;
+        let mut order: Vec<usize> = (0..self.nodes.len()).collect();
+        order.shuffle(&mut self.rng);
+        for (k, i) in order.into_iter().enumerate() {
+            let part = self.cfg.round_ms * k as u64 / self.nodes.len() as u64;
+            self.now.mono_ms = start.mono_ms + part;
+            self.now.unix_ms = start.unix_ms + part;
+            if self.nodes[i].run == Run::Up {
+                let actions = self.nodes[i].membership.tick(self.now, &mut self.rng);
+                self.carry_out(i, actions);
+            }
+        }
+        self.now.mono_ms = start.mono_ms + self.cfg.round_ms;
+        self.now.unix_ms = start.unix_ms + self.cfg.round_ms;
+    }
+
+    pub fn carry_out(&mut self, i: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Exchange {
+                    peer,
+                    round,
+                    digest,
+                } => {
+                    let more = self.exchange(i, &peer, round, &digest);
+                    self.carry_out(i, more);
+                }
+                Action::Probe {
+                    via,
+                    suspect,
+                    round,
+                } => self.probe(i, &via, &suspect, round),
+            }
+        }
+    }
+
+    fn exchange(
+        &mut self,
+        i: usize,
+        peer: &Peer,
+        round: u64,
+        digest: &MemberDigest,
+    ) -> Vec<Action> {
+        let now = self.now;
+        let j = index(peer);
+        let from = self.nodes[i].membership.own().state.name.clone();
+        self.count(i, j, &Message::Digest(digest));
+        let mut answer = None;
+        if self.delivered(i, j) {
+            let delta = self.nodes[j].membership.receive_digest(now, &from, digest);
+            self.count(j, i, &Message::Delta(&delta));
+            answer = Some(delta).filter(|_| self.delivered(j, i));
+        }
+        let Some(delta) = answer else {
+            let rng = &mut self.rng;
+            return self.nodes[i]
+                .membership
+                .exchange_failed(now, peer, round, rng);
+        };
+        let to = self.nodes[j].membership.own().state.name.clone();
+        let push = self.nodes[i].membership.receive_delta(now, &to, &delta);
+        if let Some(push) = push {
+            self.count(i, j, &Message::Delta(&push));
+            if self.delivered(i, j) {
+                self.nodes[j].membership.receive_delta(now, &from, &push);
+            }
+        }
+        Vec::new()
+    }
+
+    fn probe(&mut self, i: usize, via: &Peer, suspect: &Peer, round: u64) {
+        let (j, k) = (index(via), index(suspect));
+        let outcome = if !self.delivered(i, j) {
+            ProbeOutcome::NoAnswer
+        } else if self.delivered(j, k) && self.delivered(k, j) {
+            ProbeOutcome::Reached(self.nodes[k].membership.own().clone())
+        } else {
+            ProbeOutcome::NotReached
+        };
+        let answered = self.delivered(j, i);
+        let outcome = if answered {
+            outcome
+        } else {
+            ProbeOutcome::NoAnswer
+        };
+        let names = (name(k).into(), name(j).into());
+        let membership = &mut self.nodes[i].membership;
+        membership.probe_result(self.now, &names.0, &names.1, round, &outcome);
+    }
+
+    fn delivered(&mut self, from: usize, to: usize) -> bool {
+        let region = |i: usize| i % self.regions;
+        let (a, b) = (region(from), region(to));
+        let cut = self.cut.is_some_and(|r| (a == r) != (b == r));
+        let lost = self.rng.random::<f64>() < self.loss;
+        !cut && !lost && self.nodes[to].run == Run::Up && self.nodes[from].run == Run::Up
+    }
+
+    fn count(&mut self, from: usize, to: usize, message: &Message<'_>) {
+        if let Some(meter) = &mut self.meter {
+            meter(from, to, message);
+        }
+    }
+
+    /// Pairs of running instances of which the first suspects the second.
+    pub fn wrongly_suspected(&self) -> usize {
+        let up = |i: usize| self.nodes[i].run == Run::Up;
+        let pairs = (0..self.nodes.len()).filter(|i| up(*i));
+        let of = |i: usize| (0..self.nodes.len()).filter(move |j| up(*j) && self.suspects(i, *j));
+        pairs.map(|i| of(i).count()).sum()
+    }
+
+    pub fn suspects(&self, i: usize, j: usize) -> bool {
+        let member = self.nodes[i].membership.member(&name(j));
+        member.is_some_and(Member::suspected)
+    }
+
+    /// How many running instances suspect `j`.
+    pub fn suspecting(&self, j: usize) -> usize {
+        let up = |i: &usize| self.nodes[*i].run == Run::Up;
+        let all = (0..self.nodes.len()).filter(up);
+        all.filter(|i| self.suspects(*i, j)).count()
+    }
+
+    /// How many instances are known, summed over running instances.
+    pub fn known(&self) -> usize {
+        let up = self.nodes.iter().filter(|n| n.run == Run::Up);
+        up.map(|n| n.membership.members().count()).sum()
+    }
+
+    /// False alarms counted by all instances.
+    pub fn false_alarms(&self) -> u64 {
+        let counts = self.nodes.iter().map(|n| n.membership.counts());
+        counts.map(|c| c.false_alarms).sum()
+    }
+}
+
+fn index(peer: &Peer) -> usize {
+    usize::from(peer.address.port() - FIRST_PORT)
+}
--- a/wire/src/caller.rs
+++ b/wire/src/caller.rs
@@ -1,9 +1,9 @@
 //! Messages to and from callers: the field's usual completion protocol, the entry answer and the
 //! one error form.
 
+pub use jacinthweir_policy::entry::{EntryAddress, EntryAnswer};
 use jacinthweir_policy::prelude::*;
 use serde::{Deserialize, Serialize};
-use std::net::SocketAddr;
 
 /// `POST /v1/chat/completions`. Fields of the usual protocol that the system does not act on are
 /// accepted and ignored, as client libraries send many of them.
@@ -182,21 +182,3 @@
     /// 500: a fault of this instance.
     Internal,
 }
-
-/// `GET /v1/entry`: the addresses to use.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EntryAnswer {
-    /// Callers' addresses of live instances, best first.
-    pub addresses: Vec<EntryAddress>,
-    /// How long this answer may be kept, in milliseconds.
-    pub ttl_ms: u64,
-}
-
-/// One address of an entry answer.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EntryAddress {
-    /// Callers' address.
-    pub address: SocketAddr,
-    /// Failure domain.
-    pub domain: Name,
-}
--- a/wire/src/platform.rs
+++ b/wire/src/platform.rs
@@ -12,9 +12,8 @@
 //! 429 says that the rate is exceeded and 503 that the service is out: neither had an effect.
 //! A connection that breaks or times out leaves a write's effect unknown.
 
-use jacinthweir_policy::prelude::*;
+pub use jacinthweir_policy::listed::{ENTRY_GROUP, ListedInstance, ListedState};
 use serde::{Deserialize, Serialize};
-use std::net::SocketAddr;
 
 /// An object with its version.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -86,33 +85,3 @@
     /// Every listed instance, upstreams and our own.
     pub instances: Vec<ListedInstance>,
 }
-
-/// One listed instance.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ListedInstance {
-    /// Name, kept over restarts.
-    pub name: Name,
-    /// Grows with each start of the same name.
-    pub incarnation: u64,
-    /// Group: an upstream group of the schema, or [`ENTRY_GROUP`].
-    pub group: Name,
-    /// Address: an upstream's service, or an entry instance's peer listener.
-    pub address: SocketAddr,
-    /// Failure domain.
-    pub domain: Name,
-    /// Whether it stays.
-    pub state: ListedState,
-}
-
-/// Group name of our own entry instances in the list.
-pub const ENTRY_GROUP: &str = "jacinthweir";
-
-/// Whether a listed instance stays.
-#[derive(Clone, Copy, Debug, derive_more::Display, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum ListedState {
-    /// In service.
-    Live,
-    /// Leaving: takes no new work.
-    Leaving,
-}
--- a/wire/src/runner.rs
+++ b/wire/src/runner.rs
@@ -11,6 +11,7 @@
 //! | `POST /v1/orders` | body [`Order`]; 409 with [`Fenced`] where an old number is checked and refused |
 
 pub use jacinthweir_policy::layers::LayerRange;
+pub use jacinthweir_policy::load::{HeldLayers, LoadReport};
 use jacinthweir_policy::prelude::*;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -176,46 +177,6 @@
     pub attempt: u32,
 }
 
-/// Load of a runner; lags behind.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct LoadReport {
-    /// Runner's name.
-    pub runner: Name,
-    /// Runner's incarnation.
-    pub incarnation: u64,
-    /// Report number, growing within an incarnation.
-    pub number: u64,
-    /// Age of the figures, in milliseconds.
-    pub age_ms: u64,
-    /// Accelerator kind.
-    pub accelerator: Name,
-    /// Layers held.
-    pub holds: Vec<HeldLayers>,
-    /// Requests running.
-    pub running: u32,
-    /// Requests queued.
-    pub queued: u32,
-    /// Token-layers a second this runner can do.
-    pub token_layers_per_s: f64,
-    /// Token-layers a second it did lately.
-    pub busy_token_layers_per_s: f64,
-    /// Whether it is leaving.
-    pub leaving: bool,
-    /// Whether it refuses an old fencing number.
-    pub checks_fencing: bool,
-    /// Greatest fencing number seen.
-    pub fencing: u64,
-}
-
-/// Layers of a model that a runner holds.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct HeldLayers {
-    /// Model name.
-    pub model: Name,
-    /// Layers.
-    pub layers: LayerRange,
-}
-
 /// Cache events since a number.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct CacheEvents {
