--- a/kernel/src/clock.rs
+++ b/kernel/src/clock.rs
@@ -39,7 +39,10 @@
     /// Both clocks.
     #[must_use]
     pub fn reading(&self) -> Now {
-        Now { mono_ms: self.now(), unix_ms: self.unix_ms() }
+        Now {
+            mono_ms: self.now(),
+            unix_ms: self.unix_ms(),
+        }
     }
 }
 
--- a/kernel/src/kernel.rs
+++ b/kernel/src/kernel.rs
@@ -117,7 +117,9 @@
 
     /// What is known of the instances.
     pub fn membership(&self) -> MutexGuard<'_, Membership> {
-        self.membership.lock().unwrap_or_else(PoisonError::into_inner)
+        self.membership
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     /// What is known of the upstreams.
@@ -198,6 +200,9 @@
         revision_since_ms: 0,
         in_flight: 0,
     };
-    let cfg = MembershipConfig { round_ms: settings.timing.gossip_ms, ..Default::default() };
+    let cfg = MembershipConfig {
+        round_ms: settings.timing.gossip_ms,
+        ..Default::default()
+    };
     Membership::new(own, settings.peers.clone(), cfg, clock.reading())
 }
--- a/kernel/src/upstreams.rs
+++ b/kernel/src/upstreams.rs
@@ -78,8 +78,11 @@
         let inner = self.lock();
         let open = inner.values().filter(|u| u.state == UpstreamState::Open);
         let open = open.filter(|u| u.listed.group.as_ref() == group);
-        open.map(|u| NamedAddress { name: u.listed.name.clone(), address: u.listed.address })
-            .collect()
+        open.map(|u| NamedAddress {
+            name: u.listed.name.clone(),
+            address: u.listed.address,
+        })
+        .collect()
     }
 
     fn lock(&self) -> MutexGuard<'_, BTreeMap<Name, Upstream>> {
@@ -109,7 +112,10 @@
             }
         }
         _ => {
-            let upstream = Upstream { listed: listed.clone(), state };
+            let upstream = Upstream {
+                listed: listed.clone(),
+                state,
+            };
             inner.insert(listed.name.clone(), upstream);
         }
     }
@@ -119,7 +125,11 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         for u in self.lock().values() {
             let l = &u.listed;
-            writeln!(f, "{} {} {} {}: {}", l.name, l.group, l.domain, l.address, u.state)?;
+            writeln!(
+                f,
+                "{} {} {} {}: {}",
+                l.name, l.group, l.domain, l.address, u.state
+            )?;
         }
         Ok(())
     }
--- a/plugins/upstreams/src/capacity.rs
+++ b/plugins/upstreams/src/capacity.rs
@@ -63,5 +63,9 @@
     } else {
         0
     };
-    Capacity { pipeline: pipeline.clone(), tokens_per_s, in_flight }
+    Capacity {
+        pipeline: pipeline.clone(),
+        tokens_per_s,
+        in_flight,
+    }
 }
--- a/plugins/upstreams/src/lib.rs
+++ b/plugins/upstreams/src/lib.rs
@@ -11,7 +11,12 @@
 use linkme::distributed_slice;
 
 #[distributed_slice(PLUGINS)]
-static UPSTREAMS: Plugin = Plugin { name: "upstreams", spawn, routes, dump };
+static UPSTREAMS: Plugin = Plugin {
+    name: "upstreams",
+    spawn,
+    routes,
+    dump,
+};
 
 fn spawn(cx: &Arc<Kernel>) -> Result<(), KernelError> {
     cx.spawn(list::run(Arc::clone(cx)));
--- a/plugins/upstreams/src/list.rs
+++ b/plugins/upstreams/src/list.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use jacinthweir_kernel::prelude::*;
+use jacinthweir_kernel::upstreams::UpstreamState;
 use jacinthweir_policy::route::CloseReason;
 use jacinthweir_wire::platform::{ENTRY_GROUP, ListedInstance};
-use jacinthweir_kernel::upstreams::UpstreamState;
 
 /// Reads the list over and over. The platform may be out for long: what was listed last stands,
 /// and upstreams that leave meanwhile say so themselves.
@@ -25,8 +25,9 @@
 }
 
 fn take(cx: &Kernel, list: Vec<ListedInstance>) {
-    let (own, upstreams): (Vec<_>, Vec<_>) =
-        list.into_iter().partition(|l| l.group.as_ref() == ENTRY_GROUP);
+    let (own, upstreams): (Vec<_>, Vec<_>) = list
+        .into_iter()
+        .partition(|l| l.group.as_ref() == ENTRY_GROUP);
     cx.upstreams().listed(&upstreams);
     cx.membership().listed(cx.clock.reading(), &own);
     let now = cx.clock.now();
--- a/plugins/upstreams/src/poll.rs
+++ b/plugins/upstreams/src/poll.rs
@@ -50,7 +50,9 @@
 
 async fn poll(cx: &Kernel, upstream: Upstream) -> Polled {
     let load = cx.runners.load(upstream.listed.address).await;
-    let load = load.inspect_err(|e| debug!("load of {}: {e}", upstream.listed.name)).ok();
+    let load = load
+        .inspect_err(|e| debug!("load of {}: {e}", upstream.listed.name))
+        .ok();
     Polled { upstream, load }
 }
 
@@ -74,7 +76,10 @@
 }
 
 fn seen(upstream: &Upstream, load: LoadReport) -> RunnerSeen {
-    let holds = load.holds.into_iter().map(|h| Held { model: h.model, layers: h.layers });
+    let holds = load.holds.into_iter().map(|h| Held {
+        model: h.model,
+        layers: h.layers,
+    });
     RunnerSeen {
         name: load.runner,
         incarnation: load.incarnation,
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -6,12 +6,17 @@
 
 pub mod admission;
 pub mod entity;
+pub mod entry;
 pub mod head;
 pub mod journal;
 pub mod layers;
+pub mod listed;
+pub mod load;
 pub mod member;
+pub mod membership;
 pub mod outcome;
 pub mod prelude;
+pub mod region;
 pub mod route;
 pub mod schema;
 pub mod time;
