Route plan by maximum flow, pick among drawn chains, measurement model

Cause: a route has to follow the bound, and several instances decide at once on late reports. Ruled out: one maximum flow with a fixed capacity per runner, since a runner can run any sub-range; the rate is found on the network of supplies and segments instead. Change: policy::route::{flow,plan,pick,link,cache,state}; testkit::bench with queues and late reports; example measure_routes. Conclusion: builds and is clean; draws and scaling are to be chosen by measurement.

--- a/policy/src/route/fleet.rs
+++ b/policy/src/route/fleet.rs
@@ -4,16 +4,14 @@
 //! sent and seen finished since the time of the report's figures; the other instances are taken
 //! to have done the same, so the correction is scaled by the number of instances.
 
+use super::cache::CacheIndex;
 use super::records::{CacheSeen, CloseReason, Held, ModelSpec, RunnerSeen};
 use crate::layers::LayerRange;
 use crate::prelude::*;
 use cranelift_entity::PrimaryMap;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
-/// The most prefixes remembered of one runner.
-const MAX_PREFIXES: usize = 4096;
-
 /// One runner as known here.
 #[derive(Clone, Debug)]
 pub struct Runner {
@@ -45,57 +43,11 @@
     pub failures: u32,
     /// Until when new work avoids it after a failure.
     pub avoid_until: Millis,
-    /// Prefixes in its cache, as far as heard.
-    pub cache: PrefixCache,
     declared: Vec<Held>,
     changes: VecDeque<(Millis, i32)>,
     own_since: i32,
 }
 
-/// Prefixes in one runner's cache: a hint and never a promise.
-#[derive(Clone, Debug, Default)]
-pub struct PrefixCache {
-    prefixes: BTreeSet<u64>,
-    newest: u64,
-    /// Gaps met.
-    pub gaps: u64,
-}
-
-impl PrefixCache {
-    /// Takes one event in. After a gap all earlier hints are dropped: an eviction may be among the
-    /// lost events, and a hint that is wrong would pull requests to a runner without their prefix.
-    fn observe(&mut self, seen: &CacheSeen) {
-        if seen.number <= self.newest {
-            return;
-        }
-        if seen.number != self.newest + 1 && self.newest != 0 {
-            self.gaps += 1;
-            self.prefixes.clear();
-        }
-        self.newest = seen.number;
-        if !seen.cached {
-            self.prefixes.remove(&seen.prefix);
-        } else if self.prefixes.len() < MAX_PREFIXES {
-            self.prefixes.insert(seen.prefix);
-        }
-    }
-
-    /// Whether the prefix was last heard to be in the cache.
-    pub fn has(&self, prefix: u64) -> bool {
-        self.prefixes.contains(&prefix)
-    }
-
-    /// Number of prefixes remembered.
-    pub fn len(&self) -> usize {
-        self.prefixes.len()
-    }
-
-    /// Whether none is remembered.
-    pub fn is_empty(&self) -> bool {
-        self.prefixes.is_empty()
-    }
-}
-
 impl Runner {
     /// Requests taken to be there now: the report, corrected by what happened here since, times
     /// the number of instances. Never below what this instance itself has there.
@@ -111,6 +63,25 @@
             .any(|&(m, range)| m == model && range.covers(layers))
     }
 
+    /// Ranges held of a model.
+    pub fn ranges(&self, model: ModelId) -> impl Iterator<Item = LayerRange> + '_ {
+        self.held
+            .iter()
+            .filter(move |(m, _)| *m == model)
+            .map(|&(_, range)| range)
+    }
+
+    /// Number of models of which it holds layers.
+    pub fn model_count(&self) -> u32 {
+        let mut count = 0;
+        let mut last = None;
+        for &(model, _) in &self.held {
+            count += u32::from(last != Some(model));
+            last = Some(model);
+        }
+        count
+    }
+
     /// Whether new work may go to it.
     pub fn is_open(&self) -> bool {
         self.closed.is_none()
@@ -182,6 +153,8 @@
     pub domains: PrimaryMap<DomainId, Name>,
     by_name: BTreeMap<Name, RunnerId>,
     by_domain: BTreeMap<Name, DomainId>,
+    /// Prefixes in the runners' caches.
+    pub cache: CacheIndex,
 }
 
 impl Fleet {
@@ -190,6 +163,11 @@
         self.by_name.get(name).copied()
     }
 
+    /// Runners in the order of their names, which is the same on each instance.
+    pub fn by_name(&self) -> impl Iterator<Item = RunnerId> + '_ {
+        self.by_name.values().copied()
+    }
+
     /// Looks a failure domain up, or numbers it.
     pub fn domain(&mut self, name: &Name) -> DomainId {
         if let Some(&id) = self.by_domain.get(name) {
@@ -221,6 +199,7 @@
         if seen.incarnation > known.incarnation {
             let fresh = self.make(now, seen);
             self.runners[id] = fresh;
+            self.cache.restart(id);
             return Effect::PlanChanged;
         }
         if seen.number <= known.number {
@@ -252,7 +231,6 @@
             own: 0,
             failures: 0,
             avoid_until: 0,
-            cache: PrefixCache::default(),
             declared: seen.holds.clone(),
             changes: VecDeque::new(),
             own_since: 0,
@@ -311,9 +289,8 @@
         let Some(id) = self.runner(&seen.runner) else {
             return;
         };
-        let runner = &mut self.runners[id];
-        if runner.incarnation == seen.incarnation {
-            runner.cache.observe(seen);
+        if self.runners[id].incarnation == seen.incarnation {
+            self.cache.observe(id, seen);
         }
     }
 }
--- /dev/null
+++ b/policy/src/route/state.rs
@@ -0,0 +1,158 @@
+//! The router's part of the state dump.
+
+use super::records::CloseReason;
+use super::router::Router;
+use crate::layers::LayerRange;
+use crate::prelude::*;
+use derive_more::Display;
+
+/// What the router knows and plans.
+#[derive(Clone, Debug, Display, PartialEq)]
+#[display(
+    "routes: {replans} plans made, the last at {planned_at} ms, changes since: {dirty}\n{}{}",
+    lines(models),
+    lines(runners)
+)]
+pub struct RouterState {
+    /// Plans made since the start.
+    pub replans: u64,
+    /// Time of the last one.
+    pub planned_at: Millis,
+    /// Whether something changed since.
+    pub dirty: bool,
+    /// Models.
+    pub models: Vec<ModelState>,
+    /// Runners by name.
+    pub runners: Vec<RunnerState>,
+}
+
+/// Plan of one model.
+#[derive(Clone, Debug, Display, PartialEq)]
+#[display(
+    "model {name}: bound {bound:.1} tokens/s, planned {planned:.1} over {chains} chains, \
+     held back by layers [{}]{}",
+    list(tight),
+    uncovered.map_or(String::new(), |layers| format!(", nobody holds {layers}"))
+)]
+pub struct ModelState {
+    /// Name.
+    pub name: Name,
+    /// The most tokens a second.
+    pub bound: f64,
+    /// Tokens a second that the chains carry.
+    pub planned: f64,
+    /// Number of chains.
+    pub chains: usize,
+    /// Layers whose holders hold the bound down.
+    pub tight: Vec<LayerRange>,
+    /// First layers that no open runner holds.
+    pub uncovered: Option<LayerRange>,
+}
+
+/// One runner.
+#[derive(Clone, Debug, Display, PartialEq)]
+#[display(
+    "runner {name} incarnation {incarnation} in {domain} on {accelerator}: {}, \
+     {speed:.0} token-layers/s, planned {through:.1} tokens/s, load {load:.1} \
+     (reported {reported}, own {own}), figures of {figures_at} ms, {failures} failures, \
+     {prefixes} prefixes cached, {gaps} gaps, holds [{}]",
+    closed.map_or("open".to_string(), |reason| format!("closed: {reason}")),
+    list(holds)
+)]
+pub struct RunnerState {
+    /// Name.
+    pub name: Name,
+    /// Incarnation.
+    pub incarnation: u64,
+    /// Failure domain.
+    pub domain: Name,
+    /// Accelerator kind.
+    pub accelerator: Name,
+    /// Why it gets no new work.
+    pub closed: Option<CloseReason>,
+    /// Token-layers a second.
+    pub speed: f64,
+    /// Tokens a second planned through it.
+    pub through: f64,
+    /// Requests estimated there.
+    pub load: f64,
+    /// Requests reported there.
+    pub reported: u32,
+    /// Requests of this instance there.
+    pub own: u32,
+    /// Time of the reported figures.
+    pub figures_at: Millis,
+    /// Failures since the last success.
+    pub failures: u32,
+    /// Prefixes known to be cached.
+    pub prefixes: u32,
+    /// Gaps in its cache events.
+    pub gaps: u64,
+    /// `model start..end`.
+    pub holds: Vec<String>,
+}
+
+fn lines(items: &[impl std::fmt::Display]) -> String {
+    items.iter().map(|item| format!("  {item}\n")).collect()
+}
+
+fn list(items: &[impl ToString]) -> String {
+    items
+        .iter()
+        .map(ToString::to_string)
+        .collect::<Vec<_>>()
+        .join(", ")
+}
+
+impl Router {
+    /// What the router knows and plans, for the dump.
+    pub fn state(&self) -> RouterState {
+        RouterState {
+            replans: self.replans,
+            planned_at: self.planned_at,
+            dirty: self.is_dirty(),
+            models: self.plans.keys().map(|id| self.model_state(id)).collect(),
+            runners: self
+                .fleet
+                .by_name()
+                .map(|id| self.runner_state(id))
+                .collect(),
+        }
+    }
+
+    fn model_state(&self, id: ModelId) -> ModelState {
+        let plan = &self.plans[id];
+        ModelState {
+            name: self.fleet.models[id].name.clone(),
+            bound: plan.bound,
+            planned: plan.planned,
+            chains: plan.chains.len(),
+            tight: plan.tight.clone(),
+            uncovered: plan.uncovered,
+        }
+    }
+
+    fn runner_state(&self, id: RunnerId) -> RunnerState {
+        let runner = &self.fleet.runners[id];
+        let held = |(model, layers): &(ModelId, LayerRange)| {
+            format!("{} {layers}", self.fleet.models[*model].name)
+        };
+        RunnerState {
+            name: runner.name.clone(),
+            incarnation: runner.incarnation,
+            domain: self.fleet.domains[runner.domain].clone(),
+            accelerator: runner.accelerator.clone(),
+            closed: runner.closed,
+            speed: runner.speed,
+            through: self.through[id],
+            load: runner.load(f64::from(self.cfg.instances)),
+            reported: runner.reported,
+            own: runner.own,
+            figures_at: runner.figures_at,
+            failures: runner.failures,
+            prefixes: self.fleet.cache.count(id),
+            gaps: self.fleet.cache.gaps(id),
+            holds: runner.held.iter().map(held).collect(),
+        }
+    }
+}
--- /dev/null
+++ b/testkit/examples/measure_routes.rs
@@ -0,0 +1,144 @@
+//! Measures route policies against the bound: `--seeds N --instances 1,3,6 --load 0.5,0.95`.
+
+use argh::FromArgs;
+use jacinthweir_testkit::bench::baseline::Choice;
+use jacinthweir_testkit::bench::fleet::{Fleet, FleetSize};
+use jacinthweir_testkit::bench::route_run::{RunConfig, RunResult, run};
+use jacinthweir_testkit::bench::route_table::{Row, markdown, plot};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::str::FromStr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+/// Measure route policies by offered load and number of instances.
+#[derive(FromArgs)]
+struct Args {
+    /// number of seeds, from 1 on; each makes its own fleet and arrivals
+    #[argh(option, default = "5")]
+    seeds: u64,
+    /// entry instances, separated by commas
+    #[argh(option, default = "List(vec![1, 3, 6])")]
+    instances: List<usize>,
+    /// offered load as shares of the bound, separated by commas
+    #[argh(option, default = "List(vec![0.5, 0.9, 0.95, 1.2, 2.0])")]
+    load: List<f64>,
+    /// policies, separated by commas: flow-N (N chains drawn), flow-N-unscaled, random,
+    /// round-robin, least-loaded, least-wait
+    #[argh(option, default = "default_policies()")]
+    policies: List<Choice>,
+    /// time simulated, in milliseconds
+    #[argh(option, default = "10_000")]
+    run_ms: u64,
+    /// interval of load reports, in milliseconds
+    #[argh(option, default = "500")]
+    report_ms: u64,
+    /// longest delay of a load report, in milliseconds
+    #[argh(option, default = "700")]
+    delay_ms: u64,
+    /// limit in flight, as the time between tokens at which it gives the bound, in milliseconds
+    #[argh(option, default = "30.0")]
+    window_ms: f64,
+    /// threads
+    #[argh(option, default = "4")]
+    threads: usize,
+    /// file for the rows as JSON
+    #[argh(option)]
+    json: Option<String>,
+    /// file for the plot as SVG
+    #[argh(option)]
+    plot: Option<String>,
+}
+
+/// Values separated by commas.
+struct List<T>(Vec<T>);
+
+impl<T: FromStr<Err: std::fmt::Display>> FromStr for List<T> {
+    type Err = String;
+
+    fn from_str(s: &str) -> Result<Self, String> {
+        let items = s
+            .split(',')
+            .map(|item| item.parse().map_err(|e: T::Err| e.to_string()));
+        Ok(Self(items.collect::<Result<_, _>>()?))
+    }
+}
+
+fn default_policies() -> List<Choice> {
+    List(vec![
+        Choice::Flow(jacinthweir_policy::route::RouterConfig::default().draws),
+        Choice::LeastWait,
+        Choice::LeastLoaded,
+        Choice::RoundRobin,
+        Choice::Random,
+    ])
+}
+
+fn main() -> eyre::Result<()> {
+    let args: Args = argh::from_env();
+    let mut configs = Vec::new();
+    for &choice in &args.policies.0 {
+        for &instances in &args.instances.0 {
+            for &load in &args.load.0 {
+                configs.extend(
+                    (1..=args.seeds).map(|seed| config(&args, choice, instances, load, seed)),
+                );
+            }
+        }
+    }
+    let results = run_all(&configs, args.threads);
+    let seeds = args.seeds as usize;
+    let rows: Vec<Row> = configs
+        .chunks(seeds)
+        .zip(results.chunks(seeds))
+        .map(|(c, r)| Row::of(c[0].choice, c[0].instances, c[0].load, r))
+        .collect();
+    print!("{}", markdown(&rows));
+    let events: u64 = results.iter().map(|r| r.events).sum();
+    println!("{} runs, {events} events", results.len());
+    if let Some(path) = &args.json {
+        std::fs::write(path, serde_json::to_string_pretty(&rows)?)?;
+    }
+    if let Some(path) = &args.plot {
+        plot(&rows, path)?;
+    }
+    Ok(())
+}
+
+fn config(args: &Args, choice: Choice, instances: usize, load: f64, seed: u64) -> RunConfig {
+    RunConfig {
+        choice,
+        instances,
+        load,
+        seed,
+        run_ms: args.run_ms,
+        warmup_ms: args.run_ms / 4,
+        report_every_ms: args.report_ms,
+        report_delay_ms: args.delay_ms,
+        window_ms: args.window_ms,
+    }
+}
+
+fn run_all(configs: &[RunConfig], threads: usize) -> Vec<RunResult> {
+    let next = AtomicUsize::new(0);
+    let work = || {
+        let mut done = Vec::new();
+        loop {
+            let i = next.fetch_add(1, Ordering::Relaxed);
+            let Some(cfg) = configs.get(i) else {
+                return done;
+            };
+            let mut rng = ChaCha8Rng::seed_from_u64(cfg.seed);
+            let fleet = Fleet::generate(FleetSize::TODAY, &mut rng);
+            done.push((i, run(&fleet, *cfg)));
+        }
+    };
+    let mut all: Vec<(usize, RunResult)> = std::thread::scope(|scope| {
+        let handles: Vec<_> = (0..threads).map(|_| scope.spawn(work)).collect();
+        handles
+            .into_iter()
+            .flat_map(|h| h.join().expect("a run panicked"))
+            .collect()
+    });
+    all.sort_by_key(|(i, _)| *i);
+    all.into_iter().map(|(_, result)| result).collect()
+}
--- /dev/null
+++ b/testkit/src/bench/route_run.rs
@@ -0,0 +1,458 @@
+//! One run of a route policy against queues.
+//!
+//! Each runner serves its queue one piece of work after the other, at its speed in token-layers a
+//! second; each link between two domains serves in the same way. A request prefills through its
+//! route and then generates one token after another, each through the whole route. Runners report
+//! their number of requests at intervals, and the reports come late. Requests arrive in an open
+//! loop at a share of the bound; each instance refuses what is over its part of a fixed limit in
+//! flight, so that delays stay finite above the bound.
+
+use super::baseline::{self, Choice};
+use super::fleet::Fleet;
+use hdrhistogram::Histogram;
+use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::route::{Pick, Route, Router, RouterConfig, RunnerSeen};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+
+/// Work of a prompt token against a generated one.
+pub const PREFILL_WEIGHT: f64 = 0.1;
+const NANOS_PER_S: f64 = 1e9;
+const NANOS_PER_MS: u64 = 1_000_000;
+
+/// What is run.
+#[derive(Clone, Copy, Debug)]
+pub struct RunConfig {
+    /// Policy.
+    pub choice: Choice,
+    /// Entry instances.
+    pub instances: usize,
+    /// Offered load as a share of the bound.
+    pub load: f64,
+    /// Seed of arrivals, sizes and choices.
+    pub seed: u64,
+    /// Time simulated, in milliseconds.
+    pub run_ms: u64,
+    /// Part of it at the start that is not measured, in milliseconds.
+    pub warmup_ms: u64,
+    /// Interval of load reports, in milliseconds.
+    pub report_every_ms: u64,
+    /// Longest delay of a report, in milliseconds; the shortest is a quarter of it.
+    pub report_delay_ms: u64,
+    /// Requests in flight over all instances, as the time between tokens at which that many
+    /// give the bound, in milliseconds.
+    pub window_ms: f64,
+}
+
+/// What came out of it.
+#[derive(Clone, Debug)]
+pub struct RunResult {
+    /// Work done as a share of the bound.
+    pub held: f64,
+    /// Requests refused as a share of those offered.
+    pub refused: f64,
+    /// Time to the first token, in microseconds.
+    pub first_us: Histogram<u64>,
+    /// Time between tokens, in microseconds.
+    pub between_us: Histogram<u64>,
+    /// Events simulated.
+    pub events: u64,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive,
+    /// A server finished its first piece of work.
+    Served(u32),
+    /// A piece of work arrives at the next server of its request.
+    Reach(u32),
+    /// Runners take their figures.
+    Figures,
+    /// Figures come to an instance.
+    Report {
+        instance: u32,
+        runner: u32,
+        figures: u32,
+        taken_ms: u64,
+    },
+}
+
+struct Server {
+    /// Requests with work here.
+    queue: VecDeque<u32>,
+}
+
+/// A request in flight.
+struct Flight {
+    instance: u32,
+    route: Route,
+    /// Servers on the way: runners and links in turn, with the time one token takes, in ns.
+    path: Vec<(u32, f64)>,
+    /// Latency before each, in ns.
+    delay: Vec<u64>,
+    at: usize,
+    /// Tokens still to generate; the prefill comes first.
+    left: u32,
+    /// Token-equivalents of the present pass.
+    pass: f64,
+    arrived: u64,
+    last_token: u64,
+    prefilled: bool,
+}
+
+/// A run in progress.
+struct Run<'a> {
+    cfg: RunConfig,
+    fleet: &'a Fleet,
+    now: u64,
+    seq: u64,
+    heap: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    servers: Vec<Server>,
+    flights: Vec<Option<Flight>>,
+    free: Vec<u32>,
+    routers: Vec<Router>,
+    turns: Vec<usize>,
+    own: Vec<usize>,
+    limit: usize,
+    on_runner: Vec<u32>,
+    rng: ChaCha8Rng,
+    gap_ns: f64,
+    bound: f64,
+    work: f64,
+    offered: u64,
+    refused: u64,
+    out: RunResult,
+}
+
+/// Tokens of a prompt, drawn evenly from 16 to 240.
+const MEAN_PROMPT: f64 = 128.0;
+/// Mean number of generated tokens.
+const MEAN_TOKENS: f64 = 64.0;
+
+/// Runs the model of a fleet's first model.
+pub fn run(fleet: &Fleet, cfg: RunConfig) -> RunResult {
+    let mut run = Run::new(fleet, cfg);
+    run.schedule(0, Event::Arrive);
+    run.schedule(cfg.report_every_ms * NANOS_PER_MS, Event::Figures);
+    let end = cfg.run_ms * NANOS_PER_MS;
+    while let Some(Reverse((at, _, event))) = run.heap.pop() {
+        if at >= end {
+            break;
+        }
+        run.now = at;
+        run.out.events += 1;
+        run.step(event);
+    }
+    let measured_s = (cfg.run_ms - cfg.warmup_ms) as f64 / 1e3;
+    run.out.held = run.work / measured_s / run.bound;
+    run.out.refused = run.refused as f64 / run.offered.max(1) as f64;
+    run.out
+}
+
+/// A router that knows the fleet.
+pub fn router(fleet: &Fleet, cfg: RouterConfig) -> Router {
+    let mut router = Router::new(cfg);
+    router.set_models(&fleet.models);
+    for seen in &fleet.runners {
+        router.observe(0, seen);
+    }
+    for seen in &fleet.links {
+        router.observe_link(0, seen);
+    }
+    router.replan(0);
+    router
+}
+
+impl<'a> Run<'a> {
+    fn new(fleet: &'a Fleet, cfg: RunConfig) -> Self {
+        let mut config = RouterConfig {
+            instances: cfg.instances as u32,
+            ..Default::default()
+        };
+        match cfg.choice {
+            Choice::Flow(draws) => config.draws = draws,
+            Choice::FlowUnscaled(draws) => {
+                config.draws = draws;
+                config.instances = 1;
+            }
+            _ => {}
+        }
+        let first = router(fleet, config);
+        let bound = first.bound(ModelId::from_u32(0));
+        let work = MEAN_PROMPT * PREFILL_WEIGHT + MEAN_TOKENS;
+        let domains = first.fleet().domains.len();
+        let servers = fleet.runners.len() + domains * domains;
+        let histogram = || Histogram::new_with_max(60_000_000, 3).expect("valid bounds");
+        Self {
+            cfg,
+            fleet,
+            now: 0,
+            seq: 0,
+            heap: BinaryHeap::new(),
+            servers: (0..servers)
+                .map(|_| Server {
+                    queue: VecDeque::new(),
+                })
+                .collect(),
+            flights: Vec::new(),
+            free: Vec::new(),
+            routers: vec![first; cfg.instances],
+            turns: vec![0; cfg.instances],
+            own: vec![0; cfg.instances],
+            limit: (bound * cfg.window_ms / 1e3 / cfg.instances as f64).ceil() as usize,
+            on_runner: vec![0; fleet.runners.len()],
+            rng: ChaCha8Rng::seed_from_u64(cfg.seed),
+            gap_ns: work / (bound * cfg.load) * NANOS_PER_S,
+            bound,
+            work: 0.0,
+            offered: 0,
+            refused: 0,
+            out: RunResult {
+                held: 0.0,
+                refused: 0.0,
+                first_us: histogram(),
+                between_us: histogram(),
+                events: 0,
+            },
+        }
+    }
+
+    fn schedule(&mut self, after: u64, event: Event) {
+        self.seq += 1;
+        self.heap.push(Reverse((self.now + after, self.seq, event)));
+    }
+
+    fn now_ms(&self) -> Millis {
+        self.now / NANOS_PER_MS
+    }
+
+    fn measured(&self) -> bool {
+        self.now >= self.cfg.warmup_ms * NANOS_PER_MS
+    }
+
+    fn step(&mut self, event: Event) {
+        match event {
+            Event::Arrive => self.arrive(),
+            Event::Served(server) => self.served(server),
+            Event::Reach(flight) => self.reach(flight),
+            Event::Figures => self.figures(),
+            Event::Report {
+                instance,
+                runner,
+                figures,
+                taken_ms,
+            } => {
+                self.report(instance as usize, runner as usize, figures, taken_ms);
+            }
+        }
+    }
+
+    fn exponential(&mut self, mean: f64) -> f64 {
+        -mean * (1.0 - self.rng.random::<f64>()).ln()
+    }
+
+    fn arrive(&mut self) {
+        let gap = self.exponential(self.gap_ns) as u64;
+        self.schedule(gap, Event::Arrive);
+        let instance = self.rng.random_range(0..self.cfg.instances);
+        let prompt = f64::from(self.rng.random_range(16..=240_u32));
+        let tokens = self.exponential(MEAN_TOKENS).ceil() as u32;
+        self.offered += u64::from(self.measured());
+        if self.own[instance] >= self.limit {
+            self.refused += u64::from(self.measured());
+            return;
+        }
+        let route = self.choose(instance, prompt as u32, tokens);
+        let now_ms = self.now_ms();
+        self.routers[instance].sent(now_ms, &route);
+        self.own[instance] += 1;
+        self.start(instance, route, prompt, tokens);
+    }
+
+    fn choose(&mut self, instance: usize, prompt_tokens: u32, max_tokens: u32) -> Route {
+        let model = ModelId::from_u32(0);
+        let router = &self.routers[instance];
+        if let Choice::Flow(_) | Choice::FlowUnscaled(_) = self.cfg.choice {
+            let pick = Pick {
+                model,
+                prefix_hash: None,
+                prompt_tokens,
+                max_tokens,
+                avoid: &[],
+            };
+            let route = router.pick(self.now / NANOS_PER_MS, &pick, &mut self.rng);
+            return route.expect("the fleet covers the model");
+        }
+        let turn = &mut self.turns[instance];
+        baseline::walk(self.cfg.choice, router.fleet(), model, turn, &mut self.rng)
+    }
+
+    fn start(&mut self, instance: usize, route: Route, prompt: f64, tokens: u32) {
+        let (path, delay) = self.path(&route);
+        for stage in &route.stages {
+            self.on_runner[stage.runner.as_u32() as usize] += 1;
+        }
+        let flight = Flight {
+            instance: instance as u32,
+            route,
+            path,
+            delay,
+            at: 0,
+            left: tokens,
+            pass: prompt * PREFILL_WEIGHT,
+            arrived: self.now,
+            last_token: 0,
+            prefilled: false,
+        };
+        let slot = match self.free.pop() {
+            Some(slot) => {
+                self.flights[slot as usize] = Some(flight);
+                slot
+            }
+            None => {
+                self.flights.push(Some(flight));
+                (self.flights.len() - 1) as u32
+            }
+        };
+        self.schedule(0, Event::Reach(slot));
+    }
+
+    /// Servers on a route's way, and the latency before each.
+    fn path(&self, route: &Route) -> (Vec<(u32, f64)>, Vec<u64>) {
+        let router = &self.routers[0];
+        let fleet = router.fleet();
+        let bytes = fleet.models[route.model].activation_bytes;
+        let (mut path, mut delay) = (Vec::new(), Vec::new());
+        let mut latency = 0;
+        for (i, stage) in route.stages.iter().enumerate() {
+            let runner = &fleet.runners[stage.runner];
+            if i > 0 {
+                let before = &fleet.runners[route.stages[i - 1].runner];
+                let link = router.link(before.domain, runner.domain);
+                latency = (link.latency_us * 1e3) as u64;
+                if before.domain != runner.domain {
+                    let (a, b) = (before.domain.as_u32(), runner.domain.as_u32());
+                    let pair = a.min(b) * fleet.domains.len() as u32 + a.max(b);
+                    let token_ns = bytes as f64 / link.bytes_per_s * NANOS_PER_S;
+                    path.push((self.fleet.runners.len() as u32 + pair, token_ns));
+                    delay.push(0);
+                }
+            }
+            let token_ns = f64::from(stage.layers.count()) / runner.speed * NANOS_PER_S;
+            path.push((stage.runner.as_u32(), token_ns));
+            delay.push(latency);
+        }
+        (path, delay)
+    }
+
+    /// A request's work comes to the server it is at.
+    fn reach(&mut self, slot: u32) {
+        let flight = self.flights[slot as usize].as_ref().expect("in flight");
+        let (server, _) = flight.path[flight.at];
+        let queue = &mut self.servers[server as usize].queue;
+        queue.push_back(slot);
+        if queue.len() == 1 {
+            self.serve(server);
+        }
+    }
+
+    /// Starts on the first piece of work of a server.
+    fn serve(&mut self, server: u32) {
+        let slot = self.servers[server as usize].queue[0];
+        let flight = self.flights[slot as usize].as_ref().expect("in flight");
+        let (_, token_ns) = flight.path[flight.at];
+        let time = (token_ns * flight.pass) as u64;
+        self.schedule(time, Event::Served(server));
+    }
+
+    fn served(&mut self, server: u32) {
+        let queue = &mut self.servers[server as usize].queue;
+        let slot = queue.pop_front().expect("was serving");
+        if !queue.is_empty() {
+            self.serve(server);
+        }
+        let flight = self.flights[slot as usize].as_mut().expect("in flight");
+        flight.at += 1;
+        if flight.at < flight.path.len() {
+            let delay = flight.delay[flight.at];
+            self.schedule(delay, Event::Reach(slot));
+        } else {
+            self.passed(slot);
+        }
+    }
+
+    /// A pass through the whole route is over: the prefill, or one token.
+    fn passed(&mut self, slot: u32) {
+        let (now, measured) = (self.now, self.measured());
+        let flight = self.flights[slot as usize].as_mut().expect("in flight");
+        if measured {
+            self.work += flight.pass;
+        }
+        flight.at = 0;
+        flight.pass = 1.0;
+        if !flight.prefilled {
+            flight.prefilled = true;
+            self.schedule(0, Event::Reach(slot));
+            return;
+        }
+        let (since, histogram) = match flight.last_token {
+            0 => (flight.arrived, &mut self.out.first_us),
+            last => (last, &mut self.out.between_us),
+        };
+        if measured {
+            histogram.saturating_record((now - since) / 1_000);
+        }
+        flight.last_token = now;
+        flight.left = flight.left.saturating_sub(1);
+        if flight.left > 0 {
+            self.schedule(0, Event::Reach(slot));
+        } else {
+            self.finish(slot);
+        }
+    }
+
+    fn finish(&mut self, slot: u32) {
+        let flight = self.flights[slot as usize].take().expect("in flight");
+        self.free.push(slot);
+        for stage in &flight.route.stages {
+            self.on_runner[stage.runner.as_u32() as usize] -= 1;
+        }
+        let instance = flight.instance as usize;
+        self.own[instance] -= 1;
+        let now_ms = self.now_ms();
+        self.routers[instance].finished(now_ms, &flight.route);
+    }
+
+    /// Takes the figures of each runner and sends them to each instance.
+    fn figures(&mut self) {
+        self.schedule(self.cfg.report_every_ms * NANOS_PER_MS, Event::Figures);
+        let longest = self.cfg.report_delay_ms;
+        let taken_ms = self.now_ms();
+        for runner in 0..self.on_runner.len() as u32 {
+            let figures = self.on_runner[runner as usize];
+            for instance in 0..self.cfg.instances as u32 {
+                let delay = self.rng.random_range(longest / 4..=longest);
+                let report = Event::Report {
+                    instance,
+                    runner,
+                    figures,
+                    taken_ms,
+                };
+                self.schedule(delay * NANOS_PER_MS, report);
+            }
+        }
+    }
+
+    fn report(&mut self, instance: usize, runner: usize, figures: u32, taken_ms: u64) {
+        let now_ms = self.now_ms();
+        let seen = RunnerSeen {
+            number: 1 + taken_ms / self.cfg.report_every_ms,
+            running: figures,
+            age_ms: now_ms - taken_ms,
+            ..self.fleet.runners[runner].clone()
+        };
+        self.routers[instance].observe(now_ms, &seen);
+    }
+}
--- /dev/null
+++ b/testkit/src/bench/route_table.rs
@@ -0,0 +1,139 @@
+//! Results of many runs: table, JSON and plot.
+
+use super::baseline::Choice;
+use super::route_run::RunResult;
+use serde::Serialize;
+
+/// Runs of one policy at one load and number of instances, over the seeds.
+#[derive(Clone, Debug, Serialize)]
+pub struct Row {
+    /// Policy.
+    pub policy: String,
+    /// Entry instances.
+    pub instances: usize,
+    /// Offered load as a share of the bound.
+    pub load: f64,
+    /// Share of the bound held: least, mean and greatest over the seeds.
+    pub held: Spread,
+    /// Share of the requests refused.
+    pub refused: Spread,
+    /// p95 of the time to the first token, in milliseconds.
+    pub first_p95_ms: Spread,
+    /// p95 of the time between tokens, in milliseconds.
+    pub between_p95_ms: Spread,
+}
+
+/// Spread of a figure over the seeds.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Spread {
+    /// Least.
+    pub least: f64,
+    /// Mean.
+    pub mean: f64,
+    /// Greatest.
+    pub greatest: f64,
+}
+
+impl Spread {
+    /// Of some figures; at least one.
+    pub fn of(figures: impl Iterator<Item = f64> + Clone) -> Self {
+        let count = figures.clone().count() as f64;
+        Self {
+            least: figures.clone().fold(f64::INFINITY, f64::min),
+            mean: figures.clone().sum::<f64>() / count,
+            greatest: figures.fold(f64::NEG_INFINITY, f64::max),
+        }
+    }
+}
+
+impl Row {
+    /// Sums up the runs over the seeds.
+    pub fn of(choice: Choice, instances: usize, load: f64, runs: &[RunResult]) -> Self {
+        let p95 = |h: &hdrhistogram::Histogram<u64>| h.value_at_quantile(0.95) as f64 / 1e3;
+        Self {
+            policy: choice.to_string(),
+            instances,
+            load,
+            held: Spread::of(runs.iter().map(|r| r.held)),
+            refused: Spread::of(runs.iter().map(|r| r.refused)),
+            first_p95_ms: Spread::of(runs.iter().map(|r| p95(&r.first_us))),
+            between_p95_ms: Spread::of(runs.iter().map(|r| p95(&r.between_us))),
+        }
+    }
+}
+
+/// The table as Markdown: mean, with least to greatest in brackets.
+pub fn markdown(rows: &[Row]) -> String {
+    let mut out = String::from(
+        "| policy | instances | offered | held | of offered or bound | refused | first token p95 ms | between tokens p95 ms |\n\
+         |---|---|---|---|---|---|---|---|\n",
+    );
+    for row in rows {
+        let reach = row.load.min(1.0);
+        out += &format!(
+            "| {} | {} | {:.2} | {:.3} ({:.3}-{:.3}) | {:.1}% | {:.1}% | {:.0} ({:.0}-{:.0}) | {:.1} ({:.1}-{:.1}) |\n",
+            row.policy,
+            row.instances,
+            row.load,
+            row.held.mean,
+            row.held.least,
+            row.held.greatest,
+            row.held.mean / reach * 100.0,
+            row.refused.mean * 100.0,
+            row.first_p95_ms.mean,
+            row.first_p95_ms.least,
+            row.first_p95_ms.greatest,
+            row.between_p95_ms.mean,
+            row.between_p95_ms.least,
+            row.between_p95_ms.greatest,
+        );
+    }
+    out
+}
+
+/// Draws the share of the bound held over the offered load, a line for each policy, at the
+/// greatest number of instances.
+///
+/// # Errors
+/// Those of the drawing library, for instance where the file cannot be written.
+pub fn plot(rows: &[Row], path: &str) -> eyre::Result<()> {
+    use plotters::prelude::*;
+    let instances = rows.iter().map(|row| row.instances).max().unwrap_or(1);
+    let loads = rows.iter().map(|row| row.load).fold(1.0, f64::max);
+    let root = SVGBackend::new(path, (900, 560)).into_drawing_area();
+    root.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&root)
+        .margin(16)
+        .x_label_area_size(40)
+        .y_label_area_size(50)
+        .build_cartesian_2d(0.0..loads * 1.25, 0.0..1.05)?;
+    chart
+        .configure_mesh()
+        .x_desc(format!(
+            "offered load as a share of the bound ({instances} instances)"
+        ))
+        .y_desc("share of the bound held")
+        .draw()?;
+    let mut policies: Vec<&str> = rows.iter().map(|row| row.policy.as_str()).collect();
+    policies.dedup();
+    for (i, policy) in policies.iter().enumerate() {
+        let colour = Palette99::pick(i).mix(1.0);
+        let of = |row: &&Row| row.policy == *policy && row.instances == instances;
+        let line: Vec<(f64, f64)> = rows
+            .iter()
+            .filter(of)
+            .map(|row| (row.load, row.held.mean))
+            .collect();
+        if let Some(&(x, y)) = line.last() {
+            let label = (
+                policy.to_string(),
+                ("sans-serif", 14).into_font().color(&colour),
+            );
+            chart.draw_series(std::iter::once(Text::new(label.0, (x + 0.02, y), label.1)))?;
+        }
+        chart.draw_series(LineSeries::new(line.clone(), &colour))?;
+        chart.draw_series(line.iter().map(|&p| Circle::new(p, 3, colour.filled())))?;
+    }
+    root.present()?;
+    Ok(())
+}
