--- a/kernel/src/kernel.rs
+++ b/kernel/src/kernel.rs
@@ -26,9 +26,6 @@
 use crate::upstreams::Upstreams;
 use crate::{KernelError, Settings};
 
-/// Time for which a runner is avoided after a failure.
-const AVOID_MS: Millis = 2_000;
-
 /// Period of looking whether the last request has ended.
 const ENDED_POLL: Duration = Duration::from_millis(20);
 
@@ -101,10 +98,7 @@
             gate: Gate::open(clock),
             upstreams: Upstreams::default(),
             membership: Mutex::new(membership(&settings, incarnation, clock)),
-            router: Mutex::new(Router::new(RouterConfig {
-                instances: 1,
-                avoid_ms: AVOID_MS,
-            })),
+            router: Mutex::new(Router::new(RouterConfig::default())),
             settings,
         };
         Ok(Arc::new(kernel))
--- a/plugins/callers/src/attempt.rs
+++ b/plugins/callers/src/attempt.rs
@@ -183,8 +183,8 @@
             index: token.index,
         };
         self.running.note(event);
-        let gap_ms = self.token_came();
-        self.cx.router().token(self.cx.clock.now(), route, gap_ms);
+        self.token_came();
+        self.cx.router().token(self.cx.clock.now(), route);
         self.tokens.push(token.text.clone());
         match self.tx.send(Told::Token(token.text)).await {
             Ok(()) => Next::Frame,
--- a/plugins/callers/src/driver.rs
+++ b/plugins/callers/src/driver.rs
@@ -282,12 +282,9 @@
         self.remaining()
     }
 
-    /// Time since the last token, in milliseconds; the clock for the next begins.
-    pub(crate) fn token_came(&mut self) -> f64 {
-        let now = self.cx.clock.now();
-        let gap = now.saturating_sub(self.last_token_at);
-        self.last_token_at = now;
-        gap as f64
+    /// The clock for the next token begins.
+    pub(crate) fn token_came(&mut self) {
+        self.last_token_at = self.cx.clock.now();
     }
 }
 
