Stand-ins for platform, model runner and plain service

Cause: nothing to run the thin whole path against. Ruled out: places at later stages with a queue (two routes in opposite order can wait for each other), so only the first stage queues; salvo's stream error for a lost answer (headers may go out first), so the connection control's abort is used. The platform and service have no test yet. Conclusion: good enough to build the instance against.

--- /dev/null
+++ b/testkit/src/runner/batch.rs
@@ -0,0 +1,162 @@
+//! The batch loop: work is only time.
+//!
+//! Each step takes the first `max_running` units in the order of priority and arrival, does at
+//! most one chunk of each, and lasts for the token-layers in it. Timers are coarser than a step,
+//! so the loop keeps account of the time it owes: an overslept step shortens the next ones.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use tokio::sync::{Notify, oneshot};
+use tokio_util::sync::CancellationToken;
+
+use super::State;
+use super::witness::RanToken;
+use crate::http::unix_ms;
+
+/// Most time that the loop may catch up on, in milliseconds.
+const MAX_CATCH_UP_MS: u64 = 4;
+
+/// Work that waits for the batch.
+#[derive(Debug, Default)]
+pub struct Batch {
+    queue: Mutex<Queue>,
+    wake: Notify,
+}
+
+#[derive(Debug, Default)]
+struct Queue {
+    arrivals: u64,
+    units: BTreeMap<(u8, u64), Unit>,
+}
+
+/// One token, or one prefill, through one layer range.
+#[derive(Debug)]
+struct Unit {
+    token: RanToken,
+    left: u32,
+    started: bool,
+    done: oneshot::Sender<()>,
+}
+
+impl Batch {
+    fn lock(&self) -> MutexGuard<'_, Queue> {
+        self.queue.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Looks at the queue and the knobs again.
+    pub(crate) fn wake(&self) {
+        self.wake.notify_one();
+    }
+
+    /// Runs a token; giving up the wait takes it out of the batch before its next step.
+    pub(crate) async fn run(&self, priority: u8, token: RanToken) {
+        let (done, rx) = oneshot::channel();
+        {
+            let mut queue = self.lock();
+            queue.arrivals += 1;
+            let place = (priority, queue.arrivals);
+            let unit = Unit {
+                left: token.tokens,
+                token,
+                started: false,
+                done,
+            };
+            queue.units.insert(place, unit);
+        }
+        self.wake();
+        // The sender is dropped only with the whole runner.
+        let _ = rx.await;
+    }
+}
+
+/// Runs steps until `token` is cancelled.
+pub(crate) async fn run(state: Arc<State>, token: CancellationToken) {
+    let mut ready_at = Instant::now();
+    loop {
+        let frozen = state.lock().knobs.freeze == Some(true);
+        let step = if frozen {
+            Vec::new()
+        } else {
+            take_step(&state)
+        };
+        if step.is_empty() {
+            if token
+                .run_until_cancelled(state.batch.wake.notified())
+                .await
+                .is_none()
+            {
+                return;
+            }
+            continue;
+        }
+        let earliest = Instant::now() - Duration::from_millis(MAX_CATCH_UP_MS);
+        ready_at = ready_at.max(earliest) + step_time(&state, &step);
+        let sleep = tokio::time::sleep_until(ready_at.into());
+        if ready_at > Instant::now() && token.run_until_cancelled(sleep).await.is_none() {
+            return;
+        }
+        finish_step(&state, step);
+        // Lets the drivers enter their next tokens before the next step is put together.
+        tokio::task::yield_now().await;
+    }
+}
+
+/// Part of a unit that one step does.
+struct Part {
+    place: (u8, u64),
+    unit: Unit,
+    tokens: u32,
+}
+
+fn take_step(state: &State) -> Vec<Part> {
+    let max = state.cfg.max_running as usize;
+    let mut step = Vec::new();
+    let mut queue = state.batch.lock();
+    while step.len() < max {
+        let Some((place, mut unit)) = queue.units.pop_first() else {
+            break;
+        };
+        if unit.done.is_closed() {
+            continue;
+        }
+        if !unit.started {
+            unit.started = true;
+            unit.token.at_ms = unix_ms();
+            state.lock().witness.ran.push(unit.token.clone());
+        }
+        let tokens = unit.left.min(state.cfg.prefill_chunk.max(1));
+        step.push(Part {
+            place,
+            unit,
+            tokens,
+        });
+    }
+    step
+}
+
+fn work(part: &Part) -> f64 {
+    let layers = part.unit.token.layers;
+    f64::from(part.tokens) * f64::from(layers.end - layers.start)
+}
+
+fn step_time(state: &State, step: &[Part]) -> Duration {
+    let speed = state.lock().knobs.speed;
+    let speed = speed.unwrap_or(state.cfg.token_layers_per_s).max(1.0);
+    let total: f64 = step.iter().map(work).sum();
+    Duration::from_micros(state.cfg.step_us) + Duration::from_secs_f64(total / speed)
+}
+
+fn finish_step(state: &State, step: Vec<Part>) {
+    let total: f64 = step.iter().map(work).sum();
+    state.lock().done += total;
+    for mut part in step {
+        part.unit.left -= part.tokens;
+        if part.unit.left == 0 {
+            let _ = part.unit.done.send(());
+        } else {
+            state.batch.lock().units.insert(part.place, part.unit);
+        }
+    }
+}
--- a/wire/src/runner.rs
+++ b/wire/src/runner.rs
@@ -123,6 +123,9 @@
     pub code: RefusedCode,
     /// When to come back, in milliseconds.
     pub retry_after_ms: u64,
+    /// Runner that refused, or that can't be reached; absent: the addressee.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub runner: Option<Name>,
 }
 
 /// Cause of a refusal.
@@ -139,6 +142,8 @@
     Stale,
     /// The route does not fit together.
     BadRoute,
+    /// A later stage of the route can't be reached.
+    Unreachable,
 }
 
 /// Run one token through the rest of a route.
@@ -150,8 +155,15 @@
     pub attempt: u32,
     /// Token index.
     pub index: u32,
-    /// Tokens to run through: 1, or the prompt's number for a prefill.
+    /// Tokens to run through: 1, or the number of the prompt and the resumed tokens for a prefill;
+    /// 0: take a place for the attempt along the route, running nothing.
     pub tokens: u32,
+    /// Hashes of the prompt's prefixes, as in [`crate::prefix`], for a prefill.
+    #[serde(default)]
+    pub prefix: Vec<u64>,
+    /// Runner to import the KV cache from, for a prefill; absent: run the tokens again.
+    #[serde(default)]
+    pub kv_from: Option<SocketAddr>,
     /// Model name.
     pub model: Name,
     /// Rest of the route; the first is the addressee.
@@ -230,13 +242,14 @@
 pub struct CacheEvent {
     /// Number.
     pub number: u64,
-    /// Hash of the prefix.
+    /// Hash of the prefix, as in [`crate::prefix`].
     pub prefix: u64,
     /// In or out.
     pub cached: bool,
 }
 
-/// Export from, or import into, a runner's KV cache.
+/// Export from, or import into, a runner's KV cache. An export answers with the number of tokens
+/// that it covers, or 404.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct KvRequest {
     /// Request id.
