--- a/plugins/callers/src/driver.rs
+++ b/plugins/callers/src/driver.rs
@@ -10,7 +10,8 @@
 use jacinthweir_policy::journal::{End, Event, Journal, MAX_ATTEMPTS, Repeat};
 use jacinthweir_policy::route::{Pick, Route};
 use jacinthweir_wire::caller::ErrorCode;
-use jacinthweir_wire::runner::{EndFrame, Refused, prefix_hash};
+use jacinthweir_wire::prefix;
+use jacinthweir_wire::runner::{EndFrame, Refused};
 use tokio::sync::mpsc;
 
 use crate::accept::Accepted;
@@ -177,7 +178,7 @@
         let model = model.ok_or_else(|| Stop::NoRoute(format!("model {name} is not planned")))?;
         let pick = Pick {
             model,
-            prefix_hash: prefix_hash(&self.accepted.prompt.text),
+            prefix_hash: prefix::hashes(&self.accepted.prompt.text).first().copied(),
             prompt_tokens: self.prompt_tokens(),
             max_tokens: self.accepted.max_tokens,
             avoid: &self.avoid,
