Bound requests in progress; close kept connections while draining; share limits

Cause: memory of requests in progress had no bound, kept connections of callers outlived the drain, and organisations' limits were not applied. Change: a limit on requests in progress, connection: close once draining, an even share of each limit on each instance.

--- a/kernel/src/kernel.rs
+++ b/kernel/src/kernel.rs
@@ -161,6 +161,24 @@
         Err(refusal.retry_after(RETRY_ELSEWHERE_MS))
     }
 
+    /// Whether one more request may come in: bounds the memory that requests in progress take.
+    ///
+    /// # Errors
+    /// `overloaded`: nothing ran.
+    pub fn room_for_one(&self) -> Result<(), Refusal> {
+        if self.records.counts().running < self.settings.limits.requests {
+            return Ok(());
+        }
+        let refusal = Refusal::not_run(ErrorCode::Overloaded, "too many requests in progress");
+        Err(refusal.retry_after(RETRY_ELSEWHERE_MS))
+    }
+
+    /// Whether this instance is shutting down.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.membership().own().state.phase >= Phase::Draining
+    }
+
     /// A new request id: the instance's name, a dot, and a number that is never used again.
     #[must_use]
     pub fn new_request_id(&self) -> Name {
--- a/kernel/src/listener.rs
+++ b/kernel/src/listener.rs
@@ -93,9 +93,28 @@
         }
     }
     let root = match face {
-        Face::Callers => root,
+        Face::Callers => root.hoop(CloseWhenDraining(Arc::clone(cx))),
         Face::Peers => root.hoop(auth::PeersOnly::new(cx)),
         Face::Operators => root.hoop(auth::OperatorsOnly::new(cx)),
     };
     Service::new(root).catcher(Catcher::default().hoop(reply::NoRoute))
 }
+
+/// Asks callers to give up their kept connections once the instance drains: else their next
+/// request could be written just as the connection is closed, and its fate be unknown to them.
+struct CloseWhenDraining(Arc<Kernel>);
+
+#[async_trait]
+impl Handler for CloseWhenDraining {
+    async fn handle(
+        &self,
+        _req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        if self.0.is_draining() {
+            reply::set_header(res, "connection", "close");
+        }
+    }
+}
--- a/plugins/callers/src/accept.rs
+++ b/plugins/callers/src/accept.rs
@@ -32,6 +32,7 @@
 ) -> Result<Accepted, Refusal> {
     let arrived = cx.clock.now();
     let config = cx.serving_config()?;
+    cx.room_for_one()?;
     let caller = Caller::identify(&config, req)?;
     let prompt = read(cx, form, req).await?;
     let pipeline = pipeline(&config, &prompt)?;
--- a/plugins/upstreams/src/capacity.rs
+++ b/plugins/upstreams/src/capacity.rs
@@ -5,6 +5,7 @@
 use jacinthweir_kernel::config::InForce;
 use jacinthweir_kernel::gate::Capacity;
 use jacinthweir_kernel::prelude::*;
+use jacinthweir_policy::admission::{Demand, share_of};
 use jacinthweir_policy::route::ModelSpec;
 
 /// Period of replanning where something changed.
@@ -55,6 +56,21 @@
         }
     }
     cx.gate.set_capacities(&capacities);
+    share_limits(cx, config, u32::try_from(instances).unwrap_or(u32::MAX));
+}
+
+/// Gives this instance its even share of each organisation's limit in flight. The shares then
+/// never add up to more than the limit and one request an instance, whatever is cut off.
+fn share_limits(cx: &Kernel, config: &InForce, instances: u32) {
+    for org in config.schema.orgs().values() {
+        let demand = Demand {
+            own: 0,
+            all: 0,
+            instances,
+        };
+        let share = org.max_in_flight.map(|limit| share_of(limit, demand));
+        cx.gate.set_share(&org.name, share);
+    }
 }
 
 fn capacity(pipeline: &Name, tokens_per_s: f64) -> Capacity {
