Configuration: parts, commit, lineage, convergence as a state machine

Cause: an accepted configuration must be in force everywhere within seconds and never revert, while operators race, answers get lost, the platform is out or comes back from an older copy. Commit has a new field `content`.

--- a/policy/src/head.rs
+++ b/policy/src/head.rs
@@ -25,6 +25,8 @@
     pub operator: Name,
     /// Unix time, in milliseconds.
     pub at_ms: u64,
+    /// Hash over the hashes of the schema's parts: names what was committed.
+    pub content: Name,
     /// Summary of the difference, one line each; bounded.
     pub summary: Vec<String>,
 }
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! randomness and every answer from outside come in as arguments, so the same inputs give the
 //! same run. Modules are state machines of the form `(now, event) -> actions`.
 
+pub mod config;
 pub mod entity;
 pub mod head;
 pub mod layers;
--- a/policy/src/schema.rs
+++ b/policy/src/schema.rs
@@ -12,6 +12,7 @@
 
 pub use compiled::CompiledSchema;
 pub use diff::{Change, diff};
+pub use key::KeyHash;
 pub use parse::parse_schema;
 pub use verify::{Finding, verify};
 
--- /dev/null
+++ b/policy/tests/config_parts.rs
@@ -0,0 +1,241 @@
+//! Splitting a schema into parts and joining it again; commits and reading back.
+
+use googletest::prelude::*;
+use jacinthweir_policy::config::commit::{
+    Decision, MAX_SUMMARY, Proposal, ReadBack, decide, read_back,
+};
+use jacinthweir_policy::config::lineage::{HeadFault, MAX_HISTORY, Relation, check_head, relation};
+use jacinthweir_policy::config::parts::{JoinError, MAX_PART_BYTES, PartText, join, split};
+use jacinthweir_policy::config::watch::{WATCHERS, watches};
+use jacinthweir_policy::head::Head;
+use jacinthweir_policy::schema::{OrgDecl, Schema, diff, key};
+use jacinthweir_policy::time::Name;
+
+fn org(n: usize, weight: u32) -> OrgDecl {
+    let digits = hex::encode(key::hash(&format!("key {n}")));
+    OrgDecl {
+        name: format!("atelier-{n}").into(),
+        priority: 2,
+        weight,
+        key_sha256: vec![digits.into()],
+        max_in_flight: None,
+    }
+}
+
+fn schema(orgs: usize, weight: u32) -> Schema {
+    let organisations = (0..orgs).map(|n| org(n, weight)).collect();
+    Schema {
+        organisations,
+        ..Schema::default()
+    }
+}
+
+fn rejoin(parts: &[PartText]) -> std::result::Result<Schema, JoinError> {
+    let refs: Vec<_> = parts.iter().map(|p| p.part.clone()).collect();
+    join(&refs, |hash| {
+        parts
+            .iter()
+            .find(|p| &*p.part.hash == hash)
+            .map(|p| &*p.text)
+    })
+}
+
+fn proposal(base: u64, change: &str, weight: u32) -> Proposal {
+    let parts = split(&schema(3, weight)).unwrap();
+    Proposal {
+        base,
+        change: change.into(),
+        operator: "ana".into(),
+        at_ms: 1,
+        parts: parts.into_iter().map(|p| p.part).collect(),
+        summary: vec!["~ organisation atelier-0".into()],
+    }
+}
+
+fn committed(standing: Option<&Head>, proposal: &Proposal) -> Head {
+    match decide(standing, proposal) {
+        Decision::Commit(head) => head,
+        other => panic!("not committed: {other:?}"),
+    }
+}
+
+#[gtest]
+fn parts_join_to_the_same_schema_and_stay_small_at_the_target_size() {
+    let schema = schema(19_000, 10);
+    let parts = split(&schema).unwrap();
+    let largest = parts.iter().map(|p| p.text.len()).max().unwrap();
+    expect_that!(largest, lt(MAX_PART_BYTES / 10));
+    expect_that!(diff(&schema, &rejoin(&parts).unwrap()), is_empty());
+}
+
+#[gtest]
+fn a_change_of_one_organisation_rewrites_one_part() {
+    let before = schema(1000, 10);
+    let mut after = before.clone();
+    after.organisations[7].weight = 11;
+    after.organisations.reverse();
+    let (before, after) = (split(&before).unwrap(), split(&after).unwrap());
+    let changed = after.iter().filter(|part| !before.contains(part)).count();
+    expect_that!(changed, eq(1));
+}
+
+#[gtest]
+fn altered_missing_and_unknown_parts_are_refused() {
+    let parts = split(&schema(3, 10)).unwrap();
+    let mut altered = parts.clone();
+    altered[1].text = altered[1]
+        .text
+        .replace("\"weight\":10", "\"weight\":99")
+        .into();
+    expect_that!(rejoin(&altered), err(pat!(JoinError::WrongHash { .. })));
+    expect_that!(rejoin(&parts[1..]), err(eq(&JoinError::Cores { found: 0 })));
+    let refs: Vec<_> = parts.iter().map(|p| p.part.clone()).collect();
+    expect_that!(join(&refs, |_| None), err(pat!(JoinError::Missing { .. })));
+}
+
+#[gtest]
+fn a_part_too_large_for_the_platform_is_refused_before_anything_is_written() {
+    let mut schema = schema(1, 1);
+    schema.organisations[0].key_sha256 = vec!["0".repeat(64).into(); MAX_PART_BYTES / 60];
+    expect_that!(
+        split(&schema).unwrap_err().to_string(),
+        starts_with("slice ")
+    );
+}
+
+#[gtest]
+fn two_operators_race_and_one_gets_a_conflict() {
+    // Two operators plan against revision 1 and apply at the same time. The first commits
+    // revision 2; the second sees a conflict with revision 2 and nothing of its change lands.
+    let first = committed(None, &proposal(0, "c1", 1));
+    let second = committed(Some(&first), &proposal(1, "c2", 2));
+    expect_that!(second.revision, eq(2));
+    let late = decide(Some(&second), &proposal(1, "c3", 3));
+    expect_that!(late, eq(&Decision::Conflict { standing: 2 }));
+}
+
+#[gtest]
+fn asking_again_with_the_same_change_is_idempotent() {
+    let first = committed(None, &proposal(0, "c1", 1));
+    let second = committed(Some(&first), &proposal(1, "c2", 2));
+    let again = decide(Some(&second), &proposal(0, "c1", 1));
+    expect_that!(again, eq(&Decision::Already { revision: 1 }));
+    let other = decide(Some(&second), &proposal(2, "c1", 3));
+    expect_that!(other, eq(&Decision::ChangeReused { revision: 1 }));
+    let same = decide(Some(&second), &proposal(1, "c9", 2));
+    expect_that!(same, eq(&Decision::Unchanged { revision: 2 }));
+}
+
+#[gtest]
+fn history_and_summary_are_bounded() {
+    let mut head = committed(None, &proposal(0, "c0", 1));
+    for n in 1..100 {
+        let mut next = proposal(n, &format!("c{n}"), n as u32 + 1);
+        next.summary = vec![String::from("line"); 50];
+        head = committed(Some(&head), &next);
+    }
+    expect_that!(head.history, len(eq(MAX_HISTORY)));
+    expect_that!(head.history[0].summary, len(eq(MAX_SUMMARY + 1)));
+    expect_that!(check_head(&head), ok(eq(())));
+}
+
+#[gtest]
+fn a_lost_answer_is_read_back() {
+    let first = committed(None, &proposal(0, "c1", 1));
+    let ours = committed(Some(&first), &proposal(1, "c2", 2));
+    let theirs = committed(Some(&first), &proposal(1, "c3", 3));
+    let after = committed(Some(&ours), &proposal(2, "c4", 4));
+    let untold = Head {
+        history: after.history[..1].to_vec(),
+        ..after.clone()
+    };
+    let cases = [
+        (Some((&ours, 8)), ReadBack::Committed),
+        (Some((&after, 9)), ReadBack::Committed),
+        (Some((&first, 7)), ReadBack::Pending),
+        (Some((&theirs, 8)), ReadBack::Overtaken { standing: 2 }),
+        (Some((&untold, 9)), ReadBack::Untold),
+        (Some((&first, 6)), ReadBack::Untold),
+        (None, ReadBack::Untold),
+    ];
+    for (standing, wanted) in cases {
+        expect_that!(read_back(&ours, 7, standing), eq(wanted));
+    }
+    expect_that!(read_back(&first, 0, None), eq(ReadBack::Pending));
+}
+
+#[gtest]
+fn a_head_of_another_history_is_told_apart() {
+    let first = committed(None, &proposal(0, "c1", 1));
+    let second = committed(Some(&first), &proposal(1, "c2", 2));
+    let fork = committed(Some(&first), &proposal(1, "c3", 3));
+    let fork_on = committed(Some(&fork), &proposal(2, "c4", 4));
+    expect_that!(relation(&second, &second), eq(Relation::Same));
+    expect_that!(relation(&second, &first), eq(Relation::Ancestor));
+    expect_that!(relation(&first, &second), eq(Relation::Descendant));
+    expect_that!(relation(&second, &fork), eq(Relation::Foreign));
+    expect_that!(relation(&second, &fork_on), eq(Relation::Foreign));
+    expect_that!(relation(&fork_on, &second), eq(Relation::Foreign));
+}
+
+#[gtest]
+fn a_head_that_contradicts_itself_is_refused() {
+    let head = committed(None, &proposal(0, "c1", 1));
+    let other = committed(None, &proposal(0, "c1", 2));
+    let cases = [
+        (
+            Head {
+                revision: 5,
+                ..head.clone()
+            },
+            HeadFault::Revision,
+        ),
+        (
+            Head {
+                history: vec![],
+                ..head.clone()
+            },
+            HeadFault::Revision,
+        ),
+        (
+            Head {
+                history: vec![head.history[0].clone(); 2],
+                ..head.clone()
+            },
+            HeadFault::History,
+        ),
+        (
+            Head {
+                parts: vec![],
+                ..head.clone()
+            },
+            HeadFault::Parts,
+        ),
+        (
+            Head {
+                parts: other.parts,
+                ..head.clone()
+            },
+            HeadFault::Parts,
+        ),
+        (
+            Head {
+                parts: vec![head.parts[0].clone(); 200],
+                ..head.clone()
+            },
+            HeadFault::Parts,
+        ),
+    ];
+    for (head, fault) in cases {
+        expect_that!(check_head(&head), err(eq(fault)));
+    }
+}
+
+#[gtest]
+fn a_few_instances_watch_whatever_their_number() {
+    for fleet in [1, 3, 6, 340] {
+        let names: Vec<Name> = (0..fleet).map(|n| format!("i{n}").into()).collect();
+        let watching = names.iter().filter(|name| watches(name, &names)).count();
+        expect_that!(watching, eq(WATCHERS.min(fleet)));
+    }
+}
