Upstreams, drain and the exchange messages

Cause: 340 instances can't all poll 1,200 runners, a leaving upstream has to be closed whoever says it first, and a shutdown has to keep accepting as long as callers keep old answers. Ruled out: one owner of an upstream's record (its loss would leave the record without a writer); versions of records (several observers see different report numbers, and would tell each other of no change for ever) in favour of hashes of the content in buckets.

--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! randomness and every answer from outside come in as arguments, so the same inputs give the
 //! same run. Modules are state machines of the form `(now, event) -> actions`.
 
+pub mod drain;
 pub mod entity;
 pub mod entry;
 pub mod head;
@@ -17,3 +18,4 @@
 pub mod region;
 pub mod schema;
 pub mod time;
+pub mod upstreams;
--- /dev/null
+++ b/policy/src/upstreams/exchange.rs
@@ -0,0 +1,210 @@
+//! Digests and deltas of upstreams.
+
+use super::message::{BUCKETS, LoadBeat, RecordHash, UpstreamDelta, UpstreamDigest};
+use super::record::fnv;
+use super::{SeenLoad, Upstream, Upstreams};
+use crate::region::region_of;
+use crate::time::{Millis, Name, Now};
+use std::collections::{BTreeMap, BTreeSet};
+
+impl Upstreams {
+    /// What this instance knows, for a first message to a peer in failure domain `domain` (where
+    /// it is known) with the given salt.
+    #[must_use]
+    pub fn digest(&self, now: Now, salt: u32, domain: Option<&str>) -> UpstreamDigest {
+        let near = domain.is_some_and(|d| region_of(d) == region_of(&self.domain));
+        let loads = if near {
+            self.loads(now, salt)
+        } else {
+            Vec::new()
+        };
+        UpstreamDigest {
+            salt,
+            buckets: self.buckets(),
+            near,
+            loads,
+        }
+    }
+
+    /// Hash of each bucket: the sum of the hashes of its records, which doesn't depend on order.
+    fn buckets(&self) -> Vec<u32> {
+        let mut buckets = vec![0u32; BUCKETS];
+        for (name, u) in &self.upstreams {
+            let bucket = &mut buckets[bucket(name)];
+            *bucket = bucket.wrapping_add(u.hash);
+        }
+        buckets
+    }
+
+    fn loads(&self, now: Now, salt: u32) -> Vec<LoadBeat> {
+        let region = region_of(&self.domain);
+        let near = self
+            .upstreams
+            .values()
+            .filter(|u| region_of(&u.listed().domain) == region);
+        near.filter_map(|u| load_beat(u, now, salt)).collect()
+    }
+
+    /// Takes in a peer's digest; returns the answer.
+    pub fn receive_digest(&mut self, now: Now, digest: &UpstreamDigest) -> UpstreamDelta {
+        self.observe(now);
+        let salt = digest.salt;
+        let mut delta = UpstreamDelta {
+            salt,
+            ..UpstreamDelta::default()
+        };
+        if digest.near {
+            let theirs: BTreeMap<u32, u64> =
+                digest.loads.iter().map(|b| (b.key, b.number)).collect();
+            self.take_loads(now, salt, &digest.loads);
+            let newer = |b: &LoadBeat| theirs.get(&b.key).is_none_or(|n| *n < b.number);
+            delta.loads = self.loads(now, salt);
+            delta.loads.retain(newer);
+        }
+        let ours = self.buckets();
+        let differs = |i: &usize| digest.buckets.get(*i) != ours.get(*i);
+        delta.differing = (0..BUCKETS).filter(differs).map(|i| i as u32).collect();
+        delta.hashes = self.hashes(salt, &delta.differing);
+        if delta.differing.is_empty() {
+            self.all_heard();
+        }
+        delta
+    }
+
+    fn hashes(&self, salt: u32, buckets: &[u32]) -> Vec<RecordHash> {
+        let chosen = self.in_buckets(buckets);
+        chosen
+            .map(|(name, u)| RecordHash {
+                key: upstream_key(salt, name),
+                hash: u.hash,
+            })
+            .collect()
+    }
+
+    fn in_buckets(&self, buckets: &[u32]) -> impl Iterator<Item = (&Name, &Upstream)> {
+        let buckets: BTreeSet<u32> = buckets.iter().copied().collect();
+        let all = self.upstreams.iter();
+        all.filter(move |(name, _)| buckets.contains(&(bucket(name) as u32)))
+    }
+
+    /// Takes in an answer or a push; returns what the sender is to get, if anything.
+    pub fn receive_delta(&mut self, now: Now, delta: &UpstreamDelta) -> Option<UpstreamDelta> {
+        self.observe(now);
+        self.take_loads(now, delta.salt, &delta.loads);
+        for record in &delta.records {
+            self.merge(record);
+        }
+        let mut next = UpstreamDelta {
+            salt: delta.salt,
+            ..UpstreamDelta::default()
+        };
+        self.compare(delta, &mut next);
+        self.add_wanted(delta, &mut next);
+        if delta.differing.is_empty() {
+            self.all_heard();
+        }
+        let some = !next.records.is_empty() || !next.wants.is_empty();
+        some.then_some(next)
+    }
+
+    /// Records that differ from the hashes of the other side are sent to it and wanted of it:
+    /// neither side can tell from a hash whose is newer, and the merge takes the best of both.
+    fn compare(&self, delta: &UpstreamDelta, next: &mut UpstreamDelta) {
+        let mut theirs: BTreeMap<u32, u32> = delta.hashes.iter().map(|h| (h.key, h.hash)).collect();
+        let max = self.cfg.max_records;
+        for (name, u) in self.in_buckets(&delta.differing) {
+            let key = upstream_key(delta.salt, name);
+            let their = theirs.remove(&key);
+            if their == Some(u.hash) {
+                continue;
+            }
+            if next.records.len() < max {
+                next.records.push(u.record.clone());
+            }
+            if their.is_some() && next.wants.len() < max {
+                next.wants.push(key);
+            }
+        }
+        let room = max.saturating_sub(next.wants.len());
+        next.wants.extend(theirs.into_keys().take(room));
+    }
+
+    fn add_wanted(&self, delta: &UpstreamDelta, next: &mut UpstreamDelta) {
+        if delta.wants.is_empty() {
+            return;
+        }
+        let wants: BTreeSet<u32> = delta.wants.iter().copied().collect();
+        for (name, u) in &self.upstreams {
+            let room = next.records.len() < self.cfg.max_records;
+            if room && wants.contains(&upstream_key(delta.salt, name)) {
+                next.records.push(u.record.clone());
+            }
+        }
+    }
+
+    /// Everything that a peer knows has been heard.
+    fn all_heard(&mut self) {
+        for (name, u) in &mut self.upstreams {
+            if std::mem::take(&mut u.stale) {
+                self.changed.insert(name.clone());
+            }
+        }
+    }
+
+    fn take_loads(&mut self, now: Now, salt: u32, beats: &[LoadBeat]) {
+        if beats.is_empty() {
+            return;
+        }
+        let by_key: BTreeMap<u32, &LoadBeat> = beats.iter().map(|b| (b.key, b)).collect();
+        for (name, u) in &mut self.upstreams {
+            let Some(beat) = by_key.get(&load_key(salt, u)) else {
+                continue;
+            };
+            if u.load.is_none_or(|l| l.number < beat.number) {
+                u.load = Some(seen_load(beat, now.mono_ms));
+                self.changed.insert(name.clone());
+            }
+        }
+    }
+}
+
+fn bucket(name: &Name) -> usize {
+    fnv(name.bytes()) as usize % BUCKETS
+}
+
+fn upstream_key(salt: u32, name: &Name) -> u32 {
+    fnv(salt.to_le_bytes().into_iter().chain(name.bytes()))
+}
+
+fn load_key(salt: u32, u: &Upstream) -> u32 {
+    let incarnation = u.listed().incarnation.to_le_bytes();
+    let name = u.listed().name.bytes();
+    fnv(salt
+        .to_le_bytes()
+        .into_iter()
+        .chain(name)
+        .chain(incarnation))
+}
+
+fn load_beat(u: &Upstream, now: Now, salt: u32) -> Option<LoadBeat> {
+    let load = u.load?;
+    let age = now.mono_ms.saturating_sub(load.true_ms);
+    Some(LoadBeat {
+        key: load_key(salt, u),
+        number: load.number,
+        age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+        running: load.running,
+        queued: load.queued,
+        busy_token_layers_per_s: load.busy_token_layers_per_s as u32,
+    })
+}
+
+fn seen_load(beat: &LoadBeat, mono_ms: Millis) -> SeenLoad {
+    SeenLoad {
+        number: beat.number,
+        true_ms: mono_ms.saturating_sub(u64::from(beat.age_ms)),
+        running: beat.running,
+        queued: beat.queued,
+        busy_token_layers_per_s: f64::from(beat.busy_token_layers_per_s),
+    }
+}
--- a/policy/tests/support/fleet.rs
+++ b/policy/tests/support/fleet.rs
@@ -62,7 +62,7 @@
         callers: address(i),
         peers: address(i),
         operators: address(i),
-        domain: format!("region-{}/domain-{}", i % regions, i % (3 * regions)).into(),
+        domain: format!("region-{}.domain-{}", i % regions, i % (3 * regions)).into(),
         phase: Phase::Serving,
         revision: 1,
         revision_since_ms: START_MS,
