--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -4,10 +4,12 @@
 //! randomness and every answer from outside come in as arguments, so the same inputs give the
 //! same run. Modules are state machines of the form `(now, event) -> actions`.
 
+pub mod admission;
 pub mod drain;
 pub mod entity;
 pub mod entry;
 pub mod head;
+pub mod journal;
 pub mod layers;
 pub mod listed;
 pub mod load;
@@ -16,6 +18,7 @@
 pub mod outcome;
 pub mod prelude;
 pub mod region;
+pub mod route;
 pub mod schema;
 pub mod time;
 pub mod upstreams;
--- a/policy/src/membership/member.rs
+++ b/policy/src/membership/member.rs
@@ -17,6 +17,10 @@
     pub heard_round: u64,
     /// Monotonic time at which its heartbeat last grew here, in milliseconds.
     pub heard_ms: Millis,
+    /// Monotonic time at which the call was made that brought the newest heartbeat, in
+    /// milliseconds; absent before the first such call. An answer that lay in a socket while this
+    /// process was stopped is as old as its question.
+    pub asked_ms: Option<Millis>,
 }
 
 /// Whether a member is taken to live.
@@ -63,6 +67,7 @@
             listed_leaving: false,
             heard_round: round,
             heard_ms: mono_ms,
+            asked_ms: None,
         }
     }
 
