Chains by a linear program over runners and links instead of a greedy split of the flow

Change: route::packing (simplex, columns brought in by the cheapest chain at the present prices) and route::cheapest; flow keeps the bound and the tight layers.

--- a/policy/src/route.rs
+++ b/policy/src/route.rs
@@ -7,9 +7,11 @@
 //! [`verify_route`] before it is returned. docs/ROUTING.md has the reasons and measurements.
 
 mod cache;
+mod cheapest;
 mod fleet;
 mod flow;
 mod link;
+mod packing;
 mod pick;
 mod plan;
 mod records;
@@ -19,9 +21,9 @@
 
 pub use cache::CacheIndex;
 pub use fleet::{Effect, Fleet, Runner};
-pub use flow::{Allocation, Supply, allocate, link_bound, segments};
+pub use flow::{MaxRate, Supply, link_bound, max_rate, segments};
 pub use link::{Link, Links};
-pub use plan::{Chain, ModelPlan};
+pub use plan::{Chain, Hop, ModelPlan};
 pub use records::{
     CacheSeen, CloseReason, Held, LinkEnds, LinkSeen, ModelSpec, NoRoute, Pick, Route, RouteStage,
     RunnerSeen,
--- /dev/null
+++ b/policy/src/route/packing.rs
@@ -0,0 +1,157 @@
+//! A linear program for a plan: as many tokens a second as fit, by the simplex method.
+//!
+//! ```text
+//! maximise  sum of gain[c] * x[c]
+//! so that   sum of use[r][c] * x[c] <= 1  for each resource r,  x >= 0
+//! ```
+//!
+//! Columns are chains, rows are resources (runners and links). There are far too many chains to
+//! list; the caller asks for the prices of the resources, finds the chain that gains most at these
+//! prices, and brings it in with [`Packing::enter`]. The basis keeps as many columns as there are
+//! resources. All start at slack, which is feasible, so there is no first phase.
+
+/// Values below this count as zero.
+const EPSILON: f64 = 1e-9;
+
+/// How much a column uses of its resources: `(resource, share for each unit of x)`.
+pub type Uses = Vec<(usize, f64)>;
+
+/// A program in the course of being solved.
+pub struct Packing {
+    rows: usize,
+    /// Inverse of the basis matrix, row by row.
+    inverse: Vec<f64>,
+    /// Column that is basic in each row; `None`: the slack that was there at the start or later.
+    basic: Vec<Option<usize>>,
+    /// Value of the basic variable of each row.
+    value: Vec<f64>,
+    /// Gain of the basic variable of each row.
+    gain: Vec<f64>,
+}
+
+impl Packing {
+    /// A program with `rows` resources and no column.
+    pub fn new(rows: usize) -> Self {
+        let mut inverse = vec![0.0; rows * rows];
+        for r in 0..rows {
+            inverse[r * rows + r] = 1.0;
+        }
+        Self {
+            rows,
+            inverse,
+            basic: vec![None; rows],
+            value: vec![1.0; rows],
+            gain: vec![0.0; rows],
+        }
+    }
+
+    /// Price of each resource; lets slacks back in until none is negative.
+    pub fn prices(&mut self) -> Vec<f64> {
+        loop {
+            let prices = self.duals();
+            let mut worst = (-EPSILON, None);
+            for (r, &price) in prices.iter().enumerate() {
+                if price < worst.0 {
+                    worst = (price, Some(r));
+                }
+            }
+            let Some(r) = worst.1 else { return prices };
+            if !self.bring_in(&[(r, 1.0)], 0.0, None) {
+                return prices;
+            }
+        }
+    }
+
+    fn duals(&self) -> Vec<f64> {
+        let mut prices = vec![0.0; self.rows];
+        for (row, &gain) in self.inverse.chunks(self.rows).zip(&self.gain) {
+            if gain != 0.0 {
+                for (price, entry) in prices.iter_mut().zip(row) {
+                    *price += gain * entry;
+                }
+            }
+        }
+        prices
+    }
+
+    /// Brings a column in; `id` names it in [`Packing::columns`]. Says whether anything changed.
+    pub fn enter(&mut self, uses: &Uses, gain: f64, id: usize) -> bool {
+        self.bring_in(uses, gain, Some(id))
+    }
+
+    fn bring_in(&mut self, uses: &[(usize, f64)], gain: f64, id: Option<usize>) -> bool {
+        let column: Vec<f64> = self
+            .inverse
+            .chunks(self.rows)
+            .map(|row| uses.iter().map(|&(r, share)| row[r] * share).sum())
+            .collect();
+        let Some(leaving) = self.ratio_test(&column) else {
+            return false;
+        };
+        self.pivot(leaving, &column);
+        self.basic[leaving] = id;
+        self.gain[leaving] = gain;
+        true
+    }
+
+    /// Row whose basic variable first falls to zero; among equals the one with the greatest pivot,
+    /// which keeps rounding errors small.
+    fn ratio_test(&self, column: &[f64]) -> Option<usize> {
+        let mut best: Option<(f64, usize)> = None;
+        for (r, &entry) in column.iter().enumerate() {
+            if entry <= EPSILON {
+                continue;
+            }
+            let ratio = self.value[r].max(0.0) / entry;
+            let better = best.is_none_or(|(least, b)| {
+                ratio < least - EPSILON || (ratio < least + EPSILON && entry > column[b])
+            });
+            if better {
+                best = Some((ratio, r));
+            }
+        }
+        best.map(|(_, r)| r)
+    }
+
+    fn pivot(&mut self, leaving: usize, column: &[f64]) {
+        let n = self.rows;
+        let scale = 1.0 / column[leaving];
+        let pivot_row: Vec<f64> = self.inverse[leaving * n..(leaving + 1) * n]
+            .iter()
+            .map(|e| e * scale)
+            .collect();
+        let step = self.value[leaving].max(0.0) * scale;
+        for (r, row) in self.inverse.chunks_mut(n).enumerate() {
+            let factor = column[r];
+            if r == leaving || factor == 0.0 {
+                continue;
+            }
+            for (entry, p) in row.iter_mut().zip(&pivot_row) {
+                *entry -= factor * p;
+            }
+            self.value[r] -= factor * step;
+        }
+        self.inverse[leaving * n..(leaving + 1) * n].copy_from_slice(&pivot_row);
+        self.value[leaving] = step;
+    }
+
+    /// Columns in use with their values, by ascending id.
+    pub fn columns(&self) -> Vec<(usize, f64)> {
+        let used = self.basic.iter().zip(&self.value);
+        let mut columns: Vec<(usize, f64)> = used
+            .filter(|(_, value)| **value > EPSILON)
+            .filter_map(|(id, &value)| id.map(|id| (id, value)))
+            .collect();
+        columns.sort_by_key(|(id, _)| *id);
+        columns
+    }
+
+    /// Gain reached so far.
+    pub fn gained(&self) -> f64 {
+        self.gain
+            .iter()
+            .zip(&self.value)
+            .map(|(gain, value)| gain * value)
+            .sum()
+    }
+}
