--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -4,6 +4,7 @@
 //! ([`Platform::bind`], [`Runner::bind`], [`Service::bind`]) or as a process of its own by the
 //! `jw-standin` binary. With the same seed and the same calls a stand-in behaves the same.
 
+pub mod bench;
 pub mod error;
 pub mod http;
 pub mod platform;
--- a/wire/src/runner.rs
+++ b/wire/src/runner.rs
@@ -11,8 +11,10 @@
 //! | `POST /v1/orders` | body [`Order`]; 409 with [`Fenced`] where an old number is checked and refused |
 
 pub use jacinthweir_policy::layers::LayerRange;
+pub use jacinthweir_policy::load::{HeldLayers, LoadReport};
 use jacinthweir_policy::prelude::*;
 use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
 use std::net::SocketAddr;
 
 /// One stage of a route.
@@ -188,46 +190,6 @@
     pub attempt: u32,
 }
 
-/// Load of a runner; lags behind.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct LoadReport {
-    /// Runner's name.
-    pub runner: Name,
-    /// Runner's incarnation.
-    pub incarnation: u64,
-    /// Report number, growing within an incarnation.
-    pub number: u64,
-    /// Age of the figures, in milliseconds.
-    pub age_ms: u64,
-    /// Accelerator kind.
-    pub accelerator: Name,
-    /// Layers held.
-    pub holds: Vec<HeldLayers>,
-    /// Requests running.
-    pub running: u32,
-    /// Requests queued.
-    pub queued: u32,
-    /// Token-layers a second this runner can do.
-    pub token_layers_per_s: f64,
-    /// Token-layers a second it did lately.
-    pub busy_token_layers_per_s: f64,
-    /// Whether it is leaving.
-    pub leaving: bool,
-    /// Whether it refuses an old fencing number.
-    pub checks_fencing: bool,
-    /// Greatest fencing number seen.
-    pub fencing: u64,
-}
-
-/// Layers of a model that a runner holds.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct HeldLayers {
-    /// Model name.
-    pub model: Name,
-    /// Layers.
-    pub layers: LayerRange,
-}
-
 /// Cache events since a number.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct CacheEvents {
@@ -287,3 +249,17 @@
     /// Greatest number seen.
     pub fencing: u64,
 }
+
+/// Bytes of a prompt that make its prefix, as far as cache events name it.
+pub const PREFIX_BYTES: usize = 64;
+
+/// Hash of a prompt's prefix, as runners name it in cache events: the first eight bytes, big
+/// endian, of the SHA-256 of the prompt's first [`PREFIX_BYTES`] bytes. `None`: the prompt is
+/// shorter, and runners do not report it.
+#[must_use]
+pub fn prefix_hash(prompt: &str) -> Option<u64> {
+    let prefix = prompt.as_bytes().get(..PREFIX_BYTES)?;
+    let digest = Sha256::digest(prefix);
+    let head = digest.first_chunk::<8>()?;
+    Some(u64::from_be_bytes(*head))
+}
