--- a/testkit/src/http.rs
+++ b/testkit/src/http.rs
@@ -56,20 +56,26 @@
 
 /// Reads the body as JSON, or answers 400 (413 where too large) and returns `None`.
 pub(crate) async fn body<T: DeserializeOwned>(req: &mut Request, res: &mut Response) -> Option<T> {
-    match req.parse_json_with_max_size::<T>(MAX_BODY_BYTES).await {
-        Ok(value) => Some(value),
+    let payload = match req.payload_with_max_size(MAX_BODY_BYTES).await {
+        Ok(payload) => payload,
         Err(salvo::http::ParseError::PayloadTooLarge) => {
             res.status_code(StatusCode::PAYLOAD_TOO_LARGE);
-            None
-        }
-        Err(err) => {
-            res.status_code(StatusCode::BAD_REQUEST);
-            res.render(Text::Plain(err.to_string()));
-            None
+            return None;
         }
+        Err(err) => return bad_request(res, &err.to_string()),
+    };
+    match serde_json::from_slice(payload) {
+        Ok(value) => Some(value),
+        Err(err) => bad_request(res, &err.to_string()),
     }
 }
 
+fn bad_request<T>(res: &mut Response, message: &str) -> Option<T> {
+    res.status_code(StatusCode::BAD_REQUEST);
+    res.render(Text::Plain(message.to_owned()));
+    None
+}
+
 /// Answers with JSON.
 pub(crate) fn json<T: Serialize + Sync>(res: &mut Response, status: StatusCode, value: &T) {
     res.status_code(status);
