--- a/plugins/callers/src/driver.rs
+++ b/plugins/callers/src/driver.rs
@@ -10,8 +10,7 @@
 use jacinthweir_policy::journal::{End, Event, Journal, MAX_ATTEMPTS, Repeat};
 use jacinthweir_policy::route::{Pick, Route};
 use jacinthweir_wire::caller::ErrorCode;
-use jacinthweir_wire::prefix;
-use jacinthweir_wire::runner::{EndFrame, Refused};
+use jacinthweir_wire::runner::{EndFrame, Refused, prefix_hash};
 use tokio::sync::mpsc;
 
 use crate::accept::Accepted;
@@ -178,7 +177,7 @@
         let model = model.ok_or_else(|| Stop::NoRoute(format!("model {name} is not planned")))?;
         let pick = Pick {
             model,
-            prefix_hash: prefix::hashes(&self.accepted.prompt.text).first().copied(),
+            prefix_hash: prefix_hash(&self.accepted.prompt.text),
             prompt_tokens: self.prompt_tokens(),
             max_tokens: self.accepted.max_tokens,
             avoid: &self.avoid,
--- a/wire/src/runner.rs
+++ b/wire/src/runner.rs
@@ -14,6 +14,7 @@
 pub use jacinthweir_policy::load::{HeldLayers, LoadReport};
 use jacinthweir_policy::prelude::*;
 use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
 use std::net::SocketAddr;
 
 /// One stage of a route.
@@ -249,3 +250,17 @@
     /// Greatest number seen.
     pub fencing: u64,
 }
+
+/// Bytes of a prompt that make its prefix, as far as cache events name it.
+pub const PREFIX_BYTES: usize = 64;
+
+/// Hash of a prompt's prefix, as runners name it in cache events: the first eight bytes, big
+/// endian, of the SHA-256 of the prompt's first [`PREFIX_BYTES`] bytes. `None`: the prompt is
+/// shorter, and runners do not report it.
+#[must_use]
+pub fn prefix_hash(prompt: &str) -> Option<u64> {
+    let prefix = prompt.as_bytes().get(..PREFIX_BYTES)?;
+    let digest = Sha256::digest(prefix);
+    let head = digest.first_chunk::<8>()?;
+    Some(u64::from_be_bytes(*head))
+}
