Observe upstreams by the policy; heads between schema and peers in the kernel

Change: the plug-in polls what the rendezvous hash gives it, asks another observer before it suspects, and feeds changes into the plan; the kernel holds heads on their way between the schema and the peers' plug-ins.

--- a/kernel/src/kernel.rs
+++ b/kernel/src/kernel.rs
@@ -12,6 +12,7 @@
 use jacinthweir_policy::membership::{Membership, MembershipConfig};
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::route::{Router, RouterConfig};
+use jacinthweir_policy::upstreams::{Upstreams, UpstreamsConfig};
 use jacinthweir_wire::caller::ErrorCode;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -19,11 +20,11 @@
 use crate::clock::Clock;
 use crate::config::{ConfigCell, InForce};
 use crate::gate::Gate;
+use crate::heads::Heads;
 use crate::parts::Parts;
 use crate::records::Records;
 use crate::reply::Refusal;
 use crate::stats::Stats;
-use crate::upstreams::Upstreams;
 use crate::{KernelError, Settings};
 
 /// Period of looking whether the last request has ended.
@@ -62,9 +63,11 @@
     pub config: ConfigCell,
     /// Parts of the configuration, for peers.
     pub parts: Parts,
+    /// Heads of the configuration, towards and from peers.
+    pub heads: Heads,
     /// Admission.
     pub gate: Arc<Gate>,
-    upstreams: Upstreams,
+    upstreams: Mutex<Upstreams>,
     router: Mutex<Router>,
     membership: Mutex<Membership>,
 }
@@ -95,8 +98,9 @@
             records: Arc::new(Records::open(settings.limits.records)),
             config: ConfigCell::default(),
             parts: Parts::default(),
+            heads: Heads::default(),
             gate: Gate::open(clock),
-            upstreams: Upstreams::default(),
+            upstreams: Mutex::new(upstreams(&settings, clock)),
             membership: Mutex::new(membership(&settings, incarnation, clock)),
             router: Mutex::new(Router::new(RouterConfig::default())),
             settings,
@@ -117,9 +121,10 @@
     }
 
     /// What is known of the upstreams.
-    #[must_use]
-    pub fn upstreams(&self) -> &Upstreams {
-        &self.upstreams
+    pub fn upstreams(&self) -> MutexGuard<'_, Upstreams> {
+        self.upstreams
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Says of this instance what phase it is in; a phase never goes back.
@@ -218,3 +223,9 @@
     };
     Membership::new(own, settings.peers.clone(), cfg, clock.reading())
 }
+
+fn upstreams(settings: &Settings, clock: Clock) -> Upstreams {
+    let own = settings.name.clone();
+    let domain = settings.failure_domain.clone();
+    Upstreams::new(own, domain, UpstreamsConfig::default(), clock.reading())
+}
--- a/kernel/src/lib.rs
+++ b/kernel/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod config;
 pub mod error;
 pub mod gate;
+pub mod heads;
 pub mod identity;
 pub mod kernel;
 pub mod life;
@@ -23,7 +24,6 @@
 pub mod reply;
 pub mod settings;
 pub mod stats;
-pub mod upstreams;
 
 pub use error::KernelError;
 pub use kernel::Kernel;
--- a/plugins/upstreams/src/capacity.rs
+++ b/plugins/upstreams/src/capacity.rs
@@ -1,15 +1,10 @@
-//! Keeps the router's models and the admission's capacities in step with schema and plan.
-
-use std::time::Duration;
+//! This instance's part of the bounds and of the organisations' limits.
 
 use jacinthweir_kernel::config::InForce;
 use jacinthweir_kernel::gate::Capacity;
 use jacinthweir_kernel::prelude::*;
 use jacinthweir_policy::admission::{Demand, share_of};
-use jacinthweir_policy::route::ModelSpec;
 
-/// Period of replanning where something changed.
-const PERIOD: Duration = Duration::from_millis(200);
 /// Time between tokens that a stream is planned for, in seconds: by Little's law, the bound times
 /// this is the number of streams that the runners can keep at that pace. From letter 1's target
 /// of 36 ms.
@@ -17,46 +12,22 @@
 /// The fewest requests in flight where there is any capacity.
 const MIN_IN_FLIGHT: f64 = 2.0;
 
-pub(crate) async fn run(cx: Arc<Kernel>) {
-    let mut revision = 0;
-    loop {
-        let config = cx.config.get();
-        if let Some(config) = config.known() {
-            if config.revision != revision {
-                revision = config.revision;
-                cx.router().set_models(&models(config));
-            }
-            update(&cx, config);
-        }
-        tokio::time::sleep(PERIOD).await;
-    }
-}
-
-fn models(config: &InForce) -> Vec<ModelSpec> {
-    let models = config.schema.models().values().map(|m| ModelSpec {
-        name: m.name.clone(),
-        layers: m.layers,
-        nanos_per_layer: m.nanos_per_layer,
-        activation_bytes: m.activation_bytes,
-    });
-    models.collect()
-}
-
-fn update(cx: &Kernel, config: &InForce) {
-    let instances = cx.live_instances().max(1);
+/// Replans where something changed, and sets capacities and shares.
+pub(crate) fn update(cx: &Kernel, config: &InForce) {
+    let instances = u32::try_from(cx.live_instances().max(1)).unwrap_or(u32::MAX);
     let mut capacities = Vec::new();
     {
         let mut router = cx.router();
-        router.set_instances(u32::try_from(instances).unwrap_or(u32::MAX));
+        router.set_instances(instances);
         router.replan(cx.clock.now());
-        for (_, pipeline) in config.schema.pipelines() {
+        for pipeline in config.schema.pipelines().values() {
             let name = &config.schema.models()[pipeline.model].name;
             let bound = router.model(name).map_or(0.0, |model| router.bound(model));
-            capacities.push(capacity(&pipeline.name, bound / instances as f64));
+            capacities.push(capacity(&pipeline.name, bound / f64::from(instances)));
         }
     }
     cx.gate.set_capacities(&capacities);
-    share_limits(cx, config, u32::try_from(instances).unwrap_or(u32::MAX));
+    share_limits(cx, config, instances);
 }
 
 /// Gives this instance its even share of each organisation's limit in flight. The shares then
--- /dev/null
+++ b/plugins/upstreams/src/feed.rs
@@ -0,0 +1,111 @@
+//! Feeds what changed into the route plan and admission.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use jacinthweir_kernel::config::InForce;
+use jacinthweir_kernel::prelude::*;
+use jacinthweir_policy::route::{CloseReason, Held, ModelSpec, RunnerSeen};
+use jacinthweir_policy::schema::compiled::GroupServes;
+use jacinthweir_policy::upstreams::{Availability, PollKind, Upstream};
+
+use crate::capacity;
+
+/// Period of looking for changes, in milliseconds: adds to the time to notice that an upstream
+/// leaves.
+const PERIOD: Duration = Duration::from_millis(100);
+
+/// Feeds changes over and over.
+pub(crate) async fn run(cx: Arc<Kernel>) {
+    let mut revision = 0;
+    loop {
+        let config = cx.config.get();
+        if let Some(config) = config.known() {
+            if config.revision != revision {
+                revision = config.revision;
+                put_in_force(&cx, config);
+            }
+            feed(&cx);
+            capacity::update(&cx, config);
+        }
+        tokio::time::sleep(PERIOD).await;
+    }
+}
+
+fn put_in_force(cx: &Kernel, config: &InForce) {
+    cx.router().set_models(&models(config));
+    cx.upstreams().set_groups(groups(config));
+}
+
+fn models(config: &InForce) -> Vec<ModelSpec> {
+    let models = config.schema.models().values().map(|m| ModelSpec {
+        name: m.name.clone(),
+        layers: m.layers,
+        nanos_per_layer: m.nanos_per_layer,
+        activation_bytes: m.activation_bytes,
+    });
+    models.collect()
+}
+
+fn groups(config: &InForce) -> BTreeMap<Name, PollKind> {
+    let groups = config.schema.groups().iter().map(|(name, group)| {
+        let kind = match group.serves {
+            GroupServes::Layers(_) => PollKind::Load,
+            GroupServes::Service(_) => PollKind::Connect,
+        };
+        (name.clone(), kind)
+    });
+    groups.collect()
+}
+
+fn feed(cx: &Kernel) {
+    let now = cx.clock.now();
+    let upstreams = {
+        let mut upstreams = cx.upstreams();
+        let changed = upstreams.take_changed();
+        let changed = changed.iter().filter_map(|name| upstreams.get(name));
+        let changed = changed.map(|u| (u.clone(), upstreams.availability(u)));
+        changed.collect::<Vec<(Upstream, Availability)>>()
+    };
+    let mut router = cx.router();
+    for (upstream, availability) in upstreams {
+        let reason = match availability {
+            Availability::Open => None,
+            Availability::Leaving => Some(CloseReason::Leaving),
+            Availability::Suspected | Availability::Unlisted | Availability::Stale => {
+                Some(CloseReason::Suspected)
+            }
+        };
+        if let Some(seen) = seen(now, &upstream) {
+            router.observe(now, &seen);
+        }
+        if let Some(reason) = reason {
+            router.close(now, &upstream.listed().name, reason);
+        }
+    }
+}
+
+/// What is known of a runner; `None` before its first report, and for plain services.
+fn seen(now: Millis, upstream: &Upstream) -> Option<RunnerSeen> {
+    let profile = upstream.record.profile.as_ref()?;
+    let listed = upstream.listed();
+    let held = |h: &jacinthweir_wire::runner::HeldLayers| Held {
+        model: h.model.clone(),
+        layers: h.layers,
+    };
+    let load = upstream.load;
+    Some(RunnerSeen {
+        name: listed.name.clone(),
+        incarnation: listed.incarnation,
+        number: load.map_or(upstream.record.number, |l| l.number),
+        address: listed.address,
+        domain: listed.domain.clone(),
+        accelerator: profile.accelerator.clone(),
+        holds: profile.holds.iter().map(held).collect(),
+        token_layers_per_s: profile.token_layers_per_s,
+        running: load.map_or(0, |l| l.running),
+        queued: load.map_or(0, |l| l.queued),
+        leaving: upstream.record.leaving(),
+        age_ms: load.map_or(0, |l| now.saturating_sub(l.true_ms)),
+    })
+}
--- a/plugins/upstreams/src/lib.rs
+++ b/plugins/upstreams/src/lib.rs
@@ -1,9 +1,12 @@
-//! The upstreams' plug-in: keeps the route plan and the table of plain services up to date.
+//! The upstreams' plug-in: observes upstreams and keeps the route plan up to date.
 //!
-//! One loop reads the platform's list of instances, which lags; one loop a runner polls its load.
-//! What they learn goes into the policy, which decides what is open for new work.
+//! One loop reads the platform's list of instances, which lags; one polls the upstreams that this
+//! instance is an observer of; one feeds what changed, here or at a peer, into the route plan and
+//! admission. Decisions are all in [`jacinthweir_policy::upstreams`] and
+//! [`jacinthweir_policy::route`].
 
 mod capacity;
+mod feed;
 mod list;
 mod poll;
 
@@ -21,7 +24,7 @@
 fn spawn(cx: &Arc<Kernel>) -> Result<(), KernelError> {
     cx.spawn(list::run(Arc::clone(cx)));
     cx.spawn(poll::run(Arc::clone(cx)));
-    cx.spawn(capacity::run(Arc::clone(cx)));
+    cx.spawn(feed::run(Arc::clone(cx)));
     Ok(())
 }
 
@@ -30,9 +33,10 @@
 }
 
 fn dump(cx: &Kernel) -> serde_json::Value {
+    let upstreams = cx.upstreams().dump(cx.clock.now());
     serde_json::json!({
-        "upstreams": cx.upstreams().to_string(),
-        "routes": format!("{:?}", cx.router().fleet()),
+        "upstreams": upstreams,
+        "routes": cx.router().state().to_string(),
         "admission": format!("{:?}", cx.gate.dump()),
     })
 }
--- a/plugins/upstreams/src/poll.rs
+++ b/plugins/upstreams/src/poll.rs
@@ -1,97 +1,94 @@
-//! Polls the load of runners.
+//! Polls the upstreams that this instance is an observer of.
 
 use std::time::Duration;
 
 use futures::StreamExt;
+use jacinthweir_clients::ClientError;
 use jacinthweir_kernel::prelude::*;
-use jacinthweir_kernel::upstreams::{Upstream, UpstreamState};
-use jacinthweir_policy::route::{CloseReason, Held, RunnerSeen};
-use jacinthweir_policy::schema::compiled::GroupServes;
-use jacinthweir_wire::runner::LoadReport;
+use jacinthweir_policy::upstreams::{Confirm, ConfirmOutcome, Poll, PollKind, PollOutcome};
+use jacinthweir_wire::peer::{ProbeReply, ProbeRequest};
 
 /// Polls in flight at once.
 const POLLS_AT_ONCE: usize = 16;
-/// Failed polls in a row after which a runner gets no new work.
-const MAX_FAILED_POLLS: u32 = 3;
 
-/// Polls every listed runner over and over.
+/// Polls over and over.
 pub(crate) async fn run(cx: Arc<Kernel>) {
     let period = Duration::from_millis(cx.settings.timing.load_poll_ms);
-    let mut failed = std::collections::BTreeMap::<Name, u32>::new();
     loop {
-        let runners = runners(&cx);
-        let polls = futures::stream::iter(runners).map(|u| poll(&cx, u));
-        let polled: Vec<Polled> = polls.buffer_unordered(POLLS_AT_ONCE).collect().await;
-        for p in polled {
-            take(&cx, &mut failed, p);
-        }
+        let polls = due(&cx);
+        let polls = futures::stream::iter(polls).map(|p| observe(&cx, p));
+        polls
+            .buffer_unordered(POLLS_AT_ONCE)
+            .collect::<Vec<()>>()
+            .await;
         tokio::time::sleep(period).await;
     }
 }
 
-struct Polled {
-    upstream: Upstream,
-    load: Option<LoadReport>,
+fn due(cx: &Kernel) -> Vec<Poll> {
+    let live: Vec<_> = cx.membership().live().cloned().collect();
+    let mut upstreams = cx.upstreams();
+    upstreams.set_live(live.iter());
+    upstreams.to_poll(cx.clock.reading())
 }
 
-fn runners(cx: &Kernel) -> Vec<Upstream> {
-    let config = cx.config.get();
-    let Some(config) = config.known() else {
-        return Vec::new();
-    };
-    let is_runner = |u: &Upstream| {
-        let group = config.schema.group(&u.listed.group);
-        group.is_some_and(|g| matches!(g.serves, GroupServes::Layers(_)))
-    };
-    let mut all = cx.upstreams().all();
-    all.retain(|u| u.state != UpstreamState::Unlisted && is_runner(u));
-    all
+async fn observe(cx: &Arc<Kernel>, poll: Poll) {
+    let outcome = attempt(cx, &poll).await;
+    let now = cx.clock.reading();
+    let confirms = cx.upstreams().polled(now, &poll, &outcome);
+    confirm_all(cx, confirms);
 }
 
-async fn poll(cx: &Kernel, upstream: Upstream) -> Polled {
-    let load = cx.runners.load(upstream.listed.address).await;
-    let load = load
-        .inspect_err(|e| debug!("load of {}: {e}", upstream.listed.name))
-        .ok();
-    Polled { upstream, load }
+async fn attempt(cx: &Kernel, poll: &Poll) -> PollOutcome {
+    match poll.kind {
+        PollKind::Load => match cx.runners.load(poll.address).await {
+            Ok(report) => PollOutcome::Report(report),
+            Err(e) => failed(&poll.name, &e.to_string()),
+        },
+        PollKind::Connect => match connect(cx, poll).await {
+            Ok(()) => PollOutcome::Connected,
+            Err(e) => failed(&poll.name, &e.to_string()),
+        },
+    }
 }
 
-fn take(cx: &Kernel, failed: &mut std::collections::BTreeMap<Name, u32>, polled: Polled) {
-    let now = cx.clock.now();
-    let listed = &polled.upstream.listed;
-    let Some(load) = polled.load else {
-        let count = failed.entry(listed.name.clone()).or_default();
-        *count += 1;
-        if *count == MAX_FAILED_POLLS {
-            warn!("runner {} does not answer: no new work", listed.name);
-            cx.router().close(now, &listed.name, CloseReason::Suspected);
-        }
-        return;
-    };
-    failed.remove(&listed.name);
-    if load.leaving {
-        cx.upstreams().leaving(&listed.name, load.incarnation);
-    }
-    cx.router().observe(now, &seen(&polled.upstream, load));
+async fn connect(cx: &Kernel, poll: &Poll) -> std::io::Result<()> {
+    let limit = Duration::from_millis(cx.settings.timing.upstream_timeout_ms);
+    let connect = tokio::net::TcpStream::connect(poll.address);
+    tokio::time::timeout(limit, connect).await??;
+    Ok(())
+}
+
+fn failed(name: &Name, cause: &str) -> PollOutcome {
+    debug!("poll of {name}: {cause}");
+    metrics::counter!("jacinthweir_polls_failed_total").increment(1);
+    PollOutcome::Failed
 }
 
-fn seen(upstream: &Upstream, load: LoadReport) -> RunnerSeen {
-    let holds = load.holds.into_iter().map(|h| Held {
-        model: h.model,
-        layers: h.layers,
-    });
-    RunnerSeen {
-        name: load.runner,
-        incarnation: load.incarnation,
-        number: load.number,
-        address: upstream.listed.address,
-        domain: upstream.listed.domain.clone(),
-        accelerator: load.accelerator,
-        holds: holds.collect(),
-        token_layers_per_s: load.token_layers_per_s,
-        running: load.running,
-        queued: load.queued,
-        leaving: load.leaving || upstream.state == UpstreamState::Leaving,
-        age_ms: load.age_ms,
+/// Asks other observers to reach upstreams, each in a task of its own.
+pub(crate) fn confirm_all(cx: &Arc<Kernel>, confirms: Vec<Confirm>) {
+    for confirm in confirms {
+        let cx = Arc::clone(cx);
+        let task = confirm_one(Arc::clone(&cx), confirm);
+        cx.spawn(task);
     }
 }
+
+async fn confirm_one(cx: Arc<Kernel>, confirm: Confirm) {
+    let Some(peer) = cx.peer_address(&confirm.via) else {
+        return;
+    };
+    let msg = ProbeRequest::Upstream {
+        address: confirm.address,
+        kind: confirm.kind,
+    };
+    let reply: Result<ProbeReply, ClientError> = cx.peers.post(peer, "/peer/probe", &msg).await;
+    let outcome = match reply {
+        Ok(ProbeReply::Report(report)) => ConfirmOutcome::Polled(PollOutcome::Report(report)),
+        Ok(ProbeReply::Connected) => ConfirmOutcome::Polled(PollOutcome::Connected),
+        Ok(ProbeReply::NotReached) => ConfirmOutcome::Polled(PollOutcome::Failed),
+        Ok(ProbeReply::Member(_)) | Err(_) => ConfirmOutcome::NoAnswer,
+    };
+    let now = cx.clock.reading();
+    cx.upstreams().confirmed(now, &confirm, &outcome);
+}
