Shutdown by the policy's drain

Cause: the shutdown's steps stood twice, in the kernel and in the policy. Change: the kernel carries out the policy's actions; an open connection counts as in progress. Result: builds and lints.

--- a/kernel/src/kernel.rs
+++ b/kernel/src/kernel.rs
@@ -27,9 +27,6 @@
 use crate::stats::Stats;
 use crate::{KernelError, Settings};
 
-/// Period of looking whether the last request has ended.
-const ENDED_POLL: Duration = Duration::from_millis(20);
-
 /// When to come back to an instance that cannot serve now; another may at once.
 const RETRY_ELSEWHERE_MS: u64 = 1_000;
 
@@ -146,13 +143,6 @@
         self.membership().live().count()
     }
 
-    /// Returns once no request is in progress.
-    pub async fn requests_ended(&self) {
-        while !self.records.running().is_empty() {
-            tokio::time::sleep(ENDED_POLL).await;
-        }
-    }
-
     /// The configuration to serve a request by.
     ///
     /// # Errors
--- a/kernel/src/life.rs
+++ b/kernel/src/life.rs
@@ -1,33 +1,27 @@
 //! The life of an instance: start, service, graceful shutdown.
 //!
-//! On SIGTERM or SIGINT the instance first leaves the entry answers, and goes on taking requests
-//! for one time to live of such an answer, since callers keep the old one that long. Then it
-//! refuses new connections, waits for the last request to end, and exits. A second signal, or the
-//! deadline, cuts what is left and says so.
+//! What a shutdown does and when is decided by [`jacinthweir_policy::drain`]; this module carries
+//! it out.
 
 use std::sync::Arc;
 use std::time::Duration;
 
+use jacinthweir_policy::drain::{Drain, DrainAction, DrainConfig, DrainEvent};
+use jacinthweir_policy::member::Phase;
 use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
 use crate::listener::Listening;
 use crate::plugin::{Face, sorted};
 use crate::{Kernel, KernelError, Settings, logs};
 
-use jacinthweir_policy::member::Phase;
-
-/// How an instance ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Ended {
-    /// No request was cut.
-    Clean,
-    /// The deadline or a second signal cut requests in progress.
-    Cut,
-}
+pub use jacinthweir_policy::drain::Ended;
 
 /// Time that tasks get to return once the instance stops.
 const TASKS_TIMEOUT: Duration = Duration::from_secs(2);
+/// Period of looking whether the next step of a shutdown is due.
+const TICK: Duration = Duration::from_millis(20);
 
 /// Runs an instance until it is told to end.
 ///
@@ -51,8 +45,8 @@
         cx.incarnation
     );
 
-    signals.next().await;
-    let ended = drain(&cx, callers, &mut signals).await;
+    let mut shutdown = Shutdown::new(Arc::clone(&cx), callers);
+    let ended = shutdown.run(&mut signals).await;
     cx.set_phase(Phase::Gone);
     farewell(&cx).await;
     cx.stop.cancel();
@@ -60,39 +54,90 @@
     operators.abort();
     cx.tasks.close();
     let _ = timeout(TASKS_TIMEOUT, cx.tasks.wait()).await;
-    log::info!("instance {} ended: {ended:?}", cx.settings.name);
+    log::info!("instance {} ended: {ended}", cx.settings.name);
     Ok(ended)
 }
 
-async fn drain(cx: &Arc<Kernel>, callers: Listening, signals: &mut Signals) -> Ended {
-    let timing = &cx.settings.timing;
-    log::info!("draining: accepting for {} ms more", timing.entry_ttl_ms);
-    cx.set_phase(Phase::Draining);
-    let deadline = Duration::from_millis(timing.drain_deadline_ms);
-    let ttl = Duration::from_millis(timing.entry_ttl_ms);
-    let quiet = async {
-        sleep(ttl).await;
-        log::info!("draining: refusing new connections");
-        callers.stop().await;
-        cx.requests_ended().await;
-    };
-    tokio::select! {
-        () = quiet => Ended::Clean,
-        () = sleep(deadline) => cut(cx, "the deadline passed"),
-        () = signals.next() => cut(cx, "a second signal came"),
-    }
+/// Carries out a shutdown.
+struct Shutdown {
+    cx: Arc<Kernel>,
+    drain: Drain,
+    callers: Callers,
+}
+
+/// The callers' listener during a shutdown.
+enum Callers {
+    /// Accepts.
+    Open(Option<Listening>),
+    /// Refuses new connections; the task ends with the last open one.
+    Closing(JoinHandle<()>),
 }
 
-fn cut(cx: &Kernel, why: &str) -> Ended {
-    let running = cx.records.running();
-    if running.is_empty() {
-        return Ended::Clean;
+impl Shutdown {
+    fn new(cx: Arc<Kernel>, callers: Listening) -> Shutdown {
+        let timing = &cx.settings.timing;
+        let cfg = DrainConfig {
+            ttl_ms: timing.entry_ttl_ms,
+            deadline_ms: timing.drain_deadline_ms,
+        };
+        Shutdown {
+            cx,
+            drain: Drain::new(cfg),
+            callers: Callers::Open(Some(callers)),
+        }
+    }
+
+    async fn run(&mut self, signals: &mut Signals) -> Ended {
+        signals.next().await;
+        let mut event = DrainEvent::Signal;
+        loop {
+            let now = self.cx.clock.now();
+            for action in self.drain.on(now, event, self.in_flight()) {
+                if let Some(ended) = self.carry_out(action) {
+                    return ended;
+                }
+            }
+            event = tokio::select! {
+                () = signals.next() => DrainEvent::Signal,
+                () = sleep(TICK) => DrainEvent::Tick,
+            };
+        }
     }
-    for id in &running {
-        log::warn!(request = id.as_ref(); "cut: {why}");
+
+    /// Requests in progress. A connection that is still open counts as one, since the last bytes
+    /// of its answer may not have been taken yet.
+    fn in_flight(&self) -> usize {
+        let open = match &self.callers {
+            Callers::Open(_) => false,
+            Callers::Closing(task) => !task.is_finished(),
+        };
+        self.cx.records.running().len().max(usize::from(open))
+    }
+
+    fn carry_out(&mut self, action: DrainAction) -> Option<Ended> {
+        log::info!("shutdown: {action}");
+        match action {
+            DrainAction::LeaveAnswers => self.cx.set_phase(Phase::Draining),
+            DrainAction::RefuseConnections => self.refuse_connections(),
+            DrainAction::Cut { .. } => self.say_cut(),
+            DrainAction::Exit(ended) => return Some(ended),
+        }
+        None
+    }
+
+    fn refuse_connections(&mut self) {
+        if let Callers::Open(listening) = &mut self.callers
+            && let Some(listening) = listening.take()
+        {
+            self.callers = Callers::Closing(tokio::spawn(listening.stop()));
+        }
+    }
+
+    fn say_cut(&self) {
+        for id in self.cx.records.running() {
+            log::warn!(request = id.as_ref(); "cut by the shutdown");
+        }
     }
-    log::warn!("{why}: {} requests cut", running.len());
-    Ended::Cut
 }
 
 /// Leaves one round for peers to hear that this incarnation is gone.
