--- a/clients/src/peer.rs
+++ b/clients/src/peer.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use jacinthweir_wire::operator::RequestRecord;
+use jacinthweir_wire::peer::MemberRecord;
 use reqwest::StatusCode;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -83,6 +84,16 @@
         Ok(Some(record))
     }
 
+    /// Asks an instance for its own record.
+    ///
+    /// # Errors
+    /// See [`ClientError`].
+    pub async fn own_record(&self, peer: SocketAddr) -> Result<MemberRecord, ClientError> {
+        let bytes = self.fetch(format!("http://{peer}/peer/self")).await?;
+        let bytes = bytes.ok_or_else(|| ClientError::bad("no such path"))?;
+        rmp_serde::from_slice(&bytes).map_err(ClientError::bad)
+    }
+
     async fn fetch(&self, url: String) -> Result<Option<Bytes>, ClientError> {
         let req = self.client.get(url).bearer_auth(&self.token);
         let res = req.timeout(self.timeout).send().await?;
--- a/kernel/src/kernel.rs
+++ b/kernel/src/kernel.rs
@@ -19,6 +19,7 @@
 use crate::clock::Clock;
 use crate::config::{ConfigCell, InForce};
 use crate::gate::Gate;
+use crate::heads::Heads;
 use crate::parts::Parts;
 use crate::records::Records;
 use crate::reply::Refusal;
@@ -62,6 +63,8 @@
     pub config: ConfigCell,
     /// Parts of the configuration, for peers.
     pub parts: Parts,
+    /// Heads of the configuration, towards and from peers.
+    pub heads: Heads,
     /// Admission.
     pub gate: Arc<Gate>,
     upstreams: Upstreams,
@@ -95,6 +98,7 @@
             records: Arc::new(Records::open(settings.limits.records)),
             config: ConfigCell::default(),
             parts: Parts::default(),
+            heads: Heads::default(),
             gate: Gate::open(clock),
             upstreams: Upstreams::default(),
             membership: Mutex::new(membership(&settings, incarnation, clock)),
--- a/kernel/src/lib.rs
+++ b/kernel/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod config;
 pub mod error;
 pub mod gate;
+pub mod heads;
 pub mod identity;
 pub mod kernel;
 pub mod life;
--- a/policy/src/membership.rs
+++ b/policy/src/membership.rs
@@ -281,6 +281,10 @@
         if peers.is_empty() || self.round.is_multiple_of(self.cfg.retry_every_rounds) {
             peers.extend(self.unreached().into_iter().choose(rng));
         }
+        self.exchanges_with(peers, rng)
+    }
+
+    fn exchanges_with(&self, peers: Vec<Peer>, rng: &mut impl Rng) -> Vec<Action> {
         let mut actions = Vec::new();
         for peer in peers {
             let digest = self.digest(rng.next_u32());
@@ -293,6 +297,14 @@
         actions
     }
 
+    /// Exchanges with up to `count` peers at once, outside the rounds: tells news that should not
+    /// wait for its turn, as the own leaving.
+    pub fn announce(&self, count: usize, rng: &mut impl Rng) -> Vec<Action> {
+        let reachable = self.members.values().filter(|m| m.reachable());
+        let peers = reachable.map(peer).sample(rng, count);
+        self.exchanges_with(peers, rng)
+    }
+
     /// Addresses that no exchange reaches at present: suspected members, listed instances that are
     /// not known in that incarnation, and addresses from the settings.
     fn unreached(&self) -> Vec<Peer> {
--- a/policy/src/membership/suspect.rs
+++ b/policy/src/membership/suspect.rs
@@ -20,8 +20,8 @@
 use rand::seq::IteratorRandom;
 use std::collections::BTreeMap;
 
-/// Silence beyond which a member is suspected without confirmation, in multiples of the bound.
-/// Nobody can be asked where all others are out of reach as well.
+/// Silence beyond which a member is suspected without confirmation, in multiples of the bound,
+/// where others are there to be asked and don't answer. Where nobody is, the bound itself counts.
 const UNCONFIRMED_FACTOR: u64 = 2;
 
 impl Membership {
@@ -171,7 +171,8 @@
         };
         let silent = round - m.heard_round;
         let confirmed = needed > 0 && doubt.own_misses > 0 && doubt.unreached_by.len() >= needed;
-        let unconfirmed = silent > UNCONFIRMED_FACTOR * bound;
+        let factor = if needed == 0 { 1 } else { UNCONFIRMED_FACTOR };
+        let unconfirmed = doubt.own_misses > 0 && silent > factor * bound;
         if !confirmed && !unconfirmed {
             return;
         }
--- a/policy/tests/support/fleet.rs
+++ b/policy/tests/support/fleet.rs
@@ -181,7 +181,9 @@
                 .exchange_failed(now, peer, round, rng);
         };
         let to = self.nodes[j].membership.own().state.name.clone();
-        let push = self.nodes[i].membership.receive_answer(now, now.mono_ms, &to, &delta);
+        let push = self.nodes[i]
+            .membership
+            .receive_answer(now, now.mono_ms, &to, &delta);
         if let Some(push) = push {
             self.count(i, j, &Message::Delta(&push));
             if self.delivered(i, j) {
