--- a/kernel/src/lib.rs
+++ b/kernel/src/lib.rs
@@ -24,7 +24,6 @@
 pub mod reply;
 pub mod settings;
 pub mod stats;
-pub mod upstreams;
 
 pub use error::KernelError;
 pub use kernel::Kernel;
--- a/wire/src/runner.rs
+++ b/wire/src/runner.rs
@@ -125,6 +125,9 @@
     pub code: RefusedCode,
     /// When to come back, in milliseconds.
     pub retry_after_ms: u64,
+    /// Runner that refused, or that can't be reached; absent: the addressee.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub runner: Option<Name>,
 }
 
 /// Cause of a refusal.
@@ -141,6 +144,8 @@
     Stale,
     /// The route does not fit together.
     BadRoute,
+    /// A later stage of the route can't be reached.
+    Unreachable,
 }
 
 /// Run one token through the rest of a route.
@@ -152,8 +157,16 @@
     pub attempt: u32,
     /// Token index.
     pub index: u32,
-    /// Tokens to run through: 1, or the prompt's number for a prefill.
+    /// Tokens to run through: 1, or the number of the prompt and the resumed tokens for a prefill;
+    /// 0: take a place for the attempt along the route, running nothing.
     pub tokens: u32,
+    /// Hashes of the prompt's prefixes, shortest first, for a prefill; the first is its
+    /// [`prefix_hash`], what the others are is the runners' own matter.
+    #[serde(default)]
+    pub prefix: Vec<u64>,
+    /// Runner to import the KV cache from, for a prefill; absent: run the tokens again.
+    #[serde(default)]
+    pub kv_from: Option<SocketAddr>,
     /// Model name.
     pub model: Name,
     /// Rest of the route; the first is the addressee.
@@ -192,13 +205,14 @@
 pub struct CacheEvent {
     /// Number.
     pub number: u64,
-    /// Hash of the prefix.
+    /// Hash of the prefix: [`prefix_hash`].
     pub prefix: u64,
     /// In or out.
     pub cached: bool,
 }
 
-/// Export from, or import into, a runner's KV cache.
+/// Export from, or import into, a runner's KV cache. An export answers with the number of tokens
+/// that it covers, or 404.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct KvRequest {
     /// Request id.
