--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -4,16 +4,9 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
+use jacinthweir as _;
 use jacinthweir_kernel::{KernelError, Settings, life};
 
-// Plug-ins register themselves at link time; a crate that nothing names would not be linked.
-use jacinthweir_callers as _;
-use jacinthweir_operators as _;
-use jacinthweir_peers as _;
-use jacinthweir_schema as _;
-use jacinthweir_services as _;
-use jacinthweir_upstreams as _;
-
 /// Routes inference pipelines over mixed accelerators: the entry instance.
 #[derive(FromArgs)]
 struct Args {
