Upstreams travel in the exchanges

Cause: each runner is polled by a few instances only; the others have to hear of it. Ruled out: a second loop for upstreams, which would double the calls between instances. Change: plugins/peers carries the upstreams' digest, answer and push beside the members'.

--- a/plugins/peers/src/exchange.rs
+++ b/plugins/peers/src/exchange.rs
@@ -3,7 +3,7 @@
 use jacinthweir_clients::ClientError;
 use jacinthweir_kernel::prelude::*;
 use jacinthweir_policy::membership::{Action, MemberDigest, Peer};
-use jacinthweir_wire::peer::{Exchange, ExchangeAnswer, Push, UpstreamDigest};
+use jacinthweir_wire::peer::{Exchange, ExchangeAnswer, Push, UpstreamDelta, UpstreamDigest};
 
 use crate::probe;
 
@@ -27,11 +27,12 @@
 
 async fn ask(cx: Arc<Kernel>, peer: Peer, round: u64, digest: MemberDigest) {
     let asked_ms = cx.clock.now();
+    let upstreams = upstream_digest(&cx, &peer, digest.salt);
     let msg = Exchange {
         from: cx.settings.name.clone(),
         revision: revision(&cx),
         members: digest,
-        upstreams: UpstreamDigest::default(),
+        upstreams,
     };
     let answer: Result<ExchangeAnswer, ClientError> =
         cx.peers.post(peer.address, "/peer/exchange", &msg).await;
@@ -53,6 +54,16 @@
     carry_out(&cx, actions);
 }
 
+fn upstream_digest(cx: &Kernel, peer: &Peer, salt: u32) -> UpstreamDigest {
+    let domain = {
+        let membership = cx.membership();
+        let member = peer.name.as_ref().and_then(|n| membership.member(n));
+        member.map(|m| m.state().domain.clone())
+    };
+    cx.upstreams()
+        .digest(cx.clock.reading(), salt, domain.as_deref())
+}
+
 async fn take_answer(cx: &Kernel, peer: &Peer, asked_ms: Millis, answer: ExchangeAnswer) {
     let now = cx.clock.reading();
     let push = Push {
@@ -61,7 +72,7 @@
         members: cx
             .membership()
             .receive_answer(now, asked_ms, &answer.from, &answer.members),
-        upstreams: None,
+        upstreams: cx.upstreams().receive_delta(now, &answer.upstreams),
     };
     if let Some(head) = answer.head {
         cx.heads.hear(answer.from, head);
@@ -72,7 +83,9 @@
     let pushed: Result<Push, ClientError> = cx.peers.post(peer.address, "/peer/push", &push).await;
     // A lost push is made good by the next exchange, whose digests still differ.
     match pushed {
-        Ok(back) => take_push(cx, back),
+        Ok(back) => {
+            take_push(cx, back);
+        }
         Err(e) => debug!("push to {peer}: {e}"),
     }
 }
@@ -86,20 +99,22 @@
         revision: revision(cx),
         head: head_for(cx, msg.revision),
         members,
-        upstreams: jacinthweir_wire::peer::UpstreamDelta::default(),
+        upstreams: cx.upstreams().receive_digest(now, &msg.upstreams),
     }
 }
 
 /// Answers a push of another instance.
 pub(crate) fn answer_push(cx: &Kernel, push: Push) -> Push {
-    take_push(cx, push);
-    Push::default()
+    Push {
+        from: Some(cx.settings.name.clone()),
+        upstreams: take_push(cx, push),
+        ..Push::default()
+    }
 }
 
-fn take_push(cx: &Kernel, push: Push) {
-    let Some(from) = push.from else {
-        return;
-    };
+/// Takes a push in; returns what the other side wants of the upstreams.
+fn take_push(cx: &Kernel, push: Push) -> Option<UpstreamDelta> {
+    let from = push.from?;
     let now = cx.clock.reading();
     if let Some(delta) = &push.members {
         cx.membership().receive_push(now, &from, delta);
@@ -107,6 +122,8 @@
     if let Some(head) = push.head {
         cx.heads.hear(from, head);
     }
+    let delta = push.upstreams?;
+    cx.upstreams().receive_delta(now, &delta)
 }
 
 fn revision(cx: &Kernel) -> u64 {
