--- /dev/null
+++ b/testkit/src/admin.rs
@@ -0,0 +1,184 @@
+//! Client of the stand-ins' admin interfaces.
+
+use std::net::SocketAddr;
+
+use jacinthweir_wire::platform::Object;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::platform::admin::{Counts, InstancesChange};
+use crate::platform::fault::Fault;
+use crate::platform::rate::Rates;
+use crate::runner::knobs::Knobs as RunnerKnobs;
+use crate::runner::witness::Witness;
+use crate::service::{Knobs as ServiceKnobs, RanCall};
+use crate::{Error, Result};
+
+/// Client of a stand-in platform's admin interface.
+#[derive(Clone, Debug)]
+pub struct PlatformAdmin(Admin);
+
+/// Client of a stand-in runner's admin interface.
+#[derive(Clone, Debug)]
+pub struct RunnerAdmin(Admin);
+
+/// Client of a stand-in service's admin interface.
+#[derive(Clone, Debug)]
+pub struct ServiceAdmin(Admin);
+
+#[derive(Clone, Debug)]
+struct Admin {
+    client: reqwest::Client,
+    address: SocketAddr,
+}
+
+impl Admin {
+    async fn post(&self, path: &str, body: &impl Serialize) -> Result<()> {
+        let url = format!("http://{}/admin/{path}", self.address);
+        let answer = self.client.post(url).json(body).send().await?;
+        if !answer.status().is_success() {
+            let status = answer.status();
+            let text = answer.text().await.unwrap_or_default();
+            return Err(Error::Other(format!("admin {path}: {status} {text}")));
+        }
+        Ok(())
+    }
+
+    async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T> {
+        let url = format!("http://{}/admin/{path}", self.address);
+        let answer = self.client.get(url).send().await?;
+        Ok(answer.error_for_status()?.json().await?)
+    }
+}
+
+impl PlatformAdmin {
+    /// A client of the platform at `address`.
+    #[must_use]
+    pub fn new(client: reqwest::Client, address: SocketAddr) -> Self {
+        Self(Admin { client, address })
+    }
+
+    /// Changes the listed instances.
+    ///
+    /// # Errors
+    ///
+    /// Where the call fails.
+    pub async fn instances(&self, change: &InstancesChange) -> Result<()> {
+        self.0.post("instances", change).await
+    }
+
+    /// Sets how calls fail from now on.
+    ///
+    /// # Errors
+    ///
+    /// Where the call fails.
+    pub async fn fault(&self, fault: &Fault) -> Result<()> {
+        self.0.post("fault", fault).await
+    }
+
+    /// Sets what it takes a second.
+    ///
+    /// # Errors
+    ///
+    /// Where the call fails.
+    pub async fn rates(&self, rates: &Rates) -> Result<()> {
+        self.0.post("rates", rates).await
+    }
+
+    /// Keeps a copy of all objects.
+    ///
+    /// # Errors
+    ///
+    /// Where the call fails.
+    pub async fn snapshot(&self) -> Result<()> {
+        self.0.post("snapshot", &()).await
+    }
+
+    /// Goes back to the copy.
+    ///
+    /// # Errors
+    ///
+    /// Where there is none, or the call fails.
+    pub async fn restore(&self) -> Result<()> {
+        self.0.post("restore", &()).await
+    }
+
+    /// What was called so far.
+    ///
+    /// # Errors
+    ///
+    /// Where the call fails.
+    pub async fn counts(&self) -> Result<Counts> {
+        self.0.get("counts").await
+    }
+
+    /// All objects.
+    ///
+    /// # Errors
+    ///
+    /// Where the call fails.
+    pub async fn objects(&self) -> Result<Vec<Object>> {
+        self.0.get("objects").await
+    }
+}
+
+impl RunnerAdmin {
+    /// A client of the runner at `address`.
+    #[must_use]
+    pub fn new(client: reqwest::Client, address: SocketAddr) -> Self {
+        Self(Admin { client, address })
+    }
+
+    /// Changes how it behaves.
+    ///
+    /// # Errors
+    ///
+    /// Where the call fails.
+    pub async fn set(&self, knobs: &RunnerKnobs) -> Result<()> {
+        self.0.post("set", knobs).await
+    }
+
+    /// What was received and what ran.
+    ///
+    /// # Errors
+    ///
+    /// Where the call fails.
+    pub async fn witness(&self) -> Result<Witness> {
+        self.0.get("ran").await
+    }
+
+    /// The same, and has the runner forget it.
+    ///
+    /// # Errors
+    ///
+    /// Where the call fails.
+    pub async fn take_witness(&self) -> Result<Witness> {
+        self.0.get("ran?take=true").await
+    }
+}
+
+impl ServiceAdmin {
+    /// A client of the service at `address`.
+    #[must_use]
+    pub fn new(client: reqwest::Client, address: SocketAddr) -> Self {
+        Self(Admin { client, address })
+    }
+
+    /// Changes how it behaves.
+    ///
+    /// # Errors
+    ///
+    /// Where the call fails.
+    pub async fn set(&self, knobs: &ServiceKnobs) -> Result<()> {
+        self.0.post("set", knobs).await
+    }
+
+    /// What ran so far, oldest first.
+    ///
+    /// # Errors
+    ///
+    /// Where the call fails.
+    pub async fn ran(&self) -> Result<Vec<RanCall>> {
+        self.0.get("ran").await
+    }
+}
--- /dev/null
+++ b/testkit/src/fleet.rs
@@ -0,0 +1,365 @@
+//! A whole deployment as separate processes on loopback: stand-ins, six instances, and `jwctl`.
+//!
+//! [`Fleet::start`] starts the platform, the runners and services, lists them, writes a settings
+//! file for each instance into a temporary folder, starts the instances, and waits by asking
+//! until each one answers its operators. [`Fleet::apply`] applies the deployment's sample schema
+//! through `jwctl` and waits until callers are served. Every process is killed when its handle is
+//! dropped; [`Fleet::stop`] shuts all down gracefully first.
+
+pub mod deployment;
+pub mod instance;
+pub mod ports;
+pub mod process;
+pub mod standin;
+
+use std::net::{IpAddr, SocketAddr};
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use jacinthweir_kernel::settings::Timing;
+use jacinthweir_wire::platform::{ENTRY_GROUP, ListedInstance, ListedState};
+use tempfile::TempDir;
+use tokio::process::Command;
+
+use crate::admin::PlatformAdmin;
+use crate::caller::Caller;
+use crate::platform::admin::InstancesChange;
+use crate::{Error, PlatformCfg, Result};
+use deployment::Deployment;
+use instance::Instance;
+use process::program;
+use standin::{PlatformProcess, RunnerProcess, ServiceProcess};
+
+/// Longest wait for a fleet to serve, in seconds.
+const READY_S: u64 = 60;
+/// Time between two asks, in milliseconds.
+const ASK_MS: u64 = 20;
+/// Longest graceful shutdown of one process, in seconds.
+const STOP_S: u64 = 20;
+/// The operators' token of every fleet.
+const OPERATORS_TOKEN: &str = "operators-token-of-the-test-kit";
+
+/// What to start.
+#[derive(Clone, Debug)]
+pub struct FleetCfg {
+    /// Deployment.
+    pub deployment: Deployment,
+    /// Entry instances.
+    pub instances: usize,
+    /// Model runners.
+    pub runners: usize,
+    /// Service instances.
+    pub services: usize,
+    /// The platform; its address is chosen by the fleet.
+    pub platform: PlatformCfg,
+    /// Periods and time-outs of the instances.
+    pub timing: Timing,
+    /// Speed of the runners against the samples' declarations.
+    pub speed: f64,
+}
+
+impl FleetCfg {
+    /// Six instances, few runners, and three service instances: enough for a whole path.
+    #[must_use]
+    pub fn small(deployment: Deployment) -> Self {
+        Self {
+            deployment,
+            instances: 6,
+            runners: 8,
+            services: 3,
+            platform: PlatformCfg::default(),
+            timing: Timing::default(),
+            speed: 1.0,
+        }
+    }
+
+    /// Today's size: forty runners.
+    #[must_use]
+    pub fn today(deployment: Deployment) -> Self {
+        Self {
+            runners: 40,
+            ..Self::small(deployment)
+        }
+    }
+}
+
+/// What `jwctl` printed.
+#[derive(Clone, Debug)]
+pub struct CtlOutput {
+    /// Exit code.
+    pub code: Option<i32>,
+    /// Standard output.
+    pub out: String,
+    /// Standard error.
+    pub err: String,
+}
+
+/// A running deployment.
+#[derive(Debug)]
+pub struct Fleet {
+    /// Deployment.
+    pub deployment: Deployment,
+    /// The platform.
+    pub platform: PlatformProcess,
+    /// Model runners.
+    pub runners: Vec<RunnerProcess>,
+    /// Service instances.
+    pub services: Vec<ServiceProcess>,
+    /// Entry instances.
+    pub instances: Vec<Instance>,
+    client: reqwest::Client,
+    ip: IpAddr,
+    timing: Timing,
+    /// Dropped last: the processes write their logs here.
+    dir: TempDir,
+}
+
+impl Fleet {
+    /// Starts everything and waits until each instance answers its operators.
+    ///
+    /// # Errors
+    ///
+    /// Where a program isn't built, a process ends early or is silent for long.
+    pub async fn start(cfg: FleetCfg) -> Result<Self> {
+        let dir = tempfile::Builder::new().prefix("jacinthweir-").tempdir()?;
+        let ip = ports::own_ip();
+        let client = reqwest::Client::builder().no_proxy().build()?;
+        let platform_cfg = PlatformCfg {
+            listen: SocketAddr::new(ip, 0),
+            ..cfg.platform.clone()
+        };
+        let platform = PlatformProcess::spawn(platform_cfg, dir.path()).await?;
+        let mut fleet = Self {
+            deployment: cfg.deployment,
+            platform,
+            runners: Vec::new(),
+            services: Vec::new(),
+            instances: Vec::new(),
+            client,
+            ip,
+            timing: cfg.timing.clone(),
+            dir,
+        };
+        for i in 0..cfg.runners {
+            let mut slot = cfg.deployment.runner(i);
+            slot.cfg.token_layers_per_s *= cfg.speed;
+            fleet.add_runner(slot).await?;
+        }
+        for i in 0..cfg.services {
+            fleet.add_service(i).await?;
+        }
+        fleet.start_instances(cfg.instances).await?;
+        Ok(fleet)
+    }
+
+    /// Starts one more runner and lists it.
+    ///
+    /// # Errors
+    ///
+    /// Where it can't be started.
+    pub async fn add_runner(&mut self, slot: deployment::RunnerSlot) -> Result<()> {
+        let runner = RunnerProcess::spawn(slot, self.ip, self.dir.path()).await?;
+        self.list(vec![runner.listing.clone()], true).await?;
+        self.runners.push(runner);
+        Ok(())
+    }
+
+    async fn add_service(&mut self, i: usize) -> Result<()> {
+        let service = ServiceProcess::spawn(self.deployment, i, self.ip, self.dir.path()).await?;
+        self.list(vec![service.listing.clone()], true).await?;
+        self.services.push(service);
+        Ok(())
+    }
+
+    async fn start_instances(&mut self, count: usize) -> Result<()> {
+        let addresses = ports::free(self.ip, 3 * count)?;
+        let peers: Vec<SocketAddr> = (0..count).map(|i| addresses[3 * i + 1]).collect();
+        for i in 0..count {
+            let faces = instance::Faces {
+                callers: addresses[3 * i],
+                peers: addresses[3 * i + 1],
+                operators: addresses[3 * i + 2],
+            };
+            let spec = instance::InstanceSpec {
+                deployment: self.deployment,
+                number: i,
+                faces,
+                peers: peers.clone(),
+                platform: self.platform.address,
+                operators_token: OPERATORS_TOKEN.to_owned(),
+                timing: self.timing.clone(),
+            };
+            let instance = Instance::spawn(spec, self.dir.path())?;
+            self.list(vec![instance.listing()], true).await?;
+            self.instances.push(instance);
+        }
+        for instance in &mut self.instances {
+            let deadline = Instant::now() + Duration::from_secs(READY_S);
+            instance.wait_operators(&self.client, deadline).await?;
+        }
+        Ok(())
+    }
+
+    /// Applies the deployment's sample schema and waits until every instance serves callers.
+    ///
+    /// # Errors
+    ///
+    /// Where `jwctl` refuses, or the instances don't serve for long.
+    pub async fn apply(&self) -> Result<CtlOutput> {
+        let schema = self.deployment.schema();
+        let out = self.apply_file(&schema).await?;
+        self.wait_serving().await?;
+        Ok(out)
+    }
+
+    /// Applies a schema file through `jwctl`, waiting until it is in force.
+    ///
+    /// # Errors
+    ///
+    /// Where `jwctl` refuses.
+    pub async fn apply_file(&self, schema: &std::path::Path) -> Result<CtlOutput> {
+        let path = schema.display().to_string();
+        let out = self.jwctl(0, &["apply", &path, "--wait"]).await?;
+        if out.code != Some(0) {
+            return Err(Error::Other(format!(
+                "jwctl apply ended with {:?}:\n{}{}",
+                out.code, out.out, out.err
+            )));
+        }
+        Ok(out)
+    }
+
+    /// Waits until every instance that runs serves callers.
+    ///
+    /// # Errors
+    ///
+    /// Where one doesn't for long.
+    pub async fn wait_serving(&self) -> Result<()> {
+        let caller = self.caller(self.deployment.organisations()[0])?;
+        let deadline = Instant::now() + Duration::from_secs(READY_S);
+        for instance in self.instances.iter().filter(|i| i.process.id().is_some()) {
+            while let Err(err) = caller.entry(instance.faces.callers).await {
+                if Instant::now() > deadline {
+                    let log = instance.process.log_tail();
+                    return Err(Error::Other(format!("{}: {err}\n{log}", instance.name)));
+                }
+                tokio::time::sleep(Duration::from_millis(ASK_MS)).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Runs `jwctl` against the `i`-th instance.
+    ///
+    /// # Errors
+    ///
+    /// Where it can't be started.
+    pub async fn jwctl(&self, i: usize, args: &[&str]) -> Result<CtlOutput> {
+        let at = self.instances[i].faces.operators.to_string();
+        let output = Command::new(program("jwctl")?)
+            .args(["--address", &at, "--token", OPERATORS_TOKEN])
+            .args(args)
+            .kill_on_drop(true)
+            .output()
+            .await?;
+        Ok(CtlOutput {
+            code: output.status.code(),
+            out: String::from_utf8_lossy(&output.stdout).into_owned(),
+            err: String::from_utf8_lossy(&output.stderr).into_owned(),
+        })
+    }
+
+    /// A caller of an organisation of the sample schema.
+    ///
+    /// # Errors
+    ///
+    /// Where no HTTP client can be made.
+    pub fn caller(&self, organisation: &str) -> Result<Caller> {
+        Caller::open(&Deployment::key(organisation))
+    }
+
+    /// Admin client of the platform.
+    #[must_use]
+    pub fn platform_admin(&self) -> PlatformAdmin {
+        PlatformAdmin::new(self.client.clone(), self.platform.address)
+    }
+
+    /// Admin client of the `i`-th runner.
+    #[must_use]
+    pub fn runner_admin(&self, i: usize) -> crate::admin::RunnerAdmin {
+        crate::admin::RunnerAdmin::new(self.client.clone(), self.runners[i].listing.address)
+    }
+
+    /// Admin client of the `i`-th service instance.
+    #[must_use]
+    pub fn service_admin(&self, i: usize) -> crate::admin::ServiceAdmin {
+        crate::admin::ServiceAdmin::new(self.client.clone(), self.services[i].listing.address)
+    }
+
+    /// Puts instances into the platform's list, with its lag or without.
+    ///
+    /// # Errors
+    ///
+    /// Where the platform doesn't answer.
+    pub async fn list(&self, set: Vec<ListedInstance>, at_once: bool) -> Result<()> {
+        let change = InstancesChange {
+            set,
+            at_once,
+            ..InstancesChange::default()
+        };
+        self.platform_admin().instances(&change).await
+    }
+
+    /// Marks a listed instance as leaving, with the list's lag.
+    ///
+    /// # Errors
+    ///
+    /// Where the platform doesn't answer.
+    pub async fn list_leaving(&self, mut listing: ListedInstance) -> Result<()> {
+        listing.state = ListedState::Leaving;
+        self.list(vec![listing], false).await
+    }
+
+    /// Folder of settings and logs.
+    #[must_use]
+    pub fn folder(&self) -> PathBuf {
+        self.dir.path().to_owned()
+    }
+
+    /// Shuts everything down gracefully, instances first; kills what doesn't end.
+    ///
+    /// # Errors
+    ///
+    /// Where a process can't be waited for.
+    pub async fn stop(mut self) -> Result<()> {
+        let instances = self.instances.iter_mut().map(|i| &mut i.process);
+        stop_all(instances.collect()).await?;
+        let runners = self.runners.iter_mut().map(|r| &mut r.process);
+        let services = self.services.iter_mut().map(|s| &mut s.process);
+        let mut standins: Vec<_> = runners.chain(services).collect();
+        standins.push(&mut self.platform.process);
+        stop_all(standins).await
+    }
+}
+
+async fn stop_all(mut processes: Vec<&mut process::Process>) -> Result<()> {
+    for process in &processes {
+        if process.id().is_some() {
+            let _ = process.wake();
+            let _ = process.terminate();
+        }
+    }
+    let deadline = Instant::now() + Duration::from_secs(STOP_S);
+    for process in &mut processes {
+        let left = deadline.saturating_duration_since(Instant::now());
+        if process.ended(left).await?.is_none() {
+            process.kill().await?;
+        }
+    }
+    Ok(())
+}
+
+/// Group under which entry instances are listed.
+pub(crate) fn entry_group() -> jacinthweir_policy::prelude::Name {
+    ENTRY_GROUP.into()
+}
--- /dev/null
+++ b/testkit/src/fleet/standin.rs
@@ -0,0 +1,155 @@
+//! The stand-ins of a fleet, each as a process of its own.
+
+use std::ffi::OsString;
+use std::net::{IpAddr, SocketAddr};
+use std::path::Path;
+
+use jacinthweir_policy::prelude::*;
+use jacinthweir_wire::platform::{ListedInstance, ListedState};
+use serde::Serialize;
+
+use super::deployment::{Deployment, RunnerSlot};
+use super::process::{Process, ProcessSpec, program};
+use crate::http::unix_ms;
+use crate::{Error, PlatformCfg, Result, RunnerCfg, ServiceCfg};
+
+/// What the first line of a stand-in begins with.
+const LISTENING: &str = "listening ";
+
+/// The stand-in platform.
+#[derive(Debug)]
+pub struct PlatformProcess {
+    /// Address.
+    pub address: SocketAddr,
+    /// The process.
+    pub process: Process,
+}
+
+impl PlatformProcess {
+    /// Starts it.
+    ///
+    /// # Errors
+    ///
+    /// Where it isn't built or can't be started.
+    pub async fn spawn(cfg: PlatformCfg, dir: &Path) -> Result<Self> {
+        let (process, address) = spawn("platform", "platform", &cfg, dir).await?;
+        Ok(Self { address, process })
+    }
+}
+
+/// A stand-in runner.
+#[derive(Debug)]
+pub struct RunnerProcess {
+    /// Its line in the platform's list.
+    pub listing: ListedInstance,
+    /// Its settings.
+    pub cfg: RunnerCfg,
+    /// The process.
+    pub process: Process,
+}
+
+impl RunnerProcess {
+    /// Starts it.
+    ///
+    /// # Errors
+    ///
+    /// Where it isn't built or can't be started.
+    pub async fn spawn(slot: RunnerSlot, ip: IpAddr, dir: &Path) -> Result<Self> {
+        let mut cfg = slot.cfg;
+        cfg.listen = SocketAddr::new(ip, 0);
+        cfg.incarnation = unix_ms();
+        let (process, address) = spawn("runner", &cfg.name, &cfg, dir).await?;
+        // Kept over restarts.
+        cfg.listen = address;
+        let listing = ListedInstance {
+            name: cfg.name.clone(),
+            incarnation: cfg.incarnation,
+            group: slot.group,
+            address,
+            domain: slot.domain,
+            state: ListedState::Live,
+        };
+        Ok(Self {
+            listing,
+            cfg,
+            process,
+        })
+    }
+
+    /// Kills it and starts it again at the same address, with a new incarnation, empty caches and
+    /// the layers of its settings. The caller lists it again.
+    ///
+    /// # Errors
+    ///
+    /// Where it can't be started.
+    pub async fn restart(&mut self) -> Result<()> {
+        self.cfg.incarnation = unix_ms().max(self.cfg.incarnation + 1);
+        self.listing.incarnation = self.cfg.incarnation;
+        let args = args("runner", &self.cfg)?;
+        self.process.restart_with(args).await?;
+        listening(&mut self.process).await?;
+        Ok(())
+    }
+}
+
+/// A stand-in service.
+#[derive(Debug)]
+pub struct ServiceProcess {
+    /// Its line in the platform's list.
+    pub listing: ListedInstance,
+    /// The process.
+    pub process: Process,
+}
+
+impl ServiceProcess {
+    /// Starts the `i`-th of a deployment.
+    ///
+    /// # Errors
+    ///
+    /// Where it isn't built or can't be started.
+    pub async fn spawn(deployment: Deployment, i: usize, ip: IpAddr, dir: &Path) -> Result<Self> {
+        let group = deployment.service();
+        let name: Name = format!("{group}-{i}").into();
+        let cfg = ServiceCfg {
+            listen: SocketAddr::new(ip, 0),
+            name: name.clone(),
+            ..ServiceCfg::default()
+        };
+        let (process, address) = spawn("service", &name, &cfg, dir).await?;
+        let listing = ListedInstance {
+            name,
+            incarnation: unix_ms(),
+            group: group.into(),
+            address,
+            domain: deployment.domain(i),
+            state: ListedState::Live,
+        };
+        Ok(Self { listing, process })
+    }
+}
+
+async fn spawn(
+    kind: &str,
+    name: &str,
+    cfg: &impl Serialize,
+    dir: &Path,
+) -> Result<(Process, SocketAddr)> {
+    let mut process = Process::spawn(ProcessSpec {
+        program: program("jw-standin")?,
+        args: args(kind, cfg)?,
+        log: dir.join(format!("{name}.log")),
+    })?;
+    let address = listening(&mut process).await?;
+    Ok((process, address))
+}
+
+fn args(kind: &str, cfg: &impl Serialize) -> Result<Vec<OsString>> {
+    Ok(vec![kind.into(), serde_json::to_string(cfg)?.into()])
+}
+
+/// Waits until the stand-in says where it listens.
+async fn listening(process: &mut Process) -> Result<SocketAddr> {
+    let line = process.first_line().await?;
+    let address = line.strip_prefix(LISTENING).and_then(|a| a.parse().ok());
+    address.ok_or_else(|| Error::Other(format!("a stand-in printed {line:?}")))
+}
--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -4,15 +4,20 @@
 //! ([`Platform::bind`], [`Runner::bind`], [`Service::bind`]) or as a process of its own by the
 //! `jw-standin` binary. With the same seed and the same calls a stand-in behaves the same.
 
+pub mod admin;
 pub mod bench;
+pub mod caller;
 pub mod error;
+pub mod fleet;
 pub mod http;
 pub mod platform;
 pub mod runner;
 pub mod service;
 pub mod text;
 
+pub use caller::Caller;
 pub use error::{Error, Result};
+pub use fleet::{Fleet, FleetCfg};
 pub use platform::{Platform, PlatformCfg};
 pub use runner::{Runner, RunnerCfg};
 pub use service::{Service, ServiceCfg};
--- a/testkit/src/runner/drive.rs
+++ b/testkit/src/runner/drive.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use jacinthweir_policy::prelude::*;
+use jacinthweir_wire::prefix;
 use jacinthweir_wire::runner::{
     BrokenFrame, CancelRequest, EndFrame, Frame, Refused, RefusedCode, RunRequest, Stage,
     StageRequest, TokenFrame,
@@ -134,7 +135,7 @@
         index,
         tokens,
         prefix: if prefill {
-            text::prefixes(&req.prompt)
+            prefix::hashes(&req.prompt)
         } else {
             Vec::new()
         },
