--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -5,6 +5,8 @@
 //! same run. Modules are state machines of the form `(now, event) -> actions`.
 
 pub mod admission;
+pub mod config;
+pub mod drain;
 pub mod entity;
 pub mod entry;
 pub mod head;
@@ -20,3 +22,4 @@
 pub mod route;
 pub mod schema;
 pub mod time;
+pub mod upstreams;
