--- a/plugins/callers/src/driver.rs
+++ b/plugins/callers/src/driver.rs
@@ -21,6 +21,10 @@
 const TOLD_CAPACITY: usize = 64;
 /// Bytes of a prompt taken to make a token.
 const BYTES_PER_TOKEN: usize = 4;
+/// How long a request that has begun waits for a route, in milliseconds.
+const RESUME_WAIT_MS: Millis = 10_000;
+/// Period of looking for one.
+const RESUME_POLL: Duration = Duration::from_millis(50);
 /// When to come back where nothing better is known, in milliseconds.
 const RETRY_AFTER_MS: u64 = 1_000;
 
@@ -55,6 +59,7 @@
     pub(crate) tokens: Vec<String>,
     last_token_at: Millis,
     avoid: Vec<RunnerId>,
+    busy: Option<Refused>,
 }
 
 impl Driver {
@@ -87,6 +92,7 @@
             tokens: Vec::new(),
             last_token_at: cx.clock.now(),
             avoid: Vec::new(),
+            busy: None,
         };
         cx.tasks.spawn(driver.drive());
         (head, rx)
@@ -153,7 +159,7 @@
             if number as usize > MAX_ATTEMPTS {
                 return Err(Stop::GaveUp("no attempts left".into()));
             }
-            let route = self.pick()?;
+            let route = self.find_route().await?;
             self.cx.router().sent(self.cx.clock.now(), &route);
             let end = self.attempt(number, &route).await;
             self.count_route(&route, &end);
@@ -161,9 +167,34 @@
                 AttemptEnd::Whole(end) => return Ok(end),
                 AttemptEnd::DeadlinePassed => return Err(Stop::DeadlinePassed),
                 AttemptEnd::CallerLeft => return Err(Stop::CallerLeft),
-                AttemptEnd::Refused(refused) => self.after_refusal(&route, refused)?,
+                AttemptEnd::Refused(refused) => self.after_refusal(&route, refused),
                 AttemptEnd::NeverSent => self.avoid_first(&route),
-                AttemptEnd::Broken(runner) => self.after_break(&route, runner)?,
+                AttemptEnd::Broken(runner) => self.after_break(&route, runner),
+            }
+        }
+    }
+
+    /// A route, at once for a request of which nothing ran. One whose caller has a part of the
+    /// answer waits: the runners it avoids may be the only holders of their layers, and come back
+    /// or be replaced, while giving up would waste what ran.
+    async fn find_route(&mut self) -> Result<Route, Stop> {
+        let give_up_at = self.cx.clock.now().saturating_add(RESUME_WAIT_MS);
+        loop {
+            let stop = match self.pick() {
+                Ok(route) => return Ok(route),
+                Err(stop) => stop,
+            };
+            let begun = !self.running.journal().nothing_ran();
+            if !begun || self.cx.clock.now() >= give_up_at {
+                return Err(self.busy.take().map_or(stop, Stop::Busy));
+            }
+            self.avoid.clear();
+            tokio::select! {
+                () = tokio::time::sleep(self.remaining().min(RESUME_POLL)) => {}
+                () = self.tx.closed() => return Err(Stop::CallerLeft),
+            }
+            if self.remaining() == Duration::ZERO {
+                return Err(Stop::DeadlinePassed);
             }
         }
     }
@@ -205,22 +236,18 @@
         }
     }
 
-    fn after_refusal(&mut self, route: &Route, refused: Refused) -> Result<(), Stop> {
-        if self.avoid.len() >= MAX_ATTEMPTS {
-            return Err(Stop::Busy(refused));
-        }
+    fn after_refusal(&mut self, route: &Route, refused: Refused) {
+        self.busy = Some(refused);
         self.avoid_first(route);
-        Ok(())
     }
 
-    fn after_break(&mut self, route: &Route, runner: Option<Name>) -> Result<(), Stop> {
+    fn after_break(&mut self, route: &Route, runner: Option<Name>) {
         metrics::counter!("jacinthweir_attempts_broken_total").increment(1);
         let at_fault = runner.and_then(|name| self.cx.router().runner(&name));
         match at_fault {
             Some(runner) => self.avoid(runner),
             None => self.avoid_first(route),
         }
-        Ok(())
     }
 
     fn avoid_first(&mut self, route: &Route) {
