--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -5,11 +5,19 @@
 //! same run. Modules are state machines of the form `(now, event) -> actions`.
 
 pub mod config;
+pub mod admission;
 pub mod entity;
+pub mod entry;
 pub mod head;
+pub mod journal;
 pub mod layers;
+pub mod listed;
+pub mod load;
 pub mod member;
+pub mod membership;
 pub mod outcome;
 pub mod prelude;
+pub mod region;
+pub mod route;
 pub mod schema;
 pub mod time;
