--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod config;
 pub mod admission;
+pub mod drain;
 pub mod entity;
 pub mod entry;
 pub mod head;
@@ -21,3 +22,4 @@
 pub mod route;
 pub mod schema;
 pub mod time;
+pub mod upstreams;
--- a/policy/src/membership.rs
+++ b/policy/src/membership.rs
@@ -28,7 +28,7 @@
 
 use crate::listed::{ENTRY_GROUP, ListedInstance, ListedState};
 use crate::member::{MemberState, Phase};
-use crate::time::{Name, Now};
+use crate::time::{Millis, Name, Now};
 use rand::Rng;
 use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
@@ -47,7 +47,7 @@
 /// What the process is to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    /// Send the digest; answer with [`Membership::receive_delta`] or
+    /// Send the digest; answer with [`Membership::receive_answer`] or
     /// [`Membership::exchange_failed`].
     Exchange {
         /// Whom to call.
@@ -400,8 +400,33 @@
         }
     }
 
-    /// Takes in the answer to a digest, or a push; returns what the sender wants of it.
-    pub fn receive_delta(
+    /// Takes in the answer to a digest that was sent at monotonic time `asked_ms`; returns what
+    /// the sender wants.
+    pub fn receive_answer(
+        &mut self,
+        now: Now,
+        asked_ms: Millis,
+        from: &Name,
+        delta: &MemberDelta,
+    ) -> Option<MemberDelta> {
+        let before: BTreeMap<Name, u64> = self.heartbeats().collect();
+        let push = self.receive_push(now, from, delta);
+        for (name, m) in &mut self.members {
+            let grew = before.get(name).is_none_or(|h| *h < m.state().heartbeat);
+            if grew {
+                m.asked_ms = Some(asked_ms);
+            }
+        }
+        push
+    }
+
+    fn heartbeats(&self) -> impl Iterator<Item = (Name, u64)> {
+        let all = self.members.iter();
+        all.map(|(name, m)| (name.clone(), m.state().heartbeat))
+    }
+
+    /// Takes in a delta; returns what the sender wants of it.
+    pub fn receive_push(
         &mut self,
         now: Now,
         from: &Name,
--- a/policy/tests/support/fleet.rs
+++ b/policy/tests/support/fleet.rs
@@ -62,7 +62,7 @@
         callers: address(i),
         peers: address(i),
         operators: address(i),
-        domain: format!("region-{}/domain-{}", i % regions, i % (3 * regions)).into(),
+        domain: format!("region-{}.domain-{}", i % regions, i % (3 * regions)).into(),
         phase: Phase::Serving,
         revision: 1,
         revision_since_ms: START_MS,
@@ -181,11 +181,13 @@
                 .exchange_failed(now, peer, round, rng);
         };
         let to = self.nodes[j].membership.own().state.name.clone();
-        let push = self.nodes[i].membership.receive_delta(now, &to, &delta);
+        let push = self.nodes[i]
+            .membership
+            .receive_answer(now, now.mono_ms, &to, &delta);
         if let Some(push) = push {
             self.count(i, j, &Message::Delta(&push));
             if self.delivered(i, j) {
-                self.nodes[j].membership.receive_delta(now, &from, &push);
+                self.nodes[j].membership.receive_push(now, &from, &push);
             }
         }
         Vec::new()
