The schema's plug-in: follow the head, fetch parts, plan and apply

Cause: an accepted schema must come into force on every instance, and a commit whose answer is lost must be told truthfully. Ruled out: sending the head along with each exchange between instances (12 kB at the target size): the member record names the revision, and who lacks it asks GET /peer/head; a flag alone for "may serve" (an instance frozen past the limit would answer what waited in its sockets by the old revision), so the time is checked at each request. Conclusion: applies are in force at all instances; hearing from peers waits for the peers' plug-in.

--- a/clients/src/peer.rs
+++ b/clients/src/peer.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use jacinthweir_wire::operator::RequestRecord;
+use jacinthweir_wire::peer::Head;
 use reqwest::StatusCode;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -64,6 +65,18 @@
         self.fetch(format!("http://{peer}/peer/parts/{hash}")).await
     }
 
+    /// Reads the head of the configuration in force on `peer`; `None`: it has none.
+    ///
+    /// # Errors
+    /// See [`ClientError`].
+    pub async fn head(&self, peer: SocketAddr) -> Result<Option<Head>, ClientError> {
+        let Some(bytes) = self.fetch(format!("http://{peer}/peer/head")).await? else {
+            return Ok(None);
+        };
+        let head = rmp_serde::from_slice(&bytes).map_err(ClientError::bad)?;
+        Ok(Some(head))
+    }
+
     /// Fetches the record of a request that `peer` served; `None`: not known there.
     ///
     /// # Errors
--- a/kernel/src/config.rs
+++ b/kernel/src/config.rs
@@ -1,6 +1,7 @@
 //! The configuration in force on this instance.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::schema::CompiledSchema;
@@ -14,6 +15,33 @@
     pub since_unix_ms: Millis,
     /// Its schema.
     pub schema: Arc<CompiledSchema>,
+    serve_until: AtomicU64,
+}
+
+impl InForce {
+    /// A revision that may not be served by before [`InForce::set_serve_until`].
+    #[must_use]
+    pub fn new(revision: u64, since_unix_ms: Millis, schema: Arc<CompiledSchema>) -> InForce {
+        InForce {
+            revision,
+            since_unix_ms,
+            schema,
+            serve_until: AtomicU64::new(0),
+        }
+    }
+
+    /// Sets the time until which it may be served by, as in [`crate::Kernel::elapsed_ms`].
+    pub fn set_serve_until(&self, ms: Millis) {
+        self.serve_until.store(ms, Ordering::Relaxed);
+    }
+
+    /// Whether it may be served by. Asked for each request, and not only when the state changes:
+    /// an instance that was frozen past the limit would otherwise answer the requests that
+    /// waited in its sockets by the old revision, before its tasks find out.
+    #[must_use]
+    pub fn may_serve(&self, elapsed_ms: Millis) -> bool {
+        elapsed_ms < self.serve_until.load(Ordering::Relaxed)
+    }
 }
 
 /// What an instance may serve by.
--- a/kernel/src/kernel.rs
+++ b/kernel/src/kernel.rs
@@ -8,10 +8,12 @@
 use jacinthweir_clients::platform::{HttpPlatform, Platform};
 use jacinthweir_clients::runner::RunnerClient;
 use jacinthweir_clients::service::ServiceClient;
+use jacinthweir_policy::config::converge::{Convergence, ConvergenceConfig};
 use jacinthweir_policy::member::{MemberState, Phase};
 use jacinthweir_policy::membership::{Membership, MembershipConfig};
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::route::{Router, RouterConfig};
+use jacinthweir_policy::time::Elapsed;
 use jacinthweir_wire::caller::ErrorCode;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -29,6 +31,14 @@
 /// Period of looking whether the last request has ended.
 const ENDED_POLL: Duration = Duration::from_millis(20);
 
+/// Rounds of exchanges that a joining instance waits to hear from its peers, before it goes by
+/// the platform alone.
+const JOIN_GRACE_ROUNDS: u64 = 4;
+
+/// How long the platform must show an older head than the accepted one before that is written
+/// back, in milliseconds: a read that was merely stale is over by then.
+const WENT_BACK_MS: Millis = 2_000;
+
 /// When to come back to an instance that cannot serve now; another may at once.
 const RETRY_ELSEWHERE_MS: u64 = 1_000;
 
@@ -67,6 +77,8 @@
     upstreams: Upstreams,
     router: Mutex<Router>,
     membership: Mutex<Membership>,
+    convergence: Mutex<Convergence>,
+    elapsed: Mutex<Elapsed>,
 }
 
 impl Kernel {
@@ -98,6 +110,8 @@
             gate: Gate::open(clock),
             upstreams: Upstreams::default(),
             membership: Mutex::new(membership(&settings, incarnation, clock)),
+            convergence: Mutex::new(convergence(&settings)),
+            elapsed: Mutex::new(Elapsed::since(clock.reading())),
             router: Mutex::new(Router::new(RouterConfig::default())),
             settings,
         };
@@ -116,6 +130,22 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The way to the newest configuration; the schema plug-in alone feeds it. Lock it before
+    /// [`Kernel::membership`] where both are needed.
+    pub fn convergence(&self) -> MutexGuard<'_, Convergence> {
+        self.convergence
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Milliseconds since the start, the time that this machine was suspended included: the
+    /// clock of the convergence.
+    #[must_use]
+    pub fn elapsed_ms(&self) -> Millis {
+        let mut elapsed = self.elapsed.lock().unwrap_or_else(PoisonError::into_inner);
+        elapsed.advance(self.clock.reading())
+    }
+
     /// What is known of the upstreams.
     #[must_use]
     pub fn upstreams(&self) -> &Upstreams {
@@ -153,7 +183,10 @@
     /// # Errors
     /// `no_configuration`: nothing ran.
     pub fn serving_config(&self) -> Result<Arc<InForce>, Refusal> {
-        if let Some(config) = self.config.get().served() {
+        let config = self.config.get();
+        if let Some(config) = config.served()
+            && config.may_serve(self.elapsed_ms())
+        {
             return Ok(Arc::clone(config));
         }
         let msg = "this instance has no configuration that it can vouch for";
@@ -198,6 +231,17 @@
     }
 }
 
+fn convergence(settings: &Settings) -> Convergence {
+    let cfg = ConvergenceConfig {
+        own: settings.name.clone(),
+        expects_peers: !settings.peers.is_empty(),
+        join_grace_ms: JOIN_GRACE_ROUNDS * settings.timing.gossip_ms,
+        unconfirmed_ms: settings.timing.unconfirmed_ms,
+        went_back_ms: WENT_BACK_MS,
+    };
+    Convergence::new(0, cfg)
+}
+
 fn membership(settings: &Settings, incarnation: u64, clock: Clock) -> Membership {
     let own = MemberState {
         name: settings.name.clone(),
--- a/kernel/src/settings.rs
+++ b/kernel/src/settings.rs
@@ -125,7 +125,8 @@
     pub upstream_timeout_ms: u64,
     /// Period of reading the platform's list of instances, in milliseconds.
     pub list_poll_ms: u64,
-    /// Period of reading the configuration's head, in milliseconds.
+    /// Period of reading the configuration's head on instances that do not watch it, and longest
+    /// wait of a watch on those that do, in milliseconds.
     pub head_poll_ms: u64,
     /// How long an instance serves a revision that neither the platform nor a majority of the
     /// instances confirms, in milliseconds.
@@ -146,7 +147,7 @@
             load_poll_ms: 500,
             upstream_timeout_ms: 1_000,
             list_poll_ms: 2_000,
-            head_poll_ms: 1_000,
+            head_poll_ms: 4_000,
             unconfirmed_ms: 15_000,
             claim_retention_ms: 24 * 3600 * 1000,
         }
--- /dev/null
+++ b/plugins/schema/src/head.rs
@@ -0,0 +1,97 @@
+//! Reads the head from the platform: by a watch on a few instances, by polling on the others.
+
+use std::time::Duration;
+
+use jacinthweir_clients::ClientError;
+use jacinthweir_kernel::prelude::*;
+use jacinthweir_policy::config::converge::Event;
+use jacinthweir_policy::config::watch::watches;
+use jacinthweir_wire::peer::Head;
+use rand::RngExt;
+
+use crate::drive::drive;
+use crate::keys;
+
+/// Pause after a failed call, in milliseconds; up to as much again is added at random, so that
+/// instances do not return to a platform that comes back in step.
+const FAILED_PAUSE_MS: u64 = 300;
+
+/// A head as it stands on the platform.
+pub(crate) struct Standing {
+    /// The head; absent: none.
+    pub(crate) head: Option<Arc<Head>>,
+    /// Version of the object; 0: absent.
+    pub(crate) version: u64,
+}
+
+/// Follows the head until the instance stops.
+pub(crate) async fn run(cx: Arc<Kernel>) {
+    let mut after = 0;
+    loop {
+        let next = match read_and_drive(&cx).await {
+            Ok(()) => wait(&cx, after).await,
+            Err(e) => Err(e),
+        };
+        match next {
+            Ok(next) => after = next,
+            Err(e) => {
+                debug!("head: {e}");
+                metrics::counter!("jacinthweir_platform_errors_total", "call" => "head")
+                    .increment(1);
+                drive(&cx, Event::PlatformFailed);
+                let ms = FAILED_PAUSE_MS + rand::rng().random_range(0..FAILED_PAUSE_MS);
+                tokio::time::sleep(Duration::from_millis(ms)).await;
+            }
+        }
+    }
+}
+
+/// Waits until the head may have changed; gives the number to watch after.
+async fn wait(cx: &Kernel, after: u64) -> Result<u64, ClientError> {
+    let period = Duration::from_millis(cx.settings.timing.head_poll_ms);
+    if !is_watcher(cx) {
+        tokio::time::sleep(period).await;
+        return Ok(after);
+    }
+    let answer = cx.platform.watch(keys::HEAD, after, period).await?;
+    // A platform that was restored counts from a lower number again; its own is then taken.
+    Ok(answer.next)
+}
+
+/// Whether this instance watches the head.
+pub(crate) fn is_watcher(cx: &Kernel) -> bool {
+    let membership = cx.membership();
+    let live: Vec<Name> = membership.peers().map(|s| s.name.clone()).collect();
+    watches(&cx.settings.name, &live)
+}
+
+async fn read_and_drive(cx: &Arc<Kernel>) -> Result<(), ClientError> {
+    let asked_at = cx.elapsed_ms();
+    let Standing { head, version } = read(cx).await?;
+    drive(
+        cx,
+        Event::PlatformHead {
+            head,
+            version,
+            asked_at,
+        },
+    );
+    Ok(())
+}
+
+/// Reads the head as it stands.
+pub(crate) async fn read(cx: &Kernel) -> Result<Standing, ClientError> {
+    let Some(object) = cx.platform.get(keys::HEAD).await? else {
+        return Ok(Standing {
+            head: None,
+            version: 0,
+        });
+    };
+    let head: Head = serde_json::from_str(&object.value).map_err(|e| ClientError::BadAnswer {
+        cause: format!("the head cannot be read: {e}"),
+    })?;
+    Ok(Standing {
+        head: Some(Arc::new(head)),
+        version: object.version,
+    })
+}
--- a/plugins/schema/src/lib.rs
+++ b/plugins/schema/src/lib.rs
@@ -1,1 +1,57 @@
-//! Skeleton.
+//! The schema's plug-in: keeps the newest configuration in force and takes operators' changes.
+//!
+//! The decisions are [`jacinthweir_policy::config`]'s. The tasks here read the head from the
+//! platform ([`head`]), hear of newer ones from peers ([`peers`]), fetch parts ([`fetch`]) and
+//! feed all of it to the convergence, whose actions [`drive`] carries out. [`apply`] commits.
+
+mod apply;
+mod commit;
+mod drive;
+mod fetch;
+mod head;
+mod keys;
+mod operators;
+mod peers;
+mod republish;
+mod status;
+
+use jacinthweir_kernel::prelude::*;
+use linkme::distributed_slice;
+
+#[distributed_slice(PLUGINS)]
+static SCHEMA: Plugin = Plugin {
+    name: "schema",
+    spawn,
+    routes,
+    dump,
+};
+
+fn spawn(cx: &Arc<Kernel>) -> Result<(), KernelError> {
+    cx.spawn(head::run(Arc::clone(cx)));
+    cx.spawn(peers::run(Arc::clone(cx)));
+    Ok(())
+}
+
+fn routes(cx: &Arc<Kernel>, face: Face) -> Vec<Router> {
+    match face {
+        Face::Operators => operators::routes(cx),
+        Face::Peers => peers::routes(cx),
+        Face::Callers => Vec::new(),
+    }
+}
+
+fn dump(cx: &Kernel) -> serde_json::Value {
+    let convergence = cx.convergence();
+    let in_force = convergence.in_force();
+    serde_json::json!({
+        "revision": in_force.map(|applied| applied.head.revision),
+        "commits": in_force.map(|applied| applied.head.history.len()),
+        "schema": in_force.map(|applied| applied.schema.to_string()),
+        "fetching": convergence.target(),
+        "serve_until_ms": convergence.serve_until(),
+        "now_ms": cx.elapsed_ms(),
+        "platform_reached": convergence.platform_reached(),
+        "counters": convergence.counters(),
+        "parts": cx.parts.size(),
+    })
+}
--- /dev/null
+++ b/plugins/schema/src/status.rs
@@ -0,0 +1,68 @@
+//! What is in force where.
+
+use jacinthweir_kernel::prelude::*;
+use jacinthweir_kernel::upstreams::Upstream;
+use jacinthweir_policy::member::Phase;
+use jacinthweir_policy::membership::Member;
+use jacinthweir_wire::operator::{InstanceStatus, PlatformReach, StatusReply, UpstreamStatus};
+
+/// What this instance knows of all instances and upstreams.
+pub(crate) fn status(cx: &Kernel) -> StatusReply {
+    let (ours, reached) = {
+        let convergence = cx.convergence();
+        let ours = convergence
+            .in_force()
+            .map_or(0, |applied| applied.head.revision);
+        (
+            ours.max(convergence.target().unwrap_or(0)),
+            convergence.platform_reached(),
+        )
+    };
+    let instances = instances(cx);
+    let heard = instances
+        .iter()
+        .map(|i| i.member.revision)
+        .max()
+        .unwrap_or(0);
+    StatusReply {
+        newest: ours.max(heard),
+        platform: if reached {
+            PlatformReach::Reached
+        } else {
+            PlatformReach::Down
+        },
+        instances,
+        upstreams: cx.upstreams().all().iter().map(upstream).collect(),
+    }
+}
+
+fn instances(cx: &Kernel) -> Vec<InstanceStatus> {
+    let now = cx.clock.now();
+    let membership = cx.membership();
+    let own = InstanceStatus {
+        member: membership.own().state.clone(),
+        suspected: false,
+        silent_ms: 0,
+    };
+    let known = membership
+        .others()
+        .filter(|m| m.state().phase != Phase::Gone);
+    let other = |member: &Member| InstanceStatus {
+        member: member.state().clone(),
+        suspected: member.suspected(),
+        silent_ms: now.saturating_sub(member.heard_ms),
+    };
+    let mut all: Vec<InstanceStatus> = std::iter::once(own).chain(known.map(other)).collect();
+    all.sort_by(|a, b| a.member.name.cmp(&b.member.name));
+    all
+}
+
+fn upstream(upstream: &Upstream) -> UpstreamStatus {
+    UpstreamStatus {
+        name: upstream.listed.name.clone(),
+        group: upstream.listed.group.clone(),
+        domain: upstream.listed.domain.clone(),
+        state: upstream.state.to_string(),
+        holds: Vec::new(),
+    }
+}
--- a/policy/src/config/converge.rs
+++ b/policy/src/config/converge.rs
@@ -138,6 +138,12 @@
         self.target.as_ref().map(|target| target.head.revision)
     }
 
+    /// Revision that is being fetched, where a peer has it in force.
+    pub fn vouched_target(&self) -> Option<u64> {
+        let told = self.target.as_ref().filter(|target| target.told_by_peer);
+        told.map(|target| target.head.revision)
+    }
+
     /// Time until which what is in force may be served by; 0: it may not.
     pub fn serve_until(&self) -> Millis {
         let Some(confirmed_at) = self.confirmed_at else {
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -4,8 +4,8 @@
 //! randomness and every answer from outside come in as arguments, so the same inputs give the
 //! same run. Modules are state machines of the form `(now, event) -> actions`.
 
-pub mod config;
 pub mod admission;
+pub mod config;
 pub mod drain;
 pub mod entity;
 pub mod entry;
--- a/policy/src/time.rs
+++ b/policy/src/time.rs
@@ -9,6 +9,32 @@
 /// Unix time where a value leaves the process. Field names say which.
 pub type Millis = u64;
 
+/// Time since a start that also counts while the machine is suspended: at each reading it grows
+/// by the advance of the clock on which more has passed. It never runs backwards.
+#[derive(Clone, Copy, Debug)]
+pub struct Elapsed {
+    seen: Now,
+    total_ms: Millis,
+}
+
+impl Elapsed {
+    /// Starts at 0.
+    #[must_use]
+    pub fn since(start: Now) -> Elapsed {
+        Elapsed {
+            seen: start,
+            total_ms: 0,
+        }
+    }
+
+    /// Milliseconds since the start.
+    pub fn advance(&mut self, now: Now) -> Millis {
+        self.total_ms += now.gap_since(self.seen);
+        self.seen = now;
+        self.total_ms
+    }
+}
+
 /// Both clocks at one moment.
 ///
 /// The monotonic clock may stand still while a machine is suspended, and the wall clock may be
--- a/wire/src/operator.rs
+++ b/wire/src/operator.rs
@@ -3,8 +3,8 @@
 //!
 //! | call | request | answer |
 //! |---|---|---|
-//! | `POST /operator/plan` | [`PlanRequest`] | [`PlanReply`] |
-//! | `POST /operator/apply` | [`ApplyRequest`] | [`ApplyReply`]; 409 with [`ApplyRefused`] |
+//! | `POST /operator/plan` | [`PlanRequest`] | [`PlanReply`]; 400 with [`ApplyRefused`] |
+//! | `POST /operator/apply` | [`ApplyRequest`] | [`ApplyReply`]; 400, 409, 503, 504 with [`ApplyRefused`] |
 //! | `GET /operator/schema` | | [`SchemaReply`] |
 //! | `GET /operator/history` | | [`HistoryReply`] |
 //! | `GET /operator/status` | | [`StatusReply`] |
@@ -72,6 +72,19 @@
         /// Difference between the base and what stands, as far as known.
         changes: Vec<String>,
     },
+    /// The change id was used for a commit of other content: nothing was committed. 409.
+    ChangeReused {
+        /// Revision that the change id made.
+        revision: u64,
+    },
+    /// The platform shows an older head than the accepted one, which is being written back:
+    /// nothing was committed. 503.
+    WentBack {
+        /// Revision that the platform shows.
+        standing: u64,
+        /// Accepted revision.
+        accepted: u64,
+    },
     /// The platform can't be reached: nothing was committed. 503.
     PlatformDown {
         /// Cause.
--- a/wire/src/peer.rs
+++ b/wire/src/peer.rs
@@ -6,13 +6,14 @@
 //! | `POST /peer/push` | body and answer [`Push`]: what the other side asked for |
 //! | `POST /peer/probe` | body [`ProbeRequest`], answer [`ProbeReply`]: can you reach this one? |
 //! | `GET /peer/self` | [`MemberRecord`] of the instance itself |
+//! | `GET /peer/head` | [`Head`] of the configuration in force on the instance; 404 where none is |
 //! | `GET /peer/parts/{hash}` | a part of the configuration by its hash, as text; 404 where absent |
 //! | `GET /peer/requests/{id}` | [`crate::operator::RequestRecord`] of a request this instance served |
 //!
 //! An exchange carries digests first and then only what the other side lacks; the modules of
 //! [`jacinthweir_policy::membership`] and [`jacinthweir_policy::upstreams`] say how.
 
-pub use jacinthweir_policy::head::Head;
+pub use jacinthweir_policy::head::{Head, PartRef};
 pub use jacinthweir_policy::member::{MemberState, Phase};
 pub use jacinthweir_policy::membership::{MemberDelta, MemberDigest, MemberRecord};
 use jacinthweir_policy::prelude::*;
