--- a/kernel/src/kernel.rs
+++ b/kernel/src/kernel.rs
@@ -8,10 +8,12 @@
 use jacinthweir_clients::platform::{HttpPlatform, Platform};
 use jacinthweir_clients::runner::RunnerClient;
 use jacinthweir_clients::service::ServiceClient;
+use jacinthweir_policy::config::converge::{Convergence, ConvergenceConfig};
 use jacinthweir_policy::member::{MemberState, Phase};
 use jacinthweir_policy::membership::{Membership, MembershipConfig};
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::route::{Router, RouterConfig};
+use jacinthweir_policy::time::Elapsed;
 use jacinthweir_policy::upstreams::{Upstreams, UpstreamsConfig};
 use jacinthweir_wire::caller::ErrorCode;
 use tokio_util::sync::CancellationToken;
@@ -20,13 +22,20 @@
 use crate::clock::Clock;
 use crate::config::{ConfigCell, InForce};
 use crate::gate::Gate;
-use crate::heads::Heads;
 use crate::parts::Parts;
 use crate::records::Records;
 use crate::reply::Refusal;
 use crate::stats::Stats;
 use crate::{KernelError, Settings};
 
+/// Rounds of exchanges that a joining instance waits to hear from its peers, before it goes by
+/// the platform alone.
+const JOIN_GRACE_ROUNDS: u64 = 4;
+
+/// How long the platform must show an older head than the accepted one before that is written
+/// back, in milliseconds: a read that was merely stale is over by then.
+const WENT_BACK_MS: Millis = 2_000;
+
 /// When to come back to an instance that cannot serve now; another may at once.
 const RETRY_ELSEWHERE_MS: u64 = 1_000;
 
@@ -60,13 +69,13 @@
     pub config: ConfigCell,
     /// Parts of the configuration, for peers.
     pub parts: Parts,
-    /// Heads of the configuration, towards and from peers.
-    pub heads: Heads,
     /// Admission.
     pub gate: Arc<Gate>,
     upstreams: Mutex<Upstreams>,
     router: Mutex<Router>,
     membership: Mutex<Membership>,
+    convergence: Mutex<Convergence>,
+    elapsed: Mutex<Elapsed>,
 }
 
 impl Kernel {
@@ -95,10 +104,11 @@
             records: Arc::new(Records::open(settings.limits.records)),
             config: ConfigCell::default(),
             parts: Parts::default(),
-            heads: Heads::default(),
             gate: Gate::open(clock),
             upstreams: Mutex::new(upstreams(&settings, clock)),
             membership: Mutex::new(membership(&settings, incarnation, clock)),
+            convergence: Mutex::new(convergence(&settings)),
+            elapsed: Mutex::new(Elapsed::since(clock.reading())),
             router: Mutex::new(Router::new(RouterConfig::default())),
             settings,
         };
@@ -117,6 +127,22 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The way to the newest configuration; the schema plug-in alone feeds it. Lock it before
+    /// [`Kernel::membership`] where both are needed.
+    pub fn convergence(&self) -> MutexGuard<'_, Convergence> {
+        self.convergence
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Milliseconds since the start, the time that this machine was suspended included: the
+    /// clock of the convergence.
+    #[must_use]
+    pub fn elapsed_ms(&self) -> Millis {
+        let mut elapsed = self.elapsed.lock().unwrap_or_else(PoisonError::into_inner);
+        elapsed.advance(self.clock.reading())
+    }
+
     /// What is known of the upstreams.
     pub fn upstreams(&self) -> MutexGuard<'_, Upstreams> {
         self.upstreams
@@ -148,7 +174,10 @@
     /// # Errors
     /// `no_configuration`: nothing ran.
     pub fn serving_config(&self) -> Result<Arc<InForce>, Refusal> {
-        if let Some(config) = self.config.get().served() {
+        let config = self.config.get();
+        if let Some(config) = config.served()
+            && config.may_serve(self.elapsed_ms())
+        {
             return Ok(Arc::clone(config));
         }
         let msg = "this instance has no configuration that it can vouch for";
@@ -193,6 +222,17 @@
     }
 }
 
+fn convergence(settings: &Settings) -> Convergence {
+    let cfg = ConvergenceConfig {
+        own: settings.name.clone(),
+        expects_peers: !settings.peers.is_empty(),
+        join_grace_ms: JOIN_GRACE_ROUNDS * settings.timing.gossip_ms,
+        unconfirmed_ms: settings.timing.unconfirmed_ms,
+        went_back_ms: WENT_BACK_MS,
+    };
+    Convergence::new(0, cfg)
+}
+
 fn membership(settings: &Settings, incarnation: u64, clock: Clock) -> Membership {
     let own = MemberState {
         name: settings.name.clone(),
--- a/plugins/peers/src/exchange.rs
+++ b/plugins/peers/src/exchange.rs
@@ -30,7 +30,6 @@
     let upstreams = upstream_digest(&cx, &peer, digest.salt);
     let msg = Exchange {
         from: cx.settings.name.clone(),
-        revision: revision(&cx),
         members: digest,
         upstreams,
     };
@@ -68,16 +67,12 @@
     let now = cx.clock.reading();
     let push = Push {
         from: Some(cx.settings.name.clone()),
-        head: head_for(cx, answer.revision),
         members: cx
             .membership()
             .receive_answer(now, asked_ms, &answer.from, &answer.members),
         upstreams: cx.upstreams().receive_delta(now, &answer.upstreams),
     };
-    if let Some(head) = answer.head {
-        cx.heads.hear(answer.from, head);
-    }
-    if push.head.is_none() && push.members.is_none() && push.upstreams.is_none() {
+    if push.members.is_none() && push.upstreams.is_none() {
         return;
     }
     let pushed: Result<Push, ClientError> = cx.peers.post(peer.address, "/peer/push", &push).await;
@@ -96,8 +91,6 @@
     let members = cx.membership().receive_digest(now, &msg.from, &msg.members);
     ExchangeAnswer {
         from: cx.settings.name.clone(),
-        revision: revision(cx),
-        head: head_for(cx, msg.revision),
         members,
         upstreams: cx.upstreams().receive_digest(now, &msg.upstreams),
     }
@@ -119,19 +112,6 @@
     if let Some(delta) = &push.members {
         cx.membership().receive_push(now, &from, delta);
     }
-    if let Some(head) = push.head {
-        cx.heads.hear(from, head);
-    }
     let delta = push.upstreams?;
     cx.upstreams().receive_delta(now, &delta)
 }
-
-fn revision(cx: &Kernel) -> u64 {
-    cx.heads.own().map_or(0, |head| head.revision)
-}
-
-/// The own head, for a peer that knows only a lower revision.
-fn head_for(cx: &Kernel, revision: u64) -> Option<jacinthweir_wire::peer::Head> {
-    let own = cx.heads.own()?;
-    (own.revision > revision).then(|| own.as_ref().clone())
-}
