--- a/testkit/src/runner/cache.rs
+++ b/testkit/src/runner/cache.rs
@@ -1,10 +1,12 @@
 //! The cache of prompt prefixes, and its events, which are late and have gaps.
+//!
+//! A prompt enters by the hashes of its prefixes ([`crate::text::prefixes`]). Only a first block
+//! is named in events; the further ones save work and are not reported.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
-use jacinthweir_wire::prefix::BLOCK_BYTES;
-use jacinthweir_wire::runner::{CacheEvent, CacheEvents};
+use jacinthweir_wire::runner::{CacheEvent, CacheEvents, PREFIX_BYTES};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -12,7 +14,7 @@
 use crate::text::BYTES_PER_TOKEN;
 
 /// Tokens of one block of a prefix.
-const BLOCK_TOKENS: usize = BLOCK_BYTES / BYTES_PER_TOKEN;
+const BLOCK_TOKENS: usize = PREFIX_BYTES / BYTES_PER_TOKEN;
 /// Events that are kept for reading.
 const KEPT_EVENTS: usize = 4_096;
 
@@ -27,6 +29,8 @@
     /// Last use of each prefix.
     held: BTreeMap<u64, u64>,
     by_use: BTreeMap<u64, u64>,
+    /// Prefixes of one block, which events name.
+    firsts: BTreeSet<u64>,
     numbers: u64,
     events: VecDeque<(Instant, CacheEvent)>,
 }
@@ -41,6 +45,7 @@
             uses: 0,
             held: BTreeMap::new(),
             by_use: BTreeMap::new(),
+            firsts: BTreeSet::new(),
             numbers: 0,
             events: VecDeque::new(),
         }
@@ -55,6 +60,11 @@
         for prefix in prefixes {
             self.touch(*prefix);
         }
+        if let Some(first) = prefixes.first()
+            && self.firsts.insert(*first)
+        {
+            self.event(*first, true);
+        }
         while self.held.len() > self.capacity {
             self.evict();
         }
@@ -63,11 +73,8 @@
 
     fn touch(&mut self, prefix: u64) {
         self.uses += 1;
-        match self.held.insert(prefix, self.uses) {
-            Some(old) => {
-                self.by_use.remove(&old);
-            }
-            None => self.event(prefix, true),
+        if let Some(old) = self.held.insert(prefix, self.uses) {
+            self.by_use.remove(&old);
         }
         self.by_use.insert(self.uses, prefix);
     }
@@ -75,7 +82,9 @@
     fn evict(&mut self) {
         if let Some((_, prefix)) = self.by_use.pop_first() {
             self.held.remove(&prefix);
-            self.event(prefix, false);
+            if self.firsts.remove(&prefix) {
+                self.event(prefix, false);
+            }
         }
     }
 
--- a/testkit/src/runner/drive.rs
+++ b/testkit/src/runner/drive.rs
@@ -5,7 +5,6 @@
 
 use bytes::Bytes;
 use jacinthweir_policy::prelude::*;
-use jacinthweir_wire::prefix;
 use jacinthweir_wire::runner::{
     BrokenFrame, CancelRequest, EndFrame, Frame, Refused, RefusedCode, RunRequest, Stage,
     StageRequest, TokenFrame,
@@ -135,7 +134,7 @@
         index,
         tokens,
         prefix: if prefill {
-            prefix::hashes(&req.prompt)
+            text::prefixes(&req.prompt)
         } else {
             Vec::new()
         },
--- a/testkit/src/text.rs
+++ b/testkit/src/text.rs
@@ -4,6 +4,7 @@
 //! received. Two prompts differ in nearly every token, so a frame of another request shows.
 
 use jacinthweir_wire::caller::FinishReason;
+use jacinthweir_wire::runner::{PREFIX_BYTES, prefix_hash};
 
 /// Bytes of prompt that make one token.
 pub const BYTES_PER_TOKEN: usize = 4;
@@ -75,3 +76,16 @@
     let (tokens, _) = length(prompt, max_tokens);
     (0..tokens).map(|index| token(prompt, index)).collect()
 }
+
+/// Hashes of the prompt's prefixes of one, two and more whole blocks of [`PREFIX_BYTES`]. The
+/// first is what cache events name; each further one is a hash over the one before and its block.
+#[must_use]
+pub fn prefixes(prompt: &str) -> Vec<u64> {
+    let blocks = prompt.as_bytes().chunks_exact(PREFIX_BYTES).skip(1);
+    let first = prefix_hash(prompt);
+    let further = blocks.scan(first.unwrap_or(0), |sum, block| {
+        *sum = hash(*sum, block);
+        Some(*sum)
+    });
+    first.into_iter().chain(further).collect()
+}
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -9,5 +9,4 @@
 pub mod operator;
 pub mod peer;
 pub mod platform;
-pub mod prefix;
 pub mod runner;
--- a/wire/src/runner.rs
+++ b/wire/src/runner.rs
@@ -160,7 +160,8 @@
     /// Tokens to run through: 1, or the number of the prompt and the resumed tokens for a prefill;
     /// 0: take a place for the attempt along the route, running nothing.
     pub tokens: u32,
-    /// Hashes of the prompt's prefixes, as in [`crate::prefix`], for a prefill.
+    /// Hashes of the prompt's prefixes, shortest first, for a prefill; the first is its
+    /// [`prefix_hash`], what the others are is the runners' own matter.
     #[serde(default)]
     pub prefix: Vec<u64>,
     /// Runner to import the KV cache from, for a prefill; absent: run the tokens again.
@@ -204,7 +205,7 @@
 pub struct CacheEvent {
     /// Number.
     pub number: u64,
-    /// Hash of the prefix, as in [`crate::prefix`].
+    /// Hash of the prefix: [`prefix_hash`].
     pub prefix: u64,
     /// In or out.
     pub cached: bool,
