Load driver: open loop, seeded, each answer checked

Cause: nothing loads the instances or checks answers by the whole text. Ruled out: closed-loop workers (they slow down with the system and hide the knee).

--- a/testkit/src/caller.rs
+++ b/testkit/src/caller.rs
@@ -48,6 +48,8 @@
     pub end_us: u64,
     /// Error of the connection, in one sentence.
     pub broken: Option<String>,
+    /// Whether no connection came about: nothing was sent.
+    pub not_connected: bool,
 }
 
 /// A submission to a model.
@@ -149,6 +151,7 @@
             }
         };
         if let Err(err) = read.await {
+            seen.not_connected = matches!(&err, Error::Http(err) if err.is_connect());
             seen.broken = Some(format!("{:#}", eyre::Report::new(err)));
         }
         seen.end_us = micros(started);
--- a/testkit/src/fleet.rs
+++ b/testkit/src/fleet.rs
@@ -229,7 +229,7 @@
         Ok(out)
     }
 
-    /// Waits until every instance that runs serves callers.
+    /// Waits until every instance that runs names all of them to callers.
     ///
     /// # Errors
     ///
@@ -237,11 +237,18 @@
     pub async fn wait_serving(&self) -> Result<()> {
         let caller = self.caller(self.deployment.organisations()[0])?;
         let deadline = Instant::now() + Duration::from_secs(READY_S);
-        for instance in self.instances.iter().filter(|i| i.process.id().is_some()) {
-            while let Err(err) = caller.entry(instance.faces.callers).await {
+        let running = || self.instances.iter().filter(|i| i.process.id().is_some());
+        let count = running().count();
+        for instance in running() {
+            loop {
+                let answer = caller.entry(instance.faces.callers).await;
+                if answer.as_ref().is_ok_and(|a| a.addresses.len() == count) {
+                    break;
+                }
                 if Instant::now() > deadline {
                     let log = instance.process.log_tail();
-                    return Err(Error::Other(format!("{}: {err}\n{log}", instance.name)));
+                    let name = &instance.name;
+                    return Err(Error::Other(format!("{name}: {answer:?}\n{log}")));
                 }
                 tokio::time::sleep(Duration::from_millis(ASK_MS)).await;
             }
@@ -249,6 +256,12 @@
         Ok(())
     }
 
+    /// Callers' addresses of all instances.
+    #[must_use]
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        self.instances.iter().map(|i| i.faces.callers).collect()
+    }
+
     /// Runs `jwctl` against the `i`-th instance.
     ///
     /// # Errors
--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod error;
 pub mod fleet;
 pub mod http;
+pub mod load;
 pub mod platform;
 pub mod runner;
 pub mod service;
--- /dev/null
+++ b/testkit/src/load.rs
@@ -0,0 +1,99 @@
+//! A small load driver: open loop, seeded, and checking every answer.
+//!
+//! Requests leave at the times that [`arrivals`] drew, whether or not earlier ones were answered,
+//! so a system that falls behind can't slow the load down. Callers keep entry answers for their
+//! time to live; where an address refuses the connection, they try the next one, since nothing of
+//! the request was sent. They submit nothing twice.
+
+pub mod arrivals;
+pub mod entry;
+pub mod result;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use jacinthweir_policy::prelude::*;
+use tokio::task::JoinSet;
+
+use crate::caller::Seen;
+use crate::fleet::deployment::Deployment;
+use crate::{Caller, Result};
+use arrivals::{Arrival, ArrivalsCfg, Ask};
+use entry::EntryCache;
+use result::{Collector, LoadResult};
+
+/// Runs a load against the instances at `entries`.
+///
+/// # Errors
+///
+/// Where no HTTP client can be made.
+pub async fn run(
+    deployment: Deployment,
+    cfg: &ArrivalsCfg,
+    entries: &[SocketAddr],
+) -> Result<LoadResult> {
+    let caches = caches(deployment, entries)?;
+    let mut running = JoinSet::new();
+    let mut collector = Collector::default();
+    let start = Instant::now();
+    for arrival in arrivals::arrivals(deployment, cfg) {
+        let at = start + Duration::from_micros(arrival.at_us);
+        tokio::time::sleep_until(at.into()).await;
+        let cache = caches[&arrival.organisation].clone();
+        running.spawn(async move {
+            let seen = submit(&cache, &arrival.ask).await;
+            (arrival, seen)
+        });
+        while let Some(ended) = running.try_join_next() {
+            take(&mut collector, ended);
+        }
+    }
+    while let Some(ended) = running.join_next().await {
+        take(&mut collector, ended);
+    }
+    Ok(collector.finish())
+}
+
+fn take(
+    collector: &mut Collector,
+    ended: std::result::Result<(Arrival, Seen), tokio::task::JoinError>,
+) {
+    match ended {
+        Ok((arrival, seen)) => collector.take(&arrival, &seen),
+        Err(err) => log::error!("a caller's task failed: {err}"),
+    }
+}
+
+fn caches(
+    deployment: Deployment,
+    entries: &[SocketAddr],
+) -> Result<BTreeMap<Name, Arc<EntryCache>>> {
+    let mut caches = BTreeMap::new();
+    for (i, organisation) in deployment.organisations().into_iter().enumerate() {
+        let caller = Caller::open(&Deployment::key(organisation))?;
+        // Callers of different organisations begin at different instances.
+        let mut first = entries.to_vec();
+        first.rotate_left(i % entries.len().max(1));
+        let cache = EntryCache::new(caller, first);
+        caches.insert(organisation.into(), Arc::new(cache));
+    }
+    Ok(caches)
+}
+
+/// Submits once, at the first address that takes the connection.
+async fn submit(cache: &EntryCache, ask: &Ask) -> Seen {
+    let mut last = Seen::default();
+    for at in cache.addresses().await {
+        last = match ask {
+            Ask::Model(call) => cache.caller().complete(at, call).await,
+            Ask::Service(call) => cache.caller().call(at, call).await,
+        };
+        if !last.not_connected {
+            return last;
+        }
+        cache.forget();
+    }
+    last
+}
