Operators' client for tests

Cause: races of operators and lost answers need typed replies, which jwctl's text doesn't give. Change: testkit::Operator; the fleet waits for instances by it.

--- a/testkit/src/fleet.rs
+++ b/testkit/src/fleet.rs
@@ -195,7 +195,7 @@
         }
         for instance in &mut self.instances {
             let deadline = Instant::now() + Duration::from_secs(READY_S);
-            instance.wait_operators(&self.client, deadline).await?;
+            instance.wait_operators(deadline).await?;
         }
         Ok(())
     }
--- a/testkit/src/fleet/instance.rs
+++ b/testkit/src/fleet/instance.rs
@@ -14,7 +14,7 @@
 use super::deployment::Deployment;
 use super::process::{Process, ProcessSpec, program};
 use crate::http::unix_ms;
-use crate::{Error, Result};
+use crate::{Error, Operator, Result};
 
 /// The token between instances of every fleet.
 const PEERS_TOKEN: &str = "peers-token-of-the-test-kit";
@@ -104,22 +104,23 @@
         }
     }
 
+    /// A client of its operators' listener.
+    ///
+    /// # Errors
+    ///
+    /// Where no HTTP client can be made.
+    pub fn operator(&self) -> Result<Operator> {
+        Operator::open(self.faces.operators, &self.operators_token)
+    }
+
     /// Waits until it answers its operators.
     ///
     /// # Errors
     ///
     /// Where it ends, or doesn't answer until `deadline`.
-    pub async fn wait_operators(
-        &mut self,
-        client: &reqwest::Client,
-        deadline: Instant,
-    ) -> Result<()> {
-        let url = format!("http://{}/operator/dump", self.faces.operators);
-        loop {
-            let ask = client.get(&url).bearer_auth(&self.operators_token);
-            if ask.send().await.is_ok_and(|a| a.status().is_success()) {
-                return Ok(());
-            }
+    pub async fn wait_operators(&mut self, deadline: Instant) -> Result<()> {
+        let operator = self.operator()?;
+        while !operator.answers().await {
             let ended = self
                 .process
                 .ended(Duration::from_millis(super::ASK_MS))
@@ -132,6 +133,7 @@
                 )));
             }
         }
+        Ok(())
     }
 }
 
