Relay that tests cut and hang; fleet restarts members and can cut an instance off the platform

Cause: "one instance cut off" and "platform unreachable for one" had no means; a restarted member was not listed with its new incarnation. Ruled out: packet filters of the machine (they concern others on it). Peers can't be relayed yet: they learn each other's own listener address by gossip. Change: testkit::relay; each instance reaches the platform over its own relay.

--- a/testkit/src/fleet.rs
+++ b/testkit/src/fleet.rs
@@ -3,7 +3,8 @@
 //! [`Fleet::start`] starts the platform, the runners and services, lists them, writes a settings
 //! file for each instance into a temporary folder, starts the instances, and waits by asking
 //! until each one answers its operators. [`Fleet::apply`] applies the deployment's sample schema
-//! through `jwctl` and waits until callers are served. Every process is killed when its handle is
+//! through `jwctl` and waits until callers are served. Each instance reaches the platform over a
+//! link of its own, a [`Relay`] in the driver's process, which a test can cut. Every process is killed when its handle is
 //! dropped; [`Fleet::stop`] shuts all down gracefully first.
 
 pub mod deployment;
@@ -20,10 +21,12 @@
 use jacinthweir_wire::platform::{ENTRY_GROUP, ListedInstance, ListedState};
 use tempfile::TempDir;
 use tokio::process::Command;
+use tokio_util::sync::{CancellationToken, DropGuard};
 
 use crate::admin::PlatformAdmin;
 use crate::caller::Caller;
 use crate::platform::admin::InstancesChange;
+use crate::relay::Relay;
 use crate::{Error, PlatformCfg, Result};
 use deployment::Deployment;
 use instance::Instance;
@@ -107,6 +110,10 @@
     pub services: Vec<ServiceProcess>,
     /// Entry instances.
     pub instances: Vec<Instance>,
+    /// Each instance's link to the platform, in the order of the instances.
+    pub platform_links: Vec<Relay>,
+    /// Ends the links, also where a test fails.
+    links_end: DropGuard,
     client: reqwest::Client,
     ip: IpAddr,
     timing: Timing,
@@ -135,6 +142,8 @@
             runners: Vec::new(),
             services: Vec::new(),
             instances: Vec::new(),
+            platform_links: Vec::new(),
+            links_end: CancellationToken::new().drop_guard(),
             client,
             ip,
             timing: cfg.timing.clone(),
@@ -180,18 +189,22 @@
                 peers: addresses[3 * i + 1],
                 operators: addresses[3 * i + 2],
             };
+            let listen = SocketAddr::new(self.ip, 0);
+            let token = self.links_end.token().clone();
+            let link = Relay::bind(listen, self.platform.address, token).await?;
             let spec = instance::InstanceSpec {
                 deployment: self.deployment,
                 number: i,
                 faces,
                 peers: peers.clone(),
-                platform: self.platform.address,
+                platform: link.address,
                 operators_token: OPERATORS_TOKEN.to_owned(),
                 timing: self.timing.clone(),
             };
             let instance = Instance::spawn(spec, self.dir.path())?;
             self.list(vec![instance.listing()], true).await?;
             self.instances.push(instance);
+            self.platform_links.push(link);
         }
         for instance in &mut self.instances {
             let deadline = Instant::now() + Duration::from_secs(READY_S);
@@ -309,6 +322,28 @@
         crate::admin::ServiceAdmin::new(self.client.clone(), self.services[i].listing.address)
     }
 
+    /// Kills the `i`-th instance where it still runs, starts it again with the same settings, and
+    /// lists it with its new incarnation.
+    ///
+    /// # Errors
+    ///
+    /// Where it can't be started.
+    pub async fn restart_instance(&mut self, i: usize) -> Result<()> {
+        self.instances[i].process.restart().await?;
+        self.list(vec![self.instances[i].listing()], false).await
+    }
+
+    /// The same for the `i`-th runner.
+    ///
+    /// # Errors
+    ///
+    /// Where it can't be started.
+    pub async fn restart_runner(&mut self, i: usize) -> Result<()> {
+        self.runners[i].restart().await?;
+        self.list(vec![self.runners[i].listing.clone()], false)
+            .await
+    }
+
     /// Puts instances into the platform's list, with its lag or without.
     ///
     /// # Errors
--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod load;
 pub mod operator;
 pub mod platform;
+pub mod relay;
 pub mod runner;
 pub mod service;
 pub mod text;
