Stand-ins send small pieces at once; jwctl gets server and token from its environment

Cause: with a fleet and the schema plug-in the first tokens came in a burst after 49 to 53 ms. salvo leaves Nagle's algorithm on, so a second small frame waits for a delayed acknowledgement. Ruled out: the queue and the batch of the stand-in (its record shows no wait; later tokens come evenly). Change: the listener has TCP_NODELAY, which accepted connections inherit. Conclusion: the instance's own listeners (kernel) have the same default and should do the same.

--- a/testkit/src/fleet.rs
+++ b/testkit/src/fleet.rs
@@ -39,6 +39,8 @@
 const ASK_MS: u64 = 20;
 /// Longest graceful shutdown of one process, in seconds.
 const STOP_S: u64 = 20;
+/// Who applies a fleet's schema, as the history shows.
+const OPERATOR: &str = "testkit";
 /// The operators' token of every fleet.
 const OPERATORS_TOKEN: &str = "operators-token-of-the-test-kit";
 
@@ -76,11 +78,13 @@
         }
     }
 
-    /// Today's size: forty runners.
+    /// Today's size: forty runners, slowed down so that one machine carries them and a step takes
+    /// much longer than the granularity of timers.
     #[must_use]
     pub fn today(deployment: Deployment) -> Self {
         Self {
             runners: 40,
+            speed: 0.1,
             ..Self::small(deployment)
         }
     }
@@ -283,7 +287,9 @@
     pub async fn jwctl(&self, i: usize, args: &[&str]) -> Result<CtlOutput> {
         let at = self.instances[i].faces.operators.to_string();
         let output = Command::new(program("jwctl")?)
-            .args(["--address", &at, "--token", OPERATORS_TOKEN])
+            .env("JWCTL_SERVER", at)
+            .env("JWCTL_TOKEN", OPERATORS_TOKEN)
+            .args(["--operator", OPERATOR])
             .args(args)
             .kill_on_drop(true)
             .output()
--- a/testkit/src/http.rs
+++ b/testkit/src/http.rs
@@ -8,7 +8,7 @@
 use salvo::prelude::*;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio_util::sync::CancellationToken;
 
 use crate::Result;
@@ -17,6 +17,9 @@
 /// each byte escaped.
 const MAX_BODY_BYTES: usize = 8 << 20;
 
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
 /// Puts shared state into each request's depot.
 pub(crate) struct Inject<T>(pub(crate) Arc<T>);
 
@@ -41,7 +44,7 @@
     router: Router,
     token: CancellationToken,
 ) -> Result<SocketAddr> {
-    let listener = TcpListener::bind(address).await?;
+    let listener = listen(address)?;
     let bound = listener.local_addr()?;
     let acceptor = TcpAcceptor::try_from(listener)?;
     let server = Server::new(acceptor);
@@ -54,6 +57,23 @@
     Ok(bound)
 }
 
+/// Binds a listener whose connections send small pieces at once.
+///
+/// salvo leaves Nagle's algorithm on: the second frame of a stream then waits for the
+/// acknowledgement of the first, 40 ms with a delayed one, and tokens arrive in bursts. Accepted
+/// connections inherit the option from the listener.
+fn listen(address: SocketAddr) -> Result<TcpListener> {
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    socket.set_reuseaddr(true)?;
+    socket.set_nodelay(true)?;
+    socket.bind(address)?;
+    Ok(socket.listen(BACKLOG)?)
+}
+
 /// Reads the body as JSON, or answers 400 (413 where too large) and returns `None`.
 pub(crate) async fn body<T: DeserializeOwned>(req: &mut Request, res: &mut Response) -> Option<T> {
     let payload = match req.payload_with_max_size(MAX_BODY_BYTES).await {
