--- a/policy/src/route.rs
+++ b/policy/src/route.rs
@@ -28,6 +28,6 @@
     CacheSeen, CloseReason, Held, LinkEnds, LinkSeen, ModelSpec, NoRoute, Pick, Route, RouteStage,
     RunnerSeen,
 };
-pub use router::{Router, RouterConfig};
+pub use router::{MODELS_PER_REPLAN, Router, RouterConfig};
 pub use state::{ModelState, RouterState, RunnerState};
 pub use verify::{RouteFault, verify_route};
--- a/policy/src/route/cheapest.rs
+++ b/policy/src/route/cheapest.rs
@@ -66,36 +66,29 @@
     fn search(&self, prices: &Prices<'_>, banned: &[bool]) -> Option<(Vec<usize>, f64)> {
         let mut labels: Vec<Vec<Label>> = Vec::with_capacity(self.lengths.len());
         let mut stay = vec![f64::INFINITY; self.candidates.len()];
+        let mut entries = Entries::default();
         for (s, holders) in self.holders.iter().enumerate() {
-            let entries = match s {
-                0 => Entries::start(),
-                _ => Entries::from(self, &self.holders[s - 1], &labels[s - 1]),
-            };
-            let row: Vec<Label> = holders
-                .iter()
-                .map(|&c| {
-                    let own = f64::from(self.lengths[s]) * prices.per_layer[c];
-                    let (price, from) = match s {
-                        0 => (0.0, c),
-                        _ => entries.best(prices, self.candidates[c].domain),
-                    };
-                    let (price, from) = if stay[c] <= price {
-                        (stay[c], c)
-                    } else {
-                        (price, from)
-                    };
-                    let price = if banned[c] {
-                        f64::INFINITY
-                    } else {
-                        price + own
-                    };
-                    Label { price, from }
-                })
-                .collect();
+            let length = f64::from(self.lengths[s]);
+            let mut row = Vec::with_capacity(holders.len());
+            for &c in holders {
+                let (mut price, mut from) = match s {
+                    0 => (0.0, c),
+                    _ => entries.best(prices, self.candidates[c].domain),
+                };
+                if stay[c] <= price {
+                    (price, from) = (stay[c], c);
+                }
+                price += length * prices.per_layer[c];
+                if banned[c] {
+                    price = f64::INFINITY;
+                }
+                row.push(Label { price, from });
+            }
             stay.fill(f64::INFINITY);
             for (&c, label) in holders.iter().zip(&row) {
                 stay[c] = label.price;
             }
+            entries.fill(self, prices, holders, &row);
             labels.push(row);
         }
         self.trace(&labels)
@@ -117,45 +110,53 @@
     }
 }
 
-/// Cheapest label of each domain in the segment before.
+/// Cheapest labels of the segment before.
+#[derive(Default)]
 struct Entries {
+    /// The cheapest of all.
+    least: Option<(DomainId, f64, usize)>,
+    /// The cheapest of each domain; empty where no link has a price.
     by_domain: Vec<(DomainId, f64, usize)>,
 }
 
 impl Entries {
-    fn start() -> Self {
-        Self {
-            by_domain: Vec::new(),
-        }
-    }
-
-    fn from(ways: &Ways<'_>, holders: &[usize], labels: &[Label]) -> Self {
-        let mut by_domain: Vec<(DomainId, f64, usize)> = Vec::new();
-        for (&c, label) in holders.iter().zip(labels) {
-            let domain = ways.candidates[c].domain;
-            match by_domain.iter_mut().find(|(d, ..)| *d == domain) {
-                Some(entry) if label.price < entry.1 => *entry = (domain, label.price, c),
+    fn fill(&mut self, ways: &Ways<'_>, prices: &Prices<'_>, holders: &[usize], row: &[Label]) {
+        self.least = None;
+        self.by_domain.clear();
+        for (&c, label) in holders.iter().zip(row) {
+            let entry = (ways.candidates[c].domain, label.price, c);
+            if self.least.is_none_or(|(_, least, _)| entry.1 < least) {
+                self.least = Some(entry);
+            }
+            if prices.links.is_empty() {
+                continue;
+            }
+            match self.by_domain.iter_mut().find(|(d, ..)| *d == entry.0) {
+                Some(known) if entry.1 < known.1 => *known = entry,
                 Some(_) => {}
-                None => by_domain.push((domain, label.price, c)),
+                None => self.by_domain.push(entry),
             }
         }
-        by_domain.sort_by(|a, b| a.1.total_cmp(&b.1));
-        Self { by_domain }
     }
 
     /// Cheapest way to come to `domain`, with the link paid.
     fn best(&self, prices: &Prices<'_>, domain: DomainId) -> (f64, usize) {
-        let mut best = (f64::INFINITY, usize::MAX);
-        for &(from, price, c) in &self.by_domain {
-            if price + prices.per_hop >= best.0 {
-                break;
-            }
-            let link = prices
+        let link = |from| {
+            prices
                 .links
                 .get(&Hop::new(from, domain))
                 .copied()
-                .unwrap_or(0.0);
-            let total = price + prices.per_hop + link;
+                .unwrap_or(0.0)
+        };
+        let Some((from, price, c)) = self.least else {
+            return (f64::INFINITY, usize::MAX);
+        };
+        if prices.links.is_empty() || link(from) == 0.0 {
+            return (price + prices.per_hop, c);
+        }
+        let mut best = (f64::INFINITY, usize::MAX);
+        for &(from, price, c) in &self.by_domain {
+            let total = price + prices.per_hop + link(from);
             if total < best.0 {
                 best = (total, c);
             }
--- a/policy/src/route/fleet.rs
+++ b/policy/src/route/fleet.rs
@@ -9,9 +9,12 @@
 use crate::layers::LayerRange;
 use crate::prelude::*;
 use cranelift_entity::PrimaryMap;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
+/// A reported speed that differs by no more than this share counts as unchanged.
+const SPEED_SHARE: f64 = 0.05;
+
 /// One runner as known here.
 #[derive(Clone, Debug)]
 pub struct Runner {
@@ -151,6 +154,8 @@
     pub runners: PrimaryMap<RunnerId, Runner>,
     /// Names of the failure domains.
     pub domains: PrimaryMap<DomainId, Name>,
+    /// Models whose plan is older than what it is made from.
+    pub stale: BTreeSet<ModelId>,
     by_name: BTreeMap<Name, RunnerId>,
     by_domain: BTreeMap<Name, DomainId>,
     /// Prefixes in the runners' caches.
@@ -184,6 +189,13 @@
         for runner in self.runners.values_mut() {
             runner.resolve(&self.models);
         }
+        self.stale = self.models.keys().collect();
+    }
+
+    /// Marks the models that a runner holds as in need of a new plan.
+    fn touch(&mut self, id: RunnerId) {
+        let models = self.runners[id].held.iter().map(|(model, _)| *model);
+        self.stale.extend(models);
     }
 
     /// Takes a report in. Reports of an older incarnation or with an older number have no effect.
@@ -198,7 +210,9 @@
         }
         if seen.incarnation > known.incarnation {
             let fresh = self.make(now, seen);
+            self.touch(id);
             self.runners[id] = fresh;
+            self.touch(id);
             self.cache.restart(id);
             return Effect::PlanChanged;
         }
@@ -212,6 +226,7 @@
         let runner = self.make(now, seen);
         let id = self.runners.push(runner);
         self.by_name.insert(seen.name.clone(), id);
+        self.touch(id);
     }
 
     fn make(&mut self, now: Millis, seen: &RunnerSeen) -> Runner {
@@ -241,7 +256,6 @@
 
     fn update(&mut self, id: RunnerId, now: Millis, seen: &RunnerSeen) -> Effect {
         let domain = self.domain(&seen.domain);
-        let models = &self.models;
         let runner = &mut self.runners[id];
         let closed = match runner.closed {
             // Leaving and gone never turn back in one incarnation: a late report that was made
@@ -249,27 +263,33 @@
             Some(CloseReason::Leaving | CloseReason::Gone) => runner.closed,
             Some(CloseReason::Suspected) | None => seen.leaving.then_some(CloseReason::Leaving),
         };
+        let speed = seen.token_layers_per_s;
+        let faster_or_slower = (speed - runner.speed).abs() > SPEED_SHARE * runner.speed;
         let same = closed == runner.closed
             && runner.declared == seen.holds
-            && runner.speed.to_bits() == seen.token_layers_per_s.to_bits()
+            && !faster_or_slower
             && runner.domain == domain;
         runner.closed = closed;
         runner.address = seen.address;
         runner.domain = domain;
-        runner.speed = seen.token_layers_per_s;
+        // Reported speeds are measured and vary a little with each report: following every one
+        // would ask for a new plan each time, so small changes are left out.
+        if faster_or_slower {
+            runner.speed = speed;
+        }
         runner.reported = seen.running + seen.queued;
         runner.number = seen.number;
         runner.figures_at = now.saturating_sub(seen.age_ms);
         runner.settle(runner.figures_at);
-        if runner.declared != seen.holds {
-            runner.declared.clone_from(&seen.holds);
-            runner.resolve(models);
-        }
         if same {
-            Effect::Same
-        } else {
-            Effect::PlanChanged
+            return Effect::Same;
         }
+        self.touch(id);
+        let runner = &mut self.runners[id];
+        runner.declared.clone_from(&seen.holds);
+        runner.resolve(&self.models);
+        self.touch(id);
+        Effect::PlanChanged
     }
 
     /// Closes a runner to new work. A stronger reason replaces a weaker one.
@@ -278,6 +298,7 @@
         let before = runner.closed;
         runner.closed = before.max(Some(reason));
         if before.is_none() {
+            self.touch(id);
             Effect::PlanChanged
         } else {
             Effect::Same
--- a/policy/src/route/packing.rs
+++ b/policy/src/route/packing.rs
@@ -45,6 +45,11 @@
         }
     }
 
+    /// Number of resources.
+    pub fn rows(&self) -> usize {
+        self.rows
+    }
+
     /// Price of each resource; lets slacks back in until none is negative.
     pub fn prices(&mut self) -> Vec<f64> {
         loop {
--- a/policy/src/route/plan.rs
+++ b/policy/src/route/plan.rs
@@ -23,9 +23,17 @@
 /// Charge for each change of runner, against the gain of 1 of a whole chain.
 const HOP_CHARGE: f64 = 0.002;
 /// The plan is good enough once no more than this share can be gained.
-const GOOD_ENOUGH: f64 = 0.003;
-/// The most chains brought in: bounds the time of a plan.
+const GOOD_ENOUGH: f64 = 0.01;
+/// Links are left out of the program as long as no chain asks too much of them, and brought in
+/// where one does, in so many rounds at most.
+const LINK_ROUNDS: usize = 3;
+/// A link that is over its limit by no more than this share is not relieved.
+const SLIGHTLY_OVER: f64 = 1e-6;
+/// The most chains brought in.
 const MAX_STEPS: usize = 2_000;
+/// The most chains brought in, times the square of the number of resources, which is what bringing
+/// one in costs: bounds the time of a plan of very many runners.
+const MAX_WORK: usize = 40_000_000;
 
 /// A way through the runners with its planned rate.
 #[derive(Clone, Debug, PartialEq)]
@@ -61,6 +69,16 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Hop(DomainId, DomainId);
 
+impl Chain {
+    /// Where it changes runner.
+    fn hops<'a>(&'a self, fleet: &'a Fleet) -> impl Iterator<Item = Hop> + 'a {
+        let domain = |stage: &(RunnerId, LayerRange)| fleet.runners[stage.0].domain;
+        self.stages
+            .windows(2)
+            .map(move |w| Hop::new(domain(&w[0]), domain(&w[1])))
+    }
+}
+
 impl Hop {
     /// Between `a` and `b`.
     pub fn new(a: DomainId, b: DomainId) -> Self {
@@ -109,10 +127,13 @@
     }
     let lengths: Vec<u32> = segments.iter().map(|s| s.count()).collect();
     let rate = flow::max_rate(&lengths, &group(&candidates));
-    let capacities = link_capacities(links, spec.activation_bytes, rate.tokens_per_s);
-    let link_bound = flow::link_bound(&rooms(&candidates, &lengths), &capacities);
+    let capacities = link_capacities(links, spec.activation_bytes);
+    let unit = rate.tokens_per_s;
+    let mut limited = capacities.clone();
+    limited.retain(|_, tokens_per_s| *tokens_per_s < unit);
+    let link_bound = flow::link_bound(&rooms(&candidates, &lengths), &limited);
     let mut plan = ModelPlan {
-        bound: rate.tokens_per_s.min(link_bound),
+        bound: unit.min(link_bound),
         tight: rate.tight.iter().map(|&s| segments[s]).collect(),
         ..ModelPlan::default()
     };
@@ -121,7 +142,15 @@
         holders: &holders,
         candidates: &candidates,
     };
-    Planner::new(ways, &capacities, rate.tokens_per_s).solve(&segments, &mut plan);
+    for _ in 0..LINK_ROUNDS {
+        Planner::new(&ways, &limited, unit).solve(&segments, &mut plan);
+        let over = overloaded(fleet, &capacities, &plan.chains);
+        if over.is_empty() {
+            break;
+        }
+        limited.extend(over.into_keys().map(|hop| (hop, capacities[&hop])));
+    }
+    relieve(fleet, &capacities, &mut plan.chains);
     plan.sum_up();
     plan
 }
@@ -169,20 +198,46 @@
     rooms
 }
 
-/// Tokens a second of each link that may be crossed by less than `rate`, or by a few times that,
-/// since a chain may cross it more than once.
-fn link_capacities(links: &Links, activation_bytes: u64, rate: f64) -> BTreeMap<Hop, f64> {
-    const CROSSINGS: f64 = 4.0;
+/// Tokens a second of each link with a limit.
+fn link_capacities(links: &Links, activation_bytes: u64) -> BTreeMap<Hop, f64> {
     let all = links
         .iter()
         .map(|(a, b, l)| (Hop::new(a, b), l.tokens_per_s(activation_bytes)));
-    all.filter(|(_, tokens_per_s)| *tokens_per_s < rate * CROSSINGS)
+    all.filter(|(_, tokens_per_s)| tokens_per_s.is_finite())
+        .collect()
+}
+
+/// Links that the chains ask more of than they let through, with the share that fits.
+fn overloaded(
+    fleet: &Fleet,
+    capacities: &BTreeMap<Hop, f64>,
+    chains: &[Chain],
+) -> BTreeMap<Hop, f64> {
+    let mut used: BTreeMap<Hop, f64> = BTreeMap::new();
+    for chain in chains {
+        for hop in chain.hops(fleet) {
+            *used.entry(hop).or_default() += chain.tokens_per_s;
+        }
+    }
+    let share = |(hop, used): (Hop, f64)| Some((hop, capacities.get(&hop)? / used));
+    used.into_iter()
+        .filter_map(share)
+        .filter(|(_, share)| *share < 1.0 - SLIGHTLY_OVER)
         .collect()
 }
 
+/// Scales the chains over overloaded links down to what these let through.
+fn relieve(fleet: &Fleet, capacities: &BTreeMap<Hop, f64>, chains: &mut [Chain]) {
+    let over = overloaded(fleet, capacities, chains);
+    for chain in chains {
+        let shares = chain.hops(fleet).filter_map(|hop| over.get(&hop).copied());
+        chain.tokens_per_s *= shares.fold(1.0, f64::min);
+    }
+}
+
 /// The linear program of one model.
 struct Planner<'a> {
-    ways: Ways<'a>,
+    ways: &'a Ways<'a>,
     /// Unit of rates: the bound, in tokens a second.
     unit: f64,
     /// Resource of each limited link, with its capacity in units.
@@ -192,7 +247,7 @@
 }
 
 impl<'a> Planner<'a> {
-    fn new(ways: Ways<'a>, capacities: &BTreeMap<Hop, f64>, unit: f64) -> Self {
+    fn new(ways: &'a Ways<'a>, capacities: &BTreeMap<Hop, f64>, unit: f64) -> Self {
         let runners = ways.candidates.len();
         let number = |(i, (&hop, &c)): (usize, (&Hop, &f64))| (hop, (runners + i, c / unit));
         let links = capacities.iter().enumerate().map(number).collect();
@@ -207,8 +262,11 @@
     }
 
     fn solve(mut self, segments: &[LayerRange], plan: &mut ModelPlan) {
-        while self.paths.len() < MAX_STEPS && self.step() {}
-        plan.steps = self.paths.len();
+        let rows = self.packing.rows().max(1);
+        let steps = MAX_STEPS.min(MAX_WORK / (rows * rows));
+        while self.paths.len() < steps && self.step() {}
+        plan.steps += self.paths.len();
+        plan.chains.clear();
         for (i, rate) in self.packing.columns() {
             let stages = self.stages(&self.paths[i], segments);
             plan.chains.push(Chain {
@@ -232,6 +290,7 @@
             .links
             .iter()
             .map(|(&hop, &(row, capacity))| (hop, prices[row].max(0.0) / capacity))
+            .filter(|(_, price)| *price > 0.0)
             .collect();
         let prices = Prices {
             per_layer: &per_layer,
--- a/policy/src/route/router.rs
+++ b/policy/src/route/router.rs
@@ -12,6 +12,9 @@
 use cranelift_entity::{PrimaryMap, SecondaryMap};
 use rand::Rng;
 
+/// The most models planned by one call: bounds its time.
+pub const MODELS_PER_REPLAN: usize = 3;
+
 /// How the router decides.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RouterConfig {
@@ -29,7 +32,7 @@
     fn default() -> Self {
         Self {
             instances: 6,
-            draws: 4,
+            draws: 8,
             avoid_ms: 2_000,
             prefill_weight: 0.1,
         }
@@ -48,9 +51,9 @@
     /// Requests at each runner in proportion, when the work follows the plan: by Little's law the
     /// rate of each chain times the time that a token takes through it.
     weight: SecondaryMap<RunnerId, f64>,
+    last_planned: Option<ModelId>,
     pub(super) planned_at: Millis,
     pub(super) replans: u64,
-    dirty: bool,
 }
 
 impl Router {
@@ -63,9 +66,9 @@
             plans: PrimaryMap::new(),
             through: SecondaryMap::new(),
             weight: SecondaryMap::new(),
+            last_planned: None,
             planned_at: 0,
             replans: 0,
-            dirty: false,
         }
     }
 
@@ -77,7 +80,6 @@
     /// Replaces the models. Their place in the list is their [`ModelId`].
     pub fn set_models(&mut self, models: &[ModelSpec]) {
         self.fleet.set_models(models);
-        self.dirty = true;
     }
 
     /// Looks a model up.
@@ -111,9 +113,7 @@
 
     /// Takes a load report in.
     pub fn observe(&mut self, now: Millis, seen: &RunnerSeen) -> Effect {
-        let effect = self.fleet.observe(now, seen);
-        self.dirty |= effect == Effect::PlanChanged;
-        effect
+        self.fleet.observe(now, seen)
     }
 
     /// Takes a cache event in.
@@ -123,38 +123,62 @@
 
     /// Takes a link observation in.
     pub fn observe_link(&mut self, _now: Millis, seen: &LinkSeen) {
-        self.dirty |= self.links.observe(&mut self.fleet, seen);
+        if self.links.observe(&mut self.fleet, seen) {
+            self.fleet.stale = self.fleet.models.keys().collect();
+        }
     }
 
     /// Closes a runner to new work, at once; has no effect on names never seen.
     pub fn close(&mut self, _now: Millis, name: &str, reason: CloseReason) {
         if let Some(id) = self.fleet.runner(name) {
-            let effect = self.fleet.close(id, reason);
-            self.dirty |= effect == Effect::PlanChanged;
+            self.fleet.close(id, reason);
         }
     }
 
-    /// Whether the plan is older than what it is made from.
+    /// Whether the plan of some model is older than what it is made from.
     pub fn is_dirty(&self) -> bool {
-        self.dirty
+        !self.fleet.stale.is_empty()
     }
 
-    /// Makes the plan again if something changed since. Picks between a change and the next plan
-    /// are safe: they leave out chains through closed runners.
+    /// Makes the plans again of models for which something changed, [`MODELS_PER_REPLAN`] at most;
+    /// call it again while [`Router::is_dirty`]. Picks between a change and the next plan are safe:
+    /// they leave out chains through closed runners.
     pub fn replan(&mut self, now: Millis) {
-        if !self.dirty {
+        if !self.is_dirty() {
             return;
         }
+        if self.plans.len() != self.fleet.models.len() {
+            self.plans = self
+                .fleet
+                .models
+                .keys()
+                .map(|_| ModelPlan::default())
+                .collect();
+            self.fleet.stale = self.fleet.models.keys().collect();
+        }
         let order: Vec<RunnerId> = self.fleet.by_name().collect();
-        let models = self.fleet.models.keys();
-        self.plans = models
-            .map(|m| plan_model(&self.fleet, &self.links, m, &order))
-            .collect();
+        for _ in 0..MODELS_PER_REPLAN {
+            let Some(model) = self.next_stale() else {
+                break;
+            };
+            self.fleet.stale.remove(&model);
+            self.plans[model] = plan_model(&self.fleet, &self.links, model, &order);
+            self.last_planned = Some(model);
+        }
         self.weigh();
         self.links.mark_planned();
         self.planned_at = now;
         self.replans += 1;
-        self.dirty = false;
+    }
+
+    /// The stale model after the one planned last, in turn, so that one that changes all the time
+    /// does not keep the others waiting.
+    fn next_stale(&self) -> Option<ModelId> {
+        let stale = &self.fleet.stale;
+        let after = self
+            .last_planned
+            .and_then(|last| stale.iter().find(|m| **m > last));
+        after.or_else(|| stale.first()).copied()
     }
 
     /// Works out what each runner carries when the work follows the plan.
--- a/testkit/src/bench/route_run.rs
+++ b/testkit/src/bench/route_run.rs
@@ -167,7 +167,9 @@
     for seen in &fleet.links {
         router.observe_link(0, seen);
     }
-    router.replan(0);
+    while router.is_dirty() {
+        router.replan(0);
+    }
     router
 }
 
