--- /dev/null
+++ b/kernel/src/kernel.rs
@@ -0,0 +1,261 @@
+//! The shared state of an instance, and its life from start to exit.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use jacinthweir_clients::peer::PeerClient;
+use jacinthweir_clients::platform::{HttpPlatform, Platform};
+use jacinthweir_clients::runner::RunnerClient;
+use jacinthweir_clients::service::ServiceClient;
+use jacinthweir_policy::config::converge::{Convergence, ConvergenceConfig};
+use jacinthweir_policy::member::{MemberState, Phase};
+use jacinthweir_policy::membership::{Membership, MembershipConfig};
+use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::route::{Router, RouterConfig};
+use jacinthweir_policy::time::Elapsed;
+use jacinthweir_policy::upstreams::{Upstreams, UpstreamsConfig};
+use jacinthweir_wire::caller::ErrorCode;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::clock::Clock;
+use crate::config::{ConfigCell, InForce};
+use crate::gate::Gate;
+use crate::parts::Parts;
+use crate::records::Records;
+use crate::reply::Refusal;
+use crate::stats::Stats;
+use crate::{KernelError, Settings};
+
+/// Rounds of exchanges that a joining instance waits to hear from its peers, before it goes by
+/// the platform alone.
+const JOIN_GRACE_ROUNDS: u64 = 4;
+
+/// How long the platform must show an older head than the accepted one before that is written
+/// back, in milliseconds: a read that was merely stale is over by then.
+const WENT_BACK_MS: Millis = 2_000;
+
+/// When to come back to an instance that cannot serve now; another may at once.
+const RETRY_ELSEWHERE_MS: u64 = 1_000;
+
+/// The shared state of an instance.
+///
+/// Locks are held for one decision at a time and never across an await point.
+pub struct Kernel {
+    /// Settings.
+    pub settings: Settings,
+    /// Clocks.
+    pub clock: Clock,
+    /// Unix time of the start, in milliseconds: tells two lives of the same name apart.
+    pub incarnation: u64,
+    /// Metrics.
+    pub stats: Stats,
+    /// Cancelled when the instance ends: tasks return.
+    pub stop: CancellationToken,
+    /// Tasks of the plug-ins.
+    pub tasks: TaskTracker,
+    /// The platform's service.
+    pub platform: Arc<dyn Platform>,
+    /// Client towards peers.
+    pub peers: PeerClient,
+    /// Client towards model runners.
+    pub runners: RunnerClient,
+    /// Client towards plain services.
+    pub services: ServiceClient,
+    /// Records of requests.
+    pub records: Arc<Records>,
+    /// The configuration in force.
+    pub config: ConfigCell,
+    /// Parts of the configuration, for peers.
+    pub parts: Parts,
+    /// Admission.
+    pub gate: Arc<Gate>,
+    upstreams: Mutex<Upstreams>,
+    router: Mutex<Router>,
+    membership: Mutex<Membership>,
+    convergence: Mutex<Convergence>,
+    elapsed: Mutex<Elapsed>,
+}
+
+impl Kernel {
+    /// Opens the shared state of an instance with `settings`.
+    ///
+    /// # Errors
+    /// When a client or the metrics cannot be set up.
+    pub fn open(settings: Settings) -> Result<Arc<Kernel>, KernelError> {
+        let clock = Clock::open();
+        let timing = &settings.timing;
+        let platform_timeout = Duration::from_millis(settings.platform.timeout_ms);
+        let platform = HttpPlatform::open(settings.platform.address, platform_timeout)?;
+        let peer_timeout = Duration::from_millis(timing.peer_timeout_ms);
+        let upstream_timeout = Duration::from_millis(timing.upstream_timeout_ms);
+        let incarnation = clock.unix_ms();
+        let kernel = Kernel {
+            clock,
+            incarnation,
+            stats: Stats::open()?,
+            stop: CancellationToken::new(),
+            tasks: TaskTracker::new(),
+            platform: Arc::new(platform),
+            peers: PeerClient::open(settings.tokens.peers.to_string(), peer_timeout)?,
+            runners: RunnerClient::open(upstream_timeout)?,
+            services: ServiceClient::open()?,
+            records: Arc::new(Records::open(settings.limits.records)),
+            config: ConfigCell::default(),
+            parts: Parts::default(),
+            gate: Gate::open(clock),
+            upstreams: Mutex::new(upstreams(&settings, clock)),
+            membership: Mutex::new(membership(&settings, incarnation, clock)),
+            convergence: Mutex::new(convergence(&settings)),
+            elapsed: Mutex::new(Elapsed::since(clock.reading())),
+            router: Mutex::new(Router::new(RouterConfig::default())),
+            settings,
+        };
+        Ok(Arc::new(kernel))
+    }
+
+    /// The route plan.
+    pub fn router(&self) -> MutexGuard<'_, Router> {
+        self.router.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// What is known of the instances.
+    pub fn membership(&self) -> MutexGuard<'_, Membership> {
+        self.membership
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The way to the newest configuration; the schema plug-in alone feeds it. Lock it before
+    /// [`Kernel::membership`] where both are needed.
+    pub fn convergence(&self) -> MutexGuard<'_, Convergence> {
+        self.convergence
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Milliseconds since the start, the time that this machine was suspended included: the
+    /// clock of the convergence.
+    #[must_use]
+    pub fn elapsed_ms(&self) -> Millis {
+        let mut elapsed = self.elapsed.lock().unwrap_or_else(PoisonError::into_inner);
+        elapsed.advance(self.clock.reading())
+    }
+
+    /// What is known of the upstreams.
+    pub fn upstreams(&self) -> MutexGuard<'_, Upstreams> {
+        self.upstreams
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Says of this instance what phase it is in; a phase never goes back.
+    pub fn set_phase(&self, phase: Phase) {
+        self.membership().set_phase(phase);
+    }
+
+    /// Peers' address of another instance.
+    #[must_use]
+    pub fn peer_address(&self, name: &str) -> Option<SocketAddr> {
+        let membership = self.membership();
+        let peer = membership.peers().find(|s| s.name.as_ref() == name)?;
+        Some(peer.peers)
+    }
+
+    /// Number of instances that serve, this one counted.
+    #[must_use]
+    pub fn live_instances(&self) -> usize {
+        self.membership().live().count()
+    }
+
+    /// The configuration to serve a request by.
+    ///
+    /// # Errors
+    /// `no_configuration`: nothing ran.
+    pub fn serving_config(&self) -> Result<Arc<InForce>, Refusal> {
+        let config = self.config.get();
+        if let Some(config) = config.served()
+            && config.may_serve(self.elapsed_ms())
+        {
+            return Ok(Arc::clone(config));
+        }
+        let msg = "this instance has no configuration that it can vouch for";
+        let refusal = Refusal::not_run(ErrorCode::NoConfiguration, msg);
+        Err(refusal.retry_after(RETRY_ELSEWHERE_MS))
+    }
+
+    /// Whether one more request may come in: bounds the memory that requests in progress take.
+    ///
+    /// # Errors
+    /// `overloaded`: nothing ran.
+    pub fn room_for_one(&self) -> Result<(), Refusal> {
+        if self.records.counts().running < self.settings.limits.requests {
+            return Ok(());
+        }
+        let refusal = Refusal::not_run(ErrorCode::Overloaded, "too many requests in progress");
+        Err(refusal.retry_after(RETRY_ELSEWHERE_MS))
+    }
+
+    /// Whether this instance is shutting down.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.membership().own().state.phase >= Phase::Draining
+    }
+
+    /// A new request id: the instance's name, a dot, and a number that is never used again.
+    #[must_use]
+    pub fn new_request_id(&self) -> Name {
+        let number = uuid::Uuid::now_v7().simple();
+        Name::from(format!("{}.{number}", self.settings.name))
+    }
+
+    /// Runs a task until it ends or the instance stops.
+    pub fn spawn<F>(&self, task: F)
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let stop = self.stop.clone();
+        self.tasks.spawn(async move {
+            let _ = stop.run_until_cancelled(task).await;
+        });
+    }
+}
+
+fn convergence(settings: &Settings) -> Convergence {
+    let cfg = ConvergenceConfig {
+        own: settings.name.clone(),
+        expects_peers: !settings.peers.is_empty(),
+        join_grace_ms: JOIN_GRACE_ROUNDS * settings.timing.gossip_ms,
+        unconfirmed_ms: settings.timing.unconfirmed_ms,
+        went_back_ms: WENT_BACK_MS,
+    };
+    Convergence::new(0, cfg)
+}
+
+fn membership(settings: &Settings, incarnation: u64, clock: Clock) -> Membership {
+    let own = MemberState {
+        name: settings.name.clone(),
+        incarnation,
+        heartbeat: 0,
+        callers: settings.listen.callers,
+        peers: settings.listen.peers,
+        operators: settings.listen.operators,
+        domain: settings.failure_domain.clone(),
+        phase: Phase::Joining,
+        revision: 0,
+        revision_since_ms: 0,
+        in_flight: 0,
+    };
+    let cfg = MembershipConfig {
+        round_ms: settings.timing.gossip_ms,
+        ..Default::default()
+    };
+    Membership::new(own, settings.peers.clone(), cfg, clock.reading())
+}
+
+fn upstreams(settings: &Settings, clock: Clock) -> Upstreams {
+    let own = settings.name.clone();
+    let domain = settings.failure_domain.clone();
+    Upstreams::new(own, domain, UpstreamsConfig::default(), clock.reading())
+}
--- /dev/null
+++ b/plugins/peers/src/exchange.rs
@@ -0,0 +1,117 @@
+//! Exchanges: the asking and the answering side.
+
+use jacinthweir_clients::ClientError;
+use jacinthweir_kernel::prelude::*;
+use jacinthweir_policy::membership::{Action, MemberDigest, Peer};
+use jacinthweir_wire::peer::{Exchange, ExchangeAnswer, Push, UpstreamDelta, UpstreamDigest};
+
+use crate::probe;
+
+/// Starts what the membership asked for, each in a task of its own.
+pub(crate) fn carry_out(cx: &Arc<Kernel>, actions: Vec<Action>) {
+    for action in actions {
+        match action {
+            Action::Exchange {
+                peer,
+                round,
+                digest,
+            } => cx.spawn(ask(Arc::clone(cx), peer, round, digest)),
+            Action::Probe {
+                via,
+                suspect,
+                round,
+            } => cx.spawn(probe::ask(Arc::clone(cx), via, suspect, round)),
+        }
+    }
+}
+
+async fn ask(cx: Arc<Kernel>, peer: Peer, round: u64, digest: MemberDigest) {
+    let asked_ms = cx.clock.now();
+    let upstreams = upstream_digest(&cx, &peer, digest.salt);
+    let msg = Exchange {
+        from: cx.settings.name.clone(),
+        members: digest,
+        upstreams,
+    };
+    let answer: Result<ExchangeAnswer, ClientError> =
+        cx.peers.post(peer.address, "/peer/exchange", &msg).await;
+    let failed = match answer {
+        Ok(answer) if peer.name.as_ref().is_none_or(|n| *n == answer.from) => {
+            take_answer(&cx, &peer, asked_ms, answer).await;
+            return;
+        }
+        // Another instance took over the address: it says nothing about the one meant.
+        Ok(answer) => format!("{} answered in its place", answer.from),
+        Err(e) => e.to_string(),
+    };
+    debug!("exchange with {peer}: {failed}");
+    metrics::counter!("jacinthweir_exchanges_failed_total").increment(1);
+    let now = cx.clock.reading();
+    let actions = cx
+        .membership()
+        .exchange_failed(now, &peer, round, &mut rand::rng());
+    carry_out(&cx, actions);
+}
+
+fn upstream_digest(cx: &Kernel, peer: &Peer, salt: u32) -> UpstreamDigest {
+    let domain = {
+        let membership = cx.membership();
+        let member = peer.name.as_ref().and_then(|n| membership.member(n));
+        member.map(|m| m.state().domain.clone())
+    };
+    cx.upstreams()
+        .digest(cx.clock.reading(), salt, domain.as_deref())
+}
+
+async fn take_answer(cx: &Kernel, peer: &Peer, asked_ms: Millis, answer: ExchangeAnswer) {
+    let now = cx.clock.reading();
+    let push = Push {
+        from: Some(cx.settings.name.clone()),
+        members: cx
+            .membership()
+            .receive_answer(now, asked_ms, &answer.from, &answer.members),
+        upstreams: cx.upstreams().receive_delta(now, &answer.upstreams),
+    };
+    if push.members.is_none() && push.upstreams.is_none() {
+        return;
+    }
+    let pushed: Result<Push, ClientError> = cx.peers.post(peer.address, "/peer/push", &push).await;
+    // A lost push is made good by the next exchange, whose digests still differ.
+    match pushed {
+        Ok(back) => {
+            take_push(cx, back);
+        }
+        Err(e) => debug!("push to {peer}: {e}"),
+    }
+}
+
+/// Answers an exchange of another instance.
+pub(crate) fn answer(cx: &Kernel, msg: &Exchange) -> ExchangeAnswer {
+    let now = cx.clock.reading();
+    let members = cx.membership().receive_digest(now, &msg.from, &msg.members);
+    ExchangeAnswer {
+        from: cx.settings.name.clone(),
+        members,
+        upstreams: cx.upstreams().receive_digest(now, &msg.upstreams),
+    }
+}
+
+/// Answers a push of another instance.
+pub(crate) fn answer_push(cx: &Kernel, push: Push) -> Push {
+    Push {
+        from: Some(cx.settings.name.clone()),
+        upstreams: take_push(cx, push),
+        ..Push::default()
+    }
+}
+
+/// Takes a push in; returns what the other side wants of the upstreams.
+fn take_push(cx: &Kernel, push: Push) -> Option<UpstreamDelta> {
+    let from = push.from?;
+    let now = cx.clock.reading();
+    if let Some(delta) = &push.members {
+        cx.membership().receive_push(now, &from, delta);
+    }
+    let delta = push.upstreams?;
+    cx.upstreams().receive_delta(now, &delta)
+}
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -4,12 +4,22 @@
 //! randomness and every answer from outside come in as arguments, so the same inputs give the
 //! same run. Modules are state machines of the form `(now, event) -> actions`.
 
+pub mod admission;
+pub mod config;
+pub mod drain;
 pub mod entity;
+pub mod entry;
 pub mod head;
+pub mod journal;
 pub mod layers;
+pub mod listed;
+pub mod load;
 pub mod member;
+pub mod membership;
 pub mod outcome;
 pub mod prelude;
+pub mod region;
 pub mod route;
 pub mod schema;
 pub mod time;
+pub mod upstreams;
--- a/wire/src/runner.rs
+++ b/wire/src/runner.rs
@@ -11,8 +11,10 @@
 //! | `POST /v1/orders` | body [`Order`]; 409 with [`Fenced`] where an old number is checked and refused |
 
 pub use jacinthweir_policy::layers::LayerRange;
+pub use jacinthweir_policy::load::{HeldLayers, LoadReport};
 use jacinthweir_policy::prelude::*;
 use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
 use std::net::SocketAddr;
 
 /// One stage of a route.
@@ -123,6 +125,9 @@
     pub code: RefusedCode,
     /// When to come back, in milliseconds.
     pub retry_after_ms: u64,
+    /// Runner that refused, or that can't be reached; absent: the addressee.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub runner: Option<Name>,
 }
 
 /// Cause of a refusal.
@@ -139,6 +144,8 @@
     Stale,
     /// The route does not fit together.
     BadRoute,
+    /// A later stage of the route can't be reached.
+    Unreachable,
 }
 
 /// Run one token through the rest of a route.
@@ -150,8 +157,16 @@
     pub attempt: u32,
     /// Token index.
     pub index: u32,
-    /// Tokens to run through: 1, or the prompt's number for a prefill.
+    /// Tokens to run through: 1, or the number of the prompt and the resumed tokens for a prefill;
+    /// 0: take a place for the attempt along the route, running nothing.
     pub tokens: u32,
+    /// Hashes of the prompt's prefixes, shortest first, for a prefill; the first is its
+    /// [`prefix_hash`], what the others are is the runners' own matter.
+    #[serde(default)]
+    pub prefix: Vec<u64>,
+    /// Runner to import the KV cache from, for a prefill; absent: run the tokens again.
+    #[serde(default)]
+    pub kv_from: Option<SocketAddr>,
     /// Model name.
     pub model: Name,
     /// Rest of the route; the first is the addressee.
@@ -176,46 +191,6 @@
     pub attempt: u32,
 }
 
-/// Load of a runner; lags behind.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct LoadReport {
-    /// Runner's name.
-    pub runner: Name,
-    /// Runner's incarnation.
-    pub incarnation: u64,
-    /// Report number, growing within an incarnation.
-    pub number: u64,
-    /// Age of the figures, in milliseconds.
-    pub age_ms: u64,
-    /// Accelerator kind.
-    pub accelerator: Name,
-    /// Layers held.
-    pub holds: Vec<HeldLayers>,
-    /// Requests running.
-    pub running: u32,
-    /// Requests queued.
-    pub queued: u32,
-    /// Token-layers a second this runner can do.
-    pub token_layers_per_s: f64,
-    /// Token-layers a second it did lately.
-    pub busy_token_layers_per_s: f64,
-    /// Whether it is leaving.
-    pub leaving: bool,
-    /// Whether it refuses an old fencing number.
-    pub checks_fencing: bool,
-    /// Greatest fencing number seen.
-    pub fencing: u64,
-}
-
-/// Layers of a model that a runner holds.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct HeldLayers {
-    /// Model name.
-    pub model: Name,
-    /// Layers.
-    pub layers: LayerRange,
-}
-
 /// Cache events since a number.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct CacheEvents {
@@ -230,13 +205,14 @@
 pub struct CacheEvent {
     /// Number.
     pub number: u64,
-    /// Hash of the prefix.
+    /// Hash of the prefix: [`prefix_hash`].
     pub prefix: u64,
     /// In or out.
     pub cached: bool,
 }
 
-/// Export from, or import into, a runner's KV cache.
+/// Export from, or import into, a runner's KV cache. An export answers with the number of tokens
+/// that it covers, or 404.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct KvRequest {
     /// Request id.
@@ -274,3 +250,17 @@
     /// Greatest number seen.
     pub fencing: u64,
 }
+
+/// Bytes of a prompt that make its prefix, as far as cache events name it.
+pub const PREFIX_BYTES: usize = 64;
+
+/// Hash of a prompt's prefix, as runners name it in cache events: the first eight bytes, big
+/// endian, of the SHA-256 of the prompt's first [`PREFIX_BYTES`] bytes. `None`: the prompt is
+/// shorter, and runners do not report it.
+#[must_use]
+pub fn prefix_hash(prompt: &str) -> Option<u64> {
+    let prefix = prompt.as_bytes().get(..PREFIX_BYTES)?;
+    let digest = Sha256::digest(prefix);
+    let head = digest.first_chunk::<8>()?;
+    Some(u64::from_be_bytes(*head))
+}
