--- /dev/null
+++ b/testkit/src/history/answers.rs
@@ -0,0 +1,82 @@
+//! A caller gets the whole answer to its own request; "not run" is true; a graceful shutdown cuts
+//! nothing.
+
+use std::collections::BTreeMap;
+
+use jacinthweir_policy::prelude::*;
+
+use super::record::{History, Shutdown, Submission, Work};
+use super::violation::Violation;
+
+pub(super) fn check(history: &History, found: &mut Vec<Violation>) {
+    let ran = where_it_ran(history);
+    for s in &history.submissions {
+        let request = s.seen.request.clone().unwrap_or_else(|| "no id".into());
+        check_text(s, &request, found);
+        if s.seen.outcome == Some(Outcome::NotRun)
+            && let Some(upstream) = ran.get(&request)
+        {
+            found.push(Violation::RanThoughNotRun {
+                number: s.number,
+                request,
+                upstream: upstream.clone(),
+            });
+        }
+    }
+    for shutdown in &history.shutdowns {
+        check_shutdown(history, shutdown, found);
+    }
+}
+
+fn where_it_ran(history: &History) -> BTreeMap<Name, Name> {
+    let models = history
+        .ran
+        .iter()
+        .map(|r| (r.request.clone(), r.runner.clone()));
+    let calls = history.calls.iter().filter_map(|c| {
+        let request = c.request.clone()?;
+        Some((request, c.service.clone()))
+    });
+    models.chain(calls).collect()
+}
+
+fn check_text(s: &Submission, request: &Name, found: &mut Vec<Violation>) {
+    let Work::Model { expected } = &s.work else {
+        return;
+    };
+    let number = s.number;
+    let request = request.clone();
+    if s.seen.outcome == Some(Outcome::Answered) {
+        if s.seen.text != *expected {
+            found.push(Violation::WrongAnswer { number, request });
+        }
+    } else if !expected.starts_with(&s.seen.text) {
+        found.push(Violation::ForeignPart { number, request });
+    }
+}
+
+/// Submissions that an instance had accepted before its end and that lost their connection.
+fn check_shutdown(history: &History, shutdown: &Shutdown, found: &mut Vec<Violation>) {
+    let instance = shutdown.instance.clone();
+    if shutdown.code != Some(0) {
+        let what = format!("it ended with {:?}", shutdown.code);
+        found.push(Violation::CutByShutdown {
+            instance: instance.clone(),
+            what,
+        });
+    }
+    let cut = history.submissions.iter().filter(|s| {
+        s.instance == instance
+            && s.sent_ms < shutdown.ended_ms
+            && s.ended_ms >= shutdown.signal_ms
+            && s.seen.broken.is_some()
+            && s.seen.request.is_some()
+    });
+    for s in cut {
+        let what = format!("submission {} was cut: {:?}", s.number, s.seen.broken);
+        found.push(Violation::CutByShutdown {
+            instance: instance.clone(),
+            what,
+        });
+    }
+}
--- /dev/null
+++ b/testkit/src/history/layers.rs
@@ -0,0 +1,110 @@
+//! Every layer of the model runs exactly once for each token, in order.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use jacinthweir_policy::prelude::*;
+
+use super::record::{History, Ran, Work};
+use super::violation::Violation;
+
+/// One token of one attempt.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct Token {
+    request: Name,
+    index: u32,
+    attempt: u32,
+}
+
+pub(super) fn check(history: &History, found: &mut Vec<Violation>) {
+    let mut parts = BTreeMap::<Token, Vec<&Ran>>::new();
+    for ran in &history.ran {
+        let token = Token {
+            request: ran.request.clone(),
+            index: ran.index,
+            attempt: ran.attempt,
+        };
+        parts.entry(token).or_default().push(ran);
+    }
+    let lost = lost_requests(history);
+    let mut covered = BTreeSet::<(&Name, u32)>::new();
+    for (token, parts) in &mut parts {
+        if lost.contains(&token.request) {
+            check_disjoint(token, parts, found);
+            continue;
+        }
+        // Within a millisecond the witness times do not tell the order; the layers then do.
+        parts.sort_by_key(|r| (r.at_ms, r.layers));
+        match run_through(token, parts) {
+            Ok(end) if end == history.layers => {
+                covered.insert((&token.request, token.index));
+            }
+            Ok(_) => {}
+            Err(violation) => found.push(violation),
+        }
+    }
+    check_delivered(history, &covered, &lost, found);
+}
+
+/// Follows the parts of one token in the order of time; returns the last layer's end.
+fn run_through(token: &Token, parts: &[&Ran]) -> Result<u32, Violation> {
+    let mut next = 0;
+    for part in parts {
+        if part.layers.start != next {
+            return Err(Violation::LayersOverlap {
+                request: token.request.clone(),
+                attempt: token.attempt,
+                index: token.index,
+                layers: part.layers,
+            });
+        }
+        next = part.layers.end;
+    }
+    Ok(next)
+}
+
+/// Requests that reached a runner which was killed: its last words are lost with it.
+fn lost_requests(history: &History) -> BTreeSet<&Name> {
+    let lost = history.arrived.iter();
+    let lost = lost.filter(|a| history.killed_runners.contains(&a.upstream));
+    lost.map(|a| &a.request).collect()
+}
+
+/// What is known of a token with gaps in its witness: no layer ran twice.
+fn check_disjoint(token: &Token, parts: &mut [&Ran], found: &mut Vec<Violation>) {
+    parts.sort_by_key(|r| r.layers);
+    for pair in parts.windows(2) {
+        if pair[1].layers.start < pair[0].layers.end {
+            found.push(Violation::LayersOverlap {
+                request: token.request.clone(),
+                attempt: token.attempt,
+                index: token.index,
+                layers: pair[1].layers,
+            });
+        }
+    }
+}
+
+/// Every token that a caller has ran whole in some attempt.
+fn check_delivered(
+    history: &History,
+    covered: &BTreeSet<(&Name, u32)>,
+    lost: &BTreeSet<&Name>,
+    found: &mut Vec<Violation>,
+) {
+    for s in &history.submissions {
+        let (Work::Model { .. }, Some(request)) = (&s.work, &s.seen.request) else {
+            continue;
+        };
+        if lost.contains(request) {
+            continue;
+        }
+        for index in 0..u32::try_from(s.seen.token_us.len()).unwrap_or(u32::MAX) {
+            if !covered.contains(&(request, index)) {
+                found.push(Violation::TokenNotCovered {
+                    request: request.clone(),
+                    index,
+                });
+            }
+        }
+    }
+}
--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod caller;
 pub mod error;
 pub mod fleet;
+pub mod history;
 pub mod http;
 pub mod load;
 pub mod operator;
