--- a/kernel/src/kernel.rs
+++ b/kernel/src/kernel.rs
@@ -14,6 +14,7 @@
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::route::{Router, RouterConfig};
 use jacinthweir_policy::time::Elapsed;
+use jacinthweir_policy::upstreams::{Upstreams, UpstreamsConfig};
 use jacinthweir_wire::caller::ErrorCode;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -21,16 +22,13 @@
 use crate::clock::Clock;
 use crate::config::{ConfigCell, InForce};
 use crate::gate::Gate;
+use crate::heads::Heads;
 use crate::parts::Parts;
 use crate::records::Records;
 use crate::reply::Refusal;
 use crate::stats::Stats;
-use crate::upstreams::Upstreams;
 use crate::{KernelError, Settings};
 
-/// Period of looking whether the last request has ended.
-const ENDED_POLL: Duration = Duration::from_millis(20);
-
 /// Rounds of exchanges that a joining instance waits to hear from its peers, before it goes by
 /// the platform alone.
 const JOIN_GRACE_ROUNDS: u64 = 4;
@@ -72,9 +70,11 @@
     pub config: ConfigCell,
     /// Parts of the configuration, for peers.
     pub parts: Parts,
+    /// Heads of the configuration, towards and from peers.
+    pub heads: Heads,
     /// Admission.
     pub gate: Arc<Gate>,
-    upstreams: Upstreams,
+    upstreams: Mutex<Upstreams>,
     router: Mutex<Router>,
     membership: Mutex<Membership>,
     convergence: Mutex<Convergence>,
@@ -107,8 +107,9 @@
             records: Arc::new(Records::open(settings.limits.records)),
             config: ConfigCell::default(),
             parts: Parts::default(),
+            heads: Heads::default(),
             gate: Gate::open(clock),
-            upstreams: Upstreams::default(),
+            upstreams: Mutex::new(upstreams(&settings, clock)),
             membership: Mutex::new(membership(&settings, incarnation, clock)),
             convergence: Mutex::new(convergence(&settings)),
             elapsed: Mutex::new(Elapsed::since(clock.reading())),
@@ -130,8 +131,7 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// The way to the newest configuration; the schema plug-in alone feeds it. Lock it before
-    /// [`Kernel::membership`] where both are needed.
+    /// The way to the newest configuration; the schema plug-in alone feeds it.
     pub fn convergence(&self) -> MutexGuard<'_, Convergence> {
         self.convergence
             .lock()
@@ -147,9 +147,10 @@
     }
 
     /// What is known of the upstreams.
-    #[must_use]
-    pub fn upstreams(&self) -> &Upstreams {
-        &self.upstreams
+    pub fn upstreams(&self) -> MutexGuard<'_, Upstreams> {
+        self.upstreams
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Says of this instance what phase it is in; a phase never goes back.
@@ -171,13 +172,6 @@
         self.membership().live().count()
     }
 
-    /// Returns once no request is in progress.
-    pub async fn requests_ended(&self) {
-        while !self.records.running().is_empty() {
-            tokio::time::sleep(ENDED_POLL).await;
-        }
-    }
-
     /// The configuration to serve a request by.
     ///
     /// # Errors
@@ -262,3 +256,9 @@
     };
     Membership::new(own, settings.peers.clone(), cfg, clock.reading())
 }
+
+fn upstreams(settings: &Settings, clock: Clock) -> Upstreams {
+    let own = settings.name.clone();
+    let domain = settings.failure_domain.clone();
+    Upstreams::new(own, domain, UpstreamsConfig::default(), clock.reading())
+}
--- a/plugins/schema/src/drive.rs
+++ b/plugins/schema/src/drive.rs
@@ -3,7 +3,6 @@
 use jacinthweir_kernel::config::{Config, InForce};
 use jacinthweir_kernel::prelude::*;
 use jacinthweir_policy::config::converge::{Action, Alarm, Applied, Convergence, Event};
-use jacinthweir_policy::member::Phase;
 
 use crate::{fetch, republish};
 
@@ -32,13 +31,11 @@
     }
     cx.parts
         .retain(|hash| head.parts.iter().any(|part| *part.hash == *hash));
+    cx.heads.set_own(Arc::clone(head));
     let since = cx.clock.unix_ms();
     let in_force = InForce::new(head.revision, since, Arc::clone(&applied.schema));
     in_force.set_serve_until(convergence.serve_until());
     cx.config.set(Config::InForce(Arc::new(in_force)));
-    let mut membership = cx.membership();
-    membership.set_revision(head.revision, since);
-    membership.set_phase(Phase::Serving);
     info!(revision = head.revision; "revision {} is in force", head.revision);
     metrics::gauge!("jacinthweir_config_revision").set(head.revision as f64);
 }
--- a/plugins/schema/src/peers.rs
+++ b/plugins/schema/src/peers.rs
@@ -1,18 +1,15 @@
-//! Hears of newer revisions from other instances, and gives them its head and parts.
-//!
-//! A member's record names the revision in force there, and records spread with the peers'
-//! exchanges. The head itself travels only to an instance that lacks it, on its request.
+//! Hears from other instances: their revisions, which confirm the own one or not, and newer
+//! heads, which the peers' exchanges bring. Gives them parts by hash.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
+use jacinthweir_kernel::heads::HeardHead;
 use jacinthweir_kernel::prelude::*;
-use jacinthweir_kernel::reply::{self, Refusal};
+use jacinthweir_kernel::reply::Refusal;
 use jacinthweir_policy::config::converge::{Event, PeerView};
 use jacinthweir_policy::member::Phase;
 use jacinthweir_policy::membership::Member;
 use jacinthweir_wire::caller::ErrorCode;
-use rand::seq::IndexedRandom;
 use salvo::prelude::{FlowCtrl, Handler, async_trait};
 
 use crate::drive::drive;
@@ -27,7 +24,6 @@
 pub(crate) async fn run(cx: Arc<Kernel>) {
     let mut looked_at = cx.elapsed_ms();
     let mut trusted_from = 0;
-    let mut ask_from = 0;
     loop {
         let now = cx.elapsed_ms();
         // What peers sent before this process was stopped still lies in its sockets and reads
@@ -38,14 +34,12 @@
         }
         looked_at = now;
         drive(&cx, Event::Members(members(&cx, now, trusted_from)));
-        if now >= ask_from
-            && let Some(peer) = peer_ahead(&cx)
-        {
-            ask(&cx, peer).await;
-            // A head that is refused stays ahead: without a pause it would be asked for at once.
-            ask_from = now + cx.settings.timing.gossip_ms;
+        for heard in cx.heads.take_heard() {
+            let HeardHead { peer, head } = heard;
+            drive(&cx, Event::PeerHead { peer, head });
         }
-        tokio::time::sleep(PERIOD).await;
+        // Woken at once by a head; the period serves for the confirmations.
+        let _ = tokio::time::timeout(PERIOD, cx.heads.arrived()).await;
     }
 }
 
@@ -66,79 +60,9 @@
     known.map(view).collect()
 }
 
-/// A live instance with a newer revision than this one has or fetches; the newest revision
-/// first, and one of its holders at random.
-fn peer_ahead(cx: &Kernel) -> Option<NamedPeer> {
-    let known = {
-        let convergence = cx.convergence();
-        let in_force = convergence.in_force().map_or(0, |a| a.head.revision);
-        in_force.max(convergence.vouched_target().unwrap_or(0))
-    };
-    let membership = cx.membership();
-    let newest = membership.peers().map(|s| s.revision).max()?;
-    if newest <= known {
-        return None;
-    }
-    let holders = membership.peers().filter(|s| s.revision == newest);
-    let holders: Vec<NamedPeer> = holders
-        .map(|s| NamedPeer {
-            name: s.name.clone(),
-            address: s.peers,
-        })
-        .collect();
-    holders.choose(&mut rand::rng()).cloned()
-}
-
-#[derive(Clone)]
-struct NamedPeer {
-    name: Name,
-    address: SocketAddr,
-}
-
-async fn ask(cx: &Arc<Kernel>, peer: NamedPeer) {
-    match cx.peers.head(peer.address).await {
-        Ok(Some(head)) => {
-            let head = Arc::new(head);
-            drive(
-                cx,
-                Event::PeerHead {
-                    peer: peer.name,
-                    head,
-                },
-            );
-        }
-        Ok(None) => {}
-        Err(e) => debug!("head of {}: {e}", peer.name),
-    }
-}
-
 /// Routes on the peers' listener.
 pub(crate) fn routes(cx: &Arc<Kernel>) -> Vec<Router> {
-    vec![
-        Router::with_path("peer/head").get(OwnHead(Arc::clone(cx))),
-        Router::with_path("peer/parts/{hash}").get(OwnPart(Arc::clone(cx))),
-    ]
-}
-
-/// `GET /peer/head`.
-struct OwnHead(Arc<Kernel>);
-
-#[async_trait]
-impl Handler for OwnHead {
-    async fn handle(
-        &self,
-        _req: &mut Request,
-        _depot: &mut Depot,
-        res: &mut Response,
-        _ctrl: &mut FlowCtrl,
-    ) {
-        let applied = self.0.convergence().in_force().cloned();
-        match applied.map(|a| rmp_serde::to_vec_named(&*a.head)) {
-            Some(Ok(bytes)) => reply::message_pack(res, bytes),
-            Some(Err(_)) => Refusal::internal().write(res, None),
-            None => absent("no head").write(res, None),
-        }
-    }
+    vec![Router::with_path("peer/parts/{hash}").get(OwnPart(Arc::clone(cx)))]
 }
 
 /// `GET /peer/parts/{hash}`.
--- a/plugins/schema/src/status.rs
+++ b/plugins/schema/src/status.rs
@@ -1,9 +1,9 @@
 //! What is in force where.
 
 use jacinthweir_kernel::prelude::*;
-use jacinthweir_kernel::upstreams::Upstream;
 use jacinthweir_policy::member::Phase;
 use jacinthweir_policy::membership::Member;
+use jacinthweir_policy::upstreams::UpstreamRow;
 use jacinthweir_wire::operator::{InstanceStatus, PlatformReach, StatusReply, UpstreamStatus};
 
 /// What this instance knows of all instances and upstreams.
@@ -24,6 +24,7 @@
         .map(|i| i.member.revision)
         .max()
         .unwrap_or(0);
+    let upstreams = cx.upstreams().dump(cx.clock.now()).rows;
     StatusReply {
         newest: ours.max(heard),
         platform: if reached {
@@ -32,7 +33,7 @@
             PlatformReach::Down
         },
         instances,
-        upstreams: cx.upstreams().all().iter().map(upstream).collect(),
+        upstreams: upstreams.into_iter().map(upstream).collect(),
     }
 }
 
@@ -57,12 +58,12 @@
     all
 }
 
-fn upstream(upstream: &Upstream) -> UpstreamStatus {
+fn upstream(row: UpstreamRow) -> UpstreamStatus {
     UpstreamStatus {
-        name: upstream.listed.name.clone(),
-        group: upstream.listed.group.clone(),
-        domain: upstream.listed.domain.clone(),
-        state: upstream.state.to_string(),
-        holds: Vec::new(),
+        name: row.name,
+        group: row.group,
+        domain: row.domain,
+        state: row.availability.to_string(),
+        holds: row.holds,
     }
 }
--- a/wire/src/peer.rs
+++ b/wire/src/peer.rs
@@ -6,7 +6,6 @@
 //! | `POST /peer/push` | body and answer [`Push`]: what the other side asked for |
 //! | `POST /peer/probe` | body [`ProbeRequest`], answer [`ProbeReply`]: can you reach this one? |
 //! | `GET /peer/self` | [`MemberRecord`] of the instance itself |
-//! | `GET /peer/head` | [`Head`] of the configuration in force on the instance; 404 where none is |
 //! | `GET /peer/parts/{hash}` | a part of the configuration by its hash, as text; 404 where absent |
 //! | `GET /peer/requests/{id}` | [`crate::operator::RequestRecord`] of a request this instance served |
 //!
