jwctl: plan, apply, check, history, status, request, dump, entry

Cause: operators think in migrations; they need to see changes before they commit, who committed what, and where it is in force. Ruled out: repeating any call by itself, but for an apply without an answer, which is asked once more with the same change id. Change: ctl/ as a library with a thin main; the documented exit codes; tables; StatusReply says whether the answering instance vouches for its revision; the own member record is published at once when a revision comes into force (a status right after an apply showed the old one for up to 50 ms, which the first run of the test caught).

--- /dev/null
+++ b/ctl/src/args.rs
@@ -0,0 +1,156 @@
+//! The command line.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use argh::FromArgs;
+
+use crate::exit;
+
+/// The operators' tool of jacinthweir: plan and apply schemas, see what is in force where and
+/// what happened to a request.
+#[derive(FromArgs, Debug)]
+#[argh(
+    note = "The server and the token may also come from JWCTL_SERVER and JWCTL_TOKEN.",
+    error_code(0, "done"),
+    error_code(1, "refused; nothing was changed"),
+    error_code(2, "wrong use: command line, file or token"),
+    error_code(3, "not known: no answer, or a commit that is not confirmed")
+)]
+pub struct Args {
+    /// operators' address of any instance, as 10.0.0.1:7003
+    #[argh(option)]
+    pub server: Option<SocketAddr>,
+    /// file that has the operators' token
+    #[argh(option)]
+    pub token_file: Option<PathBuf>,
+    /// your name in the history; default: the environment's USER
+    #[argh(option)]
+    pub operator: Option<String>,
+    /// the longest a call may take, in seconds; default: 20
+    #[argh(option, default = "20")]
+    pub timeout: u64,
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+    /// what to do
+    #[argh(subcommand)]
+    pub command: Command,
+}
+
+/// What to do.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand)]
+pub enum Command {
+    /// See [`Plan`].
+    Plan(Plan),
+    /// See [`Apply`].
+    Apply(Apply),
+    /// See [`Check`].
+    Check(Check),
+    /// See [`History`].
+    History(History),
+    /// See [`Status`].
+    Status(Status),
+    /// See [`Request`].
+    Request(Request),
+    /// See [`Dump`].
+    Dump(Dump),
+    /// See [`Entry`].
+    Entry(Entry),
+}
+
+/// Show what a schema file would change, and the revision it was compared with.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "plan")]
+pub struct Plan {
+    /// schema file: JSON with comments, see docs/SCHEMA.md
+    #[argh(positional)]
+    pub file: PathBuf,
+}
+
+/// Commit a schema file.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "apply")]
+pub struct Apply {
+    /// schema file: JSON with comments, see docs/SCHEMA.md
+    #[argh(positional)]
+    pub file: PathBuf,
+    /// revision you planned against; default: plan now and use that
+    #[argh(option)]
+    pub base: Option<u64>,
+    /// wait until it is in force on every live instance
+    #[argh(switch)]
+    pub wait: bool,
+    /// change id; give that of an unconfirmed apply to ask again without applying twice
+    #[argh(option)]
+    pub change: Option<String>,
+}
+
+/// Check a schema file without a server.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "check")]
+pub struct Check {
+    /// schema file: JSON with comments, see docs/SCHEMA.md
+    #[argh(positional)]
+    pub file: PathBuf,
+}
+
+/// Show the latest commits, newest first.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "history")]
+pub struct History {}
+
+/// Show what is in force where and since when, and the upstreams.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "status")]
+pub struct Status {}
+
+/// Show what happened to a request.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "request")]
+pub struct Request {
+    /// request id, from the answer's header jacinthweir-request
+    #[argh(positional)]
+    pub id: String,
+}
+
+/// Show the state of one process as JSON.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "dump")]
+pub struct Dump {
+    /// operators' address of the instance; default: --server
+    #[argh(positional)]
+    pub address: Option<SocketAddr>,
+}
+
+/// Show which addresses callers are told to use.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "entry")]
+pub struct Entry {
+    /// failure domain of the caller
+    #[argh(option)]
+    pub domain: Option<String>,
+}
+
+impl Args {
+    /// Reads the process's command line; help and wrong use end early with their exit code.
+    ///
+    /// # Errors
+    /// The exit code to end with.
+    pub fn from_command_line() -> Result<Args, ExitCode> {
+        let words: Vec<String> = std::env::args().collect();
+        let words: Vec<&str> = words.iter().skip(1).map(String::as_str).collect();
+        Args::from_args(&["jwctl"], &words).map_err(|early| match early.status {
+            Ok(()) => {
+                println!("{}", early.output);
+                ExitCode::SUCCESS
+            }
+            Err(()) => {
+                eprintln!("{}", early.output);
+                ExitCode::from(exit::WRONG_USE)
+            }
+        })
+    }
+}
--- a/ctl/src/main.rs
+++ b/ctl/src/main.rs
@@ -1,2 +1,8 @@
-//! Skeleton.
-fn main() {}
+//! `jwctl`, the operators' tool.
+
+use std::process::ExitCode;
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    jacinthweir_ctl::run().await
+}
--- /dev/null
+++ b/ctl/src/table.rs
@@ -0,0 +1,42 @@
+//! Aligned tables of text.
+
+use std::fmt;
+
+/// A table with a head line; numbers may be aligned to the right.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    rows: Vec<Vec<String>>,
+}
+
+impl Table {
+    /// A table with these column titles.
+    #[must_use]
+    pub fn new(titles: &[&str]) -> Table {
+        let titles = titles.iter().map(ToString::to_string).collect();
+        Table { rows: vec![titles] }
+    }
+
+    /// Adds a row.
+    pub fn row<const N: usize>(&mut self, cells: [String; N]) {
+        self.rows.push(cells.into());
+    }
+
+    fn width(&self, column: usize) -> usize {
+        let cells = self.rows.iter().filter_map(|row| row.get(column));
+        cells.map(|cell| cell.chars().count()).max().unwrap_or(0)
+    }
+}
+
+impl fmt::Display for Table {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for row in &self.rows {
+            let mut line = String::new();
+            for (column, cell) in row.iter().enumerate() {
+                let width = self.width(column);
+                line.push_str(&format!("{cell:width$}  "));
+            }
+            writeln!(f, "{}", line.trim_end())?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/ctl/src/text.rs
@@ -0,0 +1,102 @@
+//! What the commands print for people.
+
+mod record;
+mod refused;
+mod status;
+
+use std::path::Path;
+use std::time::{Duration, UNIX_EPOCH};
+
+use jacinthweir_policy::schema::Schema;
+use jacinthweir_wire::caller::EntryAnswer;
+use jacinthweir_wire::operator::{ApplyReply, HistoryReply, PlanReply};
+
+use crate::table::Table;
+
+pub use record::record;
+pub use refused::error;
+pub use status::status;
+
+/// A schema file without faults.
+#[must_use]
+pub fn checked(path: &Path, schema: &Schema) -> String {
+    format!(
+        "{}: valid: {} models, {} pipelines, {} services, {} upstream groups, {} organisations\n",
+        path.display(),
+        schema.models.len(),
+        schema.pipelines.len(),
+        schema.services.len(),
+        schema.upstreams.len(),
+        schema.organisations.len()
+    )
+}
+
+/// A plan: one line a change.
+#[must_use]
+pub fn plan(reply: &PlanReply) -> String {
+    if reply.changes.is_empty() {
+        return format!("nothing would change against revision {}\n", reply.base);
+    }
+    let mut text = format!("changes against revision {}:\n", reply.base);
+    for change in &reply.changes {
+        text.push_str(&format!("  {change}\n"));
+    }
+    text
+}
+
+/// A confirmed commit.
+#[must_use]
+pub fn applied(reply: &ApplyReply, everywhere: bool) -> String {
+    let place = if everywhere {
+        ", in force on every live instance"
+    } else {
+        ""
+    };
+    format!("revision {} is committed{place}\n", reply.revision)
+}
+
+/// The latest commits.
+#[must_use]
+pub fn history(reply: &HistoryReply) -> String {
+    let mut table = Table::new(&["REVISION", "COMMITTED", "OPERATOR", "CHANGE", "SUMMARY"]);
+    for commit in &reply.commits {
+        let more = match commit.summary.len() {
+            0 | 1 => String::new(),
+            n => format!(" (and {} more)", n - 1),
+        };
+        let first = commit.summary.first().cloned().unwrap_or_default();
+        table.row([
+            commit.revision.to_string(),
+            time(commit.at_ms),
+            commit.operator.to_string(),
+            commit.change.to_string(),
+            first + &more,
+        ]);
+    }
+    table.to_string()
+}
+
+/// The addresses that callers are told to use.
+#[must_use]
+pub fn entry(answer: &EntryAnswer) -> String {
+    let mut table = Table::new(&["ADDRESS", "FAILURE DOMAIN"]);
+    for entry in &answer.addresses {
+        table.row([entry.address.to_string(), entry.domain.to_string()]);
+    }
+    format!("{table}may be kept for {} ms\n", answer.ttl_ms)
+}
+
+/// A Unix time in milliseconds as a date and time in UTC.
+pub(crate) fn time(ms: u64) -> String {
+    let at = UNIX_EPOCH + Duration::from_millis(ms);
+    humantime::format_rfc3339_seconds(at).to_string()
+}
+
+/// A span in the two coarsest units that fit it.
+pub(crate) fn span(ms: u64) -> String {
+    match ms {
+        0..10_000 => format!("{ms} ms"),
+        10_000..600_000 => format!("{} s", ms / 1000),
+        _ => humantime::format_duration(Duration::from_secs(ms / 60_000 * 60)).to_string(),
+    }
+}
--- a/plugins/schema/src/drive.rs
+++ b/plugins/schema/src/drive.rs
@@ -3,6 +3,7 @@
 use jacinthweir_kernel::config::{Config, InForce};
 use jacinthweir_kernel::prelude::*;
 use jacinthweir_policy::config::converge::{Action, Alarm, Applied, Convergence, Event};
+use jacinthweir_policy::member::Phase;
 
 use crate::{fetch, republish};
 
@@ -36,10 +37,19 @@
     let in_force = InForce::new(head.revision, since, Arc::clone(&applied.schema));
     in_force.set_serve_until(convergence.serve_until());
     cx.config.set(Config::InForce(Arc::new(in_force)));
+    publish(cx, head.revision, since);
     info!(revision = head.revision; "revision {} is in force", head.revision);
     metrics::gauge!("jacinthweir_config_revision").set(head.revision as f64);
 }
 
+/// Brings the own record up to date at once, and not with the next round: an operator who has just
+/// applied asks for the status, and the next exchange is to carry it.
+fn publish(cx: &Kernel, revision: u64, since_unix_ms: Millis) {
+    let mut membership = cx.membership();
+    membership.set_revision(revision, since_unix_ms);
+    membership.set_phase(Phase::Serving);
+}
+
 /// Keeps what requests are served by in step with the confirmations.
 fn refresh(cx: &Kernel, convergence: &Convergence) {
     let config = cx.config.get();
--- a/plugins/schema/src/status.rs
+++ b/plugins/schema/src/status.rs
@@ -27,6 +27,7 @@
     let upstreams = cx.upstreams().dump(cx.clock.now()).rows;
     StatusReply {
         newest: ours.max(heard),
+        confirmed: cx.serving_config().is_ok(),
         platform: if reached {
             PlatformReach::Reached
         } else {
--- a/wire/src/operator.rs
+++ b/wire/src/operator.rs
@@ -119,6 +119,9 @@
 pub struct StatusReply {
     /// Newest revision that the answering instance knows of.
     pub newest: u64,
+    /// Whether the answering instance may serve by its revision: the platform or a majority of
+    /// the instances confirms it.
+    pub confirmed: bool,
     /// Whether the answering instance reaches the platform.
     pub platform: PlatformReach,
     /// Every known instance.
