--- a/kernel/src/kernel.rs
+++ b/kernel/src/kernel.rs
@@ -22,7 +22,6 @@
 use crate::clock::Clock;
 use crate::config::{ConfigCell, InForce};
 use crate::gate::Gate;
-use crate::heads::Heads;
 use crate::parts::Parts;
 use crate::records::Records;
 use crate::reply::Refusal;
@@ -70,8 +69,6 @@
     pub config: ConfigCell,
     /// Parts of the configuration, for peers.
     pub parts: Parts,
-    /// Heads of the configuration, towards and from peers.
-    pub heads: Heads,
     /// Admission.
     pub gate: Arc<Gate>,
     upstreams: Mutex<Upstreams>,
@@ -107,7 +104,6 @@
             records: Arc::new(Records::open(settings.limits.records)),
             config: ConfigCell::default(),
             parts: Parts::default(),
-            heads: Heads::default(),
             gate: Gate::open(clock),
             upstreams: Mutex::new(upstreams(&settings, clock)),
             membership: Mutex::new(membership(&settings, incarnation, clock)),
@@ -131,7 +127,8 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// The way to the newest configuration; the schema plug-in alone feeds it.
+    /// The way to the newest configuration; the schema plug-in alone feeds it. Lock it before
+    /// [`Kernel::membership`] where both are needed.
     pub fn convergence(&self) -> MutexGuard<'_, Convergence> {
         self.convergence
             .lock()
--- a/plugins/schema/src/drive.rs
+++ b/plugins/schema/src/drive.rs
@@ -32,7 +32,6 @@
     }
     cx.parts
         .retain(|hash| head.parts.iter().any(|part| *part.hash == *hash));
-    cx.heads.set_own(Arc::clone(head));
     let since = cx.clock.unix_ms();
     let in_force = InForce::new(head.revision, since, Arc::clone(&applied.schema));
     in_force.set_serve_until(convergence.serve_until());
--- a/plugins/schema/src/status.rs
+++ b/plugins/schema/src/status.rs
@@ -24,7 +24,6 @@
         .map(|i| i.member.revision)
         .max()
         .unwrap_or(0);
-    let upstreams = cx.upstreams().dump(cx.clock.now()).rows;
     StatusReply {
         newest: ours.max(heard),
         confirmed: cx.serving_config().is_ok(),
@@ -34,7 +33,7 @@
             PlatformReach::Down
         },
         instances,
-        upstreams: upstreams.into_iter().map(upstream).collect(),
+        upstreams: upstreams(cx),
     }
 }
 
@@ -59,6 +58,11 @@
     all
 }
 
+fn upstreams(cx: &Kernel) -> Vec<UpstreamStatus> {
+    let dump = cx.upstreams().dump(cx.clock.now());
+    dump.rows.into_iter().map(upstream).collect()
+}
+
 fn upstream(row: UpstreamRow) -> UpstreamStatus {
     UpstreamStatus {
         name: row.name,
