--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -5,6 +5,7 @@
 //! same run. Modules are state machines of the form `(now, event) -> actions`.
 
 pub mod admission;
+pub mod claim;
 pub mod config;
 pub mod drain;
 pub mod entity;
--- a/policy/src/time.rs
+++ b/policy/src/time.rs
@@ -39,7 +39,7 @@
 ///
 /// The monotonic clock may stand still while a machine is suspended, and the wall clock may be
 /// set; a process that was stopped shows on at least one of them.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Now {
     /// Monotonic clock of this process, in milliseconds.
     pub mono_ms: Millis,
@@ -55,4 +55,28 @@
         let unix = self.unix_ms.saturating_sub(earlier.unix_ms);
         mono.max(unix)
     }
+
+    /// The moment `ms` milliseconds later, on both clocks.
+    #[must_use]
+    pub fn plus(self, ms: Millis) -> Now {
+        Now {
+            mono_ms: self.mono_ms + ms,
+            unix_ms: self.unix_ms + ms,
+        }
+    }
+
+    /// Whether `deadline` is over on either clock.
+    #[must_use]
+    pub fn is_past(self, deadline: Now) -> bool {
+        self.mono_ms >= deadline.mono_ms || self.unix_ms >= deadline.unix_ms
+    }
+
+    /// The earlier of two moments, on each clock.
+    #[must_use]
+    pub fn earlier(self, other: Now) -> Now {
+        Now {
+            mono_ms: self.mono_ms.min(other.mono_ms),
+            unix_ms: self.unix_ms.min(other.unix_ms),
+        }
+    }
 }
