Retries: decision, budget as a share of successes, stall detector

Cause: a dead failure domain must not double the load, and a silent link has to be found without a fixed time-out. Ruled out: retries without a budget; a budget of a bare share (a failure domain's third of the streams could not be resumed at once), so the bucket is as large as the requests in flight; a threshold of mean plus deviations only (first try: a link with gaps of 300 to 360 ms was suspected at 500 ms, found by the test), so 4 means are the least.

--- /dev/null
+++ b/policy/tests/retry.rs
@@ -0,0 +1,132 @@
+//! Retries: who gets another attempt, the budget's bound, and stalls.
+
+use googletest::prelude::*;
+use jacinthweir_policy::journal::{Event, Journal, Repeat};
+use jacinthweir_policy::retry::*;
+
+const TIME: TimeLeft = TimeLeft {
+    left_ms: 1_000,
+    needed_ms: 100,
+};
+
+fn handed(journal: &mut Journal, attempt: u32) {
+    let upstream = "u".into();
+    journal
+        .record(0, Event::Handed { attempt, upstream })
+        .unwrap();
+}
+
+fn lost(journal: &mut Journal, attempt: u32) {
+    let cause = "reset".into();
+    journal.record(0, Event::Lost { attempt, cause }).unwrap();
+}
+
+fn full() -> RetryBudget {
+    RetryBudget::new(RetryBudgetConfig::default(), 0)
+}
+
+#[gtest]
+fn a_stream_is_resumed_behind_the_tokens_that_its_caller_has() {
+    let mut journal = Journal::open("r".into(), Repeat::Idempotent, 0);
+    handed(&mut journal, 1);
+    for index in 0..3 {
+        journal
+            .record(0, Event::Token { attempt: 1, index })
+            .unwrap();
+    }
+    lost(&mut journal, 1);
+    let decision = decide(0, &journal, BadEnd::BrokenOff, TIME, &mut full());
+    let resumed = Decision::Retry {
+        attempt: 2,
+        resume_from: 3,
+    };
+    expect_that!(decision, eq(resumed));
+    let late = TimeLeft {
+        left_ms: 100,
+        needed_ms: 100,
+    };
+    let decision = decide(0, &journal, BadEnd::BrokenOff, late, &mut full());
+    expect_that!(decision, eq(Decision::GiveUp(GiveUp::Deadline)));
+}
+
+#[gtest]
+fn a_non_idempotent_call_is_tried_again_only_where_nothing_ran() {
+    let mut journal = Journal::open("r".into(), Repeat::NonIdempotent, 0);
+    handed(&mut journal, 1);
+    journal
+        .record(0, Event::RefusedByUpstream { attempt: 1 })
+        .unwrap();
+    let refused = BadEnd::Refused { retry_after_ms: 0 };
+    let decision = decide(0, &journal, refused, TIME, &mut full());
+    expect_that!(
+        decision,
+        matches_pattern!(Decision::Retry { attempt: eq(2), .. })
+    );
+    handed(&mut journal, 2);
+    lost(&mut journal, 2);
+    let decision = decide(0, &journal, BadEnd::BrokenOff, TIME, &mut full());
+    expect_that!(decision, eq(Decision::GiveUp(GiveUp::NonIdempotent)));
+}
+
+/// A failure domain is dead: every request that goes there fails, and its retries as well. The
+/// callers see refusals; the upstreams that are left must not see twice the load.
+#[gtest]
+fn retries_stay_within_the_share_of_successes() {
+    let cfg = RetryBudgetConfig::default();
+    let mut budget = RetryBudget::new(cfg, 0);
+    let (mut successes, mut retries) = (0_u64, 0_u64);
+    for request in 0..30_000_u64 {
+        let now = request;
+        match request % 3 {
+            0 => retries += u64::from(budget.take(now)),
+            _ => {
+                successes += 1;
+                budget.succeeded();
+            }
+        }
+    }
+    let bound = cfg.least_size + cfg.share * successes as f64 + cfg.trickle_per_s * 30.0;
+    expect_that!(retries as f64, le(bound));
+    expect_that!(retries as f64, ge(0.9 * bound));
+    expect_that!(budget.taken() + budget.refused(), eq(10_000));
+}
+
+/// A failure domain with a third of 300 streams dies at once: each of them is resumed.
+#[gtest]
+fn every_stream_in_flight_may_be_resumed_once() {
+    let mut budget = full();
+    budget.set_in_flight(300);
+    let resumed = (0..100).filter(|_| budget.take(0)).count();
+    expect_that!(resumed, eq(100));
+}
+
+#[gtest]
+fn a_stall_is_measured_against_the_links_own_history() {
+    let mut fast = StallDetector::new(StallConfig::default());
+    let mut slow = StallDetector::new(StallConfig::default());
+    for i in 0..200_u64 {
+        fast.seen(20 + i % 3);
+        slow.seen(300 + 10 * (i % 7));
+    }
+    expect_that!(fast.is_stall(500), eq(true));
+    expect_that!(slow.is_stall(500), eq(false));
+    expect_that!(slow.is_stall(2_000), eq(true));
+}
+
+#[gtest]
+fn a_false_suspicion_makes_the_detector_more_patient_for_a_while() {
+    let mut detector = StallDetector::new(StallConfig::default());
+    for i in 0..200_u64 {
+        detector.seen(100 + 20 * (i % 5));
+    }
+    let before = detector.threshold_ms();
+    detector.suspected();
+    detector.was_false(before + 50);
+    let after = detector.threshold_ms();
+    expect_that!(after, gt(2 * before));
+    expect_that!(detector.false_suspicions(), eq(1));
+    for i in 0..10_000_u64 {
+        detector.seen(100 + 20 * (i % 5));
+    }
+    expect_that!(detector.threshold_ms(), le(before + before / 10));
+}
