Fleet: links are bound before the instances' ports are chosen

Cause: one start of two ended with "entry-3 does not answer", exit code 1: its port was taken. Ruled out: another process (the loopback address is the fleet's own). The relay of a later instance was bound to port 0 of the same address after the ports were found free. Change: relays first, then the ports. Conclusion: nothing binds by itself on the fleet's address any more after the choice.

--- a/testkit/src/fleet.rs
+++ b/testkit/src/fleet.rs
@@ -185,6 +185,13 @@
     }
 
     async fn start_instances(&mut self, count: usize) -> Result<()> {
+        // Before ports are looked for: a relay bound later could take one that was found free.
+        for _ in 0..count {
+            let listen = SocketAddr::new(self.ip, 0);
+            let token = self.links_end.token().clone();
+            let link = Relay::bind(listen, self.platform.address, token).await?;
+            self.platform_links.push(link);
+        }
         let addresses = ports::free(self.ip, 3 * count)?;
         let peers: Vec<SocketAddr> = (0..count).map(|i| addresses[3 * i + 1]).collect();
         for i in 0..count {
@@ -193,22 +200,18 @@
                 peers: addresses[3 * i + 1],
                 operators: addresses[3 * i + 2],
             };
-            let listen = SocketAddr::new(self.ip, 0);
-            let token = self.links_end.token().clone();
-            let link = Relay::bind(listen, self.platform.address, token).await?;
             let spec = instance::InstanceSpec {
                 deployment: self.deployment,
                 number: i,
                 faces,
                 peers: peers.clone(),
-                platform: link.address,
+                platform: self.platform_links[i].address,
                 operators_token: OPERATORS_TOKEN.to_owned(),
                 timing: self.timing.clone(),
             };
             let instance = Instance::spawn(spec, self.dir.path())?;
             self.list(vec![instance.listing()], true).await?;
             self.instances.push(instance);
-            self.platform_links.push(link);
         }
         for instance in &mut self.instances {
             let deadline = Instant::now() + Duration::from_secs(READY_S);
