Tests of routes: case files, runners that fail and leave, properties over random fleets

Cause: the route plan had no tests beyond the measurements. Ruled out: timed asserts; the cost is measured by the example instead.

--- /dev/null
+++ b/policy/tests/support/route.rs
@@ -0,0 +1,49 @@
+//! Made-up runners for tests of routes.
+
+use jacinthweir_policy::layers::LayerRange;
+use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::route::{Held, ModelSpec, Pick, RunnerSeen};
+
+pub fn model_id() -> ModelId {
+    ModelId::from_u32(0)
+}
+
+pub fn model(layers: u32) -> ModelSpec {
+    ModelSpec {
+        name: "m".into(),
+        layers,
+        nanos_per_layer: 1_000,
+        activation_bytes: 1_000,
+    }
+}
+
+/// First report of a runner with speed 1,000 in domain `d`.
+pub fn seen(name: &str, start: u32, end: u32) -> RunnerSeen {
+    RunnerSeen {
+        name: name.into(),
+        incarnation: 1,
+        number: 1,
+        address: ([127, 0, 0, 1], 1).into(),
+        domain: "d".into(),
+        accelerator: "kind".into(),
+        holds: vec![Held {
+            model: "m".into(),
+            layers: LayerRange::new(start, end),
+        }],
+        token_layers_per_s: 1_000.0,
+        running: 0,
+        queued: 0,
+        leaving: false,
+        age_ms: 0,
+    }
+}
+
+pub fn want(avoid: &[RunnerId]) -> Pick<'_> {
+    Pick {
+        model: model_id(),
+        prefix_hash: None,
+        prompt_tokens: 100,
+        max_tokens: 50,
+        avoid,
+    }
+}
