Request records name the whole route

Cause: an operator saw only the first runner of an attempt. Change: the hand-over names each runner with its layers.

--- a/plugins/callers/src/attempt.rs
+++ b/plugins/callers/src/attempt.rs
@@ -29,6 +29,13 @@
     CallerLeft,
 }
 
+/// The route as operators read it: each runner with its layers, in order.
+fn describe(route: &Route) -> Name {
+    let stages = route.stages.iter();
+    let stages: Vec<String> = stages.map(|s| format!("{} {}", s.name, s.layers)).collect();
+    Name::from(stages.join(", "))
+}
+
 /// What to do after a frame.
 enum Next {
     Frame,
@@ -40,12 +47,9 @@
     ///
     /// The attempt is in the journal as handed over before the first byte may go out.
     pub(crate) async fn attempt(&mut self, number: u32, route: &Route) -> AttemptEnd {
-        let Some(first) = route.stages.first() else {
-            return AttemptEnd::NeverSent;
-        };
         let handed = Event::Handed {
             attempt: number,
-            upstream: first.name.clone(),
+            upstream: describe(route),
         };
         if let Err(fault) = self.running.record(handed) {
             error!(request = self.running.request.as_ref(); "not sent: {fault}");
