--- a/policy/src/claim/key.rs
+++ b/policy/src/claim/key.rs
@@ -67,6 +67,11 @@
         })
     }
 
+    /// The key as the caller gave it; a UUID in lower case.
+    pub fn key(&self) -> &Name {
+        &self.key
+    }
+
     /// When the key was made, in Unix milliseconds, where it says so (UUIDv7).
     pub fn made_ms(&self) -> Option<Millis> {
         self.made_ms
