Fleet: instances' ports are on an address that nothing else binds on

Cause: a stand-in started later, or a link, could take the port of an instance that is down. Ruled out: holding the ports by listeners of the driver (the instance could not bind them). Change: a second loopback address for the chosen ports. Conclusion: a restart finds its ports free.

--- a/testkit/src/fleet.rs
+++ b/testkit/src/fleet.rs
@@ -185,14 +185,15 @@
     }
 
     async fn start_instances(&mut self, count: usize) -> Result<()> {
-        // Before ports are looked for: a relay bound later could take one that was found free.
         for _ in 0..count {
             let listen = SocketAddr::new(self.ip, 0);
             let token = self.links_end.token().clone();
             let link = Relay::bind(listen, self.platform.address, token).await?;
             self.platform_links.push(link);
         }
-        let addresses = ports::free(self.ip, 3 * count)?;
+        // An address that nothing else binds on: a stand-in or a link that takes any free port
+        // could else take that of an instance which has yet to start, or starts again.
+        let addresses = ports::free(ports::own_ip(), 3 * count)?;
         let peers: Vec<SocketAddr> = (0..count).map(|i| addresses[3 * i + 1]).collect();
         for i in 0..count {
             let faces = instance::Faces {
--- a/testkit/src/fleet/ports.rs
+++ b/testkit/src/fleet/ports.rs
@@ -1,26 +1,27 @@
 //! Addresses on loopback for a fleet.
 //!
-//! Each fleet takes a loopback address of its own, so that fleets of tests that run at the same
-//! time, and outgoing connections, never take one another's ports between the moment a port is
-//! found free and the moment a process binds it.
+//! Each fleet takes loopback addresses of its own, one for what takes any free port and one for
+//! ports that are chosen before they are bound. So fleets of tests that run at the same time,
+//! outgoing connections and stand-ins never take a port between the moment it is found free and
+//! the moment a process binds it.
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicU8, Ordering};
 
 use crate::Result;
 
-static FLEETS: AtomicU8 = AtomicU8::new(0);
+static TAKEN: AtomicU8 = AtomicU8::new(0);
 
-/// A loopback address that no other fleet of this machine is likely to use: it is made of the
+/// A loopback address that no other user of this machine is likely to use: it is made of the
 /// process id and a count within the process.
 #[must_use]
 pub fn own_ip() -> IpAddr {
     let [high, low] = (std::process::id() as u16).to_be_bytes();
-    let count = FLEETS.fetch_add(1, Ordering::Relaxed) % 100;
+    let count = TAKEN.fetch_add(1, Ordering::Relaxed) % 250;
     IpAddr::V4(Ipv4Addr::new(127, high | 1, low, 1 + count))
 }
 
-/// Free addresses, all different.
+/// Free ports of `ip`, all different.
 ///
 /// # Errors
 ///
