--- a/policy/src/upstreams.rs
+++ b/policy/src/upstreams.rs
@@ -313,6 +313,11 @@
         if restarted {
             *u = Upstream::new(record.clone());
         }
+        // An instance that was cut off suspected what it could not reach. When it is back, its
+        // suspicions must not close, even for one round, what has reported to others meanwhile.
+        if let (Some(load), true) = (u.load, u.record.suspected()) {
+            u.record.number = u.record.number.max(load.number);
+        }
         u.hash = u.record.hash();
         self.changed.insert(name.clone());
     }
--- a/policy/tests/support/fleet.rs
+++ b/policy/tests/support/fleet.rs
@@ -2,12 +2,18 @@
 
 use jacinthweir_policy::member::{MemberState, Phase};
 use jacinthweir_policy::membership::*;
-use jacinthweir_policy::time::Now;
+use jacinthweir_policy::time::{Name, Now};
+use jacinthweir_policy::upstreams::{UpstreamDelta, UpstreamDigest, Upstreams, UpstreamsConfig};
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::net::SocketAddr;
 
+#[path = "runners.rs"]
+pub mod runners;
+
+use runners::Runner;
+
 /// Whether a process runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Run {
@@ -19,6 +25,7 @@
 /// One instance.
 pub struct Node {
     pub membership: Membership,
+    pub upstreams: Upstreams,
     pub run: Run,
 }
 
@@ -26,6 +33,8 @@
 pub enum Message<'a> {
     Digest(&'a MemberDigest),
     Delta(&'a MemberDelta),
+    UpstreamDigest(&'a UpstreamDigest),
+    UpstreamDelta(&'a UpstreamDelta),
 }
 
 /// Called with sender, receiver and message.
@@ -33,11 +42,16 @@
 
 pub struct Fleet {
     pub nodes: Vec<Node>,
+    pub runners: Vec<Runner>,
+    /// Polls of runners so far.
+    pub polls: usize,
     pub cfg: MembershipConfig,
     pub now: Now,
     pub loss: f64,
     /// Region cut off from all others.
     pub cut: Option<usize>,
+    /// Instance cut off from all others and from all runners.
+    pub isolated: Option<usize>,
     pub regions: usize,
     pub meter: Option<Meter>,
     rng: ChaCha8Rng,
@@ -62,7 +76,7 @@
         callers: address(i),
         peers: address(i),
         operators: address(i),
-        domain: format!("region-{}.domain-{}", i % regions, i % (3 * regions)).into(),
+        domain: domain(i, regions),
         phase: Phase::Serving,
         revision: 1,
         revision_since_ms: START_MS,
@@ -70,6 +84,10 @@
     }
 }
 
+fn domain(i: usize, regions: usize) -> Name {
+    format!("region-{}.domain-{}", i % regions, i % (3 * regions)).into()
+}
+
 impl Fleet {
     /// `count` instances that each know the address of the first.
     pub fn new(count: usize, regions: usize, seed: u64, cfg: &MembershipConfig) -> Fleet {
@@ -77,7 +95,13 @@
             mono_ms: 1_000,
             unix_ms: START_MS,
         };
+        let own = |i: usize| state(i, regions, START_MS);
+        let upstreams = |i: usize| {
+            let (own, cfg) = (own(i), UpstreamsConfig::default());
+            Upstreams::new(own.name, own.domain, cfg, now)
+        };
         let node = |i| Node {
+            upstreams: upstreams(i),
             membership: Membership::new(
                 state(i, regions, START_MS),
                 vec![address(0)],
@@ -88,10 +112,13 @@
         };
         Fleet {
             nodes: (0..count).map(node).collect(),
+            runners: Vec::new(),
+            polls: 0,
             cfg: cfg.clone(),
             now,
             loss: 0.0,
             cut: None,
+            isolated: None,
             regions,
             meter: None,
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -131,6 +158,7 @@
             if self.nodes[i].run == Run::Up {
                 let actions = self.nodes[i].membership.tick(self.now, &mut self.rng);
                 self.carry_out(i, actions);
+                self.poll(i);
             }
         }
         self.now.mono_ms = start.mono_ms + self.cfg.round_ms;
@@ -190,6 +218,9 @@
                 self.nodes[j].membership.receive_push(now, &from, &push);
             }
         }
+        if !self.runners.is_empty() {
+            self.exchange_upstreams(i, j, digest.salt);
+        }
         Vec::new()
     }
 
@@ -214,11 +245,23 @@
     }
 
     fn delivered(&mut self, from: usize, to: usize) -> bool {
-        let region = |i: usize| i % self.regions;
-        let (a, b) = (region(from), region(to));
-        let cut = self.cut.is_some_and(|r| (a == r) != (b == r));
         let lost = self.rng.random::<f64>() < self.loss;
-        !cut && !lost && self.nodes[to].run == Run::Up && self.nodes[from].run == Run::Up
+        let isolated = self.isolated.is_some_and(|i| i == from || i == to);
+        self.connected(from, to)
+            && !isolated
+            && !lost
+            && self.nodes[to].run == Run::Up
+            && self.nodes[from].run == Run::Up
+    }
+
+    /// Whether no cut stands between the regions of two indices.
+    fn connected(&self, from: usize, to: usize) -> bool {
+        let (a, b) = (from % self.regions, to % self.regions);
+        self.cut.is_none_or(|r| (a == r) == (b == r))
+    }
+
+    fn domain(&self, i: usize) -> Name {
+        domain(i, self.regions)
     }
 
     fn count(&mut self, from: usize, to: usize, message: &Message<'_>) {
--- /dev/null
+++ b/policy/tests/support/runners.rs
@@ -0,0 +1,151 @@
+//! Model runners in memory, as the instances of a fleet observe them.
+
+use super::{Fleet, Message, Run, START_MS, name};
+use jacinthweir_policy::layers::LayerRange;
+use jacinthweir_policy::listed::{ListedInstance, ListedState};
+use jacinthweir_policy::load::{HeldLayers, LoadReport};
+use jacinthweir_policy::time::Name;
+use jacinthweir_policy::upstreams::*;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+const GROUP: &str = "runners";
+const LAYERS: u32 = 8;
+
+/// One runner.
+pub struct Runner {
+    pub run: Run,
+    pub incarnation: u64,
+    pub leaving: bool,
+    /// Instances that can't reach it over a broken link.
+    pub hidden_from: Vec<usize>,
+    number: u64,
+}
+
+pub fn runner_name(r: usize) -> Name {
+    format!("runner-{r:04}").into()
+}
+
+impl Fleet {
+    /// Adds runners, spread over the regions, that every instance has read in the list.
+    pub fn add_runners(&mut self, count: usize) {
+        let runner = |_| Runner {
+            run: Run::Up,
+            incarnation: START_MS,
+            leaving: false,
+            hidden_from: Vec::new(),
+            number: 0,
+        };
+        self.runners = (0..count).map(runner).collect();
+        for i in 0..self.nodes.len() {
+            self.read_list(i);
+        }
+    }
+
+    /// The list as the platform would give it now.
+    pub fn list(&self) -> Vec<ListedInstance> {
+        let entry = |(r, runner): (usize, &Runner)| ListedInstance {
+            name: runner_name(r),
+            incarnation: runner.incarnation,
+            group: GROUP.into(),
+            address: SocketAddr::from(([127, 0, 1, 1], r as u16)),
+            domain: self.domain(r),
+            state: ListedState::Live,
+        };
+        self.runners.iter().enumerate().map(entry).collect()
+    }
+
+    pub fn read_list(&mut self, i: usize) {
+        let list = self.list();
+        let upstreams = &mut self.nodes[i].upstreams;
+        upstreams.set_groups(BTreeMap::from([(GROUP.into(), PollKind::Load)]));
+        upstreams.listed(self.now, &list);
+    }
+
+    /// Instance `i` polls what it is an observer of.
+    pub fn poll(&mut self, i: usize) {
+        let node = &mut self.nodes[i];
+        node.upstreams.set_live(node.membership.live());
+        for poll in node.upstreams.to_poll(self.now) {
+            self.polls += 1;
+            let outcome = self.poll_outcome(i, &poll.name);
+            let upstreams = &mut self.nodes[i].upstreams;
+            let confirms = upstreams.polled(self.now, &poll, &outcome);
+            for confirm in confirms {
+                self.confirm(i, &confirm);
+            }
+        }
+    }
+
+    fn confirm(&mut self, i: usize, confirm: &Confirm) {
+        let via = (0..self.nodes.len()).find(|j| name(*j) == *confirm.via);
+        let via = via.filter(|j| self.delivered(i, *j));
+        let outcome = match via {
+            Some(j) => ConfirmOutcome::Polled(self.poll_outcome(j, &confirm.name)),
+            None => ConfirmOutcome::NoAnswer,
+        };
+        self.nodes[i]
+            .upstreams
+            .confirmed(self.now, confirm, &outcome);
+    }
+
+    fn poll_outcome(&mut self, i: usize, runner: &Name) -> PollOutcome {
+        let r = (0..self.runners.len()).find(|r| runner_name(*r) == *runner);
+        let r = r.expect("a runner of the list");
+        let near = self.connected(i, r) && self.isolated != Some(i);
+        let runner = &mut self.runners[r];
+        if runner.run != Run::Up || runner.hidden_from.contains(&i) || !near {
+            return PollOutcome::Failed;
+        }
+        runner.number += 1;
+        PollOutcome::Report(LoadReport {
+            runner: runner_name(r),
+            incarnation: runner.incarnation,
+            number: runner.number,
+            age_ms: 500,
+            accelerator: "kind-a".into(),
+            holds: vec![HeldLayers {
+                model: "model-a".into(),
+                layers: LayerRange {
+                    start: 0,
+                    end: LAYERS,
+                },
+            }],
+            running: (runner.number % 50) as u32,
+            queued: (runner.number % 7) as u32,
+            token_layers_per_s: 40_000.0,
+            busy_token_layers_per_s: 20_000.0 + runner.number as f64,
+            leaving: runner.leaving,
+            checks_fencing: true,
+            fencing: 0,
+        })
+    }
+
+    /// The upstreams' part of an exchange; messages are delivered with those of the members.
+    pub fn exchange_upstreams(&mut self, i: usize, j: usize, salt: u32) {
+        let now = self.now;
+        let domain = self.nodes[i].membership.member(&name(j));
+        let domain = domain.map(|m| m.state().domain.clone());
+        let digest = self.nodes[i].upstreams.digest(now, salt, domain.as_deref());
+        self.count(i, j, &Message::UpstreamDigest(&digest));
+        let delta = self.nodes[j].upstreams.receive_digest(now, &digest);
+        self.count(j, i, &Message::UpstreamDelta(&delta));
+        let push = self.nodes[i].upstreams.receive_delta(now, &delta);
+        let Some(push) = push else {
+            return;
+        };
+        self.count(i, j, &Message::UpstreamDelta(&push));
+        let back = self.nodes[j].upstreams.receive_delta(now, &push);
+        if let Some(back) = back {
+            self.count(j, i, &Message::UpstreamDelta(&back));
+            self.nodes[i].upstreams.receive_delta(now, &back);
+        }
+    }
+
+    /// How many running instances see runner `r` so.
+    pub fn seeing(&self, r: usize, wanted: Availability) -> usize {
+        let up = self.nodes.iter().filter(|n| n.run == Run::Up);
+        let of = |u: &Upstreams| u.get(&runner_name(r)).map(|x| u.availability(x));
+        up.filter(|n| of(&n.upstreams) == Some(wanted)).count()
+    }
+}
