--- a/wire/src/peer.rs
+++ b/wire/src/peer.rs
@@ -6,13 +6,14 @@
 //! | `POST /peer/push` | body and answer [`Push`]: what the other side asked for |
 //! | `POST /peer/probe` | body [`ProbeRequest`], answer [`ProbeReply`]: can you reach this one? |
 //! | `GET /peer/self` | [`MemberRecord`] of the instance itself |
+//! | `GET /peer/head` | [`Head`] of the configuration in force on the instance; 404 where none is |
 //! | `GET /peer/parts/{hash}` | a part of the configuration by its hash, as text; 404 where absent |
 //! | `GET /peer/requests/{id}` | [`crate::operator::RequestRecord`] of a request this instance served |
 //!
 //! An exchange carries digests first and then only what the other side lacks; the modules of
 //! [`jacinthweir_policy::membership`] and [`jacinthweir_policy::upstreams`] say how.
 
-pub use jacinthweir_policy::head::Head;
+pub use jacinthweir_policy::head::{Head, PartRef};
 pub use jacinthweir_policy::member::{MemberState, Phase};
 pub use jacinthweir_policy::membership::{MemberDelta, MemberDigest, MemberRecord};
 use jacinthweir_policy::prelude::*;
@@ -25,8 +26,6 @@
 pub struct Exchange {
     /// Sender's name.
     pub from: Name,
-    /// Revision of the newest head that the sender knows.
-    pub revision: u64,
     /// Digest of the members.
     pub members: MemberDigest,
     /// Digest of the upstreams.
@@ -38,10 +37,6 @@
 pub struct ExchangeAnswer {
     /// Name of the answering instance.
     pub from: Name,
-    /// Revision of the newest head that it knows.
-    pub revision: u64,
-    /// The newest head, where it is newer than the asker's.
-    pub head: Option<Head>,
     /// Members.
     pub members: MemberDelta,
     /// Upstreams.
@@ -53,8 +48,6 @@
 pub struct Push {
     /// Sender's name.
     pub from: Option<Name>,
-    /// The newest head, where the other side's is older.
-    pub head: Option<Head>,
     /// Members, where any were wanted.
     pub members: Option<MemberDelta>,
     /// Upstreams, where any were wanted or are wanted.
