--- a/node/tests/listeners.rs
+++ b/node/tests/listeners.rs
@@ -51,6 +51,13 @@
         .collect();
     expect_that!(
         names,
-        container_eq(["callers", "operators", "peers", "schema", "upstreams"])
+        container_eq([
+            "callers",
+            "operators",
+            "peers",
+            "schema",
+            "services",
+            "upstreams"
+        ])
     );
 }
