--- a/testkit/examples/quickstart.rs
+++ b/testkit/examples/quickstart.rs
@@ -5,12 +5,15 @@
 //! booking, and shows with `jwctl request` where each went. It ends by itself and leaves nothing
 //! running.
 
+use std::collections::BTreeMap;
+use std::io::Write as _;
 use std::time::Instant;
 
 use jacinthweir_policy::prelude::*;
 use jacinthweir_testkit::caller::{ModelCall, Seen, ServiceCall, unbroken};
 use jacinthweir_testkit::fleet::deployment::Deployment;
 use jacinthweir_testkit::{Caller, Fleet, FleetCfg};
+use jacinthweir_wire::runner::LayerRange;
 
 /// Exit code where something went wrong.
 const FAILED: u8 = 1;
@@ -58,7 +61,7 @@
         use_first.address, use_first.domain, entry.ttl_ms
     );
     let answer = ask(&caller, use_first.address, deployment).await?;
-    println!("answer: {}", answer.text);
+    stages(fleet, &answer).await?;
     trace(fleet, &answer).await?;
     let booking = book(&caller, use_first.address, deployment).await?;
     println!("{}: {}", deployment.non_idempotent_call(), booking.text);
@@ -77,7 +80,36 @@
         max_tokens: 32,
         deadline_ms: None,
     };
-    answered(caller.complete(at, &call).await)
+    println!("{}: {}", call.pipeline, call.prompt);
+    let mut show = |piece: &str| {
+        print!("{piece}");
+        let _ = std::io::stdout().flush();
+    };
+    let seen = answered(caller.complete_with(at, &call, &mut show).await)?;
+    let first_ms = seen.token_us.first().map_or(0, |us| us / 1_000);
+    let count = seen.token_us.len();
+    println!("\n{count} tokens, the first after {first_ms} ms");
+    Ok(seen)
+}
+
+/// Shows which runners ran which layers of a request's tokens, as they themselves say.
+async fn stages(fleet: &Fleet, seen: &Seen) -> eyre::Result<()> {
+    let mut stages = BTreeMap::<LayerRange, (Name, usize)>::new();
+    for i in 0..fleet.runners.len() {
+        let witness = fleet.runner_admin(i).witness().await?;
+        let own = witness
+            .ran
+            .iter()
+            .filter(|r| Some(&r.request) == seen.request.as_ref());
+        for ran in own {
+            let stage = stages.entry(ran.layers);
+            stage.or_insert_with(|| (witness.runner.clone(), 0)).1 += 1;
+        }
+    }
+    for (layers, (runner, tokens)) in stages {
+        println!("  layers {layers} of {tokens} tokens ran on {runner}");
+    }
+    Ok(())
 }
 
 async fn book(
--- a/testkit/src/caller.rs
+++ b/testkit/src/caller.rs
@@ -116,6 +116,16 @@
 
     /// Asks a model and reads the stream to its end.
     pub async fn complete(&self, at: SocketAddr, call: &ModelCall) -> Seen {
+        self.complete_with(at, call, &mut |_| {}).await
+    }
+
+    /// The same, showing each piece of the answer as it comes.
+    pub async fn complete_with(
+        &self,
+        at: SocketAddr,
+        call: &ModelCall,
+        show: &mut impl FnMut(&str),
+    ) -> Seen {
         let body = CompletionRequest {
             model: call.pipeline.clone(),
             prompt: call.prompt.clone(),
@@ -124,7 +134,7 @@
         };
         let req = self.client.post(format!("http://{at}/v1/completions"));
         let req = with_deadline(req.json(&body), call.deadline_ms);
-        self.submit(req, Form::Stream).await
+        self.submit(req, Form::Stream, show).await
     }
 
     /// Calls a plain service.
@@ -134,18 +144,18 @@
         if let Some(key) = &call.key {
             req = req.header(header::IDEMPOTENCY_KEY, key);
         }
-        self.submit(with_deadline(req, call.deadline_ms), Form::Body)
-            .await
+        let req = with_deadline(req, call.deadline_ms);
+        self.submit(req, Form::Body, &mut |_| {}).await
     }
 
-    async fn submit(&self, req: RequestBuilder, form: Form) -> Seen {
+    async fn submit(&self, req: RequestBuilder, form: Form, show: &mut impl FnMut(&str)) -> Seen {
         let started = Instant::now();
         let mut seen = Seen::default();
         let read = async {
             let answer = req.bearer_auth(&self.key).send().await?;
             seen.read_head(&answer);
             if form == Form::Stream && answer.status().is_success() {
-                seen.read_stream(answer, started).await
+                seen.read_stream(answer, started, show).await
             } else {
                 seen.read_body(answer).await
             }
@@ -201,7 +211,12 @@
 
     /// Reads server-sent events to the end. Only an end event tells of a whole answer: a stream
     /// that closes without one leaves the outcome open.
-    async fn read_stream(&mut self, answer: Response, started: Instant) -> Result<()> {
+    async fn read_stream(
+        &mut self,
+        answer: Response,
+        started: Instant,
+        show: &mut impl FnMut(&str),
+    ) -> Result<()> {
         self.outcome = None;
         let mut chunks = answer.bytes_stream();
         let mut buf = Vec::new();
@@ -210,13 +225,18 @@
             while let Some(end) = buf.iter().position(|b| *b == b'\n') {
                 let line: Vec<u8> = buf.drain(..=end).collect();
                 let line = String::from_utf8_lossy(&line);
-                self.take_line(line.trim_end(), started)?;
+                self.take_line(line.trim_end(), started, show)?;
             }
         }
         Ok(())
     }
 
-    fn take_line(&mut self, line: &str, started: Instant) -> Result<()> {
+    fn take_line(
+        &mut self,
+        line: &str,
+        started: Instant,
+        show: &mut impl FnMut(&str),
+    ) -> Result<()> {
         let Some(data) = line.strip_prefix("data: ").filter(|d| *d != DONE) else {
             return Ok(());
         };
@@ -228,6 +248,7 @@
         for choice in event.choices {
             let piece = choice.text.or(choice.delta.and_then(|d| d.content));
             if let Some(piece) = piece.filter(|p| !p.is_empty()) {
+                show(&piece);
                 self.text.push_str(&piece);
                 self.token_us.push(micros(started));
             }
