--- /dev/null
+++ b/plugins/schema/tests/schema.rs
@@ -0,0 +1,8 @@
+//! The schema's plug-in: applying on several instances, and how a configuration spreads.
+
+#[path = "schema/apply.rs"]
+mod apply;
+#[path = "schema/rig.rs"]
+mod rig;
+#[path = "schema/spread.rs"]
+mod spread;
