Stalled streams are resumed within a retry budget

Cause: an attempt at a frozen runner waited until the caller's deadline, and a dead failure domain could double the load by retries. Change: each pipeline's gaps set a threshold for the first and the next token; a silent attempt is cancelled and resumed on a route that avoids all of its runners; every further attempt asks the policy, with a budget a pipeline.

--- a/kernel/src/kernel.rs
+++ b/kernel/src/kernel.rs
@@ -1,5 +1,7 @@
 //! The shared state of an instance, and its life from start to exit.
 
+use std::any::{Any, TypeId};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -72,6 +74,7 @@
     /// Admission.
     pub gate: Arc<Gate>,
     upstreams: Mutex<Upstreams>,
+    plugin_state: Mutex<BTreeMap<TypeId, Arc<dyn Any + Send + Sync>>>,
     router: Mutex<Router>,
     membership: Mutex<Membership>,
     convergence: Mutex<Convergence>,
@@ -106,6 +109,7 @@
             parts: Parts::default(),
             gate: Gate::open(clock),
             upstreams: Mutex::new(upstreams(&settings, clock)),
+            plugin_state: Mutex::default(),
             membership: Mutex::new(membership(&settings, incarnation, clock)),
             convergence: Mutex::new(convergence(&settings)),
             elapsed: Mutex::new(Elapsed::since(clock.reading())),
@@ -115,6 +119,19 @@
         Ok(Arc::new(kernel))
     }
 
+    /// State that one plug-in alone uses, by its type; opened at first use.
+    pub fn plugin_state<T: Any + Send + Sync>(&self, open: impl FnOnce() -> T) -> Arc<T> {
+        let mut states = self
+            .plugin_state
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let state = states
+            .entry(TypeId::of::<T>())
+            .or_insert_with(|| Arc::new(open()));
+        let state = Arc::clone(state).downcast::<T>();
+        state.expect("states are kept by their own type")
+    }
+
     /// The route plan.
     pub fn router(&self) -> MutexGuard<'_, Router> {
         self.router.lock().unwrap_or_else(PoisonError::into_inner)
--- a/plugins/callers/src/attempt.rs
+++ b/plugins/callers/src/attempt.rs
@@ -23,6 +23,8 @@
     NeverSent,
     /// It broke off; the runner at fault, where known.
     Broken(Option<Name>),
+    /// No frame came in time.
+    Stalled,
     /// The caller's deadline passed.
     DeadlinePassed,
     /// The caller went away.
@@ -56,6 +58,7 @@
             return AttemptEnd::NeverSent;
         }
         let req = self.run_request(number, route);
+        self.await_first();
         let end = self.run(&req, route).await;
         self.settle(number, &end);
         if !matches!(
@@ -89,9 +92,13 @@
 
     async fn run(&mut self, req: &RunRequest, route: &Route) -> AttemptEnd {
         let cx = Arc::clone(&self.cx);
-        let started = timeout(self.remaining(), cx.runners.run(req)).await;
+        let started = timeout(self.frame_wait(), cx.runners.run(req)).await;
         let mut frames = match started {
-            Err(_) => return AttemptEnd::DeadlinePassed,
+            Err(_) if self.remaining() == Duration::ZERO => return AttemptEnd::DeadlinePassed,
+            Err(_) => {
+                self.note_stall();
+                return AttemptEnd::Stalled;
+            }
             Ok(Err(e)) => return self.not_started(&e, route),
             Ok(Ok(RunStart::Refused(refused))) => return AttemptEnd::Refused(refused),
             Ok(Ok(RunStart::Accepted(frames))) => frames,
@@ -126,8 +133,8 @@
             Err(_) if self.remaining() == Duration::ZERO => Next::End(AttemptEnd::DeadlinePassed),
             Err(_) => {
                 info!(request = req.request.as_ref(); "no frame for {} ms", wait.as_millis());
-                metrics::counter!("jacinthweir_stalls_total").increment(1);
-                Next::End(AttemptEnd::Broken(None))
+                self.note_stall();
+                Next::End(AttemptEnd::Stalled)
             }
             Ok(Err(e)) => {
                 info!(request = req.request.as_ref(); "attempt {} lost: {e}", req.attempt);
@@ -190,7 +197,9 @@
         self.token_came();
         self.cx.router().token(self.cx.clock.now(), route);
         self.tokens.push(token.text.clone());
-        match self.tx.send(Told::Token(token.text)).await {
+        let sent = self.tx.send(Told::Token(token.text)).await;
+        self.token_passed_on();
+        match sent {
             Ok(()) => Next::Frame,
             Err(_) => Next::End(AttemptEnd::CallerLeft),
         }
@@ -216,6 +225,10 @@
                     .unwrap_or_else(|| Name::from("stream broke off"));
                 Event::Lost { attempt, cause }
             }
+            AttemptEnd::Stalled => Event::Lost {
+                attempt,
+                cause: "no frame in time".into(),
+            },
             AttemptEnd::DeadlinePassed => Event::Lost {
                 attempt,
                 cause: "deadline".into(),
--- a/plugins/callers/src/driver.rs
+++ b/plugins/callers/src/driver.rs
@@ -7,7 +7,8 @@
 use jacinthweir_kernel::records::{Entry, EntryMeta, Running};
 use jacinthweir_kernel::reply::Refusal;
 use jacinthweir_policy::admission::{self, Work};
-use jacinthweir_policy::journal::{End, Event, Journal, MAX_ATTEMPTS, Repeat};
+use jacinthweir_policy::journal::{End, Event, Journal, Repeat};
+use jacinthweir_policy::retry::{BadEnd, Decision, GiveUp};
 use jacinthweir_policy::route::{Pick, Route};
 use jacinthweir_wire::caller::ErrorCode;
 use jacinthweir_wire::runner::{EndFrame, Refused, prefix_hash};
@@ -16,6 +17,7 @@
 use crate::accept::Accepted;
 use crate::answer::AnswerHead;
 use crate::attempt::AttemptEnd;
+use crate::pace::{Awaited, Paces};
 
 /// Tokens that may wait for a slow caller before its upstream is held back.
 const TOLD_CAPACITY: usize = 64;
@@ -57,7 +59,9 @@
     pub(crate) tx: mpsc::Sender<Told>,
     /// Text of the tokens that the caller has.
     pub(crate) tokens: Vec<String>,
-    last_token_at: Millis,
+    paces: Arc<Paces>,
+    awaited: Awaited,
+    waiting_since: Millis,
     avoid: Vec<RunnerId>,
     busy: Option<Refused>,
 }
@@ -66,6 +70,7 @@
     /// Starts the driver of an accepted request as a task of its own.
     pub(crate) fn spawn(
         cx: &Arc<Kernel>,
+        paces: &Arc<Paces>,
         accepted: Accepted,
     ) -> (AnswerHead, mpsc::Receiver<Told>) {
         let id = cx.new_request_id();
@@ -90,7 +95,9 @@
             running,
             tx,
             tokens: Vec::new(),
-            last_token_at: cx.clock.now(),
+            paces: Arc::clone(paces),
+            awaited: Awaited::First,
+            waiting_since: cx.clock.now(),
             avoid: Vec::new(),
             busy: None,
         };
@@ -155,21 +162,22 @@
             if self.remaining() == Duration::ZERO {
                 return Err(Stop::DeadlinePassed);
             }
-            let number = self.running.journal().next_attempt();
-            if number as usize > MAX_ATTEMPTS {
-                return Err(Stop::GaveUp("no attempts left".into()));
-            }
             let route = self.find_route().await?;
+            let number = self.running.journal().next_attempt();
             self.cx.router().sent(self.cx.clock.now(), &route);
             let end = self.attempt(number, &route).await;
             self.count_route(&route, &end);
             match end {
-                AttemptEnd::Whole(end) => return Ok(end),
+                AttemptEnd::Whole(end) => {
+                    self.paces.answered(&self.accepted.prompt.pipeline);
+                    return Ok(end);
+                }
                 AttemptEnd::DeadlinePassed => return Err(Stop::DeadlinePassed),
                 AttemptEnd::CallerLeft => return Err(Stop::CallerLeft),
-                AttemptEnd::Refused(refused) => self.after_refusal(&route, refused),
-                AttemptEnd::NeverSent => self.avoid_first(&route),
-                AttemptEnd::Broken(runner) => self.after_break(&route, runner),
+                AttemptEnd::Refused(refused) => self.after_refusal(&route, refused)?,
+                AttemptEnd::NeverSent => self.after_never_sent(&route)?,
+                AttemptEnd::Broken(runner) => self.after_break(&route, runner)?,
+                AttemptEnd::Stalled => self.after_stall(&route)?,
             }
         }
     }
@@ -229,6 +237,7 @@
                 let first = route.stages.first().map(|s| s.runner);
                 router.failed(now, route, first);
             }
+            AttemptEnd::Stalled => router.failed(now, route, None),
             AttemptEnd::Whole(_)
             | AttemptEnd::Refused(_)
             | AttemptEnd::DeadlinePassed
@@ -236,18 +245,56 @@
         }
     }
 
-    fn after_refusal(&mut self, route: &Route, refused: Refused) {
+    fn after_refusal(&mut self, route: &Route, refused: Refused) -> Result<(), Stop> {
+        let end = BadEnd::Refused {
+            retry_after_ms: refused.retry_after_ms,
+        };
+        self.avoid_first(route);
+        let retry = self.may_retry(end);
+        if retry.is_err() {
+            return Err(Stop::Busy(refused));
+        }
         self.busy = Some(refused);
+        Ok(())
+    }
+
+    fn after_never_sent(&mut self, route: &Route) -> Result<(), Stop> {
         self.avoid_first(route);
+        self.may_retry(BadEnd::NeverSent)
     }
 
-    fn after_break(&mut self, route: &Route, runner: Option<Name>) {
+    fn after_break(&mut self, route: &Route, runner: Option<Name>) -> Result<(), Stop> {
         metrics::counter!("jacinthweir_attempts_broken_total").increment(1);
         let at_fault = runner.and_then(|name| self.cx.router().runner(&name));
         match at_fault {
             Some(runner) => self.avoid(runner),
             None => self.avoid_first(route),
         }
+        self.may_retry(BadEnd::BrokenOff)
+    }
+
+    /// A stall does not say which stage is at fault, so the next attempt avoids all of them.
+    fn after_stall(&mut self, route: &Route) -> Result<(), Stop> {
+        metrics::counter!("jacinthweir_stalls_total").increment(1);
+        for stage in &route.stages {
+            self.avoid(stage.runner);
+        }
+        self.may_retry(BadEnd::BrokenOff)
+    }
+
+    fn may_retry(&self, end: BadEnd) -> Result<(), Stop> {
+        let pipeline = &self.accepted.prompt.pipeline;
+        let in_flight = u32::try_from(self.cx.gate.in_flight()).unwrap_or(u32::MAX);
+        let left_ms = self.remaining_ms();
+        let journal = self.running.journal();
+        match self
+            .paces
+            .decide(pipeline, &journal, end, left_ms, in_flight)
+        {
+            Decision::Retry { .. } => Ok(()),
+            Decision::GiveUp(GiveUp::Deadline) => Err(Stop::DeadlinePassed),
+            Decision::GiveUp(why) => Err(Stop::GaveUp(format!("not tried again: {why}"))),
+        }
     }
 
     fn avoid_first(&mut self, route: &Route) {
@@ -306,12 +353,35 @@
 
     /// How long to wait for the next frame.
     pub(crate) fn frame_wait(&self) -> Duration {
-        self.remaining()
+        let pipeline = &self.accepted.prompt.pipeline;
+        let threshold = self.paces.threshold(pipeline, self.awaited);
+        self.remaining().min(threshold)
+    }
+
+    /// An attempt begins: its first token is waited for.
+    pub(crate) fn await_first(&mut self) {
+        self.awaited = Awaited::First;
+        self.waiting_since = self.cx.clock.now();
     }
 
-    /// The clock for the next token begins.
+    /// A token came.
     pub(crate) fn token_came(&mut self) {
-        self.last_token_at = self.cx.clock.now();
+        let now = self.cx.clock.now();
+        let gap_ms = now.saturating_sub(self.waiting_since);
+        let pipeline = &self.accepted.prompt.pipeline;
+        self.paces.seen(pipeline, self.awaited, gap_ms);
+        self.awaited = Awaited::Next;
+    }
+
+    /// The token is with the caller: the time it took there is none of the runner's.
+    pub(crate) fn token_passed_on(&mut self) {
+        self.waiting_since = self.cx.clock.now();
+    }
+
+    /// No frame came in time.
+    pub(crate) fn note_stall(&self) {
+        self.paces
+            .stalled(&self.accepted.prompt.pipeline, self.awaited);
     }
 }
 
--- a/plugins/callers/src/handler.rs
+++ b/plugins/callers/src/handler.rs
@@ -11,18 +11,19 @@
 use crate::accept::accept;
 use crate::answer::{AnswerHead, DONE};
 use crate::driver::{Driver, Told};
+use crate::pace::Paces;
 use crate::prompt::Form;
 
 /// Routes on the callers' listener.
 pub(crate) fn routes(cx: &Arc<Kernel>) -> Vec<Router> {
-    let chat = Completions {
+    let paces = Paces::of(cx);
+    let completions = |form| Completions {
         cx: Arc::clone(cx),
-        form: Form::Chat,
-    };
-    let plain = Completions {
-        cx: Arc::clone(cx),
-        form: Form::Plain,
+        paces: Arc::clone(&paces),
+        form,
     };
+    let chat = completions(Form::Chat);
+    let plain = completions(Form::Plain);
     vec![
         Router::with_path("v1/chat/completions").post(chat),
         Router::with_path("v1/completions").post(plain),
@@ -31,6 +32,7 @@
 
 struct Completions {
     cx: Arc<Kernel>,
+    paces: Arc<Paces>,
     form: Form,
 }
 
@@ -48,7 +50,7 @@
             Err(refusal) => return refusal.write(res, None),
         };
         let stream = accepted.prompt.stream;
-        let (head, mut rx) = Driver::spawn(&self.cx, accepted);
+        let (head, mut rx) = Driver::spawn(&self.cx, &self.paces, accepted);
         let Some(first) = rx.recv().await else {
             return Refusal::internal().write(res, Some(&head.id));
         };
--- a/plugins/callers/src/lib.rs
+++ b/plugins/callers/src/lib.rs
@@ -11,6 +11,7 @@
 mod attempt;
 mod driver;
 mod handler;
+mod pace;
 mod prompt;
 
 use jacinthweir_kernel::prelude::*;
@@ -36,5 +37,8 @@
 }
 
 fn dump(cx: &Kernel) -> serde_json::Value {
-    serde_json::json!({ "requests": cx.records.counts() })
+    serde_json::json!({
+        "requests": cx.records.counts(),
+        "pipelines": pace::Paces::of(cx).rows(),
+    })
 }
