Random campaigns on real processes

Cause: the promises had no run under load and faults. Change: a campaign starts a fleet of processes, keeps load on it, draws faults from a seed one or two at a time, heals, and checks the history from outside.

--- a/testkit/src/history/leaving.rs
+++ b/testkit/src/history/leaving.rs
@@ -10,6 +10,7 @@
             a.first
                 && a.upstream == left.upstream
                 && a.at_ms > left.at_ms.saturating_add(limits.leaving_ms)
+                && left.until_ms.is_none_or(|until| a.at_ms < until)
         });
         for arrived in late {
             found.push(Violation::NewWorkAfterLeaving {
--- a/testkit/src/history/record.rs
+++ b/testkit/src/history/record.rs
@@ -112,6 +112,8 @@
     pub upstream: Name,
     /// Unix time at which it said so, in milliseconds.
     pub at_ms: u64,
+    /// Unix time at which its next incarnation started, in milliseconds.
+    pub until_ms: Option<u64>,
 }
 
 /// A commit that an operator was told of.
--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admin;
 pub mod bench;
 pub mod caller;
+pub mod campaign;
 pub mod error;
 pub mod fleet;
 pub mod history;
