Quickstart whole: model answer, booking and traces of both deployments; its test books too

Cause: the services plug-in is there, so the path can be shown to its end. Ruled out: nothing; no fault was met on this path. Change: the test books with a key, counts the runs at the services themselves, and sends the same key again through another instance: the same answer, still one run. A question for each deployment.

--- a/testkit/examples/quickstart.rs
+++ b/testkit/examples/quickstart.rs
@@ -76,7 +76,7 @@
 ) -> eyre::Result<Seen> {
     let call = ModelCall {
         pipeline: deployment.pipeline().into(),
-        prompt: "Is there matched spruce for a quartet?".to_owned(),
+        prompt: question(deployment).to_owned(),
         max_tokens: 32,
         deadline_ms: None,
     };
@@ -92,6 +92,13 @@
     Ok(seen)
 }
 
+fn question(deployment: Deployment) -> &'static str {
+    match deployment {
+        Deployment::Associacao => "Is there matched spruce for a quartet?",
+        Deployment::Tallinna => "Who can take the closure on Pärnu maantee tonight?",
+    }
+}
+
 /// Shows which runners ran which layers of a request's tokens, as they themselves say.
 async fn stages(fleet: &Fleet, seen: &Seen) -> eyre::Result<()> {
     let mut stages = BTreeMap::<LayerRange, (Name, usize)>::new();
--- a/testkit/tests/quickstart.rs
+++ b/testkit/tests/quickstart.rs
@@ -4,7 +4,7 @@
 
 use googletest::prelude::*;
 use jacinthweir_policy::prelude::*;
-use jacinthweir_testkit::caller::{ModelCall, Seen};
+use jacinthweir_testkit::caller::{ModelCall, Seen, ServiceCall};
 use jacinthweir_testkit::fleet::deployment::{Deployment, LAYERS};
 use jacinthweir_testkit::{Fleet, FleetCfg, text};
 use jacinthweir_wire::runner::LayerRange;
@@ -49,6 +49,17 @@
     }
 }
 
+async fn check_booking(fleet: &Fleet, seen: &Seen, key: &str) {
+    expect_that!(seen.outcome, some(eq(Outcome::Answered)), "{seen:?}");
+    let mut runs = 0;
+    for i in 0..fleet.services.len() {
+        let ran = fleet.service_admin(i).ran().await;
+        let ran = ran.expect("the service answers");
+        runs += ran.iter().filter(|r| r.key.as_deref() == Some(key)).count();
+    }
+    expect_that!(runs, eq(1));
+}
+
 async fn check_trace(fleet: &Fleet, seen: &Seen) {
     let request = seen.request.as_ref().expect("a request id");
     // Asked at each instance: any of them knows where to ask on.
@@ -82,17 +93,33 @@
     let answer = caller.complete(at, &ask).await;
     check_answer(&fleet, &answer).await;
     check_trace(&fleet, &answer).await;
+    let key = uuid::Uuid::now_v7().to_string();
+    let book = ServiceCall {
+        service: deployment.service().into(),
+        call: deployment.non_idempotent_call().into(),
+        key: Some(key.clone()),
+        body: "item 7".to_owned(),
+        deadline_ms: None,
+    };
+    let booking = caller.call(at, &book).await;
+    check_booking(&fleet, &booking, &key).await;
+    check_trace(&fleet, &booking).await;
+    // Sent again through another instance: the recorded answer, and no second run.
+    let other = entry.addresses.last().expect("an address").address;
+    let again = caller.call(other, &book).await;
+    expect_that!(again.text, eq(&booking.text));
+    check_booking(&fleet, &again, &key).await;
     fleet.stop().await.expect("the fleet stops");
 }
 
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
-async fn the_associacao_is_served_from_schema_to_answer() {
+async fn the_associacao_is_served_from_schema_to_booking() {
     whole_path(Deployment::Associacao).await;
 }
 
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
-async fn tallinna_is_served_from_schema_to_answer() {
+async fn tallinna_is_served_from_schema_to_booking() {
     whole_path(Deployment::Tallinna).await;
 }
