--- a/testkit/src/fleet.rs
+++ b/testkit/src/fleet.rs
@@ -250,7 +250,8 @@
         Ok(out)
     }
 
-    /// Waits until every instance that runs names all of them to callers.
+    /// Waits until every instance that runs names all of them to callers and knows what each
+    /// runner holds.
     ///
     /// # Errors
     ///
@@ -258,18 +259,12 @@
     pub async fn wait_serving(&self) -> Result<()> {
         let caller = self.caller(self.deployment.organisations()[0])?;
         let deadline = Instant::now() + Duration::from_secs(READY_S);
-        let running = || self.instances.iter().filter(|i| i.process.id().is_some());
-        let count = running().count();
-        for instance in running() {
-            loop {
-                let answer = caller.entry(instance.faces.callers).await;
-                if answer.as_ref().is_ok_and(|a| a.addresses.len() == count) {
-                    break;
-                }
+        for instance in self.instances.iter().filter(|i| i.process.id().is_some()) {
+            while !self.serves(instance, &caller).await? {
                 if Instant::now() > deadline {
                     let log = instance.process.log_tail();
                     let name = &instance.name;
-                    return Err(Error::Other(format!("{name}: {answer:?}\n{log}")));
+                    return Err(Error::Other(format!("{name} does not serve:\n{log}")));
                 }
                 tokio::time::sleep(Duration::from_millis(ASK_MS)).await;
             }
@@ -277,6 +272,20 @@
         Ok(())
     }
 
+    async fn serves(&self, instance: &Instance, caller: &Caller) -> Result<bool> {
+        let running = |process: &process::Process| process.id().is_some();
+        let instances = self.instances.iter().filter(|i| running(&i.process));
+        let runners = self.runners.iter().filter(|r| running(&r.process));
+        let Ok(answer) = caller.entry(instance.faces.callers).await else {
+            return Ok(false);
+        };
+        let Ok(status) = instance.operator()?.status().await else {
+            return Ok(false);
+        };
+        let known = status.upstreams.iter().filter(|u| !u.holds.is_empty());
+        Ok(answer.addresses.len() == instances.count() && known.count() >= runners.count())
+    }
+
     /// Callers' addresses of all instances.
     #[must_use]
     pub fn entries(&self) -> Vec<SocketAddr> {
--- a/testkit/src/service/routes.rs
+++ b/testkit/src/service/routes.rs
@@ -91,7 +91,7 @@
         res.status_code(StatusCode::INTERNAL_SERVER_ERROR);
         return;
     };
-    tokio::time::sleep(answer_delay).await;
+    wait(answer_delay).await;
     if lose_answer {
         log::info!("answer lost: {ran:?}");
         ctrl.conn().abort();
@@ -103,7 +103,7 @@
 /// Runs the call: after its delay it is written down.
 async fn run(state: Arc<State>, mut ran: RanCall) -> (RanCall, Duration) {
     let delay = state.lock().knobs.delay_ms.unwrap_or(0);
-    tokio::time::sleep(Duration::from_millis(delay)).await;
+    wait(Duration::from_millis(delay)).await;
     let mut inner = state.lock();
     ran.run = inner.ran.len() as u64 + 1;
     ran.at_ms = unix_ms();
@@ -112,6 +112,13 @@
     (ran, Duration::from_millis(answer_delay))
 }
 
+/// Sleeps, but for no time: a sleep of nothing still takes a tick of the timer.
+async fn wait(time: Duration) {
+    if !time.is_zero() {
+        tokio::time::sleep(time).await;
+    }
+}
+
 fn answer(ran: &RanCall, res: &mut Response) {
     if let Some(request) = &ran.request {
         let _ = res.add_header(header::REQUEST, request.to_string(), true);
