--- a/testkit/src/fleet.rs
+++ b/testkit/src/fleet.rs
@@ -3,7 +3,8 @@
 //! [`Fleet::start`] starts the platform, the runners and services, lists them, writes a settings
 //! file for each instance into a temporary folder, starts the instances, and waits by asking
 //! until each one answers its operators. [`Fleet::apply`] applies the deployment's sample schema
-//! through `jwctl` and waits until callers are served. Every process is killed when its handle is
+//! through `jwctl` and waits until callers are served. Each instance reaches the platform over a
+//! link of its own, a [`Relay`] in the driver's process, which a test can cut. Every process is killed when its handle is
 //! dropped; [`Fleet::stop`] shuts all down gracefully first.
 
 pub mod deployment;
@@ -20,10 +21,12 @@
 use jacinthweir_wire::platform::{ENTRY_GROUP, ListedInstance, ListedState};
 use tempfile::TempDir;
 use tokio::process::Command;
+use tokio_util::sync::{CancellationToken, DropGuard};
 
 use crate::admin::PlatformAdmin;
 use crate::caller::Caller;
 use crate::platform::admin::InstancesChange;
+use crate::relay::Relay;
 use crate::{Error, PlatformCfg, Result};
 use deployment::Deployment;
 use instance::Instance;
@@ -36,6 +39,8 @@
 const ASK_MS: u64 = 20;
 /// Longest graceful shutdown of one process, in seconds.
 const STOP_S: u64 = 20;
+/// Who applies a fleet's schema, as the history shows.
+const OPERATOR: &str = "testkit";
 /// The operators' token of every fleet.
 const OPERATORS_TOKEN: &str = "operators-token-of-the-test-kit";
 
@@ -73,11 +78,13 @@
         }
     }
 
-    /// Today's size: forty runners.
+    /// Today's size: forty runners, slowed down so that one machine carries them and a step takes
+    /// much longer than the granularity of timers.
     #[must_use]
     pub fn today(deployment: Deployment) -> Self {
         Self {
             runners: 40,
+            speed: 0.1,
             ..Self::small(deployment)
         }
     }
@@ -107,6 +114,10 @@
     pub services: Vec<ServiceProcess>,
     /// Entry instances.
     pub instances: Vec<Instance>,
+    /// Each instance's link to the platform, in the order of the instances.
+    pub platform_links: Vec<Relay>,
+    /// Ends the links, also where a test fails.
+    links_end: DropGuard,
     client: reqwest::Client,
     ip: IpAddr,
     timing: Timing,
@@ -135,6 +146,8 @@
             runners: Vec::new(),
             services: Vec::new(),
             instances: Vec::new(),
+            platform_links: Vec::new(),
+            links_end: CancellationToken::new().drop_guard(),
             client,
             ip,
             timing: cfg.timing.clone(),
@@ -172,7 +185,15 @@
     }
 
     async fn start_instances(&mut self, count: usize) -> Result<()> {
-        let addresses = ports::free(self.ip, 3 * count)?;
+        for _ in 0..count {
+            let listen = SocketAddr::new(self.ip, 0);
+            let token = self.links_end.token().clone();
+            let link = Relay::bind(listen, self.platform.address, token).await?;
+            self.platform_links.push(link);
+        }
+        // An address that nothing else binds on: a stand-in or a link that takes any free port
+        // could else take that of an instance which has yet to start, or starts again.
+        let addresses = ports::free(ports::own_ip(), 3 * count)?;
         let peers: Vec<SocketAddr> = (0..count).map(|i| addresses[3 * i + 1]).collect();
         for i in 0..count {
             let faces = instance::Faces {
@@ -185,7 +206,7 @@
                 number: i,
                 faces,
                 peers: peers.clone(),
-                platform: self.platform.address,
+                platform: self.platform_links[i].address,
                 operators_token: OPERATORS_TOKEN.to_owned(),
                 timing: self.timing.clone(),
             };
@@ -270,7 +291,9 @@
     pub async fn jwctl(&self, i: usize, args: &[&str]) -> Result<CtlOutput> {
         let at = self.instances[i].faces.operators.to_string();
         let output = Command::new(program("jwctl")?)
-            .args(["--address", &at, "--token", OPERATORS_TOKEN])
+            .env("JWCTL_SERVER", at)
+            .env("JWCTL_TOKEN", OPERATORS_TOKEN)
+            .args(["--operator", OPERATOR])
             .args(args)
             .kill_on_drop(true)
             .output()
@@ -309,6 +332,28 @@
         crate::admin::ServiceAdmin::new(self.client.clone(), self.services[i].listing.address)
     }
 
+    /// Kills the `i`-th instance where it still runs, starts it again with the same settings, and
+    /// lists it with its new incarnation.
+    ///
+    /// # Errors
+    ///
+    /// Where it can't be started.
+    pub async fn restart_instance(&mut self, i: usize) -> Result<()> {
+        self.instances[i].process.restart().await?;
+        self.list(vec![self.instances[i].listing()], false).await
+    }
+
+    /// The same for the `i`-th runner.
+    ///
+    /// # Errors
+    ///
+    /// Where it can't be started.
+    pub async fn restart_runner(&mut self, i: usize) -> Result<()> {
+        self.runners[i].restart().await?;
+        self.list(vec![self.runners[i].listing.clone()], false)
+            .await
+    }
+
     /// Puts instances into the platform's list, with its lag or without.
     ///
     /// # Errors
