Delete parts that no head names any more

Ruled out: deleting whatever the head does not name (a commit in progress has written parts that no head names yet; its head would then name a part that nobody has); ages by a clock (the platform gives versions, not times). Change: policy/config/garbage decides by versions; the instance of the first rank deletes by compare-and-delete, after two looks in a row; setting timing.part_clean_ms. Conclusion: the platform holds the standing parts and those of some minutes.

--- a/kernel/src/settings.rs
+++ b/kernel/src/settings.rs
@@ -128,6 +128,8 @@
     /// Period of reading the configuration's head on instances that do not watch it, and longest
     /// wait of a watch on those that do, in milliseconds.
     pub head_poll_ms: u64,
+    /// Period of deleting parts of the configuration that no head names any more, in milliseconds.
+    pub part_clean_ms: u64,
     /// How long an instance serves a revision that neither the platform nor a majority of the
     /// instances confirms, in milliseconds.
     pub unconfirmed_ms: u64,
@@ -148,6 +150,7 @@
             upstream_timeout_ms: 1_000,
             list_poll_ms: 2_000,
             head_poll_ms: 4_000,
+            part_clean_ms: 600_000,
             unconfirmed_ms: 15_000,
             claim_retention_ms: 24 * 3600 * 1000,
         }
@@ -292,7 +295,7 @@
         }
     }
 
-    fn positive(&self) -> [(&'static str, u64); 18] {
+    fn positive(&self) -> [(&'static str, u64); 19] {
         let l = &self.limits;
         let t = &self.timing;
         [
@@ -312,6 +315,7 @@
             ("timing.upstream_timeout_ms", t.upstream_timeout_ms),
             ("timing.list_poll_ms", t.list_poll_ms),
             ("timing.head_poll_ms", t.head_poll_ms),
+            ("timing.part_clean_ms", t.part_clean_ms),
             ("timing.unconfirmed_ms", t.unconfirmed_ms),
             ("timing.claim_retention_ms", t.claim_retention_ms),
         ]
--- a/plugins/schema/src/commit.rs
+++ b/plugins/schema/src/commit.rs
@@ -44,8 +44,7 @@
 /// Writes parts; those that stand already are the same, since the hash names the text.
 ///
 /// A part that stands, though the head does not name it, is written once more: its version
-/// thereby exceeds the head's, which tells [`crate::republish`]'s readers and any clean-up that a
-/// commit in progress needs it.
+/// thereby exceeds the head's, which tells the clean-up that a commit in progress needs it.
 pub(crate) async fn write_parts(cx: &Kernel, parts: Vec<PartText>) -> Result<(), ClientError> {
     let writes = parts.into_iter().map(|part| write_part(cx, part));
     let mut writes = stream::iter(writes).buffer_unordered(PARTS_AT_A_TIME);
--- a/plugins/schema/src/head.rs
+++ b/plugins/schema/src/head.rs
@@ -5,7 +5,7 @@
 use jacinthweir_clients::ClientError;
 use jacinthweir_kernel::prelude::*;
 use jacinthweir_policy::config::converge::Event;
-use jacinthweir_policy::config::watch::watches;
+use jacinthweir_policy::config::watch::{rank, watches};
 use jacinthweir_wire::peer::Head;
 use rand::RngExt;
 
@@ -60,9 +60,17 @@
 
 /// Whether this instance watches the head.
 pub(crate) fn is_watcher(cx: &Kernel) -> bool {
+    watches(&cx.settings.name, &live(cx))
+}
+
+/// Whether this instance is the one that cleans up.
+pub(crate) fn is_cleaner(cx: &Kernel) -> bool {
+    rank(&cx.settings.name, &live(cx)) == 0
+}
+
+fn live(cx: &Kernel) -> Vec<Name> {
     let membership = cx.membership();
-    let live: Vec<Name> = membership.peers().map(|s| s.name.clone()).collect();
-    watches(&cx.settings.name, &live)
+    membership.peers().map(|s| s.name.clone()).collect()
 }
 
 async fn read_and_drive(cx: &Arc<Kernel>) -> Result<(), ClientError> {
--- a/plugins/schema/src/keys.rs
+++ b/plugins/schema/src/keys.rs
@@ -3,7 +3,10 @@
 /// The one head.
 pub(crate) const HEAD: &str = "config/head";
 
+/// What the keys of all parts begin with.
+pub(crate) const PARTS: &str = "config/parts/";
+
 /// A part, by its hash.
 pub(crate) fn part(hash: &str) -> String {
-    format!("config/parts/{hash}")
+    format!("{PARTS}{hash}")
 }
--- a/plugins/schema/src/lib.rs
+++ b/plugins/schema/src/lib.rs
@@ -5,6 +5,7 @@
 //! feed all of it to the convergence, whose actions [`drive`] carries out. [`apply`] commits.
 
 mod apply;
+mod clean;
 mod commit;
 mod drive;
 mod fetch;
@@ -29,6 +30,7 @@
 fn spawn(cx: &Arc<Kernel>) -> Result<(), KernelError> {
     cx.spawn(head::run(Arc::clone(cx)));
     cx.spawn(peers::run(Arc::clone(cx)));
+    cx.spawn(clean::run(Arc::clone(cx)));
     Ok(())
 }
 
--- a/plugins/schema/tests/schema/apply.rs
+++ b/plugins/schema/tests/schema/apply.rs
@@ -157,6 +157,29 @@
     expect_that!(rig.apply(1, 2, "c3", 3).await.unwrap().revision, eq(3));
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn parts_that_no_head_names_are_deleted() {
+    let rig = rig(2).await;
+    for revision in 1..=4 {
+        let change = format!("c{revision}");
+        rig.apply(0, revision - 1, &change, revision as u32)
+            .await
+            .unwrap();
+    }
+    let wait = async {
+        while rig.stored_parts().await != 2 {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, wait)
+        .await
+        .expect("the core and one slice are left");
+    // Back to an earlier schema, whose part is gone by now: the commit writes it again.
+    expect_that!(rig.apply(1, 4, "c5", 1).await.unwrap().revision, eq(5));
+    rig.everywhere(5).await;
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_wrong_token_is_refused() {
--- a/plugins/schema/tests/schema/rig.rs
+++ b/plugins/schema/tests/schema/rig.rs
@@ -62,7 +62,7 @@
             "operators_sha256": jacinthweir_kernel::auth::fingerprint(TOKEN),
             "peers": "a token between instances",
         },
-        "timing": {"gossip_ms": 100, "unconfirmed_ms": 2_000},
+        "timing": {"gossip_ms": 100, "unconfirmed_ms": 2_000, "part_clean_ms": 150},
     });
     let kernel = Kernel::open(Settings::parse(&settings.to_string()).unwrap()).unwrap();
     for plugin in sorted() {
@@ -199,6 +199,12 @@
         tokio::time::timeout(PATIENCE, wait).await.expect("happens");
     }
 
+    /// Number of parts on the platform.
+    pub async fn stored_parts(&self) -> usize {
+        let listed = self.objects.list("config/parts/").await.unwrap();
+        listed.objects.len()
+    }
+
     pub async fn head(&self) -> Object {
         self.objects.get(HEAD).await.unwrap().unwrap()
     }
--- a/policy/src/config.rs
+++ b/policy/src/config.rs
@@ -9,6 +9,7 @@
 pub mod check;
 pub mod commit;
 pub mod converge;
+pub mod garbage;
 pub mod lineage;
 pub mod parts;
 pub mod watch;
--- a/policy/src/config/watch.rs
+++ b/policy/src/config/watch.rs
@@ -13,12 +13,16 @@
 /// Number of instances that watch: one may be dead and another draining.
 pub const WATCHERS: usize = 3;
 
-/// Whether the instance `own` watches, among the `live` ones (with or without itself).
-pub fn watches(own: &Name, live: &[Name]) -> bool {
-    let rank = |name: &Name| <[u8; 32]>::from(Sha256::digest(name.as_bytes()));
-    let mine = rank(own);
+/// Place of the instance `own` among the `live` ones (with or without itself), from 0.
+pub fn rank(own: &Name, live: &[Name]) -> usize {
+    let hash = |name: &Name| <[u8; 32]>::from(Sha256::digest(name.as_bytes()));
+    let mine = hash(own);
     live.iter()
-        .filter(|name| *name != own && rank(name) < mine)
+        .filter(|name| *name != own && hash(name) < mine)
         .count()
-        < WATCHERS
+}
+
+/// Whether the instance `own` watches, among the `live` ones (with or without itself).
+pub fn watches(own: &Name, live: &[Name]) -> bool {
+    rank(own, live) < WATCHERS
 }
--- a/policy/tests/config_parts.rs
+++ b/policy/tests/config_parts.rs
@@ -4,6 +4,7 @@
 use jacinthweir_policy::config::commit::{
     Decision, MAX_SUMMARY, Proposal, ReadBack, decide, read_back,
 };
+use jacinthweir_policy::config::garbage::{deletable, needless};
 use jacinthweir_policy::config::lineage::{HeadFault, MAX_HISTORY, Relation, check_head, relation};
 use jacinthweir_policy::config::parts::{JoinError, MAX_PART_BYTES, PartText, join, split};
 use jacinthweir_policy::config::watch::{WATCHERS, watches};
@@ -239,3 +240,19 @@
         expect_that!(watching, eq(WATCHERS.min(fleet)));
     }
 }
+
+#[gtest]
+fn parts_of_a_commit_in_progress_are_never_needless() {
+    // Revision 2 stands at version 20. A commit in progress has written its part (version 21),
+    // which an earlier revision had used too. Deleting it would leave the next head with a part
+    // that nobody has, and every instance that joins later without a configuration.
+    let first = committed(None, &proposal(0, "c1", 1));
+    let second = committed(Some(&first), &proposal(1, "c2", 2));
+    let (old, named) = (first.parts[1].hash.clone(), second.parts[1].hash.clone());
+    let at = |version| [(old.clone(), version), (named.clone(), 15)].into_iter();
+    expect_that!(needless(&second, 20, at(21)), is_empty());
+    let found = needless(&second, 20, at(10));
+    expect_that!(found.keys().collect::<Vec<_>>(), eq(&vec![&old]));
+    expect_that!(deletable(&needless(&second, 20, at(9)), &found), is_empty());
+    expect_that!(deletable(&found, &found), eq(&found));
+}
