--- a/plugins/schema/tests/schema.rs
+++ b/plugins/schema/tests/schema.rs
@@ -2,6 +2,8 @@
 
 #[path = "schema/apply.rs"]
 mod apply;
+#[path = "schema/bad_input.rs"]
+mod bad_input;
 #[path = "schema/rig.rs"]
 mod rig;
 #[path = "schema/spread.rs"]
--- a/plugins/schema/tests/schema/rig.rs
+++ b/plugins/schema/tests/schema/rig.rs
@@ -62,6 +62,7 @@
             "operators_sha256": jacinthweir_kernel::auth::fingerprint(TOKEN),
             "peers": "a token between instances",
         },
+        "limits": {"schema_bytes": 100_000},
         "timing": {"gossip_ms": 100, "unconfirmed_ms": 2_000, "part_clean_ms": 150},
     });
     let kernel = Kernel::open(Settings::parse(&settings.to_string()).unwrap()).unwrap();
