Routes through fewer failure domains; plan split into pool, planner and plan

Change: a charge of 0.004 for each change of domain beside 0.002 for each change of runner, stop at 2%; pool.rs and planner.rs; two models a replan; an equal report number may bring other layers but does not clear a suspicion; tests of overtaken reports and of the measurement itself.

--- a/policy/src/route.rs
+++ b/policy/src/route.rs
@@ -14,6 +14,8 @@
 mod packing;
 mod pick;
 mod plan;
+mod planner;
+mod pool;
 mod records;
 mod router;
 mod state;
--- a/policy/src/route/cheapest.rs
+++ b/policy/src/route/cheapest.rs
@@ -5,7 +5,8 @@
 //! the cheapest runner of some domain. A chain must not come back to a runner; where the cheapest
 //! does, the runners in between are left out and the search is repeated, a few times.
 
-use super::plan::{Candidate, Hop};
+use super::plan::Hop;
+use super::pool::Pool;
 use crate::prelude::*;
 use std::collections::BTreeMap;
 
@@ -20,16 +21,8 @@
     pub links: &'a BTreeMap<Hop, f64>,
     /// Of each change of runner.
     pub per_hop: f64,
-}
-
-/// The segments and their holders.
-pub struct Ways<'a> {
-    /// Length of each segment, in layers.
-    pub lengths: &'a [u32],
-    /// Candidates that hold each segment.
-    pub holders: &'a [Vec<usize>],
-    /// Candidates.
-    pub candidates: &'a [Candidate],
+    /// Of each change to another failure domain, in addition.
+    pub per_domain: f64,
 }
 
 /// A cheapest chain: a candidate for each segment.
@@ -47,7 +40,7 @@
     from: usize,
 }
 
-impl Ways<'_> {
+impl Pool {
     /// Finds the cheapest chain; `None` where no chain without a return was found.
     pub fn cheapest(&self, prices: &Prices<'_>) -> Option<Cheapest> {
         let mut banned = vec![false; self.candidates.len()];
@@ -66,14 +59,20 @@
     fn search(&self, prices: &Prices<'_>, banned: &[bool]) -> Option<(Vec<usize>, f64)> {
         let mut labels: Vec<Vec<Label>> = Vec::with_capacity(self.lengths.len());
         let mut stay = vec![f64::INFINITY; self.candidates.len()];
-        let mut entries = Entries::default();
+        let mut entries = Entries::new(self.domains.len());
         for (s, holders) in self.holders.iter().enumerate() {
             let length = f64::from(self.lengths[s]);
             let mut row = Vec::with_capacity(holders.len());
             for &c in holders {
-                let (mut price, mut from) = match s {
-                    0 => (0.0, c),
-                    _ => entries.best(prices, self.candidates[c].domain),
+                let Label {
+                    mut price,
+                    mut from,
+                } = match s {
+                    0 => Label {
+                        price: 0.0,
+                        from: c,
+                    },
+                    _ => entries.best(self, prices, c),
                 };
                 if stay[c] <= price {
                     (price, from) = (stay[c], c);
@@ -88,7 +87,7 @@
             for (&c, label) in holders.iter().zip(&row) {
                 stay[c] = label.price;
             }
-            entries.fill(self, prices, holders, &row);
+            entries.fill(self, holders, &row);
             labels.push(row);
         }
         self.trace(&labels)
@@ -111,57 +110,73 @@
 }
 
 /// Cheapest labels of the segment before.
-#[derive(Default)]
 struct Entries {
-    /// The cheapest of all.
-    least: Option<(DomainId, f64, usize)>,
-    /// The cheapest of each domain; empty where no link has a price.
-    by_domain: Vec<(DomainId, f64, usize)>,
+    /// The cheapest of all, with its domain's slot.
+    least: Label,
+    least_slot: usize,
+    /// The cheapest of each domain, by its slot.
+    by_domain: Vec<Label>,
 }
 
+/// No way.
+const NONE: Label = Label {
+    price: f64::INFINITY,
+    from: usize::MAX,
+};
+
 impl Entries {
-    fn fill(&mut self, ways: &Ways<'_>, prices: &Prices<'_>, holders: &[usize], row: &[Label]) {
-        self.least = None;
-        self.by_domain.clear();
+    fn new(slots: usize) -> Self {
+        Self {
+            least: NONE,
+            least_slot: 0,
+            by_domain: vec![NONE; slots],
+        }
+    }
+
+    fn fill(&mut self, pool: &Pool, holders: &[usize], row: &[Label]) {
+        self.least = NONE;
+        self.by_domain.fill(NONE);
         for (&c, label) in holders.iter().zip(row) {
-            let entry = (ways.candidates[c].domain, label.price, c);
-            if self.least.is_none_or(|(_, least, _)| entry.1 < least) {
-                self.least = Some(entry);
-            }
-            if prices.links.is_empty() {
-                continue;
+            let slot = pool.candidates[c].domain_slot;
+            let entry = Label {
+                price: label.price,
+                from: c,
+            };
+            if entry.price < self.by_domain[slot].price {
+                self.by_domain[slot] = entry;
             }
-            match self.by_domain.iter_mut().find(|(d, ..)| *d == entry.0) {
-                Some(known) if entry.1 < known.1 => *known = entry,
-                Some(_) => {}
-                None => self.by_domain.push(entry),
+            if entry.price < self.least.price {
+                self.least = entry;
+                self.least_slot = slot;
             }
         }
     }
 
-    /// Cheapest way to come to `domain`, with the link paid.
-    fn best(&self, prices: &Prices<'_>, domain: DomainId) -> (f64, usize) {
+    /// Cheapest way to come to candidate `c` from another, with the change and the link paid.
+    fn best(&self, pool: &Pool, prices: &Prices<'_>, c: usize) -> Label {
+        let (to, to_slot) = (pool.candidates[c].domain, pool.candidates[c].domain_slot);
         let link = |from| {
             prices
                 .links
-                .get(&Hop::new(from, domain))
+                .get(&Hop::new(from, to))
                 .copied()
                 .unwrap_or(0.0)
         };
-        let Some((from, price, c)) = self.least else {
-            return (f64::INFINITY, usize::MAX);
-        };
-        if prices.links.is_empty() || link(from) == 0.0 {
-            return (price + prices.per_hop, c);
-        }
-        let mut best = (f64::INFINITY, usize::MAX);
-        for &(from, price, c) in &self.by_domain {
-            let total = price + prices.per_hop + link(from);
-            if total < best.0 {
-                best = (total, c);
+        let paid = |entry: Label, from: DomainId| {
+            let domain = if from == to { 0.0 } else { prices.per_domain };
+            Label {
+                price: entry.price + prices.per_hop + domain + link(from),
+                ..entry
             }
+        };
+        let cheaper = |a: Label, b: Label| if b.price < a.price { b } else { a };
+        if prices.links.is_empty() {
+            let least = paid(self.least, pool.domains[self.least_slot]);
+            return cheaper(least, paid(self.by_domain[to_slot], to));
         }
-        best
+        let all = self.by_domain.iter().zip(&pool.domains);
+        all.map(|(&entry, &from)| paid(entry, from))
+            .fold(NONE, cheaper)
     }
 }
 
--- a/policy/src/route/fleet.rs
+++ b/policy/src/route/fleet.rs
@@ -198,7 +198,8 @@
         self.stale.extend(models);
     }
 
-    /// Takes a report in. Reports of an older incarnation or with an older number have no effect.
+    /// Takes a report in. Reports of an older incarnation or with a lower number have no effect;
+    /// one with the newest number again may bring other layers or say that the runner leaves.
     pub fn observe(&mut self, now: Millis, seen: &RunnerSeen) -> Effect {
         let Some(id) = self.runner(&seen.name) else {
             self.add(now, seen);
@@ -216,7 +217,7 @@
             self.cache.restart(id);
             return Effect::PlanChanged;
         }
-        if seen.number <= known.number {
+        if seen.number < known.number {
             return Effect::Same;
         }
         self.update(id, now, seen)
@@ -261,6 +262,10 @@
             // Leaving and gone never turn back in one incarnation: a late report that was made
             // before the runner began to leave would otherwise bring it new work.
             Some(CloseReason::Leaving | CloseReason::Gone) => runner.closed,
+            // The report it was suspected after is no sign of life.
+            Some(CloseReason::Suspected) if seen.number == runner.number && !seen.leaving => {
+                runner.closed
+            }
             Some(CloseReason::Suspected) | None => seen.leaving.then_some(CloseReason::Leaving),
         };
         let speed = seen.token_layers_per_s;
--- a/policy/src/route/plan.rs
+++ b/policy/src/route/plan.rs
@@ -1,40 +1,26 @@
 //! The plan: for each model, chains of runners with the rate each should carry.
 //!
-//! The bound comes from [`super::flow`]. The chains are the solution of a linear program
-//! ([`super::packing`]): no runner gets more token-layers a second than its speed, no link more
-//! tokens than it lets through, and the rate is as great as it can be, with a small charge for
-//! each change of runner. Chains are brought in one after another, each the cheapest at the
-//! present prices of runners and links ([`super::cheapest`]), until none gains or the limit of
-//! steps is reached; what is reached by then is a plan too, if a lesser one.
+//! The bound comes from [`super::flow`], the chains from [`super::planner`]. Links enter the program
+//! only where chains ask more of them than they let through: most never do, and each costs time.
 //!
 //! The order of all steps is that of runner names, not of arrival, so each instance comes to the
 //! same plan from the same inputs.
 
-use super::cheapest::{Prices, Ways};
 use super::fleet::Fleet;
-use super::flow::{self, Supply};
+use super::flow;
 use super::link::Links;
-use super::packing::{Packing, Uses};
+use super::planner::Planner;
+use super::pool::Pool;
 use crate::layers::LayerRange;
 use crate::prelude::*;
 use cranelift_entity::SecondaryMap;
 use std::collections::BTreeMap;
 
-/// Charge for each change of runner, against the gain of 1 of a whole chain.
-const HOP_CHARGE: f64 = 0.002;
-/// The plan is good enough once no more than this share can be gained.
-const GOOD_ENOUGH: f64 = 0.01;
 /// Links are left out of the program as long as no chain asks too much of them, and brought in
 /// where one does, in so many rounds at most.
 const LINK_ROUNDS: usize = 3;
 /// A link that is over its limit by no more than this share is not relieved.
 const SLIGHTLY_OVER: f64 = 1e-6;
-/// The most chains brought in.
-const MAX_STEPS: usize = 2_000;
-/// The most chains brought in, times the square of the number of resources, which is what bringing
-/// one in costs: bounds the time of a plan of very many runners.
-const MAX_WORK: usize = 40_000_000;
-
 /// A way through the runners with its planned rate.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Chain {
@@ -63,11 +49,15 @@
     pub uncovered: Option<LayerRange>,
     /// Chains brought in while planning.
     pub steps: usize,
+    /// Stages of a route, in the mean by planned rate.
+    pub mean_stages: f64,
+    /// Changes of failure domain on a route, in the mean by planned rate.
+    pub mean_domain_changes: f64,
 }
 
 /// Two domains between which a chain changes runner, in order of their ids.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Hop(DomainId, DomainId);
+pub struct Hop(pub DomainId, pub DomainId);
 
 impl Chain {
     /// Where it changes runner.
@@ -86,64 +76,30 @@
     }
 }
 
-/// A runner as the plan of one model sees it.
-pub struct Candidate {
-    /// Runner.
-    pub id: RunnerId,
-    /// Its failure domain.
-    pub domain: DomainId,
-    /// Speed for this model, in token-layers a second.
-    pub speed: f64,
-    segments: Vec<usize>,
-}
-
-/// Makes the plan of a model from the open runners. Runners with several models give each an
-/// equal part of their speed.
+/// Makes the plan of a model from the open runners.
 pub fn plan_model(fleet: &Fleet, links: &Links, model: ModelId, order: &[RunnerId]) -> ModelPlan {
-    let spec = &fleet.models[model];
-    let open = || {
-        order
-            .iter()
-            .copied()
-            .filter(|&id| fleet.runners[id].is_open())
-    };
-    let held = open().flat_map(|id| fleet.runners[id].ranges(model));
-    let segments = flow::segments(spec.layers, held);
-    let candidates: Vec<Candidate> = open()
-        .filter_map(|id| candidate(fleet, model, id, &segments))
-        .collect();
-    let holders: Vec<Vec<usize>> = (0..segments.len())
-        .map(|s| {
-            (0..candidates.len())
-                .filter(|&c| candidates[c].segments.contains(&s))
-                .collect()
-        })
-        .collect();
-    if let Some(s) = holders.iter().position(Vec::is_empty) {
+    let pool = Pool::new(fleet, model, order);
+    if let Some(layers) = pool.uncovered() {
         return ModelPlan {
-            uncovered: Some(segments[s]),
+            uncovered: Some(layers),
             ..ModelPlan::default()
         };
     }
-    let lengths: Vec<u32> = segments.iter().map(|s| s.count()).collect();
-    let rate = flow::max_rate(&lengths, &group(&candidates));
-    let capacities = link_capacities(links, spec.activation_bytes);
+    let rate = flow::max_rate(&pool.lengths, &pool.supplies());
     let unit = rate.tokens_per_s;
+    let capacities = link_capacities(links, fleet.models[model].activation_bytes);
     let mut limited = capacities.clone();
     limited.retain(|_, tokens_per_s| *tokens_per_s < unit);
-    let link_bound = flow::link_bound(&rooms(&candidates, &lengths), &limited);
+    let link_bound = flow::link_bound(&pool.rooms(), &limited);
     let mut plan = ModelPlan {
         bound: unit.min(link_bound),
-        tight: rate.tight.iter().map(|&s| segments[s]).collect(),
+        tight: rate.tight.iter().map(|&s| pool.segments[s]).collect(),
         ..ModelPlan::default()
     };
-    let ways = Ways {
-        lengths: &lengths,
-        holders: &holders,
-        candidates: &candidates,
-    };
     for _ in 0..LINK_ROUNDS {
-        Planner::new(&ways, &limited, unit).solve(&segments, &mut plan);
+        let solved = Planner::new(&pool, &limited, unit).solve();
+        plan.steps += solved.steps;
+        plan.chains = solved.chains;
         let over = overloaded(fleet, &capacities, &plan.chains);
         if over.is_empty() {
             break;
@@ -151,53 +107,10 @@
         limited.extend(over.into_keys().map(|hop| (hop, capacities[&hop])));
     }
     relieve(fleet, &capacities, &mut plan.chains);
-    plan.sum_up();
+    plan.sum_up(fleet);
     plan
 }
 
-fn candidate(
-    fleet: &Fleet,
-    model: ModelId,
-    id: RunnerId,
-    segments: &[LayerRange],
-) -> Option<Candidate> {
-    let runner = &fleet.runners[id];
-    let holds = |s: &usize| runner.holds(model, segments[*s]);
-    let held: Vec<usize> = (0..segments.len()).filter(holds).collect();
-    let speed = runner.speed / f64::from(runner.model_count().max(1));
-    let usable = !held.is_empty() && speed.is_finite() && speed > 0.0;
-    usable.then_some(Candidate {
-        id,
-        domain: runner.domain,
-        speed,
-        segments: held,
-    })
-}
-
-/// Runners that hold the same segments, as supplies.
-fn group(candidates: &[Candidate]) -> Vec<Supply> {
-    let mut groups: BTreeMap<&[usize], u64> = BTreeMap::new();
-    for c in candidates {
-        *groups.entry(&c.segments).or_default() += (c.speed * 1e3) as u64;
-    }
-    let supply = |(segments, speed_milli): (&[usize], u64)| Supply {
-        speed_milli,
-        segments: segments.to_vec(),
-    };
-    groups.into_iter().map(supply).collect()
-}
-
-/// Tokens a second that the runners of each domain could run of each segment if they ran no other.
-fn rooms(candidates: &[Candidate], lengths: &[u32]) -> Vec<BTreeMap<DomainId, f64>> {
-    let mut rooms = vec![BTreeMap::new(); lengths.len()];
-    for c in candidates {
-        for &s in &c.segments {
-            *rooms[s].entry(c.domain).or_default() += c.speed / f64::from(lengths[s]);
-        }
-    }
-    rooms
-}
-
 /// Tokens a second of each link with a limit.
 fn link_capacities(links: &Links, activation_bytes: u64) -> BTreeMap<Hop, f64> {
     let all = links
@@ -235,150 +148,24 @@
     }
 }
 
-/// The linear program of one model.
-struct Planner<'a> {
-    ways: &'a Ways<'a>,
-    /// Unit of rates: the bound, in tokens a second.
-    unit: f64,
-    /// Resource of each limited link, with its capacity in units.
-    links: BTreeMap<Hop, (usize, f64)>,
-    packing: Packing,
-    paths: Vec<Vec<usize>>,
-}
-
-impl<'a> Planner<'a> {
-    fn new(ways: &'a Ways<'a>, capacities: &BTreeMap<Hop, f64>, unit: f64) -> Self {
-        let runners = ways.candidates.len();
-        let number = |(i, (&hop, &c)): (usize, (&Hop, &f64))| (hop, (runners + i, c / unit));
-        let links = capacities.iter().enumerate().map(number).collect();
-        let packing = Packing::new(runners + capacities.len());
-        Self {
-            ways,
-            unit,
-            links,
-            packing,
-            paths: Vec::new(),
-        }
-    }
-
-    fn solve(mut self, segments: &[LayerRange], plan: &mut ModelPlan) {
-        let rows = self.packing.rows().max(1);
-        let steps = MAX_STEPS.min(MAX_WORK / (rows * rows));
-        while self.paths.len() < steps && self.step() {}
-        plan.steps += self.paths.len();
-        plan.chains.clear();
-        for (i, rate) in self.packing.columns() {
-            let stages = self.stages(&self.paths[i], segments);
-            plan.chains.push(Chain {
-                stages,
-                tokens_per_s: rate * self.unit,
-            });
-        }
-    }
-
-    /// Brings one chain in; says whether there may be more to gain.
-    fn step(&mut self) -> bool {
-        let prices = self.packing.prices();
-        let per_layer: Vec<f64> = self
-            .ways
-            .candidates
-            .iter()
-            .zip(&prices)
-            .map(|(c, price)| price.max(0.0) * self.unit / c.speed)
-            .collect();
-        let links: BTreeMap<Hop, f64> = self
-            .links
-            .iter()
-            .map(|(&hop, &(row, capacity))| (hop, prices[row].max(0.0) / capacity))
-            .filter(|(_, price)| *price > 0.0)
-            .collect();
-        let prices = Prices {
-            per_layer: &per_layer,
-            links: &links,
-            per_hop: HOP_CHARGE,
-        };
-        let Some(cheapest) = self.ways.cheapest(&prices) else {
-            return false;
-        };
-        if 1.0 - cheapest.least < GOOD_ENOUGH * self.packing.gained() {
-            return false;
-        }
-        let (uses, gain) = self.column(&cheapest.path);
-        let paid: f64 = self.paid(&cheapest.path, &prices);
-        if gain <= paid {
-            return false;
-        }
-        let id = self.paths.len();
-        self.paths.push(cheapest.path);
-        self.packing.enter(&uses, gain, id)
-    }
-
-    /// What a path pays for runners and links.
-    fn paid(&self, path: &[usize], prices: &Prices<'_>) -> f64 {
-        let layers = path.iter().zip(self.ways.lengths);
-        let runners: f64 = layers
-            .map(|(&c, &n)| prices.per_layer[c] * f64::from(n))
-            .sum();
-        let links: f64 = self
-            .hops(path)
-            .iter()
-            .filter_map(|hop| prices.links.get(hop))
-            .sum();
-        runners + links
-    }
-
-    /// Pairs of domains between which a path changes runner.
-    fn hops(&self, path: &[usize]) -> Vec<Hop> {
-        let domain = |c: usize| self.ways.candidates[c].domain;
-        let changes = path.windows(2).filter(|w| w[0] != w[1]);
-        changes
-            .map(|w| Hop::new(domain(w[0]), domain(w[1])))
-            .collect()
-    }
-
-    /// What a path uses of each resource, and what it gains.
-    fn column(&self, path: &[usize]) -> (Uses, f64) {
-        let mut uses: BTreeMap<usize, f64> = BTreeMap::new();
-        for (&c, &layers) in path.iter().zip(self.ways.lengths) {
-            let share = f64::from(layers) * self.unit / self.ways.candidates[c].speed;
-            *uses.entry(c).or_default() += share;
-        }
-        let hops = self.hops(path);
-        for hop in &hops {
-            if let Some(&(row, capacity)) = self.links.get(hop) {
-                *uses.entry(row).or_default() += 1.0 / capacity;
-            }
-        }
-        (
-            uses.into_iter().collect(),
-            1.0 - HOP_CHARGE * hops.len() as f64,
-        )
-    }
-
-    fn stages(&self, path: &[usize], segments: &[LayerRange]) -> Vec<(RunnerId, LayerRange)> {
-        let mut stages: Vec<(RunnerId, LayerRange)> = Vec::new();
-        for (&c, segment) in path.iter().zip(segments) {
-            let id = self.ways.candidates[c].id;
-            match stages.last_mut() {
-                Some((last, layers)) if *last == id => layers.end = segment.end,
-                _ => stages.push((id, *segment)),
-            }
-        }
-        stages
-    }
-}
-
 impl ModelPlan {
-    fn sum_up(&mut self) {
-        let mut sum = 0.0;
+    fn sum_up(&mut self, fleet: &Fleet) {
+        let (mut sum, mut stages, mut changes) = (0.0, 0.0, 0.0);
         for (i, chain) in self.chains.iter().enumerate() {
             sum += chain.tokens_per_s;
             self.cumulative.push(sum);
+            stages += chain.tokens_per_s * chain.stages.len() as f64;
+            let crossed = chain.hops(fleet).filter(|hop| hop.0 != hop.1).count();
+            changes += chain.tokens_per_s * crossed as f64;
             for &(id, _) in &chain.stages {
                 self.by_runner[id].push(i as u32);
             }
         }
         self.planned = sum;
+        if sum > 0.0 {
+            self.mean_stages = stages / sum;
+            self.mean_domain_changes = changes / sum;
+        }
     }
 
     /// Index of a chain through `runner`; `point` in `[0, 1)` chooses among them evenly.
--- a/policy/src/route/router.rs
+++ b/policy/src/route/router.rs
@@ -13,7 +13,7 @@
 use rand::Rng;
 
 /// The most models planned by one call: bounds its time.
-pub const MODELS_PER_REPLAN: usize = 3;
+pub const MODELS_PER_REPLAN: usize = 2;
 
 /// How the router decides.
 #[derive(Clone, Debug, PartialEq)]
--- a/policy/src/route/state.rs
+++ b/policy/src/route/state.rs
@@ -29,7 +29,8 @@
 /// Plan of one model.
 #[derive(Clone, Debug, Display, PartialEq)]
 #[display(
-    "model {name}: bound {bound:.1} tokens/s, planned {planned:.1} over {chains} chains, \
+    "model {name}: bound {bound:.1} tokens/s, planned {planned:.1} over {chains} chains \
+     ({mean_stages:.1} stages and {mean_domain_changes:.1} changes of failure domain a route), \
      held back by layers [{}]{}",
     list(tight),
     uncovered.map_or(String::new(), |layers| format!(", nobody holds {layers}"))
@@ -43,6 +44,10 @@
     pub planned: f64,
     /// Number of chains.
     pub chains: usize,
+    /// Stages of a route in the mean.
+    pub mean_stages: f64,
+    /// Changes of failure domain on a route in the mean.
+    pub mean_domain_changes: f64,
     /// Layers whose holders hold the bound down.
     pub tight: Vec<LayerRange>,
     /// First layers that no open runner holds.
@@ -127,6 +132,8 @@
             bound: plan.bound,
             planned: plan.planned,
             chains: plan.chains.len(),
+            mean_stages: plan.mean_stages,
+            mean_domain_changes: plan.mean_domain_changes,
             tight: plan.tight.clone(),
             uncovered: plan.uncovered,
         }
--- a/policy/tests/route_fleet.rs
+++ b/policy/tests/route_fleet.rs
@@ -204,6 +204,53 @@
     expect_that!(router.fleet().runners[a].load(3.0), eq(1.0));
 }
 
+#[gtest]
+fn a_report_that_was_overtaken_changes_nothing() {
+    // Report 3 comes before report 2. Taking the older one in would bring back the load and the
+    // layers of before, and routes through layers that the runner dropped.
+    let mut router = router(1, &[seen("a", 0, 8), seen("b", 0, 8)]);
+    let a = router.runner("a").unwrap();
+    router.observe(
+        1,
+        &RunnerSeen {
+            number: 3,
+            running: 9,
+            ..seen("a", 0, 4)
+        },
+    );
+    router.observe(
+        2,
+        &RunnerSeen {
+            number: 2,
+            running: 1,
+            ..seen("a", 0, 8)
+        },
+    );
+    expect_that!(router.fleet().runners[a].reported, eq(9));
+    let ranges: Vec<String> = router.fleet().runners[a]
+        .ranges(model_id())
+        .map(|r| r.to_string())
+        .collect();
+    expect_that!(ranges, elements_are![eq("0..4")]);
+}
+
+#[gtest]
+fn a_suspected_runner_comes_back_with_a_newer_report_only() {
+    let mut router = router(1, &[seen("a", 0, 8), seen("b", 0, 8)]);
+    router.close(1, "a", CloseReason::Suspected);
+    router.observe(2, &seen("a", 0, 8));
+    expect_that!(used(&router, 2, 50, &[]), elements_are![eq("b")]);
+    router.observe(
+        3,
+        &RunnerSeen {
+            number: 2,
+            ..seen("a", 0, 8)
+        },
+    );
+    router.replan(3);
+    expect_that!(used(&router, 3, 50, &[]), elements_are![eq("a"), eq("b")]);
+}
+
 #[gtest]
 fn no_herd_on_the_runner_that_looked_idle() {
     // Callers see long delays when all instances, on the same late report, send to the one runner
--- a/testkit/examples/measure_decisions.rs
+++ b/testkit/examples/measure_decisions.rs
@@ -67,6 +67,8 @@
     models: usize,
     chains: usize,
     planned_of_bound: f64,
+    mean_stages: f64,
+    mean_domain_changes: f64,
     pick_ns: f64,
     pick_allocations: f64,
     affine_pick_ns: f64,
@@ -115,17 +117,19 @@
     let args: Args = argh::from_env();
     let rows: Vec<Row> = SIZES.iter().map(|&size| measure(&args, size)).collect();
     println!(
-        "| runners | models | chains | planned of bound | pick ns (allocations) | with prefix ns | \
+        "| runners | models | chains | planned of bound | stages (domain changes) | pick ns (allocations) | with prefix ns | \
          report ns (allocations) | all plans ms (most) | plans after one runner left ms (most) |\n\
-         |---|---|---|---|---|---|---|---|---|"
+         |---|---|---|---|---|---|---|---|---|---|"
     );
     for r in &rows {
         println!(
-            "| {} | {} | {} | {:.3} | {:.0} ({:.1}) | {:.0} | {:.0} ({:.1}) | {:.1} ({:.1}) | {:.2} ({:.2}) |",
+            "| {} | {} | {} | {:.3} | {:.1} ({:.1}) | {:.0} ({:.1}) | {:.0} | {:.0} ({:.1}) | {:.1} ({:.1}) | {:.2} ({:.2}) |",
             r.runners,
             r.models,
             r.chains,
             r.planned_of_bound,
+            r.mean_stages,
+            r.mean_domain_changes,
             r.pick_ns,
             r.pick_allocations,
             r.affine_pick_ns,
@@ -183,6 +187,9 @@
         models: size.models,
         chains: plans.iter().map(|p| p.chains.len()).sum(),
         planned_of_bound: planned / bound,
+        mean_stages: plans.iter().map(|p| p.mean_stages).sum::<f64>() / plans.len() as f64,
+        mean_domain_changes: plans.iter().map(|p| p.mean_domain_changes).sum::<f64>()
+            / plans.len() as f64,
         pick_ns,
         pick_allocations,
         affine_pick_ns: affine.0,
