--- /dev/null
+++ b/testkit/tests/claims.rs
@@ -0,0 +1,214 @@
+//! At most once with real processes: three instances, a platform and two service instances whose
+//! own count of runs is the witness. Each test opens with what the caller sees.
+
+use googletest::prelude::*;
+use jacinthweir_policy::claim::{ClaimRecord, ClaimState};
+use jacinthweir_policy::prelude::Outcome;
+use jacinthweir_testkit::caller::{Seen, ServiceCall};
+use jacinthweir_testkit::fleet::deployment::Deployment;
+use jacinthweir_testkit::fleet::{Fleet, FleetCfg};
+use jacinthweir_testkit::platform::fault::Fault;
+use jacinthweir_testkit::service::Knobs;
+use jacinthweir_wire::caller::ErrorCode;
+use std::time::Duration;
+
+const DEPLOYMENT: Deployment = Deployment::Tallinna;
+/// A version 7 UUID of the year 2020.
+const OLD_KEY: &str = "016f5e66-e800-7000-8000-000000000000";
+const CLAIMS: &str = "claims/";
+
+async fn start() -> Fleet {
+    let cfg = FleetCfg {
+        instances: 3,
+        runners: 0,
+        services: 2,
+        ..FleetCfg::small(DEPLOYMENT)
+    };
+    let fleet = Fleet::start(cfg).await.expect("starts");
+    fleet.apply().await.expect("applies");
+    fleet
+}
+
+/// Sends a non-idempotent call with a key to an instance.
+async fn send(fleet: &Fleet, instance: usize, key: &str, body: &str) -> Seen {
+    let caller = fleet.caller(DEPLOYMENT.organisations()[0]).expect("opens");
+    let call = ServiceCall {
+        service: DEPLOYMENT.service().into(),
+        call: DEPLOYMENT.non_idempotent_call().into(),
+        key: Some(key.to_owned()),
+        body: body.to_owned(),
+        deadline_ms: None,
+    };
+    caller.call(fleet.entries()[instance], &call).await
+}
+
+/// How often calls with a key ran, by the services' own count.
+async fn runs(fleet: &Fleet, key: &str) -> usize {
+    let mut count = 0;
+    for i in 0..fleet.services.len() {
+        let ran = fleet.service_admin(i).ran().await.expect("answers");
+        count += ran.iter().filter(|r| r.key.as_deref() == Some(key)).count();
+    }
+    count
+}
+
+async fn set_services(fleet: &Fleet, knobs: Knobs) {
+    for i in 0..fleet.services.len() {
+        fleet.service_admin(i).set(&knobs).await.expect("sets");
+    }
+}
+
+async fn fault(fleet: &Fleet, fault: Fault) {
+    fleet.platform_admin().fault(&fault).await.expect("sets");
+}
+
+/// Waits until the claim of a key stands in the platform.
+async fn claim(fleet: &Fleet, key: &str) -> ClaimRecord {
+    loop {
+        let objects = fleet.platform_admin().objects().await.expect("answers");
+        let found = objects.iter().find(|o| o.key.ends_with(key));
+        if let Some(record) = found.and_then(|o| ClaimRecord::parse(&o.value)) {
+            return record;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// A caller sends one confirmation to all three instances at once, as after time-outs, and later
+/// again with another body. One instance claims the key; the others wait and give its answer.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_sent_to_three_instances_runs_once_and_is_answered_by_each() {
+    let fleet = start().await;
+    let delay_ms = Some(200);
+    set_services(
+        &fleet,
+        Knobs {
+            delay_ms,
+            ..Knobs::default()
+        },
+    )
+    .await;
+    let send = |i| send(&fleet, i, "three", "shift 7");
+    let seen: [Seen; 3] = tokio::join!(send(0), send(1), send(2)).into();
+    for seen in &seen {
+        expect_that!(seen.outcome, some(eq(Outcome::Answered)), "{seen:?}");
+
+        expect_that!(seen.text, contains_substring("shift 7"));
+    }
+    expect_that!(seen[1].text, eq(&seen[0].text));
+    expect_that!(seen[2].text, eq(&seen[0].text));
+    expect_that!(runs(&fleet, "three").await, eq(1));
+    let other = self::send(&fleet, 1, "three", "shift 8").await;
+    expect_that!(other.code, some(eq(ErrorCode::KeyConflict)));
+    expect_that!(other.outcome, some(eq(Outcome::NotRun)));
+    let old = self::send(&fleet, 2, OLD_KEY, "shift 9").await;
+    expect_that!(old.code, some(eq(ErrorCode::KeyExpired)));
+    expect_that!(old.outcome, some(eq(Outcome::NotRun)));
+    expect_that!(runs(&fleet, OLD_KEY).await, eq(0));
+    fleet.stop().await.expect("stops");
+}
+
+/// The claim's write takes effect with its answer lost, then lands late, then the platform is out.
+/// The caller is answered after the read-back; in the outage it is told "not run" at once, which
+/// the services bear out, and the same key runs once the platform is back.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_claim_survives_lost_answers_late_writes_and_an_outage() {
+    let fleet = start().await;
+    let (next, prefix) = (1, CLAIMS.to_owned());
+    let lost = Fault::LoseAnswers {
+        next,
+        prefix: prefix.clone(),
+    };
+    fault(&fleet, lost).await;
+    let seen = send(&fleet, 0, "lost", "a").await;
+    expect_that!(seen.outcome, some(eq(Outcome::Answered)), "{seen:?}");
+    let ms = 300;
+    fault(&fleet, Fault::LateWrites { next, ms, prefix }).await;
+    let seen = send(&fleet, 1, "late", "b").await;
+    expect_that!(seen.outcome, some(eq(Outcome::Answered)), "{seen:?}");
+    fault(&fleet, Fault::Outage).await;
+    let seen = send(&fleet, 2, "outage", "c").await;
+    expect_that!(seen.outcome, some(eq(Outcome::NotRun)), "{seen:?}");
+    expect_that!(seen.code, some(eq(ErrorCode::PlatformDown)));
+    expect_that!(seen.retry_after_ms, some(ge(1)));
+    expect_that!(runs(&fleet, "outage").await, eq(0));
+    fault(&fleet, Fault::None).await;
+    let seen = send(&fleet, 0, "outage", "c").await;
+    expect_that!(seen.outcome, some(eq(Outcome::Answered)), "{seen:?}");
+    for key in ["lost", "late", "outage"] {
+        expect_that!(runs(&fleet, key).await, eq(1), "{key}");
+    }
+    fleet.stop().await.expect("stops");
+}
+
+/// The services refuse: the caller is told "not run" and may use the same key again, from any
+/// instance. Then an answer is lost: the caller is told "unknown", each time, and it ran once.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refused_key_may_be_used_again_and_one_with_a_lost_answer_may_not() {
+    let fleet = start().await;
+    let refuse = |refuse| Knobs {
+        refuse: Some(refuse),
+        ..Knobs::default()
+    };
+    set_services(&fleet, refuse(true)).await;
+    let seen = send(&fleet, 0, "refused", "a").await;
+    expect_that!(seen.outcome, some(eq(Outcome::NotRun)), "{seen:?}");
+    set_services(&fleet, refuse(false)).await;
+    let seen = send(&fleet, 1, "refused", "a").await;
+    expect_that!(seen.outcome, some(eq(Outcome::Answered)), "{seen:?}");
+    expect_that!(runs(&fleet, "refused").await, eq(1));
+
+    let lose = Knobs {
+        lose_answers: Some(1),
+        ..Knobs::default()
+    };
+    set_services(&fleet, lose).await;
+    for instance in [0, 1, 2] {
+        let seen = send(&fleet, instance, "lost", "b").await;
+        expect_that!(seen.outcome, some(eq(Outcome::Unknown)), "{seen:?}");
+        expect_that!(seen.code, some(eq(ErrorCode::OutcomeUnknown)));
+    }
+    expect_that!(runs(&fleet, "lost").await, eq(1));
+    fleet.stop().await.expect("stops");
+}
+
+/// The claimant is killed while its call runs, and started again. The caller, who sends the key to
+/// another instance, is told "unknown" once the new incarnation is known: never "not run", and
+/// nothing runs again.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_claimant_leaves_the_outcome_unknown() {
+    let mut fleet = start().await;
+    let slow = Knobs {
+        delay_ms: Some(500),
+        ..Knobs::default()
+    };
+    set_services(&fleet, slow).await;
+    let first = async {
+        let seen = send(&fleet, 0, "killed", "a").await;
+        expect_that!(seen.broken, some(anything()), "{seen:?}");
+    };
+    let pid = fleet.instances[0].process.id();
+    let kill = async {
+        let record = claim(&fleet, "killed").await;
+        expect_that!(record.state, eq(&ClaimState::Open));
+        // The call may or may not have been sent when the kill comes: both are unknown.
+        let pid = rustix_pid(pid);
+        rustix::process::kill_process(pid, rustix::process::Signal::KILL).expect("kills");
+    };
+    tokio::join!(first, kill);
+    fleet.restart_instance(0).await.expect("restarts");
+    let seen = send(&fleet, 1, "killed", "a").await;
+    expect_that!(seen.outcome, some(eq(Outcome::Unknown)), "{seen:?}");
+    expect_that!(seen.code, some(eq(ErrorCode::OutcomeUnknown)));
+    expect_that!(runs(&fleet, "killed").await, le(1));
+    fleet.stop().await.expect("stops");
+}
+
+fn rustix_pid(pid: Option<u32>) -> rustix::process::Pid {
+    let raw = i32::try_from(pid.expect("runs")).expect("fits");
+    rustix::process::Pid::from_raw(raw).expect("a process id")
+}
