--- a/testkit/tests/claims.rs
+++ b/testkit/tests/claims.rs
@@ -62,9 +62,12 @@
     fleet.platform_admin().fault(&fault).await.expect("sets");
 }
 
+/// Most looks for a claim, 5 ms apart: far more than it ever takes.
+const MOST_LOOKS: u32 = 4_000;
+
 /// Waits until the claim of a key stands in the platform.
 async fn claim(fleet: &Fleet, key: &str) -> ClaimRecord {
-    loop {
+    for _ in 0..MOST_LOOKS {
         let objects = fleet.platform_admin().objects().await.expect("answers");
         let found = objects.iter().find(|o| o.key.ends_with(key));
         if let Some(record) = found.and_then(|o| ClaimRecord::parse(&o.value)) {
@@ -72,6 +75,7 @@
         }
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
+    panic!("no claim of {key} stands");
 }
 
 /// A caller sends one confirmation to all three instances at once, as after time-outs, and later
