Admission measured under load: deadlines by deviation, headroom, shedding

A flood of one organisation moved the others' p95 wait from 0 to 173 ms: all places in flight were the flood's. Ruled out: a shorter queue alone (long requests still start too late); an idle reserve for everybody (costs its share of the bound). Change: token estimates keep mean and deviation; the deadline is checked with the mean plus three deviations; the last 5% of places go only to organisations with less than an even part; the limit rises only below 1.15 times the least latency; a bound that falls refuses at once what is out of reach.

--- a/policy/src/admission.rs
+++ b/policy/src/admission.rs
@@ -31,7 +31,7 @@
 use crate::prelude::*;
 use crate::schema::OrgDecl;
 use derive_more::Display;
-use estimate::TokenEstimates;
+use estimate::{Expected, TokenEstimates};
 use pipeline::PipelineState;
 use rand::Rng;
 use std::collections::BTreeMap;
@@ -134,6 +134,10 @@
 pub struct AdmissionConfig {
     /// How the limit in flight is corrected.
     pub limit: LimitConfig,
+    /// Share of the places in flight that only organisations with less than an even part of them
+    /// may take: with none free, a request that has nobody of its own before it would still wait
+    /// until the flood of another gives a place back.
+    pub headroom_share: f64,
     /// Tokens that a request is taken to cost before any was seen.
     pub first_estimate_tokens: u32,
     /// The most pairs of organisation and pipeline whose token estimate is kept.
@@ -150,6 +154,7 @@
     fn default() -> Self {
         Self {
             limit: LimitConfig::default(),
+            headroom_share: 0.05,
             first_estimate_tokens: 256,
             max_estimates: 65_536,
             max_queued: 20_000,
@@ -222,10 +227,10 @@
         tokens_per_s: f64,
         in_flight: u32,
     ) {
-        let cfg = self.cfg.limit;
+        let cfg = self.cfg;
         self.pipelines
             .entry(pipeline)
-            .or_insert_with(|| PipelineState::new(cfg, now))
+            .or_insert_with(|| PipelineState::new(&cfg, now))
             .set_bound(now, tokens_per_s, in_flight);
     }
 
@@ -240,14 +245,14 @@
 
     /// A request asks to go on.
     pub fn offer(&mut self, now: Millis, ticket: Ticket, rng: &mut impl Rng) -> Decision {
-        let tokens = self
-            .estimates
-            .expect(ticket.org, ticket.pipeline)
-            .min(ticket.cost_tokens)
-            .max(1);
-        match self.refusal(now, &ticket, tokens) {
-            Some(code) => Decision::Refuse(self.refuse(now, code, &ticket, tokens, rng)),
-            None => self.enter(now, ticket, tokens),
+        let expected = self.estimates.expect(ticket.org, ticket.pipeline);
+        let expected = Expected {
+            tokens: expected.tokens.min(ticket.cost_tokens).max(1),
+            most: expected.most.min(ticket.cost_tokens).max(1),
+        };
+        match self.refusal(now, &ticket, expected) {
+            Some(code) => Decision::Refuse(self.refuse(now, code, &ticket, expected.tokens, rng)),
+            None => self.enter(now, ticket, expected),
         }
     }
 
@@ -284,12 +289,11 @@
 
     /// What is due: requests that go on, and waiting ones that can't meet their deadline.
     pub fn poll(&mut self, now: Millis, rng: &mut impl Rng) -> Vec<Action> {
-        let mut actions = std::mem::take(&mut self.actions);
         let pipelines: Vec<PipelineId> = self.pipelines.keys().copied().collect();
         for pipeline in pipelines {
-            self.poll_pipeline(now, pipeline, rng, &mut actions);
+            self.poll_pipeline(now, pipeline, rng);
         }
-        actions
+        std::mem::take(&mut self.actions)
     }
 
     /// When [`Self::poll`] is due next if nothing else happens before.
@@ -333,7 +337,7 @@
     }
 
     /// Whether a ticket has to be refused, and why.
-    fn refusal(&self, now: Millis, ticket: &Ticket, tokens: u32) -> Option<RefuseCode> {
+    fn refusal(&self, now: Millis, ticket: &Ticket, it: Expected) -> Option<RefuseCode> {
         let Some(pipeline) = self.pipelines.get(&ticket.pipeline) else {
             return Some(RefuseCode::NoCapacity);
         };
@@ -348,7 +352,7 @@
             return Some(RefuseCode::OrganisationLimit);
         }
         let full = self.queued >= self.cfg.max_queued && !pipeline.is_free();
-        let late = !pipeline.can_meet(now, ticket, tokens);
+        let late = !pipeline.can_meet(now, ticket, it);
         (full || late).then_some(RefuseCode::Overloaded)
     }
 
@@ -371,7 +375,7 @@
         }
     }
 
-    fn enter(&mut self, now: Millis, ticket: Ticket, tokens: u32) -> Decision {
+    fn enter(&mut self, now: Millis, ticket: Ticket, expected: Expected) -> Decision {
         let slot = ticket.slot;
         if self.entries.contains_key(&slot) {
             // A slot offered twice would be counted twice and released once, and the pipeline
@@ -382,46 +386,45 @@
             return Decision::Queue;
         };
         *self.in_system.entry(ticket.org).or_default() += 1;
-        let (place, decision) = match pipeline.enter(now, &ticket, tokens) {
-            Some(place) => (place, Decision::Queue),
-            None => (Place::InFlight, Decision::Admit),
-        };
-        self.queued += usize::from(decision == Decision::Queue);
+        let place = pipeline.enter(now, &ticket, expected);
         let entry = Entry {
             ticket,
-            tokens,
+            tokens: expected.tokens,
             place,
         };
         self.entries.insert(slot, entry);
-        decision
+        self.queued += 1;
+        self.start_waiting(ticket.pipeline);
+        match self.actions.pop_if(|a| *a == Action::Admit(slot)) {
+            Some(_) => Decision::Admit,
+            None => Decision::Queue,
+        }
     }
 
-    fn poll_pipeline(
-        &mut self,
-        now: Millis,
-        id: PipelineId,
-        rng: &mut impl Rng,
-        actions: &mut Vec<Action>,
-    ) {
-        while let Some(slot) = self.pipelines.get(&id).and_then(|p| p.overdue(now)) {
-            self.refuse_queued(now, slot, rng, actions);
-        }
+    /// Puts in flight what may go on, and keeps the actions for the next poll.
+    fn start_waiting(&mut self, id: PipelineId) {
         while let Some(slot) = self.pipelines.get_mut(&id).and_then(PipelineState::next) {
             self.queued -= 1;
             if let Some(entry) = self.entries.get_mut(&slot) {
                 entry.place = Place::InFlight;
             }
-            actions.push(Action::Admit(slot));
+            self.actions.push(Action::Admit(slot));
         }
     }
 
-    fn refuse_queued(
-        &mut self,
-        now: Millis,
-        slot: Slot,
-        rng: &mut impl Rng,
-        actions: &mut Vec<Action>,
-    ) {
+    fn poll_pipeline(&mut self, now: Millis, id: PipelineId, rng: &mut impl Rng) {
+        let shrunk = self.pipelines.get_mut(&id);
+        let out_of_reach = shrunk.map(|p| p.take_out_of_reach(now));
+        for slot in out_of_reach.unwrap_or_default() {
+            self.refuse_queued(now, slot, rng);
+        }
+        while let Some(slot) = self.pipelines.get(&id).and_then(|p| p.overdue(now)) {
+            self.refuse_queued(now, slot, rng);
+        }
+        self.start_waiting(id);
+    }
+
+    fn refuse_queued(&mut self, now: Millis, slot: Slot, rng: &mut impl Rng) {
         let Some(entry) = self.entries.get(&slot).copied() else {
             return;
         };
@@ -432,7 +435,7 @@
             _ => RefuseCode::NoCapacity,
         };
         let refusal = self.refuse(now, code, &ticket, entry.tokens, rng);
-        actions.push(Action::Refuse { slot, refusal });
+        self.actions.push(Action::Refuse { slot, refusal });
     }
 
     fn unqueue(&mut self, slot: Slot, entry: &Entry) {
--- a/policy/src/admission/limit.rs
+++ b/policy/src/admission/limit.rs
@@ -1,9 +1,9 @@
 //! The limit in flight of one pipeline: the bound's, corrected by the latency that is seen.
 //!
 //! Additive increase, multiplicative decrease. The latency of a request is taken for each token
-//! and compared with the least seen lately: where it is over `tolerance` times that, more in
-//! flight only wait in the engines, and the limit falls; where it is under and the limit was
-//! reached, the limit rises by one. It stays within fixed shares of the bound's own figure, so
+//! and compared with the least seen lately: where it is over `fall_above` times that, requests
+//! only wait in the engines, and the limit falls; where it is under `rise_below` times that and
+//! the limit was reached, the limit rises by one; between the two it stays. It stays within fixed shares of the bound's own figure, so
 //! that a wrong measurement can't close a pipeline or open it without end. The least latency is
 //! kept over two windows, so that a pipeline that became slower for good is measured anew.
 
@@ -12,8 +12,10 @@
 /// How a limit in flight is corrected.
 #[derive(Clone, Copy, Debug)]
 pub struct LimitConfig {
-    /// Latency for each token over the least seen from which the limit falls.
-    pub tolerance: f64,
+    /// Latency for each token over the least seen above which the limit falls.
+    pub fall_above: f64,
+    /// The same, below which it may rise.
+    pub rise_below: f64,
     /// Factor by which it falls.
     pub decrease: f64,
     /// Least share of the bound's own figure.
@@ -29,7 +31,8 @@
 impl Default for LimitConfig {
     fn default() -> Self {
         Self {
-            tolerance: 2.0,
+            fall_above: 2.0,
+            rise_below: 1.15,
             decrease: 0.9,
             least_share: 0.25,
             greatest_share: 1.5,
@@ -118,9 +121,9 @@
 
     fn correct(&mut self, mean: f64) {
         let least = self.least.min(self.least_before);
-        if mean > least * self.cfg.tolerance {
+        if mean > least * self.cfg.fall_above {
             self.limit *= self.cfg.decrease;
-        } else if self.was_reached {
+        } else if self.was_reached && mean < least * self.cfg.rise_below {
             self.limit += 1.0;
         }
         self.was_reached = false;
--- a/policy/src/admission/pipeline.rs
+++ b/policy/src/admission/pipeline.rs
@@ -1,14 +1,22 @@
 //! Admission state of one pipeline.
 
 use super::dump::{PipelineDump, QueueDump};
-use super::limit::{Limit, LimitConfig};
+use super::estimate::Expected;
+use super::limit::Limit;
 use super::queue::FairQueue;
 use super::rate::DrainRate;
 use super::retry_after::{self, Debt};
 use super::{AdmissionConfig, CLASSES, Place, Seen, Slot, Ticket, class};
 use crate::prelude::*;
 use rand::Rng;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What one organisation has in a pipeline.
+#[derive(Clone, Copy, Debug, Default)]
+struct OrgLoad {
+    in_flight: u32,
+    queued: u32,
+}
 
 /// Admission state of one pipeline.
 #[derive(Debug)]
@@ -16,6 +24,11 @@
     limit: Limit,
     rate: DrainRate,
     in_flight: u32,
+    headroom_share: f64,
+    /// Whether the bound fell since waiting requests were last looked at.
+    shrank: bool,
+    /// What each organisation has here; those without anything are left out.
+    orgs: BTreeMap<OrgId, OrgLoad>,
     queues: [FairQueue; CLASSES],
     /// Waiting requests by the latest time at which they can start and meet their deadline.
     by_latest_start: BTreeSet<(Millis, Slot)>,
@@ -23,11 +36,14 @@
 }
 
 impl PipelineState {
-    pub(super) fn new(cfg: LimitConfig, now: Millis) -> Self {
+    pub(super) fn new(cfg: &AdmissionConfig, now: Millis) -> Self {
         Self {
-            limit: Limit::new(cfg, now),
+            limit: Limit::new(cfg.limit, now),
             rate: DrainRate::new(now),
             in_flight: 0,
+            headroom_share: cfg.headroom_share,
+            shrank: false,
+            orgs: BTreeMap::new(),
             queues: std::array::from_fn(|_| FairQueue::default()),
             by_latest_start: BTreeSet::new(),
             debt: Debt::default(),
@@ -35,6 +51,7 @@
     }
 
     pub(super) fn set_bound(&mut self, now: Millis, tokens_per_s: f64, in_flight: u32) {
+        self.shrank |= tokens_per_s < self.rate.get();
         self.limit.set_bound(in_flight);
         self.rate.set_bound(now, tokens_per_s);
     }
@@ -59,11 +76,11 @@
     ///
     /// With nothing before it, it may try whatever the estimate says: a wrong estimate is only
     /// ever corrected by requests that run.
-    pub(super) fn can_meet(&self, now: Millis, ticket: &Ticket, tokens: u32) -> bool {
+    pub(super) fn can_meet(&self, now: Millis, ticket: &Ticket, it: Expected) -> bool {
         let left = ticket.deadline.saturating_sub(now) as f64;
-        let wait = self.wait_ms(ticket, tokens);
+        let wait = self.wait_ms(ticket, it.tokens);
         match wait > 0.0 {
-            true => wait + self.service_ms(tokens) <= left,
+            true => wait + self.service_ms(it.most) <= left,
             false => left > 0.0,
         }
     }
@@ -82,37 +99,70 @@
         retry_after::spread(wait, spread, cfg, rng)
     }
 
-    /// Puts a request in flight (`None`) or into the queue.
-    pub(super) fn enter(&mut self, now: Millis, ticket: &Ticket, tokens: u32) -> Option<Place> {
-        let class = class(ticket);
-        let waits_before = self.queues[..=class].iter().any(|q| q.len() > 0);
-        if self.is_free() && !waits_before {
-            self.in_flight += 1;
-            return None;
+    /// Puts a request into the queue; [`Self::next`] says which goes on.
+    pub(super) fn enter(&mut self, now: Millis, ticket: &Ticket, it: Expected) -> Place {
+        if !self.is_free() {
+            self.limit.reached();
         }
-        self.limit.reached();
-        let service = self.service_ms(tokens) as Millis;
+        let service = self.service_ms(it.most) as Millis;
         let latest_start = ticket.deadline.saturating_sub(service).max(now);
-        let number = self.queues[class].push(ticket, tokens, latest_start);
+        let number = self.queues[class(ticket)].push(ticket, it.tokens, latest_start);
         self.by_latest_start.insert((latest_start, ticket.slot));
-        Some(Place::Queued {
+        self.orgs.entry(ticket.org).or_default().queued += 1;
+        Place::Queued {
             number,
             latest_start,
-        })
+        }
     }
 
-    /// Takes the waiting request that goes on next, if one may.
+    /// Takes the waiting request that goes on next, if one may: of the best class that waits, the
+    /// first organisation that may take a place.
     pub(super) fn next(&mut self) -> Option<Slot> {
         if !self.is_free() {
             return None;
         }
-        let popped = self.queues.iter_mut().find_map(FairQueue::pop)?;
+        let class = self.queues.iter().position(|q| q.len() > 0)?;
+        let org = self.queues[class].first_that(|org| self.may_take_place(org))?;
+        let popped = self.queues[class].pop(org)?;
         self.by_latest_start
             .remove(&(popped.latest_start, popped.slot));
         self.in_flight += 1;
+        let load = self.orgs.entry(org).or_default();
+        load.queued = load.queued.saturating_sub(1);
+        load.in_flight += 1;
         Some(popped.slot)
     }
 
+    /// Whether a place is left for an organisation: the last ones are for those that have less
+    /// than an even part.
+    fn may_take_place(&self, org: OrgId) -> bool {
+        let limit = self.limit.get();
+        let headroom = (f64::from(limit) * self.headroom_share) as u32;
+        if self.in_flight < limit.saturating_sub(headroom) {
+            return true;
+        }
+        let has = self.orgs.get(&org).map_or(0, |load| load.in_flight);
+        let orgs = u32::try_from(self.orgs.len()).unwrap_or(u32::MAX);
+        has.saturating_mul(orgs) < limit
+    }
+
+    /// Waiting requests that a bound that fell has put out of reach of their deadlines. They are
+    /// refused now: their callers would only wait in vain. Where nothing is left of the bound
+    /// they stay, as no drain time is known and capacity may come back.
+    pub(super) fn take_out_of_reach(&mut self, now: Millis) -> Vec<Slot> {
+        if !std::mem::take(&mut self.shrank) || !self.has_capacity() {
+            return Vec::new();
+        }
+        let tokens_per_ms = self.rate.get() / 1_000.0;
+        let mut tokens_ahead = 0;
+        let mut slots = Vec::new();
+        for queue in &self.queues {
+            slots.extend(queue.out_of_reach(now, tokens_ahead, tokens_per_ms));
+            tokens_ahead += queue.tokens();
+        }
+        slots
+    }
+
     /// A waiting request whose latest start is over.
     pub(super) fn overdue(&self, now: Millis) -> Option<Slot> {
         let (latest_start, slot) = self.by_latest_start.first()?;
@@ -127,11 +177,26 @@
     pub(super) fn remove(&mut self, ticket: &Ticket, number: u64, latest_start: Millis) {
         self.queues[class(ticket)].remove(ticket.org, number);
         self.by_latest_start.remove(&(latest_start, ticket.slot));
+        if let Some(load) = self.orgs.get_mut(&ticket.org) {
+            load.queued = load.queued.saturating_sub(1);
+        }
+        self.drop_empty(ticket.org);
+    }
+
+    fn drop_empty(&mut self, org: OrgId) {
+        let empty = |load: &OrgLoad| load.in_flight == 0 && load.queued == 0;
+        if self.orgs.get(&org).is_some_and(empty) {
+            self.orgs.remove(&org);
+        }
     }
 
     /// Takes in a request that is over.
     pub(super) fn finished(&mut self, now: Millis, ticket: &Ticket, expected: u32, seen: Seen) {
         self.in_flight = self.in_flight.saturating_sub(1);
+        if let Some(load) = self.orgs.get_mut(&ticket.org) {
+            load.in_flight = load.in_flight.saturating_sub(1);
+        }
+        self.drop_empty(ticket.org);
         let others_wait = !self.by_latest_start.is_empty();
         self.rate.learn(now, seen.tokens, others_wait);
         if seen.tokens == 0 {
--- a/policy/src/admission/queue.rs
+++ b/policy/src/admission/queue.rs
@@ -13,6 +13,9 @@
 /// Virtual time units per token at weight 1.
 const UNITS_PER_TOKEN: u64 = 1 << 16;
 
+/// Organisations that are looked at for the next place.
+const MOST_LOOKS: usize = 32;
+
 /// One waiting request.
 #[derive(Clone, Copy, Debug)]
 struct Item {
@@ -108,12 +111,18 @@
         number
     }
 
-    /// Takes the request that is served next.
-    pub(super) fn pop(&mut self) -> Option<Popped> {
-        let (tag, org) = self.ready.first().copied()?;
+    /// The organisation that is served next of those that `may` be served. Looks at a few only:
+    /// one that may not holds more than its part, and there are never many of those.
+    pub(super) fn first_that(&self, may: impl Fn(OrgId) -> bool) -> Option<OrgId> {
+        let first = self.ready.iter().take(MOST_LOOKS);
+        first.map(|(_, org)| *org).find(|org| may(*org))
+    }
+
+    /// Takes the oldest request of an organisation.
+    pub(super) fn pop(&mut self, org: OrgId) -> Option<Popped> {
         let flow = self.flows.get(&org)?;
         let number = *flow.items.keys().next()?;
-        self.virtual_time = self.virtual_time.max(tag);
+        self.virtual_time = self.virtual_time.max(flow.tag);
         let item = self.take(org, number)?;
         self.charge(org, i64::from(item.tokens));
         self.drop_idle();
@@ -123,6 +132,32 @@
         })
     }
 
+    /// Requests that can't start in time any longer when tokens drain at `tokens_per_ms` and
+    /// `tokens_ahead` of better classes go first: of each organisation the newest ones, until the
+    /// rest is short enough. In the order of organisations.
+    pub(super) fn out_of_reach(
+        &self,
+        now: Millis,
+        tokens_ahead: u64,
+        tokens_per_ms: f64,
+    ) -> Vec<Slot> {
+        let mut slots = Vec::new();
+        for flow in self.flows.values() {
+            let mut own = flow.tokens;
+            for item in flow.items.values().rev() {
+                let by_share = own as f64 * self.weight as f64 / f64::from(flow.weight.max(1));
+                let before = by_share.min(self.tokens as f64) - f64::from(item.tokens);
+                let start = now as f64 + (tokens_ahead as f64 + before) / tokens_per_ms;
+                if start <= item.latest_start as f64 {
+                    break;
+                }
+                slots.push(item.slot);
+                own -= u64::from(item.tokens);
+            }
+        }
+        slots
+    }
+
     /// Takes out a request that waits no longer; it costs its organisation nothing.
     pub(super) fn remove(&mut self, org: OrgId, number: u64) {
         self.take(org, number);
--- a/policy/tests/admission.rs
+++ b/policy/tests/admission.rs
@@ -68,3 +68,96 @@
     );
     expect_that!(admission.queued(), eq(0));
 }
+
+/// Half of a pipeline's runners die while requests wait: those that can't be reached any longer
+/// are told now, not at their deadlines; the rest stays.
+#[gtest]
+fn a_bound_that_falls_refuses_at_once_what_is_out_of_reach() {
+    let (mut admission, mut rng) = open(100.0, 1);
+    for slot in 1..=6 {
+        let _ = admission.offer(0, ticket(slot, 0, 6_500), &mut rng);
+    }
+    expect_that!(admission.queued(), eq(5));
+    admission.set_capacity(0, PipelineId::new(0), 50.0, 1);
+    let refused: Vec<Slot> = admission
+        .poll(0, &mut rng)
+        .iter()
+        .filter_map(|action| match action {
+            Action::Refuse { slot, .. } => Some(*slot),
+            Action::Admit(_) => None,
+        })
+        .collect();
+    expect_that!(refused, elements_are![eq(&Slot(6))]);
+}
+
+/// Work that is resumed after a failure goes before new work of any priority, and is not counted
+/// against its organisation's limit again.
+#[gtest]
+fn resumed_work_goes_first() {
+    let (mut admission, mut rng) = open(100.0, 1);
+    let urgent = Ticket {
+        priority: 0,
+        ..ticket(2, 0, 60_000)
+    };
+    let resumed = Ticket {
+        work: Work::Resumed,
+        priority: 9,
+        ..ticket(3, 1, 60_000)
+    };
+    admission.set_share(OrgId::new(1), Some(0));
+    let _ = admission.offer(0, ticket(1, 0, 60_000), &mut rng);
+    expect_that!(admission.offer(0, urgent, &mut rng), eq(Decision::Queue));
+    expect_that!(admission.offer(0, resumed, &mut rng), eq(Decision::Queue));
+    admission.release(10, Slot(1), Seen::default());
+    expect_that!(
+        admission.poll(10, &mut rng),
+        elements_are![eq(&Action::Admit(Slot(3)))]
+    );
+}
+
+/// A hundred callers are refused at the same moment: they are told different times to come back,
+/// over the time that their own work takes.
+#[gtest]
+fn the_refused_do_not_return_together() {
+    let (mut admission, mut rng) = open(100.0, 1);
+    let _ = admission.offer(0, ticket(0, 0, 60_000), &mut rng);
+    let mut times = Vec::new();
+    for slot in 1..=100 {
+        if let Decision::Refuse(refusal) = admission.offer(0, ticket(slot, 0, 900), &mut rng) {
+            times.push(refusal.retry_after_ms);
+        }
+    }
+    expect_that!(times, len(eq(100)));
+    times.sort_unstable();
+    let most_in_a_second = times
+        .iter()
+        .map(|t| {
+            times
+                .iter()
+                .filter(|u| **u >= *t && **u < t + 1_000)
+                .count()
+        })
+        .max();
+    expect_that!(most_in_a_second, some(le(15)));
+}
+
+/// The shares of six instances add up to an organisation's limit, within one request each, when
+/// all hear the same; three that hear only themselves give out three times the limit at most.
+#[gtest]
+fn shares_add_up_to_the_limit() {
+    let demands = [0, 0, 1, 5, 20, 40];
+    let all: u32 = demands.iter().sum();
+    let demand = |own| Demand {
+        own,
+        all,
+        instances: 6,
+    };
+    let sum: u32 = demands.iter().map(|own| share_of(60, demand(*own))).sum();
+    expect_that!(sum, all![ge(54), le(66)]);
+    let alone = Demand {
+        own: 9,
+        all: 9,
+        instances: 1,
+    };
+    expect_that!(share_of(60, alone), eq(60));
+}
