Campaign: codes in the report; the list's word counts from when it could be read

Ruled out: a late close after a readable list (none in the trace). Change: a word that only the list has counts from the platform's first answer; the runner's own word counts from when it was said, as before.

--- a/testkit/examples/campaign.rs
+++ b/testkit/examples/campaign.rs
@@ -2,6 +2,7 @@
 //!
 //! Exit codes: 0 no violation, 1 violations (each is printed, with its seed), 2 wrong use.
 
+use std::collections::BTreeMap;
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
@@ -95,6 +96,9 @@
         h.commits.len(),
         end.violations.len(),
     );
+    for (code, count) in codes(end) {
+        println!("  {count} x {code}");
+    }
     if faults || !end.violations.is_empty() {
         end.faults.iter().for_each(|f| println!("  {f}"));
     }
@@ -106,6 +110,15 @@
     }
 }
 
+/// How often each error code was told.
+fn codes(end: &CampaignEnd) -> BTreeMap<String, usize> {
+    let mut codes = BTreeMap::new();
+    for code in end.history.submissions.iter().filter_map(|s| s.seen.code) {
+        *codes.entry(code.to_string()).or_default() += 1;
+    }
+    codes
+}
+
 /// Writes history and logs of a failed campaign, to be looked at.
 fn keep_trace(cfg: &CampaignCfg, end: &CampaignEnd) {
     let dir = std::path::PathBuf::from(format!("out/campaign-{}", cfg.seed));
--- a/testkit/src/campaign/faults.rs
+++ b/testkit/src/campaign/faults.rs
@@ -9,7 +9,7 @@
 use super::fault::{Fault, Sizes, draw};
 use super::recorder::Recorder;
 use crate::fleet::process::Process;
-use crate::history::record::{CommitSeen, Frozen, Left, Shutdown};
+use crate::history::record::{CommitSeen, Frozen, Left, Shutdown, Unreadable};
 use crate::http::unix_ms;
 use crate::operator::{Applied, Operator};
 use crate::platform::fault::Fault as PlatformFault;
@@ -101,7 +101,10 @@
         | Fault::PlatformHangs
         | Fault::PlatformSlow
         | Fault::PlatformLosesAnswers
-        | Fault::PlatformWritesLate => fleet.platform_admin().fault(&platform_fault(fault)).await,
+        | Fault::PlatformWritesLate => {
+            platform_becomes(recorder, fault);
+            fleet.platform_admin().fault(&platform_fault(fault)).await
+        }
         Fault::Apply(i) => {
             let operator = fleet.instances[i].operator()?;
             tokio::spawn(apply(operator, Arc::clone(recorder), salt));
@@ -159,7 +162,11 @@
         | Fault::PlatformHangs
         | Fault::PlatformSlow
         | Fault::PlatformLosesAnswers
-        | Fault::PlatformWritesLate => fleet.platform_admin().fault(&PlatformFault::None).await,
+        | Fault::PlatformWritesLate => {
+            fleet.platform_admin().fault(&PlatformFault::None).await?;
+            platform_is_readable(recorder);
+            Ok(())
+        }
         Fault::Late(i) => {
             let knobs = RunnerKnobs {
                 ignore_cancel: Some(false),
@@ -294,6 +301,24 @@
     }
 }
 
+/// The newest fault of the platform replaces the one before.
+fn platform_becomes(recorder: &Recorder, fault: Fault) {
+    platform_is_readable(recorder);
+    if matches!(fault, Fault::PlatformOut | Fault::PlatformHangs) {
+        let gap = Unreadable {
+            from_ms: unix_ms(),
+            until_ms: None,
+        };
+        recorder.history().unreadable.push(gap);
+    }
+}
+
+fn platform_is_readable(recorder: &Recorder) {
+    for gap in &mut recorder.history().unreadable {
+        gap.until_ms.get_or_insert(unix_ms());
+    }
+}
+
 async fn shut_down(fleet: &mut Fleet, recorder: &Arc<Recorder>, i: usize) -> Result<()> {
     let instance = &mut fleet.instances[i];
     if instance.process.id().is_none() {
@@ -332,7 +357,8 @@
     let listing = fleet.runners[i].listing.clone();
     let upstream = listing.name.clone();
     // By its own word, or by the list's.
-    if salt.is_multiple_of(2) {
+    let by_list = !salt.is_multiple_of(2);
+    if !by_list {
         let knobs = RunnerKnobs {
             leaving: Some(true),
             ..RunnerKnobs::default()
@@ -345,6 +371,7 @@
     recorder.history().left.push(Left {
         upstream,
         at_ms,
+        by_list,
         until_ms: None,
     });
     tokio::time::sleep(LEAVING).await;
--- a/testkit/src/history/record.rs
+++ b/testkit/src/history/record.rs
@@ -25,6 +25,8 @@
     pub calls: Vec<RanCall>,
     /// Upstreams that said that they leave.
     pub left: Vec<Left>,
+    /// Times at which nobody could read the platform's list.
+    pub unreadable: Vec<Unreadable>,
     /// Commits that operators were told of.
     pub commits: Vec<CommitSeen>,
     /// Revisions seen in force.
@@ -112,10 +114,21 @@
     pub upstream: Name,
     /// Unix time at which it said so, in milliseconds.
     pub at_ms: u64,
+    /// Whether only the platform's list says so, and not the upstream itself.
+    pub by_list: bool,
     /// Unix time at which its next incarnation started, in milliseconds.
     pub until_ms: Option<u64>,
 }
 
+/// The platform answered no reads.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct Unreadable {
+    /// Unix time of its beginning, in milliseconds.
+    pub from_ms: u64,
+    /// Unix time of its end, in milliseconds; `None`: it lasts.
+    pub until_ms: Option<u64>,
+}
+
 /// A commit that an operator was told of.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct CommitSeen {
