Stand-ins run on two threads each

Cause: each of some fifty stand-ins took a thread a core, several hundred threads for one fleet. Ruled out: one thread (the batch loop and the stage calls of a runner would wait for each other). Change: worker_threads = 2 in jw-standin. Conclusion: kept for the number of threads, not for speed.

--- a/testkit/src/bin/jw-standin.rs
+++ b/testkit/src/bin/jw-standin.rs
@@ -54,7 +54,8 @@
     cfg: String,
 }
 
-#[tokio::main]
+// Two threads: a fleet has dozens of stand-ins on one machine.
+#[tokio::main(worker_threads = 2)]
 async fn main() -> eyre::Result<()> {
     let args: Args = argh::from_env();
     log_to_stderr()?;
