What racing operators are told, checked against the history

Cause: "accepted only after the commit is confirmed" had single faults tested, and no concurrent run judged by a checker. Change: check::told_truly (a commit told stands, a refusal told does not, no change twice) with its twin test; a run of four operators on three instances under lost and late head writes.

--- a/plugins/schema/tests/schema.rs
+++ b/plugins/schema/tests/schema.rs
@@ -4,6 +4,8 @@
 mod apply;
 #[path = "schema/bad_input.rs"]
 mod bad_input;
+#[path = "schema/race.rs"]
+mod race;
 #[path = "schema/rig.rs"]
 mod rig;
 #[path = "schema/spread.rs"]
--- a/policy/src/config/check.rs
+++ b/policy/src/config/check.rs
@@ -8,6 +8,7 @@
 
 use derive_more::Display;
 
+use crate::head::Commit;
 use crate::time::{Millis, Name};
 
 /// An instance put a revision in force.
@@ -36,6 +37,26 @@
     pub content: Name,
 }
 
+/// What an operator was told of an apply.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ApplyRecord {
+    /// Change id; an apply asked again is another record with the same id.
+    pub change: Name,
+    /// What was said.
+    pub told: Told,
+}
+
+/// What was said of an apply.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Told {
+    /// Committed as this revision.
+    Committed(u64),
+    /// Nothing was committed.
+    Refused,
+    /// Not known.
+    Unknown,
+}
+
 /// A broken promise.
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
 pub enum Violation {
@@ -57,6 +78,28 @@
         /// Revision.
         revision: u64,
     },
+    /// An operator was told of a commit that does not stand.
+    #[display("change {change} was said to be revision {revision}, and is not")]
+    LostCommit {
+        /// Change.
+        change: Name,
+        /// Revision that was said.
+        revision: u64,
+    },
+    /// An operator was told that nothing was committed, and it was.
+    #[display("change {change} was refused, and stands as revision {revision}")]
+    RefusedButCommitted {
+        /// Change.
+        change: Name,
+        /// Its revision.
+        revision: u64,
+    },
+    /// A change stands twice.
+    #[display("change {change} stands twice")]
+    Twice {
+        /// Change.
+        change: Name,
+    },
     /// An accepted revision was not in force in time.
     #[display("{instance}: nothing from revision {revision} on in force {within_ms} ms after")]
     Late {
@@ -140,3 +183,40 @@
     }
     Ok(())
 }
+
+/// Checks what operators were told against the commits that stand, oldest or newest first. A
+/// change that was refused at one time may have been committed by another ask of the same id.
+///
+/// # Errors
+///
+/// The first violation.
+pub fn told_truly(applies: &[ApplyRecord], commits: &[Commit]) -> Result<(), Violation> {
+    let mut stands: BTreeMap<&Name, u64> = BTreeMap::new();
+    for commit in commits {
+        if stands.insert(&commit.change, commit.revision).is_some() {
+            let change = commit.change.clone();
+            return Err(Violation::Twice { change });
+        }
+    }
+    for apply in applies {
+        let change = apply.change.clone();
+        match (apply.told, stands.get(&change).copied()) {
+            (Told::Committed(revision), found) if found != Some(revision) => {
+                return Err(Violation::LostCommit { change, revision });
+            }
+            (Told::Refused, Some(revision)) if asked_once(applies, &change) => {
+                return Err(Violation::RefusedButCommitted { change, revision });
+            }
+            _ => {}
+        }
+    }
+    Ok(())
+}
+
+fn asked_once(applies: &[ApplyRecord], change: &Name) -> bool {
+    applies
+        .iter()
+        .filter(|apply| apply.change == *change)
+        .count()
+        == 1
+}
--- a/policy/tests/config_converge.rs
+++ b/policy/tests/config_converge.rs
@@ -5,7 +5,8 @@
 
 use googletest::prelude::*;
 use jacinthweir_policy::config::check::{
-    AcceptedRecord, InForceRecord, Violation, in_force_within, never_reverts,
+    AcceptedRecord, ApplyRecord, InForceRecord, Told, Violation, in_force_within, never_reverts,
+    told_truly,
 };
 use jacinthweir_policy::config::commit::{Decision, Proposal, decide};
 use jacinthweir_policy::config::converge::{
@@ -419,6 +420,37 @@
     );
 }
 
+#[gtest]
+fn untrue_answers_to_operators_are_rejected_by_the_check() {
+    let heads = lineage(2);
+    let commits = &heads[1].history;
+    let record = |change: &str, told| ApplyRecord {
+        change: change.into(),
+        told,
+    };
+    let good = [record("c0", Told::Committed(1)), record("x", Told::Refused)];
+    expect_that!(told_truly(&good, commits), ok(eq(&())));
+    let lost = [record("x", Told::Committed(2))];
+    let wanted = Violation::LostCommit {
+        change: "x".into(),
+        revision: 2,
+    };
+    expect_that!(told_truly(&lost, commits), err(eq(&wanted)));
+    let refused = [record("c1", Told::Refused)];
+    let wanted = Violation::RefusedButCommitted {
+        change: "c1".into(),
+        revision: 2,
+    };
+    expect_that!(told_truly(&refused, commits), err(eq(&wanted)));
+    let twice = [commits.clone(), commits.clone()].concat();
+    expect_that!(
+        told_truly(&[], &twice),
+        err(eq(&Violation::Twice {
+            change: "c1".into()
+        }))
+    );
+}
+
 /// What the platform and the fleet hold, beside the instance under test.
 #[derive(Clone, Debug)]
 struct World {
