--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -5,6 +5,7 @@
 //! same run. Modules are state machines of the form `(now, event) -> actions`.
 
 pub mod admission;
+pub mod claim;
 pub mod config;
 pub mod drain;
 pub mod entity;
@@ -19,6 +20,7 @@
 pub mod outcome;
 pub mod prelude;
 pub mod region;
+pub mod retry;
 pub mod route;
 pub mod schema;
 pub mod time;
