--- a/policy/src/journal/verify.rs
+++ b/policy/src/journal/verify.rs
@@ -85,6 +85,10 @@
         /// Outcome told.
         told: Outcome,
     },
+    /// An earlier submission's outcome taken for a request that was handed over itself, or the
+    /// other way round: one of the two outcomes would be lost.
+    #[display("both handed over and answered from a claim's record")]
+    RecordedAndHanded,
     /// The event comes after the outcome was told.
     #[display("comes after the outcome was told")]
     AfterClose,
@@ -137,6 +141,7 @@
             Event::Token { attempt, index } => self.check_token(*attempt, *index),
             Event::Ended { attempt, tokens } => self.check_end(*attempt, *tokens),
             Event::Closed { outcome } => self.check_outcome(*outcome),
+            Event::Recorded { .. } if !self.attempts.is_empty() => Err(Fault::RecordedAndHanded),
             Event::Received
             | Event::Queued
             | Event::Admitted
@@ -163,6 +168,9 @@
         if self.attempts.len() >= MAX_ATTEMPTS {
             return Err(Fault::TooManyAttempts { attempt });
         }
+        if self.recorded.is_some() {
+            return Err(Fault::RecordedAndHanded);
+        }
         if attempt < self.next_attempt() {
             return Err(Fault::HandedTwice { attempt });
         }
--- /dev/null
+++ b/policy/tests/claim.rs
@@ -0,0 +1,181 @@
+//! Claims: keys, records, sweeping, and single courses of one claim. All interleavings are in
+//! `claim_interleavings.rs`.
+
+use googletest::prelude::*;
+use jacinthweir_policy::claim::*;
+use jacinthweir_policy::prelude::*;
+
+/// A UUIDv7 of this time, in Unix milliseconds.
+const MADE_MS: Millis = 0x0190_0000_0000;
+const UUID: &str = "01900000-0000-7000-8000-00000000000A";
+
+fn cfg() -> ClaimConfig {
+    ClaimConfig::default()
+}
+
+fn at(ms: u64) -> Now {
+    Now {
+        mono_ms: ms,
+        unix_ms: MADE_MS + ms,
+    }
+}
+
+fn open(deadline_ms: u64) -> (Claim, Vec<Action>) {
+    let submission = Submission {
+        key: ClaimKey::new("org".into(), UUID).unwrap(),
+        claimant: "i".into(),
+        incarnation: 1,
+        nonce: "n".into(),
+        request: "r".into(),
+        call: "bookings/confirm".into(),
+        body_sha256: "b".into(),
+        deadline: at(deadline_ms),
+    };
+    Claim::open(cfg(), submission, at(0))
+}
+
+#[gtest]
+fn keys_that_could_leave_their_organisation_are_refused() {
+    let key = |text: &str| ClaimKey::new("org".into(), text);
+    for bad in ["a/b", "a?b", "a b", "a%2fb", "..", ".", "ä", "a\nb"] {
+        expect_that!(key(bad), err(eq(&KeyFault::BadCharacter)), "{bad}");
+    }
+    expect_that!(key(""), err(eq(&KeyFault::Empty)));
+    expect_that!(
+        key(&"a".repeat(MAX_KEY_BYTES + 1)),
+        err(eq(&KeyFault::TooLong))
+    );
+    expect_that!(
+        key("order-17:2").unwrap().to_string(),
+        eq("claims/org/order-17:2")
+    );
+}
+
+#[gtest]
+fn one_uuid_has_one_claim_and_says_when_it_was_made() {
+    let key = ClaimKey::new("org".into(), UUID).unwrap();
+    expect_that!(
+        key.to_string(),
+        eq(&format!("claims/org/{}", UUID.to_lowercase()))
+    );
+    expect_that!(key.made_ms(), some(eq(MADE_MS)));
+    let kept = cfg().retention_ms;
+    expect_that!(key.is_expired(MADE_MS + kept - 1, &cfg()), eq(false));
+    expect_that!(key.is_expired(MADE_MS + kept, &cfg()), eq(true));
+    let deletable = MADE_MS + kept + cfg().margin_ms;
+    expect_that!(key.is_deletable(deletable - 1, &cfg()), eq(false));
+    expect_that!(key.is_deletable(deletable, &cfg()), eq(true));
+    let random = ClaimKey::new("org".into(), &UUID.replace("-7", "-4")).unwrap();
+    expect_that!(random.is_deletable(u64::MAX, &cfg()), eq(false));
+}
+
+#[gtest]
+fn a_sweep_lists_the_claims_of_its_span_and_deletes_no_other() {
+    let kept = cfg().retention_ms + cfg().margin_ms;
+    let now = MADE_MS + kept + 2 * Sweep::SPAN_MS;
+    let spans: Vec<Sweep> = std::iter::successors(Sweep::newest(now, &cfg()), |s| s.before())
+        .take(3)
+        .collect();
+    let place = ClaimKey::new("org".into(), UUID).unwrap().to_string();
+    let listed = spans.iter().filter(|s| place.starts_with(&s.prefix("org")));
+    expect_that!(listed.count(), eq(1));
+    expect_that!(Sweep::may_delete(&place, now, &cfg()), eq(true));
+    expect_that!(
+        Sweep::may_delete(&place, MADE_MS + kept - 1, &cfg()),
+        eq(false)
+    );
+    expect_that!(
+        Sweep::may_delete("claims/org/019000-order", now, &cfg()),
+        eq(false)
+    );
+    expect_that!(Sweep::may_delete("schema/head", now, &cfg()), eq(false));
+}
+
+#[gtest]
+fn each_organisation_has_one_sweeper() {
+    let instances: Vec<Name> = (0..6).map(|i| format!("entry-{i}").into()).collect();
+    let mut counts = [0; 6];
+    for org in 0..600 {
+        let sweeper = sweeper_of(&format!("org-{org}"), &instances).unwrap();
+        counts[instances.iter().position(|i| i == sweeper).unwrap()] += 1;
+    }
+    expect_that!(counts, each(all![gt(60), lt(140)]));
+}
+
+#[gtest]
+fn a_record_keeps_the_answer_whole_or_not_at_all() {
+    let mut finished = Finished::without_answer(Outcome::Answered, "u".into(), 5);
+    for body in [&b"plain"[..], &[0, 159, 146, 150][..]] {
+        finished.set_body(body);
+        let record = ClaimRecord {
+            claimant: "i".into(),
+            incarnation: 1,
+            nonce: "n".into(),
+            request: "r".into(),
+            call: "c".into(),
+            body_sha256: "b".into(),
+            deadline_ms: 9,
+            state: ClaimState::Finished(finished.clone()),
+        };
+        let read = ClaimRecord::parse(&record.to_text()).unwrap();
+        expect_that!(read, eq(&record));
+        expect_that!(finished.body(), some(eq(body)));
+    }
+    finished.set_body(&vec![b'a'; MAX_RECORDED_BODY + 1]);
+    expect_that!(finished.body(), none());
+}
+
+/// The platform refuses every call. The caller is told "not run" once patience is over, well before
+/// its deadline, and a dispatch is refused from then on.
+#[gtest]
+fn an_outage_is_told_at_once_and_fenced() {
+    let (mut claim, mut todo) = open(60_000);
+    let mut ms = 0;
+    let answer = loop {
+        match todo.remove(0) {
+            Action::Create(_) => {
+                todo = claim.step(at(ms), Event::Write(WriteAnswer::NoEffect));
+            }
+            Action::Pause(until) => {
+                ms = until.mono_ms;
+                todo = claim.step(at(ms), Event::Timer);
+            }
+            Action::Answer(answer) => break answer,
+            other => panic!("unexpected {other:?}"),
+        }
+    };
+    expect_that!(answer, eq(&Answer::NotRun(NotRunCause::PlatformDown)));
+    expect_that!(ms, eq(cfg().patience_ms));
+    expect_that!(claim.begin_dispatch(at(ms)), err(is_empty()));
+}
+
+/// An instance is frozen between claim and dispatch and wakes after the caller's deadline. One of
+/// its clocks stood still, or was set back; the other one shows it. Nothing is sent, "not run" is
+/// told, and the claim is released so that the key can be used again.
+#[gtest]
+fn a_claimant_that_wakes_up_late_does_not_dispatch() {
+    let late = [
+        Now {
+            mono_ms: 1,
+            unix_ms: MADE_MS + 10_000,
+        },
+        Now {
+            mono_ms: 10_000,
+            unix_ms: MADE_MS,
+        },
+    ];
+    for woken in late {
+        let (mut claim, _) = open(5_000);
+        let todo = claim.step(at(1), Event::Write(WriteAnswer::Written(7)));
+        expect_that!(todo, elements_are![eq(&Action::Dispatch)]);
+        let actions = claim.begin_dispatch(woken).unwrap_err();
+        let not_run = Answer::NotRun(NotRunCause::DeadlinePassed);
+        expect_that!(actions[0], eq(&Action::Answer(not_run)));
+        let Action::Update { record, version } = &actions[1] else {
+            panic!("the claim is not released: {actions:?}");
+        };
+        expect_that!(record.state, eq(&ClaimState::Released));
+        expect_that!(*version, eq(7));
+        expect_that!(claim.begin_dispatch(at(2)), err(is_empty()));
+    }
+}
