--- a/kernel/src/life.rs
+++ b/kernel/src/life.rs
@@ -20,6 +20,9 @@
 
 /// Time that tasks get to return once the instance stops.
 const TASKS_TIMEOUT: Duration = Duration::from_secs(2);
+/// Rounds of exchanges that the word of a shutdown takes to reach every instance: until then one
+/// of them may still name this instance in an answer, which callers keep for its time to live.
+const SPREAD_ROUNDS: u64 = 2;
 /// Period of looking whether the next step of a shutdown is due.
 const TICK: Duration = Duration::from_millis(20);
 
@@ -77,7 +80,7 @@
     fn new(cx: Arc<Kernel>, callers: Listening) -> Shutdown {
         let timing = &cx.settings.timing;
         let cfg = DrainConfig {
-            ttl_ms: timing.entry_ttl_ms,
+            ttl_ms: timing.entry_ttl_ms + SPREAD_ROUNDS * timing.gossip_ms,
             deadline_ms: timing.drain_deadline_ms,
         };
         Shutdown {
