Test that cache events have the same gaps for the same seed

Cause: the promise "same seed, same behaviour" of the stand-in runner had no test. Ruled out: a comparison of times (events show by number, not by clock). Change: twenty prompts against two runners of one seed; the numbers shown are equal and have gaps.

--- a/testkit/tests/runner.rs
+++ b/testkit/tests/runner.rs
@@ -4,8 +4,8 @@
 use jacinthweir_testkit::runner::knobs::Knobs;
 use jacinthweir_testkit::{Runner, RunnerCfg, text};
 use jacinthweir_wire::runner::{
-    CancelRequest, Fenced, Frame, HeldLayers, LayerRange, Order, Refused, RefusedCode, RunRequest,
-    Stage, Wanted,
+    CacheEvents, CancelRequest, Fenced, Frame, HeldLayers, LayerRange, Order, Refused, RefusedCode,
+    RunRequest, Stage, Wanted,
 };
 use reqwest::{Client, Response};
 use tokio_util::sync::CancellationToken;
@@ -290,3 +290,35 @@
         expect_that!(obeyed, eq(&vec![true, !checks_fencing]));
     }
 }
+
+#[gtest]
+#[tokio::test]
+async fn cache_events_have_the_same_gaps_for_the_same_seed() {
+    let numbers = async |seed| {
+        let token = CancellationToken::new();
+        let gappy = RunnerCfg {
+            cache_gap_percent: 50,
+            cache_lag_ms: 0,
+            seed,
+            ..cfg(0)
+        };
+        let runner = Runner::bind(gappy, token.clone()).await.expect("binds");
+        let single = Chain {
+            runners: vec![runner],
+            tokens: vec![token],
+            client: Client::new(),
+        };
+        for i in 0..20 {
+            let mut req = single.request(&format!("q{i}"), 1);
+            req.prompt = format!("{i:064}");
+            single.frames(&req).await;
+        }
+        let url = format!("http://{}/v1/cache-events", single.runners[0].address);
+        let answer = single.client.get(url).send().await.expect("an answer");
+        let shown: CacheEvents = answer.json().await.expect("events");
+        shown.events.iter().map(|e| e.number).collect::<Vec<_>>()
+    };
+    let first = numbers(7).await;
+    expect_that!(first, eq(&numbers(7).await));
+    expect_that!(first.len(), all!(gt(0), lt(20)));
+}
