Bound what an operator's name, change id and summary add to the head

Cause: nothing bounded the two labels and the length of a summary's lines, so one apply with a long name, or 64 commits of long lines (over a megabyte at the worst), would make the head larger than the platform takes and end all further commits; and control characters reached the terminals of others. Ruled out: checking the head's size at the write (the operator would get a refusal that is not about the change). Change: label_fault (64 bytes, no control characters), 5 lines of 120 characters a commit.

--- a/plugins/schema/src/operators.rs
+++ b/plugins/schema/src/operators.rs
@@ -3,6 +3,7 @@
 use jacinthweir_kernel::body;
 use jacinthweir_kernel::prelude::*;
 use jacinthweir_kernel::reply::Refusal;
+use jacinthweir_policy::config::commit::label_fault;
 use jacinthweir_wire::caller::ErrorCode;
 use jacinthweir_wire::operator::{
     ApplyRefused, ApplyReply, ApplyRequest, Commit, HistoryReply, PlanRequest, SchemaReply,
@@ -88,9 +89,11 @@
         Ok(req) => req,
         Err(refusal) => return refusal.write(res, None),
     };
-    if req.change.is_empty() || req.operator.is_empty() {
-        let refusal = Refusal::not_run(ErrorCode::BadRequest, "change and operator are required");
-        return refusal.write(res, None);
+    for (field, label) in [("change", &req.change), ("operator", &req.operator)] {
+        if let Some(fault) = label_fault(label) {
+            let refusal = Refusal::not_run(ErrorCode::BadRequest, format!("{field} {fault}"));
+            return refusal.write(res, None);
+        }
     }
     match in_task(cx, req).await {
         Ok(reply) => res.render(Json(reply)),
--- a/plugins/schema/tests/schema/bad_input.rs
+++ b/plugins/schema/tests/schema/bad_input.rs
@@ -2,6 +2,8 @@
 
 use googletest::prelude::*;
 use reqwest::{Client, Method};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 use crate::rig::{TOKEN, rig};
 
@@ -47,14 +49,25 @@
             "apply",
             &apply("{}").replace("\"c\"", "\"\""),
             400,
-            "change and operator",
+            "change must not be empty",
+        ),
+        case(
+            "apply",
+            &apply("{}").replace("ana", &"a".repeat(65)),
+            400,
+            "operator is longer",
+        ),
+        case(
+            "apply",
+            &apply("{}").replace("ana", "a\\u001b"),
+            400,
+            "operator has control",
         ),
         case("apply", &(apply("{}") + "x"), 400, "trailing characters"),
         case("apply", &apply(""), 400, "there is nothing in it"),
         case("apply", &apply(&deep), 400, "line 1"),
         case("apply", &apply(escapes), 400, "unknown field"),
         case("plan", &apply(r#"{"models": 1}"#), 400, "models"),
-        case("plan", &" ".repeat(200_001), 413, "exceeds"),
         case("rollback", "{}", 404, "no such path"),
         Case {
             method: Method::GET,
@@ -92,3 +105,23 @@
     }
     expect_that!(rig.platform.counts().puts, eq(0));
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_oversized_body_is_refused_by_its_declared_length() {
+    // The head of a request declares more than the limit and the body never comes. The answer
+    // comes at once all the same, and nothing was buffered. (A client that goes on sending may
+    // find the connection closed before it reads the answer, so the test sends no body.)
+    let rig = rig(1).await;
+    let address = rig.instances[0].operators;
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let head = format!(
+        "POST /operator/plan HTTP/1.1\r\nhost: {address}\r\nauthorization: Bearer {TOKEN}\r\n\
+         content-length: 200001\r\nconnection: close\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.unwrap();
+    expect_that!(answer, starts_with("HTTP/1.1 413 "));
+    expect_that!(answer, contains_substring("exceeds 200000 bytes"));
+}
--- a/policy/src/config/commit.rs
+++ b/policy/src/config/commit.rs
@@ -12,8 +12,31 @@
 use crate::head::{Commit, Head, PartRef};
 use crate::time::{Millis, Name};
 
-/// The most lines of a commit's summary.
-pub const MAX_SUMMARY: usize = 20;
+/// The most lines of a commit's summary. The head carries the summaries of its whole history,
+/// goes to every instance with every change, and has to fit the platform's megabyte.
+pub const MAX_SUMMARY: usize = 5;
+
+/// The longest line of a summary, in characters.
+pub const MAX_SUMMARY_CHARS: usize = 120;
+
+/// The longest change id or operator's name, in bytes.
+pub const MAX_LABEL_BYTES: usize = 64;
+
+/// What is wrong with a change id or an operator's name. Both stand in the head and are shown to
+/// other operators, so a long one would make the head too large for the platform, and control
+/// characters would change what a terminal shows of the history.
+pub fn label_fault(label: &str) -> Option<&'static str> {
+    if label.is_empty() {
+        return Some("must not be empty");
+    }
+    if label.len() > MAX_LABEL_BYTES {
+        return Some("is longer than 64 bytes");
+    }
+    label
+        .chars()
+        .any(char::is_control)
+        .then_some("has control characters")
+}
 
 /// A change that an operator wants committed.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -109,7 +132,11 @@
 }
 
 fn short(summary: &[String]) -> Vec<String> {
-    let mut lines: Vec<String> = summary.iter().take(MAX_SUMMARY).cloned().collect();
+    let mut lines: Vec<String> = summary
+        .iter()
+        .take(MAX_SUMMARY)
+        .map(|l| short_line(l))
+        .collect();
     let left = summary.len() - lines.len();
     if left > 0 {
         lines.push(format!("... and {left} more"));
@@ -117,6 +144,13 @@
     lines
 }
 
+fn short_line(line: &str) -> String {
+    match line.char_indices().nth(MAX_SUMMARY_CHARS) {
+        Some((at, _)) => format!("{}...", &line[..at]),
+        None => line.to_owned(),
+    }
+}
+
 /// What reading the head back tells of a write whose answer was lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReadBack {
--- a/policy/tests/config_parts.rs
+++ b/policy/tests/config_parts.rs
@@ -2,7 +2,7 @@
 
 use googletest::prelude::*;
 use jacinthweir_policy::config::commit::{
-    Decision, MAX_SUMMARY, Proposal, ReadBack, decide, read_back,
+    Decision, MAX_SUMMARY, MAX_SUMMARY_CHARS, Proposal, ReadBack, decide, read_back,
 };
 use jacinthweir_policy::config::garbage::{deletable, needless};
 use jacinthweir_policy::config::lineage::{HeadFault, MAX_HISTORY, Relation, check_head, relation};
@@ -132,11 +132,17 @@
     let mut head = committed(None, &proposal(0, "c0", 1));
     for n in 1..100 {
         let mut next = proposal(n, &format!("c{n}"), n as u32 + 1);
-        next.summary = vec![String::from("line"); 50];
+        next.summary = vec!["é".repeat(1000); 50];
         head = committed(Some(&head), &next);
     }
     expect_that!(head.history, len(eq(MAX_HISTORY)));
     expect_that!(head.history[0].summary, len(eq(MAX_SUMMARY + 1)));
+    let longest = head.history[0]
+        .summary
+        .iter()
+        .map(|line| line.chars().count())
+        .max();
+    expect_that!(longest, some(le(MAX_SUMMARY_CHARS + 3)));
     expect_that!(check_head(&head), ok(eq(())));
 }
 
