Places of an organisation among the calls of services; budget follows calls in flight

Cause: calls of plain services passed no admission, so one organisation's flood could take all request places of an instance, and the retry budget kept its least size. Ruled out: the pipelines' admission (services have no bound and no tokens to derive a drain rate from). Change: an organisation holds at most half of an instance's places, and an even share of its own limit, else organisation_limit at once with a spread time to come back. Conclusion: a flood of calls stays with its organisation.

--- a/plugins/services/src/driver.rs
+++ b/plugins/services/src/driver.rs
@@ -1,41 +1,22 @@
 //! The driver of one call: with or without a claim, and what the caller is told.
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use jacinthweir_kernel::prelude::*;
 use jacinthweir_kernel::records::{Entry, EntryMeta, Running};
 use jacinthweir_policy::claim::{ClaimConfig, LONGEST_DEADLINE_MS};
 use jacinthweir_policy::journal::{End, Event, Journal, Repeat};
-use jacinthweir_policy::retry::{RetryBudget, RetryBudgetConfig};
 use tokio::sync::oneshot;
 
 use crate::accept::Accepted;
 use crate::answer::{NoReply, ServiceReply, Told};
 use crate::dispatch::Sent;
+use crate::shared::{Place, Shared};
 
 /// Greatest difference between the clocks of two instances for which a deleted claim is still
 /// safe, in milliseconds.
 const CLOCK_DIFFERENCE_MS: u64 = 3_600_000;
 
-/// What all calls of an instance share.
-pub(crate) struct Shared {
-    budget: Mutex<RetryBudget>,
-}
-
-impl Shared {
-    pub(crate) fn new(cx: &Kernel) -> Shared {
-        let budget = RetryBudget::new(RetryBudgetConfig::default(), cx.clock.now());
-        Shared {
-            budget: Mutex::new(budget),
-        }
-    }
-
-    pub(crate) fn budget(&self) -> MutexGuard<'_, RetryBudget> {
-        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
 /// Settings of claims, with the retention from the instance's settings.
 pub(crate) fn claim_config(cx: &Kernel) -> ClaimConfig {
     ClaimConfig {
@@ -52,6 +33,7 @@
     pub(crate) accepted: Accepted,
     pub(crate) running: Running,
     tx: Option<oneshot::Sender<Told>>,
+    _place: Place,
 }
 
 impl Driver {
@@ -60,6 +42,7 @@
         cx: &Arc<Kernel>,
         shared: &Arc<Shared>,
         accepted: Accepted,
+        place: Place,
     ) -> (Name, oneshot::Receiver<Told>) {
         let id = cx.new_request_id();
         let journal = Journal::open(id.clone(), accepted.repeat, cx.clock.unix_ms());
@@ -77,6 +60,7 @@
             accepted,
             running,
             tx: Some(tx),
+            _place: place,
         };
         cx.tasks.spawn(driver.drive());
         (id, rx)
--- a/plugins/services/src/handler.rs
+++ b/plugins/services/src/handler.rs
@@ -6,11 +6,12 @@
 
 use crate::accept::accept;
 use crate::answer::Told;
-use crate::driver::{Driver, Shared};
+use crate::driver::Driver;
+use crate::shared::Shared;
 
 /// Routes on the callers' listener.
 pub(crate) fn routes(cx: &Arc<Kernel>) -> Vec<Router> {
-    let shared = Arc::new(Shared::new(cx));
+    let shared = Shared::open(cx);
     let calls = Calls {
         cx: Arc::clone(cx),
         shared,
@@ -36,7 +37,12 @@
             Ok(accepted) => accepted,
             Err(refusal) => return refusal.write(res, None),
         };
-        let (request, rx) = Driver::spawn(&self.cx, &self.shared, accepted);
+        let org = &accepted.config.schema.orgs()[accepted.caller.org];
+        let place = match self.shared.enter(&self.cx, org) {
+            Ok(place) => place,
+            Err(refusal) => return refusal.write(res, None),
+        };
+        let (request, rx) = Driver::spawn(&self.cx, &self.shared, accepted, place);
         match rx.await {
             Ok(Told::Reply(reply)) => reply.write(res, &request),
             Ok(Told::Refused(refusal)) => refusal.write(res, Some(&request)),
--- a/plugins/services/src/lib.rs
+++ b/plugins/services/src/lib.rs
@@ -16,6 +16,7 @@
 mod dispatch;
 mod driver;
 mod handler;
+mod shared;
 mod sweep;
 
 use jacinthweir_kernel::prelude::*;
