Measurement of membership; observers worked out on change only

Cause: the first run of the measurement did not end within 8 minutes at 340 instances: every poll ranked each of 1,200 upstreams against each of 340 instances. Ruled out: fewer observers (the number of polls was not the cost, the ranking was). Change: the upstreams that an instance observes are kept until instances, groups or upstreams change; testkit/examples/measure_membership counts encoded bytes, time, memory, rounds, alarms.

--- a/policy/src/upstreams.rs
+++ b/policy/src/upstreams.rs
@@ -142,13 +142,16 @@
     upstreams: BTreeMap<Name, Upstream>,
     /// Live instances, as [`Upstreams::set_live`] gave them.
     live: Vec<Observer>,
+    /// Upstreams that this instance observes; absent: to be worked out anew. Ranking every
+    /// upstream against every instance at each poll took most of the processor time of a fleet.
+    observed: Option<Vec<Name>>,
     changed: BTreeSet<Name>,
     seen: Now,
     woken_ms: Millis,
     counts: UpstreamCounts,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 struct Observer {
     name: Name,
     domain: Name,
@@ -173,6 +176,7 @@
             groups: BTreeMap::new(),
             upstreams: BTreeMap::new(),
             live: vec![observer],
+            observed: None,
             changed: BTreeSet::new(),
             seen: now,
             woken_ms: 0,
@@ -183,22 +187,26 @@
     /// Sets the groups of the schema and how their upstreams are observed.
     pub fn set_groups(&mut self, groups: BTreeMap<Name, PollKind>) {
         self.groups = groups;
+        self.observed = None;
     }
 
     /// Sets the live instances that share the observation, this one included.
     pub fn set_live<'a>(&mut self, live: impl Iterator<Item = &'a MemberState>) {
-        self.live = live
-            .map(|s| Observer {
-                name: s.name.clone(),
-                domain: s.domain.clone(),
-            })
-            .collect();
-        if !self.live.iter().any(|o| o.name == self.own) {
-            self.live.push(Observer {
+        let observer = |s: &MemberState| Observer {
+            name: s.name.clone(),
+            domain: s.domain.clone(),
+        };
+        let mut live: Vec<Observer> = live.map(observer).collect();
+        if !live.iter().any(|o| o.name == self.own) {
+            live.push(Observer {
                 name: self.own.clone(),
                 domain: self.domain.clone(),
             });
         }
+        if live != self.live {
+            self.live = live;
+            self.observed = None;
+        }
     }
 
     /// Every upstream, in the order of names.
@@ -271,7 +279,11 @@
                 self.changed.insert(name.clone());
             }
         }
+        let before = self.upstreams.len();
         self.upstreams.retain(|_, u| u.unlisted < limits.1);
+        if self.upstreams.len() != before {
+            self.observed = None;
+        }
     }
 
     fn take_listed(&mut self, listed: &ListedInstance) {
@@ -287,6 +299,7 @@
         if u.listed().address != listed.address || u.listed().domain != listed.domain {
             u.record.listed.address = listed.address;
             u.record.listed.domain = listed.domain.clone();
+            self.observed = None;
             u.record.number += 1;
             u.hash = u.record.hash();
         }
@@ -303,6 +316,7 @@
         let Some(u) = self.upstreams.get_mut(name) else {
             self.upstreams
                 .insert(name.clone(), Upstream::new(record.clone()));
+            self.observed = None;
             self.changed.insert(name.clone());
             return;
         };
@@ -310,6 +324,7 @@
         if !u.record.merge(record) {
             return;
         }
+        self.observed = None;
         if restarted {
             *u = Upstream::new(record.clone());
         }
@@ -339,23 +354,39 @@
     /// What this instance is to poll now.
     pub fn to_poll(&mut self, now: Now) -> Vec<Poll> {
         self.observe(now);
-        let mut polls = Vec::new();
-        for u in self.upstreams.values() {
-            let l = u.listed();
-            let Some(kind) = self.groups.get(&l.group) else {
-                continue;
-            };
-            if self.observers(l).any(|name| *name == self.own) {
-                polls.push(Poll {
-                    name: l.name.clone(),
-                    incarnation: l.incarnation,
-                    address: l.address,
-                    kind: *kind,
-                    started_ms: now.mono_ms,
-                });
+        let observed = self
+            .observed
+            .take()
+            .unwrap_or_else(|| self.work_out_observed());
+        let upstreams = observed.iter().filter_map(|name| self.upstreams.get(name));
+        let polls = upstreams.filter_map(|u| self.poll(u, now)).collect();
+        self.observed = Some(observed);
+        polls
+    }
+
+    fn poll(&self, u: &Upstream, now: Now) -> Option<Poll> {
+        let l = u.listed();
+        Some(Poll {
+            name: l.name.clone(),
+            incarnation: l.incarnation,
+            address: l.address,
+            kind: *self.groups.get(&l.group)?,
+            started_ms: now.mono_ms,
+        })
+    }
+
+    fn work_out_observed(&self) -> Vec<Name> {
+        let regions: BTreeSet<&str> = self.live.iter().map(|o| region_of(&o.domain)).collect();
+        let own_region = region_of(&self.domain);
+        let mut observed = Vec::new();
+        for (name, u) in &self.upstreams {
+            let region = region_of(&u.listed().domain);
+            let others = region != own_region && regions.contains(region);
+            if !others && self.observers(u.listed()).any(|o| *o == self.own) {
+                observed.push(name.clone());
             }
         }
-        polls
+        observed
     }
 
     /// The instances that observe an upstream: those of its region, or of all where it has none,
--- a/policy/tests/support/fleet.rs
+++ b/policy/tests/support/fleet.rs
@@ -296,6 +296,12 @@
         up.map(|n| n.membership.members().count()).sum()
     }
 
+    /// Suspicions that instances came to by themselves, with or without confirmation.
+    pub fn suspicions(&self) -> u64 {
+        let counts = self.nodes.iter().map(|n| n.membership.counts());
+        counts.map(|c| c.suspicions + c.unconfirmed).sum()
+    }
+
     /// False alarms counted by all instances.
     pub fn false_alarms(&self) -> u64 {
         let counts = self.nodes.iter().map(|n| n.membership.counts());
--- a/policy/tests/support/runners.rs
+++ b/policy/tests/support/runners.rs
@@ -26,6 +26,14 @@
     format!("runner-{r:04}").into()
 }
 
+/// The number that a name ends with.
+fn number_in(name: &str) -> usize {
+    let digits = name.rsplit('-').next();
+    digits
+        .and_then(|d| d.parse().ok())
+        .expect("a name with a number")
+}
+
 impl Fleet {
     /// Adds runners, spread over the regions, that every instance has read in the list.
     pub fn add_runners(&mut self, count: usize) {
@@ -78,8 +86,7 @@
     }
 
     fn confirm(&mut self, i: usize, confirm: &Confirm) {
-        let via = (0..self.nodes.len()).find(|j| name(*j) == *confirm.via);
-        let via = via.filter(|j| self.delivered(i, *j));
+        let via = Some(number_in(&confirm.via)).filter(|j| self.delivered(i, *j));
         let outcome = match via {
             Some(j) => ConfirmOutcome::Polled(self.poll_outcome(j, &confirm.name)),
             None => ConfirmOutcome::NoAnswer,
@@ -90,35 +97,19 @@
     }
 
     fn poll_outcome(&mut self, i: usize, runner: &Name) -> PollOutcome {
-        let r = (0..self.runners.len()).find(|r| runner_name(*r) == *runner);
-        let r = r.expect("a runner of the list");
+        let r = number_in(runner);
         let near = self.connected(i, r) && self.isolated != Some(i);
         let runner = &mut self.runners[r];
         if runner.run != Run::Up || runner.hidden_from.contains(&i) || !near {
             return PollOutcome::Failed;
         }
         runner.number += 1;
-        PollOutcome::Report(LoadReport {
-            runner: runner_name(r),
-            incarnation: runner.incarnation,
-            number: runner.number,
-            age_ms: 500,
-            accelerator: "kind-a".into(),
-            holds: vec![HeldLayers {
-                model: "model-a".into(),
-                layers: LayerRange {
-                    start: 0,
-                    end: LAYERS,
-                },
-            }],
-            running: (runner.number % 50) as u32,
-            queued: (runner.number % 7) as u32,
-            token_layers_per_s: 40_000.0,
-            busy_token_layers_per_s: 20_000.0 + runner.number as f64,
-            leaving: runner.leaving,
-            checks_fencing: true,
-            fencing: 0,
-        })
+        PollOutcome::Report(report(r, runner))
+    }
+
+    /// A report as it travels.
+    pub fn sample_report(&self) -> LoadReport {
+        report(0, &self.runners[0])
     }
 
     /// The upstreams' part of an exchange; messages are delivered with those of the members.
@@ -149,3 +140,27 @@
         up.filter(|n| of(&n.upstreams) == Some(wanted)).count()
     }
 }
+
+fn report(r: usize, runner: &Runner) -> LoadReport {
+    LoadReport {
+        runner: runner_name(r),
+        incarnation: runner.incarnation,
+        number: runner.number,
+        age_ms: 500,
+        accelerator: "kind-a".into(),
+        holds: vec![HeldLayers {
+            model: "model-a".into(),
+            layers: LayerRange {
+                start: 0,
+                end: LAYERS,
+            },
+        }],
+        running: (runner.number % 50) as u32,
+        queued: (runner.number % 7) as u32,
+        token_layers_per_s: 40_000.0,
+        busy_token_layers_per_s: 20_000.0 + runner.number as f64,
+        leaving: runner.leaving,
+        checks_fencing: true,
+        fencing: 0,
+    }
+}
--- /dev/null
+++ b/testkit/examples/measure_membership.rs
@@ -0,0 +1,312 @@
+//! Measures what membership and observation of upstreams cost and how fast they notice.
+//!
+//! Fleets of instances run in one process by the policy alone; every message is encoded and
+//! decoded as it is between processes. Printed for each size: bytes and processor time a round of
+//! one second and instance, resident memory an instance, rounds until a death or leaving is known
+//! to all, and false alarms under lost messages. Rounds are simulated: none of it depends on the
+//! machine but processor time and memory.
+//!
+//! `cargo run --release -p jacinthweir-testkit --example measure_membership [-- --seeds N] [--json FILE]`
+
+#[path = "../../policy/tests/support/fleet.rs"]
+#[allow(dead_code, reason = "the tests of the policy use the rest")]
+mod fleet;
+
+use argh::FromArgs;
+use fleet::{Fleet, Message, Run};
+use jacinthweir_policy::membership::MembershipConfig;
+use jacinthweir_policy::upstreams::Availability;
+use jacinthweir_wire::peer::{Exchange, ExchangeAnswer, MemberDelta, MemberDigest};
+use jacinthweir_wire::peer::{UpstreamDelta, UpstreamDigest};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Instant;
+
+/// Measures membership.
+#[derive(FromArgs)]
+struct Args {
+    /// seeds for times to notice and alarms
+    #[argh(option, default = "5")]
+    seeds: u64,
+    /// file for the results as JSON
+    #[argh(option)]
+    json: Option<std::path::PathBuf>,
+}
+
+/// Instances, regions, runners.
+const SIZES: [(usize, usize, usize); 4] = [(6, 1, 40), (24, 1, 160), (96, 3, 480), (340, 7, 1200)];
+/// Rounds before anything is measured.
+const SETTLE: usize = 20;
+/// Rounds over which bytes and time are averaged.
+const MEASURED: usize = 10;
+/// Rounds with lost messages.
+const LOSSY: usize = 60;
+/// Give up waiting after so many rounds.
+const LIMIT: usize = 120;
+/// HTTP headers of a call and its answer, in bytes: as captured between two instances.
+const HTTP_BYTES: usize = 330;
+
+/// One line of the result.
+#[derive(Clone, Debug, Default, Serialize)]
+struct Row {
+    instances: usize,
+    regions: usize,
+    runners: usize,
+    member_bytes_per_s: f64,
+    upstream_bytes_per_s: f64,
+    envelope_bytes_per_s: f64,
+    poll_bytes_per_s: f64,
+    total_bytes_per_s: f64,
+    list_bytes: usize,
+    cpu_us_per_round: f64,
+    resident_kib: f64,
+    dead_first: Spread,
+    dead_all: Spread,
+    leaving_all: Spread,
+    runner_dead_all: Spread,
+    alarms_loss_1: f64,
+    alarms_loss_5: f64,
+}
+
+/// Least, median and greatest over the seeds, in rounds.
+#[derive(Clone, Debug, Default, Serialize)]
+struct Spread {
+    min: usize,
+    median: usize,
+    max: usize,
+}
+
+impl Spread {
+    fn of(mut values: Vec<usize>) -> Spread {
+        values.sort_unstable();
+        Spread {
+            min: values[0],
+            median: values[values.len() / 2],
+            max: values[values.len() - 1],
+        }
+    }
+}
+
+impl std::fmt::Display for Spread {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.pad(&format!("{} ({}-{})", self.median, self.min, self.max))
+    }
+}
+
+#[derive(Default)]
+struct Bytes {
+    members: usize,
+    upstreams: usize,
+    messages: usize,
+}
+
+fn main() -> eyre::Result<()> {
+    let args: Args = argh::from_env();
+    let mut rows = Vec::new();
+    for (instances, regions, runners) in SIZES {
+        let mut row = Row {
+            instances,
+            regions,
+            runners,
+            ..Row::default()
+        };
+        cost(&mut row);
+        notice(&mut row, args.seeds);
+        alarms(&mut row, args.seeds);
+        eprintln!("{instances} instances done");
+        rows.push(row);
+    }
+    print_table(&rows);
+    if let Some(path) = args.json {
+        std::fs::write(path, serde_json::to_string_pretty(&rows)?)?;
+    }
+    Ok(())
+}
+
+fn fleet_of(row: &Row, seed: u64) -> Fleet {
+    let cfg = MembershipConfig::default();
+    let mut fleet = Fleet::new(row.instances, row.regions, seed, &cfg);
+    fleet.add_runners(row.runners);
+    fleet.rounds(SETTLE);
+    fleet
+}
+
+fn cost(row: &mut Row) {
+    let before = resident_kib();
+    let mut fleet = fleet_of(row, 1);
+    row.resident_kib = (resident_kib() - before) / row.instances as f64;
+    row.list_bytes = serde_json::to_vec(&fleet.list()).map_or(0, |v| v.len());
+    let bytes = Rc::new(RefCell::new(Bytes::default()));
+    let counted = Rc::clone(&bytes);
+    fleet.meter = Some(Box::new(move |_, _, msg| count(&counted, msg)));
+    fleet.polls = 0;
+    let start = Instant::now();
+    fleet.rounds(MEASURED);
+    let instance_rounds = (row.instances * MEASURED) as f64;
+    row.cpu_us_per_round = start.elapsed().as_secs_f64() * 1e6 / instance_rounds;
+    let bytes = bytes.borrow();
+    // Each byte is sent by one instance and received by another: both count.
+    let each = |n: usize| 2.0 * n as f64 / instance_rounds;
+    row.member_bytes_per_s = each(bytes.members);
+    row.upstream_bytes_per_s = each(bytes.upstreams);
+    // Two messages a call; those of members and upstreams travel together.
+    row.envelope_bytes_per_s = each(bytes.messages / 4 * (HTTP_BYTES + envelope()));
+    row.poll_bytes_per_s = fleet.polls as f64 * poll_bytes(&fleet) as f64 / instance_rounds;
+    row.total_bytes_per_s = row.member_bytes_per_s
+        + row.upstream_bytes_per_s
+        + row.envelope_bytes_per_s
+        + row.poll_bytes_per_s;
+}
+
+fn count(bytes: &RefCell<Bytes>, msg: &Message<'_>) {
+    let mut bytes = bytes.borrow_mut();
+    bytes.messages += 1;
+    match msg {
+        Message::Digest(m) => bytes.members += round_trip(*m),
+        Message::Delta(m) => bytes.members += round_trip(*m),
+        Message::UpstreamDigest(m) => bytes.upstreams += round_trip(*m),
+        Message::UpstreamDelta(m) => bytes.upstreams += round_trip(*m),
+    }
+}
+
+/// Size of the encoded message; it is decoded too, for the processor time.
+fn round_trip<T: Serialize + DeserializeOwned>(msg: &T) -> usize {
+    let encoded = rmp_serde::to_vec_named(msg).unwrap_or_default();
+    let decoded: Result<T, _> = rmp_serde::from_slice(&encoded);
+    assert!(decoded.is_ok(), "a message that was encoded can be decoded");
+    encoded.len()
+}
+
+/// Bytes of an exchange and its answer besides digests and deltas.
+fn envelope() -> usize {
+    let exchange = Exchange {
+        from: fleet::name(0).into(),
+        members: MemberDigest::default(),
+        upstreams: UpstreamDigest::default(),
+    };
+    let answer = ExchangeAnswer {
+        from: fleet::name(1).into(),
+        members: MemberDelta::default(),
+        upstreams: UpstreamDelta::default(),
+    };
+    let inner = size(&exchange.members) + size(&exchange.upstreams);
+    let inner = inner + size(&answer.members) + size(&answer.upstreams);
+    size(&exchange) + size(&answer) - inner
+}
+
+fn size<T: Serialize>(msg: &T) -> usize {
+    rmp_serde::to_vec_named(msg).map_or(0, |v| v.len())
+}
+
+fn poll_bytes(fleet: &Fleet) -> usize {
+    let report = fleet.sample_report();
+    HTTP_BYTES + serde_json::to_vec(&report).map_or(0, |v| v.len())
+}
+
+fn rounds_until(fleet: &mut Fleet, done: impl Fn(&Fleet) -> bool) -> usize {
+    (0..LIMIT)
+        .find(|_| {
+            let done = done(fleet);
+            if !done {
+                fleet.round();
+            }
+            done
+        })
+        .unwrap_or(LIMIT)
+}
+
+fn notice(row: &mut Row, seeds: u64) {
+    let mut times: [Vec<usize>; 4] = Default::default();
+    for seed in 1..=seeds {
+        let mut fleet = fleet_of(row, seed);
+        let others = row.instances - 1;
+        fleet.nodes[3].run = Run::Dead;
+        let first = rounds_until(&mut fleet, |f| f.suspecting(3) > 0);
+        let rest = rounds_until(&mut fleet, |f| f.suspecting(3) == others);
+        times[0].push(first);
+        times[1].push(first + rest);
+        fleet.runners[7].leaving = true;
+        let leaving = |f: &Fleet| f.seeing(7, Availability::Leaving) == others;
+        times[2].push(rounds_until(&mut fleet, leaving));
+        fleet.runners[9].run = Run::Dead;
+        let dead = |f: &Fleet| f.seeing(9, Availability::Suspected) == others;
+        times[3].push(rounds_until(&mut fleet, dead));
+    }
+    let [first, all, leaving, dead] = times.map(Spread::of);
+    row.dead_first = first;
+    row.dead_all = all;
+    row.leaving_all = leaving;
+    row.runner_dead_all = dead;
+}
+
+fn alarms(row: &mut Row, seeds: u64) {
+    let per_hour = |loss: f64| {
+        let mut alarms = 0;
+        for seed in 1..=seeds {
+            let cfg = MembershipConfig::default();
+            let mut fleet = Fleet::new(row.instances, row.regions, seed, &cfg);
+            fleet.rounds(SETTLE);
+            let before = fleet.suspicions();
+            fleet.loss = loss;
+            fleet.rounds(LOSSY);
+            alarms += fleet.suspicions() - before;
+        }
+        alarms as f64 * 3600.0 / (seeds as f64 * LOSSY as f64 * row.instances as f64)
+    };
+    row.alarms_loss_1 = per_hour(0.01);
+    row.alarms_loss_5 = per_hour(0.05);
+}
+
+fn resident_kib() -> f64 {
+    const PAGE_KIB: f64 = 4.0;
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm
+        .split_whitespace()
+        .nth(1)
+        .and_then(|p| p.parse::<f64>().ok());
+    pages.unwrap_or(0.0) * PAGE_KIB
+}
+
+fn print_table(rows: &[Row]) {
+    println!("bytes sent and received by an instance a second, rounds of 1 s:");
+    println!("instances runners  members upstreams envelope    polls    total  the list once");
+    for r in rows {
+        println!(
+            "{:9} {:7} {:8.0} {:9.0} {:8.0} {:8.0} {:8.0} {:14}",
+            r.instances,
+            r.runners,
+            r.member_bytes_per_s,
+            r.upstream_bytes_per_s,
+            r.envelope_bytes_per_s,
+            r.poll_bytes_per_s,
+            r.total_bytes_per_s,
+            r.list_bytes
+        );
+    }
+    println!(
+        "\nan instance's processor time a round, its memory, and alarms an hour by lost messages:"
+    );
+    println!("instances runners   us a round  % of a core  KiB    1% lost  5% lost");
+    for r in rows {
+        println!(
+            "{:9} {:7} {:12.0} {:12.3} {:5.0} {:9.2} {:8.2}",
+            r.instances,
+            r.runners,
+            r.cpu_us_per_round,
+            r.cpu_us_per_round / 1e4,
+            r.resident_kib,
+            r.alarms_loss_1,
+            r.alarms_loss_5
+        );
+    }
+    println!("\nrounds until known, median (least-greatest):");
+    println!("instances runners   dead: first   dead: all    runner leaving  runner dead");
+    for r in rows {
+        println!(
+            "{:9} {:7}   {:13} {:12} {:15} {:12}",
+            r.instances, r.runners, r.dead_first, r.dead_all, r.leaving_all, r.runner_dead_all
+        );
+    }
+}
