--- a/plugins/schema/src/status.rs
+++ b/plugins/schema/src/status.rs
@@ -26,6 +26,7 @@
         .unwrap_or(0);
     StatusReply {
         newest: ours.max(heard),
+        confirmed: cx.serving_config().is_ok(),
         platform: if reached {
             PlatformReach::Reached
         } else {
--- a/plugins/schema/tests/apply.rs
+++ b/plugins/schema/tests/schema/apply.rs
@@ -1,175 +1,15 @@
 //! Applying schemas on several instances over a stand-in platform that fails as asked.
 
-use std::net::{SocketAddr, TcpListener};
-use std::sync::Arc;
 use std::time::Duration;
 
+use crate::rig::{HEAD, PATIENCE, rig, schema};
 use googletest::prelude::*;
-use jacinthweir_clients::platform::{HttpPlatform, Platform as _};
-use jacinthweir_kernel::listener::Listening;
-use jacinthweir_kernel::plugin::{Face, sorted};
-use jacinthweir_kernel::{Kernel, Settings};
-use jacinthweir_schema as _;
+use jacinthweir_clients::platform::Platform as _;
 use jacinthweir_testkit::platform::fault::Fault;
-use jacinthweir_testkit::{Platform, PlatformCfg};
-use jacinthweir_wire::operator::{ApplyRefused, ApplyReply, ApplyRequest, HistoryReply, PlanReply};
-use jacinthweir_wire::platform::{Condition, Object};
+use jacinthweir_wire::operator::{ApplyRefused, PlanReply};
+use jacinthweir_wire::platform::Condition;
 use reqwest::StatusCode;
-use serde::de::DeserializeOwned;
 use serde_json::json;
-use tokio_util::sync::CancellationToken;
-
-const TOKEN: &str = "operators";
-const HEAD: &str = "config/head";
-/// How long something is waited for before the test gives up; no verdict hangs on less.
-const PATIENCE: Duration = Duration::from_secs(30);
-
-struct Instance {
-    kernel: Arc<Kernel>,
-    operators: SocketAddr,
-    _listening: Listening,
-}
-
-struct Rig {
-    platform: Platform,
-    objects: HttpPlatform,
-    instances: Vec<Instance>,
-    client: reqwest::Client,
-}
-
-fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap()
-}
-
-async fn instance(n: usize, platform: SocketAddr) -> Instance {
-    let operators = free_address();
-    let settings = json!({
-        "name": format!("entry-{n}"),
-        "failure_domain": "recife",
-        "listen": {"callers": free_address(), "peers": free_address(), "operators": operators},
-        "platform": {"address": platform, "timeout_ms": 500},
-        "tokens": {
-            "operators_sha256": jacinthweir_kernel::auth::fingerprint(TOKEN),
-            "peers": "a token between instances",
-        },
-    });
-    let kernel = Kernel::open(Settings::parse(&settings.to_string()).unwrap()).unwrap();
-    for plugin in sorted() {
-        (plugin.spawn)(&kernel).unwrap();
-    }
-    let listening = Listening::bind(&kernel, Face::Operators).await.unwrap();
-    Instance {
-        kernel,
-        operators,
-        _listening: listening,
-    }
-}
-
-async fn rig(instances: usize) -> Rig {
-    let platform = Platform::bind(PlatformCfg::default(), CancellationToken::new())
-        .await
-        .unwrap();
-    let objects = HttpPlatform::open(platform.address, Duration::from_secs(5)).unwrap();
-    let mut rig = Rig {
-        platform,
-        objects,
-        instances: vec![],
-        client: reqwest::Client::new(),
-    };
-    for n in 0..instances {
-        rig.instances.push(instance(n, rig.platform.address).await);
-    }
-    rig
-}
-
-fn schema(weight: u32) -> String {
-    format!(
-        r#"{{"organisations": [ // one
-        {{"name": "atelier", "priority": 1, "weight": {weight}, "key_sha256": []}}]}}"#
-    )
-}
-
-impl Rig {
-    async fn call<A: DeserializeOwned>(
-        &self,
-        at: usize,
-        path: &str,
-        body: serde_json::Value,
-    ) -> (StatusCode, A) {
-        let url = format!("http://{}/operator/{path}", self.instances[at].operators);
-        let call = self.client.post(url).bearer_auth(TOKEN).json(&body);
-        let answer = call.send().await.unwrap();
-        (answer.status(), answer.json().await.unwrap())
-    }
-
-    async fn apply(
-        &self,
-        at: usize,
-        base: u64,
-        change: &str,
-        weight: u32,
-    ) -> std::result::Result<ApplyReply, ApplyRefused> {
-        let req = ApplyRequest {
-            text: schema(weight),
-            base,
-            change: change.into(),
-            operator: "ana".into(),
-        };
-        let body = serde_json::to_value(req).unwrap();
-        let (status, answer): (_, serde_json::Value) = self.call(at, "apply", body).await;
-        match status {
-            StatusCode::OK => Ok(serde_json::from_value(answer).unwrap()),
-            _ => Err(serde_json::from_value(answer).unwrap()),
-        }
-    }
-
-    fn revision(&self, at: usize) -> u64 {
-        self.instances[at]
-            .kernel
-            .config
-            .get()
-            .served()
-            .map_or(0, |c| c.revision)
-    }
-
-    async fn everywhere(&self, revision: u64) {
-        self.until(|| (0..self.instances.len()).all(|at| self.revision(at) == revision))
-            .await;
-    }
-
-    async fn until(&self, done: impl Fn() -> bool) {
-        let wait = async {
-            while !done() {
-                tokio::time::sleep(Duration::from_millis(20)).await;
-            }
-        };
-        tokio::time::timeout(PATIENCE, wait).await.expect("happens");
-    }
-
-    async fn head(&self) -> Object {
-        self.objects.get(HEAD).await.unwrap().unwrap()
-    }
-
-    async fn history(&self, at: usize) -> Vec<String> {
-        let url = format!("http://{}/operator/history", self.instances[at].operators);
-        let answer = self
-            .client
-            .get(url)
-            .bearer_auth(TOKEN)
-            .send()
-            .await
-            .unwrap();
-        let history: HistoryReply = answer.json().await.unwrap();
-        history
-            .commits
-            .iter()
-            .map(|c| c.change.to_string())
-            .collect()
-    }
-}
 
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -317,6 +157,29 @@
     expect_that!(rig.apply(1, 2, "c3", 3).await.unwrap().revision, eq(3));
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn parts_that_no_head_names_are_deleted() {
+    let rig = rig(2).await;
+    for revision in 1..=4 {
+        let change = format!("c{revision}");
+        rig.apply(0, revision - 1, &change, revision as u32)
+            .await
+            .unwrap();
+    }
+    let wait = async {
+        while rig.stored_parts().await != 2 {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, wait)
+        .await
+        .expect("the core and one slice are left");
+    // Back to an earlier schema, whose part is gone by now: the commit writes it again.
+    expect_that!(rig.apply(1, 4, "c5", 1).await.unwrap().revision, eq(5));
+    rig.everywhere(5).await;
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_wrong_token_is_refused() {
--- a/testkit/src/fleet.rs
+++ b/testkit/src/fleet.rs
@@ -185,7 +185,15 @@
     }
 
     async fn start_instances(&mut self, count: usize) -> Result<()> {
-        let addresses = ports::free(self.ip, 3 * count)?;
+        for _ in 0..count {
+            let listen = SocketAddr::new(self.ip, 0);
+            let token = self.links_end.token().clone();
+            let link = Relay::bind(listen, self.platform.address, token).await?;
+            self.platform_links.push(link);
+        }
+        // An address that nothing else binds on: a stand-in or a link that takes any free port
+        // could else take that of an instance which has yet to start, or starts again.
+        let addresses = ports::free(ports::own_ip(), 3 * count)?;
         let peers: Vec<SocketAddr> = (0..count).map(|i| addresses[3 * i + 1]).collect();
         for i in 0..count {
             let faces = instance::Faces {
@@ -193,22 +201,18 @@
                 peers: addresses[3 * i + 1],
                 operators: addresses[3 * i + 2],
             };
-            let listen = SocketAddr::new(self.ip, 0);
-            let token = self.links_end.token().clone();
-            let link = Relay::bind(listen, self.platform.address, token).await?;
             let spec = instance::InstanceSpec {
                 deployment: self.deployment,
                 number: i,
                 faces,
                 peers: peers.clone(),
-                platform: link.address,
+                platform: self.platform_links[i].address,
                 operators_token: OPERATORS_TOKEN.to_owned(),
                 timing: self.timing.clone(),
             };
             let instance = Instance::spawn(spec, self.dir.path())?;
             self.list(vec![instance.listing()], true).await?;
             self.instances.push(instance);
-            self.platform_links.push(link);
         }
         for instance in &mut self.instances {
             let deadline = Instant::now() + Duration::from_secs(READY_S);
@@ -246,7 +250,8 @@
         Ok(out)
     }
 
-    /// Waits until every instance that runs names all of them to callers.
+    /// Waits until every instance that runs names all of them to callers and knows what each
+    /// runner holds.
     ///
     /// # Errors
     ///
@@ -254,18 +259,12 @@
     pub async fn wait_serving(&self) -> Result<()> {
         let caller = self.caller(self.deployment.organisations()[0])?;
         let deadline = Instant::now() + Duration::from_secs(READY_S);
-        let running = || self.instances.iter().filter(|i| i.process.id().is_some());
-        let count = running().count();
-        for instance in running() {
-            loop {
-                let answer = caller.entry(instance.faces.callers).await;
-                if answer.as_ref().is_ok_and(|a| a.addresses.len() == count) {
-                    break;
-                }
+        for instance in self.instances.iter().filter(|i| i.process.id().is_some()) {
+            while !self.serves(instance, &caller).await? {
                 if Instant::now() > deadline {
                     let log = instance.process.log_tail();
                     let name = &instance.name;
-                    return Err(Error::Other(format!("{name}: {answer:?}\n{log}")));
+                    return Err(Error::Other(format!("{name} does not serve:\n{log}")));
                 }
                 tokio::time::sleep(Duration::from_millis(ASK_MS)).await;
             }
@@ -273,6 +272,20 @@
         Ok(())
     }
 
+    async fn serves(&self, instance: &Instance, caller: &Caller) -> Result<bool> {
+        let running = |process: &process::Process| process.id().is_some();
+        let instances = self.instances.iter().filter(|i| running(&i.process));
+        let runners = self.runners.iter().filter(|r| running(&r.process));
+        let Ok(answer) = caller.entry(instance.faces.callers).await else {
+            return Ok(false);
+        };
+        let Ok(status) = instance.operator()?.status().await else {
+            return Ok(false);
+        };
+        let known = status.upstreams.iter().filter(|u| !u.holds.is_empty());
+        Ok(answer.addresses.len() == instances.count() && known.count() >= runners.count())
+    }
+
     /// Callers' addresses of all instances.
     #[must_use]
     pub fn entries(&self) -> Vec<SocketAddr> {
--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -7,8 +7,10 @@
 pub mod admin;
 pub mod bench;
 pub mod caller;
+pub mod campaign;
 pub mod error;
 pub mod fleet;
+pub mod history;
 pub mod http;
 pub mod load;
 pub mod operator;
