Measurement of capacity by size

Cause: docs/CAPACITY.md needs slopes of configuration, admission, records and a live instance. Change: one command measures them over at least four sizes; the counting allocator is shared by both measurements.

--- /dev/null
+++ b/testkit/examples/measure_capacity.rs
@@ -0,0 +1,287 @@
+//! Slopes for docs/CAPACITY.md that no other measurement gives: configuration, admission and
+//! records by size, and what a live instance spends a request and a token.
+//!
+//! `cargo run --release -p jacinthweir-testkit --example measure_capacity [-- --json FILE]`
+
+use std::time::{Duration, Instant};
+
+use argh::FromArgs;
+use jacinthweir_policy::admission::{Admission, AdmissionConfig, Seen, Slot, Ticket, Work};
+use jacinthweir_policy::config::parts;
+use jacinthweir_policy::journal::{End, Event, Journal, Repeat};
+use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::schema::{CompiledSchema, OrgDecl, Schema, parse_schema};
+use jacinthweir_testkit::bench::counting;
+use jacinthweir_testkit::caller::ModelCall;
+use jacinthweir_testkit::fleet::deployment::Deployment;
+use jacinthweir_testkit::{Fleet, FleetCfg};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
+use std::sync::Arc;
+
+#[global_allocator]
+static ALLOCATOR: counting::Counting = counting::Counting;
+
+/// Organisations, four sizes and the target's.
+const ORGANISATIONS: [usize; 5] = [10, 1_000, 5_000, 10_000, 19_000];
+/// Finished requests whose records are kept.
+const RECORDS: [usize; 4] = [1_000, 2_500, 5_000, 10_000];
+/// Streams at once on a live instance.
+const STREAMS: [usize; 4] = [8, 32, 64, 128];
+/// Requests of each organisation size in the admission run.
+const OFFERS: u64 = 200_000;
+/// Tokens of each stream.
+const STREAM_TOKENS: u32 = 100;
+/// Ticks of processor time in a second, as `/proc` counts them.
+const TICKS_PER_S: f64 = 100.0;
+/// Bytes of a page, as `/proc` counts memory.
+const PAGE_BYTES: f64 = 4096.0;
+
+/// Measure what an instance costs by size.
+#[derive(FromArgs)]
+struct Args {
+    /// file for the results as JSON
+    #[argh(option)]
+    json: Option<std::path::PathBuf>,
+}
+
+#[derive(Debug, Default, Serialize)]
+struct Results {
+    configuration: Vec<ConfigurationRow>,
+    admission: Vec<AdmissionRow>,
+    records: Vec<RecordsRow>,
+    live: Vec<LiveRow>,
+}
+
+#[derive(Debug, Serialize)]
+struct ConfigurationRow {
+    organisations: usize,
+    text_bytes: usize,
+    parts: usize,
+    largest_part_bytes: usize,
+    compiled_bytes: u64,
+    parse_verify_ms: f64,
+    compile_ms: f64,
+}
+
+#[derive(Debug, Serialize)]
+struct AdmissionRow {
+    organisations: usize,
+    offer_and_release_ns: f64,
+    bytes: u64,
+}
+
+#[derive(Debug, Serialize)]
+struct RecordsRow {
+    records: usize,
+    bytes_each: f64,
+}
+
+#[derive(Debug, Serialize)]
+struct LiveRow {
+    streams: usize,
+    tokens: usize,
+    cpu_us_per_token: f64,
+    resident_mb: f64,
+    tokens_per_s: f64,
+}
+
+#[tokio::main]
+async fn main() -> eyre::Result<()> {
+    let args: Args = argh::from_env();
+    let results = Results {
+        configuration: ORGANISATIONS.into_iter().map(configuration).collect(),
+        admission: ORGANISATIONS.into_iter().map(admission).collect(),
+        records: RECORDS.into_iter().map(records).collect(),
+        live: live().await?,
+    };
+    results.configuration.iter().for_each(|r| println!("{r:?}"));
+    results.admission.iter().for_each(|r| println!("{r:?}"));
+    results.records.iter().for_each(|r| println!("{r:?}"));
+    results.live.iter().for_each(|r| println!("{r:?}"));
+    if let Some(path) = args.json {
+        std::fs::write(path, serde_json::to_string_pretty(&results)? + "\n")?;
+    }
+    Ok(())
+}
+
+fn schema(organisations: usize) -> Schema {
+    let text = std::fs::read_to_string(Deployment::Associacao.schema()).unwrap_or_default();
+    let mut schema = parse_schema(&text).unwrap_or_default();
+    schema.organisations = (0..organisations).map(organisation).collect();
+    schema
+}
+
+fn organisation(i: usize) -> OrgDecl {
+    OrgDecl {
+        name: format!("organisation-{i:05}").into(),
+        priority: (i % 10) as u8,
+        weight: 1 + (i % 7) as u32,
+        key_sha256: vec![format!("{i:064x}").into()],
+        max_in_flight: Some(64),
+    }
+}
+
+fn configuration(organisations: usize) -> ConfigurationRow {
+    let text = serde_json::to_string(&schema(organisations)).unwrap_or_default();
+    let started = Instant::now();
+    let parsed = parse_schema(&text).unwrap_or_default();
+    let parse_verify_ms = started.elapsed().as_secs_f64() * 1e3;
+    let split = parts::split(&parsed).unwrap_or_default();
+    let before = counting::live_bytes();
+    let started = Instant::now();
+    let compiled = CompiledSchema::compile(Arc::new(parsed.clone()));
+    let compile_ms = started.elapsed().as_secs_f64() * 1e3;
+    let compiled_bytes = counting::live_bytes().saturating_sub(before);
+    drop(compiled);
+    ConfigurationRow {
+        organisations,
+        text_bytes: text.len(),
+        parts: split.len(),
+        largest_part_bytes: split.iter().map(|p| p.text.len()).max().unwrap_or(0),
+        compiled_bytes,
+        parse_verify_ms,
+        compile_ms,
+    }
+}
+
+fn admission(organisations: usize) -> AdmissionRow {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let before = counting::live_bytes();
+    let mut admission = Admission::new(AdmissionConfig::default());
+    let pipeline = PipelineId::from_u32(0);
+    admission.set_capacity(0, pipeline, 1e6, 100_000);
+    let started = Instant::now();
+    for n in 0..OFFERS {
+        let slot = Slot(n);
+        let ticket = Ticket {
+            slot,
+            org: OrgId::from_u32((n % organisations as u64) as u32),
+            weight: 1,
+            pipeline,
+            priority: 3,
+            cost_tokens: 256,
+            deadline: n + 10_000,
+            work: Work::New,
+        };
+        let _ = admission.offer(n / 1_000, ticket, &mut rng);
+        let seen = Seen {
+            latency_ms: 1_000,
+            tokens: 128,
+        };
+        admission.release(n / 1_000, slot, seen);
+    }
+    let offer_and_release_ns = started.elapsed().as_secs_f64() * 1e9 / OFFERS as f64;
+    let bytes = counting::live_bytes().saturating_sub(before);
+    AdmissionRow {
+        organisations,
+        offer_and_release_ns,
+        bytes,
+    }
+}
+
+fn records(count: usize) -> RecordsRow {
+    let before = counting::live_bytes();
+    let kept: Vec<Journal> = (0..count).map(journal).collect();
+    let bytes = counting::live_bytes().saturating_sub(before);
+    drop(kept);
+    RecordsRow {
+        records: count,
+        bytes_each: bytes as f64 / count as f64,
+    }
+}
+
+/// The journal of an ordinary answered request over four stages.
+fn journal(i: usize) -> Journal {
+    let mut journal = Journal::open(format!("recife-1.{i:032x}").into(), Repeat::Idempotent, 0);
+    let upstream = "runner-a 0..8, runner-b 8..16, runner-c 16..24, runner-d 24..32";
+    let events = [
+        Event::Admitted,
+        Event::Handed {
+            attempt: 1,
+            upstream: upstream.into(),
+        },
+        Event::Ended {
+            attempt: 1,
+            tokens: 0,
+        },
+    ];
+    for event in events {
+        let _ = journal.record(1, event);
+    }
+    let _ = journal.close(2, End::Whole);
+    journal
+}
+
+/// One instance before fast runners; streams at once, their tokens and what the instance spent.
+async fn live() -> eyre::Result<Vec<LiveRow>> {
+    let mut cfg = FleetCfg::small(Deployment::Associacao);
+    cfg.instances = 1;
+    cfg.speed = 20.0;
+    let fleet = Fleet::start(cfg).await?;
+    fleet.apply().await?;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let mut rows = Vec::new();
+    for streams in STREAMS {
+        rows.push(live_row(&fleet, streams).await?);
+    }
+    fleet.stop().await?;
+    Ok(rows)
+}
+
+async fn live_row(fleet: &Fleet, streams: usize) -> eyre::Result<LiveRow> {
+    let pid = fleet.instances[0].process.id().unwrap_or_default();
+    let caller = fleet.caller(Deployment::Associacao.organisations()[0])?;
+    let at = fleet.entries()[0];
+    let before = cpu_s(pid)?;
+    let started = Instant::now();
+    let calls = (0..streams).map(|i| {
+        let caller = &caller;
+        async move {
+            let call = ModelCall {
+                pipeline: Deployment::Associacao.pipeline().into(),
+                prompt: format!("A long assessment of billet {i}. #len={STREAM_TOKENS}"),
+                max_tokens: STREAM_TOKENS,
+                deadline_ms: Some(60_000),
+            };
+            caller.complete(at, &call).await.token_us.len()
+        }
+    });
+    let all = futures::future::join_all(calls);
+    let (tokens, resident_mb) = tokio::join!(all, async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        resident_mb(pid)
+    });
+    let took = started.elapsed().as_secs_f64();
+    let tokens: usize = tokens.iter().sum();
+    let cpu = cpu_s(pid)? - before;
+    Ok(LiveRow {
+        streams,
+        tokens,
+        cpu_us_per_token: cpu * 1e6 / tokens.max(1) as f64,
+        resident_mb: resident_mb?,
+        tokens_per_s: tokens as f64 / took,
+    })
+}
+
+/// Processor time of a process, in seconds.
+fn cpu_s(pid: u32) -> eyre::Result<f64> {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat"))?;
+    let fields = stat.rsplit(')').next().unwrap_or_default();
+    let fields: Vec<&str> = fields.split_whitespace().collect();
+    let ticks = |i: usize| {
+        fields
+            .get(i)
+            .and_then(|f| f.parse::<f64>().ok())
+            .unwrap_or(0.0)
+    };
+    Ok((ticks(11) + ticks(12)) / TICKS_PER_S)
+}
+
+/// Resident memory of a process, in megabytes.
+fn resident_mb(pid: u32) -> eyre::Result<f64> {
+    let statm = std::fs::read_to_string(format!("/proc/{pid}/statm"))?;
+    let pages = statm.split_whitespace().nth(1).unwrap_or("0");
+    Ok(pages.parse::<f64>()? * PAGE_BYTES / 1e6)
+}
--- a/testkit/examples/measure_decisions.rs
+++ b/testkit/examples/measure_decisions.rs
@@ -3,6 +3,7 @@
 use argh::FromArgs;
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::route::{CloseReason, Pick, Router, RouterConfig, RunnerSeen};
+use jacinthweir_testkit::bench::counting;
 use jacinthweir_testkit::bench::fleet::{Fleet, FleetSize};
 use jacinthweir_testkit::bench::route_run::router;
 use rand::SeedableRng;
@@ -12,41 +13,6 @@
 use std::time::Instant;
 
 /// Counts allocations.
-mod counting {
-    // The global allocator can only be replaced through this unsafe trait; all calls are passed on
-    // to the system's allocator unchanged.
-    #![allow(unsafe_code)]
-
-    use std::alloc::{GlobalAlloc, Layout, System};
-    use std::sync::atomic::{AtomicU64, Ordering};
-
-    static ALLOCATIONS: AtomicU64 = AtomicU64::new(0);
-    static LIVE_BYTES: AtomicU64 = AtomicU64::new(0);
-
-    pub struct Counting;
-
-    unsafe impl GlobalAlloc for Counting {
-        unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
-            ALLOCATIONS.fetch_add(1, Ordering::Relaxed);
-            LIVE_BYTES.fetch_add(layout.size() as u64, Ordering::Relaxed);
-            unsafe { System.alloc(layout) }
-        }
-
-        unsafe fn dealloc(&self, ptr: *mut u8, layout: Layout) {
-            LIVE_BYTES.fetch_sub(layout.size() as u64, Ordering::Relaxed);
-            unsafe { System.dealloc(ptr, layout) }
-        }
-    }
-
-    pub fn live_bytes() -> u64 {
-        LIVE_BYTES.load(Ordering::Relaxed)
-    }
-
-    pub fn allocations() -> u64 {
-        ALLOCATIONS.load(Ordering::Relaxed)
-    }
-}
-
 #[global_allocator]
 static ALLOCATOR: counting::Counting = counting::Counting;
 
--- a/testkit/src/bench.rs
+++ b/testkit/src/bench.rs
@@ -4,6 +4,7 @@
 //! other; they are not a simulation of a cluster.
 
 pub mod baseline;
+pub mod counting;
 pub mod fleet;
 pub mod route_run;
 pub mod route_table;
