Fleet serves only when each instance has answered one token

The instance shows the runners' layers in its status before its router has planned over them, and names itself in entry answers meanwhile; the refusal is true and says when to come back. Ruled out: a lost stream (no attempt was made); the kill (it had not come yet). The check is not eased: the test still asks once and takes no refusal; it now shows what was seen and the log. Change: apply waits until each instance answers a probe; the runners forget the probes. Conclusion: the window itself is the instance's: it should serve only once it has a plan.

--- a/testkit/src/fleet.rs
+++ b/testkit/src/fleet.rs
@@ -24,7 +24,7 @@
 use tokio_util::sync::{CancellationToken, DropGuard};
 
 use crate::admin::PlatformAdmin;
-use crate::caller::Caller;
+use crate::caller::{Caller, ModelCall};
 use crate::platform::admin::InstancesChange;
 use crate::relay::Relay;
 use crate::{Error, PlatformCfg, Result};
@@ -230,6 +230,7 @@
         let schema = self.deployment.schema();
         let out = self.apply_file(&schema).await?;
         self.wait_serving().await?;
+        self.forget_probes().await?;
         Ok(out)
     }
 
@@ -250,8 +251,8 @@
         Ok(out)
     }
 
-    /// Waits until every instance that runs names all of them to callers and knows what each
-    /// runner holds.
+    /// Waits until every instance that runs names all of them to callers, knows what each runner
+    /// holds, and answers a request for one token.
     ///
     /// # Errors
     ///
@@ -283,7 +284,35 @@
             return Ok(false);
         };
         let known = status.upstreams.iter().filter(|u| !u.holds.is_empty());
-        Ok(answer.addresses.len() == instances.count() && known.count() >= runners.count())
+        if answer.addresses.len() != instances.count() || known.count() < runners.count() {
+            return Ok(false);
+        }
+        Ok(self.probe(instance, caller).await)
+    }
+
+    /// Asks for one token. An instance may know the runners and not have planned over them yet:
+    /// it then refuses truthfully, and a test that begins there would see that refusal.
+    async fn probe(&self, instance: &Instance, caller: &Caller) -> bool {
+        let ask = ModelCall {
+            pipeline: self.deployment.pipeline().into(),
+            prompt: "probe".to_owned(),
+            max_tokens: 1,
+            deadline_ms: None,
+        };
+        caller
+            .complete(instance.faces.callers, &ask)
+            .await
+            .answered()
+    }
+
+    /// Has the runners forget what they ran for probes.
+    async fn forget_probes(&self) -> Result<()> {
+        for (i, runner) in self.runners.iter().enumerate() {
+            if runner.process.id().is_some() {
+                self.runner_admin(i).take_witness().await?;
+            }
+        }
+        Ok(())
     }
 
     /// Callers' addresses of all instances.
--- a/testkit/tests/recovery.rs
+++ b/testkit/tests/recovery.rs
@@ -74,7 +74,11 @@
         let mut show = |piece: &str| drop(tx.send(piece.to_owned()));
         caller.complete_with(at, &ask(prompt), &mut show).await
     });
-    rx.recv().await.expect("a first token");
+    if rx.recv().await.is_none() {
+        let seen = asking.await.expect("the caller's task ends");
+        let log = fleet.instances[1].process.log_tail();
+        panic!("no first token: {seen:?}\n{log}");
+    }
     let middle = middle_runner(&fleet).await;
     fleet.runners[middle]
         .process
