--- a/policy/tests/config_parts.rs
+++ b/policy/tests/config_parts.rs
@@ -2,7 +2,8 @@
 
 use googletest::prelude::*;
 use jacinthweir_policy::config::commit::{
-    Decision, MAX_SUMMARY, MAX_SUMMARY_CHARS, Proposal, ReadBack, decide, read_back,
+    Decision, MAX_LABEL_BYTES, MAX_SUMMARY, MAX_SUMMARY_CHARS, Proposal, ReadBack, decide,
+    label_fault, read_back,
 };
 use jacinthweir_policy::config::garbage::{deletable, needless};
 use jacinthweir_policy::config::lineage::{HeadFault, MAX_HISTORY, Relation, check_head, relation};
@@ -132,7 +133,9 @@
     let mut head = committed(None, &proposal(0, "c0", 1));
     for n in 1..100 {
         let mut next = proposal(n, &format!("c{n}"), n as u32 + 1);
-        next.summary = vec!["é".repeat(1000); 50];
+        next.summary = vec!["x".repeat(1000); 50];
+        next.change = format!("{n:0>64}").into();
+        next.operator = "o".repeat(MAX_LABEL_BYTES).into();
         head = committed(Some(&head), &next);
     }
     expect_that!(head.history, len(eq(MAX_HISTORY)));
@@ -144,6 +147,10 @@
         .max();
     expect_that!(longest, some(le(MAX_SUMMARY_CHARS + 3)));
     expect_that!(check_head(&head), ok(eq(())));
+    // Without its parts: the largest that operators can make a head's history.
+    let bytes = serde_json::to_string(&head.history).unwrap().len();
+    expect_that!(bytes, lt(MAX_PART_BYTES / 10));
+    expect_that!(label_fault(&head.history[0].change), none());
 }
 
 #[gtest]
