A cut-off instance that has forgotten its peers does not confirm itself

Cause: found by reading: the membership forgets members that stay suspected for half an hour; an instance cut off for longer then knew of nobody, was a majority of one, and would have served its old revision again. Ruled out: never forgetting (replaced instances would pile up). Change: the number that a majority is counted from falls only while the revision is confirmed. Conclusion: a long cut stays refused until platform or majority confirm.

--- a/policy/src/config/converge.rs
+++ b/policy/src/config/converge.rs
@@ -44,6 +44,8 @@
     held: BTreeMap<Name, Name>,
     fetches: Fetches,
     members: Vec<PeerView>,
+    /// Other instances that a majority is counted from, see [`Convergence::set_members`].
+    others: usize,
     platform: PlatformView,
     confirmed_at: Option<Millis>,
     unusable: BTreeSet<Name>,
@@ -84,6 +86,7 @@
             target: None,
             held: BTreeMap::new(),
             members: Vec::new(),
+            others: 0,
             platform: PlatformView::default(),
             confirmed_at: None,
             unusable: BTreeSet::new(),
@@ -116,7 +119,7 @@
                     &mut actions,
                 );
             }
-            Event::Members(members) => self.members = members,
+            Event::Members(members) => self.set_members(now, members),
             Event::PartArrived { hash, text, from } => self.part(now, &hash, text, &from),
             Event::FetchFailed { hash, from } => {
                 self.counters.fetches_failed += 1;
--- a/policy/src/config/converge/confirm.rs
+++ b/policy/src/config/converge/confirm.rs
@@ -5,7 +5,7 @@
 //! no newer one. A commit that is made on the other side of a cut reaches no majority on this
 //! side, and the side without majority and platform stops within the set time.
 
-use super::{Convergence, Target};
+use super::{Convergence, PeerView, Target};
 use crate::time::{Millis, Name};
 
 impl Convergence {
@@ -13,6 +13,19 @@
         self.confirmed_at = self.confirmed_at.max(Some(at));
     }
 
+    /// Takes the other instances in.
+    ///
+    /// Members that stay silent are forgotten in the end. An instance that is cut off would then
+    /// know of nobody, count as a majority by itself, and serve old intent again. So the number
+    /// that a majority is counted from falls only while the revision is confirmed.
+    pub(super) fn set_members(&mut self, now: Millis, members: Vec<PeerView>) {
+        let confirmed = now < self.serve_until();
+        if confirmed || members.len() > self.others {
+            self.others = members.len();
+        }
+        self.members = members;
+    }
+
     /// Newest time since which a majority of the known instances, this one included, is known to
     /// have no newer revision.
     pub(super) fn majority_heard_at(&self, now: Millis) -> Option<Millis> {
@@ -59,7 +72,7 @@
     /// The time since which, out of all known instances, a majority is covered by this one and
     /// the others heard at `heard`.
     fn majority_of(&self, now: Millis, mut heard: Vec<Millis>) -> Option<Millis> {
-        let others_needed = self.members.len().div_ceil(2);
+        let others_needed = self.others.div_ceil(2);
         if others_needed == 0 {
             return Some(now);
         }
--- a/policy/tests/config_converge.rs
+++ b/policy/tests/config_converge.rs
@@ -333,6 +333,26 @@
     expect_that!(instance.serves(), eq(true));
 }
 
+#[gtest]
+fn an_instance_cut_off_for_so_long_that_it_forgot_its_peers_does_not_serve_alone() {
+    // One instance is cut off from everything. After half an hour it has forgotten the others,
+    // who stayed silent; alone it would be a majority of one and serve its old revision again.
+    let heads = lineage(1);
+    let mut instance = Instance::serving(&heads);
+    instance.advance(UNCONFIRMED_MS);
+    expect_that!(instance.serves(), eq(false));
+    instance.advance(1_800_000);
+    instance.event(Event::Members(vec![]));
+    expect_that!(instance.serves(), eq(false));
+    instance.platform(Some(&heads[0]), 1);
+    expect_that!(instance.serves(), eq(true));
+    // Confirmed by the platform, it is right that the others are gone.
+    instance.event(Event::Members(vec![]));
+    instance.event(Event::PlatformFailed);
+    instance.advance(UNCONFIRMED_MS);
+    expect_that!(instance.serves(), eq(true));
+}
+
 #[gtest]
 fn a_minority_of_peers_or_an_old_answer_confirms_nothing() {
     let heads = lineage(1);
