A flood of service calls, tested with real processes

Ruled out: a unit test of the counter alone (would not show that nothing ran). Conclusion: the ones too many are told at once, did not run, and the other is answered.

--- a/testkit/tests/claims.rs
+++ b/testkit/tests/claims.rs
@@ -216,3 +216,40 @@
     let raw = i32::try_from(pid.expect("runs")).expect("fits");
     rustix::process::Pid::from_raw(raw).expect("a process id")
 }
+
+/// One organisation floods an instance with calls beyond its share of its limit of 64. The ones too
+/// many are told "not run" at once and did not run; a call of another organisation is answered.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_flood_of_calls_stays_with_its_organisation() {
+    const FLOOD: usize = 60;
+    let fleet = start().await;
+    let slow = Knobs {
+        delay_ms: Some(2_000),
+        ..Knobs::default()
+    };
+    set_services(&fleet, slow).await;
+    let flood = fleet.caller("shift-leads").expect("opens");
+    let other = fleet.caller("dispatch-day").expect("opens");
+    let call = ServiceCall {
+        service: DEPLOYMENT.service().into(),
+        call: DEPLOYMENT.idempotent_call().into(),
+        key: Some("flood".to_owned()),
+        body: String::new(),
+        deadline_ms: None,
+    };
+    let at = fleet.entries()[0];
+    let calls = futures::future::join_all((0..FLOOD).map(|_| flood.call(at, &call)));
+    let (flooded, seen) = tokio::join!(calls, other.call(at, &call));
+    expect_that!(seen.outcome, some(eq(Outcome::Answered)), "{seen:?}");
+    let refused: Vec<&Seen> = flooded.iter().filter(|s| !s.answered()).collect();
+    expect_that!(refused.len(), gt(0));
+    for seen in &refused {
+        expect_that!(seen.outcome, some(eq(Outcome::NotRun)), "{seen:?}");
+        expect_that!(seen.code, some(eq(ErrorCode::OrganisationLimit)));
+        expect_that!(seen.retry_after_ms, some(ge(1)));
+    }
+    let answered = FLOOD - refused.len() + 1;
+    expect_that!(runs(&fleet, "flood").await, eq(answered));
+    fleet.stop().await.expect("stops");
+}
