A claimant frozen over its deadline, tested with a real process

Cause: frozen between claim and dispatch and woken was proved in the model only. Change: the platform link hangs, the instance is frozen, the link passes, the claim lands, the deadline passes, the instance wakes. Conclusion: a late claimant tells 'not run' truthfully, and its key can be used again.

--- a/testkit/tests/claims.rs
+++ b/testkit/tests/claims.rs
@@ -8,6 +8,7 @@
 use jacinthweir_testkit::fleet::deployment::Deployment;
 use jacinthweir_testkit::fleet::{Fleet, FleetCfg};
 use jacinthweir_testkit::platform::fault::Fault;
+use jacinthweir_testkit::relay::Link;
 use jacinthweir_testkit::service::Knobs;
 use jacinthweir_wire::caller::ErrorCode;
 use std::time::Duration;
@@ -253,3 +254,44 @@
     expect_that!(runs(&fleet, "flood").await, eq(answered));
     fleet.stop().await.expect("stops");
 }
+
+/// The claimant is frozen while its claim is written, and wakes after its caller's deadline: the
+/// claim is its own, but it must not dispatch any more. Its caller is told "not run", which the
+/// services bear out, and the same key runs once from another instance.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_claimant_that_wakes_after_the_deadline_does_not_dispatch() {
+    /// Far more than a call takes from its caller to the platform's link, and far less than the
+    /// instance waits for the platform's answer (1 s).
+    const ON_ITS_WAY: Duration = Duration::from_millis(300);
+    const DEADLINE: Duration = Duration::from_secs(4);
+    let fleet = start().await;
+    let caller = fleet.caller(DEPLOYMENT.organisations()[0]).expect("opens");
+    let call = ServiceCall {
+        service: DEPLOYMENT.service().into(),
+        call: DEPLOYMENT.non_idempotent_call().into(),
+        key: Some("frozen".to_owned()),
+        body: "a".to_owned(),
+        deadline_ms: Some(4_000),
+    };
+    fleet.platform_links[0].set(Link::Hang);
+    let frozen = async {
+        tokio::time::sleep(ON_ITS_WAY).await;
+        fleet.instances[0].process.freeze().expect("freezes");
+        fleet.platform_links[0].set(Link::Pass);
+        let record = claim(&fleet, "frozen").await;
+        expect_that!(
+            record.claimant.as_ref(),
+            eq(fleet.instances[0].name.as_ref())
+        );
+        tokio::time::sleep(DEADLINE).await;
+        fleet.instances[0].process.wake().expect("wakes");
+    };
+    let (seen, ()) = tokio::join!(caller.call(fleet.entries()[0], &call), frozen);
+    expect_that!(seen.outcome, some(eq(Outcome::NotRun)), "{seen:?}");
+    expect_that!(runs(&fleet, "frozen").await, eq(0));
+    let seen = send(&fleet, 1, "frozen", "a").await;
+    expect_that!(seen.outcome, some(eq(Outcome::Answered)), "{seen:?}");
+    expect_that!(runs(&fleet, "frozen").await, eq(1));
+    fleet.stop().await.expect("stops");
+}
