--- a/testkit/tests/claims.rs
+++ b/testkit/tests/claims.rs
@@ -8,6 +8,7 @@
 use jacinthweir_testkit::fleet::deployment::Deployment;
 use jacinthweir_testkit::fleet::{Fleet, FleetCfg};
 use jacinthweir_testkit::platform::fault::Fault;
+use jacinthweir_testkit::relay::Link;
 use jacinthweir_testkit::service::Knobs;
 use jacinthweir_wire::caller::ErrorCode;
 use std::time::Duration;
@@ -216,3 +217,81 @@
     let raw = i32::try_from(pid.expect("runs")).expect("fits");
     rustix::process::Pid::from_raw(raw).expect("a process id")
 }
+
+/// One organisation floods an instance with calls beyond its share of its limit of 64. The ones too
+/// many are told "not run" at once and did not run; a call of another organisation is answered.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_flood_of_calls_stays_with_its_organisation() {
+    const FLOOD: usize = 60;
+    let fleet = start().await;
+    let slow = Knobs {
+        delay_ms: Some(2_000),
+        ..Knobs::default()
+    };
+    set_services(&fleet, slow).await;
+    let flood = fleet.caller("shift-leads").expect("opens");
+    let other = fleet.caller("dispatch-day").expect("opens");
+    let call = ServiceCall {
+        service: DEPLOYMENT.service().into(),
+        call: DEPLOYMENT.idempotent_call().into(),
+        key: Some("flood".to_owned()),
+        body: String::new(),
+        deadline_ms: None,
+    };
+    let at = fleet.entries()[0];
+    let calls = futures::future::join_all((0..FLOOD).map(|_| flood.call(at, &call)));
+    let (flooded, seen) = tokio::join!(calls, other.call(at, &call));
+    expect_that!(seen.outcome, some(eq(Outcome::Answered)), "{seen:?}");
+    let refused: Vec<&Seen> = flooded.iter().filter(|s| !s.answered()).collect();
+    expect_that!(refused.len(), gt(0));
+    for seen in &refused {
+        expect_that!(seen.outcome, some(eq(Outcome::NotRun)), "{seen:?}");
+        expect_that!(seen.code, some(eq(ErrorCode::OrganisationLimit)));
+        expect_that!(seen.retry_after_ms, some(ge(1)));
+    }
+    let answered = FLOOD - refused.len() + 1;
+    expect_that!(runs(&fleet, "flood").await, eq(answered));
+    fleet.stop().await.expect("stops");
+}
+
+/// The claimant is frozen while its claim is written, and wakes after its caller's deadline: the
+/// claim is its own, but it must not dispatch any more. Its caller is told "not run", which the
+/// services bear out, and the same key runs once from another instance.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_claimant_that_wakes_after_the_deadline_does_not_dispatch() {
+    /// Far more than a call takes from its caller to the platform's link, and far less than the
+    /// instance waits for the platform's answer (1 s).
+    const ON_ITS_WAY: Duration = Duration::from_millis(300);
+    const DEADLINE: Duration = Duration::from_secs(4);
+    let fleet = start().await;
+    let caller = fleet.caller(DEPLOYMENT.organisations()[0]).expect("opens");
+    let call = ServiceCall {
+        service: DEPLOYMENT.service().into(),
+        call: DEPLOYMENT.non_idempotent_call().into(),
+        key: Some("frozen".to_owned()),
+        body: "a".to_owned(),
+        deadline_ms: Some(4_000),
+    };
+    fleet.platform_links[0].set(Link::Hang);
+    let frozen = async {
+        tokio::time::sleep(ON_ITS_WAY).await;
+        fleet.instances[0].process.freeze().expect("freezes");
+        fleet.platform_links[0].set(Link::Pass);
+        let record = claim(&fleet, "frozen").await;
+        expect_that!(
+            record.claimant.as_ref(),
+            eq(fleet.instances[0].name.as_ref())
+        );
+        tokio::time::sleep(DEADLINE).await;
+        fleet.instances[0].process.wake().expect("wakes");
+    };
+    let (seen, ()) = tokio::join!(caller.call(fleet.entries()[0], &call), frozen);
+    expect_that!(seen.outcome, some(eq(Outcome::NotRun)), "{seen:?}");
+    expect_that!(runs(&fleet, "frozen").await, eq(0));
+    let seen = send(&fleet, 1, "frozen", "a").await;
+    expect_that!(seen.outcome, some(eq(Outcome::Answered)), "{seen:?}");
+    expect_that!(runs(&fleet, "frozen").await, eq(1));
+    fleet.stop().await.expect("stops");
+}
