--- a/testkit/examples/measure_membership.rs
+++ b/testkit/examples/measure_membership.rs
@@ -6,7 +6,7 @@
 //! to all, and false alarms under lost messages. Rounds are simulated: none of it depends on the
 //! machine but processor time and memory.
 //!
-//! `cargo run --release -p jacinthweir-testkit --example measure_membership [-- --seeds N] [--json FILE]`
+//! `cargo run --release -p jacinthweir-testkit --example measure_membership [-- --seeds N] [--cost-only]`
 
 #[path = "../../policy/tests/support/fleet.rs"]
 #[allow(dead_code, reason = "the tests of the policy use the rest")]
@@ -30,6 +30,9 @@
     /// seeds for times to notice and alarms
     #[argh(option, default = "5")]
     seeds: u64,
+    /// bytes, time and memory only
+    #[argh(switch)]
+    cost_only: bool,
     /// file for the results as JSON
     #[argh(option)]
     json: Option<std::path::PathBuf>,
@@ -39,6 +42,8 @@
 const SIZES: [(usize, usize, usize); 4] = [(6, 1, 40), (24, 1, 160), (96, 3, 480), (340, 7, 1200)];
 /// Rounds before anything is measured.
 const SETTLE: usize = 20;
+/// Rounds before bytes and time are measured: all records have spread by then.
+const SETTLE_COST: usize = 80;
 /// Rounds over which bytes and time are averaged.
 const MEASURED: usize = 10;
 /// Rounds with lost messages.
@@ -113,8 +118,10 @@
             ..Row::default()
         };
         cost(&mut row);
-        notice(&mut row, args.seeds);
-        alarms(&mut row, args.seeds);
+        if !args.cost_only {
+            notice(&mut row, args.seeds);
+            alarms(&mut row, args.seeds);
+        }
         eprintln!("{instances} instances done");
         rows.push(row);
     }
@@ -136,6 +143,7 @@
 fn cost(row: &mut Row) {
     let before = resident_kib();
     let mut fleet = fleet_of(row, 1);
+    fleet.rounds(SETTLE_COST - SETTLE);
     row.resident_kib = (resident_kib() - before) / row.instances as f64;
     row.list_bytes = serde_json::to_vec(&fleet.list()).map_or(0, |v| v.len());
     let bytes = Rc::new(RefCell::new(Bytes::default()));
