Ready only with a plan; cache events reach the plan; replans off the requests' path

Cause: an instance named itself to callers before it had a plan, who got a true but avoidable no_capacity; a pick could wait for a replan under the router's lock; runners' cache events were never read; a number from a record could hide a newer load. Change: an instance serves once every pipeline has runners, or 3 s after its configuration is in force; the feeding loop alone replans; observers read cache events behind each poll.

--- a/kernel/src/kernel.rs
+++ b/kernel/src/kernel.rs
@@ -3,6 +3,7 @@
 use std::any::{Any, TypeId};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -74,6 +75,7 @@
     /// Admission.
     pub gate: Arc<Gate>,
     upstreams: Mutex<Upstreams>,
+    ready: AtomicBool,
     plugin_state: Mutex<BTreeMap<TypeId, Arc<dyn Any + Send + Sync>>>,
     router: Mutex<Router>,
     membership: Mutex<Membership>,
@@ -109,6 +111,7 @@
             parts: Parts::default(),
             gate: Gate::open(clock),
             upstreams: Mutex::new(upstreams(&settings, clock)),
+            ready: AtomicBool::new(false),
             plugin_state: Mutex::default(),
             membership: Mutex::new(membership(&settings, incarnation, clock)),
             convergence: Mutex::new(convergence(&settings)),
@@ -214,6 +217,18 @@
         Err(refusal.retry_after(RETRY_ELSEWHERE_MS))
     }
 
+    /// Says that this instance knows the upstreams: it may be named to callers, who would else
+    /// be refused for want of a plan that is a second away.
+    pub fn set_ready(&self) {
+        self.ready.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether this instance knows the upstreams.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.ready.load(Ordering::Relaxed)
+    }
+
     /// Whether this instance is shutting down.
     #[must_use]
     pub fn is_draining(&self) -> bool {
--- a/plugins/callers/src/driver.rs
+++ b/plugins/callers/src/driver.rs
@@ -209,8 +209,7 @@
 
     fn pick(&mut self) -> Result<Route, Stop> {
         let now = self.cx.clock.now();
-        let mut router = self.cx.router();
-        router.replan(now);
+        let router = self.cx.router();
         let name = self.model_name();
         let model = router.model(&name);
         let model = model.ok_or_else(|| Stop::NoRoute(format!("model {name} is not planned")))?;
--- a/plugins/peers/src/lib.rs
+++ b/plugins/peers/src/lib.rs
@@ -71,7 +71,7 @@
     if let Some(known) = config.known() {
         membership.set_revision(known.revision, known.since_unix_ms);
     }
-    if config.served().is_some() {
+    if config.served().is_some() && cx.is_ready() {
         membership.set_phase(Phase::Serving);
     }
 }
--- a/plugins/upstreams/src/capacity.rs
+++ b/plugins/upstreams/src/capacity.rs
@@ -12,8 +12,9 @@
 /// The fewest requests in flight where there is any capacity.
 const MIN_IN_FLIGHT: f64 = 2.0;
 
-/// Replans where something changed, and sets capacities and shares.
-pub(crate) fn update(cx: &Kernel, config: &InForce) {
+/// Replans where something changed, and sets capacities and shares; returns whether every
+/// pipeline has runners.
+pub(crate) fn update(cx: &Kernel, config: &InForce) -> bool {
     let instances = u32::try_from(cx.live_instances().max(1)).unwrap_or(u32::MAX);
     let mut capacities = Vec::new();
     {
@@ -28,6 +29,7 @@
     }
     cx.gate.set_capacities(&capacities);
     share_limits(cx, config, instances);
+    capacities.iter().all(|c| c.in_flight > 0)
 }
 
 /// Gives this instance its even share of each organisation's limit in flight. The shares then
--- a/plugins/upstreams/src/feed.rs
+++ b/plugins/upstreams/src/feed.rs
@@ -15,6 +15,10 @@
 /// leaves.
 const PERIOD: Duration = Duration::from_millis(100);
 
+/// Time that a joining instance gives its first plan, in milliseconds. Without any runner there
+/// will be none, and plain services are to be served all the same.
+const PLAN_GRACE_MS: Millis = 3_000;
+
 /// Feeds changes over and over.
 pub(crate) async fn run(cx: Arc<Kernel>) {
     let mut revision = 0;
@@ -26,7 +30,11 @@
                 put_in_force(&cx, config);
             }
             feed(&cx);
-            capacity::update(&cx, config);
+            let planned = capacity::update(&cx, config);
+            let in_force_ms = cx.clock.unix_ms().saturating_sub(config.since_unix_ms);
+            if planned || in_force_ms >= PLAN_GRACE_MS {
+                cx.set_ready();
+            }
         }
         tokio::time::sleep(PERIOD).await;
     }
@@ -97,7 +105,7 @@
     Some(RunnerSeen {
         name: listed.name.clone(),
         incarnation: listed.incarnation,
-        number: load.map_or(upstream.record.number, |l| l.number),
+        number: load.map_or(0, |l| l.number).max(upstream.record.number),
         address: listed.address,
         domain: listed.domain.clone(),
         accelerator: profile.accelerator.clone(),
--- a/plugins/upstreams/src/lib.rs
+++ b/plugins/upstreams/src/lib.rs
@@ -5,6 +5,7 @@
 //! admission. Decisions are all in [`jacinthweir_policy::upstreams`] and
 //! [`jacinthweir_policy::route`].
 
+mod cache;
 mod capacity;
 mod feed;
 mod list;
--- a/plugins/upstreams/src/poll.rs
+++ b/plugins/upstreams/src/poll.rs
@@ -8,6 +8,8 @@
 use jacinthweir_policy::upstreams::{Confirm, ConfirmOutcome, Poll, PollKind, PollOutcome};
 use jacinthweir_wire::peer::{ProbeReply, ProbeRequest};
 
+use crate::cache;
+
 /// Polls in flight at once.
 const POLLS_AT_ONCE: usize = 16;
 
@@ -34,6 +36,9 @@
 
 async fn observe(cx: &Arc<Kernel>, poll: Poll) {
     let outcome = attempt(cx, &poll).await;
+    if let PollOutcome::Report(report) = &outcome {
+        cache::read(cx, &poll, report.incarnation).await;
+    }
     let now = cx.clock.reading();
     let confirms = cx.upstreams().polled(now, &poll, &outcome);
     confirm_all(cx, confirms);
--- a/policy/src/journal/event.rs
+++ b/policy/src/journal/event.rs
@@ -52,7 +52,7 @@
         index: u32,
     },
     /// The upstream gave the end of the answer.
-    #[display("attempt {attempt} ended with {tokens} tokens in all")]
+    #[display("attempt {attempt} ended{}", in_all(*tokens))]
     Ended {
         /// Attempt number.
         attempt: u32,
@@ -110,3 +110,11 @@
     /// What happened.
     pub event: Event,
 }
+
+/// Tokens of a whole answer; nothing for a plain service, which has none.
+fn in_all(tokens: u32) -> String {
+    match tokens {
+        0 => String::new(),
+        n => format!(" with {n} tokens in all"),
+    }
+}
