A measured drain rate may exceed the bound's

Cause: tokens counted for a request include its prompt's; with cached prefixes no engine runs those, so the drain rate seen exceeds the bound, and clamping it there refuses requests that could be served. Ruled out: leaving out prompt tokens (they cost where they are not cached). Change: a measurement counts up to twice the bound's rate.

--- a/policy/src/admission/rate.rs
+++ b/policy/src/admission/rate.rs
@@ -2,8 +2,8 @@
 //! while requests wait.
 //!
 //! While nothing waits, what is seen is the demand and says nothing of the capacity, so the
-//! measurement is only taken over windows in which requests waited throughout. The rate used is
-//! never above the bound's.
+//! measurement is only taken over windows in which requests waited throughout. It may exceed the
+//! bound's rate, as prompts whose prefix is cached cost tokens that no engine runs.
 
 use crate::prelude::*;
 
@@ -14,6 +14,8 @@
 /// Least share of the bound's rate that a measurement may lead to: a pause of the upstreams
 /// must not make the drain time endless.
 const LEAST_SHARE: f64 = 0.1;
+/// Greatest share of the bound's rate that a measurement may lead to.
+const GREATEST_SHARE: f64 = 2.0;
 
 /// Drain rate of one pipeline.
 #[derive(Debug)]
@@ -39,7 +41,7 @@
     /// Tokens a second.
     pub(super) fn get(&self) -> f64 {
         match self.seen {
-            Some(seen) => seen.clamp(self.bound * LEAST_SHARE, self.bound),
+            Some(seen) => seen.clamp(self.bound * LEAST_SHARE, self.bound * GREATEST_SHARE),
             None => self.bound,
         }
     }
