Every other exchange stays in the region

Cause: loads travel within the region only, and at 340 instances in 7 regions one exchange in seven is near: the mean age of the loads that instances know was 12.88 s. Ruled out: loads for the whole fleet (1,200 of them both ways each round exceed the budget); near exchanges only (other regions would not be heard of). Change: in every other round the random peer is drawn from the own region.

--- a/policy/src/membership.rs
+++ b/policy/src/membership.rs
@@ -28,6 +28,7 @@
 
 use crate::listed::{ENTRY_GROUP, ListedInstance, ListedState};
 use crate::member::{MemberState, Phase};
+use crate::region::region_of;
 use crate::time::{Millis, Name, Now};
 use rand::Rng;
 use rand::seq::IteratorRandom;
@@ -274,8 +275,7 @@
     }
 
     fn exchanges(&self, rng: &mut impl Rng) -> Vec<Action> {
-        let reachable = self.members.values().filter(|m| m.reachable());
-        let mut peers: Vec<Peer> = reachable.map(peer).sample(rng, self.cfg.fanout);
+        let mut peers = self.random_peers(rng);
         let doubted = self.members.values().filter(|m| untried(m)).map(peer);
         peers.extend(doubted.sample(rng, self.cfg.max_probes));
         if peers.is_empty() || self.round.is_multiple_of(self.cfg.retry_every_rounds) {
@@ -284,6 +284,20 @@
         self.exchanges_with(peers, rng)
     }
 
+    /// Random peers of this round; in every other round from the own region, where there are any.
+    /// Loads travel within the region only, and in a fleet of many regions a peer drawn from all
+    /// is seldom near.
+    fn random_peers(&self, rng: &mut impl Rng) -> Vec<Peer> {
+        let region = region_of(&self.own.state.domain);
+        let near = |m: &&Member| region_of(&m.state().domain) == region;
+        let reachable = || self.members.values().filter(|m| m.reachable());
+        if self.round.is_multiple_of(2) && reachable().any(|m| near(&m)) {
+            let near = reachable().filter(near);
+            return near.map(peer).sample(rng, self.cfg.fanout);
+        }
+        reachable().map(peer).sample(rng, self.cfg.fanout)
+    }
+
     fn exchanges_with(&self, peers: Vec<Peer>, rng: &mut impl Rng) -> Vec<Action> {
         let mut actions = Vec::new();
         for peer in peers {
--- a/testkit/examples/measure_membership.rs
+++ b/testkit/examples/measure_membership.rs
@@ -15,6 +15,7 @@
 use argh::FromArgs;
 use fleet::{Fleet, Message, Run};
 use jacinthweir_policy::membership::MembershipConfig;
+use jacinthweir_policy::region::region_of;
 use jacinthweir_policy::upstreams::Availability;
 use jacinthweir_wire::peer::{Exchange, ExchangeAnswer, MemberDelta, MemberDigest};
 use jacinthweir_wire::peer::{UpstreamDelta, UpstreamDigest};
@@ -67,6 +68,7 @@
     list_bytes: usize,
     cpu_us_per_round: f64,
     resident_kib: f64,
+    load_age_s: f64,
     dead_first: Spread,
     dead_all: Spread,
     leaving_all: Spread,
@@ -145,6 +147,7 @@
     let mut fleet = fleet_of(row, 1);
     fleet.rounds(SETTLE_COST - SETTLE);
     row.resident_kib = (resident_kib() - before) / row.instances as f64;
+    row.load_age_s = load_age_s(&fleet);
     row.list_bytes = serde_json::to_vec(&fleet.list()).map_or(0, |v| v.len());
     let bytes = Rc::new(RefCell::new(Bytes::default()));
     let counted = Rc::clone(&bytes);
@@ -168,6 +171,19 @@
         + row.poll_bytes_per_s;
 }
 
+/// Mean age of the loads of runners in the own region, over all instances.
+fn load_age_s(fleet: &Fleet) -> f64 {
+    let mut ages = Vec::new();
+    for node in &fleet.nodes {
+        let region = region_of(&node.membership.own().state.domain);
+        let near = node.upstreams.all();
+        let near = near.filter(|u| region_of(&u.listed().domain) == region);
+        let loads = near.filter_map(|u| u.load);
+        ages.extend(loads.map(|l| (fleet.now.mono_ms - l.true_ms) as f64 / 1e3));
+    }
+    ages.iter().sum::<f64>() / ages.len() as f64
+}
+
 fn count(bytes: &RefCell<Bytes>, msg: &Message<'_>) {
     let mut bytes = bytes.borrow_mut();
     bytes.messages += 1;
@@ -296,15 +312,16 @@
     println!(
         "\nan instance's processor time a round, its memory, and alarms an hour by lost messages:"
     );
-    println!("instances runners   us a round  % of a core  KiB    1% lost  5% lost");
+    println!("instances runners   us a round  % of a core  KiB  load age s  1% lost  5% lost");
     for r in rows {
         println!(
-            "{:9} {:7} {:12.0} {:12.3} {:5.0} {:9.2} {:8.2}",
+            "{:9} {:7} {:12.0} {:12.3} {:4.0} {:11.2} {:8.2} {:8.2}",
             r.instances,
             r.runners,
             r.cpu_us_per_round,
             r.cpu_us_per_round / 1e4,
             r.resident_kib,
+            r.load_age_s,
             r.alarms_loss_1,
             r.alarms_loss_5
         );
