--- a/testkit/examples/measure_capacity.rs
+++ b/testkit/examples/measure_capacity.rs
@@ -14,6 +14,7 @@
 use jacinthweir_testkit::bench::counting;
 use jacinthweir_testkit::caller::ModelCall;
 use jacinthweir_testkit::fleet::deployment::Deployment;
+use jacinthweir_testkit::operator::Applied;
 use jacinthweir_testkit::{Fleet, FleetCfg};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -33,6 +34,8 @@
 const OFFERS: u64 = 200_000;
 /// Tokens of each stream.
 const STREAM_TOKENS: u32 = 100;
+/// Changes applied of each schema size.
+const APPLIES: usize = 4;
 /// Ticks of processor time in a second, as `/proc` counts them.
 const TICKS_PER_S: f64 = 100.0;
 /// Bytes of a page, as `/proc` counts memory.
@@ -52,6 +55,7 @@
     admission: Vec<AdmissionRow>,
     records: Vec<RecordsRow>,
     live: Vec<LiveRow>,
+    in_force: Vec<InForceRow>,
 }
 
 #[derive(Debug, Serialize)]
@@ -78,6 +82,15 @@
     bytes_each: f64,
 }
 
+/// Memory of live instances after a schema of a size was put in force.
+#[derive(Debug, Serialize)]
+struct InForceRow {
+    organisations: usize,
+    applies: usize,
+    applying_mb: f64,
+    following_mb: f64,
+}
+
 #[derive(Debug, Serialize)]
 struct LiveRow {
     streams: usize,
@@ -95,11 +108,13 @@
         admission: ORGANISATIONS.into_iter().map(admission).collect(),
         records: RECORDS.into_iter().map(records).collect(),
         live: live().await?,
+        in_force: in_force().await?,
     };
     results.configuration.iter().for_each(|r| println!("{r:?}"));
     results.admission.iter().for_each(|r| println!("{r:?}"));
     results.records.iter().for_each(|r| println!("{r:?}"));
     results.live.iter().for_each(|r| println!("{r:?}"));
+    results.in_force.iter().for_each(|r| println!("{r:?}"));
     if let Some(path) = args.json {
         std::fs::write(path, serde_json::to_string_pretty(&results)? + "\n")?;
     }
@@ -265,6 +280,50 @@
     })
 }
 
+/// Two instances; a schema of each size is applied at the first, several times.
+async fn in_force() -> eyre::Result<Vec<InForceRow>> {
+    let mut cfg = FleetCfg::small(Deployment::Associacao);
+    cfg.instances = 2;
+    cfg.runners = 0;
+    cfg.services = 0;
+    let fleet = Fleet::start(cfg).await?;
+    fleet.apply().await?;
+    let mut rows = Vec::new();
+    for organisations in ORGANISATIONS {
+        rows.push(in_force_row(&fleet, organisations).await?);
+    }
+    fleet.stop().await?;
+    Ok(rows)
+}
+
+async fn in_force_row(fleet: &Fleet, organisations: usize) -> eyre::Result<InForceRow> {
+    let operators = [
+        fleet.instances[0].operator()?,
+        fleet.instances[1].operator()?,
+    ];
+    let mut schema = schema(organisations);
+    let mut revision = operators[0].schema().await?.revision;
+    for i in 0..APPLIES {
+        schema.organisations[0].weight = 100 + i as u32;
+        let text = serde_json::to_string(&schema)?;
+        let change = format!("size-{organisations}-{i}");
+        match operators[0].apply(&text, revision, &change).await {
+            Applied::Committed(reply) => revision = reply.revision,
+            other => eyre::bail!("not applied: {other:?}"),
+        }
+        while operators[1].schema().await?.revision < revision {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+    let resident = |i: usize| resident_mb(fleet.instances[i].process.id().unwrap_or_default());
+    Ok(InForceRow {
+        organisations,
+        applies: APPLIES,
+        applying_mb: resident(0)?,
+        following_mb: resident(1)?,
+    })
+}
+
 /// Processor time of a process, in seconds.
 fn cpu_s(pid: u32) -> eyre::Result<f64> {
     let stat = std::fs::read_to_string(format!("/proc/{pid}/stat"))?;
