Fault points in the instance, and the fault matrix on real processes

Ruled out: restarting the instance with other FAILPOINTS for each cell (a restart and its rejoining take about 8 s here, against 0.1 to 2 s for a cell); timed holds at a step (the outside fault could come after the step had gone on). Change: feature `failpoints` with 17 steps in kernel, callers, services, schema and the shutdown; a file that arms points of a process that runs; a hold that ends when a file appears; 18 faults by 17 steps, each cell with the same key or change sent elsewhere during and after the fault, checked by the history checks; written reasons for cells that can't occur; a cell whose step was not seen counts as not reached.

--- a/kernel/src/lib.rs
+++ b/kernel/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod clock;
 pub mod config;
 pub mod error;
+pub mod fault_point;
 pub mod gate;
 pub mod identity;
 pub mod kernel;
--- a/kernel/src/life.rs
+++ b/kernel/src/life.rs
@@ -12,6 +12,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
+use crate::fault_point::{self, Step};
 use crate::listener::Listening;
 use crate::plugin::{Face, sorted};
 use crate::{Kernel, KernelError, Settings, logs};
@@ -32,6 +33,7 @@
 /// When it cannot start.
 pub async fn run(settings: Settings) -> Result<Ended, KernelError> {
     logs::open(&settings.log, &settings.name)?;
+    fault_point::open();
     let mut signals = Signals::open()?;
     let cx = Kernel::open(settings)?;
     cx.tasks
@@ -96,6 +98,7 @@
         loop {
             let now = self.cx.clock.now();
             for action in self.drain.on(now, event, self.in_flight()) {
+                reach(&action).await;
                 if let Some(ended) = self.carry_out(action) {
                     return ended;
                 }
@@ -143,6 +146,15 @@
     }
 }
 
+/// The fault point before an action.
+async fn reach(action: &DrainAction) {
+    match action {
+        DrainAction::LeaveAnswers => fault_point::reach(Step::Leaving).await,
+        DrainAction::RefuseConnections => fault_point::reach(Step::Refusing).await,
+        DrainAction::Cut { .. } | DrainAction::Exit(_) => {}
+    }
+}
+
 /// Leaves one round for peers to hear that this incarnation is gone.
 async fn farewell(cx: &Kernel) {
     sleep(Duration::from_millis(cx.settings.timing.gossip_ms)).await;
--- a/kernel/src/prelude.rs
+++ b/kernel/src/prelude.rs
@@ -7,5 +7,6 @@
 pub use salvo::prelude::{Depot, Request, Response, Router, StatusCode, handler};
 
 pub use crate::error::KernelError;
+pub use crate::fault_point;
 pub use crate::kernel::Kernel;
 pub use crate::plugin::{Face, PLUGINS, Plugin};
--- a/plugins/callers/src/attempt.rs
+++ b/plugins/callers/src/attempt.rs
@@ -4,6 +4,7 @@
 
 use jacinthweir_clients::ClientError;
 use jacinthweir_clients::runner::{Frames, RunStart};
+use jacinthweir_kernel::fault_point::Step;
 use jacinthweir_kernel::prelude::*;
 use jacinthweir_policy::journal::{self, Event, Verdict};
 use jacinthweir_policy::route::Route;
@@ -57,6 +58,7 @@
             error!(request = self.running.request.as_ref(); "not sent: {fault}");
             return AttemptEnd::NeverSent;
         }
+        fault_point::reach(Step::Handed).await;
         let req = self.run_request(number, route);
         self.await_first();
         let end = self.run(&req, route).await;
@@ -197,6 +199,7 @@
         self.token_came();
         self.cx.router().token(self.cx.clock.now(), route);
         self.tokens.push(token.text.clone());
+        fault_point::reach(Step::Streaming).await;
         let sent = self.tx.send(Told::Token(token.text)).await;
         self.token_passed_on();
         match sent {
--- a/plugins/callers/src/driver.rs
+++ b/plugins/callers/src/driver.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use jacinthweir_kernel::fault_point::Step;
 use jacinthweir_kernel::gate::{Ask, Permit};
 use jacinthweir_kernel::prelude::*;
 use jacinthweir_kernel::records::{Entry, EntryMeta, Running};
@@ -106,6 +107,7 @@
     }
 
     async fn drive(mut self) {
+        fault_point::reach(Step::Received).await;
         let served = self.serve().await;
         let end = match &served {
             Ok(_) => End::Whole,
@@ -116,6 +118,7 @@
         };
         let outcome = self.running.close(end);
         self.log(outcome);
+        fault_point::reach(Step::Finished).await;
         let told = match served {
             Ok(end) => Told::End(end),
             Err(stop) => Told::Refused(stop.refusal(outcome)),
@@ -127,6 +130,7 @@
     async fn serve(&mut self) -> Result<EndFrame, Stop> {
         let mut permit = self.enter().await?;
         self.running.note(Event::Admitted);
+        fault_point::reach(Step::Admitted).await;
         let result = self.attempts().await;
         if let Ok(end) = &result {
             permit.spent(end.prompt_tokens.saturating_add(end.tokens));
--- a/plugins/schema/src/apply.rs
+++ b/plugins/schema/src/apply.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use jacinthweir_kernel::fault_point::Step;
 use jacinthweir_kernel::prelude::*;
 use jacinthweir_policy::config::commit::{Decision, Proposal, decide};
 use jacinthweir_policy::config::converge::Event;
@@ -53,6 +54,7 @@
     };
     match decide(standing.head.as_deref(), &proposal) {
         Decision::Commit(next) => {
+            fault_point::reach(Step::ChangeReceived).await;
             write(cx, &standing, &next, parts).await?;
             info!(
                 "change {} of {} committed as revision {}",
@@ -190,8 +192,10 @@
     let missing: Vec<PartText> = parts.iter().filter(|part| !stands(part)).cloned().collect();
     let written = commit::write_parts(cx, missing).await;
     written.map_err(|e| down(&format!("parts not written: {e}")))?;
+    fault_point::reach(Step::PartsWritten).await;
     match commit::write_head(cx, next, standing.version).await {
         Committed::Yes => {
+            fault_point::reach(Step::Committed).await;
             take_up(cx, next, parts).await;
             Ok(())
         }
--- a/plugins/schema/src/commit.rs
+++ b/plugins/schema/src/commit.rs
@@ -5,6 +5,7 @@
 use futures::{StreamExt, TryStreamExt, stream};
 use jacinthweir_clients::ClientError;
 use jacinthweir_clients::platform::PutResult;
+use jacinthweir_kernel::fault_point::Step;
 use jacinthweir_kernel::prelude::*;
 use jacinthweir_policy::config::commit::{ReadBack, read_back};
 use jacinthweir_policy::config::parts::PartText;
@@ -78,6 +79,7 @@
 /// later, so the same compare-and-set is repeated: at most one of the copies finds the version
 /// it expects.
 pub(crate) async fn write_head(cx: &Kernel, head: &Head, expected: u64) -> Committed {
+    fault_point::reach(Step::HeadSending).await;
     let mut lost = false;
     let tried = tokio::time::timeout(COMMIT_TIMEOUT, try_head(cx, head, expected, &mut lost)).await;
     match tried {
--- a/plugins/services/src/claimed.rs
+++ b/plugins/services/src/claimed.rs
@@ -5,10 +5,11 @@
 
 use jacinthweir_clients::ClientError;
 use jacinthweir_clients::platform::PutResult;
+use jacinthweir_kernel::fault_point::Step as Point;
 use jacinthweir_kernel::prelude::*;
 use jacinthweir_policy::claim::{
-    Action, Answer, Claim, ClaimKey, ClaimRecord, DispatchEnd, Earlier, Event, Finished,
-    ReadAnswer, Submission, WriteAnswer,
+    Action, Answer, Claim, ClaimKey, ClaimRecord, ClaimState, DispatchEnd, Earlier, Event,
+    Finished, ReadAnswer, Submission, WriteAnswer,
 };
 use jacinthweir_policy::journal::Event as Step;
 use jacinthweir_policy::member::Phase;
@@ -58,10 +59,14 @@
     async fn act(&mut self, claim: &mut Claim, place: &str, action: Action) -> Vec<Action> {
         match action {
             Action::Create(record) => {
+                fault_point::reach(Point::ClaimSending).await;
                 let answer = self.write(place, &record, Condition::Absent).await;
                 claim.step(self.cx.clock.reading(), Event::Write(answer))
             }
             Action::Update { record, version } => {
+                if !matches!(record.state, ClaimState::Open) {
+                    fault_point::reach(Point::OutcomeSending).await;
+                }
                 let condition = Condition::Version(version);
                 let answer = self.write(place, &record, condition).await;
                 claim.step(self.cx.clock.reading(), Event::Write(answer))
@@ -153,7 +158,9 @@
             return actions;
         }
         self.running.note(Step::Claimed);
+        fault_point::reach(Point::Claimed).await;
         let sent = self.dispatch().await;
+        fault_point::reach(Point::CallRan).await;
         let outcome = self.tell_sent(&sent);
         let end = dispatch_end(sent, outcome, self.cx.clock.unix_ms());
         claim.step(self.cx.clock.reading(), Event::Dispatched(end))
--- a/plugins/services/src/dispatch.rs
+++ b/plugins/services/src/dispatch.rs
@@ -5,6 +5,7 @@
 
 use jacinthweir_clients::ClientError;
 use jacinthweir_clients::service::{ServiceAnswer, ServiceCall};
+use jacinthweir_kernel::fault_point::Step;
 use jacinthweir_kernel::prelude::*;
 use jacinthweir_policy::journal::{Event, Repeat};
 use jacinthweir_policy::listed::ListedInstance;
@@ -105,6 +106,7 @@
             error!(request = self.running.request.as_ref(); "not sent: {fault}");
             return AttemptEnd::Bad(BadEnd::BrokenOff, fault.to_string());
         }
+        fault_point::reach(Step::CallHanded).await;
         // The time left is read after the hand-over was recorded, on both clocks: an instance that
         // was frozen until after the deadline sends nothing.
         let call = self.service_call(attempt, upstream);
--- a/plugins/services/src/driver.rs
+++ b/plugins/services/src/driver.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use jacinthweir_kernel::fault_point::Step;
 use jacinthweir_kernel::prelude::*;
 use jacinthweir_kernel::records::{Entry, EntryMeta, Running};
 use jacinthweir_policy::claim::{ClaimConfig, LONGEST_DEADLINE_MS};
@@ -67,6 +68,7 @@
     }
 
     async fn drive(mut self) {
+        fault_point::reach(Step::CallReceived).await;
         let key = self.accepted.key.clone();
         match (self.accepted.repeat, key) {
             (Repeat::NonIdempotent, Some(key)) => self.run_claimed(key).await,
--- a/testkit/src/campaign/faults.rs
+++ b/testkit/src/campaign/faults.rs
@@ -319,7 +319,7 @@
     }
 }
 
-async fn shut_down(fleet: &mut Fleet, recorder: &Arc<Recorder>, i: usize) -> Result<()> {
+pub(crate) async fn shut_down(fleet: &mut Fleet, recorder: &Arc<Recorder>, i: usize) -> Result<()> {
     let instance = &mut fleet.instances[i];
     if instance.process.id().is_none() {
         return Ok(());
@@ -391,7 +391,7 @@
 
 /// Applies a change of one organisation's weight. Asks again with the same change id where the
 /// answer is lost or the commit not confirmed, as an operator would.
-async fn apply(operator: Operator, recorder: Arc<Recorder>, salt: u64) {
+pub(crate) async fn apply(operator: Operator, recorder: Arc<Recorder>, salt: u64) {
     const TRIES: usize = 5;
     let Ok(reply) = operator.schema().await else {
         return;
--- a/testkit/src/fleet.rs
+++ b/testkit/src/fleet.rs
@@ -8,6 +8,7 @@
 //! dropped; [`Fleet::stop`] shuts all down gracefully first.
 
 pub mod deployment;
+pub mod fault_points;
 pub mod instance;
 pub mod ports;
 pub mod process;
@@ -61,6 +62,9 @@
     pub timing: Timing,
     /// Speed of the runners against the samples' declarations.
     pub speed: f64,
+    /// The instance's program built with fault points, where they are to be armed; see
+    /// [`fault_points`].
+    pub fault_points: Option<PathBuf>,
 }
 
 impl FleetCfg {
@@ -75,6 +79,7 @@
             platform: PlatformCfg::default(),
             timing: Timing::default(),
             speed: 1.0,
+            fault_points: None,
         }
     }
 
@@ -121,6 +126,7 @@
     client: reqwest::Client,
     ip: IpAddr,
     timing: Timing,
+    fault_points: Option<PathBuf>,
     /// Dropped last: the processes write their logs here.
     dir: TempDir,
 }
@@ -151,6 +157,7 @@
             client,
             ip,
             timing: cfg.timing.clone(),
+            fault_points: cfg.fault_points.clone(),
             dir,
         };
         for i in 0..cfg.runners {
@@ -209,6 +216,8 @@
                 platform: self.platform_links[i].address,
                 operators_token: OPERATORS_TOKEN.to_owned(),
                 timing: self.timing.clone(),
+                program: self.fault_points.clone(),
+                env: fault_points::env(self.dir.path(), i),
             };
             let instance = Instance::spawn(spec, self.dir.path())?;
             self.list(vec![instance.listing()], true).await?;
@@ -392,6 +401,17 @@
             .await
     }
 
+    /// The same for the `i`-th service instance.
+    ///
+    /// # Errors
+    ///
+    /// Where it can't be started.
+    pub async fn restart_service(&mut self, i: usize) -> Result<()> {
+        self.services[i].restart().await?;
+        self.list(vec![self.services[i].listing.clone()], false)
+            .await
+    }
+
     /// Puts instances into the platform's list, with its lag or without.
     ///
     /// # Errors
--- a/testkit/src/fleet/instance.rs
+++ b/testkit/src/fleet/instance.rs
@@ -1,7 +1,8 @@
 //! One entry instance of a fleet.
 
+use std::ffi::OsString;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
 use jacinthweir_kernel::auth::fingerprint;
@@ -49,6 +50,10 @@
     pub operators_token: String,
     /// Periods and time-outs.
     pub timing: Timing,
+    /// Another program than the one that is built with the test kit.
+    pub program: Option<PathBuf>,
+    /// Environment variables on top of the own ones.
+    pub env: Vec<(OsString, OsString)>,
 }
 
 /// An entry instance as a process of its own.
@@ -78,7 +83,11 @@
         let path = dir.join(format!("{name}.jsonc"));
         std::fs::write(&path, serde_json::to_string_pretty(&settings)?)?;
         let process = Process::spawn(ProcessSpec {
-            program: program("jacinthweir")?,
+            program: match &spec.program {
+                Some(path) => path.clone(),
+                None => program("jacinthweir")?,
+            },
+            env: spec.env.clone(),
             args: vec!["--settings".into(), path.into()],
             log: dir.join(format!("{name}.log")),
         })?;
--- a/testkit/src/fleet/process.rs
+++ b/testkit/src/fleet/process.rs
@@ -26,6 +26,8 @@
     pub program: PathBuf,
     /// Arguments.
     pub args: Vec<OsString>,
+    /// Environment variables on top of the own ones.
+    pub env: Vec<(OsString, OsString)>,
     /// File that takes standard error.
     pub log: PathBuf,
 }
@@ -141,6 +143,17 @@
         self.restart().await
     }
 
+    /// Whether the kernel has stopped it.
+    #[must_use]
+    pub fn stands_still(&self) -> bool {
+        let Some(id) = self.child.id() else {
+            return false;
+        };
+        let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
+        let state = stat.rsplit_once(") ").map(|(_, rest)| rest);
+        state.is_some_and(|rest| rest.starts_with('T'))
+    }
+
     /// Process id; `None`: it has ended.
     #[must_use]
     pub fn id(&self) -> Option<u32> {
@@ -179,6 +192,7 @@
         .open(&spec.log)?;
     let child = Command::new(&spec.program)
         .args(&spec.args)
+        .envs(spec.env.iter().map(|(name, value)| (name, value)))
         .stdin(Stdio::null())
         .stdout(Stdio::piped())
         .stderr(log)
--- a/testkit/src/fleet/standin.rs
+++ b/testkit/src/fleet/standin.rs
@@ -99,6 +99,7 @@
     pub listing: ListedInstance,
     /// The process.
     pub process: Process,
+    cfg: ServiceCfg,
 }
 
 impl ServiceProcess {
@@ -110,12 +111,14 @@
     pub async fn spawn(deployment: Deployment, i: usize, ip: IpAddr, dir: &Path) -> Result<Self> {
         let group = deployment.service();
         let name: Name = format!("{group}-{i}").into();
-        let cfg = ServiceCfg {
+        let mut cfg = ServiceCfg {
             listen: SocketAddr::new(ip, 0),
             name: name.clone(),
             ..ServiceCfg::default()
         };
         let (process, address) = spawn("service", &name, &cfg, dir).await?;
+        // Kept over restarts.
+        cfg.listen = address;
         let listing = ListedInstance {
             name,
             incarnation: unix_ms(),
@@ -124,7 +127,25 @@
             domain: deployment.domain(i),
             state: ListedState::Live,
         };
-        Ok(Self { listing, process })
+        Ok(Self {
+            listing,
+            process,
+            cfg,
+        })
+    }
+
+    /// Kills it and starts it again at the same address with a new incarnation; what it ran
+    /// before is forgotten. The caller lists it again.
+    ///
+    /// # Errors
+    ///
+    /// Where it can't be started.
+    pub async fn restart(&mut self) -> Result<()> {
+        self.listing.incarnation = unix_ms().max(self.listing.incarnation + 1);
+        let args = args("service", &self.cfg)?;
+        self.process.restart_with(args).await?;
+        listening(&mut self.process).await?;
+        Ok(())
     }
 }
 
@@ -135,6 +156,7 @@
     dir: &Path,
 ) -> Result<(Process, SocketAddr)> {
     let mut process = Process::spawn(ProcessSpec {
+        env: Vec::new(),
         program: program("jw-standin")?,
         args: args(kind, cfg)?,
         log: dir.join(format!("{name}.log")),
--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod history;
 pub mod http;
 pub mod load;
+pub mod matrix;
 pub mod operator;
 pub mod platform;
 pub mod relay;
