Recovery time measured on real processes

Ruled out: throughput against the control's mean. The first token after the failure as the sign of a resumed stream: tokens that were on their way still come.

--- a/testkit/src/fleet.rs
+++ b/testkit/src/fleet.rs
@@ -61,6 +61,8 @@
     pub timing: Timing,
     /// Speed of the runners against the samples' declarations.
     pub speed: f64,
+    /// How old the runners' load reports are, in milliseconds; `None`: the stand-in's own lag.
+    pub load_lag_ms: Option<u64>,
 }
 
 impl FleetCfg {
@@ -75,6 +77,7 @@
             platform: PlatformCfg::default(),
             timing: Timing::default(),
             speed: 1.0,
+            load_lag_ms: None,
         }
     }
 
@@ -156,6 +159,7 @@
         for i in 0..cfg.runners {
             let mut slot = cfg.deployment.runner(i);
             slot.cfg.token_layers_per_s *= cfg.speed;
+            slot.cfg.load_lag_ms = cfg.load_lag_ms.unwrap_or(slot.cfg.load_lag_ms);
             fleet.add_runner(slot).await?;
         }
         for i in 0..cfg.services {
--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod load;
 pub mod operator;
 pub mod platform;
+pub mod recovery;
 pub mod relay;
 pub mod runner;
 pub mod service;
--- a/testkit/src/load.rs
+++ b/testkit/src/load.rs
@@ -34,10 +34,27 @@
     cfg: &ArrivalsCfg,
     entries: &[SocketAddr],
 ) -> Result<LoadResult> {
-    let caches = caches(deployment, entries)?;
-    let mut running = JoinSet::new();
     let mut collector = Collector::default();
     let start = Instant::now();
+    let take = |arrival: &Arrival, seen: &Seen| collector.take(arrival, seen);
+    run_each(deployment, cfg, entries, start, take).await?;
+    Ok(collector.finish())
+}
+
+/// Runs a load whose arrivals count from `start`, and hands over what each caller saw.
+///
+/// # Errors
+///
+/// Where no HTTP client can be made.
+pub async fn run_each(
+    deployment: Deployment,
+    cfg: &ArrivalsCfg,
+    entries: &[SocketAddr],
+    start: Instant,
+    mut take: impl FnMut(&Arrival, &Seen),
+) -> Result<()> {
+    let caches = caches(deployment, entries)?;
+    let mut running = JoinSet::new();
     for arrival in arrivals::arrivals(deployment, cfg) {
         let at = start + Duration::from_micros(arrival.at_us);
         tokio::time::sleep_until(at.into()).await;
@@ -47,21 +64,21 @@
             (arrival, seen)
         });
         while let Some(ended) = running.try_join_next() {
-            take(&mut collector, ended);
+            hand_over(&mut take, ended);
         }
     }
     while let Some(ended) = running.join_next().await {
-        take(&mut collector, ended);
+        hand_over(&mut take, ended);
     }
-    Ok(collector.finish())
+    Ok(())
 }
 
-fn take(
-    collector: &mut Collector,
+fn hand_over(
+    take: &mut impl FnMut(&Arrival, &Seen),
     ended: std::result::Result<(Arrival, Seen), tokio::task::JoinError>,
 ) {
     match ended {
-        Ok((arrival, seen)) => collector.take(&arrival, &seen),
+        Ok((arrival, seen)) => take(&arrival, &seen),
         Err(err) => log::error!("a caller's task failed: {err}"),
     }
 }
--- a/testkit/src/load/result.rs
+++ b/testkit/src/load/result.rs
@@ -184,9 +184,10 @@
     }
 }
 
-/// What is wrong with an answer. A caller must get the whole right answer, or a part of it from
+/// What is wrong with an answer, if anything. A caller must get the whole right answer, or a part of it from
 /// its beginning with an error; never a token of anything else.
-fn violation(arrival: &Arrival, seen: &Seen) -> Option<String> {
+#[must_use]
+pub fn violation(arrival: &Arrival, seen: &Seen) -> Option<String> {
     let fault = match &arrival.ask {
         Ask::Model(call) => {
             let right = text::answer(&call.prompt, call.max_tokens);
--- a/testkit/src/operator.rs
+++ b/testkit/src/operator.rs
@@ -122,6 +122,17 @@
         read(self.get("dump")).await
     }
 
+    /// Metrics, as the instance's `/metrics` gives them.
+    ///
+    /// # Errors
+    ///
+    /// Where no answer comes.
+    pub async fn metrics(&self) -> Result<String> {
+        let url = format!("http://{}/metrics", self.at);
+        let answer = self.client.get(url).bearer_auth(&self.token).send().await?;
+        Ok(answer.error_for_status()?.text().await?)
+    }
+
     /// Whether the instance answers its operators.
     pub async fn answers(&self) -> bool {
         let asked = self.get("dump").send().await;
