A refusal that names an unreachable runner counts against that runner

Cause: a first stage that cannot reach a later one refuses and names it. The driver ignored the name, avoided the first stage, and told the router that the route had ended well, which cleared the dead runner's failures; request after request went to it until the retry budget was empty. Change: Unreachable is the named runner's failure, and a refusal that names a runner has the next attempt avoid that one.

--- a/plugins/callers/src/driver.rs
+++ b/plugins/callers/src/driver.rs
@@ -11,7 +11,7 @@
 use jacinthweir_policy::retry::{BadEnd, Decision, GiveUp};
 use jacinthweir_policy::route::{Pick, Route};
 use jacinthweir_wire::caller::ErrorCode;
-use jacinthweir_wire::runner::{EndFrame, Refused, prefix_hash};
+use jacinthweir_wire::runner::{EndFrame, Refused, RefusedCode, prefix_hash};
 use tokio::sync::mpsc;
 
 use crate::accept::Accepted;
@@ -176,7 +176,7 @@
                 AttemptEnd::CallerLeft => return Err(Stop::CallerLeft),
                 AttemptEnd::Refused(refused) => self.after_refusal(&route, refused)?,
                 AttemptEnd::NeverSent => self.after_never_sent(&route)?,
-                AttemptEnd::Broken(runner) => self.after_break(&route, runner)?,
+                AttemptEnd::Broken(runner) => self.after_break(&route, runner.as_ref())?,
                 AttemptEnd::Stalled => self.after_stall(&route)?,
             }
         }
@@ -238,6 +238,10 @@
                 router.failed(now, route, first);
             }
             AttemptEnd::Stalled => router.failed(now, route, None),
+            AttemptEnd::Refused(refused) if refused.code == RefusedCode::Unreachable => {
+                let runner = refused.runner.as_ref().and_then(|name| router.runner(name));
+                router.failed(now, route, runner);
+            }
             AttemptEnd::Whole(_)
             | AttemptEnd::Refused(_)
             | AttemptEnd::DeadlinePassed
@@ -249,7 +253,10 @@
         let end = BadEnd::Refused {
             retry_after_ms: refused.retry_after_ms,
         };
-        self.avoid_first(route);
+        // The refusal may come from a later stage, or tell of one that can't be reached. Avoiding
+        // the first stage in its place led request after request to the same dead runner, until
+        // the retry budget was empty.
+        self.avoid_named_or_first(route, refused.runner.as_ref());
         let retry = self.may_retry(end);
         if retry.is_err() {
             return Err(Stop::Busy(refused));
@@ -263,13 +270,9 @@
         self.may_retry(BadEnd::NeverSent)
     }
 
-    fn after_break(&mut self, route: &Route, runner: Option<Name>) -> Result<(), Stop> {
+    fn after_break(&mut self, route: &Route, runner: Option<&Name>) -> Result<(), Stop> {
         metrics::counter!("jacinthweir_attempts_broken_total").increment(1);
-        let at_fault = runner.and_then(|name| self.cx.router().runner(&name));
-        match at_fault {
-            Some(runner) => self.avoid(runner),
-            None => self.avoid_first(route),
-        }
+        self.avoid_named_or_first(route, runner);
         self.may_retry(BadEnd::BrokenOff)
     }
 
@@ -297,6 +300,14 @@
         }
     }
 
+    fn avoid_named_or_first(&mut self, route: &Route, name: Option<&Name>) {
+        let named = name.and_then(|name| self.cx.router().runner(name));
+        match named {
+            Some(runner) => self.avoid(runner),
+            None => self.avoid_first(route),
+        }
+    }
+
     fn avoid_first(&mut self, route: &Route) {
         if let Some(first) = route.stages.first() {
             self.avoid(first.runner);
