New work avoids the runners that a stall speaks against

Cause: a frozen runner keeps its connections open, and until its observers suspect it (two polls that time out and a confirmation) each new request went there to a stall of its own, and the retry budget of its pipeline ran dry. Ruled out: a smaller stall threshold, which costs false stalls and leaves the new requests going there; a shorter poll, which costs load on every runner.

--- a/plugins/callers/src/attempt.rs
+++ b/plugins/callers/src/attempt.rs
@@ -195,6 +195,7 @@
         };
         self.running.note(event);
         self.token_came();
+        self.paces.token(route);
         self.cx.router().token(self.cx.clock.now(), route);
         self.tokens.push(token.text.clone());
         let sent = self.tx.send(Told::Token(token.text)).await;
--- a/plugins/callers/src/driver.rs
+++ b/plugins/callers/src/driver.rs
@@ -59,7 +59,7 @@
     pub(crate) tx: mpsc::Sender<Told>,
     /// Text of the tokens that the caller has.
     pub(crate) tokens: Vec<String>,
-    paces: Arc<Paces>,
+    pub(crate) paces: Arc<Paces>,
     awaited: Awaited,
     waiting_since: Millis,
     avoid: Vec<RunnerId>,
@@ -207,7 +207,18 @@
         }
     }
 
+    /// A route past the runners that stalls speak against, or, where there is none, one over them.
     fn pick(&mut self) -> Result<Route, Stop> {
+        let blamed = self.paces.blamed(&self.cx);
+        if blamed.is_empty() {
+            return self.pick_past(&self.avoid);
+        }
+        let past: Vec<RunnerId> = self.avoid.iter().copied().chain(blamed).collect();
+        self.pick_past(&past)
+            .or_else(|_| self.pick_past(&self.avoid))
+    }
+
+    fn pick_past(&self, avoid: &[RunnerId]) -> Result<Route, Stop> {
         let now = self.cx.clock.now();
         let mut router = self.cx.router();
         router.replan(now);
@@ -219,7 +230,7 @@
             prefix_hash: prefix_hash(&self.accepted.prompt.text),
             prompt_tokens: self.prompt_tokens(),
             max_tokens: self.accepted.max_tokens,
-            avoid: &self.avoid,
+            avoid,
         };
         let picked = router.pick(now, &pick, &mut rand::rng());
         picked.map_err(|e| Stop::NoRoute(e.to_string()))
@@ -276,12 +287,15 @@
         self.may_retry(BadEnd::BrokenOff)
     }
 
-    /// A stall does not say which stage is at fault, so the next attempt avoids all of them.
+    /// A stall does not say which stage is at fault: the next attempt avoids all that were not
+    /// seen alive meanwhile, or else all.
     fn after_stall(&mut self, route: &Route) -> Result<(), Stop> {
         metrics::counter!("jacinthweir_stalls_total").increment(1);
-        for stage in &route.stages {
-            self.avoid(stage.runner);
+        let mut blamed = self.paces.blame(route, self.waiting_since);
+        if blamed.is_empty() {
+            blamed = route.stages.iter().map(|s| s.runner).collect();
         }
+        blamed.into_iter().for_each(|runner| self.avoid(runner));
         self.may_retry(BadEnd::BrokenOff)
     }
 
--- a/plugins/callers/src/pace.rs
+++ b/plugins/callers/src/pace.rs
@@ -9,8 +9,10 @@
 use jacinthweir_kernel::prelude::*;
 use jacinthweir_policy::journal::Journal;
 use jacinthweir_policy::retry::{
-    BadEnd, Decision, RetryBudget, RetryBudgetConfig, StallConfig, StallDetector, TimeLeft, decide,
+    BadEnd, Decision, RetryBudget, RetryBudgetConfig, Silences, StallConfig, StallDetector,
+    TimeLeft, decide,
 };
+use jacinthweir_policy::route::Route;
 
 /// Which token of an attempt is waited for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,6 +27,7 @@
 pub(crate) struct Paces {
     clock: Clock,
     by_pipeline: Mutex<BTreeMap<Name, Pace>>,
+    silences: Mutex<Silences>,
 }
 
 struct Pace {
@@ -67,6 +70,7 @@
         cx.plugin_state(|| Paces {
             clock: cx.clock,
             by_pipeline: Mutex::default(),
+            silences: Mutex::default(),
         })
     }
 
@@ -86,6 +90,26 @@
         self.with(pipeline, |p| p.detector(awaited).suspected());
     }
 
+    /// A token came over a route.
+    pub(crate) fn token(&self, route: &Route) {
+        let runners = route.stages.iter().map(|s| s.runner);
+        self.silences().token(self.clock.now(), runners);
+    }
+
+    /// A route was silent from `since` until now; returns the runners to blame.
+    pub(crate) fn blame(&self, route: &Route, since: Millis) -> Vec<RunnerId> {
+        let stages = route.stages.iter();
+        let runners = stages.map(|s| (s.runner, s.name.clone()));
+        self.silences().stalled(self.clock.now(), since, runners)
+    }
+
+    /// Runners that new work avoids where it can, as they are blamed for stalls.
+    pub(crate) fn blamed(&self, cx: &Kernel) -> Vec<RunnerId> {
+        let upstreams = cx.upstreams();
+        let reported = |name: &Name| Some(upstreams.get(name)?.load?.true_ms);
+        self.silences().avoided(self.clock.now(), reported)
+    }
+
     /// A request was answered.
     pub(crate) fn answered(&self, pipeline: &Name) {
         self.with(pipeline, |p| p.budget.succeeded());
@@ -134,6 +158,10 @@
         act(pace)
     }
 
+    fn silences(&self) -> MutexGuard<'_, Silences> {
+        self.silences.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock(&self) -> MutexGuard<'_, BTreeMap<Name, Pace>> {
         self.by_pipeline
             .lock()
--- a/policy/src/retry.rs
+++ b/policy/src/retry.rs
@@ -4,12 +4,15 @@
 //! must not repeat is tried again only where nothing of it ran. A stream is resumed from the
 //! tokens that its caller has, never from the start.
 //!
-//! [`StallDetector`] says when an attempt that is still open has been silent for too long.
+//! [`StallDetector`] says when an attempt that is still open has been silent for too long, and
+//! [`Silences`] which runners of its route that speaks against.
 
 mod budget;
+mod silence;
 mod stall;
 
 pub use budget::{RetryBudget, RetryBudgetConfig};
+pub use silence::{Blame, Silences};
 pub use stall::{StallConfig, StallDetector};
 
 use crate::journal::{Journal, MAX_ATTEMPTS, Repeat};
