--- a/plugins/callers/src/driver.rs
+++ b/plugins/callers/src/driver.rs
@@ -12,7 +12,7 @@
 use jacinthweir_policy::retry::{BadEnd, Decision, GiveUp};
 use jacinthweir_policy::route::{Pick, Route};
 use jacinthweir_wire::caller::ErrorCode;
-use jacinthweir_wire::runner::{EndFrame, Refused, prefix_hash};
+use jacinthweir_wire::runner::{EndFrame, Refused, RefusedCode, prefix_hash};
 use tokio::sync::mpsc;
 
 use crate::accept::Accepted;
@@ -60,7 +60,7 @@
     pub(crate) tx: mpsc::Sender<Told>,
     /// Text of the tokens that the caller has.
     pub(crate) tokens: Vec<String>,
-    paces: Arc<Paces>,
+    pub(crate) paces: Arc<Paces>,
     awaited: Awaited,
     waiting_since: Millis,
     avoid: Vec<RunnerId>,
@@ -180,7 +180,7 @@
                 AttemptEnd::CallerLeft => return Err(Stop::CallerLeft),
                 AttemptEnd::Refused(refused) => self.after_refusal(&route, refused)?,
                 AttemptEnd::NeverSent => self.after_never_sent(&route)?,
-                AttemptEnd::Broken(runner) => self.after_break(&route, runner)?,
+                AttemptEnd::Broken(runner) => self.after_break(&route, runner.as_ref())?,
                 AttemptEnd::Stalled => self.after_stall(&route)?,
             }
         }
@@ -211,7 +211,18 @@
         }
     }
 
+    /// A route past the runners that stalls speak against, or, where there is none, one over them.
     fn pick(&mut self) -> Result<Route, Stop> {
+        let blamed = self.paces.blamed(&self.cx);
+        if blamed.is_empty() {
+            return self.pick_past(&self.avoid);
+        }
+        let past: Vec<RunnerId> = self.avoid.iter().copied().chain(blamed).collect();
+        self.pick_past(&past)
+            .or_else(|_| self.pick_past(&self.avoid))
+    }
+
+    fn pick_past(&self, avoid: &[RunnerId]) -> Result<Route, Stop> {
         let now = self.cx.clock.now();
         let router = self.cx.router();
         let name = self.model_name();
@@ -222,7 +233,7 @@
             prefix_hash: prefix_hash(&self.accepted.prompt.text),
             prompt_tokens: self.prompt_tokens(),
             max_tokens: self.accepted.max_tokens,
-            avoid: &self.avoid,
+            avoid,
         };
         let picked = router.pick(now, &pick, &mut rand::rng());
         picked.map_err(|e| Stop::NoRoute(e.to_string()))
@@ -241,6 +252,10 @@
                 router.failed(now, route, first);
             }
             AttemptEnd::Stalled => router.failed(now, route, None),
+            AttemptEnd::Refused(refused) if refused.code == RefusedCode::Unreachable => {
+                let runner = refused.runner.as_ref().and_then(|name| router.runner(name));
+                router.failed(now, route, runner);
+            }
             AttemptEnd::Whole(_)
             | AttemptEnd::Refused(_)
             | AttemptEnd::DeadlinePassed
@@ -252,7 +267,10 @@
         let end = BadEnd::Refused {
             retry_after_ms: refused.retry_after_ms,
         };
-        self.avoid_first(route);
+        // The refusal may come from a later stage, or tell of one that can't be reached. Avoiding
+        // the first stage in its place led request after request to the same dead runner, until
+        // the retry budget was empty.
+        self.avoid_named_or_first(route, refused.runner.as_ref());
         let retry = self.may_retry(end);
         if retry.is_err() {
             return Err(Stop::Busy(refused));
@@ -266,22 +284,21 @@
         self.may_retry(BadEnd::NeverSent)
     }
 
-    fn after_break(&mut self, route: &Route, runner: Option<Name>) -> Result<(), Stop> {
+    fn after_break(&mut self, route: &Route, runner: Option<&Name>) -> Result<(), Stop> {
         metrics::counter!("jacinthweir_attempts_broken_total").increment(1);
-        let at_fault = runner.and_then(|name| self.cx.router().runner(&name));
-        match at_fault {
-            Some(runner) => self.avoid(runner),
-            None => self.avoid_first(route),
-        }
+        self.avoid_named_or_first(route, runner);
         self.may_retry(BadEnd::BrokenOff)
     }
 
-    /// A stall does not say which stage is at fault, so the next attempt avoids all of them.
+    /// A stall does not say which stage is at fault: the next attempt avoids all that were not
+    /// seen alive meanwhile, or else all.
     fn after_stall(&mut self, route: &Route) -> Result<(), Stop> {
         metrics::counter!("jacinthweir_stalls_total").increment(1);
-        for stage in &route.stages {
-            self.avoid(stage.runner);
+        let mut blamed = self.paces.blame(route, self.waiting_since);
+        if blamed.is_empty() {
+            blamed = route.stages.iter().map(|s| s.runner).collect();
         }
+        blamed.into_iter().for_each(|runner| self.avoid(runner));
         self.may_retry(BadEnd::BrokenOff)
     }
 
@@ -300,6 +317,14 @@
         }
     }
 
+    fn avoid_named_or_first(&mut self, route: &Route, name: Option<&Name>) {
+        let named = name.and_then(|name| self.cx.router().runner(name));
+        match named {
+            Some(runner) => self.avoid(runner),
+            None => self.avoid_first(route),
+        }
+    }
+
     fn avoid_first(&mut self, route: &Route) {
         if let Some(first) = route.stages.first() {
             self.avoid(first.runner);
--- a/testkit/src/fleet.rs
+++ b/testkit/src/fleet.rs
@@ -65,6 +65,8 @@
     /// The instance's program built with fault points, where they are to be armed; see
     /// [`fault_points`].
     pub fault_points: Option<PathBuf>,
+    /// How old the runners' load reports are, in milliseconds; `None`: the stand-in's own lag.
+    pub load_lag_ms: Option<u64>,
 }
 
 impl FleetCfg {
@@ -80,6 +82,7 @@
             timing: Timing::default(),
             speed: 1.0,
             fault_points: None,
+            load_lag_ms: None,
         }
     }
 
@@ -163,6 +166,7 @@
         for i in 0..cfg.runners {
             let mut slot = cfg.deployment.runner(i);
             slot.cfg.token_layers_per_s *= cfg.speed;
+            slot.cfg.load_lag_ms = cfg.load_lag_ms.unwrap_or(slot.cfg.load_lag_ms);
             fleet.add_runner(slot).await?;
         }
         for i in 0..cfg.services {
--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod matrix;
 pub mod operator;
 pub mod platform;
+pub mod recovery;
 pub mod relay;
 pub mod runner;
 pub mod service;
