--- a/kernel/src/auth.rs
+++ b/kernel/src/auth.rs
@@ -3,8 +3,6 @@
 //! Tokens and keys are compared by their SHA-256 in constant time: a comparison that ends at the
 //! first differing byte would let a caller guess a token byte by byte from the time it takes.
 
-use std::sync::Arc;
-
 use jacinthweir_wire::caller::ErrorCode;
 use salvo::prelude::*;
 use sha2::{Digest, Sha256};
@@ -34,69 +32,37 @@
     Refusal::not_run(ErrorCode::Unauthorized, "missing or wrong bearer token")
 }
 
-/// Lets only other instances through.
-pub struct PeersOnly {
+/// Lets through only who shows the one token of a listener.
+pub struct BearerOnly {
+    face: &'static str,
+    /// SHA-256 of the token, as hexadecimal digits in lower case.
     expected: String,
 }
 
-impl PeersOnly {
-    pub(crate) fn new(cx: &Arc<Kernel>) -> PeersOnly {
-        PeersOnly {
+impl BearerOnly {
+    pub(crate) fn peers(cx: &Kernel) -> BearerOnly {
+        BearerOnly {
+            face: "peers",
             expected: fingerprint(&cx.settings.tokens.peers),
         }
     }
-}
-
-/// Lets only operators through.
-pub struct OperatorsOnly {
-    expected: String,
-}
 
-impl OperatorsOnly {
-    pub(crate) fn new(cx: &Arc<Kernel>) -> OperatorsOnly {
-        let expected = cx.settings.tokens.operators_sha256.to_lowercase();
-        OperatorsOnly { expected }
-    }
-}
-
-#[async_trait]
-impl Handler for PeersOnly {
-    async fn handle(
-        &self,
-        req: &mut Request,
-        _depot: &mut Depot,
-        res: &mut Response,
-        ctrl: &mut FlowCtrl,
-    ) {
-        check(req, res, ctrl, &self.expected, "peers");
-    }
-}
-
-#[async_trait]
-impl Handler for OperatorsOnly {
-    async fn handle(
-        &self,
-        req: &mut Request,
-        _depot: &mut Depot,
-        res: &mut Response,
-        ctrl: &mut FlowCtrl,
-    ) {
-        check(req, res, ctrl, &self.expected, "operators");
+    pub(crate) fn operators(cx: &Kernel) -> BearerOnly {
+        BearerOnly {
+            face: "operators",
+            expected: cx.settings.tokens.operators_sha256.to_lowercase(),
+        }
     }
 }
 
-fn check(
-    req: &Request,
-    res: &mut Response,
-    ctrl: &mut FlowCtrl,
-    expected: &str,
-    face: &'static str,
-) {
-    let shown = bearer(req).map(fingerprint);
-    let equal = shown.is_some_and(|s| s.as_bytes().ct_eq(expected.as_bytes()).into());
-    if equal {
-        return;
+#[handler]
+impl BearerOnly {
+    async fn handle(&self, req: &mut Request, res: &mut Response, ctrl: &mut FlowCtrl) {
+        let shown = bearer(req).map(fingerprint);
+        let equal = shown.is_some_and(|s| s.as_bytes().ct_eq(self.expected.as_bytes()).into());
+        if !equal {
+            unauthorized(self.face).write(res, None);
+            ctrl.skip_rest();
+        }
     }
-    unauthorized(face).write(res, None);
-    ctrl.skip_rest();
 }
--- a/kernel/src/listener.rs
+++ b/kernel/src/listener.rs
@@ -112,8 +112,8 @@
     }
     let root = match face {
         Face::Callers => root.hoop(CloseWhenDraining(Arc::clone(cx))),
-        Face::Peers => root.hoop(auth::PeersOnly::new(cx)),
-        Face::Operators => root.hoop(auth::OperatorsOnly::new(cx)),
+        Face::Peers => root.hoop(auth::BearerOnly::peers(cx)),
+        Face::Operators => root.hoop(auth::BearerOnly::operators(cx)),
     };
     Service::new(root).catcher(Catcher::default().hoop(reply::NoRoute))
 }
@@ -122,15 +122,9 @@
 /// request could be written just as the connection is closed, and its fate be unknown to them.
 struct CloseWhenDraining(Arc<Kernel>);
 
-#[async_trait]
-impl Handler for CloseWhenDraining {
-    async fn handle(
-        &self,
-        _req: &mut Request,
-        _depot: &mut Depot,
-        res: &mut Response,
-        _ctrl: &mut FlowCtrl,
-    ) {
+#[handler]
+impl CloseWhenDraining {
+    async fn handle(&self, res: &mut Response) {
         if self.0.is_draining() {
             reply::set_header(res, "connection", "close");
         }
--- a/kernel/src/plugin.rs
+++ b/kernel/src/plugin.rs
@@ -33,6 +33,20 @@
     pub dump: fn(&Kernel) -> serde_json::Value,
 }
 
+/// For plug-ins without tasks.
+///
+/// # Errors
+/// None.
+pub fn no_tasks(_cx: &Arc<Kernel>) -> Result<(), KernelError> {
+    Ok(())
+}
+
+/// For plug-ins without routes.
+#[must_use]
+pub fn no_routes(_cx: &Arc<Kernel>, _face: Face) -> Vec<Router> {
+    Vec::new()
+}
+
 /// Every plug-in linked into the process.
 #[distributed_slice]
 pub static PLUGINS: [Plugin];
--- a/kernel/src/reply.rs
+++ b/kernel/src/reply.rs
@@ -115,15 +115,9 @@
 /// Answers a request that no route took, in the one error form.
 pub struct NoRoute;
 
-#[async_trait]
-impl Handler for NoRoute {
-    async fn handle(
-        &self,
-        req: &mut Request,
-        _depot: &mut Depot,
-        res: &mut Response,
-        ctrl: &mut FlowCtrl,
-    ) {
+#[handler]
+impl NoRoute {
+    async fn handle(&self, req: &mut Request, res: &mut Response, ctrl: &mut FlowCtrl) {
         let Some(refusal) = no_route(req, res.status_code) else {
             return;
         };
--- a/plugins/callers/src/handler.rs
+++ b/plugins/callers/src/handler.rs
@@ -5,7 +5,7 @@
 use jacinthweir_kernel::reply::{self, Refusal};
 use jacinthweir_wire::header;
 use jacinthweir_wire::runner::EndFrame;
-use salvo::prelude::{FlowCtrl, Handler, Json, async_trait};
+use salvo::prelude::Json;
 use tokio::sync::mpsc::Receiver;
 
 use crate::accept::accept;
@@ -36,15 +36,9 @@
     form: Form,
 }
 
-#[async_trait]
-impl Handler for Completions {
-    async fn handle(
-        &self,
-        req: &mut Request,
-        _depot: &mut Depot,
-        res: &mut Response,
-        _ctrl: &mut FlowCtrl,
-    ) {
+#[handler]
+impl Completions {
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
         let accepted = match accept(&self.cx, self.form, req).await {
             Ok(accepted) => accepted,
             Err(refusal) => return refusal.write(res, None),
--- a/plugins/callers/src/lib.rs
+++ b/plugins/callers/src/lib.rs
@@ -14,21 +14,18 @@
 mod pace;
 mod prompt;
 
+use jacinthweir_kernel::plugin;
 use jacinthweir_kernel::prelude::*;
 use linkme::distributed_slice;
 
 #[distributed_slice(PLUGINS)]
 static CALLERS: Plugin = Plugin {
     name: "callers",
-    spawn,
+    spawn: plugin::no_tasks,
     routes,
     dump,
 };
 
-fn spawn(_cx: &Arc<Kernel>) -> Result<(), KernelError> {
-    Ok(())
-}
-
 fn routes(cx: &Arc<Kernel>, face: Face) -> Vec<Router> {
     match face {
         Face::Callers => handler::routes(cx),
--- a/plugins/operators/src/lib.rs
+++ b/plugins/operators/src/lib.rs
@@ -8,20 +8,16 @@
 use jacinthweir_wire::caller::ErrorCode;
 use jacinthweir_wire::operator::RequestRecord;
 use linkme::distributed_slice;
-use salvo::prelude::{FlowCtrl, Handler, Json, async_trait};
+use salvo::prelude::Json;
 
 #[distributed_slice(PLUGINS)]
 static OPERATORS: Plugin = Plugin {
     name: "operators",
-    spawn,
+    spawn: plugin::no_tasks,
     routes,
     dump,
 };
 
-fn spawn(_cx: &Arc<Kernel>) -> Result<(), KernelError> {
-    Ok(())
-}
-
 fn routes(cx: &Arc<Kernel>, face: Face) -> Vec<Router> {
     match face {
         Face::Operators => vec![
@@ -50,15 +46,9 @@
 /// `GET /metrics`.
 struct Metrics(Arc<Kernel>);
 
-#[async_trait]
-impl Handler for Metrics {
-    async fn handle(
-        &self,
-        _req: &mut Request,
-        _depot: &mut Depot,
-        res: &mut Response,
-        _ctrl: &mut FlowCtrl,
-    ) {
+#[handler]
+impl Metrics {
+    async fn handle(&self, res: &mut Response) {
         reply::set_header(res, "content-type", "text/plain; version=0.0.4");
         res.render(self.0.stats.render());
     }
@@ -67,15 +57,9 @@
 /// `GET /operator/dump`: a field a plug-in.
 struct Dump(Arc<Kernel>);
 
-#[async_trait]
-impl Handler for Dump {
-    async fn handle(
-        &self,
-        _req: &mut Request,
-        _depot: &mut Depot,
-        res: &mut Response,
-        _ctrl: &mut FlowCtrl,
-    ) {
+#[handler]
+impl Dump {
+    async fn handle(&self, res: &mut Response) {
         let mut parts = serde_json::Map::new();
         for plugin in plugin::sorted() {
             parts.insert(plugin.name.to_owned(), (plugin.dump)(&self.0));
@@ -87,15 +71,9 @@
 /// `GET /operator/requests/{id}`: from whichever instance served it.
 struct RequestById(Arc<Kernel>);
 
-#[async_trait]
-impl Handler for RequestById {
-    async fn handle(
-        &self,
-        req: &mut Request,
-        _depot: &mut Depot,
-        res: &mut Response,
-        _ctrl: &mut FlowCtrl,
-    ) {
+#[handler]
+impl RequestById {
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
         let id = req.param::<String>("id").unwrap_or_default();
         match find(&self.0, &id).await {
             Ok(record) => res.render(Json(record)),
@@ -141,15 +119,9 @@
 /// `GET /peer/requests/{id}`: from this instance alone, as MessagePack.
 struct OwnRequest(Arc<Kernel>);
 
-#[async_trait]
-impl Handler for OwnRequest {
-    async fn handle(
-        &self,
-        req: &mut Request,
-        _depot: &mut Depot,
-        res: &mut Response,
-        _ctrl: &mut FlowCtrl,
-    ) {
+#[handler]
+impl OwnRequest {
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
         let id = req.param::<String>("id").unwrap_or_default();
         let encoded = self.0.records.get(&id).map(|r| rmp_serde::to_vec_named(&r));
         match encoded {
--- a/plugins/peers/src/entry.rs
+++ b/plugins/peers/src/entry.rs
@@ -5,7 +5,7 @@
 use jacinthweir_policy::entry::{EntryConfig, entry_answer};
 use jacinthweir_wire::caller::{EntryAnswer, ErrorCode};
 use jacinthweir_wire::header;
-use salvo::prelude::{FlowCtrl, Handler, Json, async_trait};
+use salvo::prelude::Json;
 
 /// When to ask again where no instance serves, in milliseconds.
 const RETRY_MS: u64 = 1_000;
@@ -13,15 +13,9 @@
 /// `GET /v1/entry`, without a key: the answer holds nothing but addresses.
 pub(crate) struct Entry(pub(crate) Arc<Kernel>);
 
-#[async_trait]
-impl Handler for Entry {
-    async fn handle(
-        &self,
-        req: &mut Request,
-        _depot: &mut Depot,
-        res: &mut Response,
-        _ctrl: &mut FlowCtrl,
-    ) {
+#[handler]
+impl Entry {
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
         let domain = req.header::<String>(header::DOMAIN);
         let answer = answer(&self.0, domain.as_deref());
         if answer.addresses.is_empty() {
--- a/plugins/peers/src/routes.rs
+++ b/plugins/peers/src/routes.rs
@@ -4,7 +4,6 @@
 use jacinthweir_kernel::prelude::*;
 use jacinthweir_kernel::reply::{self, Refusal};
 use jacinthweir_wire::caller::ErrorCode;
-use salvo::prelude::{FlowCtrl, Handler, async_trait};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -30,15 +29,9 @@
 
 struct Exchanged(Arc<Kernel>);
 
-#[async_trait]
-impl Handler for Exchanged {
-    async fn handle(
-        &self,
-        req: &mut Request,
-        _depot: &mut Depot,
-        res: &mut Response,
-        _ctrl: &mut FlowCtrl,
-    ) {
+#[handler]
+impl Exchanged {
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
         match read(&self.0, req).await {
             Ok(msg) => write(res, &exchange::answer(&self.0, &msg)),
             Err(refusal) => refusal.write(res, None),
@@ -48,15 +41,9 @@
 
 struct Pushed(Arc<Kernel>);
 
-#[async_trait]
-impl Handler for Pushed {
-    async fn handle(
-        &self,
-        req: &mut Request,
-        _depot: &mut Depot,
-        res: &mut Response,
-        _ctrl: &mut FlowCtrl,
-    ) {
+#[handler]
+impl Pushed {
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
         match read(&self.0, req).await {
             Ok(msg) => write(res, &exchange::answer_push(&self.0, msg)),
             Err(refusal) => refusal.write(res, None),
@@ -66,15 +53,9 @@
 
 struct Probed(Arc<Kernel>);
 
-#[async_trait]
-impl Handler for Probed {
-    async fn handle(
-        &self,
-        req: &mut Request,
-        _depot: &mut Depot,
-        res: &mut Response,
-        _ctrl: &mut FlowCtrl,
-    ) {
+#[handler]
+impl Probed {
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
         match read(&self.0, req).await {
             Ok(msg) => write(res, &probe::try_it(&self.0, msg).await),
             Err(refusal) => refusal.write(res, None),
@@ -84,15 +65,9 @@
 
 struct Own(Arc<Kernel>);
 
-#[async_trait]
-impl Handler for Own {
-    async fn handle(
-        &self,
-        _req: &mut Request,
-        _depot: &mut Depot,
-        res: &mut Response,
-        _ctrl: &mut FlowCtrl,
-    ) {
+#[handler]
+impl Own {
+    async fn handle(&self, res: &mut Response) {
         let own = self.0.membership().own().clone();
         write(res, &own);
     }
--- a/plugins/schema/src/operators.rs
+++ b/plugins/schema/src/operators.rs
@@ -8,7 +8,7 @@
 use jacinthweir_wire::operator::{
     ApplyRefused, ApplyReply, ApplyRequest, Commit, HistoryReply, PlanRequest, SchemaReply,
 };
-use salvo::prelude::{FlowCtrl, Handler, Json, async_trait};
+use salvo::prelude::Json;
 use serde::de::DeserializeOwned;
 
 use crate::{apply, status};
@@ -46,15 +46,9 @@
     call: Call,
 }
 
-#[async_trait]
-impl Handler for OperatorCall {
-    async fn handle(
-        &self,
-        req: &mut Request,
-        _depot: &mut Depot,
-        res: &mut Response,
-        _ctrl: &mut FlowCtrl,
-    ) {
+#[handler]
+impl OperatorCall {
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
         let cx = &self.cx;
         match self.call {
             Call::Plan => plan(cx, req, res).await,
--- a/plugins/schema/src/peers.rs
+++ b/plugins/schema/src/peers.rs
@@ -13,7 +13,6 @@
 use jacinthweir_policy::membership::Member;
 use jacinthweir_wire::caller::ErrorCode;
 use rand::seq::IndexedRandom;
-use salvo::prelude::{FlowCtrl, Handler, async_trait};
 
 use crate::drive::{drive, drive_blocking};
 
@@ -123,15 +122,9 @@
 /// `GET /peer/head`.
 struct OwnHead(Arc<Kernel>);
 
-#[async_trait]
-impl Handler for OwnHead {
-    async fn handle(
-        &self,
-        _req: &mut Request,
-        _depot: &mut Depot,
-        res: &mut Response,
-        _ctrl: &mut FlowCtrl,
-    ) {
+#[handler]
+impl OwnHead {
+    async fn handle(&self, res: &mut Response) {
         let applied = self.0.convergence().in_force().cloned();
         match applied.map(|a| rmp_serde::to_vec_named(&*a.head)) {
             Some(Ok(bytes)) => reply::message_pack(res, bytes),
@@ -144,15 +137,9 @@
 /// `GET /peer/parts/{hash}`.
 struct OwnPart(Arc<Kernel>);
 
-#[async_trait]
-impl Handler for OwnPart {
-    async fn handle(
-        &self,
-        req: &mut Request,
-        _depot: &mut Depot,
-        res: &mut Response,
-        _ctrl: &mut FlowCtrl,
-    ) {
+#[handler]
+impl OwnPart {
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
         let hash = req.param::<String>("hash").unwrap_or_default();
         match self.0.parts.get(&hash) {
             Some(text) => res.render(text.to_string()),
--- a/plugins/services/src/handler.rs
+++ b/plugins/services/src/handler.rs
@@ -2,7 +2,6 @@
 
 use jacinthweir_kernel::prelude::*;
 use jacinthweir_kernel::reply::Refusal;
-use salvo::prelude::{FlowCtrl, Handler, async_trait};
 
 use crate::accept::accept;
 use crate::answer::Told;
@@ -24,15 +23,9 @@
     shared: Arc<Shared>,
 }
 
-#[async_trait]
-impl Handler for Calls {
-    async fn handle(
-        &self,
-        req: &mut Request,
-        _depot: &mut Depot,
-        res: &mut Response,
-        _ctrl: &mut FlowCtrl,
-    ) {
+#[handler]
+impl Calls {
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
         let accepted = match accept(&self.cx, req).await {
             Ok(accepted) => accepted,
             Err(refusal) => return refusal.write(res, None),
--- a/plugins/upstreams/src/lib.rs
+++ b/plugins/upstreams/src/lib.rs
@@ -11,6 +11,7 @@
 mod list;
 mod poll;
 
+use jacinthweir_kernel::plugin;
 use jacinthweir_kernel::prelude::*;
 use linkme::distributed_slice;
 
@@ -18,7 +19,7 @@
 static UPSTREAMS: Plugin = Plugin {
     name: "upstreams",
     spawn,
-    routes,
+    routes: plugin::no_routes,
     dump,
 };
 
@@ -29,10 +30,6 @@
     Ok(())
 }
 
-fn routes(_cx: &Arc<Kernel>, _face: Face) -> Vec<Router> {
-    Vec::new()
-}
-
 fn dump(cx: &Kernel) -> serde_json::Value {
     let upstreams = cx.upstreams().dump(cx.clock.now());
     serde_json::json!({
