Campaign: a runner stands still before its witness is taken and it is killed

Trace: attempt 1 began at runner-fast-00, which was killed between the taking of its witness and its end; its part 0..10 and the word of the attempt's arrival were lost with it, so the parts seen began at layer 10. Attempt 2 ran every token whole, and the caller's text was right: a gap of the witness, not of the product. Ruled out: a double run (each layer is there once). Change: the runner's batch stands still and refuses before the witness is taken; nothing is exempt any more where it answered.

--- a/testkit/examples/measure_capacity.rs
+++ b/testkit/examples/measure_capacity.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use argh::FromArgs;
+use futures::StreamExt;
 use jacinthweir_policy::admission::{Admission, AdmissionConfig, Seen, Slot, Ticket, Work};
 use jacinthweir_policy::config::parts;
 use jacinthweir_policy::journal::{End, Event, Journal, Repeat};
@@ -32,6 +33,10 @@
 const STREAMS: [usize; 4] = [8, 32, 64, 128];
 /// Requests of each organisation size in the admission run.
 const OFFERS: u64 = 200_000;
+/// One-token requests at once.
+const SHORT_AT_ONCE: [usize; 4] = [1, 4, 8, 16];
+/// One-token requests of each row.
+const SHORT_REQUESTS: usize = 2_000;
 /// Tokens of each stream.
 const STREAM_TOKENS: u32 = 100;
 /// Changes applied of each schema size.
@@ -55,6 +60,7 @@
     admission: Vec<AdmissionRow>,
     records: Vec<RecordsRow>,
     live: Vec<LiveRow>,
+    short: Vec<ShortRow>,
     in_force: Vec<InForceRow>,
 }
 
@@ -82,6 +88,16 @@
     bytes_each: f64,
 }
 
+/// Requests of one token each: what a request costs beside its tokens.
+#[derive(Debug, Serialize)]
+struct ShortRow {
+    at_once: usize,
+    requests: usize,
+    answered: usize,
+    cpu_us_per_request: f64,
+    requests_per_s_and_core: f64,
+}
+
 /// Memory of live instances after a schema of a size was put in force.
 #[derive(Debug, Serialize)]
 struct InForceRow {
@@ -108,12 +124,14 @@
         admission: ORGANISATIONS.into_iter().map(admission).collect(),
         records: RECORDS.into_iter().map(records).collect(),
         live: live().await?,
+        short: short().await?,
         in_force: in_force().await?,
     };
     results.configuration.iter().for_each(|r| println!("{r:?}"));
     results.admission.iter().for_each(|r| println!("{r:?}"));
     results.records.iter().for_each(|r| println!("{r:?}"));
     results.live.iter().for_each(|r| println!("{r:?}"));
+    results.short.iter().for_each(|r| println!("{r:?}"));
     results.in_force.iter().for_each(|r| println!("{r:?}"));
     if let Some(path) = args.json {
         std::fs::write(path, serde_json::to_string_pretty(&results)? + "\n")?;
@@ -245,6 +263,48 @@
     Ok(rows)
 }
 
+/// One instance before fast runners; one-token requests, some at once.
+async fn short() -> eyre::Result<Vec<ShortRow>> {
+    let mut cfg = FleetCfg::small(Deployment::Associacao);
+    cfg.instances = 1;
+    cfg.speed = 20.0;
+    let fleet = Fleet::start(cfg).await?;
+    fleet.apply().await?;
+    let mut rows = Vec::new();
+    for at_once in SHORT_AT_ONCE {
+        rows.push(short_row(&fleet, at_once).await?);
+    }
+    fleet.stop().await?;
+    Ok(rows)
+}
+
+async fn short_row(fleet: &Fleet, at_once: usize) -> eyre::Result<ShortRow> {
+    let pid = fleet.instances[0].process.id().unwrap_or_default();
+    let caller = fleet.caller(Deployment::Associacao.organisations()[0])?;
+    let at = fleet.entries()[0];
+    let call = ModelCall {
+        pipeline: Deployment::Associacao.pipeline().into(),
+        prompt: "Is billet 7 dry?".to_owned(),
+        max_tokens: 1,
+        deadline_ms: Some(60_000),
+    };
+    let before = cpu_s(pid)?;
+    let calls = (0..SHORT_REQUESTS).map(|_| caller.complete(at, &call));
+    let seen: Vec<_> = futures::stream::iter(calls)
+        .buffer_unordered(at_once)
+        .collect()
+        .await;
+    let answered = seen.iter().filter(|s| s.answered()).count();
+    let cpu_us = (cpu_s(pid)? - before) * 1e6 / SHORT_REQUESTS as f64;
+    Ok(ShortRow {
+        at_once,
+        requests: SHORT_REQUESTS,
+        answered,
+        cpu_us_per_request: cpu_us,
+        requests_per_s_and_core: 1e6 / cpu_us,
+    })
+}
+
 async fn live_row(fleet: &Fleet, streams: usize) -> eyre::Result<LiveRow> {
     let pid = fleet.instances[0].process.id().unwrap_or_default();
     let caller = fleet.caller(Deployment::Associacao.organisations()[0])?;
--- a/testkit/src/campaign/faults.rs
+++ b/testkit/src/campaign/faults.rs
@@ -337,20 +337,36 @@
     Ok(())
 }
 
+/// Kills a runner once its witness is complete: it stands still first, so that nothing runs
+/// between the last of its words and its end.
 async fn kill_runner(fleet: &mut Fleet, recorder: &Arc<Recorder>, i: usize) -> Result<()> {
-    take_witness(fleet, recorder, i).await;
-    let name = fleet.runners[i].listing.name.clone();
-    recorder.history().killed_runners.insert(name);
+    let runner = &mut fleet.runners[i];
+    if runner.process.id().is_none() {
+        return Ok(());
+    }
+    signalled(runner.process.wake())?;
+    let still = RunnerKnobs {
+        freeze: Some(true),
+        refuse: Some(true),
+        ..RunnerKnobs::default()
+    };
+    knob(fleet, i, &still).await?;
+    if !take_witness(fleet, recorder, i).await {
+        let name = fleet.runners[i].listing.name.clone();
+        recorder.history().killed_runners.insert(name);
+    }
     kill(&mut fleet.runners[i].process).await
 }
 
-/// Takes what a runner saw so far; a frozen one is asked in vain, and counts as killed.
-async fn take_witness(fleet: &Fleet, recorder: &Arc<Recorder>, i: usize) {
+/// Takes what a runner saw so far; returns whether it answered.
+async fn take_witness(fleet: &Fleet, recorder: &Arc<Recorder>, i: usize) -> bool {
     let admin = fleet.runner_admin(i);
     let asked = tokio::time::timeout(Duration::from_secs(2), admin.take_witness());
-    if let Ok(Ok(witness)) = asked.await {
-        recorder.history().add_witness(witness);
-    }
+    let Ok(Ok(witness)) = asked.await else {
+        return false;
+    };
+    recorder.history().add_witness(witness);
+    true
 }
 
 async fn leave(fleet: &mut Fleet, recorder: &Arc<Recorder>, i: usize, salt: u64) -> Result<()> {
