Fault matrix: evidence of the fault at the step, and cells that can fail

Cause: trial runs against an instance with a safeguard taken out showed that the drain cells could not fail: the stream had ended before new connections were refused, or ended within the grace of the tasks. For lost and late writes, the write that was spoilt could have been the second instance's. Ruled out: a weak history check (the same check names the cut once the stream lasts); the extended deadline of a frozen dispatch is no violation by itself, since a claim whose holder lives is never taken over, and is told as unknown. Change: slower runners and a longer stream during a shutdown; the spoilt write must be seen before the work goes elsewhere; racing operators must have committed before the step goes on; a model request after healing must be answered; races never leave the weight a change is to set; a cell begins once the last commit is in force everywhere; `--program` runs the matrix against another build.

--- a/testkit/examples/fault_matrix.rs
+++ b/testkit/examples/fault_matrix.rs
@@ -24,6 +24,9 @@
     /// seed (default 1)
     #[argh(option, default = "1")]
     seed: u64,
+    /// another instance with fault points, such as one in which a safeguard was taken out
+    #[argh(option)]
+    program: Option<std::path::PathBuf>,
     /// fleets side by side (default 3)
     #[argh(option, default = "3")]
     fleets: usize,
@@ -43,6 +46,7 @@
     let cfg = MatrixCfg {
         seed: args.seed,
         fleets: args.fleets,
+        program: args.program.clone(),
         verbose: true,
     };
     let started = Instant::now();
--- a/testkit/src/matrix.rs
+++ b/testkit/src/matrix.rs
@@ -28,6 +28,8 @@
     pub seed: u64,
     /// Fleets that run cells side by side.
     pub fleets: usize,
+    /// The instance with fault points; `None`: the one that [`fault_points::BUILD`] makes.
+    pub program: Option<PathBuf>,
     /// Tells of each cell on standard error as it ends.
     pub verbose: bool,
 }
@@ -71,7 +73,10 @@
 ///
 /// Where the program with fault points isn't built, or no fleet starts.
 pub async fn run(cfg: &MatrixCfg, cells: &[Cell]) -> Result<MatrixEnd> {
-    let program = fault_points::program()?;
+    let program = match &cfg.program {
+        Some(path) => path.clone(),
+        None => fault_points::program()?,
+    };
     let (none, some): (Vec<Cell>, Vec<Cell>) =
         cells.iter().partition(|cell| impossible(**cell).is_some());
     let fleets = cfg.fleets.clamp(1, some.len().max(1));
--- a/testkit/src/matrix/cell.rs
+++ b/testkit/src/matrix/cell.rs
@@ -99,6 +99,10 @@
         )
     }
 
+    pub(super) fn spoils_writes(self) -> bool {
+        matches!(self, Fault::AnswerLost | Fault::WriteLate)
+    }
+
     pub(super) fn rounds(self) -> usize {
         match self {
             Fault::KillTwice | Fault::FreezeTwice => 2,
--- a/testkit/src/matrix/report.rs
+++ b/testkit/src/matrix/report.rs
@@ -62,7 +62,10 @@
 
 A cell is **proved** only where the instance was seen at the step (its log, and for a kill or
 freeze its process state) with the fault present, and the checks found nothing. One run of a cell
-shows one interleaving. A violation that shows late counts for the cell after which it was seen.
+shows one interleaving. A write that is lost or late was seen to be one of the instance under test.
+Racing operators have committed before the step goes on. Upstreams that die are the fast holders
+of the first and of the last layers, or one of two service instances; that the request at the step
+was using one of them is not forced. A model request after healing must be answered. A violation that shows late counts for the cell after which it was seen.
 Not in the matrix: steps of an order to a runner, which do not exist yet, and pairs other than
 those listed. A frozen instance that wakes before a service that ignores keys is covered up to the
 service's own network: see PROMISES.md for what remains possible.
--- a/testkit/src/matrix/rig.rs
+++ b/testkit/src/matrix/rig.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use jacinthweir_kernel::settings::Timing;
 use jacinthweir_policy::prelude::*;
@@ -18,16 +18,22 @@
 use crate::history::{self, Limits, Violation};
 use crate::http::unix_ms;
 use crate::service::RanCall;
-use crate::{Caller, Fleet, FleetCfg, Result, text};
+use crate::{Caller, Error, Fleet, FleetCfg, Result, text};
 
 /// Deployment of the matrix.
 pub(super) const DEPLOYMENT: Deployment = Deployment::Tallinna;
+/// Longest wait until a commit is in force everywhere.
+const IN_FORCE: Duration = Duration::from_secs(30);
+/// Period of looking whether it is.
+const LOOK: Duration = Duration::from_millis(20);
 /// Longest wait for any answer.
 const PATIENCE: Duration = Duration::from_secs(20);
 /// How long answers that callers keep are good, in milliseconds: short, for quick shutdowns.
 const ENTRY_TTL_MS: u64 = 500;
-/// First salt of races.
-const RACES: u64 = 1 << 40;
+/// Speed of the runners against their declarations: a token takes 50 to 110 ms.
+const SPEED: f64 = 0.006;
+/// Salts of races come after this one.
+const RACES: u64 = 1_000_000_000_006;
 /// Time after which a violation is looked at again, with all witnesses complete.
 const COMPLETE: Duration = Duration::from_secs(2);
 
@@ -57,6 +63,7 @@
                 entry_ttl_ms: ENTRY_TTL_MS,
                 ..Timing::default()
             },
+            speed: SPEED,
             fault_points: Some(program),
             ..FleetCfg::small(DEPLOYMENT)
         };
@@ -84,6 +91,32 @@
         self.fleet.stop().await
     }
 
+    /// Waits until the newest commit that operators were told of is in force on every instance: a
+    /// change over an older revision is rightly refused, and would not reach its step.
+    pub(super) async fn wait_in_force(&self) -> Result<()> {
+        let until = Instant::now() + IN_FORCE;
+        while Instant::now() < until {
+            let newest = self.newest_commit();
+            let mut behind = false;
+            for instance in &self.fleet.instances {
+                let schema = instance.operator()?.schema().await;
+                behind |= schema.map_or(true, |s| s.revision < newest);
+            }
+            if !behind {
+                return Ok(());
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+        let msg = "a commit is not in force everywhere";
+        Err(Error::Other(msg.to_owned()))
+    }
+
+    fn newest_commit(&self) -> u64 {
+        let history = self.recorder.history();
+        let revisions = history.commits.iter().map(|c| c.revision);
+        revisions.max().unwrap_or(0)
+    }
+
     /// Events and submissions of the history.
     pub(super) fn counts(&self) -> (usize, usize) {
         let history = self.recorder.history();
@@ -143,9 +176,10 @@
         self.submissions_before += submissions - history.submissions.len();
     }
 
-    /// Salt of the next race of operators: unlike every change's own number.
+    /// Salt of the next race of operators. Its last digit is 6, those of changes' own numbers are
+    /// 0 and 1, so that a race never leaves the very weight that a change is to set.
     pub(super) fn race_salt(&mut self) -> u64 {
-        self.races += 2;
+        self.races += 10;
         RACES + self.races
     }
 
--- a/testkit/src/matrix/script.rs
+++ b/testkit/src/matrix/script.rs
@@ -39,9 +39,12 @@
 /// Longest wait for work to end.
 const WORK_ENDS: Duration = Duration::from_secs(40);
 /// Tokens of an answer.
-const TOKENS: u32 = 12;
-/// Tokens of an answer that is streamed during a shutdown.
-const LONG_TOKENS: u32 = 48;
+const TOKENS: u32 = 6;
+/// Tokens of an answer that is streamed during a shutdown: it lasts beyond the refusal of new
+/// connections, else a shutdown that cuts would not be seen to cut.
+const LONG_TOKENS: u32 = 112;
+/// Deadline of that answer, in milliseconds.
+const LONG_ANSWER_MS: u64 = 15_000;
 /// Tokens that pass before a stream's fault point acts.
 const TOKENS_BEFORE: u32 = 3;
 /// Runners that die: the fast holders of the first and of the last layers.
@@ -66,19 +69,22 @@
         let mut jobs = Vec::new();
         for round in 0..cell.fault.rounds() {
             self.fleet.wait_serving().await?;
+            self.wait_in_force().await?;
             let job = Job::new(cell, number * 10 + round as u64);
             let lacks = self.round(cell, &job).await?;
             missing = missing.or(lacks);
             jobs.push(job);
         }
+        self.fleet.wait_serving().await?;
+        let mut found = Vec::new();
         for job in &jobs {
             self.send_again(AFTERWARDS, job).await?;
+            found.extend(self.not_answered(job));
         }
-        self.fleet.wait_serving().await?;
-        let found = self.new_violations().await?;
+        let violations = self.new_violations().await?;
+        found.extend(violations.iter().map(ToString::to_string));
         self.archive();
         if !found.is_empty() {
-            let found: Vec<String> = found.iter().map(ToString::to_string).collect();
             return Ok(Verdict::Open(found.join("; ")));
         }
         Ok(match missing {
@@ -105,12 +111,21 @@
         self.fleet.arm(TESTED, cell.step, skip, &action)?;
         let signal_ms = unix_ms();
         let mut sent = self.send_first(job)?;
-        let missing = self.wait_reached(cell, before, &action).await?;
-        if missing.is_none() {
+        let mut missing = self.wait_reached(cell, before, &action).await?;
+        if missing.is_none() && cell.fault.spoils_writes() {
+            // The first write that meets the fault is to be that of the instance under test.
+            let spoilt = self.spoilt().await?;
             self.begin(cell).await?;
+            self.let_go(cell, release).await?;
+            missing = self.wait_spoilt(spoilt).await?;
             sent.extend(self.meanwhile(cell, job)?);
+        } else {
+            if missing.is_none() {
+                missing = self.begin(cell).await?;
+                sent.extend(self.meanwhile(cell, job)?);
+            }
+            self.let_go(cell, release).await?;
         }
-        self.let_go(cell, release).await?;
         let all = join(sent);
         tokio::pin!(all);
         let early = tokio::time::timeout(LASTS, &mut all).await;
@@ -131,6 +146,7 @@
         }
         let stream = Ask {
             tokens: LONG_TOKENS,
+            deadline_ms: LONG_ANSWER_MS,
             ..job.ask
         };
         let streams = vec![self.model(TESTED, stream)?];
@@ -169,6 +185,29 @@
         ended.map_err(|e| Error::Other(e.to_string()))
     }
 
+    /// A model request after all is healed that was not answered. A call need not be: its outcome
+    /// may be unknown for good.
+    fn not_answered(&self, job: &Job) -> Option<String> {
+        if !matches!(job.work, Work::Model | Work::Drain) {
+            return None;
+        }
+        let history = self.recorder.history();
+        let number = job.ask.number;
+        let last = history
+            .submissions
+            .iter()
+            .rev()
+            .find(|s| s.number == number);
+        match last {
+            Some(s) if s.seen.answered() => None,
+            Some(s) => Some(format!(
+                "after healing: {:?} {:?}",
+                s.seen.outcome, s.seen.code
+            )),
+            None => Some("after healing: no connection".to_owned()),
+        }
+    }
+
     /// Waits until the instance is at the step, and is ended or stopped there if it is to be.
     async fn wait_reached(
         &mut self,
@@ -199,7 +238,8 @@
     }
 
     /// Brings about what comes from outside the instance, while it is at the step.
-    async fn begin(&mut self, cell: Cell) -> Result<()> {
+    async fn begin(&mut self, cell: Cell) -> Result<Missing> {
+        let commits = self.recorder.history().commits.len();
         for fault in brought(cell) {
             let salt = self.race_salt();
             faults::begin(&mut self.fleet, &self.recorder, fault, salt).await?;
@@ -213,7 +253,38 @@
         if matches!(cell.fault, Fault::PlatformOutKill | Fault::UpstreamsDieKill) {
             self.fleet.instances[TESTED].process.kill().await?;
         }
-        Ok(())
+        if cell.fault == Fault::OperatorsRace {
+            return Ok(self.wait_commit(commits).await);
+        }
+        Ok(None)
+    }
+
+    /// Waits until one of the racing operators was told of a commit.
+    async fn wait_commit(&self, before: usize) -> Missing {
+        let until = Instant::now() + REACH;
+        while self.recorder.history().commits.len() <= before {
+            if Instant::now() > until {
+                return Some("no racing operator committed".to_owned());
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+        None
+    }
+
+    async fn spoilt(&self) -> Result<u64> {
+        Ok(self.fleet.platform_admin().counts().await?.spoilt)
+    }
+
+    /// Waits until a write met the fault.
+    async fn wait_spoilt(&self, before: u64) -> Result<Missing> {
+        let until = Instant::now() + REACH;
+        while self.spoilt().await? <= before {
+            if Instant::now() > until {
+                return Ok(Some("no write met the fault".to_owned()));
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+        Ok(None)
     }
 
     /// Lets the instance go on from the step.
--- a/testkit/src/platform/admin.rs
+++ b/testkit/src/platform/admin.rs
@@ -39,4 +39,7 @@
     pub refused_by_rate: u64,
     /// Calls that failed or hung by a fault.
     pub failed: u64,
+    /// Writes that a fault left unanswered or made late.
+    #[serde(default)]
+    pub spoilt: u64,
 }
--- a/testkit/src/platform/routes.rs
+++ b/testkit/src/platform/routes.rs
@@ -151,6 +151,9 @@
     ctrl: &mut FlowCtrl,
 ) {
     let fate = state.lock().fault.write_fate(key);
+    if fate != WriteFate::Answered {
+        state.lock().counts.spoilt += 1;
+    }
     if let WriteFate::Late(ms) = fate {
         let state = state.clone();
         tokio::spawn(async move {
--- a/testkit/tests/matrix.rs
+++ b/testkit/tests/matrix.rs
@@ -8,6 +8,7 @@
 const CFG: MatrixCfg = MatrixCfg {
     seed: 7,
     fleets: 1,
+    program: None,
     verbose: false,
 };
 
