Unreachable runners cost no retry budget

Cause: with a failure domain lost, routes led through several dead runners one after another; each refusal as unreachable took one from the retry budget, and streams that had run there could not be resumed. Ruled out: a larger budget, which would let retries of overloaded runners grow as well; nothing ran in such an attempt, so it counts as never sent.

--- a/plugins/callers/src/driver.rs
+++ b/plugins/callers/src/driver.rs
@@ -260,8 +260,14 @@
     }
 
     fn after_refusal(&mut self, route: &Route, refused: Refused) -> Result<(), Stop> {
-        let end = BadEnd::Refused {
-            retry_after_ms: refused.retry_after_ms,
+        // A later stage that can't be reached is no overload: the attempt cost nobody anything.
+        // Taken from the budget, a lost failure domain used it up on dead runners, and the streams
+        // that had run there could not be resumed.
+        let end = match refused.code {
+            RefusedCode::Unreachable => BadEnd::NeverSent,
+            _ => BadEnd::Refused {
+                retry_after_ms: refused.retry_after_ms,
+            },
         };
         // The refusal may come from a later stage, or tell of one that can't be reached. Avoiding
         // the first stage in its place led request after request to the same dead runner, until
--- a/policy/src/retry.rs
+++ b/policy/src/retry.rs
@@ -29,7 +29,7 @@
         /// When the upstream expects to take new work, in milliseconds.
         retry_after_ms: u64,
     },
-    /// Its connection was never opened.
+    /// A connection of its route was never opened, and nothing of it ran.
     #[display("never sent")]
     NeverSent,
     /// It ran, or may have, and broke off.
--- a/testkit/src/recovery/table.rs
+++ b/testkit/src/recovery/table.rs
@@ -9,7 +9,7 @@
 #[must_use]
 pub fn table(runs: &[RecoveryRun]) -> String {
     let mut text = String::from(
-        "| scenario | runs | first success ms | slowest first token ms | open streams | next token of all ms | streams failed | throughput back ms | tail / before | refused | failed | wrong | suspected upstreams (false) | suspected instances | stalls | retries (refused) |\n|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n",
+        "| scenario | runs | first success ms | slowest first token ms | open streams | next token of all ms | streams failed (cut with their instance) | throughput back ms | tail / before | refused | failed | wrong | suspected upstreams (false) | suspected instances | stalls | retries (refused) |\n|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n",
     );
     for scenario in Scenario::ALL {
         let own: Vec<&RecoveryRun> = runs.iter().filter(|r| r.scenario == scenario).collect();
@@ -26,13 +26,14 @@
     let tail: f64 = runs.iter().map(|r| share(r)).sum();
     let _ = writeln!(
         text,
-        "| {scenario} | {} | {} | {} | {} | {} | {} | {} | {:.2} | {} | {} | {} | {} ({}) | {} | {} | {} ({}) |",
+        "| {scenario} | {} | {} | {} | {} | {} | {} ({}) | {} | {:.2} | {} | {} | {} | {} ({}) | {} | {} | {} ({}) |",
         runs.len(),
         times(|r| r.figures.first_success_ms),
         times(|r| r.figures.slowest_first_token_ms),
         sum(|r| r.figures.open_streams as u64),
         times(|r| r.figures.streams_resumed_ms),
         sum(|r| r.figures.streams_failed as u64),
+        sum(|r| r.figures.streams_cut as u64),
         times(|r| r.figures.throughput_ms),
         tail / runs.len() as f64,
         sum(|r| ended(r, true)),
