--- a/policy/src/schema/verify.rs
+++ b/policy/src/schema/verify.rs
@@ -172,13 +172,11 @@
             u64::from(decl.max_tokens),
             u64::from(MAX_TOKENS),
         );
-        self.within(
-            at,
-            "default_deadline_ms",
-            who,
-            decl.default_deadline_ms,
-            MAX_DEADLINE_MS,
-        );
+        self.deadline(at, who, decl.default_deadline_ms);
+    }
+
+    fn deadline(&mut self, at: &str, who: Who<'_>, ms: u64) {
+        self.within(at, "default_deadline_ms", who, ms, MAX_DEADLINE_MS);
     }
 
     fn services(&mut self) {
@@ -206,13 +204,7 @@
 
     fn call(&mut self, at: &str, decl: &CallDecl) {
         let who = Who("call", &decl.name);
-        self.within(
-            at,
-            "default_deadline_ms",
-            who,
-            decl.default_deadline_ms,
-            MAX_DEADLINE_MS,
-        );
+        self.deadline(at, who, decl.default_deadline_ms);
     }
 
     fn upstreams(&mut self) {
