Start-up errors in one line; fleets of neighbouring processes apart

Cause: a test saw an instance exit with 1 at its start, once, and its log tail held nothing but a backtrace: the cause was printed above it. One suspicion, unproved: two fleets shared a loopback address, since the address dropped a bit of the process id. Change: the error in one line without a backtrace; all bits of the process id.

--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -65,7 +65,7 @@
         Ok(life::Ended::Clean) => ExitCode::SUCCESS,
         Ok(life::Ended::Cut) => ExitCode::FAILURE,
         Err(e) => {
-            eprintln!("jacinthweir: {e:?}");
+            eprintln!("jacinthweir: {e:#}");
             ExitCode::FAILURE
         }
     }
--- a/testkit/src/fleet/ports.rs
+++ b/testkit/src/fleet/ports.rs
@@ -18,7 +18,7 @@
 pub fn own_ip() -> IpAddr {
     let [high, low] = (std::process::id() as u16).to_be_bytes();
     let count = TAKEN.fetch_add(1, Ordering::Relaxed) % 250;
-    IpAddr::V4(Ipv4Addr::new(127, high | 1, low, 1 + count))
+    IpAddr::V4(Ipv4Addr::new(127, high.max(1), low, 1 + count))
 }
 
 /// Free ports of `ip`, all different.
