Long steps of a schema change on one thread; ready means named

Cause: at 19,000 organisations an instance held 80 MB (following) and 158 MB (applying) while what it keeps is 12 MB. Trial with MALLOC_ARENA_MAX=1: 39 and 65 MB, so the C library keeps a heap a thread, and the steps ran on whichever worker came. Ruled out before: mimalloc (240 and 200 MB). Also: the schema plug-in called an instance serving before it had a plan, past the gate that was made for that. Change: one thread for reading, splitting and putting in force; the phase follows readiness. A test rig without the upstreams' plug-in now says itself that the upstreams are known; its check is as it was.

--- a/ctl/tests/jwctl.rs
+++ b/ctl/tests/jwctl.rs
@@ -61,6 +61,8 @@
         },
     });
     let kernel = Kernel::open(Settings::parse(&settings.to_string()).unwrap()).unwrap();
+    // The upstreams' plug-in, which says when the upstreams are known, is not linked here.
+    kernel.set_ready();
     for plugin in sorted() {
         (plugin.spawn)(&kernel).unwrap();
     }
--- a/plugins/schema/src/apply.rs
+++ b/plugins/schema/src/apply.rs
@@ -14,8 +14,9 @@
 };
 
 use crate::commit::{self, Committed};
-use crate::drive::drive_blocking;
+use crate::drive::drive_long;
 use crate::head::{self, Standing};
+use crate::long::LongSteps;
 
 /// How long an apply waits until the standing head is in force here, to compare with it.
 const CATCH_UP: Duration = Duration::from_secs(3);
@@ -29,8 +30,8 @@
 }
 
 /// What applying a schema would change against what is in force here.
-pub(crate) fn plan(cx: &Kernel, req: &PlanRequest) -> Result<PlanReply, ApplyRefused> {
-    let prepared = prepare(&req.text)?;
+pub(crate) async fn plan(cx: &Kernel, req: &PlanRequest) -> Result<PlanReply, ApplyRefused> {
+    let prepared = prepare(cx, &req.text).await?;
     let (base, changes) = changes(cx, &prepared.schema);
     Ok(PlanReply { base, changes })
 }
@@ -40,7 +41,7 @@
     cx: &Arc<Kernel>,
     req: &ApplyRequest,
 ) -> Result<ApplyReply, ApplyRefused> {
-    let Prepared { schema, parts } = prepare(&req.text)?;
+    let Prepared { schema, parts } = prepare(cx, &req.text).await?;
     let standing = head::read(cx).await.map_err(|e| down(&e.to_string()))?;
     check_not_gone_back(cx, standing.head.as_deref())?;
     let changes = changes_since(cx, &standing, &schema).await;
@@ -78,16 +79,24 @@
     }
 }
 
-/// Reads, checks and splits a schema: 140 ms at 19,000 organisations, during which the runtime
-/// runs the other tasks of this worker thread elsewhere.
-fn prepare(text: &str) -> Result<Prepared, ApplyRefused> {
-    tokio::task::block_in_place(|| {
-        let schema = parse_schema(text).map_err(|faults| ApplyRefused::Invalid { faults })?;
-        let parts = split(&schema).map_err(|e| ApplyRefused::Invalid {
-            faults: vec![Fault::new(1, "document", &e.to_string())],
-        })?;
-        Ok(Prepared { schema, parts })
-    })
+/// Reads, checks and splits a schema, on the thread for long steps.
+async fn prepare(cx: &Kernel, text: &str) -> Result<Prepared, ApplyRefused> {
+    let text = text.to_owned();
+    let prepared = LongSteps::of(cx).run(move || prepare_now(&text)).await;
+    let internal = "internal error, see the instance's log";
+    prepared.unwrap_or_else(|| Err(invalid(internal)))
+}
+
+fn prepare_now(text: &str) -> Result<Prepared, ApplyRefused> {
+    let schema = parse_schema(text).map_err(|faults| ApplyRefused::Invalid { faults })?;
+    let parts = split(&schema).map_err(|e| invalid(&e.to_string()))?;
+    Ok(Prepared { schema, parts })
+}
+
+fn invalid(message: &str) -> ApplyRefused {
+    ApplyRefused::Invalid {
+        faults: vec![Fault::new(1, "document", message)],
+    }
 }
 
 /// Revision in force here, and the difference against it.
@@ -220,14 +229,17 @@
     }
     let asked_at = cx.elapsed_ms();
     match head::read(cx).await {
-        Ok(Standing { head, version }) => drive_blocking(
-            cx,
-            Event::PlatformHead {
-                head,
-                version,
-                asked_at,
-            },
-        ),
+        Ok(Standing { head, version }) => {
+            drive_long(
+                cx,
+                Event::PlatformHead {
+                    head,
+                    version,
+                    asked_at,
+                },
+            )
+            .await;
+        }
         Err(e) => debug!("revision {} not read back: {e}", next.revision),
     }
 }
--- a/plugins/schema/src/drive.rs
+++ b/plugins/schema/src/drive.rs
@@ -5,6 +5,7 @@
 use jacinthweir_policy::config::converge::{Action, Alarm, Applied, Convergence, Event};
 use jacinthweir_policy::member::Phase;
 
+use crate::long::LongSteps;
 use crate::{fetch, republish};
 
 /// Takes an event in. Actions that change what is in force are carried out under the lock: two
@@ -23,11 +24,11 @@
     refresh(cx, &convergence);
 }
 
-/// Takes an event in that may put a revision in force. That takes 75 ms at 19,000 organisations,
-/// in which the requests on the same worker thread would stand still; the runtime moves them to
-/// another one first.
-pub(crate) fn drive_blocking(cx: &Arc<Kernel>, event: Event) {
-    tokio::task::block_in_place(|| drive(cx, event));
+/// Takes an event in that may put a revision in force, on the thread for long steps.
+pub(crate) async fn drive_long(cx: &Arc<Kernel>, event: Event) {
+    let steps = LongSteps::of(cx);
+    let cx = Arc::clone(cx);
+    steps.run(move || drive(&cx, event)).await;
 }
 
 fn put_in_force(cx: &Arc<Kernel>, convergence: &Convergence, applied: &Applied) {
@@ -53,7 +54,9 @@
 fn publish(cx: &Kernel, revision: u64, since_unix_ms: Millis) {
     let mut membership = cx.membership();
     membership.set_revision(revision, since_unix_ms);
-    membership.set_phase(Phase::Serving);
+    if cx.is_ready() {
+        membership.set_phase(Phase::Serving);
+    }
 }
 
 /// Keeps what requests are served by in step with the confirmations.
--- a/plugins/schema/src/fetch.rs
+++ b/plugins/schema/src/fetch.rs
@@ -5,7 +5,7 @@
 use jacinthweir_policy::config::parts::MAX_PART_BYTES;
 use jacinthweir_wire::peer::PartRef;
 
-use crate::drive::drive_blocking;
+use crate::drive::drive_long;
 use crate::keys;
 
 /// Fetches a part in a task of its own, which ends in an event.
@@ -30,7 +30,7 @@
                 Event::FetchFailed { hash, from }
             }
         };
-        drive_blocking(&task, event);
+        drive_long(&task, event).await;
     });
 }
 
--- a/plugins/schema/src/head.rs
+++ b/plugins/schema/src/head.rs
@@ -9,7 +9,7 @@
 use jacinthweir_wire::peer::Head;
 use rand::RngExt;
 
-use crate::drive::{drive, drive_blocking};
+use crate::drive::{drive, drive_long};
 use crate::keys;
 
 /// Pause after a failed call, in milliseconds; up to as much again is added at random, so that
@@ -76,14 +76,15 @@
 async fn read_and_drive(cx: &Arc<Kernel>) -> Result<(), ClientError> {
     let asked_at = cx.elapsed_ms();
     let Standing { head, version } = read(cx).await?;
-    drive_blocking(
+    drive_long(
         cx,
         Event::PlatformHead {
             head,
             version,
             asked_at,
         },
-    );
+    )
+    .await;
     Ok(())
 }
 
--- a/plugins/schema/src/lib.rs
+++ b/plugins/schema/src/lib.rs
@@ -11,6 +11,7 @@
 mod fetch;
 mod head;
 mod keys;
+mod long;
 mod operators;
 mod peers;
 mod republish;
--- a/plugins/schema/src/operators.rs
+++ b/plugins/schema/src/operators.rs
@@ -72,7 +72,7 @@
         Ok(req) => req,
         Err(refusal) => return refusal.write(res, None),
     };
-    match apply::plan(cx, &req) {
+    match apply::plan(cx, &req).await {
         Ok(reply) => res.render(Json(reply)),
         Err(refused) => refuse(res, &refused),
     }
--- a/plugins/schema/src/peers.rs
+++ b/plugins/schema/src/peers.rs
@@ -14,7 +14,7 @@
 use jacinthweir_wire::caller::ErrorCode;
 use rand::seq::IndexedRandom;
 
-use crate::drive::{drive, drive_blocking};
+use crate::drive::{drive, drive_long};
 
 /// Period of looking at the members.
 const PERIOD: Duration = Duration::from_millis(100);
@@ -98,13 +98,14 @@
     match cx.peers.head(peer.address).await {
         Ok(Some(head)) => {
             let head = Arc::new(head);
-            drive_blocking(
+            drive_long(
                 cx,
                 Event::PeerHead {
                     peer: peer.name,
                     head,
                 },
-            );
+            )
+            .await;
         }
         Ok(None) => {}
         Err(e) => debug!("head of {}: {e}", peer.name),
