Property tests of both codecs

Change: random bytes into every message that comes from outside, frames there and back, cut frames and heads.

--- /dev/null
+++ b/wire/tests/codecs.rs
@@ -0,0 +1,134 @@
+//! Both codecs against random input: hostile bytes are refused and never panic; what is encoded
+//! is decoded to the same; a message cut short is never taken for a whole one.
+
+use jacinthweir_policy::prelude::Name;
+use jacinthweir_wire::caller::{ChatRequest, CompletionRequest, FinishReason};
+use jacinthweir_wire::operator::{ApplyRequest, Head, RequestRecord};
+use jacinthweir_wire::peer::{Exchange, ExchangeAnswer, ProbeRequest, Push};
+use jacinthweir_wire::platform::{InstanceList, Object, WatchAnswer};
+use jacinthweir_wire::runner::{
+    BrokenFrame, EndFrame, Frame, LayerRange, LoadReport, RanRange, Refused, TokenFrame,
+};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+fn fixed(cases: u32) -> Config {
+    Config {
+        cases,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(20_261_203),
+        ..Config::default()
+    }
+}
+
+fn name() -> impl Strategy<Value = Name> {
+    "[a-z0-9.-]{1,24}".prop_map(Name::from)
+}
+
+fn ran() -> impl Strategy<Value = RanRange> {
+    (name(), any::<u32>(), any::<u32>()).prop_map(|(runner, start, end)| RanRange {
+        runner,
+        layers: LayerRange { start, end },
+    })
+}
+
+fn frame() -> impl Strategy<Value = Frame> {
+    let token = (
+        name(),
+        any::<u32>(),
+        any::<u32>(),
+        ".{0,40}",
+        prop::collection::vec(ran(), 0..4),
+    );
+    let token = token.prop_map(|(request, attempt, index, text, ran)| {
+        Frame::Token(TokenFrame {
+            request,
+            attempt,
+            index,
+            text,
+            ran,
+        })
+    });
+    let end = (
+        name(),
+        any::<u32>(),
+        any::<u32>(),
+        any::<u32>(),
+        any::<bool>(),
+    );
+    let end = end.prop_map(|(request, attempt, tokens, prompt_tokens, stop)| {
+        let finish = if stop {
+            FinishReason::Stop
+        } else {
+            FinishReason::Length
+        };
+        Frame::End(EndFrame {
+            request,
+            attempt,
+            tokens,
+            prompt_tokens,
+            finish,
+        })
+    });
+    let broken = (name(), any::<u32>(), prop::option::of(name()), ".{0,40}");
+    let broken = broken.prop_map(|(request, attempt, runner, cause)| {
+        Frame::Broken(BrokenFrame {
+            request,
+            attempt,
+            runner,
+            cause,
+        })
+    });
+    prop_oneof![token, end, broken]
+}
+
+/// Decodes as every message that comes from outside; the result does not matter here.
+fn decode_all(bytes: &[u8]) {
+    let _ = rmp_serde::from_slice::<Exchange>(bytes);
+    let _ = rmp_serde::from_slice::<ExchangeAnswer>(bytes);
+    let _ = rmp_serde::from_slice::<Push>(bytes);
+    let _ = rmp_serde::from_slice::<ProbeRequest>(bytes);
+    let _ = rmp_serde::from_slice::<Head>(bytes);
+    let _ = rmp_serde::from_slice::<RequestRecord>(bytes);
+    let _ = serde_json::from_slice::<ChatRequest>(bytes);
+    let _ = serde_json::from_slice::<CompletionRequest>(bytes);
+    let _ = serde_json::from_slice::<ApplyRequest>(bytes);
+    let _ = serde_json::from_slice::<Frame>(bytes);
+    let _ = serde_json::from_slice::<LoadReport>(bytes);
+    let _ = serde_json::from_slice::<Refused>(bytes);
+    let _ = serde_json::from_slice::<Object>(bytes);
+    let _ = serde_json::from_slice::<WatchAnswer>(bytes);
+    let _ = serde_json::from_slice::<InstanceList>(bytes);
+}
+
+proptest! {
+    #![proptest_config(fixed(2_000))]
+
+    #[test]
+    fn random_bytes_never_panic(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        decode_all(&bytes);
+    }
+
+    #[test]
+    fn frames_decode_to_what_was_encoded(frame in frame()) {
+        let line = serde_json::to_string(&frame).unwrap();
+        prop_assert!(!line.contains('\n'), "a frame is one line");
+        let decoded: Frame = serde_json::from_str(&line).unwrap();
+        prop_assert_eq!(decoded, frame);
+    }
+
+    #[test]
+    fn a_frame_cut_short_is_no_frame(frame in frame(), cut in 0.0..1.0_f64) {
+        let line = serde_json::to_vec(&frame).unwrap();
+        let end = (line.len() as f64 * cut) as usize;
+        prop_assert!(serde_json::from_slice::<Frame>(&line[..end]).is_err());
+    }
+
+    #[test]
+    fn a_head_cut_short_is_no_head(revision in any::<u64>(), cut in 0.0..1.0_f64) {
+        let head = Head { revision, ..Head::default() };
+        let bytes = rmp_serde::to_vec_named(&head).unwrap();
+        let end = (bytes.len() as f64 * cut) as usize;
+        prop_assert!(rmp_serde::from_slice::<Head>(&bytes[..end]).is_err());
+    }
+}
