--- a/plugins/schema/src/apply.rs
+++ b/plugins/schema/src/apply.rs
@@ -5,7 +5,6 @@
 use jacinthweir_kernel::fault_point::Step;
 use jacinthweir_kernel::prelude::*;
 use jacinthweir_policy::config::commit::{Decision, Proposal, decide};
-use jacinthweir_policy::config::converge::Event;
 use jacinthweir_policy::config::lineage::{Relation, relation};
 use jacinthweir_policy::config::parts::{PartText, split};
 use jacinthweir_policy::schema::{Schema, diff, parse_schema};
@@ -14,7 +13,6 @@
 };
 
 use crate::commit::{self, Committed};
-use crate::drive::drive_long;
 use crate::head::{self, Standing};
 use crate::long::LongSteps;
 
@@ -229,17 +227,7 @@
     }
     let asked_at = cx.elapsed_ms();
     match head::read(cx).await {
-        Ok(Standing { head, version }) => {
-            drive_long(
-                cx,
-                Event::PlatformHead {
-                    head,
-                    version,
-                    asked_at,
-                },
-            )
-            .await;
-        }
+        Ok(standing) => head::take(cx, standing, asked_at).await,
         Err(e) => debug!("revision {} not read back: {e}", next.revision),
     }
 }
--- a/plugins/schema/src/head.rs
+++ b/plugins/schema/src/head.rs
@@ -75,19 +75,22 @@
 
 async fn read_and_drive(cx: &Arc<Kernel>) -> Result<(), ClientError> {
     let asked_at = cx.elapsed_ms();
-    let Standing { head, version } = read(cx).await?;
-    drive_long(
-        cx,
-        Event::PlatformHead {
-            head,
-            version,
-            asked_at,
-        },
-    )
-    .await;
+    let standing = read(cx).await?;
+    take(cx, standing, asked_at).await;
     Ok(())
 }
 
+/// Takes in what stands, read at `asked_at` of the convergence's clock or later.
+pub(crate) async fn take(cx: &Arc<Kernel>, standing: Standing, asked_at: Millis) {
+    let Standing { head, version } = standing;
+    let event = Event::PlatformHead {
+        head,
+        version,
+        asked_at,
+    };
+    drive_long(cx, event).await;
+}
+
 /// Reads the head as it stands.
 pub(crate) async fn read(cx: &Kernel) -> Result<Standing, ClientError> {
     let Some(object) = cx.platform.get(keys::HEAD).await? else {
