--- a/testkit/examples/measure_membership.rs
+++ b/testkit/examples/measure_membership.rs
@@ -51,7 +51,7 @@
 const LOSSY: usize = 60;
 /// Give up waiting after so many rounds.
 const LIMIT: usize = 120;
-/// HTTP headers of a call and its answer, in bytes: as captured between two instances.
+/// HTTP headers of a call and its answer, in bytes: an estimate.
 const HTTP_BYTES: usize = 330;
 
 /// One line of the result.
