--- /dev/null
+++ b/clients/src/direct.rs
@@ -0,0 +1,166 @@
+//! One request on one connection of its own.
+//!
+//! A kept connection can hold bytes of an earlier answer, or be closed by the server just as the
+//! next request is written; then nobody knows whose bytes come, or whether the request ran. On a
+//! fresh connection every byte belongs to the one request, and a connection that could not be
+//! opened proves that nothing was sent. The price is one round trip and one handshake a request.
+//!
+//! Dropping the answer closes the connection at once, which tells the server to stop working.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+
+/// Read buffer of a connection, in bytes: the least that the library allows. Answers and events
+/// are small, and a process keeps hundreds of connections.
+const READ_BUFFER_BYTES: usize = 8 << 10;
+
+/// A request got no answer.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+pub enum DirectError {
+    /// No connection: no byte of the request left.
+    #[display("not reached: {cause}")]
+    Unreached {
+        /// Cause.
+        cause: String,
+    },
+    /// The connection broke after the request was handed to it, or did not answer in time.
+    #[display("no answer: {cause}")]
+    Unknown {
+        /// Cause.
+        cause: String,
+    },
+}
+
+/// Body of an answer; holds the connection.
+#[derive(Debug)]
+pub struct AnswerBody {
+    incoming: Incoming,
+    _connection: Connection,
+}
+
+#[derive(Debug)]
+struct Connection(JoinHandle<()>);
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+impl AnswerBody {
+    /// The next bytes; `None` at the proper end.
+    ///
+    /// # Errors
+    /// The connection ended before the answer did.
+    pub async fn next(&mut self) -> Option<Result<Bytes, DirectError>> {
+        loop {
+            match self.incoming.frame().await? {
+                Ok(frame) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Some(Ok(data));
+                    }
+                }
+                Err(e) => return Some(Err(unknown(&e))),
+            }
+        }
+    }
+
+    /// The whole body, of `limit` bytes at most.
+    ///
+    /// # Errors
+    /// It is longer, or the connection ended before it did.
+    pub async fn whole(self, limit: usize) -> Result<Bytes, DirectError> {
+        let body = Limited::new(self.incoming, limit).collect().await;
+        let body = body.map_err(|e| unknown(&*e))?;
+        Ok(body.to_bytes())
+    }
+}
+
+/// Sends `req` to `address` and waits for the head of its answer.
+///
+/// # Errors
+/// See [`DirectError`].
+pub async fn send(
+    address: SocketAddr,
+    req: Request<Full<Bytes>>,
+    connect_timeout: Duration,
+) -> Result<Response<AnswerBody>, DirectError> {
+    let stream = connect(address, connect_timeout).await?;
+    let shaken = http1::Builder::new()
+        .max_buf_size(READ_BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await;
+    let (mut sender, connection) = shaken.map_err(|e| DirectError::Unreached {
+        cause: e.to_string(),
+    })?;
+    let task = tokio::spawn(async move {
+        // What goes wrong here shows at the answer.
+        let _ = connection.await;
+    });
+    let connection = Connection(task);
+    let res = sender.send_request(req).await.map_err(|e| unknown(&e))?;
+    let answer = |incoming| AnswerBody {
+        incoming,
+        _connection: connection,
+    };
+    Ok(res.map(answer))
+}
+
+/// Sends `req` and reads the whole answer, of `limit` bytes at most, within `time`.
+///
+/// # Errors
+/// See [`DirectError`].
+pub async fn ask(
+    address: SocketAddr,
+    req: Request<Full<Bytes>>,
+    time: Duration,
+    limit: usize,
+) -> Result<Response<Bytes>, DirectError> {
+    let asked = async {
+        let res = send(address, req, time).await?;
+        let (parts, body) = res.into_parts();
+        Ok(Response::from_parts(parts, body.whole(limit).await?))
+    };
+    match timeout(time, asked).await {
+        Ok(answer) => answer,
+        Err(_) => Err(DirectError::Unknown {
+            cause: "timeout".to_owned(),
+        }),
+    }
+}
+
+async fn connect(address: SocketAddr, time: Duration) -> Result<TcpStream, DirectError> {
+    let unreached = |cause: String| DirectError::Unreached { cause };
+    match timeout(time, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => {
+            // Without it small writes wait for an acknowledgement; the connection works all the
+            // same.
+            let _ = stream.set_nodelay(true);
+            Ok(stream)
+        }
+        Ok(Err(e)) => Err(unreached(e.to_string())),
+        Err(_) => Err(unreached("timeout".to_owned())),
+    }
+}
+
+fn unknown(e: &(dyn std::error::Error + 'static)) -> DirectError {
+    let mut cause = e.to_string();
+    let mut source = e.source();
+    while let Some(s) = source {
+        cause.push_str(": ");
+        cause.push_str(&s.to_string());
+        source = s.source();
+    }
+    DirectError::Unknown { cause }
+}
--- a/clients/src/lib.rs
+++ b/clients/src/lib.rs
@@ -3,6 +3,7 @@
 //! A client never repeats a call by itself and never follows a redirect: whether a call may be
 //! repeated is a decision of the policy. Each error says what is known of the call's effect.
 
+pub mod direct;
 pub mod error;
 pub mod peer;
 pub mod platform;
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -1,11 +1,12 @@
 //! `jacinthweir`, the entry instance.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use argh::FromArgs;
 use jacinthweir as _;
 use jacinthweir_kernel::{KernelError, Settings, life};
+use jacinthweir_relay::{Ended, RelayError, RelaySettings};
 
 /// Routes inference pipelines over mixed accelerators: the entry instance.
 #[derive(FromArgs)]
@@ -16,6 +17,12 @@
     /// check a settings file, print its faults and exit: 0 valid, 1 not
     #[argh(option)]
     check_settings: Option<PathBuf>,
+    /// settings file of a relay, which runs on the users' platform: see docs/SETTINGS.md
+    #[argh(option)]
+    relay_settings: Option<PathBuf>,
+    /// check a relay's settings file, print its faults and exit: 0 valid, 1 not
+    #[argh(option)]
+    check_relay_settings: Option<PathBuf>,
     /// print the version and exit
     #[argh(switch)]
     version: bool,
@@ -30,18 +37,28 @@
         println!("jacinthweir {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
-    match (args.check_settings, args.settings) {
-        (Some(path), _) => check(&path),
-        (None, Some(path)) => run(&path),
+    if let Some(path) = args.check_settings {
+        return check(&path, Settings::open(&path));
+    }
+    if let Some(path) = args.check_relay_settings {
+        return check(&path, RelaySettings::open(&path));
+    }
+    match (args.settings, args.relay_settings) {
+        (Some(path), None) => run(&path),
+        (None, Some(path)) => run_relay(path),
+        (Some(_), Some(_)) => {
+            eprintln!("jacinthweir: --settings and --relay-settings exclude each other");
+            ExitCode::from(WRONG_USE)
+        }
         (None, None) => {
-            eprintln!("jacinthweir: --settings FILE is required; see --help");
+            eprintln!("jacinthweir: --settings or --relay-settings FILE is required; see --help");
             ExitCode::from(WRONG_USE)
         }
     }
 }
 
-fn check(path: &std::path::Path) -> ExitCode {
-    match Settings::open(path) {
+fn check<T>(path: &Path, opened: Result<T, KernelError>) -> ExitCode {
+    match opened {
         Ok(_) => {
             println!("{}: valid", path.display());
             ExitCode::SUCCESS
@@ -53,7 +70,7 @@
     }
 }
 
-fn run(path: &std::path::Path) -> ExitCode {
+fn run(path: &Path) -> ExitCode {
     let settings = match Settings::open(path) {
         Ok(settings) => settings,
         Err(e) => {
@@ -71,6 +88,35 @@
     }
 }
 
+fn run_relay(path: PathBuf) -> ExitCode {
+    let settings = match RelaySettings::open(&path) {
+        Ok(settings) => settings,
+        Err(e) => {
+            eprintln!("{e}");
+            return ExitCode::from(WRONG_USE);
+        }
+    };
+    match relay(settings, path) {
+        Ok(Ended::Clean) => ExitCode::SUCCESS,
+        Ok(Ended::Cut) => ExitCode::FAILURE,
+        Err(e) => {
+            eprintln!("jacinthweir: {e:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// A relay has a quarter of a core: one thread costs no switches and needs no locks.
+fn relay(settings: RelaySettings, path: PathBuf) -> eyre::Result<Ended> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let tasks = tokio::task::LocalSet::new();
+    let ended: Result<Ended, RelayError> =
+        runtime.block_on(tasks.run_until(jacinthweir_relay::run(settings, path)));
+    Ok(ended?)
+}
+
 fn serve(settings: Settings) -> eyre::Result<life::Ended> {
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
--- /dev/null
+++ b/plugins/relay/src/admit.rs
@@ -0,0 +1,94 @@
+//! Waiting for room in a chain.
+//!
+//! A request waits only as long as its first event can still come in time; then it is refused at
+//! once with a time to come back. Those that wait get room by priority and then in their order, so
+//! that a large one is not passed by small ones for ever.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::relay::rooms;
+use tokio::time::timeout;
+
+use crate::answer::Cause;
+use crate::live::LiveChain;
+use crate::node::Node;
+use crate::request::Proxied;
+
+/// Part of the objective that a request may wait for room. The rest is what a first event takes
+/// in a chain that is nearly full.
+const WAIT_SHARE: f64 = 0.5;
+
+/// Requests that may wait at once: they take memory, and a longer queue does not get room in time.
+const MAX_WAITING: usize = 64;
+
+/// Longest sleep without a look: loads of other instances change without a notice.
+const LOOK: Duration = Duration::from_millis(40);
+
+/// Tokens of a request that says nothing of them.
+const USUAL_TOKENS: (u32, u32) = (800, 220);
+
+/// Tokens that a request takes.
+pub(crate) fn tokens(rq: &Proxied) -> f64 {
+    let (prompt, answer) = rq.tokens.unwrap_or(USUAL_TOKENS);
+    rooms::demand(prompt, answer)
+}
+
+/// Waits for a chain with room that is none of `excluded`.
+pub(crate) async fn wait(
+    node: &Rc<Node>,
+    rq: &Proxied,
+    excluded: &[Rc<LiveChain>],
+) -> Result<Rc<LiveChain>, Cause> {
+    let tokens = tokens(rq);
+    let until = rq.received_ms + (rq.objective_ms as f64 * WAIT_SHARE) as Millis;
+    let until = until.min(rq.deadline_ms);
+    if node.queue.borrow().len() >= MAX_WAITING {
+        return Err(Cause::NoRoom);
+    }
+    let place = Place::open(node, rq.priority);
+    loop {
+        let notified = node.room.notified();
+        if place.is_first()
+            && let Some(live) = node.choose_chain(&rq.service, tokens, excluded)
+        {
+            return Ok(live);
+        }
+        let now = node.now();
+        if now >= until {
+            let none = node.chains.borrow().of(&rq.service).is_empty();
+            return Err(if none { Cause::NoRunner } else { Cause::NoRoom });
+        }
+        let left = Duration::from_millis(until - now);
+        let _ = timeout(left.min(LOOK), notified).await;
+    }
+}
+
+/// A place in the queue, given up when dropped.
+struct Place {
+    node: Rc<Node>,
+    key: (u32, u64),
+}
+
+impl Place {
+    fn open(node: &Rc<Node>, priority: u32) -> Place {
+        let key = (priority, node.next_sequence());
+        node.queue.borrow_mut().insert(key);
+        Place {
+            node: Rc::clone(node),
+            key,
+        }
+    }
+
+    fn is_first(&self) -> bool {
+        self.node.queue.borrow().first() == Some(&self.key)
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.node.queue.borrow_mut().remove(&self.key);
+        self.node.room.notify_waiters();
+    }
+}
--- /dev/null
+++ b/plugins/relay/src/call.rs
@@ -0,0 +1,256 @@
+//! Requests with one answer: calls of plain services.
+//!
+//! The answer is read whole before any of it is passed on. A runner that breaks off in the middle
+//! then costs a repeat where the call allows one, and no caller sees half an answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Response, StatusCode};
+use jacinthweir_platform::header;
+use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::relay::runners::RunnerEntry;
+use tokio::time::timeout;
+
+use crate::answer::{Cause, Journal, RelayBody};
+use crate::attempt::{self, Sent};
+use crate::node::Node;
+use crate::probe;
+use crate::request::{Proxied, count};
+
+/// The longest answer, in bytes: it is held in memory.
+const ANSWER_BYTES: usize = 8 << 20;
+
+/// Runners that may be tried without reaching them.
+const MAX_UNREACHED: u32 = 3;
+
+/// How long a runner that said it is another one, or full, is passed over, in milliseconds.
+const MISDIRECTED_MS: Millis = 1_000;
+const FULL_MS: Millis = 100;
+
+/// When to come back after a refusal, in milliseconds: a call takes some 60.
+const COME_BACK_MS: Millis = 300;
+
+/// What came of one attempt.
+enum Ended {
+    Answered(Response<RelayBody>),
+    NotRun,
+    Unreached,
+    /// The runner failed it: its own word, to be passed on if nothing better comes.
+    Failed(Option<Response<RelayBody>>),
+    Timeout,
+}
+
+/// Serves a call.
+pub(crate) async fn serve(node: &Rc<Node>, rq: Proxied) -> Response<RelayBody> {
+    node.count_request(&rq.service);
+    let mut journal = Journal::default();
+    let mut tried: Vec<Name> = Vec::new();
+    let mut last: Option<Response<RelayBody>> = None;
+    let mut cause = Cause::NoRunner;
+    let mut unreached = 0;
+    loop {
+        if rq.left_ms(node) == 0 {
+            cause = Cause::Timeout;
+            break;
+        }
+        if journal.sends >= rq.max_attempts || unreached >= MAX_UNREACHED {
+            break;
+        }
+        let Some(runner) = next_runner(node, &rq, &tried) else {
+            break;
+        };
+        if journal.sends > 0 && !node.take_repeat(&rq.service) {
+            break;
+        }
+        tried.push(runner.id.clone());
+        journal.hand();
+        let repeatable = rq.class.repeatable() && journal.sends < rq.max_attempts;
+        match attempt(node, &rq, &runner, repeatable).await {
+            Ended::Answered(res) => {
+                log_end(node, &rq, &runner, "answered", res.status().as_u16());
+                return res;
+            }
+            Ended::NotRun => {
+                journal.not_run();
+                cause = Cause::Refused;
+            }
+            Ended::Unreached => {
+                journal.unreached();
+                unreached += 1;
+            }
+            Ended::Failed(res) => {
+                last = res.or(last);
+                cause = Cause::RunnerFailed;
+            }
+            Ended::Timeout => cause = Cause::Timeout,
+        }
+        if journal.may_have_run() && !rq.class.repeatable() {
+            break;
+        }
+    }
+    match last {
+        Some(res) if journal.may_have_run() => {
+            count("runner_failed");
+            res
+        }
+        _ => refuse(node, &rq, journal, cause),
+    }
+}
+
+fn refuse(node: &Node, rq: &Proxied, journal: Journal, cause: Cause) -> Response<RelayBody> {
+    let res = journal.failure(cause, COME_BACK_MS + (node.draw() * 200.0) as Millis);
+    log::info!(
+        request = rq.id.as_ref(),
+        route = rq.route.as_ref(),
+        cause:% = cause,
+        sends = journal.sends,
+        status = res.status().as_u16(),
+        after_ms = node.now() - rq.received_ms;
+        "not answered"
+    );
+    count(if journal.may_have_run() {
+        "failed"
+    } else {
+        "refused"
+    });
+    res
+}
+
+fn next_runner(node: &Node, rq: &Proxied, tried: &[Name]) -> Option<RunnerEntry> {
+    let now = node.now();
+    let runners = node.runners.borrow();
+    let domain = &node.settings.failure_domain;
+    let ranked = runners.plain(&rq.service, domain, now, || node.draw_u32());
+    ranked.into_iter().find(|e| !tried.contains(&e.id)).cloned()
+}
+
+async fn attempt(node: &Rc<Node>, rq: &Proxied, runner: &RunnerEntry, repeatable: bool) -> Ended {
+    let _busy = Busy::open(node, &runner.id);
+    let left = rq.left_ms(node);
+    // Where another attempt is left, the first gets the objective's time: a runner that hangs
+    // would else take all of it.
+    let time = if repeatable {
+        left.min(rq.objective_ms.max(1))
+    } else {
+        left
+    };
+    let sent = async {
+        let req = rq.to_send(node, &runner.id);
+        match attempt::send(runner.address, &rq.id, req).await {
+            Sent::Answer(res) => {
+                let (parts, body) = res.into_parts();
+                match body.whole(ANSWER_BYTES).await {
+                    Ok(bytes) => Ok(Response::from_parts(parts, bytes)),
+                    Err(e) => Err(Sent::Lost(e.to_string())),
+                }
+            }
+            other => Err(other),
+        }
+    };
+    match timeout(Duration::from_millis(time), sent).await {
+        Ok(Ok(res)) => {
+            let failed = res.status().is_server_error();
+            node.runners.borrow_mut().seen(&runner.id, failed);
+            let res = passed_on(res);
+            if failed {
+                Ended::Failed(Some(res))
+            } else {
+                Ended::Answered(res)
+            }
+        }
+        Ok(Err(sent)) => not_answered(node, rq, runner, sent),
+        Err(_) => {
+            node.runners.borrow_mut().seen(&runner.id, true);
+            log_attempt(rq, runner, "timeout", "");
+            Ended::Timeout
+        }
+    }
+}
+
+fn not_answered(node: &Rc<Node>, rq: &Proxied, runner: &RunnerEntry, sent: Sent) -> Ended {
+    match sent {
+        Sent::NotRun { status, .. } => {
+            log_attempt(rq, runner, "not run", status.as_str());
+            let pause = match status {
+                StatusCode::MISDIRECTED_REQUEST => MISDIRECTED_MS,
+                _ => FULL_MS,
+            };
+            let until = node.now() + pause;
+            if let Some(s) = node.runners.borrow_mut().standing_mut(&runner.id) {
+                s.avoid_until_ms = until;
+            }
+            Ended::NotRun
+        }
+        Sent::Unreached(cause) => {
+            log_attempt(rq, runner, "not reached", &cause);
+            probe::mark_dead(node, &runner.id, runner.born_ms);
+            Ended::Unreached
+        }
+        Sent::Lost(cause) => {
+            log_attempt(rq, runner, "lost", &cause);
+            node.runners.borrow_mut().seen(&runner.id, true);
+            Ended::Failed(None)
+        }
+        Sent::Answer(_) => Ended::Failed(None),
+    }
+}
+
+fn passed_on(res: Response<Bytes>) -> Response<RelayBody> {
+    let (parts, body) = res.into_parts();
+    let mut out = Response::new(RelayBody::Whole(Some(body)));
+    *out.status_mut() = parts.status;
+    *out.headers_mut() = header::passed_on(&parts.headers);
+    out
+}
+
+fn log_attempt(rq: &Proxied, runner: &RunnerEntry, outcome: &str, cause: &str) {
+    log::info!(
+        request = rq.id.as_ref(),
+        runner = runner.id.as_ref(),
+        outcome,
+        cause;
+        "attempt"
+    );
+}
+
+fn log_end(node: &Node, rq: &Proxied, runner: &RunnerEntry, outcome: &'static str, status: u16) {
+    let after_ms = node.now() - rq.received_ms;
+    count(outcome);
+    metrics::histogram!("jacinthweir_call_seconds").record(after_ms as f64 / 1e3);
+    log::info!(
+        request = rq.id.as_ref(),
+        route = rq.route.as_ref(),
+        runner = runner.id.as_ref(),
+        status,
+        after_ms;
+        "answered"
+    );
+}
+
+/// Counts a request at a runner while it lasts.
+struct Busy {
+    node: Rc<Node>,
+    runner: Name,
+}
+
+impl Busy {
+    fn open(node: &Rc<Node>, runner: &Name) -> Busy {
+        if let Some(s) = node.runners.borrow_mut().standing_mut(runner) {
+            s.in_flight += 1;
+        }
+        Busy {
+            node: Rc::clone(node),
+            runner: runner.clone(),
+        }
+    }
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        if let Some(s) = self.node.runners.borrow_mut().standing_mut(&self.runner) {
+            s.in_flight = s.in_flight.saturating_sub(1);
+        }
+    }
+}
--- /dev/null
+++ b/plugins/relay/src/live.rs
@@ -0,0 +1,209 @@
+//! Chains in use, and what is in flight through each.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::relay::chain::{self, Chain};
+use jacinthweir_policy::relay::rooms::{self, Room};
+use jacinthweir_policy::relay::runners::Runners;
+use jacinthweir_policy::relay::silence::Silence;
+use tokio_util::sync::CancellationToken;
+
+use crate::node::Node;
+
+/// A chain in use.
+pub(crate) struct LiveChain {
+    pub(crate) service: Name,
+    pub(crate) chain: Chain,
+    pub(crate) silence: RefCell<Silence>,
+    /// Cancelled when a part is known to be dead: what passes through goes elsewhere.
+    pub(crate) broken: CancellationToken,
+    /// Tokens in flight from this instance in the chain's domain; chains that followed one
+    /// another there share it, as they share the runners.
+    used: Rc<Cell<f64>>,
+}
+
+/// Chains by service.
+#[derive(Default)]
+pub(crate) struct Chains {
+    current: BTreeMap<Name, Vec<Rc<LiveChain>>>,
+    /// Chains that were replaced and may still have requests.
+    replaced: Vec<Rc<LiveChain>>,
+    used: BTreeMap<(Name, Option<Name>), Rc<Cell<f64>>>,
+}
+
+impl Chains {
+    /// Chains of a service that new requests may take.
+    pub(crate) fn of(&self, service: &str) -> &[Rc<LiveChain>] {
+        self.current.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Every chain with requests in flight, and those in use.
+    pub(crate) fn all(&self) -> impl Iterator<Item = &Rc<LiveChain>> {
+        self.current.values().flatten().chain(&self.replaced)
+    }
+
+    /// Tokens in flight from this instance, by service and domain.
+    pub(crate) fn used(&self) -> impl Iterator<Item = (&Name, Option<&Name>, f64)> {
+        let all = self.used.iter();
+        all.map(|((service, domain), used)| (service, domain.as_ref(), used.get()))
+    }
+
+    fn replace(&mut self, service: &Name, chains: Vec<Chain>) -> bool {
+        let mut old = self.current.remove(service).unwrap_or_default();
+        let mut changed = old.len() != chains.len();
+        let mut new = Vec::new();
+        for chain in chains {
+            let kept = old.iter().position(|l| l.chain.same_stages(&chain));
+            if let Some(i) = kept {
+                new.push(old.swap_remove(i));
+                continue;
+            }
+            changed = true;
+            let key = (service.clone(), chain.domain.clone());
+            let used = Rc::clone(self.used.entry(key).or_default());
+            new.push(Rc::new(LiveChain {
+                service: service.clone(),
+                chain,
+                silence: RefCell::default(),
+                broken: CancellationToken::new(),
+                used,
+            }));
+        }
+        changed |= !old.is_empty();
+        self.replaced.extend(old);
+        self.replaced.retain(|l| l.silence.borrow().waiting() > 0);
+        self.current.insert(service.clone(), new);
+        changed
+    }
+}
+
+impl LiveChain {
+    /// Whether a part is dead, or started anew since and lost all it held.
+    fn is_broken(&self, runners: &Runners) -> bool {
+        self.chain.stages.iter().any(|s| {
+            let reborn =
+                |e: &jacinthweir_policy::relay::runners::RunnerEntry| e.born_ms != s.runner.born_ms;
+            let dead = runners.standing(&s.runner.id).dead;
+            dead || runners.entry(&s.runner.id).is_some_and(reborn)
+        })
+    }
+
+    /// Name in logs: the domain, and the parts.
+    pub(crate) fn label(&self) -> String {
+        let domain = self.chain.domain.as_deref().unwrap_or("across");
+        format!("{domain}/{}", self.chain.stages.len())
+    }
+}
+
+impl Node {
+    /// Works out the chains anew; ends what passes through those that broke.
+    pub(crate) fn rebuild_chains(&self) {
+        let Some(intent) = self.intent() else {
+            return;
+        };
+        let now = self.now();
+        let runners = self.runners.borrow();
+        let mut chains = self.chains.borrow_mut();
+        for (service, spec) in &intent.services {
+            let Some(engine) = spec.engine.as_ref().filter(|e| e.layers > 0) else {
+                continue;
+            };
+            let found = chain::chains(&runners, service, engine, now);
+            if chains.replace(service, found) {
+                log_chains(service, chains.of(service), now);
+            }
+        }
+        for live in chains.all() {
+            if !live.broken.is_cancelled() && live.is_broken(&runners) {
+                log::warn!(
+                    chain = live.label(),
+                    waiting = live.silence.borrow().waiting();
+                    "a chain is broken"
+                );
+                live.broken.cancel();
+            }
+        }
+        drop(chains);
+        self.room.notify_waiters();
+    }
+
+    /// The chain for a request of `tokens` tokens that is not to take one of `excluded`.
+    pub(crate) fn choose_chain(
+        &self,
+        service: &Name,
+        tokens: f64,
+        excluded: &[Rc<LiveChain>],
+    ) -> Option<Rc<LiveChain>> {
+        let now = self.now();
+        let chains = self.chains.borrow();
+        let live = chains.of(service);
+        let loads = self.loads.borrow();
+        let mut rooms = Vec::with_capacity(live.len());
+        for (i, l) in live.iter().enumerate() {
+            if l.broken.is_cancelled() || excluded.iter().any(|e| Rc::ptr_eq(e, l)) {
+                continue;
+            }
+            let domain = l.chain.domain.as_ref();
+            rooms.push(Room {
+                chain: i,
+                near: domain == Some(&self.settings.failure_domain),
+                room_tokens: l.chain.room_tokens,
+                used_tokens: l.used.get() + loads.used(service, domain, now),
+                silent_ms: l.silence.borrow().silent_ms(now),
+            });
+        }
+        rooms::choose(&rooms, tokens).map(|i| Rc::clone(&live[i]))
+    }
+}
+
+fn log_chains(service: &Name, chains: &[Rc<LiveChain>], now: Millis) {
+    let shown: Vec<String> = chains
+        .iter()
+        .map(|l| {
+            let c = &l.chain;
+            format!(
+                "{} room {:.0} step {:.2}ms",
+                l.label(),
+                c.room_tokens,
+                c.step_ms
+            )
+        })
+        .collect();
+    log::info!(service = service.as_ref(), at_ms = now, chains = shown.join(", "); "chains");
+    metrics::gauge!("jacinthweir_chains_whole").set(chains.len() as f64);
+}
+
+/// One request's passage through a chain: counts its tokens and its silence while it lasts.
+pub(crate) struct Passage {
+    node: Rc<Node>,
+    pub(crate) live: Rc<LiveChain>,
+    tokens: f64,
+}
+
+impl Passage {
+    pub(crate) fn open(node: &Rc<Node>, live: Rc<LiveChain>, tokens: f64) -> Passage {
+        live.used.set(live.used.get() + tokens);
+        live.silence.borrow_mut().sent(node.now());
+        Passage {
+            node: Rc::clone(node),
+            live,
+            tokens,
+        }
+    }
+
+    /// Bytes came.
+    pub(crate) fn heard(&self) {
+        self.live.silence.borrow_mut().heard(self.node.now());
+    }
+}
+
+impl Drop for Passage {
+    fn drop(&mut self) {
+        self.live.used.set(self.live.used.get() - self.tokens);
+        self.live.silence.borrow_mut().ended();
+        self.node.room.notify_waiters();
+    }
+}
--- /dev/null
+++ b/plugins/relay/src/node.rs
@@ -0,0 +1,267 @@
+//! The shared state of the process.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use jacinthweir_kernel::stats::Stats;
+use jacinthweir_platform::store::Store;
+use jacinthweir_policy::member::{MemberState, Phase};
+use jacinthweir_policy::membership::{Membership, MembershipConfig};
+use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::relay::intent::{self, Intent, Offered};
+use jacinthweir_policy::relay::lease::Lease;
+use jacinthweir_policy::relay::runners::Runners;
+use jacinthweir_policy::relay::spending::{Spending, SpendingConfig};
+use jacinthweir_policy::relay::vouch::Vouch;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use rustix::time::{ClockId, clock_gettime};
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
+
+use crate::RelayError;
+use crate::live::Chains;
+use crate::peers::Loads;
+use crate::placer::Loading;
+use crate::settings::RelaySettings;
+
+/// Time that a call to the store may take, in milliseconds. It answers in a few; when it is slow it
+/// takes some hundred.
+const STORE_TIME: Duration = Duration::from_millis(1_200);
+
+/// Time between two rounds of exchanges, in milliseconds: loads of the others are known with this
+/// lag, and a lost instance is left out of entry answers after a few rounds.
+pub(crate) const ROUND_MS: Millis = 300;
+
+/// Peers that an instance exchanges with each round.
+const FANOUT: usize = 2;
+
+/// How long a lease on giving orders lasts without renewal, in milliseconds: three renewals, and
+/// short against the time that a hole in a chain costs.
+const LEASE_MS: Millis = 2_400;
+
+/// State of one process.
+pub struct Node {
+    /// Settings.
+    pub settings: RelaySettings,
+    /// Unix time of the start, in milliseconds.
+    pub incarnation: u64,
+    /// Cancelled when the process ends.
+    pub stop: CancellationToken,
+    pub(crate) stats: Stats,
+    pub(crate) store: Store,
+    pub(crate) intent: RefCell<Option<Rc<Intent>>>,
+    pub(crate) vouch: RefCell<Vouch>,
+    pub(crate) runners: RefCell<Runners>,
+    /// Whether the runners have been listed since the start.
+    pub(crate) listed: Cell<bool>,
+    pub(crate) chains: RefCell<Chains>,
+    pub(crate) membership: RefCell<Membership>,
+    pub(crate) loads: RefCell<Loads>,
+    pub(crate) lease: RefCell<Lease>,
+    pub(crate) loading: RefCell<Loading>,
+    pub(crate) spending: RefCell<BTreeMap<Name, Spending>>,
+    /// Requests that wait for room, in the order in which they get it.
+    pub(crate) queue: RefCell<BTreeSet<(u32, u64)>>,
+    /// Room came free, or chains changed.
+    pub(crate) room: Notify,
+    /// Requests in progress.
+    pub(crate) in_flight: Cell<usize>,
+    pub(crate) draining: Cell<bool>,
+    pub(crate) sequence: Cell<u64>,
+    start: Duration,
+    rng: RefCell<StdRng>,
+}
+
+impl Node {
+    /// Opens the state of a process with `settings`.
+    ///
+    /// # Errors
+    /// The metrics cannot be set up.
+    pub fn open(settings: RelaySettings) -> Result<Rc<Node>, RelayError> {
+        let start = boot_time();
+        let incarnation = unix_ms();
+        let own = own_record(&settings, incarnation);
+        let cfg = MembershipConfig {
+            round_ms: ROUND_MS,
+            fanout: FANOUT,
+            ..MembershipConfig::default()
+        };
+        let now = Now {
+            mono_ms: 0,
+            unix_ms: incarnation,
+        };
+        let membership = Membership::new(own, settings.seeds.clone(), cfg, now);
+        let node = Node {
+            incarnation,
+            stop: CancellationToken::new(),
+            stats: Stats::open().map_err(RelayError::SetUp)?,
+            store: Store::open(settings.store, STORE_TIME),
+            intent: RefCell::default(),
+            vouch: RefCell::new(Vouch::new(settings.bounds.revocation_ms)),
+            runners: RefCell::default(),
+            listed: Cell::new(false),
+            chains: RefCell::default(),
+            membership: RefCell::new(membership),
+            loads: RefCell::default(),
+            lease: RefCell::new(Lease::new(settings.name.clone(), LEASE_MS)),
+            loading: RefCell::default(),
+            spending: RefCell::default(),
+            queue: RefCell::default(),
+            room: Notify::new(),
+            in_flight: Cell::new(0),
+            draining: Cell::new(false),
+            sequence: Cell::new(0),
+            start,
+            rng: RefCell::new(StdRng::seed_from_u64(seed(&settings.name, incarnation))),
+            settings,
+        };
+        Ok(Rc::new(node))
+    }
+
+    /// Milliseconds since the start, by a clock that also counts while the machine is suspended.
+    #[must_use]
+    pub fn now(&self) -> Millis {
+        let passed = boot_time().saturating_sub(self.start);
+        u64::try_from(passed.as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Both clocks. The time of day may be set by hours, so it is not looked at: the other clock
+    /// counts suspensions already.
+    pub(crate) fn clocks(&self) -> Now {
+        let mono_ms = self.now();
+        Now {
+            mono_ms,
+            unix_ms: self.incarnation + mono_ms,
+        }
+    }
+
+    /// A random number from 0 to 1.
+    pub(crate) fn draw(&self) -> f64 {
+        self.rng.borrow_mut().random()
+    }
+
+    /// A random whole number.
+    pub(crate) fn draw_u32(&self) -> u32 {
+        self.rng.borrow_mut().random()
+    }
+
+    /// Lends the source of randomness.
+    pub(crate) fn with_rng<T>(&self, f: impl FnOnce(&mut StdRng) -> T) -> T {
+        f(&mut self.rng.borrow_mut())
+    }
+
+    /// A number that no other request of this process has.
+    pub(crate) fn next_sequence(&self) -> u64 {
+        let next = self.sequence.get() + 1;
+        self.sequence.set(next);
+        next
+    }
+
+    /// The configuration in force.
+    pub(crate) fn intent(&self) -> Option<Rc<Intent>> {
+        self.intent.borrow().clone()
+    }
+
+    /// Takes in a configuration that was read.
+    pub(crate) fn offer(&self, offered: Intent) {
+        let in_force = self.intent.borrow().as_ref().map(|i| i.version);
+        match intent::compare(in_force, offered.version) {
+            Offered::Taken => {
+                let version = offered.version;
+                log::info!(version, before = in_force.unwrap_or(0); "configuration in force");
+                metrics::gauge!("jacinthweir_configuration_version").set(version as f64);
+                self.membership
+                    .borrow_mut()
+                    .set_revision(version, unix_ms());
+                *self.intent.borrow_mut() = Some(Rc::new(offered));
+                self.rebuild_chains();
+            }
+            Offered::Same => {}
+            Offered::Older { in_force } => {
+                log::warn!(offered = offered.version, in_force; "an older configuration is ignored");
+            }
+        }
+    }
+
+    /// Whether keyed requests may be sent on.
+    pub(crate) fn may_serve(&self) -> bool {
+        self.intent.borrow().is_some() && self.vouch.borrow().may_serve(self.now())
+    }
+
+    /// Whether callers may be sent here.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.draining.get() && self.listed.get() && self.may_serve()
+    }
+
+    /// Takes one further send for a service out of the common budget.
+    pub(crate) fn take_repeat(&self, service: &Name) -> bool {
+        let cfg = self.spending_config();
+        let instances = self.membership.borrow().live().count();
+        let now = self.now();
+        let mut spending = self.spending.borrow_mut();
+        let of_service = spending.entry(service.clone()).or_default();
+        let taken = of_service.take(now, &cfg, instances);
+        let outcome = if taken { "taken" } else { "refused" };
+        metrics::counter!("jacinthweir_repeats_total", "outcome" => outcome).increment(1);
+        taken
+    }
+
+    /// Counts a request towards the budget of its service.
+    pub(crate) fn count_request(&self, service: &Name) {
+        let cfg = self.spending_config();
+        let now = self.now();
+        let mut spending = self.spending.borrow_mut();
+        spending
+            .entry(service.clone())
+            .or_default()
+            .request(now, &cfg);
+    }
+
+    fn spending_config(&self) -> SpendingConfig {
+        let b = &self.settings.bounds;
+        SpendingConfig {
+            ratio: b.repeat_ratio,
+            slack: b.repeat_slack,
+            window_ms: b.repeat_window_ms(),
+        }
+    }
+}
+
+fn own_record(settings: &RelaySettings, incarnation: u64) -> MemberState {
+    let listen = &settings.listen;
+    MemberState {
+        name: settings.name.clone(),
+        incarnation,
+        heartbeat: 0,
+        callers: listen.callers,
+        peers: listen.peers,
+        operators: listen.operators,
+        domain: settings.failure_domain.clone(),
+        phase: Phase::Joining,
+        revision: 0,
+        revision_since_ms: 0,
+        in_flight: 0,
+    }
+}
+
+fn boot_time() -> Duration {
+    let t = clock_gettime(ClockId::Boottime);
+    let secs = u64::try_from(t.tv_sec).unwrap_or(0);
+    let nanos = u32::try_from(t.tv_nsec).unwrap_or(0);
+    Duration::new(secs, nanos)
+}
+
+/// Unix time, in milliseconds.
+pub(crate) fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
+}
+
+/// Instances that start in the same millisecond must not draw the same numbers.
+fn seed(name: &str, incarnation: u64) -> u64 {
+    let mix = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
+    name.bytes().fold(incarnation, mix)
+}
--- /dev/null
+++ b/plugins/relay/src/peers.rs
@@ -0,0 +1,346 @@
+//! Exchanges with other instances: who is there, what each has in flight, whom it found dead.
+//!
+//! The membership decides whom to exchange with. Loads travel with each exchange, each under its
+//! origin's own count, so that the newest wins on every way it takes.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Response};
+use http_body_util::Full;
+use jacinthweir_clients::direct;
+use jacinthweir_policy::member::Phase;
+use jacinthweir_policy::membership::{
+    Action, Member, MemberDelta, MemberDigest, MemberRecord, Peer, ProbeOutcome,
+};
+use jacinthweir_policy::prelude::*;
+use serde::{Deserialize, Serialize};
+use tokio::time::interval;
+
+use crate::node::{Node, ROUND_MS};
+use crate::probe;
+
+/// Where instances post their messages.
+pub(crate) const PATH: &str = "/peer";
+
+/// Time that a peer has to answer. Peers are a millisecond away; one that is slow for longer is as
+/// good as silent for this round.
+const ANSWER: Duration = Duration::from_millis(500);
+
+/// The longest message, in bytes: some 300 instances.
+pub(crate) const MESSAGE_BYTES: usize = 256 << 10;
+
+/// Age at which a load says nothing any more, in milliseconds.
+const LOAD_AGE_MS: Millis = 3_000;
+
+/// Peers that hear at once that this instance leaves.
+const ANNOUNCE_TO: usize = 8;
+
+/// What one instance has in flight, and what it believes.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub(crate) struct Load {
+    incarnation: u64,
+    /// Grows with each change.
+    count: u64,
+    /// Whether it hears the store.
+    store: bool,
+    /// Tokens in flight by service and failure domain.
+    used: Vec<(Name, Option<Name>, f64)>,
+    /// Runners that it found dead, by identity and lifetime.
+    dead: Vec<(Name, u64)>,
+}
+
+/// Loads of other instances, with the time of arrival.
+#[derive(Default)]
+pub(crate) struct Loads(BTreeMap<Name, (Load, Millis)>);
+
+impl Loads {
+    /// Tokens that the others have in flight in a domain.
+    pub(crate) fn used(&self, service: &Name, domain: Option<&Name>, now: Millis) -> f64 {
+        let fresh = self.0.values().filter(|(_, at)| now < at + LOAD_AGE_MS);
+        let used = fresh.flat_map(|(load, _)| &load.used);
+        let here = used.filter(|(s, d, _)| s == service && d.as_ref() == domain);
+        here.map(|(_, _, tokens)| tokens).sum()
+    }
+
+    /// Names of instances that hear the store.
+    fn with_store(&self, now: Millis) -> impl Iterator<Item = &Name> {
+        let fresh = self
+            .0
+            .iter()
+            .filter(move |(_, (_, at))| now < at + LOAD_AGE_MS);
+        fresh
+            .filter(|(_, (load, _))| load.store)
+            .map(|(name, _)| name)
+    }
+
+    fn put(&mut self, name: Name, load: Load, now: Millis) -> bool {
+        let key = |l: &Load| (l.incarnation, l.count);
+        let known = self.0.get(&name).map(|(l, _)| key(l));
+        let newer = known.is_none_or(|k| k < key(&load));
+        if newer {
+            self.0.insert(name, (load, now));
+        }
+        newer
+    }
+}
+
+#[derive(Serialize, Deserialize)]
+enum Message {
+    Exchange {
+        from: Name,
+        members: MemberDigest,
+        loads: Vec<(Name, Load)>,
+    },
+    Push {
+        from: Name,
+        members: MemberDelta,
+    },
+    Probe {
+        address: SocketAddr,
+    },
+    Own,
+}
+
+#[derive(Serialize, Deserialize)]
+enum Reply {
+    Exchange {
+        from: Name,
+        members: MemberDelta,
+        loads: Vec<(Name, Load)>,
+    },
+    Done,
+    Record(MemberRecord),
+    NotReached,
+}
+
+/// Starts the rounds.
+pub(crate) fn spawn(node: &Rc<Node>) {
+    let node = Rc::clone(node);
+    tokio::task::spawn_local(async move {
+        let stop = node.stop.clone();
+        let _ = stop.run_until_cancelled(run(&node)).await;
+    });
+}
+
+async fn run(node: &Rc<Node>) {
+    let mut ticks = interval(Duration::from_millis(ROUND_MS));
+    loop {
+        ticks.tick().await;
+        if node.is_ready() {
+            node.membership.borrow_mut().set_phase(Phase::Serving);
+        }
+        let in_flight = u32::try_from(node.in_flight.get()).unwrap_or(u32::MAX);
+        node.membership.borrow_mut().set_in_flight(in_flight);
+        let now = node.clocks();
+        let actions = node.with_rng(|rng| node.membership.borrow_mut().tick(now, rng));
+        carry_out(node, actions);
+    }
+}
+
+/// Tells others at once that this instance's phase changed.
+pub(crate) fn announce(node: &Rc<Node>, phase: Phase) {
+    node.membership.borrow_mut().set_phase(phase);
+    let actions = node.with_rng(|rng| node.membership.borrow().announce(ANNOUNCE_TO, rng));
+    carry_out(node, actions);
+}
+
+/// Whether this instance is the one to give orders: of those that hear the store, the first by
+/// name. The lease in the store decides where instances see this differently.
+pub(crate) fn is_candidate(node: &Node) -> bool {
+    let now = node.now();
+    let own = &node.settings.name;
+    if node.draining.get() || !hears_store(node) {
+        return false;
+    }
+    let loads = node.loads.borrow();
+    let membership = node.membership.borrow();
+    let serving = |name: &Name| membership.live().any(|m| m.name == *name);
+    let mut others = loads.with_store(now).filter(|n| serving(n));
+    !others.any(|name| name < own)
+}
+
+/// Age of the configuration's confirmation from which on an instance counts as cut off from the
+/// store, in milliseconds: two watches.
+const HEARD_MS: Millis = 3_000;
+
+fn hears_store(node: &Node) -> bool {
+    let age = node.vouch.borrow().age_ms(node.now());
+    age.is_some_and(|age| age < HEARD_MS)
+}
+
+fn carry_out(node: &Rc<Node>, actions: Vec<Action>) {
+    for action in actions {
+        let node = Rc::clone(node);
+        match action {
+            Action::Exchange {
+                peer,
+                round,
+                digest,
+            } => {
+                tokio::task::spawn_local(async move { exchange(&node, peer, round, digest).await })
+            }
+            Action::Probe {
+                via,
+                suspect,
+                round,
+            } => tokio::task::spawn_local(async move { ask_via(&node, via, suspect, round).await }),
+        };
+    }
+}
+
+async fn exchange(node: &Rc<Node>, peer: Peer, round: u64, digest: MemberDigest) {
+    let asked_ms = node.now();
+    let message = Message::Exchange {
+        from: node.settings.name.clone(),
+        members: digest,
+        loads: loads(node),
+    };
+    let reply = post(peer.address, &message).await;
+    let (from, members, loads) = match reply {
+        Ok(Reply::Exchange {
+            from,
+            members,
+            loads,
+        }) if peer.name.as_ref().is_none_or(|n| *n == from) => (from, members, loads),
+        other => {
+            let cause = other
+                .err()
+                .unwrap_or_else(|| "another instance answered".to_owned());
+            log::debug!(peer:% = peer, cause; "exchange failed");
+            metrics::counter!("jacinthweir_exchanges_failed_total").increment(1);
+            let now = node.clocks();
+            let actions = node.with_rng(|rng| {
+                let mut membership = node.membership.borrow_mut();
+                membership.exchange_failed(now, &peer, round, rng)
+            });
+            carry_out(node, actions);
+            return;
+        }
+    };
+    take_loads(node, loads);
+    let push = {
+        let mut membership = node.membership.borrow_mut();
+        membership.receive_answer(node.clocks(), asked_ms, &from, &members)
+    };
+    if let Some(members) = push {
+        let from = node.settings.name.clone();
+        let pushed = post(peer.address, &Message::Push { from, members }).await;
+        // The next exchange makes good for a lost push: the digests still differ.
+        if let Err(cause) = pushed {
+            log::debug!(peer:% = peer, cause; "push failed");
+        }
+    }
+}
+
+async fn ask_via(node: &Rc<Node>, via: Peer, suspect: Peer, round: u64) {
+    let (Some(via_name), Some(suspect_name)) = (via.name, suspect.name) else {
+        return;
+    };
+    let message = Message::Probe {
+        address: suspect.address,
+    };
+    let outcome = match post(via.address, &message).await {
+        Ok(Reply::Record(record)) => ProbeOutcome::Reached(record),
+        Ok(Reply::NotReached) => ProbeOutcome::NotReached,
+        Ok(_) | Err(_) => ProbeOutcome::NoAnswer,
+    };
+    let now = node.clocks();
+    let mut membership = node.membership.borrow_mut();
+    membership.probe_result(now, &suspect_name, &via_name, round, &outcome);
+    if membership
+        .member(&suspect_name)
+        .is_some_and(Member::suspected)
+    {
+        log::warn!(peer = suspect_name.as_ref(), confirmed_by = via_name.as_ref(); "instance is suspected");
+    }
+}
+
+/// Answers a message of another instance.
+pub(crate) async fn answer(node: &Rc<Node>, body: &[u8]) -> Option<Vec<u8>> {
+    let message: Message = rmp_serde::from_slice(body).ok()?;
+    let reply = match message {
+        Message::Exchange {
+            from,
+            members,
+            loads: theirs,
+        } => {
+            take_loads(node, theirs);
+            let mut membership = node.membership.borrow_mut();
+            let members = membership.receive_digest(node.clocks(), &from, &members);
+            drop(membership);
+            Reply::Exchange {
+                from: node.settings.name.clone(),
+                members,
+                loads: loads(node),
+            }
+        }
+        Message::Push { from, members } => {
+            let mut membership = node.membership.borrow_mut();
+            membership.receive_push(node.clocks(), &from, &members);
+            Reply::Done
+        }
+        Message::Own => Reply::Record(node.membership.borrow().own().clone()),
+        Message::Probe { address } => match post(address, &Message::Own).await {
+            Ok(Reply::Record(record)) => Reply::Record(record),
+            _ => Reply::NotReached,
+        },
+    };
+    rmp_serde::to_vec(&reply).ok()
+}
+
+fn loads(node: &Node) -> Vec<(Name, Load)> {
+    let now = node.now();
+    let chains = node.chains.borrow();
+    let used = chains.used().filter(|(_, _, tokens)| *tokens >= 1.0);
+    let runners = node.runners.borrow();
+    let dead = runners.entries().filter(|e| runners.standing(&e.id).dead);
+    let own = Load {
+        incarnation: node.incarnation,
+        count: now,
+        store: hears_store(node),
+        used: used
+            .map(|(s, d, tokens)| (s.clone(), d.cloned(), tokens))
+            .collect(),
+        dead: dead.map(|e| (e.id.clone(), e.born_ms)).collect(),
+    };
+    let mut all = vec![(node.settings.name.clone(), own)];
+    let others = node.loads.borrow();
+    let fresh = others
+        .0
+        .iter()
+        .filter(|(_, (_, at))| now < at + LOAD_AGE_MS);
+    all.extend(fresh.map(|(name, (load, _))| (name.clone(), load.clone())));
+    all
+}
+
+fn take_loads(node: &Rc<Node>, loads: Vec<(Name, Load)>) {
+    let now = node.now();
+    for (name, load) in loads {
+        if name == node.settings.name {
+            continue;
+        }
+        let dead = load.dead.clone();
+        if node.loads.borrow_mut().put(name, load, now) {
+            for (id, born_ms) in dead {
+                probe::ask_about(node, &id, born_ms);
+            }
+        }
+    }
+}
+
+async fn post(address: SocketAddr, message: &Message) -> Result<Reply, String> {
+    let body = rmp_serde::to_vec(message).map_err(|e| e.to_string())?;
+    let mut req = Request::new(Full::new(Bytes::from(body)));
+    *req.method_mut() = Method::POST;
+    *req.uri_mut() = http::Uri::from_static(PATH);
+    let host = http::HeaderValue::from_str(&address.to_string()).map_err(|e| e.to_string())?;
+    req.headers_mut().insert(http::header::HOST, host);
+    let res: Response<Bytes> = direct::ask(address, req, ANSWER, MESSAGE_BYTES)
+        .await
+        .map_err(|e| e.to_string())?;
+    rmp_serde::from_slice(res.body()).map_err(|e| e.to_string())
+}
--- /dev/null
+++ b/plugins/relay/src/probe.rs
@@ -0,0 +1,174 @@
+//! Asks the parts of a silent chain, to find the one that is dead.
+//!
+//! A runner's report needs no slot and is answered however long its queue is, so a part that does
+//! not answer twice is dead or cut off, not busy.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures::future::join_all;
+use jacinthweir_platform::runner::{self, Report};
+use jacinthweir_policy::prelude::*;
+use tokio::time::{interval, sleep};
+
+use crate::live::LiveChain;
+use crate::node::Node;
+
+/// Period of looking for silent chains.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Time that a runner has to answer. A report is one round trip; a lost packet is sent again
+/// after some 200 ms, which the second try covers.
+const ANSWER: Duration = Duration::from_millis(180);
+
+/// Period of asking dead runners whether they are back.
+const REVIVE: Duration = Duration::from_millis(700);
+
+/// Starts looking.
+pub(crate) fn spawn(node: &Rc<Node>) {
+    let looking = Rc::clone(node);
+    tokio::task::spawn_local(async move {
+        let stop = looking.stop.clone();
+        let _ = stop.run_until_cancelled(look(&looking)).await;
+    });
+    let reviving = Rc::clone(node);
+    tokio::task::spawn_local(async move {
+        let stop = reviving.stop.clone();
+        let _ = stop.run_until_cancelled(revive(&reviving)).await;
+    });
+}
+
+async fn look(node: &Rc<Node>) {
+    let mut ticks = interval(LOOK);
+    loop {
+        ticks.tick().await;
+        let now = node.now();
+        let silent: Vec<Rc<LiveChain>> = {
+            let chains = node.chains.borrow();
+            let alive = chains.all().filter(|l| !l.broken.is_cancelled());
+            alive
+                .filter(|l| l.silence.borrow_mut().should_ask(now))
+                .cloned()
+                .collect()
+        };
+        for live in silent {
+            tokio::task::spawn_local(ask_parts(Rc::clone(node), live));
+        }
+    }
+}
+
+async fn ask_parts(node: Rc<Node>, live: Rc<LiveChain>) {
+    let now = node.now();
+    let (silent_ms, waiting) = {
+        let silence = live.silence.borrow();
+        (silence.silent_ms(now), silence.waiting())
+    };
+    log::warn!(chain = live.label(), silent_ms, waiting; "a chain is silent, asking its parts");
+    let parts = live
+        .chain
+        .stages
+        .iter()
+        .map(|s| ask_twice(s.runner.address));
+    let reports = join_all(parts).await;
+    let mut changed = false;
+    for (stage, report) in live.chain.stages.iter().zip(&reports) {
+        let dead = match report {
+            Some(r) => !r.is_of(stage.runner.born_ms),
+            None => true,
+        };
+        if dead {
+            changed |= mark_dead(&node, &stage.runner.id, stage.runner.born_ms);
+        }
+        let stalled = report.iter().flat_map(|r| r.stalled.values());
+        for address in stalled {
+            changed |= mark_dead_at(&node, *address);
+        }
+    }
+    if changed {
+        node.rebuild_chains();
+    }
+}
+
+async fn ask_twice(address: SocketAddr) -> Option<Report> {
+    for _ in 0..2 {
+        metrics::counter!("jacinthweir_probes_total").increment(1);
+        if let Ok(report) = runner::report(address, ANSWER).await {
+            return Some(report);
+        }
+    }
+    None
+}
+
+/// Marks one lifetime of a runner as dead.
+pub(crate) fn mark_dead(node: &Node, id: &Name, born_ms: u64) -> bool {
+    let mut runners = node.runners.borrow_mut();
+    let Some(standing) = runners.standing_mut(id) else {
+        return false;
+    };
+    if standing.dead || standing.born_ms != born_ms {
+        return false;
+    }
+    standing.dead = true;
+    log::warn!(runner = id.as_ref(), born_ms; "runner counts as dead");
+    metrics::counter!("jacinthweir_runners_dead_total").increment(1);
+    true
+}
+
+fn mark_dead_at(node: &Node, address: SocketAddr) -> bool {
+    let found = {
+        let runners = node.runners.borrow();
+        runners.at(address).map(|e| (e.id.clone(), e.born_ms))
+    };
+    found.is_some_and(|(id, born_ms)| mark_dead(node, &id, born_ms))
+}
+
+/// Asks a runner that somebody else found dead.
+pub(crate) fn ask_about(node: &Rc<Node>, id: &Name, born_ms: u64) {
+    let address = {
+        let runners = node.runners.borrow();
+        let entry = runners.entry(id).filter(|e| e.born_ms == born_ms);
+        entry
+            .filter(|e| !runners.standing(&e.id).dead)
+            .map(|e| e.address)
+    };
+    let Some(address) = address else {
+        return;
+    };
+    let (node, id) = (Rc::clone(node), id.clone());
+    tokio::task::spawn_local(async move {
+        if ask_twice(address).await.is_none() && mark_dead(&node, &id, born_ms) {
+            node.rebuild_chains();
+        }
+    });
+}
+
+/// Brings back runners that answer again in the same lifetime: a cut healed.
+async fn revive(node: &Rc<Node>) {
+    loop {
+        sleep(REVIVE).await;
+        let dead: Vec<(Name, SocketAddr, u64)> = {
+            let runners = node.runners.borrow();
+            let dead = runners.entries().filter(|e| runners.standing(&e.id).dead);
+            dead.map(|e| (e.id.clone(), e.address, e.born_ms)).collect()
+        };
+        let asked = dead
+            .iter()
+            .map(|(_, address, _)| runner::report(*address, ANSWER));
+        let reports = join_all(asked).await;
+        let mut changed = false;
+        for ((id, _, born_ms), report) in dead.iter().zip(reports) {
+            let same = |r: &Report| r.is_of(*born_ms);
+            if report.as_ref().is_ok_and(same)
+                && let Some(standing) = node.runners.borrow_mut().standing_mut(id)
+            {
+                standing.dead = false;
+                changed = true;
+                log::info!(runner = id.as_ref(); "runner answers again");
+            }
+        }
+        if changed {
+            node.rebuild_chains();
+        }
+    }
+}
--- /dev/null
+++ b/plugins/relay/src/server.rs
@@ -0,0 +1,270 @@
+//! Listeners: callers, the platform's checks, entry answers, other instances, operators.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use jacinthweir_platform::entry;
+use jacinthweir_policy::entry::{EntryConfig, entry_answer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::answer::{RelayBody, plain, whole};
+use crate::node::Node;
+use crate::{RelayError, dump, peers, request};
+
+/// The most addresses in an entry answer; callers draw one at random.
+const MAX_ADDRESSES: usize = 64;
+
+/// Pause after a failed accept: descriptors are used up, and the next try would fail as well.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Read buffer of a connection, in bytes, above the largest head that callers may send.
+const READ_BUFFER_BYTES: usize = 24 << 10;
+
+/// The most headers of a request.
+const MAX_HEADERS: usize = 100;
+
+/// A listener, by whom it is for.
+#[derive(Clone, Copy, Debug, derive_more::Display, PartialEq, Eq)]
+enum Face {
+    #[display("callers")]
+    Callers,
+    #[display("readiness")]
+    Ready,
+    #[display("entry")]
+    Entry,
+    #[display("peers")]
+    Peers,
+    #[display("operators")]
+    Operators,
+}
+
+/// The listeners of a process.
+pub(crate) struct Servers {
+    /// Cancelled: new connections are refused.
+    pub(crate) refuse: CancellationToken,
+    /// Cancelled: connections are closed once their request in progress has ended.
+    pub(crate) finish: CancellationToken,
+    /// Connections of callers.
+    pub(crate) callers: TaskTracker,
+}
+
+/// Opens all listeners.
+pub(crate) async fn bind(node: &Rc<Node>) -> Result<Servers, RelayError> {
+    let servers = Servers {
+        refuse: CancellationToken::new(),
+        finish: CancellationToken::new(),
+        callers: TaskTracker::new(),
+    };
+    let listen = &node.settings.listen;
+    let faces = [
+        (Face::Callers, listen.callers),
+        (Face::Ready, listen.ready),
+        (Face::Entry, listen.entry),
+        (Face::Peers, listen.peers),
+        (Face::Operators, listen.operators),
+    ];
+    for (face, address) in faces {
+        let listener = TcpListener::bind(address).await;
+        let listener = listener.map_err(|cause| RelayError::Bind {
+            face: name(face),
+            address,
+            cause,
+        })?;
+        let stop = match face {
+            Face::Callers => servers.refuse.clone(),
+            _ => node.stop.clone(),
+        };
+        let accepting = accept(
+            Rc::clone(node),
+            face,
+            listener,
+            servers.finish.clone(),
+            servers.callers.clone(),
+        );
+        tokio::task::spawn_local(async move {
+            let _ = stop.run_until_cancelled(accepting).await;
+        });
+    }
+    Ok(servers)
+}
+
+fn name(face: Face) -> &'static str {
+    match face {
+        Face::Callers => "callers",
+        Face::Ready => "readiness",
+        Face::Entry => "entry",
+        Face::Peers => "peers",
+        Face::Operators => "operators",
+    }
+}
+
+async fn accept(
+    node: Rc<Node>,
+    face: Face,
+    listener: TcpListener,
+    finish: CancellationToken,
+    callers: TaskTracker,
+) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                log::warn!(face:% = face, cause:% = e; "accept failed");
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        // Without it an event waits for the acknowledgement of the one before; it comes all the
+        // same.
+        let _ = stream.set_nodelay(true);
+        if face == Face::Callers {
+            if callers.len() >= node.settings.limits.connections {
+                log::warn!(connections = callers.len(); "too many connections");
+                continue;
+            }
+            let connection = connection(Rc::clone(&node), face, stream, finish.clone());
+            callers.spawn_local(connection);
+        } else {
+            let none = CancellationToken::new();
+            tokio::task::spawn_local(connection(Rc::clone(&node), face, stream, none));
+        }
+    }
+}
+
+async fn connection(node: Rc<Node>, face: Face, stream: TcpStream, finish: CancellationToken) {
+    let idle_ms = node.intent().map_or_else(
+        || jacinthweir_policy::relay::intent::CallerLimits::default().idle_timeout_ms,
+        |i| i.limits.idle_timeout_ms,
+    );
+    let service = service_fn(|req| {
+        let node = Rc::clone(&node);
+        async move { Ok::<_, Infallible>(route(&node, face, req).await) }
+    });
+    let mut builder = http1::Builder::new();
+    // The timer also runs while a kept connection is idle, and callers use one that was idle for
+    // most of the time that the configuration names.
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(idle_ms))
+        .max_buf_size(READ_BUFFER_BYTES)
+        .max_headers(MAX_HEADERS);
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = finish.cancelled() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(e) = ended {
+        log::debug!(face:% = face, cause:% = e; "connection ended");
+    }
+}
+
+async fn route(node: &Rc<Node>, face: Face, req: Request<Incoming>) -> Response<RelayBody> {
+    match face {
+        Face::Callers => {
+            let _counted = InFlight::open(node);
+            request::serve(node, req).await
+        }
+        Face::Ready if req.uri().path() == entry::READY_PATH => ready(node),
+        Face::Entry if req.uri().path() == entry::ADDRESSES_PATH => {
+            addresses(node, req.uri().query())
+        }
+        Face::Peers if req.uri().path() == peers::PATH => peer(node, req).await,
+        Face::Operators => operators(node, &req),
+        _ => plain(StatusCode::NOT_FOUND, "no such path"),
+    }
+}
+
+fn ready(node: &Node) -> Response<RelayBody> {
+    if node.is_ready() {
+        plain(StatusCode::OK, "ready")
+    } else {
+        plain(StatusCode::SERVICE_UNAVAILABLE, "not ready")
+    }
+}
+
+fn addresses(node: &Node, query: Option<&str>) -> Response<RelayBody> {
+    let domain = query.and_then(entry::caller_domain);
+    let cfg = EntryConfig {
+        ttl_ms: node.settings.bounds.entry_ttl_ms,
+        max_addresses: MAX_ADDRESSES,
+    };
+    let own = &node.settings.name;
+    let ready = node.is_ready();
+    let membership = node.membership.borrow();
+    let live = membership.live().filter(|m| m.name != *own || ready);
+    let answer = node.with_rng(|rng| entry_answer(live, domain, &cfg, rng));
+    let mut found: Vec<SocketAddr> = answer.addresses.iter().map(|a| a.address).collect();
+    if found.is_empty() && !node.draining.get() {
+        // Nobody is known to serve: this instance at least says when to come back.
+        found.push(node.settings.listen.callers);
+    }
+    if found.is_empty() {
+        return plain(StatusCode::SERVICE_UNAVAILABLE, "no instance serves");
+    }
+    let body = entry::addresses(&found, cfg.ttl_ms);
+    whole(StatusCode::OK, "application/json", body.into())
+}
+
+async fn peer(node: &Rc<Node>, req: Request<Incoming>) -> Response<RelayBody> {
+    let body = Limited::new(req.into_body(), peers::MESSAGE_BYTES)
+        .collect()
+        .await;
+    let Ok(body) = body else {
+        return plain(StatusCode::BAD_REQUEST, "message not readable");
+    };
+    match peers::answer(node, &body.to_bytes()).await {
+        Some(reply) => whole(StatusCode::OK, "application/msgpack", reply.into()),
+        None => plain(StatusCode::BAD_REQUEST, "message not understood"),
+    }
+}
+
+fn operators(node: &Node, req: &Request<Incoming>) -> Response<RelayBody> {
+    if req.method() != Method::GET {
+        return plain(StatusCode::METHOD_NOT_ALLOWED, "GET only");
+    }
+    match req.uri().path() {
+        "/metrics" => {
+            let text = Bytes::from(node.stats.render());
+            whole(StatusCode::OK, "text/plain; version=0.0.4", text)
+        }
+        "/dump" => whole(StatusCode::OK, "application/json", dump::dump(node).into()),
+        _ => plain(
+            StatusCode::NOT_FOUND,
+            "no such path: /metrics and /dump are here",
+        ),
+    }
+}
+
+/// Counts a request while its head is awaited; its stream is counted by its chain.
+struct InFlight<'a>(&'a Node);
+
+impl<'a> InFlight<'a> {
+    fn open(node: &'a Node) -> InFlight<'a> {
+        node.in_flight.set(node.in_flight.get() + 1);
+        InFlight(node)
+    }
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.0
+            .in_flight
+            .set(self.0.in_flight.get().saturating_sub(1));
+    }
+}
--- /dev/null
+++ b/plugins/relay/src/stream.rs
@@ -0,0 +1,385 @@
+//! Streams of events through a chain of runners.
+//!
+//! Until a runner's head has come, another chain may take the request. Afterwards the caller has a
+//! status and a receipt: a run that breaks is then gone on with by another one inside the same
+//! answer, from the event behind the last whole one, or the caller's connection is cut.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::stream::unfold;
+use http::{Response, StatusCode};
+use jacinthweir_clients::direct::{AnswerBody, DirectError};
+use jacinthweir_platform::header;
+use jacinthweir_policy::prelude::*;
+use tokio::time::{sleep, timeout};
+
+use crate::admit;
+use crate::answer::{Cause, Cut, Journal, RelayBody};
+use crate::attempt::{self, Sent};
+use crate::events::Events;
+use crate::live::{LiveChain, Passage};
+use crate::node::Node;
+use crate::probe;
+use crate::request::{Proxied, count};
+
+/// Time after the last event within which a run must be gone on with, in milliseconds. Callers
+/// give up after a gap of two seconds.
+const PATIENCE_MS: Millis = 1_700;
+
+/// Pause between looks for a chain that can go on with a run.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// When to come back where there is no room, and where no chain is whole, in milliseconds; up to as
+/// much again is added, so that those refused together do not return together.
+const NO_ROOM_MS: f64 = 700.0;
+const NO_CHAIN_MS: f64 = 1_000.0;
+
+/// What is tried in a chain that ended without a head.
+enum Opened {
+    Stream(Passage, Response<AnswerBody>),
+    NotRun,
+    Unreached,
+    Broken,
+    Lost,
+    Timeout,
+}
+
+/// Serves a request through a chain.
+pub(crate) async fn serve(node: &Rc<Node>, rq: Proxied) -> Response<RelayBody> {
+    node.count_request(&rq.service);
+    let mut journal = Journal::default();
+    let mut excluded: Vec<Rc<LiveChain>> = Vec::new();
+    let mut free_repeats = 0;
+    let cause = loop {
+        if journal.sends >= rq.max_attempts + free_repeats {
+            break Cause::RunnerFailed;
+        }
+        let live = match admit::wait(node, &rq, &excluded).await {
+            Ok(live) => live,
+            Err(cause) => break cause,
+        };
+        if journal.sends > 0 && !node.take_repeat(&rq.service) {
+            break Cause::RunnerFailed;
+        }
+        journal.hand();
+        excluded.push(Rc::clone(&live));
+        match open(node, &rq, &live, rq.last_event).await {
+            Opened::Stream(passage, res) => return pass_on(node, rq, passage, res, journal),
+            Opened::NotRun => journal.not_run(),
+            Opened::Unreached => journal.unreached(),
+            // The run ended with its runner, which does not count as an attempt.
+            Opened::Broken => free_repeats = 1,
+            Opened::Lost => {}
+            Opened::Timeout => break Cause::Timeout,
+        }
+        if journal.may_have_run() && !rq.class.repeatable() {
+            break Cause::RunnerFailed;
+        }
+    };
+    refuse(node, &rq, journal, cause)
+}
+
+fn refuse(node: &Node, rq: &Proxied, journal: Journal, cause: Cause) -> Response<RelayBody> {
+    let base = match cause {
+        Cause::NoRunner => NO_CHAIN_MS,
+        _ => NO_ROOM_MS,
+    };
+    let res = journal.failure(cause, (base * (1.0 + node.draw())) as Millis);
+    log::info!(
+        request = rq.id.as_ref(),
+        route = rq.route.as_ref(),
+        cause:% = cause,
+        sends = journal.sends,
+        status = res.status().as_u16(),
+        after_ms = node.now() - rq.received_ms;
+        "not answered"
+    );
+    count(if journal.may_have_run() {
+        "failed"
+    } else {
+        "refused"
+    });
+    res
+}
+
+/// Sends a request into a chain and waits for the head.
+async fn open(node: &Rc<Node>, rq: &Proxied, live: &Rc<LiveChain>, after: Option<u64>) -> Opened {
+    let passage = Passage::open(node, Rc::clone(live), admit::tokens(rq));
+    let head = live.chain.head();
+    let mut req = rq.to_send(node, &head.id);
+    if let Some(value) = header::value(&header::chain(&live.chain)) {
+        req.headers_mut().insert(header::CHAIN, value);
+    }
+    if let Some(after) = after {
+        req.headers_mut().insert(header::LAST_EVENT, after.into());
+    }
+    let left = Duration::from_millis(rq.left_ms(node));
+    let sent = tokio::select! {
+        sent = timeout(left, attempt::send(head.address, &rq.id, req)) => sent,
+        () = live.broken.cancelled() => {
+            log_attempt(rq, live, "chain broke", "");
+            return Opened::Broken;
+        }
+    };
+    match sent {
+        Ok(Sent::Answer(res)) => Opened::Stream(passage, res),
+        Ok(Sent::NotRun { status, at_fault }) => {
+            log_attempt(rq, live, "not run", status.as_str());
+            if let Some(address) = at_fault.filter(|_| status == StatusCode::MISDIRECTED_REQUEST) {
+                misreported(node, address);
+            }
+            Opened::NotRun
+        }
+        Ok(Sent::Unreached(cause)) => {
+            log_attempt(rq, live, "not reached", &cause);
+            if probe::mark_dead(node, &head.id, head.born_ms) {
+                node.rebuild_chains();
+            }
+            Opened::Unreached
+        }
+        Ok(Sent::Lost(cause)) => {
+            log_attempt(rq, live, "lost", &cause);
+            Opened::Lost
+        }
+        Err(_) => {
+            log_attempt(rq, live, "timeout", "");
+            Opened::Timeout
+        }
+    }
+}
+
+/// A runner does not hold what its entry says: it is passed over until its entry changes.
+fn misreported(node: &Node, address: std::net::SocketAddr) {
+    let found = {
+        let runners = node.runners.borrow();
+        runners.at(address).map(|e| (e.id.clone(), e.layers))
+    };
+    let Some((id, layers)) = found else {
+        return;
+    };
+    if let Some(s) = node.runners.borrow_mut().standing_mut(&id) {
+        s.misreported = layers;
+    }
+    log::warn!(runner = id.as_ref(), layers:? = layers; "runner does not hold what its entry says");
+    node.rebuild_chains();
+}
+
+fn log_attempt(rq: &Proxied, live: &LiveChain, outcome: &str, cause: &str) {
+    log::info!(
+        request = rq.id.as_ref(),
+        chain = live.label(),
+        runner = live.chain.head().id.as_ref(),
+        outcome,
+        cause;
+        "attempt"
+    );
+}
+
+/// Passes a runner's answer on.
+fn pass_on(
+    node: &Rc<Node>,
+    rq: Proxied,
+    passage: Passage,
+    res: Response<AnswerBody>,
+    journal: Journal,
+) -> Response<RelayBody> {
+    let (parts, body) = res.into_parts();
+    let now = node.now();
+    passage.heard();
+    metrics::histogram!("jacinthweir_first_event_seconds")
+        .record((now - rq.received_ms) as f64 / 1e3);
+    let run = Run {
+        events: Events::after(rq.last_event),
+        ok: parts.status.is_success(),
+        heard_ms: now,
+        resumed: 0,
+        journal,
+        passage: Some(passage),
+        body: Some(body),
+        node: Rc::clone(node),
+        rq,
+        ended: false,
+    };
+    let stream = unfold(run, |mut run| async {
+        let item = run.next().await?;
+        Some((item, run))
+    });
+    let mut out = Response::new(RelayBody::Stream(Box::pin(stream)));
+    *out.status_mut() = parts.status;
+    *out.headers_mut() = header::passed_on(&parts.headers);
+    out
+}
+
+/// A stream that is passed on.
+struct Run {
+    node: Rc<Node>,
+    rq: Proxied,
+    passage: Option<Passage>,
+    body: Option<AnswerBody>,
+    events: Events,
+    /// Whether it is a success: only then are its bytes events.
+    ok: bool,
+    heard_ms: Millis,
+    resumed: u32,
+    journal: Journal,
+    ended: bool,
+}
+
+/// What came next.
+enum Next {
+    Bytes(Bytes),
+    End,
+    Broke(String),
+    ChainBroke,
+    Timeout,
+}
+
+impl Run {
+    async fn next(&mut self) -> Option<Result<Bytes, Cut>> {
+        while !self.ended {
+            match self.read().await {
+                Next::Bytes(bytes) if !self.ok => return Some(Ok(bytes)),
+                Next::Bytes(bytes) => {
+                    self.heard();
+                    match self.events.push(&bytes) {
+                        Ok(whole) if whole.is_empty() => {}
+                        Ok(whole) => return Some(Ok(whole)),
+                        Err(e) => return self.cut(e.to_string()),
+                    }
+                }
+                Next::End if !(self.ok && self.events.holds_part()) => return self.end(),
+                Next::End => {
+                    let cause = "ended within an event".to_owned();
+                    if self.go_on(&cause, false).await.is_none() {
+                        return self.cut(cause);
+                    }
+                }
+                Next::Broke(cause) => {
+                    if self.go_on(&cause, false).await.is_none() {
+                        return self.cut(cause);
+                    }
+                }
+                Next::ChainBroke => {
+                    let cause = "chain broke".to_owned();
+                    if self.go_on(&cause, true).await.is_none() {
+                        return self.cut(cause);
+                    }
+                }
+                Next::Timeout => return self.cut("out of time".to_owned()),
+            }
+        }
+        None
+    }
+
+    async fn read(&mut self) -> Next {
+        let left = Duration::from_millis(self.rq.left_ms(&self.node));
+        let (Some(body), Some(passage)) = (&mut self.body, &self.passage) else {
+            return Next::Broke("no run".to_owned());
+        };
+        tokio::select! {
+            biased;
+            bytes = body.next() => match bytes {
+                Some(Ok(bytes)) => Next::Bytes(bytes),
+                Some(Err(DirectError::Unreached { cause } | DirectError::Unknown { cause })) => {
+                    Next::Broke(cause)
+                }
+                None => Next::End,
+            },
+            () = passage.live.broken.cancelled() => Next::ChainBroke,
+            () = sleep(left) => Next::Timeout,
+        }
+    }
+
+    fn heard(&mut self) {
+        self.heard_ms = self.node.now();
+        if let Some(passage) = &self.passage {
+            passage.heard();
+        }
+    }
+
+    /// Goes on with another run behind the last whole event; `None` if that cannot be.
+    async fn go_on(&mut self, cause: &str, runner_died: bool) -> Option<()> {
+        self.body = None;
+        self.passage = None;
+        let free = u32::from(runner_died);
+        let may = self.ok
+            && self.rq.class.repeatable()
+            && self.journal.sends < self.rq.max_attempts + free;
+        if !may || !self.node.take_repeat(&self.rq.service) {
+            return None;
+        }
+        self.events.resume();
+        let until = self.heard_ms + PATIENCE_MS;
+        let mut excluded: Vec<Rc<LiveChain>> = Vec::new();
+        while self.node.now() < until {
+            // Work under way goes before new work: it does not wait in the queue.
+            let tokens = admit::tokens(&self.rq) / 2.0;
+            let live = self.node.choose_chain(&self.rq.service, tokens, &excluded);
+            let Some(live) = live else {
+                sleep(LOOK).await;
+                continue;
+            };
+            self.journal.hand();
+            let after = self.events.last();
+            match open(&self.node, &self.rq, &live, after).await {
+                Opened::Stream(passage, res) if res.status() == StatusCode::OK => {
+                    self.resumed += 1;
+                    count("resumed");
+                    log::info!(
+                        request = self.rq.id.as_ref(),
+                        chain = live.label(),
+                        after:? = after,
+                        silent_ms = self.node.now() - self.heard_ms,
+                        cause;
+                        "resumed"
+                    );
+                    self.passage = Some(passage);
+                    self.body = Some(res.into_body());
+                    return Some(());
+                }
+                Opened::Unreached => self.journal.unreached(),
+                Opened::NotRun => {
+                    excluded.push(live);
+                    self.journal.not_run();
+                }
+                _ => return None,
+            }
+        }
+        None
+    }
+
+    fn end(&mut self) -> Option<Result<Bytes, Cut>> {
+        self.ended = true;
+        let after_ms = self.node.now() - self.rq.received_ms;
+        count("answered");
+        log::info!(
+            request = self.rq.id.as_ref(),
+            route = self.rq.route.as_ref(),
+            chain = self.passage.as_ref().map_or_else(String::new, |p| p.live.label()),
+            resumed = self.resumed,
+            after_ms;
+            "answered"
+        );
+        self.passage = None;
+        self.body = None;
+        None
+    }
+
+    fn cut(&mut self, cause: String) -> Option<Result<Bytes, Cut>> {
+        self.ended = true;
+        self.passage = None;
+        self.body = None;
+        count("cut");
+        log::warn!(
+            request = self.rq.id.as_ref(),
+            route = self.rq.route.as_ref(),
+            cause = cause.as_str(),
+            last_event:? = self.events.last(),
+            after_ms = self.node.now() - self.rq.received_ms;
+            "stream cut"
+        );
+        Some(Err(Cut { cause }))
+    }
+}
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod outcome;
 pub mod prelude;
 pub mod region;
+pub mod relay;
 pub mod retry;
 pub mod route;
 pub mod schema;
--- /dev/null
+++ b/policy/src/relay.rs
@@ -0,0 +1,26 @@
+//! Decisions of the relay: requests whose bodies the product does not read are forwarded to
+//! runners that together hold a model, or to plain services.
+//!
+//! | module | decides |
+//! |---|---|
+//! | [`intent`] | which configuration is in force, which route a request takes, whose key it bears |
+//! | [`vouch`] | whether this instance may still act on that configuration |
+//! | [`runners`] | what is known of each runner |
+//! | [`chain`] | through which runners a token passes |
+//! | [`placement`] | which runner is to hold which layers |
+//! | [`lease`] | which instance gives orders |
+//! | [`silence`] | when a chain has fallen silent |
+//! | [`rooms`] | which chain a request goes to, waits for, or is refused by |
+//! | [`spending`] | whether a request may be sent once more |
+//!
+//! None of them reads a clock or a socket.
+
+pub mod chain;
+pub mod intent;
+pub mod lease;
+pub mod placement;
+pub mod rooms;
+pub mod runners;
+pub mod silence;
+pub mod spending;
+pub mod vouch;
--- /dev/null
+++ b/policy/src/relay/placement.rs
@@ -0,0 +1,245 @@
+//! Which runner is to hold which layers.
+//!
+//! Runners start empty and lose all on restart, so the placement is a repair that never ends: each
+//! call of [`plan`] takes what the runners hold now and names the next orders. It depends on its
+//! arguments only, so any instance that takes over goes on where the last one stopped.
+//!
+//! Each failure domain is to hold the model once with as much room for requests as fits, and the
+//! runners that are left over hold second copies of what is held once. A domain that lost a runner
+//! is filled up again from those, and by growing ranges at their ends, which loads only what is
+//! new. What takes part in the only whole chain is not moved.
+//!
+//! The room that a domain is planned for goes down in steps until the model fits; after the loss
+//! of many runners a small room serves more than none.
+
+use std::collections::BTreeMap;
+
+use crate::prelude::*;
+use crate::relay::chain::{Holder, cheapest};
+use crate::relay::intent::{Accelerator, Engine};
+use crate::relay::runners::{RunnerEntry, Runners};
+
+/// Shares of the declared room that a domain is planned for, tried in turn. The last is room for
+/// a few requests.
+const ROOM_STEPS: [f64; 6] = [1.0, 0.8, 0.6, 0.45, 0.3, 0.15];
+
+/// A runner is to hold this range.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Move {
+    /// Runner.
+    pub runner: Name,
+    /// Its address.
+    pub address: std::net::SocketAddr,
+    /// First layer, and one past the last.
+    pub layers: (u32, u32),
+    /// Why: a hole is filled, or a second copy made.
+    pub why: MoveReason,
+}
+
+/// Why a runner is given layers.
+#[derive(Clone, Copy, Debug, derive_more::Display, PartialEq, Eq)]
+pub enum MoveReason {
+    /// Nobody in the domain holds them.
+    #[display("hole")]
+    Hole,
+    /// One runner alone holds them.
+    #[display("second copy")]
+    SecondCopy,
+}
+
+/// A runner within its domain, with what it holds or is loading.
+#[derive(Clone, Debug)]
+struct Seat<'a> {
+    entry: &'a RunnerEntry,
+    kind: Accelerator,
+    layers: Option<(u32, u32)>,
+    /// An order is under way: it is left alone.
+    busy: bool,
+    moved: Option<MoveReason>,
+}
+
+impl Seat<'_> {
+    fn covers(&self, layer: u32) -> bool {
+        self.layers
+            .is_some_and(|(from, to)| from <= layer && layer < to)
+    }
+
+    fn held(&self) -> u32 {
+        self.layers.map_or(0, |(from, to)| to - from)
+    }
+}
+
+/// The next orders for a service's runners. `loading` names the ranges that runners have been told
+/// to hold and do not yet report.
+#[must_use]
+pub fn plan(
+    runners: &Runners,
+    service: &str,
+    engine: &Engine,
+    loading: &BTreeMap<Name, (u32, u32)>,
+    now: Millis,
+) -> Vec<Move> {
+    let mut domains: BTreeMap<&Name, Vec<Seat<'_>>> = BTreeMap::new();
+    for entry in runners.entries().filter(|e| *e.service == *service) {
+        let kind = entry.kind.as_ref().and_then(|k| engine.kinds.get(k));
+        let Some(kind) = kind.copied().filter(|_| runners.usable(entry, now)) else {
+            continue;
+        };
+        let pending = loading.get(&entry.id).copied();
+        let believed = entry.layers.filter(|_| runners.holds_layers(entry, now));
+        let seat = Seat {
+            entry,
+            kind,
+            layers: pending.or(believed),
+            busy: pending.is_some(),
+            moved: None,
+        };
+        domains.entry(&entry.domain).or_default().push(seat);
+    }
+    let mut moves = Vec::new();
+    for seats in domains.into_values() {
+        moves.extend(plan_domain(&seats, engine));
+    }
+    moves
+}
+
+fn plan_domain(seats: &[Seat<'_>], engine: &Engine) -> Vec<Move> {
+    for share in ROOM_STEPS {
+        let mut tried = seats.to_vec();
+        let tokens = engine.room_tokens * share;
+        if fill(&mut tried, engine, tokens) {
+            second_copies(&mut tried, engine, tokens);
+            return tried.iter().filter_map(move_of).collect();
+        }
+    }
+    Vec::new()
+}
+
+fn move_of(seat: &Seat<'_>) -> Option<Move> {
+    Some(Move {
+        runner: seat.entry.id.clone(),
+        address: seat.entry.address,
+        layers: seat.layers?,
+        why: seat.moved?,
+    })
+}
+
+/// Gives every layer that nobody holds to somebody; whether that succeeded.
+fn fill(seats: &mut [Seat<'_>], engine: &Engine, tokens: f64) -> bool {
+    // Each round fills one hole or part of one.
+    for _ in 0..=seats.len() * 2 {
+        let Some((from, to)) = hole(seats, engine.layers) else {
+            return true;
+        };
+        if !take_free(seats, engine, tokens, (from, to)) && !grow(seats, engine, tokens, (from, to))
+        {
+            return false;
+        }
+    }
+    hole(seats, engine.layers).is_none()
+}
+
+/// The first run of layers that nobody holds.
+fn hole(seats: &[Seat<'_>], layers: u32) -> Option<(u32, u32)> {
+    let held = |layer: u32| seats.iter().any(|s| s.covers(layer));
+    let from = (0..layers).find(|l| !held(*l))?;
+    let to = (from..layers).find(|l| held(*l)).unwrap_or(layers);
+    Some((from, to))
+}
+
+/// The fastest runner whose own range is not needed takes the start of a hole. Empty runners go
+/// first: they give up nothing.
+fn take_free(seats: &mut [Seat<'_>], engine: &Engine, tokens: f64, (from, to): (u32, u32)) -> bool {
+    let room = |s: &Seat<'_>| engine.layers_beside(&s.kind, tokens);
+    let free = (0..seats.len()).filter(|i| is_free(seats, *i) && room(&seats[*i]) > 0);
+    let rank = |i: &usize| {
+        let s = &seats[*i];
+        let whole = room(s) >= to - from;
+        // A runner that holds something is moved only where no empty one is left, and then one
+        // that closes the whole hole.
+        (
+            s.held() > 0,
+            s.held() > 0 && !whole,
+            (s.kind.pace * 1e3) as u64,
+        )
+    };
+    let Some(chosen) = free.min_by_key(rank) else {
+        return false;
+    };
+    let count = room(&seats[chosen]).min(to - from);
+    seats[chosen].layers = Some((from, from + count));
+    seats[chosen].moved = Some(MoveReason::Hole);
+    true
+}
+
+/// Whether a runner's range is held by others as well and no order is under way there.
+fn is_free(seats: &[Seat<'_>], index: usize) -> bool {
+    let seat = &seats[index];
+    if seat.busy || seat.moved.is_some() {
+        return false;
+    }
+    let Some((from, to)) = seat.layers else {
+        return true;
+    };
+    let others = |layer: u32| {
+        let mut rest = seats.iter().enumerate().filter(|(i, _)| *i != index);
+        rest.any(|(_, s)| s.covers(layer))
+    };
+    (from..to).all(others)
+}
+
+/// A runner beside a hole takes more of it.
+fn grow(seats: &mut [Seat<'_>], engine: &Engine, tokens: f64, (from, to): (u32, u32)) -> bool {
+    let mut best: Option<(u32, usize)> = None;
+    for (i, s) in seats.iter().enumerate().filter(|(_, s)| !s.busy) {
+        let Some((start, end)) = s.layers else {
+            continue;
+        };
+        let spare = engine
+            .layers_beside(&s.kind, tokens)
+            .saturating_sub(s.held());
+        let touches = end == from || start == to;
+        if touches && spare > 0 && best.is_none_or(|(b, _)| spare > b) {
+            best = Some((spare, i));
+        }
+    }
+    let Some((spare, i)) = best else {
+        return false;
+    };
+    let count = spare.min(to - from);
+    let seat = &mut seats[i];
+    seat.layers = seat.layers.map(|(start, end)| match end == from {
+        true => (start, end + count),
+        false => (start - count, end),
+    });
+    seat.moved = Some(MoveReason::Hole);
+    true
+}
+
+/// Empty runners take layers that are held once, from the last layer down: the small ranges of
+/// the many small runners stand there, of which one is lost most often.
+fn second_copies(seats: &mut [Seat<'_>], engine: &Engine, tokens: f64) {
+    for i in 0..seats.len() {
+        if seats[i].layers.is_some() || seats[i].busy {
+            continue;
+        }
+        let count = engine.layers_beside(&seats[i].kind, tokens);
+        let Some(to) = last_held_once(seats, engine.layers).filter(|_| count > 0) else {
+            continue;
+        };
+        seats[i].layers = Some((to.saturating_sub(count), to));
+        seats[i].moved = Some(MoveReason::SecondCopy);
+    }
+}
+
+/// One past the last layer that exactly one runner holds.
+fn last_held_once(seats: &[Seat<'_>], layers: u32) -> Option<u32> {
+    let holders = |layer: u32| seats.iter().filter(|s| s.covers(layer)).count();
+    (0..layers).rev().find(|l| holders(*l) == 1).map(|l| l + 1)
+}
+
+/// Whether the holders of a domain form a whole chain.
+#[must_use]
+pub fn is_whole(holders: &[Holder<'_>], layers: u32) -> bool {
+    cheapest(holders, layers).is_some()
+}
--- /dev/null
+++ b/policy/src/relay/rooms.rs
@@ -0,0 +1,63 @@
+//! Which chain a request goes to, and who is turned away when there is no room.
+//!
+//! Room is memory for tokens along the whole chain. A chain that takes more than it has room for
+//! takes requests back out of its batch, in the middle of their streams: everybody is late, and
+//! callers give up on work that was done. So a request enters only where its tokens fit, counted
+//! with what every instance has in flight there.
+//!
+//! Load pattern: a failure domain is lost and its callers come to the other chains at once, or the
+//! arrivals double. What fits is served in time; the rest hears at once when to come back.
+
+use crate::prelude::*;
+
+/// Part of a chain's room that requests may take by their estimates. Answers grow while they are
+/// written and end at different times, so the sum of the ends is seldom in use at once.
+pub const FILL: f64 = 1.15;
+
+/// Weight of a chain in the own failure domain: a foreign one is preferred only when it is emptier
+/// by this share of its room.
+const ELSEWHERE: f64 = 0.15;
+
+/// Part of the answer that is in memory at the middle of its life.
+const ANSWER_SHARE: f64 = 0.6;
+
+/// Tokens that a request takes at a chain on average.
+#[must_use]
+pub fn demand(prompt: u32, answer: u32) -> f64 {
+    f64::from(prompt) + ANSWER_SHARE * f64::from(answer)
+}
+
+/// A chain as the choice sees it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Room {
+    /// Index of the chain.
+    pub chain: usize,
+    /// Whether it is in the own failure domain.
+    pub near: bool,
+    /// Tokens that it has room for.
+    pub room_tokens: f64,
+    /// Tokens in flight there, from all instances.
+    pub used_tokens: f64,
+    /// Time without a byte while requests wait, in milliseconds.
+    pub silent_ms: Millis,
+}
+
+/// Silence from which on a chain gets new requests only if no other has room, in milliseconds.
+const DOUBT_MS: Millis = 200;
+
+/// The chain for a request of `tokens` tokens, if one has room.
+#[must_use]
+pub fn choose(rooms: &[Room], tokens: f64) -> Option<usize> {
+    let fits = |r: &&Room| r.used_tokens + tokens <= r.room_tokens * FILL;
+    let rank = |r: &Room| {
+        let fill = (r.used_tokens + tokens) / r.room_tokens.max(1.0);
+        let far = if r.near { 0.0 } else { ELSEWHERE };
+        let doubt = if r.silent_ms > DOUBT_MS { 10.0 } else { 0.0 };
+        fill + far + doubt
+    };
+    let best = rooms
+        .iter()
+        .filter(fits)
+        .min_by(|a, b| rank(a).total_cmp(&rank(b)));
+    best.map(|r| r.chain)
+}
--- /dev/null
+++ b/policy/src/relay/runners.rs
@@ -0,0 +1,197 @@
+//! What is known of each runner: its own word in the store, and what requests showed.
+//!
+//! A runner's entry outlives it by seconds, and a runner whose lease in the store lapsed may live.
+//! So besides its entry each runner has a standing of this instance's own: what its refusals,
+//! silences and answers to probes showed. A standing holds for one lifetime of the runner and is
+//! forgotten when a new one begins.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use crate::prelude::*;
+use crate::relay::intent::Engine;
+
+/// A runner as it describes itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RunnerEntry {
+    /// Identity, which requests name so that nobody else at the address runs them.
+    pub id: Name,
+    /// Service.
+    pub service: Name,
+    /// Address.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub domain: Name,
+    /// Whether it is leaving.
+    pub draining: bool,
+    /// Unix time of its start, in milliseconds: one value a lifetime.
+    pub born_ms: u64,
+    /// Requests at once.
+    pub slots: u32,
+    /// Kind of accelerator.
+    pub kind: Option<Name>,
+    /// Layers held: first, and one past the last.
+    pub layers: Option<(u32, u32)>,
+}
+
+impl RunnerEntry {
+    /// Layers held.
+    #[must_use]
+    pub fn held(&self) -> u32 {
+        self.layers.map_or(0, |(from, to)| to.saturating_sub(from))
+    }
+}
+
+/// What this instance learnt of a runner by itself.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Standing {
+    /// Lifetime that this holds for.
+    pub born_ms: u64,
+    /// Not to be used before this time, in milliseconds.
+    pub avoid_until_ms: Millis,
+    /// It answers nothing.
+    pub dead: bool,
+    /// It refused a part of this range, which its entry still names.
+    pub misreported: Option<(u32, u32)>,
+    /// Orders that it has accepted, where that is known.
+    pub orders: Option<u64>,
+    /// Share of recent requests that it failed, 0 to 1.
+    pub failing: f64,
+    /// Requests in flight there from this instance.
+    pub in_flight: u32,
+}
+
+/// Weight of the newest request in a runner's share of failures.
+const FAILING_WEIGHT: f64 = 0.2;
+
+/// Share of failures from which on others are preferred.
+const FAILING_LIMIT: f64 = 0.3;
+
+/// Runners by identity.
+#[derive(Clone, Debug, Default)]
+pub struct Runners {
+    entries: BTreeMap<Name, RunnerEntry>,
+    standings: BTreeMap<Name, Standing>,
+}
+
+impl Runners {
+    /// Takes in an entry; whether anything changed that a chain depends on.
+    pub fn put(&mut self, entry: &RunnerEntry) -> bool {
+        let standing = self.standings.entry(entry.id.clone()).or_default();
+        if standing.born_ms != entry.born_ms {
+            let in_flight = standing.in_flight;
+            *standing = Standing {
+                born_ms: entry.born_ms,
+                in_flight,
+                ..Standing::default()
+            };
+        }
+        let old = self.entries.insert(entry.id.clone(), entry.clone());
+        old.as_ref() != Some(entry)
+    }
+
+    /// Forgets a runner.
+    pub fn remove(&mut self, id: &str) -> bool {
+        self.standings.remove(id);
+        self.entries.remove(id).is_some()
+    }
+
+    /// Takes over a whole list: what it lacks is gone.
+    pub fn replace(&mut self, list: Vec<RunnerEntry>) {
+        let ids: std::collections::BTreeSet<Name> = list.iter().map(|e| e.id.clone()).collect();
+        let gone: Vec<Name> = self
+            .entries
+            .keys()
+            .filter(|id| !ids.contains(*id))
+            .cloned()
+            .collect();
+        for id in gone {
+            self.remove(&id);
+        }
+        for entry in list {
+            self.put(&entry);
+        }
+    }
+
+    /// Entries in the order of identities.
+    pub fn entries(&self) -> impl Iterator<Item = &RunnerEntry> {
+        self.entries.values()
+    }
+
+    /// One entry.
+    #[must_use]
+    pub fn entry(&self, id: &str) -> Option<&RunnerEntry> {
+        self.entries.get(id)
+    }
+
+    /// The runner at an address.
+    #[must_use]
+    pub fn at(&self, address: SocketAddr) -> Option<&RunnerEntry> {
+        self.entries.values().find(|e| e.address == address)
+    }
+
+    /// Standing of a runner.
+    #[must_use]
+    pub fn standing(&self, id: &str) -> Standing {
+        self.standings.get(id).copied().unwrap_or_default()
+    }
+
+    /// Standing of a runner, to be changed.
+    pub fn standing_mut(&mut self, id: &Name) -> Option<&mut Standing> {
+        self.standings.get_mut(id)
+    }
+
+    /// A request's outcome at a runner.
+    pub fn seen(&mut self, id: &str, failed: bool) {
+        if let Some(s) = self.standings.get_mut(id) {
+            let sample = if failed { 1.0 } else { 0.0 };
+            s.failing += FAILING_WEIGHT * (sample - s.failing);
+        }
+    }
+
+    /// Whether a runner may be sent new work at `now`.
+    #[must_use]
+    pub fn usable(&self, entry: &RunnerEntry, now: Millis) -> bool {
+        let s = self.standing(&entry.id);
+        !entry.draining && !s.dead && now >= s.avoid_until_ms
+    }
+
+    /// Whether what a runner says it holds may be believed at `now`.
+    #[must_use]
+    pub fn holds_layers(&self, entry: &RunnerEntry, now: Millis) -> bool {
+        let s = self.standing(&entry.id);
+        entry.held() > 0
+            && self.usable(entry, now)
+            && s.misreported.is_none_or(|m| entry.layers != Some(m))
+    }
+
+    /// Runners of a plain service that may take a request, best first: those that answer well,
+    /// then the least busy, then those of the own failure domain. `draw` breaks ties so that
+    /// instances do not all choose the same.
+    pub fn plain(
+        &self,
+        service: &str,
+        domain: &str,
+        now: Millis,
+        mut draw: impl FnMut() -> u32,
+    ) -> Vec<&RunnerEntry> {
+        let of_service = self.entries.values().filter(|e| *e.service == *service);
+        let usable = of_service.filter(|e| self.usable(e, now));
+        let mut ranked: Vec<_> = usable
+            .map(|e| {
+                let s = self.standing(&e.id);
+                let failing = s.failing > FAILING_LIMIT;
+                let elsewhere = *e.domain != *domain;
+                ((failing, s.in_flight + u32::from(elsewhere), draw()), e)
+            })
+            .collect();
+        ranked.sort_by_key(|(rank, _)| *rank);
+        ranked.into_iter().map(|(_, e)| e).collect()
+    }
+}
+
+/// Whether runners of a service hold ranges of layers.
+#[must_use]
+pub fn is_layered(engine: Option<&Engine>) -> bool {
+    engine.is_some_and(|e| e.layers > 0 && !e.kinds.is_empty())
+}
--- /dev/null
+++ b/policy/src/relay/silence.rs
@@ -0,0 +1,83 @@
+//! When a chain has fallen silent.
+//!
+//! A dead runner in a chain stops every stream that passes through it, and says nothing: its first
+//! runner reports the stall only after seconds, by when callers have given up. Overload looks
+//! different: some streams wait, others go on. So the sign is that *nothing at all* has come from
+//! a chain for a while, although requests are waiting there. The more of them wait, the less a
+//! silence can be chance and the shorter it needs to be.
+//!
+//! Silence names a chain, not a runner. Its parts are then asked one by one; a chain whose parts
+//! all answer is left alone for a while, so that a slow chain is not asked again and again.
+
+use crate::prelude::*;
+
+/// Silence of a chain with one waiting request that counts as a stall, in milliseconds. An event
+/// comes every 20 to 30 ms in a calm chain, and a long prompt is read within 100 ms.
+const LONE_MS: Millis = 600;
+
+/// The same with [`MANY`] waiting requests or more.
+const MANY_MS: Millis = 300;
+
+/// Waiting requests from which on the short silence counts.
+const MANY: usize = 4;
+
+/// How long a chain that was asked is left alone, in milliseconds.
+const ASKED_PAUSE_MS: Millis = 700;
+
+/// What this instance hears from one chain.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Silence {
+    waiting: usize,
+    heard_ms: Millis,
+    asked_ms: Option<Millis>,
+}
+
+impl Silence {
+    /// A request was sent.
+    pub fn sent(&mut self, now: Millis) {
+        if self.waiting == 0 {
+            self.heard_ms = now;
+        }
+        self.waiting += 1;
+    }
+
+    /// A request ended or was taken away.
+    pub fn ended(&mut self) {
+        self.waiting = self.waiting.saturating_sub(1);
+    }
+
+    /// Bytes came.
+    pub fn heard(&mut self, now: Millis) {
+        self.heard_ms = now;
+    }
+
+    /// Requests that wait for bytes.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.waiting
+    }
+
+    /// Time since the last bytes, in milliseconds, while requests wait.
+    #[must_use]
+    pub fn silent_ms(&self, now: Millis) -> Millis {
+        match self.waiting {
+            0 => 0,
+            _ => now.saturating_sub(self.heard_ms),
+        }
+    }
+
+    /// Whether the chain's parts should be asked now; remembers that they were.
+    pub fn should_ask(&mut self, now: Millis) -> bool {
+        let limit = if self.waiting >= MANY {
+            MANY_MS
+        } else {
+            LONE_MS
+        };
+        let rested = self.asked_ms.is_none_or(|at| now >= at + ASKED_PAUSE_MS);
+        let ask = rested && self.silent_ms(now) >= limit;
+        if ask {
+            self.asked_ms = Some(now);
+        }
+        ask
+    }
+}
