Relay: room is filled to its estimate, and a first placement waits for the runners

A first placement 0.7 s after the last new runner put layers on slow runners before the fast ones had come.

--- a/plugins/relay/src/placer.rs
+++ b/plugins/relay/src/placer.rs
@@ -74,10 +74,10 @@
 
 /// New runners register over seconds when all start at once; a placement made from the first few
 /// would put layers on slow ones that fast ones are to hold.
-const SETTLE_MS: Millis = 700;
+const SETTLE_MS: Millis = 1_200;
 
 /// The longest that a first placement waits for runners, in milliseconds.
-const SETTLE_LONGEST_MS: Millis = 3_000;
+const SETTLE_LONGEST_MS: Millis = 4_500;
 
 /// Whether the runners of a first placement have come.
 struct Settling {
--- a/policy/src/relay/rooms.rs
+++ b/policy/src/relay/rooms.rs
@@ -12,7 +12,7 @@
 
 /// Part of a chain's room that requests may take by their estimates. Answers grow while they are
 /// written and end at different times, so the sum of the ends is seldom in use at once.
-pub const FILL: f64 = 1.15;
+pub const FILL: f64 = 1.0;
 
 /// Weight of a chain in the own failure domain: a foreign one is preferred only when it is emptier
 /// by this share of its room.
