Chains: tokens counted as answers grow, room found from refusals, the slowest spare moves first

Cause: a chain in which a v100 held 6 layers was full for 10 s (its memory 99% used by 118 streams) while its estimates said there was room, and was sent 60 requests a second in vain. After its next loss an a100 that held a second copy was moved to 8 layers of the hole, and the chain then ran on slow runners at 11.5 ms a token. Relief orders made the runner in the chain refuse for as long as old streams lasted. Ruled out: a slow part (reports say pace 1.0), relief (taken out, refusals stayed). Change: see the title; a chain that refused is left alone for 0.1 s, doubling; resumed streams may fill 1.2 of the room; runners are asked their pace when a chain's gaps are six times the declared ones.

--- a/plugins/relay/src/admit.rs
+++ b/plugins/relay/src/admit.rs
@@ -29,9 +29,14 @@
 /// Tokens of a request that says nothing of them.
 const USUAL_TOKENS: (u32, u32) = (800, 220);
 
+/// Tokens of a request's prompt, and expected of its answer.
+pub(crate) fn declared(rq: &Proxied) -> (u32, u32) {
+    rq.tokens.unwrap_or(USUAL_TOKENS)
+}
+
 /// Tokens that a request takes.
 pub(crate) fn tokens(rq: &Proxied) -> f64 {
-    let (prompt, answer) = rq.tokens.unwrap_or(USUAL_TOKENS);
+    let (prompt, answer) = declared(rq);
     rooms::demand(prompt, answer)
 }
 
@@ -51,7 +56,7 @@
     loop {
         let notified = node.room.notified();
         if place.is_first()
-            && let Some(live) = node.choose_chain(&rq.service, tokens, excluded)
+            && let Some(live) = node.choose_chain(&rq.service, tokens, rooms::FILL, excluded)
         {
             return Ok(live);
         }
--- a/plugins/relay/src/events.rs
+++ b/plugins/relay/src/events.rs
@@ -36,6 +36,7 @@
     /// Up to here there is no end of an event.
     searched: usize,
     last: Option<u64>,
+    count: u64,
     /// Whether the next event must follow [`Events::last`]: a run was resumed.
     joined: bool,
 }
@@ -57,6 +58,12 @@
         self.last
     }
 
+    /// Events passed on.
+    #[must_use]
+    pub fn count(&self) -> u64 {
+        self.count
+    }
+
     /// Whether part of an event is held back.
     #[must_use]
     pub fn holds_part(&self) -> bool {
@@ -82,6 +89,7 @@
             self.searched = 0;
             if self.is_next(&event)? {
                 whole.extend_from_slice(&event);
+                self.count += 1;
             }
         }
         if self.held.len() > MAX_EVENT_BYTES {
--- a/plugins/relay/src/live.rs
+++ b/plugins/relay/src/live.rs
@@ -6,9 +6,10 @@
 
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::chain::{self, Chain};
-use jacinthweir_policy::relay::rooms::{self, Room};
+use jacinthweir_policy::relay::intent::Engine;
+use jacinthweir_policy::relay::rooms::{self, Refusals, Room};
 use jacinthweir_policy::relay::runners::Runners;
-use jacinthweir_policy::relay::silence::Silence;
+use jacinthweir_policy::relay::silence::{Gaps, Silence};
 use tokio_util::sync::CancellationToken;
 
 use crate::node::Node;
@@ -18,6 +19,10 @@
     pub(crate) service: Name,
     pub(crate) chain: Chain,
     pub(crate) silence: RefCell<Silence>,
+    pub(crate) gaps: RefCell<Gaps>,
+    pub(crate) refusals: RefCell<Refusals>,
+    /// Tokens in an event: its declared gap is that many steps.
+    event_tokens: f64,
     /// Cancelled when a part is known to be dead: what passes through goes elsewhere.
     pub(crate) broken: CancellationToken,
     /// Tokens in flight from this instance in the chain's domain; chains that followed one
@@ -51,7 +56,7 @@
         all.map(|((service, domain), used)| (service, domain.as_ref(), used.get()))
     }
 
-    fn replace(&mut self, service: &Name, chains: Vec<Chain>) -> bool {
+    fn replace(&mut self, service: &Name, engine: &Engine, chains: Vec<Chain>) -> bool {
         let mut old = self.current.remove(service).unwrap_or_default();
         let mut changed = old.len() != chains.len();
         let mut new = Vec::new();
@@ -68,6 +73,9 @@
                 service: service.clone(),
                 chain,
                 silence: RefCell::default(),
+                gaps: RefCell::default(),
+                refusals: RefCell::default(),
+                event_tokens: f64::from(engine.event_tokens),
                 broken: CancellationToken::new(),
                 used,
             }));
@@ -81,6 +89,13 @@
 }
 
 impl LiveChain {
+    /// Whether the chain's parts should be asked: it is silent, or slow.
+    pub(crate) fn should_ask(&self, now: Millis) -> bool {
+        let declared_ms = self.event_tokens * self.chain.step_ms;
+        let silent = self.silence.borrow_mut().should_ask(now);
+        silent || self.gaps.borrow_mut().should_ask(now, declared_ms)
+    }
+
     /// Whether a part is dead, or started anew since and lost all it held.
     fn is_broken(&self, runners: &Runners) -> bool {
         self.chain.stages.iter().any(|s| {
@@ -112,7 +127,7 @@
                 continue;
             };
             let found = chain::chains(&runners, service, engine, now);
-            if chains.replace(service, found) {
+            if chains.replace(service, engine, found) {
                 log_chains(service, chains.of(service), now);
             }
         }
@@ -130,11 +145,13 @@
         self.room.notify_waiters();
     }
 
-    /// The chain for a request of `tokens` tokens that is not to take one of `excluded`.
+    /// The chain for a request of `tokens` tokens below `fill` that is not to take one of
+    /// `excluded`.
     pub(crate) fn choose_chain(
         &self,
         service: &Name,
         tokens: f64,
+        fill: f64,
         excluded: &[Rc<LiveChain>],
     ) -> Option<Rc<LiveChain>> {
         let now = self.now();
@@ -150,12 +167,13 @@
             rooms.push(Room {
                 chain: i,
                 near: domain == Some(&self.settings.failure_domain),
-                room_tokens: l.chain.room_tokens,
+                room_tokens: l.chain.room_tokens * l.refusals.borrow().scale(),
                 used_tokens: l.used.get() + loads.used(service, domain, now),
                 silent_ms: l.silence.borrow().silent_ms(now),
+                refusing: l.refusals.borrow().refusing(now),
             });
         }
-        rooms::choose(&rooms, tokens).map(|i| Rc::clone(&live[i]))
+        rooms::choose(&rooms, tokens, fill).map(|i| Rc::clone(&live[i]))
     }
 }
 
@@ -194,6 +212,16 @@
         }
     }
 
+    /// The request takes `tokens` tokens by now: its answer is longer than was expected.
+    pub(crate) fn at_least(&mut self, tokens: f64) {
+        if tokens > self.tokens {
+            self.live
+                .used
+                .set(self.live.used.get() + tokens - self.tokens);
+            self.tokens = tokens;
+        }
+    }
+
     /// Bytes came.
     pub(crate) fn heard(&self) {
         self.live.silence.borrow_mut().heard(self.node.now());
--- a/plugins/relay/src/probe.rs
+++ b/plugins/relay/src/probe.rs
@@ -10,6 +10,7 @@
 use futures::future::join_all;
 use jacinthweir_platform::runner::{self, Report};
 use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::relay::runners::Standing;
 use tokio::time::{interval, sleep};
 
 use crate::live::LiveChain;
@@ -47,15 +48,12 @@
     loop {
         ticks.tick().await;
         let now = node.now();
-        let silent: Vec<Rc<LiveChain>> = {
+        let suspect: Vec<Rc<LiveChain>> = {
             let chains = node.chains.borrow();
             let alive = chains.all().filter(|l| !l.broken.is_cancelled());
-            alive
-                .filter(|l| l.silence.borrow_mut().should_ask(now))
-                .cloned()
-                .collect()
+            alive.filter(|l| l.should_ask(now)).cloned().collect()
         };
-        for live in silent {
+        for live in suspect {
             tokio::task::spawn_local(ask_parts(Rc::clone(node), live));
         }
     }
@@ -67,7 +65,14 @@
         let silence = live.silence.borrow();
         (silence.silent_ms(now), silence.waiting())
     };
-    log::warn!(chain = live.label(), silent_ms, waiting; "a chain is silent, asking its parts");
+    let gap_ms = live.gaps.borrow().mean_ms();
+    log::warn!(
+        chain = live.label(),
+        silent_ms,
+        waiting,
+        gap_ms;
+        "a chain is silent or slow, asking its parts"
+    );
     let parts = live.chain.stages.iter().map(|s| ask(s.runner.address));
     let reports = join_all(parts).await;
     let mut changed = false;
@@ -79,6 +84,9 @@
         if dead {
             changed |= mark_dead(&node, &stage.runner.id, stage.runner.born_ms);
         }
+        if let Some(report) = report {
+            changed |= set_pace(&node, &stage.runner.id, report.pace);
+        }
         let stalled = report.iter().flat_map(|r| r.stalled.values());
         for address in stalled {
             changed |= mark_dead_at(&node, *address);
@@ -89,6 +97,23 @@
     }
 }
 
+/// Change of a runner's pace that chains are worked out anew for.
+const PACE_STEP: f64 = 0.5;
+
+fn set_pace(node: &Node, id: &Name, pace: f64) -> bool {
+    let mut runners = node.runners.borrow_mut();
+    let Some(standing) = runners.standing_mut(id) else {
+        return false;
+    };
+    let before = standing.slowness();
+    standing.pace = Some(pace);
+    let changed = (standing.slowness() - before).abs() >= PACE_STEP;
+    if changed {
+        log::info!(runner = id.as_ref(), pace, before; "runner's pace");
+    }
+    changed
+}
+
 async fn ask(address: SocketAddr) -> Option<Report> {
     for _ in 0..TRIES {
         metrics::counter!("jacinthweir_probes_total").increment(1);
@@ -142,13 +167,17 @@
     });
 }
 
-/// Brings back runners that answer again in the same lifetime: a cut healed.
+/// Brings back runners that answer again in the same lifetime, as a cut healed, and asks slow ones
+/// whether they still are.
 async fn revive(node: &Rc<Node>) {
     loop {
         sleep(REVIVE).await;
         let dead: Vec<(Name, SocketAddr, u64)> = {
             let runners = node.runners.borrow();
-            let dead = runners.entries().filter(|e| runners.standing(&e.id).dead);
+            let doubted = |s: &Standing| s.dead || s.slowness() > 1.0 + PACE_STEP;
+            let dead = runners
+                .entries()
+                .filter(|e| doubted(&runners.standing(&e.id)));
             dead.map(|e| (e.id.clone(), e.address, e.born_ms)).collect()
         };
         let asked = dead
@@ -157,10 +186,15 @@
         let reports = join_all(asked).await;
         let mut changed = false;
         for ((id, _, born_ms), report) in dead.iter().zip(reports) {
-            let same = |r: &Report| r.is_of(*born_ms);
-            if report.as_ref().is_ok_and(same)
-                && let Some(standing) = node.runners.borrow_mut().standing_mut(id)
-            {
+            let Ok(report) = report else {
+                continue;
+            };
+            if !report.is_of(*born_ms) {
+                continue;
+            }
+            changed |= set_pace(node, id, report.pace);
+            let mut runners = node.runners.borrow_mut();
+            if let Some(standing) = runners.standing_mut(id).filter(|s| s.dead) {
                 standing.dead = false;
                 changed = true;
                 log::info!(runner = id.as_ref(); "runner answers again");
--- a/plugins/relay/src/stream.rs
+++ b/plugins/relay/src/stream.rs
@@ -13,6 +13,7 @@
 use jacinthweir_clients::direct::{AnswerBody, DirectError};
 use jacinthweir_platform::header;
 use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::relay::rooms;
 use tokio::time::{sleep, timeout};
 
 use crate::admit;
@@ -124,9 +125,15 @@
         }
     };
     match sent {
-        Ok(Sent::Answer(res)) => Opened::Stream(passage, res),
+        Ok(Sent::Answer(res)) => {
+            live.refusals.borrow_mut().taken(node.now());
+            Opened::Stream(passage, res)
+        }
         Ok(Sent::NotRun { status, at_fault }) => {
-            log_attempt(rq, live, "not run", status.as_str());
+            let at_fault_shown = at_fault.map_or_else(String::new, |a| a.to_string());
+            let cause = format!("{status} at {at_fault_shown}");
+            log_attempt(rq, live, "not run", &cause);
+            live.refusals.borrow_mut().refused(node.now());
             if let Some(address) = at_fault.filter(|_| status == StatusCode::MISDIRECTED_REQUEST) {
                 misreported(node, address);
             }
@@ -243,7 +250,9 @@
                 Next::Bytes(bytes) if !self.ok => return Some(Ok(bytes)),
                 Next::Bytes(bytes) => {
                     self.heard();
-                    match self.events.push(&bytes) {
+                    let pushed = self.events.push(&bytes);
+                    self.count_tokens();
+                    match pushed {
                         Ok(whole) if whole.is_empty() => {}
                         Ok(whole) => return Some(Ok(whole)),
                         Err(e) => return self.cut(e.to_string()),
@@ -293,9 +302,22 @@
     }
 
     fn heard(&mut self) {
-        self.heard_ms = self.node.now();
+        let now = self.node.now();
+        let gap = now - self.heard_ms;
+        self.heard_ms = now;
         if let Some(passage) = &self.passage {
             passage.heard();
+            passage.live.gaps.borrow_mut().seen(gap);
+        }
+    }
+
+    /// Tells the chain how much of the answer is written.
+    fn count_tokens(&mut self) {
+        let per_event = self.rq.engine().map_or(1, |e| e.event_tokens);
+        let (prompt, _) = admit::declared(&self.rq);
+        let written = self.events.count() * u64::from(per_event);
+        if let Some(passage) = &mut self.passage {
+            passage.at_least(f64::from(prompt) + written as f64);
         }
     }
 
@@ -315,8 +337,11 @@
         let mut excluded: Vec<Rc<LiveChain>> = Vec::new();
         while self.node.now() < until {
             // Work under way goes before new work: it does not wait in the queue.
-            let tokens = admit::tokens(&self.rq) / 2.0;
-            let live = self.node.choose_chain(&self.rq.service, tokens, &excluded);
+            let tokens = admit::tokens(&self.rq);
+            let fill = rooms::FILL_RESUMED;
+            let live = self
+                .node
+                .choose_chain(&self.rq.service, tokens, fill, &excluded);
             let Some(live) = live else {
                 sleep(LOOK).await;
                 continue;
--- a/policy/src/relay/chain.rs
+++ b/policy/src/relay/chain.rs
@@ -108,14 +108,15 @@
         if !runners.holds_layers(entry, now) {
             continue;
         }
-        if let Some(holder) = holder(entry, engine) {
+        let slowness = runners.standing(&entry.id).slowness();
+        if let Some(holder) = holder(entry, engine, slowness) {
             found.push(holder);
         }
     }
     found
 }
 
-fn holder<'a>(entry: &'a RunnerEntry, engine: &Engine) -> Option<Holder<'a>> {
+fn holder<'a>(entry: &'a RunnerEntry, engine: &Engine, slowness: f64) -> Option<Holder<'a>> {
     let kind = engine.kinds.get(entry.kind.as_ref()?)?;
     let (from, to) = entry.layers?;
     let layers = (from, to.min(engine.layers));
@@ -123,7 +124,7 @@
     Some(Holder {
         entry,
         layers,
-        layer_ms: engine.step_ms * kind.pace * share,
+        layer_ms: engine.step_ms * kind.pace * slowness * share,
         room: engine.room(kind, entry.held(), 1),
         wanted: engine.room_tokens,
     })
--- a/policy/src/relay/intent.rs
+++ b/policy/src/relay/intent.rs
@@ -95,6 +95,8 @@
     pub token_bytes: f64,
     /// Tokens that a runner with the whole model has room for.
     pub room_tokens: f64,
+    /// Tokens that one event of a stream holds.
+    pub event_tokens: u32,
     /// Time of one token step of the whole model on a runner of pace 1, in milliseconds.
     pub step_ms: f64,
     /// Time to load the whole model, in milliseconds.
--- a/policy/src/relay/placement.rs
+++ b/policy/src/relay/placement.rs
@@ -9,8 +9,10 @@
 //! is filled up again from those, and by growing ranges at their ends, which loads only what is
 //! new. What takes part in the only whole chain is not moved.
 //!
-//! A runner that took more than leaves it the wanted room is relieved: a second copy goes where it
-//! does most good, and the runner gives up at its ends what others hold. That costs no load.
+//! A runner that took more than leaves it the wanted room is not made smaller: while it gives up a
+//! layer it refuses all new requests until those that pass through that layer have ended, which
+//! took 10 s on a slow runner. A second copy beside it goes where it does most good instead, and
+//! chains then pass by the tight one.
 //!
 //! The room that a domain is planned for goes down in steps until the model fits; after the loss
 //! of many runners a small room serves more than none.
@@ -48,9 +50,6 @@
     /// One runner alone holds them, or one that is slower or has too little room.
     #[display("second copy")]
     SecondCopy,
-    /// The runner gives up what others hold, to have room for requests.
-    #[display("relief")]
-    Relief,
 }
 
 /// A runner within its domain, with what it holds or is loading.
@@ -88,9 +87,10 @@
     let mut domains: BTreeMap<&Name, Vec<Seat<'_>>> = BTreeMap::new();
     for entry in runners.entries().filter(|e| *e.service == *service) {
         let kind = entry.kind.as_ref().and_then(|k| engine.kinds.get(k));
-        let Some(kind) = kind.copied().filter(|_| runners.usable(entry, now)) else {
+        let Some(mut kind) = kind.copied().filter(|_| runners.usable(entry, now)) else {
             continue;
         };
+        kind.pace *= runners.standing(&entry.id).slowness();
         let pending = loading.get(&entry.id).copied();
         let believed = entry.layers.filter(|_| runners.holds_layers(entry, now));
         let seat = Seat {
@@ -114,9 +114,6 @@
         let mut tried = seats.to_vec();
         let tokens = engine.room_tokens * share;
         if fill(&mut tried, engine, tokens) {
-            if tried.iter().all(|s| s.moved.is_none()) {
-                relieve(&mut tried, engine);
-            }
             second_copies(&mut tried, engine, tokens);
             return tried.iter().filter_map(move_of).collect();
         }
@@ -156,21 +153,21 @@
     Some((from, to))
 }
 
-/// The fastest runner whose own range is not needed takes the start of a hole. Empty runners go
-/// first: they give up nothing.
+/// A runner whose own range is not needed takes the start of a hole: the fastest empty one, which
+/// gives up nothing, or the slowest of the others.
 fn take_free(seats: &mut [Seat<'_>], engine: &Engine, tokens: f64, (from, to): (u32, u32)) -> bool {
     let room = |s: &Seat<'_>| engine.layers_beside(&s.kind, tokens);
     let free = (0..seats.len()).filter(|i| is_free(seats, *i) && room(&seats[*i]) > 0);
     let rank = |i: &usize| {
         let s = &seats[*i];
+        let pace = (s.kind.pace * 1e3) as i64;
         let whole = room(s) >= to - from;
-        // A runner that holds something is moved only where no empty one is left, and then one
-        // that closes the whole hole.
-        (
-            s.held() > 0,
-            s.held() > 0 && !whole,
-            (s.kind.pace * 1e3) as u64,
-        )
+        // A runner that holds something is moved only where no empty one is left: one that closes
+        // the whole hole, and of those the slowest, since the chain passes by that one already.
+        match s.held() {
+            0 => (false, false, pace),
+            _ => (true, !whole, -pace),
+        }
     };
     let Some(chosen) = free.min_by_key(rank) else {
         return false;
@@ -293,37 +290,6 @@
     seat.held() > engine.layers_beside(&seat.kind, engine.room_tokens)
 }
 
-/// Overfull runners give up at one end what a runner with room holds as well. Nothing is moved
-/// that others have yet to load.
-fn relieve(seats: &mut [Seat<'_>], engine: &Engine) {
-    for i in 0..seats.len() {
-        let Some((from, to)) = seats[i].layers.filter(|_| !seats[i].busy) else {
-            continue;
-        };
-        if !is_overfull(&seats[i], engine) {
-            continue;
-        }
-        let excess = seats[i].held() - engine.layers_beside(&seats[i].kind, engine.room_tokens);
-        let held_well = |layer: u32| {
-            let mut others = seats.iter().enumerate().filter(|(j, _)| *j != i);
-            others.any(|(_, s)| {
-                !s.busy && s.moved.is_none() && s.covers(layer) && !is_overfull(s, engine)
-            })
-        };
-        let at_start = (from..to).take_while(|l| held_well(*l)).count() as u32;
-        let at_end = (from..to).rev().take_while(|l| held_well(*l)).count() as u32;
-        let layers = if at_end >= at_start {
-            (from, to - at_end.min(excess))
-        } else {
-            (from + at_start.min(excess), to)
-        };
-        if layers != (from, to) && layers.1 > layers.0 {
-            seats[i].layers = Some(layers);
-            seats[i].moved = Some(MoveReason::Relief);
-        }
-    }
-}
-
 /// Whether the holders of a domain form a whole chain.
 #[must_use]
 pub fn is_whole(holders: &[Holder<'_>], layers: u32) -> bool {
--- a/policy/src/relay/rooms.rs
+++ b/policy/src/relay/rooms.rs
@@ -14,6 +14,10 @@
 /// written and end at different times, so the sum of the ends is seldom in use at once.
 pub const FILL: f64 = 1.0;
 
+/// The same for requests that were under way in a chain that broke: they have been paid for, and
+/// new work takes the room that comes free before they look again.
+pub const FILL_RESUMED: f64 = 1.2;
+
 /// Weight of a chain in the own failure domain: a foreign one is preferred only when it is emptier
 /// by this share of its room.
 const ELSEWHERE: f64 = 0.15;
@@ -40,15 +44,82 @@
     pub used_tokens: f64,
     /// Time without a byte while requests wait, in milliseconds.
     pub silent_ms: Millis,
+    /// Whether it refused a request a moment ago.
+    pub refusing: bool,
+}
+
+/// How long a chain gets no new requests after it refused one, in milliseconds: twice as long each
+/// time, up to a bound. A runner that gives up a layer, or whose memory is taken by the requests of
+/// others, refuses everything for seconds; each request sent there in vain costs a repeat.
+const REFUSED_MS: Millis = 100;
+const REFUSED_LONGEST_MS: Millis = 1_600;
+
+/// What a chain's room is multiplied by at each refusal, the least that comes of it, and what is
+/// added with each request that is taken. Answers are longer than callers expect where the load is
+/// worst, since long ones stay longest; the room that an estimate may fill is found from what the
+/// chain refuses.
+const SHRINK: f64 = 0.94;
+const LEAST_SCALE: f64 = 0.6;
+const GROW: f64 = 0.002;
+
+/// What a chain's refusals say of its next answer.
+#[derive(Clone, Copy, Debug)]
+pub struct Refusals {
+    count: u32,
+    until_ms: Millis,
+    scale: f64,
+}
+
+impl Default for Refusals {
+    fn default() -> Self {
+        Refusals {
+            count: 0,
+            until_ms: 0,
+            scale: 1.0,
+        }
+    }
+}
+
+impl Refusals {
+    /// It refused a request. Refusals of requests that were under way together count once.
+    pub fn refused(&mut self, now: Millis) {
+        if now < self.until_ms {
+            return;
+        }
+        let pause = REFUSED_MS << self.count.min(8);
+        self.until_ms = now + pause.min(REFUSED_LONGEST_MS);
+        self.count += 1;
+        self.scale = (self.scale * SHRINK).max(LEAST_SCALE);
+    }
+
+    /// It took a request.
+    pub fn taken(&mut self, now: Millis) {
+        if now >= self.until_ms {
+            self.count = 0;
+        }
+        self.scale = (self.scale + GROW).min(1.0);
+    }
+
+    /// Share of the chain's room that estimates may fill.
+    #[must_use]
+    pub fn scale(&self) -> f64 {
+        self.scale
+    }
+
+    /// Whether it gets no new requests at `now`.
+    #[must_use]
+    pub fn refusing(&self, now: Millis) -> bool {
+        now < self.until_ms
+    }
 }
 
 /// Silence from which on a chain gets new requests only if no other has room, in milliseconds.
 const DOUBT_MS: Millis = 200;
 
-/// The chain for a request of `tokens` tokens, if one has room.
+/// The chain for a request of `tokens` tokens, if one has room for it below `fill`.
 #[must_use]
-pub fn choose(rooms: &[Room], tokens: f64) -> Option<usize> {
-    let fits = |r: &&Room| r.used_tokens + tokens <= r.room_tokens * FILL;
+pub fn choose(rooms: &[Room], tokens: f64, fill: f64) -> Option<usize> {
+    let fits = |r: &&Room| !r.refusing && r.used_tokens + tokens <= r.room_tokens * fill;
     let rank = |r: &Room| {
         let fill = (r.used_tokens + tokens) / r.room_tokens.max(1.0);
         let far = if r.near { 0.0 } else { ELSEWHERE };
--- a/policy/src/relay/runners.rs
+++ b/policy/src/relay/runners.rs
@@ -59,6 +59,16 @@
     pub failing: f64,
     /// Requests in flight there from this instance.
     pub in_flight: u32,
+    /// How slow it said to be when last asked; 1 is as declared.
+    pub pace: Option<f64>,
+}
+
+impl Standing {
+    /// How many times as long as declared its work takes; never less than 1.
+    #[must_use]
+    pub fn slowness(&self) -> f64 {
+        self.pace.unwrap_or(1.0).max(1.0)
+    }
 }
 
 /// Weight of the newest request in a runner's share of failures.
--- a/policy/src/relay/silence.rs
+++ b/policy/src/relay/silence.rs
@@ -24,6 +24,49 @@
 /// How long a chain that was asked is left alone, in milliseconds.
 const ASKED_PAUSE_MS: Millis = 700;
 
+/// Weight of the newest gap between two events in the mean.
+const GAP_WEIGHT: f64 = 0.05;
+
+/// Mean gap that is asked about, as a multiple of what the declared figures give, and in any case,
+/// in milliseconds. A full batch takes about twice the declared time.
+const SLOW_TIMES: f64 = 6.0;
+const SLOW_MS: f64 = 120.0;
+
+/// How long a slow chain that was asked is left alone, in milliseconds.
+const SLOW_PAUSE_MS: Millis = 2_000;
+
+/// Gaps between the events of a chain's streams: a chain is as slow as its slowest part, which
+/// says so when it is asked.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Gaps {
+    mean_ms: f64,
+    asked_ms: Option<Millis>,
+}
+
+impl Gaps {
+    /// Two events of a stream came `gap` milliseconds apart.
+    pub fn seen(&mut self, gap: Millis) {
+        self.mean_ms += GAP_WEIGHT * (gap as f64 - self.mean_ms);
+    }
+
+    /// Mean gap, in milliseconds.
+    #[must_use]
+    pub fn mean_ms(&self) -> f64 {
+        self.mean_ms
+    }
+
+    /// Whether the parts of a chain whose declared gap is `declared_ms` should be asked how slow
+    /// they are; remembers that they were.
+    pub fn should_ask(&mut self, now: Millis, declared_ms: f64) -> bool {
+        let slow = self.mean_ms > SLOW_MS && self.mean_ms > SLOW_TIMES * declared_ms;
+        let rested = self.asked_ms.is_none_or(|at| now >= at + SLOW_PAUSE_MS);
+        if slow && rested {
+            self.asked_ms = Some(now);
+        }
+        slow && rested
+    }
+}
+
 /// What this instance hears from one chain.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Silence {
