--- /dev/null
+++ b/policy/tests/relay_placement.rs
@@ -0,0 +1,330 @@
+//! Placement and chains: from empty runners to whole chains, and back after losses.
+
+#[path = "support/relay.rs"]
+mod support;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use googletest::prelude::*;
+use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::relay::chain::{Chain, chains};
+use jacinthweir_policy::relay::placement::{MoveReason, plan};
+use jacinthweir_policy::relay::runners::{RunnerEntry, Runners};
+use proptest::prelude::{Strategy, any, prop_assert, prop_assert_eq, proptest};
+use support::{SERVICE, carry_out, domain, engine, runner, settle};
+
+const MIXED: [(&str, usize); 3] = [("a100", 2), ("v100", 4), ("l4", 4)];
+
+fn found(runners: &Runners) -> Vec<Chain> {
+    chains(runners, SERVICE, &engine(), 0)
+}
+
+/// Every layer once and in order, no runner twice, each within what it holds.
+fn check(chain: &Chain, runners: &Runners) -> std::result::Result<(), String> {
+    let mut next = 0;
+    let mut seen = BTreeSet::new();
+    for stage in &chain.stages {
+        let (from, to) = stage.layers;
+        if from != next || to <= from {
+            return Err(format!("{}: {from}..{to} follows {next}", stage.runner.id));
+        }
+        let held = runners.entry(&stage.runner.id).and_then(|e| e.layers);
+        if !held.is_some_and(|(a, b)| a <= from && to <= b) {
+            return Err(format!("{} does not hold {from}..{to}", stage.runner.id));
+        }
+        if !seen.insert(stage.runner.id.clone()) {
+            return Err(format!("{} stands twice", stage.runner.id));
+        }
+        next = to;
+    }
+    if next == 80 {
+        Ok(())
+    } else {
+        Err(format!("ends at {next}"))
+    }
+}
+
+#[gtest]
+fn each_domain_gets_a_chain_with_the_declared_room() {
+    let mut runners = Runners::default();
+    domain(&mut runners, "east", &MIXED);
+    domain(
+        &mut runners,
+        "north",
+        &[("a100", 1), ("v100", 6), ("l4", 6)],
+    );
+    domain(
+        &mut runners,
+        "west",
+        &[("a100", 1), ("v100", 10), ("l4", 4)],
+    );
+    settle(&mut runners);
+    let chains = found(&runners);
+    assert_that!(chains.len(), eq(3));
+    for chain in &chains {
+        expect_that!(check(chain, &runners), ok(anything()));
+        expect_that!(chain.room_tokens, ge(100_000.0));
+        let domain = chain.domain.clone().expect("inside a domain");
+        expect_true!(chain.stages.iter().all(|s| s.runner.domain == domain));
+    }
+}
+
+#[gtest]
+fn nothing_is_moved_once_all_is_placed() {
+    let mut runners = Runners::default();
+    domain(&mut runners, "east", &MIXED);
+    settle(&mut runners);
+    let moves = plan(&runners, SERVICE, &engine(), &BTreeMap::new(), 0);
+    expect_that!(moves, is_empty());
+}
+
+#[gtest]
+fn a_placement_under_way_is_not_ordered_again() {
+    let mut runners = Runners::default();
+    domain(&mut runners, "east", &MIXED);
+    let moves = plan(&runners, SERVICE, &engine(), &BTreeMap::new(), 0);
+    let loading = moves.iter().map(|m| (m.runner.clone(), m.layers)).collect();
+    expect_that!(plan(&runners, SERVICE, &engine(), &loading, 0), is_empty());
+}
+
+/// The caller sees a domain that serves few requests for the rest of the day. A large runner that
+/// holds a second copy is moved into a small hole that a small runner left, and the chain runs on
+/// slow runners from then on. The slowest runner that can be spared has to go instead.
+#[gtest]
+fn a_fast_runner_with_a_second_copy_is_not_moved_into_a_small_hole() {
+    let mut runners = Runners::default();
+    let mut put = |id: &str, kind: &str, layers| {
+        let mut entry = runner(id, "east", kind);
+        entry.layers = Some(layers);
+        runners.put(&entry);
+    };
+    put("a100", "a100", (0, 28));
+    for (i, layers) in [(0, 9), (9, 18), (18, 28)].into_iter().enumerate() {
+        put(&format!("l4-{i}"), "l4", layers);
+    }
+    for i in 0..10 {
+        put(&format!("v100-{i}"), "v100", (28 + 5 * i, 33 + 5 * i));
+    }
+    put("end", "v100", (78, 80));
+    runners.remove("v100-3");
+    let moves = plan(&runners, SERVICE, &engine(), &BTreeMap::new(), 0);
+    expect_that!(moves.len(), ge(1));
+    expect_true!(moves.iter().all(|m| &*m.runner != "a100"));
+}
+
+/// The caller sees refusals for want of room long after a lost runner is back. Its layers were
+/// taken over by small runners that have hardly any room left; the runner that came back has to
+/// go where the room is short, not where it is second.
+#[gtest]
+fn a_runner_that_came_back_relieves_those_without_room() {
+    let mut runners = Runners::default();
+    domain(
+        &mut runners,
+        "north",
+        &[("a100", 1), ("v100", 6), ("l4", 6)],
+    );
+    settle(&mut runners);
+    let lost = runners.entry("north-a100-0").expect("placed").clone();
+    runners.remove("north-a100-0");
+    settle(&mut runners);
+    let degraded = found(&runners);
+    assert_that!(degraded.len(), eq(1));
+    expect_that!(degraded[0].room_tokens, lt(100_000.0));
+    runners.put(&RunnerEntry {
+        layers: None,
+        born_ms: 2,
+        ..lost
+    });
+    settle(&mut runners);
+    let healed = found(&runners);
+    assert_that!(healed.len(), eq(1));
+    expect_that!(healed[0].room_tokens, gt(degraded[0].room_tokens));
+    expect_that!(healed[0].step_ms, lt(degraded[0].step_ms));
+}
+
+/// The caller gets 503 for ten seconds: a runner in the chain gives up a layer, and refuses all
+/// new requests until those that pass through that layer have ended. A runner that is in use
+/// keeps what it holds as long as nothing is missing.
+#[gtest]
+fn what_is_whole_is_not_made_smaller() {
+    let mut runners = Runners::default();
+    domain(
+        &mut runners,
+        "north",
+        &[("a100", 1), ("v100", 6), ("l4", 6)],
+    );
+    settle(&mut runners);
+    runners.remove("north-a100-0");
+    settle(&mut runners);
+    let before: BTreeMap<Name, _> = runners
+        .entries()
+        .map(|e| (e.id.clone(), e.layers))
+        .collect();
+    runners.put(&runner("north-a100-9", "north", "a100"));
+    for m in settle(&mut runners) {
+        expect_that!(m.why, eq(MoveReason::SecondCopy));
+        expect_that!(before.get(&m.runner).copied().flatten(), none());
+    }
+}
+
+#[gtest]
+fn a_draining_runner_takes_no_part() {
+    let mut runners = Runners::default();
+    domain(&mut runners, "east", &MIXED);
+    settle(&mut runners);
+    let mut leaving = runners.entry("east-a100-0").expect("placed").clone();
+    leaving.draining = true;
+    runners.put(&leaving);
+    expect_true!(found(&runners).iter().all(|c| !c.has("east-a100-0")));
+    settle(&mut runners);
+    let chains = found(&runners);
+    assert_that!(chains.len(), eq(1));
+    expect_false!(chains[0].has("east-a100-0"));
+}
+
+/// A chain that crosses domains moves every token's activations over a pipe that all share. It is
+/// used only where no domain has a chain of its own.
+#[gtest]
+fn chains_cross_domains_only_where_no_domain_is_whole() {
+    let mut runners = Runners::default();
+    for (id, domain, layers) in [
+        ("a", "east", (0, 40)),
+        ("b", "west", (40, 80)),
+        ("c", "east", (40, 60)),
+    ] {
+        let mut entry = runner(id, domain, "a100");
+        entry.layers = Some(layers);
+        runners.put(&entry);
+    }
+    let across = found(&runners);
+    assert_that!(across.len(), eq(1));
+    expect_that!(across[0].domain, none());
+    expect_that!(check(&across[0], &runners), ok(anything()));
+    let mut whole = runner("d", "east", "a100");
+    whole.layers = Some((60, 80));
+    runners.put(&whole);
+    let inside = found(&runners);
+    assert_that!(inside.len(), eq(1));
+    expect_that!(inside[0].domain.as_deref(), some(eq("east")));
+}
+
+#[gtest]
+fn a_runner_that_is_slower_than_declared_is_passed_by() {
+    let mut runners = Runners::default();
+    for (id, kind, layers) in [
+        ("a", "a100", (0, 40)),
+        ("b", "a100", (40, 80)),
+        ("c", "v100", (40, 80)),
+    ] {
+        let mut entry = runner(id, "east", kind);
+        entry.layers = Some(layers);
+        runners.put(&entry);
+    }
+    expect_true!(found(&runners)[0].has("b"));
+    runners.standing_mut(&Name::from("b")).expect("known").pace = Some(12.0);
+    expect_true!(found(&runners)[0].has("c"));
+}
+
+#[gtest]
+fn a_refused_part_is_not_believed_until_its_entry_changes() {
+    let mut runners = Runners::default();
+    let mut entry = runner("a", "east", "a100");
+    entry.layers = Some((0, 80));
+    runners.put(&entry);
+    runners.standing_mut(&entry.id).expect("known").misreported = Some((0, 80));
+    expect_that!(found(&runners), is_empty());
+    entry.layers = Some((0, 79));
+    runners.put(&entry);
+    entry.layers = Some((0, 80));
+    runners.standing_mut(&entry.id).expect("known").misreported = None;
+    runners.put(&entry);
+    expect_that!(found(&runners).len(), eq(1));
+}
+
+fn losses() -> impl Strategy<Value = Vec<(u8, bool)>> {
+    proptest::collection::vec((any::<u8>(), any::<bool>()), 1..12)
+}
+
+proptest! {
+    /// Whatever is lost and comes back, orders end, no runner is told to hold more than its
+    /// memory, and a chain is found wherever the memory of a domain suffices.
+    #[test]
+    fn losses_and_returns_end_in_whole_chains(losses in losses()) {
+        let engine = engine();
+        let mut runners = Runners::default();
+        domain(&mut runners, "east", &MIXED);
+        domain(&mut runners, "north", &[("a100", 1), ("v100", 6), ("l4", 6)]);
+        settle(&mut runners);
+        let names: Vec<Name> = runners.entries().map(|e| e.id.clone()).collect();
+        for (draw, returns) in losses {
+            let id = &names[usize::from(draw) % names.len()];
+            if let Some(entry) = runners.entry(id).cloned() {
+                runners.remove(id);
+                if returns {
+                    runners.put(&RunnerEntry { layers: None, born_ms: entry.born_ms + 1, ..entry });
+                }
+            }
+            for m in settle(&mut runners) {
+                let kind = runners.entry(&m.runner).and_then(|e| e.kind.clone()).expect("known");
+                let held = f64::from(m.layers.1 - m.layers.0) * engine.layer_mb;
+                prop_assert!(held <= engine.kinds[&kind].memory_mb);
+                prop_assert!(m.layers.0 < m.layers.1 && m.layers.1 <= engine.layers);
+            }
+        }
+        for chain in found(&runners) {
+            prop_assert_eq!(check(&chain, &runners), Ok(()));
+        }
+        let a100s = runners.entries().filter(|e| e.kind.as_deref() == Some("a100"));
+        let whole = a100s.filter(|e| &*e.domain == "east").count() == 2;
+        let east = runners.entries().filter(|e| &*e.domain == "east").count();
+        if whole && east >= 9 {
+            let chains = found(&runners);
+            prop_assert!(chains.iter().any(|c| c.domain.as_deref() == Some("east")));
+        }
+    }
+
+    /// Chains over any holdings cover each layer once and in order.
+    #[test]
+    fn chains_over_any_holdings_are_sound(
+        ranges in proptest::collection::vec((0u32..80, 1u32..40, 0usize..3, 0usize..2), 1..24)
+    ) {
+        let mut runners = Runners::default();
+        for (i, (from, count, kind, domain)) in ranges.into_iter().enumerate() {
+            let kind = ["a100", "v100", "l4"][kind];
+            let mut entry = runner(&format!("r{i}"), ["east", "west"][domain], kind);
+            entry.layers = Some((from, (from + count).min(80)));
+            runners.put(&entry);
+        }
+        for chain in found(&runners) {
+            prop_assert_eq!(check(&chain, &runners), Ok(()));
+        }
+    }
+}
+
+/// The check of this file can fail: a gap, an overlap, a runner twice, a part not held.
+#[gtest]
+fn the_check_of_chains_rejects_broken_ones() {
+    let mut runners = Runners::default();
+    domain(&mut runners, "east", &MIXED);
+    let moves = plan(&runners, SERVICE, &engine(), &BTreeMap::new(), 0);
+    carry_out(&mut runners, &moves);
+    let good = found(&runners).remove(0);
+    expect_that!(check(&good, &runners), ok(anything()));
+    let broken = |f: &dyn Fn(&mut Chain)| {
+        let mut chain = good.clone();
+        f(&mut chain);
+        check(&chain, &runners)
+    };
+    expect_that!(broken(&|c| c.stages[1].layers.0 += 1), err(anything()));
+    expect_that!(broken(&|c| c.stages[0].layers.1 += 1), err(anything()));
+    expect_that!(
+        broken(&|c| {
+            c.stages.pop();
+        }),
+        err(anything())
+    );
+    expect_that!(
+        broken(&|c| c.stages[1].runner = c.stages[0].runner.clone()),
+        err(anything())
+    );
+}
--- /dev/null
+++ b/policy/tests/relay_rules.rs
@@ -0,0 +1,385 @@
+//! The small rules of the relay: configuration, vouching, lease, silence, rooms, repeats.
+
+#[path = "support/relay.rs"]
+#[allow(dead_code, reason = "other tests use the rest")]
+mod support;
+
+use googletest::prelude::*;
+use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::relay::intent::{
+    CallClass, Intent, Offered, Organisation, Route, UnknownKey, compare,
+};
+use jacinthweir_policy::relay::lease::{Grant, Lease, LeaseStep};
+use jacinthweir_policy::relay::rooms::{FILL, Refusals, Room, choose, demand};
+use jacinthweir_policy::relay::runners::Runners;
+use jacinthweir_policy::relay::silence::{Gaps, Silence};
+use jacinthweir_policy::relay::spending::{Spending, SpendingConfig};
+use jacinthweir_policy::relay::vouch::Vouch;
+use support::runner;
+
+fn route(name: &str, prefix: &str) -> Route {
+    Route {
+        name: Name::from(name),
+        prefix: Name::from(prefix),
+        class: CallClass::Idempotent,
+        timeout_ms: 800,
+        objective_ms: 300,
+        priority: 1,
+        split: vec![(Name::from("a"), 1)],
+        max_attempts: 2,
+        public: false,
+    }
+}
+
+fn intent() -> Intent {
+    let mut intent = Intent {
+        version: 3,
+        ..Intent::default()
+    };
+    let routes = vec![
+        route("short", "/a/"),
+        route("long", "/a/b/"),
+        route("other", "/c/"),
+    ];
+    intent.routes.insert(Name::from("host"), routes);
+    let org = Organisation {
+        name: Name::from("org"),
+        priority: None,
+    };
+    intent.keys = Some([(Name::from("key"), org)].into());
+    intent.sort_routes();
+    intent
+}
+
+#[gtest]
+fn the_longest_prefix_of_the_host_takes_a_path() {
+    let intent = intent();
+    let name = |host, path| intent.route(host, path).map(|r| r.name.to_string());
+    expect_that!(name("host", "/a/b/c"), some(eq("long")));
+    expect_that!(name("host", "/a/x"), some(eq("short")));
+    expect_that!(name("host", "/a"), none());
+    expect_that!(name("host", "/ab/"), none());
+    expect_that!(name("elsewhere", "/a/b/"), none());
+}
+
+#[gtest]
+fn keys_are_asked_for_unless_the_route_is_public() {
+    let intent = intent();
+    let mut route = route("r", "/a/");
+    expect_that!(intent.organisation(&route, None), err(eq(UnknownKey)));
+    expect_that!(
+        intent.organisation(&route, Some("nobody's")),
+        err(eq(UnknownKey))
+    );
+    expect_that!(
+        intent.organisation(&route, Some("key")),
+        ok(some(anything()))
+    );
+    route.public = true;
+    expect_that!(intent.organisation(&route, None), ok(none()));
+}
+
+#[gtest]
+fn requests_are_split_by_weight() {
+    let mut route = route("r", "/a/");
+    route.split = vec![(Name::from("a"), 900), (Name::from("b"), 100)];
+    expect_that!(route.service(0.0).map(|s| &**s), some(eq("a")));
+    expect_that!(route.service(0.89).map(|s| &**s), some(eq("a")));
+    expect_that!(route.service(0.91).map(|s| &**s), some(eq("b")));
+    route.split = vec![(Name::from("a"), 0), (Name::from("b"), 1)];
+    expect_that!(route.service(0.0).map(|s| &**s), some(eq("b")));
+}
+
+/// The caller with a new key is refused again after it was served: a watch brings an old version
+/// after a newer one, or the store was restored from a copy. The version in force only grows.
+#[gtest]
+fn an_older_version_never_replaces_a_newer_one() {
+    expect_that!(compare(None, 3), eq(Offered::Taken));
+    expect_that!(compare(Some(3), 7), eq(Offered::Taken));
+    expect_that!(compare(Some(7), 7), eq(Offered::Same));
+    expect_that!(compare(Some(7), 3), eq(Offered::Older { in_force: 7 }));
+}
+
+/// The caller's key is taken away while its instance is cut off from the store: the instance
+/// cannot hear of it, and must stop serving keys before the bound is over, counted from when its
+/// last confirmed read was sent.
+#[gtest]
+fn an_instance_that_is_cut_off_stops_serving_before_the_bound() {
+    let mut vouch = Vouch::new(5_000);
+    expect_false!(vouch.may_serve(0));
+    vouch.confirm(1_000);
+    expect_true!(vouch.may_serve(1_000));
+    expect_true!(vouch.may_serve(5_400));
+    expect_false!(vouch.may_serve(5_900));
+    vouch.confirm(500);
+    expect_that!(vouch.age_ms(2_000), some(eq(1_000)));
+}
+
+fn grant(holder: &str, term: u64, revision: u64) -> Grant {
+    Grant {
+        holder: Name::from(holder),
+        term,
+        revision,
+    }
+}
+
+#[gtest]
+fn an_absent_lease_is_created_and_renewed() {
+    let mut lease = Lease::new(Name::from("a"), 2_400);
+    expect_that!(lease.step(0, false), eq(&LeaseStep::Wait));
+    expect_that!(lease.step(0, true), eq(&LeaseStep::Read));
+    lease.read(5, None);
+    expect_that!(lease.step(800, true), eq(&LeaseStep::Create { term: 1 }));
+    lease.granted(800, grant("a", 1, 10));
+    expect_that!(lease.held(900), some(eq(1)));
+    let renewal = LeaseStep::Replace {
+        term: 1,
+        revision: 10,
+    };
+    expect_that!(lease.step(1_600, true), eq(&renewal));
+}
+
+/// Two instances give orders at once, and runners load what the other has them give up. An
+/// instance takes over only a lease that stood unchanged for its whole time by its own clock, and
+/// the old holder stops on its own clock before that.
+#[gtest]
+fn a_lease_is_taken_over_only_when_it_stood_still() {
+    let mut holder = Lease::new(Name::from("a"), 2_400);
+    holder.granted(0, grant("a", 1, 10));
+    let mut other = Lease::new(Name::from("b"), 2_400);
+    other.read(100, Some(grant("a", 1, 10)));
+    let mut taken_at = None;
+    for now in (100..6_000).step_by(50) {
+        match other.step(now, true) {
+            LeaseStep::Read => other.read(now, Some(grant("a", 1, 10))),
+            LeaseStep::Replace { term, revision } => {
+                expect_that!((term, revision), eq((2, 10)));
+                taken_at = Some(now);
+                break;
+            }
+            LeaseStep::Wait => {}
+            step @ LeaseStep::Create { .. } => panic!("{step:?}"),
+        }
+        expect_true!(other.held(now).is_none());
+    }
+    let taken_at = taken_at.expect("it is taken over in the end");
+    expect_that!(holder.held(taken_at), none());
+    expect_that!(holder.held(1_500), some(eq(1)));
+}
+
+#[gtest]
+fn a_renewed_lease_is_not_taken_over() {
+    let mut other = Lease::new(Name::from("b"), 2_400);
+    let mut revision = 10;
+    for now in (0..10_000).step_by(100) {
+        if now % 800 == 0 {
+            revision += 1;
+        }
+        match other.step(now, true) {
+            LeaseStep::Read => other.read(now, Some(grant("a", 1, revision))),
+            step => expect_that!(step, eq(&LeaseStep::Wait)),
+        }
+    }
+}
+
+#[gtest]
+fn a_lost_write_is_read_back_before_anything_else() {
+    let mut lease = Lease::new(Name::from("a"), 2_400);
+    lease.read(0, None);
+    let _ = lease.step(0, true);
+    lease.lost(1_000);
+    expect_that!(lease.step(1_000, true), eq(&LeaseStep::Read));
+}
+
+/// The caller gives up after two seconds without an event, while the runner says of its dead
+/// neighbour only after 2.5 s. Nothing at all from a chain with several requests waiting is the
+/// sign; a chain from which anything comes is slow, not dead.
+#[gtest]
+fn a_silent_chain_is_asked_and_a_slow_one_is_not() {
+    let mut silent = Silence::default();
+    let mut slow = Silence::default();
+    for _ in 0..5 {
+        silent.sent(0);
+        slow.sent(0);
+    }
+    let mut asked_at = None;
+    for now in (0..2_000).step_by(50) {
+        if now % 150 == 0 {
+            slow.heard(now);
+        }
+        expect_false!(slow.should_ask(now));
+        if silent.should_ask(now) && asked_at.is_none() {
+            asked_at = Some(now);
+        }
+    }
+    expect_that!(asked_at, some(le(400)));
+}
+
+#[gtest]
+fn one_waiting_request_is_given_more_time_and_none_is_no_silence() {
+    let mut silence = Silence::default();
+    expect_false!(silence.should_ask(10_000));
+    silence.sent(10_000);
+    expect_false!(silence.should_ask(10_300));
+    expect_true!(silence.should_ask(10_500));
+    expect_false!(silence.should_ask(10_600));
+    silence.ended();
+    expect_false!(silence.should_ask(60_000));
+}
+
+#[gtest]
+fn only_gaps_far_above_the_declared_ones_are_asked_about() {
+    let mut gaps = Gaps::default();
+    for _ in 0..200 {
+        gaps.seen(60);
+    }
+    expect_false!(gaps.should_ask(0, 20.0));
+    for _ in 0..200 {
+        gaps.seen(400);
+    }
+    expect_true!(gaps.should_ask(0, 20.0));
+    expect_false!(gaps.should_ask(100, 20.0));
+}
+
+fn room(chain: usize, used_tokens: f64) -> Room {
+    Room {
+        chain,
+        near: false,
+        room_tokens: 100_000.0,
+        used_tokens,
+        silent_ms: 0,
+        refusing: false,
+    }
+}
+
+#[gtest]
+fn the_emptier_chain_is_chosen_and_the_near_one_preferred() {
+    let rooms = [room(0, 50_000.0), room(1, 30_000.0)];
+    expect_that!(choose(&rooms, 1_000.0, FILL), some(eq(1)));
+    let near = Room {
+        near: true,
+        ..room(0, 40_000.0)
+    };
+    expect_that!(
+        choose(&[near, room(1, 30_000.0)], 1_000.0, FILL),
+        some(eq(0))
+    );
+}
+
+/// The load of a lost domain comes to the two that are left. What does not fit is turned away:
+/// a chain that takes more than it has room for takes requests back in the middle of their
+/// streams, and everybody is late.
+#[gtest]
+fn a_full_chain_takes_nothing_more() {
+    let mut used = 0.0;
+    let mut taken = 0;
+    while let Some(0) = choose(&[room(0, used)], demand(800, 200), FILL) {
+        used += demand(800, 200);
+        taken += 1;
+    }
+    expect_that!(used, le(100_000.0 * FILL));
+    expect_that!(taken, ge(100));
+}
+
+#[gtest]
+fn a_silent_chain_gets_new_work_only_where_no_other_has_room() {
+    let silent = Room {
+        silent_ms: 400,
+        ..room(0, 0.0)
+    };
+    expect_that!(
+        choose(&[silent, room(1, 90_000.0)], 1_000.0, FILL),
+        some(eq(1))
+    );
+    expect_that!(
+        choose(&[silent, room(1, 100_000.0)], 1_000.0, FILL),
+        some(eq(0))
+    );
+}
+
+/// A runner whose memory is full refuses sixty requests a second, each of which costs a repeat.
+/// Its chain is left alone for a time that doubles, and its room is taken for smaller.
+#[gtest]
+fn a_chain_that_refuses_is_left_alone_for_longer_each_time() {
+    let mut refusals = Refusals::default();
+    let mut sent = 0;
+    for now in 0..10_000 {
+        if !refusals.refusing(now) {
+            refusals.refused(now);
+            sent += 1;
+        }
+    }
+    expect_that!(sent, le(12));
+    expect_that!(refusals.scale(), lt(1.0));
+    for now in 20_000..21_000 {
+        refusals.taken(now);
+    }
+    expect_that!(refusals.scale(), eq(1.0));
+    let refusing = Room {
+        refusing: true,
+        ..room(0, 0.0)
+    };
+    expect_that!(choose(&[refusing], 1.0, FILL), none());
+}
+
+/// A failure domain dies and every request fails. All instances together must stay below the
+/// bound on further sends, though none knows what the others spend.
+#[gtest]
+fn further_sends_of_all_instances_stay_below_the_bound() {
+    let cfg = SpendingConfig {
+        ratio: 0.2,
+        slack: 196.0,
+        window_ms: 10_000,
+    };
+    let mut instances = vec![Spending::default(); 6];
+    let mut requests = Vec::new();
+    let mut repeats = Vec::new();
+    for now in (0..60_000u64).step_by(10) {
+        let one = &mut instances[(now / 10 % 6) as usize];
+        one.request(now, &cfg);
+        requests.push(now);
+        if one.take(now, &cfg, 6) {
+            repeats.push(now);
+        }
+    }
+    let within = |times: &[u64], from: u64| {
+        times
+            .iter()
+            .filter(|t| (from..from + 10_000).contains(*t))
+            .count() as f64
+    };
+    for from in (0..50_000).step_by(500) {
+        let bound = 0.2 * within(&requests, from) + 196.0;
+        expect_that!(within(&repeats, from), le(bound));
+    }
+    expect_that!(repeats.len(), ge(500));
+}
+
+#[gtest]
+fn a_new_lifetime_of_a_runner_is_not_held_against_it() {
+    let mut runners = Runners::default();
+    let mut entry = runner("a", "east", "a100");
+    runners.put(&entry);
+    runners.standing_mut(&entry.id).expect("known").dead = true;
+    runners.put(&entry);
+    expect_true!(runners.standing("a").dead);
+    entry.born_ms = 2;
+    runners.put(&entry);
+    expect_false!(runners.standing("a").dead);
+    runners.replace(Vec::new());
+    expect_that!(runners.entry("a"), none());
+}
+
+#[gtest]
+fn plain_runners_that_fail_come_last() {
+    let mut runners = Runners::default();
+    for id in ["a", "b"] {
+        runners.put(&runner(id, "east", "l4"));
+    }
+    for _ in 0..10 {
+        runners.seen("a", true);
+    }
+    let ranked = runners.plain(support::SERVICE, "east", 0, || 0);
+    expect_that!(ranked.first().map(|e| &*e.id), some(eq("b")));
+    expect_that!(ranked.len(), eq(2));
+}
