Relay: the whole path tested on stand-ins; a resume leaves the chain that broke off, a runner's failures fade

Cause, each shown by a new test that failed first: a stream whose runner broke off was resumed on the same chain while that runner was not yet known to be dead, and its attempts were used up; a plain runner with a third of its requests failed was never tried again, since its share of failures changed only when it was tried. Change: the chain that broke off is excluded from its resume; failures fade with a half-life of 2 s. Relay::spawn returns a running handle, which the tests use.

--- a/plugins/relay/src/call.rs
+++ b/plugins/relay/src/call.rs
@@ -152,7 +152,9 @@
     match timeout(Duration::from_millis(time), sent).await {
         Ok(Ok(res)) => {
             let failed = res.status().is_server_error();
-            node.runners.borrow_mut().seen(&runner.id, failed);
+            node.runners
+                .borrow_mut()
+                .seen(&runner.id, failed, node.now());
             let res = passed_on(res);
             if failed {
                 Ended::Failed(Some(res))
@@ -162,7 +164,7 @@
         }
         Ok(Err(sent)) => not_answered(node, rq, runner, sent),
         Err(_) => {
-            node.runners.borrow_mut().seen(&runner.id, true);
+            node.runners.borrow_mut().seen(&runner.id, true, node.now());
             log_attempt(rq, runner, "timeout", "");
             Ended::Timeout
         }
@@ -190,7 +192,7 @@
         }
         Sent::Lost(cause) => {
             log_attempt(rq, runner, "lost", &cause);
-            node.runners.borrow_mut().seen(&runner.id, true);
+            node.runners.borrow_mut().seen(&runner.id, true, node.now());
             Ended::Failed(None)
         }
         Sent::Answer(_) => Ended::Failed(None),
--- a/plugins/relay/src/dump.rs
+++ b/plugins/relay/src/dump.rs
@@ -57,7 +57,7 @@
         json!({
             "id": e.id, "service": e.service, "address": e.address, "domain": e.domain,
             "kind": e.kind, "layers": e.layers, "draining": e.draining, "born_ms": e.born_ms,
-            "orders": s.orders, "dead": s.dead, "failing": s.failing, "in_flight": s.in_flight,
+            "orders": s.orders, "dead": s.dead, "failing": s.failing_at(node.now()), "in_flight": s.in_flight,
         })
     });
     shown.collect()
--- a/plugins/relay/src/lib.rs
+++ b/plugins/relay/src/lib.rs
@@ -72,22 +72,53 @@
     },
 }
 
-/// Runs the relay until it is told to end. `path` is where the settings came from.
+/// A relay that runs on the current thread's task set.
+pub struct Relay {
+    node: Rc<Node>,
+    servers: server::Servers,
+}
+
+impl Relay {
+    /// Opens the listeners and starts all tasks. Call it within a [`tokio::task::LocalSet`].
+    ///
+    /// # Errors
+    /// It cannot start.
+    pub async fn spawn(settings: RelaySettings) -> Result<Relay, RelayError> {
+        let node = Node::open(settings)?;
+        let servers = server::bind(&node).await?;
+        watch::spawn(&node);
+        peers::spawn(&node);
+        placer::spawn(&node);
+        probe::spawn(&node);
+        Ok(Relay { node, servers })
+    }
+
+    /// Leaves the entry answers, finishes what is in progress and stops.
+    pub async fn shut_down(self) -> Ended {
+        let ended = shutdown::run(&self.node, &self.servers).await;
+        self.node.stop.cancel();
+        ended
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.node.stop.cancel();
+    }
+}
+
+/// Runs a relay as the whole process until it is told to end. `path` is where the settings came
+/// from.
 ///
 /// # Errors
 /// It cannot start.
 pub async fn run(settings: RelaySettings, path: std::path::PathBuf) -> Result<Ended, RelayError> {
     logs::open_stdout(&settings.log, &settings.name).map_err(RelayError::SetUp)?;
-    let signals = shutdown::Signals::open()?;
-    let node = Node::open(settings)?;
-    let servers = server::bind(&node).await?;
-    log::info!(incarnation = node.incarnation; "started");
-    watch::spawn(&node);
-    peers::spawn(&node);
-    placer::spawn(&node);
-    probe::spawn(&node);
-    let ended = shutdown::run(Rc::clone(&node), servers, signals, &path).await;
-    node.stop.cancel();
+    let mut signals = shutdown::Signals::open()?;
+    let relay = Relay::spawn(settings).await?;
+    log::info!(incarnation = relay.node.incarnation; "started");
+    signals.end(&path).await;
+    let ended = relay.shut_down().await;
     log::info!(ended:% = ended; "stopped");
     logs::flush();
     Ok(ended)
--- a/plugins/relay/src/shutdown.rs
+++ b/plugins/relay/src/shutdown.rs
@@ -65,7 +65,7 @@
     }
 
     /// Waits for the end; checks the settings file again at each hang-up signal.
-    async fn end(&mut self, path: &Path) {
+    pub(crate) async fn end(&mut self, path: &Path) {
         loop {
             tokio::select! {
                 _ = self.term.recv() => return,
@@ -85,19 +85,13 @@
     }
 }
 
-/// Waits for the signal to end and shuts down.
-pub(crate) async fn run(
-    node: Rc<Node>,
-    servers: Servers,
-    mut signals: Signals,
-    path: &Path,
-) -> Ended {
-    signals.end(path).await;
+/// Shuts down.
+pub(crate) async fn run(node: &Rc<Node>, servers: &Servers) -> Ended {
     let began = node.now();
     let bounds = &node.settings.bounds;
     let end = began + bounds.shutdown_ms().saturating_sub(MARGIN_MS);
     node.draining.set(true);
-    peers::announce(&node, Phase::Draining);
+    peers::announce(node, Phase::Draining);
     log::info!(connections = servers.callers.len(); "stopping: out of the entry answers");
     let accept_ms = (bounds.entry_ttl_ms * TTL_TIMES).min(bounds.shutdown_ms() / 2 + 500);
     sleep(Duration::from_millis(accept_ms)).await;
@@ -118,7 +112,7 @@
     if ended == Ended::Cut {
         log::warn!(connections = servers.callers.len(); "connections are cut at the bound");
     }
-    peers::announce(&node, Phase::Gone);
+    peers::announce(node, Phase::Gone);
     sleep(LOOK).await;
     ended
 }
--- a/plugins/relay/src/stream.rs
+++ b/plugins/relay/src/stream.rs
@@ -324,7 +324,7 @@
     /// Goes on with another run behind the last whole event; `None` if that cannot be.
     async fn go_on(&mut self, cause: &str, runner_died: bool) -> Option<()> {
         self.body = None;
-        self.passage = None;
+        let left = self.passage.take().map(|p| Rc::clone(&p.live));
         let free = u32::from(runner_died);
         let may = self.ok
             && self.rq.class.repeatable()
@@ -334,7 +334,8 @@
         }
         self.events.resume();
         let until = self.heard_ms + PATIENCE_MS;
-        let mut excluded: Vec<Rc<LiveChain>> = Vec::new();
+        // A runner that broke off is most likely dead, and not yet known to be.
+        let mut excluded: Vec<Rc<LiveChain>> = left.into_iter().collect();
         while self.node.now() < until {
             // Work under way goes before new work: it does not wait in the queue.
             let tokens = admit::tokens(&self.rq);
--- /dev/null
+++ b/plugins/relay/tests/relay.rs
@@ -0,0 +1,420 @@
+//! The whole path on small stand-ins: store, runners, callers, over real sockets.
+
+#[path = "support/standin.rs"]
+mod standin;
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use standin::{LONG, Manner, Site, ask, on_one_thread, raw, request, seen};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+const NOTES: &str = "POST /notes/1?q=2 HTTP/1.1";
+const LOOKUP: &str = "GET /lookup/1 HTTP/1.1";
+const PAY: &str = "POST /pay/1 HTTP/1.1";
+const TOKENS: &str = "X-Jacinthweir-Token-Counts: 10,6\r\n";
+
+#[gtest]
+fn a_stream_passes_through_a_whole_chain_unchanged() {
+    on_one_thread(async {
+        let site = Site::open().await;
+        let lines = format!(
+            "{TOKENS}X-Jacinthweir-Deadline-Ms: 2000\r\nX-Jacinthweir-Model: m\r\n\
+             X-Jacinthweir-Tenant: forged\r\nX-Jacinthweir-Hop-Count: forged\r\n"
+        );
+        let got = request(site.callers(), NOTES, &lines, "the prompt").await;
+        expect_that!(got.status, eq(200));
+        expect_true!(got.whole);
+        expect_that!(got.events(), eq(&[1, 2, 3, 4, 5, 6]));
+        expect_that!(got.header("x-jacinthweir-request-id"), some(eq("r1")));
+        expect_that!(
+            got.header("x-jacinthweir-server-stamp"),
+            some(starts_with("of-"))
+        );
+        assert_that!(site.runs(), eq(1));
+        let runner = site
+            .runners
+            .iter()
+            .find(|r| r.runs() == 1)
+            .expect("one ran it");
+        let sent = runner.received.borrow()[0].clone();
+        expect_that!(sent.head, starts_with("POST /notes/1?q=2 HTTP/1.1"));
+        expect_that!(sent.body, eq(b"the prompt"));
+        expect_that!(sent.header("x-jacinthweir-key"), none());
+        expect_that!(sent.header("x-jacinthweir-tenant"), some(eq("org")));
+        expect_that!(sent.header("x-jacinthweir-model"), some(eq("m")));
+        expect_that!(
+            sent.header("x-jacinthweir-expect-instance"),
+            some(eq(&*runner.id))
+        );
+        let left: u64 = sent
+            .header("x-jacinthweir-deadline-ms")
+            .unwrap()
+            .parse()
+            .unwrap();
+        expect_that!(left, le(2_000));
+        let chain = sent
+            .header("x-jacinthweir-hop-count")
+            .expect("a chain")
+            .to_owned();
+        expect_that!(chain, starts_with(format!("{}=0-", runner.address)));
+        expect_that!(chain, ends_with("-4"));
+    });
+}
+
+#[gtest]
+fn entry_answers_name_this_instance_while_it_is_ready() {
+    on_one_thread(async {
+        let site = Site::open().await;
+        let path = "GET /api/resolve?name=site.example&region=r&zone=a HTTP/1.1";
+        let got = ask(site.settings.listen.entry, path).await;
+        expect_that!(got.status, eq(200));
+        expect_that!(got.body, contains_substring(site.callers().to_string()));
+        expect_that!(got.body, contains_substring("\"ttlS\""));
+    });
+}
+
+/// A runner dies in the middle of an event. The caller must get each event once and whole, inside
+/// the same answer and with the first runner's receipt: another chain goes on behind the last
+/// whole event, and the half one is dropped.
+#[gtest]
+fn a_stream_that_breaks_off_goes_on_elsewhere() {
+    on_one_thread(async {
+        let site = Site::open().await;
+        for runner in &site.runners[..2] {
+            runner.manner.set(Manner::BreaksOff);
+        }
+        let got = request(site.callers(), NOTES, TOKENS, "prompt").await;
+        expect_that!(got.status, eq(200));
+        expect_true!(got.whole);
+        expect_that!(got.events(), eq(&[1, 2, 3, 4, 5, 6]));
+        expect_that!(
+            got.header("x-jacinthweir-server-stamp"),
+            some(starts_with("of-a"))
+        );
+        let resumed = site.runners[2..]
+            .iter()
+            .find(|r| r.runs() == 1)
+            .expect("resumed");
+        let sent = resumed.received.borrow()[0].clone();
+        expect_that!(sent.header("last-event-id"), some(eq("2")));
+        expect_that!(sent.header("x-jacinthweir-request-id"), some(eq("r1")));
+    });
+}
+
+/// Every chain breaks off. The caller must not take the part for the whole: the connection ends
+/// without the last chunk.
+#[gtest]
+fn a_stream_that_nobody_can_go_on_with_never_looks_whole() {
+    on_one_thread(async {
+        let site = Site::open().await;
+        site.set_all(Manner::BreaksOff);
+        let got = request(site.callers(), NOTES, TOKENS, "prompt").await;
+        expect_that!(got.status, eq(200));
+        expect_false!(got.whole);
+        expect_that!(got.events(), eq(&[1, 2]));
+    });
+}
+
+/// A part of a chain says nothing more, and its first runner would say so only after the caller
+/// has given up. The silence of the whole chain is noticed, its parts are asked, and the other
+/// domain serves the request.
+#[gtest]
+fn a_chain_with_a_silent_runner_is_left() {
+    on_one_thread(async {
+        let site = Site::open().await;
+        for runner in &site.runners[..2] {
+            runner.manner.set(Manner::Silent);
+        }
+        let got = request(site.callers(), NOTES, TOKENS, "prompt").await;
+        expect_that!(got.status, eq(200));
+        expect_true!(got.whole);
+        expect_that!(
+            got.header("x-jacinthweir-server-stamp"),
+            some(starts_with("of-b"))
+        );
+    });
+}
+
+#[gtest]
+fn an_idempotent_call_is_sent_once_more_when_a_runner_fails_it() {
+    on_one_thread(async {
+        for manner in [
+            Manner::Fails,
+            Manner::Closes,
+            Manner::Short,
+            Manner::Foreign,
+            Manner::NoReceipt,
+        ] {
+            let site = Site::open().await;
+            site.plain[0].manner.set(manner);
+            // The runner of the own domain is the first choice, and the other one is well.
+            let got = request(site.callers(), LOOKUP, "", "").await;
+            expect_that!(got.status, eq(200), "{manner:?}");
+            expect_that!(got.body, eq("answer of p2"), "{manner:?}");
+            expect_that!(site.plain[0].runs(), eq(1), "{manner:?}");
+        }
+    });
+}
+
+/// The caller pays once. Whatever a runner does after it was handed the request, the call is not
+/// sent again, and no status says that it has not run.
+#[gtest]
+fn a_call_that_must_not_repeat_runs_once_whatever_happens() {
+    on_one_thread(async {
+        let site = Site::open().await;
+        for (manner, status) in [
+            (Manner::Closes, 502),
+            (Manner::Short, 502),
+            (Manner::Foreign, 502),
+            (Manner::NoReceipt, 502),
+            (Manner::Fails, 500),
+            (Manner::Silent, 504),
+        ] {
+            site.set_all(manner);
+            let before = site.runs();
+            let got = request(
+                site.callers(),
+                PAY,
+                "X-Jacinthweir-Deadline-Ms: 400\r\n",
+                "pay",
+            )
+            .await;
+            expect_that!(got.status, eq(status), "{manner:?}");
+            expect_that!(site.runs(), eq(before + 1), "{manner:?}");
+            expect_that!(got.header("retry-after"), none());
+        }
+    });
+}
+
+#[gtest]
+fn a_refusal_says_when_to_come_back_and_is_true() {
+    on_one_thread(async {
+        let site = Site::open().await;
+        site.set_all(Manner::NotRun);
+        for first in [NOTES, LOOKUP, PAY] {
+            let got = request(site.callers(), first, TOKENS, "body").await;
+            expect_that!(got.status, eq(503), "{first}");
+            expect_that!(got.header("retry-after"), some(anything()), "{first}");
+        }
+        expect_that!(site.runs(), eq(0));
+    });
+}
+
+/// The caller leaves in the middle of its stream. The runner must see its connection close, or it
+/// goes on working for nobody.
+#[gtest]
+fn a_caller_that_leaves_ends_the_run() {
+    on_one_thread(async {
+        let site = Site::open().await;
+        site.set_all(Manner::Endless);
+        let mut stream = TcpStream::connect(site.callers()).await.unwrap();
+        let head = "POST /notes/1 HTTP/1.1\r\nHost: site.example\r\nX-Jacinthweir-Request-Id: r9\r\n\
+                    X-Jacinthweir-Key: key\r\nContent-Length: 0\r\n\r\n";
+        stream.write_all(head.as_bytes()).await.unwrap();
+        let mut buf = [0; 512];
+        let read = stream.read(&mut buf).await.unwrap();
+        expect_that!(read, gt(0));
+        drop(stream);
+        let left = async {
+            while site.runners.iter().all(|r| r.left.get() == 0) {
+                sleep(Duration::from_millis(10)).await;
+            }
+        };
+        timeout(LONG, left)
+            .await
+            .expect("the runner sees the close");
+    });
+}
+
+/// What callers may get wrong, and the answer. Nothing of it reaches a runner.
+#[gtest]
+fn bad_requests_get_their_status_and_reach_nobody() {
+    on_one_thread(async {
+        let site = Site::open().await;
+        let usual = "Host: site.example\r\nX-Jacinthweir-Request-Id: r1\r\n";
+        let long = "x".repeat(40_000);
+        let cases = [
+            (
+                "no such path",
+                format!("GET /none/ HTTP/1.1\r\n{usual}X-Jacinthweir-Key: key\r\n\r\n"),
+                404,
+            ),
+            (
+                "no such host",
+                "GET /lookup/ HTTP/1.1\r\nHost: other\r\nX-Jacinthweir-Key: key\r\n\r\n".to_owned(),
+                404,
+            ),
+            (
+                "no key",
+                format!("GET /lookup/ HTTP/1.1\r\n{usual}\r\n"),
+                401,
+            ),
+            (
+                "wrong key",
+                format!("GET /lookup/ HTTP/1.1\r\n{usual}X-Jacinthweir-Key: no\r\n\r\n"),
+                401,
+            ),
+            (
+                "body too long",
+                format!(
+                    "POST /pay/ HTTP/1.1\r\n{usual}X-Jacinthweir-Key: key\r\nContent-Length: 99999\r\n\r\n"
+                ),
+                413,
+            ),
+            (
+                "chunks too long",
+                format!(
+                    "POST /pay/ HTTP/1.1\r\n{usual}X-Jacinthweir-Key: key\r\nTransfer-Encoding: chunked\r\n\r\n9c40\r\n{long}\r\n0\r\n\r\n"
+                ),
+                413,
+            ),
+            (
+                "head too long",
+                format!("GET /lookup/{long} HTTP/1.1\r\n{usual}X-Jacinthweir-Key: key\r\n\r\n"),
+                431,
+            ),
+            (
+                "two lengths",
+                format!(
+                    "POST /pay/ HTTP/1.1\r\n{usual}X-Jacinthweir-Key: key\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd"
+                ),
+                400,
+            ),
+            (
+                "no length",
+                format!(
+                    "POST /pay/ HTTP/1.1\r\n{usual}X-Jacinthweir-Key: key\r\nContent-Length: x\r\n\r\n"
+                ),
+                400,
+            ),
+            (
+                "chunk size",
+                format!(
+                    "POST /pay/ HTTP/1.1\r\n{usual}X-Jacinthweir-Key: key\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"
+                ),
+                400,
+            ),
+            ("not HTTP", "hello\r\n\r\n".to_owned(), 400),
+        ];
+        for (what, text, status) in cases {
+            let text = text.replacen("\r\n", "\r\nConnection: close\r\n", 1);
+            let got = raw(site.callers(), text.as_bytes()).await;
+            expect_that!(got.status, eq(status), "{what}");
+        }
+        expect_that!(site.runs(), eq(0));
+        let got = request(site.callers(), LOOKUP, "", "").await;
+        expect_that!(got.status, eq(200));
+    });
+}
+
+/// A second request in the body of the first one must stay its body: the runner gets exactly what
+/// the caller declared.
+#[gtest]
+fn a_request_within_a_body_is_a_body() {
+    on_one_thread(async {
+        let site = Site::open().await;
+        let inner = "GET /lookup/ HTTP/1.1\r\nHost: site.example\r\nX-Jacinthweir-Key: key\r\n\r\n";
+        let got = request(site.callers(), PAY, "", inner).await;
+        expect_that!(got.status, eq(200));
+        assert_that!(site.runs(), eq(1));
+        let runner = site
+            .plain
+            .iter()
+            .find(|r| r.runs() == 1)
+            .expect("one ran it");
+        expect_that!(runner.received.borrow()[0].body, eq(inner.as_bytes()));
+    });
+}
+
+/// The store falls silent. Keys that are taken away meanwhile are not heard of, so the instance
+/// refuses keyed requests before the bound is over, says that they have not run, and serves again
+/// when the store is back.
+#[gtest]
+fn an_instance_without_the_store_stops_serving_keys_until_it_is_back() {
+    on_one_thread(async {
+        let site = Site::with(3_500).await;
+        site.store.silent.set(true);
+        let status = async |wanted: u16| {
+            let until = async {
+                loop {
+                    let got = request(site.callers(), LOOKUP, "", "").await;
+                    if got.status == wanted {
+                        return got;
+                    }
+                    sleep(Duration::from_millis(50)).await;
+                }
+            };
+            timeout(LONG, until).await.expect("the status comes")
+        };
+        let refused = status(503).await;
+        expect_that!(refused.header("retry-after"), some(anything()));
+        let ready = ask(site.settings.listen.ready, "GET /api/ready HTTP/1.1").await;
+        expect_that!(ready.status, eq(503));
+        site.store.silent.set(false);
+        status(200).await;
+    });
+}
+
+#[gtest]
+fn a_new_configuration_takes_effect_and_an_older_one_does_not() {
+    on_one_thread(async {
+        let site = Site::open().await;
+        let mut newer = standin::configuration(7);
+        newer["tenants"][0]["apiKeys"] = serde_json::json!(["other"]);
+        site.store.put("config", "main", newer);
+        let denied = async {
+            while request(site.callers(), LOOKUP, "", "").await.status != 401 {
+                sleep(Duration::from_millis(20)).await;
+            }
+        };
+        timeout(LONG, denied).await.expect("the key is gone");
+        site.store.put("config", "main", standin::configuration(3));
+        sleep(Duration::from_millis(300)).await;
+        expect_that!(
+            request(site.callers(), LOOKUP, "", "").await.status,
+            ne(200)
+        );
+    });
+}
+
+/// The instance is told to stop while a stream is under way and callers still hold its address.
+/// It leaves the answers at once, serves both, says that their connections close, and ends clean.
+#[gtest]
+fn a_shutdown_cuts_nothing() {
+    on_one_thread(async {
+        let mut site = Site::open().await;
+        let callers = site.callers();
+        let streaming = spawn_local(async move { request(callers, NOTES, TOKENS, "prompt").await });
+        sleep(Duration::from_millis(20)).await;
+        let relay = site.relay.take().expect("it runs");
+        let ending = spawn_local(relay.shut_down());
+        sleep(Duration::from_millis(50)).await;
+        let ready = ask(site.settings.listen.ready, "GET /api/ready HTTP/1.1").await;
+        expect_that!(ready.status, eq(503));
+        let late = request(callers, LOOKUP, "", "").await;
+        expect_that!(late.status, eq(200));
+        expect_that!(late.header("connection"), some(eq("close")));
+        let streamed = streaming.await.expect("it ends");
+        expect_true!(streamed.whole);
+        expect_that!(streamed.events().len(), eq(6));
+        let ended = timeout(LONG, ending)
+            .await
+            .expect("it ends")
+            .expect("it ends");
+        expect_that!(ended, eq(jacinthweir_relay::Ended::Clean));
+    });
+}
+
+/// The checks of this file can fail: a cut answer is not taken for a whole one.
+#[gtest]
+fn the_reader_of_answers_tells_cut_ones() {
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    expect_true!(seen(format!("{head}2\r\nab\r\n0\r\n\r\n").as_bytes()).whole);
+    expect_false!(seen(format!("{head}2\r\nab\r\n").as_bytes()).whole);
+    expect_false!(seen(format!("{head}5\r\nab").as_bytes()).whole);
+    expect_false!(seen(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab").whole);
+}
--- a/policy/src/relay/runners.rs
+++ b/policy/src/relay/runners.rs
@@ -55,8 +55,10 @@
     pub misreported: Option<(u32, u32)>,
     /// Orders that it has accepted, where that is known.
     pub orders: Option<u64>,
-    /// Share of recent requests that it failed, 0 to 1.
+    /// Share of recent requests that it failed, 0 to 1, at the last of them.
     pub failing: f64,
+    /// When that was, in milliseconds.
+    pub failing_ms: Millis,
     /// Requests in flight there from this instance.
     pub in_flight: u32,
     /// How slow it said to be when last asked; 1 is as declared.
@@ -64,6 +66,14 @@
 }
 
 impl Standing {
+    /// Share of recent requests that it failed. It fades with time: a runner that nobody sends
+    /// anything could never show that it is well again.
+    #[must_use]
+    pub fn failing_at(&self, now: Millis) -> f64 {
+        let passed = now.saturating_sub(self.failing_ms) as f64;
+        self.failing * 0.5_f64.powf(passed / FAILING_HALF_MS)
+    }
+
     /// How many times as long as declared its work takes; never less than 1.
     #[must_use]
     pub fn slowness(&self) -> f64 {
@@ -74,6 +84,9 @@
 /// Weight of the newest request in a runner's share of failures.
 const FAILING_WEIGHT: f64 = 0.2;
 
+/// Time in which a runner's share of failures fades to a half, in milliseconds.
+const FAILING_HALF_MS: f64 = 2_000.0;
+
 /// Share of failures from which on others are preferred.
 const FAILING_LIMIT: f64 = 0.3;
 
@@ -152,10 +165,12 @@
     }
 
     /// A request's outcome at a runner.
-    pub fn seen(&mut self, id: &str, failed: bool) {
+    pub fn seen(&mut self, id: &str, failed: bool, now: Millis) {
         if let Some(s) = self.standings.get_mut(id) {
             let sample = if failed { 1.0 } else { 0.0 };
-            s.failing += FAILING_WEIGHT * (sample - s.failing);
+            let before = s.failing_at(now);
+            s.failing = before + FAILING_WEIGHT * (sample - before);
+            s.failing_ms = now;
         }
     }
 
@@ -190,7 +205,7 @@
         let mut ranked: Vec<_> = usable
             .map(|e| {
                 let s = self.standing(&e.id);
-                let failing = s.failing > FAILING_LIMIT;
+                let failing = s.failing_at(now) > FAILING_LIMIT;
                 let elsewhere = *e.domain != *domain;
                 ((failing, s.in_flight + u32::from(elsewhere), draw()), e)
             })
--- a/policy/tests/relay_rules.rs
+++ b/policy/tests/relay_rules.rs
@@ -377,9 +377,14 @@
         runners.put(&runner(id, "east", "l4"));
     }
     for _ in 0..10 {
-        runners.seen("a", true);
+        runners.seen("a", true, 0);
     }
-    let ranked = runners.plain(support::SERVICE, "east", 0, || 0);
-    expect_that!(ranked.first().map(|e| &*e.id), some(eq("b")));
-    expect_that!(ranked.len(), eq(2));
+    let first = |now| {
+        let ranked = runners.plain(support::SERVICE, "east", now, || 0);
+        assert_eq!(ranked.len(), 2);
+        ranked[0].id.to_string()
+    };
+    expect_that!(first(0), eq("b"));
+    // Nothing is sent there any more, so time alone brings it back.
+    expect_that!(first(20_000), eq("a"));
 }
