Placement: as many copies of the model in a domain as its memory allows

Change: whole chains keep their runners; the rest of a domain forms further copies while its memory suffices. Chains of a domain have no runner in common; tokens in flight are counted by a chain's first runner.

--- a/plugins/relay/src/live.rs
+++ b/plugins/relay/src/live.rs
@@ -25,8 +25,8 @@
     event_tokens: f64,
     /// Cancelled when a part is known to be dead: what passes through goes elsewhere.
     pub(crate) broken: CancellationToken,
-    /// Tokens in flight from this instance in the chain's domain; chains that followed one
-    /// another there share it, as they share the runners.
+    /// Tokens in flight from this instance through the chain's first runner; chains that followed
+    /// one another behind it share it, as they share most runners.
     used: Rc<Cell<f64>>,
 }
 
@@ -36,7 +36,7 @@
     current: BTreeMap<Name, Vec<Rc<LiveChain>>>,
     /// Chains that were replaced and may still have requests.
     replaced: Vec<Rc<LiveChain>>,
-    used: BTreeMap<(Name, Option<Name>), Rc<Cell<f64>>>,
+    used: BTreeMap<(Name, Name), Rc<Cell<f64>>>,
 }
 
 impl Chains {
@@ -50,10 +50,10 @@
         self.current.values().flatten().chain(&self.replaced)
     }
 
-    /// Tokens in flight from this instance, by service and domain.
-    pub(crate) fn used(&self) -> impl Iterator<Item = (&Name, Option<&Name>, f64)> {
+    /// Tokens in flight from this instance, by service and first runner.
+    pub(crate) fn used(&self) -> impl Iterator<Item = (&Name, &Name, f64)> {
         let all = self.used.iter();
-        all.map(|((service, domain), used)| (service, domain.as_ref(), used.get()))
+        all.map(|((service, head), used)| (service, head, used.get()))
     }
 
     fn replace(&mut self, service: &Name, engine: &Engine, chains: Vec<Chain>) -> bool {
@@ -67,7 +67,7 @@
                 continue;
             }
             changed = true;
-            let key = (service.clone(), chain.domain.clone());
+            let key = (service.clone(), chain.head().id.clone());
             let used = Rc::clone(self.used.entry(key).or_default());
             new.push(Rc::new(LiveChain {
                 service: service.clone(),
@@ -82,6 +82,7 @@
         }
         changed |= !old.is_empty();
         self.replaced.extend(old);
+        self.used.retain(|_, used| Rc::strong_count(used) > 1);
         self.replaced.retain(|l| l.silence.borrow().waiting() > 0);
         self.current.insert(service.clone(), new);
         changed
@@ -168,7 +169,7 @@
                 chain: i,
                 near: domain == Some(&self.settings.failure_domain),
                 room_tokens: l.chain.room_tokens * l.refusals.borrow().scale(),
-                used_tokens: l.used.get() + loads.used(service, domain, now),
+                used_tokens: l.used.get() + loads.used(service, &l.chain.head().id, now),
                 silent_ms: l.silence.borrow().silent_ms(now),
                 refusing: l.refusals.borrow().refusing(now),
             });
--- a/plugins/relay/src/peers.rs
+++ b/plugins/relay/src/peers.rs
@@ -47,8 +47,8 @@
     count: u64,
     /// Whether it hears the store.
     store: bool,
-    /// Tokens in flight by service and failure domain.
-    used: Vec<(Name, Option<Name>, f64)>,
+    /// Tokens in flight by service and first runner of the chain.
+    used: Vec<(Name, Name, f64)>,
     /// Runners that it found dead, by identity and lifetime.
     dead: Vec<(Name, u64)>,
 }
@@ -58,11 +58,11 @@
 pub(crate) struct Loads(BTreeMap<Name, (Load, Millis)>);
 
 impl Loads {
-    /// Tokens that the others have in flight in a domain.
-    pub(crate) fn used(&self, service: &Name, domain: Option<&Name>, now: Millis) -> f64 {
+    /// Tokens that the others have in flight through chains that begin at a runner.
+    pub(crate) fn used(&self, service: &Name, head: &Name, now: Millis) -> f64 {
         let fresh = self.0.values().filter(|(_, at)| now < at + LOAD_AGE_MS);
         let used = fresh.flat_map(|(load, _)| &load.used);
-        let here = used.filter(|(s, d, _)| s == service && d.as_ref() == domain);
+        let here = used.filter(|(s, h, _)| s == service && h == head);
         here.map(|(_, _, tokens)| tokens).sum()
     }
 
@@ -303,7 +303,7 @@
         count: now,
         store: hears_store(node),
         used: used
-            .map(|(s, d, tokens)| (s.clone(), d.cloned(), tokens))
+            .map(|(s, h, tokens)| (s.clone(), h.clone(), tokens))
             .collect(),
         dead: dead.map(|e| (e.id.clone(), e.born_ms)).collect(),
     };
--- a/policy/src/relay/chain.rs
+++ b/policy/src/relay/chain.rs
@@ -130,7 +130,8 @@
     })
 }
 
-/// One chain for each failure domain that has one; where none has, one that crosses domains.
+/// The chains of each failure domain, which have no runner in common; where no domain has any, one
+/// that crosses domains.
 #[must_use]
 pub fn chains(runners: &Runners, service: &str, engine: &Engine, now: Millis) -> Vec<Chain> {
     let holders = holders(runners, service, engine, now);
@@ -142,9 +143,10 @@
             .push(h.clone());
     }
     let mut chains = Vec::new();
-    for (domain, holders) in by_domain {
-        if let Some(mut chain) = cheapest(&holders, engine.layers) {
-            chain.domain = Some(domain);
+    for (domain, mut holders) in by_domain {
+        while let Some(mut chain) = cheapest(&holders, engine.layers) {
+            holders.retain(|h| !chain.has(&h.entry.id));
+            chain.domain = Some(domain.clone());
             chains.push(chain);
         }
     }
--- a/policy/src/relay/placement.rs
+++ b/policy/src/relay/placement.rs
@@ -4,8 +4,9 @@
 //! call of [`plan`] takes what the runners hold now and names the next orders. It depends on its
 //! arguments only, so any instance that takes over goes on where the last one stopped.
 //!
-//! Each failure domain is to hold the model once with as much room for requests as fits, and the
-//! runners that are left over hold second copies of what is held once. A domain that lost a runner
+//! Each failure domain is to hold the model as often as its memory allows with the wanted room for
+//! requests, once in any case, and the runners that are left over hold second copies of what is
+//! held once. A domain that lost a runner
 //! is filled up again from those, and by growing ranges at their ends, which loads only what is
 //! new. What takes part in the only whole chain is not moved.
 //!
@@ -28,6 +29,10 @@
 /// a few requests.
 const ROOM_STEPS: [f64; 6] = [1.0, 0.8, 0.6, 0.45, 0.3, 0.15];
 
+/// Share of the declared room that a further copy must have: with less, its runners do more good
+/// as second holders.
+const LEAST_FURTHER: f64 = 0.6;
+
 /// A runner is to hold this range.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Move {
@@ -110,15 +115,57 @@
 }
 
 fn plan_domain(seats: &[Seat<'_>], engine: &Engine) -> Vec<Move> {
-    for share in ROOM_STEPS {
-        let mut tried = seats.to_vec();
-        let tokens = engine.room_tokens * share;
-        if fill(&mut tried, engine, tokens) {
-            second_copies(&mut tried, engine, tokens);
-            return tried.iter().filter_map(move_of).collect();
+    let mut pool = seats.to_vec();
+    let mut placed = Vec::new();
+    while take_chain(&mut pool, &mut placed, engine) {}
+    while let Some(filled) = next_copy(&pool, engine, placed.is_empty()) {
+        pool = filled;
+        if !take_chain(&mut pool, &mut placed, engine) {
+            break;
+        }
+    }
+    let chained = placed.len();
+    placed.extend(pool);
+    if chained > 0 {
+        second_copies(&mut placed, engine, engine.room_tokens);
+    }
+    placed.iter().filter_map(move_of).collect()
+}
+
+/// Takes the runners of a whole chain out of the pool, if it has one.
+fn take_chain<'a>(pool: &mut Vec<Seat<'a>>, placed: &mut Vec<Seat<'a>>, engine: &Engine) -> bool {
+    let holders: Vec<Holder<'_>> = pool.iter().filter_map(|s| holder_of(s, engine)).collect();
+    let Some(chain) = cheapest(&holders, engine.layers) else {
+        return false;
+    };
+    let (members, rest) = pool.drain(..).partition(|s| chain.has(&s.entry.id));
+    *pool = rest;
+    placed.extend::<Vec<Seat<'a>>>(members);
+    true
+}
+
+fn holder_of<'a>(seat: &Seat<'a>, engine: &Engine) -> Option<Holder<'a>> {
+    let share = 1.0 / f64::from(engine.layers.max(1));
+    Some(Holder {
+        entry: seat.entry,
+        layers: seat.layers?,
+        layer_ms: engine.step_ms * seat.kind.pace * share,
+        room: engine.room(&seat.kind, seat.held(), 1),
+        wanted: engine.room_tokens,
+    })
+}
+
+/// The pool with every hole of one more copy of the model filled, if its memory suffices. A domain
+/// without any copy takes one with whatever room is left beside it.
+fn next_copy<'a>(pool: &[Seat<'a>], engine: &Engine, first: bool) -> Option<Vec<Seat<'a>>> {
+    let least = if first { 0.0 } else { LEAST_FURTHER };
+    for share in ROOM_STEPS.into_iter().filter(|s| *s >= least) {
+        let mut tried = pool.to_vec();
+        if fill(&mut tried, engine, engine.room_tokens * share) {
+            return Some(tried);
         }
     }
-    Vec::new()
+    None
 }
 
 fn move_of(seat: &Seat<'_>) -> Option<Move> {
@@ -289,9 +336,3 @@
 fn is_overfull(seat: &Seat<'_>, engine: &Engine) -> bool {
     seat.held() > engine.layers_beside(&seat.kind, engine.room_tokens)
 }
-
-/// Whether the holders of a domain form a whole chain.
-#[must_use]
-pub fn is_whole(holders: &[Holder<'_>], layers: u32) -> bool {
-    cheapest(holders, layers).is_some()
-}
--- a/policy/tests/relay_placement.rs
+++ b/policy/tests/relay_placement.rs
@@ -69,6 +69,29 @@
     }
 }
 
+/// The caller of a larger deployment is refused while most runners stand idle: a domain whose
+/// memory holds the model several times has to form as many chains, with no runner in common.
+#[gtest]
+fn a_large_domain_holds_the_model_several_times() {
+    let mut runners = Runners::default();
+    domain(
+        &mut runners,
+        "east",
+        &[("a100", 4), ("v100", 24), ("l4", 11)],
+    );
+    settle(&mut runners);
+    let chains = found(&runners);
+    expect_that!(chains.len(), eq(3));
+    let mut seen = BTreeSet::new();
+    for chain in &chains {
+        expect_that!(check(chain, &runners), ok(anything()));
+        expect_that!(chain.room_tokens, ge(90_000.0));
+        for stage in &chain.stages {
+            expect_true!(seen.insert(stage.runner.id.clone()));
+        }
+    }
+}
+
 #[gtest]
 fn nothing_is_moved_once_all_is_placed() {
     let mut runners = Runners::default();
