Relay: instances vouch for one another, jwctl shows a relay, a log line for each send

Cause: an instance whose own way to the store is cut refused everybody although its neighbours knew the same version to be the newest; an operator had only a JSON dump; a log line told outcomes but not what a chain was chosen from. Change: an exchange's answer confirms the same version as of when it was asked, less the other's age; the dump is a typed message that jwctl prints; 'sent' lines name version, tokens, room. Watches of the runners wait 2 s in place of 1.3 s.

--- a/ctl/src/args.rs
+++ b/ctl/src/args.rs
@@ -59,6 +59,8 @@
     Dump(Dump),
     /// See [`Entry`].
     Entry(Entry),
+    /// See [`Relay`].
+    Relay(Relay),
 }
 
 /// Show what a schema file would change, and the revision it was compared with.
@@ -134,6 +136,15 @@
     pub domain: Option<String>,
 }
 
+/// Show the state of a relay: configuration, chains, runners, instances.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "relay")]
+pub struct Relay {
+    /// operators' address of the relay; default: --server
+    #[argh(positional)]
+    pub address: Option<SocketAddr>,
+}
+
 impl Args {
     /// Reads the process's command line; help and wrong use end early with their exit code.
     ///
--- a/ctl/src/client.rs
+++ b/ctl/src/client.rs
@@ -9,7 +9,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::args::Args;
+use crate::args::{Args, Command};
 use crate::error::CtlError;
 
 /// Environment variable with the server's address.
@@ -33,11 +33,19 @@
     /// # Errors
     /// No server or token is given, or the token cannot be read.
     pub fn open(args: &Args) -> Result<Client, CtlError> {
-        let server = match args.server {
+        // A relay's operators' listener shows state only and asks for no token.
+        let token = match args.command {
+            Command::Relay(_) => String::new(),
+            _ => token(args.token_file.as_deref())?,
+        };
+        let named = match &args.command {
+            Command::Relay(relay) => relay.address.or(args.server),
+            _ => args.server,
+        };
+        let server = match named {
             Some(server) => server,
             None => server_of_environment()?,
         };
-        let token = token(args.token_file.as_deref())?;
         let http = reqwest::Client::builder()
             .no_proxy()
             .redirect(reqwest::redirect::Policy::none())
--- a/ctl/src/command.rs
+++ b/ctl/src/command.rs
@@ -11,6 +11,7 @@
 use jacinthweir_wire::operator::{
     Fault, HistoryReply, PlanReply, PlanRequest, RequestRecord, StatusReply,
 };
+use jacinthweir_wire::relay::{DUMP_PATH, RelayDump};
 use serde::Serialize;
 
 use crate::args::{Args, Command};
@@ -57,6 +58,10 @@
             let state: serde_json::Value = client.get("/operator/dump").await?;
             Ok(json(&state))
         }
+        Command::Relay(_) => {
+            let state: RelayDump = client.get(DUMP_PATH).await?;
+            Ok(shown(args, &state, text::relay))
+        }
         Command::Entry(entry) => {
             let answer = entry_answer(&client, entry.domain.as_deref()).await?;
             Ok(shown(args, &answer, text::entry))
--- a/ctl/src/text.rs
+++ b/ctl/src/text.rs
@@ -2,6 +2,7 @@
 
 mod record;
 mod refused;
+mod relay;
 mod status;
 
 use std::path::Path;
@@ -15,6 +16,7 @@
 
 pub use record::record;
 pub use refused::error;
+pub use relay::relay;
 pub use status::status;
 
 /// A schema file without faults.
--- a/plugins/relay/src/dump.rs
+++ b/plugins/relay/src/dump.rs
@@ -1,64 +1,70 @@
-//! A dump of the process's state, as text a person reads.
+//! A dump of the process's state.
 
-use serde_json::{Value, json};
+use jacinthweir_policy::relay::chain::Stage;
+use jacinthweir_policy::relay::runners::{RunnerEntry, Runners};
+use jacinthweir_wire::relay::{ChainDump, RelayDump, RunnerDump, StageDump};
 
+use crate::live::LiveChain;
 use crate::node::Node;
 
 /// The whole state as JSON.
 pub(crate) fn dump(node: &Node) -> String {
     let now = node.now();
-    let intent = node.intent();
     let chains = node.chains.borrow();
-    let shown: Vec<Value> = chains
-        .all()
-        .map(|l| {
-            let silence = l.silence.borrow();
-            json!({
-                "service": l.service,
-                "chain": l.label(),
-                "broken": l.broken.is_cancelled(),
-                "room_tokens": l.chain.room_tokens,
-                "step_ms": l.chain.step_ms,
-                "waiting": silence.waiting(),
-                "silent_ms": silence.silent_ms(now),
-                "stages": stages(&l.chain),
-            })
-        })
-        .collect();
-    let dump = json!({
-        "instance": node.settings.name,
-        "at_ms": now,
-        "ready": node.is_ready(),
-        "draining": node.draining.get(),
-        "configuration": {
-            "version": intent.map(|i| i.version),
-            "confirmed_ms_ago": node.vouch.borrow().age_ms(now),
-        },
-        "gives_orders": node.lease.borrow().held(now),
-        "orders_pending": node.loading.borrow().len(),
-        "chains": shown,
-        "runners": runners(node),
-        "members": node.membership.borrow().dump(now),
-    });
+    let runners = node.runners.borrow();
+    let dump = RelayDump {
+        instance: node.settings.name.clone(),
+        at_ms: now,
+        ready: node.is_ready(),
+        draining: node.draining.get(),
+        version: node.intent().map(|i| i.version),
+        confirmed_ms_ago: node.vouch.borrow().age_ms(now),
+        gives_orders: node.lease.borrow().held(now),
+        orders_pending: node.loading.borrow().len(),
+        chains: chains.all().map(|l| chain(node, l)).collect(),
+        runners: runners
+            .entries()
+            .map(|e| runner(node, &runners, e))
+            .collect(),
+        members: node.membership.borrow().dump(now),
+    };
     serde_json::to_string_pretty(&dump).unwrap_or_default()
 }
 
-fn stages(chain: &jacinthweir_policy::relay::chain::Chain) -> Vec<String> {
-    let stage = |s: &jacinthweir_policy::relay::chain::Stage| {
-        format!("{} {}..{}", s.runner.id, s.layers.0, s.layers.1)
+fn chain(node: &Node, live: &LiveChain) -> ChainDump {
+    let silence = live.silence.borrow();
+    let stage = |s: &Stage| StageDump {
+        runner: s.runner.id.clone(),
+        layers: s.layers,
     };
-    chain.stages.iter().map(stage).collect()
+    ChainDump {
+        service: live.service.clone(),
+        domain: live.chain.domain.clone(),
+        broken: live.broken.is_cancelled(),
+        room_tokens: live.chain.room_tokens,
+        used_tokens: live.used_tokens(),
+        step_ms: live.chain.step_ms,
+        waiting: silence.waiting(),
+        silent_ms: silence.silent_ms(node.now()),
+        stages: live.chain.stages.iter().map(stage).collect(),
+    }
 }
 
-fn runners(node: &Node) -> Vec<Value> {
-    let runners = node.runners.borrow();
-    let shown = runners.entries().map(|e| {
-        let s = runners.standing(&e.id);
-        json!({
-            "id": e.id, "service": e.service, "address": e.address, "domain": e.domain,
-            "kind": e.kind, "layers": e.layers, "draining": e.draining, "born_ms": e.born_ms,
-            "orders": s.orders, "dead": s.dead, "failing": s.failing_at(node.now()), "in_flight": s.in_flight,
-        })
-    });
-    shown.collect()
+fn runner(node: &Node, runners: &Runners, entry: &RunnerEntry) -> RunnerDump {
+    let s = runners.standing(&entry.id);
+    RunnerDump {
+        id: entry.id.clone(),
+        service: entry.service.clone(),
+        address: entry.address,
+        domain: entry.domain.clone(),
+        kind: entry.kind.clone(),
+        layers: entry.layers,
+        draining: entry.draining,
+        dead: s.dead,
+        born_ms: entry.born_ms,
+        orders: s.orders,
+        pace: s.pace,
+        failing: s.failing_at(node.now()),
+        in_flight: s.in_flight,
+    }
 }
--- a/plugins/relay/src/live.rs
+++ b/plugins/relay/src/live.rs
@@ -107,6 +107,11 @@
         })
     }
 
+    /// Tokens in flight through it from this instance.
+    pub(crate) fn used_tokens(&self) -> f64 {
+        self.used.get()
+    }
+
     /// Name in logs: the domain, and the parts.
     pub(crate) fn label(&self) -> String {
         let domain = self.chain.domain.as_deref().unwrap_or("across");
--- a/plugins/relay/src/node.rs
+++ b/plugins/relay/src/node.rs
@@ -55,6 +55,8 @@
     pub(crate) intent: RefCell<Option<Rc<Intent>>>,
     pub(crate) vouch: RefCell<Vouch>,
     pub(crate) runners: RefCell<Runners>,
+    /// When the call was sent that the store answered last, in milliseconds.
+    pub(crate) store_heard_ms: Cell<Option<Millis>>,
     /// Whether the runners have been listed since the start.
     pub(crate) listed: Cell<bool>,
     pub(crate) chains: RefCell<Chains>,
@@ -102,6 +104,7 @@
             intent: RefCell::default(),
             vouch: RefCell::new(Vouch::new(settings.bounds.revocation_ms)),
             runners: RefCell::default(),
+            store_heard_ms: Cell::new(None),
             listed: Cell::new(false),
             chains: RefCell::default(),
             membership: RefCell::new(membership),
--- a/plugins/relay/src/peers.rs
+++ b/plugins/relay/src/peers.rs
@@ -47,6 +47,10 @@
     count: u64,
     /// Whether it hears the store.
     store: bool,
+    /// Version of its configuration.
+    version: u64,
+    /// Time since that was last confirmed to be the newest, in milliseconds, when this was written.
+    confirmed_ms_ago: Option<Millis>,
     /// Tokens in flight by service and first runner of the chain.
     used: Vec<(Name, Name, f64)>,
     /// Runners that it found dead, by identity and lifetime.
@@ -163,13 +167,13 @@
     !others.any(|name| name < own)
 }
 
-/// Age of the configuration's confirmation from which on an instance counts as cut off from the
-/// store, in milliseconds: two watches.
+/// Time since the store's last answer from which on an instance counts as cut off from it, in
+/// milliseconds: two watches.
 const HEARD_MS: Millis = 3_000;
 
 fn hears_store(node: &Node) -> bool {
-    let age = node.vouch.borrow().age_ms(node.now());
-    age.is_some_and(|age| age < HEARD_MS)
+    let heard = node.store_heard_ms.get();
+    heard.is_some_and(|at| node.now() < at + HEARD_MS)
 }
 
 fn carry_out(node: &Rc<Node>, actions: Vec<Action>) {
@@ -221,6 +225,10 @@
             return;
         }
     };
+    let own = loads.iter().find(|(name, _)| *name == from);
+    if let Some((_, load)) = own {
+        take_confirmation(node, asked_ms, load);
+    }
     take_loads(node, loads);
     let push = {
         let mut membership = node.membership.borrow_mut();
@@ -302,6 +310,8 @@
         incarnation: node.incarnation,
         count: now,
         store: hears_store(node),
+        version: node.intent().map_or(0, |i| i.version),
+        confirmed_ms_ago: node.vouch.borrow().age_ms(now),
         used: used
             .map(|(s, h, tokens)| (s.clone(), h.clone(), tokens))
             .collect(),
@@ -317,6 +327,18 @@
     all
 }
 
+/// An instance that is cut off from the store may go on serving as long as another one vouches for
+/// the same version. The answer was written after the question was asked, so the other's
+/// confirmation is at least as young as it says, counted from the question.
+fn take_confirmation(node: &Node, asked_ms: Millis, load: &Load) {
+    let same = node.intent().is_some_and(|i| i.version == load.version);
+    if let Some(age) = load.confirmed_ms_ago.filter(|_| same)
+        && let Some(confirmed) = asked_ms.checked_sub(age)
+    {
+        node.vouch.borrow_mut().confirm(confirmed);
+    }
+}
+
 fn take_loads(node: &Rc<Node>, loads: Vec<(Name, Load)>) {
     let now = node.now();
     for (name, load) in loads {
--- a/plugins/relay/src/request.rs
+++ b/plugins/relay/src/request.rs
@@ -34,7 +34,7 @@
     pub(crate) route: Name,
     pub(crate) service: Name,
     pub(crate) class: CallClass,
-    pub(crate) engine: Option<Rc<Intent>>,
+    intent: Rc<Intent>,
     pub(crate) received_ms: Millis,
     pub(crate) objective_ms: Millis,
     /// When the caller or the route's time-out ends it.
@@ -52,10 +52,15 @@
 impl Proxied {
     /// The engine of its service, where runners hold layers.
     pub(crate) fn engine(&self) -> Option<&Engine> {
-        let service = self.engine.as_ref()?.services.get(&self.service)?;
+        let service = self.intent.services.get(&self.service)?;
         service.engine.as_ref().filter(|e| e.layers > 0)
     }
 
+    /// Version of the configuration that it is served by.
+    pub(crate) fn version(&self) -> u64 {
+        self.intent.version
+    }
+
     /// Time left, in milliseconds.
     pub(crate) fn left_ms(&self, node: &Node) -> Millis {
         self.deadline_ms.saturating_sub(node.now())
@@ -150,7 +155,7 @@
         priority,
         tokens: header::tokens(&parts.headers),
         last_event: header::number(&parts.headers, &header::LAST_EVENT),
-        engine: Some(intent),
+        intent,
         method: parts.method,
         uri: path_only(&parts.uri),
         headers,
--- a/plugins/relay/src/server.rs
+++ b/plugins/relay/src/server.rs
@@ -14,6 +14,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use jacinthweir_platform::entry;
 use jacinthweir_policy::entry::{EntryConfig, entry_answer};
+use jacinthweir_wire::relay::{DUMP_PATH, METRICS_PATH};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
@@ -239,11 +240,11 @@
         return plain(StatusCode::METHOD_NOT_ALLOWED, "GET only");
     }
     match req.uri().path() {
-        "/metrics" => {
+        METRICS_PATH => {
             let text = Bytes::from(node.stats.render());
             whole(StatusCode::OK, "text/plain; version=0.0.4", text)
         }
-        "/dump" => whole(StatusCode::OK, "application/json", dump::dump(node).into()),
+        DUMP_PATH => whole(StatusCode::OK, "application/json", dump::dump(node).into()),
         _ => plain(
             StatusCode::NOT_FOUND,
             "no such path: /metrics and /dump are here",
--- a/plugins/relay/src/stream.rs
+++ b/plugins/relay/src/stream.rs
@@ -116,6 +116,7 @@
     if let Some(after) = after {
         req.headers_mut().insert(header::LAST_EVENT, after.into());
     }
+    log_sent(node, rq, live);
     let left = Duration::from_millis(rq.left_ms(node));
     let sent = tokio::select! {
         sent = timeout(left, attempt::send(head.address, &rq.id, req)) => sent,
@@ -157,6 +158,22 @@
     }
 }
 
+/// What the choice of a chain was made from.
+fn log_sent(node: &Node, rq: &Proxied, live: &LiveChain) {
+    log::info!(
+        request = rq.id.as_ref(),
+        route = rq.route.as_ref(),
+        version = rq.version(),
+        chain = live.label(),
+        runner = live.chain.head().id.as_ref(),
+        tokens = admit::tokens(rq) as u64,
+        used = live.used_tokens() as u64,
+        room = live.chain.room_tokens as u64,
+        after_ms = node.now() - rq.received_ms;
+        "sent"
+    );
+}
+
 /// A runner does not hold what its entry says: it is passed over until its entry changes.
 fn misreported(node: &Node, address: std::net::SocketAddr) {
     let found = {
--- a/plugins/relay/src/watch.rs
+++ b/plugins/relay/src/watch.rs
@@ -15,9 +15,13 @@
 
 use crate::node::Node;
 
-/// The longest wait of a watch. A confirmation counts from when its call was sent, so this is a
-/// part of the time for which an instance serves without a new one.
-const WAIT: Duration = Duration::from_millis(1_300);
+/// The longest wait of a watch of the configuration. A confirmation counts from when its call was
+/// sent, so this is a part of the time for which an instance serves without a new one.
+const CONFIGURATION_WAIT: Duration = Duration::from_millis(1_300);
+
+/// The longest wait of a watch of the runners. A watch whose connection fell silent hides a runner
+/// that leaves for as long; a shorter one costs calls.
+const RUNNERS_WAIT: Duration = Duration::from_millis(2_000);
 
 /// Pause after a failed call, and the longest one. The store's rates are shared by all instances;
 /// after an outage they come back spread over this time.
@@ -50,6 +54,13 @@
             Followed::Runners => runner::ENTRIES,
         }
     }
+
+    fn wait(self) -> Duration {
+        match self {
+            Followed::Configuration => CONFIGURATION_WAIT,
+            Followed::Runners => RUNNERS_WAIT,
+        }
+    }
 }
 
 fn follow(node: &Rc<Node>, what: Followed) {
@@ -95,6 +106,7 @@
     let sent = node.now();
     count_call("list");
     let listed = node.store.list(what.kind()).await?;
+    node.store_heard_ms.set(Some(sent));
     match what {
         Followed::Configuration => {
             let found = listed
@@ -122,10 +134,11 @@
     loop {
         let sent = node.now();
         count_call("watch");
-        let changes = match node.store.watch(what.kind(), revision, WAIT).await {
+        let changes = match node.store.watch(what.kind(), revision, what.wait()).await {
             Ok(changes) => changes,
             Err(e) => return e,
         };
+        node.store_heard_ms.set(Some(sent));
         revision = changes.revision;
         let any = !changes.changes.is_empty();
         match what {
--- a/plugins/relay/tests/relay.rs
+++ b/plugins/relay/tests/relay.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use argh::FromArgs;
 use googletest::prelude::*;
 use standin::{LONG, Manner, Site, ask, on_one_thread, raw, request, seen};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -365,14 +366,14 @@
         let site = Site::open().await;
         let mut newer = standin::configuration(7);
         newer["tenants"][0]["apiKeys"] = serde_json::json!(["other"]);
-        site.store.put("config", "main", newer);
+        site.store.put("config", "main", &newer);
         let denied = async {
             while request(site.callers(), LOOKUP, "", "").await.status != 401 {
                 sleep(Duration::from_millis(20)).await;
             }
         };
         timeout(LONG, denied).await.expect("the key is gone");
-        site.store.put("config", "main", standin::configuration(3));
+        site.store.put("config", "main", &standin::configuration(3));
         sleep(Duration::from_millis(300)).await;
         expect_that!(
             request(site.callers(), LOOKUP, "", "").await.status,
@@ -409,6 +410,30 @@
     });
 }
 
+/// An operator sees both chains, every runner and the version in force, by the real tool.
+#[gtest]
+fn the_operators_tool_shows_the_relay() {
+    on_one_thread(async {
+        let site = Site::open().await;
+        let operators = site.settings.listen.operators.to_string();
+        let args = jacinthweir_ctl::args::Args::from_args(&["jwctl"], &["relay", &operators]);
+        let shown = jacinthweir_ctl::command::run(&args.expect("a command")).await;
+        let shown = shown.expect("an answer");
+        expect_that!(shown, contains_substring("one: ready"));
+        expect_that!(shown, contains_substring("configuration 1, confirmed"));
+        expect_that!(shown, contains_substring("gives orders, term 1"));
+        expect_that!(shown.matches("whole").count(), eq(2));
+        for runner in site.runners.iter().chain(&site.plain) {
+            expect_that!(shown, contains_substring(runner.id.as_str()));
+        }
+        let metrics = ask(site.settings.listen.operators, "GET /metrics HTTP/1.1").await;
+        expect_that!(
+            metrics.body,
+            contains_substring("jacinthweir_store_calls_total")
+        );
+    });
+}
+
 /// The checks of this file can fail: a cut answer is not taken for a whole one.
 #[gtest]
 fn the_reader_of_answers_tells_cut_ones() {
--- a/plugins/relay/tests/support/standin.rs
+++ b/plugins/relay/tests/support/standin.rs
@@ -54,7 +54,7 @@
         (store, address)
     }
 
-    pub fn put(&self, kind: &str, name: &str, spec: Value) {
+    pub fn put(&self, kind: &str, name: &str, spec: &Value) {
         self.revision.set(self.revision.get() + 1);
         let meta = json!({ "name": name, "revision": self.revision.get() });
         let object = json!({ "metadata": meta, "spec": spec, "status": null });
@@ -86,7 +86,7 @@
                 if self.has(&kind, &name) {
                     return answer(StatusCode::CONFLICT, &Value::Null);
                 }
-                self.put(&kind, &name, object["spec"].clone());
+                self.put(&kind, &name, &object["spec"]);
                 self.get(&kind, &name)
             }
             (_, Some(name)) => {
@@ -96,7 +96,7 @@
                 if wanted.is_some_and(|w| Some(w) != standing) {
                     return answer(StatusCode::CONFLICT, &Value::Null);
                 }
-                self.put(&kind, &name, object["spec"].clone());
+                self.put(&kind, &name, &object["spec"]);
                 self.get(&kind, &name)
             }
             _ => answer(StatusCode::BAD_REQUEST, &Value::Null),
@@ -279,7 +279,7 @@
             "state": state, "slots": 8, "sequence": 1, "born": 1_700_000_000_000_u64,
             "kind": "card", "layers": layers,
         });
-        self.store.put("servers", &self.id, spec);
+        self.store.put("servers", &self.id, &spec);
     }
 
     /// Requests that it began to work on.
@@ -455,7 +455,7 @@
     /// A site whose instances refuse unconfirmed keys after `revocation_ms`.
     pub async fn with(revocation_ms: u64) -> Site {
         let (store, address) = Store::spawn().await;
-        store.put("config", "main", configuration(1));
+        store.put("config", "main", &configuration(1));
         let mut runners = Vec::new();
         for (id, domain) in [("a1", "a"), ("a2", "a"), ("b1", "b"), ("b2", "b")] {
             runners.push(Runner::spawn(&store, id, "pool", domain).await);
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod operator;
 pub mod peer;
 pub mod platform;
+pub mod relay;
 pub mod runner;
