Lease: what stands is read after a lost write; a replace always names its revision

Renewals that were turned away were also repeated every 0.1 s. Ruled out: a clock, and a read that was late.

--- a/policy/src/relay/lease.rs
+++ b/policy/src/relay/lease.rs
@@ -46,6 +46,8 @@
     ttl_ms: Millis,
     seen: Option<(Grant, Millis)>,
     absent: bool,
+    /// A write's result is not known: its revision must not be built on.
+    unread: bool,
     held_ms: Option<Millis>,
     next_ms: Millis,
 }
@@ -62,6 +64,7 @@
             ttl_ms,
             seen: None,
             absent: false,
+            unread: false,
             held_ms: None,
             next_ms: 0,
         }
@@ -82,6 +85,9 @@
             return LeaseStep::Wait;
         }
         self.next_ms = now + self.ttl_ms / RENEWALS;
+        if self.unread {
+            return LeaseStep::Read;
+        }
         match &self.seen {
             None if self.absent => LeaseStep::Create { term: 1 },
             None => LeaseStep::Read,
@@ -102,11 +108,14 @@
     /// A read showed `grant`, or that the object is absent.
     pub fn read(&mut self, now: Millis, grant: Option<Grant>) {
         self.absent = grant.is_none();
+        self.unread = false;
         let Some(grant) = grant else {
             self.seen = None;
+            self.held_ms = None;
             return;
         };
-        if grant.holder != self.own {
+        let own_term = self.seen.as_ref().map(|(seen, _)| seen.term);
+        if grant.holder != self.own || own_term != Some(grant.term) {
             self.held_ms = None;
         }
         match &self.seen {
@@ -118,23 +127,16 @@
     /// A write that was sent at `sent_ms` was accepted.
     pub fn granted(&mut self, sent_ms: Millis, grant: Grant) {
         self.absent = false;
+        self.unread = false;
         self.seen = Some((grant, sent_ms));
         self.held_ms = Some(sent_ms);
     }
 
-    /// A write met another state, or its answer was lost: read next.
+    /// A write met another state, or its answer was lost: what stands now is read before anything
+    /// else is written.
     pub fn lost(&mut self, now: Millis) {
         self.absent = false;
-        self.next_ms = now;
-        if let Some((_, since)) = &self.seen {
-            let since = *since;
-            self.seen = self.seen.take().map(|(mut g, _)| {
-                g.revision = 0;
-                (g, since)
-            });
-        }
-        if self.held_ms.is_none() {
-            self.seen = None;
-        }
+        self.unread = true;
+        self.next_ms = now + self.ttl_ms / (2 * RENEWALS);
     }
 }
