Relay: a shutdown waits for requests, not for connections; requests wait a moment for the first configuration

After all instances were killed 270 requests were refused within the 0.3 s in which the configuration was read, and most callers come back once only. Change: a request counts as active until the last byte of its answer; a request that comes before the first configuration waits up to 250 ms for it.

--- a/plugins/relay/src/answer.rs
+++ b/plugins/relay/src/answer.rs
@@ -3,7 +3,9 @@
 //! "Not run" is a promise: callers with work that must not repeat send it again on it. It is said
 //! by [`Journal::failure`] and nowhere else, from what was handed to runners.
 
+use std::cell::Cell;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
@@ -14,12 +16,58 @@
 use jacinthweir_platform::header;
 use jacinthweir_policy::prelude::*;
 
+use crate::node::Node;
+
 /// Body of an answer to a caller.
-pub(crate) enum RelayBody {
+pub(crate) struct RelayBody {
+    content: Content,
+    active: Option<Active>,
+}
+
+enum Content {
     Whole(Option<Bytes>),
     Stream(Pin<Box<dyn Stream<Item = Result<Bytes, Cut>>>>),
 }
 
+impl RelayBody {
+    pub(crate) fn whole(bytes: Bytes) -> RelayBody {
+        RelayBody {
+            content: Content::Whole(Some(bytes)),
+            active: None,
+        }
+    }
+
+    pub(crate) fn stream(stream: impl Stream<Item = Result<Bytes, Cut>> + 'static) -> RelayBody {
+        RelayBody {
+            content: Content::Stream(Box::pin(stream)),
+            active: None,
+        }
+    }
+
+    /// The request counts as active until this body is dropped.
+    pub(crate) fn hold(&mut self, active: Active) {
+        self.active = Some(active);
+    }
+}
+
+/// A request of a caller from its head to the last byte of its answer. A shutdown waits for these,
+/// not for connections: callers open some on which they send nothing.
+pub(crate) struct Active(Rc<Cell<usize>>);
+
+impl Active {
+    pub(crate) fn open(node: &Node) -> Active {
+        let count = Rc::clone(&node.active);
+        count.set(count.get() + 1);
+        Active(count)
+    }
+}
+
+impl Drop for Active {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
+
 /// A stream cannot go on: the caller's connection is closed without a proper end.
 #[derive(Clone, Debug, Display, Error)]
 #[display("cut: {cause}")]
@@ -35,12 +83,12 @@
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
-        match self.get_mut() {
-            RelayBody::Whole(bytes) => {
+        match &mut self.get_mut().content {
+            Content::Whole(bytes) => {
                 let bytes = bytes.take().filter(|b| !b.is_empty());
                 Poll::Ready(bytes.map(|b| Ok(Frame::data(b))))
             }
-            RelayBody::Stream(stream) => {
+            Content::Stream(stream) => {
                 let next = stream.as_mut().poll_next(cx);
                 next.map(|item| item.map(|bytes| bytes.map(Frame::data)))
             }
@@ -48,18 +96,18 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        match self {
-            RelayBody::Whole(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
-            RelayBody::Stream(_) => false,
+        match &self.content {
+            Content::Whole(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
+            Content::Stream(_) => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
-        match self {
-            RelayBody::Whole(bytes) => {
+        match &self.content {
+            Content::Whole(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
             }
-            RelayBody::Stream(_) => SizeHint::default(),
+            Content::Stream(_) => SizeHint::default(),
         }
     }
 }
@@ -147,7 +195,7 @@
     content_type: &'static str,
     body: Bytes,
 ) -> Response<RelayBody> {
-    let mut res = Response::new(RelayBody::Whole(Some(body)));
+    let mut res = Response::new(RelayBody::whole(body));
     *res.status_mut() = status;
     let content_type = HeaderValue::from_static(content_type);
     res.headers_mut()
--- a/plugins/relay/src/call.rs
+++ b/plugins/relay/src/call.rs
@@ -201,7 +201,7 @@
 
 fn passed_on(res: Response<Bytes>) -> Response<RelayBody> {
     let (parts, body) = res.into_parts();
-    let mut out = Response::new(RelayBody::Whole(Some(body)));
+    let mut out = Response::new(RelayBody::whole(body));
     *out.status_mut() = parts.status;
     *out.headers_mut() = header::passed_on(&parts.headers);
     out
--- a/plugins/relay/src/node.rs
+++ b/plugins/relay/src/node.rs
@@ -70,8 +70,8 @@
     pub(crate) queue: RefCell<BTreeSet<(u32, u64)>>,
     /// Room came free, or chains changed.
     pub(crate) room: Notify,
-    /// Requests in progress.
-    pub(crate) in_flight: Cell<usize>,
+    /// Requests of callers from their head to the last byte of their answer.
+    pub(crate) active: Rc<Cell<usize>>,
     pub(crate) draining: Cell<bool>,
     pub(crate) sequence: Cell<u64>,
     instances_seen: Cell<usize>,
@@ -116,7 +116,7 @@
             spending: RefCell::default(),
             queue: RefCell::default(),
             room: Notify::new(),
-            in_flight: Cell::new(0),
+            active: Rc::default(),
             draining: Cell::new(false),
             sequence: Cell::new(0),
             instances_seen: Cell::new(0),
--- a/plugins/relay/src/peers.rs
+++ b/plugins/relay/src/peers.rs
@@ -137,7 +137,7 @@
         if node.is_ready() {
             node.membership.borrow_mut().set_phase(Phase::Serving);
         }
-        let in_flight = u32::try_from(node.in_flight.get()).unwrap_or(u32::MAX);
+        let in_flight = u32::try_from(node.active.get()).unwrap_or(u32::MAX);
         node.membership.borrow_mut().set_in_flight(in_flight);
         let now = node.clocks();
         let actions = node.with_rng(|rng| node.membership.borrow_mut().tick(now, rng));
--- a/plugins/relay/src/request.rs
+++ b/plugins/relay/src/request.rs
@@ -11,9 +11,9 @@
 use jacinthweir_platform::header;
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::intent::{CallClass, Engine, Intent, Route};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
-use crate::answer::{Cause, Journal, RelayBody, plain};
+use crate::answer::{Active, Cause, Journal, RelayBody, plain};
 use crate::node::Node;
 use crate::{call, stream};
 
@@ -85,6 +85,7 @@
 /// Serves one request of a caller.
 pub(crate) async fn serve(node: &Rc<Node>, req: Request<Incoming>) -> Response<RelayBody> {
     let received_ms = node.now();
+    let active = Active::open(node);
     let (parts, body) = req.into_parts();
     let mut res = match admit(node, parts, body, received_ms).await {
         Ok(rq) if rq.engine().is_some() => stream::serve(node, rq).await,
@@ -95,6 +96,7 @@
         let close = http::HeaderValue::from_static("close");
         res.headers_mut().insert(http::header::CONNECTION, close);
     }
+    res.body_mut().hold(active);
     res
 }
 
@@ -106,6 +108,7 @@
 ) -> Result<Proxied, Response<RelayBody>> {
     let id = header::text(&parts.headers, &header::REQUEST_ID).unwrap_or("-");
     let id = Name::from(id);
+    wait_at_start(node).await;
     let Some(intent) = node.intent() else {
         return Err(unconfirmed(node, &id));
     };
@@ -163,6 +166,20 @@
     })
 }
 
+/// The longest that a request waits for the first configuration, in milliseconds: half of the time
+/// in which callers expect an answer.
+const START_WAIT_MS: Millis = 250;
+
+/// Period of looking whether the first configuration has come.
+const START_LOOK: Duration = Duration::from_millis(10);
+
+async fn wait_at_start(node: &Node) {
+    let until = node.now() + START_WAIT_MS;
+    while node.now() < until && node.vouch.borrow().is_starting(node.now()) {
+        sleep(START_LOOK).await;
+    }
+}
+
 /// The least of what the caller and the route allow.
 fn time_ms(headers: &HeaderMap, route: &Route) -> Millis {
     let callers = header::number(headers, &header::DEADLINE_MS);
--- a/plugins/relay/src/server.rs
+++ b/plugins/relay/src/server.rs
@@ -177,10 +177,7 @@
 
 async fn route(node: &Rc<Node>, face: Face, req: Request<Incoming>) -> Response<RelayBody> {
     match face {
-        Face::Callers => {
-            let _counted = InFlight::open(node);
-            request::serve(node, req).await
-        }
+        Face::Callers => request::serve(node, req).await,
         Face::Ready if req.uri().path() == entry::READY_PATH => ready(node),
         Face::Entry if req.uri().path() == entry::ADDRESSES_PATH => {
             addresses(node, req.uri().query())
@@ -251,21 +248,3 @@
         ),
     }
 }
-
-/// Counts a request while its head is awaited; its stream is counted by its chain.
-struct InFlight<'a>(&'a Node);
-
-impl<'a> InFlight<'a> {
-    fn open(node: &'a Node) -> InFlight<'a> {
-        node.in_flight.set(node.in_flight.get() + 1);
-        InFlight(node)
-    }
-}
-
-impl Drop for InFlight<'_> {
-    fn drop(&mut self) {
-        self.0
-            .in_flight
-            .set(self.0.in_flight.get().saturating_sub(1));
-    }
-}
--- a/plugins/relay/src/shutdown.rs
+++ b/plugins/relay/src/shutdown.rs
@@ -26,7 +26,7 @@
 /// logs.
 const MARGIN_MS: u64 = 300;
 
-/// Period of looking whether the last connection has ended.
+/// Period of looking whether the last request has ended, and time for the last bytes to leave.
 const LOOK: Duration = Duration::from_millis(20);
 
 /// How the process ended.
@@ -35,7 +35,7 @@
     /// No request was cut.
     #[display("clean")]
     Clean,
-    /// Connections were left at the bound.
+    /// Requests were left at the bound.
     #[display("cut")]
     Cut,
 }
@@ -92,16 +92,16 @@
     let end = began + bounds.shutdown_ms().saturating_sub(MARGIN_MS);
     node.draining.set(true);
     peers::announce(node, Phase::Draining);
-    log::info!(connections = servers.callers.len(); "stopping: out of the entry answers");
+    log::info!(requests = node.active.get(); "stopping: out of the entry answers");
     let accept_ms = (bounds.entry_ttl_ms * TTL_TIMES).min(bounds.shutdown_ms() / 2 + 500);
     sleep(Duration::from_millis(accept_ms)).await;
     servers.refuse.cancel();
     servers.finish.cancel();
     servers.callers.close();
-    log::info!(connections = servers.callers.len(); "stopping: no new connections");
+    log::info!(requests = node.active.get(); "stopping: no new connections");
     let left = Duration::from_millis(end.saturating_sub(node.now()));
     let all = async {
-        while !servers.callers.is_empty() {
+        while node.active.get() > 0 {
             sleep(LOOK).await;
         }
     };
@@ -110,7 +110,7 @@
         Err(_) => Ended::Cut,
     };
     if ended == Ended::Cut {
-        log::warn!(connections = servers.callers.len(); "connections are cut at the bound");
+        log::warn!(requests = node.active.get(); "requests are cut at the bound");
     }
     peers::announce(node, Phase::Gone);
     sleep(LOOK).await;
--- a/plugins/relay/src/stream.rs
+++ b/plugins/relay/src/stream.rs
@@ -240,7 +240,7 @@
         let item = run.next().await?;
         Some((item, run))
     });
-    let mut out = Response::new(RelayBody::Stream(Box::pin(stream)));
+    let mut out = Response::new(RelayBody::stream(stream));
     *out.status_mut() = parts.status;
     *out.headers_mut() = header::passed_on(&parts.headers);
     out
--- a/plugins/relay/tests/relay.rs
+++ b/plugins/relay/tests/relay.rs
@@ -410,6 +410,22 @@
     });
 }
 
+/// The instance is told to stop while a caller holds a connection on which it has sent nothing.
+/// That is no request: the instance must not wait for it until it is killed.
+#[gtest]
+fn a_connection_without_a_request_does_not_hold_up_a_shutdown() {
+    on_one_thread(async {
+        let mut site = Site::open().await;
+        let held = TcpStream::connect(site.callers())
+            .await
+            .expect("a connection");
+        let relay = site.relay.take().expect("it runs");
+        let ended = timeout(LONG, relay.shut_down()).await.expect("it ends");
+        expect_that!(ended, eq(jacinthweir_relay::Ended::Clean));
+        drop(held);
+    });
+}
+
 /// An operator sees both chains, every runner and the version in force, by the real tool.
 #[gtest]
 fn the_operators_tool_shows_the_relay() {
--- a/policy/src/relay/vouch.rs
+++ b/policy/src/relay/vouch.rs
@@ -11,6 +11,10 @@
 /// that waits for room before it is sent on.
 const USABLE_SHARE: f64 = 0.9;
 
+/// Time after the start for which requests wait for a first configuration, in milliseconds. An
+/// instance reads it within some 200; one that does not has no way to the store.
+const STARTING_MS: Millis = 1_500;
+
 /// When the configuration in force was last known to be the newest.
 #[derive(Clone, Copy, Debug)]
 pub struct Vouch {
@@ -39,6 +43,15 @@
         self.confirmed_ms.map(|at| now.saturating_sub(at))
     }
 
+    /// Whether a request is to wait a moment for the configuration at `now`, in milliseconds since
+    /// the start: nothing has been read yet, and that takes a moment only. When all instances start
+    /// at the same time their callers come at once; a refusal would use up the one time that most
+    /// of them come back.
+    #[must_use]
+    pub fn is_starting(&self, now: Millis) -> bool {
+        self.confirmed_ms.is_none() && now < STARTING_MS
+    }
+
     /// Whether keyed requests may be sent on at `now`, a clock that also counts suspension.
     #[must_use]
     pub fn may_serve(&self, now: Millis) -> bool {
--- a/policy/tests/relay_rules.rs
+++ b/policy/tests/relay_rules.rs
@@ -117,6 +117,15 @@
     expect_that!(vouch.age_ms(2_000), some(eq(1_000)));
 }
 
+#[gtest]
+fn only_an_instance_that_has_just_started_lets_requests_wait() {
+    let mut vouch = Vouch::new(5_000);
+    expect_true!(vouch.is_starting(100));
+    expect_false!(vouch.is_starting(4_000));
+    vouch.confirm(150);
+    expect_false!(vouch.is_starting(200));
+}
+
 fn grant(holder: &str, term: u64, revision: u64) -> Grant {
     Grant {
         holder: Name::from(holder),
