Relay: a dead part is named in 0.35 s, come-back times of 1 to 2 s

Silence 0.15 s with four waiting, three tries of 60 ms (a report is two round trips of a millisecond).

--- a/plugins/relay/src/probe.rs
+++ b/plugins/relay/src/probe.rs
@@ -20,7 +20,7 @@
 const LOOK: Duration = Duration::from_millis(50);
 
 /// Time that a runner has to answer a report, which is two round trips of a millisecond or less.
-const ANSWER: Duration = Duration::from_millis(100);
+const ANSWER: Duration = Duration::from_millis(60);
 
 /// Times that a part is asked before it counts as dead: the loss of a packet in each of three is
 /// rare even on a link that loses one in forty.
--- a/plugins/relay/src/stream.rs
+++ b/plugins/relay/src/stream.rs
@@ -35,7 +35,7 @@
 
 /// When to come back where there is no room, and where no chain is whole, in milliseconds; up to as
 /// much again is added, so that those refused together do not return together.
-const NO_ROOM_MS: f64 = 700.0;
+const NO_ROOM_MS: f64 = 1_000.0;
 const NO_CHAIN_MS: f64 = 1_000.0;
 
 /// What is tried in a chain that ended without a head.
--- a/policy/src/relay/silence.rs
+++ b/policy/src/relay/silence.rs
@@ -16,7 +16,7 @@
 const LONE_MS: Millis = 400;
 
 /// The same with [`MANY`] waiting requests or more.
-const MANY_MS: Millis = 200;
+const MANY_MS: Millis = 150;
 
 /// Waiting requests from which on the short silence counts.
 const MANY: usize = 4;
