Relay read again: attempts apart from streams, one final refusal, one reader of settings files

What stood twice: reading and checking a settings file (kernel and relay), the line and answer of a request that is not answered (calls and streams), how a process ended, the engine of tests and example. stream.rs (480 lines) split by job.

--- a/kernel/src/settings.rs
+++ b/kernel/src/settings.rs
@@ -217,16 +217,7 @@
     /// # Errors
     /// When the file cannot be read, or with every fault found in it.
     pub fn open(path: &Path) -> Result<Settings, KernelError> {
-        let shown = path.display().to_string();
-        let text = std::fs::read_to_string(path);
-        let text = text.map_err(|cause| KernelError::Unreadable {
-            path: shown.clone(),
-            cause,
-        })?;
-        Settings::parse(&text).map_err(|faults| KernelError::Settings {
-            path: shown,
-            faults,
-        })
+        open_with(path, Settings::parse)
     }
 
     /// Reads and checks settings.
@@ -322,6 +313,25 @@
     }
 }
 
+/// Reads a settings file and hands its text to `parse`.
+///
+/// # Errors
+/// When the file cannot be read, or with every fault that `parse` finds.
+pub fn open_with<T>(
+    path: &Path,
+    parse: impl FnOnce(&str) -> Result<T, Vec<Fault>>,
+) -> Result<T, KernelError> {
+    let shown = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|cause| KernelError::Unreadable {
+        path: shown.clone(),
+        cause,
+    })?;
+    parse(&text).map_err(|faults| KernelError::Settings {
+        path: shown,
+        faults,
+    })
+}
+
 fn valid_name(name: &str) -> bool {
     let allowed = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.');
     (1..=MAX_NAME_BYTES).contains(&name.len()) && name.bytes().all(allowed)
--- a/plugins/relay/src/call.rs
+++ b/plugins/relay/src/call.rs
@@ -32,6 +32,9 @@
 /// When to come back after a refusal, in milliseconds: a call takes some 60.
 const COME_BACK_MS: Millis = 300;
 
+/// What is added to that at the most, so that those refused together do not return together.
+const COME_BACK_SPREAD_MS: f64 = 200.0;
+
 /// What came of one attempt.
 enum Ended {
     Answered(Response<RelayBody>),
@@ -95,29 +98,13 @@
             count("runner_failed");
             res
         }
-        _ => refuse(node, &rq, journal, cause),
+        _ => {
+            let spread_ms = (node.draw() * COME_BACK_SPREAD_MS) as Millis;
+            rq.not_answered(node, journal, cause, COME_BACK_MS + spread_ms)
+        }
     }
 }
 
-fn refuse(node: &Node, rq: &Proxied, journal: Journal, cause: Cause) -> Response<RelayBody> {
-    let res = journal.failure(cause, COME_BACK_MS + (node.draw() * 200.0) as Millis);
-    log::info!(
-        request = rq.id.as_ref(),
-        route = rq.route.as_ref(),
-        cause:% = cause,
-        sends = journal.sends,
-        status = res.status().as_u16(),
-        after_ms = node.now() - rq.received_ms;
-        "not answered"
-    );
-    count(if journal.may_have_run() {
-        "failed"
-    } else {
-        "refused"
-    });
-    res
-}
-
 fn next_runner(node: &Node, rq: &Proxied, tried: &[Name]) -> Option<RunnerEntry> {
     let now = node.now();
     let runners = node.runners.borrow();
--- a/plugins/relay/src/lib.rs
+++ b/plugins/relay/src/lib.rs
@@ -18,7 +18,7 @@
 //! | `request` | what a request is, and whose |
 //! | `attempt` | one send to a runner |
 //! | `call` | requests with one answer |
-//! | `admit`, `stream`, `events` | streams of events |
+//! | `admit`, `tried`, `stream`, `events` | streams of events: room, attempts, the answer, its events |
 //! | `answer` | final answers, and what may be said in them |
 //! | `shutdown` | from the signal to the exit |
 //!
@@ -41,11 +41,12 @@
 pub mod settings;
 mod shutdown;
 mod stream;
+mod tried;
 mod watch;
 
 pub use events::{EventError, Events};
+pub use jacinthweir_policy::drain::Ended;
 pub use settings::RelaySettings;
-pub use shutdown::Ended;
 
 use std::rc::Rc;
 
@@ -64,7 +65,7 @@
     #[display("cannot listen for {face} at {address}: {cause}")]
     Bind {
         /// Who would have been served.
-        face: &'static str,
+        face: String,
         /// Address.
         address: std::net::SocketAddr,
         /// Cause.
--- a/plugins/relay/src/probe.rs
+++ b/plugins/relay/src/probe.rs
@@ -65,7 +65,7 @@
         let silence = live.silence.borrow();
         (silence.silent_ms(now), silence.waiting())
     };
-    let gap_ms = live.gaps.borrow().mean_ms();
+    let gap_ms = live.gaps.borrow().mean_ms() as u64;
     log::warn!(
         chain = live.label(),
         silent_ms,
--- a/plugins/relay/src/request.rs
+++ b/plugins/relay/src/request.rs
@@ -66,6 +66,33 @@
         self.deadline_ms.saturating_sub(node.now())
     }
 
+    /// The final answer of a request that no runner answered, logged and counted.
+    pub(crate) fn not_answered(
+        &self,
+        node: &Node,
+        journal: Journal,
+        cause: Cause,
+        retry_after_ms: Millis,
+    ) -> Response<RelayBody> {
+        let res = journal.failure(cause, retry_after_ms);
+        log::info!(
+            request = self.id.as_ref(),
+            route = self.route.as_ref(),
+            version = self.version(),
+            cause:% = cause,
+            sends = journal.sends,
+            status = res.status().as_u16(),
+            after_ms = node.now() - self.received_ms;
+            "not answered"
+        );
+        count(if journal.may_have_run() {
+            "failed"
+        } else {
+            "refused"
+        });
+        res
+    }
+
     /// The request as it is sent to a runner, with the time that is left.
     pub(crate) fn to_send(&self, node: &Node, runner: &str) -> Request<Full<Bytes>> {
         let mut req = Request::new(Full::new(self.body.clone()));
--- a/plugins/relay/src/server.rs
+++ b/plugins/relay/src/server.rs
@@ -79,7 +79,7 @@
     for (face, address) in faces {
         let listener = TcpListener::bind(address).await;
         let listener = listener.map_err(|cause| RelayError::Bind {
-            face: name(face),
+            face: face.to_string(),
             address,
             cause,
         })?;
@@ -101,16 +101,6 @@
     Ok(servers)
 }
 
-fn name(face: Face) -> &'static str {
-    match face {
-        Face::Callers => "callers",
-        Face::Ready => "readiness",
-        Face::Entry => "entry",
-        Face::Peers => "peers",
-        Face::Operators => "operators",
-    }
-}
-
 async fn accept(
     node: Rc<Node>,
     face: Face,
--- a/plugins/relay/src/settings.rs
+++ b/plugins/relay/src/settings.rs
@@ -5,7 +5,7 @@
 
 use jacinthweir_document::{Document, Fault};
 use jacinthweir_kernel::KernelError;
-use jacinthweir_kernel::settings::LogSettings;
+use jacinthweir_kernel::settings::{LogSettings, open_with};
 use jacinthweir_policy::prelude::*;
 use serde::{Deserialize, Serialize};
 
@@ -103,15 +103,7 @@
     /// # Errors
     /// The file cannot be read, or every fault found in it.
     pub fn open(path: &Path) -> Result<RelaySettings, KernelError> {
-        let shown = path.display().to_string();
-        let text = std::fs::read_to_string(path).map_err(|cause| KernelError::Unreadable {
-            path: shown.clone(),
-            cause,
-        })?;
-        RelaySettings::parse(&text).map_err(|faults| KernelError::Settings {
-            path: shown,
-            faults,
-        })
+        open_with(path, RelaySettings::parse)
     }
 
     /// Reads and checks settings.
--- a/plugins/relay/src/shutdown.rs
+++ b/plugins/relay/src/shutdown.rs
@@ -8,8 +8,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use derive_more::Display;
 use jacinthweir_kernel::KernelError;
+use jacinthweir_policy::drain::Ended;
 use jacinthweir_policy::member::Phase;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::time::{sleep, timeout};
@@ -29,17 +29,6 @@
 /// Period of looking whether the last request has ended, and time for the last bytes to leave.
 const LOOK: Duration = Duration::from_millis(20);
 
-/// How the process ended.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub enum Ended {
-    /// No request was cut.
-    #[display("clean")]
-    Clean,
-    /// Requests were left at the bound.
-    #[display("cut")]
-    Cut,
-}
-
 /// Signals that the process takes.
 pub(crate) struct Signals {
     term: Signal,
--- a/plugins/relay/src/stream.rs
+++ b/plugins/relay/src/stream.rs
@@ -13,18 +13,16 @@
 use jacinthweir_clients::direct::{AnswerBody, DirectError};
 use jacinthweir_platform::header;
 use jacinthweir_policy::prelude::*;
-use jacinthweir_policy::relay::attempts::Attempts;
 use jacinthweir_policy::relay::rooms;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use crate::admit;
 use crate::answer::{Cause, Cut, Journal, RelayBody};
-use crate::attempt::{self, Sent};
 use crate::events::Events;
 use crate::live::{LiveChain, Passage};
 use crate::node::Node;
-use crate::probe;
 use crate::request::{Proxied, count};
+use crate::tried::{Opened, Tried};
 
 /// Time after the last event within which a run must be gone on with, in milliseconds. Callers
 /// give up after a gap of two seconds.
@@ -38,68 +36,6 @@
 const NO_ROOM_MS: f64 = 1_000.0;
 const NO_CHAIN_MS: f64 = 1_000.0;
 
-/// What is tried in a chain that ended without a head.
-enum Opened {
-    Stream(Passage, Response<AnswerBody>),
-    NotRun,
-    Unreached,
-    Broken,
-    Lost,
-    Timeout,
-}
-
-/// Which chains one request has tried.
-#[derive(Default)]
-struct Tried {
-    journal: Journal,
-    attempts: Attempts,
-    /// Chains that refused it, or broke under it.
-    left: Vec<Rc<LiveChain>>,
-}
-
-impl Tried {
-    /// Whether the request may be sent through a chain.
-    fn may_take(&self, node: &Node, rq: &Proxied, live: &LiveChain) -> bool {
-        let left = self.left.iter().any(|l| std::ptr::eq(&raw const **l, live));
-        let runners = node.runners.borrow();
-        let ended = |id: &Name, born_ms: u64| {
-            let reborn = runners.entry(id).is_none_or(|e| e.born_ms != born_ms);
-            reborn || runners.standing(id).dead
-        };
-        let (id, born_ms) = live.head();
-        !left && self.attempts.allows(id, born_ms, rq.max_attempts, ended)
-    }
-
-    /// Sends the request through a chain, and notes what came of it.
-    async fn open(
-        &mut self,
-        node: &Rc<Node>,
-        rq: &Proxied,
-        live: &Rc<LiveChain>,
-        after: Option<u64>,
-    ) -> Opened {
-        let (id, born_ms) = live.head();
-        let ran_before = self.attempts.has(id, born_ms);
-        self.journal.hand();
-        self.attempts.sent(id, born_ms);
-        let opened = open(node, rq, live, after).await;
-        match opened {
-            Opened::NotRun | Opened::Unreached => {
-                match opened {
-                    Opened::Unreached => self.journal.unreached(),
-                    _ => self.journal.not_run(),
-                }
-                self.attempts.not_run(id, born_ms, ran_before);
-                self.left.push(Rc::clone(live));
-            }
-            Opened::Broken => self.left.push(Rc::clone(live)),
-            // A lost answer says nothing against the chain.
-            Opened::Lost | Opened::Stream(..) | Opened::Timeout => {}
-        }
-        opened
-    }
-}
-
 /// Serves a request through a chain.
 pub(crate) async fn serve(node: &Rc<Node>, rq: Proxied) -> Response<RelayBody> {
     node.count_request(&rq.service);
@@ -131,118 +67,8 @@
         Cause::NoRunner => NO_CHAIN_MS,
         _ => NO_ROOM_MS,
     };
-    let res = journal.failure(cause, (base * (1.0 + node.draw())) as Millis);
-    log::info!(
-        request = rq.id.as_ref(),
-        route = rq.route.as_ref(),
-        cause:% = cause,
-        sends = journal.sends,
-        status = res.status().as_u16(),
-        after_ms = node.now() - rq.received_ms;
-        "not answered"
-    );
-    count(if journal.may_have_run() {
-        "failed"
-    } else {
-        "refused"
-    });
-    res
-}
-
-/// Sends a request into a chain and waits for the head.
-async fn open(node: &Rc<Node>, rq: &Proxied, live: &Rc<LiveChain>, after: Option<u64>) -> Opened {
-    let passage = Passage::open(node, Rc::clone(live), admit::tokens(rq));
-    let head = live.chain.head();
-    let mut req = rq.to_send(node, &head.id);
-    if let Some(value) = header::value(&header::chain(&live.chain)) {
-        req.headers_mut().insert(header::CHAIN, value);
-    }
-    if let Some(after) = after {
-        req.headers_mut().insert(header::LAST_EVENT, after.into());
-    }
-    log_sent(node, rq, live);
-    let left = Duration::from_millis(rq.left_ms(node));
-    let sent = tokio::select! {
-        sent = timeout(left, attempt::send(head.address, &rq.id, req)) => sent,
-        () = live.broken.cancelled() => {
-            log_attempt(rq, live, "chain broke", "");
-            return Opened::Broken;
-        }
-    };
-    match sent {
-        Ok(Sent::Answer(res)) => {
-            live.refusals.borrow_mut().taken(node.now());
-            Opened::Stream(passage, res)
-        }
-        Ok(Sent::NotRun { status, at_fault }) => {
-            let at_fault_shown = at_fault.map_or_else(String::new, |a| a.to_string());
-            let cause = format!("{status} at {at_fault_shown}");
-            log_attempt(rq, live, "not run", &cause);
-            live.refusals.borrow_mut().refused(node.now());
-            if let Some(address) = at_fault.filter(|_| status == StatusCode::MISDIRECTED_REQUEST) {
-                misreported(node, address);
-            }
-            Opened::NotRun
-        }
-        Ok(Sent::Unreached(cause)) => {
-            log_attempt(rq, live, "not reached", &cause);
-            if probe::mark_dead(node, &head.id, head.born_ms) {
-                node.rebuild_chains();
-            }
-            Opened::Unreached
-        }
-        Ok(Sent::Lost(cause)) => {
-            log_attempt(rq, live, "lost", &cause);
-            Opened::Lost
-        }
-        Err(_) => {
-            log_attempt(rq, live, "timeout", "");
-            Opened::Timeout
-        }
-    }
-}
-
-/// What the choice of a chain was made from.
-fn log_sent(node: &Node, rq: &Proxied, live: &LiveChain) {
-    log::info!(
-        request = rq.id.as_ref(),
-        route = rq.route.as_ref(),
-        version = rq.version(),
-        chain = live.label(),
-        runner = live.chain.head().id.as_ref(),
-        tokens = admit::tokens(rq) as u64,
-        used = live.used_tokens() as u64,
-        room = live.chain.room_tokens as u64,
-        after_ms = node.now() - rq.received_ms;
-        "sent"
-    );
-}
-
-/// A runner does not hold what its entry says: it is passed over until its entry changes.
-fn misreported(node: &Node, address: std::net::SocketAddr) {
-    let found = {
-        let runners = node.runners.borrow();
-        runners.at(address).map(|e| (e.id.clone(), e.layers))
-    };
-    let Some((id, layers)) = found else {
-        return;
-    };
-    if let Some(s) = node.runners.borrow_mut().standing_mut(&id) {
-        s.misreported = layers;
-    }
-    log::warn!(runner = id.as_ref(), layers:? = layers; "runner does not hold what its entry says");
-    node.rebuild_chains();
-}
-
-fn log_attempt(rq: &Proxied, live: &LiveChain, outcome: &str, cause: &str) {
-    log::info!(
-        request = rq.id.as_ref(),
-        chain = live.label(),
-        runner = live.chain.head().id.as_ref(),
-        outcome,
-        cause;
-        "attempt"
-    );
+    let retry_after_ms = (base * (1.0 + node.draw())) as Millis;
+    rq.not_answered(node, journal, cause, retry_after_ms)
 }
 
 /// Passes a runner's answer on.
--- a/policy/examples/relay_cost.rs
+++ b/policy/examples/relay_cost.rs
@@ -2,73 +2,38 @@
 //!
 //! `cargo run --release -p jacinthweir-policy --example relay_cost`
 
+#[path = "../tests/support/relay.rs"]
+#[allow(dead_code, reason = "the tests use the rest")]
+mod support;
+
 use std::collections::BTreeMap;
 use std::time::Instant;
 
-use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::chain::chains;
-use jacinthweir_policy::relay::intent::{Accelerator, Engine};
-use jacinthweir_policy::relay::placement::{Move, plan};
+use jacinthweir_policy::relay::placement::plan;
 use jacinthweir_policy::relay::rooms::{FILL, Room, choose};
-use jacinthweir_policy::relay::runners::{RunnerEntry, Runners};
-
-const SERVICE: &str = "pool";
+use jacinthweir_policy::relay::runners::Runners;
+use support::{SERVICE, carry_out, engine, runner};
 
-/// Runners of a failure domain: one large one, five middle ones and four small ones in ten.
+/// Kinds of ten runners of a failure domain.
 const KINDS: [&str; 10] = [
-    "large", "middle", "middle", "middle", "middle", "middle", "small", "small", "small", "small",
+    "a100", "v100", "v100", "v100", "v100", "v100", "l4", "l4", "l4", "l4",
 ];
 
-fn engine() -> Engine {
-    let kind = |memory_mb, pace| Accelerator { memory_mb, pace };
-    let kinds = [
-        ("large", kind(72_000.0, 2.4)),
-        ("middle", kind(14_400.0, 5.3)),
-        ("small", kind(21_600.0, 16.0)),
-    ];
-    Engine {
-        layers: 80,
-        layer_mb: 1_750.0,
-        token_bytes: 590_000.0,
-        room_tokens: 100_000.0,
-        event_tokens: 4,
-        step_ms: 1.02,
-        load_ms: 14_000.0,
-        loads_at_once: 6,
-        kinds: kinds.into_iter().map(|(n, k)| (Name::from(n), k)).collect(),
-    }
-}
-
 fn fleet(count: usize, domains: usize) -> Runners {
     let mut runners = Runners::default();
     for i in 0..count {
         let domain = i % domains;
-        let number = u32::try_from(i).unwrap_or(u32::MAX);
-        let [_, _, c, d] = number.to_be_bytes();
-        runners.put(&RunnerEntry {
-            id: Name::from(format!("runner-{i}")),
-            service: Name::from(SERVICE),
-            address: ([10, 0, c, d], 8080).into(),
-            domain: Name::from(format!("domain-{domain}")),
-            draining: false,
-            born_ms: 1,
-            slots: 192,
-            kind: Some(Name::from(KINDS[i / domains % KINDS.len()])),
-            layers: None,
-        });
+        let kind = KINDS[i / domains % KINDS.len()];
+        runners.put(&runner(
+            &format!("runner-{i}"),
+            &format!("domain-{domain}"),
+            kind,
+        ));
     }
     runners
 }
 
-fn carry_out(runners: &mut Runners, moves: &[Move]) {
-    for m in moves {
-        if let Some(mut entry) = runners.entry(&m.runner).cloned() {
-            entry.layers = Some(m.layers);
-            runners.put(&entry);
-        }
-    }
-}
-
 fn timed<T>(work: impl FnOnce() -> T) -> (T, f64) {
     let start = Instant::now();
     let result = work();
