Tests of the relay listen on addresses of their own

Cause: a_shutdown_cuts_nothing failed once with 'cannot listen': five ports that were free a moment before were taken by a test beside it, as each let go of them before the relay listened. Ruled out: the shutdown; the panic was in the start. Change: each test has an address of the loopback range, from the process id and a count.

--- a/plugins/relay/tests/support/standin.rs
+++ b/plugins/relay/tests/support/standin.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -464,7 +465,7 @@
         for (id, domain) in [("p1", "a"), ("p2", "b")] {
             plain.push(Runner::spawn(&store, id, "orders", domain).await);
         }
-        let settings = settings(address, revocation_ms).await;
+        let settings = settings(address, revocation_ms);
         let relay = Relay::spawn(settings.clone()).await.expect("a relay");
         let site = Site {
             store,
@@ -545,15 +546,17 @@
     })
 }
 
-async fn settings(store: SocketAddr, revocation_ms: u64) -> RelaySettings {
-    let mut ports = Vec::new();
-    let mut held = Vec::new();
-    for _ in 0..5 {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        ports.push(listener.local_addr().expect("an address"));
-        held.push(listener);
-    }
-    drop(held);
+/// An address of the loopback range that no other test listens on: a port that was free a moment
+/// ago may be taken by the next test before the relay listens there.
+fn own_ip() -> [u8; 4] {
+    static TESTS: AtomicU8 = AtomicU8::new(1);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    [127, high.max(1), low, TESTS.fetch_add(1, Ordering::Relaxed)]
+}
+
+fn settings(store: SocketAddr, revocation_ms: u64) -> RelaySettings {
+    let ip = own_ip();
+    let ports: Vec<SocketAddr> = (7_001..7_006).map(|port| (ip, port).into()).collect();
     RelaySettings {
         name: "one".into(),
         failure_domain: "a".into(),
