--- a/plugins/relay/src/server.rs
+++ b/plugins/relay/src/server.rs
@@ -77,12 +77,22 @@
         (Face::Operators, listen.operators),
     ];
     for (face, address) in faces {
-        let listener = TcpListener::bind(address).await;
-        let listener = listener.map_err(|cause| RelayError::Bind {
-            face: face.to_string(),
-            address,
-            cause,
-        })?;
+        let listener = match TcpListener::bind(address).await {
+            Ok(listener) => listener,
+            // Its port stands in the deploy file and may be taken on some machine. Callers are
+            // served all the same.
+            Err(cause) if face == Face::Operators => {
+                log::error!(address:% = address, cause:% = cause; "no metrics and no dump");
+                continue;
+            }
+            Err(cause) => {
+                return Err(RelayError::Bind {
+                    face: face.to_string(),
+                    address,
+                    cause,
+                });
+            }
+        };
         let stop = match face {
             Face::Callers => servers.refuse.clone(),
             _ => node.stop.clone(),
--- a/plugins/relay/tests/relay.rs
+++ b/plugins/relay/tests/relay.rs
@@ -450,6 +450,38 @@
     });
 }
 
+/// The port of the metrics is taken on a machine. Callers must not notice.
+#[gtest]
+fn a_taken_metrics_port_does_not_stop_the_service() {
+    on_one_thread(async {
+        let first = Site::open().await;
+        let mut settings = first.settings.clone();
+        let taken = settings.listen.operators;
+        settings.name = "two".into();
+        for address in [
+            &mut settings.listen.callers,
+            &mut settings.listen.ready,
+            &mut settings.listen.entry,
+            &mut settings.listen.peers,
+        ] {
+            address.set_port(address.port() + 100);
+        }
+        let second = jacinthweir_relay::Relay::spawn(settings.clone()).await;
+        expect_that!(second.is_ok(), eq(true));
+        expect_that!(settings.listen.operators, eq(taken));
+        let ready = async {
+            while ask(settings.listen.ready, "GET /api/ready HTTP/1.1")
+                .await
+                .status
+                != 200
+            {
+                sleep(Duration::from_millis(20)).await;
+            }
+        };
+        timeout(LONG, ready).await.expect("it takes callers");
+    });
+}
+
 /// The checks of this file can fail: a cut answer is not taken for a whole one.
 #[gtest]
 fn the_reader_of_answers_tells_cut_ones() {
