--- a/policy/src/relay/placement.rs
+++ b/policy/src/relay/placement.rs
@@ -10,10 +10,10 @@
 //! is filled up again from those, and by growing ranges at their ends, which loads only what is
 //! new. What takes part in the only whole chain is not moved.
 //!
-//! A runner that took more than leaves it the wanted room is not made smaller: while it gives up a
-//! layer it refuses all new requests until those that pass through that layer have ended, which
-//! took 10 s on a slow runner. A second copy beside it goes where it does most good instead, and
-//! chains then pass by the tight one.
+//! A runner that took more than leaves it the wanted room is not made smaller: what it gives up is
+//! held by others and chains pass by it already, so an order brings nothing, while layers that are
+//! given up accept nothing new until what passes through them has ended. A second copy goes where
+//! it does most good instead.
 //!
 //! The room that a domain is planned for goes down in steps until the model fits; after the loss
 //! of many runners a small room serves more than none.
--- a/policy/src/relay/rooms.rs
+++ b/policy/src/relay/rooms.rs
@@ -52,8 +52,8 @@
 }
 
 /// How long a chain gets no new requests after it refused one, in milliseconds: twice as long each
-/// time, up to a bound. A runner that gives up a layer, or whose memory is taken by the requests of
-/// others, refuses everything for seconds; each request sent there in vain costs a repeat.
+/// time, up to a bound. A runner whose memory is taken refuses for seconds, ten in one case; each
+/// request sent there in vain costs a repeat.
 const REFUSED_MS: Millis = 100;
 const REFUSED_LONGEST_MS: Millis = 1_600;
 
--- a/policy/src/relay/spending.rs
+++ b/policy/src/relay/spending.rs
@@ -34,8 +34,8 @@
 }
 
 /// Part of the bound that the certain parts use together: requests are counted where they arrive,
-/// and the bound's window may begin anywhere. With 0.7 half of the streams of a chain that broke
-/// twice in ten seconds were cut for want of it.
+/// and the bound's window may begin anywhere. With 0.7 an instance whose chains broke three times
+/// within seventeen seconds cut 0, 7 of 33 and 17 of 17 of their streams.
 const USED_SHARE: f64 = 0.88;
 
 /// Part of the bound up to which instances lend each other. Above it each has its own part only.
--- a/policy/tests/relay_placement.rs
+++ b/policy/tests/relay_placement.rs
@@ -166,7 +166,7 @@
     expect_that!(healed[0].step_ms, lt(degraded[0].step_ms));
 }
 
-/// The caller gets 503 for ten seconds: a runner in the chain gives up a layer, and refuses all
+/// The caller may get 503 while a runner in the chain gives up a layer: it can refuse
 /// new requests until those that pass through that layer have ended. A runner that is in use
 /// keeps what it holds as long as nothing is missing.
 #[gtest]
