Relay: room is counted by runner, not by the first runner of a chain

Cause: when a chain was worked out anew through another first runner it counted as empty, while its other runners still held what passed through the old one. Change: what is in flight is laid on each runner of its path, as tokens times layers, and a chain has the room of its tightest runner. Paths behind first runners are remembered for 30 s, since others may have requests there.

--- a/plugins/relay/src/live.rs
+++ b/plugins/relay/src/live.rs
@@ -5,9 +5,9 @@
 use std::rc::Rc;
 
 use jacinthweir_policy::prelude::*;
-use jacinthweir_policy::relay::chain::{self, Chain};
+use jacinthweir_policy::relay::chain::{self, Chain, Stage};
 use jacinthweir_policy::relay::intent::Engine;
-use jacinthweir_policy::relay::rooms::{self, Refusals, Room};
+use jacinthweir_policy::relay::rooms::{self, Occupancy, Refusals, Room};
 use jacinthweir_policy::relay::runners::Runners;
 use jacinthweir_policy::relay::silence::{Gaps, Silence};
 use tokio_util::sync::CancellationToken;
@@ -37,8 +37,14 @@
     /// Chains that were replaced and may still have requests.
     replaced: Vec<Rc<LiveChain>>,
     used: BTreeMap<(Name, Name), Rc<Cell<f64>>>,
+    /// The newest chain behind each first runner, and when it was worked out.
+    paths: BTreeMap<(Name, Name), (Vec<Stage>, Millis)>,
 }
 
+/// How long the path behind a first runner that no chain begins with is remembered, in
+/// milliseconds. Other instances may have requests there that this one has not.
+const PATH_KEPT_MS: Millis = 30_000;
+
 impl Chains {
     /// Chains of a service that new requests may take.
     pub(crate) fn of(&self, service: &str) -> &[Rc<LiveChain>] {
@@ -56,6 +62,19 @@
         all.map(|((service, head), used)| (service, head, used.get()))
     }
 
+    /// Remembers which runners the requests behind each first runner pass through.
+    fn remember_paths(&mut self, service: &Name, now: Millis) {
+        for live in self.current.get(service).into_iter().flatten() {
+            let key = (service.clone(), live.chain.head().id.clone());
+            let path = self.paths.entry(key).or_default();
+            path.1 = now;
+            if path.0 != live.chain.stages {
+                path.0.clone_from(&live.chain.stages);
+            }
+        }
+        self.paths.retain(|_, path| now < path.1 + PATH_KEPT_MS);
+    }
+
     fn replace(&mut self, service: &Name, engine: &Engine, chains: Vec<Chain>) -> bool {
         let mut old = self.current.remove(service).unwrap_or_default();
         let mut changed = old.len() != chains.len();
@@ -139,7 +158,11 @@
                 continue;
             };
             let found = chain::chains(&runners, service, engine, now);
-            if chains.replace(service, engine, found) {
+            // Once more afterwards: what is replaced now is remembered from now on.
+            chains.remember_paths(service, now);
+            let changed = chains.replace(service, engine, found);
+            chains.remember_paths(service, now);
+            if changed {
                 log_chains(service, chains.of(service), now);
             }
         }
@@ -169,6 +192,12 @@
         let chains = self.chains.borrow();
         let live = chains.of(service);
         let loads = self.loads.borrow();
+        let mut occupancy = Occupancy::default();
+        for ((of, head), (stages, _)) in chains.paths.iter().filter(|((s, _), _)| s == service) {
+            let own = chains.used.get(&(of.clone(), head.clone()));
+            let own = own.map_or(0.0, |used| used.get());
+            occupancy.add(stages, own + loads.used(service, head, now));
+        }
         let mut rooms = Vec::with_capacity(live.len());
         for (i, l) in live.iter().enumerate() {
             if l.broken.is_cancelled() || !may_take(l) {
@@ -179,7 +208,7 @@
                 chain: i,
                 near: domain == Some(&self.settings.failure_domain),
                 room_tokens: l.chain.room_tokens * l.refusals.borrow().scale(),
-                used_tokens: l.used.get() + loads.used(service, &l.chain.head().id, now),
+                used_tokens: occupancy.used_tokens(&l.chain),
                 silent_ms: l.silence.borrow().silent_ms(now),
                 refusing: l.refusals.borrow().refusing(now),
             });
--- a/policy/src/relay/chain.rs
+++ b/policy/src/relay/chain.rs
@@ -46,6 +46,16 @@
     pub runner: RunnerEntry,
     /// First layer, and one past the last.
     pub layers: (u32, u32),
+    /// Memory of the runner beside the weights, as tokens times layers.
+    pub room: f64,
+}
+
+impl Stage {
+    /// Layers that a token runs here.
+    #[must_use]
+    pub fn count(&self) -> f64 {
+        f64::from(self.layers.1 - self.layers.0)
+    }
 }
 
 /// Runners that hold a whole model between them.
@@ -255,6 +265,7 @@
         stages.push(Stage {
             runner: holder.entry.clone(),
             layers: (way.from, to),
+            room: holder.room,
         });
         if way.from == 0 {
             break;
--- a/policy/src/relay/rooms.rs
+++ b/policy/src/relay/rooms.rs
@@ -8,7 +8,10 @@
 //! Load pattern: a failure domain is lost and its callers come to the other chains at once, or the
 //! arrivals double. What fits is served in time; the rest hears at once when to come back.
 
+use std::collections::BTreeMap;
+
 use crate::prelude::*;
+use crate::relay::chain::{Chain, Stage};
 
 /// Part of a chain's room that requests may take by their estimates. Share of the worth earned
 /// under failures and high load, mean of ten simulated days: 0.58, 0.64, 0.66 and 0.53 where 0.7,
@@ -34,6 +37,34 @@
     f64::from(prompt) + ANSWER_SHARE * f64::from(answer)
 }
 
+/// What the requests in flight take of each runner's memory, as tokens times layers.
+///
+/// Counted by runner and not by chain: when a chain is worked out anew through another first
+/// runner, its other runners still hold what passes through the old one. A new chain that counted
+/// as empty was sent everything that waited, and refused it.
+#[derive(Clone, Debug, Default)]
+pub struct Occupancy(BTreeMap<Name, f64>);
+
+impl Occupancy {
+    /// `tokens` tokens are in flight along `stages`.
+    pub fn add(&mut self, stages: &[Stage], tokens: f64) {
+        for s in stages {
+            *self.0.entry(s.runner.id.clone()).or_default() += tokens * s.count();
+        }
+    }
+
+    /// Tokens that a chain has no room for any more: its room less what its tightest part has left.
+    #[must_use]
+    pub fn used_tokens(&self, chain: &Chain) -> f64 {
+        let left = |s: &Stage| {
+            let taken = self.0.get(&s.runner.id).copied().unwrap_or(0.0);
+            (s.room - taken) / s.count().max(1.0)
+        };
+        let left = chain.stages.iter().map(left).min_by(f64::total_cmp);
+        chain.room_tokens - left.unwrap_or(0.0)
+    }
+}
+
 /// A chain as the choice sees it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Room {
@@ -43,7 +74,7 @@
     pub near: bool,
     /// Tokens that it has room for.
     pub room_tokens: f64,
-    /// Tokens in flight there, from all instances.
+    /// Tokens that it has no room for any more, from the requests of all instances.
     pub used_tokens: f64,
     /// Time without a byte while requests wait, in milliseconds.
     pub silent_ms: Millis,
