Relay: runs go on along another chain by order; a domain is planned for half as much room again

Change: a domain is planned for 1.5 of the declared room first. A run whose chain lost a part goes on by an order to its first runner where another holder of the part is there or being loaded: no repeat is spent and no room needed elsewhere. Runs are spread over that and new runs by the tokens that each chain has yet to read. Rerouting alone is not faster than a new run: the new part read 128 runs one after the other in 900 ms.

--- a/plugins/relay/src/live.rs
+++ b/plugins/relay/src/live.rs
@@ -25,6 +25,8 @@
     event_tokens: f64,
     /// Cancelled when a part is known to be dead: what passes through goes elsewhere.
     pub(crate) broken: CancellationToken,
+    /// Tokens of this instance's requests that it has yet to read before their next event.
+    unread: Cell<f64>,
     /// Tokens in flight from this instance through the chain's first runner; chains that followed
     /// one another behind it share it, as they share most runners.
     used: Rc<Cell<f64>>,
@@ -96,6 +98,7 @@
                 refusals: RefCell::default(),
                 event_tokens: f64::from(engine.event_tokens),
                 broken: CancellationToken::new(),
+                unread: Cell::new(0.0),
                 used,
             }));
         }
@@ -137,6 +140,12 @@
         self.used.get()
     }
 
+    /// Tokens that it has yet to read before the next events of this instance's requests. A chain
+    /// reads some hundred a millisecond, whatever it writes meanwhile.
+    pub(crate) fn unread_tokens(&self) -> f64 {
+        self.unread.get()
+    }
+
     /// Name in logs: the domain, and the parts.
     pub(crate) fn label(&self) -> String {
         let domain = self.chain.domain.as_deref().unwrap_or("across");
@@ -180,6 +189,22 @@
         self.room.notify_waiters();
     }
 
+    /// Whether a chain's first runner still lives, as far as is known.
+    pub(crate) fn has_head(&self, live: &LiveChain) -> bool {
+        let (id, born_ms) = live.head();
+        let runners = self.runners.borrow();
+        let entry = runners.entry(id);
+        entry.is_some_and(|e| e.born_ms == born_ms) && !runners.standing(id).dead
+    }
+
+    /// The chain that took the place of a broken one behind the same first runner.
+    pub(crate) fn successor(&self, broken: &LiveChain) -> Option<Rc<LiveChain>> {
+        let chains = self.chains.borrow();
+        let whole = chains.of(&broken.service).iter();
+        let mut whole = whole.filter(|l| !l.broken.is_cancelled());
+        whole.find(|l| l.head() == broken.head()).map(Rc::clone)
+    }
+
     /// The chain for a request of `tokens` tokens below `fill`, of those that it may take.
     pub(crate) fn choose_chain(
         &self,
@@ -239,16 +264,20 @@
     node: Rc<Node>,
     pub(crate) live: Rc<LiveChain>,
     tokens: f64,
+    /// Tokens to be read before the next event.
+    unread: Cell<f64>,
 }
 
 impl Passage {
     pub(crate) fn open(node: &Rc<Node>, live: Rc<LiveChain>, tokens: f64) -> Passage {
         live.used.set(live.used.get() + tokens);
+        live.unread.set(live.unread.get() + tokens);
         live.silence.borrow_mut().sent(node.now());
         Passage {
             node: Rc::clone(node),
             live,
             tokens,
+            unread: Cell::new(tokens),
         }
     }
 
@@ -262,14 +291,28 @@
         }
     }
 
+    /// The request passes through another chain behind the same first runner from now on.
+    pub(crate) fn move_to(&mut self, live: Rc<LiveChain>) {
+        *self = Passage::open(&self.node, live, self.tokens);
+    }
+
     /// Bytes came.
     pub(crate) fn heard(&self) {
+        self.has_read();
         self.live.silence.borrow_mut().heard(self.node.now());
     }
 }
 
+impl Passage {
+    fn has_read(&self) {
+        let read = self.unread.replace(0.0);
+        self.live.unread.set(self.live.unread.get() - read);
+    }
+}
+
 impl Drop for Passage {
     fn drop(&mut self) {
+        self.has_read();
         self.live.used.set(self.live.used.get() - self.tokens);
         self.live.silence.borrow_mut().ended();
         self.node.room.notify_waiters();
--- a/plugins/relay/src/stream.rs
+++ b/plugins/relay/src/stream.rs
@@ -11,7 +11,7 @@
 use futures::stream::unfold;
 use http::{Response, StatusCode};
 use jacinthweir_clients::direct::{AnswerBody, DirectError};
-use jacinthweir_platform::header;
+use jacinthweir_platform::{header, runner};
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::rooms;
 use tokio::time::{sleep, timeout};
@@ -28,6 +28,18 @@
 /// give up after a gap of two seconds.
 const PATIENCE_MS: Millis = 1_700;
 
+/// Time after the last event up to which a run waits for a holder of the layers that its chain
+/// lost, in milliseconds: they are loaded within a second, and a new run must still fit within
+/// [`PATIENCE_MS`] if they are not.
+const REROUTE_MS: Millis = 1_300;
+
+/// Time that a new run takes to its first event, in milliseconds: 40 to 80 where a chain is not
+/// reading much else.
+const READ_MS: Millis = 80;
+
+/// Time that a runner has to answer the order to go on along another chain.
+const REROUTE_ANSWER: Duration = Duration::from_millis(250);
+
 /// Longest pause between looks for a chain that can go on with a run: loads of other instances
 /// change without a notice.
 const LOOK: Duration = Duration::from_millis(20);
@@ -164,6 +176,7 @@
                         return self.cut(cause);
                     }
                 }
+                Next::ChainBroke if self.reroute().await.is_some() => {}
                 Next::ChainBroke => {
                     let cause = "chain broke".to_owned();
                     if self.go_on(&cause).await.is_none() {
@@ -216,6 +229,50 @@
         }
     }
 
+    /// Has the run itself go on past a dead part, through the chain that takes the broken one's
+    /// place behind the same first runner. That spends no repeat and needs no room elsewhere, but
+    /// the new part reads the tokens of one run after the other: of 128 runs the last went on after
+    /// nine tenths of a second. So they are spread, and a new run comes first where it begins
+    /// sooner and in time. `None`: a new run is needed.
+    async fn reroute(&mut self) -> Option<()> {
+        let broken = Rc::clone(&self.passage.as_ref()?.live);
+        let in_time = self.heard_ms + self.rq.pause_ms.saturating_sub(READ_MS);
+        let until = self.heard_ms + REROUTE_MS;
+        while self.node.now() < until && self.node.has_head(&broken) {
+            let elsewhere = self.next_chain().map(|l| l.unread_tokens());
+            let in_time = self.node.now() < in_time;
+            match (self.node.successor(&broken), elsewhere) {
+                (Some(live), Some(tokens)) if in_time && live.unread_tokens() > tokens => {
+                    return None;
+                }
+                (Some(live), _) => return self.send_along(live).await,
+                (None, Some(_)) => return None,
+                (None, None) => {}
+            }
+            let _ = timeout(LOOK, self.node.room.notified()).await;
+        }
+        None
+    }
+
+    async fn send_along(&mut self, live: Rc<LiveChain>) -> Option<()> {
+        self.passage.as_mut()?.move_to(Rc::clone(&live));
+        let ordered = runner::reroute(&live.chain, &self.rq.id, REROUTE_ANSWER).await;
+        let outcome = match &ordered {
+            Ok(_) => "ordered".to_owned(),
+            Err(e) => e.to_string(),
+        };
+        log::info!(
+            request = self.rq.id.as_ref(),
+            chain = live.label(),
+            runner = live.chain.head().id.as_ref(),
+            silent_ms = self.node.now() - self.heard_ms,
+            outcome;
+            "rerouted"
+        );
+        metrics::counter!("jacinthweir_reroutes_total").increment(1);
+        ordered.ok().map(drop)
+    }
+
     /// Goes on with another run behind the last whole event; `None` if that cannot be.
     async fn go_on(&mut self, cause: &str) -> Option<()> {
         self.body = None;
--- a/policy/src/relay/placement.rs
+++ b/policy/src/relay/placement.rs
@@ -27,7 +27,7 @@
 
 /// Shares of the declared room that a domain is planned for, tried in turn. The last is room for
 /// a few requests.
-const ROOM_STEPS: [f64; 6] = [1.0, 0.8, 0.6, 0.45, 0.3, 0.15];
+const ROOM_STEPS: [f64; 8] = [1.5, 1.25, 1.0, 0.8, 0.6, 0.45, 0.3, 0.15];
 
 /// Share of the declared room that a further copy must have: with less, its runners do more good
 /// as second holders.
--- a/policy/src/relay/silence.rs
+++ b/policy/src/relay/silence.rs
@@ -26,12 +26,12 @@
 
 /// A chain is asked no earlier than this multiple of its longest gap of late: a slow chain is
 /// silent for as long at each pass, and ten questions at each would cost more than they bring.
-const LONGEST_TIMES: f64 = 1.25;
+const LONGEST_TIMES: f64 = 1.1;
 
 /// How long a longest gap is remembered, in milliseconds, and the most that counts of it: a packet
 /// that was sent again makes a gap that says nothing of the next.
 const LONGEST_KEPT_MS: Millis = 5_000;
-const LONGEST_COUNTED_MS: Millis = 200;
+const LONGEST_COUNTED_MS: Millis = 130;
 
 /// How long a chain that was asked is left alone, in milliseconds; twice as long each time that it
 /// stays silent all the same, up to so many doublings. Where a part of the fleet is cut off, every
