Runners: entries that lapsed during an outage of the store are kept until they can be back

Cause: the leases of runners' entries lapse while the store is out. Ruled out: the new layout itself; it never ran in that domain before the store was lost. Change: for 2.2 s after the store's return an entry that is missing or deleted counts as lapsed: the runner stays in use unless it shows itself dead. Domains are laid out anew only when every living runner is known.

--- a/plugins/relay/src/probe.rs
+++ b/plugins/relay/src/probe.rs
@@ -61,6 +61,11 @@
     loop {
         ticks.tick().await;
         let now = node.now();
+        let expired = node.runners.borrow_mut().expire(now);
+        if expired {
+            log::info!("runners whose entries lapsed did not come back");
+            node.rebuild_chains();
+        }
         let suspect: Vec<Rc<LiveChain>> = {
             let chains = node.chains.borrow();
             let alive = chains.all().filter(|l| !l.broken.is_cancelled());
--- a/plugins/relay/src/watch.rs
+++ b/plugins/relay/src/watch.rs
@@ -74,14 +74,16 @@
 async fn run(node: &Node, what: Followed) {
     let mut failures = 0;
     let mut lost = false;
+    let mut new = true;
     loop {
-        let error = match list(node, what).await {
+        let error = match list(node, what, new || lost).await {
             Ok(revision) => {
                 if lost {
                     log::info!(what:% = what; "store is back");
                     lost = false;
                 }
                 failures = 0;
+                new = false;
                 watch(node, what, revision).await
             }
             Err(e) => e,
@@ -103,7 +105,8 @@
     }
 }
 
-async fn list(node: &Node, what: Followed) -> Result<u64, StoreError> {
+/// `anew`: the store did not answer before.
+async fn list(node: &Node, what: Followed, anew: bool) -> Result<u64, StoreError> {
     let sent = node.now();
     count_call("list");
     let listed = node.store.list(what.kind()).await?;
@@ -122,7 +125,13 @@
         }
         Followed::Runners => {
             let entries = listed.objects.into_iter().filter_map(decode).collect();
-            node.runners.borrow_mut().replace(entries);
+            let now = node.now();
+            let mut runners = node.runners.borrow_mut();
+            if anew {
+                runners.store_is_back(now);
+            }
+            runners.replace(entries, now);
+            drop(runners);
             node.listed.set(true);
             node.rebuild_chains();
         }
@@ -185,8 +194,9 @@
     for change in changes {
         let id = change.object.meta.name.clone();
         if change.deleted {
-            log::info!(runner = id.as_ref(); "runner is gone from the store");
-            changed |= node.runners.borrow_mut().remove(&id);
+            let gone = node.runners.borrow_mut().remove(&id, node.now());
+            log::info!(runner = id.as_ref(), gone; "runner is gone from the store");
+            changed |= gone;
         } else if let Some(entry) = decode(change.object) {
             log_entry(node, &entry);
             changed |= node.runners.borrow_mut().put(&entry);
--- a/policy/examples/relay_cost.rs
+++ b/policy/examples/relay_cost.rs
@@ -56,7 +56,7 @@
             carry_out(&mut runners, &more);
         }
         let (_, idle) = timed(|| plan(&runners, SERVICE, &engine, &none, 0));
-        runners.remove("runner-0");
+        runners.remove(&"runner-0".into(), 0);
         let (_, repair) = timed(|| plan(&runners, SERVICE, &engine, &none, 0));
         let (found, walk) = timed(|| chains(&runners, SERVICE, &engine, 0));
         let rooms: Vec<Room> = (0..found.len())
--- a/policy/src/relay/placement.rs
+++ b/policy/src/relay/placement.rs
@@ -119,7 +119,8 @@
         let of_domain = runners.entries().filter(|e| e.domain == *domain);
         let standings = of_domain.map(|e| runners.standing(&e.id));
         let mut lost = standings.filter(|s| s.dead);
-        let certain = !lost.any(|s| now < s.dead_since_ms + CERTAIN_MS);
+        let recent = lost.any(|s| now < s.dead_since_ms + CERTAIN_MS);
+        let certain = runners.is_complete(now) && !recent;
         moves.extend(plan_domain(&seats, engine, certain));
     }
     moves
@@ -130,7 +131,7 @@
 /// all others had moved meanwhile, its own layers would be of no use.
 const CERTAIN_MS: Millis = 700;
 
-/// `certain`: no runner of the domain was lost just now.
+/// `certain`: every living runner is known, and none of the domain was lost just now.
 fn plan_domain(seats: &[Seat<'_>], engine: &Engine, certain: bool) -> Vec<Move> {
     let mut pool = seats.to_vec();
     let mut placed = Vec::new();
--- a/policy/src/relay/runners.rs
+++ b/policy/src/relay/runners.rs
@@ -115,16 +115,55 @@
 /// Share of failures from which on others are preferred.
 const FAILING_LIMIT: f64 = 0.3;
 
+/// Time after the store's return in which runners write their entries anew, in milliseconds, with
+/// some to spare: those whose lease lapsed meanwhile are back within two seconds if they live.
+const LAPSED_MS: Millis = 2_200;
+
 /// Runners by identity.
 #[derive(Clone, Debug, Default)]
 pub struct Runners {
     entries: BTreeMap<Name, RunnerEntry>,
     standings: BTreeMap<Name, Standing>,
+    /// Runners whose entry lapsed, and until when they are taken to live.
+    lapsed: BTreeMap<Name, Millis>,
+    /// Until when entries of living runners may be missing.
+    incomplete_until_ms: Millis,
 }
 
 impl Runners {
+    /// The store answers anew, or for the first time: entries may be missing for a while.
+    ///
+    /// Taken for gone at once, most runners of a fleet vanish as the store comes back from an
+    /// outage, and the rest are told to hold what the others still hold.
+    pub fn store_is_back(&mut self, now: Millis) {
+        self.incomplete_until_ms = now + LAPSED_MS;
+    }
+
+    /// Whether every living runner has its entry.
+    #[must_use]
+    pub fn is_complete(&self, now: Millis) -> bool {
+        now >= self.incomplete_until_ms
+    }
+
+    /// Forgets runners whose entry lapsed and did not come back; whether there were any.
+    pub fn expire(&mut self, now: Millis) -> bool {
+        let over = self.lapsed.iter().filter(|(_, until)| now >= **until);
+        let gone: Vec<Name> = over.map(|(id, _)| id.clone()).collect();
+        for id in &gone {
+            self.forget(id);
+        }
+        !gone.is_empty()
+    }
+
+    fn forget(&mut self, id: &str) -> bool {
+        self.lapsed.remove(id);
+        self.standings.remove(id);
+        self.entries.remove(id).is_some()
+    }
+
     /// Takes in an entry; whether anything changed that a chain depends on.
     pub fn put(&mut self, entry: &RunnerEntry) -> bool {
+        self.lapsed.remove(&entry.id);
         let standing = self.standings.entry(entry.id.clone()).or_default();
         if standing.born_ms != entry.born_ms {
             let in_flight = standing.in_flight;
@@ -138,14 +177,20 @@
         old.as_ref() != Some(entry)
     }
 
-    /// Forgets a runner.
-    pub fn remove(&mut self, id: &str) -> bool {
-        self.standings.remove(id);
-        self.entries.remove(id).is_some()
+    /// A runner's entry is gone at `now`; whether the runner is taken to be gone as well.
+    pub fn remove(&mut self, id: &Name, now: Millis) -> bool {
+        if self.is_complete(now) {
+            return self.forget(id);
+        }
+        if self.entries.contains_key(id) {
+            let until = self.incomplete_until_ms;
+            self.lapsed.entry(id.clone()).or_insert(until);
+        }
+        false
     }
 
-    /// Takes over a whole list: what it lacks is gone.
-    pub fn replace(&mut self, list: Vec<RunnerEntry>) {
+    /// Takes over a whole list at `now`: what it lacks is gone.
+    pub fn replace(&mut self, list: Vec<RunnerEntry>, now: Millis) {
         let ids: std::collections::BTreeSet<Name> = list.iter().map(|e| e.id.clone()).collect();
         let gone: Vec<Name> = self
             .entries
@@ -154,7 +199,7 @@
             .cloned()
             .collect();
         for id in gone {
-            self.remove(&id);
+            self.remove(&id, now);
         }
         for entry in list {
             self.put(&entry);
--- a/policy/tests/relay_placement.rs
+++ b/policy/tests/relay_placement.rs
@@ -130,7 +130,7 @@
         put(&format!("v100-{i}"), "v100", (28 + 5 * i, 33 + 5 * i));
     }
     put("end", "v100", (78, 80));
-    runners.remove("v100-3");
+    runners.remove(&Name::from("v100-3"), 0);
     let moves = plan(&runners, SERVICE, &engine(), &BTreeMap::new(), 0);
     expect_that!(moves.len(), ge(1));
     expect_true!(moves.iter().all(|m| &*m.runner != "a100"));
@@ -149,7 +149,7 @@
     );
     settle(&mut runners);
     let lost = runners.entry("north-a100-0").expect("placed").clone();
-    runners.remove("north-a100-0");
+    runners.remove(&Name::from("north-a100-0"), 0);
     settle(&mut runners);
     let degraded = found(&runners);
     assert_that!(degraded.len(), eq(1));
@@ -179,7 +179,7 @@
         &[("a100", 1), ("v100", 6), ("l4", 6)],
     );
     settle(&mut runners);
-    runners.remove("north-a100-0");
+    runners.remove(&Name::from("north-a100-0"), 0);
     settle(&mut runners);
     runners.put(&runner("north-a100-9", "north", "a100"));
     for _ in 0..20 {
@@ -314,7 +314,7 @@
         for (draw, returns) in losses {
             let id = &names[usize::from(draw) % names.len()];
             if let Some(entry) = runners.entry(id).cloned() {
-                runners.remove(id);
+                runners.remove(id, 0);
                 if returns {
                     runners.put(&RunnerEntry { layers: None, born_ms: entry.born_ms + 1, ..entry });
                 }
@@ -383,3 +383,32 @@
         err(anything())
     );
 }
+
+/// The caller is refused for ten seconds after an outage of the store. The leases of the runners'
+/// entries lapsed meanwhile, so the list is nearly empty at first; taken for gone, the domain is
+/// laid out anew over the few that are listed, while all others still hold their layers and write
+/// their entries again within two seconds. One that does not is gone.
+#[gtest]
+fn entries_that_lapsed_during_an_outage_are_kept_until_runners_had_time_to_write_them() {
+    let mut runners = Runners::default();
+    domain(&mut runners, "east", &MIXED);
+    settle(&mut runners);
+    let all: Vec<RunnerEntry> = runners.entries().cloned().collect();
+    let (first, lost) = (all[0].clone(), all[1].id.clone());
+
+    runners.store_is_back(10_000);
+    runners.replace(vec![first], 10_000);
+    let plan_at = |runners: &Runners, now| plan(runners, SERVICE, &engine(), &BTreeMap::new(), now);
+    expect_that!(plan_at(&runners, 10_100), is_empty());
+    expect_that!(chains(&runners, SERVICE, &engine(), 10_100).len(), eq(1));
+    expect_false!(runners.remove(&lost, 10_200));
+
+    for entry in all.iter().filter(|e| e.id != lost) {
+        runners.put(entry);
+    }
+    expect_false!(runners.expire(12_000));
+    expect_true!(runners.expire(12_300));
+    expect_that!(runners.entry(&lost), none());
+    expect_that!(runners.entries().count(), eq(all.len() - 1));
+    expect_true!(runners.remove(&all[2].id, 12_400));
+}
--- a/policy/tests/relay_rooms.rs
+++ b/policy/tests/relay_rooms.rs
@@ -42,7 +42,7 @@
     occupancy.add(&old.stages, 80_000.0);
     expect_that!(occupancy.used_tokens(&old), near(80_000.0, 1.0));
 
-    runners.remove(&old.head().id);
+    runners.remove(&old.head().id, 0);
     let new = only_chain(&runners);
     expect_that!(new.head().id, not(eq(&old.head().id)));
     let left = new.room_tokens - occupancy.used_tokens(&new);
--- a/policy/tests/relay_rules.rs
+++ b/policy/tests/relay_rules.rs
@@ -569,7 +569,7 @@
     entry.born_ms = 2;
     runners.put(&entry);
     expect_false!(runners.standing("a").dead);
-    runners.replace(Vec::new());
+    runners.replace(Vec::new(), 0);
     expect_that!(runners.entry("a"), none());
 }
 
