Relay: watches wait by the number of instances; instances tell one another what they know of the store

Change: a watch waits the longer the more instances there are, so that the fleet ends as many in a second as six do. A configuration whose confirmation is 1.4 to 2 s old is read; confirmations go round with the exchanges. Instances tell which version and which entries they have seen and which runners leave, at once to eight others when it is new; one that is behind watches anew. An exchange's question holds the own load only, which was half of the bytes.

--- a/plugins/relay/src/node.rs
+++ b/plugins/relay/src/node.rs
@@ -10,6 +10,7 @@
 use jacinthweir_policy::member::{MemberState, Phase};
 use jacinthweir_policy::membership::{Membership, MembershipConfig};
 use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::relay::following::Behind;
 use jacinthweir_policy::relay::intent::{self, Intent, Offered};
 use jacinthweir_policy::relay::lease::Lease;
 use jacinthweir_policy::relay::runners::Runners;
@@ -42,6 +43,10 @@
 /// short against the time that a hole in a chain costs.
 const LEASE_MS: Millis = 1_800;
 
+/// How long an instance tells the others of a runner that leaves, in milliseconds: longer than any
+/// of their watches of the runners may have been silent when the others still heard one another.
+const LEAVING_KEPT_MS: Millis = 10_000;
+
 /// State of one process.
 pub struct Node {
     /// Settings.
@@ -58,6 +63,16 @@
     /// When the call was sent that the store answered last, in milliseconds; `None` once a call
     /// failed.
     pub(crate) store_heard_ms: Cell<Option<Millis>>,
+    /// Newest revision of a runner's entry that was seen.
+    pub(crate) runners_revision: Cell<u64>,
+    /// Runners that were heard to leave, by identity and lifetime, and when.
+    pub(crate) leaving: RefCell<Vec<(Name, u64, Millis)>>,
+    /// Something changed that all other instances should hear at once.
+    pub(crate) news: Notify,
+    /// What others know of the configuration and of the runners' entries, by revision.
+    pub(crate) behind: [RefCell<Behind>; 2],
+    /// Another instance knows more than this one.
+    pub(crate) overtaken: Notify,
     /// Whether the runners have been listed since the start.
     pub(crate) listed: Cell<bool>,
     pub(crate) chains: RefCell<Chains>,
@@ -107,6 +122,11 @@
             vouch: RefCell::new(Vouch::new(settings.bounds.revocation_ms)),
             runners: RefCell::default(),
             store_heard_ms: Cell::new(None),
+            runners_revision: Cell::new(0),
+            leaving: RefCell::default(),
+            news: Notify::new(),
+            behind: Default::default(),
+            overtaken: Notify::new(),
             listed: Cell::new(false),
             chains: RefCell::default(),
             membership: RefCell::new(membership),
@@ -183,6 +203,7 @@
                     .borrow_mut()
                     .set_revision(version, unix_ms());
                 *self.intent.borrow_mut() = Some(Rc::new(offered));
+                self.news.notify_one();
                 self.rebuild_chains();
             }
             Offered::Same => {}
@@ -215,6 +236,22 @@
         taken
     }
 
+    /// Instances that serve, this one included.
+    pub(crate) fn instances(&self) -> usize {
+        self.membership.borrow().live().count().max(1)
+    }
+
+    /// A runner was heard to leave.
+    pub(crate) fn note_leaving(&self, id: &Name, born_ms: u64) {
+        let now = self.now();
+        let mut leaving = self.leaving.borrow_mut();
+        leaving.retain(|(_, _, at)| now < at + LEAVING_KEPT_MS);
+        if !leaving.iter().any(|(i, b, _)| (i, *b) == (id, born_ms)) {
+            leaving.push((id.clone(), born_ms, now));
+            self.news.notify_one();
+        }
+    }
+
     /// The most instances that were seen to serve at the same time. Those that are out of sight
     /// go on spending.
     fn most_instances(&self) -> usize {
--- a/plugins/relay/src/peers.rs
+++ b/plugins/relay/src/peers.rs
@@ -18,11 +18,13 @@
 };
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::spending::Counts;
+use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
 use tokio::time::interval;
 
 use crate::node::{Node, ROUND_MS};
 use crate::probe;
+use crate::watch::Followed;
 
 /// Where instances post their messages.
 pub(crate) const PATH: &str = "/peer";
@@ -66,6 +68,10 @@
     spent: Vec<(Name, u32, u32)>,
     /// Runners that it found dead, by identity and lifetime.
     dead: Vec<(Name, u64)>,
+    /// Newest revision of a runner's entry that it has seen.
+    runners_revision: u64,
+    /// Runners that it heard to leave, by identity and lifetime.
+    leaving: Vec<(Name, u64)>,
 }
 
 /// Loads of other instances, with the time of arrival.
@@ -132,6 +138,11 @@
         from: Name,
         members: MemberDelta,
     },
+    /// Something that all instances should know at once.
+    News {
+        from: Name,
+        load: Load,
+    },
     Probe {
         address: SocketAddr,
     },
@@ -152,13 +163,48 @@
 
 /// Starts the rounds.
 pub(crate) fn spawn(node: &Rc<Node>) {
+    let rounds = Rc::clone(node);
+    tokio::task::spawn_local(async move {
+        let stop = rounds.stop.clone();
+        let _ = stop.run_until_cancelled(run(&rounds)).await;
+    });
     let node = Rc::clone(node);
     tokio::task::spawn_local(async move {
         let stop = node.stop.clone();
-        let _ = stop.run_until_cancelled(run(&node)).await;
+        let _ = stop.run_until_cancelled(spread_news(&node)).await;
     });
 }
 
+/// Instances that hear of news directly; each tells as many others, so that a fleet of hundreds
+/// has heard after three steps of a few milliseconds.
+const NEWS_TO: usize = 8;
+
+/// Tells others whenever this instance learnt something that all should know.
+async fn spread_news(node: &Rc<Node>) {
+    loop {
+        node.news.notified().await;
+        let message = Rc::new(Message::News {
+            from: node.settings.name.clone(),
+            load: own_load(node),
+        });
+        let addresses: Vec<SocketAddr> = {
+            let membership = node.membership.borrow();
+            let others = membership.live().filter(|m| m.name != node.settings.name);
+            let others = others.map(|m| m.peers);
+            node.with_rng(|rng| others.sample(rng, NEWS_TO))
+        };
+        for address in addresses {
+            let message = Rc::clone(&message);
+            tokio::task::spawn_local(async move {
+                // Who does not hear it now does so at its next exchange.
+                if let Err(cause) = post(address, &message, ANSWER).await {
+                    log::debug!(address:% = address, cause; "news not told");
+                }
+            });
+        }
+    }
+}
+
 async fn run(node: &Rc<Node>) {
     let mut ticks = interval(Duration::from_millis(ROUND_MS));
     let mut named = BTreeSet::new();
@@ -256,7 +302,8 @@
     let message = Message::Exchange {
         from: node.settings.name.clone(),
         members: digest,
-        loads: loads(node),
+        // All others come with the answer; both ways they would be most of an exchange's bytes.
+        loads: vec![(node.settings.name.clone(), own_load(node))],
     };
     let reply = post(peer.address, &message, ANSWER).await;
     let (from, members, loads) = match reply {
@@ -340,6 +387,10 @@
             membership.receive_push(node.clocks(), &from, &members);
             Reply::Done
         }
+        Message::News { from, load } => {
+            take_loads(node, vec![(from, load)]);
+            Reply::Done
+        }
         Message::Own => Reply::Record(node.membership.borrow().own().clone()),
         Message::Probe { address } => match post(address, &Message::Own, VIA_ANSWER).await {
             Ok(Reply::Record(record)) => Reply::Record(record),
@@ -349,13 +400,30 @@
     rmp_serde::to_vec(&reply).ok()
 }
 
+/// What this instance knows of the loads of all.
 fn loads(node: &Node) -> Vec<(Name, Load)> {
+    let now = node.now();
+    let mut all = vec![(node.settings.name.clone(), own_load(node))];
+    let others = node.loads.borrow();
+    let fresh = others
+        .0
+        .iter()
+        .filter(|(_, (_, at))| now < at + LOAD_AGE_MS);
+    all.extend(fresh.map(|(name, (load, _))| (name.clone(), load.clone())));
+    all
+}
+
+fn own_load(node: &Node) -> Load {
     let now = node.now();
     let chains = node.chains.borrow();
     let used = chains.used().filter(|(_, _, tokens)| *tokens >= 1.0);
     let runners = node.runners.borrow();
     let dead = runners.entries().filter(|e| runners.standing(&e.id).dead);
-    let own = Load {
+    let leaving = node.leaving.borrow();
+    let leaving = leaving
+        .iter()
+        .map(|(id, born_ms, _)| (id.clone(), *born_ms));
+    Load {
         incarnation: node.incarnation,
         count: now,
         store: hears_store(node),
@@ -367,15 +435,9 @@
             .collect(),
         spent: spent(node),
         dead: dead.map(|e| (e.id.clone(), e.born_ms)).collect(),
-    };
-    let mut all = vec![(node.settings.name.clone(), own)];
-    let others = node.loads.borrow();
-    let fresh = others
-        .0
-        .iter()
-        .filter(|(_, (_, at))| now < at + LOAD_AGE_MS);
-    all.extend(fresh.map(|(name, (load, _))| (name.clone(), load.clone())));
-    all
+        runners_revision: node.runners_revision.get(),
+        leaving: leaving.collect(),
+    }
 }
 
 fn spent(node: &Node) -> Vec<(Name, u32, u32)> {
@@ -404,6 +466,7 @@
             continue;
         }
         let dead = load.dead.clone();
+        take_news(node, &load);
         if node.loads.borrow_mut().put(name, load, now) {
             for (id, born_ms) in dead {
                 probe::ask_about(node, &id, born_ms);
@@ -413,6 +476,23 @@
     node.lend();
 }
 
+/// Another instance may know what a silent watch hides from this one.
+fn take_news(node: &Node, load: &Load) {
+    Followed::Configuration.heard(node, load.version);
+    Followed::Runners.heard(node, load.runners_revision);
+    let mut changed = false;
+    for (id, born_ms) in &load.leaving {
+        if node.runners.borrow_mut().leaves(id, *born_ms) {
+            log::info!(runner = id.as_ref(), born_ms; "another instance heard that the runner leaves");
+            node.note_leaving(id, *born_ms);
+            changed = true;
+        }
+    }
+    if changed {
+        node.rebuild_chains();
+    }
+}
+
 async fn post(address: SocketAddr, message: &Message, time: Duration) -> Result<Reply, String> {
     let body = rmp_serde::to_vec(message).map_err(|e| e.to_string())?;
     let mut req = Request::new(Full::new(Bytes::from(body)));
--- a/plugins/relay/src/watch.rs
+++ b/plugins/relay/src/watch.rs
@@ -4,24 +4,26 @@
 //! short time only: an answer, even an empty one, is what confirms that nothing was missed. When
 //! the history is gone, or a call fails, it is listed again.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use jacinthweir_platform::store::{Change, Object, StoreError};
 use jacinthweir_platform::{desired, runner};
 use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::relay::following::{self, Behind};
 use jacinthweir_policy::relay::runners::RunnerEntry;
 use tokio::time::sleep;
 
 use crate::node::Node;
 
-/// The longest wait of a watch of the configuration. A confirmation counts from when its call was
-/// sent, so this is a part of the time for which an instance serves without a new one.
-const CONFIGURATION_WAIT: Duration = Duration::from_millis(1_300);
+/// Wait of a watch of the configuration where there are few instances, in milliseconds. One whose
+/// connection fell silent hides a change for no longer than until the next reading.
+const CONFIGURATION_WAIT_MS: Millis = 3_000;
 
-/// The longest wait of a watch of the runners. A watch whose connection fell silent hides a runner
-/// that leaves for as long; a shorter one costs calls.
-const RUNNERS_WAIT: Duration = Duration::from_millis(2_000);
+/// Wait of a watch of the runners where there are few instances, in milliseconds. A watch whose
+/// connection fell silent hides a runner that leaves for as long; a shorter one costs calls.
+const RUNNERS_WAIT_MS: Millis = 2_000;
 
 /// Pause after a failed call, and the longest one. The store's rates are shared by all instances;
 /// after an outage they come back spread over this time.
@@ -30,17 +32,57 @@
 
 /// Runners' entries change in bursts when orders are carried out; changes that come within this
 /// time are fetched with one call.
-const GATHER: Duration = Duration::from_millis(60);
+const GATHER_MS: Millis = 60;
+const LONGEST_GATHER_MS: Millis = 300;
 
-/// Starts both.
+/// Time for which a watch may still bring what another instance already has, in milliseconds. One
+/// that does not has fallen silent.
+const BEHIND: Duration = Duration::from_millis(120);
+
+/// Period of looking whether the configuration is to be confirmed.
+const CONFIRM_LOOK: Duration = Duration::from_millis(100);
+
+/// Starts all.
 pub(crate) fn spawn(node: &Rc<Node>) {
     follow(node, Followed::Configuration);
     follow(node, Followed::Runners);
+    let node = Rc::clone(node);
+    tokio::task::spawn_local(async move {
+        let stop = node.stop.clone();
+        let _ = stop.run_until_cancelled(confirm(&node)).await;
+    });
+}
+
+/// Reads the configuration whenever its last confirmation is old.
+async fn confirm(node: &Node) {
+    loop {
+        sleep(CONFIRM_LOOK).await;
+        let age = node.vouch.borrow().age_ms(node.now());
+        if !following::should_confirm(age, node.draw()) {
+            continue;
+        }
+        let sent = node.now();
+        count_call("get");
+        match node.store.get(desired::KIND, &desired::NAME).await {
+            Ok(Some(object)) => {
+                node.store_heard_ms.set(Some(sent));
+                if take_configuration(node, &object) {
+                    node.vouch.borrow_mut().confirm(sent);
+                }
+            }
+            Ok(None) => log::warn!("the store has no configuration"),
+            // The watch of the configuration tells of a store that is lost.
+            Err(cause) => {
+                log::debug!(cause:% = cause; "configuration not confirmed");
+                sleep(Duration::from_millis(LONGEST_PAUSE_MS)).await;
+            }
+        }
+    }
 }
 
 /// What is followed.
 #[derive(Clone, Copy, Debug, derive_more::Display, PartialEq, Eq)]
-enum Followed {
+pub(crate) enum Followed {
     #[display("configuration")]
     Configuration,
     #[display("runners")]
@@ -55,10 +97,53 @@
         }
     }
 
-    fn wait(self) -> Duration {
+    fn wait_ms(self) -> Millis {
+        match self {
+            Followed::Configuration => CONFIGURATION_WAIT_MS,
+            Followed::Runners => RUNNERS_WAIT_MS,
+        }
+    }
+
+    /// What other instances know.
+    fn behind(self, node: &Node) -> &RefCell<Behind> {
         match self {
-            Followed::Configuration => CONFIGURATION_WAIT,
-            Followed::Runners => RUNNERS_WAIT,
+            Followed::Configuration => &node.behind[0],
+            Followed::Runners => &node.behind[1],
+        }
+    }
+
+    /// What this instance knows.
+    fn known(self, node: &Node) -> u64 {
+        match self {
+            Followed::Configuration => node.intent().map_or(0, |i| i.version),
+            Followed::Runners => node.runners_revision.get(),
+        }
+    }
+
+    fn is_behind(self, node: &Node) -> bool {
+        self.behind(node).borrow().is_behind(self.known(node))
+    }
+
+    /// Another instance has seen `revision`.
+    pub(crate) fn heard(self, node: &Node, revision: u64) {
+        self.behind(node).borrow_mut().heard(revision);
+        if self.is_behind(node) {
+            node.overtaken.notify_waiters();
+        }
+    }
+}
+
+/// Ends when another instance has known more for a while.
+async fn overtaken(node: &Node, what: Followed) {
+    loop {
+        let notified = node.overtaken.notified();
+        if !what.is_behind(node) {
+            notified.await;
+        }
+        sleep(BEHIND).await;
+        if what.is_behind(node) {
+            what.behind(node).borrow_mut().asked();
+            return;
         }
     }
 }
@@ -124,7 +209,10 @@
             }
         }
         Followed::Runners => {
+            let revisions = listed.objects.iter().map(|o| o.meta.revision);
+            let newest = revisions.max().unwrap_or(0);
             let entries = listed.objects.into_iter().filter_map(decode).collect();
+            note_revision(node, newest);
             let now = node.now();
             let mut runners = node.runners.borrow_mut();
             if anew {
@@ -144,7 +232,16 @@
     loop {
         let sent = node.now();
         count_call("watch");
-        let changes = match node.store.watch(what.kind(), revision, what.wait()).await {
+        let wait = following::watch_ms(what.wait_ms(), node.instances());
+        let wait = Duration::from_millis(wait);
+        let watched = tokio::select! {
+            watched = node.store.watch(what.kind(), revision, wait) => watched,
+            () = overtaken(node, what) => {
+                log::info!(what:% = what, revision; "others know more, watching anew");
+                continue;
+            }
+        };
+        let changes = match watched {
             Ok(changes) => changes,
             Err(e) => return e,
         };
@@ -157,14 +254,25 @@
                     node.vouch.borrow_mut().confirm(sent);
                 }
             }
-            Followed::Runners => take_runners(node, changes.changes),
+            Followed::Runners => take_runners(node, changes.changes, revision),
         }
         if any && what == Followed::Runners {
-            sleep(GATHER).await;
+            sleep(gather(node)).await;
         }
     }
 }
 
+/// How long changes are gathered: the instance that gives orders waits for them, the others can
+/// hear of a new range a little later where many instances ask.
+fn gather(node: &Node) -> Duration {
+    let gives_orders = node.lease.borrow().held(node.now()).is_some();
+    let ms = match gives_orders {
+        true => GATHER_MS,
+        false => following::watch_ms(GATHER_MS, node.instances()).min(LONGEST_GATHER_MS),
+    };
+    Duration::from_millis(ms)
+}
+
 /// Whether what is in force is now the newest of what came.
 fn take_configurations(node: &Node, changes: &[Change]) -> bool {
     let mut newest = changes.iter().filter(|c| !c.deleted);
@@ -189,16 +297,28 @@
     }
 }
 
-fn take_runners(node: &Node, changes: Vec<Change>) {
+/// Remembers the newest entry of a runner that was seen.
+fn note_revision(node: &Node, revision: u64) {
+    let newest = node.runners_revision.get().max(revision);
+    node.runners_revision.set(newest);
+}
+
+fn take_runners(node: &Node, changes: Vec<Change>, as_of: u64) {
     let mut changed = false;
     for change in changes {
         let id = change.object.meta.name.clone();
+        note_revision(node, change.object.meta.revision);
         if change.deleted {
+            // The entry's own revision is older than its end.
+            note_revision(node, as_of);
             let gone = node.runners.borrow_mut().remove(&id, node.now());
             log::info!(runner = id.as_ref(), gone; "runner is gone from the store");
             changed |= gone;
         } else if let Some(entry) = decode(change.object) {
             log_entry(node, &entry);
+            if entry.draining {
+                node.note_leaving(&entry.id, entry.born_ms);
+            }
             changed |= node.runners.borrow_mut().put(&entry);
         }
     }
--- a/policy/src/relay.rs
+++ b/policy/src/relay.rs
@@ -4,6 +4,7 @@
 //! | module | decides |
 //! |---|---|
 //! | [`intent`] | which configuration is in force, which route a request takes, whose key it bears |
+//! | [`following`] | how closely an instance follows the store |
 //! | [`vouch`] | whether this instance may still act on that configuration |
 //! | [`runners`] | what is known of each runner |
 //! | [`chain`] | through which runners a token passes |
@@ -18,6 +19,7 @@
 
 pub mod attempts;
 pub mod chain;
+pub mod following;
 pub mod intent;
 pub mod lease;
 pub mod placement;
--- a/policy/src/relay/runners.rs
+++ b/policy/src/relay/runners.rs
@@ -177,6 +177,16 @@
         old.as_ref() != Some(entry)
     }
 
+    /// Another instance heard that a runner leaves; whether that is news.
+    pub fn leaves(&mut self, id: &str, born_ms: u64) -> bool {
+        let entry = self.entries.get_mut(id);
+        let Some(entry) = entry.filter(|e| e.born_ms == born_ms && !e.draining) else {
+            return false;
+        };
+        entry.draining = true;
+        true
+    }
+
     /// A runner's entry is gone at `now`; whether the runner is taken to be gone as well.
     pub fn remove(&mut self, id: &Name, now: Millis) -> bool {
         if self.is_complete(now) {
