--- a/plugins/relay/tests/relay.rs
+++ b/plugins/relay/tests/relay.rs
@@ -7,7 +7,7 @@
 
 use argh::FromArgs;
 use googletest::prelude::*;
-use standin::{LONG, Manner, Site, ask, on_one_thread, raw, request, seen};
+use standin::{LONG, Manner, Runner, Site, ask, on_one_thread, raw, request, seen};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
@@ -140,6 +140,65 @@
     });
 }
 
+/// A part of a chain dies in the middle of a stream, and another runner holds its layers. The caller
+/// sees a short pause: the first runner is ordered to go on along the other one, and no second run
+/// begins, which would take a repeat and read the whole prompt again.
+#[gtest]
+fn a_run_goes_on_past_a_dead_part_by_an_order_to_its_first_runner() {
+    on_one_thread(async {
+        let site = Site::open().await;
+        let spare = Runner::spawn(&site.store, "a3", "pool", "a").await;
+        let held = async {
+            while spare.held() != Some((2, 4)) {
+                sleep(Duration::from_millis(20)).await;
+            }
+        };
+        timeout(LONG, held).await.expect("a second holder");
+        let heads = site.runners.iter().filter(|r| r.held() == Some((0, 2)));
+        heads.for_each(|r| r.manner.set(Manner::Stalls));
+        let part = &site.runners[..2];
+        let part = part.iter().find(|r| r.held() == Some((2, 4)));
+        part.expect("the other part").manner.set(Manner::Silent);
+
+        let got = request(site.callers(), NOTES, TOKENS, "prompt").await;
+        expect_that!(got.status, eq(200));
+        expect_true!(got.whole);
+        expect_that!(got.events(), eq(&[1, 2, 3, 4, 5, 6]));
+        expect_that!(site.runs(), eq(1));
+        let head = site.runners.iter().find(|r| r.runs() == 1).expect("a run");
+        let (id, path) = head.rerouted.borrow()[0].clone();
+        expect_that!(id, eq("r1"));
+        expect_that!(path, ends_with(format!("{}=2-4", spare.address)));
+    });
+}
+
+/// A third instance lost its power and answers nothing. Whoever is asked about it has to say so
+/// while the one that asks still waits; otherwise nobody ever confirms that it is silent, and
+/// callers are sent to it for six seconds.
+#[gtest]
+fn an_instance_says_of_a_silent_one_that_it_was_not_reached() {
+    #[derive(serde::Serialize)]
+    enum Message {
+        Probe { address: std::net::SocketAddr },
+    }
+    on_one_thread(async {
+        let site = Site::open().await;
+        let silent = tokio::net::TcpListener::bind("127.0.0.1:0").await;
+        let silent = silent.expect("a port");
+        let address = silent.local_addr().expect("an address");
+        let body = rmp_serde::to_vec(&Message::Probe { address }).expect("a message");
+        let peers = site.settings.listen.peers;
+        let head = format!(
+            "POST /peer HTTP/1.1\r\nHost: one\r\nContent-Length: {}\r\nConnection: close\r\n\r\n",
+            body.len()
+        );
+        let bytes = [head.as_bytes(), &body].concat();
+        let got = timeout(LONG, raw(peers, &bytes)).await.expect("an answer");
+        expect_that!(got.status, eq(200));
+        expect_that!(got.body, contains_substring("NotReached"));
+    });
+}
+
 #[gtest]
 fn an_idempotent_call_is_sent_once_more_when_a_runner_fails_it() {
     on_one_thread(async {
--- a/plugins/relay/tests/support/standin.rs
+++ b/plugins/relay/tests/support/standin.rs
@@ -207,6 +207,8 @@
     BreaksOff,
     /// One event after another until the caller leaves.
     Endless,
+    /// Stops after the second event until it is ordered to go on along another chain.
+    Stalls,
     /// Says nothing.
     Silent,
 }
@@ -239,6 +241,8 @@
     pub received: RefCell<Vec<Received>>,
     /// Callers that left before the end.
     pub left: Cell<usize>,
+    /// Orders to go on along another chain: the request, and the path.
+    pub rerouted: RefCell<Vec<(String, String)>>,
     store: Rc<Store>,
     service: String,
     domain: String,
@@ -255,6 +259,7 @@
             manner: Cell::new(Manner::Well),
             received: RefCell::default(),
             left: Cell::new(0),
+            rerouted: RefCell::default(),
             store: Rc::clone(store),
             service: service.to_owned(),
             domain: domain.to_owned(),
@@ -283,6 +288,11 @@
         self.store.put("servers", &self.id, &spec);
     }
 
+    /// Layers that it holds.
+    pub fn held(&self) -> Option<(u64, u64)> {
+        self.layers.get()
+    }
+
     /// Requests that it began to work on.
     pub fn runs(&self) -> usize {
         self.received.borrow().len()
@@ -314,6 +324,12 @@
 
     async fn order(&self, stream: &mut TcpStream, body: &[u8]) {
         let order: Value = serde_json::from_slice(body).expect("JSON");
+        if order["operation"] == "repath" {
+            let text = |name: &str| order[name].as_str().expect("a text").to_owned();
+            let rerouted = (text("id"), text("path"));
+            self.rerouted.borrow_mut().push(rerouted);
+            return write_json(stream, "202 Accepted", &Value::Null).await;
+        }
         if order["precondition"].as_u64() != Some(self.orders.get()) {
             return write_json(stream, "409 Conflict", &Value::Null).await;
         }
@@ -360,7 +376,7 @@
                 let head = format!("HTTP/1.1 200 OK\r\n{own}{receipt}Content-Length: 100\r\n\r\n");
                 format!("{head}half an answer")
             }
-            Manner::Well | Manner::BreaksOff | Manner::Endless if is_stream => {
+            Manner::Well | Manner::BreaksOff | Manner::Endless | Manner::Stalls if is_stream => {
                 return self.stream(stream, &format!("{own}{receipt}"), after).await;
             }
             _ => whole(
@@ -394,6 +410,12 @@
                 let _ = write_chunk(stream, part).await;
                 return;
             }
+            while self.manner.get() == Manner::Stalls
+                && event == 3
+                && self.rerouted.borrow().is_empty()
+            {
+                sleep(Duration::from_millis(10)).await;
+            }
             if write_chunk(stream, &text).await.is_err() {
                 self.left.set(self.left.get() + 1);
                 return;
--- a/policy/tests/relay_rules.rs
+++ b/policy/tests/relay_rules.rs
@@ -7,6 +7,7 @@
 use googletest::prelude::*;
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::attempts::Attempts;
+use jacinthweir_policy::relay::following::{Behind, should_confirm, watch_ms};
 use jacinthweir_policy::relay::intent::{
     CallClass, Intent, Offered, Organisation, Route, UnknownKey, compare,
 };
@@ -591,3 +592,45 @@
     // Nothing is sent there any more, so time alone brings it back.
     expect_that!(first(20_000), eq("a"));
 }
+
+/// A fleet grows from six instances to some hundred. Calls to the store must not grow with it, and
+/// a watch must still end before the store cuts it.
+#[gtest]
+fn watches_wait_by_the_number_of_instances() {
+    expect_that!(watch_ms(2_000, 1), eq(2_000));
+    expect_that!(watch_ms(2_000, 6), eq(2_000));
+    expect_that!(watch_ms(2_000, 60), eq(20_000));
+    expect_that!(watch_ms(2_000, 600), le(30_000));
+    expect_false!(should_confirm(None, 0.0));
+    expect_false!(should_confirm(Some(1_000), 0.0));
+    expect_true!(should_confirm(Some(2_000), 0.9));
+}
+
+/// A watch fell silent and hides a change that another instance tells of. The store is asked once
+/// for it; what it does not show then was of an object that is gone, and is not asked for again.
+#[gtest]
+fn an_instance_that_is_behind_asks_once() {
+    let mut behind = Behind::default();
+    expect_false!(behind.is_behind(0));
+    behind.heard(7);
+    expect_true!(behind.is_behind(6));
+    expect_false!(behind.is_behind(7));
+    behind.asked();
+    expect_false!(behind.is_behind(6));
+    behind.heard(8);
+    expect_true!(behind.is_behind(6));
+}
+
+/// A runner that leaves is named by another instance while this one's watch is silent. It gets no
+/// new work from then on; a later lifetime of the same name does.
+#[gtest]
+fn a_runner_that_leaves_is_heard_of_from_others() {
+    let mut runners = Runners::default();
+    let entry = runner("a", "d", "a100");
+    runners.put(&entry);
+    expect_false!(runners.leaves("a", entry.born_ms + 1));
+    expect_true!(runners.leaves("a", entry.born_ms));
+    expect_false!(runners.leaves("a", entry.born_ms));
+    let known = runners.entry("a").expect("known").clone();
+    expect_false!(runners.usable(&known, 0));
+}
