Relay: refused at once where the queue is too long, come-back times by how long a shortage lasts

Cause: under a lasting shortage requests waited half of their objective behind more than could come free meanwhile, and came back after 1 to 2 s into the same shortage; most callers come back once. Change: a request that finds more tokens waiting ahead than are expected to come free in its time hears so at once. The time to come back grows with the shortage: as long again as it has lasted, 1 to 3.2 s and up to as much again. Ruled out: a longer queue; what it holds gets no room in time.

--- a/plugins/relay/src/admit.rs
+++ b/plugins/relay/src/admit.rs
@@ -1,7 +1,8 @@
 //! Waiting for room in a chain.
 //!
 //! A request waits only as long as its first event can still come in time; then it is refused at
-//! once with a time to come back. Those that wait get room by priority and then in their order, so
+//! once with a time to come back, and before that if more waits ahead of it than comes free until
+//! then. Those that wait get room by priority and then in their order, so
 //! that a large one is not passed by small ones for ever.
 
 use std::rc::Rc;
@@ -62,7 +63,8 @@
     if node.queue.borrow().len() >= MAX_WAITING {
         return Err(Cause::NoRoom);
     }
-    let place = Place::open(node, rank(rq));
+    let place = Place::open(node, rank(rq), tokens);
+    let mut held_up = false;
     loop {
         let notified = node.room.notified();
         if place.is_first()
@@ -71,7 +73,9 @@
             return Ok(live);
         }
         let now = node.now();
-        if now >= until {
+        let in_vain = !held_up && place.waits_in_vain(until);
+        held_up = true;
+        if now >= until || in_vain {
             let none = node.chains.borrow().of(&rq.service).is_empty();
             return Err(if none { Cause::NoRunner } else { Cause::NoRoom });
         }
@@ -95,12 +99,12 @@
     /// A place before all new requests. A stream whose chain broke is late once its pause is too
     /// long; until then the work that was done for it is worth more than new work.
     pub(crate) fn ahead(node: &Rc<Node>) -> Place {
-        Place::open(node, 0)
+        Place::open(node, 0, 0.0)
     }
 
-    fn open(node: &Rc<Node>, rank: u32) -> Place {
+    fn open(node: &Rc<Node>, rank: u32, tokens: f64) -> Place {
         let key = (rank, node.next_sequence());
-        node.queue.borrow_mut().insert(key);
+        node.queue.borrow_mut().insert(key, tokens);
         Place {
             node: Rc::clone(node),
             key,
@@ -108,7 +112,23 @@
     }
 
     fn is_first(&self) -> bool {
-        self.node.queue.borrow().first() == Some(&self.key)
+        let queue = self.node.queue.borrow();
+        queue.first_key_value().map(|(key, _)| *key) == Some(self.key)
+    }
+
+    /// Whether more waits ahead than comes free before `until`. The first in the queue always
+    /// waits: what comes free next is its own.
+    fn waits_in_vain(&self, until: Millis) -> bool {
+        let ahead: f64 = self
+            .node
+            .queue
+            .borrow()
+            .range(..self.key)
+            .map(|(_, t)| t)
+            .sum();
+        let now = self.node.now();
+        let left = until.saturating_sub(now);
+        ahead > self.node.flow.borrow().expected(now, left)
     }
 }
 
--- a/plugins/relay/src/live.rs
+++ b/plugins/relay/src/live.rs
@@ -313,6 +313,8 @@
 impl Drop for Passage {
     fn drop(&mut self) {
         self.has_read();
+        let now = self.node.now();
+        self.node.flow.borrow_mut().released(now, self.tokens);
         self.live.used.set(self.live.used.get() - self.tokens);
         self.live.silence.borrow_mut().ended();
         self.node.room.notify_waiters();
--- a/plugins/relay/src/node.rs
+++ b/plugins/relay/src/node.rs
@@ -1,7 +1,7 @@
 //! The shared state of the process.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -13,6 +13,7 @@
 use jacinthweir_policy::relay::following::Behind;
 use jacinthweir_policy::relay::intent::{self, Intent, Offered};
 use jacinthweir_policy::relay::lease::Lease;
+use jacinthweir_policy::relay::rooms::{Flow, Shortage};
 use jacinthweir_policy::relay::runners::Runners;
 use jacinthweir_policy::relay::spending::{Counts, Spending, SpendingConfig};
 use jacinthweir_policy::relay::vouch::Vouch;
@@ -81,8 +82,11 @@
     pub(crate) lease: RefCell<Lease>,
     pub(crate) loading: RefCell<Loading>,
     pub(crate) spending: RefCell<BTreeMap<Name, Spending>>,
-    /// Requests that wait for room, in the order in which they get it.
-    pub(crate) queue: RefCell<BTreeSet<(u32, u64)>>,
+    /// Tokens of the requests that wait for room, in the order in which they get it.
+    pub(crate) queue: RefCell<BTreeMap<(u32, u64), f64>>,
+    /// How fast room comes free.
+    pub(crate) flow: RefCell<Flow>,
+    pub(crate) shortage: RefCell<Shortage>,
     /// Room came free, or chains changed.
     pub(crate) room: Notify,
     /// Requests of callers from their head to the last byte of their answer.
@@ -135,6 +139,8 @@
             loading: RefCell::default(),
             spending: RefCell::default(),
             queue: RefCell::default(),
+            flow: RefCell::default(),
+            shortage: RefCell::default(),
             room: Notify::new(),
             active: Rc::default(),
             draining: Cell::new(false),
--- a/plugins/relay/src/stream.rs
+++ b/plugins/relay/src/stream.rs
@@ -44,11 +44,6 @@
 /// change without a notice.
 const LOOK: Duration = Duration::from_millis(20);
 
-/// When to come back where there is no room, and where no chain is whole, in milliseconds; up to as
-/// much again is added, so that those refused together do not return together.
-const NO_ROOM_MS: f64 = 1_000.0;
-const NO_CHAIN_MS: f64 = 1_000.0;
-
 /// Serves a request through a chain.
 pub(crate) async fn serve(node: &Rc<Node>, rq: Proxied) -> Response<RelayBody> {
     node.count_request(&rq.service);
@@ -76,11 +71,7 @@
 }
 
 fn refuse(node: &Node, rq: &Proxied, journal: Journal, cause: Cause) -> Response<RelayBody> {
-    let base = match cause {
-        Cause::NoRunner => NO_CHAIN_MS,
-        _ => NO_ROOM_MS,
-    };
-    let retry_after_ms = (base * (1.0 + node.draw())) as Millis;
+    let retry_after_ms = node.shortage.borrow_mut().refused(node.now(), node.draw());
     rq.not_answered(node, journal, cause, retry_after_ms)
 }
 
--- a/policy/src/relay/rooms.rs
+++ b/policy/src/relay/rooms.rs
@@ -166,3 +166,71 @@
         .min_by(|a, b| rank(a).total_cmp(&rank(b)));
     best.map(|r| r.chain)
 }
+
+/// Time over which released room is averaged, in milliseconds.
+const FLOW_MS: f64 = 1_000.0;
+
+/// How fast room comes free: the tokens of requests that ended of late.
+///
+/// Load pattern: arrivals exceed what the chains can take for seconds. Whoever waits behind more
+/// tokens than come free in the time that it may wait is held in vain, and hears only then when to
+/// come back.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Flow {
+    tokens: f64,
+    at_ms: Millis,
+}
+
+impl Flow {
+    /// A request of `tokens` tokens ended.
+    pub fn released(&mut self, now: Millis, tokens: f64) {
+        self.tokens = self.recent(now) + tokens;
+        self.at_ms = now;
+    }
+
+    fn recent(&self, now: Millis) -> f64 {
+        let passed = now.saturating_sub(self.at_ms) as f64;
+        self.tokens * (-passed / FLOW_MS).exp()
+    }
+
+    /// Tokens that are expected to come free within `ms` milliseconds.
+    #[must_use]
+    pub fn expected(&self, now: Millis, ms: Millis) -> f64 {
+        self.recent(now) * ms as f64 / FLOW_MS
+    }
+}
+
+/// Pause without a refusal after which a shortage is over, in milliseconds.
+const SHORTAGE_GAP_MS: Millis = 1_500;
+
+/// The least time to come back, and the longest, in milliseconds; up to as much again is added.
+/// Callers wait for a third of the time that they have left at the most, which is 20 s at first.
+const COME_BACK_MS: Millis = 1_000;
+const LONGEST_COME_BACK_MS: Millis = 3_200;
+
+/// How long there has been no room.
+///
+/// Load pattern: a failure domain is lost for some seconds under high load. Most callers come back
+/// once; one that comes back into the same shortage is lost. A shortage that has lasted for a while
+/// is taken to last as long again.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Shortage {
+    since_ms: Millis,
+    last_ms: Option<Millis>,
+}
+
+impl Shortage {
+    /// A request is refused for want of room at `now`; when its caller is to come back, in
+    /// milliseconds, where `draw` is a random number from 0 to 1: those that are refused together
+    /// must not return together.
+    pub fn refused(&mut self, now: Millis, draw: f64) -> Millis {
+        let goes_on = self.last_ms.is_some_and(|at| now < at + SHORTAGE_GAP_MS);
+        if !goes_on {
+            self.since_ms = now;
+        }
+        self.last_ms = Some(now);
+        let lasted = now - self.since_ms;
+        let base = lasted.clamp(COME_BACK_MS, LONGEST_COME_BACK_MS);
+        (base as f64 * (1.0 + draw)) as Millis
+    }
+}
