--- a/policy/src/relay/placement.rs
+++ b/policy/src/relay/placement.rs
@@ -376,6 +376,9 @@
 /// would refuse requests for want of room for the rest of the day. Each move gives at least one
 /// more layer a holder with room and takes none away, so the moves end.
 fn relieve(seats: &mut [Seat<'_>], chained: usize, engine: &Engine) {
+    if !seats.iter().any(|s| is_overfull(s, engine)) {
+        return;
+    }
     for i in chained..seats.len() {
         if !can_leave(seats, i, engine) {
             continue;
