--- a/plugins/relay/src/watch.rs
+++ b/plugins/relay/src/watch.rs
@@ -65,7 +65,7 @@
         }
         let sent = node.now();
         count_call("get");
-        match node.store.get(desired::KIND, &desired::NAME).await {
+        match node.store.get(desired::KIND, desired::NAME).await {
             Ok(Some(object)) => {
                 node.store_heard_ms.set(Some(sent));
                 if take_configuration(node, &object) {
