Relay: only a longer outage excuses missing entries; a run that must not repeat waits for its own chain

Read again: after any failed call a runner whose entry was gone stayed in use for 2.2 s, longer than it may; entries lapse only in outages of two seconds and more. A run that must not repeat gave up waiting for the chain behind its first runner as soon as another chain had room, and was cut. Loads of an instance that started anew with its clock set back were never taken.

--- a/plugins/relay/src/peers.rs
+++ b/plugins/relay/src/peers.rs
@@ -118,8 +118,9 @@
 
     fn put(&mut self, name: Name, load: Load, now: Millis) -> bool {
         let key = |l: &Load| (l.incarnation, l.count);
-        let known = self.0.get(&name).map(|(l, _)| key(l));
-        let newer = known.is_none_or(|k| k < key(&load));
+        // One that started anew with its time of day set back has a lower incarnation.
+        let fresh = self.0.get(&name).filter(|(_, at)| now < at + LOAD_AGE_MS);
+        let newer = fresh.is_none_or(|(known, _)| key(known) < key(&load));
         if newer {
             self.0.insert(name, (load, now));
         }
--- a/plugins/relay/src/stream.rs
+++ b/plugins/relay/src/stream.rs
@@ -230,7 +230,8 @@
         let in_time = self.heard_ms + self.rq.pause_ms.saturating_sub(READ_MS);
         let until = self.heard_ms + REROUTE_MS;
         while self.node.now() < until && self.node.has_head(&broken) {
-            let elsewhere = self.next_chain().map(|l| l.unread_tokens());
+            let elsewhere = self.next_chain().filter(|_| self.rq.class.repeatable());
+            let elsewhere = elsewhere.map(|l| l.unread_tokens());
             let in_time = self.node.now() < in_time;
             match (self.node.successor(&broken), elsewhere) {
                 (Some(live), Some(tokens)) if in_time && live.unread_tokens() > tokens => {
--- a/plugins/relay/src/watch.rs
+++ b/plugins/relay/src/watch.rs
@@ -37,6 +37,10 @@
 const GATHER_MS: Millis = 60;
 const LONGEST_GATHER_MS: Millis = 500;
 
+/// Time without the store in which leases of runners' entries may lapse, in milliseconds; they last
+/// for three heartbeats of a second or more. After a shorter one an entry that is missing is gone.
+const OUTAGE_MS: Millis = 2_000;
+
 /// Time for which a watch may still bring what another instance already has, in milliseconds. One
 /// that does not has fallen silent.
 const BEHIND: Duration = Duration::from_millis(120);
@@ -160,14 +164,14 @@
 
 async fn run(node: &Node, what: Followed) {
     let mut failures = 0;
-    let mut lost = false;
+    let mut lost_ms = None;
     let mut new = true;
     loop {
-        let error = match list(node, what, new || lost).await {
+        let outage = lost_ms.is_some_and(|at| node.now() >= at + OUTAGE_MS);
+        let error = match list(node, what, new || outage).await {
             Ok(revision) => {
-                if lost {
-                    log::info!(what:% = what; "store is back");
-                    lost = false;
+                if let Some(at) = lost_ms.take() {
+                    log::info!(what:% = what, after_ms = node.now() - at; "store is back");
                 }
                 failures = 0;
                 new = false;
@@ -181,9 +185,9 @@
         }
         failures += 1;
         node.store_heard_ms.set(None);
-        if !lost {
+        if lost_ms.is_none() {
             log::warn!(what:% = what, cause:% = error; "store is lost");
-            lost = true;
+            lost_ms = Some(node.now());
         }
         metrics::counter!("jacinthweir_store_failures_total").increment(1);
         let longest = (PAUSE_MS << failures.min(4)).min(longest_pause_ms(node));
@@ -196,7 +200,7 @@
     following::watch_ms(LONGEST_PAUSE_MS, node.instances()).min(PAUSE_BOUND_MS)
 }
 
-/// `anew`: the store did not answer before.
+/// `anew`: the store did not answer for so long that entries may be missing.
 async fn list(node: &Node, what: Followed, anew: bool) -> Result<u64, StoreError> {
     let sent = node.now();
     count_call("list");
