--- a/plugins/relay/src/node.rs
+++ b/plugins/relay/src/node.rs
@@ -61,9 +61,8 @@
     pub(crate) intent: RefCell<Option<Rc<Intent>>>,
     pub(crate) vouch: RefCell<Vouch>,
     pub(crate) runners: RefCell<Runners>,
-    /// When the call was sent that the store answered last, in milliseconds; `None` once a call
-    /// failed.
-    pub(crate) store_heard_ms: Cell<Option<Millis>>,
+    /// Whether the store answered the last call that ended.
+    pub(crate) hears_store: Cell<bool>,
     /// Newest revision of a runner's entry that was seen.
     pub(crate) runners_revision: Cell<u64>,
     /// Runners that were heard to leave, by identity and lifetime, and when.
@@ -125,7 +124,7 @@
             intent: RefCell::default(),
             vouch: RefCell::new(Vouch::new(settings.bounds.revocation_ms)),
             runners: RefCell::default(),
-            store_heard_ms: Cell::new(None),
+            hears_store: Cell::new(false),
             runners_revision: Cell::new(0),
             leaving: RefCell::default(),
             news: Notify::new(),
--- a/plugins/relay/src/peers.rs
+++ b/plugins/relay/src/peers.rs
@@ -258,7 +258,7 @@
 pub(crate) fn is_candidate(node: &Node) -> bool {
     let now = node.now();
     let own = &node.settings.name;
-    if node.draining.get() || !hears_store(node) {
+    if node.draining.get() || !node.hears_store.get() {
         return false;
     }
     let loads = node.loads.borrow();
@@ -268,16 +268,6 @@
     !others.any(|name| name < own)
 }
 
-/// Time since the store's last answer from which on an instance counts as cut off from it, in
-/// milliseconds: two watches.
-const HEARD_MS: Millis = 3_000;
-
-/// Whether the store answers this instance: the last call did, and not long ago.
-fn hears_store(node: &Node) -> bool {
-    let heard = node.store_heard_ms.get();
-    heard.is_some_and(|at| node.now() < at + HEARD_MS)
-}
-
 fn carry_out(node: &Rc<Node>, actions: Vec<Action>) {
     for action in actions {
         let node = Rc::clone(node);
@@ -427,7 +417,7 @@
     Load {
         incarnation: node.incarnation,
         count: now,
-        store: hears_store(node),
+        store: node.hears_store.get(),
         serves: node.is_ready(),
         version: node.intent().map_or(0, |i| i.version),
         confirmed_ms_ago: node.vouch.borrow().age_ms(now),
--- a/plugins/relay/src/placer.rs
+++ b/plugins/relay/src/placer.rs
@@ -157,6 +157,7 @@
                 .await
         }
     };
+    note_answer(node, written.as_ref().err());
     match written.as_ref().map(grant_of) {
         Ok(Some(grant)) => node.lease.borrow_mut().granted(sent, grant),
         Ok(None) => log::error!("the lease that was written cannot be read"),
@@ -169,7 +170,9 @@
 
 async fn read_lease(node: &Node) {
     count_call("get");
-    match node.store.get(LEASE_KIND, LEASE_NAME).await {
+    let found = node.store.get(LEASE_KIND, LEASE_NAME).await;
+    note_answer(node, found.as_ref().err());
+    match found {
         Ok(object) => {
             let grant = object.as_ref().and_then(grant_of);
             node.lease.borrow_mut().read(node.now(), grant);
@@ -179,6 +182,16 @@
     }
 }
 
+/// One that the store does not answer leaves the lease to others. Its watches may be silent for long
+/// before they show it.
+fn note_answer(node: &Node, failure: Option<&StoreError>) {
+    let lost = matches!(
+        failure,
+        Some(StoreError::Refused { .. } | StoreError::NoAnswer(_))
+    );
+    node.hears_store.set(!lost);
+}
+
 fn lease_spec(node: &Node, term: u64) -> serde_json::Value {
     let spec = LeaseSpec {
         holder: node.settings.name.clone(),
--- a/plugins/relay/src/watch.rs
+++ b/plugins/relay/src/watch.rs
@@ -71,7 +71,7 @@
         count_call("get");
         match node.store.get(desired::KIND, desired::NAME).await {
             Ok(Some(object)) => {
-                node.store_heard_ms.set(Some(sent));
+                node.hears_store.set(true);
                 if take_configuration(node, &object) {
                     node.vouch.borrow_mut().confirm(sent);
                 }
@@ -80,6 +80,7 @@
             // The watch of the configuration tells of a store that is lost.
             Err(cause) => {
                 log::debug!(cause:% = cause; "configuration not confirmed");
+                node.hears_store.set(false);
                 sleep(Duration::from_millis(longest_pause_ms(node))).await;
             }
         }
@@ -184,7 +185,7 @@
             continue;
         }
         failures += 1;
-        node.store_heard_ms.set(None);
+        node.hears_store.set(false);
         if lost_ms.is_none() {
             log::warn!(what:% = what, cause:% = error; "store is lost");
             lost_ms = Some(node.now());
@@ -205,7 +206,7 @@
     let sent = node.now();
     count_call("list");
     let listed = node.store.list(what.kind()).await?;
-    node.store_heard_ms.set(Some(sent));
+    node.hears_store.set(true);
     match what {
         Followed::Configuration => {
             let found = listed
@@ -255,7 +256,7 @@
             Ok(changes) => changes,
             Err(e) => return e,
         };
-        node.store_heard_ms.set(Some(sent));
+        node.hears_store.set(true);
         revision = changes.revision;
         let any = !changes.changes.is_empty();
         match what {
