Pages of two modules say how the store is followed now

Read as a newcomer: the page of the watch still said that watches wait for a short time only, and that of the exchanges did not name what is told at once. Comments only; no figure changes.

--- a/plugins/relay/src/peers.rs
+++ b/plugins/relay/src/peers.rs
@@ -1,7 +1,9 @@
-//! Exchanges with other instances: who is there, what each has in flight, whom it found dead.
+//! Exchanges with other instances: who is there, what each has in flight, whom it found dead, and
+//! what it has seen of the store.
 //!
 //! The membership decides whom to exchange with. Loads travel with each exchange, each under its
-//! origin's own count, so that the newest wins on every way it takes.
+//! origin's own count, so that the newest wins on every way it takes. A new version and a runner that
+//! leaves are told to some others at once, without waiting for the next exchange.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
--- a/plugins/relay/src/watch.rs
+++ b/plugins/relay/src/watch.rs
@@ -1,8 +1,10 @@
 //! Follows the store: the configuration, and the runners.
 //!
-//! Each of the two is listed once and then watched from the list's revision. A watch waits for a
-//! short time only: an answer, even an empty one, is what confirms that nothing was missed. When
-//! the history is gone, or a call fails, it is listed again.
+//! Each of the two is listed once and then watched from the list's revision. A watch brings a change
+//! at once; how long it waits without one is told by [`following`]. That nothing was missed is shown
+//! by an answer, even an empty one, by a reading of the configuration when its confirmation is old,
+//! and by what other instances have seen. When the history is gone, or a call fails, it is listed
+//! again.
 
 use std::cell::RefCell;
 use std::rc::Rc;
