Relay: dead parts are named by the chain's rhythm and told at once, slowness too; the soonest chain is chosen

The first instance named the part 168 ms after the last event (fixed limit of 100 ms, questions of 60), those of other domains two rounds of exchanges later. Pace was not told at all. A question timed the whole answer, so a runner at a twelfth of its pace counted as dead.

Change: silence is measured against mean and deviation of the chain's own pauses; a question has 14 ms for its connection and 250 for its answer; a part is dead only if silent for four times what half of the other parts took; news (dead, answers again, pace, leaving, version) goes in a message of its own, apart from loads, and whoever has a silent chain takes it over; others ask. Chains are ranked by the step that they have with what is in flight.

--- a/clients/src/direct.rs
+++ b/clients/src/direct.rs
@@ -117,6 +117,25 @@
     Ok(res.map(answer))
 }
 
+/// How long a question may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AskTime {
+    /// Until there is a connection.
+    pub connect: Duration,
+    /// Until the whole answer has come.
+    pub answer: Duration,
+}
+
+impl From<Duration> for AskTime {
+    /// One limit for both.
+    fn from(time: Duration) -> AskTime {
+        AskTime {
+            connect: time,
+            answer: time,
+        }
+    }
+}
+
 /// Sends `req` and reads the whole answer, of `limit` bytes at most, within `time`.
 ///
 /// # Errors
@@ -124,15 +143,16 @@
 pub async fn ask(
     address: SocketAddr,
     req: Request<Full<Bytes>>,
-    time: Duration,
+    time: impl Into<AskTime>,
     limit: usize,
 ) -> Result<Response<Bytes>, DirectError> {
+    let time = time.into();
     let asked = async {
-        let res = send(address, req, time).await?;
+        let res = send(address, req, time.connect).await?;
         let (parts, body) = res.into_parts();
         Ok(Response::from_parts(parts, body.whole(limit).await?))
     };
-    match timeout(time, asked).await {
+    match timeout(time.answer, asked).await {
         Ok(answer) => answer,
         Err(_) => Err(DirectError::Unknown {
             cause: "timeout".to_owned(),
--- a/plugins/relay/src/call.rs
+++ b/plugins/relay/src/call.rs
@@ -177,7 +177,7 @@
         }
         Sent::Unreached(cause) => {
             log_attempt(rq, runner, "not reached", &cause);
-            probe::mark_dead(node, &runner.id, runner.born_ms);
+            probe::mark_dead(node, &runner.id, runner.born_ms, &cause);
             Ended::Unreached
         }
         Sent::Lost(cause) => {
--- a/plugins/relay/src/dump.rs
+++ b/plugins/relay/src/dump.rs
@@ -63,7 +63,7 @@
         dead: s.dead,
         born_ms: entry.born_ms,
         orders: s.orders,
-        pace: s.pace,
+        pace: s.pace(),
         failing: s.failing_at(node.now()),
         in_flight: s.in_flight,
     }
--- a/plugins/relay/src/lib.rs
+++ b/plugins/relay/src/lib.rs
@@ -32,7 +32,8 @@
 mod dump;
 mod events;
 mod live;
-pub mod node;
+pub mod news;
+mod node;
 mod peers;
 mod placer;
 mod probe;
@@ -89,6 +90,7 @@
         let servers = server::bind(&node).await?;
         watch::spawn(&node);
         peers::spawn(&node);
+        news::spawn(&node);
         placer::spawn(&node);
         probe::spawn(&node);
         Ok(Relay { node, servers })
--- a/plugins/relay/src/live.rs
+++ b/plugins/relay/src/live.rs
@@ -23,6 +23,9 @@
     pub(crate) refusals: RefCell<Refusals>,
     /// Tokens in an event: its declared gap is that many steps.
     event_tokens: f64,
+    crowding: f64,
+    /// Time of a token step with its parts as slow as they are now, in milliseconds.
+    step_ms: Cell<f64>,
     /// Cancelled when a part is known to be dead: what passes through goes elsewhere.
     pub(crate) broken: CancellationToken,
     /// Tokens of this instance's requests that it has yet to read before their next event.
@@ -81,10 +84,13 @@
         let mut old = self.current.remove(service).unwrap_or_default();
         let mut changed = old.len() != chains.len();
         let mut new = Vec::new();
+        let event_tokens = f64::from(engine.event_tokens);
         for chain in chains {
             let kept = old.iter().position(|l| l.chain.same_stages(&chain));
             if let Some(i) = kept {
-                new.push(old.swap_remove(i));
+                let live = old.swap_remove(i);
+                changed |= live.step_ms.replace(chain.step_ms) != chain.step_ms;
+                new.push(live);
                 continue;
             }
             changed = true;
@@ -92,14 +98,16 @@
             let used = Rc::clone(self.used.entry(key).or_default());
             new.push(Rc::new(LiveChain {
                 service: service.clone(),
-                chain,
-                silence: RefCell::default(),
+                silence: RefCell::new(Silence::new(event_tokens * chain.step_ms)),
                 gaps: RefCell::default(),
                 refusals: RefCell::default(),
-                event_tokens: f64::from(engine.event_tokens),
+                event_tokens,
+                crowding: engine.crowding,
+                step_ms: Cell::new(chain.step_ms),
                 broken: CancellationToken::new(),
                 unread: Cell::new(0.0),
                 used,
+                chain,
             }));
         }
         changed |= !old.is_empty();
@@ -114,7 +122,7 @@
 impl LiveChain {
     /// Whether the chain's parts should be asked: it is silent, or slow.
     pub(crate) fn should_ask(&self, now: Millis) -> bool {
-        let declared_ms = self.event_tokens * self.chain.step_ms;
+        let declared_ms = self.event_tokens * self.step_ms.get();
         let silent = self.silence.borrow_mut().should_ask(now);
         silent || self.gaps.borrow_mut().should_ask(now, declared_ms)
     }
@@ -189,6 +197,19 @@
         self.room.notify_waiters();
     }
 
+    /// Whether every chain through a runner that requests wait in is silent.
+    pub(crate) fn is_silent_through(&self, id: &str) -> bool {
+        let now = self.now();
+        let chains = self.chains.borrow();
+        let waited = chains
+            .all()
+            .filter(|l| !l.broken.is_cancelled() && l.chain.has(id));
+        let mut waited = waited
+            .filter(|l| l.silence.borrow().waiting() > 0)
+            .peekable();
+        waited.peek().is_some() && waited.all(|l| l.silence.borrow().agrees(now))
+    }
+
     /// Whether a chain's first runner still lives, as far as is known.
     pub(crate) fn has_head(&self, live: &LiveChain) -> bool {
         let (id, born_ms) = live.head();
@@ -229,11 +250,13 @@
                 continue;
             }
             let domain = l.chain.domain.as_ref();
+            let used_tokens = occupancy.used_tokens(&l.chain);
             rooms.push(Room {
                 chain: i,
                 near: domain == Some(&self.settings.failure_domain),
                 room_tokens: l.chain.room_tokens * l.refusals.borrow().scale(),
-                used_tokens: occupancy.used_tokens(&l.chain),
+                used_tokens,
+                step_ms: l.step_ms.get() * (1.0 + l.crowding * used_tokens.max(0.0)),
                 silent_ms: l.silence.borrow().silent_ms(now),
                 refusing: l.refusals.borrow().refusing(now),
             });
@@ -246,12 +269,11 @@
     let shown: Vec<String> = chains
         .iter()
         .map(|l| {
-            let c = &l.chain;
             format!(
                 "{} room {:.0} step {:.2}ms",
                 l.label(),
-                c.room_tokens,
-                c.step_ms
+                l.chain.room_tokens,
+                l.step_ms.get()
             )
         })
         .collect();
--- a/plugins/relay/src/peers.rs
+++ b/plugins/relay/src/peers.rs
@@ -2,8 +2,8 @@
 //! what it has seen of the store.
 //!
 //! The membership decides whom to exchange with. Loads travel with each exchange, each under its
-//! origin's own count, so that the newest wins on every way it takes. A new version and a runner that
-//! leaves are told to some others at once, without waiting for the next exchange.
+//! origin's own count, so that the newest wins on every way it takes. What cannot wait for the next
+//! exchange is told by [`news`](crate::news).
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -20,20 +20,19 @@
 };
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::spending::Counts;
-use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
 use tokio::time::interval;
 
+use crate::news::{self, News, Seen};
 use crate::node::{Node, ROUND_MS};
 use crate::probe;
-use crate::watch::Followed;
 
 /// Where instances post their messages.
 pub(crate) const PATH: &str = "/peer";
 
 /// Time that a peer has to answer. Peers are a millisecond away; one that is slow for longer is as
 /// good as silent for this round.
-const ANSWER: Duration = Duration::from_millis(500);
+pub(crate) const ANSWER: Duration = Duration::from_millis(500);
 
 /// Time that an instance has to answer another one that asks for a third. It must be well within
 /// [`ANSWER`], for which the third waits: else the third never hears that a silent instance was
@@ -60,9 +59,8 @@
     store: bool,
     /// Whether it serves callers: one that cannot vouch for its configuration refuses them.
     serves: bool,
-    /// Version of its configuration.
-    version: u64,
-    /// Time since that was last confirmed to be the newest, in milliseconds, when this was written.
+    /// Time since its configuration was last confirmed to be the newest, in milliseconds, when this
+    /// was written.
     confirmed_ms_ago: Option<Millis>,
     /// Tokens in flight by service and first runner of the chain.
     used: Vec<(Name, Name, f64)>,
@@ -70,10 +68,8 @@
     spent: Vec<(Name, u32, u32)>,
     /// Runners that it found dead, by identity and lifetime.
     dead: Vec<(Name, u64)>,
-    /// Newest revision of a runner's entry that it has seen.
-    runners_revision: u64,
-    /// Runners that it heard to leave, by identity and lifetime.
-    leaving: Vec<(Name, u64)>,
+    /// What it has seen of the store.
+    seen: Seen,
 }
 
 /// Loads of other instances, with the time of arrival.
@@ -131,7 +127,7 @@
 }
 
 #[derive(Serialize, Deserialize)]
-enum Message {
+pub(crate) enum Message {
     Exchange {
         from: Name,
         members: MemberDigest,
@@ -142,10 +138,7 @@
         members: MemberDelta,
     },
     /// Something that all instances should know at once.
-    News {
-        from: Name,
-        load: Load,
-    },
+    News(News),
     Probe {
         address: SocketAddr,
     },
@@ -153,7 +146,7 @@
 }
 
 #[derive(Serialize, Deserialize)]
-enum Reply {
+pub(crate) enum Reply {
     Exchange {
         from: Name,
         members: MemberDelta,
@@ -171,41 +164,6 @@
         let stop = rounds.stop.clone();
         let _ = stop.run_until_cancelled(run(&rounds)).await;
     });
-    let node = Rc::clone(node);
-    tokio::task::spawn_local(async move {
-        let stop = node.stop.clone();
-        let _ = stop.run_until_cancelled(spread_news(&node)).await;
-    });
-}
-
-/// Instances that hear of news directly; each tells as many others, so that a fleet of hundreds
-/// has heard after three steps of a few milliseconds.
-const NEWS_TO: usize = 8;
-
-/// Tells others whenever this instance learnt something that all should know.
-async fn spread_news(node: &Rc<Node>) {
-    loop {
-        node.news.notified().await;
-        let message = Rc::new(Message::News {
-            from: node.settings.name.clone(),
-            load: own_load(node),
-        });
-        let addresses: Vec<SocketAddr> = {
-            let membership = node.membership.borrow();
-            let others = membership.live().filter(|m| m.name != node.settings.name);
-            let others = others.map(|m| m.peers);
-            node.with_rng(|rng| others.sample(rng, NEWS_TO))
-        };
-        for address in addresses {
-            let message = Rc::clone(&message);
-            tokio::task::spawn_local(async move {
-                // Who does not hear it now does so at its next exchange.
-                if let Err(cause) = post(address, &message, ANSWER).await {
-                    log::debug!(address:% = address, cause; "news not told");
-                }
-            });
-        }
-    }
 }
 
 async fn run(node: &Rc<Node>) {
@@ -380,8 +338,8 @@
             membership.receive_push(node.clocks(), &from, &members);
             Reply::Done
         }
-        Message::News { from, load } => {
-            take_loads(node, vec![(from, load)]);
+        Message::News(news) => {
+            news::take(node, &news);
             Reply::Done
         }
         Message::Own => Reply::Record(node.membership.borrow().own().clone()),
@@ -412,24 +370,18 @@
     let used = chains.used().filter(|(_, _, tokens)| *tokens >= 1.0);
     let runners = node.runners.borrow();
     let dead = runners.entries().filter(|e| runners.standing(&e.id).dead);
-    let leaving = node.leaving.borrow();
-    let leaving = leaving
-        .iter()
-        .map(|(id, born_ms, _)| (id.clone(), *born_ms));
     Load {
         incarnation: node.incarnation,
         count: now,
         store: node.hears_store.get(),
         serves: node.is_ready(),
-        version: node.intent().map_or(0, |i| i.version),
         confirmed_ms_ago: node.vouch.borrow().age_ms(now),
         used: used
             .map(|(s, h, tokens)| (s.clone(), h.clone(), tokens))
             .collect(),
         spent: spent(node),
         dead: dead.map(|e| (e.id.clone(), e.born_ms)).collect(),
-        runners_revision: node.runners_revision.get(),
-        leaving: leaving.collect(),
+        seen: Seen::of(node),
     }
 }
 
@@ -444,7 +396,9 @@
 /// the same version. The answer was written after the question was asked, so the other's
 /// confirmation is at least as young as it says, counted from the question.
 fn take_confirmation(node: &Node, asked_ms: Millis, load: &Load) {
-    let same = node.intent().is_some_and(|i| i.version == load.version);
+    let same = node
+        .intent()
+        .is_some_and(|i| i.version == load.seen.version);
     if let Some(age) = load.confirmed_ms_ago.filter(|_| same)
         && let Some(confirmed) = asked_ms.checked_sub(age)
     {
@@ -459,7 +413,7 @@
             continue;
         }
         let dead = load.dead.clone();
-        take_news(node, &load);
+        load.seen.take(node);
         if node.loads.borrow_mut().put(name, load, now) {
             for (id, born_ms) in dead {
                 probe::ask_about(node, &id, born_ms);
@@ -469,24 +423,11 @@
     node.lend();
 }
 
-/// Another instance may know what a silent watch hides from this one.
-fn take_news(node: &Node, load: &Load) {
-    Followed::Configuration.heard(node, load.version);
-    Followed::Runners.heard(node, load.runners_revision);
-    let mut changed = false;
-    for (id, born_ms) in &load.leaving {
-        if node.runners.borrow_mut().leaves(id, *born_ms) {
-            log::info!(runner = id.as_ref(), born_ms; "another instance heard that the runner leaves");
-            node.note_leaving(id, *born_ms);
-            changed = true;
-        }
-    }
-    if changed {
-        node.rebuild_chains();
-    }
-}
-
-async fn post(address: SocketAddr, message: &Message, time: Duration) -> Result<Reply, String> {
+pub(crate) async fn post(
+    address: SocketAddr,
+    message: &Message,
+    time: Duration,
+) -> Result<Reply, String> {
     let body = rmp_serde::to_vec(message).map_err(|e| e.to_string())?;
     let mut req = Request::new(Full::new(Bytes::from(body)));
     *req.method_mut() = Method::POST;
--- a/plugins/relay/src/probe.rs
+++ b/plugins/relay/src/probe.rs
@@ -9,19 +9,28 @@
 
 use futures::future::join_all;
 use futures::stream::{FuturesUnordered, StreamExt};
-use jacinthweir_platform::runner::{self, Report};
+use jacinthweir_clients::direct::AskTime;
+use jacinthweir_platform::runner::{self, Report, RunnerError};
 use jacinthweir_policy::prelude::*;
-use jacinthweir_policy::relay::runners::Standing;
+use jacinthweir_policy::relay::chain::Stage;
+use jacinthweir_policy::relay::following;
+use jacinthweir_policy::relay::runners::{ASK_PAUSE_MS, Standing};
+use jacinthweir_policy::relay::silence::Round;
 use tokio::time::{interval, sleep, timeout};
 
 use crate::live::LiveChain;
 use crate::node::Node;
 
 /// Period of looking for silent chains.
-const LOOK: Duration = Duration::from_millis(20);
+const LOOK: Duration = Duration::from_millis(8);
 
-/// Time that a runner has to answer a report, which is two round trips of a millisecond or less.
-const ANSWER: Duration = Duration::from_millis(25);
+/// Time that a question has. A runner that is there takes a connection within two round trips of a
+/// millisecond or less, however slow it is; one that runs at a tenth of its pace takes ten times as
+/// long to answer, and counted as dead while only the whole answer was timed.
+const QUESTION: AskTime = AskTime {
+    connect: Duration::from_millis(14),
+    answer: Duration::from_millis(250),
+};
 
 /// Times that a part is asked before it counts as dead: a packet lost in each of four questions is
 /// rare even on a link that loses one in forty.
@@ -29,14 +38,9 @@
 
 /// Time after which the next question begins while the one before is open. A part that has crashed
 /// refuses all of them within a few milliseconds, one that is dark costs 60.
-const STAGGER: Duration = Duration::from_millis(12);
+const STAGGER: Duration = Duration::from_millis(5);
 
-/// What all questions to one part take at the most, in milliseconds, with as much again for their
-/// processing. When it took longer, this process had no processor meanwhile, and answers may lie
-/// unread.
-const HELD_UP_MS: Millis = 120;
-
-/// Time for the one more question that is asked then.
+/// Time for the one more question that is asked where the silence may be this instance's own.
 const PATIENT: Duration = Duration::from_millis(250);
 
 /// Period of looking which dead runners are to be asked whether they are back.
@@ -78,10 +82,36 @@
 }
 
 async fn ask_parts(node: Rc<Node>, live: Rc<LiveChain>) {
-    let now = node.now();
+    log_silence(&node, &live);
+    let began = node.now();
+    let stages = live.chain.stages.iter();
+    let mut open: FuturesUnordered<_> = stages
+        .map(|s| async move { (s, ask(s.runner.address).await) })
+        .collect();
+    let mut round = Round::new(open.len());
+    let mut silent = Vec::new();
+    while let Some((stage, report)) = open.next().await {
+        let passed = node.now() - began;
+        match report {
+            Ok(report) => {
+                round.answered(passed);
+                take_report(&node, stage, &report);
+            }
+            Err(e) => silent.push((stage, e)),
+        }
+        if round.speaks_against(passed) {
+            for (stage, e) in silent.drain(..) {
+                name_dead(&node, stage, &e.to_string());
+            }
+        }
+    }
+    join_all(silent.into_iter().map(|(s, _)| ask_patiently(&node, s))).await;
+}
+
+fn log_silence(node: &Node, live: &LiveChain) {
     let (silent_ms, waiting) = {
         let silence = live.silence.borrow();
-        (silence.silent_ms(now), silence.waiting())
+        (silence.silent_ms(node.now()), silence.waiting())
     };
     let gap_ms = live.gaps.borrow().mean_ms() as u64;
     log::warn!(
@@ -91,74 +121,59 @@
         gap_ms;
         "a chain is silent or slow, asking its parts"
     );
-    let reports = ask_all(&node, &live).await;
-    let mut changed = false;
-    for (stage, report) in live.chain.stages.iter().zip(&reports) {
-        let dead = match report {
-            Some(r) => !r.is_of(stage.runner.born_ms),
-            None => true,
-        };
-        if dead {
-            changed |= mark_dead(&node, &stage.runner.id, stage.runner.born_ms);
-        }
-        if let Some(report) = report {
-            changed |= set_pace(&node, &stage.runner.id, report.pace);
-        }
-        let stalled = report.iter().flat_map(|r| r.stalled.values());
-        for address in stalled {
-            changed |= mark_dead_at(&node, *address);
-        }
+}
+
+async fn ask_patiently(node: &Node, stage: &Stage) {
+    metrics::counter!("jacinthweir_probes_total").increment(1);
+    match runner::report(stage.runner.address, PATIENT).await {
+        Ok(report) => take_report(node, stage, &report),
+        Err(e) => name_dead(node, stage, &e.to_string()),
+    }
+}
+
+/// What a part's report says of itself, and of others that requests wait for there.
+fn take_report(node: &Node, stage: &Stage, report: &Report) {
+    if !report.is_of(stage.runner.born_ms) {
+        return name_dead(node, stage, "started anew");
+    }
+    let mut changed = set_pace(node, &stage.runner.id, report.pace, node.now());
+    for address in report.stalled.values() {
+        changed |= mark_dead_at(node, *address);
     }
     if changed {
+        node.news.notify_one();
         node.rebuild_chains();
     }
 }
 
-/// Change of a runner's pace that chains are worked out anew for.
-const PACE_STEP: f64 = 0.5;
+/// A part is dead: the other instances hear so at once.
+fn name_dead(node: &Node, stage: &Stage, evidence: &str) {
+    if mark_dead(node, &stage.runner.id, stage.runner.born_ms, evidence) {
+        node.news.notify_one();
+        node.rebuild_chains();
+    }
+}
 
-fn set_pace(node: &Node, id: &Name, pace: f64) -> bool {
+/// A runner's pace as it was at `at_ms`; whether chains depend on the change.
+pub(crate) fn set_pace(node: &Node, id: &Name, pace: f64, at_ms: Millis) -> bool {
     let mut runners = node.runners.borrow_mut();
-    let Some(standing) = runners.standing_mut(id) else {
-        return false;
-    };
-    let before = standing.slowness();
-    standing.pace = Some(pace);
-    let changed = (standing.slowness() - before).abs() >= PACE_STEP;
+    let changed = runners
+        .standing_mut(id)
+        .is_some_and(|s| s.set_pace(pace, at_ms));
     if changed {
-        log::info!(runner = id.as_ref(), pace, before; "runner's pace");
+        log::info!(runner = id.as_ref(), pace; "runner's pace");
     }
     changed
 }
 
-/// Asks all parts of a chain. Where no part answers, or this process was held up, silence may be
-/// this instance's own: the silent ones are asked once more, with more time.
-async fn ask_all(node: &Node, live: &LiveChain) -> Vec<Option<Report>> {
-    let began = node.now();
-    let parts = live.chain.stages.iter().map(|s| ask(s.runner.address));
-    let mut reports = join_all(parts).await;
-    let held_up = node.now() > began + HELD_UP_MS;
-    if !held_up && reports.iter().any(Option::is_some) {
-        return reports;
-    }
-    let stages = live.chain.stages.iter().zip(&mut reports);
-    let silent = stages.filter(|(_, report)| report.is_none());
-    join_all(silent.map(|(stage, report)| async move {
-        metrics::counter!("jacinthweir_probes_total").increment(1);
-        *report = runner::report(stage.runner.address, PATIENT).await.ok();
-    }))
-    .await;
-    reports
-}
-
 /// Asks a runner for its report several times, the next time as soon as one failed or took long.
-async fn ask(address: SocketAddr) -> Option<Report> {
+async fn ask(address: SocketAddr) -> Result<Report, RunnerError> {
     let mut open = FuturesUnordered::new();
     let mut left = TRIES;
     loop {
         if left > 0 {
             metrics::counter!("jacinthweir_probes_total").increment(1);
-            open.push(runner::report(address, ANSWER));
+            open.push(runner::report(address, QUESTION));
             left -= 1;
         }
         let next = async {
@@ -168,15 +183,15 @@
             }
         };
         match next.await {
-            Some(Ok(report)) => return Some(report),
-            None if left == 0 => return None,
+            Some(Ok(report)) => return Ok(report),
+            Some(Err(e)) if left == 0 && open.is_empty() => return Err(e),
             Some(Err(_)) | None => {}
         }
     }
 }
 
-/// Marks one lifetime of a runner as dead.
-pub(crate) fn mark_dead(node: &Node, id: &Name, born_ms: u64) -> bool {
+/// Marks one lifetime of a runner as dead, for the reason that `evidence` tells.
+pub(crate) fn mark_dead(node: &Node, id: &Name, born_ms: u64, evidence: &str) -> bool {
     let now = node.now();
     let mut runners = node.runners.borrow_mut();
     let Some(standing) = runners.standing_mut(id) else {
@@ -188,7 +203,7 @@
     standing.dead = true;
     standing.dead_since_ms = now;
     standing.asked_anew();
-    log::warn!(runner = id.as_ref(), born_ms; "runner counts as dead");
+    log::warn!(runner = id.as_ref(), born_ms, evidence; "runner counts as dead");
     metrics::counter!("jacinthweir_runners_dead_total").increment(1);
     true
 }
@@ -198,7 +213,9 @@
         let runners = node.runners.borrow();
         runners.at(address).map(|e| (e.id.clone(), e.born_ms))
     };
-    found.is_some_and(|(id, born_ms)| mark_dead(node, &id, born_ms))
+    found.is_some_and(|(id, born_ms)| {
+        mark_dead(node, &id, born_ms, "requests wait for it elsewhere")
+    })
 }
 
 /// Asks a runner that somebody else found dead.
@@ -213,18 +230,33 @@
     let Some(address) = address else {
         return;
     };
+    if node.is_silent_through(id)
+        && mark_dead(
+            node,
+            id,
+            born_ms,
+            "another instance found it dead, its chains are silent here",
+        )
+    {
+        node.news.notify_one();
+        node.rebuild_chains();
+        return;
+    }
     let due = {
         let mut runners = node.runners.borrow_mut();
         runners
             .standing_mut(id)
-            .is_some_and(|s| s.should_ask(node.now()))
+            .is_some_and(|s| s.should_ask(node.now(), ASK_PAUSE_MS))
     };
     if !due {
         return;
     }
     let (node, id) = (Rc::clone(node), id.clone());
     tokio::task::spawn_local(async move {
-        if ask(address).await.is_none() && mark_dead(&node, &id, born_ms) {
+        let Err(e) = ask(address).await else {
+            return;
+        };
+        if mark_dead(&node, &id, born_ms, &e.to_string()) {
             node.rebuild_chains();
         }
     });
@@ -233,9 +265,11 @@
 /// Doubted runners that are due to be asked: identity, address, lifetime.
 fn doubted(node: &Node) -> Vec<(Name, SocketAddr, u64)> {
     let now = node.now();
+    // What one instance hears it tells the others, so that each need ask less often where there are many.
+    let pause = following::watch_ms(ASK_PAUSE_MS, node.instances());
     let mut runners = node.runners.borrow_mut();
     let all: Vec<(Name, SocketAddr, u64)> = {
-        let is_doubted = |s: &Standing| s.dead || s.slowness() > 1.0 + PACE_STEP;
+        let is_doubted = |s: &Standing| s.dead || s.is_slow();
         let doubted = runners
             .entries()
             .filter(|e| is_doubted(&runners.standing(&e.id)));
@@ -243,7 +277,10 @@
             .map(|e| (e.id.clone(), e.address, e.born_ms))
             .collect()
     };
-    let mut due = |id: &Name| runners.standing_mut(id).is_some_and(|s| s.should_ask(now));
+    let mut due = |id: &Name| {
+        let standing = runners.standing_mut(id);
+        standing.is_some_and(|s| s.should_ask(now, pause))
+    };
     all.into_iter().filter(|(id, _, _)| due(id)).collect()
 }
 
@@ -255,7 +292,7 @@
         let dead = doubted(node);
         let asked = dead
             .iter()
-            .map(|(_, address, _)| runner::report(*address, ANSWER));
+            .map(|(_, address, _)| runner::report(*address, QUESTION));
         let reports = join_all(asked).await;
         let mut changed = false;
         for ((id, _, born_ms), report) in dead.iter().zip(reports) {
@@ -265,16 +302,16 @@
             if !report.is_of(*born_ms) {
                 continue;
             }
-            changed |= set_pace(node, id, report.pace);
+            changed |= set_pace(node, id, report.pace, node.now());
             let mut runners = node.runners.borrow_mut();
             if let Some(standing) = runners.standing_mut(id).filter(|s| s.dead) {
-                standing.dead = false;
-                standing.asked_anew();
+                standing.answers_again(node.now());
                 changed = true;
                 log::info!(runner = id.as_ref(); "runner answers again");
             }
         }
         if changed {
+            node.news.notify_one();
             node.rebuild_chains();
         }
     }
--- a/plugins/relay/src/tried.rs
+++ b/plugins/relay/src/tried.rs
@@ -123,7 +123,7 @@
         }
         Ok(Sent::Unreached(cause)) => {
             log_attempt(rq, live, "not reached", &cause);
-            if probe::mark_dead(node, &head.id, head.born_ms) {
+            if probe::mark_dead(node, &head.id, head.born_ms, &cause) {
                 node.rebuild_chains();
             }
             Opened::Unreached
--- a/policy/src/relay/runners.rs
+++ b/policy/src/relay/runners.rs
@@ -60,24 +60,32 @@
     pub failing_ms: Millis,
     /// Requests in flight there from this instance.
     pub in_flight: u32,
-    /// How slow it said to be when last asked; 1 is as declared.
-    pub pace: Option<f64>,
+    /// How slow it said to be when last asked, and when that was; 1 is as declared.
+    pace: Option<(f64, Millis)>,
+    pace_changed_ms: Option<Millis>,
+    /// When it answered again after it counted as dead, in milliseconds.
+    answers_since_ms: Option<Millis>,
     /// When it was last asked for its report apart from its chain, and how often since it was
     /// doubted.
     asked_ms: Option<Millis>,
     asks: u32,
 }
 
-/// Pause between two reports asked of a doubted runner, in milliseconds: twice as long each time,
-/// up to so many doublings. A runner that is gone for good is asked by every instance until its
-/// entry goes.
-const ASK_PAUSE_MS: Millis = 700;
+/// Change of a runner's pace that chains are worked out anew for.
+const PACE_STEP: f64 = 0.5;
+
+/// Pause between two reports asked of a doubted runner where there are few instances, and the longest
+/// one, in milliseconds: twice as long each time. A runner that is gone for good is asked by every
+/// instance until its entry goes.
+pub const ASK_PAUSE_MS: Millis = 700;
+const LONGEST_ASK_PAUSE_MS: Millis = 5_600;
 const MOST_DOUBLINGS: u32 = 3;
 
 impl Standing {
-    /// Whether the runner is to be asked for its report now; remembers that it was.
-    pub fn should_ask(&mut self, now: Millis) -> bool {
-        let pause = ASK_PAUSE_MS << self.asks.min(MOST_DOUBLINGS);
+    /// Whether the runner is to be asked for its report now, `pause` milliseconds after the last time
+    /// or later; remembers that it was.
+    pub fn should_ask(&mut self, now: Millis, pause: Millis) -> bool {
+        let pause = (pause << self.asks.min(MOST_DOUBLINGS)).min(LONGEST_ASK_PAUSE_MS);
         let due = self.asked_ms.is_none_or(|at| now >= at + pause);
         if due {
             self.asked_ms = Some(now);
@@ -86,6 +94,25 @@
         due
     }
 
+    /// It answers again at `now`.
+    pub fn answers_again(&mut self, now: Millis) {
+        self.dead = false;
+        self.answers_since_ms = Some(now);
+        self.asked_anew();
+    }
+
+    /// Whether it began to answer again after `since_ms`.
+    #[must_use]
+    pub fn answers_since(&self, since_ms: Millis) -> bool {
+        !self.dead && self.answers_since_ms.is_some_and(|at| at >= since_ms)
+    }
+
+    /// It answers another instance again: it is asked at the next occasion.
+    pub fn ask_soon(&mut self) {
+        self.asked_ms = None;
+        self.asks = 0;
+    }
+
     /// It answered, or somebody found it dead anew: the next question need not wait long.
     pub fn asked_anew(&mut self) {
         self.asks = 0;
@@ -102,7 +129,43 @@
     /// How many times as long as declared its work takes; never less than 1.
     #[must_use]
     pub fn slowness(&self) -> f64 {
-        self.pace.unwrap_or(1.0).max(1.0)
+        self.pace.map_or(1.0, |(pace, _)| pace).max(1.0)
+    }
+
+    /// How slow it said to be when last asked; 1 is as declared.
+    #[must_use]
+    pub fn pace(&self) -> Option<f64> {
+        self.pace.map(|(pace, _)| pace)
+    }
+
+    /// It said at `at_ms` how slow it is; whether that is newer than what is known and changes what
+    /// chains are worked out from.
+    pub fn set_pace(&mut self, pace: f64, at_ms: Millis) -> bool {
+        if self.pace.is_some_and(|(_, known_ms)| at_ms <= known_ms) {
+            return false;
+        }
+        let before = self.slowness();
+        self.pace = Some((pace, at_ms));
+        self.asked_ms = self.asked_ms.max(Some(at_ms));
+        self.asks = 0;
+        let changed = (self.slowness() - before).abs() >= PACE_STEP;
+        if changed {
+            self.pace_changed_ms = Some(at_ms);
+        }
+        changed
+    }
+
+    /// How slow it said to be, and when, if that changed after `since_ms`.
+    #[must_use]
+    pub fn pace_changed_since(&self, since_ms: Millis) -> Option<(f64, Millis)> {
+        self.pace
+            .filter(|_| self.pace_changed_ms.is_some_and(|at| at >= since_ms))
+    }
+
+    /// Whether it is so slow that it should be asked whether it still is.
+    #[must_use]
+    pub fn is_slow(&self) -> bool {
+        self.slowness() >= 1.0 + PACE_STEP
     }
 }
 
--- a/policy/src/relay/silence.rs
+++ b/policy/src/relay/silence.rs
@@ -11,27 +11,57 @@
 
 use crate::prelude::*;
 
-/// Silence of a chain with one waiting request that counts as a stall, in milliseconds. An event
-/// comes every 20 to 30 ms in a calm chain, and a long prompt is read within 100 ms.
-const LONE_MS: Millis = 400;
+/// Waiting requests from which on silence speaks against a chain by its rhythm. All requests of a
+/// chain share its passes, so their bytes come together; one alone may be a prompt that is read.
+const MANY: usize = 2;
 
-/// The same with [`MANY`] waiting requests or more. All requests of a chain share its passes, so
-/// their bytes come together: of 70,000 gaps between bytes on a day at high load, 1 in 400 was
-/// longer. Callers count an answer as late after a pause of 200 ms, and to name the dead part and
-/// go on elsewhere takes 60 to 120 ms of these.
-const MANY_MS: Millis = 100;
+/// Silence of a chain with fewer that counts as a stall, as a multiple of the others' limit.
+const LONE_TIMES: Millis = 8;
 
-/// Waiting requests from which on the short silence counts.
-const MANY: usize = 2;
+/// Silence that counts at the least, as a multiple of what the declared figures give for the pause
+/// between two events, and in any case, in milliseconds: what a question takes.
+const LEAST_TIMES: f64 = 2.5;
+const LEAST_MS: f64 = 40.0;
+
+/// Weights of the newest pause in the mean and in the mean deviation, and deviations beyond the mean
+/// that a pause has to be: those of a retransmission timer, for the same reason.
+const MEAN_WEIGHT: f64 = 0.125;
+const DEVIATION_WEIGHT: f64 = 0.25;
+const DEVIATIONS: f64 = 4.0;
+
+/// The most that counts of a pause, as a multiple of the limit: a cut or a lost packet says nothing
+/// of the next pause.
+const COUNTED_TIMES: f64 = 2.0;
+
+/// Bytes that come within this time belong to the same pass, in milliseconds.
+const SAME_PASS_MS: Millis = 3;
 
-/// A chain is asked no earlier than this multiple of its longest gap of late: a slow chain is
-/// silent for as long at each pass, and ten questions at each would cost more than they bring.
-const LONGEST_TIMES: f64 = 1.1;
+/// The pauses between a chain's passes, as this instance sees them.
+///
+/// Every pass brings the next events of all streams, so a chain's bytes have a rhythm: 20 ms in an
+/// idle one, 100 where it is slow or reads long prompts. A fixed limit asks a slow chain at every
+/// pass, or leaves a fast one dead for five.
+#[derive(Clone, Copy, Debug, Default)]
+struct Rhythm {
+    mean_ms: f64,
+    deviation_ms: f64,
+}
 
-/// How long a longest gap is remembered, in milliseconds, and the most that counts of it: a packet
-/// that was sent again makes a gap that says nothing of the next.
-const LONGEST_KEPT_MS: Millis = 5_000;
-const LONGEST_COUNTED_MS: Millis = 130;
+impl Rhythm {
+    fn seen(&mut self, pause_ms: f64, least_ms: f64) {
+        let pause_ms = pause_ms.min(self.limit_ms(least_ms) * COUNTED_TIMES);
+        let off_ms = (pause_ms - self.mean_ms).abs();
+        self.deviation_ms += DEVIATION_WEIGHT * (off_ms - self.deviation_ms);
+        self.mean_ms += MEAN_WEIGHT * (pause_ms - self.mean_ms);
+    }
+
+    fn limit_ms(&self, least_ms: f64) -> f64 {
+        (self.mean_ms + DEVIATIONS * self.deviation_ms).max(least_ms)
+    }
+}
+
+/// Part of the limit from which on a silence agrees with another instance's word.
+const AGREES: f64 = 0.8;
 
 /// How long a chain that was asked is left alone, in milliseconds; twice as long each time that it
 /// stays silent all the same, up to so many doublings. Where a part of the fleet is cut off, every
@@ -84,19 +114,32 @@
 }
 
 /// What this instance hears from one chain.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct Silence {
     waiting: usize,
     heard_ms: Millis,
     asked_ms: Option<Millis>,
     /// Times that it was asked since bytes came.
     asks: u32,
-    /// Longest gap of late, and when it ended.
-    longest_ms: Millis,
-    longest_at_ms: Millis,
+    rhythm: Rhythm,
+    least_ms: f64,
 }
 
 impl Silence {
+    /// Nothing heard yet from a chain whose declared figures give `pause_ms` milliseconds between two
+    /// events.
+    #[must_use]
+    pub fn new(pause_ms: f64) -> Silence {
+        Silence {
+            waiting: 0,
+            heard_ms: 0,
+            asked_ms: None,
+            asks: 0,
+            rhythm: Rhythm::default(),
+            least_ms: (pause_ms * LEAST_TIMES).max(LEAST_MS),
+        }
+    }
+
     /// A request was sent.
     pub fn sent(&mut self, now: Millis) {
         if self.waiting == 0 {
@@ -112,10 +155,9 @@
 
     /// Bytes came.
     pub fn heard(&mut self, now: Millis) {
-        let gap = self.silent_ms(now).min(LONGEST_COUNTED_MS);
-        if gap >= self.longest_ms || now >= self.longest_at_ms + LONGEST_KEPT_MS {
-            self.longest_ms = gap;
-            self.longest_at_ms = now;
+        let pause = self.silent_ms(now);
+        if pause > SAME_PASS_MS {
+            self.rhythm.seen(pause as f64, self.least_ms);
         }
         self.heard_ms = now;
         self.asks = 0;
@@ -136,18 +178,29 @@
         }
     }
 
+    /// Silence that speaks against the chain, in milliseconds.
+    fn limit_ms(&self) -> Millis {
+        let limit = self.rhythm.limit_ms(self.least_ms) as Millis;
+        match self.waiting {
+            n if n >= MANY => limit,
+            _ => limit * LONE_TIMES,
+        }
+    }
+
+    /// Whether the silence is longer than a usual pause, though not long enough to speak against the
+    /// chain by itself: another instance's word that a part is dead then needs no question of one's
+    /// own.
+    #[must_use]
+    pub fn agrees(&self, now: Millis) -> bool {
+        let limit = self.rhythm.limit_ms(self.least_ms);
+        self.waiting > 0 && self.silent_ms(now) as f64 >= limit * AGREES
+    }
+
     /// Whether the chain's parts should be asked now; remembers that they were.
     pub fn should_ask(&mut self, now: Millis) -> bool {
-        let least = if self.waiting >= MANY {
-            MANY_MS
-        } else {
-            LONE_MS
-        };
-        let usual = (self.longest_ms as f64 * LONGEST_TIMES) as Millis;
-        let limit = least.max(usual);
         let pause = ASKED_PAUSE_MS << self.asks.min(MOST_DOUBLINGS);
         let rested = self.asked_ms.is_none_or(|at| now >= at + pause);
-        let ask = rested && self.silent_ms(now) >= limit;
+        let ask = rested && self.silent_ms(now) >= self.limit_ms().max(1);
         if ask {
             self.asked_ms = Some(now);
             self.asks += 1;
@@ -155,3 +208,43 @@
         ask
     }
 }
+
+/// How many times as long as the parts that answer usually take a part must be silent to be dead.
+const SILENT_TIMES: Millis = 4;
+
+/// The answers to one round of questions to all parts of a chain.
+///
+/// A part is dead if it is silent for far longer than the others took. Compared with a fixed time,
+/// an instance whose processor or link was used up for 50 ms found every part dead that it asked,
+/// told the others so, and the fleet broke its own chains for seconds.
+#[derive(Clone, Debug)]
+pub struct Round {
+    asked: usize,
+    answers_ms: Vec<Millis>,
+}
+
+impl Round {
+    /// `asked` parts are asked.
+    #[must_use]
+    pub fn new(asked: usize) -> Round {
+        Round {
+            asked,
+            answers_ms: Vec::with_capacity(asked),
+        }
+    }
+
+    /// A part answered after `ms` milliseconds.
+    pub fn answered(&mut self, ms: Millis) {
+        self.answers_ms.push(ms);
+    }
+
+    /// Whether a part that has been silent for `ms` milliseconds is dead: the answer of half of the
+    /// parts took far less. The slowest do not count, since a slow part may be one of them.
+    #[must_use]
+    pub fn speaks_against(&self, ms: Millis) -> bool {
+        // Answers come in the order of their times.
+        let half = self.asked / 2;
+        let usual = self.answers_ms.get(half.saturating_sub(1));
+        usual.is_some_and(|usual| ms >= (usual + 1) * SILENT_TIMES)
+    }
+}
