Relay: a few instances watch the runners and tell the others; confirmations are waited for longer in large fleets

Change: six instances, by rank of their names among those that live and hear the store, and the one that gives orders watch; each change goes as a step between two revisions to those that hear from them, two tellers each. Who misses one asks the store once. Confirmations are due after 1.4 to 3.2 s instead of 1.4 to 2.0 where there are many.

--- a/plugins/relay/src/news.rs
+++ b/plugins/relay/src/news.rs
@@ -1,5 +1,5 @@
-//! What all instances should know at once: a new configuration, a runner that leaves, is dead, or has
-//! turned slow or quick.
+//! What all instances should know at once: a new configuration, and that a runner leaves, is dead,
+//! answers again, or has turned slow or quick.
 //!
 //! A round of exchanges takes 300 ms, and a stream whose chain broke is late after less. So an
 //! instance that learns such a thing tells a few others, and each for whom it was new as many again:
--- a/plugins/relay/src/node.rs
+++ b/plugins/relay/src/node.rs
@@ -65,6 +65,8 @@
     pub(crate) hears_store: Cell<bool>,
     /// Newest revision of a runner's entry that was seen.
     pub(crate) runners_revision: Cell<u64>,
+    /// Revision of the store up to which all changes of runners' entries are known.
+    pub(crate) runners_as_of: Cell<u64>,
     /// Runners that were heard to leave, by identity and lifetime, and when.
     pub(crate) leaving: RefCell<Vec<(Name, u64, Millis)>>,
     /// Something changed that all other instances should hear at once.
@@ -126,6 +128,7 @@
             runners: RefCell::default(),
             hears_store: Cell::new(false),
             runners_revision: Cell::new(0),
+            runners_as_of: Cell::new(0),
             leaving: RefCell::default(),
             news: Notify::new(),
             behind: Default::default(),
--- a/plugins/relay/src/peers.rs
+++ b/plugins/relay/src/peers.rs
@@ -19,13 +19,14 @@
     Action, Member, MemberDelta, MemberDigest, MemberRecord, Peer, ProbeOutcome,
 };
 use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::relay::following::{Step, Watchers};
 use jacinthweir_policy::relay::spending::Counts;
 use serde::{Deserialize, Serialize};
 use tokio::time::interval;
 
 use crate::news::{self, News, Seen};
 use crate::node::{Node, ROUND_MS};
-use crate::probe;
+use crate::{probe, watch};
 
 /// Where instances post their messages.
 pub(crate) const PATH: &str = "/peer";
@@ -139,6 +140,8 @@
     },
     /// Something that all instances should know at once.
     News(News),
+    /// What changed of the runners' entries.
+    Step(Step),
     Probe {
         address: SocketAddr,
     },
@@ -228,6 +231,24 @@
     !others.any(|name| name < own)
 }
 
+/// The instances that watch the runners for all.
+pub(crate) fn watchers(node: &Node) -> Watchers {
+    let loads = node.loads.borrow();
+    let membership = node.membership.borrow();
+    let live: BTreeSet<&Name> = membership.live().map(|m| &m.name).collect();
+    let others = loads.with_store(node.now());
+    let others = others.filter(|name| live.contains(name));
+    let own = node.hears_store.get().then_some(&node.settings.name);
+    Watchers::of(others.chain(own))
+}
+
+/// Whether this instance watches the runners by itself. One that gives orders must see at once what
+/// came of them, and one that does not hear the store finds out when it does again.
+pub(crate) fn watches_runners(node: &Node) -> bool {
+    let gives_orders = node.lease.borrow().held(node.now()).is_some();
+    gives_orders || !node.hears_store.get() || watchers(node).has(&node.settings.name)
+}
+
 fn carry_out(node: &Rc<Node>, actions: Vec<Action>) {
     for action in actions {
         let node = Rc::clone(node);
@@ -342,6 +363,10 @@
             news::take(node, &news);
             Reply::Done
         }
+        Message::Step(step) => {
+            watch::hear_step(node, &step);
+            Reply::Done
+        }
         Message::Own => Reply::Record(node.membership.borrow().own().clone()),
         Message::Probe { address } => match post(address, &Message::Own, VIA_ANSWER).await {
             Ok(Reply::Record(record)) => Reply::Record(record),
--- a/plugins/relay/src/watch.rs
+++ b/plugins/relay/src/watch.rs
@@ -1,7 +1,8 @@
 //! Follows the store: the configuration, and the runners.
 //!
-//! Each of the two is listed once and then watched from the list's revision. A watch brings a change
-//! at once; how long it waits without one is told by [`following`]. That nothing was missed is shown
+//! Each of the two is listed once and then watched from the list's revision, the runners by a few
+//! instances that tell the others. A watch brings a change at once; how long it waits without one is
+//! told by [`following`]. That nothing was missed is shown
 //! by an answer, even an empty one, by a reading of the configuration when its confirmation is old,
 //! and by what other instances have seen. When the history is gone, or a call fails, it is listed
 //! again.
@@ -10,20 +11,21 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use jacinthweir_platform::store::{Change, Object, StoreError};
+use jacinthweir_platform::store::{Change, Changes, Object, StoreError};
 use jacinthweir_platform::{desired, runner};
 use jacinthweir_policy::prelude::*;
-use jacinthweir_policy::relay::following::{self, Behind};
+use jacinthweir_policy::relay::following::{self, Behind, RunnerChange, Step};
 use jacinthweir_policy::relay::runners::RunnerEntry;
 use tokio::time::sleep;
 
 use crate::node::Node;
+use crate::peers::{self, Message};
 
 /// Wait of a watch of the configuration where there are few instances, in milliseconds. One whose
 /// connection fell silent hides a change for no longer than until the next reading.
 const CONFIGURATION_WAIT_MS: Millis = 3_000;
 
-/// Wait of a watch of the runners where there are few instances, in milliseconds. A watch whose
+/// Wait of a watch of the runners, in milliseconds. A watch whose
 /// connection fell silent hides a runner that leaves for as long; a shorter one costs calls.
 const RUNNERS_WAIT_MS: Millis = 2_000;
 
@@ -37,7 +39,6 @@
 /// Runners' entries change in bursts when orders are carried out; changes that come within this
 /// time are fetched with one call.
 const GATHER_MS: Millis = 60;
-const LONGEST_GATHER_MS: Millis = 500;
 
 /// Time without the store in which leases of runners' entries may lapse, in milliseconds; they last
 /// for three heartbeats of a second or more. After a shorter one an entry that is missing is gone.
@@ -66,7 +67,7 @@
     loop {
         sleep(CONFIRM_LOOK).await;
         let age = node.vouch.borrow().age_ms(node.now());
-        if !following::should_confirm(age, node.draw()) {
+        if !following::should_confirm(age, node.draw(), node.instances()) {
             continue;
         }
         let sent = node.now();
@@ -106,13 +107,6 @@
         }
     }
 
-    fn wait_ms(self) -> Millis {
-        match self {
-            Followed::Configuration => CONFIGURATION_WAIT_MS,
-            Followed::Runners => RUNNERS_WAIT_MS,
-        }
-    }
-
     /// What other instances know.
     fn behind(self, node: &Node) -> &RefCell<Behind> {
         match self {
@@ -233,6 +227,7 @@
             }
             runners.replace(entries, now);
             drop(runners);
+            node.runners_as_of.set(listed.revision);
             node.listed.set(true);
             node.rebuild_chains();
         }
@@ -243,9 +238,15 @@
 /// Watches until a call fails.
 async fn watch(node: &Node, what: Followed, mut revision: u64) -> StoreError {
     loop {
+        let wait = match what {
+            Followed::Runners => rest(node).await,
+            Followed::Configuration => following::watch_ms(CONFIGURATION_WAIT_MS, node.instances()),
+        };
+        if what == Followed::Runners {
+            revision = node.runners_as_of.get();
+        }
         let sent = node.now();
         count_call("watch");
-        let wait = following::watch_ms(what.wait_ms(), node.instances());
         let wait = Duration::from_millis(wait);
         let watched = tokio::select! {
             watched = node.store.watch(what.kind(), revision, wait) => watched,
@@ -259,31 +260,52 @@
             Err(e) => return e,
         };
         node.hears_store.set(true);
-        revision = changes.revision;
         let any = !changes.changes.is_empty();
         match what {
             Followed::Configuration => {
+                revision = changes.revision;
                 if take_configurations(node, &changes.changes) {
                     node.vouch.borrow_mut().confirm(sent);
                 }
             }
-            Followed::Runners => take_runners(node, changes.changes, revision),
+            Followed::Runners => {
+                let step = step(revision, changes);
+                take_step(node, &step);
+                tell_step(node, step);
+            }
         }
         if any && what == Followed::Runners {
-            sleep(gather(node)).await;
+            sleep(Duration::from_millis(GATHER_MS)).await;
         }
     }
 }
 
-/// How long changes are gathered: the instance that gives orders waits for them, the others can
-/// hear of a new range a little later where many instances ask.
-fn gather(node: &Node) -> Duration {
-    let gives_orders = node.lease.borrow().held(node.now()).is_some();
-    let ms = match gives_orders {
-        true => GATHER_MS,
-        false => following::watch_ms(GATHER_MS, node.instances()).min(LONGEST_GATHER_MS),
-    };
-    Duration::from_millis(ms)
+/// Longest rest of an instance that hears of the runners from others, in milliseconds, and what is
+/// added to it at the most: nobody may have told it of the last change.
+const REST_MS: Millis = 12_000;
+const REST_SPREAD_MS: f64 = 6_000.0;
+
+/// Period of looking whether this instance has to watch the runners by itself.
+const REST_LOOK: Duration = Duration::from_millis(500);
+
+/// Wait of a call that is to bring only what has been missed, in milliseconds.
+const MISSED_WAIT_MS: Millis = 1;
+
+/// Rests while others tell of changed runners; returns how long the next watch is to wait, in
+/// milliseconds.
+async fn rest(node: &Node) -> Millis {
+    let spread_ms = (node.draw() * REST_SPREAD_MS) as Millis;
+    let until = node.now() + REST_MS + spread_ms;
+    while !peers::watches_runners(node) {
+        if node.now() >= until {
+            return MISSED_WAIT_MS;
+        }
+        tokio::select! {
+            () = overtaken(node, Followed::Runners) => return MISSED_WAIT_MS,
+            () = sleep(REST_LOOK) => {}
+        }
+    }
+    RUNNERS_WAIT_MS
 }
 
 /// Whether what is in force is now the newest of what came.
@@ -316,23 +338,79 @@
     node.runners_revision.set(newest);
 }
 
-fn take_runners(node: &Node, changes: Vec<Change>, as_of: u64) {
-    let mut changed = false;
-    for change in changes {
-        let id = change.object.meta.name.clone();
-        note_revision(node, change.object.meta.revision);
+/// What a watch from the revision `since` brought.
+fn step(since: u64, changes: Changes) -> Step {
+    let until = changes.revision;
+    let mut newest = 0;
+    let mut decoded = Vec::with_capacity(changes.changes.len());
+    for change in changes.changes {
+        newest = newest.max(change.object.meta.revision);
         if change.deleted {
             // The entry's own revision is older than its end.
-            note_revision(node, as_of);
-            let gone = node.runners.borrow_mut().remove(&id, node.now());
-            log::info!(runner = id.as_ref(), gone; "runner is gone from the store");
-            changed |= gone;
+            newest = newest.max(until);
+            decoded.push(RunnerChange::Gone(change.object.meta.name.clone()));
         } else if let Some(entry) = decode(change.object) {
-            log_entry(node, &entry);
-            if entry.draining {
-                node.note_leaving(&entry.id, entry.born_ms);
+            decoded.push(RunnerChange::Put(entry));
+        }
+    }
+    Step {
+        since,
+        until,
+        newest,
+        changes: decoded,
+    }
+}
+
+/// Tells the instances that hear of the runners from this one. Who misses it hears at an exchange that
+/// there is more, and asks the store.
+fn tell_step(node: &Node, step: Step) {
+    if step.changes.is_empty() {
+        return;
+    }
+    let own = &node.settings.name;
+    let watchers = peers::watchers(node);
+    let message = Rc::new(Message::Step(step));
+    let membership = node.membership.borrow();
+    for m in membership.live().filter(|m| m.name != *own) {
+        if watchers.has(&m.name) || !watchers.tells(own, &m.name) {
+            continue;
+        }
+        let (address, message) = (m.peers, Rc::clone(&message));
+        tokio::task::spawn_local(async move {
+            if let Err(cause) = peers::post(address, &message, peers::ANSWER).await {
+                log::debug!(address:% = address, cause; "changes of runners not told");
+            }
+        });
+    }
+}
+
+/// Another instance tells what changed; it is taken over if nothing is missing before it.
+pub(crate) fn hear_step(node: &Node, step: &Step) {
+    if step.follows(node.runners_as_of.get()) {
+        take_step(node, step);
+    }
+}
+
+/// Takes over what changed.
+fn take_step(node: &Node, step: &Step) {
+    let known = node.runners_as_of.get();
+    note_revision(node, step.newest);
+    node.runners_as_of.set(known.max(step.until));
+    let mut changed = false;
+    for change in &step.changes {
+        match change {
+            RunnerChange::Gone(id) => {
+                let gone = node.runners.borrow_mut().remove(id, node.now());
+                log::info!(runner = id.as_ref(), gone; "runner is gone from the store");
+                changed |= gone;
+            }
+            RunnerChange::Put(entry) => {
+                log_entry(node, entry);
+                if entry.draining {
+                    node.note_leaving(&entry.id, entry.born_ms);
+                }
+                changed |= node.runners.borrow_mut().put(entry);
             }
-            changed |= node.runners.borrow_mut().put(&entry);
         }
     }
     if changed {
--- a/policy/src/relay/following.rs
+++ b/policy/src/relay/following.rs
@@ -8,8 +8,16 @@
 //! instances there are, and the fleet as a whole ends as many in a second as [`FEW`] instances do.
 //! Instances tell one another which version they have, up to which revision they know the runners,
 //! and which runners leave.
+//!
+//! Runners' entries change in bursts, and each change ends every watch. So only [`FEW`] instances
+//! watch them, and tell the others what changed: a [`Step`] from one revision to another, which
+//! whoever knows the first takes over without a call. Who watches follows from who lives and hears
+//! the store; when one of them is lost the next takes its place.
+
+use serde::{Deserialize, Serialize};
 
 use crate::prelude::*;
+use crate::relay::runners::RunnerEntry;
 
 /// Instances that follow the store each for itself.
 const FEW: usize = 6;
@@ -22,8 +30,10 @@
 /// have reached everybody.
 const CONFIRM_MS: Millis = 1_400;
 
-/// What is added to that at the most: the first that reads spares the others the call.
+/// What is added to that at the most, where there are few instances and in any case: the first that
+/// reads spares the others the call, if it has time to reach them.
 const CONFIRM_SPREAD_MS: f64 = 600.0;
+const LONGEST_CONFIRM_SPREAD_MS: f64 = 1_800.0;
 
 /// How long a watch waits that waits `base` milliseconds where there are few instances.
 #[must_use]
@@ -32,14 +42,86 @@
     ((base as f64 * times) as Millis).min(LONGEST_MS)
 }
 
-/// Whether an instance whose configuration was confirmed `age` milliseconds ago reads it now;
+/// Whether one of `instances` whose configuration was confirmed `age` milliseconds ago reads it now;
 /// `draw` is a random number from 0 to 1.
 #[must_use]
-pub fn should_confirm(age: Option<Millis>, draw: f64) -> bool {
-    let due = CONFIRM_MS + (draw * CONFIRM_SPREAD_MS) as Millis;
+pub fn should_confirm(age: Option<Millis>, draw: f64, instances: usize) -> bool {
+    let times = (instances as f64 / FEW as f64).max(1.0);
+    let spread = (CONFIRM_SPREAD_MS * times).min(LONGEST_CONFIRM_SPREAD_MS);
+    let due = CONFIRM_MS + (draw * spread) as Millis;
     age.is_some_and(|age| age >= due)
 }
 
+/// Watchers that tell each of the others: one may be lost, or its word.
+const TOLD_BY: usize = 2;
+
+/// The instances that watch the runners.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Watchers(Vec<Name>);
+
+impl Watchers {
+    /// Those of `names`, which live and hear the store.
+    pub fn of<'a>(names: impl Iterator<Item = &'a Name>) -> Watchers {
+        let mut names: Vec<Name> = names.cloned().collect();
+        names.sort_by_cached_key(|name| mixed(name));
+        names.truncate(FEW);
+        Watchers(names)
+    }
+
+    /// Whether `name` is one of them.
+    #[must_use]
+    pub fn has(&self, name: &str) -> bool {
+        self.0.iter().any(|n| **n == *name)
+    }
+
+    /// Whether `name` is one of those that tell `listener` what changed.
+    #[must_use]
+    pub fn tells(&self, name: &str, listener: &str) -> bool {
+        let weight = |n: &str| mixed(n) ^ mixed(listener).rotate_left(17);
+        let before = self.0.iter().filter(|n| weight(n) < weight(name));
+        self.has(name) && before.count() < TOLD_BY
+    }
+}
+
+/// A number drawn from a name, the same at every instance: names that differ in a digit only, as
+/// those of one failure domain do, are far apart.
+fn mixed(name: &str) -> u64 {
+    let mix = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
+    let h = name.bytes().fold(0xcbf2_9ce4_8422_2325, mix);
+    let h = (h ^ (h >> 31)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    h ^ (h >> 29)
+}
+
+/// A change of a runner's entry.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum RunnerChange {
+    /// It is new or another one than before.
+    Put(RunnerEntry),
+    /// It is gone.
+    Gone(Name),
+}
+
+/// All changes of runners' entries between two revisions of the store.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Step {
+    /// Revision before the first of them.
+    pub since: u64,
+    /// Revision up to which there is none besides.
+    pub until: u64,
+    /// Newest revision of an entry among them.
+    pub newest: u64,
+    /// The changes, in their order.
+    pub changes: Vec<RunnerChange>,
+}
+
+impl Step {
+    /// Whether one that knows everything up to `revision` can take it over and learns something.
+    #[must_use]
+    pub fn follows(&self, revision: u64) -> bool {
+        self.since <= revision && revision < self.until
+    }
+}
+
 /// What other instances know of the store that this one may have missed.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Behind {
--- a/policy/src/relay/runners.rs
+++ b/policy/src/relay/runners.rs
@@ -8,10 +8,12 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use serde::{Deserialize, Serialize};
+
 use crate::prelude::*;
 
 /// A runner as it describes itself.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RunnerEntry {
     /// Identity, which requests name so that nobody else at the address runs them.
     pub id: Name,
