--- a/ctl/src/args.rs
+++ b/ctl/src/args.rs
@@ -61,6 +61,8 @@
     Entry(Entry),
     /// See [`Relay`].
     Relay(Relay),
+    /// See [`Day`].
+    Day(Day),
 }
 
 /// Show what a schema file would change, and the revision it was compared with.
@@ -145,6 +147,27 @@
     pub address: Option<SocketAddr>,
 }
 
+/// Show from a relay's log lines what became of the requests, window by window, without a server.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "day")]
+pub struct Day {
+    /// files with the lines of one or more processes
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
+    /// time to a stream's first event that is still in time, in milliseconds; default: 500
+    #[argh(option, default = "500")]
+    pub objective_ms: u64,
+    /// pause between two events that is still in time, in milliseconds; default: 200
+    #[argh(option, default = "200")]
+    pub pause_ms: u64,
+    /// length of a window, in seconds; default: 2
+    #[argh(option, default = "2")]
+    pub every: u64,
+    /// file to draw the day into, as SVG
+    #[argh(option)]
+    pub svg: Option<PathBuf>,
+}
+
 impl Args {
     /// Reads the process's command line; help and wrong use end early with their exit code.
     ///
--- a/ctl/src/command.rs
+++ b/ctl/src/command.rs
@@ -1,6 +1,7 @@
 //! What each command does.
 
 mod apply;
+mod day;
 
 use std::path::Path;
 
@@ -28,9 +29,13 @@
         let schema = read_schema(&check.file)?.schema;
         return Ok(text::checked(&check.file, &schema));
     }
+    if let Command::Day(day) = &args.command {
+        let day = day::run(day)?;
+        return Ok(shown(args, &day, ToString::to_string));
+    }
     let client = Client::open(args)?;
     match &args.command {
-        Command::Check(_) => Ok(String::new()),
+        Command::Check(_) | Command::Day(_) => Ok(String::new()),
         Command::Plan(plan) => {
             let text = read_schema(&plan.file)?.text;
             let reply = plan_text(&client, text).await?;
--- a/ctl/src/lib.rs
+++ b/ctl/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod args;
 pub mod client;
 pub mod command;
+pub mod day;
 pub mod error;
 pub mod exit;
 pub mod table;
--- a/plugins/relay/src/probe.rs
+++ b/plugins/relay/src/probe.rs
@@ -25,8 +25,8 @@
 const LOOK: Duration = Duration::from_millis(8);
 
 /// Time that a question has. A runner that is there takes a connection within two round trips of a
-/// millisecond or less, however slow it is; one that runs at a tenth of its pace takes ten times as
-/// long to answer, and counted as dead while only the whole answer was timed.
+/// millisecond or less, however slow it is. One that runs at a tenth of its pace takes ten times as
+/// long to answer, and would count as dead if the whole answer had the connection's time.
 const QUESTION: AskTime = AskTime {
     connect: Duration::from_millis(14),
     answer: Duration::from_millis(250),
@@ -37,7 +37,7 @@
 const TRIES: usize = 4;
 
 /// Time after which the next question begins while the one before is open. A part that has crashed
-/// refuses all of them within a few milliseconds, one that is dark costs 60.
+/// refuses all of them within a few milliseconds, one that is dark costs 30.
 const STAGGER: Duration = Duration::from_millis(5);
 
 /// Time for the one more question that is asked where the silence may be this instance's own.
--- a/policy/src/relay/placement.rs
+++ b/policy/src/relay/placement.rs
@@ -27,8 +27,7 @@
 
 /// Shares of the declared room that a domain is planned for, tried in turn. The last is room for
 /// a few requests. More than the declared room is of use while a domain is lost and its callers
-/// come to the others: mean worth of ten simulated days with failures 0.681 with 1.0 and 0.695
-/// with 1.5 of it, and 0.592 with 1.75, which leaves no second holders.
+/// come to the others.
 const ROOM_STEPS: [f64; 8] = [1.5, 1.25, 1.0, 0.8, 0.6, 0.45, 0.3, 0.15];
 
 /// Layers that a domain must have places for beside those of its copies to be planned for more
--- a/policy/src/relay/rooms.rs
+++ b/policy/src/relay/rooms.rs
@@ -13,9 +13,8 @@
 use crate::prelude::*;
 use crate::relay::chain::{Chain, Stage};
 
-/// Part of a chain's room that requests may take by their estimates. Share of the worth earned
-/// under failures and high load, mean of ten simulated days: 0.58, 0.64, 0.66 and 0.53 where 0.7,
-/// 0.85, 1.0 and 1.1 of the room are filled.
+/// Part of a chain's room that requests may take by their estimates. Beyond it a chain takes requests
+/// back out of its batch.
 pub const FILL: f64 = 1.0;
 
 /// The same for requests that were under way in a chain that broke: they have been paid for, and
@@ -84,8 +83,8 @@
 }
 
 /// How long a chain gets no new requests after it refused one, in milliseconds: twice as long each
-/// time, up to a bound. A runner whose memory is taken refuses for seconds, ten in one case; each
-/// request sent there in vain costs a repeat.
+/// time, up to a bound. A runner whose memory is taken refuses for seconds, and each request sent
+/// there in vain costs a repeat.
 const REFUSED_MS: Millis = 100;
 const REFUSED_LONGEST_MS: Millis = 1_600;
 
--- a/policy/src/relay/spending.rs
+++ b/policy/src/relay/spending.rs
@@ -34,8 +34,7 @@
 }
 
 /// Part of the bound that the certain parts use together: requests are counted where they arrive,
-/// and the bound's window may begin anywhere. With 0.7 an instance whose chains broke three times
-/// within seventeen seconds cut 0, 7 of 33 and 17 of 17 of their streams.
+/// and the bound's window may begin anywhere.
 const USED_SHARE: f64 = 0.88;
 
 /// Part of the bound up to which instances lend each other. Above it each has its own part only.
@@ -46,8 +45,7 @@
 
 /// What is added to that for each instance beyond [`LEAST_INSTANCES`]: of six a few break at a time,
 /// of seventy all that have a stream through a dead runner, before an exchange has reached them. What
-/// is lent to all together then fits beside the certain parts. With four throughout seventy sent 983
-/// where 962 were allowed.
+/// is lent to all together then fits beside the certain parts.
 const LENT_TO_FURTHER: f64 = LENT_SHARE / (1.0 - USED_SHARE);
 
 /// The least number of instances that the fixed number is divided by: instances that are not known
