Relay: how long a run may be gone on with follows from its route; callers that leave are logged

Cause: 1,700 and 1,300 ms of patience were those of a route with pauses of 250 ms or less; on one with pauses of 500 callers wait four seconds, and their streams were cut after 1.7. The shares are the same, the whole is what the route says.

--- a/plugins/relay/src/request.rs
+++ b/plugins/relay/src/request.rs
@@ -39,6 +39,8 @@
     pub(crate) objective_ms: Millis,
     /// Longest pause of a stream that its caller still takes for timely, in milliseconds.
     pub(crate) pause_ms: Millis,
+    /// Time without an event after which its caller gives it up, in milliseconds.
+    pub(crate) patience_ms: Millis,
     /// When the caller or the route's time-out ends it.
     pub(crate) deadline_ms: Millis,
     pub(crate) max_attempts: u32,
@@ -182,7 +184,8 @@
         class: route.class,
         received_ms,
         objective_ms: route.objective_ms,
-        pause_ms: route.pause_ms.unwrap_or(route.objective_ms),
+        pause_ms: route.timely_pause_ms(),
+        patience_ms: route.patience_ms(),
         deadline_ms: received_ms + time_ms(&parts.headers, &route),
         max_attempts: route.max_attempts,
         priority,
--- a/plugins/relay/src/stream.rs
+++ b/plugins/relay/src/stream.rs
@@ -24,14 +24,13 @@
 use crate::request::{Proxied, count};
 use crate::tried::{Opened, Tried};
 
-/// Time after the last event within which a run must be gone on with, in milliseconds. Callers
-/// give up after a gap of two seconds.
-const PATIENCE_MS: Millis = 1_700;
+/// Part of its caller's patience after the last event within which a run must be gone on with: the
+/// first event of the new run has to come within the rest.
+const PATIENCE_SHARE: f64 = 0.85;
 
-/// Time after the last event up to which a run waits for a holder of the layers that its chain
-/// lost, in milliseconds: they are loaded within a second, and a new run must still fit within
-/// [`PATIENCE_MS`] if they are not.
-const REROUTE_MS: Millis = 1_300;
+/// Part of it up to which a run waits for a holder of the layers that its chain lost: most are loaded
+/// within a second, and a new run must still fit within [`PATIENCE_SHARE`] if they are not.
+const REROUTE_SHARE: f64 = 0.65;
 
 /// Time that a new run takes to its first event, in milliseconds: 40 to 80 where a chain is not
 /// reading much else.
@@ -228,7 +227,7 @@
     async fn reroute(&mut self) -> Option<()> {
         let broken = Rc::clone(&self.passage.as_ref()?.live);
         let in_time = self.heard_ms + self.rq.pause_ms.saturating_sub(READ_MS);
-        let until = self.heard_ms + REROUTE_MS;
+        let until = self.heard_ms + self.patience_ms(REROUTE_SHARE);
         while self.node.now() < until && self.node.has_head(&broken) {
             let elsewhere = self.next_chain().filter(|_| self.rq.class.repeatable());
             let elsewhere = elsewhere.map(|l| l.unread_tokens());
@@ -246,6 +245,11 @@
         None
     }
 
+    /// A share of the caller's patience, in milliseconds.
+    fn patience_ms(&self, share: f64) -> Millis {
+        (self.rq.patience_ms as f64 * share) as Millis
+    }
+
     async fn send_along(&mut self, live: Rc<LiveChain>) -> Option<()> {
         self.passage.as_mut()?.move_to(Rc::clone(&live));
         let ordered = runner::reroute(&live.chain, &self.rq.id, REROUTE_ANSWER).await;
@@ -279,7 +283,7 @@
             return None;
         }
         self.events.resume();
-        let until = self.heard_ms + PATIENCE_MS;
+        let until = self.heard_ms + self.patience_ms(PATIENCE_SHARE);
         let in_time = self.heard_ms + self.rq.pause_ms;
         let mut place = Some(Place::ahead(&self.node));
         while self.node.now() < until {
@@ -369,3 +373,22 @@
         Some(Err(Cut { cause }))
     }
 }
+
+impl Drop for Run {
+    /// A caller that leaves drops its answer, and with it the run: nothing else tells of it.
+    fn drop(&mut self) {
+        if self.ended {
+            return;
+        }
+        let now = self.node.now();
+        count("left");
+        log::info!(
+            request = self.rq.id.as_ref(),
+            chain = self.passage.as_ref().map_or_else(String::new, |p| p.live.label()),
+            events = self.events.count(),
+            silent_ms = now - self.heard_ms,
+            after_ms = now - self.rq.received_ms;
+            "caller left"
+        );
+    }
+}
--- a/policy/src/relay/intent.rs
+++ b/policy/src/relay/intent.rs
@@ -212,7 +212,27 @@
     }
 }
 
+/// The least time without an event after which callers give a stream up, in milliseconds, and the
+/// same as multiples of the route's objective and longest pause.
+const LEAST_PATIENCE_MS: Millis = 2_000;
+const PATIENCE_OBJECTIVES: Millis = 4;
+const PATIENCE_PAUSES: Millis = 8;
+
 impl Route {
+    /// Longest pause of a stream that its caller still takes for timely, in milliseconds.
+    #[must_use]
+    pub fn timely_pause_ms(&self) -> Millis {
+        self.pause_ms.unwrap_or(self.objective_ms)
+    }
+
+    /// Time without an event after which callers give a stream up, in milliseconds.
+    #[must_use]
+    pub fn patience_ms(&self) -> Millis {
+        let by_objective = self.objective_ms * PATIENCE_OBJECTIVES;
+        let by_pause = self.timely_pause_ms() * PATIENCE_PAUSES;
+        LEAST_PATIENCE_MS.max(by_objective).max(by_pause)
+    }
+
     /// The service of a request, by a `draw` from 0 to 1.
     #[must_use]
     pub fn service(&self, draw: f64) -> Option<&Name> {
--- a/policy/tests/relay_rules.rs
+++ b/policy/tests/relay_rules.rs
@@ -451,6 +451,30 @@
     expect_false!(Round::new(1).speaks_against(29));
 }
 
+/// A stream's chain breaks. For how long another run may still go on with it is told by its route: on
+/// one with long pauses the caller waits twice as long, and giving up after the usual time cut streams
+/// that were still awaited.
+#[gtest]
+fn callers_patience_follows_from_the_route() {
+    let route = |objective_ms, pause_ms| Route {
+        name: "r".into(),
+        prefix: "/".into(),
+        class: CallClass::Stream { resumable: true },
+        timeout_ms: 20_000,
+        objective_ms,
+        pause_ms,
+        priority: 1,
+        split: Vec::new(),
+        max_attempts: 2,
+        public: false,
+    };
+    expect_that!(route(500, Some(200)).patience_ms(), eq(2_000));
+    expect_that!(route(500, Some(500)).patience_ms(), eq(4_000));
+    expect_that!(route(1_000, Some(100)).patience_ms(), eq(4_000));
+    expect_that!(route(600, None).timely_pause_ms(), eq(600));
+    expect_that!(route(600, None).patience_ms(), eq(4_800));
+}
+
 /// A runner turns slow and an instance tells the others. A word that took long on its way must not
 /// undo what the runner has said since, and what did not change is not told again.
 #[gtest]
