Relay: an answer of the store that another instance's word overtook is not taken over

Cause, from reading the change, not from a run: an instance that watches and is told steps as well (one that gives orders, or has just become a watcher) could take over a step up to revision 105 while its own call, answered at 103, was still on its way. The older states of that answer then stood until the entry changed again: a runner that had left was sent work. Now a step is taken over only if it ends beyond what is known, whoever tells it.

--- a/plugins/relay/src/peers.rs
+++ b/plugins/relay/src/peers.rs
@@ -364,7 +364,7 @@
             Reply::Done
         }
         Message::Step(step) => {
-            watch::hear_step(node, &step);
+            let _taken = watch::hear_step(node, &step);
             Reply::Done
         }
         Message::Own => Reply::Record(node.membership.borrow().own().clone()),
--- a/plugins/relay/src/watch.rs
+++ b/plugins/relay/src/watch.rs
@@ -270,8 +270,9 @@
             }
             Followed::Runners => {
                 let step = step(revision, changes);
-                take_step(node, &step);
-                tell_step(node, step);
+                if hear_step(node, &step) {
+                    tell_step(node, step);
+                }
             }
         }
         if any && what == Followed::Runners {
@@ -384,18 +385,21 @@
     }
 }
 
-/// Another instance tells what changed; it is taken over if nothing is missing before it.
-pub(crate) fn hear_step(node: &Node, step: &Step) {
-    if step.follows(node.runners_as_of.get()) {
+/// The store, or another instance, tells what changed; it is taken over if nothing is missing before it
+/// and something is new. An answer of the store that was overtaken by another instance's word would
+/// bring back runners that have left since; whether it was taken over.
+pub(crate) fn hear_step(node: &Node, step: &Step) -> bool {
+    let follows = step.follows(node.runners_as_of.get());
+    if follows {
         take_step(node, step);
     }
+    follows
 }
 
 /// Takes over what changed.
 fn take_step(node: &Node, step: &Step) {
-    let known = node.runners_as_of.get();
     note_revision(node, step.newest);
-    node.runners_as_of.set(known.max(step.until));
+    node.runners_as_of.set(step.until);
     let mut changed = false;
     for change in &step.changes {
         match change {
