--- a/plugins/relay/src/live.rs
+++ b/plugins/relay/src/live.rs
@@ -23,7 +23,6 @@
     pub(crate) refusals: RefCell<Refusals>,
     /// Tokens in an event: its declared gap is that many steps.
     event_tokens: f64,
-    crowding: f64,
     /// Time of a token step with its parts as slow as they are now, in milliseconds.
     step_ms: Cell<f64>,
     /// Cancelled when a part is known to be dead: what passes through goes elsewhere.
@@ -102,7 +101,6 @@
                 gaps: RefCell::default(),
                 refusals: RefCell::default(),
                 event_tokens,
-                crowding: engine.crowding,
                 step_ms: Cell::new(chain.step_ms),
                 broken: CancellationToken::new(),
                 unread: Cell::new(0.0),
@@ -250,13 +248,11 @@
                 continue;
             }
             let domain = l.chain.domain.as_ref();
-            let used_tokens = occupancy.used_tokens(&l.chain);
             rooms.push(Room {
                 chain: i,
                 near: domain == Some(&self.settings.failure_domain),
                 room_tokens: l.chain.room_tokens * l.refusals.borrow().scale(),
-                used_tokens,
-                step_ms: l.step_ms.get() * (1.0 + l.crowding * used_tokens.max(0.0)),
+                used_tokens: occupancy.used_tokens(&l.chain),
                 silent_ms: l.silence.borrow().silent_ms(now),
                 refusing: l.refusals.borrow().refusing(now),
             });
--- a/policy/src/relay/intent.rs
+++ b/policy/src/relay/intent.rs
@@ -102,8 +102,6 @@
     pub event_tokens: u32,
     /// Time of one token step of the whole model on a runner of pace 1, in milliseconds.
     pub step_ms: f64,
-    /// What each token in flight adds to a step, as a share of it.
-    pub crowding: f64,
     /// Time to load the whole model, in milliseconds.
     pub load_ms: f64,
     /// Tokens that a prompt and an answer usually have.
--- a/policy/src/relay/rooms.rs
+++ b/policy/src/relay/rooms.rs
@@ -21,9 +21,10 @@
 /// new work takes the room that comes free before they look again.
 pub const FILL_RESUMED: f64 = 1.1;
 
-/// What the step of a chain in another failure domain counts more: its callers' bytes cross, which is
-/// dear, so a small gain is not worth it.
-const ELSEWHERE: f64 = 1.05;
+/// Weight of a chain in the own failure domain: a foreign one is preferred only when it is emptier
+/// by this share of its room. Bytes between failure domains are few for requests and events, and
+/// dear.
+const ELSEWHERE: f64 = 0.15;
 
 /// Part of the answer that counts for the whole of a request's life: half of it on average, and
 /// some more since long answers stay longest.
@@ -74,8 +75,6 @@
     pub room_tokens: f64,
     /// Tokens that it has no room for any more, from the requests of all instances.
     pub used_tokens: f64,
-    /// Time of a token step with what is in flight, in milliseconds.
-    pub step_ms: f64,
     /// Time without a byte while requests wait, in milliseconds.
     pub silent_ms: Millis,
     /// Whether it refused a request a moment ago.
@@ -150,19 +149,15 @@
 /// Silence from which on a chain gets new requests only if no other has room, in milliseconds.
 const DOUBT_MS: Millis = 200;
 
-/// The chain for a request of `tokens` tokens, if one has room for it below `fill`: the one that
-/// writes its answer soonest.
-///
-/// Load pattern: a part turns slow, or one domain has fewer fast runners than the others. Filled in
-/// step with the others, the slow chain holds the most streams, all of them late, and when a part of
-/// it dies they are the most that have to be read again.
+/// The chain for a request of `tokens` tokens, if one has room for it below `fill`.
 #[must_use]
 pub fn choose(rooms: &[Room], tokens: f64, fill: f64) -> Option<usize> {
     let fits = |r: &&Room| !r.refusing && r.used_tokens + tokens <= r.room_tokens * fill;
     let rank = |r: &Room| {
-        let far = if r.near { 1.0 } else { ELSEWHERE };
-        let doubt = if r.silent_ms > DOUBT_MS { 1e3 } else { 0.0 };
-        r.step_ms * far + doubt
+        let fill = (r.used_tokens + tokens) / r.room_tokens.max(1.0);
+        let far = if r.near { 0.0 } else { ELSEWHERE };
+        let doubt = if r.silent_ms > DOUBT_MS { 10.0 } else { 0.0 };
+        fill + far + doubt
     };
     let best = rooms
         .iter()
