--- /dev/null
+++ b/policy/tests/relay_naming.rs
@@ -0,0 +1,218 @@
+//! Which runner is dead or slow: silence, questions and their answers, and the word of others.
+
+#[path = "support/relay.rs"]
+#[allow(dead_code, reason = "other tests use the rest")]
+mod support;
+
+use googletest::prelude::*;
+use jacinthweir_policy::relay::runners::{ASK_PAUSE_MS, Runners};
+use jacinthweir_policy::relay::silence::{Gaps, Round, Silence};
+use support::runner;
+
+/// Pause between two events by the declared figures, in milliseconds.
+const EVENT_MS: f64 = 20.0;
+
+/// A part of a chain dies. Its callers count their answers as late after a pause of 200 ms and
+/// give up after two seconds; the first runner says of its dead neighbour only after 2.5 s.
+/// Nothing at all from a chain with several requests waiting is the sign. A chain whose bytes come
+/// every 120 ms is slow, not dead: it is asked once, and then its gaps are known.
+#[gtest]
+fn a_silent_chain_is_asked_at_once_and_a_slow_one_only_once() {
+    let mut silent = Silence::new(EVENT_MS);
+    let mut slow = Silence::new(EVENT_MS);
+    for _ in 0..5 {
+        silent.sent(0);
+        slow.sent(0);
+    }
+    let mut asked_at = None;
+    let mut slow_asked = 0;
+    for now in (0..4_000).step_by(20) {
+        if now % 120 == 0 {
+            slow.heard(now);
+        }
+        slow_asked += usize::from(slow.should_ask(now));
+        if silent.should_ask(now) && asked_at.is_none() {
+            asked_at = Some(now);
+        }
+    }
+    expect_that!(asked_at, some(le(100)));
+    expect_that!(slow_asked, le(1));
+}
+
+/// A chain pauses once for 400 ms, as a packet was sent again; then a part dies. The long gap must
+/// not put off the question by as much.
+#[gtest]
+fn one_long_gap_does_not_hide_a_dead_part() {
+    let mut silence = Silence::new(EVENT_MS);
+    (0..5).for_each(|_| silence.sent(0));
+    silence.heard(400);
+    silence.heard(430);
+    let asked_at = (430..2_000).find(|now| silence.should_ask(*now));
+    expect_that!(asked_at, some(le(700)));
+}
+
+#[gtest]
+fn one_waiting_request_is_given_more_time_and_none_is_no_silence() {
+    let mut silence = Silence::new(EVENT_MS);
+    expect_false!(silence.should_ask(10_000));
+    silence.sent(10_000);
+    expect_false!(silence.should_ask(10_300));
+    expect_true!(silence.should_ask(10_500));
+    expect_false!(silence.should_ask(10_600));
+    silence.ended();
+    expect_false!(silence.should_ask(60_000));
+}
+
+/// A part of a large fleet is cut off. Every instance finds chains silent and runners dead, and
+/// asks them again and again: the reports cost more than what is served. Questions without news
+/// become rare; news makes them quick again.
+#[gtest]
+fn questions_that_bring_no_news_become_rare() {
+    let mut silence = Silence::new(EVENT_MS);
+    (0..5).for_each(|_| silence.sent(0));
+    let asked = (0..30_000)
+        .step_by(50)
+        .filter(|now| silence.should_ask(*now))
+        .count();
+    expect_that!(asked, le(9));
+    silence.heard(30_000);
+    let soon = (30_000..32_000)
+        .step_by(50)
+        .filter(|now| silence.should_ask(*now))
+        .count();
+    expect_that!(soon, ge(2));
+    let mut runners = Runners::default();
+    let entry = runner("a", "east", "l4");
+    runners.put(&entry);
+    let standing = runners.standing_mut(&entry.id).expect("known");
+    let asked = (0..30_000)
+        .step_by(50)
+        .filter(|now| standing.should_ask(*now, ASK_PAUSE_MS))
+        .count();
+    expect_that!(asked, le(9));
+    standing.asked_anew();
+    expect_true!(standing.should_ask(31_000, ASK_PAUSE_MS));
+}
+
+/// Two chains with a dead part each: an idle one whose passes took 20 ms, and one that reads long
+/// prompts, with passes of 80 to 120 ms. A fixed limit left the first one dead for five passes, or
+/// asked the second at every pass. Each is asked after a pause that its own rhythm does not have.
+#[gtest]
+fn silence_is_measured_by_the_rhythm_of_the_chain() {
+    let asked_after = |pauses: &[u64]| {
+        let mut silence = Silence::new(EVENT_MS);
+        (0..5).for_each(|_| silence.sent(0));
+        let mut now = 0;
+        let mut asked = 0;
+        for pause in pauses.iter().cycle().take(200) {
+            for at in now..now + pause {
+                asked += usize::from(silence.should_ask(at));
+            }
+            now += pause;
+            silence.heard(now);
+        }
+        let last = (now..).find(|at| silence.should_ask(*at));
+        (asked, last.map_or(0, |at| at - now))
+    };
+    let (asked, after_ms) = asked_after(&[20, 21, 19]);
+    expect_that!(asked, eq(0));
+    expect_that!(after_ms, le(60));
+    let (asked, after_ms) = asked_after(&[80, 120, 95, 100]);
+    expect_that!(asked, le(2));
+    expect_that!(after_ms, ge(121));
+    expect_that!(after_ms, le(250));
+}
+
+/// All instances lose their chains' parts at once, as one finds a runner dead and tells the others.
+/// One whose own chain was heard a moment ago must not believe it without a question.
+#[gtest]
+fn only_an_instance_with_a_silent_chain_takes_another_ones_word() {
+    let mut silence = Silence::new(EVENT_MS);
+    expect_false!(silence.agrees(1_000));
+    (0..5).for_each(|_| silence.sent(1_000));
+    (1..50).for_each(|pass| silence.heard(1_000 + 20 * pass));
+    expect_false!(silence.agrees(2_000));
+    expect_true!(silence.agrees(2_030));
+}
+
+/// The processor or the link of a small instance is used up for 50 ms beside a large configuration.
+/// No part of its chains answers within the usual few milliseconds; by a fixed time it found all of
+/// them dead, told sixty others so, and streams were cut all over the fleet for seconds.
+#[gtest]
+fn an_instance_that_is_held_up_finds_nobody_dead() {
+    let mut round = Round::new(10);
+    expect_false!(round.speaks_against(29));
+    for ms in [24, 26, 30, 31, 31] {
+        round.answered(ms);
+    }
+    expect_false!(round.speaks_against(60));
+    expect_true!(round.speaks_against(200));
+}
+
+/// One part of ten is dead and another answers slowly: the dead one is named while the slow one is
+/// still awaited. Where only few have answered nothing is said.
+#[gtest]
+fn a_dead_part_is_named_by_the_answers_of_half_the_others() {
+    let mut round = Round::new(10);
+    for ms in [3, 3, 4, 4] {
+        round.answered(ms);
+    }
+    expect_false!(round.speaks_against(29));
+    round.answered(5);
+    expect_true!(round.speaks_against(29));
+    expect_false!(Round::new(1).speaks_against(29));
+}
+
+/// A runner turns slow and an instance tells the others. A word that took long on its way must not
+/// undo what the runner has said since, and what did not change is not told again.
+#[gtest]
+fn the_newest_word_on_a_pace_holds() {
+    let mut runners = Runners::default();
+    let entry = runner("a", "east", "l4");
+    runners.put(&entry);
+    let standing = runners.standing_mut(&entry.id).expect("known");
+    expect_true!(standing.set_pace(12.0, 2_000));
+    expect_false!(standing.set_pace(1.0, 1_900));
+    expect_that!(standing.slowness(), eq(12.0));
+    expect_false!(standing.set_pace(12.1, 3_000));
+    expect_that!(standing.pace_changed_since(2_500), none());
+    expect_true!(standing.set_pace(1.0, 4_000));
+    expect_that!(standing.pace_changed_since(3_900), some(eq((1.0, 4_000))));
+    // Somebody asked a moment ago and told: no question of one's own is due.
+    expect_false!(standing.should_ask(4_300, ASK_PAUSE_MS));
+    expect_true!(standing.should_ask(4_700, ASK_PAUSE_MS));
+}
+
+/// A runner that was cut off answers one instance again. The others ask as soon as they hear so,
+/// though their own next question would be seconds away.
+#[gtest]
+fn a_runner_that_answers_another_instance_again_is_asked_soon() {
+    let mut runners = Runners::default();
+    let entry = runner("a", "east", "l4");
+    runners.put(&entry);
+    let standing = runners.standing_mut(&entry.id).expect("known");
+    standing.dead = true;
+    (0..5).for_each(|i| {
+        standing.should_ask(i * 10_000, ASK_PAUSE_MS);
+    });
+    expect_false!(standing.should_ask(41_000, ASK_PAUSE_MS));
+    standing.ask_soon();
+    expect_true!(standing.should_ask(41_000, ASK_PAUSE_MS));
+    standing.answers_again(41_010);
+    expect_true!(standing.answers_since(41_000));
+    expect_false!(standing.answers_since(41_500));
+}
+
+#[gtest]
+fn only_gaps_far_above_the_declared_ones_are_asked_about() {
+    let mut gaps = Gaps::default();
+    for _ in 0..200 {
+        gaps.seen(60);
+    }
+    expect_false!(gaps.should_ask(0, 20.0));
+    for _ in 0..200 {
+        gaps.seen(400);
+    }
+    expect_true!(gaps.should_ask(0, 20.0));
+    expect_false!(gaps.should_ask(100, 20.0));
+}
