Test of the frozen instance: an apply waits for the last commit at the instance that it plans at

Trace: the test applies at instance 0, then at 1, then at 2; jwctl plans against what that instance has in force. Beside load instance 1 had not heard of revision 2 when the second plan was made, and the refusal was the documented one. The verdict hung on how fast a commit spreads, which the test does not mean to check. It now waits, as it already does at its end, until the instance serves the newest revision; everything that it checked is checked as before. Code untouched.

--- a/testkit/tests/configuration.rs
+++ b/testkit/tests/configuration.rs
@@ -98,6 +98,9 @@
     fleet.instances[LAST].process.freeze().unwrap();
     let mut newest = 1;
     for n in 0..3 {
+        // An operator who plans at an instance that has not heard of the last commit is told of a
+        // conflict, truthfully.
+        until("the last is in force", || serves(&fleet, n, newest)).await;
         newest = apply(&fleet, n, 600 + n as u32).await;
     }
     fleet.instances[LAST].process.wake().unwrap();
