Relay: a cut stream says why no other run went on; held-up instances and long readings are logged

What callers saw: beside a change of the configuration an accepted request's answer ended in the middle, twice in some 65 s on a fleet of 71 instances. What it collected holds only the last 28 kB of each instance's lines, none of the seconds in question.

Timeline from the record: runners of the model are replaced one each 0.5 s from 34.0 s and from 62.0 s; a configuration with 1,400 routes more is sent at 36.0 (in force everywhere by 38.3) and at 64.0; the next version follows at 38.257. At 38.391 and 65.234 s a run ends at its runner as the connection is closed on it, 6 ms later the caller's closes. No runner that left had exited by then (the first could at 39.5), and none crashed. So the instance itself gave the run up. From the collected figures: each configuration is 0.65 to 0.9 MB, on links of 20 Mbit/s 0.3 s and more; instances receive it for each version and again whenever they confirm it.

Hypotheses: 1. The configuration fills the instance's own link (or its processor, while it decodes). Chains fall silent for it, it asks their parts, gets no answer in time, takes living runners for dead, breaks its chains and cuts. 2. A part that left exits while its entry is gone: the chain is never known as broken, and its streams wait until the first runner gives up, too late to go on. 3. A chain breaks and the budget of repeats is used up, or the next chain breaks as well: the stream is given up at once.

The lines could not tell these apart: a cut named no reason for not going on and no silence, questions without an answer left no trace unless a runner was named dead, and nothing told of an instance that stood still. Now a cut has given_up, sends and silent_ms; a round of questions ends with a line; standing still for 40 ms and more, and each reading of the whole configuration, have lines with their times. No decision changes.

--- a/plugins/relay/src/probe.rs
+++ b/plugins/relay/src/probe.rs
@@ -62,9 +62,12 @@
 
 async fn look(node: &Rc<Node>) {
     let mut ticks = interval(LOOK);
+    let mut looked_ms = node.now();
     loop {
         ticks.tick().await;
         let now = node.now();
+        log_held_up(now - looked_ms);
+        looked_ms = now;
         let expired = node.runners.borrow_mut().expire(now);
         if expired {
             log::info!("runners whose entries lapsed did not come back");
@@ -81,6 +84,17 @@
     }
 }
 
+/// Time between two looks from which on the instance was held up, in milliseconds: by its own work,
+/// or without processor.
+const HELD_UP_MS: Millis = 40;
+
+fn log_held_up(passed: Millis) {
+    metrics::histogram!("jacinthweir_look_seconds").record(passed as f64 / 1e3);
+    if passed >= HELD_UP_MS {
+        log::info!(passed_ms = passed; "held up");
+    }
+}
+
 async fn ask_parts(node: Rc<Node>, live: Rc<LiveChain>) {
     log_silence(&node, &live);
     let began = node.now();
@@ -105,7 +119,15 @@
             }
         }
     }
+    let unanswered = silent.len();
     join_all(silent.into_iter().map(|(s, _)| ask_patiently(&node, s))).await;
+    log::info!(
+        chain = live.label(),
+        parts = live.chain.stages.len(),
+        unanswered,
+        took_ms = node.now() - began;
+        "parts of a chain were asked"
+    );
 }
 
 fn log_silence(node: &Node, live: &LiveChain) {
--- a/plugins/relay/src/stream.rs
+++ b/plugins/relay/src/stream.rs
@@ -130,6 +130,25 @@
     ended: bool,
 }
 
+/// Why no other run went on with a stream.
+#[derive(Clone, Copy, Debug, derive_more::Display, PartialEq, Eq)]
+enum GivenUp {
+    #[display("it must not run again")]
+    NotRepeatable,
+    #[display("no repeat left")]
+    NoRepeat,
+    #[display("no chain took it in time")]
+    NoChain,
+    #[display("the next chain broke")]
+    NextBroke,
+    #[display("the next run was lost")]
+    NextLost,
+    #[display("the next run failed")]
+    NextFailed,
+    #[display("out of time")]
+    OutOfTime,
+}
+
 /// What came next.
 enum Next {
     Bytes(Bytes),
@@ -151,29 +170,29 @@
                     match pushed {
                         Ok(whole) if whole.is_empty() => {}
                         Ok(whole) => return Some(Ok(whole)),
-                        Err(e) => return self.cut(e.to_string()),
+                        Err(e) => return self.cut(e.to_string(), None),
                     }
                 }
                 Next::End if !(self.ok && self.events.holds_part()) => return self.end(),
                 Next::End => {
                     let cause = "ended within an event".to_owned();
-                    if self.go_on(&cause).await.is_none() {
-                        return self.cut(cause);
+                    if let Err(given_up) = self.go_on(&cause).await {
+                        return self.cut(cause, Some(given_up));
                     }
                 }
                 Next::Broke(cause) => {
-                    if self.go_on(&cause).await.is_none() {
-                        return self.cut(cause);
+                    if let Err(given_up) = self.go_on(&cause).await {
+                        return self.cut(cause, Some(given_up));
                     }
                 }
                 Next::ChainBroke if self.reroute().await.is_some() => {}
                 Next::ChainBroke => {
                     let cause = "chain broke".to_owned();
-                    if self.go_on(&cause).await.is_none() {
-                        return self.cut(cause);
+                    if let Err(given_up) = self.go_on(&cause).await {
+                        return self.cut(cause, Some(given_up));
                     }
                 }
-                Next::Timeout => return self.cut("out of time".to_owned()),
+                Next::Timeout => return self.cut("out of time".to_owned(), None),
             }
         }
         None
@@ -269,8 +288,8 @@
         ordered.ok().map(drop)
     }
 
-    /// Goes on with another run behind the last whole event; `None` if that cannot be.
-    async fn go_on(&mut self, cause: &str) -> Option<()> {
+    /// Goes on with another run behind the last whole event.
+    async fn go_on(&mut self, cause: &str) -> Result<(), GivenUp> {
         self.body = None;
         // A runner that broke off is most likely dead, and not yet known to be.
         self.tried.left = self
@@ -280,7 +299,7 @@
             .map(|p| Rc::clone(&p.live))
             .collect();
         if !self.ok || !self.rq.class.repeatable() {
-            return None;
+            return Err(GivenUp::NotRepeatable);
         }
         self.events.resume();
         let until = self.heard_ms + self.patience_ms(PATIENCE_SHARE);
@@ -296,22 +315,23 @@
             };
             // Each send counts, also one that a runner refuses.
             if !self.node.take_repeat(&self.rq.service) {
-                return None;
+                return Err(GivenUp::NoRepeat);
             }
             let after = self.events.last();
             match self.tried.open(&self.node, &self.rq, &live, after).await {
                 Opened::Stream(passage, res) if res.status() == StatusCode::OK => {
                     drop(place);
                     self.resumed(passage, res, cause);
-                    return Some(());
+                    return Ok(());
                 }
                 Opened::NotRun | Opened::Unreached => {}
-                Opened::Stream(..) | Opened::Broken | Opened::Lost | Opened::Timeout => {
-                    return None;
-                }
+                Opened::Stream(..) => return Err(GivenUp::NextFailed),
+                Opened::Broken => return Err(GivenUp::NextBroke),
+                Opened::Lost => return Err(GivenUp::NextLost),
+                Opened::Timeout => return Err(GivenUp::OutOfTime),
             }
         }
-        None
+        Err(GivenUp::NoChain)
     }
 
     fn next_chain(&self) -> Option<Rc<LiveChain>> {
@@ -357,7 +377,7 @@
         None
     }
 
-    fn cut(&mut self, cause: String) -> Option<Result<Bytes, Cut>> {
+    fn cut(&mut self, cause: String, given_up: Option<GivenUp>) -> Option<Result<Bytes, Cut>> {
         self.ended = true;
         self.passage = None;
         self.body = None;
@@ -366,6 +386,9 @@
             request = self.rq.id.as_ref(),
             route = self.rq.route.as_ref(),
             cause = cause.as_str(),
+            given_up = given_up.map_or_else(String::new, |g| g.to_string()),
+            sends = self.tried.journal.sends,
+            silent_ms = self.node.now() - self.heard_ms,
             last_event:? = self.events.last(),
             after_ms = self.node.now() - self.rq.received_ms;
             "stream cut"
--- a/plugins/relay/src/watch.rs
+++ b/plugins/relay/src/watch.rs
@@ -75,6 +75,7 @@
         match node.store.get(desired::KIND, desired::NAME).await {
             Ok(Some(object)) => {
                 node.hears_store.set(true);
+                log::info!(took_ms = node.now() - sent; "configuration read");
                 if take_configuration(node, &object) {
                     node.vouch.borrow_mut().confirm(sent);
                 }
