Tests, red: an instance that hears nobody takes living runners for dead, and a fleet takes its word

What callers saw: an accepted request's answer ended in the middle beside a change of the configuration.

Within two seconds 65 of the 71 instances took the word over ("another instance found it dead, its chains are silent here"): the same configuration filled their links.

--- /dev/null
+++ b/plugins/relay/tests/relay/own_link.rs
@@ -0,0 +1,179 @@
+//! What an instance believes of runners while it hears nobody itself.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use serde::Serialize;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::task::{JoinHandle, spawn_local};
+use tokio::time::{sleep, timeout};
+
+use crate::standin::{BORN_MS, LONG, Seen, Site, on_one_thread, raw, request};
+use crate::{LOOKUP, NOTES, TOKENS};
+
+/// Two streams under way, so that the silence of their chain is noticed soon.
+async fn two_streams(site: &Site) -> Vec<JoinHandle<Seen>> {
+    let callers = site.callers();
+    let ask = || spawn_local(async move { request(callers, NOTES, TOKENS, "prompt").await });
+    let streams = vec![ask(), ask()];
+    let begun = async {
+        while site.runs() < 2 {
+            sleep(Duration::from_millis(1)).await;
+        }
+    };
+    timeout(LONG, begun).await.expect("both run");
+    streams
+}
+
+async fn expect_whole_from_one_run_each(site: &Site, streams: Vec<JoinHandle<Seen>>) {
+    for stream in streams {
+        let got = stream.await.expect("it ends");
+        expect_that!(got.status, eq(200));
+        expect_true!(got.whole);
+        expect_that!(got.events(), eq(&[1, 2, 3, 4, 5, 6]));
+    }
+    expect_that!(site.runs(), eq(2));
+}
+
+/// Beside a change of the configuration a caller's answer ended in the middle, although all runners
+/// lived. The configuration was large and filled the instance's own link for a third of a second
+/// and more: the streams of a chain paused, the questions to all its parts had no answer in time,
+/// and all of them counted as dead. The streams went on in another chain, which was silent for the
+/// same reason and was taken for dead as well; then they were cut.
+#[gtest]
+fn an_instance_that_hears_nobody_takes_nobody_for_dead() {
+    on_one_thread(async {
+        let site = Site::open().await;
+        let streams = two_streams(&site).await;
+        site.hold_all(true);
+        // Well within the two seconds for which callers wait for the next event.
+        sleep(Duration::from_millis(1_200)).await;
+        expect_that!(site.dead().await, eq(0));
+        site.hold_all(false);
+        expect_whole_from_one_run_each(&site, streams).await;
+    });
+}
+
+/// A message between instances that says that runners are dead.
+#[derive(Serialize)]
+enum Message {
+    News(News),
+}
+
+#[derive(Serialize)]
+struct News {
+    seen: (u64, u64, Vec<(String, u64)>),
+    dead: Vec<(String, u64)>,
+    alive: Vec<(String, u64)>,
+    paces: Vec<(String, u64, f64, u64)>,
+}
+
+async fn tell_dead(site: &Site, runner: &str) {
+    let news = Message::News(News {
+        seen: (0, 0, Vec::new()),
+        dead: vec![(runner.to_owned(), BORN_MS)],
+        alive: Vec::new(),
+        paces: Vec::new(),
+    });
+    let body = rmp_serde::to_vec(&news).expect("a message");
+    let length = body.len();
+    let head = format!(
+        "POST /peer HTTP/1.1\r\nHost: one\r\nContent-Length: {length}\r\nConnection: close\r\n\r\n"
+    );
+    let got = raw(
+        site.settings.listen.peers,
+        &[head.as_bytes(), &body].concat(),
+    )
+    .await;
+    expect_that!(got.status, eq(200));
+}
+
+/// One instance's mistake became the whole fleet's: it told the others that a living runner is dead,
+/// and each whose chain was silent just then, since the same configuration filled its link, took the
+/// word without a question. 65 of 71 instances left the runner within two seconds.
+#[gtest]
+fn a_word_that_a_living_runner_is_dead_is_not_taken_over_in_a_silence() {
+    on_one_thread(async {
+        let site = Site::open().await;
+        let streams = two_streams(&site).await;
+        site.hold_all(true);
+        sleep(Duration::from_millis(100)).await;
+        for runner in &site.runners[..2] {
+            tell_dead(&site, &runner.id).await;
+        }
+        sleep(Duration::from_millis(50)).await;
+        expect_that!(site.dead().await, eq(0));
+        site.hold_all(false);
+        expect_whole_from_one_run_each(&site, streams).await;
+    });
+}
+
+/// An address at which no connection comes about, and nobody refuses one either.
+struct Unconnectable {
+    listener: TcpListener,
+    _waiting: Vec<TcpStream>,
+}
+
+impl Unconnectable {
+    async fn open() -> Unconnectable {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.bind(([127, 0, 0, 1], 0).into()).expect("a port");
+        let listener = socket.listen(1).expect("a listener");
+        let address = listener.local_addr().expect("an address");
+        let mut waiting = Vec::new();
+        let brief = Duration::from_millis(200);
+        // Connections that nobody accepts, until there is no room for another.
+        while let Ok(Ok(stream)) = timeout(brief, TcpStream::connect(address)).await {
+            waiting.push(stream);
+        }
+        Unconnectable {
+            listener,
+            _waiting: waiting,
+        }
+    }
+}
+
+/// While the instance's own link was full, the connections that its requests needed did not come
+/// about in time either, and the runners that they were for counted as dead at once, without any
+/// question. That a machine refuses a connection shows that nobody listens there; that none comes
+/// about shows nothing while nobody else is heard.
+#[gtest]
+fn a_connection_that_does_not_come_about_is_no_death_while_nobody_is_heard() {
+    on_one_thread(async {
+        let site = Site::open().await;
+        site.hold_all(true);
+        let mut listeners = Vec::new();
+        for runner in &site.plain {
+            let full = Unconnectable::open().await;
+            let address = full.listener.local_addr().expect("an address");
+            runner.register_at(address);
+            listeners.push(full);
+        }
+        sleep(Duration::from_millis(300)).await;
+        let got = request(site.callers(), LOOKUP, "", "").await;
+        expect_that!(got.status, eq(503));
+        expect_that!(got.header("retry-after"), some(anything()));
+        sleep(Duration::from_millis(600)).await;
+        expect_that!(site.dead().await, eq(0));
+    });
+}
+
+/// The checks above can fail: one runner that nobody reaches counts as dead while others answer.
+#[gtest]
+fn a_runner_that_alone_is_not_reached_counts_as_dead() {
+    on_one_thread(async {
+        let site = Site::open().await;
+        let full = Unconnectable::open().await;
+        site.plain[0].register_at(full.listener.local_addr().expect("an address"));
+        sleep(Duration::from_millis(300)).await;
+        let got = request(site.callers(), LOOKUP, "", "").await;
+        expect_that!(got.status, eq(200));
+        let found = async {
+            while site.dead().await == 0 {
+                sleep(Duration::from_millis(10)).await;
+            }
+        };
+        timeout(LONG, found).await.expect("it counts as dead");
+        expect_that!(site.dead().await, eq(1));
+    });
+}
--- a/plugins/relay/tests/support/standin.rs
+++ b/plugins/relay/tests/support/standin.rs
@@ -186,6 +186,9 @@
     address
 }
 
+/// When each runner was born, as its entry says.
+pub const BORN_MS: u64 = 1_700_000_000_000;
+
 /// How a runner treats the next requests.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Manner {
@@ -238,6 +241,8 @@
     pub id: String,
     pub address: SocketAddr,
     pub manner: Cell<Manner>,
+    /// Nothing comes from it while set, as where the link of the one that listens is full.
+    pub held: Cell<bool>,
     pub received: RefCell<Vec<Received>>,
     /// Callers that left before the end.
     pub left: Cell<usize>,
@@ -257,6 +262,7 @@
             id: id.to_owned(),
             address: listener.local_addr().expect("an address"),
             manner: Cell::new(Manner::Well),
+            held: Cell::new(false),
             received: RefCell::default(),
             left: Cell::new(0),
             rerouted: RefCell::default(),
@@ -278,11 +284,20 @@
     }
 
     pub fn register(&self, state: &str) {
+        self.write_entry(state, self.address);
+    }
+
+    /// Its entry names another address from now on.
+    pub fn register_at(&self, address: SocketAddr) {
+        self.write_entry("ready", address);
+    }
+
+    fn write_entry(&self, state: &str, address: SocketAddr) {
         let layers = self.layers.get();
         let layers = layers.map(|(from, target)| json!({ "from": from, "target": target }));
         let spec = json!({
-            "service": self.service, "address": self.address.to_string(), "zone": self.domain,
-            "state": state, "slots": 8, "sequence": 1, "born": 1_700_000_000_000_u64,
+            "service": self.service, "address": address.to_string(), "zone": self.domain,
+            "state": state, "slots": 8, "sequence": 1, "born": BORN_MS,
             "kind": "card", "layers": layers,
         });
         self.store.put("servers", &self.id, &spec);
@@ -315,7 +330,14 @@
         }
     }
 
+    async fn while_held(&self) {
+        while self.held.get() {
+            sleep(Duration::from_millis(5)).await;
+        }
+    }
+
     async fn report(&self, stream: &mut TcpStream) {
+        self.while_held().await;
         let layers = self.layers.get();
         let layers = layers.map(|(from, target)| json!({ "from": from, "target": target }));
         let report = json!({ "sequence": self.orders.get(), "busy": false, "layers": layers });
@@ -395,6 +417,7 @@
             "HTTP/1.1 200 OK\r\n{headers}Content-Type: text/event-stream\r\n\
              Transfer-Encoding: chunked\r\n\r\n"
         );
+        self.while_held().await;
         if stream.write_all(head.as_bytes()).await.is_err() {
             return;
         }
@@ -404,6 +427,7 @@
             6
         };
         for event in after.unwrap_or(0) + 1..=last {
+            self.while_held().await;
             let text = format!("id: {event}\ndata: {}\n\n", self.id);
             if self.manner.get() == Manner::BreaksOff && event == 3 {
                 let part = &text[..8];
@@ -529,6 +553,19 @@
             .sum()
     }
 
+    /// Whether anything comes from any runner.
+    pub fn hold_all(&self, held: bool) {
+        for runner in self.runners.iter().chain(&self.plain) {
+            runner.held.set(held);
+        }
+    }
+
+    /// Runners that the relay takes for dead.
+    pub async fn dead(&self) -> usize {
+        let dump = ask(self.settings.listen.operators, "GET /dump HTTP/1.1").await;
+        dump.body.matches("\"dead\": true").count()
+    }
+
     pub fn set_all(&self, manner: Manner) {
         for runner in self.runners.iter().chain(&self.plain) {
             runner.manner.set(manner);
