Test, red: new requests use up the further sends that a stream under way needs

What callers saw: an answer that ended in the middle beside a change of the configuration, while runners were replaced.

Each send beyond the first counts, also one that a runner refuses. A full part refuses one request after the other, each instance's new requests spend its sends on trying the next chain, and the first stream whose chain breaks then is cut at once, 20 ms after its last event, although its caller would wait two seconds.

--- a/plugins/relay/tests/relay.rs
+++ b/plugins/relay/tests/relay.rs
@@ -2,6 +2,8 @@
 
 #[path = "relay/own_link.rs"]
 mod own_link;
+#[path = "relay/repeats.rs"]
+mod repeats;
 #[path = "support/standin.rs"]
 mod standin;
 
--- a/plugins/relay/tests/support/standin.rs
+++ b/plugins/relay/tests/support/standin.rs
@@ -496,11 +496,16 @@
 
 impl Site {
     pub async fn open() -> Site {
-        Site::with(5_000).await
+        Site::bound_by(|_| {}).await
     }
 
     /// A site whose instances refuse unconfirmed keys after `revocation_ms`.
     pub async fn with(revocation_ms: u64) -> Site {
+        Site::bound_by(|bounds| bounds.revocation_ms = revocation_ms).await
+    }
+
+    /// A site with bounds that `change` sets.
+    pub async fn bound_by(change: impl FnOnce(&mut Bounds)) -> Site {
         let (store, address) = Store::spawn().await;
         store.put("config", "main", &configuration(1));
         let mut runners = Vec::new();
@@ -511,7 +516,8 @@
         for (id, domain) in [("p1", "a"), ("p2", "b")] {
             plain.push(Runner::spawn(&store, id, "orders", domain).await);
         }
-        let settings = settings(address, revocation_ms);
+        let mut settings = settings(address);
+        change(&mut settings.bounds);
         let relay = Relay::spawn(settings.clone()).await.expect("a relay");
         let site = Site {
             store,
@@ -613,7 +619,7 @@
     [127, high.max(1), low, TESTS.fetch_add(1, Ordering::Relaxed)]
 }
 
-fn settings(store: SocketAddr, revocation_ms: u64) -> RelaySettings {
+fn settings(store: SocketAddr) -> RelaySettings {
     let ip = own_ip();
     let ports: Vec<SocketAddr> = (7_001..7_006).map(|port| (ip, port).into()).collect();
     RelaySettings {
@@ -630,7 +636,7 @@
         store,
         limits: RelayLimits::default(),
         bounds: Bounds {
-            revocation_ms,
+            revocation_ms: 5_000,
             shutdown_s: 8.0,
             entry_ttl_ms: 100,
             repeat_ratio: 0.2,
