Relay: the last further sends go to requests that can't be refused truthfully

What callers saw: an answer that ended in the middle, beside a change of the configuration, while chains were full and runners were replaced.

Cause: the budget of further sends had no order. A new request that a full runner refuses has not run: a 503 with a time to come back is true.

Change: Spending::take knows who asks. A request that has certainly not run leaves 0.3 of the instance's certain part, what was lent included; one that may have run, or whose answer has begun, may take everything. The bound itself is as it was.

Why it holds: whatever the load refuses, the streams that break within a window have at least that part. It is a share, not a number, so it grows with the instance's own requests. Not a promise: a chain that breaks with more streams than that still cuts the rest.

Ruled out: no further send for refused requests at all (a chain that refuses once would cost a caller its one return).

--- a/plugins/relay/src/answer.rs
+++ b/plugins/relay/src/answer.rs
@@ -15,6 +15,7 @@
 use http_body::{Body, Frame, SizeHint};
 use jacinthweir_platform::header;
 use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::relay::spending::Claim;
 
 use crate::node::Node;
 
@@ -167,6 +168,14 @@
         self.open > 0
     }
 
+    /// What a further send of the request is for.
+    pub(crate) fn claim(&self) -> Claim {
+        match self.may_have_run() {
+            true => Claim::Owed,
+            false => Claim::Refusable,
+        }
+    }
+
     /// The final answer of a request that no runner answered.
     pub(crate) fn failure(&self, cause: Cause, retry_after_ms: Millis) -> Response<RelayBody> {
         if self.may_have_run() {
--- a/plugins/relay/src/node.rs
+++ b/plugins/relay/src/node.rs
@@ -15,7 +15,7 @@
 use jacinthweir_policy::relay::lease::Lease;
 use jacinthweir_policy::relay::rooms::{Flow, Shortage};
 use jacinthweir_policy::relay::runners::Runners;
-use jacinthweir_policy::relay::spending::{Counts, Spending, SpendingConfig};
+use jacinthweir_policy::relay::spending::{Claim, Counts, Spending, SpendingConfig};
 use jacinthweir_policy::relay::vouch::Vouch;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -232,13 +232,13 @@
     }
 
     /// Takes one further send for a service out of the common budget.
-    pub(crate) fn take_repeat(&self, service: &Name) -> bool {
+    pub(crate) fn take_repeat(&self, service: &Name, claim: Claim) -> bool {
         let cfg = self.spending_config();
         let instances = self.most_instances();
         let now = self.now();
         let mut spending = self.spending.borrow_mut();
         let of_service = spending.entry(service.clone()).or_default();
-        let taken = of_service.take(now, &cfg, instances);
+        let taken = of_service.take(now, &cfg, instances, claim);
         let outcome = if taken { "taken" } else { "refused" };
         metrics::counter!("jacinthweir_repeats_total", "outcome" => outcome).increment(1);
         taken
--- a/plugins/relay/src/stream.rs
+++ b/plugins/relay/src/stream.rs
@@ -14,6 +14,7 @@
 use jacinthweir_platform::{header, runner};
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::rooms;
+use jacinthweir_policy::relay::spending::Claim;
 use tokio::time::{sleep, timeout};
 
 use crate::admit::{self, Place};
@@ -54,7 +55,7 @@
             Ok(live) => live,
             Err(cause) => break cause,
         };
-        if tried.journal.sends > 0 && !node.take_repeat(&rq.service) {
+        if tried.journal.sends > 0 && !node.take_repeat(&rq.service, tried.journal.claim()) {
             break Cause::RunnerFailed;
         }
         match tried.open(node, &rq, &live, rq.last_event).await {
@@ -312,7 +313,7 @@
                 continue;
             };
             // Each send counts, also one that a runner refuses.
-            if !self.node.take_repeat(&self.rq.service) {
+            if !self.node.take_repeat(&self.rq.service, Claim::Owed) {
                 return Err(GivenUp::NoRepeat);
             }
             let after = self.events.last();
--- a/policy/src/relay/spending.rs
+++ b/policy/src/relay/spending.rs
@@ -8,6 +8,11 @@
 //! are down, and one whose part is used up cuts streams while the others' parts lie idle. So
 //! beyond its part it may use what it was lent at the last exchange: a part of what all have left,
 //! so that those who do the same between two exchanges stay within the bound.
+//!
+//! A request that has certainly not run can be refused truthfully, and its caller comes back. One
+//! that may have run, or whose answer has begun, can only fail. So the last of what there is goes to
+//! the latter: full runners refuse many new requests, and these would leave nothing for the streams
+//! of the next chain that breaks.
 
 use std::collections::VecDeque;
 
@@ -48,6 +53,18 @@
 /// is lent to all together then fits beside the certain parts.
 const LENT_TO_FURTHER: f64 = LENT_SHARE / (1.0 - USED_SHARE);
 
+/// Part of an instance's certain part that requests which can be refused leave to the others.
+const KEPT_SHARE: f64 = 0.3;
+
+/// Who needs a further send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Claim {
+    /// A request that has certainly not run: a refusal would be true.
+    Refusable,
+    /// One that may have run, or whose answer has begun: without the send it fails.
+    Owed,
+}
+
 /// The least number of instances that the fixed number is divided by: instances that are not known
 /// yet spend as well.
 const LEAST_INSTANCES: usize = 6;
@@ -89,20 +106,50 @@
         self.lent = ((LENT_SHARE * bound - repeats) / to).max(0.0);
     }
 
+    /// Whether there is a further send among `instances` instances.
+    fn has(&mut self, now: Millis, cfg: &SpendingConfig, instances: usize, claim: Claim) -> bool {
+        let certain = self.certain(now, cfg, instances);
+        let kept = match claim {
+            Claim::Refusable => KEPT_SHARE * certain.all,
+            Claim::Owed => 0.0,
+        };
+        let there_is = certain.left >= 1.0 || self.lent >= 1.0;
+        there_is && certain.left.max(0.0) + self.lent >= 1.0 + kept
+    }
+
     /// Takes one further send, if there is one among `instances` instances.
-    pub fn take(&mut self, now: Millis, cfg: &SpendingConfig, instances: usize) -> bool {
-        let own = self.counts(now, cfg);
-        let part = cfg.slack / instances.max(LEAST_INSTANCES) as f64;
-        let certain = USED_SHARE * (cfg.ratio * f64::from(own.requests) + part);
-        if f64::from(own.repeats) + 1.0 > certain {
-            if self.lent < 1.0 {
-                return false;
-            }
+    pub fn take(
+        &mut self,
+        now: Millis,
+        cfg: &SpendingConfig,
+        instances: usize,
+        claim: Claim,
+    ) -> bool {
+        if !self.has(now, cfg, instances, claim) {
+            return false;
+        }
+        if self.certain(now, cfg, instances).left < 1.0 {
             self.lent -= 1.0;
         }
         self.repeats.push_back(now);
         true
     }
+
+    fn certain(&mut self, now: Millis, cfg: &SpendingConfig, instances: usize) -> Certain {
+        let own = self.counts(now, cfg);
+        let part = cfg.slack / instances.max(LEAST_INSTANCES) as f64;
+        let all = USED_SHARE * (cfg.ratio * f64::from(own.requests) + part);
+        Certain {
+            all,
+            left: all - f64::from(own.repeats),
+        }
+    }
+}
+
+/// An instance's certain part, and what is left of it.
+struct Certain {
+    all: f64,
+    left: f64,
 }
 
 fn drop_old(times: &mut VecDeque<Millis>, now: Millis, window_ms: Millis) {
