Tests, red: two more ways in which a stream is cut while its caller waits

A lone stream in a chain whose passes take a tenth of a second. Its part exited as planned; the chain was asked after 1,718 ms, the part found gone at once (connection refused), and the stream cut 3 ms later: "no chain took it in time", silent_ms=1744. A stream whose chain broke and for which there was no further send was cut at once (20 ms after its last event), although the holder of its lost layers was being loaded: going on along it takes no further send.

--- a/plugins/relay/tests/relay/repeats.rs
+++ b/plugins/relay/tests/relay/repeats.rs
@@ -6,7 +6,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
-use crate::standin::{LONG, Manner, Site, on_one_thread, request};
+use crate::standin::{LONG, Manner, Runner, Site, configuration, on_one_thread, request};
 use crate::{NOTES, TOKENS};
 
 /// Bounds in which an instance has one further send for certain.
@@ -50,3 +50,51 @@
         expect_that!(got.events(), eq(&[1, 2, 3, 4, 5, 6]));
     });
 }
+
+/// The stated patience of callers, in milliseconds: four times the objective of a stream.
+const OBJECTIVE_MS: u64 = 2_500;
+
+/// A part of a chain was gone and its layers were being loaded elsewhere. The stream could have gone
+/// on along the new holder, which takes no further send, but another chain was there, so it was to go
+/// there by a new run; for that there was no further send, and it was cut at once: `stream cut
+/// cause="chain broke" given_up="no repeat left" silent_ms=20`. Its caller would have waited.
+#[gtest]
+fn a_stream_without_a_repeat_waits_for_the_layers_that_its_chain_lost() {
+    on_one_thread(async {
+        let site = Site::bound_by(|bounds| {
+            bounds.repeat_ratio = 0.0;
+            bounds.repeat_slack = 0.0;
+        });
+        let site = site.await;
+        let mut patient = configuration(2);
+        patient["routes"][0]["targetLatencyMs"] = OBJECTIVE_MS.into();
+        patient["routes"][0]["timeoutMs"] = 20_000.into();
+        site.store.put("config", "main", &patient);
+        site.in_force(2).await;
+
+        let near = &site.runners[..2];
+        let holds = |layers| near.iter().find(|r| r.held() == Some(layers));
+        let head = holds((0, 2)).expect("a first runner");
+        head.manner.set(Manner::Stalls);
+        holds((2, 4)).expect("a part").manner.set(Manner::Silent);
+        let callers = site.callers();
+        let streaming = spawn_local(async move { request(callers, NOTES, TOKENS, "one").await });
+        let dead = async {
+            while site.dead().await == 0 {
+                sleep(Duration::from_millis(5)).await;
+            }
+        };
+        timeout(LONG, dead).await.expect("the part is found dead");
+        let spare = Runner::spawn(&site.store, "a3", "pool", "a").await;
+
+        let got = streaming.await.expect("it ends");
+        expect_that!(got.status, eq(200));
+        expect_true!(got.whole);
+        expect_that!(got.events(), eq(&[1, 2, 3, 4, 5, 6]));
+        expect_that!(site.runs(), eq(1));
+        let rerouted = head.rerouted.borrow();
+        let part = format!("{}=2-4", spare.address);
+        expect_that!(rerouted.len(), eq(1));
+        expect_true!(rerouted.iter().all(|(_, path)| path.ends_with(&part)));
+    });
+}
--- a/plugins/relay/tests/support/standin.rs
+++ b/plugins/relay/tests/support/standin.rs
@@ -559,6 +559,21 @@
             .sum()
     }
 
+    /// Until the relay acts on a version of the configuration.
+    pub async fn in_force(&self, version: u64) {
+        let wanted = format!("\"version\": {version}");
+        let found = async {
+            loop {
+                let dump = ask(self.settings.listen.operators, "GET /dump HTTP/1.1").await;
+                if dump.body.contains(&wanted) {
+                    return;
+                }
+                sleep(Duration::from_millis(20)).await;
+            }
+        };
+        timeout(LONG, found).await.expect("it is in force");
+    }
+
     /// Whether anything comes from any runner.
     pub fn hold_all(&self, held: bool) {
         for runner in self.runners.iter().chain(&self.plain) {
--- a/policy/tests/relay_naming.rs
+++ b/policy/tests/relay_naming.rs
@@ -63,6 +63,24 @@
     expect_false!(silence.should_ask(60_000));
 }
 
+/// One stream was left in a chain whose part exited as planned; passes there took a tenth of a second.
+/// A lone request is given several times the usual limit, so the chain was asked when its caller had
+/// nearly given up, and the answer was cut: `a chain is silent silent_ms=1718 waiting=1`, `runner
+/// counts as dead evidence="connection refused"`, `stream cut given_up="no chain took it in time"
+/// silent_ms=1744`. Callers wait two seconds for the next event; half of that must be left.
+#[gtest]
+fn a_lone_stream_in_a_slow_chain_is_asked_about_while_its_caller_waits() {
+    let mut silence = Silence::new(EVENT_MS);
+    silence.sent(0);
+    let mut now = 0;
+    for pause in [80, 120, 95, 150, 100].into_iter().cycle().take(100) {
+        now += pause;
+        silence.heard(now);
+    }
+    let asked_at = (now..).find(|at| silence.should_ask(*at));
+    expect_that!(asked_at.map(|at| at - now), some(le(1_000)));
+}
+
 /// A part of a large fleet is cut off. Every instance finds chains silent and runners dead, and
 /// asks them again and again: the reports cost more than what is served. Questions without news
 /// become rare; news makes them quick again.
