Silence: a lone stream's chain is asked about after 600 ms at the latest

What callers saw: the only stream left in a slow chain whose part had exited was cut 1.7 s after its last event, with every other chain ready to take it.

Cause: the silence that counts for a lone request was a multiple of the chain's own limit without a bound. Where passes take a tenth of a second that is 1.6 s and more, and 0.85 of the two seconds that callers wait is 1.7: too late to go on.

Change: it is bounded by 600 ms, which leaves the question (30 ms) and a new run (some 100 ms, more behind long prompts) their time. A lone prompt that is read for longer costs one round of questions more.

Ruled out: the usual limit for lone requests as well (a single prompt being read is silent for that long).

--- a/policy/src/relay/silence.rs
+++ b/policy/src/relay/silence.rs
@@ -15,8 +15,10 @@
 /// chain share its passes, so their bytes come together; one alone may be a prompt that is read.
 const MANY: usize = 2;
 
-/// Silence of a chain with fewer that counts as a stall, as a multiple of the others' limit.
+/// Silence of a chain with fewer that counts as a stall, as a multiple of the others' limit, and in
+/// any case, in milliseconds: callers give up after two seconds, and a new run needs most of that.
 const LONE_TIMES: Millis = 8;
+const LONE_LONGEST_MS: Millis = 600;
 
 /// Silence that counts at the least, as a multiple of what the declared figures give for the pause
 /// between two events, and in any case, in milliseconds: what a question takes.
@@ -180,7 +182,7 @@
         let limit = self.rhythm.limit_ms(self.least_ms) as Millis;
         match self.waiting {
             n if n >= MANY => limit,
-            _ => limit * LONE_TIMES,
+            _ => limit.max((limit * LONE_TIMES).min(LONE_LONGEST_MS)),
         }
     }
 
