Relay: a stream without a further send waits for one, or for its lost layers, as long as its caller does

What callers saw: an answer cut 20 ms after its last event, when a chain broke and the budget of further sends was used up.

Cause: where another chain was there, the run was to go there, and where no send was left for that, it was cut. Neither was waited for: sends come free as the window moves on and with each exchange, and the broken chain's own successor, along which an order takes the run without any send, is there once the lost layers are loaded.

A cut says which of the two was lacking.

--- a/plugins/relay/src/node.rs
+++ b/plugins/relay/src/node.rs
@@ -231,6 +231,15 @@
         !self.draining.get() && self.listed.get() && self.may_serve()
     }
 
+    /// Whether the common budget has a further send for a service.
+    pub(crate) fn has_repeat(&self, service: &Name, claim: Claim) -> bool {
+        let cfg = self.spending_config();
+        let instances = self.most_instances();
+        let mut spending = self.spending.borrow_mut();
+        let of_service = spending.entry(service.clone()).or_default();
+        of_service.has(self.now(), &cfg, instances, claim)
+    }
+
     /// Takes one further send for a service out of the common budget.
     pub(crate) fn take_repeat(&self, service: &Name, claim: Claim) -> bool {
         let cfg = self.spending_config();
--- a/plugins/relay/src/stream.rs
+++ b/plugins/relay/src/stream.rs
@@ -247,7 +247,8 @@
         let in_time = self.heard_ms + self.rq.pause_ms.saturating_sub(READ_MS);
         let until = self.heard_ms + self.patience_ms(REROUTE_SHARE);
         while self.node.now() < until && self.node.has_head(&broken) {
-            let elsewhere = self.next_chain().filter(|_| self.rq.class.repeatable());
+            // Without a further send a chain elsewhere is of no use: the lost layers are waited for.
+            let elsewhere = self.next_chain().filter(|_| self.may_run_again());
             let elsewhere = elsewhere.map(|l| l.unread_tokens());
             let in_time = self.node.now() < in_time;
             match (self.node.successor(&broken), elsewhere) {
@@ -263,6 +264,10 @@
         None
     }
 
+    fn may_run_again(&self) -> bool {
+        self.rq.class.repeatable() && self.node.has_repeat(&self.rq.service, Claim::Owed)
+    }
+
     /// A share of the caller's patience, in milliseconds.
     fn patience_ms(&self, share: f64) -> Millis {
         (self.rq.patience_ms as f64 * share) as Millis
@@ -304,18 +309,24 @@
         let until = self.heard_ms + self.patience_ms(PATIENCE_SHARE);
         let in_time = self.heard_ms + self.rq.pause_ms;
         let mut place = Some(Place::ahead(&self.node));
+        let mut lacking = GivenUp::NoChain;
         while self.node.now() < until {
             if self.node.now() >= in_time {
                 place = None;
             }
             let Some(live) = self.next_chain() else {
+                lacking = GivenUp::NoChain;
                 let _ = timeout(LOOK, self.node.room.notified()).await;
                 continue;
             };
-            // Each send counts, also one that a runner refuses.
-            if !self.node.take_repeat(&self.rq.service, Claim::Owed) {
-                return Err(GivenUp::NoRepeat);
+            // Each send counts, also one that a runner refuses. More come free with time, and the
+            // caller waits.
+            if !self.may_run_again() {
+                lacking = GivenUp::NoRepeat;
+                let _ = timeout(LOOK, self.node.room.notified()).await;
+                continue;
             }
+            self.node.take_repeat(&self.rq.service, Claim::Owed);
             let after = self.events.last();
             match self.tried.open(&self.node, &self.rq, &live, after).await {
                 Opened::Stream(passage, res) if res.status() == StatusCode::OK => {
@@ -330,7 +341,7 @@
                 Opened::Timeout => return Err(GivenUp::OutOfTime),
             }
         }
-        Err(GivenUp::NoChain)
+        Err(lacking)
     }
 
     fn next_chain(&self) -> Option<Rc<LiveChain>> {
--- a/policy/src/relay/spending.rs
+++ b/policy/src/relay/spending.rs
@@ -107,7 +107,13 @@
     }
 
     /// Whether there is a further send among `instances` instances.
-    fn has(&mut self, now: Millis, cfg: &SpendingConfig, instances: usize, claim: Claim) -> bool {
+    pub fn has(
+        &mut self,
+        now: Millis,
+        cfg: &SpendingConfig,
+        instances: usize,
+        claim: Claim,
+    ) -> bool {
         let certain = self.certain(now, cfg, instances);
         let kept = match claim {
             Claim::Refusable => KEPT_SHARE * certain.all,
