--- a/plugins/relay/src/watch.rs
+++ b/plugins/relay/src/watch.rs
@@ -219,7 +219,7 @@
         Followed::Runners => {
             let revisions = listed.objects.iter().map(|o| o.meta.revision);
             let newest = revisions.max().unwrap_or(0);
-            let entries = listed.objects.into_iter().filter_map(decode).collect();
+            let entries = listed.objects.iter().filter_map(decode).collect();
             note_revision(node, newest);
             let now = node.now();
             let mut runners = node.runners.borrow_mut();
@@ -361,7 +361,7 @@
             // The entry's own revision is older than its end.
             newest = newest.max(until);
             decoded.push(RunnerChange::Gone(change.object.meta.name.clone()));
-        } else if let Some(entry) = decode(change.object) {
+        } else if let Some(entry) = decode(&change.object) {
             decoded.push(RunnerChange::Put(entry));
         }
     }
@@ -451,7 +451,7 @@
     );
 }
 
-fn decode(object: Object) -> Option<RunnerEntry> {
+fn decode(object: &Object) -> Option<RunnerEntry> {
     match runner::entry(&object.meta.name, &object.spec) {
         Ok(entry) => Some(entry),
         Err(e) => {
