Relay: a runner is dead only if it was silent twice beside witnesses, and a slow one is not silent

Found in review. The mend asked with one limit of a second and judged after 30 ms, so a runner that takes connections and reports late was dead beside quick witnesses; and the first round of questions to a chain's parts still named dead by itself, where the link fills up between the answers of some parts and those of the others.

Change: each question again has 14 ms for its connection and 250 for its report, so only one that ended counts. Each round has witnesses of its own, asked at the same time, and two rounds in which they answer and the runner does not are needed; the round of a chain's parts is one of them. One that takes connections must give no report for 250 ms besides (connections beyond a runner's cap are reset). Five witnesses a round, of which two must answer: with half of a fleet dark that fails one time in five, and the next round draws others, for a second in all. One examination a lifetime at a time; a connection that did not come about is always looked into, however lately the runner's pace was heard.

Price: a dark runner is named after some 48 ms of questions, 29 before. One that refuses connections is named at once, as before, and now after one refusal in place of four.

--- a/plugins/relay/src/node.rs
+++ b/plugins/relay/src/node.rs
@@ -1,7 +1,7 @@
 //! The shared state of the process.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -69,6 +69,8 @@
     pub(crate) runners_revision: Cell<u64>,
     /// Revision of the store up to which all changes of runners' entries are known.
     pub(crate) runners_as_of: Cell<u64>,
+    /// Lifetimes of runners that are asked beside witnesses.
+    pub(crate) examined: RefCell<BTreeSet<(Name, u64)>>,
     /// Runners that were heard to leave, by identity and lifetime, and when.
     pub(crate) leaving: RefCell<Vec<(Name, u64, Millis)>>,
     /// Something changed that all other instances should hear at once.
@@ -132,6 +134,7 @@
             hears_store: Cell::new(false),
             runners_revision: Cell::new(0),
             runners_as_of: Cell::new(0),
+            examined: RefCell::default(),
             leaving: RefCell::default(),
             news: Notify::new(),
             behind: Default::default(),
--- a/plugins/relay/src/question.rs
+++ b/plugins/relay/src/question.rs
@@ -10,6 +10,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures::FutureExt;
+use futures::future::LocalBoxFuture;
 use futures::stream::{FuturesUnordered, StreamExt};
 use jacinthweir_clients::direct::{AskTime, DirectError};
 use jacinthweir_platform::runner::{self, Report, RunnerError};
@@ -17,7 +19,7 @@
 use jacinthweir_policy::relay::runners::RunnerEntry;
 use jacinthweir_policy::relay::silence::Round;
 use rand::seq::IteratorRandom;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::node::Node;
 use crate::probe;
@@ -30,31 +32,39 @@
     answer: Duration::from_millis(250),
 };
 
-/// Time of a question that is asked beside witnesses: it ends by their answers, not by itself.
-const PATIENT: AskTime = AskTime {
-    connect: Duration::from_millis(1_000),
-    answer: Duration::from_millis(1_000),
-};
-
 /// Times that a runner is asked before it counts as silent: a packet lost in each of four questions
 /// is rare even on a link that loses one in forty.
-const TRIES: usize = 4;
+pub(crate) const TRIES: usize = 4;
+
+/// The same where it was silent a moment ago.
+const TRIES_AGAIN: usize = 2;
 
-/// Time after which the next question begins while the one before is open. A runner that has crashed
-/// refuses all of them within a few milliseconds, one that is dark costs 30.
+/// Time after which the next question begins while the one before is open. A runner that is dark costs
+/// 30 milliseconds.
 const STAGGER: Duration = Duration::from_millis(5);
 
-/// Witnesses that are asked beside silent runners.
-const WITNESSES: usize = 4;
+/// Witnesses that are asked at a time: two that answer are enough, and half of the fleet may be dark.
+const WITNESSES: usize = 5;
+
+/// Number of witnesses of which half, two, must answer.
+const QUORUM_OF: usize = 4;
+
+/// Times that a runner must be silent beside witnesses to be dead: this instance's link may fill up
+/// between their answers and its own.
+const STRIKES: u32 = 2;
+
+/// Longest wait for witnesses, after which others are asked, in milliseconds.
+const WITNESS_MS: Millis = 150;
 
 /// Period of looking whether the witnesses speak against a runner, in milliseconds.
 const LOOK_MS: Millis = 8;
 
-/// The least silence beside witnesses that counts, in milliseconds: all tries have begun by then,
-/// and the last of them has had as long as a question's connection.
-const LEAST_MS: Millis = 30;
+/// Time for which a runner that takes connections must give no report to count as dead, and pause
+/// between questions to it, in milliseconds: it may have too many connections for a moment.
+const NO_REPORT_MS: Millis = 250;
+const NO_REPORT_PAUSE_MS: Millis = 60;
 
-/// The longest wait for witnesses, in milliseconds.
+/// The longest that a runner is asked beside witnesses, in milliseconds: callers wait for two seconds.
 const LONGEST_MS: Millis = 1_000;
 
 /// What questions showed of a runner.
@@ -86,15 +96,15 @@
     }
 }
 
-/// Asks a runner for its report several times, the next time as soon as one failed or took long.
-pub(crate) async fn ask(address: SocketAddr, time: AskTime) -> Finding {
+/// Asks a runner for its report up to `tries` times, the next time as soon as one failed or took long.
+pub(crate) async fn ask(address: SocketAddr, tries: usize) -> Finding {
     let mut open = FuturesUnordered::new();
-    let mut left = TRIES;
+    let mut left = tries;
     let mut found = Finding::Silent("not asked".to_owned());
     loop {
         if left > 0 {
             metrics::counter!("jacinthweir_probes_total").increment(1);
-            open.push(runner::report(address, time));
+            open.push(runner::report(address, QUESTION));
             left -= 1;
         }
         let next = async {
@@ -133,14 +143,10 @@
     }
 }
 
-/// Whom a question beside witnesses is for.
-enum Asked {
-    Suspect(Suspect),
-    Witness,
-}
-
-async fn ask_as(asked: Asked, address: SocketAddr) -> (Asked, Finding) {
-    (asked, ask(address, PATIENT).await)
+/// Whose answer came.
+enum Answer {
+    Suspect(Finding),
+    Witness(Finding),
 }
 
 /// Time that an instance watched a round of questions, in milliseconds. While it is held up itself
@@ -151,6 +157,13 @@
 }
 
 impl Watched {
+    fn begin(now: Millis) -> Watched {
+        Watched {
+            looked_ms: now,
+            passed_ms: 0,
+        }
+    }
+
     fn look(&mut self, now: Millis) -> Millis {
         self.passed_ms += (now - self.looked_ms).min(2 * LOOK_MS);
         self.looked_ms = now;
@@ -158,63 +171,72 @@
     }
 }
 
-/// Asks silent runners once more beside witnesses; those that these speak against are dead.
-pub(crate) async fn examine(node: &Rc<Node>, mut suspects: Vec<Suspect>) {
-    let witnesses = witnesses(node, &suspects);
-    let mut round = Round::new(witnesses.len());
-    let suspected = suspects
-        .iter()
-        .map(|s| ask_as(Asked::Suspect(s.clone()), s.address));
-    let mut open: FuturesUnordered<_> = suspected
-        .chain(witnesses.iter().map(|a| ask_as(Asked::Witness, *a)))
-        .collect();
-    let mut watched = Watched {
-        looked_ms: node.now(),
-        passed_ms: 0,
-    };
-    while !suspects.is_empty() {
-        let next = async {
-            match open.is_empty() {
-                true => std::future::pending().await,
-                false => open.next().await,
-            }
+/// Asks a runner that was silent `strikes` times beside witnesses, until it answers or is dead. Neither
+/// shows while this instance's link is full; then nothing is said of it.
+pub(crate) async fn examine(node: Rc<Node>, s: Suspect, mut strikes: u32) {
+    let began = node.now();
+    let mut tries = if strikes == 0 { TRIES } else { TRIES_AGAIN };
+    while node.now() < began + LONGEST_MS {
+        let (found, witnessed) = ask_beside_witnesses(&node, &s, tries).await;
+        tries = TRIES_AGAIN;
+        strikes += u32::from(witnessed);
+        let is_certain = witnessed && strikes >= STRIKES;
+        let passed = node.now() - began;
+        let (cause, pause) = match found {
+            Finding::Report(report) => return probe::take_report(&node, &s.id, s.born_ms, &report),
+            Finding::Gone => return probe::name_dead(&node, &s.id, s.born_ms, probe::REFUSED),
+            Finding::Silent(cause) if is_certain => (Some(cause), 0),
+            Finding::NoReport(cause) if is_certain && passed >= NO_REPORT_MS => (Some(cause), 0),
+            Finding::NoReport(_) => (None, NO_REPORT_PAUSE_MS),
+            Finding::Silent(_) => (None, LOOK_MS),
         };
-        let next = timeout(Duration::from_millis(LOOK_MS), next).await;
+        if let Some(cause) = cause {
+            let evidence = format!("{cause}, and witnesses answer");
+            return probe::name_dead(&node, &s.id, s.born_ms, &evidence);
+        }
+        sleep(Duration::from_millis(pause)).await;
+    }
+    log::info!(runner = s.id.as_ref(), strikes; "too few are heard, the runner is not taken for dead");
+}
+
+/// What questions to a runner brought, and whether witnesses that were asked at the same time answered
+/// while it did not.
+async fn ask_beside_witnesses(node: &Node, s: &Suspect, tries: usize) -> (Finding, bool) {
+    let witnesses = witnesses(node, s);
+    let mut open: FuturesUnordered<LocalBoxFuture<'_, Answer>> = FuturesUnordered::new();
+    open.push(ask(s.address, tries).map(Answer::Suspect).boxed_local());
+    for address in witnesses {
+        open.push(ask(address, 1).map(Answer::Witness).boxed_local());
+    }
+    let mut round = Round::new(QUORUM_OF);
+    let mut watched = Watched::begin(node.now());
+    let mut found = None;
+    loop {
+        let next = timeout(Duration::from_millis(LOOK_MS), open.next()).await;
         let passed = watched.look(node.now());
         match next {
-            Ok(Some((Asked::Witness, found))) if found.is_heard() => round.answered(passed),
-            Ok(Some((Asked::Suspect(s), Finding::Report(report)))) => {
-                suspects.retain(|other| *other != s);
-                probe::take_report(node, &s.id, s.born_ms, &report);
-            }
-            Ok(Some((Asked::Suspect(s), Finding::Gone))) => {
-                suspects.retain(|other| *other != s);
-                probe::name_dead(node, &s.id, s.born_ms, probe::REFUSED);
-            }
-            Ok(Some(_) | None) | Err(_) => {}
-        }
-        if passed >= LEAST_MS && round.speaks_against(passed) {
-            for s in suspects.drain(..) {
-                probe::name_dead(node, &s.id, s.born_ms, "no report, and witnesses answer");
+            Ok(Some(Answer::Suspect(settled @ (Finding::Report(_) | Finding::Gone)))) => {
+                return (settled, false);
             }
+            Ok(Some(Answer::Suspect(failed))) => found = Some(failed),
+            Ok(Some(Answer::Witness(heard))) if heard.is_heard() => round.answered(passed),
+            // Nobody is awaited any more: only time may still speak.
+            Ok(None) => sleep(Duration::from_millis(LOOK_MS)).await,
+            Ok(Some(Answer::Witness(_))) | Err(_) => {}
         }
-        if passed >= LONGEST_MS {
-            log::info!(
-                silent = suspects.len(),
-                witnesses = witnesses.len();
-                "nobody is heard, nobody is taken for dead"
-            );
-            break;
+        let speaks = round.speaks_against(passed);
+        if let Some(failed) = found.take_if(|_| speaks || passed >= WITNESS_MS) {
+            return (failed, speaks);
         }
     }
 }
 
 /// Runners that nobody doubts, of all services and domains.
-fn witnesses(node: &Node, suspects: &[Suspect]) -> Vec<SocketAddr> {
+fn witnesses(node: &Node, suspect: &Suspect) -> Vec<SocketAddr> {
     let runners = node.runners.borrow();
-    let doubted = |e: &RunnerEntry| {
-        runners.standing(&e.id).dead || suspects.iter().any(|s| s.address == e.address)
-    };
-    let sound = runners.entries().filter(|e| !e.draining && !doubted(e));
+    let sound = runners.entries().filter(|e| {
+        let doubted = e.draining || runners.standing(&e.id).dead;
+        !doubted && e.address != suspect.address
+    });
     node.with_rng(|rng| sound.map(|e| e.address).sample(rng, WITNESSES))
 }
