Relay: a failed try to go on with a stream is not its end

What callers saw: a stream whose chain broke was cut within milliseconds when the next chain broke before it had answered, or its answer was lost or a failure, although they wait for two seconds for the next event.

Cause: before an answer's head every such outcome leads to another try; behind it only "not run" and "not reached" did.

Repeats and attempts bound the sends as before.

--- a/plugins/relay/src/stream.rs
+++ b/plugins/relay/src/stream.rs
@@ -138,8 +138,12 @@
     NotRepeatable,
     #[display("no repeat left")]
     NoRepeat,
+    #[display("no attempt left")]
+    NoAttempt,
     #[display("no chain took it in time")]
     NoChain,
+    #[display("the next chain did not take it")]
+    NextRefused,
     #[display("the next chain broke")]
     NextBroke,
     #[display("the next run was lost")]
@@ -292,7 +296,8 @@
         ordered.ok().map(drop)
     }
 
-    /// Goes on with another run behind the last whole event.
+    /// Goes on with another run behind the last whole event. What one try lacks may be there at the
+    /// next, so it is tried for as long as the caller waits.
     async fn go_on(&mut self, cause: &str) -> Result<(), GivenUp> {
         self.body = None;
         // A runner that broke off is most likely dead, and not yet known to be.
@@ -311,39 +316,47 @@
         let mut place = Some(Place::ahead(&self.node));
         let mut lacking = GivenUp::NoChain;
         while self.node.now() < until {
-            if self.node.now() >= in_time {
-                place = None;
+            if self.tried.is_spent(&self.rq) {
+                return Err(GivenUp::NoAttempt);
             }
-            let Some(live) = self.next_chain() else {
-                lacking = GivenUp::NoChain;
-                let _ = timeout(LOOK, self.node.room.notified()).await;
-                continue;
-            };
-            // Each send counts, also one that a runner refuses. More come free with time, and the
-            // caller waits.
-            if !self.may_run_again() {
-                lacking = GivenUp::NoRepeat;
-                let _ = timeout(LOOK, self.node.room.notified()).await;
-                continue;
+            // New work waits behind those that can still be in time, and lack nothing but room.
+            if self.node.now() >= in_time || lacking == GivenUp::NoRepeat {
+                place = None;
             }
-            self.node.take_repeat(&self.rq.service, Claim::Owed);
-            let after = self.events.last();
-            match self.tried.open(&self.node, &self.rq, &live, after).await {
-                Opened::Stream(passage, res) if res.status() == StatusCode::OK => {
+            lacking = match self.try_on().await {
+                Ok((passage, res)) => {
                     drop(place);
                     self.resumed(passage, res, cause);
                     return Ok(());
                 }
-                Opened::NotRun | Opened::Unreached => {}
-                Opened::Stream(..) => return Err(GivenUp::NextFailed),
-                Opened::Broken => return Err(GivenUp::NextBroke),
-                Opened::Lost => return Err(GivenUp::NextLost),
-                Opened::Timeout => return Err(GivenUp::OutOfTime),
+                Err(GivenUp::OutOfTime) => return Err(GivenUp::OutOfTime),
+                Err(lacking) => lacking,
+            };
+            if matches!(lacking, GivenUp::NoChain | GivenUp::NoRepeat) {
+                let _ = timeout(LOOK, self.node.room.notified()).await;
             }
         }
         Err(lacking)
     }
 
+    /// One try to go on with another run.
+    async fn try_on(&mut self) -> Result<(Passage, Response<AnswerBody>), GivenUp> {
+        let live = self.next_chain().ok_or(GivenUp::NoChain)?;
+        // Each send counts, also one that a runner refuses.
+        if !self.node.take_repeat(&self.rq.service, Claim::Owed) {
+            return Err(GivenUp::NoRepeat);
+        }
+        let after = self.events.last();
+        match self.tried.open(&self.node, &self.rq, &live, after).await {
+            Opened::Stream(passage, res) if res.status() == StatusCode::OK => Ok((passage, res)),
+            Opened::Stream(..) => Err(GivenUp::NextFailed),
+            Opened::NotRun | Opened::Unreached => Err(GivenUp::NextRefused),
+            Opened::Broken => Err(GivenUp::NextBroke),
+            Opened::Lost => Err(GivenUp::NextLost),
+            Opened::Timeout => Err(GivenUp::OutOfTime),
+        }
+    }
+
     fn next_chain(&self) -> Option<Rc<LiveChain>> {
         let tokens = admit::tokens(&self.rq);
         let fill = rooms::FILL_RESUMED;
--- a/plugins/relay/src/tried.rs
+++ b/plugins/relay/src/tried.rs
@@ -56,6 +56,11 @@
         !left && self.attempts.allows(id, born_ms, rq.max_attempts, ended)
     }
 
+    /// Whether the request may not be sent any more, whatever chain there is.
+    pub(crate) fn is_spent(&self, rq: &Proxied) -> bool {
+        self.attempts.is_spent(rq.max_attempts)
+    }
+
     /// Sends the request through a chain, and notes what came of it.
     pub(crate) async fn open(
         &mut self,
--- a/policy/src/relay/attempts.rs
+++ b/policy/src/relay/attempts.rs
@@ -41,6 +41,12 @@
         self.ran.iter().any(|(i, b)| (i, *b) == (id, born_ms))
     }
 
+    /// Whether the request may be sent to nobody any more where a route allows `most` runners.
+    #[must_use]
+    pub fn is_spent(&self, most: u32) -> bool {
+        self.sends >= most + MOST_FURTHER
+    }
+
     /// Whether the request may be sent to a runner where a route allows `most`; `ended` tells of a
     /// runner's lifetime whether it is over.
     pub fn allows(
@@ -50,7 +56,7 @@
         most: u32,
         ended: impl Fn(&Name, u64) -> bool,
     ) -> bool {
-        if self.sends >= most + MOST_FURTHER {
+        if self.is_spent(most) {
             return false;
         }
         let living = self.ran.iter().filter(|(i, b)| !ended(i, *b)).count();
