Runners: something is kept of a runner whose entry is gone, so that it can be found dead

What callers saw: a stream whose chain lost a part that had left without a word paused until its caller gave up.

Cause: with a runner's entry its standing went too, and naming it dead found nothing to mark. Such a chain never counted as broken; only its first runner's own stall, after 2.5 s, ended the wait, half a second after the caller's patience.

Change: the standing stays for two minutes, longer than any request; a new lifetime under the same identity begins a new one, as before.

--- a/policy/src/relay/runners.rs
+++ b/policy/src/relay/runners.rs
@@ -184,11 +184,17 @@
 /// some to spare: those whose lease lapsed meanwhile are back within two seconds if they live.
 const LAPSED_MS: Millis = 2_200;
 
+/// How long something is known of a runner without an entry, in milliseconds: longer than requests
+/// last.
+const PARTED_KEPT_MS: Millis = 120_000;
+
 /// Runners by identity.
 #[derive(Clone, Debug, Default)]
 pub struct Runners {
     entries: BTreeMap<Name, RunnerEntry>,
     standings: BTreeMap<Name, Standing>,
+    /// Runners without an entry of which something is still known, and until when.
+    parted: BTreeMap<Name, Millis>,
     /// Runners whose entry lapsed, and until when they are taken to live.
     lapsed: BTreeMap<Name, Millis>,
     /// Until when entries of living runners may be missing.
@@ -215,20 +221,30 @@
         let over = self.lapsed.iter().filter(|(_, until)| now >= **until);
         let gone: Vec<Name> = over.map(|(id, _)| id.clone()).collect();
         for id in &gone {
-            self.forget(id);
+            self.part_with(id, now);
         }
         !gone.is_empty()
     }
 
-    fn forget(&mut self, id: &str) -> bool {
+    /// Requests may pass through a runner after its entry is gone, so that it must still be possible to
+    /// find it dead.
+    fn part_with(&mut self, id: &Name, now: Millis) -> bool {
+        let over = self.parted.extract_if(.., |_, until| now >= *until);
+        for (id, _) in over {
+            self.standings.remove(&id);
+        }
         self.lapsed.remove(id);
-        self.standings.remove(id);
-        self.entries.remove(id).is_some()
+        let had = self.entries.remove(id).is_some();
+        if had {
+            self.parted.insert(id.clone(), now + PARTED_KEPT_MS);
+        }
+        had
     }
 
     /// Takes in an entry; whether anything changed that a chain depends on.
     pub fn put(&mut self, entry: &RunnerEntry) -> bool {
         self.lapsed.remove(&entry.id);
+        self.parted.remove(&entry.id);
         let standing = self.standings.entry(entry.id.clone()).or_default();
         if standing.born_ms != entry.born_ms {
             let in_flight = standing.in_flight;
@@ -255,7 +271,7 @@
     /// A runner's entry is gone at `now`; whether the runner is taken to be gone as well.
     pub fn remove(&mut self, id: &Name, now: Millis) -> bool {
         if self.is_complete(now) {
-            return self.forget(id);
+            return self.part_with(id, now);
         }
         if self.entries.contains_key(id) {
             let until = self.incomplete_until_ms;
