Relay: instances for which a configuration takes long to read leave its confirmation to others

Each of 71 instances read the whole configuration again about every four seconds, only to confirm it: 718 readings in 38 s, 145 ms in the middle, 297 for one in ten, up to 877. On most of them that fills the link for all else.

Change: the age at which an instance reads is drawn from the whole span as before, but not from the part of it below t / (t + 100 ms), where t is what its last reading took. Those that read in a few milliseconds go first and tell the others. The end of the span is as it was, so nothing is confirmed later than before where nobody is quick. Nothing of a site in it: at a reading of 5 ms the draw begins at 0.05.

--- a/plugins/relay/src/watch.rs
+++ b/plugins/relay/src/watch.rs
@@ -64,10 +64,12 @@
 
 /// Reads the configuration whenever its last confirmation is old.
 async fn confirm(node: &Node) {
+    let mut reading_ms = 0;
     loop {
         sleep(CONFIRM_LOOK).await;
         let age = node.vouch.borrow().age_ms(node.now());
-        if !following::should_confirm(age, node.draw(), node.instances()) {
+        let draw = following::reluctant(node.draw(), reading_ms);
+        if !following::should_confirm(age, draw, node.instances()) {
             continue;
         }
         let sent = node.now();
@@ -75,7 +77,8 @@
         match node.store.get(desired::KIND, desired::NAME).await {
             Ok(Some(object)) => {
                 node.hears_store.set(true);
-                log::info!(took_ms = node.now() - sent; "configuration read");
+                reading_ms = node.now() - sent;
+                log::info!(took_ms = reading_ms; "configuration read");
                 if take_configuration(node, &object) {
                     node.vouch.borrow_mut().confirm(sent);
                 }
--- a/policy/src/relay/following.rs
+++ b/policy/src/relay/following.rs
@@ -52,6 +52,19 @@
     age.is_some_and(|age| age >= due)
 }
 
+/// Time of a reading of the configuration from which on an instance leaves it to others for most of the
+/// time that there is, in milliseconds.
+const LONG_READING_MS: f64 = 100.0;
+
+/// The draw of an instance whose last reading took `reading_ms` milliseconds. A large configuration
+/// fills the link of a small instance for that time, and its callers' streams wait; others read it in a
+/// tenth of that and tell it. If nobody does, it reads as soon as the last one would.
+#[must_use]
+pub fn reluctant(draw: f64, reading_ms: Millis) -> f64 {
+    let reading_ms = reading_ms as f64;
+    draw.max(reading_ms / (reading_ms + LONG_READING_MS))
+}
+
 /// Watchers that tell each of the others: one may be lost, or its word.
 const TOLD_BY: usize = 2;
 
--- a/policy/tests/relay_following.rs
+++ b/policy/tests/relay_following.rs
@@ -2,7 +2,9 @@
 
 use googletest::prelude::*;
 use jacinthweir_policy::prelude::*;
-use jacinthweir_policy::relay::following::{Behind, Step, Watchers, should_confirm, watch_ms};
+use jacinthweir_policy::relay::following::{
+    Behind, Step, Watchers, reluctant, should_confirm, watch_ms,
+};
 
 /// A fleet grows from six instances to some hundred. Calls to the store must not grow with it, and
 /// a watch must still end before the store cuts it.
@@ -90,3 +92,22 @@
     behind.heard(8);
     expect_true!(behind.is_behind(6));
 }
+
+/// A configuration of 0.7 MB was read again some eighteen times a second by 71 instances, nearly all of
+/// them on links that it fills for a third of a second. Those for which it is quick read it first; if
+/// they are lost, the others do so no later than before.
+#[gtest]
+fn instances_with_long_readings_leave_them_to_others() {
+    let first_at = |reading_ms: u64| {
+        let due = |age: &u64| should_confirm(Some(*age), reluctant(0.0, reading_ms), 71);
+        (0..10_000).find(due).expect("at some age")
+    };
+    let last_at = |reading_ms: u64| {
+        let due = |age: &u64| should_confirm(Some(*age), reluctant(1.0, reading_ms), 71);
+        (0..10_000).find(due).expect("at some age")
+    };
+    expect_that!(first_at(4), le(first_at(0) + 100));
+    expect_that!(first_at(300), ge(first_at(4) + 1_000));
+    expect_that!(first_at(900), le(last_at(0)));
+    expect_that!(last_at(900), eq(last_at(0)));
+}
