--- a/plugins/relay/src/answer.rs
+++ b/plugins/relay/src/answer.rs
@@ -15,7 +15,7 @@
 use http_body::{Body, Frame, SizeHint};
 use jacinthweir_platform::header;
 use jacinthweir_policy::prelude::*;
-use jacinthweir_policy::relay::spending::Claim;
+use jacinthweir_policy::relay::spending::Need;
 
 use crate::node::Node;
 
@@ -169,10 +169,10 @@
     }
 
     /// What a further send of the request is for.
-    pub(crate) fn claim(&self) -> Claim {
+    pub(crate) fn need(&self) -> Need {
         match self.may_have_run() {
-            true => Claim::Owed,
-            false => Claim::Refusable,
+            true => Need::Owed,
+            false => Need::Refusable,
         }
     }
 
--- a/plugins/relay/src/call.rs
+++ b/plugins/relay/src/call.rs
@@ -68,7 +68,7 @@
         let Some(runner) = next_runner(node, &rq, &tried) else {
             break;
         };
-        if journal.sends > 0 && !node.take_repeat(&rq.service, journal.claim()) {
+        if journal.sends > 0 && !node.take_repeat(&rq.service, journal.need()) {
             break;
         }
         tried.push(runner.id.clone());
--- a/plugins/relay/src/node.rs
+++ b/plugins/relay/src/node.rs
@@ -15,7 +15,7 @@
 use jacinthweir_policy::relay::lease::Lease;
 use jacinthweir_policy::relay::rooms::{Flow, Shortage};
 use jacinthweir_policy::relay::runners::Runners;
-use jacinthweir_policy::relay::spending::{Claim, Counts, Spending, SpendingConfig};
+use jacinthweir_policy::relay::spending::{Counts, Need, Spending, SpendingConfig};
 use jacinthweir_policy::relay::vouch::Vouch;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -238,22 +238,22 @@
     }
 
     /// Whether the common budget has a further send for a service.
-    pub(crate) fn has_repeat(&self, service: &Name, claim: Claim) -> bool {
+    pub(crate) fn has_repeat(&self, service: &Name, need: Need) -> bool {
         let cfg = self.spending_config();
         let instances = self.most_instances();
         let mut spending = self.spending.borrow_mut();
         let of_service = spending.entry(service.clone()).or_default();
-        of_service.has(self.now(), &cfg, instances, claim)
+        of_service.has(self.now(), &cfg, instances, need)
     }
 
     /// Takes one further send for a service out of the common budget.
-    pub(crate) fn take_repeat(&self, service: &Name, claim: Claim) -> bool {
+    pub(crate) fn take_repeat(&self, service: &Name, need: Need) -> bool {
         let cfg = self.spending_config();
         let instances = self.most_instances();
         let now = self.now();
         let mut spending = self.spending.borrow_mut();
         let of_service = spending.entry(service.clone()).or_default();
-        let taken = of_service.take(now, &cfg, instances, claim);
+        let taken = of_service.take(now, &cfg, instances, need);
         let outcome = if taken { "taken" } else { "refused" };
         metrics::counter!("jacinthweir_repeats_total", "outcome" => outcome).increment(1);
         taken
--- a/plugins/relay/src/stream.rs
+++ b/plugins/relay/src/stream.rs
@@ -14,7 +14,7 @@
 use jacinthweir_platform::{header, runner};
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::rooms;
-use jacinthweir_policy::relay::spending::Claim;
+use jacinthweir_policy::relay::spending::Need;
 use tokio::time::{sleep, timeout};
 
 use crate::admit::{self, Place};
@@ -55,7 +55,7 @@
             Ok(live) => live,
             Err(cause) => break cause,
         };
-        if tried.journal.sends > 0 && !node.take_repeat(&rq.service, tried.journal.claim()) {
+        if tried.journal.sends > 0 && !node.take_repeat(&rq.service, tried.journal.need()) {
             break Cause::RunnerFailed;
         }
         match tried.open(node, &rq, &live, rq.last_event).await {
@@ -269,7 +269,7 @@
     }
 
     fn may_run_again(&self) -> bool {
-        self.rq.class.repeatable() && self.node.has_repeat(&self.rq.service, Claim::Owed)
+        self.rq.class.repeatable() && self.node.has_repeat(&self.rq.service, Need::Owed)
     }
 
     /// A share of the caller's patience, in milliseconds.
@@ -343,7 +343,7 @@
     async fn try_on(&mut self) -> Result<(Passage, Response<AnswerBody>), GivenUp> {
         let live = self.next_chain().ok_or(GivenUp::NoChain)?;
         // Each send counts, also one that a runner refuses.
-        if !self.node.take_repeat(&self.rq.service, Claim::Owed) {
+        if !self.node.take_repeat(&self.rq.service, Need::Owed) {
             return Err(GivenUp::NoRepeat);
         }
         let after = self.events.last();
--- a/policy/src/relay/spending.rs
+++ b/policy/src/relay/spending.rs
@@ -58,7 +58,7 @@
 
 /// Who needs a further send.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Claim {
+pub enum Need {
     /// A request that has certainly not run: a refusal would be true.
     Refusable,
     /// One that may have run, or whose answer has begun: without the send it fails.
@@ -107,17 +107,11 @@
     }
 
     /// Whether there is a further send among `instances` instances.
-    pub fn has(
-        &mut self,
-        now: Millis,
-        cfg: &SpendingConfig,
-        instances: usize,
-        claim: Claim,
-    ) -> bool {
+    pub fn has(&mut self, now: Millis, cfg: &SpendingConfig, instances: usize, need: Need) -> bool {
         let certain = self.certain(now, cfg, instances);
-        let kept = match claim {
-            Claim::Refusable => KEPT_SHARE * certain.all,
-            Claim::Owed => 0.0,
+        let kept = match need {
+            Need::Refusable => KEPT_SHARE * certain.all,
+            Need::Owed => 0.0,
         };
         let there_is = certain.left >= 1.0 || self.lent >= 1.0;
         there_is && certain.left.max(0.0) + self.lent >= 1.0 + kept
@@ -129,9 +123,9 @@
         now: Millis,
         cfg: &SpendingConfig,
         instances: usize,
-        claim: Claim,
+        need: Need,
     ) -> bool {
-        if !self.has(now, cfg, instances, claim) {
+        if !self.has(now, cfg, instances, need) {
             return false;
         }
         if self.certain(now, cfg, instances).left < 1.0 {
--- a/policy/tests/relay_rules.rs
+++ b/policy/tests/relay_rules.rs
@@ -13,7 +13,7 @@
 use jacinthweir_policy::relay::lease::{Grant, Lease, LeaseStep};
 use jacinthweir_policy::relay::rooms::{FILL, Refusals, Room, choose, demand};
 use jacinthweir_policy::relay::runners::Runners;
-use jacinthweir_policy::relay::spending::{Claim, Counts, Spending, SpendingConfig};
+use jacinthweir_policy::relay::spending::{Counts, Need, Spending, SpendingConfig};
 use jacinthweir_policy::relay::vouch::Vouch;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -416,7 +416,7 @@
         let one = &mut instances[(now / 10 % 6) as usize];
         one.request(now, &cfg);
         requests.push(now);
-        if one.take(now, &cfg, 6, Claim::Owed) {
+        if one.take(now, &cfg, 6, Need::Owed) {
             repeats.push(now);
         }
     }
@@ -457,7 +457,7 @@
             if (at..at + 100).contains(&now) {
                 let wanted = two
                     .iter_mut()
-                    .map(|s| (0..6).filter(|_| s.take(now, &cfg, 6, Claim::Owed)).count());
+                    .map(|s| (0..6).filter(|_| s.take(now, &cfg, 6, Need::Owed)).count());
                 taken[burst] += wanted.sum::<usize>();
             }
         }
@@ -490,7 +490,7 @@
     for s in &mut all {
         s.lend(10_000, &cfg, others, 70);
         sent += (0..100)
-            .filter(|_| s.take(10_000, &cfg, 70, Claim::Owed))
+            .filter(|_| s.take(10_000, &cfg, 70, Need::Owed))
             .count();
     }
     let bound = 0.2 * f64::from(own.requests * 70) + 326.0;
@@ -512,7 +512,7 @@
     };
     one.lend(0, &cfg, spent, 6);
     let taken = (0..100)
-        .filter(|_| one.take(0, &cfg, 6, Claim::Owed))
+        .filter(|_| one.take(0, &cfg, 6, Need::Owed))
         .count();
     // Its own part of the fixed number, and no more.
     expect_that!(taken, eq(8));
@@ -577,21 +577,21 @@
     };
     let mut one = Spending::default();
     (0..100).for_each(|_| one.request(0, &cfg));
-    let refusable = (0..1_000).filter(|_| one.take(0, &cfg, 6, Claim::Refusable));
+    let refusable = (0..1_000).filter(|_| one.take(0, &cfg, 6, Need::Refusable));
     let refusable = refusable.count();
-    let owed = (0..1_000).filter(|_| one.take(0, &cfg, 6, Claim::Owed));
+    let owed = (0..1_000).filter(|_| one.take(0, &cfg, 6, Need::Owed));
     let owed = owed.count();
     let mut other = Spending::default();
     (0..100).for_each(|_| other.request(0, &cfg));
-    let all = (0..1_000).filter(|_| other.take(0, &cfg, 6, Claim::Owed));
+    let all = (0..1_000).filter(|_| other.take(0, &cfg, 6, Need::Owed));
     expect_that!(refusable + owed, eq(all.count()));
     expect_that!(owed, ge(10));
     expect_that!(refusable, ge(owed));
 
     // What others have left is for both as well, down to what is kept.
     other.lend(0, &cfg, Counts::default(), 6);
-    let refusable = (0..1_000).filter(|_| other.take(0, &cfg, 6, Claim::Refusable));
+    let refusable = (0..1_000).filter(|_| other.take(0, &cfg, 6, Need::Refusable));
     expect_that!(refusable.count(), gt(0));
-    let owed = (0..1_000).filter(|_| other.take(0, &cfg, 6, Claim::Owed));
+    let owed = (0..1_000).filter(|_| other.take(0, &cfg, 6, Need::Owed));
     expect_that!(owed.count(), gt(0));
 }
