--- a/policy/tests/retry.rs
+++ b/policy/tests/retry.rs
@@ -100,6 +100,39 @@
     expect_that!(resumed, eq(100));
 }
 
+/// A failure domain is full and refuses every new request that comes; then a runner elsewhere dies. The
+/// refused ones can be told the truth, that nothing ran. The streams that ran on the dead one can only
+/// be cut, and are if the refused ones have taken every retry.
+#[gtest]
+fn requests_that_can_be_refused_leave_retries_to_streams_that_cannot() {
+    let mut budget = full();
+    budget.set_in_flight(20);
+    let refused = BadEnd::Refused { retry_after_ms: 0 };
+    let new = |budget: &mut RetryBudget| {
+        let mut journal = Journal::open("new".into(), Repeat::Idempotent, 0);
+        handed(&mut journal, 1);
+        let event = Event::RefusedByUpstream { attempt: 1 };
+        journal.record(0, event).unwrap();
+        decide(0, &journal, refused, TIME, budget)
+    };
+    let retried = (0..100).filter(|_| matches!(new(&mut budget), Decision::Retry { .. }));
+    expect_that!(retried.count(), ge(10));
+    let mut journal = Journal::open("begun".into(), Repeat::Idempotent, 0);
+    handed(&mut journal, 1);
+    let token = Event::Token {
+        attempt: 1,
+        index: 0,
+    };
+    journal.record(0, token).unwrap();
+    lost(&mut journal, 1);
+    let decision = decide(0, &journal, BadEnd::BrokenOff, TIME, &mut budget);
+    let resumed = Decision::Retry {
+        attempt: 2,
+        resume_from: 1,
+    };
+    expect_that!(decision, eq(resumed));
+}
+
 #[gtest]
 fn a_stall_is_measured_against_the_links_own_history() {
     let mut fast = StallDetector::new(StallConfig::default());
