Retries: on the own interface, too, the last ones go to what can't be refused truthfully

What callers saw, by the test: a stream cut when its runner dies, after full runners had refused enough new requests.

Cause and change are those of the relay's budget: the bucket had no order of needs. Need moved out of the relay's spending and serves both: a request of which nothing ran leaves 0.3 of the bucket's size. The bound on retries is as it was; the older tests of it take for those that may take everything.

--- a/plugins/relay/src/answer.rs
+++ b/plugins/relay/src/answer.rs
@@ -14,8 +14,8 @@
 use http::{HeaderValue, Response, StatusCode};
 use http_body::{Body, Frame, SizeHint};
 use jacinthweir_platform::header;
+use jacinthweir_policy::need::Need;
 use jacinthweir_policy::prelude::*;
-use jacinthweir_policy::relay::spending::Need;
 
 use crate::node::Node;
 
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod load;
 pub mod member;
 pub mod membership;
+pub mod need;
 pub mod outcome;
 pub mod prelude;
 pub mod region;
--- a/policy/src/relay/spending.rs
+++ b/policy/src/relay/spending.rs
@@ -9,13 +9,11 @@
 //! beyond its part it may use what it was lent at the last exchange: a part of what all have left,
 //! so that those who do the same between two exchanges stay within the bound.
 //!
-//! A request that has certainly not run can be refused truthfully, and its caller comes back. One
-//! that may have run, or whose answer has begun, can only fail. So the last of what there is goes to
-//! the latter: full runners refuse many new requests, and these would leave nothing for the streams
-//! of the next chain that breaks.
+//! What can be refused truthfully leaves the last of it to what cannot: see [`Need`].
 
 use std::collections::VecDeque;
 
+use crate::need::Need;
 use crate::prelude::*;
 
 /// Bound over all instances.
@@ -53,18 +51,6 @@
 /// is lent to all together then fits beside the certain parts.
 const LENT_TO_FURTHER: f64 = LENT_SHARE / (1.0 - USED_SHARE);
 
-/// Part of an instance's certain part that requests which can be refused leave to the others.
-const KEPT_SHARE: f64 = 0.3;
-
-/// Who needs a further send.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Need {
-    /// A request that has certainly not run: a refusal would be true.
-    Refusable,
-    /// One that may have run, or whose answer has begun: without the send it fails.
-    Owed,
-}
-
 /// The least number of instances that the fixed number is divided by: instances that are not known
 /// yet spend as well.
 const LEAST_INSTANCES: usize = 6;
@@ -109,10 +95,7 @@
     /// Whether there is a further send among `instances` instances.
     pub fn has(&mut self, now: Millis, cfg: &SpendingConfig, instances: usize, need: Need) -> bool {
         let certain = self.certain(now, cfg, instances);
-        let kept = match need {
-            Need::Refusable => KEPT_SHARE * certain.all,
-            Need::Owed => 0.0,
-        };
+        let kept = need.leaves(certain.all);
         let there_is = certain.left >= 1.0 || self.lent >= 1.0;
         there_is && certain.left.max(0.0) + self.lent >= 1.0 + kept
     }
--- a/policy/src/retry.rs
+++ b/policy/src/retry.rs
@@ -16,6 +16,7 @@
 pub use stall::{StallConfig, StallDetector};
 
 use crate::journal::{Journal, MAX_ATTEMPTS, Repeat};
+use crate::need::Need;
 use crate::prelude::*;
 use derive_more::Display;
 
@@ -99,7 +100,7 @@
         return Decision::GiveUp(GiveUp::Deadline);
     }
     // An attempt that never left cost no upstream anything.
-    if end != BadEnd::NeverSent && !budget.take(now) {
+    if end != BadEnd::NeverSent && !budget.take(now, need(journal)) {
         return Decision::GiveUp(GiveUp::Budget);
     }
     Decision::Retry {
@@ -107,3 +108,10 @@
         resume_from: journal.tokens(),
     }
 }
+
+fn need(journal: &Journal) -> Need {
+    match journal.nothing_ran() {
+        true => Need::Refusable,
+        false => Need::Owed,
+    }
+}
--- a/policy/src/retry/budget.rs
+++ b/policy/src/retry/budget.rs
@@ -6,9 +6,10 @@
 //!
 //! The bucket holds at least as many as there are requests in flight: when a failure domain
 //! dies, each stream that ran there may be resumed once. That is no new load, since those streams
-//! were running before. What stays bounded is the second and third failure in a row: in a time in
+//! were running before, and requests that can be refused leave them some ([`Need`]). What stays bounded is the second and third failure in a row: in a time in
 //! which `s` requests succeed, at most `size + share * s` retries are made.
 
+use crate::need::Need;
 use crate::prelude::*;
 
 /// Settings of a retry budget.
@@ -69,12 +70,12 @@
         self.left = (self.left + self.cfg.share).min(self.size);
     }
 
-    /// Takes one retry, if there is one.
-    pub fn take(&mut self, now: Millis) -> bool {
+    /// Takes one retry, if there is one for this need.
+    pub fn take(&mut self, now: Millis, need: Need) -> bool {
         let elapsed_s = now.saturating_sub(self.at) as f64 / 1_000.0;
         self.at = now;
         self.left = (self.left + elapsed_s * self.cfg.trickle_per_s).min(self.size);
-        if self.left < 1.0 {
+        if self.left < 1.0 + need.leaves(self.size) {
             self.refused += 1;
             return false;
         }
--- a/policy/tests/relay_rules.rs
+++ b/policy/tests/relay_rules.rs
@@ -5,6 +5,7 @@
 mod support;
 
 use googletest::prelude::*;
+use jacinthweir_policy::need::Need;
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::attempts::Attempts;
 use jacinthweir_policy::relay::intent::{
@@ -13,7 +14,7 @@
 use jacinthweir_policy::relay::lease::{Grant, Lease, LeaseStep};
 use jacinthweir_policy::relay::rooms::{FILL, Refusals, Room, choose, demand};
 use jacinthweir_policy::relay::runners::Runners;
-use jacinthweir_policy::relay::spending::{Counts, Need, Spending, SpendingConfig};
+use jacinthweir_policy::relay::spending::{Counts, Spending, SpendingConfig};
 use jacinthweir_policy::relay::vouch::Vouch;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
--- a/policy/tests/retry.rs
+++ b/policy/tests/retry.rs
@@ -2,6 +2,7 @@
 
 use googletest::prelude::*;
 use jacinthweir_policy::journal::{Event, Journal, Repeat};
+use jacinthweir_policy::need::Need;
 use jacinthweir_policy::retry::*;
 
 const TIME: TimeLeft = TimeLeft {
@@ -78,7 +79,7 @@
     for request in 0..30_000_u64 {
         let now = request;
         match request % 3 {
-            0 => retries += u64::from(budget.take(now)),
+            0 => retries += u64::from(budget.take(now, Need::Owed)),
             _ => {
                 successes += 1;
                 budget.succeeded();
@@ -96,7 +97,7 @@
 fn every_stream_in_flight_may_be_resumed_once() {
     let mut budget = full();
     budget.set_in_flight(300);
-    let resumed = (0..100).filter(|_| budget.take(0)).count();
+    let resumed = (0..100).filter(|_| budget.take(0, Need::Owed)).count();
     expect_that!(resumed, eq(100));
 }
 
