Test, red: one instance's broken link closes a plain service for the fleet

Its peers reach the service each time that it asks them, which clears their doubts but not its own misses; at twice the number of misses it suspects the service unconfirmed and tells all.

--- a/policy/tests/support/runners.rs
+++ b/policy/tests/support/runners.rs
@@ -19,6 +19,8 @@
     pub leaving: bool,
     /// Instances that can't reach it over a broken link.
     pub hidden_from: Vec<usize>,
+    /// It takes connections and reports nothing: a plain service.
+    pub plain: bool,
     number: u64,
 }
 
@@ -42,6 +44,7 @@
             incarnation: START_MS,
             leaving: false,
             hidden_from: Vec::new(),
+            plain: false,
             number: 0,
         };
         self.runners = (0..count).map(runner).collect();
@@ -66,7 +69,11 @@
     pub fn read_list(&mut self, i: usize) {
         let list = self.list();
         let upstreams = &mut self.nodes[i].upstreams;
-        upstreams.set_groups(BTreeMap::from([(GROUP.into(), PollKind::Load)]));
+        let kind = match self.runners.iter().any(|r| r.plain) {
+            true => PollKind::Connect,
+            false => PollKind::Load,
+        };
+        upstreams.set_groups(BTreeMap::from([(GROUP.into(), kind)]));
         upstreams.listed(self.now, &list);
     }
 
@@ -103,6 +110,9 @@
         if runner.run != Run::Up || runner.hidden_from.contains(&i) || !near {
             return PollOutcome::Failed;
         }
+        if runner.plain {
+            return PollOutcome::Connected;
+        }
         runner.number += 1;
         PollOutcome::Report(report(r, runner))
     }
--- a/policy/tests/upstreams.rs
+++ b/policy/tests/upstreams.rs
@@ -97,6 +97,30 @@
     expect_that!(fleet.seeing(5, Availability::Open), eq(6));
 }
 
+// The same with a plain service, which takes connections and reports no load. The instance's peers
+// reach it each time that they are asked, and it must not be closed for anybody: before, enough misses
+// of the one instance closed it for all, and its callers were refused for want of capacity.
+#[gtest]
+fn a_broken_link_of_one_instance_closes_no_plain_service() {
+    let mut fleet = fleet_of(6, 1, 8);
+    fleet.runners.iter_mut().for_each(|r| r.plain = true);
+    (0..6).for_each(|i| fleet.read_list(i));
+    fleet.rounds(8);
+    expect_that!(fleet.seeing(5, Availability::Open), eq(6));
+    let row = fleet.nodes[0].upstreams.dump(0).rows[5].clone();
+    let observer = (0..6).find(|i| *fleet::name(*i) == *row.observers[0]);
+    fleet.runners[5].hidden_from = vec![observer.unwrap()];
+    for _ in 0..30 {
+        fleet.round();
+        expect_that!(fleet.seeing(5, Availability::Suspected), eq(0));
+    }
+    fleet.runners[5].run = Run::Dead;
+    let rounds = rounds_until(&mut fleet, 20, |f| {
+        f.seeing(5, Availability::Suspected) == 6
+    });
+    expect_that!(rounds, le(8));
+}
+
 // One instance is cut off from its peers and from all runners for 30 rounds; it suspects every
 // runner that it observes, as nobody can be asked. When it is back, its suspicions spread with the
 // exchanges: callers of the other instances would be refused for want of capacity, although the
