Upstreams: one that a peer reaches is suspected by nobody, plain services too

What callers saw, by the test: 503 for want of capacity at a service that lives, wherever the word of one instance with a broken link to it had come.

Change: a peer's connection keeps the asking instance's misses below the number that doubts, as a peer's report of a runner does.

--- a/policy/src/upstreams/observe.rs
+++ b/policy/src/upstreams/observe.rs
@@ -183,6 +183,9 @@
             }
             ConfirmOutcome::Polled(PollOutcome::Connected) => {
                 u.unreached_by.clear();
+                // Others reach it: however often this instance does not, that closes it for nobody.
+                let misses = u.misses;
+                self.keep_misses(&confirm.name, misses);
                 return;
             }
             ConfirmOutcome::Polled(PollOutcome::Failed) => {}
