--- a/plugins/relay/src/stream.rs
+++ b/plugins/relay/src/stream.rs
@@ -243,9 +243,9 @@
 
     /// Has the run itself go on past a dead part, through the chain that takes the broken one's
     /// place behind the same first runner. That spends no repeat and needs no room elsewhere, but
-    /// the new part reads the tokens of one run after the other: of 128 runs the last went on after
-    /// nine tenths of a second. So they are spread, and a new run comes first where it begins
-    /// sooner and in time. `None`: a new run is needed.
+    /// the new part reads the tokens of one run after the other, and the last of many waits for
+    /// long. So they are spread, and a new run comes first where it begins sooner and in time.
+    /// `None`: a new run is needed.
     async fn reroute(&mut self) -> Option<()> {
         let broken = Rc::clone(&self.passage.as_ref()?.live);
         let in_time = self.heard_ms + self.rq.pause_ms.saturating_sub(READ_MS);
--- a/plugins/relay/tests/relay/repeats.rs
+++ b/plugins/relay/tests/relay/repeats.rs
@@ -1,14 +1,39 @@
 //! How a stream goes on whose chain broke, and who gets the few further sends that there are.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use googletest::prelude::*;
-use tokio::task::spawn_local;
+use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::{sleep, timeout};
 
-use crate::standin::{LONG, Manner, Runner, Site, on_one_thread, request};
+use crate::standin::{LONG, Manner, Runner, Seen, Site, on_one_thread, request};
 use crate::{NOTES, TOKENS};
 
+/// A stream, once one of `runners` has begun to work on it.
+async fn begun_stream(site: &Site, runners: &[Rc<Runner>]) -> JoinHandle<Seen> {
+    let callers = site.callers();
+    let streaming = spawn_local(async move { request(callers, NOTES, TOKENS, "one").await });
+    until_one_runs(runners).await;
+    streaming
+}
+
+async fn until_one_runs(runners: &[Rc<Runner>]) {
+    let begun = async {
+        while runners.iter().all(|r| r.runs() == 0) {
+            sleep(Duration::from_millis(1)).await;
+        }
+    };
+    timeout(LONG, begun).await.expect("it runs");
+}
+
+async fn expect_whole(streaming: JoinHandle<Seen>) {
+    let got = streaming.await.expect("it ends");
+    expect_that!(got.status, eq(200));
+    expect_true!(got.whole);
+    expect_that!(got.events(), eq(&[1, 2, 3, 4, 5, 6]));
+}
+
 /// Bounds in which an instance has one further send for certain.
 async fn site_with_one_repeat() -> Site {
     let site = Site::bound_by(|bounds| {
@@ -29,25 +54,15 @@
         let site = site_with_one_repeat().await;
         let near = &site.runners[..2];
         near.iter().for_each(|r| r.held.set(true));
-        let callers = site.callers();
-        let streaming = spawn_local(async move { request(callers, NOTES, TOKENS, "one").await });
-        let begun = async {
-            while site.runs() == 0 {
-                sleep(Duration::from_millis(1)).await;
-            }
-        };
-        timeout(LONG, begun).await.expect("it runs");
+        let streaming = begun_stream(&site, near).await;
         near.iter().for_each(|r| r.manner.set(Manner::NotRun));
-        let refused = request(callers, NOTES, TOKENS, "two").await;
+        let refused = request(site.callers(), NOTES, TOKENS, "two").await;
         expect_that!(refused.status, eq(503));
         expect_that!(refused.header("retry-after"), some(anything()));
 
         near.iter().for_each(|r| r.manner.set(Manner::BreaksOff));
         near.iter().for_each(|r| r.held.set(false));
-        let got = streaming.await.expect("it ends");
-        expect_that!(got.status, eq(200));
-        expect_true!(got.whole);
-        expect_that!(got.events(), eq(&[1, 2, 3, 4, 5, 6]));
+        expect_whole(streaming).await;
     });
 }
 
@@ -67,15 +82,11 @@
         head.manner.set(Manner::Stalls);
         let part = site.near((2, 4));
         part.manner.set(Manner::Silent);
-        let callers = site.callers();
-        let streaming = spawn_local(async move { request(callers, NOTES, TOKENS, "one").await });
+        let streaming = begun_stream(&site, &site.runners).await;
         site.dead_are(1).await;
         let _spare = Runner::spawn(&site.store, "a3", "pool", "a").await;
 
-        let got = streaming.await.expect("it ends");
-        expect_that!(got.status, eq(200));
-        expect_true!(got.whole);
-        expect_that!(got.events(), eq(&[1, 2, 3, 4, 5, 6]));
+        expect_whole(streaming).await;
         expect_that!(site.runs(), eq(1));
         let rerouted = head.rerouted.borrow();
         // Whoever was told to hold them, the spare runner or the first one itself.
@@ -97,24 +108,15 @@
         site.near((2, 4)).manner.set(Manner::Silent);
         let far = &site.runners[2..];
         far.iter().for_each(|r| r.manner.set(Manner::Mute));
-        let callers = site.callers();
-        let streaming = spawn_local(async move { request(callers, NOTES, TOKENS, "one").await });
-        let resumed = async {
-            while far.iter().all(|r| r.runs() == 0) {
-                sleep(Duration::from_millis(1)).await;
-            }
-        };
-        timeout(LONG, resumed).await.expect("it goes on elsewhere");
+        let streaming = begun_stream(&site, &site.runners).await;
+        until_one_runs(far).await;
         let part = far.iter().find(|r| r.held() == Some((2, 4)));
         part.expect("a part").manner.set(Manner::Silent);
         site.dead_are(2).await;
         head.manner.set(Manner::Well);
         let _spare = Runner::spawn(&site.store, "a3", "pool", "a").await;
 
-        let got = streaming.await.expect("it ends");
-        expect_that!(got.status, eq(200));
-        expect_true!(got.whole);
-        expect_that!(got.events(), eq(&[1, 2, 3, 4, 5, 6]));
+        expect_whole(streaming).await;
     });
 }
 
@@ -128,20 +130,10 @@
         let head = site.near((0, 2));
         head.manner.set(Manner::Stalls);
         let part = site.near((2, 4));
-        let callers = site.callers();
-        let streaming = spawn_local(async move { request(callers, NOTES, TOKENS, "one").await });
-        let begun = async {
-            while head.runs() == 0 {
-                sleep(Duration::from_millis(1)).await;
-            }
-        };
-        timeout(LONG, begun).await.expect("it runs");
+        let streaming = begun_stream(&site, &site.runners).await;
         site.store.remove("servers", &part.id);
         part.manner.set(Manner::Silent);
 
-        let got = streaming.await.expect("it ends");
-        expect_that!(got.status, eq(200));
-        expect_true!(got.whole);
-        expect_that!(got.events(), eq(&[1, 2, 3, 4, 5, 6]));
+        expect_whole(streaming).await;
     });
 }
