--- a/plugins/relay/tests/relay/own_link.rs
+++ b/plugins/relay/tests/relay/own_link.rs
@@ -9,7 +9,7 @@
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::{sleep, timeout};
 
-use crate::standin::{BORN_MS, LONG, Seen, Site, on_one_thread, raw, request};
+use crate::standin::{BORN_MS, LONG, Manner, Seen, Site, on_one_thread, raw, request};
 use crate::{LOOKUP, NOTES, TOKENS};
 
 /// Two streams under way, so that the silence of their chain is noticed soon.
@@ -216,3 +216,19 @@
         expect_that!(got.status, eq(200));
     });
 }
+
+/// Where nobody but one other runner is left to ask, its answer has to do: otherwise a dead part of a
+/// small fleet is never found, and its chain is silent for good.
+#[gtest]
+fn the_last_witness_is_enough() {
+    on_one_thread(async {
+        let site = Site::patient(|_| {}).await;
+        let others = site.runners[2..].iter().chain(&site.plain);
+        others.for_each(|r| r.register("draining"));
+        let part = site.near((2, 4));
+        part.manner.set(Manner::Silent);
+        tell_dead(&site, &part.id).await;
+        site.dead_are(1).await;
+        expect_that!(site.dead().await, eq(1));
+    });
+}
