Relay: half of the witnesses that there are is enough

Change: the quorum is of four witnesses or of as many as there are. With a single sound runner besides, its answer decides, in both rounds; with none nobody is named, as before.

--- a/plugins/relay/src/question.rs
+++ b/plugins/relay/src/question.rs
@@ -46,7 +46,7 @@
 /// Witnesses that are asked at a time: two that answer are enough, and half of the fleet may be dark.
 const WITNESSES: usize = 5;
 
-/// Number of witnesses of which half, two, must answer.
+/// Number of witnesses of which half, two, must answer; of fewer that there are, half as well.
 const QUORUM_OF: usize = 4;
 
 /// Times that a runner must be silent beside witnesses to be dead: this instance's link may fill up
@@ -205,10 +205,10 @@
     let witnesses = witnesses(node, s);
     let mut open: FuturesUnordered<LocalBoxFuture<'_, Answer>> = FuturesUnordered::new();
     open.push(ask(s.address, tries).map(Answer::Suspect).boxed_local());
+    let mut round = Round::new(QUORUM_OF.min(witnesses.len()));
     for address in witnesses {
         open.push(ask(address, 1).map(Answer::Witness).boxed_local());
     }
-    let mut round = Round::new(QUORUM_OF);
     let mut watched = Watched::begin(node.now());
     let mut found = None;
     loop {
