--- a/plugins/relay/src/call.rs
+++ b/plugins/relay/src/call.rs
@@ -29,8 +29,8 @@
 const MISDIRECTED_MS: Millis = 1_000;
 const FULL_MS: Millis = 100;
 
-/// How long a runner to which no connection came about is passed over, in milliseconds: by then it
-/// is known whether it is dead.
+/// How long a runner to which no connection came about is passed over, in milliseconds: in most cases
+/// it is known by then whether it is dead.
 const NOT_REACHED_MS: Millis = 250;
 
 /// When to come back after a refusal, in milliseconds: a call takes some 60.
