Calls: a read that every allowed runner failed goes to one of them again

A call that may be repeated, and that the allowed runners failed by their own word, goes to one of them once more, twice at the most, out of the budget of repeats like any other. Ruled out: a third runner (the route allows two). A lost answer or a time-out is not asked for again: it says nothing good of the runner.

--- a/plugins/relay/src/call.rs
+++ b/plugins/relay/src/call.rs
@@ -10,6 +10,7 @@
 use http::{Response, StatusCode};
 use jacinthweir_platform::header;
 use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::relay::attempts::CallAttempts;
 use jacinthweir_policy::relay::runners::RunnerEntry;
 use tokio::time::timeout;
 
@@ -53,7 +54,7 @@
 pub(crate) async fn serve(node: &Rc<Node>, rq: Proxied) -> Response<RelayBody> {
     node.count_request(&rq.service);
     let mut journal = Journal::default();
-    let mut tried: Vec<Name> = Vec::new();
+    let mut attempts = CallAttempts::default();
     let mut last: Option<Response<RelayBody>> = None;
     let mut cause = Cause::NoRunner;
     let mut unreached = 0;
@@ -62,16 +63,16 @@
             cause = Cause::Timeout;
             break;
         }
-        if journal.sends >= rq.max_attempts || unreached >= MAX_UNREACHED {
+        if unreached >= MAX_UNREACHED {
             break;
         }
-        let Some(runner) = next_runner(node, &rq, &tried) else {
+        let Some(runner) = next_runner(node, &rq, &attempts, journal.sends) else {
             break;
         };
         if journal.sends > 0 && !node.take_repeat(&rq.service, journal.need()) {
             break;
         }
-        tried.push(runner.id.clone());
+        attempts.sent(&runner.id);
         journal.hand();
         let repeatable = rq.class.repeatable() && journal.sends < rq.max_attempts;
         match attempt(node, &rq, &runner, repeatable).await {
@@ -88,6 +89,9 @@
                 unreached += 1;
             }
             Ended::Failed(res) => {
+                if res.is_some() {
+                    attempts.failed(&runner.id);
+                }
                 last = res.or(last);
                 cause = Cause::RunnerFailed;
             }
@@ -109,12 +113,20 @@
     }
 }
 
-fn next_runner(node: &Node, rq: &Proxied, tried: &[Name]) -> Option<RunnerEntry> {
+fn next_runner(
+    node: &Node,
+    rq: &Proxied,
+    attempts: &CallAttempts,
+    sends: u32,
+) -> Option<RunnerEntry> {
     let now = node.now();
     let runners = node.runners.borrow();
     let domain = &node.settings.failure_domain;
     let ranked = runners.plain(&rq.service, domain, now, || node.draw_u32());
-    ranked.into_iter().find(|e| !tried.contains(&e.id)).cloned()
+    let repeatable = rq.class.repeatable();
+    attempts
+        .next(&ranked, sends, rq.max_attempts, repeatable)
+        .cloned()
 }
 
 async fn attempt(node: &Rc<Node>, rq: &Proxied, runner: &RunnerEntry, repeatable: bool) -> Ended {
