Following: changes are read together while a fleet starts, and when configurations come quickly

Until instances have heard of each other every one watches the runners, and each of 205 that register ends 295 watches; a configuration ends them all as well. An instance waits half a second between two readings of the runners in its first 2.5 s, unless it gives orders; after a configuration it waits 12 ms for each six instances, 0.6 s at the most. Watches wait up to 28 s of the thirty that the store allows (20 before).

--- a/plugins/relay/src/watch.rs
+++ b/plugins/relay/src/watch.rs
@@ -36,10 +36,6 @@
 const LONGEST_PAUSE_MS: u64 = 600;
 const PAUSE_BOUND_MS: u64 = 2_400;
 
-/// Runners' entries change in bursts when orders are carried out; changes that come within this
-/// time are fetched with one call.
-const GATHER_MS: Millis = 60;
-
 /// Time without the store in which leases of runners' entries may lapse, in milliseconds; they last
 /// for three heartbeats of a second or more. After a shorter one an entry that is missing is gone.
 const OUTAGE_MS: Millis = 2_000;
@@ -279,8 +275,19 @@
                 }
             }
         }
-        if any && what == Followed::Runners {
-            sleep(Duration::from_millis(GATHER_MS)).await;
+        if any {
+            sleep(Duration::from_millis(gather_ms(node, what))).await;
+        }
+    }
+}
+
+/// Changes that come within this time are read with one call, in milliseconds.
+fn gather_ms(node: &Node, what: Followed) -> Millis {
+    match what {
+        Followed::Configuration => following::gather_ms(node.instances()),
+        Followed::Runners => {
+            let gives_orders = node.lease.borrow().held(node.now()).is_some();
+            following::runners_gather_ms(node.now(), gives_orders)
         }
     }
 }
--- a/policy/src/relay/following.rs
+++ b/policy/src/relay/following.rs
@@ -23,7 +23,7 @@
 const FEW: usize = 6;
 
 /// The longest that any watch waits, in milliseconds; the store allows thirty seconds.
-const LONGEST_MS: Millis = 20_000;
+const LONGEST_MS: Millis = 28_000;
 
 /// Age of the confirmation from which on an instance reads the configuration itself, in
 /// milliseconds. Confirmations come from the others as well, and are about a second old when they
@@ -42,6 +42,45 @@
     ((base as f64 * times) as Millis).min(LONGEST_MS)
 }
 
+/// Time within which changes of the configuration are read with one call, for each of [`FEW`]
+/// instances and at the most, in milliseconds.
+const GATHER_MS: f64 = 12.0;
+const LONGEST_GATHER_MS: f64 = 600.0;
+
+/// How long an instance waits after a change of the configuration before it watches for the next.
+///
+/// Load pattern: configurations come in quick succession, three a second. Each ends the watch of
+/// every instance, and hundreds ask the store for each of them; what is in force a second later is
+/// the same.
+#[must_use]
+pub fn gather_ms(instances: usize) -> Millis {
+    let times = (instances as f64 / FEW as f64).max(1.0);
+    (GATHER_MS * times).min(LONGEST_GATHER_MS) as Millis
+}
+
+/// Time after its start in which an instance may not have heard yet who watches the runners, in
+/// milliseconds.
+const STARTING_MS: Millis = 2_500;
+
+/// Time within which changes of runners' entries are read with one call, in milliseconds, and the
+/// same while the instance starts.
+const RUNNERS_GATHER_MS: Millis = 60;
+const START_GATHER_MS: Millis = 500;
+
+/// How long an instance that started `age_ms` milliseconds ago waits after a change of the runners
+/// before it watches for the next.
+///
+/// Load pattern: a fleet of hundreds starts at once, and so do its runners. Until the instances have
+/// heard of each other every one watches, and each runner that registers ends all their watches. Who
+/// gives orders must see what comes of them.
+#[must_use]
+pub fn runners_gather_ms(age_ms: Millis, gives_orders: bool) -> Millis {
+    match age_ms < STARTING_MS && !gives_orders {
+        true => START_GATHER_MS,
+        false => RUNNERS_GATHER_MS,
+    }
+}
+
 /// Whether one of `instances` whose configuration was confirmed `age` milliseconds ago reads it now;
 /// `draw` is a random number from 0 to 1.
 #[must_use]
--- a/policy/tests/relay_following.rs
+++ b/policy/tests/relay_following.rs
@@ -3,7 +3,7 @@
 use googletest::prelude::*;
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::following::{
-    Behind, Step, Watchers, reluctant, should_confirm, watch_ms,
+    Behind, Step, Watchers, gather_ms, reluctant, runners_gather_ms, should_confirm, watch_ms,
 };
 
 /// A fleet grows from six instances to some hundred. Calls to the store must not grow with it, and
@@ -111,3 +111,30 @@
     expect_that!(first_at(900), le(last_at(0)));
     expect_that!(last_at(900), eq(last_at(0)));
 }
+
+/// Fourteen configurations came within five seconds, and three hundred instances asked the store for
+/// each: four thousand calls. A small fleet still follows each at once, a large one within a part of the
+/// seconds that it has.
+#[gtest]
+fn configurations_in_quick_succession_are_read_together_in_a_large_fleet() {
+    expect_that!(gather_ms(6), le(20));
+    let gap_ms = 330;
+    expect_that!(gather_ms(300), gt(gap_ms));
+    expect_that!(gather_ms(3_000), le(1_000));
+}
+
+/// Three hundred instances start at once and none has heard of another: each watched the runners by
+/// itself, and each of two hundred runners that registered ended all their watches. Who gives orders
+/// still sees at once what comes of them.
+#[gtest]
+fn instances_that_have_just_started_do_not_read_each_runner_that_registers() {
+    let (starting, later) = (300, 5_000);
+    expect_that!(
+        runners_gather_ms(starting, false),
+        ge(5 * runners_gather_ms(later, false))
+    );
+    expect_that!(
+        runners_gather_ms(starting, true),
+        eq(runners_gather_ms(later, false))
+    );
+}
