Exchanges: loads go round within a failure domain, sums between domains; chains are looked at when due

Each answer of an exchange held the loads of all 295 instances, two a round and instance. And each instance looked at its chains every 8 ms, 125 times a second, more often than events came to it. - policy/src/relay/loads.rs: the load of one instance goes round in its own domain, to those that have an older one; other domains hear the domain's sum with its age. Dead runners and what was seen of the store go with each exchange once, as the sender's own word, not once for each instance. - Of a domain eight instances a round exchange with others, on average; the rest stay within it. - A chain is looked at when it may be silent by its rhythm, at the latest after 100 ms. Tests: bytes between domains against all loads, each load counted once, younger sums, a new instance's sum, clocks set back, who refuses elsewhere; a fleet of 300 that exchanges within its domains; looks when due.

--- a/plugins/relay/src/live.rs
+++ b/plugins/relay/src/live.rs
@@ -125,6 +125,14 @@
         silent || self.gaps.borrow_mut().should_ask(now, declared_ms)
     }
 
+    /// When its parts are to be asked if nothing is heard until then, in milliseconds.
+    pub(crate) fn due_ms(&self) -> Option<Millis> {
+        let declared_ms = self.event_tokens * self.step_ms.get();
+        let silent = self.silence.borrow().due_ms();
+        let slow = self.gaps.borrow().due_ms(declared_ms);
+        silent.into_iter().chain(slow).min()
+    }
+
     /// Whether a part is dead, or started anew since and lost all it held.
     fn is_broken(&self, runners: &Runners) -> bool {
         self.chain.stages.iter().any(|s| {
@@ -227,7 +235,7 @@
         for ((of, head), (stages, _)) in chains.paths.iter().filter(|((s, _), _)| s == service) {
             let own = chains.used.get(&(of.clone(), head.clone()));
             let own = own.map_or(0.0, |used| used.get());
-            occupancy.add(stages, own + loads.used(service, head, now));
+            occupancy.add(stages, own + loads.used(service, head));
         }
         let mut rooms = Vec::with_capacity(live.len());
         for (i, l) in live.iter().enumerate() {
@@ -278,6 +286,12 @@
         live.used.set(live.used.get() + tokens);
         live.unread.set(live.unread.get() + tokens);
         live.silence.borrow_mut().sent(node.now());
+        if live
+            .due_ms()
+            .is_some_and(|due| due < node.next_look_ms.get())
+        {
+            node.look.notify_one();
+        }
         Passage {
             node: Rc::clone(node),
             live,
--- a/plugins/relay/src/node.rs
+++ b/plugins/relay/src/node.rs
@@ -14,6 +14,7 @@
 use jacinthweir_policy::relay::following::Behind;
 use jacinthweir_policy::relay::intent::{self, Intent, Offered};
 use jacinthweir_policy::relay::lease::Lease;
+use jacinthweir_policy::relay::loads::Loads;
 use jacinthweir_policy::relay::rooms::{Flow, Shortage};
 use jacinthweir_policy::relay::runners::Runners;
 use jacinthweir_policy::relay::spending::{Counts, Spending, SpendingConfig};
@@ -26,7 +27,6 @@
 
 use crate::RelayError;
 use crate::live::Chains;
-use crate::peers::Loads;
 use crate::placer::Loading;
 use crate::settings::RelaySettings;
 
@@ -41,6 +41,9 @@
 /// Peers that an instance exchanges with each round.
 const FANOUT: usize = 2;
 
+/// Instances of a failure domain that exchange with other domains in one round.
+const OUTWARD: usize = 8;
+
 /// How long a lease on giving orders lasts without renewal, in milliseconds: three renewals, and
 /// short against the time that a hole in a chain costs.
 const LEASE_MS: Millis = 1_800;
@@ -95,6 +98,10 @@
     pub(crate) shortage: RefCell<Shortage>,
     /// Room came free, or chains changed.
     pub(crate) room: Notify,
+    /// When silent chains are looked for next, in milliseconds.
+    pub(crate) next_look_ms: Cell<Millis>,
+    /// They are to be looked for before that.
+    pub(crate) look: Notify,
     /// Requests of callers from their head to the last byte of their answer.
     pub(crate) active: Rc<Cell<usize>>,
     pub(crate) draining: Cell<bool>,
@@ -116,6 +123,7 @@
         let cfg = MembershipConfig {
             round_ms: ROUND_MS,
             fanout: FANOUT,
+            outward: OUTWARD,
             ..MembershipConfig::default()
         };
         let now = Now {
@@ -143,7 +151,10 @@
             listed: Cell::new(false),
             chains: RefCell::default(),
             membership: RefCell::new(membership),
-            loads: RefCell::default(),
+            loads: RefCell::new(Loads::new(
+                settings.name.clone(),
+                settings.failure_domain.clone(),
+            )),
             lease: RefCell::new(Lease::new(settings.name.clone(), LEASE_MS)),
             loading: RefCell::default(),
             spending: RefCell::default(),
@@ -151,6 +162,8 @@
             flow: RefCell::default(),
             shortage: RefCell::default(),
             room: Notify::new(),
+            next_look_ms: Cell::new(0),
+            look: Notify::new(),
             active: Rc::default(),
             draining: Cell::new(false),
             sequence: Cell::new(0),
@@ -313,7 +326,7 @@
         let instances = self.most_instances();
         let loads = self.loads.borrow();
         for (service, spending) in self.spending.borrow_mut().iter_mut() {
-            spending.lend(now, &cfg, loads.spent(service, now), instances);
+            spending.lend(now, &cfg, loads.spent(service), instances);
         }
     }
 
--- a/plugins/relay/src/peers.rs
+++ b/plugins/relay/src/peers.rs
@@ -1,11 +1,10 @@
 //! Exchanges with other instances: who is there, what each has in flight, whom it found dead, and
 //! what it has seen of the store.
 //!
-//! The membership decides whom to exchange with. Loads travel with each exchange, each under its
-//! origin's own count, so that the newest wins on every way it takes. What cannot wait for the next
-//! exchange is told by [`news`](crate::news).
+//! The membership decides whom to exchange with, [`loads`](jacinthweir_policy::relay::loads) what of
+//! the loads each is told. What cannot wait for the next exchange is told by [`news`](crate::news).
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -14,13 +13,13 @@
 use http::{Method, Request, Response};
 use http_body_util::Full;
 use jacinthweir_clients::direct;
-use jacinthweir_policy::member::Phase;
+use jacinthweir_policy::member::{MemberState, Phase};
 use jacinthweir_policy::membership::{
     Action, Member, MemberDelta, MemberDigest, MemberRecord, Peer, ProbeOutcome,
 };
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::following::{Step, Watchers};
-use jacinthweir_policy::relay::spending::Counts;
+use jacinthweir_policy::relay::loads::{HeadUse, Known, Load, ServiceCounts, Told};
 use serde::{Deserialize, Serialize};
 use tokio::time::interval;
 
@@ -44,86 +43,40 @@
 /// The longest message, in bytes: some 300 instances.
 pub(crate) const MESSAGE_BYTES: usize = 256 << 10;
 
-/// Age at which a load says nothing any more, in milliseconds.
-const LOAD_AGE_MS: Millis = 3_000;
-
 /// Peers that hear at once that this instance leaves.
 const ANNOUNCE_TO: usize = 8;
 
-/// What one instance has in flight, and what it believes.
+/// What an instance says of itself to the one that it exchanges with.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub(crate) struct Load {
-    incarnation: u64,
-    /// Grows with each change.
-    count: u64,
-    /// Whether it hears the store.
-    store: bool,
-    /// Whether it serves callers: one that cannot vouch for its configuration refuses them.
-    serves: bool,
+pub(crate) struct View {
+    /// Failure domain.
+    domain: Name,
     /// Time since its configuration was last confirmed to be the newest, in milliseconds, when this
     /// was written.
     confirmed_ms_ago: Option<Millis>,
-    /// Tokens in flight by service and first runner of the chain.
-    used: Vec<(Name, Name, f64)>,
-    /// Requests and further sends in the budget's window, by service.
-    spent: Vec<(Name, u32, u32)>,
     /// Runners that it found dead, by identity and lifetime.
     dead: Vec<(Name, u64)>,
     /// What it has seen of the store.
     seen: Seen,
 }
 
-/// Loads of other instances, with the time of arrival.
-#[derive(Default)]
-pub(crate) struct Loads(BTreeMap<Name, (Load, Millis)>);
-
-impl Loads {
-    /// Tokens that the others have in flight through chains that begin at a runner.
-    pub(crate) fn used(&self, service: &Name, head: &Name, now: Millis) -> f64 {
-        let fresh = self.0.values().filter(|(_, at)| now < at + LOAD_AGE_MS);
-        let used = fresh.flat_map(|(load, _)| &load.used);
-        let here = used.filter(|(s, h, _)| s == service && h == head);
-        here.map(|(_, _, tokens)| tokens).sum()
-    }
-
-    /// Requests and further sends of the others for a service.
-    pub(crate) fn spent(&self, service: &Name, now: Millis) -> Counts {
-        let fresh = self.0.values().filter(|(_, at)| now < at + LOAD_AGE_MS);
-        let spent = fresh.flat_map(|(load, _)| &load.spent);
-        let mut sum = Counts::default();
-        for (_, requests, repeats) in spent.filter(|(s, _, _)| s == service) {
-            sum.requests = sum.requests.saturating_add(*requests);
-            sum.repeats = sum.repeats.saturating_add(*repeats);
+impl View {
+    fn of(node: &Node) -> View {
+        let runners = node.runners.borrow();
+        let dead = runners.entries().filter(|e| runners.standing(&e.id).dead);
+        View {
+            domain: node.settings.failure_domain.clone(),
+            confirmed_ms_ago: node.vouch.borrow().age_ms(node.now()),
+            dead: dead.map(|e| (e.id.clone(), e.born_ms)).collect(),
+            seen: Seen::of(node),
         }
-        sum
-    }
-
-    /// Names of instances that hear the store.
-    fn with_store(&self, now: Millis) -> impl Iterator<Item = &Name> {
-        let fresh = self
-            .0
-            .iter()
-            .filter(move |(_, (_, at))| now < at + LOAD_AGE_MS);
-        fresh
-            .filter(|(_, (load, _))| load.store)
-            .map(|(name, _)| name)
-    }
-
-    /// Whether an instance said of late that it serves no callers.
-    pub(crate) fn refuses(&self, name: &Name, now: Millis) -> bool {
-        let load = self.0.get(name);
-        load.is_some_and(|(load, at)| now < at + LOAD_AGE_MS && !load.serves)
     }
 
-    fn put(&mut self, name: Name, load: Load, now: Millis) -> bool {
-        let key = |l: &Load| (l.incarnation, l.count);
-        // One that started anew with its time of day set back has a lower incarnation.
-        let fresh = self.0.get(&name).filter(|(_, at)| now < at + LOAD_AGE_MS);
-        let newer = fresh.is_none_or(|(known, _)| key(known) < key(&load));
-        if newer {
-            self.0.insert(name, (load, now));
+    fn take(&self, node: &Rc<Node>) {
+        self.seen.take(node);
+        for (id, born_ms) in &self.dead {
+            probe::ask_about(node, id, *born_ms);
         }
-        newer
     }
 }
 
@@ -132,7 +85,9 @@
     Exchange {
         from: Name,
         members: MemberDigest,
-        loads: Vec<(Name, Load)>,
+        view: View,
+        known: Known,
+        told: Told,
     },
     Push {
         from: Name,
@@ -153,7 +108,8 @@
     Exchange {
         from: Name,
         members: MemberDelta,
-        loads: Vec<(Name, Load)>,
+        view: View,
+        told: Told,
     },
     Done,
     Record(MemberRecord),
@@ -180,6 +136,7 @@
         }
         let in_flight = u32::try_from(node.active.get()).unwrap_or(u32::MAX);
         node.membership.borrow_mut().set_in_flight(in_flight);
+        node.loads.borrow_mut().count(node.now());
         let now = node.clocks();
         let actions = node.with_rng(|rng| node.membership.borrow_mut().tick(now, rng));
         carry_out(node, actions);
@@ -226,19 +183,19 @@
     }
     let loads = node.loads.borrow();
     let membership = node.membership.borrow();
-    let serving = |name: &Name| membership.live().any(|m| m.name == *name);
-    let mut others = loads.with_store(now).filter(|n| serving(n));
-    !others.any(|name| name < own)
+    let mut before = membership.live().filter(|m| m.name < *own);
+    !before.any(|m| loads.hears_store(&m.name, &m.domain, now))
 }
 
 /// The instances that watch the runners for all.
 pub(crate) fn watchers(node: &Node) -> Watchers {
+    let now = node.now();
     let loads = node.loads.borrow();
     let membership = node.membership.borrow();
-    let live: BTreeSet<&Name> = membership.live().map(|m| &m.name).collect();
-    let others = loads.with_store(node.now());
-    let others = others.filter(|name| live.contains(name));
+    let hears_store = |m: &&MemberState| loads.hears_store(&m.name, &m.domain, now);
     let own = node.hears_store.get().then_some(&node.settings.name);
+    let others = membership.live().filter(|m| m.name != node.settings.name);
+    let others = others.filter(hears_store).map(|m| &m.name);
     Watchers::of(others.chain(own))
 }
 
@@ -271,19 +228,27 @@
 
 async fn exchange(node: &Rc<Node>, peer: Peer, round: u64, digest: MemberDigest) {
     let asked_ms = node.now();
-    let message = Message::Exchange {
-        from: node.settings.name.clone(),
-        members: digest,
-        // All others come with the answer; both ways they would be most of an exchange's bytes.
-        loads: vec![(node.settings.name.clone(), own_load(node))],
+    let near = is_near(node, &peer);
+    write_own_load(node);
+    let message = {
+        let loads = node.loads.borrow();
+        Message::Exchange {
+            from: node.settings.name.clone(),
+            members: digest,
+            view: View::of(node),
+            known: loads.known(near, asked_ms),
+            // All else comes with the answer; both ways it would be most of an exchange's bytes.
+            told: loads.own(near, neighbours(node), asked_ms),
+        }
     };
     let reply = post(peer.address, &message, ANSWER).await;
-    let (from, members, loads) = match reply {
+    let (from, members, view, told) = match reply {
         Ok(Reply::Exchange {
             from,
             members,
-            loads,
-        }) if peer.name.as_ref().is_none_or(|n| *n == from) => (from, members, loads),
+            view,
+            told,
+        }) if peer.name.as_ref().is_none_or(|n| *n == from) => (from, members, view, told),
         other => {
             let cause = other
                 .err()
@@ -299,11 +264,8 @@
             return;
         }
     };
-    let own = loads.iter().find(|(name, _)| *name == from);
-    if let Some((_, load)) = own {
-        take_confirmation(node, asked_ms, load);
-    }
-    take_loads(node, loads);
+    take_confirmation(node, asked_ms, &view);
+    take(node, &view, told);
     let push = {
         let mut membership = node.membership.borrow_mut();
         membership.receive_answer(node.clocks(), asked_ms, &from, &members)
@@ -342,16 +304,22 @@
         Message::Exchange {
             from,
             members,
-            loads: theirs,
+            view,
+            known,
+            told,
         } => {
-            take_loads(node, theirs);
+            take(node, &view, told);
             let mut membership = node.membership.borrow_mut();
             let members = membership.receive_digest(node.clocks(), &from, &members);
             drop(membership);
+            write_own_load(node);
+            let near = view.domain == node.settings.failure_domain;
+            let loads = node.loads.borrow();
             Reply::Exchange {
                 from: node.settings.name.clone(),
                 members,
-                loads: loads(node),
+                view: View::of(node),
+                told: loads.lacking(&known, near, neighbours(node), node.now()),
             }
         }
         Message::Push { from, members } => {
@@ -376,76 +344,65 @@
     rmp_serde::to_vec(&reply).ok()
 }
 
-/// What this instance knows of the loads of all.
-fn loads(node: &Node) -> Vec<(Name, Load)> {
-    let now = node.now();
-    let mut all = vec![(node.settings.name.clone(), own_load(node))];
-    let others = node.loads.borrow();
-    let fresh = others
-        .0
-        .iter()
-        .filter(|(_, (_, at))| now < at + LOAD_AGE_MS);
-    all.extend(fresh.map(|(name, (load, _))| (name.clone(), load.clone())));
-    all
+/// Whether a peer is in the own failure domain; of one that is not known yet, nothing is said.
+fn is_near(node: &Node, peer: &Peer) -> bool {
+    let membership = node.membership.borrow();
+    let member = peer.name.as_ref().and_then(|name| membership.member(name));
+    member.is_some_and(|m| m.state().domain == node.settings.failure_domain)
+}
+
+/// Other instances of the own failure domain that live.
+fn neighbours(node: &Node) -> usize {
+    let membership = node.membership.borrow();
+    let own = &node.settings;
+    let others = membership.live().filter(|m| m.name != own.name);
+    others.filter(|m| m.domain == own.failure_domain).count()
+}
+
+fn write_own_load(node: &Node) {
+    let load = own_load(node);
+    node.loads.borrow_mut().set_own(load, node.now());
 }
 
 fn own_load(node: &Node) -> Load {
-    let now = node.now();
     let chains = node.chains.borrow();
     let used = chains.used().filter(|(_, _, tokens)| *tokens >= 1.0);
-    let runners = node.runners.borrow();
-    let dead = runners.entries().filter(|e| runners.standing(&e.id).dead);
+    let used = used.map(|(service, head, tokens)| HeadUse {
+        service: service.clone(),
+        head: head.clone(),
+        tokens: tokens as u32,
+    });
+    let spent = node.spent().into_iter();
     Load {
-        incarnation: node.incarnation,
-        count: now,
-        store: node.hears_store.get(),
+        written_ms: node.incarnation + node.now(),
+        hears_store: node.hears_store.get(),
         serves: node.is_ready(),
-        confirmed_ms_ago: node.vouch.borrow().age_ms(now),
-        used: used
-            .map(|(s, h, tokens)| (s.clone(), h.clone(), tokens))
+        used: used.collect(),
+        spent: spent
+            .map(|(service, counts)| ServiceCounts { service, counts })
             .collect(),
-        spent: spent(node),
-        dead: dead.map(|e| (e.id.clone(), e.born_ms)).collect(),
-        seen: Seen::of(node),
     }
 }
 
-fn spent(node: &Node) -> Vec<(Name, u32, u32)> {
-    let spent = node.spent().into_iter();
-    spent
-        .map(|(service, counts)| (service, counts.requests, counts.repeats))
-        .collect()
-}
-
 /// An instance that is cut off from the store may go on serving as long as another one vouches for
 /// the same version. The answer was written after the question was asked, so the other's
 /// confirmation is at least as young as it says, counted from the question.
-fn take_confirmation(node: &Node, asked_ms: Millis, load: &Load) {
+fn take_confirmation(node: &Node, asked_ms: Millis, view: &View) {
     let same = node
         .intent()
-        .is_some_and(|i| i.version == load.seen.version);
-    if let Some(age) = load.confirmed_ms_ago.filter(|_| same)
+        .is_some_and(|i| i.version == view.seen.version);
+    if let Some(age) = view.confirmed_ms_ago.filter(|_| same)
         && let Some(confirmed) = asked_ms.checked_sub(age)
     {
         node.vouch.borrow_mut().confirm(confirmed);
     }
 }
 
-fn take_loads(node: &Rc<Node>, loads: Vec<(Name, Load)>) {
-    let now = node.now();
-    for (name, load) in loads {
-        if name == node.settings.name {
-            continue;
-        }
-        let dead = load.dead.clone();
-        load.seen.take(node);
-        if node.loads.borrow_mut().put(name, load, now) {
-            for (id, born_ms) in dead {
-                probe::ask_about(node, &id, born_ms);
-            }
-        }
-    }
+/// Takes in what another instance says of itself and tells of others.
+fn take(node: &Rc<Node>, view: &View, told: Told) {
+    node.loads.borrow_mut().take(&view.domain, told, node.now());
     node.lend();
+    view.take(node);
 }
 
 pub(crate) async fn post(
--- a/plugins/relay/src/probe.rs
+++ b/plugins/relay/src/probe.rs
@@ -13,14 +13,16 @@
 use jacinthweir_policy::relay::following;
 use jacinthweir_policy::relay::runners::{ASK_PAUSE_MS, RunnerEntry, Standing};
 use jacinthweir_policy::relay::silence::Round;
-use tokio::time::{interval, sleep};
+use tokio::time::sleep;
 
 use crate::live::LiveChain;
 use crate::node::Node;
 use crate::question::{self, Finding, QUESTION, Suspect, TRIES};
 
-/// Period of looking for silent chains.
-const LOOK: Duration = Duration::from_millis(8);
+/// Least and longest time between two looks for silent chains, in milliseconds. Looked for every few
+/// milliseconds, they cost an instance more than its callers' events.
+const LOOK_MS: Millis = 8;
+const LONGEST_LOOK_MS: Millis = 100;
 
 /// Period of looking which dead runners are to be asked whether they are back.
 const REVIVE: Duration = Duration::from_millis(350);
@@ -40,13 +42,9 @@
 }
 
 async fn look(node: &Rc<Node>) {
-    let mut ticks = interval(LOOK);
-    let mut looked_ms = node.now();
     loop {
-        ticks.tick().await;
+        wait_for_look(node).await;
         let now = node.now();
-        log_held_up(now - looked_ms);
-        looked_ms = now;
         let expired = node.runners.borrow_mut().expire(now);
         if expired {
             log::info!("runners whose entries lapsed did not come back");
@@ -63,14 +61,33 @@
     }
 }
 
-/// Time between two looks from which on the instance was held up, in milliseconds: by its own work,
+/// Waits until some chain may be found silent.
+async fn wait_for_look(node: &Node) {
+    let now = node.now();
+    let next = next_look_ms(node, now);
+    node.next_look_ms.set(next);
+    tokio::select! {
+        () = sleep(Duration::from_millis(next - now)) => log_held_up(node.now().saturating_sub(next)),
+        () = node.look.notified() => sleep(Duration::from_millis(LOOK_MS)).await,
+    }
+}
+
+fn next_look_ms(node: &Node, now: Millis) -> Millis {
+    let chains = node.chains.borrow();
+    let alive = chains.all().filter(|l| !l.broken.is_cancelled());
+    let due = alive.filter_map(|l| l.due_ms()).min();
+    let longest = now + LONGEST_LOOK_MS;
+    due.unwrap_or(longest).clamp(now + LOOK_MS, longest)
+}
+
+/// Time after a look was due from which on the instance was held up, in milliseconds: by its own work,
 /// or without processor.
-const HELD_UP_MS: Millis = 40;
+const HELD_UP_MS: Millis = 32;
 
-fn log_held_up(passed: Millis) {
-    metrics::histogram!("jacinthweir_look_seconds").record(passed as f64 / 1e3);
-    if passed >= HELD_UP_MS {
-        log::info!(passed_ms = passed; "held up");
+fn log_held_up(late_ms: Millis) {
+    metrics::histogram!("jacinthweir_look_seconds").record(late_ms as f64 / 1e3);
+    if late_ms >= HELD_UP_MS {
+        log::info!(late_ms; "held up");
     }
 }
 
--- a/plugins/relay/src/server.rs
+++ b/plugins/relay/src/server.rs
@@ -14,7 +14,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use jacinthweir_platform::entry;
 use jacinthweir_policy::entry::{EntryConfig, entry_answer};
-use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::member::MemberState;
 use jacinthweir_policy::relay::intent::CallerLimits;
 use jacinthweir_wire::relay::{DUMP_PATH, METRICS_PATH};
 use tokio::net::{TcpListener, TcpStream};
@@ -209,11 +209,11 @@
     let membership = node.membership.borrow();
     let (loads, now) = (node.loads.borrow(), node.now());
     // An instance that the store turns away refuses every request; another one serves them.
-    let serves = |name: &Name| match name == own {
+    let serves = |m: &MemberState| match m.name == *own {
         true => ready,
-        false => !loads.refuses(name, now),
+        false => !loads.refuses(&m.name, &m.domain, now),
     };
-    let live = membership.live().filter(|m| serves(&m.name));
+    let live = membership.live().filter(|m| serves(m));
     let answer = node.with_rng(|rng| entry_answer(live, domain, &cfg, rng));
     let mut found: Vec<SocketAddr> = answer.addresses.iter().map(|a| a.address).collect();
     if found.is_empty() && !node.draining.get() {
--- a/policy/src/membership.rs
+++ b/policy/src/membership.rs
@@ -30,8 +30,8 @@
 use crate::member::{MemberState, Phase};
 use crate::region::region_of;
 use crate::time::{Millis, Name, Now};
-use rand::Rng;
 use rand::seq::IteratorRandom;
+use rand::{Rng, RngExt};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -284,13 +284,24 @@
         self.exchanges_with(peers, rng)
     }
 
-    /// Random peers of this round; in every other round from the own region, where there are any.
-    /// Loads travel within the region only, and in a fleet of many regions a peer drawn from all
-    /// is seldom near.
+    /// Random peers of this round. Where a domain has more instances than are to exchange with other
+    /// domains, the rest of them stay within it; else in every other round from the own region, where
+    /// there are any. Loads travel within the region only, and in a fleet of many regions a peer drawn
+    /// from all is seldom near.
     fn random_peers(&self, rng: &mut impl Rng) -> Vec<Peer> {
-        let region = region_of(&self.own.state.domain);
+        let domain = &self.own.state.domain;
+        let region = region_of(domain);
         let near = |m: &&Member| region_of(&m.state().domain) == region;
+        let within = |m: &&Member| m.state().domain == *domain;
         let reachable = || self.members.values().filter(|m| m.reachable());
+        let neighbours = reachable().filter(within).count();
+        let many = neighbours >= self.cfg.outward;
+        if many && rng.random_range(0..=neighbours) >= self.cfg.outward {
+            return reachable()
+                .filter(within)
+                .map(peer)
+                .sample(rng, self.cfg.fanout);
+        }
         if self.round.is_multiple_of(2) && reachable().any(|m| near(&m)) {
             let near = reachable().filter(near);
             return near.map(peer).sample(rng, self.cfg.fanout);
--- a/policy/src/relay.rs
+++ b/policy/src/relay.rs
@@ -12,6 +12,7 @@
 //! | [`lease`] | which instance gives orders |
 //! | [`silence`] | when a chain has fallen silent |
 //! | [`rooms`] | which chain a request goes to, waits for, or is refused by |
+//! | [`loads`] | what all instances have in flight, and which of it goes round |
 //! | [`attempts`] | on which runners one request may run |
 //! | [`spending`] | whether a request may be sent once more |
 //!
@@ -22,6 +23,7 @@
 pub mod following;
 pub mod intent;
 pub mod lease;
+pub mod loads;
 pub mod placement;
 pub mod rooms;
 pub mod runners;
--- a/policy/src/relay/silence.rs
+++ b/policy/src/relay/silence.rs
@@ -100,15 +100,21 @@
         self.mean_ms
     }
 
-    /// Whether the parts of a chain whose declared gap is `declared_ms` should be asked how slow
-    /// they are; remembers that they were.
-    pub fn should_ask(&mut self, now: Millis, declared_ms: f64) -> bool {
+    /// When the parts of a chain whose declared gap is `declared_ms` are to be asked how slow they are,
+    /// in milliseconds; `None` while the chain is not slow.
+    #[must_use]
+    pub fn due_ms(&self, declared_ms: f64) -> Option<Millis> {
         let slow = self.mean_ms > SLOW_MS && self.mean_ms > SLOW_TIMES * declared_ms;
-        let rested = self.asked_ms.is_none_or(|at| now >= at + SLOW_PAUSE_MS);
-        if slow && rested {
+        slow.then(|| self.asked_ms.map_or(0, |at| at + SLOW_PAUSE_MS))
+    }
+
+    /// Whether they should be asked now; remembers that they were.
+    pub fn should_ask(&mut self, now: Millis, declared_ms: f64) -> bool {
+        let ask = self.due_ms(declared_ms).is_some_and(|due| now >= due);
+        if ask {
             self.asked_ms = Some(now);
         }
-        slow && rested
+        ask
     }
 }
 
@@ -186,11 +192,19 @@
         }
     }
 
+    /// When the chain's parts are to be asked if nothing is heard until then, in milliseconds; `None`
+    /// while nobody waits.
+    #[must_use]
+    pub fn due_ms(&self) -> Option<Millis> {
+        let pause = ASKED_PAUSE_MS << self.asks.min(MOST_DOUBLINGS);
+        let rested = self.asked_ms.map_or(0, |at| at + pause);
+        let silent = self.heard_ms + self.limit_ms().max(1);
+        (self.waiting > 0).then_some(rested.max(silent))
+    }
+
     /// Whether the chain's parts should be asked now; remembers that they were.
     pub fn should_ask(&mut self, now: Millis) -> bool {
-        let pause = ASKED_PAUSE_MS << self.asks.min(MOST_DOUBLINGS);
-        let rested = self.asked_ms.is_none_or(|at| now >= at + pause);
-        let ask = rested && self.silent_ms(now) >= self.limit_ms().max(1);
+        let ask = self.due_ms().is_some_and(|due| now >= due);
         if ask {
             self.asked_ms = Some(now);
             self.asks += 1;
--- a/policy/src/relay/spending.rs
+++ b/policy/src/relay/spending.rs
@@ -13,6 +13,8 @@
 
 use std::collections::VecDeque;
 
+use serde::{Deserialize, Serialize};
+
 use crate::need::Need;
 use crate::prelude::*;
 
@@ -28,7 +30,7 @@
 }
 
 /// Requests and further sends in a window.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Counts {
     /// Requests.
     pub requests: u32,
--- a/policy/tests/membership.rs
+++ b/policy/tests/membership.rs
@@ -7,6 +7,9 @@
 )]
 mod fleet;
 
+use std::cell::Cell;
+use std::rc::Rc;
+
 use fleet::{Fleet, Run};
 use googletest::prelude::*;
 use jacinthweir_policy::listed::{ENTRY_GROUP, ListedInstance, ListedState};
@@ -256,3 +259,38 @@
         expect_that!(node.membership.live().count(), eq(2));
     }
 }
+
+/// Three hundred instances in three domains drew their peers from all: two thirds of their messages went
+/// between domains. A few of each domain are enough for everybody to be known, and a dead one missed,
+/// within the rounds that a heartbeat has.
+#[gtest]
+fn few_messages_of_a_large_fleet_leave_their_domain() {
+    let (count, domains, outward) = (300, 3, 8);
+    let cfg = MembershipConfig {
+        fanout: 2,
+        outward,
+        ..MembershipConfig::default()
+    };
+    let mut fleet = Fleet::new(count, 1, 7, &cfg);
+    let rounds = rounds_until(&mut fleet, 100, |f| f.known() == count * count);
+    expect_that!(rounds, le(20));
+    fleet.rounds(10);
+    expect_that!(fleet.wrongly_suspected(), eq(0));
+    let crossing = Rc::new(Cell::new(0));
+    let counted = Rc::clone(&crossing);
+    fleet.meter = Some(Box::new(move |from, to, message| {
+        let digest = matches!(message, fleet::Message::Digest(_));
+        if digest && from % domains != to % domains {
+            counted.set(counted.get() + 1);
+        }
+    }));
+    let observed = 20;
+    fleet.rounds(observed);
+    fleet.meter = None;
+    let most = observed * domains * outward * cfg.fanout;
+    expect_that!(crossing.get(), le(most * 5 / 4));
+    fleet.nodes[3].run = Run::Dead;
+    let rounds = rounds_until(&mut fleet, 100, |f| f.suspecting(3) == count - 1);
+    expect_that!(rounds, le(20));
+    expect_that!(fleet.wrongly_suspected(), eq(0));
+}
--- a/policy/tests/relay_naming.rs
+++ b/policy/tests/relay_naming.rs
@@ -223,3 +223,38 @@
     expect_true!(gaps.should_ask(0, 20.0));
     expect_false!(gaps.should_ask(100, 20.0));
 }
+
+/// Looks at a chain that dies after three seconds, until its parts are asked: when that is, and how
+/// many looks it took. `next`: when to look again.
+fn looks_until_asked(next: impl Fn(u64, Option<u64>) -> u64) -> (u64, usize) {
+    const DIES_MS: u64 = 3_000;
+    let mut silence = Silence::new(EVENT_MS);
+    silence.sent(0);
+    silence.sent(0);
+    let (mut looks, mut look_at) = (0, 0);
+    for now in 0..10_000 {
+        if now % 60 == 0 && now < DIES_MS {
+            silence.heard(now);
+        }
+        if now >= look_at {
+            looks += 1;
+            if silence.should_ask(now) && now >= DIES_MS {
+                return (now, looks);
+            }
+            look_at = next(now, silence.due_ms());
+        }
+    }
+    (u64::MAX, looks)
+}
+
+/// An instance looked at its chains 125 times a second, more often than events came to it; three hundred
+/// of them did nothing else for most of their time. Looking when a chain may be silent finds it as soon.
+#[gtest]
+fn a_chain_is_looked_at_when_it_may_be_silent() {
+    let (often, many) = looks_until_asked(|now, _| now + 8);
+    let due = |now: u64, due: Option<u64>| due.unwrap_or(now + 100).clamp(now + 8, now + 100);
+    let (when_due, few) = looks_until_asked(due);
+    expect_that!(when_due, le(often + 8));
+    expect_that!(few * 4, le(many));
+    expect_that!(Silence::new(EVENT_MS).due_ms(), none());
+}
