--- a/plugins/relay/src/call.rs
+++ b/plugins/relay/src/call.rs
@@ -10,7 +10,6 @@
 use http::{Response, StatusCode};
 use jacinthweir_platform::header;
 use jacinthweir_policy::prelude::*;
-use jacinthweir_policy::relay::attempts::CallAttempts;
 use jacinthweir_policy::relay::runners::RunnerEntry;
 use tokio::time::timeout;
 
@@ -54,7 +53,7 @@
 pub(crate) async fn serve(node: &Rc<Node>, rq: Proxied) -> Response<RelayBody> {
     node.count_request(&rq.service);
     let mut journal = Journal::default();
-    let mut attempts = CallAttempts::default();
+    let mut tried: Vec<Name> = Vec::new();
     let mut last: Option<Response<RelayBody>> = None;
     let mut cause = Cause::NoRunner;
     let mut unreached = 0;
@@ -63,16 +62,16 @@
             cause = Cause::Timeout;
             break;
         }
-        if unreached >= MAX_UNREACHED {
+        if journal.sends >= rq.max_attempts || unreached >= MAX_UNREACHED {
             break;
         }
-        let Some(runner) = next_runner(node, &rq, &attempts, journal.sends) else {
+        let Some(runner) = next_runner(node, &rq, &tried) else {
             break;
         };
         if journal.sends > 0 && !node.take_repeat(&rq.service, journal.need()) {
             break;
         }
-        attempts.sent(&runner.id);
+        tried.push(runner.id.clone());
         journal.hand();
         let repeatable = rq.class.repeatable() && journal.sends < rq.max_attempts;
         match attempt(node, &rq, &runner, repeatable).await {
@@ -89,9 +88,6 @@
                 unreached += 1;
             }
             Ended::Failed(res) => {
-                if res.is_some() {
-                    attempts.failed(&runner.id);
-                }
                 last = res.or(last);
                 cause = Cause::RunnerFailed;
             }
@@ -113,20 +109,12 @@
     }
 }
 
-fn next_runner(
-    node: &Node,
-    rq: &Proxied,
-    attempts: &CallAttempts,
-    sends: u32,
-) -> Option<RunnerEntry> {
+fn next_runner(node: &Node, rq: &Proxied, tried: &[Name]) -> Option<RunnerEntry> {
     let now = node.now();
     let runners = node.runners.borrow();
     let domain = &node.settings.failure_domain;
     let ranked = runners.plain(&rq.service, domain, now, || node.draw_u32());
-    let repeatable = rq.class.repeatable();
-    attempts
-        .next(&ranked, sends, rq.max_attempts, repeatable)
-        .cloned()
+    ranked.into_iter().find(|e| !tried.contains(&e.id)).cloned()
 }
 
 async fn attempt(node: &Rc<Node>, rq: &Proxied, runner: &RunnerEntry, repeatable: bool) -> Ended {
--- a/policy/src/relay/attempts.rs
+++ b/policy/src/relay/attempts.rs
@@ -4,12 +4,8 @@
 //! count any more, and one that is tried again counts once. What counts of a chain is its first
 //! runner: when a part behind it dies, the first one lives on and has run the request. Requests
 //! that were resumed for every dead part ran on three runners of two.
-//!
-//! A call that may be repeated and that every allowed runner failed by its own word goes to one of them
-//! once more: what fails one request in seven says little of the next.
 
 use crate::prelude::*;
-use crate::relay::runners::RunnerEntry;
 
 /// Sends of one request beyond the route's number, at the most: each lost runner may cost one, and
 /// a request that met more than two is better given up.
@@ -67,45 +63,3 @@
         self.has(id, born_ms) || living < most as usize
     }
 }
-
-/// What came of a call so far.
-#[derive(Clone, Debug, Default)]
-pub struct CallAttempts {
-    tried: Vec<Name>,
-    failed: Vec<Name>,
-}
-
-impl CallAttempts {
-    /// The call is sent to a runner.
-    pub fn sent(&mut self, id: &Name) {
-        if !self.tried.contains(id) {
-            self.tried.push(id.clone());
-        }
-    }
-
-    /// A runner said that it failed the call.
-    pub fn failed(&mut self, id: &Name) {
-        if !self.failed.contains(id) {
-            self.failed.push(id.clone());
-        }
-    }
-
-    /// The runner that the call goes to next, of `ranked`, best first, after `sends` sends that
-    /// reached one, where a route allows `most` runners; `repeatable`: the call may run again.
-    pub fn next<'a>(
-        &self,
-        ranked: &[&'a RunnerEntry],
-        sends: u32,
-        most: u32,
-        repeatable: bool,
-    ) -> Option<&'a RunnerEntry> {
-        if sends < most
-            && let Some(new) = ranked.iter().find(|e| !self.tried.contains(&e.id))
-        {
-            return Some(new);
-        }
-        let again = repeatable && sends < most + MOST_FURTHER;
-        let mut failed = ranked.iter().filter(|e| self.failed.contains(&e.id));
-        failed.find(|_| again).copied()
-    }
-}
