Following: two instances of each domain confirm the configuration for it; rests are longer; fewer lines

A trial that logged each call: 2,907 of the 6,169 until 26 s were readings of the configuration, 70 a second, 2,607 watches. Each instance looked every 100 ms with a new draw whether to read, so nearly all read at 1.6 s; a reading reaches a domain of sixty within five rounds, 1.5 s. And who hears of the runners from others asked the store all the same every 12 to 18 s, though an exchange tells it when there is more. Two instances of each domain, by the hash of their names among those that hear the store, read at 1.4 s; the others at 2.7 to 3.2 s, if no reading reached them. Rests are 30 to 60 s. An instance that starts logged a line for each of 295 others and 412 for runners: one line a round for the former, and only who read a change from the store logs it.

--- a/plugins/relay/src/peers.rs
+++ b/plugins/relay/src/peers.rs
@@ -18,7 +18,7 @@
     Action, Member, MemberDelta, MemberDigest, MemberRecord, Peer, ProbeOutcome,
 };
 use jacinthweir_policy::prelude::*;
-use jacinthweir_policy::relay::following::{Step, Watchers};
+use jacinthweir_policy::relay::following::{Confirming, Step, Watchers};
 use jacinthweir_policy::relay::loads::{HeadUse, Known, Load, ServiceCounts, Told};
 use serde::{Deserialize, Serialize};
 use tokio::time::interval;
@@ -147,8 +147,9 @@
 fn log_changes(node: &Node, named: &mut BTreeSet<Name>) {
     let membership = node.membership.borrow();
     let now: BTreeSet<Name> = membership.live().map(|m| m.name.clone()).collect();
-    for name in now.difference(named) {
-        log::info!(peer = name.as_ref(), instances = now.len(); "instance serves");
+    let new: Vec<&str> = now.difference(named).map(AsRef::as_ref).collect();
+    if !new.is_empty() {
+        log::info!(peers = new.join(" "), instances = now.len(); "instances serve");
     }
     for name in named.difference(&now) {
         let member = membership.member(name);
@@ -199,6 +200,17 @@
     Watchers::of(others.chain(own))
 }
 
+/// For whom this instance reads the configuration.
+pub(crate) fn confirming(node: &Node) -> Confirming {
+    let own = &node.settings;
+    let now = node.now();
+    let loads = node.loads.borrow();
+    let membership = node.membership.borrow();
+    let neighbours = membership.live().filter(|m| m.domain == own.failure_domain);
+    let with_store = neighbours.filter(|m| loads.hears_store(&m.name, &m.domain, now));
+    Confirming::of(&own.name, with_store.map(|m| &m.name))
+}
+
 /// Whether this instance watches the runners by itself. One that gives orders must see at once what
 /// came of them, and one that does not hear the store finds out when it does again.
 pub(crate) fn watches_runners(node: &Node) -> bool {
--- a/plugins/relay/src/watch.rs
+++ b/plugins/relay/src/watch.rs
@@ -64,8 +64,8 @@
     loop {
         sleep(CONFIRM_LOOK).await;
         let age = node.vouch.borrow().age_ms(node.now());
-        let draw = following::reluctant(node.draw(), reading_ms);
-        if !following::should_confirm(age, draw, node.instances()) {
+        let confirming = peers::confirming(node);
+        if !following::should_confirm(age, node.draw(), reading_ms, confirming) {
             continue;
         }
         let sent = node.now();
@@ -270,6 +270,7 @@
             }
             Followed::Runners => {
                 let step = step(revision, changes);
+                log_step(node, &step);
                 if hear_step(node, &step) {
                     tell_step(node, step);
                 }
@@ -293,9 +294,9 @@
 }
 
 /// Longest rest of an instance that hears of the runners from others, in milliseconds, and what is
-/// added to it at the most: nobody may have told it of the last change.
-const REST_MS: Millis = 12_000;
-const REST_SPREAD_MS: f64 = 6_000.0;
+/// added to it at the most. One that missed a change hears at its next exchange that there is more.
+const REST_MS: Millis = 30_000;
+const REST_SPREAD_MS: f64 = 30_000.0;
 
 /// Period of looking whether this instance has to watch the runners by itself.
 const REST_LOOK: Duration = Duration::from_millis(500);
@@ -417,6 +418,18 @@
     follows
 }
 
+/// Logs changes that this instance read from the store; whom it tells does not log them once more.
+fn log_step(node: &Node, step: &Step) {
+    for change in &step.changes {
+        match change {
+            RunnerChange::Gone(id) => {
+                log::info!(runner = id.as_ref(); "runner is gone from the store")
+            }
+            RunnerChange::Put(entry) => log_entry(node, entry),
+        }
+    }
+}
+
 /// Takes over what changed.
 fn take_step(node: &Node, step: &Step) {
     note_revision(node, step.newest);
@@ -425,12 +438,9 @@
     for change in &step.changes {
         match change {
             RunnerChange::Gone(id) => {
-                let gone = node.runners.borrow_mut().remove(id, node.now());
-                log::info!(runner = id.as_ref(), gone; "runner is gone from the store");
-                changed |= gone;
+                changed |= node.runners.borrow_mut().remove(id, node.now());
             }
             RunnerChange::Put(entry) => {
-                log_entry(node, entry);
                 if entry.draining {
                     node.note_leaving(&entry.id, entry.born_ms);
                 }
--- a/policy/src/relay/following.rs
+++ b/policy/src/relay/following.rs
@@ -25,15 +25,20 @@
 /// The longest that any watch waits, in milliseconds; the store allows thirty seconds.
 const LONGEST_MS: Millis = 28_000;
 
-/// Age of the confirmation from which on an instance reads the configuration itself, in
-/// milliseconds. Confirmations come from the others as well, and are about a second old when they
-/// have reached everybody.
+/// Instances of a failure domain that read the configuration for its other members as well.
+const CONFIRMERS: usize = 2;
+
+/// Age of the confirmation from which on those read the configuration, in milliseconds, and the
+/// others, if it has not reached them: about a second after it was read it has reached everybody.
 const CONFIRM_MS: Millis = 1_400;
+const CONFIRM_LATE_MS: Millis = 2_700;
+
+/// Age at which every instance reads it, in milliseconds: well before it has to refuse keys.
+const CONFIRM_LATEST_MS: Millis = 3_200;
 
-/// What is added to that at the most, where there are few instances and in any case: the first that
-/// reads spares the others the call, if it has time to reach them.
+/// What is added at the most to the age from which on an instance reads: the first that reads spares
+/// the others the call, if it has time to reach them.
 const CONFIRM_SPREAD_MS: f64 = 600.0;
-const LONGEST_CONFIRM_SPREAD_MS: f64 = 1_800.0;
 
 /// How long a watch waits that waits `base` milliseconds where there are few instances.
 #[must_use]
@@ -65,7 +70,7 @@
 /// Time within which changes of runners' entries are read with one call, in milliseconds, and the
 /// same while the instance starts.
 const RUNNERS_GATHER_MS: Millis = 60;
-const START_GATHER_MS: Millis = 500;
+const START_GATHER_MS: Millis = 800;
 
 /// How long an instance that started `age_ms` milliseconds ago waits after a change of the runners
 /// before it watches for the next.
@@ -81,27 +86,57 @@
     }
 }
 
-/// Whether one of `instances` whose configuration was confirmed `age` milliseconds ago reads it now;
-/// `draw` is a random number from 0 to 1.
-#[must_use]
-pub fn should_confirm(age: Option<Millis>, draw: f64, instances: usize) -> bool {
-    let times = (instances as f64 / FEW as f64).max(1.0);
-    let spread = (CONFIRM_SPREAD_MS * times).min(LONGEST_CONFIRM_SPREAD_MS);
-    let due = CONFIRM_MS + (draw * spread) as Millis;
-    age.is_some_and(|age| age >= due)
+/// For whom an instance reads the configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Confirming {
+    /// For its failure domain.
+    ForAll,
+    /// For itself, where nobody's reading reaches it.
+    ForItself,
+}
+
+impl Confirming {
+    /// For whom `name` reads among the instances of its domain that hear the store, itself included
+    /// or not.
+    ///
+    /// Load pattern: three hundred instances each read the configuration as soon as their confirmation
+    /// was old enough, every two seconds, though one reading reaches all others within one.
+    pub fn of<'a>(name: &Name, domain: impl Iterator<Item = &'a Name>) -> Confirming {
+        let before = domain.filter(|n| mixed(n) < mixed(name));
+        match before.count() < CONFIRMERS {
+            true => Confirming::ForAll,
+            false => Confirming::ForItself,
+        }
+    }
 }
 
 /// Time of a reading of the configuration from which on an instance leaves it to others for most of the
 /// time that there is, in milliseconds.
 const LONG_READING_MS: f64 = 100.0;
 
-/// The draw of an instance whose last reading took `reading_ms` milliseconds. A large configuration
-/// fills the link of a small instance for that time, and its callers' streams wait; others read it in a
-/// tenth of that and tell it. If nobody does, it reads as soon as the last one would.
+/// Whether an instance whose configuration was confirmed `age` milliseconds ago reads it now; `draw` is
+/// a random number from 0 to 1.
+///
+/// A large configuration fills the link of a small instance for the time that its last reading took,
+/// `reading_ms` milliseconds, and its callers' streams wait; others read it in a tenth of that and tell
+/// it. If nobody does, it reads as soon as the last one would.
 #[must_use]
-pub fn reluctant(draw: f64, reading_ms: Millis) -> f64 {
+pub fn should_confirm(
+    age: Option<Millis>,
+    draw: f64,
+    reading_ms: Millis,
+    confirming: Confirming,
+) -> bool {
+    let from = match confirming {
+        Confirming::ForAll => CONFIRM_MS,
+        Confirming::ForItself => CONFIRM_LATE_MS,
+    };
     let reading_ms = reading_ms as f64;
-    draw.max(reading_ms / (reading_ms + LONG_READING_MS))
+    let reluctance = reading_ms / (reading_ms + LONG_READING_MS);
+    let left_ms = (CONFIRM_LATEST_MS - from) as f64;
+    let spread_ms = (draw * CONFIRM_SPREAD_MS).min(left_ms);
+    let due = from + spread_ms.max(reluctance * left_ms) as Millis;
+    age.is_some_and(|age| age >= due)
 }
 
 /// Watchers that tell each of the others: one may be lost, or its word.
