Naming: instances without requests at a dead runner believe three that found it dead; pauses of an outage

Words go on with their namers; who believes is none. - Two instances of each domain, by hash, ask whether a runner is back; its answer is good news for the domain, another domain's word is a reason to ask as before. The others ask after 12 s. A failed call to the store: who does not read for others pauses up to 4.8 s (2.4) and is woken by a confirmation. Configurations within a second are read together at 300 instances (0.6 s).

--- a/plugins/relay/src/news.rs
+++ b/plugins/relay/src/news.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::relay::words::Word;
 use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
@@ -86,9 +87,11 @@
 /// What one instance tells another at once.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct News {
+    /// Failure domain of the sender.
+    domain: Name,
     seen: Seen,
-    /// Runners that it found dead just now, by identity and lifetime.
-    dead: Vec<(Name, u64)>,
+    /// Runners that were found dead just now.
+    dead: Vec<Word>,
     /// Runners that answer again, by identity and lifetime.
     alive: Vec<(Name, u64)>,
     /// Runners that turned slow or quick just now.
@@ -133,14 +136,10 @@
     let now = node.now();
     let since = now.saturating_sub(NEW_MS);
     let runners = node.runners.borrow();
-    let mut dead = Vec::new();
     let mut alive = Vec::new();
     let mut paces = Vec::new();
     for e in runners.entries() {
         let standing = runners.standing(&e.id);
-        if standing.dead && standing.dead_since_ms >= since {
-            dead.push((e.id.clone(), e.born_ms));
-        }
         if standing.answers_since(since) {
             alive.push((e.id.clone(), e.born_ms));
         }
@@ -154,8 +153,9 @@
         }
     }
     News {
+        domain: node.settings.failure_domain.clone(),
         seen: Seen::of(node),
-        dead,
+        dead: node.words.borrow().since(since).collect(),
         alive,
         paces,
     }
@@ -164,17 +164,11 @@
 /// Takes in what another instance tells.
 pub(crate) fn take(node: &Rc<Node>, news: &News) {
     news.seen.take(node);
-    for (id, born_ms) in &news.dead {
-        probe::ask_about(node, id, *born_ms);
-    }
+    probe::hear_words(node, &news.dead);
+    let mut changed = false;
     for (id, born_ms) in &news.alive {
-        let mut runners = node.runners.borrow_mut();
-        let standing = runners.standing_mut(id);
-        if let Some(s) = standing.filter(|s| s.dead && s.born_ms == *born_ms) {
-            s.ask_soon();
-        }
+        changed |= probe::hear_alive(node, id, *born_ms, &news.domain);
     }
-    let mut changed = false;
     for pace in &news.paces {
         changed |= take_pace(node, pace);
     }
--- a/plugins/relay/src/node.rs
+++ b/plugins/relay/src/node.rs
@@ -19,6 +19,7 @@
 use jacinthweir_policy::relay::runners::Runners;
 use jacinthweir_policy::relay::spending::{Counts, Spending, SpendingConfig};
 use jacinthweir_policy::relay::vouch::Vouch;
+use jacinthweir_policy::relay::words::Words;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use rustix::time::{ClockId, clock_gettime};
@@ -73,6 +74,8 @@
     pub(crate) runners_revision: Cell<u64>,
     /// Revision of the store up to which all changes of runners' entries are known.
     pub(crate) runners_as_of: Cell<u64>,
+    /// What others say of dead runners.
+    pub(crate) words: RefCell<Words>,
     /// Lifetimes of runners that are asked beside witnesses.
     pub(crate) examined: RefCell<BTreeSet<(Name, u64)>>,
     /// Runners that were heard to leave, by identity and lifetime, and when.
@@ -143,6 +146,7 @@
             hears_store: Cell::new(false),
             runners_revision: Cell::new(0),
             runners_as_of: Cell::new(0),
+            words: RefCell::default(),
             examined: RefCell::default(),
             leaving: RefCell::default(),
             news: Notify::new(),
--- a/plugins/relay/src/peers.rs
+++ b/plugins/relay/src/peers.rs
@@ -20,6 +20,7 @@
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::following::{Confirming, Step, Watchers};
 use jacinthweir_policy::relay::loads::{HeadUse, Known, Load, ServiceCounts, Told};
+use jacinthweir_policy::relay::words::Word;
 use serde::{Deserialize, Serialize};
 use tokio::time::interval;
 
@@ -54,29 +55,25 @@
     /// Time since its configuration was last confirmed to be the newest, in milliseconds, when this
     /// was written.
     confirmed_ms_ago: Option<Millis>,
-    /// Runners that it found dead, by identity and lifetime.
-    dead: Vec<(Name, u64)>,
+    /// Runners that were found dead.
+    dead: Vec<Word>,
     /// What it has seen of the store.
     seen: Seen,
 }
 
 impl View {
     fn of(node: &Node) -> View {
-        let runners = node.runners.borrow();
-        let dead = runners.entries().filter(|e| runners.standing(&e.id).dead);
         View {
             domain: node.settings.failure_domain.clone(),
             confirmed_ms_ago: node.vouch.borrow().age_ms(node.now()),
-            dead: dead.map(|e| (e.id.clone(), e.born_ms)).collect(),
+            dead: node.words.borrow().since(0).collect(),
             seen: Seen::of(node),
         }
     }
 
     fn take(&self, node: &Rc<Node>) {
         self.seen.take(node);
-        for (id, born_ms) in &self.dead {
-            probe::ask_about(node, id, *born_ms);
-        }
+        probe::hear_words(node, &self.dead);
     }
 }
 
--- a/plugins/relay/src/probe.rs
+++ b/plugins/relay/src/probe.rs
@@ -13,6 +13,7 @@
 use jacinthweir_policy::relay::following;
 use jacinthweir_policy::relay::runners::{ASK_PAUSE_MS, RunnerEntry, Standing};
 use jacinthweir_policy::relay::silence::Round;
+use jacinthweir_policy::relay::words::{self, Advice, Word};
 use tokio::time::sleep;
 
 use crate::live::LiveChain;
@@ -175,6 +176,7 @@
     if !report.is_of(born_ms) {
         return name_dead(node, id, born_ms, "started anew");
     }
+    node.words.borrow_mut().forget(id, born_ms);
     let mut changed = set_pace(node, id, report.pace, node.now());
     for address in report.stalled.values() {
         changed |= mark_dead_at(node, *address);
@@ -190,7 +192,7 @@
 
 /// One lifetime of a runner is over: the other instances hear so at once.
 pub(crate) fn name_dead(node: &Node, id: &Name, born_ms: u64, evidence: &str) {
-    if mark_dead(node, id, born_ms, evidence) {
+    if find_dead(node, id, born_ms, evidence) {
         node.news.notify_one();
         node.rebuild_chains();
     }
@@ -208,6 +210,20 @@
     changed
 }
 
+/// This instance found one lifetime of a runner dead.
+fn find_dead(node: &Node, id: &Name, born_ms: u64, evidence: &str) -> bool {
+    let found = mark_dead(node, id, born_ms, evidence);
+    if found {
+        let word = Word {
+            runner: id.clone(),
+            born_ms,
+            namers: [node.settings.name.clone()].into(),
+        };
+        node.words.borrow_mut().hear(&word, node.now());
+    }
+    found
+}
+
 /// Marks one lifetime of a runner as dead, for the reason that `evidence` tells.
 fn mark_dead(node: &Node, id: &Name, born_ms: u64, evidence: &str) -> bool {
     let now = node.now();
@@ -232,13 +248,73 @@
         runners.at(address).map(|e| (e.id.clone(), e.born_ms))
     };
     found.is_some_and(|(id, born_ms)| {
-        mark_dead(node, &id, born_ms, "requests wait for it elsewhere")
+        find_dead(node, &id, born_ms, "requests wait for it elsewhere")
     })
 }
 
-/// Asks a runner that somebody else found dead. The word alone is not enough: whoever gave it may
-/// hear nobody, and what made it silent there may make it silent here.
-pub(crate) fn ask_about(node: &Rc<Node>, id: &Name, born_ms: u64) {
+/// Other instances found runners dead. The word of one is not enough: whoever gave it may hear nobody,
+/// and what made the runner silent there may make it silent here.
+pub(crate) fn hear_words(node: &Rc<Node>, words: &[Word]) {
+    let mut is_news = false;
+    for word in words {
+        if is_in_doubt(node, &word.runner, word.born_ms) {
+            is_news |= node.words.borrow_mut().hear(word, node.now());
+        }
+    }
+    follow_words(node);
+    if is_news {
+        node.news.notify_one();
+    }
+}
+
+/// Whether a lifetime of a runner goes on as far as is known here.
+fn is_in_doubt(node: &Node, id: &Name, born_ms: u64) -> bool {
+    let runners = node.runners.borrow();
+    let standing = runners.standing(id);
+    standing.born_ms == born_ms && !standing.dead
+}
+
+/// Believes, or asks about, runners that others found dead.
+fn follow_words(node: &Rc<Node>) {
+    let now = node.now();
+    let instances = node.instances();
+    let named: Vec<(Name, u64)> = {
+        let words = node.words.borrow();
+        words
+            .runners()
+            .map(|(id, born)| (id.clone(), born))
+            .collect()
+    };
+    let mut changed = false;
+    for (id, born_ms) in named {
+        if !is_in_doubt(node, &id, born_ms) {
+            continue;
+        }
+        let concerned = passes_through(node, &id);
+        let words = node.words.borrow();
+        let advice = words.advice(&id, born_ms, concerned, instances, now);
+        drop(words);
+        match advice {
+            Advice::Believe => changed |= mark_dead(node, &id, born_ms, "others found it dead"),
+            Advice::Ask => ask_about(node, &id, born_ms),
+            Advice::Wait => {}
+        }
+    }
+    if changed {
+        node.news.notify_one();
+        node.rebuild_chains();
+    }
+}
+
+/// Whether requests of this instance pass through a runner.
+fn passes_through(node: &Node, id: &str) -> bool {
+    let chains = node.chains.borrow();
+    let mut busy = chains.all().filter(|l| l.silence.borrow().waiting() > 0);
+    busy.any(|l| l.chain.has(id))
+}
+
+/// Asks a runner that somebody else found dead.
+fn ask_about(node: &Rc<Node>, id: &Name, born_ms: u64) {
     let suspect = {
         let mut runners = node.runners.borrow_mut();
         let entry = runners.entry(id).filter(|e| e.born_ms == born_ms);
@@ -252,6 +328,26 @@
     }
 }
 
+/// A runner answers an instance of a failure domain again. What reaches a neighbour reaches this one;
+/// an answer elsewhere is a reason to ask.
+pub(crate) fn hear_alive(node: &Node, id: &Name, born_ms: u64, domain: &str) -> bool {
+    let near = *domain == *node.settings.failure_domain;
+    let now = node.now();
+    let mut runners = node.runners.borrow_mut();
+    let standing = runners.standing_mut(id);
+    let Some(standing) = standing.filter(|s| s.dead && s.born_ms == born_ms) else {
+        return false;
+    };
+    if near {
+        standing.answers_again(now);
+        node.words.borrow_mut().forget(id, born_ms);
+        log::info!(runner = id.as_ref(); "runner answers a neighbour again");
+    } else {
+        standing.ask_soon();
+    }
+    near
+}
+
 /// Doubted runners that are due to be asked: identity, address, lifetime.
 fn doubted(node: &Node) -> Vec<(Name, SocketAddr, u64)> {
     let now = node.now();
@@ -267,18 +363,33 @@
             .map(|e| (e.id.clone(), e.address, e.born_ms))
             .collect()
     };
+    let neighbours = neighbours(node);
     let mut due = |id: &Name| {
+        let asks = words::asks(&node.settings.name, neighbours.iter(), id);
         let standing = runners.standing_mut(id);
-        standing.is_some_and(|s| s.should_ask(now, pause))
+        standing.is_some_and(|s| match asks {
+            true => s.should_ask(now, pause),
+            false => s.should_ask_seldom(now),
+        })
     };
     all.into_iter().filter(|(id, _, _)| due(id)).collect()
 }
 
+/// Instances of the own failure domain that live.
+fn neighbours(node: &Node) -> Vec<Name> {
+    let membership = node.membership.borrow();
+    let near = membership
+        .live()
+        .filter(|m| m.domain == node.settings.failure_domain);
+    near.map(|m| m.name.clone()).collect()
+}
+
 /// Brings back runners that answer again in the same lifetime, as a cut healed, and asks slow ones
 /// whether they still are.
 async fn revive(node: &Rc<Node>) {
     loop {
         sleep(REVIVE).await;
+        follow_words(node);
         let dead = doubted(node);
         let asked = dead
             .iter()
@@ -296,6 +407,7 @@
             let mut runners = node.runners.borrow_mut();
             if let Some(standing) = runners.standing_mut(id).filter(|s| s.dead) {
                 standing.answers_again(node.now());
+                node.words.borrow_mut().forget(id, *born_ms);
                 changed = true;
                 log::info!(runner = id.as_ref(); "runner answers again");
             }
--- a/plugins/relay/src/watch.rs
+++ b/plugins/relay/src/watch.rs
@@ -14,7 +14,7 @@
 use jacinthweir_platform::store::{Change, Changes, Object, StoreError};
 use jacinthweir_platform::{desired, runner};
 use jacinthweir_policy::prelude::*;
-use jacinthweir_policy::relay::following::{self, Behind, RunnerChange, Step};
+use jacinthweir_policy::relay::following::{self, Behind, Confirming, RunnerChange, Step};
 use jacinthweir_policy::relay::runners::RunnerEntry;
 use tokio::time::sleep;
 
@@ -29,12 +29,21 @@
 /// connection fell silent hides a runner that leaves for as long; a shorter one costs calls.
 const RUNNERS_WAIT_MS: Millis = 2_000;
 
-/// Pause after a failed call, and the longest one where there are few instances and in any case, in
-/// milliseconds. The store's rates are shared by all; after an outage they come back spread over
-/// this time, and hear confirmations from those that were first.
+/// Pause after a failed call, and the longest one where there are few instances, in milliseconds. The
+/// store's rates are shared by all; after an outage they come back spread over this time, and hear
+/// confirmations from those that were first.
 const PAUSE_MS: u64 = 150;
 const LONGEST_PAUSE_MS: u64 = 600;
+
+/// The longest pause in any case of those that read the configuration for others, and of the rest, in
+/// milliseconds: these hear when the store is back.
 const PAUSE_BOUND_MS: u64 = 2_400;
+const LATE_PAUSE_BOUND_MS: u64 = 4_800;
+
+/// Period of looking whether others hear the store again, and the longest pause once they do, in
+/// milliseconds.
+const BACK_LOOK: Duration = Duration::from_millis(100);
+const BACK_SPREAD_MS: f64 = 300.0;
 
 /// Time without the store in which leases of runners' entries may lapse, in milliseconds; they last
 /// for three heartbeats of a second or more. After a shorter one an entry that is missing is gone.
@@ -84,7 +93,7 @@
             Err(cause) => {
                 log::debug!(cause:% = cause; "configuration not confirmed");
                 node.hears_store.set(false);
-                sleep(Duration::from_millis(longest_pause_ms(node))).await;
+                pause(node, longest_pause_ms(node)).await;
             }
         }
     }
@@ -188,13 +197,41 @@
         }
         metrics::counter!("jacinthweir_store_failures_total").increment(1);
         let longest = (PAUSE_MS << failures.min(4)).min(longest_pause_ms(node));
-        let pause = PAUSE_MS / 2 + (node.draw() * longest as f64) as u64;
-        sleep(Duration::from_millis(pause)).await;
+        let ms = PAUSE_MS / 2 + (node.draw() * longest as f64) as u64;
+        pause(node, ms).await;
     }
 }
 
 fn longest_pause_ms(node: &Node) -> Millis {
-    following::watch_ms(LONGEST_PAUSE_MS, node.instances()).min(PAUSE_BOUND_MS)
+    let bound = match peers::confirming(node) {
+        Confirming::ForAll => PAUSE_BOUND_MS,
+        Confirming::ForItself => LATE_PAUSE_BOUND_MS,
+    };
+    following::watch_ms(LONGEST_PAUSE_MS, node.instances()).min(bound)
+}
+
+/// Waits after a failed call for `ms` milliseconds, or until others have heard the store since.
+async fn pause(node: &Node, ms: Millis) {
+    let began = node.now();
+    tokio::select! {
+        () = sleep(Duration::from_millis(ms)) => {}
+        () = confirmed_after(node, began) => {
+            let spread_ms = (node.draw() * BACK_SPREAD_MS) as Millis;
+            sleep(Duration::from_millis(spread_ms)).await;
+        }
+    }
+}
+
+/// Ends when the configuration was confirmed by a call that was made after `since`.
+async fn confirmed_after(node: &Node, since: Millis) {
+    let confirmed = || {
+        let now = node.now();
+        let age = node.vouch.borrow().age_ms(now);
+        age.is_some_and(|age| now - age > since)
+    };
+    while !confirmed() {
+        sleep(BACK_LOOK).await;
+    }
 }
 
 /// `anew`: the store did not answer for so long that entries may be missing.
@@ -423,7 +460,7 @@
     for change in &step.changes {
         match change {
             RunnerChange::Gone(id) => {
-                log::info!(runner = id.as_ref(); "runner is gone from the store")
+                log::info!(runner = id.as_ref(); "runner is gone from the store");
             }
             RunnerChange::Put(entry) => log_entry(node, entry),
         }
--- a/policy/src/relay.rs
+++ b/policy/src/relay.rs
@@ -11,6 +11,7 @@
 //! | [`placement`] | which runner is to hold which layers |
 //! | [`lease`] | which instance gives orders |
 //! | [`silence`] | when a chain has fallen silent |
+//! | [`words`] | whether a runner is dead that others found dead, and who asks it |
 //! | [`rooms`] | which chain a request goes to, waits for, or is refused by |
 //! | [`loads`] | what all instances have in flight, and which of it goes round |
 //! | [`attempts`] | on which runners one request may run |
@@ -30,3 +31,4 @@
 pub mod silence;
 pub mod spending;
 pub mod vouch;
+pub mod words;
--- a/policy/src/relay/following.rs
+++ b/policy/src/relay/following.rs
@@ -49,8 +49,8 @@
 
 /// Time within which changes of the configuration are read with one call, for each of [`FEW`]
 /// instances and at the most, in milliseconds.
-const GATHER_MS: f64 = 12.0;
-const LONGEST_GATHER_MS: f64 = 600.0;
+const GATHER_MS: f64 = 20.0;
+const LONGEST_GATHER_MS: f64 = 1_000.0;
 
 /// How long an instance waits after a change of the configuration before it watches for the next.
 ///
@@ -172,7 +172,7 @@
 
 /// A number drawn from a name, the same at every instance: names that differ in a digit only, as
 /// those of one failure domain do, are far apart.
-fn mixed(name: &str) -> u64 {
+pub(crate) fn mixed(name: &str) -> u64 {
     let mix = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
     let h = name.bytes().fold(0xcbf2_9ce4_8422_2325, mix);
     let h = (h ^ (h >> 31)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
--- a/policy/src/relay/runners.rs
+++ b/policy/src/relay/runners.rs
@@ -83,6 +83,9 @@
 const LONGEST_ASK_PAUSE_MS: Millis = 5_600;
 const MOST_DOUBLINGS: u32 = 3;
 
+/// Pause between two reports asked by an instance that leaves the questions to others, in milliseconds.
+const SELDOM_MS: Millis = 12_000;
+
 impl Standing {
     /// Whether the runner is to be asked for its report now, `pause` milliseconds after the last time
     /// or later; remembers that it was.
@@ -96,6 +99,16 @@
         due
     }
 
+    /// The same for an instance that leaves the questions to others: they may be lost, or their word.
+    pub fn should_ask_seldom(&mut self, now: Millis) -> bool {
+        let since = self.asked_ms.max(Some(self.dead_since_ms));
+        let due = since.is_none_or(|at| now >= at + SELDOM_MS);
+        if due {
+            self.asked_ms = Some(now);
+        }
+        due
+    }
+
     /// It answers again at `now`.
     pub fn answers_again(&mut self, now: Millis) {
         self.dead = false;
--- /dev/null
+++ b/policy/src/relay/words.rs
@@ -0,0 +1,146 @@
+//! What other instances say of runners that they found dead, and who asks a runner by itself.
+//!
+//! Load pattern: eight runners die at once before three hundred instances. Each instance asked every one
+//! of them by itself, beside witnesses, some sixteen questions a runner: a hundred thousand connections
+//! on a day, in the very moment in which the streams of the broken chains are to go on elsewhere.
+//!
+//! So those whose requests pass through a runner ask it by themselves. The others believe it dead once
+//! [`NAMERS`] instances found it dead by their own questions, and ask only if that does not come about.
+//! One instance's mistake convinces nobody, and nobody is convinced against what it hears itself. Later
+//! a few of each failure domain ask whether the runner is back; an answer is good news for the whole
+//! domain.
+//!
+//! Invariants:
+//! - Only an instance that asked by itself is a namer; who believes others passes their names on.
+//! - What was said of one lifetime of a runner says nothing of the next.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use crate::prelude::*;
+use crate::relay::following::mixed;
+
+/// Instances that must have found a runner dead for others to believe it.
+pub const NAMERS: usize = 3;
+
+/// Number of instances up to which each asks at once: their questions are few.
+const FEW: usize = 12;
+
+/// How long an instance waits for further namers before it asks by itself, in milliseconds: what is told
+/// at once has reached a fleet of hundreds by then.
+const WAIT_MS: Millis = 200;
+
+/// How long something is known of a runner, in milliseconds: its entry goes sooner.
+const KEPT_MS: Millis = 30_000;
+
+/// Instances of a failure domain that ask whether a runner is back, or still slow.
+const ASKERS: usize = 2;
+
+/// That a lifetime of a runner is over, as it travels.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Word {
+    /// Runner.
+    pub runner: Name,
+    /// Unix time of its start, in milliseconds.
+    pub born_ms: u64,
+    /// Instances that found it dead by themselves.
+    pub namers: BTreeSet<Name>,
+}
+
+/// What to do about a runner that others say is dead.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Advice {
+    /// Enough found it dead: it counts as dead here.
+    Believe,
+    /// Ask it beside witnesses.
+    Ask,
+    /// Others are asking.
+    Wait,
+}
+
+#[derive(Clone, Debug)]
+struct Heard {
+    namers: BTreeSet<Name>,
+    first_ms: Millis,
+    newest_ms: Millis,
+}
+
+/// All that was said, by runner and lifetime.
+#[derive(Clone, Debug, Default)]
+pub struct Words(BTreeMap<(Name, u64), Heard>);
+
+impl Words {
+    /// Somebody, or this instance itself, found a runner dead; whether that is news.
+    pub fn hear(&mut self, word: &Word, now: Millis) -> bool {
+        self.0.retain(|_, h| now < h.newest_ms + KEPT_MS);
+        let key = (word.runner.clone(), word.born_ms);
+        let heard = self.0.entry(key).or_insert_with(|| Heard {
+            namers: BTreeSet::new(),
+            first_ms: now,
+            newest_ms: now,
+        });
+        let before = heard.namers.len();
+        for namer in &word.namers {
+            if heard.namers.len() < NAMERS {
+                heard.namers.insert(namer.clone());
+            }
+        }
+        let is_news = heard.namers.len() > before;
+        if is_news {
+            heard.newest_ms = now;
+        }
+        is_news
+    }
+
+    /// What to do about a runner at `now`, for one of `instances` instances; `concerned`: requests of
+    /// this one pass through it.
+    #[must_use]
+    pub fn advice(
+        &self,
+        runner: &Name,
+        born_ms: u64,
+        concerned: bool,
+        instances: usize,
+        now: Millis,
+    ) -> Advice {
+        let Some(heard) = self.0.get(&(runner.clone(), born_ms)) else {
+            return Advice::Wait;
+        };
+        let waited = now >= heard.first_ms + WAIT_MS;
+        match (concerned, heard.namers.len() >= NAMERS) {
+            (true, _) => Advice::Ask,
+            (false, true) => Advice::Believe,
+            (false, false) if instances <= FEW || waited => Advice::Ask,
+            (false, false) => Advice::Wait,
+        }
+    }
+
+    /// Runners of which something was said, by identity and lifetime.
+    pub fn runners(&self) -> impl Iterator<Item = (&Name, u64)> {
+        self.0.keys().map(|(runner, born_ms)| (runner, *born_ms))
+    }
+
+    /// What is passed on of those that were named since `since_ms`.
+    pub fn since(&self, since_ms: Millis) -> impl Iterator<Item = Word> {
+        let new = self.0.iter().filter(move |(_, h)| h.newest_ms >= since_ms);
+        new.map(|((runner, born_ms), heard)| Word {
+            runner: runner.clone(),
+            born_ms: *born_ms,
+            namers: heard.namers.clone(),
+        })
+    }
+
+    /// The runner answers, or lives anew.
+    pub fn forget(&mut self, runner: &Name, born_ms: u64) {
+        self.0.remove(&(runner.clone(), born_ms));
+    }
+}
+
+/// Whether `name` is one of those that ask a runner whether it is back, among the instances of its
+/// failure domain that live, itself included or not.
+pub fn asks<'a>(name: &Name, domain: impl Iterator<Item = &'a Name>, runner: &str) -> bool {
+    let weight = |n: &str| mixed(n) ^ mixed(runner).rotate_left(17);
+    let own = weight(name);
+    domain.filter(|n| weight(n) < own).count() < ASKERS
+}
--- /dev/null
+++ b/policy/tests/relay_words.rs
@@ -0,0 +1,200 @@
+//! Whom the word of others convinces that a runner is dead, and who asks it by itself.
+
+use std::collections::BTreeSet;
+
+use googletest::prelude::*;
+use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::relay::words::{self, Advice, Word, Words};
+use rand::SeedableRng;
+use rand::seq::IteratorRandom;
+use rand_chacha::ChaCha8Rng;
+
+const BORN_MS: u64 = 7;
+const FLEET: usize = 300;
+
+fn runner() -> Name {
+    "i-1".into()
+}
+
+fn instance(i: usize) -> Name {
+    format!("front-{i:03}").into()
+}
+
+fn word(namers: &[usize]) -> Word {
+    Word {
+        runner: runner(),
+        born_ms: BORN_MS,
+        namers: namers.iter().map(|i| instance(*i)).collect(),
+    }
+}
+
+/// An instance in a replay of a runner's death.
+#[derive(Default)]
+struct Instance {
+    words: Words,
+    dead: bool,
+    /// When its own questions have shown that the runner is dead.
+    finds_ms: Option<u64>,
+    asked: bool,
+    news: bool,
+}
+
+/// Time that questions beside witnesses take, and a message.
+const QUESTIONS_MS: u64 = 50;
+const MESSAGE_MS: u64 = 10;
+
+/// A runner dies through which requests of the first `concerned` instances pass, one in ten of which
+/// notices by itself. When all know it, and how many asked the runner.
+fn replay(concerned: usize) -> (u64, usize) {
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let mut all: Vec<Instance> = (0..FLEET).map(|_| Instance::default()).collect();
+    for i in (0..concerned).step_by(10) {
+        all[i].asked = true;
+        all[i].finds_ms = Some(QUESTIONS_MS);
+    }
+    for now in (0..5_000).step_by(MESSAGE_MS as usize) {
+        let mut told: Vec<(usize, Vec<Word>)> = Vec::new();
+        for (i, one) in all.iter_mut().enumerate() {
+            if !one.dead && one.finds_ms.is_some_and(|at| now >= at) {
+                one.dead = true;
+                one.news |= one.words.hear(&word(&[i]), now);
+            }
+            let looks = now % 350 == (i as u64 * MESSAGE_MS) % 350;
+            if looks {
+                one.follow(i < concerned, now);
+            }
+            if std::mem::take(&mut one.news) {
+                let listeners = (0..FLEET).sample(&mut rng, 8);
+                let words: Vec<Word> = one.words.since(now.saturating_sub(400)).collect();
+                told.extend(listeners.into_iter().map(|l| (l, words.clone())));
+            }
+        }
+        for (listener, words) in told {
+            let one = &mut all[listener];
+            for word in words.iter().filter(|_| !one.dead) {
+                one.news |= one.words.hear(word, now);
+            }
+            one.follow(listener < concerned, now);
+        }
+        if all.iter().all(|one| one.dead) {
+            return (now, all.iter().filter(|one| one.asked).count());
+        }
+    }
+    (u64::MAX, 0)
+}
+
+impl Instance {
+    fn follow(&mut self, concerned: bool, now: u64) {
+        if self.dead {
+            return;
+        }
+        match self.words.advice(&runner(), BORN_MS, concerned, FLEET, now) {
+            Advice::Believe => {
+                self.dead = true;
+                self.news = true;
+            }
+            Advice::Ask if !self.asked => {
+                self.asked = true;
+                self.finds_ms = Some(now + QUESTIONS_MS);
+            }
+            Advice::Ask | Advice::Wait => {}
+        }
+    }
+}
+
+/// A runner died, and each of three hundred instances asked it and five witnesses. Those with requests
+/// there ask; nearly all others hear enough within two tenths of a second.
+#[gtest]
+fn a_dead_runner_is_asked_by_those_whose_requests_pass_through_it() {
+    let (known_ms, askers) = replay(60);
+    expect_that!(known_ms, le(250));
+    expect_that!(askers, le(60 + FLEET / 10));
+}
+
+/// One instance whose own link is full says that a living runner is dead. Nobody believes it; each asks
+/// in the end, and the runner answers.
+#[gtest]
+fn one_instances_mistake_convinces_nobody() {
+    let mut words = Words::default();
+    for now in [0, 100, 300, 1_000] {
+        words.hear(&word(&[1]), now);
+        let advice = words.advice(&runner(), BORN_MS, false, FLEET, now);
+        expect_that!(advice, not(eq(Advice::Believe)));
+    }
+    expect_that!(
+        words.advice(&runner(), BORN_MS, false, FLEET, 1_000),
+        eq(Advice::Ask)
+    );
+    words.forget(&runner(), BORN_MS);
+    words.hear(&word(&[2]), 1_100);
+    expect_that!(
+        words.advice(&runner(), BORN_MS, false, FLEET, 1_100),
+        eq(Advice::Wait)
+    );
+}
+
+/// A whole failure domain is cut off from a runner and says so. An instance whose requests pass through
+/// the runner goes by what it hears itself.
+#[gtest]
+fn nobody_is_convinced_against_what_it_hears_itself() {
+    let mut words = Words::default();
+    words.hear(&word(&[1, 2, 3, 4]), 0);
+    expect_that!(
+        words.advice(&runner(), BORN_MS, true, FLEET, 0),
+        eq(Advice::Ask)
+    );
+    expect_that!(
+        words.advice(&runner(), BORN_MS, false, FLEET, 0),
+        eq(Advice::Believe)
+    );
+    // What was said of one lifetime says nothing of the next.
+    expect_that!(
+        words.advice(&runner(), BORN_MS + 1, false, FLEET, 0),
+        eq(Advice::Wait)
+    );
+}
+
+/// Words go on with their namers, so that three instances convince all: a word that is heard a hundred
+/// times from one namer stays one, and is passed on once.
+#[gtest]
+fn a_word_that_is_heard_again_is_no_news() {
+    let mut words = Words::default();
+    expect_true!(words.hear(&word(&[1]), 0));
+    expect_false!(words.hear(&word(&[1]), 10));
+    expect_true!(words.hear(&word(&[1, 2]), 20));
+    expect_true!(words.hear(&word(&[3]), 30));
+    expect_false!(words.hear(&word(&[4]), 40));
+    let passed_on: Vec<Word> = words.since(20).collect();
+    let namers: BTreeSet<Name> = [1, 2, 3].map(instance).into();
+    expect_that!(passed_on.len(), eq(1));
+    expect_that!(&passed_on[0].namers, eq(&namers));
+    expect_that!(words.since(31).count(), eq(0));
+}
+
+/// A fleet of a few has no three others to wait for.
+#[gtest]
+fn a_small_fleet_asks_at_once() {
+    let mut words = Words::default();
+    words.hear(&word(&[1]), 0);
+    expect_that!(
+        words.advice(&runner(), BORN_MS, false, 6, 0),
+        eq(Advice::Ask)
+    );
+}
+
+/// A runner that was gone for good was asked by all three hundred until its entry went. Two of each
+/// domain ask each runner, not the same for all, and in a small domain everybody.
+#[gtest]
+fn two_of_each_domain_ask_whether_a_runner_is_back() {
+    let domain: Vec<Name> = (0..60).map(instance).collect();
+    let mut busy: BTreeSet<Name> = BTreeSet::new();
+    for r in 0..20 {
+        let runner = format!("i-{r}");
+        let asks = |n: &&Name| words::asks(n, domain.iter(), &runner);
+        let askers: Vec<&Name> = domain.iter().filter(asks).collect();
+        expect_that!(askers.len(), eq(2));
+        busy.extend(askers.into_iter().cloned());
+    }
+    expect_that!(busy.len(), ge(15));
+    expect_true!(words::asks(&domain[0], domain[..2].iter(), "i-1"));
+}
