Following: an instance that alone is without the store is not woken by those that hear it

Read, not run: with the commit before, instances that the store turns away would have been woken from each pause by their neighbours' confirmations and have asked several times a second. Only a loss since which nobody has confirmed is waited for that way.

--- a/plugins/relay/src/watch.rs
+++ b/plugins/relay/src/watch.rs
@@ -70,6 +70,7 @@
 /// Reads the configuration whenever its last confirmation is old.
 async fn confirm(node: &Node) {
     let mut reading_ms = 0;
+    let mut lost_ms = None;
     loop {
         sleep(CONFIRM_LOOK).await;
         let age = node.vouch.borrow().age_ms(node.now());
@@ -82,6 +83,7 @@
         match node.store.get(desired::KIND, desired::NAME).await {
             Ok(Some(object)) => {
                 node.hears_store.set(true);
+                lost_ms = None;
                 reading_ms = node.now() - sent;
                 log::info!(took_ms = reading_ms; "configuration read");
                 if take_configuration(node, &object) {
@@ -93,7 +95,8 @@
             Err(cause) => {
                 log::debug!(cause:% = cause; "configuration not confirmed");
                 node.hears_store.set(false);
-                pause(node, longest_pause_ms(node)).await;
+                let lost_ms = *lost_ms.get_or_insert(sent);
+                pause(node, longest_pause_ms(node), lost_ms).await;
             }
         }
     }
@@ -198,7 +201,7 @@
         metrics::counter!("jacinthweir_store_failures_total").increment(1);
         let longest = (PAUSE_MS << failures.min(4)).min(longest_pause_ms(node));
         let ms = PAUSE_MS / 2 + (node.draw() * longest as f64) as u64;
-        pause(node, ms).await;
+        pause(node, ms, lost_ms.unwrap_or_default()).await;
     }
 }
 
@@ -210,26 +213,31 @@
     following::watch_ms(LONGEST_PAUSE_MS, node.instances()).min(bound)
 }
 
-/// Waits after a failed call for `ms` milliseconds, or until others have heard the store since.
-async fn pause(node: &Node, ms: Millis) {
-    let began = node.now();
+/// Waits after a failed call for `ms` milliseconds, or until others hear the store again that was lost at
+/// `lost_ms`. Those that do while this instance does not are no sign that it will.
+async fn pause(node: &Node, ms: Millis, lost_ms: Millis) {
+    let pause = sleep(Duration::from_millis(ms));
+    if confirmed_since(node, lost_ms) {
+        return pause.await;
+    }
     tokio::select! {
-        () = sleep(Duration::from_millis(ms)) => {}
-        () = confirmed_after(node, began) => {
+        () = pause => {}
+        () = until_confirmed(node, lost_ms) => {
             let spread_ms = (node.draw() * BACK_SPREAD_MS) as Millis;
             sleep(Duration::from_millis(spread_ms)).await;
         }
     }
 }
 
-/// Ends when the configuration was confirmed by a call that was made after `since`.
-async fn confirmed_after(node: &Node, since: Millis) {
-    let confirmed = || {
-        let now = node.now();
-        let age = node.vouch.borrow().age_ms(now);
-        age.is_some_and(|age| now - age > since)
-    };
-    while !confirmed() {
+/// Whether the configuration was confirmed by a call that was made after `since`.
+fn confirmed_since(node: &Node, since: Millis) -> bool {
+    let now = node.now();
+    let age = node.vouch.borrow().age_ms(now);
+    age.is_some_and(|age| now - age > since)
+}
+
+async fn until_confirmed(node: &Node, since: Millis) {
+    while !confirmed_since(node, since) {
         sleep(BACK_LOOK).await;
     }
 }
