Rooms: the more instances decide the fewer chains each looks at, drawn by what they have free

All instances took the emptiest chain by loads that are a second old, until its 192 places were full and its queue was; runners refused 1,374 of 18,123 arrivals. With more than six instances each looks at a part of the chains that becomes smaller with their number, drawn by what they have free, those of the own domain four times as often.

--- a/plugins/relay/src/live.rs
+++ b/plugins/relay/src/live.rs
@@ -252,7 +252,9 @@
                 refusing: l.refusals.borrow().refusing(now),
             });
         }
-        rooms::choose(&rooms, tokens, fill).map(|i| Rc::clone(&live[i]))
+        let deciders = self.instances();
+        let chosen = rooms::choose_among(&rooms, tokens, fill, deciders, || self.draw());
+        chosen.map(|i| Rc::clone(&live[i]))
     }
 }
 
--- a/policy/src/relay/rooms.rs
+++ b/policy/src/relay/rooms.rs
@@ -149,23 +149,82 @@
 /// Silence from which on a chain gets new requests only if no other has room, in milliseconds.
 const DOUBT_MS: Millis = 200;
 
+impl Room {
+    /// Whether a request of `tokens` tokens may be sent there below `fill`.
+    fn fits(&self, tokens: f64, fill: f64) -> bool {
+        !self.refusing && self.used_tokens + tokens <= self.room_tokens * fill
+    }
+
+    /// Share of its room that is taken with `tokens` tokens more.
+    fn fill_with(&self, tokens: f64) -> f64 {
+        (self.used_tokens + tokens) / self.room_tokens.max(1.0)
+    }
+
+    fn is_doubted(&self) -> bool {
+        self.silent_ms > DOUBT_MS
+    }
+}
+
 /// The chain for a request of `tokens` tokens, if one has room for it below `fill`.
 #[must_use]
 pub fn choose(rooms: &[Room], tokens: f64, fill: f64) -> Option<usize> {
-    let fits = |r: &&Room| !r.refusing && r.used_tokens + tokens <= r.room_tokens * fill;
     let rank = |r: &Room| {
-        let fill = (r.used_tokens + tokens) / r.room_tokens.max(1.0);
         let far = if r.near { 0.0 } else { ELSEWHERE };
-        let doubt = if r.silent_ms > DOUBT_MS { 10.0 } else { 0.0 };
-        fill + far + doubt
+        let doubt = if r.is_doubted() { 10.0 } else { 0.0 };
+        r.fill_with(tokens) + far + doubt
     };
     let best = rooms
         .iter()
-        .filter(fits)
+        .filter(|r| r.fits(tokens, fill))
         .min_by(|a, b| rank(a).total_cmp(&rank(b)));
     best.map(|r| r.chain)
 }
 
+/// Instances that may each look at all chains: their loads are a moment old.
+const FEW_DECIDERS: usize = 6;
+
+/// Weights in the draw of a chain in the own failure domain, and of one that is silent.
+const NEAR_WEIGHT: f64 = 4.0;
+const DOUBT_WEIGHT: f64 = 1e-3;
+
+/// The least weight of a chain that has room.
+const LEAST_FREE: f64 = 0.05;
+
+/// The same where `deciders` instances choose by themselves; `draw` gives random numbers from 0 to 1.
+///
+/// Load pattern: hundreds of instances know what the others have in flight a second late. If each takes
+/// the emptiest chain, all take the same one until they hear that it is full: it has twice the requests
+/// that it has places for, and those wait for seconds beside chains that are half empty. The emptier of
+/// two drawn chains is still the same one too often. So the more decide the fewer chains each looks at,
+/// in the end one, drawn by what it has free.
+pub fn choose_among(
+    rooms: &[Room],
+    tokens: f64,
+    fill: f64,
+    deciders: usize,
+    mut draw: impl FnMut() -> f64,
+) -> Option<usize> {
+    if deciders <= FEW_DECIDERS {
+        return choose(rooms, tokens, fill);
+    }
+    let fitting = rooms.iter().filter(|r| r.fits(tokens, fill));
+    let mut drawn: Vec<(f64, Room)> = fitting
+        .map(|r| (-(1.0 - draw()).ln() / draw_weight(r, tokens), *r))
+        .collect();
+    drawn.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let looked_at = drawn.len() * FEW_DECIDERS / deciders;
+    drawn.truncate(looked_at.max(1));
+    let drawn: Vec<Room> = drawn.into_iter().map(|(_, room)| room).collect();
+    choose(&drawn, tokens, fill)
+}
+
+fn draw_weight(room: &Room, tokens: f64) -> f64 {
+    let free = (1.0 - room.fill_with(tokens)).max(LEAST_FREE);
+    let near = if room.near { NEAR_WEIGHT } else { 1.0 };
+    let doubt = if room.is_doubted() { DOUBT_WEIGHT } else { 1.0 };
+    free * near * doubt
+}
+
 /// Time over which released room is averaged, in milliseconds.
 const FLOW_MS: f64 = 1_000.0;
 
--- a/policy/tests/relay_load.rs
+++ b/policy/tests/relay_load.rs
@@ -3,7 +3,9 @@
 use std::collections::VecDeque;
 
 use googletest::prelude::*;
-use jacinthweir_policy::relay::rooms::{Flow, Shortage};
+use jacinthweir_policy::relay::rooms::{FILL, Flow, Room, Shortage, choose, choose_among};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 
 /// Room of the chains, tokens of a request, how long it runs and may wait, in milliseconds.
 const ROOM: f64 = 100_000.0;
@@ -92,3 +94,87 @@
     expect_that!(last, le(6_600));
     expect_that!(shortage.refused(30_000, 0.0), eq(first));
 }
+
+/// Chains of each domain that is left, and domains whose callers come.
+const CHAINS: usize = 4;
+const DOMAINS_LEFT: usize = 3;
+const DOMAINS: usize = 5;
+
+/// Instances, and how often each hears what the others have in flight, in milliseconds.
+const INSTANCES: usize = 300;
+const HEARD_MS: u64 = 1_000;
+
+/// The fullest that any chain gets, as a share of its room, where each instance chooses by what it heard
+/// of the others; 400 requests a second come, three fifths of what the chains take.
+fn fullest(mut choice: impl FnMut(&[Room]) -> Option<usize>) -> f64 {
+    let chains = CHAINS * DOMAINS_LEFT;
+    let mut used = vec![0.0; chains];
+    let mut heard = vec![used.clone(); INSTANCES];
+    let mut running: VecDeque<(u64, usize)> = VecDeque::new();
+    let mut fullest: f64 = 0.0;
+    let mut came = 0;
+    for now in 0..20_000 {
+        while running.front().is_some_and(|(ends, _)| *ends <= now) {
+            let (_, chain) = running.pop_front().expect("a request");
+            used[chain] -= TOKENS;
+        }
+        for (i, known) in heard.iter_mut().enumerate() {
+            if (now + i as u64 * 7) % HEARD_MS == 0 {
+                known.clone_from(&used);
+            }
+        }
+        while came < now * 400 / 1_000 {
+            came += 1;
+            let instance = came as usize * 7 % INSTANCES;
+            let room = |chain: usize| Room {
+                chain,
+                near: chain / CHAINS == instance % DOMAINS,
+                room_tokens: ROOM,
+                used_tokens: heard[instance][chain],
+                silent_ms: 0,
+                refusing: false,
+            };
+            let rooms: Vec<Room> = (0..chains).map(room).collect();
+            if let Some(chain) = choice(&rooms) {
+                used[chain] += TOKENS;
+                heard[instance][chain] += TOKENS;
+                running.push_back((now + RUNS_MS, chain));
+            }
+        }
+        let now_fullest = used.iter().copied().fold(0.0, f64::max) / ROOM;
+        fullest = fullest.max(now_fullest);
+    }
+    fullest
+}
+
+/// Two domains of five are lost and their callers come to the chains of the others. Three hundred
+/// instances that know a second late how full these are each chose the emptiest: one chain had 47 prompts
+/// a second beside others with 15, and half of its callers waited two seconds for a first event. No chain
+/// is to be given more than it has room for while others have some.
+#[gtest]
+fn many_instances_do_not_all_choose_the_emptiest_chain() {
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let emptiest = fullest(|rooms| choose(rooms, TOKENS, FILL));
+    let drawn = fullest(|rooms| choose_among(rooms, TOKENS, FILL, 300, || rng.random()));
+    expect_that!(emptiest, ge(1.5));
+    expect_that!(drawn, le(1.0));
+}
+
+/// Six instances know each other's loads as they are and go on choosing the emptiest.
+#[gtest]
+fn few_instances_choose_the_emptiest_chain() {
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    for used in 1..20 {
+        let room = |chain: usize| Room {
+            chain,
+            near: chain == 0,
+            room_tokens: ROOM,
+            used_tokens: 4_000.0 * ((chain * used) % 7) as f64,
+            silent_ms: 0,
+            refusing: false,
+        };
+        let rooms: Vec<Room> = (0..8).map(room).collect();
+        let drawn = choose_among(&rooms, TOKENS, FILL, 6, || rng.random());
+        expect_that!(drawn, eq(choose(&rooms, TOKENS, FILL)));
+    }
+}
