--- a/policy/tests/relay_load.rs
+++ b/policy/tests/relay_load.rs
@@ -119,7 +119,7 @@
             used[chain] -= TOKENS;
         }
         for (i, known) in heard.iter_mut().enumerate() {
-            if (now + i as u64 * 7) % HEARD_MS == 0 {
+            if (now + i as u64 * 7).is_multiple_of(HEARD_MS) {
                 known.clone_from(&used);
             }
         }
