Test kit: a fleet's ports are none that the system hands out

The port was found by binding any free one, 46789 of the range from 32,768 that the system hands out, and let go until the instance bound it. A listener on all addresses that takes any port takes it on every loopback address; who did is not known, and none but the system picks from that range, so ports below it are taken now. The test fails on the code before (its ports are of that range).

--- a/testkit/src/fleet/ports.rs
+++ b/testkit/src/fleet/ports.rs
@@ -6,9 +6,10 @@
 //! the moment a process binds it.
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::ops::RangeInclusive;
 use std::sync::atomic::{AtomicU8, Ordering};
 
-use crate::Result;
+use crate::{Error, Result};
 
 static TAKEN: AtomicU8 = AtomicU8::new(0);
 
@@ -21,15 +22,23 @@
     IpAddr::V4(Ipv4Addr::new(127, high.max(1), low, 1 + count))
 }
 
+/// Ports that are chosen for a fleet: below those that systems hand out for outgoing connections and to
+/// listeners that take any port. A listener of another program on all addresses of the machine would
+/// otherwise take a port between the moment it is found free and the moment a process binds it.
+const PORTS: RangeInclusive<u16> = 10_000..=29_999;
+
 /// Free ports of `ip`, all different.
 ///
 /// # Errors
 ///
-/// Where none can be bound.
+/// Where there are fewer.
 pub fn free(ip: IpAddr, count: usize) -> Result<Vec<SocketAddr>> {
-    let listeners: std::io::Result<Vec<TcpListener>> =
-        (0..count).map(|_| TcpListener::bind((ip, 0))).collect();
-    let addresses: std::io::Result<Vec<SocketAddr>> =
-        listeners?.iter().map(TcpListener::local_addr).collect();
-    Ok(addresses?)
+    let addresses = PORTS.map(|port| SocketAddr::from((ip, port)));
+    let free = addresses.filter(|address| TcpListener::bind(address).is_ok());
+    let found: Vec<SocketAddr> = free.take(count).collect();
+    if found.len() < count {
+        let cause = format!("{} of {count} ports are free at {ip}", found.len());
+        return Err(Error::Other(cause));
+    }
+    Ok(found)
 }
