--- a/plugins/relay/src/watch.rs
+++ b/plugins/relay/src/watch.rs
@@ -49,10 +49,6 @@
 /// for three heartbeats of a second or more. After a shorter one an entry that is missing is gone.
 const OUTAGE_MS: Millis = 2_000;
 
-/// Time for which a watch may still bring what another instance already has, in milliseconds. One
-/// that does not has fallen silent.
-const BEHIND: Duration = Duration::from_millis(120);
-
 /// Period of looking whether the configuration is to be confirmed.
 const CONFIRM_LOOK: Duration = Duration::from_millis(100);
 
@@ -155,7 +151,11 @@
         if !what.is_behind(node) {
             notified.await;
         }
-        sleep(BEHIND).await;
+        let wait = match what {
+            Followed::Configuration => following::behind_ms(node.instances()),
+            Followed::Runners => following::behind_ms(1),
+        };
+        sleep(Duration::from_millis(wait)).await;
         if what.is_behind(node) {
             what.behind(node).borrow_mut().asked();
             return;
--- a/policy/src/relay/following.rs
+++ b/policy/src/relay/following.rs
@@ -63,6 +63,21 @@
     (GATHER_MS * times).min(LONGEST_GATHER_MS) as Millis
 }
 
+/// Time for which a watch may still bring what another instance already has, in milliseconds, beside
+/// that for which changes are gathered.
+const BEHIND_MS: Millis = 120;
+
+/// How long an instance waits for its own watch once others know more, before it takes the watch for
+/// silent and asks anew.
+///
+/// Load pattern: a large configuration comes to three hundred instances at once, most of them on links
+/// that it fills for a third of a second. Whoever had it told the others, and those broke off what they
+/// were reading to read it from the start.
+#[must_use]
+pub fn behind_ms(instances: usize) -> Millis {
+    BEHIND_MS + gather_ms(instances)
+}
+
 /// Time after its start in which an instance may not have heard yet who watches the runners, in
 /// milliseconds.
 const STARTING_MS: Millis = 2_500;
@@ -70,7 +85,7 @@
 /// Time within which changes of runners' entries are read with one call, in milliseconds, and the
 /// same while the instance starts.
 const RUNNERS_GATHER_MS: Millis = 60;
-const START_GATHER_MS: Millis = 800;
+const START_GATHER_MS: Millis = 1_600;
 
 /// How long an instance that started `age_ms` milliseconds ago waits after a change of the runners
 /// before it watches for the next.
--- a/policy/src/relay/rooms.rs
+++ b/policy/src/relay/rooms.rs
@@ -184,7 +184,7 @@
 const FEW_DECIDERS: usize = 6;
 
 /// Weights in the draw of a chain in the own failure domain, and of one that is silent.
-const NEAR_WEIGHT: f64 = 4.0;
+const NEAR_WEIGHT: f64 = 8.0;
 const DOUBT_WEIGHT: f64 = 1e-3;
 
 /// The least weight of a chain that has room.
--- a/policy/tests/relay_following.rs
+++ b/policy/tests/relay_following.rs
@@ -3,7 +3,8 @@
 use googletest::prelude::*;
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::following::{
-    Behind, Confirming, Step, Watchers, gather_ms, runners_gather_ms, should_confirm, watch_ms,
+    Behind, Confirming, Step, Watchers, behind_ms, gather_ms, runners_gather_ms, should_confirm,
+    watch_ms,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -211,3 +212,13 @@
         eq(runners_gather_ms(later, false))
     );
 }
+
+/// A configuration of 0.7 MB takes a small instance's link a third of a second and more. When others had
+/// it, 730 watches of a day were broken off while they brought it, and it was read from the start. A
+/// small fleet notices a silent watch as soon as before, a large one within the seconds that it has.
+#[gtest]
+fn a_watch_that_brings_a_large_configuration_is_given_its_time() {
+    expect_that!(behind_ms(6), le(150));
+    expect_that!(behind_ms(300), ge(900));
+    expect_that!(behind_ms(3_000), le(1_500));
+}
