Naming: who found a runner dead by itself asks it itself; what a neighbour's answer refuted is not believed again

An answer to a neighbour convinces only those that had believed others; who found the runner dead by itself asks. And once a runner has answered, words are a reason to ask for ten seconds, so that those that are cut off do not convince the rest again and again. The test fails on the code before.

--- a/plugins/relay/src/probe.rs
+++ b/plugins/relay/src/probe.rs
@@ -176,7 +176,7 @@
     if !report.is_of(born_ms) {
         return name_dead(node, id, born_ms, "started anew");
     }
-    node.words.borrow_mut().forget(id, born_ms);
+    node.words.borrow_mut().refute(id, born_ms, node.now());
     let mut changed = set_pace(node, id, report.pace, node.now());
     for address in report.stalled.values() {
         changed |= mark_dead_at(node, *address);
@@ -220,6 +220,9 @@
             namers: [node.settings.name.clone()].into(),
         };
         node.words.borrow_mut().hear(&word, node.now());
+        if let Some(standing) = node.runners.borrow_mut().standing_mut(id) {
+            standing.found_here = true;
+        }
     }
     found
 }
@@ -236,6 +239,7 @@
     }
     standing.dead = true;
     standing.dead_since_ms = now;
+    standing.found_here = false;
     standing.asked_anew();
     log::warn!(runner = id.as_ref(), born_ms, evidence; "runner counts as dead");
     metrics::counter!("jacinthweir_runners_dead_total").increment(1);
@@ -328,8 +332,8 @@
     }
 }
 
-/// A runner answers an instance of a failure domain again. What reaches a neighbour reaches this one;
-/// an answer elsewhere is a reason to ask.
+/// A runner answers an instance of a failure domain again. An instance that only believed it dead believes
+/// a neighbour; one that found it dead by itself may be cut off from it alone, and asks.
 pub(crate) fn hear_alive(node: &Node, id: &Name, born_ms: u64, domain: &str) -> bool {
     let near = *domain == *node.settings.failure_domain;
     let now = node.now();
@@ -338,14 +342,15 @@
     let Some(standing) = standing.filter(|s| s.dead && s.born_ms == born_ms) else {
         return false;
     };
-    if near {
+    let believes = near && !standing.found_here;
+    if believes {
         standing.answers_again(now);
-        node.words.borrow_mut().forget(id, born_ms);
+        node.words.borrow_mut().refute(id, born_ms, node.now());
         log::info!(runner = id.as_ref(); "runner answers a neighbour again");
     } else {
         standing.ask_soon();
     }
-    near
+    believes
 }
 
 /// Doubted runners that are due to be asked: identity, address, lifetime.
@@ -367,7 +372,7 @@
     let mut due = |id: &Name| {
         let asks = words::asks(&node.settings.name, neighbours.iter(), id);
         let standing = runners.standing_mut(id);
-        standing.is_some_and(|s| match asks {
+        standing.is_some_and(|s| match asks || s.found_here {
             true => s.should_ask(now, pause),
             false => s.should_ask_seldom(now),
         })
@@ -407,7 +412,7 @@
             let mut runners = node.runners.borrow_mut();
             if let Some(standing) = runners.standing_mut(id).filter(|s| s.dead) {
                 standing.answers_again(node.now());
-                node.words.borrow_mut().forget(id, *born_ms);
+                node.words.borrow_mut().refute(id, *born_ms, node.now());
                 changed = true;
                 log::info!(runner = id.as_ref(); "runner answers again");
             }
--- a/policy/src/relay/runners.rs
+++ b/policy/src/relay/runners.rs
@@ -52,6 +52,8 @@
     pub dead: bool,
     /// When that was found, in milliseconds.
     pub dead_since_ms: Millis,
+    /// Whether this instance found it by itself, and did not believe others.
+    pub found_here: bool,
     /// It refused a part of this range, which its entry still names.
     pub misreported: Option<(u32, u32)>,
     /// Orders that it has accepted, where that is known.
--- a/policy/src/relay/words.rs
+++ b/policy/src/relay/words.rs
@@ -13,6 +13,8 @@
 //! Invariants:
 //! - Only an instance that asked by itself is a namer; who believes others passes their names on.
 //! - What was said of one lifetime of a runner says nothing of the next.
+//! - Once a runner has answered here or a neighbour, no word of others is believed for a while: some may
+//!   be cut off from it for good, and would convince the rest again and again.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -34,6 +36,9 @@
 /// How long something is known of a runner, in milliseconds: its entry goes sooner.
 const KEPT_MS: Millis = 30_000;
 
+/// How long the word of others is a reason to ask only after a runner has answered, in milliseconds.
+const REFUTED_MS: Millis = 10_000;
+
 /// Instances of a failure domain that ask whether a runner is back, or still slow.
 const ASKERS: usize = 2;
 
@@ -59,11 +64,12 @@
     Wait,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct Heard {
     namers: BTreeSet<Name>,
     first_ms: Millis,
     newest_ms: Millis,
+    refuted_ms: Option<Millis>,
 }
 
 /// All that was said, by runner and lifetime.
@@ -75,12 +81,11 @@
     pub fn hear(&mut self, word: &Word, now: Millis) -> bool {
         self.0.retain(|_, h| now < h.newest_ms + KEPT_MS);
         let key = (word.runner.clone(), word.born_ms);
-        let heard = self.0.entry(key).or_insert_with(|| Heard {
-            namers: BTreeSet::new(),
-            first_ms: now,
-            newest_ms: now,
-        });
+        let heard = self.0.entry(key).or_default();
         let before = heard.namers.len();
+        if before == 0 {
+            heard.first_ms = now;
+        }
         for namer in &word.namers {
             if heard.namers.len() < NAMERS {
                 heard.namers.insert(namer.clone());
@@ -108,7 +113,9 @@
             return Advice::Wait;
         };
         let waited = now >= heard.first_ms + WAIT_MS;
-        match (concerned, heard.namers.len() >= NAMERS) {
+        let refuted = heard.refuted_ms.is_some_and(|at| now < at + REFUTED_MS);
+        match (concerned || refuted, heard.namers.len() >= NAMERS) {
+            _ if heard.namers.is_empty() => Advice::Wait,
             (true, _) => Advice::Ask,
             (false, true) => Advice::Believe,
             (false, false) if instances <= FEW || waited => Advice::Ask,
@@ -123,7 +130,8 @@
 
     /// What is passed on of those that were named since `since_ms`.
     pub fn since(&self, since_ms: Millis) -> impl Iterator<Item = Word> {
-        let new = self.0.iter().filter(move |(_, h)| h.newest_ms >= since_ms);
+        let named = self.0.iter().filter(|(_, h)| !h.namers.is_empty());
+        let new = named.filter(move |(_, h)| h.newest_ms >= since_ms);
         new.map(|((runner, born_ms), heard)| Word {
             runner: runner.clone(),
             born_ms: *born_ms,
@@ -131,9 +139,15 @@
         })
     }
 
-    /// The runner answers, or lives anew.
-    pub fn forget(&mut self, runner: &Name, born_ms: u64) {
-        self.0.remove(&(runner.clone(), born_ms));
+    /// The runner answered at `now`: what was said of it before is void.
+    pub fn refute(&mut self, runner: &Name, born_ms: u64, now: Millis) {
+        if let Some(heard) = self.0.get_mut(&(runner.clone(), born_ms)) {
+            *heard = Heard {
+                newest_ms: now,
+                refuted_ms: Some(now),
+                ..Heard::default()
+            };
+        }
     }
 }
 
--- a/policy/tests/relay_words.rs
+++ b/policy/tests/relay_words.rs
@@ -125,12 +125,27 @@
         words.advice(&runner(), BORN_MS, false, FLEET, 1_000),
         eq(Advice::Ask)
     );
-    words.forget(&runner(), BORN_MS);
-    words.hear(&word(&[2]), 1_100);
-    expect_that!(
-        words.advice(&runner(), BORN_MS, false, FLEET, 1_100),
-        eq(Advice::Wait)
-    );
+    words.refute(&runner(), BORN_MS, 1_100);
+    let advice = words.advice(&runner(), BORN_MS, false, FLEET, 1_100);
+    expect_that!(advice, eq(Advice::Wait));
+    expect_that!(words.since(0).count(), eq(0));
+}
+
+/// Runners were cut off from some instances only. These found them dead and said so; the others believed
+/// it, heard a neighbour that reached them, and believed the former again: 489 times on a day a runner
+/// counted as dead that lived. Once it has answered, words are a reason to ask, and no more for a while.
+#[gtest]
+fn those_that_are_cut_off_do_not_convince_the_others_again() {
+    let mut words = Words::default();
+    words.hear(&word(&[1, 2, 3]), 0);
+    let advice = |words: &Words, now| words.advice(&runner(), BORN_MS, false, FLEET, now);
+    expect_that!(advice(&words, 0), eq(Advice::Believe));
+    words.refute(&runner(), BORN_MS, 700);
+    expect_true!(words.hear(&word(&[1, 2, 3]), 800));
+    expect_that!(advice(&words, 800), eq(Advice::Ask));
+    // Long after it may have died since.
+    words.hear(&word(&[1, 2, 3]), 12_000);
+    expect_that!(advice(&words, 12_000), eq(Advice::Believe));
 }
 
 /// A whole failure domain is cut off from a runner and says so. An instance whose requests pass through
