--- a/policy/src/relay/following.rs
+++ b/policy/src/relay/following.rs
@@ -12,7 +12,8 @@
 //! Runners' entries change in bursts, and each change ends every watch. So only [`FEW`] instances
 //! watch them, and tell the others what changed: a [`Step`] from one revision to another, which
 //! whoever knows the first takes over without a call. Who watches follows from who lives and hears
-//! the store; when one of them is lost the next takes its place.
+//! the store; when one of them is lost the next takes its place. In the same way two instances of each
+//! failure domain confirm the configuration for it ([`Confirming`]).
 
 use serde::{Deserialize, Serialize};
 
