--- a/plugins/relay/src/probe.rs
+++ b/plugins/relay/src/probe.rs
@@ -18,7 +18,7 @@
 
 use crate::live::LiveChain;
 use crate::node::Node;
-use crate::question::{self, Finding, PART_TRIES, QUESTION, Suspect};
+use crate::question::{self, Finding, QUESTION, Suspect, TRIES};
 
 /// Least and longest time between two looks for silent chains, in milliseconds. Looked for every few
 /// milliseconds, they cost an instance more than its callers' events.
@@ -97,7 +97,7 @@
     let began = node.now();
     let stages = live.chain.stages.iter();
     let mut open: FuturesUnordered<_> = stages
-        .map(|s| async move { (&s.runner, question::ask(s.runner.address, PART_TRIES).await) })
+        .map(|s| async move { (&s.runner, question::ask(s.runner.address, TRIES).await) })
         .collect();
     let mut round = Round::new(open.len());
     let mut silent: Vec<&RunnerEntry> = Vec::new();
--- a/plugins/relay/src/question.rs
+++ b/plugins/relay/src/question.rs
@@ -34,14 +34,11 @@
 
 /// Times that a runner is asked before it counts as silent: a packet lost in each of four questions
 /// is rare even on a link that loses one in forty.
-const TRIES: usize = 4;
+pub(crate) const TRIES: usize = 4;
 
 /// The same where it was silent a moment ago.
 const TRIES_AGAIN: usize = 2;
 
-/// The same of each part of a silent chain: one that is silent is asked again, beside witnesses.
-pub(crate) const PART_TRIES: usize = 2;
-
 /// Time after which the next question begins while the one before is open. A runner that is dark costs
 /// 30 milliseconds.
 const STAGGER: Duration = Duration::from_millis(5);
--- a/policy/src/relay/rooms.rs
+++ b/policy/src/relay/rooms.rs
@@ -189,7 +189,7 @@
     let rank = |r: &Room| {
         let far = if r.near { 0.0 } else { ELSEWHERE };
         let doubt = if r.is_doubted() { 10.0 } else { 0.0 };
-        r.fill_with(tokens) + far + doubt + (1.0 - r.timeliness())
+        r.fill_with(tokens) + far + doubt
     };
     let best = rooms
         .iter()
