--- a/policy/src/relay/words.rs
+++ b/policy/src/relay/words.rs
@@ -1,8 +1,8 @@
 //! What other instances say of runners that they found dead, and who asks a runner by itself.
 //!
-//! Load pattern: eight runners die at once before three hundred instances. Each instance asked every one
-//! of them by itself, beside witnesses, some sixteen questions a runner: a hundred thousand connections
-//! on a day, in the very moment in which the streams of the broken chains are to go on elsewhere.
+//! Load pattern: several runners die at once before hundreds of instances. If each instance asks every one
+//! of them beside witnesses, the questions come in the very moment in which the streams of the broken
+//! chains are to go on elsewhere.
 //!
 //! So those whose requests pass through a runner ask it by themselves. The others believe it dead once
 //! [`NAMERS`] instances found it dead by their own questions, and ask only if that does not come about.
@@ -26,14 +26,13 @@
 /// Instances that must have found a runner dead for others to believe it.
 pub const NAMERS: usize = 3;
 
-/// Number of instances up to which each asks at once: their questions are few.
+/// Number of instances up to which each asks at once.
 const FEW: usize = 12;
 
-/// How long an instance waits for further namers before it asks by itself, in milliseconds: what is told
-/// at once has reached a fleet of hundreds by then.
+/// How long an instance waits for further namers before it asks by itself, in milliseconds.
 const WAIT_MS: Millis = 200;
 
-/// How long something is known of a runner, in milliseconds: its entry goes sooner.
+/// How long something is known of a runner, in milliseconds; its entry goes sooner.
 const KEPT_MS: Millis = 30_000;
 
 /// How long the word of others is a reason to ask only after a runner has answered, in milliseconds.
--- a/policy/tests/membership.rs
+++ b/policy/tests/membership.rs
@@ -260,9 +260,7 @@
     }
 }
 
-/// Three hundred instances in three domains drew their peers from all: two thirds of their messages went
-/// between domains. A few of each domain are enough for everybody to be known, and a dead one missed,
-/// within the rounds that a heartbeat has.
+/// Most messages of a large fleet go between its domains.
 #[gtest]
 fn few_messages_of_a_large_fleet_leave_their_domain() {
     let (count, domains, outward) = (300, 3, 8);
--- a/policy/tests/relay_following.rs
+++ b/policy/tests/relay_following.rs
@@ -72,10 +72,7 @@
     }
 }
 
-/// Sixty instances of a domain each read the configuration as soon as their confirmation was 1.4 s old,
-/// seventy readings a second in a fleet of three hundred. Two of each domain read for all; the others
-/// hear it well within the 4.5 s for which keys are served unconfirmed. Readings must grow by less than
-/// half as fast as instances.
+/// Every instance reads the configuration though one reading reaches all.
 #[gtest]
 fn a_few_instances_of_each_domain_confirm_the_configuration_for_all() {
     let (few, few_ms) = Domain::new(6).minute();
@@ -85,8 +82,7 @@
     expect_that!(many_ms, le(4_000));
 }
 
-/// Those that read for a domain may be lost together, or its link to the others: everybody reads for
-/// itself before it has to refuse its callers, and a small fleet as before.
+/// Those that read for a domain are lost, and the others refuse their callers.
 #[gtest]
 fn an_instance_that_hears_of_no_reading_reads_by_itself() {
     let all = names(&["east"], 60);
@@ -186,9 +182,7 @@
     }
 }
 
-/// Fourteen configurations came within five seconds, and three hundred instances asked the store for
-/// each: four thousand calls. A small fleet still follows each at once, a large one within a part of the
-/// seconds that it has.
+/// Every instance reads every configuration of a quick succession.
 #[gtest]
 fn configurations_in_quick_succession_are_read_together_in_a_large_fleet() {
     expect_that!(gather_ms(6), le(20));
@@ -197,9 +191,7 @@
     expect_that!(gather_ms(3_000), le(1_000));
 }
 
-/// Three hundred instances start at once and none has heard of another: each watched the runners by
-/// itself, and each of two hundred runners that registered ended all their watches. Who gives orders
-/// still sees at once what comes of them.
+/// A fleet that starts reads the runners once for each of them and each instance.
 #[gtest]
 fn instances_that_have_just_started_do_not_read_each_runner_that_registers() {
     let (starting, later) = (300, 5_000);
@@ -213,9 +205,7 @@
     );
 }
 
-/// A configuration of 0.7 MB takes a small instance's link a third of a second and more. When others had
-/// it, 730 watches of a day were broken off while they brought it, and it was read from the start. A
-/// small fleet notices a silent watch as soon as before, a large one within the seconds that it has.
+/// A watch is broken off while it brings a large configuration.
 #[gtest]
 fn a_watch_that_brings_a_large_configuration_is_given_its_time() {
     expect_that!(behind_ms(6), le(150));
--- a/policy/tests/relay_load.rs
+++ b/policy/tests/relay_load.rs
@@ -148,10 +148,7 @@
     fullest
 }
 
-/// Two domains of five are lost and their callers come to the chains of the others. Three hundred
-/// instances that know a second late how full these are each chose the emptiest: one chain had 47 prompts
-/// a second beside others with 15, and half of its callers waited two seconds for a first event. No chain
-/// is to be given more than it has room for while others have some.
+/// Instances that know each other late fill one chain beyond its room beside half empty ones.
 #[gtest]
 fn many_instances_do_not_all_choose_the_emptiest_chain() {
     let mut rng = ChaCha8Rng::seed_from_u64(7);
@@ -161,7 +158,7 @@
     expect_that!(drawn, le(1.0));
 }
 
-/// Six instances know each other's loads as they are and go on choosing the emptiest.
+/// A small fleet leaves its emptiest chain to chance.
 #[gtest]
 fn few_instances_choose_the_emptiest_chain() {
     let mut rng = ChaCha8Rng::seed_from_u64(7);
@@ -234,9 +231,7 @@
     f64::from(late) / f64::from(came)
 }
 
-/// Slow chains that were filled as far as quick ones wrote every event 310 to 360 ms after the one
-/// before, where callers allow 300: 123 of the 144 streams of one chain failed their callers, beside chains
-/// with a third of that pause and room to spare.
+/// A slow chain that is filled as far as quick ones fails nearly all of its callers.
 #[gtest]
 fn a_slow_chain_gets_no_more_than_it_writes_in_time() {
     let by_room = late_share(false);
--- a/policy/tests/relay_loads.rs
+++ b/policy/tests/relay_loads.rs
@@ -74,9 +74,7 @@
     told
 }
 
-/// Three hundred instances told everybody the load of each: an answer held three hundred loads, 3.5 GB
-/// went between domains on a day without trouble, and that cost callers a quarter of its worth. Between
-/// domains a sum goes, and a tenth of the bytes is enough.
+/// What goes between domains grows with the square of the fleet.
 #[gtest]
 fn a_tenth_of_the_bytes_of_all_loads_goes_between_domains() {
     let count = 60;
@@ -96,8 +94,7 @@
     expect_that!(bytes(&told) * 10, le(bytes(&one) * DOMAINS * count));
 }
 
-/// Room is counted from what all have in flight: one that counts a neighbour in its own domain's sum as
-/// well sees chains full that are half empty.
+/// A neighbour that is counted in a sum as well makes half empty chains look full.
 #[gtest]
 fn each_load_counts_once() {
     let (count, now) = (4, 1_000);
@@ -117,8 +114,7 @@
     expect_that!(loads.used(SERVICE, "elsewhere"), approx_eq(0.0));
 }
 
-/// A sum that comes on a long way must not take the place of a younger one, and is not sent where the
-/// same is known.
+/// A sum that came on a long way takes the place of a younger one.
 #[gtest]
 fn the_younger_sum_counts_whichever_comes_last() {
     let old = settled(1, 4, 1_000);
@@ -150,8 +146,7 @@
     expect_that!(loads.used(SERVICE, &head(0)), approx_eq(0.0));
 }
 
-/// An instance that has just started knows two neighbours of sixty. Its sum would make the domain's
-/// chains look empty to all others, who then send there at once.
+/// The sum of an instance that has just started makes full chains look empty to other domains.
 #[gtest]
 fn who_has_heard_few_of_its_domain_makes_no_sum() {
     let mut started = Loads::new(name(0, 0), domain(0));
@@ -163,7 +158,7 @@
     expect_that!(whole[0].own(false, 59, 4_100).domains.len(), eq(0));
 }
 
-/// Within the domain, too, only what is new goes round: of sixty loads those that were written anew.
+/// Loads that a neighbour has go to it again.
 #[gtest]
 fn a_neighbour_is_told_what_it_lacks() {
     let mut all = settled(0, 60, 1_000);
@@ -181,8 +176,7 @@
     expect_that!(told.members.len(), eq(60));
 }
 
-/// An idle instance's load stays as it was written, so that it is not sent again, and is written anew
-/// before the others take it for gone.
+/// An idle instance is taken for gone, or sends the same load again.
 #[gtest]
 fn an_unchanged_load_is_written_anew_before_it_is_too_old() {
     let mut loads = Loads::new(name(0, 0), domain(0));
@@ -196,8 +190,7 @@
     expect_that!(written(&loads, 2_100), eq(2_100));
 }
 
-/// A machine starts anew with its time of day set back an hour: its loads are heard all the same, once
-/// those of its last life say nothing any more.
+/// An instance that starts anew with its time of day set back is never heard again.
 #[gtest]
 fn one_whose_clock_was_set_back_is_heard_again() {
     let mut loads = Loads::new(name(0, 0), domain(0));
@@ -212,8 +205,7 @@
     expect_that!(loads.used(SERVICE, &head(0)), approx_eq(700.0));
 }
 
-/// The store turns a third of the instances away. Callers must not be sent to them, nor may one of them
-/// be awaited to give orders, in whichever domain they are.
+/// Callers are sent to instances of another domain that the store turns away.
 #[gtest]
 fn who_refuses_and_who_has_no_store_is_known_in_other_domains() {
     let now = 1_000;
@@ -236,7 +228,7 @@
     expect_true!(all[0].hears_store(&name(1, 1), &domain(1), 1_100));
 }
 
-/// Loads of another domain's instances, should they come, must not be counted beside that domain's sum.
+/// Loads of another domain are counted beside its sum.
 #[gtest]
 fn loads_of_another_domain_are_not_taken_one_by_one() {
     let mut loads = Loads::new(name(0, 0), domain(0));
--- a/policy/tests/relay_naming.rs
+++ b/policy/tests/relay_naming.rs
@@ -247,8 +247,7 @@
     (u64::MAX, looks)
 }
 
-/// An instance looked at its chains 125 times a second, more often than events came to it; three hundred
-/// of them did nothing else for most of their time. Looking when a chain may be silent finds it as soon.
+/// An instance looks at its chains more often than events come to it.
 #[gtest]
 fn a_chain_is_looked_at_when_it_may_be_silent() {
     let (often, many) = looks_until_asked(|now, _| now + 8);
@@ -259,7 +258,7 @@
     expect_that!(Silence::new(EVENT_MS).due_ms(), none());
 }
 
-/// A chain that got no new requests for its long pauses would never be seen to be quick again.
+/// A chain that got no new requests for its pauses never gets any again.
 #[gtest]
 fn a_pause_that_nothing_is_seen_of_fades() {
     let mut gaps = Gaps::default();
--- a/policy/tests/relay_words.rs
+++ b/policy/tests/relay_words.rs
@@ -102,8 +102,7 @@
     }
 }
 
-/// A runner died, and each of three hundred instances asked it and five witnesses. Those with requests
-/// there ask; nearly all others hear enough within two tenths of a second.
+/// Every instance of a large fleet asks each dead runner.
 #[gtest]
 fn a_dead_runner_is_asked_by_those_whose_requests_pass_through_it() {
     let (known_ms, askers) = replay(60);
@@ -111,8 +110,7 @@
     expect_that!(askers, le(60 + FLEET / 10));
 }
 
-/// One instance whose own link is full says that a living runner is dead. Nobody believes it; each asks
-/// in the end, and the runner answers.
+/// An instance whose own link is full makes the fleet give up a living runner.
 #[gtest]
 fn one_instances_mistake_convinces_nobody() {
     let mut words = Words::default();
@@ -131,9 +129,7 @@
     expect_that!(words.since(0).count(), eq(0));
 }
 
-/// Runners were cut off from some instances only. These found them dead and said so; the others believed
-/// it, heard a neighbour that reached them, and believed the former again: 489 times on a day a runner
-/// counted as dead that lived. Once it has answered, words are a reason to ask, and no more for a while.
+/// Instances that are cut off from a runner make the others give it up again and again.
 #[gtest]
 fn those_that_are_cut_off_do_not_convince_the_others_again() {
     let mut words = Words::default();
@@ -148,8 +144,7 @@
     expect_that!(advice(&words, 12_000), eq(Advice::Believe));
 }
 
-/// A whole failure domain is cut off from a runner and says so. An instance whose requests pass through
-/// the runner goes by what it hears itself.
+/// A domain that is cut off from a runner ends the requests of others that pass through it.
 #[gtest]
 fn nobody_is_convinced_against_what_it_hears_itself() {
     let mut words = Words::default();
@@ -169,8 +164,7 @@
     );
 }
 
-/// Words go on with their namers, so that three instances convince all: a word that is heard a hundred
-/// times from one namer stays one, and is passed on once.
+/// One namer counts as many, or its word goes round for ever.
 #[gtest]
 fn a_word_that_is_heard_again_is_no_news() {
     let mut words = Words::default();
@@ -186,8 +180,7 @@
     expect_that!(words.since(31).count(), eq(0));
 }
 
-/// Half of a fleet of six is cut off from a runner, and says so. In a small fleet three are no sign: each
-/// asks, at once.
+/// Half of a small fleet that is cut off from a runner makes the other half give it up.
 #[gtest]
 fn a_small_fleet_asks_at_once_whoever_says_so() {
     let mut words = Words::default();
@@ -198,8 +191,7 @@
     expect_that!(advice(&words), eq(Advice::Ask));
 }
 
-/// A runner that was gone for good was asked by all three hundred until its entry went. Two of each
-/// domain ask each runner, not the same for all, and in a small domain everybody.
+/// A runner that is gone for good is asked by every instance.
 #[gtest]
 fn two_of_each_domain_ask_whether_a_runner_is_back() {
     let domain: Vec<Name> = (0..60).map(instance).collect();
--- a/testkit/tests/ports.rs
+++ b/testkit/tests/ports.rs
@@ -6,9 +6,7 @@
 use googletest::prelude::*;
 use jacinthweir_testkit::fleet::ports;
 
-/// A fleet's port was found free, and taken before its instance bound it: "cannot listen on
-/// 127.100.85.11:46789: Address already in use". A listener on all addresses of the machine that takes any
-/// port closes that port on every loopback address. Ports of a fleet are none that a system hands out.
+/// A port that was found free is taken before the instance binds it.
 #[gtest]
 fn ports_of_a_fleet_are_none_that_anybody_is_given() {
     let found = ports::free(ports::own_ip(), 9).expect("free ports");
