Ranks: which few do something for all stands once

Who watches, who tells whom, who confirms and who asks a runner each sorted names by the same hash and counted those before, in two modules, one of which took the hash from the other. Now ranks.rs has the rank and the question. No behaviour changes: the same hash, the same order.

--- a/policy/src/relay.rs
+++ b/policy/src/relay.rs
@@ -26,6 +26,7 @@
 pub mod lease;
 pub mod loads;
 pub mod placement;
+mod ranks;
 pub mod rooms;
 pub mod runners;
 pub mod silence;
--- a/policy/src/relay/following.rs
+++ b/policy/src/relay/following.rs
@@ -18,6 +18,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::prelude::*;
+use crate::relay::ranks::{is_among_first, rank, rank_for};
 use crate::relay::runners::RunnerEntry;
 
 /// Instances that follow the store each for itself.
@@ -118,8 +119,8 @@
     /// Load pattern: three hundred instances each read the configuration as soon as their confirmation
     /// was old enough, every two seconds, though one reading reaches all others within one.
     pub fn of<'a>(name: &Name, domain: impl Iterator<Item = &'a Name>) -> Confirming {
-        let before = domain.filter(|n| mixed(n) < mixed(name));
-        match before.count() < CONFIRMERS {
+        let ranks = domain.map(|n| rank(n));
+        match is_among_first(CONFIRMERS, rank(name), ranks) {
             true => Confirming::ForAll,
             false => Confirming::ForItself,
         }
@@ -166,7 +167,7 @@
     /// Those of `names`, which live and hear the store.
     pub fn of<'a>(names: impl Iterator<Item = &'a Name>) -> Watchers {
         let mut names: Vec<Name> = names.cloned().collect();
-        names.sort_by_cached_key(|name| mixed(name));
+        names.sort_by_cached_key(|name| rank(name));
         names.truncate(FEW);
         Watchers(names)
     }
@@ -180,21 +181,11 @@
     /// Whether `name` is one of those that tell `listener` what changed.
     #[must_use]
     pub fn tells(&self, name: &str, listener: &str) -> bool {
-        let weight = |n: &str| mixed(n) ^ mixed(listener).rotate_left(17);
-        let before = self.0.iter().filter(|n| weight(n) < weight(name));
-        self.has(name) && before.count() < TOLD_BY
+        let ranks = self.0.iter().map(|n| rank_for(n, listener));
+        self.has(name) && is_among_first(TOLD_BY, rank_for(name, listener), ranks)
     }
 }
 
-/// A number drawn from a name, the same at every instance: names that differ in a digit only, as
-/// those of one failure domain do, are far apart.
-pub(crate) fn mixed(name: &str) -> u64 {
-    let mix = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
-    let h = name.bytes().fold(0xcbf2_9ce4_8422_2325, mix);
-    let h = (h ^ (h >> 31)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    h ^ (h >> 29)
-}
-
 /// A change of a runner's entry.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum RunnerChange {
--- a/policy/src/relay/words.rs
+++ b/policy/src/relay/words.rs
@@ -21,7 +21,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::prelude::*;
-use crate::relay::following::mixed;
+use crate::relay::ranks::{is_among_first, rank_for};
 
 /// Instances that must have found a runner dead for others to believe it.
 pub const NAMERS: usize = 3;
@@ -154,7 +154,6 @@
 /// Whether `name` is one of those that ask a runner whether it is back, among the instances of its
 /// failure domain that live, itself included or not.
 pub fn asks<'a>(name: &Name, domain: impl Iterator<Item = &'a Name>, runner: &str) -> bool {
-    let weight = |n: &str| mixed(n) ^ mixed(runner).rotate_left(17);
-    let own = weight(name);
-    domain.filter(|n| weight(n) < own).count() < ASKERS
+    let ranks = domain.map(|n| rank_for(n, runner));
+    is_among_first(ASKERS, rank_for(name, runner), ranks)
 }
