Loads: one question of age, one list of neighbours

The age of a load and of a domain's sum was compared in eight places, the live instances of the own domain were listed in three, and Loads::own told something else than the field own.

--- a/plugins/relay/src/peers.rs
+++ b/plugins/relay/src/peers.rs
@@ -201,11 +201,10 @@
 pub(crate) fn confirming(node: &Node) -> Confirming {
     let own = &node.settings;
     let now = node.now();
+    let neighbours = neighbours(node);
     let loads = node.loads.borrow();
-    let membership = node.membership.borrow();
-    let neighbours = membership.live().filter(|m| m.domain == own.failure_domain);
-    let with_store = neighbours.filter(|m| loads.hears_store(&m.name, &m.domain, now));
-    Confirming::of(&own.name, with_store.map(|m| &m.name))
+    let hears_store = |n: &&Name| loads.hears_store(n, &own.failure_domain, now);
+    Confirming::of(&own.name, neighbours.iter().filter(hears_store))
 }
 
 /// Whether this instance watches the runners by itself. One that gives orders must see at once what
@@ -247,7 +246,7 @@
             view: View::of(node),
             known: loads.known(near, asked_ms),
             // All else comes with the answer; both ways it would be most of an exchange's bytes.
-            told: loads.own(near, neighbours(node), asked_ms),
+            told: loads.unasked(near, neighbours(node).len(), asked_ms),
         }
     };
     let reply = post(peer.address, &message, ANSWER).await;
@@ -328,7 +327,7 @@
                 from: node.settings.name.clone(),
                 members,
                 view: View::of(node),
-                told: loads.lacking(&known, near, neighbours(node), node.now()),
+                told: loads.lacking(&known, near, neighbours(node).len(), node.now()),
             }
         }
         Message::Push { from, members } => {
@@ -361,11 +360,12 @@
 }
 
 /// Other instances of the own failure domain that live.
-fn neighbours(node: &Node) -> usize {
+pub(crate) fn neighbours(node: &Node) -> Vec<Name> {
     let membership = node.membership.borrow();
     let own = &node.settings;
     let others = membership.live().filter(|m| m.name != own.name);
-    others.filter(|m| m.domain == own.failure_domain).count()
+    let near = others.filter(|m| m.domain == own.failure_domain);
+    near.map(|m| m.name.clone()).collect()
 }
 
 fn write_own_load(node: &Node) {
--- a/plugins/relay/src/probe.rs
+++ b/plugins/relay/src/probe.rs
@@ -18,6 +18,7 @@
 
 use crate::live::LiveChain;
 use crate::node::Node;
+use crate::peers;
 use crate::question::{self, Finding, QUESTION, Suspect, TRIES};
 
 /// Least and longest time between two looks for silent chains, in milliseconds. Looked for every few
@@ -368,7 +369,7 @@
             .map(|e| (e.id.clone(), e.address, e.born_ms))
             .collect()
     };
-    let neighbours = neighbours(node);
+    let neighbours = peers::neighbours(node);
     let mut due = |id: &Name| {
         let asks = words::asks(&node.settings.name, neighbours.iter(), id);
         let standing = runners.standing_mut(id);
@@ -380,15 +381,6 @@
     all.into_iter().filter(|(id, _, _)| due(id)).collect()
 }
 
-/// Instances of the own failure domain that live.
-fn neighbours(node: &Node) -> Vec<Name> {
-    let membership = node.membership.borrow();
-    let near = membership
-        .live()
-        .filter(|m| m.domain == node.settings.failure_domain);
-    near.map(|m| m.name.clone()).collect()
-}
-
 /// Brings back runners that answer again in the same lifetime, as a cut healed, and asks slow ones
 /// whether they still are.
 async fn revive(node: &Rc<Node>) {
--- a/policy/src/relay/loads.rs
+++ b/policy/src/relay/loads.rs
@@ -146,6 +146,13 @@
     at_ms: Millis,
 }
 
+impl<T> Heard<T> {
+    /// Whether it still says something at `now`, where that lasts for `age_ms` milliseconds.
+    fn is_fresh(&self, now: Millis, age_ms: Millis) -> bool {
+        now < self.at_ms + age_ms
+    }
+}
+
 /// All loads that one instance knows.
 #[derive(Clone, Debug)]
 pub struct Loads {
@@ -252,7 +259,7 @@
     /// What this instance tells another unasked: its own load within the domain, the domain's sum
     /// elsewhere. `neighbours`: other instances of the domain that live.
     #[must_use]
-    pub fn own(&self, near: bool, neighbours: usize, now: Millis) -> Told {
+    pub fn unasked(&self, near: bool, neighbours: usize, now: Millis) -> Told {
         match near {
             true => Told {
                 members: vec![self.own_load()],
@@ -268,7 +275,7 @@
     /// What an instance that knows `known` lacks.
     #[must_use]
     pub fn lacking(&self, known: &Known, near: bool, neighbours: usize, now: Millis) -> Told {
-        let mut told = self.own(near, neighbours, now);
+        let mut told = self.unasked(near, neighbours, now);
         if near {
             told.members.extend(self.newer_members(known, now));
         }
@@ -332,7 +339,7 @@
         }
         // One that started anew with its time of day set back writes an earlier time.
         let fresh = self.members.get(&m.name);
-        let fresh = fresh.filter(|h| now < h.at_ms + LOAD_AGE_MS);
+        let fresh = fresh.filter(|h| h.is_fresh(now, LOAD_AGE_MS));
         if fresh.is_none_or(|h| h.what.written_ms < m.load.written_ms) {
             let heard = Heard {
                 what: m.load,
@@ -353,8 +360,8 @@
 
     /// Forgets what is too old at `now` and counts the rest.
     pub fn count(&mut self, now: Millis) {
-        self.members.retain(|_, h| now < h.at_ms + LOAD_AGE_MS);
-        self.domains.retain(|_, h| now < h.at_ms + DOMAIN_AGE_MS);
+        self.members.retain(|_, h| h.is_fresh(now, LOAD_AGE_MS));
+        self.domains.retain(|_, h| h.is_fresh(now, DOMAIN_AGE_MS));
         let mut totals = Totals::default();
         for h in self.members.values() {
             totals.add(&h.what.used, &h.what.spent);
@@ -368,8 +375,10 @@
     /// The domain's sum, if enough of its members were heard.
     fn sum(&self, neighbours: usize, now: Millis) -> Option<DomainLoad> {
         self.own_written?;
-        let fresh = |h: &Heard<Load>| now < h.at_ms + LOAD_AGE_MS;
-        let heard: Vec<_> = self.members.iter().filter(|(_, h)| fresh(h)).collect();
+        let members = self.members.iter();
+        let heard: Vec<_> = members
+            .filter(|(_, h)| h.is_fresh(now, LOAD_AGE_MS))
+            .collect();
         if (heard.len() as f64) < neighbours as f64 * HEARD_SHARE {
             return None;
         }
@@ -399,13 +408,13 @@
 
     fn fresh_members(&self, now: Millis) -> impl Iterator<Item = (&Name, &Load)> {
         let fresh = self.members.iter();
-        let fresh = fresh.filter(move |(_, h)| now < h.at_ms + LOAD_AGE_MS);
+        let fresh = fresh.filter(move |(_, h)| h.is_fresh(now, LOAD_AGE_MS));
         fresh.map(|(name, h)| (name, &h.what))
     }
 
     fn fresh_domains(&self, now: Millis) -> impl Iterator<Item = (&Name, &Heard<DomainLoad>)> {
         let all = self.domains.iter();
-        all.filter(move |(_, h)| now < h.at_ms + DOMAIN_AGE_MS)
+        all.filter(move |(_, h)| h.is_fresh(now, DOMAIN_AGE_MS))
     }
 
     /// Tokens that the others have in flight through chains of `service` that begin at `head`, as
@@ -449,13 +458,13 @@
 
     fn member(&self, name: &str, now: Millis) -> Option<&Load> {
         let heard = self.members.get(name);
-        let fresh = heard.filter(|h| now < h.at_ms + LOAD_AGE_MS);
+        let fresh = heard.filter(|h| h.is_fresh(now, LOAD_AGE_MS));
         fresh.map(|h| &h.what)
     }
 
     fn domain_sum(&self, domain: &str, now: Millis) -> Option<&DomainLoad> {
         let heard = self.domains.get(domain);
-        let fresh = heard.filter(|h| now < h.at_ms + DOMAIN_AGE_MS);
+        let fresh = heard.filter(|h| h.is_fresh(now, DOMAIN_AGE_MS));
         fresh.map(|h| &h.what)
     }
 }
--- a/policy/tests/relay_loads.rs
+++ b/policy/tests/relay_loads.rs
@@ -56,7 +56,7 @@
     let mut all: Vec<Loads> = (0..count).map(new).collect();
     for i in 0..count {
         for j in 0..count {
-            let told = all[i].own(true, count - 1, now);
+            let told = all[i].unasked(true, count - 1, now);
             all[j].take(&domain(d), told, now);
         }
     }
@@ -88,7 +88,7 @@
     expect_that!(told.members.len(), eq(0));
     expect_that!(told.domains.len(), eq(DOMAINS - 1));
     let one = Told {
-        members: domains[0][1].own(true, count - 1, 1_000).members,
+        members: domains[0][1].unasked(true, count - 1, 1_000).members,
         domains: Vec::new(),
     };
     expect_that!(bytes(&told) * 10, le(bytes(&one) * DOMAINS * count));
@@ -123,7 +123,7 @@
     let mut young = old.clone();
     for i in 0..4 {
         young[i].set_own(load(2_400, 300), 2_400);
-        let told = young[i].own(true, 3, 2_400);
+        let told = young[i].unasked(true, 3, 2_400);
         for other in &mut young {
             other.take(&domain(1), told.clone(), 2_400);
         }
@@ -151,11 +151,11 @@
 fn who_has_heard_few_of_its_domain_makes_no_sum() {
     let mut started = Loads::new(name(0, 0), domain(0));
     started.set_own(load(1_000, 100), 1_000);
-    expect_that!(started.own(false, 59, 1_000).domains.len(), eq(0));
+    expect_that!(started.unasked(false, 59, 1_000).domains.len(), eq(0));
     let whole = settled(0, 60, 1_000);
-    expect_that!(whole[0].own(false, 59, 1_000).domains.len(), eq(1));
+    expect_that!(whole[0].unasked(false, 59, 1_000).domains.len(), eq(1));
     // Those that it heard long ago are no better.
-    expect_that!(whole[0].own(false, 59, 4_100).domains.len(), eq(0));
+    expect_that!(whole[0].unasked(false, 59, 4_100).domains.len(), eq(0));
 }
 
 /// Loads that a neighbour has go to it again.
@@ -163,7 +163,7 @@
 fn a_neighbour_is_told_what_it_lacks() {
     let mut all = settled(0, 60, 1_000);
     all[7].set_own(load(1_200, 500), 1_200);
-    let told = all[7].own(true, 59, 1_200);
+    let told = all[7].unasked(true, 59, 1_200);
     all[1].take(&domain(0), told, 1_200);
     let told = all[1].lacking(&all[2].known(true, 1_300), true, 59, 1_300);
     let told: Vec<&str> = told.members.iter().map(|m| &*m.name).collect();
@@ -180,7 +180,7 @@
 #[gtest]
 fn an_unchanged_load_is_written_anew_before_it_is_too_old() {
     let mut loads = Loads::new(name(0, 0), domain(0));
-    let written = |l: &Loads, now| l.own(true, 0, now).members[0].load.written_ms;
+    let written = |l: &Loads, now| l.unasked(true, 0, now).members[0].load.written_ms;
     loads.set_own(load(1_000, 100), 1_000);
     loads.set_own(load(1_300, 100), 1_300);
     expect_that!(written(&loads, 1_300), eq(1_000));
@@ -196,12 +196,12 @@
     let mut loads = Loads::new(name(0, 0), domain(0));
     let mut other = Loads::new(name(0, 1), domain(0));
     other.set_own(load(4_000_000, 100), 1_000);
-    loads.take(&domain(0), other.own(true, 1, 1_000), 1_000);
+    loads.take(&domain(0), other.unasked(true, 1, 1_000), 1_000);
     let mut back = Loads::new(name(0, 1), domain(0));
     back.set_own(load(400_000, 700), 1_500);
-    loads.take(&domain(0), back.own(true, 1, 1_500), 1_500);
+    loads.take(&domain(0), back.unasked(true, 1, 1_500), 1_500);
     expect_that!(loads.used(SERVICE, &head(0)), approx_eq(100.0));
-    loads.take(&domain(0), back.own(true, 1, 4_100), 4_100);
+    loads.take(&domain(0), back.unasked(true, 1, 4_100), 4_100);
     expect_that!(loads.used(SERVICE, &head(0)), approx_eq(700.0));
 }
 
@@ -214,7 +214,7 @@
     turned_away.hears_store = false;
     turned_away.serves = false;
     all[4].set_own(turned_away, 1_100);
-    let told = all[4].own(true, 5, 1_100);
+    let told = all[4].unasked(true, 5, 1_100);
     all[0].take(&domain(1), told, 1_100);
     let mut loads = Loads::new(name(0, 0), domain(0));
     expect_false!(loads.hears_store(&name(1, 0), &domain(1), 1_100));
@@ -233,6 +233,6 @@
 fn loads_of_another_domain_are_not_taken_one_by_one() {
     let mut loads = Loads::new(name(0, 0), domain(0));
     let other = &settled(1, 2, 1_000)[0];
-    loads.take(&domain(1), other.own(true, 1, 1_000), 1_000);
+    loads.take(&domain(1), other.unasked(true, 1, 1_000), 1_000);
     expect_that!(loads.used(SERVICE, &head(0)), approx_eq(0.0));
 }
