--- a/policy/tests/relay_rules.rs
+++ b/policy/tests/relay_rules.rs
@@ -501,6 +501,46 @@
     expect_that!(sent as f64, ge(bound * 0.7));
 }
 
+/// What an instance was lent of the others' parts is spent once more by those.
+#[gtest]
+fn what_was_lent_is_not_spent_twice() {
+    const INSTANCES: usize = 6;
+    let cfg = SpendingConfig {
+        ratio: 0.2,
+        slack: 196.0,
+        window_ms: 10_000,
+    };
+    let mut all = vec![Spending::default(); INSTANCES];
+    let mut told = vec![Counts::default(); INSTANCES];
+    let (mut requests, mut repeats) = (0, 0);
+    for now in (0..10_000u64).step_by(10) {
+        if now % 300 == 0 {
+            let sum = |counts: &[Counts], f: fn(&Counts) -> u32| counts.iter().map(f).sum::<u32>();
+            for (i, one) in all.iter_mut().enumerate() {
+                let others = Counts {
+                    requests: sum(&told, |c| c.requests) - told[i].requests,
+                    repeats: sum(&told, |c| c.repeats) - told[i].repeats,
+                };
+                one.lend(now, &cfg, others, INSTANCES);
+            }
+            told = all.iter_mut().map(|s| s.counts(now, &cfg)).collect();
+        }
+        // Two lose their chains from the third second on, the others a second before the end.
+        for (i, one) in all.iter_mut().enumerate() {
+            if now % 50 == 0 {
+                one.request(now, &cfg);
+                requests += 1;
+            }
+            let breaks = now >= if i < 2 { 3_000 } else { 9_000 };
+            let sent = breaks && one.take(now, &cfg, INSTANCES, Need::Owed);
+            repeats += u32::from(sent);
+        }
+    }
+    let bound = 0.2 * f64::from(requests) + 196.0;
+    expect_that!(f64::from(repeats), le(bound));
+    expect_that!(f64::from(repeats), ge(bound * 0.7));
+}
+
 #[gtest]
 fn nothing_is_lent_once_most_is_spent() {
     let cfg = SpendingConfig {
