Spending: what one instance borrows makes the others' parts smaller

What is lent came out of the parts that the others kept whole. Each instance counts what it sent beyond its certain part, that goes round with its requests and repeats, and those that borrowed nothing give up an equal share of it. Certain parts and loans then add up to the 0.88 of the bound that the certain parts had, but for what an exchange has not told yet.

--- a/policy/src/relay/loads.rs
+++ b/policy/src/relay/loads.rs
@@ -179,9 +179,7 @@
             *of_service.entry(u.head.clone()).or_default() += f64::from(u.tokens);
         }
         for s in spent {
-            let sum = self.spent.entry(s.service.clone()).or_default();
-            sum.requests = sum.requests.saturating_add(s.counts.requests);
-            sum.repeats = sum.repeats.saturating_add(s.counts.repeats);
+            *self.spent.entry(s.service.clone()).or_default() += s.counts;
         }
     }
 
--- a/policy/src/relay/spending.rs
+++ b/policy/src/relay/spending.rs
@@ -4,11 +4,14 @@
 //! left. All instances together may add a share of the requests plus a fixed number in a window.
 //!
 //! Each instance has a part for certain: the share of its own requests, and its part of the fixed
-//! number. That holds whatever the others do, but callers are not spread evenly when instances
+//! number. It needs no word of the others, but callers are not spread evenly when instances
 //! are down, and one whose part is used up cuts streams while the others' parts lie idle. So
 //! beyond its part it may use what it was lent at the last exchange: a part of what all have left,
 //! so that those who do the same between two exchanges stay within the bound.
 //!
+//! What is lent comes out of the others' parts, which are as much smaller: spent twice, it is beyond the
+//! bound when their turn comes.
+//!
 //! What can be refused truthfully leaves the last of it to what cannot: see [`Need`].
 
 use std::collections::VecDeque;
@@ -36,6 +39,19 @@
     pub requests: u32,
     /// Further sends.
     pub repeats: u32,
+    /// Those of them that went beyond the certain part of their instance.
+    pub borrowed: u32,
+    /// Instances that went beyond it.
+    pub borrowers: u32,
+}
+
+impl std::ops::AddAssign for Counts {
+    fn add_assign(&mut self, other: Counts) {
+        self.requests = self.requests.saturating_add(other.requests);
+        self.repeats = self.repeats.saturating_add(other.repeats);
+        self.borrowed = self.borrowed.saturating_add(other.borrowed);
+        self.borrowers = self.borrowers.saturating_add(other.borrowers);
+    }
 }
 
 /// Part of the bound that the certain parts use together: requests are counted where they arrive,
@@ -63,6 +79,10 @@
     requests: VecDeque<Millis>,
     repeats: VecDeque<Millis>,
     lent: f64,
+    /// What others borrowed of this instance's part.
+    borrowed_here: f64,
+    /// Instances at the last exchange.
+    instances: usize,
 }
 
 impl Spending {
@@ -77,14 +97,22 @@
         drop_old(&mut self.requests, now, cfg.window_ms);
         drop_old(&mut self.repeats, now, cfg.window_ms);
         let count = |times: &VecDeque<Millis>| u32::try_from(times.len()).unwrap_or(u32::MAX);
+        let (requests, repeats) = (count(&self.requests), count(&self.repeats));
+        let part = whole_part(requests, cfg, self.instances);
+        let borrowed = (f64::from(repeats) - part).max(0.0) as u32;
         Counts {
-            requests: count(&self.requests),
-            repeats: count(&self.repeats),
+            requests,
+            repeats,
+            borrowed,
+            borrowers: u32::from(borrowed > 0),
         }
     }
 
     /// An exchange brought what all other instances counted; there are `instances` in all.
     pub fn lend(&mut self, now: Millis, cfg: &SpendingConfig, others: Counts, instances: usize) {
+        self.instances = instances;
+        let lenders = instances.saturating_sub(others.borrowers as usize).max(1);
+        self.borrowed_here = f64::from(others.borrowed) / lenders as f64;
         let own = self.counts(now, cfg);
         let requests = f64::from(own.requests) + f64::from(others.requests);
         let repeats = f64::from(own.repeats) + f64::from(others.repeats);
@@ -122,8 +150,8 @@
 
     fn certain(&mut self, now: Millis, cfg: &SpendingConfig, instances: usize) -> Certain {
         let own = self.counts(now, cfg);
-        let part = cfg.slack / instances.max(LEAST_INSTANCES) as f64;
-        let all = USED_SHARE * (cfg.ratio * f64::from(own.requests) + part);
+        let all = whole_part(own.requests, cfg, instances) - self.borrowed_here;
+        let all = all.max(0.0);
         Certain {
             all,
             left: all - f64::from(own.repeats),
@@ -131,6 +159,12 @@
     }
 }
 
+/// The certain part of one of `instances` instances, whatever others borrowed of it.
+fn whole_part(requests: u32, cfg: &SpendingConfig, instances: usize) -> f64 {
+    let of_slack = cfg.slack / instances.max(LEAST_INSTANCES) as f64;
+    USED_SHARE * (cfg.ratio * f64::from(requests) + of_slack)
+}
+
 /// An instance's certain part, and what is left of it.
 struct Certain {
     all: f64,
--- a/policy/tests/relay_loads.rs
+++ b/policy/tests/relay_loads.rs
@@ -33,6 +33,7 @@
     let counts = Counts {
         requests: 10,
         repeats: 1,
+        ..Counts::default()
     };
     Load {
         written_ms,
--- a/policy/tests/relay_rules.rs
+++ b/policy/tests/relay_rules.rs
@@ -488,6 +488,7 @@
     let others = Counts {
         requests: own.requests * 69,
         repeats: 0,
+        ..Counts::default()
     };
     let mut sent = 0;
     for s in &mut all {
@@ -515,12 +516,10 @@
     let (mut requests, mut repeats) = (0, 0);
     for now in (0..10_000u64).step_by(10) {
         if now % 300 == 0 {
-            let sum = |counts: &[Counts], f: fn(&Counts) -> u32| counts.iter().map(f).sum::<u32>();
             for (i, one) in all.iter_mut().enumerate() {
-                let others = Counts {
-                    requests: sum(&told, |c| c.requests) - told[i].requests,
-                    repeats: sum(&told, |c| c.repeats) - told[i].repeats,
-                };
+                let mut others = Counts::default();
+                let told = told.iter().enumerate().filter(|(j, _)| *j != i);
+                told.for_each(|(_, counts)| others += *counts);
                 one.lend(now, &cfg, others, INSTANCES);
             }
             told = all.iter_mut().map(|s| s.counts(now, &cfg)).collect();
@@ -552,6 +551,7 @@
     let spent = Counts {
         requests: 0,
         repeats: 40,
+        ..Counts::default()
     };
     one.lend(0, &cfg, spent, 6);
     let taken = (0..100)
