Runs that break off are told with what their attempts have in common

Now: `run broke off` with a fingerprint of caller, host, path and body, whether the answer had begun, and for how long it was written; a counter. Ruled out: the request's id (each attempt has its own), the headers of the prompt's parts (the users name caller, path and body).

--- a/plugins/relay/src/call.rs
+++ b/plugins/relay/src/call.rs
@@ -15,6 +15,7 @@
 
 use crate::answer::{Cause, Journal, RelayBody};
 use crate::attempt::{self, Sent};
+use crate::breaks::{self, Progress};
 use crate::node::Node;
 use crate::probe;
 use crate::request::{Proxied, count};
@@ -184,6 +185,7 @@
         }
         Sent::Lost(cause) => {
             log_attempt(rq, runner, "lost", &cause);
+            breaks::note(node, rq, &runner.id, Progress::Waited, &cause);
             node.runners.borrow_mut().seen(&runner.id, true, node.now());
             Ended::Failed(None)
         }
--- a/plugins/relay/src/lib.rs
+++ b/plugins/relay/src/lib.rs
@@ -17,6 +17,7 @@
 //! | `server` | listeners |
 //! | `request` | what a request is, and whose |
 //! | `attempt` | one send to a runner |
+//! | `breaks` | runs that broke off |
 //! | `call` | requests with one answer |
 //! | `admit`, `tried`, `stream`, `events` | streams of events: room, attempts, the answer, its events |
 //! | `answer` | final answers, and what may be said in them |
@@ -28,6 +29,7 @@
 mod admit;
 mod answer;
 mod attempt;
+mod breaks;
 mod call;
 mod dump;
 mod events;
--- a/plugins/relay/src/request.rs
+++ b/plugins/relay/src/request.rs
@@ -1,5 +1,6 @@
 //! What a request is, whose it is, and where it may go.
 
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,6 +11,7 @@
 use hyper::body::Incoming;
 use jacinthweir_platform::header;
 use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::relay::fingerprint::Fingerprint;
 use jacinthweir_policy::relay::intent::{CallClass, Engine, Intent, Route};
 use tokio::time::{sleep, timeout};
 
@@ -47,6 +49,9 @@
     pub(crate) priority: u32,
     pub(crate) tokens: Option<(u32, u32)>,
     pub(crate) last_event: Option<u64>,
+    organisation: Option<Name>,
+    host: Name,
+    fingerprint: OnceCell<Fingerprint>,
     method: Method,
     uri: Uri,
     headers: HeaderMap,
@@ -65,6 +70,15 @@
         self.intent.version
     }
 
+    /// What it has in common with other attempts of the same request. Worked out when it is first needed:
+    /// most requests end well.
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        *self.fingerprint.get_or_init(|| {
+            let path = self.uri.path();
+            Fingerprint::of(self.organisation.as_deref(), &self.host, path, &self.body)
+        })
+    }
+
     /// Time left, in milliseconds.
     pub(crate) fn left_ms(&self, node: &Node) -> Millis {
         self.deadline_ms.saturating_sub(node.now())
@@ -143,8 +157,8 @@
     let Some(intent) = node.intent() else {
         return Err(unconfirmed(node, &id));
     };
-    let host = host(&parts);
-    let route = intent.route(host, parts.uri.path()).cloned();
+    let host = Name::from(host(&parts));
+    let route = intent.route(&host, parts.uri.path()).cloned();
     let Some(route) = route else {
         return Err(deny(node, &id, StatusCode::NOT_FOUND, "no such route"));
     };
@@ -191,6 +205,9 @@
         priority,
         tokens: header::tokens(&parts.headers),
         last_event: header::number(&parts.headers, &header::LAST_EVENT),
+        organisation: org.map(|o| o.name),
+        host,
+        fingerprint: OnceCell::new(),
         intent,
         method: parts.method,
         uri: path_only(&parts.uri),
--- a/plugins/relay/src/stream.rs
+++ b/plugins/relay/src/stream.rs
@@ -19,6 +19,7 @@
 
 use crate::admit::{self, Place};
 use crate::answer::{Cause, Cut, Journal, RelayBody};
+use crate::breaks::{self, Progress};
 use crate::events::Events;
 use crate::live::{LiveChain, Passage};
 use crate::node::Node;
@@ -93,6 +94,7 @@
         ok: parts.status.is_success(),
         heard_ms: now,
         first_ms: now,
+        began_ms: now,
         longest_gap_ms: 0,
         resumed: 0,
         tried,
@@ -124,6 +126,8 @@
     heard_ms: Millis,
     /// When the head of the answer came.
     first_ms: Millis,
+    /// When the head of the run that is passed on came.
+    began_ms: Millis,
     /// Longest time between two reads of events: what makes a whole answer late.
     longest_gap_ms: Millis,
     resumed: u32,
@@ -181,18 +185,23 @@
                 Next::End if !(self.ok && self.events.holds_part()) => return self.end(),
                 Next::End => {
                     let cause = "ended within an event".to_owned();
+                    self.broke(&cause);
                     if let Err(given_up) = self.go_on(&cause).await {
                         return self.cut(cause, Some(given_up));
                     }
                 }
                 Next::Broke(cause) => {
+                    self.broke(&cause);
                     if let Err(given_up) = self.go_on(&cause).await {
                         return self.cut(cause, Some(given_up));
                     }
                 }
-                Next::ChainBroke if self.reroute().await.is_some() => {}
                 Next::ChainBroke => {
                     let cause = "chain broke".to_owned();
+                    self.broke(&cause);
+                    if self.reroute().await.is_some() {
+                        continue;
+                    }
                     if let Err(given_up) = self.go_on(&cause).await {
                         return self.cut(cause, Some(given_up));
                     }
@@ -220,6 +229,15 @@
         }
     }
 
+    /// The run broke off.
+    fn broke(&self, cause: &str) {
+        if let Some(passage) = &self.passage {
+            let progress = Progress::Ran(self.heard_ms.saturating_sub(self.began_ms));
+            let head = &passage.live.chain.head().id;
+            breaks::note(&self.node, &self.rq, head, progress, cause);
+        }
+    }
+
     fn heard(&mut self) {
         let now = self.node.now();
         let gap = now - self.heard_ms;
@@ -365,6 +383,7 @@
 
     fn resumed(&mut self, passage: Passage, res: Response<AnswerBody>, cause: &str) {
         self.resumed += 1;
+        self.began_ms = self.node.now();
         count("resumed");
         log::info!(
             request = self.rq.id.as_ref(),
--- a/plugins/relay/src/tried.rs
+++ b/plugins/relay/src/tried.rs
@@ -13,6 +13,7 @@
 use crate::admit;
 use crate::answer::Journal;
 use crate::attempt::{self, Sent};
+use crate::breaks::{self, Progress};
 use crate::live::{LiveChain, Passage};
 use crate::node::Node;
 use crate::probe;
@@ -108,6 +109,7 @@
         sent = timeout(left, attempt::send(head.address, &rq.id, req)) => sent,
         () = live.broken.cancelled() => {
             log_attempt(rq, live, "chain broke", "");
+            breaks::note(node, rq, &head.id, Progress::Waited, "chain broke");
             return Opened::Broken;
         }
     };
@@ -133,6 +135,7 @@
         }
         Ok(Sent::Lost(cause)) => {
             log_attempt(rq, live, "lost", &cause);
+            breaks::note(node, rq, &head.id, Progress::Waited, &cause);
             Opened::Lost
         }
         Err(_) => {
--- a/policy/src/relay.rs
+++ b/policy/src/relay.rs
@@ -15,12 +15,14 @@
 //! | [`rooms`] | which chain a request goes to, waits for, or is refused by |
 //! | [`loads`] | what all instances have in flight, and which of it goes round |
 //! | [`attempts`] | on which runners one request may run |
+//! | [`fingerprint`] | which attempts are of the same request |
 //! | [`spending`] | whether a request may be sent once more |
 //!
 //! None of them reads a clock or a socket.
 
 pub mod attempts;
 pub mod chain;
+pub mod fingerprint;
 pub mod following;
 pub mod intent;
 pub mod lease;
