Tests, red: a request that ends each runner which runs it is sent to one after the other

The stand-in runner gains a request that ends it: all its connections break, nobody listens, and it is back a quarter of a second later, empty, as another lifetime. Two instances of one deployment, twelve attempts, one here and one there.

--- a/plugins/relay/tests/relay.rs
+++ b/plugins/relay/tests/relay.rs
@@ -1,5 +1,7 @@
 //! The whole path on small stand-ins: store, runners, callers, over real sockets.
 
+#[path = "relay/lethal.rs"]
+mod lethal;
 #[path = "relay/own_link.rs"]
 mod own_link;
 #[path = "relay/repeats.rs"]
--- a/plugins/relay/tests/support/standin.rs
+++ b/plugins/relay/tests/support/standin.rs
@@ -19,7 +19,7 @@
 use tokio::time::{sleep, timeout};
 
 pub use caller::{Seen, ask, raw, request, seen};
-pub use runner::{BORN_MS, Manner, Runner};
+pub use runner::{BORN_MS, LETHAL, Manner, Runner};
 pub use store::Store;
 
 /// Longest wait for anything here: a test that waits this long has failed.
@@ -82,18 +82,20 @@
 
     /// Until both domains hold the model and the relay takes callers.
     async fn wait_for_chains(&self) {
-        let whole = async {
-            loop {
-                let dump = ask(self.settings.listen.operators, "GET /dump HTTP/1.1").await;
-                let ready = ask(self.settings.listen.ready, "GET /api/ready HTTP/1.1").await;
-                let chains = dump.body.matches("\"room_tokens\"").count();
-                if chains == 2 && ready.status == 200 {
-                    return;
-                }
-                sleep(Duration::from_millis(50)).await;
-            }
-        };
-        timeout(LONG, whole).await.expect("whole chains");
+        wait_for_chains(&self.settings, 2).await;
+    }
+
+    /// Another instance of the same deployment, in the other domain.
+    pub async fn another(&self, name: &str) -> (RelaySettings, Relay) {
+        let mut settings = settings(self.settings.store);
+        settings.name = name.into();
+        settings.failure_domain = "b".into();
+        settings.seeds = vec![self.settings.listen.peers];
+        settings.bounds = self.settings.bounds.clone();
+        let relay = Relay::spawn(settings.clone()).await.expect("a relay");
+        wait_for_chains(&settings, 2).await;
+        self.shows(&format!("\"name\": \"{name}\"")).await;
+        (settings, relay)
     }
 
     pub fn callers(&self) -> SocketAddr {
@@ -176,6 +178,23 @@
     }
 }
 
+/// Until an instance takes callers and knows so many whole chains or more.
+pub async fn wait_for_chains(settings: &RelaySettings, count: usize) {
+    let whole = async {
+        loop {
+            let dump = ask(settings.listen.operators, "GET /dump HTTP/1.1").await;
+            let ready = ask(settings.listen.ready, "GET /api/ready HTTP/1.1").await;
+            let chains = dump.body.matches("\"room_tokens\"").count();
+            let broken = dump.body.matches("\"broken\": true").count();
+            if chains - broken >= count && ready.status == 200 {
+                return;
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    timeout(LONG, whole).await.expect("whole chains");
+}
+
 /// The desired state: a stream, an idempotent and a non-idempotent route.
 pub fn configuration(version: u64) -> Value {
     let route = |name: &str, prefix: &str, kind: &str, service: &str, attempts: u32| {
--- a/plugins/relay/tests/support/standin/runner.rs
+++ b/plugins/relay/tests/support/standin/runner.rs
@@ -10,13 +10,21 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
 
 use super::LONG;
 use super::store::Store;
 
-/// When each runner was born, as its entry says.
+/// When each runner was born first, as its entry says.
 pub const BORN_MS: u64 = 1_700_000_000_000;
 
+/// Body of requests that end each runner which begins to run them.
+pub const LETHAL: &str = "lethal";
+
+/// Time between the beginning of such a run and the runner's end, and until the runner is back.
+const DYING: Duration = Duration::from_millis(30);
+const DOWN: Duration = Duration::from_millis(250);
+
 /// How a runner treats the next requests.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Manner {
@@ -57,6 +65,10 @@
     pub fn header(&self, name: &str) -> Option<&str> {
         header(&self.head, name)
     }
+
+    fn is_lethal(&self) -> bool {
+        self.body == LETHAL.as_bytes()
+    }
 }
 
 /// Value of a header in a head.
@@ -80,6 +92,9 @@
     pub left: Cell<usize>,
     /// Orders to go on along another chain: the request, and the path.
     pub rerouted: RefCell<Vec<(String, String)>>,
+    /// Cancelled when it ends.
+    life: RefCell<CancellationToken>,
+    born_ms: Cell<u64>,
     store: Rc<Store>,
     service: String,
     domain: String,
@@ -99,6 +114,8 @@
             received: RefCell::default(),
             left: Cell::new(0),
             rerouted: RefCell::default(),
+            life: RefCell::default(),
+            born_ms: Cell::new(BORN_MS),
             store: Rc::clone(store),
             service: service.to_owned(),
             domain: domain.to_owned(),
@@ -106,16 +123,40 @@
             layers: Cell::new(None),
         });
         runner.register("ready");
-        let serving = Rc::clone(&runner);
-        spawn_local(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let runner = Rc::clone(&serving);
-                spawn_local(async move { runner.connection(stream).await });
-            }
-        });
+        spawn_local(Rc::clone(&runner).lives(listener));
         runner
     }
 
+    /// One lifetime after the other.
+    async fn lives(self: Rc<Self>, mut listener: TcpListener) {
+        loop {
+            let life = CancellationToken::new();
+            *self.life.borrow_mut() = life.clone();
+            let accepting = Rc::clone(&self).accept(&listener, &life);
+            life.run_until_cancelled(accepting).await;
+            drop(listener);
+            sleep(DOWN).await;
+            self.born_ms.set(self.born_ms.get() + 1);
+            self.layers.set(None);
+            self.orders.set(0);
+            listener = TcpListener::bind(self.address).await.expect("its port");
+            self.register("ready");
+        }
+    }
+
+    async fn accept(self: Rc<Self>, listener: &TcpListener, life: &CancellationToken) {
+        while let Ok((stream, _)) = listener.accept().await {
+            let (runner, life) = (Rc::clone(&self), life.clone());
+            spawn_local(async move { life.run_until_cancelled(runner.connection(stream)).await });
+        }
+    }
+
+    /// Runs of lethal requests that it began.
+    pub fn lethal_runs(&self) -> usize {
+        let received = self.received.borrow();
+        received.iter().filter(|r| r.is_lethal()).count()
+    }
+
     pub fn register(&self, state: &str) {
         self.write_entry(state, self.address);
     }
@@ -130,7 +171,7 @@
         let layers = layers.map(|(from, target)| json!({ "from": from, "target": target }));
         let spec = json!({
             "service": self.service, "address": address.to_string(), "zone": self.domain,
-            "state": state, "slots": 8, "sequence": 1, "born": BORN_MS,
+            "state": state, "slots": 8, "sequence": 1, "born": self.born_ms.get(),
             "kind": "card", "layers": layers,
         });
         self.store.put("servers", &self.id, &spec);
@@ -174,7 +215,9 @@
         sleep(self.report_time.get()).await;
         let layers = self.layers.get();
         let layers = layers.map(|(from, target)| json!({ "from": from, "target": target }));
-        let report = json!({ "sequence": self.orders.get(), "busy": false, "layers": layers });
+        let report = json!({
+            "sequence": self.orders.get(), "born": self.born_ms.get(), "busy": false, "layers": layers,
+        });
         write_json(stream, "200 OK", &report).await;
     }
 
@@ -206,6 +249,7 @@
             .header("last-event-id")
             .and_then(|v| v.parse::<u64>().ok());
         let is_stream = received.header("x-jacinthweir-hop-count").is_some();
+        let is_lethal = received.is_lethal();
         if manner != Manner::NotRun {
             self.received.borrow_mut().push(received);
         }
@@ -215,6 +259,11 @@
             let length = body.len();
             format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {length}\r\n\r\n{body}")
         };
+        if is_lethal {
+            return self
+                .die(stream, &format!("{own}{receipt}"), is_stream)
+                .await;
+        }
         let text = match manner {
             Manner::Silent | Manner::Mute => {
                 sleep(LONG).await;
@@ -245,6 +294,16 @@
         let _ = stream.shutdown().await;
     }
 
+    /// Begins an answer and ends, with all that runs here.
+    async fn die(&self, stream: &mut TcpStream, headers: &str, is_stream: bool) {
+        let head = format!("HTTP/1.1 200 OK\r\n{headers}Transfer-Encoding: chunked\r\n\r\n");
+        if is_stream {
+            let _ = stream.write_all(head.as_bytes()).await;
+        }
+        sleep(DYING).await;
+        self.life.borrow().cancel();
+    }
+
     /// Six events; each names the runner.
     async fn stream(&self, stream: &mut TcpStream, headers: &str, after: Option<u64>) {
         let head = format!(
