Quarantine: a request under which three runners ended is sent to no more

Cause: what an attempt showed was forgotten with it. Each attempt was new to each instance, and was sent on within itself, up to four times. The class: only runners are ever blamed for an end, never what ran there. Change: a broken run is a suspect; if one of its runners is found to have ended, that is a strike against the request by the lifetime that ended. Three strikes hold it, at all instances (news and exchanges, in any order) and over restarts (one object in the store for each that is held; one listing at a start). A run that ends well, or writes for a second, voids them, so does a runner that answers again in the same lifetime. Of what broke together the request with most strikes is blamed; at the last strike those that had begun; an end under a held request counts against nobody else. Ruled out: a strike for each part that ended (one lost rack would hold all that began there); counting by instance (six instances, eighteen ends).

--- a/plugins/relay/src/answer.rs
+++ b/plugins/relay/src/answer.rs
@@ -131,6 +131,9 @@
     /// A runner broke off or sent what is not its answer.
     #[display("runner failed")]
     RunnerFailed,
+    /// Runners end under it.
+    #[display("its runners end under it")]
+    Held,
     /// The time is over.
     #[display("out of time")]
     Timeout,
--- a/plugins/relay/src/call.rs
+++ b/plugins/relay/src/call.rs
@@ -13,11 +13,13 @@
 use jacinthweir_policy::relay::runners::RunnerEntry;
 use tokio::time::timeout;
 
+use crate::admit;
 use crate::answer::{Cause, Journal, RelayBody};
 use crate::attempt::{self, Sent};
 use crate::breaks::{self, Progress};
 use crate::node::Node;
 use crate::probe;
+use crate::quarantine;
 use crate::request::{Proxied, count};
 
 /// The longest answer, in bytes: it is held in memory.
@@ -59,6 +61,10 @@
     let mut cause = Cause::NoRunner;
     let mut unreached = 0;
     loop {
+        let until = admit::until(node, &rq, journal);
+        if let Some(held_ms) = quarantine::held_ms(node, &rq, until).await {
+            return rq.not_answered(node, journal, Cause::Held, held_ms);
+        }
         if rq.left_ms(node) == 0 {
             cause = Cause::Timeout;
             break;
@@ -150,6 +156,7 @@
             if failed {
                 log_attempt(rq, runner, "failed", res.status().as_str());
             }
+            quarantine::survived(node, rq);
             let res = passed_on(res);
             if failed {
                 Ended::Failed(Some(res))
@@ -185,7 +192,8 @@
         }
         Sent::Lost(cause) => {
             log_attempt(rq, runner, "lost", &cause);
-            breaks::note(node, rq, &runner.id, Progress::Waited, &cause);
+            let through = vec![quarantine::lifetime(runner)];
+            breaks::note(node, rq, through, Progress::Waited, &cause);
             node.runners.borrow_mut().seen(&runner.id, true, node.now());
             Ended::Failed(None)
         }
--- a/plugins/relay/src/lib.rs
+++ b/plugins/relay/src/lib.rs
@@ -17,7 +17,7 @@
 //! | `server` | listeners |
 //! | `request` | what a request is, and whose |
 //! | `attempt` | one send to a runner |
-//! | `breaks` | runs that broke off |
+//! | `breaks`, `quarantine` | runs that broke off; requests that end their runners |
 //! | `call` | requests with one answer |
 //! | `admit`, `tried`, `stream`, `events` | streams of events: room, attempts, the answer, its events |
 //! | `answer` | final answers, and what may be said in them |
@@ -39,6 +39,7 @@
 mod peers;
 mod placer;
 mod probe;
+mod quarantine;
 mod question;
 mod request;
 mod server;
@@ -96,6 +97,7 @@
         news::spawn(&node);
         placer::spawn(&node);
         probe::spawn(&node);
+        quarantine::spawn(&node);
         Ok(Relay { node, servers })
     }
 
--- a/plugins/relay/src/live.rs
+++ b/plugins/relay/src/live.rs
@@ -14,6 +14,7 @@
 
 use crate::admit;
 use crate::node::Node;
+use crate::quarantine;
 use crate::request::Proxied;
 
 /// A chain in use.
@@ -202,6 +203,8 @@
             }
         }
         drop(chains);
+        drop(runners);
+        quarantine::settle(self);
         self.room.notify_waiters();
     }
 
--- a/plugins/relay/src/news.rs
+++ b/plugins/relay/src/news.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::relay::quarantine::Case;
 use jacinthweir_policy::relay::words::Word;
 use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
@@ -19,6 +20,7 @@
 use crate::node::Node;
 use crate::peers::{ANSWER, Message, post};
 use crate::probe;
+use crate::quarantine;
 use crate::watch::Followed;
 
 /// Instances that hear of news directly.
@@ -96,6 +98,9 @@
     alive: Vec<(Name, u64)>,
     /// Runners that turned slow or quick just now.
     paces: Vec<Pace>,
+    /// Requests under which runners ended just now.
+    #[serde(default)]
+    cases: Vec<Case>,
 }
 
 /// Starts telling.
@@ -158,6 +163,7 @@
         dead: node.words.borrow().since(since).collect(),
         alive,
         paces,
+        cases: node.quarantine.borrow().told(NEW_MS, false, now).collect(),
     }
 }
 
@@ -165,6 +171,7 @@
 pub(crate) fn take(node: &Rc<Node>, news: &News) {
     news.seen.take(node);
     probe::hear_words(node, &news.dead);
+    quarantine::hear(node, &news.cases);
     let mut changed = false;
     for (id, born_ms) in &news.alive {
         changed |= probe::hear_alive(node, id, *born_ms, &news.domain);
--- a/plugins/relay/src/node.rs
+++ b/plugins/relay/src/node.rs
@@ -11,10 +11,12 @@
 use jacinthweir_policy::membership::{Membership, MembershipConfig};
 use jacinthweir_policy::need::Need;
 use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::relay::fingerprint::Fingerprint;
 use jacinthweir_policy::relay::following::Behind;
 use jacinthweir_policy::relay::intent::{self, Intent, Offered};
 use jacinthweir_policy::relay::lease::Lease;
 use jacinthweir_policy::relay::loads::Loads;
+use jacinthweir_policy::relay::quarantine::Quarantine;
 use jacinthweir_policy::relay::rooms::{Flow, Shortage};
 use jacinthweir_policy::relay::runners::Runners;
 use jacinthweir_policy::relay::spending::{Counts, Spending, SpendingConfig};
@@ -76,6 +78,10 @@
     pub(crate) runners_as_of: Cell<u64>,
     /// What others say of dead runners.
     pub(crate) words: RefCell<Words>,
+    /// Requests under which runners ended.
+    pub(crate) quarantine: RefCell<Quarantine>,
+    /// Requests that are held no more and that the store still has.
+    pub(crate) forgotten: RefCell<Vec<Fingerprint>>,
     /// Lifetimes of runners that are asked beside witnesses.
     pub(crate) examined: RefCell<BTreeSet<(Name, u64)>>,
     /// Runners that were heard to leave, by identity and lifetime, and when.
@@ -147,6 +153,8 @@
             runners_revision: Cell::new(0),
             runners_as_of: Cell::new(0),
             words: RefCell::default(),
+            quarantine: RefCell::default(),
+            forgotten: RefCell::default(),
             examined: RefCell::default(),
             leaving: RefCell::default(),
             news: Notify::new(),
--- a/plugins/relay/src/peers.rs
+++ b/plugins/relay/src/peers.rs
@@ -20,13 +20,14 @@
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::following::{Confirming, Step, Watchers};
 use jacinthweir_policy::relay::loads::{HeadUse, Known, Load, ServiceCounts, Told};
+use jacinthweir_policy::relay::quarantine::Case;
 use jacinthweir_policy::relay::words::Word;
 use serde::{Deserialize, Serialize};
 use tokio::time::interval;
 
 use crate::news::{self, News, Seen};
 use crate::node::{Node, ROUND_MS};
-use crate::{probe, watch};
+use crate::{probe, quarantine, watch};
 
 /// Where instances post their messages.
 pub(crate) const PATH: &str = "/peer";
@@ -59,8 +60,14 @@
     dead: Vec<Word>,
     /// What it has seen of the store.
     seen: Seen,
+    /// Requests that are held, and those under which runners ended of late.
+    cases: Vec<Case>,
 }
 
+/// Age up to which the end of a runner under a request is told in exchanges, in milliseconds: a few
+/// rounds.
+const CASES_MS: Millis = 3_000;
+
 impl View {
     fn of(node: &Node) -> View {
         View {
@@ -68,12 +75,18 @@
             confirmed_ms_ago: node.vouch.borrow().age_ms(node.now()),
             dead: node.words.borrow().since(0).collect(),
             seen: Seen::of(node),
+            cases: node
+                .quarantine
+                .borrow()
+                .told(CASES_MS, true, node.now())
+                .collect(),
         }
     }
 
     fn take(&self, node: &Rc<Node>) {
         self.seen.take(node);
         probe::hear_words(node, &self.dead);
+        quarantine::hear(node, &self.cases);
     }
 }
 
@@ -185,8 +198,8 @@
     !before.any(|m| loads.hears_store(&m.name, &m.domain, now))
 }
 
-/// The instances that watch the runners for all.
-pub(crate) fn watchers(node: &Node) -> Watchers {
+/// Instances that live and hear the store, this one among them if it does.
+pub(crate) fn hear_store(node: &Node) -> Vec<Name> {
     let now = node.now();
     let loads = node.loads.borrow();
     let membership = node.membership.borrow();
@@ -194,7 +207,12 @@
     let own = node.hears_store.get().then_some(&node.settings.name);
     let others = membership.live().filter(|m| m.name != node.settings.name);
     let others = others.filter(hears_store).map(|m| &m.name);
-    Watchers::of(others.chain(own))
+    others.chain(own).cloned().collect()
+}
+
+/// The instances that watch the runners for all.
+pub(crate) fn watchers(node: &Node) -> Watchers {
+    Watchers::of(hear_store(node).iter())
 }
 
 /// For whom this instance reads the configuration.
--- a/plugins/relay/src/stream.rs
+++ b/plugins/relay/src/stream.rs
@@ -23,6 +23,7 @@
 use crate::events::Events;
 use crate::live::{LiveChain, Passage};
 use crate::node::Node;
+use crate::quarantine;
 use crate::request::{Proxied, count};
 use crate::tried::{Opened, Tried};
 
@@ -51,11 +52,18 @@
     let mut tried = Tried::default();
     let cause = loop {
         let until = admit::until(node, &rq, tried.journal);
+        if let Some(held_ms) = quarantine::held_ms(node, &rq, until).await {
+            return rq.not_answered(node, tried.journal, Cause::Held, held_ms);
+        }
         let may_take = |live: &LiveChain| tried.may_take(node, &rq, live);
         let live = match admit::wait(node, &rq, may_take, until).await {
             Ok(live) => live,
             Err(cause) => break cause,
         };
+        // It may have become known while this waited for room.
+        if let Some(held_ms) = quarantine::held_ms(node, &rq, until).await {
+            return rq.not_answered(node, tried.journal, Cause::Held, held_ms);
+        }
         if tried.journal.sends > 0 && !node.take_repeat(&rq.service, tried.journal.need()) {
             break Cause::RunnerFailed;
         }
@@ -154,6 +162,8 @@
     NextLost,
     #[display("the next run failed")]
     NextFailed,
+    #[display("its runners end under it")]
+    Held,
     #[display("out of time")]
     OutOfTime,
 }
@@ -233,8 +243,8 @@
     fn broke(&self, cause: &str) {
         if let Some(passage) = &self.passage {
             let progress = Progress::Ran(self.heard_ms.saturating_sub(self.began_ms));
-            let head = &passage.live.chain.head().id;
-            breaks::note(&self.node, &self.rq, head, progress, cause);
+            let through = quarantine::along(&passage.live.chain);
+            breaks::note(&self.node, &self.rq, through, progress, cause);
         }
     }
 
@@ -265,6 +275,13 @@
     /// long. So they are spread, and a new run comes first where it begins sooner and in time.
     /// `None`: a new run is needed.
     async fn reroute(&mut self) -> Option<()> {
+        let decided = self.heard_ms + self.patience_ms(REROUTE_SHARE);
+        if quarantine::held_ms(&self.node, &self.rq, decided)
+            .await
+            .is_some()
+        {
+            return None;
+        }
         let broken = Rc::clone(&self.passage.as_ref()?.live);
         let in_time = self.heard_ms + self.rq.pause_ms.saturating_sub(READ_MS);
         let until = self.heard_ms + self.patience_ms(REROUTE_SHARE);
@@ -334,6 +351,12 @@
         let mut place = Some(Place::ahead(&self.node));
         let mut lacking = GivenUp::NoChain;
         while self.node.now() < until {
+            if quarantine::held_ms(&self.node, &self.rq, until)
+                .await
+                .is_some()
+            {
+                return Err(GivenUp::Held);
+            }
             if self.tried.is_spent(&self.rq) {
                 return Err(GivenUp::NoAttempt);
             }
@@ -399,6 +422,7 @@
 
     fn end(&mut self) -> Option<Result<Bytes, Cut>> {
         self.ended = true;
+        quarantine::survived(&self.node, &self.rq);
         let after_ms = self.node.now() - self.rq.received_ms;
         count("answered");
         log::info!(
--- a/plugins/relay/src/tried.rs
+++ b/plugins/relay/src/tried.rs
@@ -17,6 +17,7 @@
 use crate::live::{LiveChain, Passage};
 use crate::node::Node;
 use crate::probe;
+use crate::quarantine::along;
 use crate::request::Proxied;
 
 /// What came of sending a request into a chain.
@@ -109,7 +110,7 @@
         sent = timeout(left, attempt::send(head.address, &rq.id, req)) => sent,
         () = live.broken.cancelled() => {
             log_attempt(rq, live, "chain broke", "");
-            breaks::note(node, rq, &head.id, Progress::Waited, "chain broke");
+            breaks::note(node, rq, along(&live.chain), Progress::Waited, "chain broke");
             return Opened::Broken;
         }
     };
@@ -135,7 +136,7 @@
         }
         Ok(Sent::Lost(cause)) => {
             log_attempt(rq, live, "lost", &cause);
-            breaks::note(node, rq, &head.id, Progress::Waited, &cause);
+            breaks::note(node, rq, along(&live.chain), Progress::Waited, &cause);
             Opened::Lost
         }
         Err(_) => {
--- a/plugins/relay/tests/relay/lethal.rs
+++ b/plugins/relay/tests/relay/lethal.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
-use crate::standin::{LETHAL, Seen, Site, on_one_thread, request, wait_for_chains};
+use crate::standin::{LETHAL, LONG, Seen, Site, on_one_thread, request, wait_for_chains};
 use crate::{LOOKUP, NOTES, TOKENS};
 
 /// Ends of runners after which a request may be sent no more, and sends that may be under way by then.
@@ -41,6 +41,29 @@
     });
 }
 
+/// All instances are lost at once, and what they knew with them.
+#[gtest]
+fn a_held_request_is_held_by_instances_that_start_later() {
+    on_one_thread(async {
+        let mut site = Site::open().await;
+        let held = async {
+            while site.store.names("jacinthweir-quarantine").is_empty() {
+                wait_for_chains(&site.settings, 1).await;
+                request(site.callers(), NOTES, TOKENS, LETHAL).await;
+                sleep(Duration::from_millis(200)).await;
+            }
+        };
+        timeout(LONG, held).await.expect("the store has it");
+        let runs = lethal_runs(&site);
+        drop(site.relay.take());
+
+        let (new, _relay) = site.another_alone("new").await;
+        let got = request(new.listen.callers, NOTES, TOKENS, LETHAL).await;
+        expect_that!(got.status, eq(503));
+        expect_that!(lethal_runs(&site), eq(runs));
+    });
+}
+
 /// The same request as a call of a plain service, which is answered in one piece.
 #[gtest]
 fn a_call_under_which_three_runners_ended_is_sent_to_no_more() {
--- a/plugins/relay/tests/support/standin.rs
+++ b/plugins/relay/tests/support/standin.rs
@@ -87,6 +87,13 @@
 
     /// Another instance of the same deployment, in the other domain.
     pub async fn another(&self, name: &str) -> (RelaySettings, Relay) {
+        let another = self.another_alone(name).await;
+        self.shows(&format!("\"name\": \"{name}\"")).await;
+        another
+    }
+
+    /// The same where no other instance lives.
+    pub async fn another_alone(&self, name: &str) -> (RelaySettings, Relay) {
         let mut settings = settings(self.settings.store);
         settings.name = name.into();
         settings.failure_domain = "b".into();
@@ -94,7 +101,6 @@
         settings.bounds = self.settings.bounds.clone();
         let relay = Relay::spawn(settings.clone()).await.expect("a relay");
         wait_for_chains(&settings, 2).await;
-        self.shows(&format!("\"name\": \"{name}\"")).await;
         (settings, relay)
     }
 
--- a/plugins/relay/tests/support/standin/store.rs
+++ b/plugins/relay/tests/support/standin/store.rs
@@ -58,6 +58,13 @@
         self.gone.borrow_mut().push(gone);
     }
 
+    /// Names of the objects of a kind.
+    pub fn names(&self, kind: &str) -> Vec<String> {
+        let objects = self.objects.borrow();
+        let of_kind = objects.keys().filter(|(k, _)| k == kind);
+        of_kind.map(|(_, name)| name.clone()).collect()
+    }
+
     /// What an object says can't be decoded from now on; its revision stays.
     pub fn spoil(&self, kind: &str, name: &str) {
         let mut objects = self.objects.borrow_mut();
@@ -92,6 +99,12 @@
                 self.put(&kind, &name, &object["spec"]);
                 self.get(&kind, &name)
             }
+            (Method::DELETE, Some(name)) => {
+                if self.has(&kind, &name) {
+                    self.remove(&kind, &name);
+                }
+                answer(StatusCode::OK, &Value::Null)
+            }
             (_, Some(name)) => {
                 let object = spec();
                 let standing = self.revision_of(&kind, &name);
--- a/policy/src/relay.rs
+++ b/policy/src/relay.rs
@@ -16,6 +16,7 @@
 //! | [`loads`] | what all instances have in flight, and which of it goes round |
 //! | [`attempts`] | on which runners one request may run |
 //! | [`fingerprint`] | which attempts are of the same request |
+//! | [`quarantine`] | which requests end the runners that run them, and are sent to no more |
 //! | [`spending`] | whether a request may be sent once more |
 //!
 //! None of them reads a clock or a socket.
@@ -28,6 +29,7 @@
 pub mod lease;
 pub mod loads;
 pub mod placement;
+pub mod quarantine;
 mod ranks;
 pub mod rooms;
 pub mod runners;
--- a/policy/src/relay/runners.rs
+++ b/policy/src/relay/runners.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::prelude::*;
+use crate::relay::quarantine::{Life, Lifetime};
 
 /// A runner as it describes itself.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -124,6 +125,12 @@
         !self.dead && self.answers_since_ms.is_some_and(|at| at >= since_ms)
     }
 
+    /// Since when it answers again after it counted as dead, in milliseconds.
+    #[must_use]
+    pub fn answering_since_ms(&self) -> Option<Millis> {
+        self.answers_since_ms.filter(|_| !self.dead)
+    }
+
     /// It answers another instance again: it is asked at the next occasion.
     pub fn ask_soon(&mut self) {
         self.asked_ms = None;
@@ -340,6 +347,19 @@
         self.standings.get_mut(id)
     }
 
+    /// What is known of one lifetime of a runner.
+    #[must_use]
+    pub fn life(&self, l: &Lifetime) -> Life {
+        let s = self.standing(&l.runner);
+        match self.entries.get(&l.runner) {
+            Some(e) if e.born_ms != l.born_ms => Life::Ended,
+            _ if s.born_ms != l.born_ms => Life::Open,
+            _ if s.dead => Life::Ended,
+            Some(_) => s.answering_since_ms().map_or(Life::Open, Life::Answers),
+            None => Life::Ended,
+        }
+    }
+
     /// A request's outcome at a runner.
     pub fn seen(&mut self, id: &str, failed: bool, now: Millis) {
         if let Some(s) = self.standings.get_mut(id) {
