--- a/plugins/relay/tests/relay/repeats.rs
+++ b/plugins/relay/tests/relay/repeats.rs
@@ -120,6 +120,21 @@
     });
 }
 
+/// Nobody asks a runner whose connections broke until the next request is sent there.
+#[gtest]
+fn a_runner_whose_connections_break_is_found_dead_without_another_request() {
+    on_one_thread(async {
+        let site = Site::patient(|_| {}).await;
+        let head = site.near((0, 2));
+        head.manner.set(Manner::Stalls);
+        let streaming = begun_stream(&site, &site.runners).await;
+        head.end();
+
+        expect_whole(streaming).await;
+        site.dead_are(1).await;
+    });
+}
+
 /// A runner leaves without a word: its entry is gone, it serves on for seconds and exits. Nothing was
 /// kept of a runner without an entry, so it could not be found dead; the chain that passed through it
 /// never counted as broken, and its streams waited until their callers left.
--- a/plugins/relay/tests/support/standin/runner.rs
+++ b/plugins/relay/tests/support/standin/runner.rs
@@ -94,6 +94,8 @@
     pub rerouted: RefCell<Vec<(String, String)>>,
     /// Cancelled when it ends.
     life: RefCell<CancellationToken>,
+    /// How long it is away after its end.
+    down: Cell<Duration>,
     born_ms: Cell<u64>,
     store: Rc<Store>,
     service: String,
@@ -115,6 +117,7 @@
             left: Cell::new(0),
             rerouted: RefCell::default(),
             life: RefCell::default(),
+            down: Cell::new(DOWN),
             born_ms: Cell::new(BORN_MS),
             store: Rc::clone(store),
             service: service.to_owned(),
@@ -135,7 +138,7 @@
             let accepting = Rc::clone(&self).accept(&listener, &life);
             life.run_until_cancelled(accepting).await;
             drop(listener);
-            sleep(DOWN).await;
+            sleep(self.down.get()).await;
             self.born_ms.set(self.born_ms.get() + 1);
             self.layers.set(None);
             self.orders.set(0);
@@ -151,6 +154,12 @@
         }
     }
 
+    /// It ends for good: its connections break, and nobody listens there.
+    pub fn end(&self) {
+        self.down.set(LONG * 2);
+        self.life.borrow().cancel();
+    }
+
     /// Runs of lethal requests that it began.
     pub fn lethal_runs(&self) -> usize {
         let received = self.received.borrow();
