Probe: a runner whose connections break is asked at once

What callers saw: after a runner had ended, its chain was still chosen for 264 ms by all instances, each of which waited for the next request to be refused there. Cause: a broken connection led to no question; only silence, or a connection that does not come about, did. Change: one question to the first runner of a broken run, at most once in 0.7 s and none where it is known already which part ended; a refusal names it dead everywhere, silence is looked into beside witnesses as before. Ruled out: to believe the broken connection itself, which also breaks where an answer is lost or the caller's own link resets.

--- a/plugins/relay/src/breaks.rs
+++ b/plugins/relay/src/breaks.rs
@@ -1,11 +1,13 @@
 //! Runs that broke off: what ran where when a runner ended.
 
+use std::rc::Rc;
+
 use jacinthweir_policy::prelude::*;
-use jacinthweir_policy::relay::quarantine::{Lifetime, SURVIVED_MS};
+use jacinthweir_policy::relay::quarantine::{Life, Lifetime, SURVIVED_MS};
 
 use crate::node::Node;
-use crate::quarantine;
 use crate::request::Proxied;
+use crate::{probe, quarantine};
 
 /// How far a run had come when it broke off.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -27,7 +29,7 @@
 
 /// A run of a request that passed `through` these lifetimes, the first one first, broke off.
 pub(crate) fn note(
-    node: &Node,
+    node: &Rc<Node>,
     rq: &Proxied,
     through: Vec<Lifetime>,
     progress: Progress,
@@ -44,9 +46,21 @@
         "run broke off"
     );
     metrics::counter!("jacinthweir_runs_broken_total").increment(1);
+    ask_first(node, &through);
     match progress {
         Progress::Ran(ms) if ms >= SURVIVED_MS => quarantine::survived(node, rq),
         Progress::Ran(_) => quarantine::broke(node, rq, through, true),
         Progress::Waited => quarantine::broke(node, rq, through, false),
     }
 }
+
+/// Asks the first runner that a broken run passed through, unless it is known already which of them ended.
+fn ask_first(node: &Rc<Node>, through: &[Lifetime]) {
+    let is_explained = {
+        let runners = node.runners.borrow();
+        through.iter().any(|l| runners.life(l) == Life::Ended)
+    };
+    if let Some(first) = through.first().filter(|_| !is_explained) {
+        probe::broke_off(node, &first.runner, first.born_ms);
+    }
+}
--- a/plugins/relay/src/probe.rs
+++ b/plugins/relay/src/probe.rs
@@ -159,6 +159,23 @@
     }
 }
 
+/// A connection to a runner broke: it may have ended, which one question shows at once. Its silence is looked
+/// into like any other.
+pub(crate) fn broke_off(node: &Rc<Node>, id: &Name, born_ms: u64) {
+    let Some(suspect) = due_suspect(node, id, born_ms) else {
+        return;
+    };
+    let node = Rc::clone(node);
+    tokio::task::spawn_local(async move {
+        let Suspect { id, born_ms, .. } = &suspect;
+        match question::ask(suspect.address, 1).await {
+            Finding::Report(report) => take_report(&node, id, *born_ms, &report),
+            Finding::Gone => name_dead(&node, id, *born_ms, REFUSED),
+            Finding::NoReport(_) | Finding::Silent(_) => examine(&node, suspect, 0),
+        }
+    });
+}
+
 /// Has a runner asked beside witnesses that was silent `strikes` times, if it is not asked so already.
 fn examine(node: &Rc<Node>, suspect: Suspect, strikes: u32) {
     let lifetime = (suspect.id.clone(), suspect.born_ms);
@@ -320,19 +337,21 @@
 
 /// Asks a runner that somebody else found dead.
 fn ask_about(node: &Rc<Node>, id: &Name, born_ms: u64) {
-    let suspect = {
-        let mut runners = node.runners.borrow_mut();
-        let entry = runners.entry(id).filter(|e| e.born_ms == born_ms);
-        let suspect = entry.map(Suspect::from);
-        let standing = runners.standing_mut(id).filter(|s| !s.dead);
-        let due = standing.is_some_and(|s| s.should_ask(node.now(), ASK_PAUSE_MS));
-        suspect.filter(|_| due)
-    };
-    if let Some(suspect) = suspect {
+    if let Some(suspect) = due_suspect(node, id, born_ms) {
         examine(node, suspect, 0);
     }
 }
 
+/// A lifetime of a runner that is in doubt, if it is due to be asked.
+fn due_suspect(node: &Node, id: &Name, born_ms: u64) -> Option<Suspect> {
+    let mut runners = node.runners.borrow_mut();
+    let entry = runners.entry(id).filter(|e| e.born_ms == born_ms);
+    let suspect = entry.map(Suspect::from);
+    let standing = runners.standing_mut(id).filter(|s| !s.dead);
+    let due = standing.is_some_and(|s| s.should_ask(node.now(), ASK_PAUSE_MS));
+    suspect.filter(|_| due)
+}
+
 /// A runner answers an instance of a failure domain again. An instance that only believed it dead believes
 /// a neighbour; one that found it dead by itself may be cut off from it alone, and asks.
 pub(crate) fn hear_alive(node: &Node, id: &Name, born_ms: u64, domain: &str) -> bool {
