--- a/plugins/relay/src/breaks.rs
+++ b/plugins/relay/src/breaks.rs
@@ -3,7 +3,8 @@
 use std::rc::Rc;
 
 use jacinthweir_policy::prelude::*;
-use jacinthweir_policy::relay::quarantine::{Life, Lifetime, SURVIVED_MS};
+use jacinthweir_policy::relay::lifetime::Lifetime;
+use jacinthweir_policy::relay::quarantine::{Life, SURVIVED_MS};
 
 use crate::node::Node;
 use crate::request::Proxied;
--- a/plugins/relay/src/quarantine.rs
+++ b/plugins/relay/src/quarantine.rs
@@ -11,7 +11,8 @@
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::chain::Chain;
 use jacinthweir_policy::relay::fingerprint::Fingerprint;
-use jacinthweir_policy::relay::quarantine::{self, Break, Case, Lifetime, Settled, Verdict};
+use jacinthweir_policy::relay::lifetime::Lifetime;
+use jacinthweir_policy::relay::quarantine::{self, Break, Case, Settled, Verdict};
 use jacinthweir_policy::relay::runners::RunnerEntry;
 use tokio::time::sleep;
 
--- a/policy/src/relay.rs
+++ b/policy/src/relay.rs
@@ -7,6 +7,7 @@
 //! | [`following`] | how closely an instance follows the store |
 //! | [`vouch`] | whether this instance may still act on that configuration |
 //! | [`runners`] | what is known of each runner |
+//! | [`lifetime`] | (a type) one lifetime of a runner |
 //! | [`chain`] | through which runners a token passes |
 //! | [`placement`] | which runner is to hold which layers |
 //! | [`lease`] | which instance gives orders |
@@ -27,6 +28,7 @@
 pub mod following;
 pub mod intent;
 pub mod lease;
+pub mod lifetime;
 pub mod loads;
 pub mod placement;
 pub mod quarantine;
--- a/policy/src/relay/quarantine.rs
+++ b/policy/src/relay/quarantine.rs
@@ -20,11 +20,11 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
 use crate::prelude::*;
 use crate::relay::fingerprint::Fingerprint;
+use crate::relay::lifetime::Lifetime;
 use crate::relay::ranks::{is_among_first, rank_for};
 
 /// Ends of runners under one request from which on it is held. With two, those that met the same two crashes
@@ -60,16 +60,6 @@
     Held(Millis),
 }
 
-/// One lifetime of a runner.
-#[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[display("{runner}")]
-pub struct Lifetime {
-    /// Runner.
-    pub runner: Name,
-    /// Unix time of its start, in milliseconds.
-    pub born_ms: u64,
-}
-
 /// What an instance knows of a lifetime.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Life {
--- a/policy/src/relay/runners.rs
+++ b/policy/src/relay/runners.rs
@@ -11,7 +11,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::prelude::*;
-use crate::relay::quarantine::{Life, Lifetime};
+use crate::relay::lifetime::Lifetime;
+use crate::relay::quarantine::Life;
 
 /// A runner as it describes itself.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/policy/tests/relay_quarantine.rs
+++ b/policy/tests/relay_quarantine.rs
@@ -5,9 +5,8 @@
 
 use googletest::prelude::*;
 use jacinthweir_policy::relay::fingerprint::Fingerprint;
-use jacinthweir_policy::relay::quarantine::{
-    Break, Case, Life, Lifetime, Quarantine, STRIKES, Verdict,
-};
+use jacinthweir_policy::relay::lifetime::Lifetime;
+use jacinthweir_policy::relay::quarantine::{Break, Case, Life, Quarantine, STRIKES, Verdict};
 use lethal::{Replay, fingerprint};
 use proptest::prelude::{any, proptest};
 use proptest::prop_assert_eq;
--- a/policy/tests/support/lethal.rs
+++ b/policy/tests/support/lethal.rs
@@ -3,9 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use jacinthweir_policy::relay::fingerprint::Fingerprint;
-use jacinthweir_policy::relay::quarantine::{
-    Break, Case, Life, Lifetime, Quarantine, SURVIVED_MS, Verdict,
-};
+use jacinthweir_policy::relay::lifetime::Lifetime;
+use jacinthweir_policy::relay::quarantine::{Break, Case, Life, Quarantine, SURVIVED_MS, Verdict};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
