Tests, red: a runner that names a limit gets as much as before

The stand-in runner names `Server-Limit` and notes when requests arrive. Two instances, twenty requests a second, a limit of two: 40 arrive in four seconds, 17 are allowed, at a plain runner and at the first runner of a chain; one that names a limit and later none gets the same all the while. Hypothesis 1 holds by this and by reading: the header's name stands nowhere in the code. 2 is ruled out (no refusal is in it), 3 would come next if each instance kept to it alone, which the tests with two instances are for.

--- a/plugins/relay/tests/relay.rs
+++ b/plugins/relay/tests/relay.rs
@@ -2,6 +2,8 @@
 
 #[path = "relay/lethal.rs"]
 mod lethal;
+#[path = "relay/named_limits.rs"]
+mod named_limits;
 #[path = "relay/own_link.rs"]
 mod own_link;
 #[path = "relay/repeats.rs"]
--- a/plugins/relay/tests/support/standin/runner.rs
+++ b/plugins/relay/tests/support/standin/runner.rs
@@ -9,7 +9,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
 
 use super::LONG;
@@ -92,6 +92,10 @@
     pub left: Cell<usize>,
     /// Orders to go on along another chain: the request, and the path.
     pub rerouted: RefCell<Vec<(String, String)>>,
+    /// When requests arrived, those that it refused too.
+    pub arrived: RefCell<Vec<Instant>>,
+    /// Requests a second that it names as its limit.
+    pub limit: Cell<Option<f64>>,
     /// Cancelled when it ends.
     life: RefCell<CancellationToken>,
     /// How long it is away after its end.
@@ -116,6 +120,8 @@
             received: RefCell::default(),
             left: Cell::new(0),
             rerouted: RefCell::default(),
+            arrived: RefCell::default(),
+            limit: Cell::default(),
             life: RefCell::default(),
             down: Cell::new(DOWN),
             born_ms: Cell::new(BORN_MS),
@@ -259,10 +265,13 @@
             .and_then(|v| v.parse::<u64>().ok());
         let is_stream = received.header("x-jacinthweir-hop-count").is_some();
         let is_lethal = received.is_lethal();
+        self.arrived.borrow_mut().push(Instant::now());
         if manner != Manner::NotRun {
             self.received.borrow_mut().push(received);
         }
-        let receipt = format!("X-Jacinthweir-Server-Stamp: of-{}\r\n", self.id);
+        let limit = self.limit.get();
+        let limit = limit.map_or(String::new(), |l| format!("Server-Limit: {l}\r\n"));
+        let receipt = format!("{limit}X-Jacinthweir-Server-Stamp: of-{}\r\n", self.id);
         let own = format!("X-Jacinthweir-Request-Id: {id}\r\n");
         let whole = |status: &str, headers: &str, body: &str| {
             let length = body.len();
