Limits: a rate that a runner names holds for all instances together

A runner in need named 5 requests a second and got 17. Cause: the header was passed on to the caller and nothing was concluded from it. The class: an upstream's word on its own need is read by the caller's side only, and where it is read, as a word to one instance. Change: each answer's head is a statement of one lifetime of the runner, a rate or none; the latest holds, and is told at once and in exchanges with its age. The rate is shared: by as many instances as the rate has requests a second, and three, the first by rank among those that live; each saves up one request at most. A chain whose first runner, or a plain runner, is beyond its share is passed over like a full one. Ruled out: an equal share for every instance of a large fleet (300 that saved up one each are 300 in a window), and a count in the store (a call for each request).

--- a/plugins/relay/src/attempt.rs
+++ b/plugins/relay/src/attempt.rs
@@ -7,6 +7,10 @@
 use http_body_util::Full;
 use jacinthweir_clients::direct::{self, AnswerBody, DirectError};
 use jacinthweir_platform::header;
+use jacinthweir_policy::relay::runners::RunnerEntry;
+
+use crate::limits;
+use crate::node::Node;
 
 /// Time that a new connection to a runner may take. Runners are a millisecond away; a dropped
 /// opening packet is sent again only after seconds.
@@ -28,14 +32,23 @@
     Lost(String),
 }
 
-/// Sends and waits for the head.
-pub(crate) async fn send(address: SocketAddr, id: &str, req: Request<Full<bytes::Bytes>>) -> Sent {
-    let res = match direct::send(address, req, CONNECT).await {
+/// Sends to a runner and waits for the head.
+pub(crate) async fn send(
+    node: &Node,
+    runner: &RunnerEntry,
+    id: &str,
+    req: Request<Full<bytes::Bytes>>,
+) -> Sent {
+    limits::sent(node, runner);
+    let res = match direct::send(runner.address, req, CONNECT).await {
         Ok(res) => res,
         Err(e) if e.is_unsent() => return Sent::Unreached(e),
         Err(e) => return Sent::Lost(e.to_string()),
     };
     let headers = res.headers();
+    if res.status() != StatusCode::MISDIRECTED_REQUEST {
+        limits::said(node, runner, header::named_limit(headers));
+    }
     let refused = headers.contains_key(header::NOT_RUN);
     if refused || res.status() == StatusCode::MISDIRECTED_REQUEST {
         let at_fault = header::text(headers, &header::AT_FAULT);
--- a/plugins/relay/src/call.rs
+++ b/plugins/relay/src/call.rs
@@ -17,6 +17,7 @@
 use crate::answer::{Cause, Journal, RelayBody};
 use crate::attempt::{self, Sent};
 use crate::breaks::{self, Progress};
+use crate::limits;
 use crate::node::Node;
 use crate::probe;
 use crate::quarantine;
@@ -121,7 +122,8 @@
     let runners = node.runners.borrow();
     let domain = &node.settings.failure_domain;
     let ranked = runners.plain(&rq.service, domain, now, || node.draw_u32());
-    ranked.into_iter().find(|e| !tried.contains(&e.id)).cloned()
+    let mut untried = ranked.into_iter().filter(|e| !tried.contains(&e.id));
+    untried.find(|e| limits::allows(node, e)).cloned()
 }
 
 async fn attempt(node: &Rc<Node>, rq: &Proxied, runner: &RunnerEntry, repeatable: bool) -> Ended {
@@ -136,7 +138,7 @@
     };
     let sent = async {
         let req = rq.to_send(node, &runner.id);
-        match attempt::send(runner.address, &rq.id, req).await {
+        match attempt::send(node, runner, &rq.id, req).await {
             Sent::Answer(res) => {
                 let (parts, body) = res.into_parts();
                 match body.whole(ANSWER_BYTES).await {
--- a/plugins/relay/src/lib.rs
+++ b/plugins/relay/src/lib.rs
@@ -20,6 +20,7 @@
 //! | `breaks`, `quarantine` | runs that broke off; requests that end their runners |
 //! | `call` | requests with one answer |
 //! | `admit`, `tried`, `stream`, `events` | streams of events: room, attempts, the answer, its events |
+//! | `limits` | rates that runners name |
 //! | `answer` | final answers, and what may be said in them |
 //! | `shutdown` | from the signal to the exit |
 //!
@@ -33,6 +34,7 @@
 mod call;
 mod dump;
 mod events;
+mod limits;
 mod live;
 pub mod news;
 mod node;
--- /dev/null
+++ b/plugins/relay/src/limits.rs
@@ -0,0 +1,75 @@
+//! Rates that runners name in their answers: heard, told, and kept.
+
+use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::relay::limits::{Fleet, Statement};
+use jacinthweir_policy::relay::runners::RunnerEntry;
+
+use crate::node::Node;
+use crate::quarantine::lifetime;
+
+/// A runner's answer named a rate, or none.
+pub(crate) fn said(node: &Node, runner: &RunnerEntry, rate: Option<f64>) {
+    let now = node.now();
+    let mut limits = node.limits.borrow_mut();
+    if rate.is_none() && limits.is_idle() {
+        return;
+    }
+    if limits.said(&lifetime(runner), rate, now) {
+        log::info!(runner = runner.id.as_ref(), rate:? = rate; "runner names a limit");
+        node.news.notify_one();
+    }
+}
+
+/// Takes in what runners said to another instance.
+pub(crate) fn hear(node: &Node, statements: &[Statement]) {
+    let now = node.now();
+    let mut limits = node.limits.borrow_mut();
+    limits.forget(now);
+    for s in statements {
+        if limits.hear(s, now) {
+            let runner = s.lifetime.runner.as_ref();
+            log::info!(runner, rate:? = s.rate, age_ms = s.age_ms; "runner named a limit elsewhere");
+            node.news.notify_one();
+        }
+    }
+}
+
+/// Whether this instance may send a runner a request now.
+pub(crate) fn allows(node: &Node, runner: &RunnerEntry) -> bool {
+    let lifetime = lifetime(runner);
+    let now = node.now();
+    let limits = node.limits.borrow();
+    if limits.is_idle() || !limits.is_limited(&lifetime, now) {
+        return true;
+    }
+    let live = live(node);
+    let allows = limits.allows(&lifetime, fleet(node, &live), now);
+    if !allows {
+        metrics::counter!("jacinthweir_limited_total").increment(1);
+    }
+    allows
+}
+
+/// A request is sent to a runner.
+pub(crate) fn sent(node: &Node, runner: &RunnerEntry) {
+    let lifetime = lifetime(runner);
+    let now = node.now();
+    let mut limits = node.limits.borrow_mut();
+    if limits.is_limited(&lifetime, now) {
+        let live = live(node);
+        limits.sent(&lifetime, fleet(node, &live), now);
+    }
+}
+
+fn live(node: &Node) -> Vec<Name> {
+    let membership = node.membership.borrow();
+    membership.live().map(|m| m.name.clone()).collect()
+}
+
+fn fleet<'a>(node: &'a Node, live: &'a [Name]) -> Fleet<'a> {
+    Fleet {
+        own: &node.settings.name,
+        live,
+        most: node.most_instances(),
+    }
+}
--- a/plugins/relay/src/live.rs
+++ b/plugins/relay/src/live.rs
@@ -13,6 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::admit;
+use crate::limits;
 use crate::node::Node;
 use crate::quarantine;
 use crate::request::Proxied;
@@ -245,7 +246,8 @@
         }
         let mut rooms = Vec::with_capacity(live.len());
         for (i, l) in live.iter().enumerate() {
-            if l.broken.is_cancelled() || !may_take(l) {
+            let is_limited = !limits::allows(self, l.chain.head());
+            if is_limited || l.broken.is_cancelled() || !may_take(l) {
                 continue;
             }
             let domain = l.chain.domain.as_ref();
--- a/plugins/relay/src/news.rs
+++ b/plugins/relay/src/news.rs
@@ -11,12 +11,14 @@
 use std::time::Duration;
 
 use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::relay::limits::Statement;
 use jacinthweir_policy::relay::quarantine::Case;
 use jacinthweir_policy::relay::words::Word;
 use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
+use crate::limits;
 use crate::node::Node;
 use crate::peers::{ANSWER, Message, post};
 use crate::probe;
@@ -101,6 +103,9 @@
     /// Requests under which runners ended just now.
     #[serde(default)]
     cases: Vec<Case>,
+    /// Runners that named another rate just now.
+    #[serde(default)]
+    limits: Vec<Statement>,
 }
 
 /// Starts telling.
@@ -163,6 +168,7 @@
         dead: node.words.borrow().since(since).collect(),
         alive,
         paces,
+        limits: node.limits.borrow().told(NEW_MS, true, now),
         cases: node.quarantine.borrow().told(NEW_MS, false, now).collect(),
     }
 }
@@ -172,6 +178,7 @@
     news.seen.take(node);
     probe::hear_words(node, &news.dead);
     quarantine::hear(node, &news.cases);
+    limits::hear(node, &news.limits);
     let mut changed = false;
     for (id, born_ms) in &news.alive {
         changed |= probe::hear_alive(node, id, *born_ms, &news.domain);
--- a/plugins/relay/src/node.rs
+++ b/plugins/relay/src/node.rs
@@ -15,6 +15,7 @@
 use jacinthweir_policy::relay::following::Behind;
 use jacinthweir_policy::relay::intent::{self, Intent, Offered};
 use jacinthweir_policy::relay::lease::Lease;
+use jacinthweir_policy::relay::limits::Limits;
 use jacinthweir_policy::relay::loads::Loads;
 use jacinthweir_policy::relay::quarantine::Quarantine;
 use jacinthweir_policy::relay::rooms::{Flow, Shortage};
@@ -78,6 +79,8 @@
     pub(crate) runners_as_of: Cell<u64>,
     /// What others say of dead runners.
     pub(crate) words: RefCell<Words>,
+    /// Rates that runners name.
+    pub(crate) limits: RefCell<Limits>,
     /// Requests under which runners ended.
     pub(crate) quarantine: RefCell<Quarantine>,
     /// Requests that are held no more and that the store still has.
@@ -153,6 +156,7 @@
             runners_revision: Cell::new(0),
             runners_as_of: Cell::new(0),
             words: RefCell::default(),
+            limits: RefCell::default(),
             quarantine: RefCell::default(),
             forgotten: RefCell::default(),
             examined: RefCell::default(),
@@ -303,7 +307,7 @@
 
     /// The most instances that were seen to serve at the same time. Those that are out of sight
     /// go on spending.
-    fn most_instances(&self) -> usize {
+    pub(crate) fn most_instances(&self) -> usize {
         let live = self.membership.borrow().live().count();
         let most = self.instances_seen.get().max(live);
         self.instances_seen.set(most);
--- a/plugins/relay/src/peers.rs
+++ b/plugins/relay/src/peers.rs
@@ -19,6 +19,7 @@
 };
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::following::{Confirming, Step, Watchers};
+use jacinthweir_policy::relay::limits::Statement;
 use jacinthweir_policy::relay::loads::{HeadUse, Known, Load, ServiceCounts, Told};
 use jacinthweir_policy::relay::quarantine::Case;
 use jacinthweir_policy::relay::words::Word;
@@ -27,7 +28,7 @@
 
 use crate::news::{self, News, Seen};
 use crate::node::{Node, ROUND_MS};
-use crate::{probe, quarantine, watch};
+use crate::{limits, probe, quarantine, watch};
 
 /// Where instances post their messages.
 pub(crate) const PATH: &str = "/peer";
@@ -62,8 +63,13 @@
     seen: Seen,
     /// Requests that are held, and those under which runners ended of late.
     cases: Vec<Case>,
+    /// What runners said of late of their rates.
+    limits: Vec<Statement>,
 }
 
+/// Age up to which a runner's statement is told in exchanges, in milliseconds: a few rounds.
+const LIMITS_MS: Millis = 3_000;
+
 /// Age up to which the end of a runner under a request is told in exchanges, in milliseconds: a few
 /// rounds.
 const CASES_MS: Millis = 3_000;
@@ -75,6 +81,7 @@
             confirmed_ms_ago: node.vouch.borrow().age_ms(node.now()),
             dead: node.words.borrow().since(0).collect(),
             seen: Seen::of(node),
+            limits: node.limits.borrow().told(LIMITS_MS, false, node.now()),
             cases: node
                 .quarantine
                 .borrow()
@@ -87,6 +94,7 @@
         self.seen.take(node);
         probe::hear_words(node, &self.dead);
         quarantine::hear(node, &self.cases);
+        limits::hear(node, &self.limits);
     }
 }
 
--- a/plugins/relay/src/tried.rs
+++ b/plugins/relay/src/tried.rs
@@ -107,7 +107,7 @@
     log_sent(node, rq, live);
     let left = Duration::from_millis(rq.left_ms(node));
     let sent = tokio::select! {
-        sent = timeout(left, attempt::send(head.address, &rq.id, req)) => sent,
+        sent = timeout(left, attempt::send(node, head, &rq.id, req)) => sent,
         () = live.broken.cancelled() => {
             log_attempt(rq, live, "chain broke", "");
             breaks::note(node, rq, along(&live.chain), Progress::Waited, "chain broke");
--- a/policy/src/relay.rs
+++ b/policy/src/relay.rs
@@ -14,6 +14,7 @@
 //! | [`silence`] | when a chain has fallen silent |
 //! | [`words`] | whether a runner is dead that others found dead, and who asks it |
 //! | [`rooms`] | which chain a request goes to, waits for, or is refused by |
+//! | [`limits`] | how much of the rate that a runner names an instance may send it |
 //! | [`loads`] | what all instances have in flight, and which of it goes round |
 //! | [`attempts`] | on which runners one request may run |
 //! | [`fingerprint`] | which attempts are of the same request |
@@ -29,6 +30,7 @@
 pub mod intent;
 pub mod lease;
 pub mod lifetime;
+pub mod limits;
 pub mod loads;
 pub mod placement;
 pub mod quarantine;
