Chains begin at a limited runner only where nobody else holds the first layers

Change: a runner that names a rate costs 500 ms a token at the beginning of a chain: more than any other way within its domain and less than crossing into another. The test fails without the cost: the same first runner is found again.

--- a/plugins/relay/src/limits.rs
+++ b/plugins/relay/src/limits.rs
@@ -1,6 +1,7 @@
 //! Rates that runners name in their answers: heard, told, and kept.
 
 use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::relay::lifetime::Lifetime;
 use jacinthweir_policy::relay::limits::{Fleet, Statement};
 use jacinthweir_policy::relay::runners::RunnerEntry;
 
@@ -17,6 +18,8 @@
     if limits.said(&lifetime(runner), rate, now) {
         log::info!(runner = runner.id.as_ref(), rate:? = rate; "runner names a limit");
         node.news.notify_one();
+        drop(limits);
+        mark_limited(node);
     }
 }
 
@@ -24,6 +27,9 @@
 pub(crate) fn hear(node: &Node, statements: &[Statement]) {
     let now = node.now();
     let mut limits = node.limits.borrow_mut();
+    if limits.is_idle() && statements.is_empty() {
+        return;
+    }
     limits.forget(now);
     for s in statements {
         if limits.hear(s, now) {
@@ -32,6 +38,33 @@
             node.news.notify_one();
         }
     }
+    drop(limits);
+    mark_limited(node);
+}
+
+/// Has chains begin elsewhere than at limited runners, as far as they can.
+fn mark_limited(node: &Node) {
+    let now = node.now();
+    let mut changed = false;
+    {
+        let limits = node.limits.borrow();
+        let mut runners = node.runners.borrow_mut();
+        let entries = runners.entries().map(lifetime);
+        let limited: Vec<(Lifetime, bool)> = entries
+            .map(|l| {
+                let is_limited = limits.is_limited(&l, now);
+                (l, is_limited)
+            })
+            .collect();
+        for (l, is_limited) in limited {
+            if let Some(s) = runners.standing_mut(&l.runner) {
+                changed |= std::mem::replace(&mut s.limited, is_limited) != is_limited;
+            }
+        }
+    }
+    if changed {
+        node.rebuild_chains();
+    }
 }
 
 /// Whether this instance may send a runner a request now.
--- a/policy/src/relay/chain.rs
+++ b/policy/src/relay/chain.rs
@@ -13,7 +13,7 @@
 
 use crate::prelude::*;
 use crate::relay::intent::Engine;
-use crate::relay::runners::{RunnerEntry, Runners};
+use crate::relay::runners::{RunnerEntry, Runners, Standing};
 
 /// A runner that can take part in a chain.
 #[derive(Clone, Debug)]
@@ -22,6 +22,8 @@
     pub entry: &'a RunnerEntry,
     /// Layers held: first, and one past the last.
     pub layers: (u32, u32),
+    /// Whether it names a rate beyond which it gets no requests: a first runner gets all of a chain's.
+    pub limited: bool,
     /// Time of a token step a layer, in milliseconds.
     pub layer_ms: f64,
     /// Memory beside the weights, as tokens times layers.
@@ -105,6 +107,10 @@
 /// a domain costs, so that a crossing is only ever the last resort.
 const CROSSING_MS: f64 = 1_000.0;
 
+/// Cost of a limited runner at the beginning of a chain, in milliseconds a token: above what a chain inside
+/// a domain costs without it, and below a crossing.
+const LIMITED_MS: f64 = 500.0;
+
 /// Usable holders of a service's layers.
 #[must_use]
 pub fn holders<'a>(
@@ -118,15 +124,15 @@
         if !runners.holds_layers(entry, now) {
             continue;
         }
-        let slowness = runners.standing(&entry.id).slowness();
-        if let Some(holder) = holder(entry, engine, slowness) {
+        let standing = runners.standing(&entry.id);
+        if let Some(holder) = holder(entry, engine, &standing) {
             found.push(holder);
         }
     }
     found
 }
 
-fn holder<'a>(entry: &'a RunnerEntry, engine: &Engine, slowness: f64) -> Option<Holder<'a>> {
+fn holder<'a>(entry: &'a RunnerEntry, engine: &Engine, s: &Standing) -> Option<Holder<'a>> {
     let kind = engine.kinds.get(entry.kind.as_ref()?)?;
     let (from, to) = entry.layers?;
     let layers = (from, to.min(engine.layers));
@@ -134,7 +140,8 @@
     Some(Holder {
         entry,
         layers,
-        layer_ms: engine.step_ms * kind.pace * slowness * share,
+        limited: s.limited,
+        layer_ms: engine.step_ms * kind.pace * s.slowness() * share,
         room: engine.room(kind, entry.held(), 1),
         wanted: engine.room_tokens,
     })
@@ -194,6 +201,12 @@
             let Some(base) = cheapest_arrival(holders, &arrived, next) else {
                 continue;
             };
+            let limited_ms = if from == 0 && holder.limited {
+                LIMITED_MS
+            } else {
+                0.0
+            };
+            let base = base + limited_ms;
             extend(&mut best, &cuts, holder, next, from, base);
         }
     }
--- a/policy/src/relay/placement.rs
+++ b/policy/src/relay/placement.rs
@@ -234,6 +234,7 @@
     Some(Holder {
         entry: seat.entry,
         layers: seat.layers?,
+        limited: false,
         layer_ms: engine.step_ms * seat.kind.pace * share,
         room: engine.room(&seat.kind, seat.held(), 1),
         wanted: engine.room_tokens,
--- a/policy/src/relay/runners.rs
+++ b/policy/src/relay/runners.rs
@@ -58,6 +58,8 @@
     pub found_here: bool,
     /// It refused a part of this range, which its entry still names.
     pub misreported: Option<(u32, u32)>,
+    /// It names a rate beyond which it gets no requests.
+    pub limited: bool,
     /// Orders that it has accepted, where that is known.
     pub orders: Option<u64>,
     /// Share of recent requests that it failed, 0 to 1, at the last of them.
--- a/policy/tests/relay_placement.rs
+++ b/policy/tests/relay_placement.rs
@@ -473,6 +473,26 @@
     runners
 }
 
+/// A chain that begins at a limited runner serves a few requests a second, whatever room it has.
+#[gtest]
+fn a_chain_begins_at_a_limited_runner_only_where_nobody_else_holds_the_first_layers() {
+    let mut runners = Runners::default();
+    for (id, layers) in [("a", (0, 40)), ("b", (0, 40)), ("c", (40, 80))] {
+        let mut entry = runner(id, "east", "a100");
+        entry.layers = Some(layers);
+        runners.put(&entry);
+    }
+    let first = found(&runners)[0].head().id.clone();
+    let limit = |runners: &mut Runners, id: &Name| {
+        runners.standing_mut(id).expect("a runner").limited = true;
+    };
+    limit(&mut runners, &first);
+    let second = found(&runners)[0].head().id.clone();
+    expect_that!(second, not(eq(&first)));
+    limit(&mut runners, &second);
+    expect_that!(found(&runners).len(), eq(1));
+}
+
 fn only_chain(runners: &Runners) -> Chain {
     let mut all = found(runners);
     assert_eq!(all.len(), 1);
