Tests, red: after a restore of the store a configuration and a runner are never seen

The stand-in store can come back from an older copy: objects and revision as they were, revisions given out again, 410 for a watch of a later one, and the era in each answer. Seen: a configuration whose revision is that of the one in force before the restore is not in force after 20 s, since its object counts as read; a runner that registers below the revision up to which all was known is not seen after 20 s.

--- a/plugins/relay/tests/relay.rs
+++ b/plugins/relay/tests/relay.rs
@@ -8,6 +8,8 @@
 mod own_link;
 #[path = "relay/repeats.rs"]
 mod repeats;
+#[path = "relay/restored_store.rs"]
+mod restored_store;
 #[path = "support/standin.rs"]
 mod standin;
 
--- a/plugins/relay/tests/support/standin/store.rs
+++ b/plugins/relay/tests/support/standin/store.rs
@@ -25,17 +25,37 @@
     /// Objects that are gone, by kind, with the revision at which they went.
     gone: RefCell<Vec<(String, u64, Value)>>,
     revision: Cell<u64>,
+    /// Rises with each return from an older copy.
+    era: Cell<u64>,
     /// Answers nothing while set.
     pub silent: Cell<bool>,
 }
 
+/// An older copy of the store.
+pub struct Copy {
+    objects: BTreeMap<(String, String), Value>,
+    revision: u64,
+}
+
+impl Copy {
+    /// Revision of its last change.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+}
+
 impl Store {
     pub async fn spawn() -> (Rc<Store>, SocketAddr) {
         let store = Rc::new(Store::default());
         let shared = Rc::clone(&store);
         let address = serve(move |req| {
             let store = Rc::clone(&shared);
-            async move { store.answer(req).await }
+            async move {
+                let mut res = store.answer(req).await;
+                res.headers_mut()
+                    .insert("store-era", store.era.get().into());
+                res
+            }
         })
         .await;
         (store, address)
@@ -49,6 +69,34 @@
         self.objects.borrow_mut().insert(key, object);
     }
 
+    /// What it holds now.
+    pub fn copy(&self) -> Copy {
+        Copy {
+            objects: self.objects.borrow().clone(),
+            revision: self.revision.get(),
+        }
+    }
+
+    /// It comes back from an older copy: what was written since is gone, revisions are given out again.
+    pub fn restore(&self, copy: &Copy) {
+        self.objects.borrow_mut().clone_from(&copy.objects);
+        self.gone.borrow_mut().clear();
+        self.revision.set(copy.revision);
+        self.era.set(self.era.get() + 1);
+    }
+
+    /// Revision of its last change.
+    pub fn revision(&self) -> u64 {
+        self.revision.get()
+    }
+
+    /// Changes that concern nobody, up to a revision.
+    pub fn advance_to(&self, revision: u64) {
+        while self.revision.get() < revision {
+            self.put("others", "any", &Value::Null);
+        }
+    }
+
     /// An object is gone.
     pub fn remove(&self, kind: &str, name: &str) {
         self.revision.set(self.revision.get() + 1);
@@ -156,6 +204,9 @@
             let list = json!({ "items": items, "truncated": false, "asOf": self.revision.get() });
             return answer(StatusCode::OK, &list);
         };
+        if revision > self.revision.get() {
+            return answer(StatusCode::GONE, &Value::Null);
+        }
         let events = || {
             let changed = self.since(kind, revision);
             let changed = changed.into_iter().map(|o| json!({ "object": o }));
