Revisions: an era beside each number

What callers would see after a drill of the store: a new configuration that is never in force at an instance, and runners that none of its chains uses, since the revision that the store gave to them had been seen before. Cause: a bare number was taken for a point in the store's history. After a restore the same number names another change. Steps are taken over within their era only. One hand-made message in the tests of own_link has the new form; its checks are as they were. Ruled out: forgetting all that is known on a new era (runners that live would be lost with it), and the own interface's lineage of commits, which needs a history in each object that the users' objects do not have.

--- a/plugins/relay/src/news.rs
+++ b/plugins/relay/src/news.rs
@@ -13,6 +13,7 @@
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::limits::Statement;
 use jacinthweir_policy::relay::quarantine::Case;
+use jacinthweir_policy::relay::revision::Revision;
 use jacinthweir_policy::relay::words::Word;
 use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
@@ -23,7 +24,7 @@
 use crate::peers::{ANSWER, Message, post};
 use crate::probe;
 use crate::quarantine;
-use crate::watch::Followed;
+use crate::watch;
 
 /// Instances that hear of news directly.
 const TELL: usize = 8;
@@ -41,7 +42,7 @@
     /// Version of its configuration.
     pub(crate) version: u64,
     /// Newest revision of a runner's entry.
-    runners_revision: u64,
+    runners_revision: Revision,
     /// Runners that it heard to leave, by identity and lifetime.
     leaving: Vec<(Name, u64)>,
 }
@@ -62,8 +63,8 @@
 
     /// Another instance may know what a silent watch hides from this one.
     pub(crate) fn take(&self, node: &Node) {
-        Followed::Configuration.heard(node, self.version);
-        Followed::Runners.heard(node, self.runners_revision);
+        watch::heard_version(node, self.version);
+        watch::heard_revision(node, self.runners_revision);
         let mut changed = false;
         for (id, born_ms) in &self.leaving {
             if node.runners.borrow_mut().leaves(id, *born_ms) {
--- a/plugins/relay/src/node.rs
+++ b/plugins/relay/src/node.rs
@@ -18,6 +18,7 @@
 use jacinthweir_policy::relay::limits::Limits;
 use jacinthweir_policy::relay::loads::Loads;
 use jacinthweir_policy::relay::quarantine::Quarantine;
+use jacinthweir_policy::relay::revision::Revision;
 use jacinthweir_policy::relay::rooms::{Flow, Shortage};
 use jacinthweir_policy::relay::runners::Runners;
 use jacinthweir_policy::relay::spending::{Counts, Spending, SpendingConfig};
@@ -68,15 +69,15 @@
     pub(crate) store: Store,
     pub(crate) intent: RefCell<Option<Rc<Intent>>>,
     /// Revision of the object that the configuration in force was read from.
-    pub(crate) configuration_revision: Cell<Option<u64>>,
+    pub(crate) configuration_revision: Cell<Option<Revision>>,
     pub(crate) vouch: RefCell<Vouch>,
     pub(crate) runners: RefCell<Runners>,
     /// Whether the store answered the last call that ended.
     pub(crate) hears_store: Cell<bool>,
     /// Newest revision of a runner's entry that was seen.
-    pub(crate) runners_revision: Cell<u64>,
+    pub(crate) runners_revision: Cell<Revision>,
     /// Revision of the store up to which all changes of runners' entries are known.
-    pub(crate) runners_as_of: Cell<u64>,
+    pub(crate) runners_as_of: Cell<Revision>,
     /// What others say of dead runners.
     pub(crate) words: RefCell<Words>,
     /// Rates that runners name.
@@ -91,8 +92,9 @@
     pub(crate) leaving: RefCell<Vec<(Name, u64, Millis)>>,
     /// Something changed that all other instances should hear at once.
     pub(crate) news: Notify,
-    /// What others know of the configuration and of the runners' entries, by revision.
-    pub(crate) behind: [RefCell<Behind>; 2],
+    /// What others know of the configuration, by version, and of the runners' entries.
+    pub(crate) behind_configuration: RefCell<Behind<u64>>,
+    pub(crate) behind_runners: RefCell<Behind<Revision>>,
     /// Another instance knows more than this one.
     pub(crate) overtaken: Notify,
     /// Whether the runners have been listed since the start.
@@ -153,8 +155,8 @@
             vouch: RefCell::new(Vouch::new(settings.bounds.revocation_ms)),
             runners: RefCell::default(),
             hears_store: Cell::new(false),
-            runners_revision: Cell::new(0),
-            runners_as_of: Cell::new(0),
+            runners_revision: Cell::default(),
+            runners_as_of: Cell::default(),
             words: RefCell::default(),
             limits: RefCell::default(),
             quarantine: RefCell::default(),
@@ -162,7 +164,8 @@
             examined: RefCell::default(),
             leaving: RefCell::default(),
             news: Notify::new(),
-            behind: Default::default(),
+            behind_configuration: RefCell::default(),
+            behind_runners: RefCell::default(),
             overtaken: Notify::new(),
             listed: Cell::new(false),
             chains: RefCell::default(),
--- a/plugins/relay/src/watch.rs
+++ b/plugins/relay/src/watch.rs
@@ -7,14 +7,14 @@
 //! and by what other instances have seen. When the history is gone, or a call fails, it is listed
 //! again.
 
-use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use jacinthweir_platform::store::{Change, Changes, Object, StoreError};
 use jacinthweir_platform::{desired, runner};
 use jacinthweir_policy::prelude::*;
-use jacinthweir_policy::relay::following::{self, Behind, Confirming, RunnerChange, Step};
+use jacinthweir_policy::relay::following::{self, Confirming, RunnerChange, Step};
+use jacinthweir_policy::relay::revision::Revision;
 use jacinthweir_policy::relay::runners::RunnerEntry;
 use tokio::time::sleep;
 
@@ -115,32 +115,44 @@
         }
     }
 
-    /// What other instances know.
-    fn behind(self, node: &Node) -> &RefCell<Behind> {
+    /// Whether others know more.
+    fn is_behind(self, node: &Node) -> bool {
         match self {
-            Followed::Configuration => &node.behind[0],
-            Followed::Runners => &node.behind[1],
+            Followed::Configuration => {
+                let version = node.intent().map_or(0, |i| i.version);
+                node.behind_configuration.borrow().is_behind(version)
+            }
+            Followed::Runners => {
+                let seen = node.runners_revision.get();
+                node.behind_runners.borrow().is_behind(seen)
+            }
         }
     }
 
-    /// What this instance knows.
-    fn known(self, node: &Node) -> u64 {
+    /// The store is asked for what others know.
+    fn asked(self, node: &Node) {
         match self {
-            Followed::Configuration => node.intent().map_or(0, |i| i.version),
-            Followed::Runners => node.runners_revision.get(),
+            Followed::Configuration => node.behind_configuration.borrow_mut().asked(),
+            Followed::Runners => node.behind_runners.borrow_mut().asked(),
         }
     }
+}
 
-    fn is_behind(self, node: &Node) -> bool {
-        self.behind(node).borrow().is_behind(self.known(node))
-    }
+/// Another instance has a version of the configuration in force.
+pub(crate) fn heard_version(node: &Node, version: u64) {
+    node.behind_configuration.borrow_mut().heard(version);
+    notify_overtaken(node, Followed::Configuration);
+}
 
-    /// Another instance has seen `revision`.
-    pub(crate) fn heard(self, node: &Node, revision: u64) {
-        self.behind(node).borrow_mut().heard(revision);
-        if self.is_behind(node) {
-            node.overtaken.notify_waiters();
-        }
+/// Another instance has seen a revision of a runner's entry.
+pub(crate) fn heard_revision(node: &Node, revision: Revision) {
+    node.behind_runners.borrow_mut().heard(revision);
+    notify_overtaken(node, Followed::Runners);
+}
+
+fn notify_overtaken(node: &Node, what: Followed) {
+    if what.is_behind(node) {
+        node.overtaken.notify_waiters();
     }
 }
 
@@ -157,7 +169,7 @@
         };
         sleep(Duration::from_millis(wait)).await;
         if what.is_behind(node) {
-            what.behind(node).borrow_mut().asked();
+            what.asked(node);
             return;
         }
     }
@@ -188,8 +200,8 @@
             }
             Err(e) => e,
         };
-        if error == StoreError::Compacted {
-            log::info!(what:% = what; "history is gone, listing again");
+        if matches!(error, StoreError::Compacted | StoreError::Restored) {
+            log::info!(what:% = what, cause:% = error; "listing again");
             continue;
         }
         failures += 1;
@@ -243,7 +255,7 @@
 }
 
 /// `anew`: the store did not answer for so long that entries may be missing.
-async fn list(node: &Node, what: Followed, anew: bool) -> Result<u64, StoreError> {
+async fn list(node: &Node, what: Followed, anew: bool) -> Result<Revision, StoreError> {
     let sent = node.now();
     count_call("list");
     let listed = node.store.list(what.kind()).await?;
@@ -262,12 +274,13 @@
         }
         Followed::Runners => {
             let revisions = listed.objects.iter().map(|o| o.meta.revision);
-            let newest = revisions.max().unwrap_or(0);
+            let newest = revisions.max().unwrap_or_default();
             let entries = listed.objects.iter().filter_map(decode).collect();
             note_revision(node, newest);
             let now = node.now();
             let mut runners = node.runners.borrow_mut();
-            if anew {
+            let restored = listed.revision.era != node.runners_as_of.get().era;
+            if anew || restored {
                 runners.store_is_back(now);
             }
             runners.replace(entries, now);
@@ -281,7 +294,7 @@
 }
 
 /// Watches until a call fails.
-async fn watch(node: &Node, what: Followed, mut revision: u64) -> StoreError {
+async fn watch(node: &Node, what: Followed, mut revision: Revision) -> StoreError {
     loop {
         let wait = match what {
             Followed::Runners => rest(node).await,
@@ -296,7 +309,7 @@
         let watched = tokio::select! {
             watched = node.store.watch(what.kind(), revision, wait) => watched,
             () = overtaken(node, what) => {
-                log::info!(what:% = what, revision; "others know more, watching anew");
+                log::info!(what:% = what, revision:% = revision; "others know more, watching anew");
                 continue;
             }
         };
@@ -394,22 +407,22 @@
             in_force
         }
         Err(e) => {
-            log::error!(revision, cause:% = e; "configuration is not usable");
+            log::error!(revision:% = revision, cause:% = e; "configuration is not usable");
             false
         }
     }
 }
 
 /// Remembers the newest entry of a runner that was seen.
-fn note_revision(node: &Node, revision: u64) {
+fn note_revision(node: &Node, revision: Revision) {
     let newest = node.runners_revision.get().max(revision);
     node.runners_revision.set(newest);
 }
 
 /// What a watch from the revision `since` brought.
-fn step(since: u64, changes: Changes) -> Step {
+fn step(since: Revision, changes: Changes) -> Step {
     let until = changes.revision;
-    let mut newest = 0;
+    let mut newest = Revision::default();
     let mut decoded = Vec::with_capacity(changes.changes.len());
     for change in changes.changes {
         newest = newest.max(change.object.meta.revision);
--- a/plugins/relay/tests/relay/own_link.rs
+++ b/plugins/relay/tests/relay/own_link.rs
@@ -67,7 +67,7 @@
 #[derive(Serialize)]
 struct News {
     domain: String,
-    seen: (u64, u64, Vec<(String, u64)>),
+    seen: (u64, (u64, u64), Vec<(String, u64)>),
     dead: Vec<(String, u64, Vec<String>)>,
     alive: Vec<(String, u64)>,
     paces: Vec<(String, u64, f64, u64)>,
@@ -77,7 +77,7 @@
     let namers = ["two", "three", "four"].map(str::to_owned).to_vec();
     let news = Message::News(News {
         domain: "b".to_owned(),
-        seen: (0, 0, Vec::new()),
+        seen: (0, (0, 0), Vec::new()),
         dead: vec![(runner.to_owned(), BORN_MS, namers)],
         alive: Vec::new(),
         paces: Vec::new(),
--- a/policy/src/relay.rs
+++ b/policy/src/relay.rs
@@ -8,6 +8,7 @@
 //! | [`vouch`] | whether this instance may still act on that configuration |
 //! | [`runners`] | what is known of each runner |
 //! | [`lifetime`] | (a type) one lifetime of a runner |
+//! | [`revision`] | (a type) a revision of the store |
 //! | [`chain`] | through which runners a token passes |
 //! | [`placement`] | which runner is to hold which layers |
 //! | [`lease`] | which instance gives orders |
@@ -35,6 +36,7 @@
 pub mod placement;
 pub mod quarantine;
 mod ranks;
+pub mod revision;
 pub mod rooms;
 pub mod runners;
 pub mod silence;
--- a/policy/src/relay/following.rs
+++ b/policy/src/relay/following.rs
@@ -19,6 +19,7 @@
 
 use crate::prelude::*;
 use crate::relay::ranks::{is_among_first, rank, rank_for};
+use crate::relay::revision::Revision;
 use crate::relay::runners::RunnerEntry;
 
 /// Instances that follow the store each for itself.
@@ -199,11 +200,11 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Step {
     /// Revision before the first of them.
-    pub since: u64,
-    /// Revision up to which there is none besides.
-    pub until: u64,
+    pub since: Revision,
+    /// Revision up to which there is none besides, in the same era.
+    pub until: Revision,
     /// Newest revision of an entry among them.
-    pub newest: u64,
+    pub newest: Revision,
     /// The changes, in their order.
     pub changes: Vec<RunnerChange>,
 }
@@ -211,27 +212,28 @@
 impl Step {
     /// Whether one that knows everything up to `revision` can take it over and learns something.
     #[must_use]
-    pub fn follows(&self, revision: u64) -> bool {
-        self.since <= revision && revision < self.until
+    pub fn follows(&self, revision: Revision) -> bool {
+        let same_era = self.since.era == revision.era;
+        same_era && self.since <= revision && revision < self.until
     }
 }
 
 /// What other instances know of the store that this one may have missed.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Behind {
-    others: u64,
-    checked: u64,
+pub struct Behind<T> {
+    others: T,
+    checked: T,
 }
 
-impl Behind {
-    /// Another instance has seen `revision`.
-    pub fn heard(&mut self, revision: u64) {
-        self.others = self.others.max(revision);
+impl<T: Copy + Ord> Behind<T> {
+    /// Another instance has seen `what`.
+    pub fn heard(&mut self, what: T) {
+        self.others = self.others.max(what);
     }
 
     /// Whether another instance has seen more than `own`, and the store was not asked since.
     #[must_use]
-    pub fn is_behind(&self, own: u64) -> bool {
+    pub fn is_behind(&self, own: T) -> bool {
         self.others > own.max(self.checked)
     }
 
--- a/policy/src/relay/lease.rs
+++ b/policy/src/relay/lease.rs
@@ -6,6 +6,7 @@
 //! told apart by the runners: each order names the state that it expects.
 
 use crate::prelude::*;
+use crate::relay::revision::Revision;
 
 /// What the store says of the lease.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -15,7 +16,7 @@
     /// Grows with each holder.
     pub term: u64,
     /// Revision of the object in the store.
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 /// What to do about the lease.
@@ -35,7 +36,7 @@
         /// Term of the grant.
         term: u64,
         /// Revision that must still stand.
-        revision: u64,
+        revision: Revision,
     },
 }
 
--- a/policy/tests/relay_following.rs
+++ b/policy/tests/relay_following.rs
@@ -6,6 +6,7 @@
     Behind, Confirming, Step, Watchers, behind_ms, gather_ms, runners_gather_ms, should_confirm,
     watch_ms,
 };
+use jacinthweir_policy::relay::revision::Revision;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -136,16 +137,45 @@
 /// bring back a runner that has left since.
 #[gtest]
 fn a_step_is_taken_over_only_if_nothing_is_missing_before_it() {
-    let step = |since, until| Step {
-        since,
-        until,
-        newest: until,
+    expect_true!(step(0, (10, 14)).follows(at(0, 10)));
+    expect_true!(step(0, (10, 14)).follows(at(0, 12)));
+    expect_false!(step(0, (10, 14)).follows(at(0, 9)));
+    expect_false!(step(0, (10, 14)).follows(at(0, 14)));
+}
+
+fn at(era: u64, number: u64) -> Revision {
+    Revision { era, number }
+}
+
+fn step(era: u64, (since, until): (u64, u64)) -> Step {
+    Step {
+        since: at(era, since),
+        until: at(era, until),
+        newest: at(era, until),
         changes: Vec::new(),
-    };
-    expect_true!(step(10, 14).follows(10));
-    expect_true!(step(10, 14).follows(12));
-    expect_false!(step(10, 14).follows(9));
-    expect_false!(step(10, 14).follows(14));
+    }
+}
+
+/// The store came back from an older copy: the same numbers name other changes.
+#[gtest]
+fn a_step_is_taken_over_within_its_era_only() {
+    expect_false!(step(1, (10, 14)).follows(at(0, 12)));
+    expect_false!(step(0, (10, 14)).follows(at(1, 12)));
+    expect_true!(step(1, (10, 14)).follows(at(1, 12)));
+}
+
+/// What the watchers see after a restore has smaller numbers than what all saw before it.
+#[gtest]
+fn what_others_saw_in_a_later_era_is_more() {
+    let mut behind = Behind::default();
+    behind.heard(at(0, 500));
+    expect_false!(behind.is_behind(at(0, 500)));
+    behind.heard(at(1, 480));
+    expect_true!(behind.is_behind(at(0, 500)));
+    behind.asked();
+    expect_false!(behind.is_behind(at(1, 470)));
+    behind.heard(at(1, 490));
+    expect_true!(behind.is_behind(at(1, 480)));
 }
 
 /// A watch fell silent and hides a change that another instance tells of. The store is asked once
--- a/policy/tests/relay_rules.rs
+++ b/policy/tests/relay_rules.rs
@@ -12,6 +12,7 @@
     CallClass, Intent, Offered, Organisation, Route, UnknownKey, compare,
 };
 use jacinthweir_policy::relay::lease::{Grant, Lease, LeaseStep};
+use jacinthweir_policy::relay::revision::Revision;
 use jacinthweir_policy::relay::rooms::{FILL, Refusals, Room, choose, demand};
 use jacinthweir_policy::relay::runners::Runners;
 use jacinthweir_policy::relay::spending::{Counts, Spending, SpendingConfig};
@@ -154,11 +155,15 @@
     expect_false!(attempts.allows(&c, 1, 2, |_, _| true));
 }
 
+fn at(number: u64) -> Revision {
+    Revision { era: 0, number }
+}
+
 fn grant(holder: &str, term: u64, revision: u64) -> Grant {
     Grant {
         holder: Name::from(holder),
         term,
-        revision,
+        revision: at(revision),
     }
 }
 
@@ -173,7 +178,7 @@
     expect_that!(lease.held(900), some(eq(1)));
     let renewal = LeaseStep::Replace {
         term: 1,
-        revision: 10,
+        revision: at(10),
     };
     expect_that!(lease.step(1_600, true), eq(&renewal));
 }
@@ -192,7 +197,7 @@
         match other.step(now, true) {
             LeaseStep::Read => other.read(now, Some(grant("a", 1, 10))),
             LeaseStep::Replace { term, revision } => {
-                expect_that!((term, revision), eq((2, 10)));
+                expect_that!((term, revision), eq((2, at(10))));
                 taken_at = Some(now);
                 break;
             }
