Lease: nobody holds it in a new era of the store before reading it there

What could happen after a drill: the holder's grant is lost, another takes a term that was given out before, and orders of both look like those of one; the holder goes on for up to 1.8 s on a grant that does not stand. Change: an era that was not seen before drops the lease and everything concluded from it; terms of an era begin above all of the eras before. One line and a counter for each new era, with how far the runners had been known. Test and mend together: the test asks for a call that was not there; by reading, the code before gave term 5 again and held on. Two holders at once: the one of the era before stops at its own time to live at the latest, counted from a renewal before the restore; the next one watches for that long after its first reading behind it.

--- a/plugins/relay/src/node.rs
+++ b/plugins/relay/src/node.rs
@@ -74,6 +74,10 @@
     pub(crate) runners: RefCell<Runners>,
     /// Whether the store answered the last call that ended.
     pub(crate) hears_store: Cell<bool>,
+    /// Era of the store that this instance acts in.
+    pub(crate) era: Cell<Option<u64>>,
+    /// The store came back from an older copy.
+    pub(crate) restored: Notify,
     /// Newest revision of a runner's entry that was seen.
     pub(crate) runners_revision: Cell<Revision>,
     /// Revision of the store up to which all changes of runners' entries are known.
@@ -155,6 +159,8 @@
             vouch: RefCell::new(Vouch::new(settings.bounds.revocation_ms)),
             runners: RefCell::default(),
             hears_store: Cell::new(false),
+            era: Cell::default(),
+            restored: Notify::new(),
             runners_revision: Cell::default(),
             runners_as_of: Cell::default(),
             words: RefCell::default(),
--- a/plugins/relay/src/placer.rs
+++ b/plugins/relay/src/placer.rs
@@ -20,7 +20,7 @@
 
 use crate::node::Node;
 use crate::peers;
-use crate::watch::count_call;
+use crate::watch::{count_call, note_era};
 
 /// Kind and name of the lease's object.
 const LEASE_KIND: &str = "jacinthweir-leases";
@@ -138,6 +138,7 @@
 }
 
 async fn step_lease(node: &Node) {
+    note_era(node);
     let candidate = peers::is_candidate(node);
     let sent = node.now();
     let step = node.lease.borrow_mut().step(sent, candidate);
--- a/plugins/relay/src/watch.rs
+++ b/plugins/relay/src/watch.rs
@@ -63,12 +63,36 @@
     });
 }
 
+/// Acts on an era of the store that was not seen before: it came back from an older copy, and what was
+/// written there since is gone.
+pub(crate) fn note_era(node: &Node) {
+    let era = node.store.era();
+    let before = node.era.replace(era);
+    let Some(new) = era.filter(|_| era != before) else {
+        return;
+    };
+    node.lease.borrow_mut().begin_era(new);
+    let Some(before) = before else {
+        return;
+    };
+    let known_until = node.runners_as_of.get();
+    log::warn!(
+        before,
+        era = new,
+        known_until:% = known_until;
+        "the store came back from an older copy: lease dropped, configuration and runners read anew"
+    );
+    metrics::counter!("jacinthweir_store_eras_total").increment(1);
+    node.restored.notify_waiters();
+}
+
 /// Reads the configuration whenever its last confirmation is old.
 async fn confirm(node: &Node) {
     let mut reading_ms = 0;
     let mut lost_ms = None;
     loop {
         sleep(CONFIRM_LOOK).await;
+        note_era(node);
         let age = node.vouch.borrow().age_ms(node.now());
         let confirming = peers::confirming(node);
         if !following::should_confirm(age, node.draw(), reading_ms, confirming) {
@@ -303,11 +327,15 @@
         if what == Followed::Runners {
             revision = node.runners_as_of.get();
         }
+        if node.store.era() != Some(revision.era) {
+            return StoreError::Restored;
+        }
         let sent = node.now();
         count_call("watch");
         let wait = Duration::from_millis(wait);
         let watched = tokio::select! {
             watched = node.store.watch(what.kind(), revision, wait) => watched,
+            () = node.restored.notified() => return StoreError::Restored,
             () = overtaken(node, what) => {
                 log::info!(what:% = what, revision:% = revision; "others know more, watching anew");
                 continue;
@@ -373,6 +401,7 @@
         }
         tokio::select! {
             () = overtaken(node, Followed::Runners) => return MISSED_WAIT_MS,
+            () = node.restored.notified() => return MISSED_WAIT_MS,
             () = sleep(REST_LOOK) => {}
         }
     }
--- a/policy/src/relay/lease.rs
+++ b/policy/src/relay/lease.rs
@@ -4,6 +4,10 @@
 //! it well within its time; another instance takes over only when it has watched the object stand
 //! unchanged for the whole time to live on its own clock. Two orders that overlap all the same are
 //! told apart by the runners: each order names the state that it expects.
+//!
+//! When the store comes back from an older copy, grants since then are lost and their terms would be given
+//! out again. So nobody holds the lease in a new era before it has read it there, and terms of an era begin
+//! above all of the eras before.
 
 use crate::prelude::*;
 use crate::relay::revision::Revision;
@@ -49,6 +53,8 @@
     absent: bool,
     /// A write's result is not known: its revision must not be built on.
     unread: bool,
+    /// Era of the store.
+    era: u64,
     held_ms: Option<Millis>,
     next_ms: Millis,
 }
@@ -56,6 +62,9 @@
 /// Renewals within a time to live.
 const RENEWALS: u64 = 3;
 
+/// Bits of a term that count within an era; orders carry terms as numbers of 53 bits.
+const TERM_BITS: u32 = 32;
+
 impl Lease {
     /// An instance named `own` that knows nothing of the lease yet.
     #[must_use]
@@ -66,11 +75,28 @@
             seen: None,
             absent: false,
             unread: false,
+            era: 0,
             held_ms: None,
             next_ms: 0,
         }
     }
 
+    /// The store is in an era that was not seen before: whatever was granted in an earlier one is not
+    /// known to stand.
+    pub fn begin_era(&mut self, era: u64) {
+        self.era = era;
+        self.seen = None;
+        self.held_ms = None;
+        self.absent = false;
+        self.unread = true;
+        self.next_ms = 0;
+    }
+
+    /// The term after `last`.
+    fn next_term(&self, last: u64) -> u64 {
+        last.max(self.era << TERM_BITS) + 1
+    }
+
     /// Term, while this instance holds the lease at `now` with time to spare for an order.
     #[must_use]
     pub fn held(&self, now: Millis) -> Option<u64> {
@@ -90,7 +116,9 @@
             return LeaseStep::Read;
         }
         match &self.seen {
-            None if self.absent => LeaseStep::Create { term: 1 },
+            None if self.absent => LeaseStep::Create {
+                term: self.next_term(0),
+            },
             None => LeaseStep::Read,
             Some((grant, _)) if grant.holder == self.own && self.held_ms.is_some() => {
                 LeaseStep::Replace {
@@ -99,7 +127,7 @@
                 }
             }
             Some((grant, since)) if now >= since + self.ttl_ms => LeaseStep::Replace {
-                term: grant.term + 1,
+                term: self.next_term(grant.term),
                 revision: grant.revision,
             },
             Some(_) => LeaseStep::Read,
--- a/policy/tests/relay_rules.rs
+++ b/policy/tests/relay_rules.rs
@@ -237,6 +237,40 @@
     expect_that!(lease.step(1_400, true), eq(&LeaseStep::Read));
 }
 
+/// The store comes back from an older copy in which the last holder's grant is not. Its term must not come
+/// again: orders of both would look like those of one.
+#[gtest]
+fn a_term_that_a_restore_of_the_store_lost_is_not_given_out_again() {
+    let lost = grant("a", 5, 50);
+    let mut holder = Lease::new(Name::from("a"), 2_400);
+    holder.granted(0, lost.clone());
+    expect_that!(holder.held(100), some(eq(5)));
+    holder.begin_era(1);
+    expect_that!(holder.held(100), none());
+    expect_that!(holder.step(100, true), eq(&LeaseStep::Read));
+
+    let mut other = Lease::new(Name::from("b"), 2_400);
+    other.begin_era(1);
+    let older = Grant {
+        revision: Revision { era: 1, number: 40 },
+        ..grant("c", 4, 0)
+    };
+    other.read(0, Some(older));
+    let taken = (0..4_000)
+        .step_by(50)
+        .find_map(|now| match other.step(now, true) {
+            LeaseStep::Replace { term, .. } => Some(term),
+            _ => None,
+        });
+    expect_that!(taken, some(gt(lost.term)));
+
+    let mut first = Lease::new(Name::from("d"), 2_400);
+    first.begin_era(1);
+    first.read(0, None);
+    let created = first.step(1_000, true);
+    expect_true!(matches!(created, LeaseStep::Create { term } if term > lost.term));
+}
+
 /// A holder loses the store for a while, and another takes the lease over with a greater term.
 /// When the store is back the old holder must not write over the new grant: orders of both would
 /// be given, and the term would go back.
