--- a/plugins/relay/tests/relay/restored_store.rs
+++ b/plugins/relay/tests/relay/restored_store.rs
@@ -1,8 +1,17 @@
 //! The store comes back from an older copy: what was written since is gone, and revisions are given out again.
 
+use std::time::Duration;
+
 use googletest::prelude::*;
+use tokio::time::{sleep, timeout};
+
+use crate::standin::{
+    LETHAL, LONG, Runner, Site, configuration, on_one_thread, request, wait_for_chains,
+};
+use crate::{NOTES, TOKENS};
 
-use crate::standin::{Runner, Site, configuration, on_one_thread};
+/// Kind of the objects that say which requests are held.
+const HELD: &str = "jacinthweir-quarantine";
 
 /// A newer configuration has the revision of the one in force, which the store has lost.
 #[gtest]
@@ -22,6 +31,34 @@
     });
 }
 
+/// A request is held, and the store loses that it is: all instances that start later would learn it anew.
+#[gtest]
+fn a_held_request_that_the_store_lost_is_written_again() {
+    on_one_thread(async {
+        let site = Site::open().await;
+        let copy = site.store.copy();
+        let held = async {
+            while site.store.names(HELD).is_empty() {
+                wait_for_chains(&site.settings, 1).await;
+                request(site.callers(), NOTES, TOKENS, LETHAL).await;
+                sleep(Duration::from_millis(100)).await;
+            }
+        };
+        timeout(LONG, held).await.expect("it is written");
+        let runs: usize = site.runners.iter().map(|r| r.lethal_runs()).sum();
+        site.store.restore(&copy);
+        site.runners.iter().for_each(|r| r.register("ready"));
+        let written = async {
+            while site.store.names(HELD).is_empty() {
+                sleep(Duration::from_millis(20)).await;
+            }
+        };
+        timeout(LONG, written).await.expect("it is written again");
+        let after: usize = site.runners.iter().map(|r| r.lethal_runs()).sum();
+        expect_that!(after, eq(runs));
+    });
+}
+
 /// A runner registers after the restore at a revision up to which everything was known before it.
 #[gtest]
 fn a_runner_that_registers_after_a_restore_is_seen() {
