Quarantine: what the store lost in a restore is written again

Change: a case knows the newest era of the store in which it was written, not only that it was; the one that writes cases writes those of earlier eras anew. What others tell of an era before can't hide that it is gone. Ruled out: a mark that a new era resets, which another instance that has not seen the era yet would set again.

--- a/plugins/relay/src/quarantine.rs
+++ b/plugins/relay/src/quarantine.rs
@@ -186,13 +186,14 @@
         count_call("remove");
         node.store.remove(KIND, &request.to_string()).await?;
     }
-    for case in lacking(node) {
+    let era = node.store.era().unwrap_or_default();
+    for case in lacking(node, era) {
         count_call("create");
         let spec = serde_json::to_value(&case).unwrap_or_default();
         let name = case.request.to_string();
         match node.store.create(KIND, &name, spec).await {
             Ok(_) | Err(StoreError::Conflict) => {
-                node.quarantine.borrow_mut().stored(case.request);
+                node.quarantine.borrow_mut().stored(case.request, era);
             }
             Err(e) => return Err(e),
         }
@@ -200,13 +201,13 @@
     Ok(())
 }
 
-/// Cases that this instance is to write.
-fn lacking(node: &Node) -> Vec<Case> {
+/// Cases that this instance is to write: the store may have lost those that were written in an era before.
+fn lacking(node: &Node, era: u64) -> Vec<Case> {
     let quarantine = node.quarantine.borrow();
     let held = quarantine.held(node.now()).map(|(case, _)| case);
-    let lacking = held.filter(|c| !c.stored && is_writer(node, c.request));
+    let lacking = held.filter(|c| c.stored_era < Some(era) && is_writer(node, c.request));
     let written = lacking.map(|c| Case {
-        stored: true,
+        stored_era: Some(era),
         age_ms: 0,
         ..c.clone()
     });
--- a/policy/src/relay/quarantine.rs
+++ b/policy/src/relay/quarantine.rs
@@ -80,8 +80,8 @@
     pub strikes: BTreeSet<Lifetime>,
     /// Those of them that say nothing against it.
     pub void: BTreeSet<Lifetime>,
-    /// Whether the store has it.
-    pub stored: bool,
+    /// Newest era of the store in which it was written there.
+    pub stored_era: Option<u64>,
     /// Time since its last change when this was written, in milliseconds.
     pub age_ms: Millis,
 }
@@ -262,7 +262,7 @@
                 request,
                 strikes: BTreeSet::new(),
                 void: BTreeSet::new(),
-                stored: false,
+                stored_era: None,
                 age_ms: 0,
             },
             changed_ms: now,
@@ -275,7 +275,7 @@
         let over = self
             .cases
             .extract_if(.., |_, k| now >= k.changed_ms + k.kept_ms());
-        let stored = over.filter(|(_, k)| k.case.stored);
+        let stored = over.filter(|(_, k)| k.case.stored_era.is_some());
         stored.map(|(request, _)| request).collect()
     }
 
@@ -311,17 +311,18 @@
         for l in &told.void {
             is_news |= known.case.void.insert(l.clone());
         }
-        is_news |= told.stored && !std::mem::replace(&mut known.case.stored, true);
+        is_news |= told.stored_era > known.case.stored_era;
+        known.case.stored_era = known.case.stored_era.max(told.stored_era);
         if is_news {
             known.changed_ms = known.changed_ms.max(at_ms);
         }
         is_news
     }
 
-    /// The store has the case of a request.
-    pub fn stored(&mut self, request: Fingerprint) {
+    /// The store has the case of a request in `era`.
+    pub fn stored(&mut self, request: Fingerprint, era: u64) {
         if let Some(known) = self.cases.get_mut(&request) {
-            known.case.stored = true;
+            known.case.stored_era = known.case.stored_era.max(Some(era));
         }
     }
 
