Test, red: an instance serves by a configuration that is older than what others have in force

It starts after a restore of the store and reads the older version there, which confirms itself; the others have a newer one, and say so in each exchange. Seen: ready for 20 s.

--- a/plugins/relay/tests/relay/restored_store.rs
+++ b/plugins/relay/tests/relay/restored_store.rs
@@ -3,12 +3,13 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
+use jacinthweir_relay::RelaySettings;
 use tokio::time::{sleep, timeout};
 
 use crate::standin::{
-    LETHAL, LONG, Runner, Site, configuration, on_one_thread, request, wait_for_chains,
+    LETHAL, LONG, Runner, Site, ask, configuration, on_one_thread, request, wait_for_chains,
 };
-use crate::{NOTES, TOKENS};
+use crate::{LOOKUP, NOTES, TOKENS};
 
 /// Kind of the objects that say which requests are held.
 const HELD: &str = "jacinthweir-quarantine";
@@ -31,6 +32,45 @@
     });
 }
 
+/// An instance that starts reads a configuration that is older than what the others have in force: keys that
+/// were taken away since would be served there.
+#[gtest]
+fn an_instance_that_reads_an_older_configuration_than_others_have_serves_nobody() {
+    on_one_thread(async {
+        let site = Site::open().await;
+        let copy = site.store.copy();
+        site.store.put("config", "main", &configuration(2));
+        site.in_force(2).await;
+        site.store.restore(&copy);
+        site.runners.iter().for_each(|r| r.register("ready"));
+
+        let (new, _relay) = site.started("new").await;
+        until_ready(&new, false).await;
+        let got = request(new.listen.callers, LOOKUP, "", "").await;
+        expect_that!(got.status, eq(503));
+        site.store.put("config", "main", &configuration(2));
+        until_ready(&new, true).await;
+        let got = request(new.listen.callers, LOOKUP, "", "").await;
+        expect_that!(got.status, eq(200));
+    });
+}
+
+/// Until an instance that knows another one is ready, or is not.
+async fn until_ready(at: &RelaySettings, wanted: bool) {
+    let found = async {
+        loop {
+            let dump = ask(at.listen.operators, "GET /dump HTTP/1.1").await;
+            let ready = ask(at.listen.ready, "GET /api/ready HTTP/1.1").await;
+            let knows = dump.body.contains("\"name\": \"one\"");
+            if knows && (ready.status == 200) == wanted {
+                return;
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    timeout(LONG, found).await.expect("it is so in the end");
+}
+
 /// A request is held, and the store loses that it is: all instances that start later would learn it anew.
 #[gtest]
 fn a_held_request_that_the_store_lost_is_written_again() {
--- a/plugins/relay/tests/support/standin.rs
+++ b/plugins/relay/tests/support/standin.rs
@@ -94,13 +94,19 @@
 
     /// The same where no other instance lives.
     pub async fn another_alone(&self, name: &str) -> (RelaySettings, Relay) {
+        let (settings, relay) = self.started(name).await;
+        wait_for_chains(&settings, 2).await;
+        (settings, relay)
+    }
+
+    /// Another instance that has just started, in the other domain.
+    pub async fn started(&self, name: &str) -> (RelaySettings, Relay) {
         let mut settings = settings(self.settings.store);
         settings.name = name.into();
         settings.failure_domain = "b".into();
         settings.seeds = vec![self.settings.listen.peers];
         settings.bounds = self.settings.bounds.clone();
         let relay = Relay::spawn(settings.clone()).await.expect("a relay");
-        wait_for_chains(&settings, 2).await;
         (settings, relay)
     }
 
