Following: an instance acts on no configuration that others have replaced for 1.5 s

What callers would see after a drill of the store: a key that was taken away is served by an instance that has just started, since the store shows it the older configuration and confirms that one. Change: who has known for 1.5 s of a newer version than its own serves nobody until it has it; the bound for a change to be in force everywhere is 2 s, and a watch or a reading brings it in a tenth to a third of that. Ruled out: to wait at a start for the first exchange (an outage of a domain would hold up every start), and to confirm the version in force by an older one in the store (a newer one may have been lost with it).

--- a/plugins/relay/src/node.rs
+++ b/plugins/relay/src/node.rs
@@ -12,7 +12,7 @@
 use jacinthweir_policy::need::Need;
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::fingerprint::Fingerprint;
-use jacinthweir_policy::relay::following::Behind;
+use jacinthweir_policy::relay::following::{Behind, Outdated};
 use jacinthweir_policy::relay::intent::{self, Intent, Offered};
 use jacinthweir_policy::relay::lease::Lease;
 use jacinthweir_policy::relay::limits::Limits;
@@ -98,6 +98,7 @@
     pub(crate) news: Notify,
     /// What others know of the configuration, by version, and of the runners' entries.
     pub(crate) behind_configuration: RefCell<Behind<u64>>,
+    pub(crate) outdated: Cell<Outdated>,
     pub(crate) behind_runners: RefCell<Behind<Revision>>,
     /// Another instance knows more than this one.
     pub(crate) overtaken: Notify,
@@ -171,6 +172,7 @@
             leaving: RefCell::default(),
             news: Notify::new(),
             behind_configuration: RefCell::default(),
+            outdated: Cell::default(),
             behind_runners: RefCell::default(),
             overtaken: Notify::new(),
             listed: Cell::new(false),
@@ -256,6 +258,9 @@
                     .borrow_mut()
                     .set_revision(version, unix_ms());
                 *self.intent.borrow_mut() = Some(Rc::new(offered));
+                let mut outdated = self.outdated.get();
+                outdated.in_force(version, self.now());
+                self.outdated.set(outdated);
                 self.news.notify_one();
                 self.rebuild_chains();
             }
@@ -268,7 +273,9 @@
 
     /// Whether keyed requests may be sent on.
     pub(crate) fn may_serve(&self) -> bool {
-        self.intent.borrow().is_some() && self.vouch.borrow().may_serve(self.now())
+        let now = self.now();
+        let is_confirmed = self.vouch.borrow().may_serve(now);
+        self.intent.borrow().is_some() && is_confirmed && !self.outdated.get().is_outdated(now)
     }
 
     /// Whether callers may be sent here.
--- a/plugins/relay/src/watch.rs
+++ b/plugins/relay/src/watch.rs
@@ -165,6 +165,10 @@
 /// Another instance has a version of the configuration in force.
 pub(crate) fn heard_version(node: &Node, version: u64) {
     node.behind_configuration.borrow_mut().heard(version);
+    let own = node.intent().map_or(0, |i| i.version);
+    let mut outdated = node.outdated.get();
+    outdated.heard(version, own, node.now());
+    node.outdated.set(outdated);
     notify_overtaken(node, Followed::Configuration);
 }
 
--- a/policy/src/relay/following.rs
+++ b/policy/src/relay/following.rs
@@ -243,3 +243,42 @@
         self.checked = self.others;
     }
 }
+
+/// Time for which an instance may act on a configuration of which others have a newer one, in milliseconds:
+/// its watch brings it in a tenth of that, a full link in a third. A version that was accepted must be acted
+/// on everywhere within two seconds.
+const OUTDATED_MS: Millis = 1_500;
+
+/// Whether this instance acts on a configuration that others know to be older than the newest.
+///
+/// That its store shows no newer one proves nothing: it may have come back from an older copy.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Outdated {
+    newest: u64,
+    /// A version that is newer than the own one, and when it was first heard of.
+    lacking: Option<(u64, Millis)>,
+}
+
+impl Outdated {
+    /// Another instance has `version` in force, this one `own`.
+    pub fn heard(&mut self, version: u64, own: u64, now: Millis) {
+        self.newest = self.newest.max(version);
+        if version > own && self.lacking.is_none() {
+            self.lacking = Some((version, now));
+        }
+    }
+
+    /// This instance has `own` in force from `now` on.
+    pub fn in_force(&mut self, own: u64, now: Millis) {
+        if self.lacking.is_some_and(|(version, _)| own >= version) {
+            self.lacking = (self.newest > own).then_some((self.newest, now));
+        }
+    }
+
+    /// Whether it has lacked a newer one for too long at `now`.
+    #[must_use]
+    pub fn is_outdated(&self, now: Millis) -> bool {
+        let since = self.lacking.map(|(_, since_ms)| since_ms);
+        since.is_some_and(|since_ms| now >= since_ms + OUTDATED_MS)
+    }
+}
--- a/policy/tests/relay_following.rs
+++ b/policy/tests/relay_following.rs
@@ -3,8 +3,8 @@
 use googletest::prelude::*;
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::following::{
-    Behind, Confirming, Step, Watchers, behind_ms, gather_ms, runners_gather_ms, should_confirm,
-    watch_ms,
+    Behind, Confirming, Outdated, Step, Watchers, behind_ms, gather_ms, runners_gather_ms,
+    should_confirm, watch_ms,
 };
 use jacinthweir_policy::relay::revision::Revision;
 use rand::{RngExt, SeedableRng};
@@ -242,3 +242,21 @@
     expect_that!(behind_ms(300), ge(900));
     expect_that!(behind_ms(3_000), le(1_500));
 }
+
+/// The version that others have does not come, as where the store has lost it.
+#[gtest]
+fn an_instance_acts_on_no_configuration_that_others_have_replaced_for_long() {
+    let mut outdated = Outdated::default();
+    outdated.heard(7, 7, 0);
+    expect_false!(outdated.is_outdated(10_000));
+    outdated.heard(8, 7, 10_000);
+    outdated.heard(9, 7, 10_400);
+    expect_false!(outdated.is_outdated(10_500));
+    expect_true!(outdated.is_outdated(11_900));
+    // One of those that it lacked: it follows, if behind the newest.
+    outdated.in_force(8, 12_000);
+    expect_false!(outdated.is_outdated(12_100));
+    expect_true!(outdated.is_outdated(13_900));
+    outdated.in_force(9, 14_000);
+    expect_false!(outdated.is_outdated(20_000));
+}
