Lease: in a store that came back from an older copy an absent one is waited for as well

The copy was from before the lease was first written; an absent object was created at once, while its holder went on for its time to live. Change: where the store has been restored, an absent lease must be absent for a whole time to live, like one that stands still. At the first start of a system nothing waits: the store's era is zero there.

--- a/policy/src/relay/lease.rs
+++ b/policy/src/relay/lease.rs
@@ -50,7 +50,8 @@
     own: Name,
     ttl_ms: Millis,
     seen: Option<(Grant, Millis)>,
-    absent: bool,
+    /// Since when the object is known to be absent, in milliseconds.
+    absent_ms: Option<Millis>,
     /// A write's result is not known: its revision must not be built on.
     unread: bool,
     /// Era of the store.
@@ -73,7 +74,7 @@
             own,
             ttl_ms,
             seen: None,
-            absent: false,
+            absent_ms: None,
             unread: false,
             era: 0,
             held_ms: None,
@@ -87,11 +88,17 @@
         self.era = era;
         self.seen = None;
         self.held_ms = None;
-        self.absent = false;
+        self.absent_ms = None;
         self.unread = true;
         self.next_ms = 0;
     }
 
+    /// Whether an absent object was never there: in a store that came back from an older copy it may have
+    /// been lost, and its holder lives.
+    fn is_never_granted(&self) -> bool {
+        self.era == 0
+    }
+
     /// The term after `last`.
     fn next_term(&self, last: u64) -> u64 {
         last.max(self.era << TERM_BITS) + 1
@@ -116,10 +123,14 @@
             return LeaseStep::Read;
         }
         match &self.seen {
-            None if self.absent => LeaseStep::Create {
-                term: self.next_term(0),
+            None => match self.absent_ms {
+                Some(since) if self.is_never_granted() || now >= since + self.ttl_ms => {
+                    LeaseStep::Create {
+                        term: self.next_term(0),
+                    }
+                }
+                _ => LeaseStep::Read,
             },
-            None => LeaseStep::Read,
             Some((grant, _)) if grant.holder == self.own && self.held_ms.is_some() => {
                 LeaseStep::Replace {
                     term: grant.term,
@@ -136,13 +147,14 @@
 
     /// A read showed `grant`, or that the object is absent.
     pub fn read(&mut self, now: Millis, grant: Option<Grant>) {
-        self.absent = grant.is_none();
         self.unread = false;
         let Some(grant) = grant else {
+            self.absent_ms.get_or_insert(now);
             self.seen = None;
             self.held_ms = None;
             return;
         };
+        self.absent_ms = None;
         let own_term = self.seen.as_ref().map(|(seen, _)| seen.term);
         if grant.holder != self.own || own_term != Some(grant.term) {
             self.held_ms = None;
@@ -155,7 +167,7 @@
 
     /// A write that was sent at `sent_ms` was accepted.
     pub fn granted(&mut self, sent_ms: Millis, grant: Grant) {
-        self.absent = false;
+        self.absent_ms = None;
         self.unread = false;
         self.seen = Some((grant, sent_ms));
         self.held_ms = Some(sent_ms);
@@ -164,7 +176,7 @@
     /// A write met another state, or its answer was lost: what stands now is read before anything
     /// else is written.
     pub fn lost(&mut self, now: Millis) {
-        self.absent = false;
+        self.absent_ms = None;
         self.unread = true;
         self.next_ms = now + self.ttl_ms / (2 * RENEWALS);
     }
