Lease: its holder keeps it though another instance comes before it by name

What callers saw after an outage of the store (recorded on the small twin of the large site): refusals for lack of chains for eight to ten seconds; nobody gave orders for the first 2.6 of them. Cause: as the store returns each instance hears it before it hears that the others do, so several bid for the lease at once. One gets it, learns that another comes before it by name, and lets it stand; the other one watches it stand still for its whole time of 1.8 s. Change: a bid is to take, to keep, or to leave. Who holds the lease keeps it while it hears the store and does not leave; only a lease without a holder goes to the first by name. Test and mend together: the test needs the new kind of bid. The interleavings and the replays of restores bid all three ways.

--- a/plugins/relay/src/peers.rs
+++ b/plugins/relay/src/peers.rs
@@ -19,6 +19,7 @@
 };
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::following::{Confirming, Step, Watchers};
+use jacinthweir_policy::relay::lease::Bid;
 use jacinthweir_policy::relay::limits::Statement;
 use jacinthweir_policy::relay::loads::{HeadUse, Known, Load, ServiceCounts, Told};
 use jacinthweir_policy::relay::quarantine::Case;
@@ -194,16 +195,19 @@
 
 /// Whether this instance is the one to give orders: of those that hear the store, the first by
 /// name. The lease in the store decides where instances see this differently.
-pub(crate) fn is_candidate(node: &Node) -> bool {
+pub(crate) fn bid(node: &Node) -> Bid {
     let now = node.now();
     let own = &node.settings.name;
     if node.draining.get() || !node.hears_store.get() {
-        return false;
+        return Bid::Leave;
     }
     let loads = node.loads.borrow();
     let membership = node.membership.borrow();
     let mut before = membership.live().filter(|m| m.name < *own);
-    !before.any(|m| loads.hears_store(&m.name, &m.domain, now))
+    match before.any(|m| loads.hears_store(&m.name, &m.domain, now)) {
+        true => Bid::Keep,
+        false => Bid::Take,
+    }
 }
 
 /// Instances that live and hear the store, this one among them if it does.
--- a/plugins/relay/src/placer.rs
+++ b/plugins/relay/src/placer.rs
@@ -139,9 +139,9 @@
 
 async fn step_lease(node: &Node) {
     note_era(node);
-    let candidate = peers::is_candidate(node);
+    let bid = peers::bid(node);
     let sent = node.now();
-    let step = node.lease.borrow_mut().step(sent, candidate);
+    let step = node.lease.borrow_mut().step(sent, bid);
     let written = match step {
         LeaseStep::Wait => return,
         LeaseStep::Read => return read_lease(node).await,
--- a/policy/src/relay/lease.rs
+++ b/policy/src/relay/lease.rs
@@ -23,6 +23,17 @@
     pub revision: Revision,
 }
 
+/// Whether an instance should hold the lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Bid {
+    /// It is the one that should.
+    Take,
+    /// Another one comes before it: it keeps what it holds and takes nothing.
+    Keep,
+    /// It must not.
+    Leave,
+}
+
 /// What to do about the lease.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LeaseStep {
@@ -113,9 +124,18 @@
         (now + spare < sent + self.ttl_ms).then_some(grant.term)
     }
 
-    /// What to do at `now`; `candidate`: this instance is the one that should hold it.
-    pub fn step(&mut self, now: Millis, candidate: bool) -> LeaseStep {
-        if !candidate || now < self.next_ms {
+    /// What to do at `now`.
+    ///
+    /// Load pattern: the store is back after an outage, and each instance hears it before it hears of the
+    /// others. One takes the lease, and then learns that another comes before it. If it let go, nobody would
+    /// give orders for a whole time to live, just when most are due.
+    pub fn step(&mut self, now: Millis, bid: Bid) -> LeaseStep {
+        let bids = match bid {
+            Bid::Take => true,
+            Bid::Keep => self.held(now).is_some(),
+            Bid::Leave => false,
+        };
+        if !bids || now < self.next_ms {
             return LeaseStep::Wait;
         }
         self.next_ms = now + self.ttl_ms / RENEWALS;
--- a/policy/tests/relay_restores.rs
+++ b/policy/tests/relay_restores.rs
@@ -4,7 +4,7 @@
 
 use googletest::prelude::*;
 use jacinthweir_policy::prelude::*;
-use jacinthweir_policy::relay::lease::{Grant, Lease, LeaseStep};
+use jacinthweir_policy::relay::lease::{Bid, Grant, Lease, LeaseStep};
 use jacinthweir_policy::relay::revision::Revision;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -98,8 +98,8 @@
         if hears {
             self.see_era(i);
         }
-        let candidate = self.rng.random_bool(0.7);
-        let step = self.leases[i].step(now, candidate);
+        let bid = [Bid::Take, Bid::Take, Bid::Keep, Bid::Leave][self.rng.random_range(0..4)];
+        let step = self.leases[i].step(now, bid);
         let is_lost = self.rng.random_bool(0.1);
         match step {
             LeaseStep::Wait => {}
--- a/policy/tests/relay_rules.rs
+++ b/policy/tests/relay_rules.rs
@@ -11,7 +11,7 @@
 use jacinthweir_policy::relay::intent::{
     CallClass, Intent, Offered, Organisation, Route, UnknownKey, compare,
 };
-use jacinthweir_policy::relay::lease::{Grant, Lease, LeaseStep};
+use jacinthweir_policy::relay::lease::{Bid, Grant, Lease, LeaseStep};
 use jacinthweir_policy::relay::revision::Revision;
 use jacinthweir_policy::relay::rooms::{FILL, Refusals, Room, choose, demand};
 use jacinthweir_policy::relay::runners::Runners;
@@ -170,17 +170,20 @@
 #[gtest]
 fn an_absent_lease_is_created_and_renewed() {
     let mut lease = Lease::new(Name::from("a"), 2_400);
-    expect_that!(lease.step(0, false), eq(&LeaseStep::Wait));
-    expect_that!(lease.step(0, true), eq(&LeaseStep::Read));
+    expect_that!(lease.step(0, Bid::Leave), eq(&LeaseStep::Wait));
+    expect_that!(lease.step(0, Bid::Take), eq(&LeaseStep::Read));
     lease.read(5, None);
-    expect_that!(lease.step(800, true), eq(&LeaseStep::Create { term: 1 }));
+    expect_that!(
+        lease.step(800, Bid::Take),
+        eq(&LeaseStep::Create { term: 1 })
+    );
     lease.granted(800, grant("a", 1, 10));
     expect_that!(lease.held(900), some(eq(1)));
     let renewal = LeaseStep::Replace {
         term: 1,
         revision: at(10),
     };
-    expect_that!(lease.step(1_600, true), eq(&renewal));
+    expect_that!(lease.step(1_600, Bid::Take), eq(&renewal));
 }
 
 /// Two instances give orders at once, and runners load what the other has them give up. An
@@ -194,7 +197,7 @@
     other.read(100, Some(grant("a", 1, 10)));
     let mut taken_at = None;
     for now in (100..6_000).step_by(50) {
-        match other.step(now, true) {
+        match other.step(now, Bid::Take) {
             LeaseStep::Read => other.read(now, Some(grant("a", 1, 10))),
             LeaseStep::Replace { term, revision } => {
                 expect_that!((term, revision), eq((2, at(10))));
@@ -219,7 +222,7 @@
         if now % 800 == 0 {
             revision += 1;
         }
-        match other.step(now, true) {
+        match other.step(now, Bid::Take) {
             LeaseStep::Read => other.read(now, Some(grant("a", 1, revision))),
             step => expect_that!(step, eq(&LeaseStep::Wait)),
         }
@@ -230,11 +233,11 @@
 fn a_lost_write_is_read_back_before_anything_else() {
     let mut lease = Lease::new(Name::from("a"), 2_400);
     lease.read(0, None);
-    let _ = lease.step(0, true);
+    let _ = lease.step(0, Bid::Take);
     lease.lost(1_000);
     // After a pause: a store that turns this instance away is not asked ten times a second.
-    expect_that!(lease.step(1_050, true), eq(&LeaseStep::Wait));
-    expect_that!(lease.step(1_400, true), eq(&LeaseStep::Read));
+    expect_that!(lease.step(1_050, Bid::Take), eq(&LeaseStep::Wait));
+    expect_that!(lease.step(1_400, Bid::Take), eq(&LeaseStep::Read));
 }
 
 /// The store comes back from an older copy in which the last holder's grant is not. Its term must not come
@@ -247,7 +250,7 @@
     expect_that!(holder.held(100), some(eq(5)));
     holder.begin_era(1);
     expect_that!(holder.held(100), none());
-    expect_that!(holder.step(100, true), eq(&LeaseStep::Read));
+    expect_that!(holder.step(100, Bid::Take), eq(&LeaseStep::Read));
 
     let mut other = Lease::new(Name::from("b"), 2_400);
     other.begin_era(1);
@@ -258,7 +261,7 @@
     other.read(0, Some(older));
     let taken = (0..4_000)
         .step_by(50)
-        .find_map(|now| match other.step(now, true) {
+        .find_map(|now| match other.step(now, Bid::Take) {
             LeaseStep::Replace { term, .. } => Some(term),
             _ => None,
         });
@@ -268,7 +271,7 @@
     first.begin_era(1);
     let created = (0..4_000)
         .step_by(50)
-        .find_map(|now| match first.step(now, true) {
+        .find_map(|now| match first.step(now, Bid::Take) {
             LeaseStep::Create { term } => Some((term, now)),
             LeaseStep::Read => {
                 first.read(now, None);
@@ -290,10 +293,35 @@
     let mut lease = Lease::new(Name::from("a"), 2_400);
     lease.granted(0, grant("a", 1, 10));
     lease.lost(1_000);
-    expect_that!(lease.step(9_000, true), eq(&LeaseStep::Read));
+    expect_that!(lease.step(9_000, Bid::Take), eq(&LeaseStep::Read));
     lease.read(9_000, Some(grant("b", 2, 20)));
     expect_that!(lease.held(9_000), none());
-    expect_that!(lease.step(9_900, true), eq(&LeaseStep::Read));
+    expect_that!(lease.step(9_900, Bid::Take), eq(&LeaseStep::Read));
+}
+
+fn bid(rng: &mut ChaCha8Rng) -> Bid {
+    match rng.random_range(0..10) {
+        0..8 => Bid::Take,
+        8 => Bid::Keep,
+        _ => Bid::Leave,
+    }
+}
+
+/// After an outage the holder learns of an instance that comes before it, and nobody gives orders for a
+/// whole time to live.
+#[gtest]
+fn a_holder_keeps_the_lease_though_another_comes_before_it() {
+    let mut holder = Lease::new(Name::from("b"), 1_800);
+    holder.granted(0, grant("b", 2, 10));
+    let renewal = LeaseStep::Replace {
+        term: 2,
+        revision: at(10),
+    };
+    expect_that!(holder.step(600, Bid::Keep), eq(&renewal));
+    expect_that!(holder.step(1_200, Bid::Leave), eq(&LeaseStep::Wait));
+    // It takes nothing that it does not hold.
+    expect_that!(holder.step(5_000, Bid::Keep), eq(&LeaseStep::Wait));
+    expect_that!(holder.step(5_000, Bid::Take), not(eq(&LeaseStep::Wait)));
 }
 
 /// One register, as the store keeps the lease, with writes whose answers are lost and reads that
@@ -311,7 +339,7 @@
         for now in (0..60_000).step_by(50) {
             for (i, lease) in leases.iter_mut().enumerate() {
                 let lost_store = rng.random_bool(0.1);
-                let step = lease.step(now, rng.random_bool(0.8));
+                let step = lease.step(now, bid(&mut rng));
                 let (term, expected) = match step {
                     LeaseStep::Wait => continue,
                     LeaseStep::Read if lost_store => continue,
