--- a/plugins/relay/tests/relay.rs
+++ b/plugins/relay/tests/relay.rs
@@ -2,10 +2,14 @@
 
 #[path = "relay/lethal.rs"]
 mod lethal;
+#[path = "relay/named_limits.rs"]
+mod named_limits;
 #[path = "relay/own_link.rs"]
 mod own_link;
 #[path = "relay/repeats.rs"]
 mod repeats;
+#[path = "relay/restored_store.rs"]
+mod restored_store;
 #[path = "support/standin.rs"]
 mod standin;
 
--- a/policy/src/relay.rs
+++ b/policy/src/relay.rs
@@ -7,12 +7,14 @@
 //! | [`following`] | how closely an instance follows the store |
 //! | [`vouch`] | whether this instance may still act on that configuration |
 //! | [`runners`] | what is known of each runner |
+//! | [`lifetime`] | (a type) one lifetime of a runner |
 //! | [`chain`] | through which runners a token passes |
 //! | [`placement`] | which runner is to hold which layers |
 //! | [`lease`] | which instance gives orders |
 //! | [`silence`] | when a chain has fallen silent |
 //! | [`words`] | whether a runner is dead that others found dead, and who asks it |
 //! | [`rooms`] | which chain a request goes to, waits for, or is refused by |
+//! | [`limits`] | how much of the rate that a runner names an instance may send it |
 //! | [`loads`] | what all instances have in flight, and which of it goes round |
 //! | [`attempts`] | on which runners one request may run |
 //! | [`fingerprint`] | which attempts are of the same request |
@@ -27,6 +29,8 @@
 pub mod following;
 pub mod intent;
 pub mod lease;
+pub mod lifetime;
+pub mod limits;
 pub mod loads;
 pub mod placement;
 pub mod quarantine;
