Tests, red: plain runners that know nothing of reports count as dead for good

The stand-in gains plain runners that answer a question for their report with 404. One that breaks a call off counts as dead, and one that was cut off is never heard of again.

--- a/plugins/relay/tests/relay/own_link.rs
+++ b/plugins/relay/tests/relay/own_link.rs
@@ -185,6 +185,46 @@
     });
 }
 
+/// A plain runner breaks one call off. It takes connections, and knows nothing of reports: it was taken for
+/// dead by all instances, and never heard of again.
+#[gtest]
+fn a_plain_runner_without_reports_that_breaks_a_call_off_is_not_dead() {
+    on_one_thread(async {
+        let site = Site::open().await;
+        site.plain.iter().for_each(|r| r.reports.set(false));
+        site.plain.iter().for_each(|r| r.manner.set(Manner::Closes));
+        request(site.callers(), LOOKUP, "", "").await;
+        site.plain.iter().for_each(|r| r.manner.set(Manner::Well));
+        // Longer than anybody is asked.
+        sleep(Duration::from_millis(1_500)).await;
+        expect_that!(site.dead().await, eq(0));
+        let got = request(site.callers(), LOOKUP, "", "").await;
+        expect_that!(got.status, eq(200));
+    });
+}
+
+/// A plain runner was cut off for a while and is back: that it takes connections has to be enough.
+#[gtest]
+fn a_plain_runner_without_reports_that_is_reached_again_is_used_again() {
+    on_one_thread(async {
+        let site = Site::open().await;
+        let plain = &site.plain[0];
+        plain.reports.set(false);
+        let full = Unconnectable::open().await;
+        plain.register_at(full.address());
+        site.shows(&full.address().to_string()).await;
+        request(site.callers(), LOOKUP, "", "").await;
+        site.dead_are(1).await;
+        plain.register("ready");
+        let back = async {
+            while site.dead().await > 0 {
+                sleep(Duration::from_millis(20)).await;
+            }
+        };
+        timeout(LONG, back).await.expect("it is found again");
+    });
+}
+
 /// The checks above can fail: one runner that nobody reaches counts as dead while others answer.
 #[gtest]
 fn a_runner_that_alone_is_not_reached_counts_as_dead() {
--- a/plugins/relay/tests/support/standin/runner.rs
+++ b/plugins/relay/tests/support/standin/runner.rs
@@ -85,6 +85,8 @@
     pub manner: Cell<Manner>,
     /// Nothing comes from it while set, as where the link of the one that listens is full.
     pub held: Cell<bool>,
+    /// Whether it knows of reports: a plain service need not.
+    pub reports: Cell<bool>,
     /// Time that its report takes.
     pub report_time: Cell<Duration>,
     pub received: RefCell<Vec<Received>>,
@@ -116,6 +118,7 @@
             address: listener.local_addr().expect("an address"),
             manner: Cell::new(Manner::Well),
             held: Cell::new(false),
+            reports: Cell::new(true),
             report_time: Cell::default(),
             received: RefCell::default(),
             left: Cell::new(0),
@@ -227,6 +230,9 @@
 
     async fn report(&self, stream: &mut TcpStream) {
         self.while_held().await;
+        if !self.reports.get() {
+            return write_json(stream, "404 Not Found", &Value::Null).await;
+        }
         sleep(self.report_time.get()).await;
         let layers = self.layers.get();
         let layers = layers.map(|(from, target)| json!({ "from": from, "target": target }));
