Questions: a plain runner that takes a connection is there, whether it gives reports or not

Cause: a runner whose call broke off is asked for its report since. Plain services answer that question with an error there, which counted as no report, and after 250 ms beside witnesses as death; the question whether it is back got the same answer for ever. Before that only plain runners to which no connection came about were asked: the fault is older, and was hit seldom. Change: whether the runners of a service give reports follows from the configuration (it has layers). Of the others a connection that comes about is all that a question shows: enough to live, and to be back.

--- a/plugins/relay/src/node.rs
+++ b/plugins/relay/src/node.rs
@@ -241,6 +241,13 @@
         next
     }
 
+    /// Whether the runners of a service hold layers. Those of others need not know of reports.
+    pub(crate) fn holds_layers(&self, service: &str) -> bool {
+        let intent = self.intent.borrow();
+        let spec = intent.as_ref().and_then(|i| i.services.get(service));
+        spec.is_some_and(|s| s.engine.as_ref().is_some_and(|e| e.layers > 0))
+    }
+
     /// The configuration in force.
     pub(crate) fn intent(&self) -> Option<Rc<Intent>> {
         self.intent.borrow().clone()
--- a/plugins/relay/src/probe.rs
+++ b/plugins/relay/src/probe.rs
@@ -8,7 +8,7 @@
 use futures::future::join_all;
 use futures::stream::{FuturesUnordered, StreamExt};
 use jacinthweir_clients::direct::DirectError;
-use jacinthweir_platform::runner::{self, Report};
+use jacinthweir_platform::runner::Report;
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::following;
 use jacinthweir_policy::relay::runners::{ASK_PAUSE_MS, RunnerEntry, Standing};
@@ -19,7 +19,7 @@
 use crate::live::LiveChain;
 use crate::node::Node;
 use crate::peers;
-use crate::question::{self, Finding, QUESTION, Suspect, TRIES};
+use crate::question::{self, Asked, Finding, Suspect, TRIES};
 
 /// Least and longest time between two looks for silent chains, in milliseconds. Looked for every few
 /// milliseconds, they cost an instance more than its callers' events.
@@ -98,7 +98,10 @@
     let began = node.now();
     let stages = live.chain.stages.iter();
     let mut open: FuturesUnordered<_> = stages
-        .map(|s| async move { (&s.runner, question::ask(s.runner.address, TRIES).await) })
+        .map(|s| {
+            let asked = Asked::of(&node, &s.runner);
+            async move { (&s.runner, question::ask(asked, TRIES).await) }
+        })
         .collect();
     let mut round = Round::new(open.len());
     let mut silent: Vec<&RunnerEntry> = Vec::new();
@@ -111,6 +114,7 @@
         }
         match found {
             Finding::Report(report) => take_report(&node, id, *born_ms, &report),
+            Finding::Listens => hear_it(&node, id, *born_ms),
             Finding::Gone => name_dead(&node, id, *born_ms, REFUSED),
             Finding::NoReport(_) | Finding::Silent(_) => {
                 unanswered += 1;
@@ -118,13 +122,13 @@
             }
         }
         if round.speaks_against(passed) {
-            let suspects = silent.drain(..).map(Suspect::from);
+            let suspects = silent.drain(..).map(|r| Suspect::of(&node, r));
             suspects.for_each(|s| examine(&node, s, 1));
         }
     }
     silent
         .into_iter()
-        .for_each(|r| examine(&node, Suspect::from(r), 0));
+        .for_each(|r| examine(&node, Suspect::of(&node, r), 0));
     log::info!(
         chain = live.label(),
         parts = live.chain.stages.len(),
@@ -153,7 +157,7 @@
 /// listens there.
 pub(crate) fn not_reached(node: &Rc<Node>, runner: &RunnerEntry, error: &DirectError) {
     if error.is_silence() {
-        examine(node, Suspect::from(runner), 0);
+        examine(node, Suspect::of(node, runner), 0);
     } else {
         name_dead(node, &runner.id, runner.born_ms, &error.to_string());
     }
@@ -168,8 +172,9 @@
     let node = Rc::clone(node);
     tokio::task::spawn_local(async move {
         let Suspect { id, born_ms, .. } = &suspect;
-        match question::ask(suspect.address, 1).await {
+        match question::ask(suspect.asked, 1).await {
             Finding::Report(report) => take_report(&node, id, *born_ms, &report),
+            Finding::Listens => hear_it(&node, id, *born_ms),
             Finding::Gone => name_dead(&node, id, *born_ms, REFUSED),
             Finding::NoReport(_) | Finding::Silent(_) => examine(&node, suspect, 0),
         }
@@ -189,12 +194,17 @@
     });
 }
 
+/// A runner was heard: what others said of its end is void.
+pub(crate) fn hear_it(node: &Node, id: &Name, born_ms: u64) {
+    node.words.borrow_mut().refute(id, born_ms, node.now());
+}
+
 /// What a runner's report says of itself, and of others that requests wait for there.
 pub(crate) fn take_report(node: &Node, id: &Name, born_ms: u64, report: &Report) {
     if !report.is_of(born_ms) {
         return name_dead(node, id, born_ms, "started anew");
     }
-    node.words.borrow_mut().refute(id, born_ms, node.now());
+    hear_it(node, id, born_ms);
     let mut changed = set_pace(node, id, report.pace, node.now());
     for address in report.stalled.values() {
         changed |= mark_dead_at(node, *address);
@@ -346,7 +356,7 @@
 fn due_suspect(node: &Node, id: &Name, born_ms: u64) -> Option<Suspect> {
     let mut runners = node.runners.borrow_mut();
     let entry = runners.entry(id).filter(|e| e.born_ms == born_ms);
-    let suspect = entry.map(Suspect::from);
+    let suspect = entry.map(|r| Suspect::of(node, r));
     let standing = runners.standing_mut(id).filter(|s| !s.dead);
     let due = standing.is_some_and(|s| s.should_ask(node.now(), ASK_PAUSE_MS));
     suspect.filter(|_| due)
@@ -373,20 +383,18 @@
     believes
 }
 
-/// Doubted runners that are due to be asked: identity, address, lifetime.
-fn doubted(node: &Node) -> Vec<(Name, SocketAddr, u64)> {
+/// Doubted runners that are due to be asked.
+fn doubted(node: &Node) -> Vec<Suspect> {
     let now = node.now();
     // What one instance hears it tells the others, so that each need ask less often where there are many.
     let pause = following::watch_ms(ASK_PAUSE_MS, node.instances());
     let mut runners = node.runners.borrow_mut();
-    let all: Vec<(Name, SocketAddr, u64)> = {
+    let all: Vec<Suspect> = {
         let is_doubted = |s: &Standing| s.dead || s.is_slow();
         let doubted = runners
             .entries()
             .filter(|e| is_doubted(&runners.standing(&e.id)));
-        doubted
-            .map(|e| (e.id.clone(), e.address, e.born_ms))
-            .collect()
+        doubted.map(|r| Suspect::of(node, r)).collect()
     };
     let neighbours = peers::neighbours(node);
     let mut due = |id: &Name| {
@@ -397,7 +405,7 @@
             false => s.should_ask_seldom(now),
         })
     };
-    all.into_iter().filter(|(id, _, _)| due(id)).collect()
+    all.into_iter().filter(|s| due(&s.id)).collect()
 }
 
 /// Brings back runners that answer again in the same lifetime, as a cut healed, and asks slow ones
@@ -407,26 +415,17 @@
         sleep(REVIVE).await;
         follow_words(node);
         let dead = doubted(node);
-        let asked = dead
-            .iter()
-            .map(|(_, address, _)| runner::report(*address, QUESTION));
-        let reports = join_all(asked).await;
+        let found = join_all(dead.iter().map(|s| question::ask(s.asked, 1))).await;
         let mut changed = false;
-        for ((id, _, born_ms), report) in dead.iter().zip(reports) {
-            let Ok(report) = report else {
-                continue;
-            };
-            if !report.is_of(*born_ms) {
-                continue;
-            }
-            changed |= set_pace(node, id, report.pace, node.now());
-            let mut runners = node.runners.borrow_mut();
-            if let Some(standing) = runners.standing_mut(id).filter(|s| s.dead) {
-                standing.answers_again(node.now());
-                node.words.borrow_mut().refute(id, *born_ms, node.now());
-                changed = true;
-                log::info!(runner = id.as_ref(); "runner answers again");
+        for (Suspect { id, born_ms, .. }, found) in dead.iter().zip(found) {
+            match found {
+                Finding::Report(report) if report.is_of(*born_ms) => {
+                    changed |= set_pace(node, id, report.pace, node.now());
+                }
+                Finding::Listens => {}
+                _ => continue,
             }
+            changed |= answers_again(node, id, *born_ms);
         }
         if changed {
             node.news.notify_one();
@@ -434,3 +433,15 @@
         }
     }
 }
+
+/// A runner was heard again; whether it counted as dead.
+fn answers_again(node: &Node, id: &Name, born_ms: u64) -> bool {
+    let mut runners = node.runners.borrow_mut();
+    let Some(standing) = runners.standing_mut(id).filter(|s| s.dead) else {
+        return false;
+    };
+    standing.answers_again(node.now());
+    hear_it(node, id, born_ms);
+    log::info!(runner = id.as_ref(); "runner answers again");
+    true
+}
--- a/plugins/relay/src/question.rs
+++ b/plugins/relay/src/question.rs
@@ -74,18 +74,37 @@
     Report(Report),
     /// Its machine says that nobody listens there.
     Gone,
+    /// It takes connections, and need not give reports.
+    Listens,
     /// A connection came about, and no report: it was broken off, or something else came.
     NoReport(String),
     /// Nothing was heard.
     Silent(String),
 }
 
+/// Whom a question goes to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Asked {
+    address: SocketAddr,
+    gives_reports: bool,
+}
+
+impl Asked {
+    pub(crate) fn of(node: &Node, e: &RunnerEntry) -> Asked {
+        Asked {
+            address: e.address,
+            gives_reports: node.holds_layers(&e.service),
+        }
+    }
+}
+
 impl Finding {
-    fn of(answer: Result<Report, RunnerError>) -> Finding {
+    fn of(answer: Result<Report, RunnerError>, asked: Asked) -> Finding {
         match answer {
             Ok(report) => Finding::Report(report),
             Err(RunnerError::NoAnswer(DirectError::Refused)) => Finding::Gone,
             Err(RunnerError::NoAnswer(e)) if e.is_silence() => Finding::Silent(e.to_string()),
+            Err(_) if !asked.gives_reports => Finding::Listens,
             Err(e) => Finding::NoReport(e.to_string()),
         }
     }
@@ -97,14 +116,14 @@
 }
 
 /// Asks a runner for its report up to `tries` times, the next time as soon as one failed or took long.
-pub(crate) async fn ask(address: SocketAddr, tries: usize) -> Finding {
+pub(crate) async fn ask(asked: Asked, tries: usize) -> Finding {
     let mut open = FuturesUnordered::new();
     let mut left = tries;
     let mut found = Finding::Silent("not asked".to_owned());
     loop {
         if left > 0 {
             metrics::counter!("jacinthweir_probes_total").increment(1);
-            open.push(runner::report(address, QUESTION));
+            open.push(runner::report(asked.address, QUESTION));
             left -= 1;
         }
         let next = async {
@@ -113,8 +132,10 @@
                 _ => timeout(STAGGER, open.next()).await.unwrap_or(None),
             }
         };
-        match next.await.map(Finding::of) {
-            Some(settled @ (Finding::Report(_) | Finding::Gone)) => return settled,
+        match next.await.map(|answer| Finding::of(answer, asked)) {
+            Some(settled @ (Finding::Report(_) | Finding::Listens | Finding::Gone)) => {
+                return settled;
+            }
             Some(Finding::Silent(_)) if found.is_heard() => {}
             Some(failed) => found = failed,
             None => {}
@@ -130,15 +151,15 @@
 pub(crate) struct Suspect {
     pub(crate) id: Name,
     pub(crate) born_ms: u64,
-    pub(crate) address: SocketAddr,
+    pub(crate) asked: Asked,
 }
 
-impl From<&RunnerEntry> for Suspect {
-    fn from(e: &RunnerEntry) -> Suspect {
+impl Suspect {
+    pub(crate) fn of(node: &Node, e: &RunnerEntry) -> Suspect {
         Suspect {
             id: e.id.clone(),
             born_ms: e.born_ms,
-            address: e.address,
+            asked: Asked::of(node, e),
         }
     }
 }
@@ -184,6 +205,7 @@
         let passed = node.now() - began;
         let (cause, pause) = match found {
             Finding::Report(report) => return probe::take_report(&node, &s.id, s.born_ms, &report),
+            Finding::Listens => return probe::hear_it(&node, &s.id, s.born_ms),
             Finding::Gone => return probe::name_dead(&node, &s.id, s.born_ms, probe::REFUSED),
             Finding::Silent(cause) if is_certain => (Some(cause), 0),
             Finding::NoReport(cause) if is_certain && passed >= NO_REPORT_MS => (Some(cause), 0),
@@ -204,10 +226,10 @@
 async fn ask_beside_witnesses(node: &Node, s: &Suspect, tries: usize) -> (Finding, bool) {
     let witnesses = witnesses(node, s);
     let mut open: FuturesUnordered<LocalBoxFuture<'_, Answer>> = FuturesUnordered::new();
-    open.push(ask(s.address, tries).map(Answer::Suspect).boxed_local());
+    open.push(ask(s.asked, tries).map(Answer::Suspect).boxed_local());
     let mut round = Round::new(QUORUM_OF.min(witnesses.len()));
-    for address in witnesses {
-        open.push(ask(address, 1).map(Answer::Witness).boxed_local());
+    for witness in witnesses {
+        open.push(ask(witness, 1).map(Answer::Witness).boxed_local());
     }
     let mut watched = Watched::begin(node.now());
     let mut found = None;
@@ -215,9 +237,9 @@
         let next = timeout(Duration::from_millis(LOOK_MS), open.next()).await;
         let passed = watched.look(node.now());
         match next {
-            Ok(Some(Answer::Suspect(settled @ (Finding::Report(_) | Finding::Gone)))) => {
-                return (settled, false);
-            }
+            Ok(Some(Answer::Suspect(
+                settled @ (Finding::Report(_) | Finding::Listens | Finding::Gone),
+            ))) => return (settled, false),
             Ok(Some(Answer::Suspect(failed))) => found = Some(failed),
             Ok(Some(Answer::Witness(heard))) if heard.is_heard() => round.answered(passed),
             // Nobody is awaited any more: only time may still speak.
@@ -232,11 +254,11 @@
 }
 
 /// Runners that nobody doubts, of all services and domains.
-fn witnesses(node: &Node, suspect: &Suspect) -> Vec<SocketAddr> {
+fn witnesses(node: &Node, suspect: &Suspect) -> Vec<Asked> {
     let runners = node.runners.borrow();
     let sound = runners.entries().filter(|e| {
         let doubted = e.draining || runners.standing(&e.id).dead;
-        !doubted && e.address != suspect.address
+        !doubted && e.address != suspect.asked.address
     });
-    node.with_rng(|rng| sound.map(|e| e.address).sample(rng, WITNESSES))
+    node.with_rng(|rng| sound.map(|e| Asked::of(node, e)).sample(rng, WITNESSES))
 }
