Quarantine: what several instances see within a second is one event

Found by reading: requests with one fingerprint run at many instances at a time (no body, a path without an id). A lost rack breaks all of them, each instance by another part of its chain, and three strikes of one moment would hold them everywhere for ten minutes. Change: a strike says which instance saw it, when its run was sent and when it broke. Those of one instance count if the later run was sent after the earlier one broke; those of several if they are a second apart. Test and mend together (the strike had none of this before). Ruled out: one count for each second, whoever saw it (an attempt that ends three runners within a second would count once).

--- a/plugins/relay/src/breaks.rs
+++ b/plugins/relay/src/breaks.rs
@@ -4,7 +4,7 @@
 
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::lifetime::Lifetime;
-use jacinthweir_policy::relay::quarantine::{Life, SURVIVED_MS};
+use jacinthweir_policy::relay::quarantine::{Break, Life, SURVIVED_MS};
 
 use crate::node::Node;
 use crate::request::Proxied;
@@ -28,14 +28,25 @@
     }
 }
 
-/// A run of a request that passed `through` these lifetimes, the first one first, broke off.
-pub(crate) fn note(
-    node: &Rc<Node>,
-    rq: &Proxied,
-    through: Vec<Lifetime>,
-    progress: Progress,
-    cause: &str,
-) {
+/// A run that broke off.
+pub(crate) struct BrokenOff<'a> {
+    pub(crate) rq: &'a Proxied,
+    /// Lifetimes that it passed through, the first one first.
+    pub(crate) through: Vec<Lifetime>,
+    pub(crate) sent_ms: Millis,
+    pub(crate) progress: Progress,
+    pub(crate) cause: &'a str,
+}
+
+/// Takes note of a run that broke off.
+pub(crate) fn note(node: &Rc<Node>, broken: BrokenOff<'_>) {
+    let BrokenOff {
+        rq,
+        through,
+        sent_ms,
+        progress,
+        cause,
+    } = broken;
     log::info!(
         request = rq.id.as_ref(),
         fingerprint:% = rq.fingerprint(),
@@ -50,8 +61,14 @@
     ask_first(node, &through);
     match progress {
         Progress::Ran(ms) if ms >= SURVIVED_MS => quarantine::survived(node, rq),
-        Progress::Ran(_) => quarantine::broke(node, rq, through, true),
-        Progress::Waited => quarantine::broke(node, rq, through, false),
+        Progress::Ran(_) | Progress::Waited => node.quarantine.borrow_mut().broke(Break {
+            request: rq.fingerprint(),
+            through,
+            seen_by: node.settings.name.clone(),
+            sent_ms,
+            begun: progress != Progress::Waited,
+            at_ms: node.now(),
+        }),
     }
 }
 
--- a/plugins/relay/src/call.rs
+++ b/plugins/relay/src/call.rs
@@ -16,7 +16,7 @@
 use crate::admit;
 use crate::answer::{Cause, Journal, RelayBody};
 use crate::attempt::{self, Sent};
-use crate::breaks::{self, Progress};
+use crate::breaks::{self, BrokenOff, Progress};
 use crate::limits;
 use crate::node::Node;
 use crate::probe;
@@ -128,6 +128,7 @@
 
 async fn attempt(node: &Rc<Node>, rq: &Proxied, runner: &RunnerEntry, repeatable: bool) -> Ended {
     let _busy = Busy::open(node, &runner.id);
+    let sent_ms = node.now();
     let left = rq.left_ms(node);
     // Where another attempt is left, the first gets the objective's time: a runner that hangs
     // would else take all of it.
@@ -166,7 +167,7 @@
                 Ended::Answered(res)
             }
         }
-        Ok(Err(sent)) => not_answered(node, rq, runner, sent),
+        Ok(Err(sent)) => not_answered(node, rq, runner, sent, sent_ms),
         Err(_) => {
             node.runners.borrow_mut().seen(&runner.id, true, node.now());
             log_attempt(rq, runner, "timeout", "");
@@ -175,7 +176,13 @@
     }
 }
 
-fn not_answered(node: &Rc<Node>, rq: &Proxied, runner: &RunnerEntry, sent: Sent) -> Ended {
+fn not_answered(
+    node: &Rc<Node>,
+    rq: &Proxied,
+    runner: &RunnerEntry,
+    sent: Sent,
+    sent_ms: Millis,
+) -> Ended {
     match sent {
         Sent::NotRun { status, .. } => {
             log_attempt(rq, runner, "not run", status.as_str());
@@ -194,8 +201,14 @@
         }
         Sent::Lost(cause) => {
             log_attempt(rq, runner, "lost", &cause);
-            let through = vec![quarantine::lifetime(runner)];
-            breaks::note(node, rq, through, Progress::Waited, &cause);
+            let broken = BrokenOff {
+                rq,
+                through: vec![quarantine::lifetime(runner)],
+                sent_ms,
+                progress: Progress::Waited,
+                cause: &cause,
+            };
+            breaks::note(node, broken);
             node.runners.borrow_mut().seen(&runner.id, true, node.now());
             Ended::Failed(None)
         }
--- a/plugins/relay/src/live.rs
+++ b/plugins/relay/src/live.rs
@@ -287,6 +287,8 @@
 pub(crate) struct Passage {
     node: Rc<Node>,
     pub(crate) live: Rc<LiveChain>,
+    /// When the request was sent, in milliseconds.
+    pub(crate) sent_ms: Millis,
     tokens: f64,
     /// Tokens to be read before the next event.
     unread: Cell<f64>,
@@ -306,6 +308,7 @@
         Passage {
             node: Rc::clone(node),
             live,
+            sent_ms: node.now(),
             tokens,
             unread: Cell::new(tokens),
         }
@@ -323,7 +326,9 @@
 
     /// The request passes through another chain behind the same first runner from now on.
     pub(crate) fn move_to(&mut self, live: Rc<LiveChain>) {
+        let sent_ms = self.sent_ms;
         *self = Passage::open(&self.node, live, self.tokens);
+        self.sent_ms = sent_ms;
     }
 
     /// Bytes came.
--- a/plugins/relay/src/quarantine.rs
+++ b/plugins/relay/src/quarantine.rs
@@ -12,7 +12,7 @@
 use jacinthweir_policy::relay::chain::Chain;
 use jacinthweir_policy::relay::fingerprint::Fingerprint;
 use jacinthweir_policy::relay::lifetime::Lifetime;
-use jacinthweir_policy::relay::quarantine::{self, Break, Case, Settled, Verdict};
+use jacinthweir_policy::relay::quarantine::{self, Case, Settled, Verdict};
 use jacinthweir_policy::relay::runners::RunnerEntry;
 use tokio::time::sleep;
 
@@ -68,16 +68,6 @@
     }
 }
 
-/// A run of a request broke off; `begun`: it is known to have begun.
-pub(crate) fn broke(node: &Node, rq: &Proxied, through: Vec<Lifetime>, begun: bool) {
-    node.quarantine.borrow_mut().broke(Break {
-        request: rq.fingerprint(),
-        through,
-        begun,
-        at_ms: node.now(),
-    });
-}
-
 /// A run of a request came to its end, or went on for long enough.
 pub(crate) fn survived(node: &Node, rq: &Proxied) {
     let mut quarantine = node.quarantine.borrow_mut();
@@ -204,12 +194,12 @@
 /// Cases that this instance is to write: the store may have lost those that were written in an era before.
 fn lacking(node: &Node, era: u64) -> Vec<Case> {
     let quarantine = node.quarantine.borrow();
-    let held = quarantine.held(node.now()).map(|(case, _)| case);
+    let held = quarantine.held(node.now());
     let lacking = held.filter(|c| c.stored_era < Some(era) && is_writer(node, c.request));
     let written = lacking.map(|c| Case {
         stored_era: Some(era),
         age_ms: 0,
-        ..c.clone()
+        ..c
     });
     written.collect()
 }
--- a/plugins/relay/src/stream.rs
+++ b/plugins/relay/src/stream.rs
@@ -19,7 +19,7 @@
 
 use crate::admit::{self, Place};
 use crate::answer::{Cause, Cut, Journal, RelayBody};
-use crate::breaks::{self, Progress};
+use crate::breaks::{self, BrokenOff, Progress};
 use crate::events::Events;
 use crate::live::{LiveChain, Passage};
 use crate::node::Node;
@@ -244,7 +244,14 @@
         if let Some(passage) = &self.passage {
             let progress = Progress::Ran(self.heard_ms.saturating_sub(self.began_ms));
             let through = quarantine::along(&passage.live.chain);
-            breaks::note(&self.node, &self.rq, through, progress, cause);
+            let broken = BrokenOff {
+                rq: &self.rq,
+                through,
+                sent_ms: passage.sent_ms,
+                progress,
+                cause,
+            };
+            breaks::note(&self.node, broken);
         }
     }
 
--- a/plugins/relay/src/tried.rs
+++ b/plugins/relay/src/tried.rs
@@ -13,7 +13,7 @@
 use crate::admit;
 use crate::answer::Journal;
 use crate::attempt::{self, Sent};
-use crate::breaks::{self, Progress};
+use crate::breaks::{self, BrokenOff, Progress};
 use crate::live::{LiveChain, Passage};
 use crate::node::Node;
 use crate::probe;
@@ -110,7 +110,7 @@
         sent = timeout(left, attempt::send(node, head, &rq.id, req)) => sent,
         () = live.broken.cancelled() => {
             log_attempt(rq, live, "chain broke", "");
-            breaks::note(node, rq, along(&live.chain), Progress::Waited, "chain broke");
+            note_waiting(node, rq, &passage, "chain broke");
             return Opened::Broken;
         }
     };
@@ -136,7 +136,7 @@
         }
         Ok(Sent::Lost(cause)) => {
             log_attempt(rq, live, "lost", &cause);
-            breaks::note(node, rq, along(&live.chain), Progress::Waited, &cause);
+            note_waiting(node, rq, &passage, &cause);
             Opened::Lost
         }
         Err(_) => {
@@ -146,6 +146,18 @@
     }
 }
 
+/// A run broke off of which nothing had come.
+fn note_waiting(node: &Rc<Node>, rq: &Proxied, passage: &Passage, cause: &str) {
+    let broken = BrokenOff {
+        rq,
+        through: along(&passage.live.chain),
+        sent_ms: passage.sent_ms,
+        progress: Progress::Waited,
+        cause,
+    };
+    breaks::note(node, broken);
+}
+
 /// What the choice of a chain was made from.
 fn log_sent(node: &Node, rq: &Proxied, live: &LiveChain) {
     log::info!(
--- a/policy/src/relay/quarantine.rs
+++ b/policy/src/relay/quarantine.rs
@@ -12,6 +12,10 @@
 //! that its runner wrote for [`SURVIVED_MS`], voids all strikes. So does a runner that answers again in the
 //! lifetime that seemed over.
 //!
+//! Some requests have the same fingerprint at many instances at a time: a lost rack breaks all of them, each
+//! by another part. That is one event. So strikes that several instances saw count as one unless they are
+//! [`APART_MS`] apart; those of one instance count if the later run was sent after the earlier one broke.
+//!
 //! Invariants:
 //! - A strike is named by the lifetime that ended: it counts once, whoever saw it.
 //! - What is void stays void. So cases may be told in any order and any number of times, and all who heard
@@ -31,6 +35,9 @@
 /// as a lethal request would be held as well.
 pub const STRIKES: usize = 3;
 
+/// Time within which all instances notice one event, in milliseconds.
+const APART_MS: i64 = 1_000;
+
 /// Time that a runner must write for a request to have shown that it lives with it, in milliseconds.
 pub const SURVIVED_MS: Millis = 1_000;
 
@@ -76,8 +83,8 @@
 pub struct Case {
     /// Request.
     pub request: Fingerprint,
-    /// Lifetimes that ended under it.
-    pub strikes: BTreeSet<Lifetime>,
+    /// Runners that ended under it.
+    pub ends: Vec<End>,
     /// Those of them that say nothing against it.
     pub void: BTreeSet<Lifetime>,
     /// Newest era of the store in which it was written there.
@@ -87,16 +94,96 @@
 }
 
 impl Case {
-    /// Strikes that count.
-    pub fn counted(&self) -> impl Iterator<Item = &Lifetime> {
-        self.strikes.difference(&self.void)
-    }
-
-    /// Whether the request is to be held.
+    /// Whether the request is to be held by what this tells.
     #[must_use]
     pub fn is_held(&self) -> bool {
-        self.counted().count() >= STRIKES
+        let counted = self
+            .ends
+            .iter()
+            .filter(|e| !self.void.contains(&e.lifetime));
+        let runs: Vec<BrokenRun> = counted.map(|e| BrokenRun::of(e, 0)).collect();
+        events(runs.iter()) >= STRIKES
+    }
+}
+
+/// The end of a runner under a request, as it travels.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct End {
+    /// The lifetime that ended.
+    pub lifetime: Lifetime,
+    /// Instance whose run broke.
+    pub seen_by: Name,
+    /// Time since that run was sent when this was written, in milliseconds.
+    pub sent_age_ms: Millis,
+    /// The same since it broke.
+    pub broke_age_ms: Millis,
+}
+
+/// The run that a runner's end broke, by the clock of this instance, which may have started later.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct BrokenRun {
+    broke_ms: i64,
+    sent_ms: i64,
+    seen_by: Name,
+}
+
+impl BrokenRun {
+    fn of(end: &End, now: Millis) -> BrokenRun {
+        BrokenRun {
+            broke_ms: before(now, end.broke_age_ms),
+            sent_ms: before(now, end.sent_age_ms),
+            seen_by: end.seen_by.clone(),
+        }
+    }
+
+    fn end(&self, lifetime: &Lifetime, now: Millis) -> End {
+        End {
+            lifetime: lifetime.clone(),
+            seen_by: self.seen_by.clone(),
+            sent_age_ms: since(self.sent_ms, now),
+            broke_age_ms: since(self.broke_ms, now),
+        }
+    }
+
+    /// Whether this is another event than the one that broke an earlier run.
+    fn is_apart_from(&self, earlier: &BrokenRun) -> bool {
+        let sent_after = self.seen_by == earlier.seen_by && self.sent_ms >= earlier.broke_ms;
+        sent_after || self.broke_ms >= earlier.broke_ms + APART_MS
+    }
+}
+
+impl From<&Break> for BrokenRun {
+    fn from(b: &Break) -> BrokenRun {
+        BrokenRun {
+            broke_ms: before(b.at_ms, 0),
+            sent_ms: before(b.sent_ms, 0),
+            seen_by: b.seen_by.clone(),
+        }
+    }
+}
+
+fn before(now: Millis, age: Millis) -> i64 {
+    let signed = |ms: Millis| i64::try_from(ms).unwrap_or(i64::MAX);
+    signed(now).saturating_sub(signed(age))
+}
+
+fn since(at_ms: i64, now: Millis) -> Millis {
+    let passed = before(now, 0).saturating_sub(at_ms);
+    u64::try_from(passed).unwrap_or(0)
+}
+
+/// The most of some broken runs that are apart from each other, one after the other.
+fn events<'a>(runs: impl Iterator<Item = &'a BrokenRun>) -> usize {
+    let mut runs: Vec<&BrokenRun> = runs.collect();
+    runs.sort();
+    let mut most: Vec<usize> = Vec::with_capacity(runs.len());
+    for (i, run) in runs.iter().enumerate() {
+        let earlier = runs[..i].iter().zip(&most);
+        let apart = earlier.filter(|(e, _)| run.is_apart_from(e));
+        let before = apart.map(|(_, count)| *count).max().unwrap_or(0);
+        most.push(before + 1);
     }
+    most.into_iter().max().unwrap_or(0)
 }
 
 /// A run that broke off.
@@ -106,21 +193,27 @@
     pub request: Fingerprint,
     /// Lifetimes that it passed through, the first one first.
     pub through: Vec<Lifetime>,
+    /// Instance that sent it.
+    pub seen_by: Name,
+    /// When it was sent, in milliseconds.
+    pub sent_ms: Millis,
     /// Whether it is known to have begun; otherwise it may have waited at the first one.
     pub begun: bool,
     /// When it broke off, in milliseconds.
     pub at_ms: Millis,
 }
 
-/// Requests whose runs broke off together, and whether each had begun.
-type Suspects = BTreeMap<Fingerprint, bool>;
+/// Runs that one end broke, by request.
+type Suspects = BTreeMap<Fingerprint, Vec<Break>>;
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct Known {
-    case: Case,
+    ends: BTreeMap<Lifetime, BrokenRun>,
+    void: BTreeSet<Lifetime>,
+    stored_era: Option<u64>,
     changed_ms: Millis,
-    /// When each strike was heard of here, in milliseconds.
-    struck_ms: BTreeMap<Lifetime, Millis>,
+    /// When each end was heard of here, in milliseconds.
+    heard_ms: BTreeMap<Lifetime, Millis>,
 }
 
 /// A strike that was found here.
@@ -178,13 +271,13 @@
         let Some(known) = self.cases.get_mut(&request) else {
             return false;
         };
-        let counted: Vec<Lifetime> = known.case.counted().cloned().collect();
-        if counted.is_empty() {
-            return false;
+        let before = known.void.len();
+        known.void.extend(known.ends.keys().cloned());
+        let is_news = known.void.len() > before;
+        if is_news {
+            known.changed_ms = now;
         }
-        known.case.void.extend(counted);
-        known.changed_ms = now;
-        true
+        is_news
     }
 
     /// Looks at `now` what became of the runners of broken runs, which `life` tells, and forgets what is old.
@@ -195,8 +288,8 @@
             let ended = b.through.iter().find(|l| life(l) == Life::Ended);
             match ended {
                 Some(l) => {
-                    let begun = suspects.entry(l.clone()).or_default().entry(b.request);
-                    *begun.or_default() |= b.begun;
+                    let of_lifetime = suspects.entry(l.clone()).or_default();
+                    of_lifetime.entry(b.request).or_default().push(b);
                 }
                 None if now < b.at_ms + BREAK_KEPT_MS => self.breaks.push(b),
                 None => {}
@@ -219,54 +312,56 @@
         if self.is_explained(l, suspects) {
             return Vec::new();
         }
-        let count = |r: &Fingerprint| self.cases.get(r).map_or(0, |k| k.case.counted().count());
+        let count = |r: &Fingerprint| self.cases.get(r).map_or(0, Known::count);
         let most = suspects.keys().map(count).max().unwrap_or(0);
-        let mut likeliest: BTreeMap<Fingerprint, bool> = suspects.clone();
-        likeliest.retain(|r, _| count(r) == most);
-        let any_begun = likeliest.values().any(|begun| *begun);
+        let mut likeliest: Vec<(&Fingerprint, &Vec<Break>)> = suspects.iter().collect();
+        likeliest.retain(|(r, _)| count(r) == most);
+        let has_begun = |runs: &[Break]| runs.iter().any(|b| b.begun);
+        let any_begun = likeliest.iter().any(|(_, runs)| has_begun(runs));
         if any_begun && most + 1 >= STRIKES {
-            likeliest.retain(|_, begun| *begun);
+            likeliest.retain(|(_, runs)| has_begun(runs));
         }
-        let struck = likeliest.into_keys().filter_map(|r| self.strike(r, l, now));
+        let struck = likeliest.into_iter();
+        let struck = struck.filter_map(|(r, runs)| self.strike(*r, l, runs, now));
         struck.collect()
     }
 
     /// Whether a lifetime ended under a request that is held, and none of the suspects is that one.
     fn is_explained(&self, l: &Lifetime, suspects: &Suspects) -> bool {
-        let held = self.cases.values().filter(|k| k.case.is_held());
-        let mut others = held.filter(|k| !suspects.contains_key(&k.case.request));
-        others.any(|k| k.case.strikes.contains(l))
+        let held = self.cases.iter().filter(|(_, k)| k.is_held());
+        let mut others = held.filter(|(request, _)| !suspects.contains_key(request));
+        others.any(|(_, k)| k.ends.contains_key(l))
     }
 
     /// A lifetime ended under a request; `None` where that is known.
-    fn strike(&mut self, request: Fingerprint, l: &Lifetime, now: Millis) -> Option<Strike> {
+    fn strike(
+        &mut self,
+        request: Fingerprint,
+        l: &Lifetime,
+        runs: &[Break],
+        now: Millis,
+    ) -> Option<Strike> {
+        let run = runs.iter().map(BrokenRun::from).min()?;
         let known = self.known(request, now);
-        if !known.add(l, now, now) {
+        if !known.add(l, run, now, now) {
             return None;
         }
         Some(Strike {
             request,
             lifetime: l.clone(),
-            count: known.case.counted().count(),
+            count: known.count(),
         })
     }
 
     fn known(&mut self, request: Fingerprint, now: Millis) -> &mut Known {
         if self.cases.len() >= MOST_CASES && !self.cases.contains_key(&request) {
-            let open = self.cases.iter().filter(|(_, k)| !k.case.is_held());
+            let open = self.cases.iter().filter(|(_, k)| !k.is_held());
             let oldest = open.min_by_key(|(_, k)| k.changed_ms).map(|(r, _)| *r);
             oldest.map(|r| self.cases.remove(&r));
         }
         self.cases.entry(request).or_insert_with(|| Known {
-            case: Case {
-                request,
-                strikes: BTreeSet::new(),
-                void: BTreeSet::new(),
-                stored_era: None,
-                age_ms: 0,
-            },
             changed_ms: now,
-            struck_ms: BTreeMap::new(),
+            ..Known::default()
         })
     }
 
@@ -275,7 +370,7 @@
         let over = self
             .cases
             .extract_if(.., |_, k| now >= k.changed_ms + k.kept_ms());
-        let stored = over.filter(|(_, k)| k.case.stored_era.is_some());
+        let stored = over.filter(|(_, k)| k.stored_era.is_some());
         stored.map(|(request, _)| request).collect()
     }
 
@@ -286,11 +381,11 @@
             return Verdict::Free;
         };
         let until_ms = known.changed_ms + known.kept_ms();
-        if known.case.is_held() && now < until_ms {
+        if known.is_held() && now < until_ms {
             return Verdict::Held(until_ms - now);
         }
         let open = self.breaks.iter().any(|b| b.request == request);
-        match open && known.case.counted().count() + 1 >= STRIKES {
+        match open && known.count() + 1 >= STRIKES {
             true => Verdict::Undecided,
             false => Verdict::Free,
         }
@@ -298,21 +393,22 @@
 
     /// Another instance, or the store, told of a case; whether something of it is news.
     pub fn hear(&mut self, told: &Case, now: Millis) -> bool {
-        let is_old = told.age_ms >= kept_ms(told.is_held());
-        if is_old || told.strikes.len() + told.void.len() > 2 * MOST_LIFETIMES {
+        let at_ms = now.saturating_sub(told.age_ms);
+        let is_held = told.is_held();
+        let is_long = told.ends.len() + told.void.len() > 2 * MOST_LIFETIMES;
+        if is_long || told.age_ms >= kept_ms(is_held) {
             return false;
         }
-        let at_ms = now.saturating_sub(told.age_ms);
         let known = self.known(told.request, at_ms);
         let mut is_news = false;
-        for l in &told.strikes {
-            is_news |= known.add(l, now, at_ms);
+        for end in &told.ends {
+            is_news |= known.add(&end.lifetime, BrokenRun::of(end, now), now, at_ms);
         }
         for l in &told.void {
-            is_news |= known.case.void.insert(l.clone());
+            is_news |= known.void.insert(l.clone());
         }
-        is_news |= told.stored_era > known.case.stored_era;
-        known.case.stored_era = known.case.stored_era.max(told.stored_era);
+        is_news |= told.stored_era > known.stored_era;
+        known.stored_era = known.stored_era.max(told.stored_era);
         if is_news {
             known.changed_ms = known.changed_ms.max(at_ms);
         }
@@ -322,64 +418,85 @@
     /// The store has the case of a request in `era`.
     pub fn stored(&mut self, request: Fingerprint, era: u64) {
         if let Some(known) = self.cases.get_mut(&request) {
-            known.case.stored_era = known.case.stored_era.max(Some(era));
+            known.stored_era = known.stored_era.max(Some(era));
         }
     }
 
     /// What is told of cases at `now`: those that changed within `age_ms`, and where `held` says so all that are
     /// held.
     pub fn told(&self, age_ms: Millis, held: bool, now: Millis) -> impl Iterator<Item = Case> {
-        let known = self.cases.values();
-        let told = known.filter(move |k| {
+        let told = self.cases.iter().filter(move |(_, k)| {
             let is_new = now <= k.changed_ms + age_ms;
-            is_new || (held && k.case.is_held())
+            is_new || (held && k.is_held())
         });
-        told.map(move |k| Case {
-            age_ms: now.saturating_sub(k.changed_ms),
-            ..k.case.clone()
-        })
+        told.map(move |(request, k)| k.case(*request, now))
     }
 
-    /// Cases of requests that are held, and for how long yet, in milliseconds.
-    pub fn held(&self, now: Millis) -> impl Iterator<Item = (&Case, Millis)> {
-        let held = self.cases.values().filter(|k| k.case.is_held());
-        held.map(move |k| {
-            let until_ms = k.changed_ms + k.kept_ms();
-            (&k.case, until_ms.saturating_sub(now))
-        })
+    /// Cases of requests that are held at `now`.
+    pub fn held(&self, now: Millis) -> impl Iterator<Item = Case> {
+        let held = self.cases.iter().filter(|(_, k)| k.is_held());
+        held.map(move |(request, k)| k.case(*request, now))
     }
 }
 
 impl Known {
+    fn case(&self, request: Fingerprint, now: Millis) -> Case {
+        let ends = self.ends.iter().map(|(l, run)| run.end(l, now));
+        Case {
+            request,
+            ends: ends.collect(),
+            void: self.void.clone(),
+            stored_era: self.stored_era,
+            age_ms: now.saturating_sub(self.changed_ms),
+        }
+    }
+
+    /// Strikes that count.
+    fn count(&self) -> usize {
+        let counted = self.ends.iter().filter(|(l, _)| !self.void.contains(*l));
+        events(counted.map(|(_, run)| run))
+    }
+
+    fn is_held(&self) -> bool {
+        self.count() >= STRIKES
+    }
+
     fn kept_ms(&self) -> Millis {
-        kept_ms(self.case.is_held())
+        kept_ms(self.is_held())
     }
 
-    /// Adds a strike of `at_ms` that is heard of at `now`; whether it is new.
-    fn add(&mut self, l: &Lifetime, now: Millis, at_ms: Millis) -> bool {
-        let has_room = self.case.strikes.len() < MOST_LIFETIMES;
-        let is_new = has_room && self.case.strikes.insert(l.clone());
-        if is_new {
+    /// Adds an end that is heard of at `now`, told at `at_ms`; whether it is new.
+    fn add(&mut self, l: &Lifetime, run: BrokenRun, now: Millis, at_ms: Millis) -> bool {
+        if let Some(known) = self.ends.get_mut(l) {
+            // Of what several instances saw the first counts, whoever is told of it in which order.
+            if run < *known {
+                *known = run;
+            }
+            return false;
+        }
+        let has_room = self.ends.len() < MOST_LIFETIMES;
+        if has_room {
+            self.ends.insert(l.clone(), run);
             self.changed_ms = self.changed_ms.max(at_ms);
-            self.struck_ms.insert(l.clone(), now);
+            self.heard_ms.insert(l.clone(), now);
         }
-        is_new
+        has_room
     }
 
     /// Voids strikes by lifetimes that go on after all; whether there were any.
     fn void_returned(&mut self, now: Millis, life: impl Fn(&Lifetime) -> Life) -> bool {
-        let returned = |l: &Lifetime, struck_ms: Millis| match life(l) {
-            Life::Answers(at_ms) => at_ms >= struck_ms,
+        let returned = |l: &Lifetime, heard_ms: Millis| match life(l) {
+            Life::Answers(at_ms) => at_ms >= heard_ms,
             Life::Open | Life::Ended => false,
         };
         let back: Vec<Lifetime> = self
-            .struck_ms
-            .extract_if(.., |l, struck_ms| returned(l, *struck_ms))
+            .heard_ms
+            .extract_if(.., |l, heard_ms| returned(l, *heard_ms))
             .map(|(l, _)| l)
             .collect();
-        let before = self.case.void.len();
-        self.case.void.extend(back);
-        let changed = self.case.void.len() > before;
+        let before = self.void.len();
+        self.void.extend(back);
+        let changed = self.void.len() > before;
         if changed {
             self.changed_ms = now;
         }
--- a/policy/tests/relay_quarantine.rs
+++ b/policy/tests/relay_quarantine.rs
@@ -33,6 +33,8 @@
     Break {
         request: fingerprint(n),
         through: ends.into_iter().map(lifetime).collect(),
+        seen_by: "one".into(),
+        sent_ms: at_ms.saturating_sub(1),
         begun: true,
         at_ms,
     }
@@ -76,6 +78,47 @@
     expect_that!(settled.struck[0].count, eq(1));
 }
 
+/// A request without a body comes at many instances at a time, and a rack is lost: each sees another part of
+/// its chain end.
+#[gtest]
+fn what_several_instances_see_within_a_second_is_one_event() {
+    let seen = |by: &str, n: u64, at_ms: u64| {
+        let mut one = Quarantine::default();
+        one.broke(Break {
+            seen_by: by.into(),
+            ..broken(0, [n], at_ms)
+        });
+        let _settled = one.settle(at_ms, |_| Life::Ended);
+        one.told(1_000_000, true, 5_000).collect::<Vec<Case>>()
+    };
+    let hear = |all: Vec<Vec<Case>>| {
+        let mut quarantine = Quarantine::default();
+        for case in all.iter().flatten() {
+            quarantine.hear(case, 5_000);
+        }
+        is_held(&quarantine, 0, 5_000)
+    };
+    let one_event = vec![
+        seen("a", 1, 1_000),
+        seen("b", 2, 1_300),
+        seen("c", 3, 1_900),
+    ];
+    expect_false!(hear(one_event));
+    let three = vec![
+        seen("a", 1, 1_000),
+        seen("b", 2, 2_100),
+        seen("c", 3, 3_200),
+    ];
+    expect_true!(hear(three));
+    // One instance sends the second run when it has seen the first one break.
+    let in_turn = vec![
+        seen("a", 1, 1_000),
+        seen("a", 2, 1_300),
+        seen("a", 3, 1_900),
+    ];
+    expect_true!(hear(in_turn));
+}
+
 /// Others run at the same runner when it ends, for the first time or waiting for their turn.
 #[gtest]
 fn under_whom_runners_ended_before_is_to_blame() {
--- a/policy/tests/support/lethal.rs
+++ b/policy/tests/support/lethal.rs
@@ -42,6 +42,7 @@
     instance: usize,
     chain: usize,
     lifetime: Lifetime,
+    sent_ms: u64,
     begins_ms: u64,
     ends_ms: u64,
     sends: usize,
@@ -199,6 +200,7 @@
                 runner: format!("i-{chain}").into(),
                 born_ms: self.chains[chain].born_ms,
             },
+            sent_ms: now,
             begins_ms,
             ends_ms: if is_lethal {
                 u64::MAX
@@ -256,6 +258,8 @@
             false => quarantine.broke(Break {
                 request: fingerprint(run.request),
                 through: vec![run.lifetime.clone()],
+                seen_by: format!("front-{}", run.instance).into(),
+                sent_ms: run.sent_ms,
                 begun: now >= run.begins_ms,
                 at_ms: now,
             }),
