--- /dev/null
+++ b/policy/tests/relay_lease.rs
@@ -0,0 +1,227 @@
+//! Which instance gives orders: one at a time, and terms that only grow.
+
+use googletest::prelude::*;
+use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::relay::lease::{Bid, Grant, Lease, LeaseStep};
+use jacinthweir_policy::relay::revision::Revision;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+fn at(number: u64) -> Revision {
+    Revision { era: 0, number }
+}
+
+fn grant(holder: &str, term: u64, revision: u64) -> Grant {
+    Grant {
+        holder: Name::from(holder),
+        term,
+        revision: at(revision),
+    }
+}
+
+#[gtest]
+fn an_absent_lease_is_created_and_renewed() {
+    let mut lease = Lease::new(Name::from("a"), 2_400);
+    expect_that!(lease.step(0, Bid::Leave), eq(&LeaseStep::Wait));
+    expect_that!(lease.step(0, Bid::Take), eq(&LeaseStep::Read));
+    lease.read(5, None);
+    expect_that!(
+        lease.step(800, Bid::Take),
+        eq(&LeaseStep::Create { term: 1 })
+    );
+    lease.granted(800, grant("a", 1, 10));
+    expect_that!(lease.held(900), some(eq(1)));
+    let renewal = LeaseStep::Replace {
+        term: 1,
+        revision: at(10),
+    };
+    expect_that!(lease.step(1_600, Bid::Take), eq(&renewal));
+}
+
+/// Two instances give orders at once, and runners load what the other has them give up. An
+/// instance takes over only a lease that stood unchanged for its whole time by its own clock, and
+/// the old holder stops on its own clock before that.
+#[gtest]
+fn a_lease_is_taken_over_only_when_it_stood_still() {
+    let mut holder = Lease::new(Name::from("a"), 2_400);
+    holder.granted(0, grant("a", 1, 10));
+    let mut other = Lease::new(Name::from("b"), 2_400);
+    other.read(100, Some(grant("a", 1, 10)));
+    let mut taken_at = None;
+    for now in (100..6_000).step_by(50) {
+        match other.step(now, Bid::Take) {
+            LeaseStep::Read => other.read(now, Some(grant("a", 1, 10))),
+            LeaseStep::Replace { term, revision } => {
+                expect_that!((term, revision), eq((2, at(10))));
+                taken_at = Some(now);
+                break;
+            }
+            LeaseStep::Wait => {}
+            step @ LeaseStep::Create { .. } => panic!("{step:?}"),
+        }
+        expect_true!(other.held(now).is_none());
+    }
+    let taken_at = taken_at.expect("it is taken over in the end");
+    expect_that!(holder.held(taken_at), none());
+    expect_that!(holder.held(1_500), some(eq(1)));
+}
+
+#[gtest]
+fn a_renewed_lease_is_not_taken_over() {
+    let mut other = Lease::new(Name::from("b"), 2_400);
+    let mut revision = 10;
+    for now in (0..10_000).step_by(100) {
+        if now % 800 == 0 {
+            revision += 1;
+        }
+        match other.step(now, Bid::Take) {
+            LeaseStep::Read => other.read(now, Some(grant("a", 1, revision))),
+            step => expect_that!(step, eq(&LeaseStep::Wait)),
+        }
+    }
+}
+
+#[gtest]
+fn a_lost_write_is_read_back_before_anything_else() {
+    let mut lease = Lease::new(Name::from("a"), 2_400);
+    lease.read(0, None);
+    let _ = lease.step(0, Bid::Take);
+    lease.lost(1_000);
+    // After a pause: a store that turns this instance away is not asked ten times a second.
+    expect_that!(lease.step(1_050, Bid::Take), eq(&LeaseStep::Wait));
+    expect_that!(lease.step(1_400, Bid::Take), eq(&LeaseStep::Read));
+}
+
+/// The store comes back from an older copy in which the last holder's grant is not. Its term must not come
+/// again: orders of both would look like those of one.
+#[gtest]
+fn a_term_that_a_restore_of_the_store_lost_is_not_given_out_again() {
+    let lost = grant("a", 5, 50);
+    let mut holder = Lease::new(Name::from("a"), 2_400);
+    holder.granted(0, lost.clone());
+    expect_that!(holder.held(100), some(eq(5)));
+    holder.begin_era(1);
+    expect_that!(holder.held(100), none());
+    expect_that!(holder.step(100, Bid::Take), eq(&LeaseStep::Read));
+
+    let mut other = Lease::new(Name::from("b"), 2_400);
+    other.begin_era(1);
+    let older = Grant {
+        revision: Revision { era: 1, number: 40 },
+        ..grant("c", 4, 0)
+    };
+    other.read(0, Some(older));
+    let taken = (0..4_000)
+        .step_by(50)
+        .find_map(|now| match other.step(now, Bid::Take) {
+            LeaseStep::Replace { term, .. } => Some(term),
+            _ => None,
+        });
+    expect_that!(taken, some(gt(lost.term)));
+
+    let mut first = Lease::new(Name::from("d"), 2_400);
+    first.begin_era(1);
+    let created = (0..4_000)
+        .step_by(50)
+        .find_map(|now| match first.step(now, Bid::Take) {
+            LeaseStep::Create { term } => Some((term, now)),
+            LeaseStep::Read => {
+                first.read(now, None);
+                None
+            }
+            _ => None,
+        });
+    let (term, at_ms) = created.expect("it is created in the end");
+    expect_that!(term, gt(lost.term));
+    // Its holder may live.
+    expect_that!(at_ms, ge(2_400));
+}
+
+/// A holder loses the store for a while, and another takes the lease over with a greater term.
+/// When the store is back the old holder must not write over the new grant: orders of both would
+/// be given, and the term would go back.
+#[gtest]
+fn a_holder_that_comes_back_reads_before_it_writes() {
+    let mut lease = Lease::new(Name::from("a"), 2_400);
+    lease.granted(0, grant("a", 1, 10));
+    lease.lost(1_000);
+    expect_that!(lease.step(9_000, Bid::Take), eq(&LeaseStep::Read));
+    lease.read(9_000, Some(grant("b", 2, 20)));
+    expect_that!(lease.held(9_000), none());
+    expect_that!(lease.step(9_900, Bid::Take), eq(&LeaseStep::Read));
+}
+
+fn bid(rng: &mut ChaCha8Rng) -> Bid {
+    match rng.random_range(0..10) {
+        0..8 => Bid::Take,
+        8 => Bid::Keep,
+        _ => Bid::Leave,
+    }
+}
+
+/// After an outage the holder learns of an instance that comes before it, and nobody gives orders for a
+/// whole time to live.
+#[gtest]
+fn a_holder_keeps_the_lease_though_another_comes_before_it() {
+    let mut holder = Lease::new(Name::from("b"), 1_800);
+    holder.granted(0, grant("b", 2, 10));
+    let renewal = LeaseStep::Replace {
+        term: 2,
+        revision: at(10),
+    };
+    expect_that!(holder.step(600, Bid::Keep), eq(&renewal));
+    expect_that!(holder.step(1_200, Bid::Leave), eq(&LeaseStep::Wait));
+    // It takes nothing that it does not hold.
+    expect_that!(holder.step(5_000, Bid::Keep), eq(&LeaseStep::Wait));
+    expect_that!(holder.step(5_000, Bid::Take), not(eq(&LeaseStep::Wait)));
+}
+
+/// One register, as the store keeps the lease, with writes whose answers are lost and reads that
+/// fail. Whatever the order: each write names the revision that it replaces, the term never goes
+/// back, and no two instances hold the lease at the same time.
+#[gtest]
+fn no_interleaving_gives_two_holders_or_takes_the_term_back() {
+    for seed in 0..200 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut register: Option<Grant> = None;
+        let mut revision = 1;
+        let names = ["a", "b", "c"];
+        let mut leases = names.map(|n| Lease::new(Name::from(n), 1_800));
+        let mut holders = 0;
+        for now in (0..60_000).step_by(50) {
+            for (i, lease) in leases.iter_mut().enumerate() {
+                let lost_store = rng.random_bool(0.1);
+                let step = lease.step(now, bid(&mut rng));
+                let (term, expected) = match step {
+                    LeaseStep::Wait => continue,
+                    LeaseStep::Read if lost_store => continue,
+                    LeaseStep::Read => {
+                        lease.read(now, register.clone());
+                        continue;
+                    }
+                    LeaseStep::Create { term } => (term, None),
+                    LeaseStep::Replace { term, revision } => (term, Some(revision)),
+                };
+                let standing = register.as_ref().map(|g| g.revision);
+                if lost_store && rng.random_bool(0.5) || standing != expected {
+                    lease.lost(now);
+                    continue;
+                }
+                let before = register.as_ref().map_or(0, |g| g.term);
+                assert!(term >= before, "seed {seed}: term {term} after {before}");
+                revision += 1;
+                let written = grant(names[i], term, revision);
+                register = Some(written.clone());
+                if lost_store {
+                    lease.lost(now);
+                } else {
+                    lease.granted(now, written);
+                }
+            }
+            let held = leases.iter().filter(|l| l.held(now).is_some()).count();
+            assert!(held <= 1, "seed {seed}: {held} holders at {now}");
+            holders += held;
+        }
+        assert!(holders > 600, "seed {seed}: the lease is hardly ever held");
+    }
+}
