Relay: chains by free room, or by the expected time of a stream

Chains of one deployment differ in speed by a factor of seven (2.5 to 16 ms a token step on the shifted work's site), and the sampled selection fills slow ones as far as fast ones, until their gaps near the callers' bound.

Change: a candidate has the expected time between two events, from the declared step, the declared growth of a step with the batch and the gaps observed; the setting chain_ranking says whether it counts. The default is as before.

--- a/plugins/relay/src/live_chains.rs
+++ b/plugins/relay/src/live_chains.rs
@@ -25,8 +25,9 @@
     pub(crate) silence: RefCell<SilenceDetector>,
     pub(crate) gaps: RefCell<EventGaps>,
     pub(crate) refusals: RefCell<RefusalBackoff>,
-    /// Tokens per event; the declared gap between events is that many token steps.
-    event_tokens: f64,
+    /// Declared properties of the model; the gap between events is as many token steps as an event
+    /// has tokens.
+    engine: Engine,
     /// Duration of a token step at the current pace of the chain's runners, in milliseconds.
     step_ms: Cell<f64>,
     /// Cancelled when a runner of the chain is known to be dead, so that requests in flight move to
@@ -108,7 +109,7 @@
                 silence: RefCell::new(SilenceDetector::new(event_tokens * chain.step_ms)),
                 gaps: RefCell::default(),
                 refusals: RefCell::default(),
-                event_tokens,
+                engine: engine.clone(),
                 step_ms: Cell::new(chain.step_ms),
                 broken: CancellationToken::new(),
                 prefill: Cell::new(0.0),
@@ -126,16 +127,20 @@
 }
 
 impl LiveChain {
+    fn unloaded_event_ms(&self) -> f64 {
+        f64::from(self.engine.event_tokens) * self.step_ms.get()
+    }
+
     /// Whether the chain's runners should be probed, because it is silent or slow.
     pub(crate) fn should_probe_runners(&self, now: Millis) -> bool {
-        let declared_ms = self.event_tokens * self.step_ms.get();
+        let declared_ms = self.unloaded_event_ms();
         let silent = self.silence.borrow_mut().should_probe(now);
         silent || self.gaps.borrow_mut().should_probe(now, declared_ms)
     }
 
     /// Returns when to probe the chain's runners unless bytes arrive before, in milliseconds.
     pub(crate) fn due_ms(&self) -> Option<Millis> {
-        let declared_ms = self.event_tokens * self.step_ms.get();
+        let declared_ms = self.unloaded_event_ms();
         let silent = self.silence.borrow().due_ms();
         let slow = self.gaps.borrow().due_ms(declared_ms);
         silent.into_iter().chain(slow).min()
@@ -151,6 +156,13 @@
         })
     }
 
+    /// Returns the time between two events of a stream at the declared speeds, with `used_tokens`
+    /// tokens of requests in the chain, in milliseconds.
+    fn declared_event_ms(&self, used_tokens: f64) -> f64 {
+        let step_ms = self.step_ms.get() * self.engine.batch_slowdown(used_tokens.max(0.0));
+        f64::from(self.engine.event_tokens) * step_ms
+    }
+
     /// Returns the identity and lifetime of the first runner.
     pub(crate) fn head(&self) -> (&Name, u64) {
         let head = self.chain.head();
@@ -256,20 +268,24 @@
                 continue;
             }
             let domain = l.chain.domain.as_ref();
+            let used_tokens = occupancy.used_tokens(&l.chain);
+            let gap_ms = l.gaps.borrow().expected_ms(now);
             candidates.push(ChainCandidate {
                 chain: i,
                 near: domain == Some(&self.settings.failure_domain),
                 room_tokens: l.chain.room_tokens * l.refusals.borrow().room_scale(),
-                used_tokens: occupancy.used_tokens(&l.chain),
+                used_tokens,
                 silent_ms: l.silence.borrow().silent_ms(now),
                 backing_off: l.refusals.borrow().is_backing_off(now),
-                gap_share: l.gaps.borrow().expected_ms(now) / rq.max_gap_ms.max(1) as f64,
+                gap_share: gap_ms / rq.max_gap_ms.max(1) as f64,
+                event_ms: l.declared_event_ms(used_tokens).max(gap_ms),
             });
         }
         let instances = self.live_instances();
-        let chosen = chain_selection::select_sampled(&candidates, tokens, fill, instances, || {
-            self.random_f64()
-        });
+        let ranking = self.settings.chain_ranking;
+        let draw = || self.random_f64();
+        let chosen =
+            chain_selection::select_sampled(&candidates, ranking, tokens, fill, instances, draw);
         chosen.map(|i| Rc::clone(&live[i]))
     }
 }
--- a/plugins/relay/src/settings.rs
+++ b/plugins/relay/src/settings.rs
@@ -7,6 +7,7 @@
 use jacinthweir_kernel::KernelError;
 use jacinthweir_kernel::settings::{LogSettings, open_with};
 use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::relay::chain_selection::ChainRanking;
 use serde::{Deserialize, Serialize};
 
 /// Settings of a relay.
@@ -29,6 +30,9 @@
     pub limits: RelayLimits,
     /// Service-level bounds.
     pub bounds: Bounds,
+    /// What the choice of a chain depends on.
+    #[serde(default)]
+    pub chain_ranking: ChainRanking,
     /// Log settings.
     #[serde(default)]
     pub log: LogSettings,
--- a/plugins/relay/tests/support/standin.rs
+++ b/plugins/relay/tests/support/standin.rs
@@ -274,6 +274,7 @@
         seeds: Vec::new(),
         store,
         limits: RelayLimits::default(),
+        chain_ranking: Default::default(),
         bounds: Bounds {
             revocation_ms: 5_000,
             shutdown_s: 8.0,
--- a/policy/examples/relay_cost.rs
+++ b/policy/examples/relay_cost.rs
@@ -69,6 +69,7 @@
                 silent_ms: 0,
                 backing_off: false,
                 gap_share: 0.0,
+                event_ms: 50.0,
             })
             .collect();
         let selections = 10_000;
--- a/policy/src/relay/chain_selection.rs
+++ b/policy/src/relay/chain_selection.rs
@@ -84,6 +84,19 @@
     pub backing_off: bool,
     /// Inter-token gap of its streams, as a share of the largest gap that is in time.
     pub gap_share: f64,
+    /// Expected time between two events of a new stream, in milliseconds.
+    pub event_ms: f64,
+}
+
+/// What a chain's share of new requests depends on, beside its free room.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ChainRanking {
+    /// Nothing else.
+    #[default]
+    FreeRoom,
+    /// The expected time of a stream.
+    ExpectedTime,
 }
 
 /// Initial and maximum backoff of a chain after a refusal, in milliseconds; it doubles with each
@@ -223,6 +236,7 @@
 /// each considers, down to one, drawn with a probability that grows with its free room.
 pub fn select_sampled(
     candidates: &[ChainCandidate],
+    ranking: ChainRanking,
     tokens: f64,
     fill: f64,
     deciders: usize,
@@ -233,7 +247,7 @@
     }
     let fitting = candidates.iter().filter(|c| c.fits(tokens, fill));
     let mut drawn: Vec<(f64, ChainCandidate)> = fitting
-        .map(|c| (-(1.0 - draw()).ln() / draw_weight(c, tokens), *c))
+        .map(|c| (-(1.0 - draw()).ln() / draw_weight(c, ranking, tokens), *c))
         .collect();
     drawn.sort_by(|a, b| a.0.total_cmp(&b.0));
     let sample = drawn.len() * FULL_SCAN_INSTANCES / deciders;
@@ -242,7 +256,14 @@
     select(&drawn, tokens, fill)
 }
 
-fn draw_weight(candidate: &ChainCandidate, tokens: f64) -> f64 {
+/// Exponent of a chain's speed in its sampling weight.
+const SPEED_EXPONENT: f64 = 2.0;
+
+fn draw_weight(candidate: &ChainCandidate, ranking: ChainRanking, tokens: f64) -> f64 {
+    let speed = match ranking {
+        ChainRanking::FreeRoom => 1.0,
+        ChainRanking::ExpectedTime => candidate.event_ms.max(1.0).powf(-SPEED_EXPONENT),
+    };
     let free = (1.0 - candidate.fill_with(tokens)).max(MIN_WEIGHT);
     let near = if candidate.near { NEAR_WEIGHT } else { 1.0 };
     let suspected = if candidate.is_suspected() {
@@ -251,7 +272,7 @@
         1.0
     };
     let timely = candidate.timeliness().max(MIN_WEIGHT);
-    free * near * suspected * timely
+    free * near * suspected * timely * speed
 }
 
 /// Time constant of the moving average of released room, in milliseconds.
--- a/policy/src/relay/intent.rs
+++ b/policy/src/relay/intent.rs
@@ -103,6 +103,10 @@
     pub event_tokens: u32,
     /// Time of one token step of the complete model on a runner of pace 1, in milliseconds.
     pub step_ms: f64,
+    /// Additional time of a token step for each request of the batch, in milliseconds.
+    pub request_step_ms: f64,
+    /// Additional time of a token step for each token of the batch's contexts, in milliseconds.
+    pub context_step_ms: f64,
     /// Time to load the complete model, in milliseconds.
     pub load_ms: f64,
     /// Typical number of tokens in a prompt and in an answer.
@@ -121,6 +125,16 @@
 }
 
 impl Engine {
+    /// Returns the time of a token step with `tokens` tokens of requests in the batch, relative to
+    /// the step of a single request.
+    #[must_use]
+    pub fn batch_slowdown(&self, tokens: f64) -> f64 {
+        let (prompt, answer) = self.usual_tokens;
+        let requests = tokens / f64::from(prompt + answer).max(1.0);
+        let added_ms = self.request_step_ms * requests + self.context_step_ms * tokens;
+        1.0 + added_ms / self.step_ms.max(f64::MIN_POSITIVE)
+    }
+
     /// Returns the KV-cache memory of one token in one layer, in bytes.
     #[must_use]
     pub fn token_layer_bytes(&self) -> f64 {
--- a/policy/tests/relay_rules.rs
+++ b/policy/tests/relay_rules.rs
@@ -190,6 +190,7 @@
         silent_ms: 0,
         backing_off: false,
         gap_share: 0.0,
+        event_ms: 50.0,
     }
 }
 
@@ -259,6 +260,7 @@
     let refusing = ChainCandidate {
         backing_off: true,
         gap_share: 0.0,
+        event_ms: 50.0,
         ..room(0, 0.0)
     };
     expect_that!(select(&[refusing], 1.0, MAX_FILL), none());
--- a/policy/tests/support/relay.rs
+++ b/policy/tests/support/relay.rs
@@ -25,6 +25,8 @@
         room_tokens: 100_000.0,
         event_tokens: 4,
         step_ms: 1.02,
+        request_step_ms: 0.005,
+        context_step_ms: 0.006 / 1e3,
         load_ms: 14_000.0,
         usual_tokens: (775, 220),
         kinds: kinds.into_iter().map(|(n, k)| (Name::from(n), k)).collect(),
