--- a/plugins/relay/src/lib.rs
+++ b/plugins/relay/src/lib.rs
@@ -35,6 +35,7 @@
 mod attempt;
 mod call;
 mod chain_attempts;
+mod configuration;
 mod dump;
 mod events;
 mod failure_detector;
@@ -98,6 +99,7 @@
         let node = Node::open(settings)?;
         let servers = server::bind(&node).await?;
         watch::spawn(&node);
+        configuration::spawn(&node);
         peers::spawn(&node);
         gossip::spawn(&node);
         placer::spawn(&node);
--- a/plugins/relay/src/watch.rs
+++ b/plugins/relay/src/watch.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use jacinthweir_platform::store::{Change, Changes, Object, StoreError};
+use jacinthweir_platform::store::{Changes, Object, StoreError};
 use jacinthweir_platform::{desired, runner};
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::revision::Revision;
@@ -18,6 +18,7 @@
 use jacinthweir_policy::relay::store_watch::{self, ChangeBatch, ConfirmScope, RunnerChange};
 use tokio::time::sleep;
 
+use crate::configuration;
 use crate::node::Node;
 use crate::peers::{self, Message};
 
@@ -52,18 +53,10 @@
 /// missing entry means that the runner is gone.
 const OUTAGE_MS: Millis = 2_000;
 
-/// Interval between checks whether the configuration has to be confirmed.
-const CONFIRM_POLL: Duration = Duration::from_millis(100);
-
-/// Starts the watches and the confirmation of the configuration.
+/// Starts the watches.
 pub(crate) fn spawn(node: &Rc<Node>) {
     spawn_watch(node, Watched::Configuration);
     spawn_watch(node, Watched::Runners);
-    let node = Rc::clone(node);
-    tokio::task::spawn_local(async move {
-        let stop = node.stop.clone();
-        let _ = stop.run_until_cancelled(confirm(&node)).await;
-    });
 }
 
 /// Handles a new era of the store: the store was restored from an older copy, and later writes are
@@ -89,42 +82,6 @@
     node.store_restored.notify_waiters();
 }
 
-/// Reads the configuration whenever its last confirmation is old.
-async fn confirm(node: &Node) {
-    let mut read_ms = 0;
-    let mut lost_ms = None;
-    loop {
-        sleep(CONFIRM_POLL).await;
-        note_era(node);
-        let age = node.config_confirmation.borrow().age_ms(node.now());
-        let scope = peers::confirm_scope(node);
-        if !store_watch::should_confirm(age, node.random_f64(), read_ms, scope) {
-            continue;
-        }
-        let sent = node.now();
-        count_call("get");
-        match node.store.get(desired::KIND, desired::NAME).await {
-            Ok(Some(object)) => {
-                node.reaches_store.set(true);
-                lost_ms = None;
-                read_ms = node.now() - sent;
-                log::info!(took_ms = read_ms; "configuration read");
-                if apply_configuration(node, &object) {
-                    node.config_confirmation.borrow_mut().confirm(sent);
-                }
-            }
-            Ok(None) => log::warn!("the store has no configuration"),
-            // The watch on the configuration logs that the store is unreachable.
-            Err(cause) => {
-                log::debug!(cause:% = cause; "configuration not confirmed");
-                node.reaches_store.set(false);
-                let lost_ms = *lost_ms.get_or_insert(sent);
-                back_off(node, max_backoff_ms(node), lost_ms).await;
-            }
-        }
-    }
-}
-
 /// Objects that a watch is on.
 #[derive(Clone, Copy, Debug, derive_more::Display, PartialEq, Eq)]
 pub(crate) enum Watched {
@@ -251,7 +208,7 @@
 }
 
 /// Returns the longest back-off after a failed call in a fleet of the current size.
-fn max_backoff_ms(node: &Node) -> Millis {
+pub(crate) fn max_backoff_ms(node: &Node) -> Millis {
     let bound = match peers::confirm_scope(node) {
         ConfirmScope::Domain => DOMAIN_BACKOFF_BOUND_MS,
         ConfirmScope::Own => OWN_BACKOFF_BOUND_MS,
@@ -262,7 +219,7 @@
 /// Backs off after a failed call for `ms` milliseconds, or until peers reach the store again, which
 /// became unreachable at `lost_ms`. If peers have reached it since before the back-off, only this
 /// instance is cut off, and their confirmations do not end its back-off.
-async fn back_off(node: &Node, ms: Millis, lost_ms: Millis) {
+pub(crate) async fn back_off(node: &Node, ms: Millis, lost_ms: Millis) {
     let backoff = sleep(Duration::from_millis(ms));
     if confirmed_since(node, lost_ms) {
         return backoff.await;
@@ -304,7 +261,7 @@
                 .iter()
                 .find(|o| *o.meta.name == *desired::NAME);
             if let Some(object) = found
-                && apply_configuration(node, object)
+                && configuration::apply(node, object)
             {
                 node.config_confirmation.borrow_mut().confirm(sent);
             }
@@ -365,7 +322,7 @@
         match what {
             Watched::Configuration => {
                 revision = changes.revision;
-                if apply_newest_configuration(node, &changes.changes) {
+                if configuration::apply_newest(node, &changes.changes) {
                     node.config_confirmation.borrow_mut().confirm(sent);
                 }
             }
@@ -424,39 +381,6 @@
     RUNNERS_WATCH_MS
 }
 
-/// Applies the newest configuration among the changes. Returns whether it is now in force.
-fn apply_newest_configuration(node: &Node, changes: &[Change]) -> bool {
-    let mut newest = changes.iter().filter(|c| !c.deleted);
-    let newest = newest.rfind(|c| *c.object.meta.name == *desired::NAME);
-    match newest {
-        Some(change) => apply_configuration(node, &change.object),
-        None => node.intent.borrow().is_some(),
-    }
-}
-
-/// Puts the configuration in an object in force if it is newer. Returns whether it is now in force.
-fn apply_configuration(node: &Node, object: &Object) -> bool {
-    let revision = object.meta.revision;
-    if node.configuration_revision.get() == Some(revision) {
-        return true;
-    }
-    match desired::decode(&object.spec) {
-        Ok(intent) => {
-            let version = intent.version;
-            node.apply_configuration(intent);
-            let in_force = node.intent().is_some_and(|i| i.version == version);
-            if in_force {
-                node.configuration_revision.set(Some(revision));
-            }
-            in_force
-        }
-        Err(e) => {
-            log::error!(revision:% = revision, cause:% = e; "cannot decode the configuration");
-            false
-        }
-    }
-}
-
 /// Updates the newest revision of a runner's entry seen so far.
 fn note_revision(node: &Node, revision: Revision) {
     let newest = node.runners_revision.get().max(revision);
