Relay: the configuration followed by every instance, or by two of a domain that pass it on

Most of the watches follow a change of the configuration, which ends the watch of every instance.

Change: with config_following = domain the two instances of a failure domain that confirm the configuration watch it, and a newer one goes along a tree of four receivers each within the domain, store or no store; one above 64 KiB is read by each instance as before, and so is one whose message is lost (gossip tells the version). A configuration passed on is not confirmed by that. Instances wait 0.8 s for their first exchange before they watch. The default is as before.

--- a/plugins/relay/src/configuration.rs
+++ b/plugins/relay/src/configuration.rs
@@ -1,20 +1,45 @@
-//! The configuration on an instance: confirmation and decoding.
+//! The configuration on an instance: confirmation, decoding, and passing on to neighbours.
+//!
+//! Two instances of each failure domain watch the configuration and read it again while it does not
+//! change ([`ConfirmScope`]). A change reaches the others of the domain along a [`RelayTree`], whose
+//! roots these two are: each instance that puts a newer configuration in force sends it to a few
+//! others. A message that is lost or too large costs its receiver one call: it learns by gossip that
+//! its configuration is out of date, and asks the store.
+//!
+//! A configuration that was passed on is not confirmed by that, since the message may have been
+//! delayed for any time. Confirmations come from the store, or from an exchange with an instance
+//! that has the same version.
 
 use std::rc::Rc;
 use std::time::Duration;
 
 use jacinthweir_platform::desired;
-use jacinthweir_platform::store::{Change, Object};
-use jacinthweir_policy::relay::store_watch;
+use jacinthweir_platform::store::{Change, Object, Spec};
+use jacinthweir_policy::relay::revision::Revision;
+use jacinthweir_policy::relay::store_watch::{self, ConfigFollowing, RelayTree};
+use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
 use crate::node::Node;
-use crate::peers;
+use crate::peers::{self, Message, PEER_TIMEOUT};
 use crate::watch::{back_off, count_call, max_backoff_ms, note_era};
 
 /// Interval between checks whether the configuration has to be confirmed.
 const CONFIRM_POLL: Duration = Duration::from_millis(100);
 
+/// Maximum size of a configuration that is passed on, in bytes. Four copies of it occupy the link of
+/// a small instance for a tenth of a second; a larger one is read from the store by each instance.
+const MAX_RELAYED_BYTES: usize = 64 << 10;
+
+/// A configuration as the store holds it, sent from one instance to another.
+#[derive(Clone, Serialize, Deserialize)]
+pub(crate) struct RelayedConfiguration {
+    /// Revision of the object that holds it.
+    revision: Revision,
+    /// Contents of the object.
+    spec: String,
+}
+
 /// Starts the task that confirms the configuration.
 pub(crate) fn spawn(node: &Rc<Node>) {
     let node = Rc::clone(node);
@@ -72,17 +97,42 @@
 
 /// Puts the configuration in an object in force if it is newer. Returns whether it is now in force.
 pub(crate) fn apply(node: &Node, object: &Object) -> bool {
-    let revision = object.meta.revision;
-    if node.configuration_revision.get() == Some(revision) {
+    apply_spec(node, object.meta.revision, &object.spec)
+}
+
+/// Puts a configuration that a neighbour passed on in force if it is newer.
+pub(crate) fn receive(node: &Node, relayed: RelayedConfiguration) {
+    let RelayedConfiguration { revision, spec } = relayed;
+    let in_force = node.configuration_revision.get();
+    let is_newer = in_force.is_some_and(|r| r.era == revision.era && r < revision);
+    if !is_newer {
+        return;
+    }
+    match Spec::from_json(spec) {
+        Ok(spec) => {
+            apply_spec(node, revision, &spec);
+        }
+        Err(cause) => log::warn!(cause:% = cause; "cannot decode a configuration passed on"),
+    }
+}
+
+fn apply_spec(node: &Node, revision: Revision, spec: &Spec) -> bool {
+    let before = node.configuration_revision.get();
+    if before == Some(revision) {
         return true;
     }
-    match desired::decode(&object.spec) {
+    match desired::decode(spec) {
         Ok(intent) => {
             let version = intent.version;
             node.apply_configuration(intent);
             let in_force = node.intent().is_some_and(|i| i.version == version);
             if in_force {
                 node.configuration_revision.set(Some(revision));
+                // The first one is read at the start, when the neighbours have it already.
+                let is_relayed = node.settings.config_following == ConfigFollowing::Domain;
+                if is_relayed && before.is_some() {
+                    pass_on(node, revision, spec);
+                }
             }
             in_force
         }
@@ -92,3 +142,35 @@
         }
     }
 }
+
+/// Sends a configuration to the instances that this one relays to.
+fn pass_on(node: &Node, revision: Revision, spec: &Spec) {
+    let json = spec.as_json();
+    if json.len() > MAX_RELAYED_BYTES {
+        return;
+    }
+    let message = Rc::new(Message::Configuration(RelayedConfiguration {
+        revision,
+        spec: json.to_owned(),
+    }));
+    for address in receivers(node) {
+        let message = Rc::clone(&message);
+        tokio::task::spawn_local(async move {
+            if let Err(cause) = peers::post(address, &message, PEER_TIMEOUT).await {
+                log::debug!(address:% = address, cause; "configuration not passed on");
+            }
+        });
+    }
+}
+
+/// Returns the addresses of the instances that this one relays configurations to.
+fn receivers(node: &Node) -> Vec<std::net::SocketAddr> {
+    let own = &node.settings.name;
+    let reaching = peers::neighbours_reaching_store(node);
+    let neighbours = peers::neighbours(node);
+    let tree = RelayTree::of(own, &reaching, &neighbours);
+    let children = tree.children(own);
+    let membership = node.membership.borrow();
+    let live = membership.live().filter(|m| children.contains(&&m.name));
+    live.map(|m| m.peers).collect()
+}
--- a/plugins/relay/src/peers.rs
+++ b/plugins/relay/src/peers.rs
@@ -28,6 +28,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::interval;
 
+use crate::configuration::{self, RelayedConfiguration};
 use crate::gossip::{self, News, Seen};
 use crate::node::{Node, ROUND_MS};
 use crate::{failure_detector, quarantine, rate_limits, watch};
@@ -126,6 +127,8 @@
     News(News),
     /// Changes of runners' entries, from an instance that watches them.
     Step(ChangeBatch),
+    /// A newer configuration, from an instance of the same failure domain.
+    Configuration(RelayedConfiguration),
     /// Asks the receiver to probe the instance at an address.
     Probe {
         address: SocketAddr,
@@ -243,12 +246,17 @@
 
 /// Returns for whom this instance confirms the configuration.
 pub(crate) fn confirm_scope(node: &Node) -> ConfirmScope {
-    let own = &node.settings;
+    let reaching = neighbours_reaching_store(node);
+    ConfirmScope::of(&node.settings.name, reaching.iter())
+}
+
+/// Returns the other live instances of this instance's failure domain that reach the store.
+pub(crate) fn neighbours_reaching_store(node: &Node) -> Vec<Name> {
     let now = node.now();
-    let neighbours = neighbours(node);
     let loads = node.loads.borrow();
-    let hears_store = |n: &&Name| loads.hears_store(n, &own.failure_domain, now);
-    ConfirmScope::of(&own.name, neighbours.iter().filter(hears_store))
+    let mut names = neighbours(node);
+    names.retain(|n| loads.hears_store(n, &node.settings.failure_domain, now));
+    names
 }
 
 /// Whether this instance watches the runners itself. The holder of the placement lease has to see
@@ -398,6 +406,10 @@
             let _applied = watch::apply_batch(node, &changes);
             Reply::Done
         }
+        Message::Configuration(relayed) => {
+            configuration::receive(node, relayed);
+            Reply::Done
+        }
         Message::Own => Reply::Record(node.membership.borrow().own().clone()),
         Message::Probe { address } => {
             match post(address, &Message::Own, INDIRECT_PROBE_TIMEOUT).await {
--- a/plugins/relay/src/settings.rs
+++ b/plugins/relay/src/settings.rs
@@ -8,6 +8,7 @@
 use jacinthweir_kernel::settings::{LogSettings, open_with};
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::chain_selection::ChainRanking;
+use jacinthweir_policy::relay::store_watch::ConfigFollowing;
 use serde::{Deserialize, Serialize};
 
 /// Settings of a relay.
@@ -33,6 +34,9 @@
     /// What the choice of a chain depends on.
     #[serde(default)]
     pub chain_ranking: ChainRanking,
+    /// Which instances watch the configuration.
+    #[serde(default)]
+    pub config_following: ConfigFollowing,
     /// Log settings.
     #[serde(default)]
     pub log: LogSettings,
--- a/plugins/relay/src/watch.rs
+++ b/plugins/relay/src/watch.rs
@@ -15,7 +15,9 @@
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::revision::Revision;
 use jacinthweir_policy::relay::runners::RunnerEntry;
-use jacinthweir_policy::relay::store_watch::{self, ChangeBatch, ConfirmScope, RunnerChange};
+use jacinthweir_policy::relay::store_watch::{
+    self, ChangeBatch, ConfigFollowing, ConfirmScope, RunnerChange,
+};
 use tokio::time::sleep;
 
 use crate::configuration;
@@ -290,15 +292,17 @@
 /// Watches from `revision` on until a call fails, and returns its error.
 async fn watch(node: &Node, what: Watched, mut revision: Revision) -> StoreError {
     loop {
-        let timeout_ms = match what {
-            Watched::Runners => follower_wait(node).await,
+        let timeout_ms = follower_wait(node, what).await;
+        revision = match what {
+            Watched::Runners => node.runners_as_of.get(),
             Watched::Configuration => {
-                store_watch::scaled_interval_ms(CONFIGURATION_WATCH_MS, node.live_instances())
+                let passed_on = node.configuration_revision.get();
+                passed_on
+                    .filter(|r| r.era == revision.era)
+                    .unwrap_or_default()
+                    .max(revision)
             }
         };
-        if what == Watched::Runners {
-            revision = node.runners_as_of.get();
-        }
         if node.store.era() != Some(revision.era) {
             return StoreError::Restored;
         }
@@ -357,28 +361,52 @@
 const FOLLOWER_POLL_MS: Millis = 30_000;
 const FOLLOWER_POLL_JITTER_MS: f64 = 30_000.0;
 
-/// Interval between checks whether this instance has to watch the runners itself.
+/// Interval between checks whether this instance has to watch the store itself.
 const ROLE_POLL: Duration = Duration::from_millis(500);
 
+/// Time after the start in which an instance that knows no other one waits for the first exchanges
+/// before it watches the configuration, in milliseconds.
+const JOIN_MS: Millis = 800;
+
 /// Timeout of a watch that only has to fetch missed changes, in milliseconds.
 const CATCH_UP_WATCH_MS: Millis = 1;
 
-/// Waits while other instances watch the runners and notify this one. Returns the timeout of the
-/// next watch in milliseconds.
-async fn follower_wait(node: &Node) -> Millis {
+/// Waits while other instances watch the store and notify this one. Returns the timeout of the next
+/// watch in milliseconds.
+async fn follower_wait(node: &Node, what: Watched) -> Millis {
     let jitter_ms = (node.random_f64() * FOLLOWER_POLL_JITTER_MS) as Millis;
     let until = node.now() + FOLLOWER_POLL_MS + jitter_ms;
-    while !peers::watches_runners(node) {
-        if node.now() >= until {
+    while is_follower(node, what) {
+        // What an instance has of the configuration is confirmed by exchanges.
+        if what == Watched::Runners && node.now() >= until {
             return CATCH_UP_WATCH_MS;
         }
         tokio::select! {
-            () = peer_ahead(node, Watched::Runners) => return CATCH_UP_WATCH_MS,
+            () = peer_ahead(node, what) => return CATCH_UP_WATCH_MS,
             () = node.store_restored.notified() => return CATCH_UP_WATCH_MS,
             () = sleep(ROLE_POLL) => {}
         }
     }
-    RUNNERS_WATCH_MS
+    match what {
+        Watched::Configuration => {
+            store_watch::scaled_interval_ms(CONFIGURATION_WATCH_MS, node.live_instances())
+        }
+        Watched::Runners => RUNNERS_WATCH_MS,
+    }
+}
+
+/// Whether other instances watch the store for this one.
+fn is_follower(node: &Node, what: Watched) -> bool {
+    match what {
+        Watched::Runners => !peers::watches_runners(node),
+        Watched::Configuration => {
+            if node.settings.config_following == ConfigFollowing::Each {
+                return false;
+            }
+            let is_joining = node.now() < JOIN_MS && node.live_instances() == 1;
+            is_joining || peers::confirm_scope(node) == ConfirmScope::Own
+        }
+    }
 }
 
 /// Updates the newest revision of a runner's entry seen so far.
--- a/plugins/relay/tests/support/standin.rs
+++ b/plugins/relay/tests/support/standin.rs
@@ -275,6 +275,7 @@
         store,
         limits: RelayLimits::default(),
         chain_ranking: Default::default(),
+        config_following: Default::default(),
         bounds: Bounds {
             revocation_ms: 5_000,
             shutdown_s: 8.0,
--- a/policy/src/relay/store_watch.rs
+++ b/policy/src/relay/store_watch.rs
@@ -114,6 +114,17 @@
     }
 }
 
+/// Which instances watch the configuration.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ConfigFollowing {
+    /// Every instance.
+    #[default]
+    Each,
+    /// The confirmers of each failure domain, which pass it on.
+    Domain,
+}
+
 /// For which instances an instance reads the configuration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConfirmScope {
@@ -139,6 +150,45 @@
     }
 }
 
+/// Instances that each instance relays a configuration to.
+const RELAY_FANOUT: usize = 4;
+
+/// The instances of a failure domain in the order in which a configuration is relayed among them:
+/// first those that watch it.
+///
+/// Load pattern: configurations follow each other, and each ends a watch of every instance, hundreds
+/// of calls where a few instances could read it and pass it on. A tree keeps the bytes that a small
+/// instance sends to four copies; thirty instances have it after two hops.
+#[derive(Clone, Debug)]
+pub struct RelayTree<'a>(Vec<&'a Name>);
+
+impl<'a> RelayTree<'a> {
+    /// Returns the tree over `own` and its `neighbours`, of which those in `reaching` reach the
+    /// store. `own` must not be among the neighbours.
+    #[must_use]
+    pub fn of(own: &'a Name, reaching: &[Name], neighbours: &'a [Name]) -> RelayTree<'a> {
+        let mut names: Vec<&Name> = neighbours.iter().chain([own]).collect();
+        let is_cut_off = |name: &Name| name != own && !reaching.contains(name);
+        names.sort_by_cached_key(|name| (is_cut_off(name), rank(name)));
+        RelayTree(names)
+    }
+
+    /// Returns the instances that `name` relays a configuration to.
+    #[must_use]
+    pub fn children(&self, name: &str) -> Vec<&'a Name> {
+        let Some(index) = self.0.iter().position(|n| ***n == *name) else {
+            return Vec::new();
+        };
+        let first = CONFIRMERS_PER_DOMAIN + RELAY_FANOUT * index;
+        self.0
+            .iter()
+            .skip(first)
+            .take(RELAY_FANOUT)
+            .copied()
+            .collect()
+    }
+}
+
 /// Duration of a read of the configuration at which an instance delays its next read by half of the
 /// time up to the deadline, in milliseconds.
 const SLOW_READ_MS: f64 = 100.0;
--- a/policy/tests/relay_store_watch.rs
+++ b/policy/tests/relay_store_watch.rs
@@ -4,8 +4,8 @@
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::revision::Revision;
 use jacinthweir_policy::relay::store_watch::{
-    ChangeBatch, ConfirmScope, Outdated, PeerProgress, Watchers, catch_up_ms, debounce_ms,
-    runners_debounce_ms, scaled_interval_ms, should_confirm,
+    ChangeBatch, ConfirmScope, Outdated, PeerProgress, RelayTree, Watchers, catch_up_ms,
+    debounce_ms, runners_debounce_ms, scaled_interval_ms, should_confirm,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -263,3 +263,61 @@
     outdated.in_force(9, 14_000);
     expect_false!(outdated.is_outdated(20_000));
 }
+
+/// Returns the hops after which each of `names` has a configuration that the confirmers among
+/// `reaching` read, and how often each was sent it.
+fn relayed(names: &[Name], reaching: &[Name]) -> std::collections::BTreeMap<Name, (usize, usize)> {
+    let mut received = std::collections::BTreeMap::new();
+    let confirmers = reaching
+        .iter()
+        .filter(|n| ConfirmScope::of(n, reaching.iter()) == ConfirmScope::Domain);
+    let mut frontier: Vec<Name> = confirmers.cloned().collect();
+    for root in &frontier {
+        received.insert(root.clone(), (0, 0));
+    }
+    for hop in 1.. {
+        let mut next = Vec::new();
+        for sender in &frontier {
+            let neighbours: Vec<Name> = names.iter().filter(|n| *n != sender).cloned().collect();
+            let tree = RelayTree::of(sender, reaching, &neighbours);
+            for child in tree.children(sender) {
+                let entry = received.entry(child.clone()).or_insert((hop, 0));
+                entry.1 += 1;
+                next.push(child.clone());
+            }
+        }
+        if next.is_empty() {
+            break;
+        }
+        frontier = next;
+    }
+    received
+}
+
+/// A configuration is relayed in a failure domain of some to hundreds of instances. An instance
+/// left out would call the store for each, and one that is sent many copies delays its streams.
+#[gtest]
+fn a_relayed_configuration_reaches_every_instance_once() {
+    for count in [1, 2, 3, 7, 30, 118] {
+        let names = names(&["east"], count);
+        let received = relayed(&names, &names);
+        expect_that!(received.len(), eq(count), "{count} instances");
+        for (name, (hops, copies)) in &received {
+            expect_that!(*hops, le(4), "{name} of {count}");
+            expect_that!(*copies, le(1), "{name} of {count}");
+        }
+    }
+}
+
+/// The store turns a third of the instances away and serves the others. Those would act on an old
+/// configuration, or refuse their callers, if they had to read it themselves; none of the rest may
+/// depend on one of them.
+#[gtest]
+fn a_relayed_configuration_reaches_instances_that_the_store_turns_away() {
+    let names = names(&["east"], 30);
+    let reaching: Vec<Name> = names.iter().skip(10).cloned().collect();
+    let received = relayed(&names, &reaching);
+    expect_that!(received.len(), eq(30));
+    let deepest = |set: &[Name]| set.iter().map(|n| received[n].0).max();
+    expect_that!(deepest(&names[..10]), ge(deepest(&reaching)));
+}
