Relay: chains are drawn by the expected time of a stream

Callers saw late answers whenever a chain broke or all instances lost power: every stream in flight is late then, and slow chains, filled as far as fast ones, held most of them.

Change: a chain's weight in the draw has the square of its speed under the known load; the way by free room alone leaves with its setting.

--- a/plugins/relay/src/live_chains.rs
+++ b/plugins/relay/src/live_chains.rs
@@ -282,10 +282,8 @@
             });
         }
         let instances = self.live_instances();
-        let ranking = self.settings.chain_ranking;
         let draw = || self.random_f64();
-        let chosen =
-            chain_selection::select_sampled(&candidates, ranking, tokens, fill, instances, draw);
+        let chosen = chain_selection::select_sampled(&candidates, tokens, fill, instances, draw);
         chosen.map(|i| Rc::clone(&live[i]))
     }
 }
--- a/plugins/relay/src/settings.rs
+++ b/plugins/relay/src/settings.rs
@@ -7,7 +7,6 @@
 use jacinthweir_kernel::KernelError;
 use jacinthweir_kernel::settings::{LogSettings, open_with};
 use jacinthweir_policy::prelude::*;
-use jacinthweir_policy::relay::chain_selection::ChainRanking;
 use jacinthweir_policy::relay::store_watch::ConfigFollowing;
 use serde::{Deserialize, Serialize};
 
@@ -31,9 +30,6 @@
     pub limits: RelayLimits,
     /// Service-level bounds.
     pub bounds: Bounds,
-    /// What the choice of a chain depends on.
-    #[serde(default)]
-    pub chain_ranking: ChainRanking,
     /// Which instances watch the configuration.
     #[serde(default)]
     pub config_following: ConfigFollowing,
--- a/policy/src/relay/chain_selection.rs
+++ b/policy/src/relay/chain_selection.rs
@@ -88,17 +88,6 @@
     pub event_ms: f64,
 }
 
-/// What a chain's share of new requests depends on, beside its free room.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum ChainRanking {
-    /// Nothing else.
-    #[default]
-    FreeRoom,
-    /// The expected time of a stream.
-    ExpectedTime,
-}
-
 /// Initial and maximum backoff of a chain after a refusal, in milliseconds; it doubles with each
 /// refusal. A runner whose memory is full refuses for seconds, and each refused request costs a
 /// retry.
@@ -233,10 +222,9 @@
 /// the least loaded chain, all take the same one until they learn that it is full: it gets twice the
 /// requests that it has room for, which queue for seconds while other chains are half empty. The better
 /// of two random chains is still the same one too often. So the more instances decide, the fewer chains
-/// each considers, down to one, drawn with a probability that grows with its free room.
+/// each considers, down to one, drawn with a probability that grows with its free room and its speed.
 pub fn select_sampled(
     candidates: &[ChainCandidate],
-    ranking: ChainRanking,
     tokens: f64,
     fill: f64,
     deciders: usize,
@@ -247,7 +235,7 @@
     }
     let fitting = candidates.iter().filter(|c| c.fits(tokens, fill));
     let mut drawn: Vec<(f64, ChainCandidate)> = fitting
-        .map(|c| (-(1.0 - draw()).ln() / draw_weight(c, ranking, tokens), *c))
+        .map(|c| (-(1.0 - draw()).ln() / draw_weight(c, tokens), *c))
         .collect();
     drawn.sort_by(|a, b| a.0.total_cmp(&b.0));
     let sample = drawn.len() * FULL_SCAN_INSTANCES / deciders;
@@ -256,14 +244,16 @@
     select(&drawn, tokens, fill)
 }
 
-/// Exponent of a chain's speed in its sampling weight.
+/// Exponent of a chain's speed in its sampling weight. With 1, chains of any speed are equally full;
+/// above that, slow ones are emptier.
 const SPEED_EXPONENT: f64 = 2.0;
 
-fn draw_weight(candidate: &ChainCandidate, ranking: ChainRanking, tokens: f64) -> f64 {
-    let speed = match ranking {
-        ChainRanking::FreeRoom => 1.0,
-        ChainRanking::ExpectedTime => candidate.event_ms.max(1.0).powf(-SPEED_EXPONENT),
-    };
+/// Returns the relative probability of a chain to be drawn.
+///
+/// Load pattern: the chains of a fleet differ in speed by a factor of seven, and the load is half of
+/// what they have room for. If slow chains are filled as far as fast ones, most streams in flight are
+/// theirs, and every stream in flight is late when a chain breaks or all instances are lost.
+fn draw_weight(candidate: &ChainCandidate, tokens: f64) -> f64 {
     let free = (1.0 - candidate.fill_with(tokens)).max(MIN_WEIGHT);
     let near = if candidate.near { NEAR_WEIGHT } else { 1.0 };
     let suspected = if candidate.is_suspected() {
@@ -272,6 +262,7 @@
         1.0
     };
     let timely = candidate.timeliness().max(MIN_WEIGHT);
+    let speed = candidate.event_ms.max(1.0).powf(-SPEED_EXPONENT);
     free * near * suspected * timely * speed
 }
 
--- a/policy/tests/relay_chain_speed.rs
+++ b/policy/tests/relay_chain_speed.rs
@@ -2,9 +2,7 @@
 //! when the speeds or the requests change.
 
 use googletest::prelude::*;
-use jacinthweir_policy::relay::chain_selection::{
-    ChainCandidate, ChainRanking, MAX_FILL, select_sampled,
-};
+use jacinthweir_policy::relay::chain_selection::{ChainCandidate, MAX_FILL, select_sampled};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -135,14 +133,7 @@
             .collect();
         let rng = &mut self.rng;
         let draw = || rng.random();
-        let chosen = select_sampled(
-            &candidates,
-            ChainRanking::ExpectedTime,
-            self.tokens,
-            MAX_FILL,
-            INSTANCES,
-            draw,
-        );
+        let chosen = select_sampled(&candidates, self.tokens, MAX_FILL, INSTANCES, draw);
         let Some(chain) = chosen else {
             self.refused += 1;
             return;
--- a/policy/tests/relay_load.rs
+++ b/policy/tests/relay_load.rs
@@ -4,7 +4,7 @@
 
 use googletest::prelude::*;
 use jacinthweir_policy::relay::chain_selection::{
-    ChainCandidate, ChainRanking, MAX_FILL, ReleaseRate, Shortage, select, select_sampled,
+    ChainCandidate, MAX_FILL, ReleaseRate, Shortage, select, select_sampled,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -159,16 +159,8 @@
 fn many_instances_do_not_all_select_the_least_loaded_chain() {
     let mut rng = ChaCha8Rng::seed_from_u64(7);
     let least_loaded = fullest(|candidates| select(candidates, TOKENS, MAX_FILL));
-    let sampled = fullest(|candidates| {
-        select_sampled(
-            candidates,
-            ChainRanking::FreeRoom,
-            TOKENS,
-            MAX_FILL,
-            300,
-            || rng.random(),
-        )
-    });
+    let sampled =
+        fullest(|candidates| select_sampled(candidates, TOKENS, MAX_FILL, 300, || rng.random()));
     expect_that!(least_loaded, ge(1.5));
     expect_that!(sampled, le(1.0));
 }
@@ -189,14 +181,7 @@
             event_ms: 50.0,
         };
         let candidates: Vec<ChainCandidate> = (0..8).map(room).collect();
-        let sampled = select_sampled(
-            &candidates,
-            ChainRanking::FreeRoom,
-            TOKENS,
-            MAX_FILL,
-            6,
-            || rng.random(),
-        );
+        let sampled = select_sampled(&candidates, TOKENS, MAX_FILL, 6, || rng.random());
         expect_that!(sampled, eq(select(&candidates, TOKENS, MAX_FILL)));
     }
 }
@@ -245,14 +230,7 @@
             event_ms: 50.0,
         };
         let candidates: Vec<ChainCandidate> = (0..chains).map(room).collect();
-        if let Some(chain) = select_sampled(
-            &candidates,
-            ChainRanking::FreeRoom,
-            TOKENS,
-            MAX_FILL,
-            300,
-            || rng.random(),
-        ) {
+        if let Some(chain) = select_sampled(&candidates, TOKENS, MAX_FILL, 300, || rng.random()) {
             streams[chain] += 1;
             let gap = gap_ms(chain, streams[chain]);
             late += u32::from(gap > LATE_MS);
