Relay: two instances of a domain watch the configuration and pass it on

Kept of the two ways: the confirmers of a domain watch, a tree of four receivers each passes the configuration on; the way by which each watches leaves with its setting.

A counter tells configurations from the store from those of a neighbour; the test among real instances waits for one of the latter, and those of the tree say that each instance gets one copy, those turned away by the store too.

--- a/plugins/relay/src/configuration.rs
+++ b/plugins/relay/src/configuration.rs
@@ -16,7 +16,7 @@
 use jacinthweir_platform::desired;
 use jacinthweir_platform::store::{Change, Object, Spec};
 use jacinthweir_policy::relay::revision::Revision;
-use jacinthweir_policy::relay::store_watch::{self, ConfigFollowing, RelayTree};
+use jacinthweir_policy::relay::store_watch::{self, RelayTree};
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
@@ -40,6 +40,15 @@
     spec: String,
 }
 
+/// Where an instance got a configuration from.
+#[derive(Clone, Copy, Debug, derive_more::Display)]
+enum Source {
+    #[display("store")]
+    Store,
+    #[display("neighbour")]
+    Neighbour,
+}
+
 /// Starts the task that confirms the configuration.
 pub(crate) fn spawn(node: &Rc<Node>) {
     let node = Rc::clone(node);
@@ -97,7 +106,8 @@
 
 /// Puts the configuration in an object in force if it is newer. Returns whether it is now in force.
 pub(crate) fn apply(node: &Node, object: &Object) -> bool {
-    apply_spec(node, object.meta.revision, &object.spec)
+    let revision = object.meta.revision;
+    apply_spec(node, revision, &object.spec, Source::Store)
 }
 
 /// Puts a configuration that a neighbour passed on in force if it is newer.
@@ -110,13 +120,13 @@
     }
     match Spec::from_json(spec) {
         Ok(spec) => {
-            apply_spec(node, revision, &spec);
+            apply_spec(node, revision, &spec, Source::Neighbour);
         }
         Err(cause) => log::warn!(cause:% = cause; "cannot decode a configuration passed on"),
     }
 }
 
-fn apply_spec(node: &Node, revision: Revision, spec: &Spec) -> bool {
+fn apply_spec(node: &Node, revision: Revision, spec: &Spec, source: Source) -> bool {
     let before = node.configuration_revision.get();
     if before == Some(revision) {
         return true;
@@ -128,9 +138,10 @@
             let in_force = node.intent().is_some_and(|i| i.version == version);
             if in_force {
                 node.configuration_revision.set(Some(revision));
+                metrics::counter!("jacinthweir_configurations_total", "source" => source.to_string())
+                    .increment(1);
                 // The first one is read at the start, when the neighbours have it already.
-                let is_relayed = node.settings.config_following == ConfigFollowing::Domain;
-                if is_relayed && before.is_some() {
+                if before.is_some() {
                     pass_on(node, revision, spec);
                 }
             }
--- a/plugins/relay/src/settings.rs
+++ b/plugins/relay/src/settings.rs
@@ -7,7 +7,6 @@
 use jacinthweir_kernel::KernelError;
 use jacinthweir_kernel::settings::{LogSettings, open_with};
 use jacinthweir_policy::prelude::*;
-use jacinthweir_policy::relay::store_watch::ConfigFollowing;
 use serde::{Deserialize, Serialize};
 
 /// Settings of a relay.
@@ -30,9 +29,6 @@
     pub limits: RelayLimits,
     /// Service-level bounds.
     pub bounds: Bounds,
-    /// Which instances watch the configuration.
-    #[serde(default)]
-    pub config_following: ConfigFollowing,
     /// Log settings.
     #[serde(default)]
     pub log: LogSettings,
--- a/plugins/relay/src/watch.rs
+++ b/plugins/relay/src/watch.rs
@@ -15,9 +15,7 @@
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::revision::Revision;
 use jacinthweir_policy::relay::runners::RunnerEntry;
-use jacinthweir_policy::relay::store_watch::{
-    self, ChangeBatch, ConfigFollowing, ConfirmScope, RunnerChange,
-};
+use jacinthweir_policy::relay::store_watch::{self, ChangeBatch, ConfirmScope, RunnerChange};
 use tokio::time::sleep;
 
 use crate::configuration;
@@ -400,9 +398,6 @@
     match what {
         Watched::Runners => !peers::watches_runners(node),
         Watched::Configuration => {
-            if node.settings.config_following == ConfigFollowing::Each {
-                return false;
-            }
             let is_joining = node.now() < JOIN_MS && node.live_instances() == 1;
             is_joining || peers::confirm_scope(node) == ConfirmScope::Own
         }
--- a/plugins/relay/tests/relay.rs
+++ b/plugins/relay/tests/relay.rs
@@ -1,6 +1,8 @@
 //! End-to-end tests of the relay against stand-ins for store, runners and callers, over real
 //! sockets.
 
+#[path = "relay/configuration.rs"]
+mod configuration;
 #[path = "relay/failure_detection.rs"]
 mod failure_detection;
 #[path = "relay/quarantine.rs"]
--- a/plugins/relay/tests/support/standin.rs
+++ b/plugins/relay/tests/support/standin.rs
@@ -274,7 +274,6 @@
         seeds: Vec::new(),
         store,
         limits: RelayLimits::default(),
-        config_following: Default::default(),
         bounds: Bounds {
             revocation_ms: 5_000,
             shutdown_s: 8.0,
--- a/policy/src/relay/store_watch.rs
+++ b/policy/src/relay/store_watch.rs
@@ -114,17 +114,6 @@
     }
 }
 
-/// Which instances watch the configuration.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum ConfigFollowing {
-    /// Every instance.
-    #[default]
-    Each,
-    /// The confirmers of each failure domain, which pass it on.
-    Domain,
-}
-
 /// For which instances an instance reads the configuration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConfirmScope {
