--- a/plugins/relay/src/watch.rs
+++ b/plugins/relay/src/watch.rs
@@ -398,8 +398,9 @@
     match what {
         Watched::Runners => !peers::watches_runners(node),
         Watched::Configuration => {
+            let has_configuration = node.intent.borrow().is_some();
             let is_joining = node.now() < JOIN_MS && node.live_instances() == 1;
-            is_joining || peers::confirm_scope(node) == ConfirmScope::Own
+            has_configuration && (is_joining || peers::confirm_scope(node) == ConfirmScope::Own)
         }
     }
 }
