--- a/policy/src/relay.rs
+++ b/policy/src/relay.rs
@@ -14,7 +14,8 @@
 //! | [`lease`] | which instance gives orders to runners |
 //! | [`silence`] | when a chain is silent or slow and its runners are probed, and which of them is dead |
 //! | [`failure_reports`] | whether a quorum reports a runner dead, and which instances probe it |
-//! | [`chain_selection`] | which chain a request is sent to, or whether it waits or is refused |
+//! | [`chain_selection`] | which chain a request is sent to |
+//! | [`load_shedding`] | which requests wait in vain, and when the callers of refused ones return |
 //! | [`rate_limits`] | which share of a runner's announced rate limit an instance may use |
 //! | [`loads`] | what all instances have in flight, and which of it is gossiped |
 //! | [`attempts`] | on which runners, and how often, one request may be tried |
@@ -33,6 +34,7 @@
 pub mod intent;
 pub mod lease;
 pub mod lifetime;
+pub mod load_shedding;
 pub mod loads;
 pub mod placement;
 pub mod quarantine;
--- a/policy/tests/relay_load.rs
+++ b/policy/tests/relay_load.rs
@@ -4,8 +4,9 @@
 
 use googletest::prelude::*;
 use jacinthweir_policy::relay::chain_selection::{
-    ChainCandidate, MAX_FILL, ReleaseRate, Shortage, select, select_sampled,
+    ChainCandidate, MAX_FILL, select, select_sampled,
 };
+use jacinthweir_policy::relay::load_shedding::{ReleaseRate, Shortage};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
