Relay: the preference for fast chains fades as the chains fill up

Change: the exponent is three times the free share of the room of all chains that may take the request, so 1.8 at two fifths full and nothing at full.

--- a/policy/src/relay/chain_selection.rs
+++ b/policy/src/relay/chain_selection.rs
@@ -233,9 +233,15 @@
     if deciders <= FULL_SCAN_INSTANCES {
         return select(candidates, tokens, fill);
     }
+    let speed_exponent = speed_exponent(candidates);
     let fitting = candidates.iter().filter(|c| c.fits(tokens, fill));
     let mut drawn: Vec<(f64, ChainCandidate)> = fitting
-        .map(|c| (-(1.0 - draw()).ln() / draw_weight(c, tokens), *c))
+        .map(|c| {
+            (
+                -(1.0 - draw()).ln() / draw_weight(c, speed_exponent, tokens),
+                *c,
+            )
+        })
         .collect();
     drawn.sort_by(|a, b| a.0.total_cmp(&b.0));
     let sample = drawn.len() * FULL_SCAN_INSTANCES / deciders;
@@ -244,16 +250,27 @@
     select(&drawn, tokens, fill)
 }
 
-/// Exponent of a chain's speed in its sampling weight. With 1, chains of any speed are equally full;
-/// above that, slow ones are emptier.
-const SPEED_EXPONENT: f64 = 2.0;
+/// Exponent of a chain's speed in its sampling weight while all chains are empty. With 1, chains of
+/// any speed are equally full; above that, slow ones are emptier.
+const SPEED_EXPONENT: f64 = 3.0;
+
+/// Returns the exponent of a chain's speed in its sampling weight.
+///
+/// Load pattern: a failure domain is lost under high load. All room is needed then, and loads are known
+/// with delay: work that prefers fast chains overfills them while slow ones have room left. So the
+/// preference fades as the chains fill up.
+fn speed_exponent(candidates: &[ChainCandidate]) -> f64 {
+    let room: f64 = candidates.iter().map(|c| c.room_tokens).sum();
+    let used: f64 = candidates.iter().map(|c| c.used_tokens).sum();
+    SPEED_EXPONENT * (1.0 - used / room.max(1.0)).clamp(0.0, 1.0)
+}
 
 /// Returns the relative probability of a chain to be drawn.
 ///
 /// Load pattern: the chains of a fleet differ in speed by a factor of seven, and the load is half of
 /// what they have room for. If slow chains are filled as far as fast ones, most streams in flight are
 /// theirs, and every stream in flight is late when a chain breaks or all instances are lost.
-fn draw_weight(candidate: &ChainCandidate, tokens: f64) -> f64 {
+fn draw_weight(candidate: &ChainCandidate, speed_exponent: f64, tokens: f64) -> f64 {
     let free = (1.0 - candidate.fill_with(tokens)).max(MIN_WEIGHT);
     let near = if candidate.near { NEAR_WEIGHT } else { 1.0 };
     let suspected = if candidate.is_suspected() {
@@ -262,6 +279,6 @@
         1.0
     };
     let timely = candidate.timeliness().max(MIN_WEIGHT);
-    let speed = candidate.event_ms.max(1.0).powf(-SPEED_EXPONENT);
+    let speed = candidate.event_ms.max(1.0).powf(-speed_exponent);
     free * near * suspected * timely * speed
 }
--- a/policy/tests/relay_chain_speed.rs
+++ b/policy/tests/relay_chain_speed.rs
@@ -55,6 +55,8 @@
     /// Factor on the time between events of each chain, and the tokens of a new request.
     slowdown: [f64; CHAINS.len()],
     tokens: f64,
+    /// Failure domain that is lost.
+    lost: Option<usize>,
     /// Streams in flight: end, chain and tokens.
     running: Vec<(u64, usize, f64)>,
     used: [f64; CHAINS.len()],
@@ -76,6 +78,7 @@
             known,
             slowdown: [1.0; CHAINS.len()],
             tokens: TOKENS,
+            lost: None,
             running: Vec::new(),
             used: [0.0; CHAINS.len()],
             received: vec![[0.0; CHAINS.len()]; INSTANCES],
@@ -128,7 +131,10 @@
 
     fn request(&mut self) {
         let instance = self.rng.random_range(0..INSTANCES);
-        let candidates: Vec<ChainCandidate> = (0..CHAINS.len())
+        let left = |chain: &usize| Some(CHAINS[*chain].1) != self.lost;
+        let chains: Vec<usize> = (0..CHAINS.len()).filter(left).collect();
+        let candidates: Vec<ChainCandidate> = chains
+            .into_iter()
             .map(|chain| self.candidate(instance, chain))
             .collect();
         let rng = &mut self.rng;
@@ -219,6 +225,49 @@
     expect_that!(fleet.share(3) + fleet.share(10), ge(slow));
 }
 
+/// A failure domain is lost under high load, and the others need nearly all their room. Work that
+/// preferred fast chains must not overfill them, since loads are known late, while slow ones have
+/// room left.
+#[gtest]
+fn fast_chains_are_not_overfilled_when_a_domain_is_lost() {
+    let after_loss = |known: Known| {
+        let mut fleet = Fleet::new(known);
+        fleet.run(10_000);
+        fleet.lost = Some(2);
+        fleet.run(15_000);
+        expect_that!(fleet.refused, eq(0));
+        fleet.fullest
+    };
+    let (by_room, by_speed) = (after_loss(Known::Nothing), after_loss(Known::Speed));
+    expect_that!(by_speed, le(MAX_FILL));
+    expect_that!(by_speed, le(by_room));
+}
+
+/// Guards against work that prefers a fast chain although all room is needed: it would be full for
+/// the callers of its own domain.
+#[gtest]
+fn the_preference_for_fast_chains_fades_as_the_chains_fill_up() {
+    let fast_share = |fill: f64| {
+        let candidate = |chain: usize| ChainCandidate {
+            chain,
+            near: true,
+            room_tokens: ROOM,
+            used_tokens: fill * ROOM,
+            silent_ms: 0,
+            backing_off: false,
+            gap_share: 0.0,
+            event_ms: [20.0, 60.0][chain],
+        };
+        let candidates = [candidate(0), candidate(1)];
+        let mut rng = ChaCha8Rng::seed_from_u64(7);
+        let mut select = || select_sampled(&candidates, TOKENS, MAX_FILL, 90, || rng.random());
+        let fast = (0..10_000).filter_map(|_| select()).filter(|c| *c == 0);
+        fast.count() as f64 / 10_000.0
+    };
+    expect_that!(fast_share(0.1), ge(0.9));
+    expect_that!(fast_share(0.95), le(0.6));
+}
+
 /// The measured time between events varies by a fifth although nothing changes. Work that followed
 /// the noise would move between the chains of a domain, and with it the room that is left there.
 #[gtest]
