Relay: a follower that is behind catches up in a large fleet too

By reading: an instance that follows the configuration restarted its wait for a configuration that peers have with each check of its role, every 0.5 s, while it waits 0.12 s and a debounce that grows with the fleet (1.1 s at 300 instances). Above some 115 instances one whose message was lost would not have asked the store before its confirmation was 2.7 s old. The wait for a newer state, the role, a restored store and the poll now run side by side.

--- a/plugins/relay/src/watch.rs
+++ b/plugins/relay/src/watch.rs
@@ -373,18 +373,25 @@
 /// watch in milliseconds.
 async fn follower_wait(node: &Node, what: Watched) -> Millis {
     let jitter_ms = (node.random_f64() * FOLLOWER_POLL_JITTER_MS) as Millis;
-    let until = node.now() + FOLLOWER_POLL_MS + jitter_ms;
+    let poll = Duration::from_millis(FOLLOWER_POLL_MS + jitter_ms);
+    // What an instance has of the configuration is confirmed by exchanges.
+    let polls = what == Watched::Runners;
+    tokio::select! {
+        () = until_watcher(node, what) => watch_timeout_ms(node, what),
+        () = peer_ahead(node, what) => CATCH_UP_WATCH_MS,
+        () = node.store_restored.notified() => CATCH_UP_WATCH_MS,
+        () = sleep(poll), if polls => CATCH_UP_WATCH_MS,
+    }
+}
+
+/// Returns once this instance has to watch the store itself.
+async fn until_watcher(node: &Node, what: Watched) {
     while is_follower(node, what) {
-        // What an instance has of the configuration is confirmed by exchanges.
-        if what == Watched::Runners && node.now() >= until {
-            return CATCH_UP_WATCH_MS;
-        }
-        tokio::select! {
-            () = peer_ahead(node, what) => return CATCH_UP_WATCH_MS,
-            () = node.store_restored.notified() => return CATCH_UP_WATCH_MS,
-            () = sleep(ROLE_POLL) => {}
-        }
+        sleep(ROLE_POLL).await;
     }
+}
+
+fn watch_timeout_ms(node: &Node, what: Watched) -> Millis {
     match what {
         Watched::Configuration => {
             store_watch::scaled_interval_ms(CONFIGURATION_WATCH_MS, node.live_instances())
