Relay: the time between events under load in terms of that without load

The factors are multiplied in another order, which may differ in the last bit of a weight; nothing else changes.

--- a/plugins/relay/src/configuration.rs
+++ b/plugins/relay/src/configuration.rs
@@ -1,7 +1,7 @@
 //! The configuration on an instance: confirmation, decoding, and passing on to neighbours.
 //!
 //! Two instances of each failure domain watch the configuration and read it again while it does not
-//! change ([`ConfirmScope`]). A change reaches the others of the domain along a [`RelayTree`], whose
+//! change ([`ConfirmScope`](store_watch::ConfirmScope)). A change reaches the others of the domain along a [`RelayTree`], whose
 //! roots these two are: each instance that puts a newer configuration in force sends it to a few
 //! others. A message that is lost or too large costs its receiver one call: it learns by gossip that
 //! its configuration is out of date, and asks the store.
--- a/plugins/relay/src/live_chains.rs
+++ b/plugins/relay/src/live_chains.rs
@@ -127,6 +127,7 @@
 }
 
 impl LiveChain {
+    /// Returns the declared time between two events of a lone stream, in milliseconds.
     fn unloaded_event_ms(&self) -> f64 {
         f64::from(self.engine.event_tokens) * self.step_ms.get()
     }
@@ -159,8 +160,7 @@
     /// Returns the time between two events of a stream at the declared speeds, with `used_tokens`
     /// tokens of requests in the chain, in milliseconds.
     fn declared_event_ms(&self, used_tokens: f64) -> f64 {
-        let step_ms = self.step_ms.get() * self.engine.batch_slowdown(used_tokens.max(0.0));
-        f64::from(self.engine.event_tokens) * step_ms
+        self.unloaded_event_ms() * self.engine.batch_slowdown(used_tokens.max(0.0))
     }
 
     /// Returns the identity and lifetime of the first runner.
--- a/policy/src/relay/chain_selection.rs
+++ b/policy/src/relay/chain_selection.rs
@@ -233,14 +233,12 @@
     if deciders <= FULL_SCAN_INSTANCES {
         return select(candidates, tokens, fill);
     }
-    let speed_exponent = speed_exponent(candidates);
+    let exponent = speed_exponent(candidates);
     let fitting = candidates.iter().filter(|c| c.fits(tokens, fill));
     let mut drawn: Vec<(f64, ChainCandidate)> = fitting
         .map(|c| {
-            (
-                -(1.0 - draw()).ln() / draw_weight(c, speed_exponent, tokens),
-                *c,
-            )
+            let weight = draw_weight(c, exponent, tokens);
+            (-(1.0 - draw()).ln() / weight, *c)
         })
         .collect();
     drawn.sort_by(|a, b| a.0.total_cmp(&b.0));
