Relay: chains are searched by failure domain over groups of like runners; placement is planned on change

Cause: each change of one runner made every instance search the chains of all failure domains anew, over all runners and once for each chain, and the instance that gives orders planned all domains ten times a second.

Ruled out: a larger interval between plans (a repair would wait for it); a search that is cut off (the instances would disagree).

Change: holders that agree in all that a chain's cost depends on form a group, and the search runs over groups; the chains of a domain are kept and searched again only if its holders changed; a plan without moves is not repeated until something in the domain changes, settles, or becomes usable. Runners count changes by domain.

--- a/plugins/relay/src/live_chains.rs
+++ b/plugins/relay/src/live_chains.rs
@@ -2,10 +2,11 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::ops::Range;
 use std::rc::Rc;
 
 use jacinthweir_policy::prelude::*;
-use jacinthweir_policy::relay::chain::{self, Chain, Stage};
+use jacinthweir_policy::relay::chain::{Chain, ServiceChains, Stage};
 use jacinthweir_policy::relay::chain_selection::{self, ChainCandidate, Occupancy, RefusalBackoff};
 use jacinthweir_policy::relay::intent::Engine;
 use jacinthweir_policy::relay::runners::Runners;
@@ -43,12 +44,57 @@
 /// Chains of all services.
 #[derive(Default)]
 pub(crate) struct Chains {
+    /// Chains of each service as computed from its runners.
+    computed: BTreeMap<Name, ServiceChains>,
+    /// Chains that accept new requests, sorted by failure domain; one that crosses domains is last.
     current: BTreeMap<Name, Vec<Rc<LiveChain>>>,
     /// Replaced chains that may still have requests in flight.
     replaced: Vec<Rc<LiveChain>>,
     used: BTreeMap<(Name, Name), Rc<Cell<f64>>>,
-    /// Stages of the newest chain behind each first runner, and when it was computed.
-    paths: BTreeMap<(Name, Name), (Vec<Stage>, Millis)>,
+    paths: Paths,
+}
+
+/// Stages of the newest chain behind each first runner, by service and first runner.
+#[derive(Default)]
+struct Paths(BTreeMap<(Name, Name), RetainedPath>);
+
+struct RetainedPath {
+    stages: Vec<Stage>,
+    /// Until when it is kept, unless a chain in use begins with its first runner.
+    until_ms: Option<Millis>,
+}
+
+impl Paths {
+    /// Stores which runners the requests behind a chain's first runner pass through.
+    fn store(&mut self, live: &LiveChain) {
+        let path = RetainedPath {
+            stages: live.chain.stages.clone(),
+            until_ms: None,
+        };
+        self.0.insert(path_key(live), path);
+    }
+
+    /// Starts the retention of a chain's path.
+    fn retire(&mut self, live: &LiveChain, now: Millis) {
+        if let Some(path) = self.0.get_mut(&path_key(live)) {
+            path.until_ms = Some(now + PATH_RETENTION_MS);
+        }
+    }
+
+    fn expire(&mut self, now: Millis) {
+        self.0
+            .retain(|_, path| path.until_ms.is_none_or(|until| now < until));
+    }
+
+    /// Returns the first runner and the stages of each path of a service.
+    fn of(&self, service: &Name) -> impl Iterator<Item = (&Name, &[Stage])> {
+        let of_service = self.0.iter().filter(move |((s, _), _)| s == service);
+        of_service.map(|((_, head), path)| (head, path.stages.as_slice()))
+    }
+}
+
+fn path_key(live: &LiveChain) -> (Name, Name) {
+    (live.service.clone(), live.chain.head().id.clone())
 }
 
 /// How long the stages behind a first runner are kept after the last chain that begins with it, in
@@ -72,58 +118,100 @@
         all.map(|((service, head), used)| (service, head, used.get()))
     }
 
-    /// Stores which runners the requests behind each first runner pass through.
-    fn store_paths(&mut self, service: &Name, now: Millis) {
-        for live in self.current.get(service).into_iter().flatten() {
-            let key = (service.clone(), live.chain.head().id.clone());
-            let path = self.paths.entry(key).or_default();
-            path.1 = now;
-            if path.0 != live.chain.stages {
-                path.0.clone_from(&live.chain.stages);
+    /// Brings the chains of a service up to date with `runners`. Returns the failure domains in which
+    /// chains were replaced.
+    fn update(
+        &mut self,
+        runners: &Runners,
+        service: &Name,
+        engine: &Engine,
+        now: Millis,
+    ) -> Vec<Option<Name>> {
+        let computed = self.computed.entry(service.clone()).or_default();
+        let update = computed.update(runners, service, engine, now);
+        let mut replaced = Vec::new();
+        for domain in update.changed {
+            let chains = self.computed[service].of_domain(domain.as_deref()).to_vec();
+            if self.replace(service, engine, domain.as_ref(), chains, now) {
+                replaced.push(domain);
             }
         }
-        self.paths
-            .retain(|_, path| now < path.1 + PATH_RETENTION_MS);
+        self.used.retain(|_, used| Rc::strong_count(used) > 1);
+        self.replaced.retain(|l| l.silence.borrow().waiting() > 0);
+        replaced
+    }
+
+    /// Returns the position of a failure domain's chains among those of a service.
+    fn range_of(&self, service: &str, domain: Option<&Name>) -> Range<usize> {
+        // Chains are sorted by domain, and one that crosses domains comes last.
+        let rank = |d: Option<&Name>| (d.is_none(), d.cloned());
+        let wanted = rank(domain);
+        let live = self.of(service);
+        let start = live.partition_point(|l| rank(l.chain.domain.as_ref()) < wanted);
+        let len = live[start..].partition_point(|l| rank(l.chain.domain.as_ref()) == wanted);
+        start..start + len
     }
 
-    /// Replaces the chains of a service, keeping the state of those whose stages are unchanged.
-    /// Returns whether anything changed.
-    fn replace(&mut self, service: &Name, engine: &Engine, chains: Vec<Chain>) -> bool {
-        let mut old = self.current.remove(service).unwrap_or_default();
+    /// Replaces the chains of a service in one failure domain, keeping the state of those whose stages
+    /// are unchanged. Returns whether anything changed.
+    fn replace(
+        &mut self,
+        service: &Name,
+        engine: &Engine,
+        domain: Option<&Name>,
+        chains: Vec<Chain>,
+        now: Millis,
+    ) -> bool {
+        let range = self.range_of(service, domain);
+        let current = self.current.entry(service.clone()).or_default();
+        let old: Vec<Rc<LiveChain>> = current.drain(range.clone()).collect();
         let mut changed = old.len() != chains.len();
-        let mut new = Vec::new();
-        let event_tokens = f64::from(engine.event_tokens);
+        let mut by_head: BTreeMap<Name, Rc<LiveChain>> = BTreeMap::new();
+        for live in old {
+            self.paths.retire(&live, now);
+            by_head.insert(live.chain.head().id.clone(), live);
+        }
+        let mut new = Vec::with_capacity(chains.len());
         for chain in chains {
-            let kept = old.iter().position(|l| l.chain.same_stages(&chain));
-            if let Some(i) = kept {
-                let live = old.swap_remove(i);
-                changed |= live.step_ms.replace(chain.step_ms) != chain.step_ms;
-                new.push(live);
-                continue;
-            }
-            changed = true;
-            let key = (service.clone(), chain.head().id.clone());
-            let used = Rc::clone(self.used.entry(key).or_default());
-            new.push(Rc::new(LiveChain {
-                service: service.clone(),
-                silence: RefCell::new(SilenceDetector::new(event_tokens * chain.step_ms)),
-                gaps: RefCell::default(),
-                refusals: RefCell::default(),
-                engine: engine.clone(),
-                step_ms: Cell::new(chain.step_ms),
-                broken: CancellationToken::new(),
-                prefill: Cell::new(0.0),
-                used,
-                chain,
-            }));
+            let old = by_head.remove(&chain.head().id);
+            let live = match old {
+                Some(live) if live.chain.same_stages(&chain) => {
+                    changed |= live.step_ms.replace(chain.step_ms) != chain.step_ms;
+                    live
+                }
+                old => {
+                    changed = true;
+                    self.replaced.extend(old);
+                    Rc::new(self.open(service, engine, chain))
+                }
+            };
+            self.paths.store(&live);
+            new.push(live);
         }
-        changed |= !old.is_empty();
-        self.replaced.extend(old);
-        self.used.retain(|_, used| Rc::strong_count(used) > 1);
-        self.replaced.retain(|l| l.silence.borrow().waiting() > 0);
-        self.current.insert(service.clone(), new);
+        changed |= !by_head.is_empty();
+        self.replaced.extend(by_head.into_values());
+        self.paths.expire(now);
+        let current = self.current.entry(service.clone()).or_default();
+        current.splice(range.start..range.start, new);
         changed
     }
+
+    fn open(&mut self, service: &Name, engine: &Engine, chain: Chain) -> LiveChain {
+        let event_tokens = f64::from(engine.event_tokens);
+        let key = (service.clone(), chain.head().id.clone());
+        LiveChain {
+            service: service.clone(),
+            silence: RefCell::new(SilenceDetector::new(event_tokens * chain.step_ms)),
+            gaps: RefCell::default(),
+            refusals: RefCell::default(),
+            engine: engine.clone(),
+            step_ms: Cell::new(chain.step_ms),
+            broken: CancellationToken::new(),
+            prefill: Cell::new(0.0),
+            used: Rc::clone(self.used.entry(key).or_default()),
+            chain,
+        }
+    }
 }
 
 impl LiveChain {
@@ -180,6 +268,12 @@
         self.prefill.get()
     }
 
+    /// Returns the description in logs: name, room and step time.
+    fn summary(&self) -> String {
+        let (room, step_ms) = (self.chain.room_tokens, self.step_ms.get());
+        format!("{} room {room:.0} step {step_ms:.2}ms", self.label())
+    }
+
     /// Returns the name in logs: failure domain and number of stages.
     pub(crate) fn label(&self) -> String {
         let domain = self.chain.domain.as_deref().unwrap_or("across");
@@ -200,16 +294,14 @@
             let Some(engine) = spec.engine.as_ref().filter(|e| e.layers > 0) else {
                 continue;
             };
-            let found = chain::chains(&runners, service, engine, now);
-            // The retention of replaced chains begins now, so stages are stored before and after.
-            chains.store_paths(service, now);
-            let changed = chains.replace(service, engine, found);
-            chains.store_paths(service, now);
-            if changed {
-                log_chains(service, chains.of(service), now);
+            for domain in chains.update(&runners, service, engine, now) {
+                let range = chains.range_of(service, domain.as_ref());
+                let live = chains.of(service);
+                log_chains(service, domain.as_ref(), &live[range], live.len(), now);
             }
         }
-        for live in chains.all() {
+        // A chain in use has usable runners only, so only replaced ones can be broken.
+        for live in &chains.replaced {
             if !live.broken.is_cancelled() && live.is_broken(&runners) {
                 log::warn!(
                     chain = live.label(),
@@ -256,8 +348,8 @@
         let live = chains.of(service);
         let loads = self.loads.borrow();
         let mut occupancy = Occupancy::default();
-        for ((of, head), (stages, _)) in chains.paths.iter().filter(|((s, _), _)| s == service) {
-            let own = chains.used.get(&(of.clone(), head.clone()));
+        for (head, stages) in chains.paths.of(service) {
+            let own = chains.used.get(&(service.clone(), head.clone()));
             let own = own.map_or(0.0, |used| used.get());
             occupancy.add(stages, own + loads.used_tokens(service, head));
         }
@@ -288,20 +380,24 @@
     }
 }
 
-fn log_chains(service: &Name, chains: &[Rc<LiveChain>], now: Millis) {
-    let shown: Vec<String> = chains
-        .iter()
-        .map(|l| {
-            format!(
-                "{} room {:.0} step {:.2}ms",
-                l.label(),
-                l.chain.room_tokens,
-                l.step_ms.get()
-            )
-        })
-        .collect();
-    log::info!(service = service.as_ref(), at_ms = now, chains = shown.join(", "); "chains");
-    metrics::gauge!("jacinthweir_chains_whole").set(chains.len() as f64);
+/// Logs the chains of a failure domain after a change.
+fn log_chains(
+    service: &Name,
+    domain: Option<&Name>,
+    chains: &[Rc<LiveChain>],
+    total: usize,
+    now: Millis,
+) {
+    let shown: Vec<String> = chains.iter().map(|l| l.summary()).collect();
+    log::info!(
+        service = service.as_ref(),
+        domain = domain.map_or("across", AsRef::as_ref),
+        at_ms = now,
+        total,
+        chains = shown.join(", ");
+        "chains"
+    );
+    metrics::gauge!("jacinthweir_chains_whole").set(total as f64);
 }
 
 /// A request in flight on a chain. Its tokens and its silence are accounted to the chain until it
--- a/plugins/relay/src/node.rs
+++ b/plugins/relay/src/node.rs
@@ -17,6 +17,7 @@
 use jacinthweir_policy::relay::lease::Lease;
 use jacinthweir_policy::relay::load_shedding::{ReleaseRate, Shortage};
 use jacinthweir_policy::relay::loads::LoadTable;
+use jacinthweir_policy::relay::placement::Planner;
 use jacinthweir_policy::relay::quarantine::Quarantine;
 use jacinthweir_policy::relay::rate_limits::RunnerRateLimits;
 use jacinthweir_policy::relay::revision::Revision;
@@ -114,6 +115,8 @@
     pub(crate) loads: RefCell<LoadTable>,
     pub(crate) lease: RefCell<Lease>,
     pub(crate) loading: RefCell<Loading>,
+    /// Placement of each service.
+    pub(crate) planners: RefCell<BTreeMap<Name, Planner>>,
     pub(crate) retry_budgets: RefCell<BTreeMap<Name, SharedRetryBudget>>,
     /// Tokens of the requests that wait for room, in the order in which they are admitted.
     pub(crate) queue: RefCell<BTreeMap<(u32, u64), f64>>,
@@ -191,6 +194,7 @@
             )),
             lease: RefCell::new(Lease::new(settings.name.clone(), LEASE_MS)),
             loading: RefCell::default(),
+            planners: RefCell::default(),
             retry_budgets: RefCell::default(),
             queue: RefCell::default(),
             release_rate: RefCell::default(),
--- a/plugins/relay/src/placer.rs
+++ b/plugins/relay/src/placer.rs
@@ -15,7 +15,7 @@
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::intent::Engine;
 use jacinthweir_policy::relay::lease::{Grant, LeaseStep};
-use jacinthweir_policy::relay::placement::{self, Move};
+use jacinthweir_policy::relay::placement::Move;
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
@@ -248,7 +248,9 @@
         entry.born_ms == pending.born_ms && !done && now < pending.until_ms
     });
     let wanted = loading.0.iter().map(|(id, p)| (id.clone(), p.layers));
-    placement::plan(&runners, service, engine, &wanted.collect(), now)
+    let mut planners = node.planners.borrow_mut();
+    let planner = planners.entry(service.clone()).or_default();
+    planner.plan(&runners, service, engine, &wanted.collect(), now)
 }
 
 async fn send_order(node: &Node, engine: &Engine, term: u64, m: &Move) {
--- a/policy/src/relay/chain.rs
+++ b/policy/src/relay/chain.rs
@@ -1,17 +1,21 @@
 //! Chains: sequences of runners that together run all layers of a model.
 //!
 //! A chain covers the layers `0..n` with ranges of runners, without gap or overlap. A runner holds
-//! one contiguous range and may run any part of it. [`cheapest_chain`] is a shortest-path search over the
-//! range boundaries: for each boundary it keeps the path of least cost. The last layer that a runner
-//! holds increases strictly along a chain. This excludes no coverable layer, and prevents a runner
-//! from appearing twice in a chain, which runners refuse.
+//! one contiguous range and may run any part of it. [`ChainSearch`] finds the chains of least cost. The
+//! last layer that a runner holds increases strictly along a chain. This excludes no coverable layer,
+//! and prevents a runner from appearing twice in a chain, which runners refuse. [`ServiceChains`] keeps
+//! the chains of a service and searches only the failure domains that changed.
 //!
 //! Chains stay inside one failure domain if possible: each hop between domains moves the activations
 //! of every token, those of the prompt included, over a link that all chains share.
 //!
 //! *Room* is memory left beside the weights for the KV cache of requests.
 
-use std::collections::BTreeMap;
+mod search;
+mod service_chains;
+
+pub use search::ChainSearch;
+pub use service_chains::{ChainUpdate, ServiceChains};
 
 use crate::prelude::*;
 use crate::relay::intent::Engine;
@@ -113,25 +117,15 @@
 /// any chain inside a domain without it, and below [`CROSSING_MS`].
 const LIMITED_MS: f64 = 500.0;
 
-/// Returns the usable holders of a service's layers.
-#[must_use]
-pub fn holders<'a>(
-    runners: &'a Runners,
-    service: &str,
+/// Returns a runner as a holder if its layers are usable at `now`.
+fn usable_holder<'a>(
+    runners: &Runners,
+    entry: &'a RunnerEntry,
     engine: &Engine,
     now: Millis,
-) -> Vec<Holder<'a>> {
-    let mut found = Vec::new();
-    for entry in runners.entries().filter(|e| *e.service == *service) {
-        if !runners.holds_layers(entry, now) {
-            continue;
-        }
-        let health = runners.health(&entry.id);
-        if let Some(holder) = holder(entry, engine, &health) {
-            found.push(holder);
-        }
-    }
-    found
+) -> Option<Holder<'a>> {
+    let holds = runners.holds_layers(entry, now);
+    holds.then(|| holder(entry, engine, &runners.health(&entry.id)))?
 }
 
 fn holder<'a>(entry: &'a RunnerEntry, engine: &Engine, s: &RunnerHealth) -> Option<Holder<'a>> {
@@ -149,167 +143,38 @@
     })
 }
 
+/// Returns the holders of `domain` among `runners` that are usable for a service's layers.
+#[must_use]
+pub fn domain_holders<'a>(
+    runners: &'a Runners,
+    domain: &str,
+    service: &str,
+    engine: &Engine,
+    now: Millis,
+) -> Vec<Holder<'a>> {
+    let of_service = runners.in_domain(domain).filter(|e| *e.service == *service);
+    of_service
+        .filter_map(|e| usable_holder(runners, e, engine, now))
+        .collect()
+}
+
 /// Returns the chains of each failure domain, which have no runner in common. If no domain has any,
 /// returns one that crosses domains, if there is one.
 #[must_use]
 pub fn chains(runners: &Runners, service: &str, engine: &Engine, now: Millis) -> Vec<Chain> {
-    let holders = holders(runners, service, engine, now);
-    let mut by_domain: BTreeMap<Name, Vec<Holder<'_>>> = BTreeMap::new();
-    for h in &holders {
-        by_domain
-            .entry(h.entry.domain.clone())
-            .or_default()
-            .push(h.clone());
-    }
-    let mut chains = Vec::new();
-    for (domain, mut holders) in by_domain {
-        while let Some(mut chain) = cheapest_chain(&holders, engine.layers) {
-            holders.retain(|h| !chain.has(&h.entry.id));
-            chain.domain = Some(domain.clone());
-            chains.push(chain);
-        }
-    }
-    if chains.is_empty() {
-        chains.extend(cheapest_chain(&holders, engine.layers));
-    }
-    chains
-}
-
-/// The best known path to a boundary: its cost, its last holder and the first layer run there.
-#[derive(Clone, Copy, Debug)]
-struct Path {
-    cost: f64,
-    holder: usize,
-    from: u32,
+    let mut all = ServiceChains::default();
+    all.update(runners, service, engine, now);
+    all.chains().cloned().collect()
 }
 
 /// Returns the chain of least cost over layers `0..layers`, if the holders cover them.
 #[must_use]
 pub fn cheapest_chain(holders: &[Holder<'_>], layers: u32) -> Option<Chain> {
-    let boundaries = boundaries(holders, layers);
-    // Best path to each boundary, by last holder.
-    let mut best: BTreeMap<u32, BTreeMap<usize, Path>> = BTreeMap::new();
-    for &from in boundaries.iter().filter(|b| **b < layers) {
-        let arrived: Vec<(Option<usize>, f64)> = match from {
-            0 => vec![(None, 0.0)],
-            _ => best.get(&from).map_or_else(Vec::new, |paths| {
-                paths.iter().map(|(h, p)| (Some(*h), p.cost)).collect()
-            }),
-        };
-        for (next, holder) in holders.iter().enumerate() {
-            if holder.layers.0 > from || holder.layers.1 <= from {
-                continue;
-            }
-            let Some(base) = cheapest_arrival(holders, &arrived, next) else {
-                continue;
-            };
-            let limited_ms = if from == 0 && holder.limited {
-                LIMITED_MS
-            } else {
-                0.0
-            };
-            let base = base + limited_ms;
-            extend(&mut best, &boundaries, holder, next, from, base);
-        }
-    }
-    reconstruct(holders, &best, layers)
-}
-
-/// Returns the layers at which a stage may begin or end, in ascending order.
-fn boundaries(holders: &[Holder<'_>], layers: u32) -> Vec<u32> {
-    let ends = holders.iter().flat_map(|h| [h.layers.0, h.layers.1]);
-    let mut boundaries: Vec<u32> = ends.chain([0, layers]).filter(|b| *b <= layers).collect();
-    boundaries.sort_unstable();
-    boundaries.dedup();
-    boundaries
+    ChainSearch::new(holders, layers).next_chain()
 }
 
-/// Returns the least cost at which holder `next` can continue one of the paths in `arrived`.
-fn cheapest_arrival(
-    holders: &[Holder<'_>],
-    arrived: &[(Option<usize>, f64)],
-    next: usize,
-) -> Option<f64> {
-    let cost = |(last, cost): &(Option<usize>, f64)| match last {
-        None => Some(*cost),
-        Some(last) if holders[*last].layers.1 >= holders[next].layers.1 => None,
-        Some(last) if holders[*last].entry.domain == holders[next].entry.domain => Some(*cost),
-        Some(_) => Some(cost + CROSSING_MS),
-    };
-    arrived.iter().filter_map(cost).min_by(f64::total_cmp)
-}
-
-/// Extends a path of cost `base` that ends at layer `from` by `holder`, to each boundary that it
-/// reaches.
-fn extend(
-    best: &mut BTreeMap<u32, BTreeMap<usize, Path>>,
-    boundaries: &[u32],
-    holder: &Holder<'_>,
-    index: usize,
-    from: u32,
-    base: f64,
-) {
-    for &to in boundaries
-        .iter()
-        .filter(|b| **b > from && **b <= holder.layers.1)
-    {
-        let cost = base + holder.cost(to - from);
-        let paths = best.entry(to).or_default();
-        if paths.get(&index).is_none_or(|p| cost < p.cost) {
-            paths.insert(
-                index,
-                Path {
-                    cost,
-                    holder: index,
-                    from,
-                },
-            );
-        }
-    }
-}
-
-/// Reconstructs the cheapest chain from the paths to the last boundary.
-fn reconstruct(
-    holders: &[Holder<'_>],
-    best: &BTreeMap<u32, BTreeMap<usize, Path>>,
-    layers: u32,
-) -> Option<Chain> {
-    let by_cost = |a: &&Path, b: &&Path| a.cost.total_cmp(&b.cost);
-    let mut path = best.get(&layers)?.values().min_by(by_cost)?;
-    let mut to = layers;
-    let mut stages = Vec::new();
-    let mut step_ms = 0.0;
-    let mut room_tokens = f64::INFINITY;
-    loop {
-        let holder = &holders[path.holder];
-        let used = f64::from(to - path.from);
-        step_ms += used * holder.layer_ms;
-        room_tokens = room_tokens.min(holder.room / used);
-        stages.push(Stage {
-            runner: holder.entry.clone(),
-            layers: (path.from, to),
-            room: holder.room,
-        });
-        if path.from == 0 {
-            break;
-        }
-        to = path.from;
-        let end = holder.layers.1;
-        let before = best.get(&to)?.values();
-        let fits = before.filter(|p| holders[p.holder].layers.1 < end);
-        path = fits.min_by(|a, b| {
-            let crossing = |p: &Path| {
-                let same = holders[p.holder].entry.domain == holder.entry.domain;
-                if same { p.cost } else { p.cost + CROSSING_MS }
-            };
-            crossing(a).total_cmp(&crossing(b))
-        })?;
-    }
-    stages.reverse();
-    Some(Chain {
-        domain: None,
-        stages,
-        step_ms,
-        room_tokens,
-    })
+/// Returns chains of holders over layers `0..layers` without a runner in common, the cheapest first.
+#[must_use]
+pub fn disjoint_chains(holders: &[Holder<'_>], layers: u32) -> Vec<Chain> {
+    ChainSearch::new(holders, layers).all_chains()
 }
--- a/policy/src/relay/placement.rs
+++ b/policy/src/relay/placement.rs
@@ -28,7 +28,7 @@
 use self::holes::{fill_holes, lay_out};
 use self::second_copies::{add_second_copies, relieve_overfull};
 use crate::prelude::*;
-use crate::relay::chain::{Holder, cheapest_chain};
+use crate::relay::chain::{Holder, cheapest_chain, disjoint_chains};
 use crate::relay::intent::{Accelerator, Engine};
 use crate::relay::runners::{RunnerEntry, Runners};
 
@@ -103,8 +103,119 @@
     loading: &BTreeMap<Name, (u32, u32)>,
     now: Millis,
 ) -> Vec<Move> {
-    let mut domains: BTreeMap<&Name, Vec<PlannedRunner<'_>>> = BTreeMap::new();
-    for entry in runners.entries().filter(|e| *e.service == *service) {
+    Planner::default().plan(runners, service, engine, loading, now)
+}
+
+/// Plans the placement of a service and skips the failure domains in which nothing changed since a
+/// plan without moves.
+///
+/// Load pattern: a fleet has thousands of runners, placement runs several times a second, and most of
+/// the time nothing is to be done.
+#[derive(Clone, Debug, Default)]
+pub struct Planner {
+    engine: Engine,
+    /// Inputs of the last plan of each domain, if it had no moves.
+    idle: BTreeMap<Name, PlanInputs>,
+    domains_planned: u64,
+}
+
+/// What the plan of a failure domain depends on, besides the configuration.
+#[derive(Clone, Debug, PartialEq)]
+struct PlanInputs {
+    generation: u64,
+    loading: Vec<(Name, (u32, u32))>,
+    settled: bool,
+    /// Until when the inputs remain as they are unless a runner changes, in milliseconds.
+    valid_until_ms: Millis,
+}
+
+impl Planner {
+    /// Returns how many plans of a failure domain were computed so far.
+    #[must_use]
+    pub fn domains_planned(&self) -> u64 {
+        self.domains_planned
+    }
+
+    /// Returns the next moves, as [`plan`] does.
+    pub fn plan(
+        &mut self,
+        runners: &Runners,
+        service: &str,
+        engine: &Engine,
+        loading: &BTreeMap<Name, (u32, u32)>,
+        now: Millis,
+    ) -> Vec<Move> {
+        if self.engine != *engine {
+            self.engine = engine.clone();
+            self.idle.clear();
+        }
+        let mut pending: BTreeMap<&Name, Vec<(Name, (u32, u32))>> = BTreeMap::new();
+        for (id, layers) in loading {
+            if let Some(entry) = runners.entry(id) {
+                let of_domain = pending.entry(&entry.domain).or_default();
+                of_domain.push((id.clone(), *layers));
+            }
+        }
+        let mut moves = Vec::new();
+        for domain in runners.domains() {
+            let pending = pending.remove(domain).unwrap_or_default();
+            let idle = self.idle.get(domain).is_some_and(|i| {
+                let same = i.generation == runners.generation(domain) && i.loading == pending;
+                same && now < i.valid_until_ms
+            });
+            if idle {
+                continue;
+            }
+            let inputs = plan_inputs(runners, domain, pending, now);
+            let planned = planned_runners(runners, domain, service, engine, loading, now);
+            let of_domain = plan_around_slow(&planned, engine, inputs.settled);
+            self.domains_planned += 1;
+            match of_domain.is_empty() {
+                true => self.idle.insert(domain.clone(), inputs),
+                false => self.idle.remove(domain),
+            };
+            moves.extend(of_domain);
+        }
+        moves
+    }
+}
+
+/// Returns the inputs of the plan of a failure domain at `now`.
+fn plan_inputs(
+    runners: &Runners,
+    domain: &str,
+    loading: Vec<(Name, (u32, u32))>,
+    now: Millis,
+) -> PlanInputs {
+    let healths = runners.in_domain(domain).map(|e| runners.health(&e.id));
+    let dead = healths.filter(|s| s.dead);
+    let confirmed = dead.map(|s| s.dead_since_ms + LOSS_CONFIRM_MS).max();
+    let settles_ms = confirmed.unwrap_or(0).max(runners.complete_from_ms());
+    let settled = now >= settles_ms;
+    let until_ms = runners.next_usability_change_ms(domain, now);
+    PlanInputs {
+        generation: runners.generation(domain),
+        loading,
+        settled,
+        valid_until_ms: if settled {
+            until_ms
+        } else {
+            until_ms.min(settles_ms)
+        },
+    }
+}
+
+/// Returns the usable runners of a failure domain as they are planned with.
+fn planned_runners<'a>(
+    runners: &'a Runners,
+    domain: &str,
+    service: &str,
+    engine: &Engine,
+    loading: &BTreeMap<Name, (u32, u32)>,
+    now: Millis,
+) -> Vec<PlannedRunner<'a>> {
+    let mut planned = Vec::new();
+    for entry in runners.in_domain(domain).filter(|e| *e.service == *service) {
         let kind = entry.kind.as_ref().and_then(|k| engine.kinds.get(k));
         let Some(mut kind) = kind.copied().filter(|_| runners.usable(entry, now)) else {
             continue;
@@ -113,26 +224,16 @@
         kind.pace *= slowness;
         let pending = loading.get(&entry.id).copied();
         let reported = entry.layers.filter(|_| runners.holds_layers(entry, now));
-        let runner = PlannedRunner {
+        planned.push(PlannedRunner {
             entry,
             kind,
             layers: pending.or(reported),
             busy: pending.is_some(),
             slow: slowness >= SLOW_FACTOR,
             moved: None,
-        };
-        domains.entry(&entry.domain).or_default().push(runner);
-    }
-    let mut moves = Vec::new();
-    for (domain, planned) in domains {
-        let of_domain = runners.entries().filter(|e| e.domain == *domain);
-        let standings = of_domain.map(|e| runners.health(&e.id));
-        let mut dead = standings.filter(|s| s.dead);
-        let lost_recently = dead.any(|s| now < s.dead_since_ms + LOSS_CONFIRM_MS);
-        let settled = runners.is_complete(now) && !lost_recently;
-        moves.extend(plan_around_slow(&planned, engine, settled));
+        });
     }
-    moves
+    planned
 }
 
 /// Slowdown against the declared speed from which on a runner's layers are placed elsewhere.
@@ -214,10 +315,10 @@
 fn plan_copies(planned: &[PlannedRunner<'_>], engine: &Engine, settled: bool) -> Option<Vec<Move>> {
     let mut pool = planned.to_vec();
     let mut placed = Vec::new();
-    while take_chain(&mut pool, &mut placed, engine) {}
+    take_chains(&mut pool, &mut placed, engine);
     while let Some(filled) = next_copy(&pool, engine, placed.is_empty(), settled) {
         pool = filled;
-        if !take_chain(&mut pool, &mut placed, engine) {
+        if !take_chains(&mut pool, &mut placed, engine) {
             break;
         }
     }
@@ -231,21 +332,24 @@
     (chained > 0).then_some(moves)
 }
 
-/// Moves the runners of the cheapest complete chain from `pool` to `placed`; returns whether there
-/// was one.
-fn take_chain<'a>(
+/// Moves the runners of all complete chains from `pool` to `placed`, a chain after the other; returns
+/// whether there was one.
+fn take_chains<'a>(
     pool: &mut Vec<PlannedRunner<'a>>,
     placed: &mut Vec<PlannedRunner<'a>>,
     engine: &Engine,
 ) -> bool {
     let holders: Vec<Holder<'_>> = pool.iter().filter_map(|s| as_holder(s, engine)).collect();
-    let Some(chain) = cheapest_chain(&holders, engine.layers) else {
-        return false;
-    };
-    let (members, rest) = pool.drain(..).partition(|s| chain.has(&s.entry.id));
+    let mut chain_of: BTreeMap<Name, usize> = BTreeMap::new();
+    for (i, chain) in disjoint_chains(&holders, engine.layers).iter().enumerate() {
+        chain_of.extend(chain.stages.iter().map(|s| (s.runner.id.clone(), i)));
+    }
+    let chained = |s: &PlannedRunner<'_>| chain_of.get(&s.entry.id).copied();
+    let (mut members, rest): (Vec<_>, Vec<_>) = pool.drain(..).partition(|s| chained(s).is_some());
+    members.sort_by_key(chained);
     *pool = rest;
-    placed.extend::<Vec<PlannedRunner<'a>>>(members);
-    true
+    placed.extend(members);
+    !chain_of.is_empty()
 }
 
 fn as_holder<'a>(runner: &PlannedRunner<'a>, engine: &Engine) -> Option<Holder<'a>> {
--- a/policy/src/relay/runners.rs
+++ b/policy/src/relay/runners.rs
@@ -5,7 +5,7 @@
 //! derived from refusals, silences and answers to probes. The health applies to one lifetime of the
 //! runner and is reset when a new one begins.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -196,6 +196,13 @@
             .filter(|_| self.pace_changed_ms.is_some_and(|at| at >= since_ms))
     }
 
+    /// Returns whether it is dead or slow, or changed within [`NOTABLE_MS`].
+    fn is_notable(&self, now: Millis) -> bool {
+        let since = now.saturating_sub(NOTABLE_MS);
+        let changed = self.recovered_since(since) || self.pace_changed_since(since).is_some();
+        self.dead || self.is_slow() || changed
+    }
+
     /// Returns whether it is so slow that it is to be probed for its pace.
     #[must_use]
     pub fn is_slow(&self) -> bool {
@@ -203,6 +210,10 @@
     }
 }
 
+/// Time for which a recovery or a change of pace is notable, in milliseconds: longer than it is
+/// gossiped.
+pub const NOTABLE_MS: Millis = 1_000;
+
 /// Weight of the newest request in a runner's failure rate.
 const FAILURE_WEIGHT: f64 = 0.2;
 
@@ -231,9 +242,60 @@
     lapsed: BTreeMap<Name, Millis>,
     /// Time until which entries of live runners may be missing, in milliseconds.
     incomplete_until_ms: Millis,
+    domains: BTreeMap<Name, DomainIndex>,
+    /// Runners whose health may be notable.
+    notable: BTreeSet<Name>,
+    /// Number of changes to any entry or health so far.
+    changes: u64,
+}
+
+/// The runners of one failure domain.
+#[derive(Clone, Debug, Default)]
+struct DomainIndex {
+    ids: BTreeSet<Name>,
+    /// Value of [`Runners::changes`] after the last change in this domain.
+    generation: u64,
 }
 
 impl Runners {
+    /// Returns the failure domains that have or had runners, in ascending order.
+    pub fn domains(&self) -> impl Iterator<Item = &Name> {
+        self.domains.keys()
+    }
+
+    /// Returns the entries of a failure domain, ordered by identity.
+    pub fn in_domain(&self, domain: &str) -> impl Iterator<Item = &RunnerEntry> {
+        let index = self.domains.get(domain);
+        let ids = index.into_iter().flat_map(|d| &d.ids);
+        ids.filter_map(|id| self.entries.get(id))
+    }
+
+    /// Returns a number that grows with each change to an entry of a failure domain, and whenever the
+    /// health of one of its runners may have changed.
+    #[must_use]
+    pub fn generation(&self, domain: &str) -> u64 {
+        self.domains.get(domain).map_or(0, |d| d.generation)
+    }
+
+    /// Returns when a runner of a failure domain that is avoided now may be used again, in
+    /// milliseconds, unless something changes before.
+    #[must_use]
+    pub fn next_usability_change_ms(&self, domain: &str, now: Millis) -> Millis {
+        let healths = self
+            .in_domain(domain)
+            .filter_map(|e| self.health.get(&e.id));
+        let ends = healths.map(|h| h.avoid_until_ms).filter(|at| *at > now);
+        ends.min().unwrap_or(Millis::MAX)
+    }
+
+    /// Counts a change in a failure domain and returns its index.
+    fn touch(&mut self, domain: &Name) -> &mut DomainIndex {
+        self.changes += 1;
+        let index = self.domains.entry(domain.clone()).or_default();
+        index.generation = self.changes;
+        index
+    }
+
     /// Records that the store answers again, or for the first time. Entries may be missing for a
     /// while.
     ///
@@ -241,6 +303,16 @@
     /// from an outage, and the rest would be ordered to load the layers that the others still hold.
     pub fn store_recovered(&mut self, now: Millis) {
         self.incomplete_until_ms = now + REREGISTRATION_MS;
+        self.changes += 1;
+        for index in self.domains.values_mut() {
+            index.generation = self.changes;
+        }
+    }
+
+    /// Returns from when on every live runner has had time to register, in milliseconds.
+    #[must_use]
+    pub fn complete_from_ms(&self) -> Millis {
+        self.incomplete_until_ms
     }
 
     /// Returns whether every live runner has had time to register.
@@ -269,11 +341,12 @@
             self.health.remove(&id);
         }
         self.lapsed.remove(id);
-        let had_entry = self.entries.remove(id).is_some();
-        if had_entry {
-            self.removed.insert(id.clone(), now + REMOVED_RETENTION_MS);
-        }
-        had_entry
+        let Some(entry) = self.entries.remove(id) else {
+            return false;
+        };
+        self.touch(&entry.domain).ids.remove(id);
+        self.removed.insert(id.clone(), now + REMOVED_RETENTION_MS);
+        true
     }
 
     /// Adds or replaces an entry. Returns whether the entry changed.
@@ -289,8 +362,18 @@
                 ..RunnerHealth::default()
             };
         }
+        if health.dead || health.is_slow() {
+            self.notable.insert(entry.id.clone());
+        }
         let old = self.entries.insert(entry.id.clone(), entry.clone());
-        old.as_ref() != Some(entry)
+        if old.as_ref() == Some(entry) {
+            return false;
+        }
+        if let Some(old) = old.filter(|o| o.domain != entry.domain) {
+            self.touch(&old.domain).ids.remove(&entry.id);
+        }
+        self.touch(&entry.domain).ids.insert(entry.id.clone());
+        true
     }
 
     /// Marks a runner as draining by a report of another instance. Returns whether it was not
@@ -301,6 +384,8 @@
             return false;
         };
         entry.draining = true;
+        let domain = entry.domain.clone();
+        self.touch(&domain);
         true
     }
 
@@ -319,7 +404,7 @@
 
     /// Replaces all entries by a complete list read at `now`. Entries that it lacks are removed.
     pub fn replace(&mut self, list: Vec<RunnerEntry>, now: Millis) {
-        let ids: std::collections::BTreeSet<Name> = list.iter().map(|e| e.id.clone()).collect();
+        let ids: BTreeSet<Name> = list.iter().map(|e| e.id.clone()).collect();
         let gone: Vec<Name> = self
             .entries
             .keys()
@@ -357,8 +442,28 @@
         self.health.get(id).copied().unwrap_or_default()
     }
 
+    /// Returns the runners that are dead or slow, or whose health changed within [`NOTABLE_MS`].
+    pub fn notable(&mut self, now: Millis) -> impl Iterator<Item = (&RunnerEntry, &RunnerHealth)> {
+        let Runners {
+            entries,
+            health,
+            notable,
+            ..
+        } = self;
+        notable.retain(|id| {
+            let health = health.get(id).filter(|_| entries.contains_key(id));
+            health.is_some_and(|h| h.is_notable(now))
+        });
+        let notable = notable.iter();
+        notable.filter_map(|id| Some((entries.get(id)?, health.get(id)?)))
+    }
+
     /// Returns the health of a runner for modification.
     pub fn health_mut(&mut self, id: &Name) -> Option<&mut RunnerHealth> {
+        if let Some(domain) = self.entries.get(id).map(|e| e.domain.clone()) {
+            self.touch(&domain);
+            self.notable.insert(id.clone());
+        }
         self.health.get_mut(id)
     }
 
