Membership: in a large fleet an exchange lists a bounded number of members

Cause: each exchange listed all members, with some 13 exchanges a second an instance; messages and the work of reading them grew with the fleet for each instance, and with its square for the fleet. Keys were hashed anew for each exchange, and a map of all heartbeats copied for each answer (the time of the request that was kept with it was read nowhere).

Change: above `max_beats` members (32 in the relay; unbounded in the own interface) a digest lists the sender, the members about which something changed lately, and a window that moves on; a summary tells whether both know the same members, and a whole digest repairs, at an interval that grows with the fleet as it does. A lost instance is found by those that call it; its silence is the last resort. The floor of a suspicion allows for a known heartbeat that is old; who refutes one tells more peers at once; the members of a domain in which one was suspected are called more often, since a domain that is lost as a whole has nobody left who calls the others. Keys have 64 bits and no salt, so that they are hashed once.

--- a/plugins/peers/src/exchange.rs
+++ b/plugins/peers/src/exchange.rs
@@ -26,7 +26,6 @@
 }
 
 async fn initiate(cx: Arc<Kernel>, peer: Peer, round: u64, digest: MemberDigest) {
-    let asked_ms = cx.clock.now();
     let upstreams = upstream_digest(&cx, &peer, digest.salt);
     let msg = Exchange {
         from: cx.settings.name.clone(),
@@ -37,7 +36,7 @@
         cx.peers.post(peer.address, "/peer/exchange", &msg).await;
     let cause = match answer {
         Ok(answer) if peer.name.as_ref().is_none_or(|n| *n == answer.from) => {
-            apply_answer(&cx, &peer, asked_ms, answer).await;
+            apply_answer(&cx, &peer, answer).await;
             return;
         }
         // Another instance now has the address; its answer tells nothing about the intended peer.
@@ -63,13 +62,13 @@
         .digest(cx.clock.reading(), salt, domain.as_deref())
 }
 
-async fn apply_answer(cx: &Kernel, peer: &Peer, asked_ms: Millis, answer: ExchangeAnswer) {
+async fn apply_answer(cx: &Kernel, peer: &Peer, answer: ExchangeAnswer) {
     let now = cx.clock.reading();
     let push = Push {
         from: Some(cx.settings.name.clone()),
         members: cx
             .membership()
-            .receive_answer(now, asked_ms, &answer.from, &answer.members),
+            .receive_answer(now, &answer.from, &answer.members),
         upstreams: cx.upstreams().receive_delta(now, &answer.upstreams),
     };
     if push.members.is_none() && push.upstreams.is_none() {
--- a/policy/src/membership.rs
+++ b/policy/src/membership.rs
@@ -1,7 +1,8 @@
 //! Gossip-based membership of the fleet: which instances exist and which of them are alive.
 //!
-//! In each round an instance gossips with a random peer ([`message`]): it sends a digest, and the
+//! In each round an instance gossips with random peers ([`message`]): it sends a digest, and the
 //! two sides then transfer only the records that one of them lacks, merged by one rule ([`merge`]).
+//! What a message contains in a large fleet is decided in [`spread`].
 //! A member is doubted when a call to it fails or when no heartbeat arrives for longer than one
 //! takes to spread. Other peers are then asked to probe it, and it is suspected once they confirm
 //! the failure ([`suspect`]). Suspicions spread by gossip, and a heartbeat above a suspicion's
@@ -20,12 +21,13 @@
 pub mod member;
 pub mod merge;
 pub mod message;
+mod spread;
 pub mod suspect;
 
 pub use config::MembershipConfig;
 pub use dump::{MemberRow, MembershipDump};
 pub use member::{Doubt, Member, Verdict};
-pub use message::{Beat, MemberDelta, MemberDigest, MemberRecord, Suspicion, member_key};
+pub use message::{Beat, MemberDelta, MemberDigest, MemberRecord, Summary, Suspicion, member_key};
 
 use crate::listed::{ENTRY_GROUP, ListedInstance, ListedState};
 use crate::member::{MemberState, Phase};
@@ -37,6 +39,8 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use spread::Spread;
+
 /// An instance that can be called.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Peer {
@@ -46,6 +50,9 @@
     pub address: SocketAddr,
 }
 
+/// Rounds after a suspicion in which members of the same failure domain are called more often.
+const ENDANGERED_ROUNDS: u64 = 8;
+
 /// An action for the process to carry out.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -110,6 +117,7 @@
     cfg: MembershipConfig,
     own: MemberRecord,
     members: BTreeMap<Name, Member>,
+    spread: Spread,
     listed: BTreeMap<Name, ListedInstance>,
     seeds: Vec<SocketAddr>,
     round: u64,
@@ -118,6 +126,11 @@
     ticked: Option<Now>,
     resumed_round: u64,
     counts: MembershipCounts,
+    /// Monotonic time at which the last new member became known, in milliseconds.
+    last_joined_ms: Millis,
+    /// Whether a suspicion was refuted since the last round. Callers are not sent here until the
+    /// others know, so more of them are told at once.
+    has_refuted: bool,
 }
 
 impl Membership {
@@ -131,6 +144,7 @@
     ) -> Membership {
         let changed = own.heartbeat;
         Membership {
+            spread: Spread::new(&own),
             cfg,
             own: MemberRecord {
                 state: own,
@@ -145,6 +159,8 @@
             ticked: None,
             resumed_round: 0,
             counts: MembershipCounts::default(),
+            last_joined_ms: now.mono_ms,
+            has_refuted: false,
         }
     }
 
@@ -190,6 +206,12 @@
         self.counts
     }
 
+    /// Returns the monotonic time at which the last new member became known, in milliseconds.
+    #[must_use]
+    pub fn last_joined_ms(&self) -> Millis {
+        self.last_joined_ms
+    }
+
     /// Returns the current gossip round of this instance.
     #[must_use]
     pub fn round(&self) -> u64 {
@@ -238,6 +260,7 @@
         self.advance_heartbeat(now);
         self.evict_expired();
         self.doubt_silent();
+        self.spread.refresh(self.round, &self.own, &self.members);
         let mut actions = self.exchanges(rng);
         self.probe_doubted(rng, &mut actions);
         actions
@@ -272,11 +295,14 @@
 
     fn evict_expired(&mut self) {
         let (round, limit) = (self.round, self.cfg.retention_rounds);
-        self.members
-            .retain(|_, m| m.reachable() || round - m.last_contact_round <= limit);
+        let expired =
+            |_: &Name, m: &mut Member| !m.reachable() && round - m.last_contact_round > limit;
+        for (_, m) in self.members.extract_if(.., expired) {
+            self.spread.forget(m.key);
+        }
     }
 
-    fn exchanges(&self, rng: &mut impl Rng) -> Vec<Action> {
+    fn exchanges(&mut self, rng: &mut impl Rng) -> Vec<Action> {
         let mut peers = self.random_peers(rng);
         let doubted = self
             .members
@@ -284,6 +310,11 @@
             .filter(|m| not_called_yet(m))
             .map(peer);
         peers.extend(doubted.sample(rng, self.cfg.max_probes));
+        peers.extend(self.endangered_peer(rng));
+        if std::mem::take(&mut self.has_refuted) {
+            let reachable = self.members.values().filter(|m| m.reachable());
+            peers.extend(reachable.map(peer).sample(rng, self.cfg.max_probes));
+        }
         if peers.is_empty() || self.round.is_multiple_of(self.cfg.retry_every_rounds) {
             peers.extend(self.unreached_peers().into_iter().choose(rng));
         }
@@ -317,7 +348,27 @@
         reachable().map(peer).sample(rng, self.cfg.fanout)
     }
 
-    fn exchanges_with(&self, peers: Vec<Peer>, rng: &mut impl Rng) -> Vec<Action> {
+    /// Selects a random peer of a failure domain in which a member was suspected recently.
+    ///
+    /// Failure: all instances of a domain are lost, so none of them calls the others. The instances of
+    /// other domains call each of them too rarely to miss them soon, and callers are sent there.
+    fn endangered_peer(&self, rng: &mut impl Rng) -> Option<Peer> {
+        if self.cfg.lists_all(self.members.len() + 1) {
+            return None;
+        }
+        let recent = self.members.values().filter(|m| {
+            let Verdict::Suspected { since, .. } = m.verdict else {
+                return false;
+            };
+            self.round - since <= ENDANGERED_ROUNDS
+        });
+        let lost = recent.choose(rng)?;
+        let others = self.members.values().filter(|m| m.reachable());
+        let endangered = others.filter(|m| m.state().domain == lost.state().domain);
+        endangered.choose(rng).map(peer)
+    }
+
+    fn exchanges_with(&mut self, peers: Vec<Peer>, rng: &mut impl Rng) -> Vec<Action> {
         let mut actions = Vec::new();
         for peer in peers {
             let digest = self.digest(rng.next_u32());
@@ -332,7 +383,7 @@
 
     /// Starts exchanges with up to `count` random peers outside the regular rounds, for urgent
     /// updates such as the departure of this instance.
-    pub fn announce(&self, count: usize, rng: &mut impl Rng) -> Vec<Action> {
+    pub fn announce(&mut self, count: usize, rng: &mut impl Rng) -> Vec<Action> {
         let reachable = self.members.values().filter(|m| m.reachable());
         let peers = reachable.map(peer).sample(rng, count);
         self.exchanges_with(peers, rng)
@@ -375,153 +426,6 @@
             mark_listed(m, &self.listed);
         }
     }
-
-    /// Returns the digest of this instance's view, keyed with the given salt.
-    #[must_use]
-    pub fn digest(&self, salt: u32) -> MemberDigest {
-        let mut beats = vec![beat_of(salt, &self.own)];
-        beats.extend(self.members.values().map(|m| beat_of(salt, &m.record)));
-        MemberDigest {
-            salt,
-            beats,
-            suspicions: self.suspicions(salt),
-        }
-    }
-
-    fn suspicions(&self, salt: u32) -> Vec<Suspicion> {
-        let mut suspicions = Vec::new();
-        for m in self.members.values() {
-            if let Verdict::Suspected { floor, .. } = m.verdict {
-                let key = member_key(salt, &m.state().name, m.state().incarnation);
-                suspicions.push(Suspicion { key, floor });
-            }
-        }
-        suspicions
-    }
-
-    /// Processes a peer's digest and returns the answer.
-    pub fn receive_digest(&mut self, now: Now, from: &Name, digest: &MemberDigest) -> MemberDelta {
-        self.detect_suspension(now);
-        self.record_contact(from, now);
-        let salt = digest.salt;
-        let keys = self.keys(salt);
-        let mut delta = MemberDelta {
-            salt,
-            ..MemberDelta::default()
-        };
-        let mut theirs: BTreeMap<u32, Beat> = BTreeMap::new();
-        for beat in &digest.beats {
-            theirs.insert(beat.key, *beat);
-            let known = keys.get(&beat.key).map(|name| self.record(name));
-            match known {
-                Some(record) if record.changed >= beat.changed => {}
-                _ => delta.wants.push(beat.key),
-            }
-        }
-        self.merge_beats(now, &keys, &digest.beats);
-        self.merge_suspicions(&keys, &digest.suspicions);
-        self.fill_delta(&theirs, &mut delta);
-        delta.suspicions = self.suspicions(salt);
-        delta
-    }
-
-    fn fill_delta(&self, theirs: &BTreeMap<u32, Beat>, delta: &mut MemberDelta) {
-        let others = self.members.values().map(|m| &m.record);
-        let records: Vec<&MemberRecord> = std::iter::once(&self.own).chain(others).collect();
-        // Rotate the start each round, so that a peer that lacks more records than fit in one
-        // message does not receive the same first ones from every instance.
-        let start = self.round as usize % records.len();
-        let (head, tail) = records.split_at(start);
-        for record in tail.iter().chain(head) {
-            let beat = beat_of(delta.salt, record);
-            match theirs.get(&beat.key) {
-                Some(b) if b.changed > beat.changed || b.heartbeat >= beat.heartbeat => {}
-                Some(b) if b.changed == beat.changed => delta.beats.push(beat),
-                _ if delta.records.len() < self.cfg.max_records => {
-                    delta.records.push((*record).clone());
-                }
-                _ => {}
-            }
-        }
-    }
-
-    /// Processes the answer to a digest sent at monotonic time `requested_ms` and returns the
-    /// records that the sender asked for.
-    pub fn receive_answer(
-        &mut self,
-        now: Now,
-        requested_ms: Millis,
-        from: &Name,
-        delta: &MemberDelta,
-    ) -> Option<MemberDelta> {
-        let before: BTreeMap<Name, u64> = self.heartbeats().collect();
-        let push = self.receive_push(now, from, delta);
-        for (name, m) in &mut self.members {
-            let grew = before.get(name).is_none_or(|h| *h < m.state().heartbeat);
-            if grew {
-                m.requested_ms = Some(requested_ms);
-            }
-        }
-        push
-    }
-
-    fn heartbeats(&self) -> impl Iterator<Item = (Name, u64)> {
-        let all = self.members.iter();
-        all.map(|(name, m)| (name.clone(), m.state().heartbeat))
-    }
-
-    /// Processes a delta and returns the records that the sender asked for, if any.
-    pub fn receive_push(
-        &mut self,
-        now: Now,
-        from: &Name,
-        delta: &MemberDelta,
-    ) -> Option<MemberDelta> {
-        self.detect_suspension(now);
-        for record in &delta.records {
-            self.merge_record(now, record);
-        }
-        self.record_contact(from, now);
-        let keys = self.keys(delta.salt);
-        self.merge_beats(now, &keys, &delta.beats);
-        self.merge_suspicions(&keys, &delta.suspicions);
-        let wanted = delta.wants.iter().filter_map(|k| keys.get(k));
-        let records = wanted.map(|name| self.record(name).clone());
-        let records: Vec<MemberRecord> = records.take(self.cfg.max_records).collect();
-        (!records.is_empty()).then(|| MemberDelta {
-            salt: delta.salt,
-            records,
-            ..MemberDelta::default()
-        })
-    }
-
-    fn keys(&self, salt: u32) -> BTreeMap<u32, Name> {
-        let key = |s: &MemberState| member_key(salt, &s.name, s.incarnation);
-        self.members().map(|s| (key(s), s.name.clone())).collect()
-    }
-
-    fn record(&self, name: &Name) -> &MemberRecord {
-        let member = self.members.get(name);
-        member.map_or(&self.own, |m| &m.record)
-    }
-
-    fn merge_beats(&mut self, now: Now, keys: &BTreeMap<u32, Name>, beats: &[Beat]) {
-        for beat in beats {
-            let Some(name) = keys.get(&beat.key) else {
-                continue;
-            };
-            let Some(m) = self.members.get(name) else {
-                continue;
-            };
-            if beat.changed != m.record.changed || beat.heartbeat <= m.state().heartbeat {
-                continue;
-            }
-            let mut record = m.record.clone();
-            record.state.heartbeat = beat.heartbeat;
-            record.state.in_flight = beat.in_flight;
-            self.merge_record(now, &record);
-        }
-    }
 }
 
 fn peer(m: &Member) -> Peer {
@@ -537,16 +441,6 @@
     matches!(&m.verdict, Verdict::Doubted(doubt) if doubt.own_failures == 0)
 }
 
-fn beat_of(salt: u32, record: &MemberRecord) -> Beat {
-    let s = &record.state;
-    Beat {
-        key: member_key(salt, &s.name, s.incarnation),
-        heartbeat: s.heartbeat,
-        changed: record.changed,
-        in_flight: s.in_flight,
-    }
-}
-
 fn mark_listed(m: &mut Member, listed: &BTreeMap<Name, ListedInstance>) {
     let Some(l) = listed.get(&m.state().name) else {
         return;
--- a/policy/src/membership/member.rs
+++ b/policy/src/membership/member.rs
@@ -1,7 +1,7 @@
 //! The view of one other instance and the failure detector's verdict on it.
 
 use crate::member::{MemberState, Phase};
-use crate::membership::message::MemberRecord;
+use crate::membership::message::{MemberRecord, member_key};
 use crate::time::{Millis, Name};
 
 /// The view of one other instance.
@@ -17,10 +17,10 @@
     pub last_contact_round: u64,
     /// Monotonic time of the last heartbeat or direct contact, in milliseconds.
     pub last_contact_ms: Millis,
-    /// Monotonic time, in milliseconds, at which the exchange that returned the newest heartbeat
-    /// was sent; absent before the first one. The send time is used because an answer may have
-    /// waited in a socket buffer while this process was suspended.
-    pub requested_ms: Option<Millis>,
+    /// Key in messages, see [`member_key`].
+    pub key: u64,
+    /// Own round up to which it is in every message, since something about it changed.
+    pub urgent_until: u64,
 }
 
 /// The failure detector's verdict on a member.
@@ -61,13 +61,15 @@
     /// Creates the entry for a newly discovered member.
     #[must_use]
     pub fn new(record: MemberRecord, round: u64, mono_ms: Millis) -> Member {
+        let key = member_key(&record.state.name, record.state.incarnation);
         Member {
             record,
             verdict: Verdict::Alive,
             listed_leaving: false,
             last_contact_round: round,
             last_contact_ms: mono_ms,
-            requested_ms: None,
+            key,
+            urgent_until: 0,
         }
     }
 
--- a/policy/src/membership/suspect.rs
+++ b/policy/src/membership/suspect.rs
@@ -9,7 +9,8 @@
 //!
 //! The floor of a suspicion is the heartbeat that the member was expected to have when the doubt
 //! began. Heartbeats sent before a failure may still be spreading; they do not exceed the floor and
-//! refute nothing, while a member that is alive exceeds it within one round.
+//! refute nothing. A member that is alive exceeds it within one round where digests list all members;
+//! otherwise it raises its heartbeat above the floor as soon as it hears of the suspicion.
 
 use super::{
     Action, Doubt, Member, MemberRecord, Membership, Peer, ProbeOutcome, Suspicion, Verdict, peer,
@@ -18,7 +19,6 @@
 use crate::time::{Name, Now};
 use rand::Rng;
 use rand::seq::IteratorRandom;
-use std::collections::BTreeMap;
 
 /// Multiple of the silence bound after which a member is suspected without confirmation when the
 /// peers asked to probe it do not answer. If there are no such peers, the bound itself applies.
@@ -39,6 +39,7 @@
             return actions;
         };
         let this_round = self.round;
+        let staleness = self.cfg.staleness_rounds(self.members.len() + 1);
         let Some(m) = self.members.get_mut(name) else {
             return actions;
         };
@@ -47,7 +48,7 @@
             return actions;
         }
         let first = m.verdict == Verdict::Alive;
-        doubt(m, this_round, 1);
+        doubt(m, this_round, 1, staleness);
         if first {
             self.counts.doubts += 1;
             self.probe(name, rng, &mut actions);
@@ -93,6 +94,7 @@
 
     pub(super) fn doubt_silent(&mut self) {
         let bound = self.silence_bound();
+        let staleness = self.cfg.staleness_rounds(self.members.len() + 1);
         let round = self.round;
         let mut silent = Vec::new();
         for (name, m) in &mut self.members {
@@ -100,7 +102,7 @@
                 continue;
             }
             if m.verdict == Verdict::Alive {
-                doubt(m, round, 0);
+                doubt(m, round, 0, staleness);
                 self.counts.doubts += 1;
             }
             silent.push(name.clone());
@@ -165,6 +167,7 @@
     fn evaluate_evidence(&mut self, name: &Name) {
         let bound = self.silence_bound();
         let round = self.round;
+        let urgent_until = self.urgent_until();
         let needed = self.probe_proxies(name).count().min(self.cfg.confirmations);
         let Some(m) = self.members.get_mut(name) else {
             return;
@@ -180,6 +183,7 @@
             return;
         }
         let floor = doubt.floor;
+        m.urgent_until = urgent_until;
         m.verdict = Verdict::Suspected {
             since: round,
             floor,
@@ -191,14 +195,11 @@
         }
     }
 
-    pub(super) fn merge_suspicions(
-        &mut self,
-        keys: &BTreeMap<u32, Name>,
-        suspicions: &[Suspicion],
-    ) {
+    pub(super) fn merge_suspicions(&mut self, suspicions: &[Suspicion]) {
         let since = self.round;
+        let urgent_until = self.urgent_until();
         for s in suspicions {
-            let Some(name) = keys.get(&s.key) else {
+            let Some(name) = self.spread.name(s.key) else {
                 continue;
             };
             if *name == self.own.state.name {
@@ -212,6 +213,7 @@
                 continue;
             }
             let floor = s.floor;
+            m.urgent_until = urgent_until;
             m.verdict = Verdict::Suspected { since, floor };
             self.counts.adopted += 1;
         }
@@ -222,12 +224,14 @@
         if self.own.state.heartbeat <= floor {
             self.own.state.heartbeat = floor.saturating_add(1);
             self.counts.refuted += 1;
+            self.has_refuted = true;
         }
     }
 
     /// Records a successful call from or to the member, which proves that it is alive.
     pub(super) fn record_contact(&mut self, name: &Name, now: Now) {
         let round = self.round;
+        let urgent_until = self.urgent_until();
         let Some(m) = self.members.get_mut(name) else {
             return;
         };
@@ -235,6 +239,7 @@
         m.last_contact_ms = now.mono_ms;
         if m.suspected() {
             self.counts.false_alarms += 1;
+            m.urgent_until = urgent_until;
         }
         m.verdict = Verdict::Alive;
     }
@@ -251,6 +256,7 @@
             self.counts.refused += 1;
             return;
         }
+        let urgent_until = self.urgent_until();
         let Some(m) = self.members.get_mut(name) else {
             self.insert_member(now, record.clone());
             return;
@@ -261,6 +267,9 @@
             return;
         }
         let grew = merged.state.heartbeat > m.state().heartbeat;
+        if merged.changed > m.record.changed || merged.state.phase > m.state().phase {
+            m.urgent_until = urgent_until;
+        }
         m.record = merged;
         if !grew {
             return;
@@ -270,6 +279,7 @@
         }
         if m.suspected() {
             self.counts.false_alarms += 1;
+            m.urgent_until = urgent_until;
         }
         m.verdict = Verdict::Alive;
         m.last_contact_round = self.round;
@@ -279,8 +289,13 @@
     fn insert_member(&mut self, now: Now, record: MemberRecord) {
         let name = record.state.name.clone();
         let mut m = Member::new(record, self.round, now.mono_ms);
+        m.urgent_until = self.urgent_until();
         super::mark_listed(&mut m, &self.listed);
-        self.members.insert(name, m);
+        self.spread.add(m.key, name.clone());
+        match self.members.insert(name, m) {
+            Some(before) => self.spread.forget(before.key),
+            None => self.last_joined_ms = now.mono_ms,
+        }
     }
 
     fn observe_own_record(&mut self, record: &MemberRecord) {
@@ -295,14 +310,15 @@
 }
 
 /// Marks a member as doubted, unless it already is, and adds failed calls of this instance.
-fn doubt(m: &mut Member, since: u64, failures: u32) {
+/// `staleness` is the number of rounds by which the known heartbeat may be behind the true one.
+fn doubt(m: &mut Member, since: u64, failures: u32, staleness: u64) {
     let standing = match std::mem::take(&mut m.verdict) {
         Verdict::Doubted(doubt) => Some(doubt),
         Verdict::Alive | Verdict::Suspected { .. } => None,
     };
     let mut doubt = standing.unwrap_or_else(|| Doubt {
         since,
-        floor: m.expected_heartbeat(since),
+        floor: m.expected_heartbeat(since) + staleness,
         own_failures: 0,
         unreached_by: Vec::new(),
     });
--- a/policy/tests/support/fleet.rs
+++ b/policy/tests/support/fleet.rs
@@ -83,6 +83,7 @@
         revision: 1,
         revision_since_ms: START_MS,
         in_flight: 0,
+        capacity: 1_000,
     }
 }
 
@@ -215,7 +216,7 @@
         let to = self.instances[j].membership.own().state.name.clone();
         let push = self.instances[i]
             .membership
-            .receive_answer(now, now.mono_ms, &to, &delta);
+            .receive_answer(now, &to, &delta);
         if let Some(push) = push {
             self.count(i, j, &Message::Delta(&push));
             if self.delivered(i, j) {
