Relay: totals of loads follow changes; versions of loads take ten bytes

Cause: each exchange, thirteen a second, added up the loads of all instances of the domain and the sums of the others by first runner, although only a request, every few seconds, reads them; and a digest of loads named each instance of the domain.

Change: requests and retries are kept with each change, tokens by first runner are added up for the first request after one; a version is a hash of the name and the low bits of the time. Two instances of a domain with the same hash (five in a million domains of 200) know each other by their own messages only.

--- a/policy/src/relay/loads.rs
+++ b/policy/src/relay/loads.rs
@@ -12,11 +12,14 @@
 //!   one. A sum is sent with its age instead of a timestamp, since clocks differ.
 //! - Only a member of the domain that has recent loads of most other members computes a sum.
 
+use std::cell::OnceCell;
 use std::collections::{BTreeMap, BTreeSet};
 
+use derive_more::{From, Into};
 use serde::{Deserialize, Serialize};
 
 use crate::prelude::*;
+use crate::relay::rendezvous::rank;
 use crate::relay::shared_retry_budget::RetryCounts;
 
 /// Maximum age of the load of an instance, in milliseconds.
@@ -106,13 +109,31 @@
     pub load: Load,
 }
 
-/// The version of an instance's load that the sender has.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// The version of an instance's load that the sender has; an array of two numbers on the wire.
+///
+/// It takes ten bytes, since a digest has one for each instance of a failure domain. If the keys of two
+/// instances are the same, one of them is known by its own messages only.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, From, Into, Serialize, Deserialize)]
+#[serde(from = "(u32, u32)", into = "(u32, u32)")]
 pub struct LoadVersion {
-    /// Instance.
-    pub name: Name,
-    /// Time of writing by the clock of that instance, in milliseconds.
-    pub written_ms: u64,
+    /// Hash of the instance's name.
+    key: u32,
+    /// Low bits of the time of writing by the clock of that instance, in milliseconds.
+    written: u32,
+}
+
+impl LoadVersion {
+    fn of(name: &str, load: &Load) -> LoadVersion {
+        LoadVersion {
+            key: rank(name) as u32,
+            written: load.written_ms as u32,
+        }
+    }
+
+    /// Returns whether `load` was written later, within the time in which the low bits are unique.
+    fn is_older_than(self, load: &Load) -> bool {
+        (load.written_ms as u32).wrapping_sub(self.written) as i32 > 0
+    }
 }
 
 /// The age of a domain's sum that the sender has.
@@ -165,48 +186,56 @@
     own_written: Option<Millis>,
     members: BTreeMap<Name, Received<Load>>,
     domains: BTreeMap<Name, Received<DomainLoad>>,
-    totals: Totals,
+    /// Requests and retries of all other instances, kept with each change.
+    spent: BTreeMap<Name, RetryCounts>,
+    /// Tokens in flight of all other instances, by service and first runner. Requests are rarer than
+    /// exchanges, so it is computed for the first one after a change.
+    used: OnceCell<HeadTotals>,
 }
 
-/// Totals over all other instances, by service.
-#[derive(Clone, Debug, Default)]
-struct Totals {
-    used: BTreeMap<Name, BTreeMap<Name, f64>>,
-    spent: BTreeMap<Name, RetryCounts>,
+type HeadTotals = BTreeMap<Name, BTreeMap<Name, f64>>;
+
+fn add_uses(totals: &mut HeadTotals, used: &[HeadUse]) {
+    for u in used {
+        let of_service = totals.entry(u.service.clone()).or_default();
+        *of_service.entry(u.head.clone()).or_default() += f64::from(u.tokens);
+    }
 }
 
-impl Totals {
-    fn add(&mut self, used: &[HeadUse], spent: &[ServiceCounts]) {
-        for u in used {
-            let of_service = self.used.entry(u.service.clone()).or_default();
-            *of_service.entry(u.head.clone()).or_default() += f64::from(u.tokens);
-        }
-        for s in spent {
-            *self.spent.entry(s.service.clone()).or_default() += s.counts;
-        }
+fn add_counts(totals: &mut BTreeMap<Name, RetryCounts>, spent: &[ServiceCounts]) {
+    for s in spent {
+        *totals.entry(s.service.clone()).or_default() += s.counts;
     }
+}
 
-    fn head_uses(&self) -> Vec<HeadUse> {
-        let mut all = Vec::new();
-        for (service, heads) in &self.used {
-            all.extend(heads.iter().map(|(head, tokens)| HeadUse {
-                service: service.clone(),
-                head: head.clone(),
-                tokens: tokens.round() as u32,
-            }));
+fn subtract_counts(totals: &mut BTreeMap<Name, RetryCounts>, spent: &[ServiceCounts]) {
+    for s in spent {
+        if let Some(counts) = totals.get_mut(&s.service) {
+            *counts -= s.counts;
         }
-        all
     }
+}
 
-    fn service_counts(&self) -> Vec<ServiceCounts> {
-        let spent = self.spent.iter();
-        spent
-            .map(|(service, counts)| ServiceCounts {
-                service: service.clone(),
-                counts: *counts,
-            })
-            .collect()
+fn head_uses(totals: &HeadTotals) -> Vec<HeadUse> {
+    let mut all = Vec::new();
+    for (service, heads) in totals {
+        all.extend(heads.iter().map(|(head, tokens)| HeadUse {
+            service: service.clone(),
+            head: head.clone(),
+            tokens: tokens.round() as u32,
+        }));
     }
+    all
+}
+
+fn service_counts(totals: &BTreeMap<Name, RetryCounts>) -> Vec<ServiceCounts> {
+    let spent = totals.iter();
+    spent
+        .map(|(service, counts)| ServiceCounts {
+            service: service.clone(),
+            counts: *counts,
+        })
+        .collect()
 }
 
 impl LoadTable {
@@ -220,7 +249,8 @@
             own_written: None,
             members: BTreeMap::new(),
             domains: BTreeMap::new(),
-            totals: Totals::default(),
+            spent: BTreeMap::new(),
+            used: OnceCell::new(),
         }
     }
 
@@ -245,10 +275,7 @@
         let domains = self.fresh_domains(now);
         LoadDigest {
             members: members
-                .map(|(name, load)| LoadVersion {
-                    name: name.clone(),
-                    written_ms: load.written_ms,
-                })
+                .map(|(name, load)| LoadVersion::of(name, load))
                 .collect(),
             domains: domains
                 .map(|(domain, received)| SumAge {
@@ -300,11 +327,12 @@
     }
 
     fn newer_members(&self, known: &LoadDigest, now: Millis) -> Vec<MemberLoad> {
-        let theirs = known.members.iter();
-        let theirs: BTreeMap<&Name, u64> = theirs.map(|k| (&k.name, k.written_ms)).collect();
-        let newer = self
-            .fresh_members(now)
-            .filter(|(name, load)| theirs.get(name).is_none_or(|w| *w < load.written_ms));
+        let theirs: BTreeMap<u32, LoadVersion> =
+            known.members.iter().map(|v| (v.key, *v)).collect();
+        let newer = self.fresh_members(now).filter(|(name, load)| {
+            let known = theirs.get(&LoadVersion::of(name, load).key);
+            known.is_none_or(|v| v.is_older_than(load))
+        });
         newer
             .map(|(name, load)| MemberLoad {
                 name: name.clone(),
@@ -339,7 +367,7 @@
         for sum in update.domains {
             self.apply_domain(sum, now);
         }
-        self.refresh_totals(now);
+        self.expire(now);
     }
 
     fn apply_member(&mut self, m: MemberLoad, now: Millis) {
@@ -351,11 +379,15 @@
         let fresh = self.members.get(&m.name);
         let fresh = fresh.filter(|r| r.is_fresh(now, MAX_LOAD_AGE_MS));
         if fresh.is_none_or(|r| r.value.written_ms < m.load.written_ms) {
+            add_counts(&mut self.spent, &m.load.spent);
             let received = Received {
                 value: m.load,
                 as_of_ms: now,
             };
-            self.members.insert(m.name, received);
+            if let Some(before) = self.members.insert(m.name, received) {
+                subtract_counts(&mut self.spent, &before.value.spent);
+            }
+            self.used.take();
         }
     }
 
@@ -363,29 +395,42 @@
         let as_of_ms = now.saturating_sub(sum.age_ms);
         let known = self.domains.get(&sum.domain);
         if sum.domain != self.domain && known.is_none_or(|r| r.as_of_ms < as_of_ms) {
+            add_counts(&mut self.spent, &sum.spent);
             let domain = sum.domain.clone();
-            self.domains.insert(
-                domain,
-                Received {
-                    value: sum,
-                    as_of_ms,
-                },
-            );
+            let received = Received {
+                value: sum,
+                as_of_ms,
+            };
+            if let Some(before) = self.domains.insert(domain, received) {
+                subtract_counts(&mut self.spent, &before.value.spent);
+            }
+            self.used.take();
+        }
+    }
+
+    /// Drops what is too old at `now`.
+    pub fn expire(&mut self, now: Millis) {
+        let stale = |_: &Name, r: &mut Received<Load>| !r.is_fresh(now, MAX_LOAD_AGE_MS);
+        for (_, r) in self.members.extract_if(.., stale) {
+            subtract_counts(&mut self.spent, &r.value.spent);
+            self.used.take();
+        }
+        let stale = |_: &Name, r: &mut Received<DomainLoad>| !r.is_fresh(now, MAX_SUM_AGE_MS);
+        for (_, r) in self.domains.extract_if(.., stale) {
+            subtract_counts(&mut self.spent, &r.value.spent);
+            self.used.take();
         }
     }
 
-    /// Drops what is too old at `now` and computes the totals from the rest.
-    pub fn refresh_totals(&mut self, now: Millis) {
-        self.members.retain(|_, r| r.is_fresh(now, MAX_LOAD_AGE_MS));
-        self.domains.retain(|_, r| r.is_fresh(now, MAX_SUM_AGE_MS));
-        let mut totals = Totals::default();
+    fn head_totals(&self) -> HeadTotals {
+        let mut totals = HeadTotals::new();
         for r in self.members.values() {
-            totals.add(&r.value.used, &r.value.spent);
+            add_uses(&mut totals, &r.value.used);
         }
         for r in self.domains.values() {
-            totals.add(&r.value.used, &r.value.spent);
+            add_uses(&mut totals, &r.value.used);
         }
-        self.totals = totals;
+        totals
     }
 
     /// Returns the sum over the own domain, if recent loads of enough members are known.
@@ -399,12 +444,14 @@
             return None;
         }
         let ages: Millis = received.iter().map(|(_, r)| now - r.as_of_ms).sum();
-        let mut totals = Totals::default();
+        let mut used = HeadTotals::new();
+        let mut spent = BTreeMap::new();
         let mut without_store = BTreeSet::new();
         let mut refusing = BTreeSet::new();
         let own = std::iter::once((&self.name, &self.own));
         for (name, load) in own.chain(received.iter().map(|(name, r)| (*name, &r.value))) {
-            totals.add(&load.used, &load.spent);
+            add_uses(&mut used, &load.used);
+            add_counts(&mut spent, &load.spent);
             if !load.hears_store {
                 without_store.insert(name.clone());
             }
@@ -415,8 +462,8 @@
         Some(DomainLoad {
             domain: self.domain.clone(),
             age_ms: ages / (received.len() as Millis + 1),
-            used: totals.head_uses(),
-            spent: totals.service_counts(),
+            used: head_uses(&used),
+            spent: service_counts(&spent),
             without_store,
             refusing,
         })
@@ -434,18 +481,19 @@
     }
 
     /// Returns the tokens that other instances have in flight through chains of `service` that begin
-    /// at `head`, by the last computed totals.
+    /// at `head`.
     #[must_use]
     pub fn used_tokens(&self, service: &str, head: &str) -> f64 {
-        let of_service = self.totals.used.get(service);
+        let totals = self.used.get_or_init(|| self.head_totals());
+        let of_service = totals.get(service);
         let used = of_service.and_then(|heads| heads.get(head));
         used.copied().unwrap_or(0.0)
     }
 
-    /// Returns the requests and retries of other instances for a service, by the last computed totals.
+    /// Returns the requests and retries of other instances for a service.
     #[must_use]
     pub fn retry_counts(&self, service: &str) -> RetryCounts {
-        self.totals.spent.get(service).copied().unwrap_or_default()
+        self.spent.get(service).copied().unwrap_or_default()
     }
 
     /// Returns whether another instance recently reported that it receives updates of the store.
--- a/policy/src/relay/shared_retry_budget.rs
+++ b/policy/src/relay/shared_retry_budget.rs
@@ -55,6 +55,15 @@
     }
 }
 
+impl std::ops::SubAssign for RetryCounts {
+    fn sub_assign(&mut self, other: RetryCounts) {
+        self.requests = self.requests.saturating_sub(other.requests);
+        self.repeats = self.repeats.saturating_sub(other.repeats);
+        self.borrowed = self.borrowed.saturating_sub(other.borrowed);
+        self.borrowers = self.borrowers.saturating_sub(other.borrowers);
+    }
+}
+
 /// Share of the bound that all guaranteed parts use together. It is below 1 since each instance counts
 /// only requests that arrive at it, and the window of the bound may begin at any time.
 const GUARANTEED_SHARE: f64 = 0.88;
--- a/policy/tests/relay_loads.rs
+++ b/policy/tests/relay_loads.rs
@@ -151,7 +151,7 @@
         eq(0)
     );
     // Without updates the sum expires.
-    loads.refresh_totals(2_400 + 6_100);
+    loads.expire(2_400 + 6_100);
     expect_that!(loads.used_tokens(SERVICE, &head(0)), approx_eq(0.0));
 }
 
@@ -245,3 +245,23 @@
     loads.apply(&domain(1), other.push_update(true, 1, 1_000), 1_000);
     expect_that!(loads.used_tokens(SERVICE, &head(0)), approx_eq(0.0));
 }
+
+/// Totals that are kept with each change must not drift from what the instances last reported.
+#[gtest]
+fn totals_follow_changed_and_expired_loads() {
+    let mut loads = LoadTable::new(name(0, 0), domain(0));
+    let tell = |loads: &mut LoadTable, i: usize, tokens: u32, now: Millis| {
+        let mut other = LoadTable::new(name(0, i), domain(0));
+        other.set_own(load(now, tokens), now);
+        loads.apply(&domain(0), other.push_update(true, 2, now), now);
+    };
+    tell(&mut loads, 1, 100, 1_000);
+    tell(&mut loads, 2, 50, 1_000);
+    expect_that!(loads.used_tokens(SERVICE, &head(0)), approx_eq(150.0));
+    tell(&mut loads, 1, 30, 2_500);
+    expect_that!(loads.used_tokens(SERVICE, &head(0)), approx_eq(80.0));
+    expect_that!(loads.retry_counts(SERVICE).requests, eq(20));
+    loads.expire(4_100);
+    expect_that!(loads.used_tokens(SERVICE, &head(0)), approx_eq(30.0));
+    expect_that!(loads.retry_counts(SERVICE).requests, eq(10));
+}
