Relay: the strongest instances work for all; changes of runners go along a tree; small checks cost less

Cause: who gives orders, watches the store and confirms was drawn by name, be it a tenth of a core. Each of six watchers sent each batch of changes to a third of the fleet, and every 60 ms a new one while thousands of runners load. Each message was encoded anew for each receiver. Ten times a second each instance ranked its domain to find that nothing was to be confirmed; three times a second it walked all runners for dead or slow ones; each gossip message did so too; each exchange carried all failure reports of 30 s.

A batch goes from two watchers of the fleet to four instances of a domain and on along a tree, four copies each; the more changes come at once, the longer the next batch gathers (480 ms at most). Runners with a notable health are kept in a set. Failure reports of 6 s are sent.

--- a/kernel/src/kernel.rs
+++ b/kernel/src/kernel.rs
@@ -280,6 +280,7 @@
         revision: 0,
         revision_since_ms: 0,
         in_flight: 0,
+        capacity: 1_000,
     };
     let cfg = MembershipConfig {
         round_ms: settings.timing.gossip_ms,
--- a/plugins/relay/src/configuration.rs
+++ b/plugins/relay/src/configuration.rs
@@ -21,7 +21,7 @@
 use tokio::time::sleep;
 
 use crate::node::Node;
-use crate::peers::{self, Message, PEER_TIMEOUT};
+use crate::peers::{self, Message};
 use crate::watch::{back_off, count_call, max_backoff_ms, note_era};
 
 /// Interval between checks whether the configuration has to be confirmed.
@@ -66,6 +66,9 @@
         sleep(CONFIRM_POLL).await;
         note_era(node);
         let age = node.config_confirmation.borrow().age_ms(node.now());
+        if !store_watch::may_confirm(age) {
+            continue;
+        }
         let scope = peers::confirm_scope(node);
         if !store_watch::should_confirm(age, node.random_f64(), read_ms, scope) {
             continue;
@@ -160,28 +163,21 @@
     if json.len() > MAX_RELAYED_BYTES {
         return;
     }
-    let message = Rc::new(Message::Configuration(RelayedConfiguration {
+    let message = Message::Configuration(RelayedConfiguration {
         revision,
         spec: json.to_owned(),
-    }));
-    for address in receivers(node) {
-        let message = Rc::clone(&message);
-        tokio::task::spawn_local(async move {
-            if let Err(cause) = peers::post(address, &message, PEER_TIMEOUT).await {
-                log::debug!(address:% = address, cause; "configuration not passed on");
-            }
-        });
-    }
+    });
+    peers::send_to_all(&message, &receivers(node));
 }
 
 /// Returns the addresses of the instances that this one relays configurations to.
 fn receivers(node: &Node) -> Vec<std::net::SocketAddr> {
-    let own = &node.settings.name;
+    let own = peers::own_candidate(node);
     let reaching = peers::neighbours_reaching_store(node);
     let neighbours = peers::neighbours(node);
-    let tree = RelayTree::of(own, &reaching, &neighbours);
-    let children = tree.children(own);
+    let tree = RelayTree::of_configurations(&own, &reaching, &neighbours);
     let membership = node.membership.borrow();
-    let live = membership.live().filter(|m| children.contains(&&m.name));
-    live.map(|m| m.peers).collect()
+    let children = tree.children(&own.name).iter();
+    let children = children.filter_map(|name| membership.member(name));
+    children.map(|m| m.state().peers).collect()
 }
--- a/plugins/relay/src/failure_detector.rs
+++ b/plugins/relay/src/failure_detector.rs
@@ -11,7 +11,7 @@
 use jacinthweir_platform::runner::Report;
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::failure_reports::{self, Advice, FailureReport};
-use jacinthweir_policy::relay::runners::{PROBE_INTERVAL_MS, RunnerEntry, RunnerHealth};
+use jacinthweir_policy::relay::runners::{PROBE_INTERVAL_MS, RunnerEntry};
 use jacinthweir_policy::relay::silence::ProbeRound;
 use jacinthweir_policy::relay::store_watch;
 use tokio::time::sleep;
@@ -420,15 +420,18 @@
     let interval_ms = store_watch::scaled_interval_ms(PROBE_INTERVAL_MS, node.live_instances());
     let mut runners = node.runners.borrow_mut();
     let suspects: Vec<Suspect> = {
-        let is_unhealthy = |s: &RunnerHealth| s.dead || s.is_slow();
-        let unhealthy = runners
-            .entries()
-            .filter(|e| is_unhealthy(&runners.health(&e.id)));
-        unhealthy.map(|r| Suspect::of(node, r)).collect()
+        let unhealthy = runners.notable(now).filter(|(_, s)| s.dead || s.is_slow());
+        unhealthy.map(|(r, _)| Suspect::of(node, r)).collect()
     };
+    if suspects.is_empty() {
+        return suspects;
+    }
     let neighbours = peers::neighbours(node);
     let mut due = |id: &Name| {
-        let is_prober = failure_reports::is_prober(&node.settings.name, neighbours.iter(), id);
+        let is_prober = {
+            let names = neighbours.iter().map(|c| &c.name);
+            failure_reports::is_prober(&node.settings.name, names, id)
+        };
         let health = runners.health_mut(id);
         health.is_some_and(|s| match is_prober || s.found_locally {
             true => s.should_probe(now, interval_ms),
--- a/plugins/relay/src/gossip.rs
+++ b/plugins/relay/src/gossip.rs
@@ -16,13 +16,14 @@
 use jacinthweir_policy::relay::quarantine::CrashRecord;
 use jacinthweir_policy::relay::rate_limits::RateReport;
 use jacinthweir_policy::relay::revision::Revision;
+use jacinthweir_policy::relay::runners::NOTABLE_MS;
 use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
 use crate::failure_detector;
 use crate::node::Node;
-use crate::peers::{Message, PEER_TIMEOUT, post};
+use crate::peers::{Message, send_to_all};
 use crate::quarantine;
 use crate::rate_limits;
 use crate::watch;
@@ -36,6 +37,7 @@
 /// Age up to which a change is gossiped, in milliseconds. The next exchanges deliver everything but
 /// paces, which are probed again.
 const GOSSIP_AGE_MS: Millis = 400;
+const _: () = assert!(GOSSIP_AGE_MS <= NOTABLE_MS);
 
 /// State of the store as an instance has seen it.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
@@ -122,16 +124,8 @@
 async fn run(node: &Rc<Node>) {
     loop {
         node.gossip_due.notified().await;
-        let message = Rc::new(Message::News(recent_changes(node)));
-        for address in receivers(node) {
-            let message = Rc::clone(&message);
-            tokio::task::spawn_local(async move {
-                // An instance that misses the message learns of the changes at its next exchange.
-                if let Err(cause) = post(address, &message, PEER_TIMEOUT).await {
-                    log::debug!(address:% = address, cause; "gossip message not delivered");
-                }
-            });
-        }
+        let message = Message::News(recent_changes(node));
+        send_to_all(&message, &receivers(node));
         sleep(MIN_INTERVAL).await;
     }
 }
@@ -148,11 +142,10 @@
 fn recent_changes(node: &Node) -> News {
     let now = node.now();
     let since = now.saturating_sub(GOSSIP_AGE_MS);
-    let runners = node.runners.borrow();
+    let mut runners = node.runners.borrow_mut();
     let mut alive = Vec::new();
     let mut paces = Vec::new();
-    for e in runners.entries() {
-        let health = runners.health(&e.id);
+    for (e, health) in runners.notable(now) {
         if health.recovered_since(since) {
             alive.push((e.id.clone(), e.born_ms));
         }
@@ -165,6 +158,7 @@
             });
         }
     }
+    drop(runners);
     News {
         domain: node.settings.failure_domain.clone(),
         seen: Seen::of(node),
--- a/plugins/relay/src/lib.rs
+++ b/plugins/relay/src/lib.rs
@@ -11,6 +11,7 @@
 //! | `node` | shared state of the process |
 //! | `live_chains` | chains in use and the requests in flight on each |
 //! | `watch` | watches the store for the configuration and the runners |
+//! | `runner_changes` | changes of runners, on their way from the store to all instances |
 //! | `peers` | anti-entropy exchanges with other instances |
 //! | [`gossip`] | gossip of changes that cannot wait for the next exchange |
 //! | `placer` | placement lease, and placement orders to runners |
@@ -48,6 +49,7 @@
 mod quarantine;
 mod rate_limits;
 mod request;
+mod runner_changes;
 mod runner_probe;
 mod server;
 pub mod settings;
--- a/plugins/relay/src/node.rs
+++ b/plugins/relay/src/node.rs
@@ -52,6 +52,9 @@
 /// Instances of a failure domain that exchange with other failure domains in one round.
 const CROSS_DOMAIN_SENDERS: usize = 8;
 
+/// Members that an exchange lists in a larger fleet than that.
+const MAX_BEATS: usize = 32;
+
 /// Duration of the placement lease without renewal, in milliseconds: three renewal intervals, and
 /// short compared with the outage that a gap in a chain causes.
 const LEASE_MS: Millis = 1_800;
@@ -151,6 +154,7 @@
             round_ms: ROUND_MS,
             fanout: FANOUT,
             cross_domain_senders: CROSS_DOMAIN_SENDERS,
+            max_beats: MAX_BEATS,
             ..MembershipConfig::default()
         };
         let now = Now {
@@ -403,6 +407,7 @@
         revision: 0,
         revision_since_ms: 0,
         in_flight: 0,
+        capacity: settings.processor.capacity(),
     }
 }
 
--- a/plugins/relay/src/peers.rs
+++ b/plugins/relay/src/peers.rs
@@ -24,14 +24,16 @@
 use jacinthweir_policy::relay::loads::{HeadUse, Load, LoadDigest, LoadUpdate, ServiceCounts};
 use jacinthweir_policy::relay::quarantine::CrashRecord;
 use jacinthweir_policy::relay::rate_limits::RateReport;
-use jacinthweir_policy::relay::store_watch::{ChangeBatch, ConfirmScope, Watchers};
+use jacinthweir_policy::relay::rendezvous::Candidate;
+use jacinthweir_policy::relay::store_watch::{ConfirmScope, Watchers};
 use serde::{Deserialize, Serialize};
 use tokio::time::interval;
 
 use crate::configuration::{self, RelayedConfiguration};
 use crate::gossip::{self, News, Seen};
 use crate::node::{Node, ROUND_MS};
-use crate::{failure_detector, quarantine, rate_limits, watch};
+use crate::runner_changes::{self, RelayedChanges};
+use crate::{failure_detector, quarantine, rate_limits};
 
 /// Path to which instances post their messages.
 pub(crate) const PATH: &str = "/peer";
@@ -73,6 +75,10 @@
     rate_reports: Vec<RateReport>,
 }
 
+/// Age up to which a failure report is sent in exchanges, in milliseconds. All instances have it after
+/// a few rounds, and those that start later probe the runner when they need it.
+const FAILURE_REPORT_AGE_MS: Millis = 6_000;
+
 /// Age up to which a rate report is sent in exchanges, in milliseconds: a few rounds.
 const RATE_REPORT_AGE_MS: Millis = 3_000;
 
@@ -84,7 +90,10 @@
         View {
             domain: node.settings.failure_domain.clone(),
             confirmed_ms_ago: node.config_confirmation.borrow().age_ms(node.now()),
-            failure_reports: node.failure_reports.borrow().updated_since(0).collect(),
+            failure_reports: {
+                let since = node.now().saturating_sub(FAILURE_REPORT_AGE_MS);
+                node.failure_reports.borrow().updated_since(since).collect()
+            },
             seen: Seen::of(node),
             rate_reports: node.rate_limits.borrow().recent_reports(
                 RATE_REPORT_AGE_MS,
@@ -126,7 +135,7 @@
     /// Changes that cannot wait for the next exchange.
     News(News),
     /// Changes of runners' entries, from an instance that watches them.
-    Step(ChangeBatch),
+    Step(RelayedChanges),
     /// A newer configuration, from an instance of the same failure domain.
     Configuration(RelayedConfiguration),
     /// Asks the receiver to probe the instance at an address.
@@ -172,7 +181,7 @@
         }
         let in_flight = u32::try_from(node.active.get()).unwrap_or(u32::MAX);
         node.membership.borrow_mut().set_in_flight(in_flight);
-        node.loads.borrow_mut().refresh_totals(node.now());
+        node.loads.borrow_mut().expire(node.now());
         let now = node.clocks();
         let actions = node.with_rng(|rng| node.membership.borrow_mut().tick(now, rng));
         execute(node, actions);
@@ -182,7 +191,11 @@
 /// Logs which instances joined or left the set of live ones, and updates `before`.
 fn log_changes(node: &Node, before: &mut BTreeSet<Name>) {
     let membership = node.membership.borrow();
-    let now: BTreeSet<Name> = membership.live().map(|m| m.name.clone()).collect();
+    let live = || membership.live().map(|m| &m.name);
+    if live().count() == before.len() && live().all(|name| before.contains(name)) {
+        return;
+    }
+    let now: BTreeSet<Name> = live().cloned().collect();
     let new: Vec<&str> = now.difference(before).map(AsRef::as_ref).collect();
     if !new.is_empty() {
         log::info!(peers = new.join(" "), instances = now.len(); "instances joined");
@@ -206,37 +219,62 @@
 /// Sets this instance's phase and pushes it to a few peers at once.
 pub(crate) fn announce(node: &Rc<Node>, phase: Phase) {
     node.membership.borrow_mut().set_phase(phase);
-    let actions = node.with_rng(|rng| node.membership.borrow().announce(ANNOUNCE_FANOUT, rng));
+    let actions = node.with_rng(|rng| node.membership.borrow_mut().announce(ANNOUNCE_FANOUT, rng));
     execute(node, actions);
 }
 
+/// Time after the last new member within which a starting instance does not seek the placement lease,
+/// and the maximum time after its start, in milliseconds. Stronger instances may still become known.
+const DISCOVERY_MS: Millis = 600;
+const MAX_DISCOVERY_MS: Millis = 3_000;
+
 /// Returns this instance's bid for the placement lease. Of the live instances that reach the store,
-/// the first by name tries to acquire it; where instances disagree, the lease in the store decides.
+/// the strongest tries to acquire it, and of equal ones the first by name; where instances disagree,
+/// the lease in the store decides.
 pub(crate) fn bid(node: &Node) -> Bid {
     let now = node.now();
-    let own = &node.settings.name;
     if node.draining.get() || !node.reaches_store.get() {
         return Bid::Abstain;
     }
-    let loads = node.loads.borrow();
     let membership = node.membership.borrow();
-    let mut before = membership.live().filter(|m| m.name < *own);
+    let discovering = now < membership.last_joined_ms() + DISCOVERY_MS;
+    if now < MAX_DISCOVERY_MS && discovering {
+        return Bid::Retain;
+    }
+    let own = candidate(&membership.own().state);
+    let loads = node.loads.borrow();
+    let mut before = membership.live().filter(|m| candidate(m).precedes(&own));
     match before.any(|m| loads.hears_store(&m.name, &m.domain, now)) {
         true => Bid::Retain,
         false => Bid::Acquire,
     }
 }
 
+/// Returns an instance as a candidate for tasks on behalf of others.
+pub(crate) fn candidate(m: &MemberState) -> Candidate {
+    Candidate {
+        name: m.name.clone(),
+        capacity: m.capacity,
+    }
+}
+
+/// Returns this instance as a candidate for tasks on behalf of others.
+pub(crate) fn own_candidate(node: &Node) -> Candidate {
+    candidate(&node.membership.borrow().own().state)
+}
+
 /// Returns the live instances that reach the store, possibly including this one.
-pub(crate) fn reaching_store(node: &Node) -> Vec<Name> {
+pub(crate) fn reaching_store(node: &Node) -> Vec<Candidate> {
     let now = node.now();
     let loads = node.loads.borrow();
     let membership = node.membership.borrow();
-    let hears_store = |m: &&MemberState| loads.hears_store(&m.name, &m.domain, now);
-    let own = node.reaches_store.get().then_some(&node.settings.name);
-    let others = membership.live().filter(|m| m.name != node.settings.name);
-    let others = others.filter(hears_store).map(|m| &m.name);
-    others.chain(own).cloned().collect()
+    let own = &node.settings.name;
+    let hears_store = |m: &MemberState| match m.name == *own {
+        true => node.reaches_store.get(),
+        false => loads.hears_store(&m.name, &m.domain, now),
+    };
+    let reaching = membership.live().filter(|m| hears_store(m));
+    reaching.map(candidate).collect()
 }
 
 /// Returns the instances that watch the runners for the whole fleet.
@@ -247,16 +285,16 @@
 /// Returns for whom this instance confirms the configuration.
 pub(crate) fn confirm_scope(node: &Node) -> ConfirmScope {
     let reaching = neighbours_reaching_store(node);
-    ConfirmScope::of(&node.settings.name, reaching.iter())
+    ConfirmScope::of(&own_candidate(node), reaching.iter())
 }
 
 /// Returns the other live instances of this instance's failure domain that reach the store.
-pub(crate) fn neighbours_reaching_store(node: &Node) -> Vec<Name> {
+pub(crate) fn neighbours_reaching_store(node: &Node) -> Vec<Candidate> {
     let now = node.now();
     let loads = node.loads.borrow();
-    let mut names = neighbours(node);
-    names.retain(|n| loads.hears_store(n, &node.settings.failure_domain, now));
-    names
+    let mut candidates = neighbours(node);
+    candidates.retain(|c| loads.hears_store(&c.name, &node.settings.failure_domain, now));
+    candidates
 }
 
 /// Whether this instance watches the runners itself. The holder of the placement lease has to see
@@ -302,7 +340,7 @@
             load_digest: loads.digest(near, sent_ms),
             // The other loads come with the reply; sent both ways, they would make up most of an
             // exchange's bytes.
-            load_update: loads.push_update(near, neighbours(node).len(), sent_ms),
+            load_update: loads.push_update(near, neighbour_count(node), sent_ms),
         }
     };
     let reply = post(peer.address, &message, PEER_TIMEOUT).await;
@@ -332,7 +370,7 @@
     apply_exchange(node, &view, load_update);
     let push = {
         let mut membership = node.membership.borrow_mut();
-        membership.receive_answer(node.clocks(), sent_ms, &from, &members)
+        membership.receive_answer(node.clocks(), &from, &members)
     };
     if let Some(members) = push {
         let from = node.settings.name.clone();
@@ -388,7 +426,7 @@
                 load_update: loads.update_for(
                     &load_digest,
                     near,
-                    neighbours(node).len(),
+                    neighbour_count(node),
                     node.now(),
                 ),
             }
@@ -403,7 +441,7 @@
             Reply::Done
         }
         Message::Step(changes) => {
-            let _applied = watch::apply_batch(node, &changes);
+            runner_changes::receive(node, changes);
             Reply::Done
         }
         Message::Configuration(relayed) => {
@@ -429,12 +467,19 @@
 }
 
 /// Returns the other live instances of this instance's failure domain.
-pub(crate) fn neighbours(node: &Node) -> Vec<Name> {
+pub(crate) fn neighbours(node: &Node) -> Vec<Candidate> {
+    let membership = node.membership.borrow();
+    let near = membership.live().filter(|m| is_neighbour(node, m));
+    near.map(candidate).collect()
+}
+
+fn neighbour_count(node: &Node) -> usize {
     let membership = node.membership.borrow();
-    let own = &node.settings;
-    let others = membership.live().filter(|m| m.name != own.name);
-    let near = others.filter(|m| m.domain == own.failure_domain);
-    near.map(|m| m.name.clone()).collect()
+    membership.live().filter(|m| is_neighbour(node, m)).count()
+}
+
+fn is_neighbour(node: &Node, m: &MemberState) -> bool {
+    m.domain == node.settings.failure_domain && m.name != node.settings.name
 }
 
 fn write_own_load(node: &Node) {
@@ -491,8 +536,37 @@
     message: &Message,
     timeout: Duration,
 ) -> Result<Reply, String> {
+    post_encoded(address, encode(message)?, timeout).await
+}
+
+/// Sends a message to several instances without waiting for their replies.
+pub(crate) fn send_to_all(message: &Message, receivers: &[SocketAddr]) {
+    let body = match encode(message) {
+        Ok(body) => body,
+        Err(cause) => return log::error!(cause; "cannot encode a message"),
+    };
+    for address in receivers.iter().copied() {
+        let body = body.clone();
+        tokio::task::spawn_local(async move {
+            // A receiver that misses it learns at its next exchange that it is behind.
+            if let Err(cause) = post_encoded(address, body, PEER_TIMEOUT).await {
+                log::debug!(address:% = address, cause; "message not delivered");
+            }
+        });
+    }
+}
+
+fn encode(message: &Message) -> Result<Bytes, String> {
     let body = rmp_serde::to_vec(message).map_err(|e| e.to_string())?;
-    let mut req = Request::new(Full::new(Bytes::from(body)));
+    Ok(Bytes::from(body))
+}
+
+async fn post_encoded(
+    address: SocketAddr,
+    body: Bytes,
+    timeout: Duration,
+) -> Result<Reply, String> {
+    let mut req = Request::new(Full::new(body));
     *req.method_mut() = Method::POST;
     *req.uri_mut() = http::Uri::from_static(PATH);
     let host = http::HeaderValue::from_str(&address.to_string()).map_err(|e| e.to_string())?;
--- a/plugins/relay/src/quarantine.rs
+++ b/plugins/relay/src/quarantine.rs
@@ -222,5 +222,9 @@
 fn is_writer(node: &Node, request: Fingerprint) -> bool {
     let reaching_store = peers::reaching_store(node);
     node.reaches_store.get()
-        && quarantine::is_writer(&node.settings.name, reaching_store.iter(), request)
+        && quarantine::is_writer(
+            &node.settings.name,
+            reaching_store.iter().map(|c| &c.name),
+            request,
+        )
 }
--- a/plugins/relay/src/settings.rs
+++ b/plugins/relay/src/settings.rs
@@ -27,6 +27,9 @@
     /// Limits on incoming connections.
     #[serde(default)]
     pub limits: RelayLimits,
+    /// What the instance may use of its machine's processor.
+    #[serde(default)]
+    pub processor: Processor,
     /// Service-level bounds.
     pub bounds: Bounds,
     /// Log settings.
@@ -65,6 +68,34 @@
     }
 }
 
+/// What an instance may use of its machine's processor. Of the instances that could do a task on
+/// behalf of others, the one with the most does it.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Processor {
+    /// Share of a core.
+    pub share: f64,
+    /// Speed of the core, relative to the others of the fleet.
+    pub speed: f64,
+}
+
+impl Default for Processor {
+    fn default() -> Self {
+        Processor {
+            share: 1.0,
+            speed: 1.0,
+        }
+    }
+}
+
+impl Processor {
+    /// Returns the capacity in thousandths of a core.
+    #[must_use]
+    pub fn capacity(&self) -> u32 {
+        (self.share * self.speed * 1e3) as u32
+    }
+}
+
 /// Service-level bounds that users rely on.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -141,6 +172,14 @@
                 faults.push(doc.fault_at(field, "must be greater than 0"));
             }
         }
+        for (field, value) in [
+            ("processor.share", self.processor.share),
+            ("processor.speed", self.processor.speed),
+        ] {
+            if !value.is_finite() || value <= 0.0 {
+                faults.push(doc.fault_at(field, "must be greater than 0"));
+            }
+        }
         for (field, value) in [
             ("bounds.shutdown_s", b.shutdown_s),
             ("bounds.repeat_window_s", b.repeat_window_s),
--- a/plugins/relay/src/watch.rs
+++ b/plugins/relay/src/watch.rs
@@ -10,17 +10,17 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use jacinthweir_platform::store::{Changes, Object, StoreError};
+use jacinthweir_platform::store::StoreError;
 use jacinthweir_platform::{desired, runner};
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::revision::Revision;
-use jacinthweir_policy::relay::runners::RunnerEntry;
-use jacinthweir_policy::relay::store_watch::{self, ChangeBatch, ConfirmScope, RunnerChange};
+use jacinthweir_policy::relay::store_watch::{self, ConfirmScope};
 use tokio::time::sleep;
 
 use crate::configuration;
 use crate::node::Node;
-use crate::peers::{self, Message};
+use crate::peers;
+use crate::runner_changes;
 
 /// Timeout of a watch on the configuration in a small fleet, in milliseconds. A watch whose
 /// connection fell silent hides a change until the next read at the latest.
@@ -269,8 +269,12 @@
         Watched::Runners => {
             let revisions = listed.objects.iter().map(|o| o.meta.revision);
             let newest = revisions.max().unwrap_or_default();
-            let entries = listed.objects.iter().filter_map(decode).collect();
-            note_revision(node, newest);
+            let entries = listed
+                .objects
+                .iter()
+                .filter_map(runner_changes::decode)
+                .collect();
+            runner_changes::note_revision(node, newest);
             let now = node.now();
             let mut runners = node.runners.borrow_mut();
             let restored = listed.revision.era != node.runners_as_of.get().era;
@@ -320,7 +324,7 @@
             Err(e) => return e,
         };
         node.reaches_store.set(true);
-        let any = !changes.changes.is_empty();
+        let count = changes.changes.len();
         match what {
             Watched::Configuration => {
                 revision = changes.revision;
@@ -329,26 +333,23 @@
                 }
             }
             Watched::Runners => {
-                let batch = change_batch(revision, changes);
-                log_batch(node, &batch);
-                if apply_batch(node, &batch) {
-                    notify_followers(node, batch);
-                }
+                runner_changes::observe(node, revision, changes);
             }
         }
-        if any {
-            sleep(Duration::from_millis(debounce_ms(node, what))).await;
+        if count > 0 {
+            sleep(Duration::from_millis(debounce_ms(node, what, count))).await;
         }
     }
 }
 
-/// Returns the debounce interval in milliseconds; changes within it are read with one call.
-fn debounce_ms(node: &Node, what: Watched) -> Millis {
+/// Returns the debounce interval after a batch of `count` changes, in milliseconds; changes within it
+/// are read with one call.
+fn debounce_ms(node: &Node, what: Watched, count: usize) -> Millis {
     match what {
         Watched::Configuration => store_watch::debounce_ms(node.live_instances()),
         Watched::Runners => {
             let gives_orders = node.lease.borrow().held(node.now()).is_some();
-            store_watch::runners_debounce_ms(node.now(), gives_orders)
+            store_watch::runners_debounce_ms(node.now(), gives_orders, count)
         }
     }
 }
@@ -412,136 +413,6 @@
     }
 }
 
-/// Updates the newest revision of a runner's entry seen so far.
-fn note_revision(node: &Node, revision: Revision) {
-    let newest = node.runners_revision.get().max(revision);
-    node.runners_revision.set(newest);
-}
-
-/// Returns the changes that a watch from the revision `since` returned.
-fn change_batch(since: Revision, changes: Changes) -> ChangeBatch {
-    let until = changes.revision;
-    let mut newest = Revision::default();
-    let mut decoded = Vec::with_capacity(changes.changes.len());
-    for change in changes.changes {
-        newest = newest.max(change.object.meta.revision);
-        if change.deleted {
-            // The object carries its last revision, which is older than the deletion.
-            newest = newest.max(until);
-            decoded.push(RunnerChange::Gone(change.object.meta.name.clone()));
-        } else if let Some(entry) = decode(&change.object) {
-            decoded.push(RunnerChange::Put(entry));
-        }
-    }
-    ChangeBatch {
-        since,
-        until,
-        newest,
-        changes: decoded,
-    }
-}
-
-/// Sends changes to the instances that this one notifies. An instance that misses them learns at an
-/// exchange that it is behind, and asks the store.
-fn notify_followers(node: &Node, batch: ChangeBatch) {
-    if batch.changes.is_empty() {
-        return;
-    }
-    let own = &node.settings.name;
-    let watchers = peers::watchers(node);
-    let message = Rc::new(Message::Step(batch));
-    let membership = node.membership.borrow();
-    for m in membership.live().filter(|m| m.name != *own) {
-        if watchers.contains(&m.name) || !watchers.notifies(own, &m.name) {
-            continue;
-        }
-        let (address, message) = (m.peers, Rc::clone(&message));
-        tokio::task::spawn_local(async move {
-            if let Err(cause) = peers::post(address, &message, peers::PEER_TIMEOUT).await {
-                log::debug!(address:% = address, cause; "changes of runners not delivered");
-            }
-        });
-    }
-}
-
-/// Applies changes from the store or from another instance, if there is no gap before them and they
-/// contain something new. Returns whether they were applied. A response of the store that is older
-/// than what another instance sent would bring back runners that have left since.
-pub(crate) fn apply_batch(node: &Node, batch: &ChangeBatch) -> bool {
-    let applies = batch.applies_to(node.runners_as_of.get());
-    if applies {
-        apply_changes(node, batch);
-    }
-    applies
-}
-
-/// Logs changes that this instance read from the store. The instances it notifies do not log them
-/// again.
-fn log_batch(node: &Node, batch: &ChangeBatch) {
-    for change in &batch.changes {
-        match change {
-            RunnerChange::Gone(id) => {
-                log::info!(runner = id.as_ref(); "runner is gone from the store");
-            }
-            RunnerChange::Put(entry) => log_entry(node, entry),
-        }
-    }
-}
-
-/// Applies changes unconditionally.
-fn apply_changes(node: &Node, batch: &ChangeBatch) {
-    note_revision(node, batch.newest);
-    node.runners_as_of.set(batch.until);
-    let mut changed = false;
-    for change in &batch.changes {
-        match change {
-            RunnerChange::Gone(id) => {
-                changed |= node.runners.borrow_mut().remove(id, node.now());
-            }
-            RunnerChange::Put(entry) => {
-                if entry.draining {
-                    node.note_draining(&entry.id, entry.born_ms);
-                }
-                changed |= node.runners.borrow_mut().put(entry);
-            }
-        }
-    }
-    if changed {
-        node.rebuild_chains();
-    }
-}
-
-/// Logs a runner's entry if it changed.
-fn log_entry(node: &Node, entry: &RunnerEntry) {
-    let runners = node.runners.borrow();
-    let old = runners.entry(&entry.id);
-    if old == Some(entry) {
-        return;
-    }
-    let (from, to) = entry.layers.unwrap_or_default();
-    log::info!(
-        runner = entry.id.as_ref(),
-        address:% = entry.address,
-        from,
-        to,
-        draining = entry.draining,
-        born_ms = entry.born_ms;
-        "runner"
-    );
-}
-
-/// Decodes a runner's entry, or logs why it cannot be decoded.
-fn decode(object: &Object) -> Option<RunnerEntry> {
-    match runner::decode_entry(&object.meta.name, &object.spec) {
-        Ok(entry) => Some(entry),
-        Err(e) => {
-            let name: &Name = &object.meta.name;
-            log::warn!(runner = name.as_ref(), cause:% = e; "cannot decode a runner's entry");
-            None
-        }
-    }
-}
-
 /// Counts a call to the store.
 pub(crate) fn count_call(call: &'static str) {
     metrics::counter!("jacinthweir_store_calls_total", "call" => call).increment(1);
--- a/plugins/relay/tests/support/standin.rs
+++ b/plugins/relay/tests/support/standin.rs
@@ -12,7 +12,7 @@
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
-use jacinthweir_relay::settings::{Bounds, Listen, RelayLimits};
+use jacinthweir_relay::settings::{Bounds, Listen, Processor, RelayLimits};
 use jacinthweir_relay::{Relay, RelaySettings};
 use serde_json::{Value, json};
 use tokio::task::LocalSet;
@@ -274,6 +274,7 @@
         seeds: Vec::new(),
         store,
         limits: RelayLimits::default(),
+        processor: Processor::default(),
         bounds: Bounds {
             revocation_ms: 5_000,
             shutdown_s: 8.0,
--- a/policy/src/member.rs
+++ b/policy/src/member.rs
@@ -30,6 +30,8 @@
     pub revision_since_ms: u64,
     /// Number of requests in flight.
     pub in_flight: u32,
+    /// Processing capacity, in thousandths of a core.
+    pub capacity: u32,
 }
 
 /// The lifecycle phase of an instance.
--- a/policy/src/relay.rs
+++ b/policy/src/relay.rs
@@ -39,7 +39,7 @@
 pub mod placement;
 pub mod quarantine;
 pub mod rate_limits;
-mod rendezvous;
+pub mod rendezvous;
 pub mod revision;
 pub mod runners;
 pub mod shared_retry_budget;
--- a/policy/src/relay/store_watch.rs
+++ b/policy/src/relay/store_watch.rs
@@ -12,14 +12,15 @@
 //! Entries of runners change in bursts, and each change ends every watch on them. Only
 //! [`BASE_INSTANCES`] instances therefore watch the runners and notify the others of changes with a
 //! [`ChangeBatch`] from one revision to another, which any instance that knows the first revision
-//! applies without a call. The watchers are derived from the live instances that reach the store;
-//! when one is lost, the next takes its place. In the same way two instances of each failure domain
+//! applies without a call. Within a failure domain a batch goes along a [`RelayTree`]. The watchers are
+//! derived from the live instances that reach the store, the strongest first; when one is lost, the
+//! next takes its place. In the same way two instances of each failure domain
 //! confirm the configuration for the domain ([`ConfirmScope`]).
 
 use serde::{Deserialize, Serialize};
 
 use crate::prelude::*;
-use crate::relay::rendezvous::{is_among_first, rank, rank_for};
+use crate::relay::rendezvous::{Candidate, is_among_first, rank_for};
 use crate::relay::revision::Revision;
 use crate::relay::runners::RunnerEntry;
 
@@ -96,22 +97,31 @@
 /// Time within which changes of runners' entries are coalesced into one call, in milliseconds.
 const RUNNERS_DEBOUNCE_MS: Millis = 60;
 
+/// Changes in one batch for which the time grows by as much again, and its maximum in milliseconds.
+const CHANGES_PER_DEBOUNCE: usize = 8;
+const MAX_RUNNERS_DEBOUNCE_MS: Millis = 480;
+
 /// The same while the instance starts.
 const STARTUP_DEBOUNCE_MS: Millis = 1_600;
 
-/// Returns how long an instance that started `age_ms` milliseconds ago waits after a change of the
-/// runners before it watches for the next.
+/// Returns how long an instance that started `age_ms` milliseconds ago waits after a batch of `changes`
+/// changes of the runners before it watches for the next.
 ///
 /// Load pattern: a fleet of hundreds of instances starts at once, and so do its runners. Until the
 /// instances know of each other every one of them watches, and each runner that registers ends all
-/// these watches. The instance that gives orders to runners is exempt, since it must see their
-/// effect.
+/// these watches. Later, thousands of runners load their layers, and each batch of changes goes to all
+/// instances; the more changes come at once, the more are coalesced. The instance that gives orders to
+/// runners is exempt, since it must see their effect.
 #[must_use]
-pub fn runners_debounce_ms(age_ms: Millis, gives_orders: bool) -> Millis {
-    match age_ms < STARTUP_MS && !gives_orders {
-        true => STARTUP_DEBOUNCE_MS,
-        false => RUNNERS_DEBOUNCE_MS,
+pub fn runners_debounce_ms(age_ms: Millis, gives_orders: bool, changes: usize) -> Millis {
+    if gives_orders {
+        return RUNNERS_DEBOUNCE_MS;
+    }
+    if age_ms < STARTUP_MS {
+        return STARTUP_DEBOUNCE_MS;
     }
+    let factor = 1 + (changes / CHANGES_PER_DEBOUNCE) as Millis;
+    (RUNNERS_DEBOUNCE_MS * factor).min(MAX_RUNNERS_DEBOUNCE_MS)
 }
 
 /// For which instances an instance reads the configuration.
@@ -124,57 +134,84 @@
 }
 
 impl ConfirmScope {
-    /// Returns the scope of instance `name`. `domain` are the instances of its failure domain that
+    /// Returns the scope of instance `own`. `domain` are the instances of its failure domain that
     /// reach the store, with or without itself.
     ///
     /// Load pattern: three hundred instances each read the configuration as soon as their
     /// confirmation is old enough, every two seconds, although the result of one read reaches all
     /// others within one.
-    pub fn of<'a>(name: &Name, domain: impl Iterator<Item = &'a Name>) -> ConfirmScope {
-        let ranks = domain.map(|n| rank(n));
-        match is_among_first(CONFIRMERS_PER_DOMAIN, rank(name), ranks) {
+    pub fn of<'a>(own: &Candidate, domain: impl Iterator<Item = &'a Candidate>) -> ConfirmScope {
+        let ranks = domain.map(Candidate::rank);
+        match is_among_first(CONFIRMERS_PER_DOMAIN, own.rank(), ranks) {
             true => ConfirmScope::Domain,
             false => ConfirmScope::Own,
         }
     }
 }
 
-/// Instances that each instance relays a configuration to.
+/// Instances that each instance passes a message on to.
 const RELAY_FANOUT: usize = 4;
 
-/// The instances of a failure domain in the order in which a configuration is relayed among them:
-/// first those that watch it.
+/// The instances of a failure domain in the order in which a message is passed on among them. The
+/// first ones, the roots, get it from elsewhere.
 ///
-/// Load pattern: configurations follow each other, and each ends a watch of every instance, hundreds
-/// of calls where a few instances could read it and pass it on. A tree keeps the bytes that a small
-/// instance sends to four copies; thirty instances have it after two hops.
+/// Load pattern: configurations and changes of runners follow each other. If each ended a call to the
+/// store of every instance, or one instance sent each to all others, the cost would grow with the
+/// fleet. A tree keeps the bytes that an instance sends to four copies; thirty instances have a message
+/// after two hops, six hundred after four.
 #[derive(Clone, Debug)]
-pub struct RelayTree<'a>(Vec<&'a Name>);
+pub struct RelayTree<'a> {
+    order: Vec<&'a Name>,
+    roots: usize,
+}
 
 impl<'a> RelayTree<'a> {
-    /// Returns the tree over `own` and its `neighbours`, of which those in `reaching` reach the
-    /// store. `own` must not be among the neighbours.
+    /// Returns the tree of configurations over `own` and its `neighbours`, of which those in `reaching`
+    /// reach the store. `own` must not be among the neighbours. The roots watch the configuration.
+    #[must_use]
+    pub fn of_configurations(
+        own: &'a Candidate,
+        reaching: &[Candidate],
+        neighbours: &'a [Candidate],
+    ) -> RelayTree<'a> {
+        let mut order: Vec<&Candidate> = neighbours.iter().chain([own]).collect();
+        let is_cut_off = |c: &Candidate| c != own && !reaching.contains(c);
+        order.sort_by_cached_key(|c| (is_cut_off(c), c.rank()));
+        RelayTree {
+            order: order.into_iter().map(|c| &c.name).collect(),
+            roots: CONFIRMERS_PER_DOMAIN,
+        }
+    }
+
+    /// Returns the tree of the changes that `watcher` sends to a failure domain with these `members`.
     #[must_use]
-    pub fn of(own: &'a Name, reaching: &[Name], neighbours: &'a [Name]) -> RelayTree<'a> {
-        let mut names: Vec<&Name> = neighbours.iter().chain([own]).collect();
-        let is_cut_off = |name: &Name| name != own && !reaching.contains(name);
-        names.sort_by_cached_key(|name| (is_cut_off(name), rank(name)));
-        RelayTree(names)
+    pub fn of_changes(
+        watcher: &str,
+        members: impl Iterator<Item = &'a Candidate>,
+    ) -> RelayTree<'a> {
+        let mut order: Vec<&Candidate> = members.filter(|c| *c.name != *watcher).collect();
+        order.sort_by_cached_key(|c| c.rank_for(watcher));
+        RelayTree {
+            order: order.into_iter().map(|c| &c.name).collect(),
+            roots: RELAY_FANOUT,
+        }
+    }
+
+    /// Returns the instances that get a message first.
+    #[must_use]
+    pub fn roots(&self) -> &[&'a Name] {
+        &self.order[..self.roots.min(self.order.len())]
     }
 
-    /// Returns the instances that `name` relays a configuration to.
+    /// Returns the instances that `name` passes a message on to.
     #[must_use]
-    pub fn children(&self, name: &str) -> Vec<&'a Name> {
-        let Some(index) = self.0.iter().position(|n| ***n == *name) else {
-            return Vec::new();
+    pub fn children(&self, name: &str) -> &[&'a Name] {
+        let Some(index) = self.order.iter().position(|n| ***n == *name) else {
+            return &[];
         };
-        let first = CONFIRMERS_PER_DOMAIN + RELAY_FANOUT * index;
-        self.0
-            .iter()
-            .skip(first)
-            .take(RELAY_FANOUT)
-            .copied()
-            .collect()
+        let len = self.order.len();
+        let first = (self.roots + RELAY_FANOUT * index).min(len);
+        &self.order[first..(first + RELAY_FANOUT).min(len)]
     }
 }
 
@@ -208,20 +245,26 @@
     age.is_some_and(|age| age >= due)
 }
 
-/// Watchers that notify each other instance: one watcher or its message may be lost.
-const NOTIFIERS_PER_INSTANCE: usize = 2;
+/// Returns whether any instance reads a configuration that was confirmed `age` milliseconds ago.
+#[must_use]
+pub fn may_confirm(age: Option<Millis>) -> bool {
+    age.is_some_and(|age| age >= CONFIRM_MS)
+}
+
+/// Watchers that notify each failure domain: one watcher, or one of its messages, may be lost.
+const NOTIFIERS_PER_DOMAIN: usize = 2;
 
 /// The instances that watch the runners.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Watchers(Vec<Name>);
 
 impl Watchers {
-    /// Selects the watchers among `names`, the live instances that reach the store.
-    pub fn of<'a>(names: impl Iterator<Item = &'a Name>) -> Watchers {
-        let mut names: Vec<Name> = names.cloned().collect();
-        names.sort_by_cached_key(|name| rank(name));
-        names.truncate(BASE_INSTANCES);
-        Watchers(names)
+    /// Selects the watchers among the live instances that reach the store.
+    pub fn of<'a>(reaching: impl Iterator<Item = &'a Candidate>) -> Watchers {
+        let mut candidates: Vec<&Candidate> = reaching.collect();
+        candidates.sort_by_cached_key(|c| c.rank());
+        candidates.truncate(BASE_INSTANCES);
+        Watchers(candidates.into_iter().map(|c| c.name.clone()).collect())
     }
 
     /// Returns whether `name` is a watcher.
@@ -230,12 +273,11 @@
         self.0.iter().any(|n| **n == *name)
     }
 
-    /// Returns whether `name` is one of the watchers that notify `receiver` of changes.
+    /// Returns whether `name` is one of the watchers that notify a failure domain of changes.
     #[must_use]
-    pub fn notifies(&self, name: &str, receiver: &str) -> bool {
-        let ranks = self.0.iter().map(|n| rank_for(n, receiver));
-        self.contains(name)
-            && is_among_first(NOTIFIERS_PER_INSTANCE, rank_for(name, receiver), ranks)
+    pub fn notifies(&self, name: &str, domain: &str) -> bool {
+        let ranks = self.0.iter().map(|n| rank_for(n, domain));
+        self.contains(name) && is_among_first(NOTIFIERS_PER_DOMAIN, rank_for(name, domain), ranks)
     }
 }
 
--- a/policy/tests/merge.rs
+++ b/policy/tests/merge.rs
@@ -40,6 +40,7 @@
                 revision,
                 revision_since_ms: revision,
                 in_flight,
+                capacity: 1_000,
             },
             changed,
         }
--- a/policy/tests/relay_store_watch.rs
+++ b/policy/tests/relay_store_watch.rs
@@ -2,6 +2,7 @@
 
 use googletest::prelude::*;
 use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::relay::rendezvous::Candidate;
 use jacinthweir_policy::relay::revision::Revision;
 use jacinthweir_policy::relay::store_watch::{
     ChangeBatch, ConfirmScope, Outdated, PeerProgress, RelayTree, Watchers, catch_up_ms,
@@ -22,7 +23,7 @@
 
 /// Simulated failure domain in which each instance gossips with two others in each round.
 struct Domain {
-    names: Vec<Name>,
+    names: Vec<Candidate>,
     /// Time of the newest read of the configuration that each instance knows of.
     confirmed_ms: Vec<u64>,
     rng: ChaCha8Rng,
@@ -34,7 +35,7 @@
 impl Domain {
     fn new(count: usize) -> Domain {
         Domain {
-            names: names(&["east"], count),
+            names: candidates(&["east"], count),
             confirmed_ms: vec![0; count],
             rng: ChaCha8Rng::seed_from_u64(7),
         }
@@ -86,8 +87,8 @@
 /// Guards against instances refusing their callers after the confirmers of their domain were lost.
 #[gtest]
 fn an_instance_without_confirmation_reads_by_itself() {
-    let all = names(&["east"], 60);
-    let for_all = |n: &&Name| ConfirmScope::of(n, all.iter()) == ConfirmScope::Domain;
+    let all = candidates(&["east"], 60);
+    let for_all = |n: &&Candidate| ConfirmScope::of(n, all.iter()) == ConfirmScope::Domain;
     expect_that!(all.iter().filter(for_all).count(), eq(2));
     expect_that!(
         ConfirmScope::of(&all[0], all[..2].iter()),
@@ -100,10 +101,13 @@
     expect_true!(should_confirm(Some(3_300), 1.0, 4, ConfirmScope::Own));
 }
 
-fn names(domains: &[&str], each: usize) -> Vec<Name> {
+fn candidates(domains: &[&str], each: usize) -> Vec<Candidate> {
     let of = |d: &&str| {
         let d = (*d).to_owned();
-        (0..each).map(move |i| Name::from(format!("front-{d}-{i}")))
+        (0..each).map(move |i| Candidate {
+            name: format!("front-{d}-{i}").into(),
+            capacity: 250,
+        })
     };
     domains.iter().flat_map(of).collect()
 }
@@ -114,22 +118,22 @@
 /// instance.
 #[gtest]
 fn six_instances_watch_the_runners_for_all() {
-    let all = names(&["east", "north", "west"], 20);
+    let all = candidates(&["east", "north", "west"], 20);
     let watchers = Watchers::of(all.iter());
-    let watching: Vec<&Name> = all.iter().filter(|n| watchers.contains(n)).collect();
+    let watching: Vec<&Candidate> = all.iter().filter(|c| watchers.contains(&c.name)).collect();
     expect_that!(watching.len(), eq(6));
-    for receiver in &all {
-        let notifiers = all.iter().filter(|n| watchers.notifies(n, receiver));
+    for domain in ["east", "north", "west"] {
+        let notifiers = all.iter().filter(|c| watchers.notifies(&c.name, domain));
         expect_that!(notifiers.count(), eq(2));
     }
-    let left = all.iter().filter(|n| !watchers.contains(n));
+    let left = all.iter().filter(|c| !watchers.contains(&c.name));
     let next = Watchers::of(left);
-    expect_that!(all.iter().filter(|n| next.contains(n)).count(), eq(6));
-    expect_true!(watching.iter().all(|n| !next.contains(n)));
+    expect_that!(all.iter().filter(|c| next.contains(&c.name)).count(), eq(6));
+    expect_true!(watching.iter().all(|c| !next.contains(&c.name)));
     // In a small fleet every instance watches.
-    let few = names(&["east", "west"], 3);
+    let few = candidates(&["east", "west"], 3);
     let watchers = Watchers::of(few.iter());
-    expect_true!(few.iter().all(|n| watchers.contains(n)));
+    expect_true!(few.iter().all(|c| watchers.contains(&c.name)));
 }
 
 /// Watchers send batches independently, and messages may be lost. A batch that starts beyond the
@@ -228,12 +232,12 @@
 fn starting_instances_coalesce_the_registration_of_runners() {
     let (starting, later) = (300, 5_000);
     expect_that!(
-        runners_debounce_ms(starting, false),
-        ge(5 * runners_debounce_ms(later, false))
+        runners_debounce_ms(starting, false, 1),
+        ge(5 * runners_debounce_ms(later, false, 1))
     );
     expect_that!(
-        runners_debounce_ms(starting, true),
-        eq(runners_debounce_ms(later, false))
+        runners_debounce_ms(starting, true, 1),
+        eq(runners_debounce_ms(later, false, 1))
     );
 }
 
@@ -264,26 +268,29 @@
     expect_false!(outdated.is_outdated(20_000));
 }
 
-/// Returns the hops after which each of `names` has a configuration that the confirmers among
+/// Returns the hops after which each of `all` has a configuration that the confirmers among
 /// `reaching` read, and how often each was sent it.
-fn relayed(names: &[Name], reaching: &[Name]) -> std::collections::BTreeMap<Name, (usize, usize)> {
+fn relayed(
+    all: &[Candidate],
+    reaching: &[Candidate],
+) -> std::collections::BTreeMap<Name, (usize, usize)> {
     let mut received = std::collections::BTreeMap::new();
     let confirmers = reaching
         .iter()
         .filter(|n| ConfirmScope::of(n, reaching.iter()) == ConfirmScope::Domain);
-    let mut frontier: Vec<Name> = confirmers.cloned().collect();
+    let mut frontier: Vec<Name> = confirmers.map(|c| c.name.clone()).collect();
     for root in &frontier {
         received.insert(root.clone(), (0, 0));
     }
     for hop in 1.. {
         let mut next = Vec::new();
-        for sender in &frontier {
-            let neighbours: Vec<Name> = names.iter().filter(|n| *n != sender).cloned().collect();
-            let tree = RelayTree::of(sender, reaching, &neighbours);
-            for child in tree.children(sender) {
-                let entry = received.entry(child.clone()).or_insert((hop, 0));
+        for sender in all.iter().filter(|c| frontier.contains(&c.name)) {
+            let neighbours: Vec<Candidate> = all.iter().filter(|c| *c != sender).cloned().collect();
+            let tree = RelayTree::of_configurations(sender, reaching, &neighbours);
+            for child in tree.children(&sender.name) {
+                let entry = received.entry((*child).clone()).or_insert((hop, 0));
                 entry.1 += 1;
-                next.push(child.clone());
+                next.push((*child).clone());
             }
         }
         if next.is_empty() {
@@ -299,8 +306,8 @@
 #[gtest]
 fn a_relayed_configuration_reaches_every_instance_once() {
     for count in [1, 2, 3, 7, 30, 118] {
-        let names = names(&["east"], count);
-        let received = relayed(&names, &names);
+        let all = candidates(&["east"], count);
+        let received = relayed(&all, &all);
         expect_that!(received.len(), eq(count), "{count} instances");
         for (name, (hops, copies)) in &received {
             expect_that!(*hops, le(4), "{name} of {count}");
@@ -314,10 +321,75 @@
 /// depend on one of them.
 #[gtest]
 fn a_relayed_configuration_reaches_instances_that_the_store_turns_away() {
-    let names = names(&["east"], 30);
-    let reaching: Vec<Name> = names.iter().skip(10).cloned().collect();
-    let received = relayed(&names, &reaching);
+    let all = candidates(&["east"], 30);
+    let reaching: Vec<Candidate> = all.iter().skip(10).cloned().collect();
+    let received = relayed(&all, &reaching);
     expect_that!(received.len(), eq(30));
-    let deepest = |set: &[Name]| set.iter().map(|n| received[n].0).max();
-    expect_that!(deepest(&names[..10]), ge(deepest(&reaching)));
+    let deepest = |set: &[Candidate]| set.iter().map(|c| received[&c.name].0).max();
+    expect_that!(deepest(&all[..10]), ge(deepest(&reaching)));
+}
+
+/// Guards against an instance that sends each change of a runner to a part of the whole fleet: it sends
+/// four copies, and each instance gets one from each of two watchers.
+#[gtest]
+fn changes_of_runners_reach_a_domain_by_four_copies_an_instance() {
+    for (count, hops) in [(60, 3), (600, 5)] {
+        let all = candidates(&["east"], count);
+        let watcher = &all[0].name;
+        let tree = RelayTree::of_changes(watcher, all.iter());
+        let mut received = std::collections::BTreeSet::new();
+        let mut frontier = tree.roots().to_vec();
+        let mut depth = 0;
+        while !frontier.is_empty() {
+            depth += 1;
+            expect_true!(frontier.iter().all(|n| received.insert((*n).clone())));
+            let children = frontier.iter().map(|n| tree.children(n));
+            expect_true!(children.clone().all(|c| c.len() <= 4));
+            frontier = children.flatten().copied().collect();
+        }
+        expect_that!(received.len(), eq(count - 1), "all but the watcher");
+        expect_that!(depth, le(hops));
+    }
+}
+
+/// Guards against a tenth of a core that watches the store for a thousand instances while whole cores
+/// are idle.
+#[gtest]
+fn the_strongest_instances_do_what_is_done_for_all() {
+    let mut all = candidates(&["east"], 60);
+    for strong in &mut all[40..48] {
+        strong.capacity = 1_000;
+    }
+    let watchers = Watchers::of(all.iter());
+    let strong = |c: &Candidate| c.capacity == 1_000;
+    expect_true!(all.iter().all(|c| !watchers.contains(&c.name) || strong(c)));
+    let confirms = |c: &&Candidate| ConfirmScope::of(c, all.iter()) == ConfirmScope::Domain;
+    expect_true!(all.iter().filter(confirms).all(strong));
+    let tree = RelayTree::of_changes("elsewhere", all.iter());
+    let roots = tree.roots().iter();
+    expect_true!(
+        roots
+            .clone()
+            .all(|n| all.iter().any(|c| c.name == **n && strong(c)))
+    );
+    expect_true!(all[40].precedes(&all[0]) && !all[0].precedes(&all[40]));
+    // Without the strong ones, others take their place.
+    let weak: Vec<Candidate> = all.iter().filter(|c| !strong(c)).cloned().collect();
+    let watchers = Watchers::of(weak.iter());
+    expect_that!(
+        weak.iter().filter(|c| watchers.contains(&c.name)).count(),
+        eq(6)
+    );
+}
+
+/// Load pattern: thousands of runners load their layers at once. Guards against a batch for each few of
+/// them to every instance; a single change must not wait for others.
+#[gtest]
+fn batches_of_changes_are_coalesced_when_many_come_at_once() {
+    let calm = runners_debounce_ms(60_000, false, 1);
+    let busy = runners_debounce_ms(60_000, false, 200);
+    expect_that!(calm, le(60));
+    expect_that!(busy, ge(4 * calm));
+    expect_that!(busy, le(500));
+    expect_that!(runners_debounce_ms(60_000, true, 200), eq(calm));
 }
