Relay: a starting instance takes the runners over from another; nobody watches while members become known

Cause: at a start of the whole fleet each instance listed the runners, six pages and a megabyte at 2,914, and watched them until it knew who watches: the store's link of 1,000 Mbit/s was occupied for seconds, calls timed out and were made again.

Change: an instance asks its seeds, then reads the first page, which is all of a small fleet's list; in a larger one the two strongest of a domain read the rest and the others ask on. A copy of an earlier era of the store is not used, entries that lapsed are not in it, and an instance that learns the era later reads anew. While new members become known (3 s at most) an instance neither watches nor confirms for others, and instances that join count as candidates.

Tests: lists of the runners do not grow with the instances that start; one that took them over follows their changes.

--- a/plugins/relay/src/lib.rs
+++ b/plugins/relay/src/lib.rs
@@ -11,6 +11,7 @@
 //! | `node` | shared state of the process |
 //! | `live_chains` | chains in use and the requests in flight on each |
 //! | `watch` | watches the store for the configuration and the runners |
+//! | `start` | takes the runners over from another instance at the start |
 //! | `runner_changes` | changes of runners, on their way from the store to all instances |
 //! | `peers` | anti-entropy exchanges with other instances |
 //! | [`gossip`] | gossip of changes that cannot wait for the next exchange |
@@ -54,6 +55,7 @@
 mod server;
 pub mod settings;
 mod shutdown;
+mod start;
 mod stream;
 mod watch;
 
--- a/plugins/relay/src/node.rs
+++ b/plugins/relay/src/node.rs
@@ -37,6 +37,7 @@
 use crate::live_chains::Chains;
 use crate::placer::Loading;
 use crate::settings::RelaySettings;
+use crate::start::LastCopy;
 
 /// Timeout of a call to the store. It usually answers within a few milliseconds, and within some
 /// hundred when it is slow.
@@ -113,6 +114,7 @@
     pub(crate) peer_ahead: Notify,
     /// Whether the runners have been listed since the start.
     pub(crate) runners_listed: Cell<bool>,
+    pub(crate) last_copy: LastCopy,
     pub(crate) chains: RefCell<Chains>,
     pub(crate) membership: RefCell<Membership>,
     pub(crate) loads: RefCell<LoadTable>,
@@ -190,6 +192,7 @@
             peer_revisions: RefCell::default(),
             peer_ahead: Notify::new(),
             runners_listed: Cell::new(false),
+            last_copy: LastCopy::default(),
             chains: RefCell::default(),
             membership: RefCell::new(membership),
             loads: RefCell::new(LoadTable::new(
--- a/plugins/relay/src/peers.rs
+++ b/plugins/relay/src/peers.rs
@@ -33,6 +33,7 @@
 use crate::gossip::{self, News, Seen};
 use crate::node::{Node, ROUND_MS};
 use crate::runner_changes::{self, RelayedChanges};
+use crate::start::{self, CopyOutcome, RunnersCopy};
 use crate::{failure_detector, quarantine, rate_limits};
 
 /// Path to which instances post their messages.
@@ -48,8 +49,8 @@
 const INDIRECT_PROBE_TIMEOUT: Duration = Duration::from_millis(200);
 const _: () = assert!(INDIRECT_PROBE_TIMEOUT.as_millis() * 2 <= PEER_TIMEOUT.as_millis());
 
-/// Maximum size of a message in bytes, enough for some 300 instances.
-pub(crate) const MAX_MESSAGE_BYTES: usize = 256 << 10;
+/// Maximum size of a message in bytes, enough for a digest of 10,000 instances.
+pub(crate) const MAX_MESSAGE_BYTES: usize = 320 << 10;
 
 /// Peers to which a change of this instance's phase is pushed at once.
 const ANNOUNCE_FANOUT: usize = 8;
@@ -144,6 +145,8 @@
     },
     /// Asks for the receiver's own member record.
     Own,
+    /// Asks for all runners that the receiver knows.
+    Runners,
 }
 
 /// Reply to a [`Message`].
@@ -159,6 +162,9 @@
     Done,
     Record(MemberRecord),
     NotReached,
+    Runners(Box<RunnersCopy>),
+    /// The sender has what was asked for, and does not send it now.
+    Busy,
 }
 
 /// Starts the exchange rounds.
@@ -223,8 +229,8 @@
     execute(node, actions);
 }
 
-/// Time after the last new member within which a starting instance does not seek the placement lease,
-/// and the maximum time after its start, in milliseconds. Stronger instances may still become known.
+/// Time after the last new member within which a starting instance takes over no task for others, and
+/// the maximum time after its start, in milliseconds. Stronger instances may still become known.
 const DISCOVERY_MS: Millis = 600;
 const MAX_DISCOVERY_MS: Millis = 3_000;
 
@@ -236,20 +242,26 @@
     if node.draining.get() || !node.reaches_store.get() {
         return Bid::Abstain;
     }
-    let membership = node.membership.borrow();
-    let discovering = now < membership.last_joined_ms() + DISCOVERY_MS;
-    if now < MAX_DISCOVERY_MS && discovering {
+    if is_discovering(node) {
         return Bid::Retain;
     }
+    let membership = node.membership.borrow();
     let own = candidate(&membership.own().state);
     let loads = node.loads.borrow();
-    let mut before = membership.live().filter(|m| candidate(m).precedes(&own));
+    let mut before = membership.active().filter(|m| candidate(m).precedes(&own));
     match before.any(|m| loads.hears_store(&m.name, &m.domain, now)) {
         true => Bid::Retain,
         false => Bid::Acquire,
     }
 }
 
+/// Whether this instance started a short time ago and new members become known.
+pub(crate) fn is_discovering(node: &Node) -> bool {
+    let now = node.now();
+    let last_joined_ms = node.membership.borrow().last_joined_ms();
+    now < MAX_DISCOVERY_MS && now < last_joined_ms + DISCOVERY_MS
+}
+
 /// Returns an instance as a candidate for tasks on behalf of others.
 pub(crate) fn candidate(m: &MemberState) -> Candidate {
     Candidate {
@@ -263,7 +275,7 @@
     candidate(&node.membership.borrow().own().state)
 }
 
-/// Returns the live instances that reach the store, possibly including this one.
+/// Returns the active instances that reach the store, possibly including this one.
 pub(crate) fn reaching_store(node: &Node) -> Vec<Candidate> {
     let now = node.now();
     let loads = node.loads.borrow();
@@ -273,7 +285,7 @@
         true => node.reaches_store.get(),
         false => loads.hears_store(&m.name, &m.domain, now),
     };
-    let reaching = membership.live().filter(|m| hears_store(m));
+    let reaching = membership.active().filter(|m| hears_store(m));
     reaching.map(candidate).collect()
 }
 
@@ -288,7 +300,7 @@
     ConfirmScope::of(&own_candidate(node), reaching.iter())
 }
 
-/// Returns the other live instances of this instance's failure domain that reach the store.
+/// Returns the other active instances of this instance's failure domain that reach the store.
 pub(crate) fn neighbours_reaching_store(node: &Node) -> Vec<Candidate> {
     let now = node.now();
     let loads = node.loads.borrow();
@@ -302,7 +314,8 @@
 /// when it does again.
 pub(crate) fn watches_runners(node: &Node) -> bool {
     let gives_orders = node.lease.borrow().held(node.now()).is_some();
-    gives_orders || !node.reaches_store.get() || watchers(node).contains(&node.settings.name)
+    let is_watcher = || !is_discovering(node) && watchers(node).contains(&node.settings.name);
+    gives_orders || !node.reaches_store.get() || is_watcher()
 }
 
 fn execute(node: &Rc<Node>, actions: Vec<Action>) {
@@ -449,6 +462,11 @@
             Reply::Done
         }
         Message::Own => Reply::Record(node.membership.borrow().own().clone()),
+        Message::Runners => match start::copy_runners(node) {
+            CopyOutcome::Copy(copy) => Reply::Runners(copy),
+            CopyOutcome::Busy => Reply::Busy,
+            CopyOutcome::None => Reply::Done,
+        },
         Message::Probe { address } => {
             match post(address, &Message::Own, INDIRECT_PROBE_TIMEOUT).await {
                 Ok(Reply::Record(record)) => Reply::Record(record),
@@ -466,10 +484,10 @@
     member.is_some_and(|m| m.state().domain == node.settings.failure_domain)
 }
 
-/// Returns the other live instances of this instance's failure domain.
+/// Returns the other active instances of this instance's failure domain.
 pub(crate) fn neighbours(node: &Node) -> Vec<Candidate> {
     let membership = node.membership.borrow();
-    let near = membership.live().filter(|m| is_neighbour(node, m));
+    let near = membership.active().filter(|m| is_neighbour(node, m));
     near.map(candidate).collect()
 }
 
@@ -536,7 +554,17 @@
     message: &Message,
     timeout: Duration,
 ) -> Result<Reply, String> {
-    post_encoded(address, encode(message)?, timeout).await
+    post_encoded(address, encode(message)?, timeout, MAX_MESSAGE_BYTES).await
+}
+
+/// Posts a message whose reply may have up to `max_bytes` bytes.
+pub(crate) async fn post_for_long_reply(
+    address: SocketAddr,
+    message: &Message,
+    timeout: Duration,
+    max_bytes: usize,
+) -> Result<Reply, String> {
+    post_encoded(address, encode(message)?, timeout, max_bytes).await
 }
 
 /// Sends a message to several instances without waiting for their replies.
@@ -549,7 +577,7 @@
         let body = body.clone();
         tokio::task::spawn_local(async move {
             // A receiver that misses it learns at its next exchange that it is behind.
-            if let Err(cause) = post_encoded(address, body, PEER_TIMEOUT).await {
+            if let Err(cause) = post_encoded(address, body, PEER_TIMEOUT, MAX_MESSAGE_BYTES).await {
                 log::debug!(address:% = address, cause; "message not delivered");
             }
         });
@@ -565,13 +593,14 @@
     address: SocketAddr,
     body: Bytes,
     timeout: Duration,
+    max_bytes: usize,
 ) -> Result<Reply, String> {
     let mut req = Request::new(Full::new(body));
     *req.method_mut() = Method::POST;
     *req.uri_mut() = http::Uri::from_static(PATH);
     let host = http::HeaderValue::from_str(&address.to_string()).map_err(|e| e.to_string())?;
     req.headers_mut().insert(http::header::HOST, host);
-    let res: Response<Bytes> = direct::request(address, req, timeout, MAX_MESSAGE_BYTES)
+    let res: Response<Bytes> = direct::request(address, req, timeout, max_bytes)
         .await
         .map_err(|e| e.to_string())?;
     rmp_serde::from_slice(res.body()).map_err(|e| e.to_string())
--- a/plugins/relay/src/runner_changes.rs
+++ b/plugins/relay/src/runner_changes.rs
@@ -58,7 +58,7 @@
     let watchers = peers::watchers(node);
     let domains: std::collections::BTreeSet<Name> = {
         let membership = node.membership.borrow();
-        membership.live().map(|m| m.domain.clone()).collect()
+        membership.active().map(|m| m.domain.clone()).collect()
     };
     let notified = domains.iter().filter(|d| watchers.notifies(own, d));
     let receivers: Vec<SocketAddr> = notified
@@ -81,7 +81,7 @@
 ) -> Vec<SocketAddr> {
     let membership = node.membership.borrow();
     let members: Vec<(Candidate, &MemberState)> = membership
-        .live()
+        .active()
         .filter(|m| *m.domain == *domain)
         .map(|m| (peers::candidate(m), m))
         .collect();
--- a/plugins/relay/src/watch.rs
+++ b/plugins/relay/src/watch.rs
@@ -10,10 +10,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use jacinthweir_platform::store::StoreError;
+use jacinthweir_platform::store::{ObjectList, StoreError};
 use jacinthweir_platform::{desired, runner};
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::revision::Revision;
+use jacinthweir_policy::relay::runners::RunnerEntry;
 use jacinthweir_policy::relay::store_watch::{self, ConfirmScope};
 use tokio::time::sleep;
 
@@ -21,6 +22,7 @@
 use crate::node::Node;
 use crate::peers;
 use crate::runner_changes;
+use crate::start;
 
 /// Timeout of a watch on the configuration in a small fleet, in milliseconds. A watch whose
 /// connection fell silent hides a change until the next read at the latest.
@@ -69,6 +71,11 @@
     };
     node.lease.borrow_mut().begin_era(new);
     let Some(before) = before else {
+        let taken_over = node.runners_listed.get() && node.runners_as_of.get().era != new;
+        if taken_over {
+            log::warn!(era = new; "runners were taken over from an earlier era, reading them anew");
+            node.store_restored.notify_waiters();
+        }
         return;
     };
     let known_until = node.runners_as_of.get();
@@ -177,9 +184,17 @@
     let mut failures = 0;
     let mut lost_ms = None;
     let mut first = true;
+    let mut taken_over = match what {
+        Watched::Runners => start::take_over_runners(node).await,
+        Watched::Configuration => None,
+    };
     loop {
         let outage = lost_ms.is_some_and(|at| node.now() >= at + OUTAGE_MS);
-        let error = match list(node, what, first || outage).await {
+        let known = match taken_over.take() {
+            Some(revision) => Ok(revision),
+            None => list(node, what, first || outage).await,
+        };
+        let error = match known {
             Ok(revision) => {
                 if let Some(at) = lost_ms.take() {
                     log::info!(what:% = what, after_ms = node.now() - at; "store is reachable");
@@ -267,30 +282,48 @@
             }
         }
         Watched::Runners => {
-            let revisions = listed.objects.iter().map(|o| o.meta.revision);
-            let newest = revisions.max().unwrap_or_default();
-            let entries = listed
-                .objects
-                .iter()
-                .filter_map(runner_changes::decode)
-                .collect();
-            runner_changes::note_revision(node, newest);
-            let now = node.now();
-            let mut runners = node.runners.borrow_mut();
-            let restored = listed.revision.era != node.runners_as_of.get().era;
-            if may_lack_entries || restored {
-                runners.store_recovered(now);
-            }
-            runners.replace(entries, now);
-            drop(runners);
-            node.runners_as_of.set(listed.revision);
-            node.runners_listed.set(true);
-            node.rebuild_chains();
+            apply_runners(node, &listed, may_lack_entries);
         }
     }
     Ok(listed.revision)
 }
 
+/// Replaces the runners by a list of the store. With `may_lack_entries`, entries of live runners may be
+/// missing.
+pub(crate) fn apply_runners(node: &Node, listed: &ObjectList, may_lack_entries: bool) {
+    let revisions = listed.objects.iter().map(|o| o.meta.revision);
+    let newest = revisions.max().unwrap_or_default();
+    let entries = listed
+        .objects
+        .iter()
+        .filter_map(runner_changes::decode)
+        .collect();
+    replace_runners(node, entries, listed.revision, newest, may_lack_entries);
+}
+
+/// Replaces the runners by `entries`, which are those of the store as of the revision `as_of`; `newest`
+/// is the newest revision of an entry.
+pub(crate) fn replace_runners(
+    node: &Node,
+    entries: Vec<RunnerEntry>,
+    as_of: Revision,
+    newest: Revision,
+    may_lack_entries: bool,
+) {
+    runner_changes::note_revision(node, newest);
+    let now = node.now();
+    let mut runners = node.runners.borrow_mut();
+    let restored = as_of.era != node.runners_as_of.get().era;
+    if may_lack_entries || restored {
+        runners.store_recovered(now);
+    }
+    runners.replace(entries, now);
+    drop(runners);
+    node.runners_as_of.set(as_of);
+    node.runners_listed.set(true);
+    node.rebuild_chains();
+}
+
 /// Watches from `revision` on until a call fails, and returns its error.
 async fn watch(node: &Node, what: Watched, mut revision: Revision) -> StoreError {
     loop {
@@ -305,7 +338,8 @@
                     .max(revision)
             }
         };
-        if node.store.era() != Some(revision.era) {
+        // An instance that has not called the store yet does not know its era.
+        if node.store.era().is_some_and(|era| era != revision.era) {
             return StoreError::Restored;
         }
         let sent = node.now();
@@ -363,10 +397,6 @@
 /// Interval between checks whether this instance has to watch the store itself.
 const ROLE_POLL: Duration = Duration::from_millis(500);
 
-/// Time after the start in which an instance that knows no other one waits for the first exchanges
-/// before it watches the configuration, in milliseconds.
-const JOIN_MS: Millis = 800;
-
 /// Timeout of a watch that only has to fetch missed changes, in milliseconds.
 const CATCH_UP_WATCH_MS: Millis = 1;
 
@@ -407,8 +437,8 @@
         Watched::Runners => !peers::watches_runners(node),
         Watched::Configuration => {
             let has_configuration = node.intent.borrow().is_some();
-            let is_joining = node.now() < JOIN_MS && node.live_instances() == 1;
-            has_configuration && (is_joining || peers::confirm_scope(node) == ConfirmScope::Own)
+            let is_own = || peers::confirm_scope(node) == ConfirmScope::Own;
+            has_configuration && (peers::is_discovering(node) || is_own())
         }
     }
 }
--- a/plugins/relay/tests/relay.rs
+++ b/plugins/relay/tests/relay.rs
@@ -11,6 +11,8 @@
 mod rate_limits;
 #[path = "support/standin.rs"]
 mod standin;
+#[path = "relay/start.rs"]
+mod start;
 #[path = "relay/store_restore.rs"]
 mod store_restore;
 #[path = "relay/stream_failover.rs"]
--- a/plugins/relay/tests/support/standin/store.rs
+++ b/plugins/relay/tests/support/standin/store.rs
@@ -27,6 +27,8 @@
     revision: Cell<u64>,
     /// Incremented by each restore.
     era: Cell<u64>,
+    /// Lists read so far, by kind.
+    lists: RefCell<BTreeMap<String, usize>>,
     /// While set, the store does not respond.
     pub unresponsive: Cell<bool>,
 }
@@ -108,6 +110,11 @@
         self.removed.borrow_mut().push(removed);
     }
 
+    /// Returns how often the objects of a kind were listed.
+    pub fn lists(&self, kind: &str) -> usize {
+        self.lists.borrow().get(kind).copied().unwrap_or(0)
+    }
+
     /// Returns the names of the objects of a kind.
     pub fn names(&self, kind: &str) -> Vec<String> {
         let objects = self.objects.borrow();
@@ -202,6 +209,7 @@
                 .find_map(|(_, v)| v.parse::<u64>().ok())
         };
         let Some(revision) = field("watch") else {
+            *self.lists.borrow_mut().entry(kind.to_owned()).or_default() += 1;
             let items = self.changed_since(kind, 0);
             let list = json!({ "items": items, "truncated": false, "asOf": self.revision.get() });
             return response(StatusCode::OK, &list);
--- a/policy/src/membership.rs
+++ b/policy/src/membership.rs
@@ -194,6 +194,15 @@
         own.chain(others.map(Member::state))
     }
 
+    /// Iterates over the instances that serve callers or are about to; this one comes first if it does.
+    pub fn active(&self) -> impl Iterator<Item = &MemberState> {
+        let is_active = |s: &MemberState| s.phase <= Phase::Serving;
+        let own = std::iter::once(&self.own.state).filter(move |s| is_active(s));
+        let others = self.members.values();
+        let others = others.filter(|m| m.reachable() && !m.listed_leaving);
+        own.chain(others.map(Member::state).filter(move |s| is_active(s)))
+    }
+
     /// Iterates over the peers that can be asked for configuration parts and records.
     pub fn peers(&self) -> impl Iterator<Item = &MemberState> {
         let reachable = self.members.values().filter(|m| m.reachable());
--- a/policy/src/relay/runners.rs
+++ b/policy/src/relay/runners.rs
@@ -424,6 +424,14 @@
         self.entries.values()
     }
 
+    /// Returns the entries that the store has. An entry that lapsed is missing there, and nothing would
+    /// tell an instance that starts with it that the runner is gone.
+    pub fn entries_in_store(&self) -> impl Iterator<Item = &RunnerEntry> {
+        self.entries
+            .values()
+            .filter(|e| !self.lapsed.contains_key(&e.id))
+    }
+
     /// Returns the entry of a runner.
     #[must_use]
     pub fn entry(&self, id: &str) -> Option<&RunnerEntry> {
