--- a/plugins/relay/src/configuration.rs
+++ b/plugins/relay/src/configuration.rs
@@ -21,15 +21,17 @@
 use tokio::time::sleep;
 
 use crate::node::Node;
-use crate::peers::{self, Message};
+use crate::peers::{self, MAX_MESSAGE_BYTES, Message};
 use crate::watch::{back_off, count_call, max_backoff_ms, note_era};
 
 /// Interval between checks whether the configuration has to be confirmed.
 const CONFIRM_POLL: Duration = Duration::from_millis(100);
 
 /// Maximum size of a configuration that is passed on, in bytes. Four copies of it occupy the link of
-/// a small instance for a tenth of a second; a larger one is read from the store by each instance.
-const MAX_RELAYED_BYTES: usize = 64 << 10;
+/// a small instance for four tenths of a second, and most are sent by the strongest instances, which
+/// come first in the tree. A larger one is read from the store by each instance.
+const MAX_RELAYED_BYTES: usize = 256 << 10;
+const _: () = assert!(MAX_RELAYED_BYTES < MAX_MESSAGE_BYTES);
 
 /// A configuration as the store holds it, sent from one instance to another.
 #[derive(Clone, Serialize, Deserialize)]
