Relay: a request looks at the chains in use once; gossip stays mostly in the failure domain

Cause: each attempt of a request added up the occupancy of every stage of every chain, 3,000 map entries at 304 chains, although chains in use have no runner in common; and eight receivers of a gossip message were drawn from the whole fleet, four in five of them across domains.

Change: only former chains, whose requests may still be in flight, are counted by runner; of the eight receivers seven are in the own domain as far as it has as many.

--- a/plugins/relay/src/gossip.rs
+++ b/plugins/relay/src/gossip.rs
@@ -31,6 +31,10 @@
 /// Instances that a gossip message is sent to.
 const FANOUT: usize = 8;
 
+/// Those of them that may be in any failure domain. Each instance that learns of a change sends it on,
+/// so in a domain of some ten instances as many messages leave it.
+const OUTWARD: usize = 1;
+
 /// Minimum interval between two gossip messages; changes within it are coalesced.
 const MIN_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -130,12 +134,17 @@
     }
 }
 
-/// Returns the addresses of [`FANOUT`] random live instances.
+/// Returns the addresses of [`FANOUT`] random live instances, at least [`OUTWARD`] of them anywhere and
+/// the others in the failure domain of this one, as far as it has as many.
 fn receivers(node: &Node) -> Vec<SocketAddr> {
     let membership = node.membership.borrow();
-    let others = membership.live().filter(|m| m.name != node.settings.name);
-    let others = others.map(|m| m.peers);
-    node.with_rng(|rng| others.sample(rng, FANOUT))
+    let others = || membership.live().filter(|m| m.name != node.settings.name);
+    let near = others().filter(|m| m.domain == node.settings.failure_domain);
+    let mut receivers = node.with_rng(|rng| near.map(|m| m.peers).sample(rng, FANOUT - OUTWARD));
+    let rest = others().map(|m| m.peers).filter(|a| !receivers.contains(a));
+    let rest = node.with_rng(|rng| rest.sample(rng, FANOUT - receivers.len()));
+    receivers.extend(rest);
+    receivers
 }
 
 /// Returns the changes of the last [`GOSSIP_AGE_MS`] milliseconds.
--- a/plugins/relay/src/live_chains.rs
+++ b/plugins/relay/src/live_chains.rs
@@ -7,7 +7,9 @@
 
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::chain::{Chain, ServiceChains, Stage};
-use jacinthweir_policy::relay::chain_selection::{self, ChainCandidate, Occupancy, RefusalBackoff};
+use jacinthweir_policy::relay::chain_selection::{
+    self, ChainCandidate, FormerOccupancy, RefusalBackoff,
+};
 use jacinthweir_policy::relay::intent::Engine;
 use jacinthweir_policy::relay::runners::Runners;
 use jacinthweir_policy::relay::silence::{EventGaps, SilenceDetector};
@@ -86,9 +88,10 @@
             .retain(|_, path| path.until_ms.is_none_or(|until| now < until));
     }
 
-    /// Returns the first runner and the stages of each path of a service.
-    fn of(&self, service: &Name) -> impl Iterator<Item = (&Name, &[Stage])> {
-        let of_service = self.0.iter().filter(move |((s, _), _)| s == service);
+    /// Returns the first runner and the stages of each path of a service whose chain is not in use.
+    fn former(&self, service: &Name) -> impl Iterator<Item = (&Name, &[Stage])> {
+        let former = self.0.iter().filter(|(_, path)| path.until_ms.is_some());
+        let of_service = former.filter(move |((s, _), _)| s == service);
         of_service.map(|((_, head), path)| (head, path.stages.as_slice()))
     }
 }
@@ -347,11 +350,13 @@
         let chains = self.chains.borrow();
         let live = chains.of(service);
         let loads = self.loads.borrow();
-        let mut occupancy = Occupancy::default();
-        for (head, stages) in chains.paths.of(service) {
+        let elsewhere = loads.used_tokens_by_head(service);
+        let elsewhere = |head: &Name| elsewhere.get(head).copied().unwrap_or(0.0);
+        let mut former = FormerOccupancy::default();
+        for (head, stages) in chains.paths.former(service) {
             let own = chains.used.get(&(service.clone(), head.clone()));
             let own = own.map_or(0.0, |used| used.get());
-            occupancy.add(stages, own + loads.used_tokens(service, head));
+            former.add(stages, own + elsewhere(head));
         }
         let mut candidates = Vec::with_capacity(live.len());
         for (i, l) in live.iter().enumerate() {
@@ -360,7 +365,8 @@
                 continue;
             }
             let domain = l.chain.domain.as_ref();
-            let used_tokens = occupancy.used_tokens(&l.chain);
+            let in_chain = l.used_tokens() + elsewhere(l.head().0);
+            let used_tokens = former.used_tokens(&l.chain, in_chain);
             let gap_ms = l.gaps.borrow().expected_ms(now);
             candidates.push(ChainCandidate {
                 chain: i,
--- a/policy/src/relay/chain_selection.rs
+++ b/policy/src/relay/chain_selection.rs
@@ -38,29 +38,36 @@
     f64::from(prompt) + ANSWER_SHARE * f64::from(answer)
 }
 
-/// Memory of each runner that requests in flight occupy, as tokens times layers.
+/// Memory of runners that requests in flight through former chains occupy, as tokens times layers.
 ///
 /// Counted by runner and not by chain: when a chain is recomputed with another first runner, its
 /// other runners still hold the tokens of requests in the old chain. If the new chain counted as
-/// empty, all queued requests would be sent there, and refused.
+/// empty, all queued requests would be sent there, and refused. Chains in use have no runner in
+/// common, so the tokens in one of them concern no other.
 #[derive(Clone, Debug, Default)]
-pub struct Occupancy(BTreeMap<Name, f64>);
+pub struct FormerOccupancy(BTreeMap<Name, f64>);
 
-impl Occupancy {
-    /// Adds `tokens` tokens that are in flight through `stages`.
+impl FormerOccupancy {
+    /// Adds `tokens` tokens that are in flight through the `stages` of a former chain.
     pub fn add(&mut self, stages: &[Stage], tokens: f64) {
+        if tokens <= 0.0 {
+            return;
+        }
         for s in stages {
             *self.0.entry(s.runner.id.clone()).or_default() += tokens * s.count();
         }
     }
 
     /// Returns the used part of a chain's room, in tokens: the room less what is left at the stage
-    /// with the least.
+    /// with the least. `tokens` are in flight through the chain itself.
     #[must_use]
-    pub fn used_tokens(&self, chain: &Chain) -> f64 {
+    pub fn used_tokens(&self, chain: &Chain, tokens: f64) -> f64 {
+        if self.0.is_empty() {
+            return tokens;
+        }
         let left = |s: &Stage| {
             let taken = self.0.get(&s.runner.id).copied().unwrap_or(0.0);
-            (s.room - taken) / s.count().max(1.0)
+            (s.room - taken) / s.count().max(1.0) - tokens
         };
         let left = chain.stages.iter().map(left).min_by(f64::total_cmp);
         chain.room_tokens - left.unwrap_or(0.0)
--- a/policy/src/relay/loads.rs
+++ b/policy/src/relay/loads.rs
@@ -484,10 +484,17 @@
     /// at `head`.
     #[must_use]
     pub fn used_tokens(&self, service: &str, head: &str) -> f64 {
+        let used = self.used_tokens_by_head(service);
+        used.get(head).copied().unwrap_or(0.0)
+    }
+
+    /// Returns the tokens that other instances have in flight through chains of `service`, by first
+    /// runner.
+    #[must_use]
+    pub fn used_tokens_by_head(&self, service: &str) -> &BTreeMap<Name, f64> {
+        static NONE: BTreeMap<Name, f64> = BTreeMap::new();
         let totals = self.used.get_or_init(|| self.head_totals());
-        let of_service = totals.get(service);
-        let used = of_service.and_then(|heads| heads.get(head));
-        used.copied().unwrap_or(0.0)
+        totals.get(service).unwrap_or(&NONE)
     }
 
     /// Returns the requests and retries of other instances for a service.
--- a/policy/tests/relay_placement.rs
+++ b/policy/tests/relay_placement.rs
@@ -8,7 +8,7 @@
 use googletest::prelude::*;
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::chain::{Chain, chains};
-use jacinthweir_policy::relay::chain_selection::Occupancy;
+use jacinthweir_policy::relay::chain_selection::FormerOccupancy;
 use jacinthweir_policy::relay::placement::{MoveReason, plan};
 use jacinthweir_policy::relay::runners::{RunnerEntry, Runners};
 use proptest::prelude::{Strategy, any, prop_assert, prop_assert_eq, proptest};
@@ -505,16 +505,16 @@
 fn a_chain_with_a_new_first_runner_has_only_the_room_left_by_the_old_one() {
     let mut runners = two_heads();
     let old = only_chain(&runners);
-    let mut occupancy = Occupancy::default();
+    let mut occupancy = FormerOccupancy::default();
     occupancy.add(&old.stages, 80_000.0);
-    expect_that!(occupancy.used_tokens(&old), near(80_000.0, 1.0));
+    expect_that!(occupancy.used_tokens(&old, 0.0), near(80_000.0, 1.0));
 
     runners.remove(&old.head().id, 0);
     let new = only_chain(&runners);
     expect_that!(new.head().id, not(eq(&old.head().id)));
-    let left = new.room_tokens - occupancy.used_tokens(&new);
-    let empty = Occupancy::default();
-    expect_that!(empty.used_tokens(&new), near(0.0, 1.0));
+    let left = new.room_tokens - occupancy.used_tokens(&new, 0.0);
+    let empty = FormerOccupancy::default();
+    expect_that!(empty.used_tokens(&new, 0.0), near(0.0, 1.0));
     // The remaining runner with the least room runs 26 layers.
     let tightest = &new.stages[1];
     let expected = (tightest.room - 80_000.0 * tightest.count()) / tightest.count();
