Relay: an instance to which changes of runners keep coming does not ask the store for them

Change: it asks only if nothing new arrived for longer than changes are gathered and passed on. While new members become known, an instance that has not called the store yet does not watch either.

--- a/plugins/relay/src/peers.rs
+++ b/plugins/relay/src/peers.rs
@@ -313,9 +313,11 @@
 /// the results of its orders at once, and an instance that does not reach the store has to notice
 /// when it does again.
 pub(crate) fn watches_runners(node: &Node) -> bool {
-    let gives_orders = node.lease.borrow().held(node.now()).is_some();
-    let is_watcher = || !is_discovering(node) && watchers(node).contains(&node.settings.name);
-    gives_orders || !node.reaches_store.get() || is_watcher()
+    if node.lease.borrow().held(node.now()).is_some() {
+        return true;
+    }
+    let own = &node.settings.name;
+    !is_discovering(node) && (!node.reaches_store.get() || watchers(node).contains(own))
 }
 
 fn execute(node: &Rc<Node>, actions: Vec<Action>) {
--- a/plugins/relay/src/watch.rs
+++ b/plugins/relay/src/watch.rs
@@ -120,6 +120,14 @@
         }
     }
 
+    /// Returns the state that this instance has, as a number that changes with it.
+    fn known(self, node: &Node) -> Revision {
+        match self {
+            Watched::Configuration => node.configuration_revision.get().unwrap_or_default(),
+            Watched::Runners => node.runners_as_of.get(),
+        }
+    }
+
     /// Records that the store is being asked for the state that peers have seen.
     fn mark_checked(self, node: &Node) {
         match self {
@@ -151,7 +159,7 @@
     }
 }
 
-/// Returns when a peer has been ahead of this instance for a while.
+/// Returns when a peer has been ahead of this instance for a while in which nothing new arrived here.
 async fn peer_ahead(node: &Node, what: Watched) {
     loop {
         let notified = node.peer_ahead.notified();
@@ -160,10 +168,13 @@
         }
         let delay_ms = match what {
             Watched::Configuration => store_watch::catch_up_ms(node.live_instances()),
-            Watched::Runners => store_watch::catch_up_ms(1),
+            Watched::Runners => store_watch::RUNNERS_CATCH_UP_MS,
         };
+        let before = what.known(node);
         sleep(Duration::from_millis(delay_ms)).await;
-        if what.is_behind(node) {
+        // While changes follow each other, a peer is always ahead of one that follows them as it should.
+        let is_stuck = what.known(node) == before;
+        if is_stuck && what.is_behind(node) {
             what.mark_checked(node);
             return;
         }
--- a/policy/src/relay/store_watch.rs
+++ b/policy/src/relay/store_watch.rs
@@ -79,6 +79,11 @@
 /// already has, in milliseconds.
 const CATCH_UP_MS: Millis = 120;
 
+/// How long an instance that knows less of the runners than its peers, and learns nothing new,
+/// waits for a batch before it asks the store, in milliseconds: longer than the longest debounce time
+/// and the way along the tree.
+pub const RUNNERS_CATCH_UP_MS: Millis = MAX_RUNNERS_DEBOUNCE_MS + 2 * CATCH_UP_MS;
+
 /// Returns how long an instance that knows less than its peers waits for its own watch before it
 /// treats the watch as silent and issues a new call.
 ///
