Relay: a batch of changes begins where the last one ended

Cause: the store has one revision for all kinds of objects, so a watch on the runners that shows nothing ends later than it began, by renewals of the lease at the least. The next batch began there, beyond what the instances that don't watch knew, and none of them could apply it: after each pause each took itself for cut off and asked the store, and one that knew nothing newer than twenty seconds listed all runners.

Change: a batch begins at the revision since which the watcher saw no change. The test replays a pause.

The configuration's version is no longer part of a member's record, which changed for all members with each version; instances tell it in their exchanges anyway.

--- a/plugins/relay/src/node.rs
+++ b/plugins/relay/src/node.rs
@@ -25,7 +25,7 @@
 use jacinthweir_policy::relay::shared_retry_budget::{
     RetryCounts, SharedRetryBudget, SharedRetryBudgetConfig,
 };
-use jacinthweir_policy::relay::store_watch::{Outdated, PeerProgress};
+use jacinthweir_policy::relay::store_watch::{Outdated, PeerProgress, RunnersProgress};
 use jacinthweir_policy::retry_priority::RetryPriority;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -88,8 +88,8 @@
     pub(crate) store_restored: Notify,
     /// Highest revision of any runner's entry seen so far.
     pub(crate) runners_revision: Cell<Revision>,
-    /// Store revision up to which all changes of runners' entries have been applied.
-    pub(crate) runners_as_of: Cell<Revision>,
+    /// How far the runners' entries are known.
+    pub(crate) runners_progress: Cell<RunnersProgress>,
     /// Failure reports of all instances about runners.
     pub(crate) failure_reports: RefCell<FailureReports>,
     /// Rate limits that runners announced.
@@ -179,7 +179,7 @@
             era: Cell::default(),
             store_restored: Notify::new(),
             runners_revision: Cell::default(),
-            runners_as_of: Cell::default(),
+            runners_progress: Cell::default(),
             failure_reports: RefCell::default(),
             rate_limits: RefCell::default(),
             quarantine: RefCell::default(),
@@ -278,9 +278,6 @@
                 let version = offered.version;
                 log::info!(version, before = in_force.unwrap_or(0); "configuration in force");
                 metrics::gauge!("jacinthweir_configuration_version").set(version as f64);
-                self.membership
-                    .borrow_mut()
-                    .set_revision(version, unix_ms());
                 *self.intent.borrow_mut() = Some(Rc::new(offered));
                 let mut outdated = self.outdated.get();
                 outdated.in_force(version, self.now());
--- a/plugins/relay/src/runner_changes.rs
+++ b/plugins/relay/src/runner_changes.rs
@@ -29,7 +29,7 @@
     batch: ChangeBatch,
 }
 
-/// Applies changes that a watch from the revision `since` returned, and sends them to the instances
+/// Applies changes that a watch returned, before which there was none since the revision `since`, and sends them to the instances
 /// that this one notifies.
 pub(crate) fn observe(node: &Node, since: Revision, changes: Changes) {
     let batch = change_batch(since, changes);
@@ -97,7 +97,7 @@
     node.runners_revision.set(newest);
 }
 
-/// Returns the changes that a watch from the revision `since` returned.
+/// Returns the changes that a watch returned, before which there was none since the revision `since`.
 fn change_batch(since: Revision, changes: Changes) -> ChangeBatch {
     let until = changes.revision;
     let mut newest = Revision::default();
@@ -124,7 +124,7 @@
 /// contain something new. Returns whether they were applied. A response of the store that is older
 /// than what another instance sent would bring back runners that have left since.
 fn apply_batch(node: &Node, batch: &ChangeBatch) -> bool {
-    let applies = batch.applies_to(node.runners_as_of.get());
+    let applies = batch.applies_to(node.runners_progress.get().as_of());
     if applies {
         apply_changes(node, batch);
     }
@@ -147,7 +147,9 @@
 /// Applies changes unconditionally.
 fn apply_changes(node: &Node, batch: &ChangeBatch) {
     note_revision(node, batch.newest);
-    node.runners_as_of.set(batch.until);
+    let mut progress = node.runners_progress.get();
+    progress.applied(batch);
+    node.runners_progress.set(progress);
     let mut changed = false;
     for change in &batch.changes {
         match change {
--- a/plugins/relay/src/start.rs
+++ b/plugins/relay/src/start.rs
@@ -102,7 +102,7 @@
     let runners = node.runners.borrow();
     CopyOutcome::Copy(Box::new(RunnersCopy {
         entries: runners.entries_in_store().cloned().collect(),
-        as_of: node.runners_as_of.get(),
+        as_of: node.runners_progress.get().as_of(),
         newest: node.runners_revision.get(),
     }))
 }
--- a/plugins/relay/src/watch.rs
+++ b/plugins/relay/src/watch.rs
@@ -15,7 +15,7 @@
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::revision::Revision;
 use jacinthweir_policy::relay::runners::RunnerEntry;
-use jacinthweir_policy::relay::store_watch::{self, ConfirmScope};
+use jacinthweir_policy::relay::store_watch::{self, ConfirmScope, RunnersProgress};
 use tokio::time::sleep;
 
 use crate::configuration;
@@ -71,14 +71,15 @@
     };
     node.lease.borrow_mut().begin_era(new);
     let Some(before) = before else {
-        let taken_over = node.runners_listed.get() && node.runners_as_of.get().era != new;
+        let taken_over =
+            node.runners_listed.get() && node.runners_progress.get().as_of().era != new;
         if taken_over {
             log::warn!(era = new; "runners were taken over from an earlier era, reading them anew");
             node.store_restored.notify_waiters();
         }
         return;
     };
-    let known_until = node.runners_as_of.get();
+    let known_until = node.runners_progress.get().as_of();
     log::warn!(
         before,
         era = new,
@@ -124,7 +125,7 @@
     fn known(self, node: &Node) -> Revision {
         match self {
             Watched::Configuration => node.configuration_revision.get().unwrap_or_default(),
-            Watched::Runners => node.runners_as_of.get(),
+            Watched::Runners => node.runners_progress.get().as_of(),
         }
     }
 
@@ -324,13 +325,13 @@
     runner_changes::note_revision(node, newest);
     let now = node.now();
     let mut runners = node.runners.borrow_mut();
-    let restored = as_of.era != node.runners_as_of.get().era;
+    let restored = as_of.era != node.runners_progress.get().as_of().era;
     if may_lack_entries || restored {
         runners.store_recovered(now);
     }
     runners.replace(entries, now);
     drop(runners);
-    node.runners_as_of.set(as_of);
+    node.runners_progress.set(RunnersProgress::listed(as_of));
     node.runners_listed.set(true);
     node.rebuild_chains();
 }
@@ -340,7 +341,7 @@
     loop {
         let timeout_ms = follower_wait(node, what).await;
         revision = match what {
-            Watched::Runners => node.runners_as_of.get(),
+            Watched::Runners => node.runners_progress.get().as_of(),
             Watched::Configuration => {
                 let passed_on = node.configuration_revision.get();
                 passed_on
@@ -353,6 +354,7 @@
         if node.store.era().is_some_and(|era| era != revision.era) {
             return StoreError::Restored;
         }
+        let unchanged_since = node.runners_progress.get().unchanged_since();
         let sent = node.now();
         count_call("watch");
         let timeout = Duration::from_millis(timeout_ms);
@@ -378,7 +380,7 @@
                 }
             }
             Watched::Runners => {
-                runner_changes::observe(node, revision, changes);
+                runner_changes::observe(node, unchanged_since, changes);
             }
         }
         if count > 0 {
--- a/policy/src/relay/store_watch.rs
+++ b/policy/src/relay/store_watch.rs
@@ -318,6 +318,49 @@
     }
 }
 
+/// How far an instance knows the runners' entries.
+///
+/// The store has one revision for all kinds of objects, so a watch on the runners that shows no change
+/// ends at a later revision than it began. Instances that do not watch are told of changes only; a batch
+/// has to begin where the last one ended, or they would take themselves for cut off after each pause.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RunnersProgress {
+    as_of: Revision,
+    unchanged_since: Revision,
+}
+
+impl RunnersProgress {
+    /// Returns the progress after a list of all entries as of a revision.
+    #[must_use]
+    pub fn listed(as_of: Revision) -> RunnersProgress {
+        RunnersProgress {
+            as_of,
+            unchanged_since: as_of,
+        }
+    }
+
+    /// Records a batch that was applied.
+    pub fn applied(&mut self, batch: &ChangeBatch) {
+        self.as_of = batch.until;
+        if !batch.changes.is_empty() {
+            self.unchanged_since = batch.until;
+        }
+    }
+
+    /// Returns the revision up to which all changes are known.
+    #[must_use]
+    pub fn as_of(&self) -> Revision {
+        self.as_of
+    }
+
+    /// Returns the revision from which on there was no change up to [`as_of`](RunnersProgress::as_of).
+    /// The batch of a watch that begins there begins here.
+    #[must_use]
+    pub fn unchanged_since(&self) -> Revision {
+        self.unchanged_since
+    }
+}
+
 /// How far other instances have seen the store, to detect that this instance missed something.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct PeerProgress<T> {
--- a/policy/tests/relay_store_watch.rs
+++ b/policy/tests/relay_store_watch.rs
@@ -5,8 +5,8 @@
 use jacinthweir_policy::relay::rendezvous::Candidate;
 use jacinthweir_policy::relay::revision::Revision;
 use jacinthweir_policy::relay::store_watch::{
-    ChangeBatch, ConfirmScope, Outdated, PeerProgress, RelayTree, Watchers, catch_up_ms,
-    debounce_ms, runners_debounce_ms, scaled_interval_ms, should_confirm,
+    ChangeBatch, ConfirmScope, Outdated, PeerProgress, RelayTree, RunnerChange, RunnersProgress,
+    Watchers, catch_up_ms, debounce_ms, runners_debounce_ms, scaled_interval_ms, should_confirm,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -393,3 +393,30 @@
     expect_that!(busy, le(500));
     expect_that!(runners_debounce_ms(60_000, true, 200), eq(calm));
 }
+
+/// Guards against an instance that takes itself for cut off after each pause in the changes: other kinds
+/// of objects advance the revision, and a watcher's watches end without changes meanwhile.
+#[gtest]
+fn a_batch_after_a_pause_applies_to_an_instance_that_knows_the_last_change() {
+    let mut watcher = RunnersProgress::listed(at(0, 10));
+    let mut follower = watcher;
+    let changed = |watcher: &mut RunnersProgress, until: u64| {
+        let mut batch = batch(0, (watcher.unchanged_since().number, until));
+        batch.changes = vec![RunnerChange::Gone("a".into())];
+        watcher.applied(&batch);
+        batch
+    };
+    let first = changed(&mut watcher, 14);
+    expect_true!(first.applies_to(follower.as_of()));
+    follower.applied(&first);
+    for until in [20, 31, 40] {
+        let mut quiet = batch(0, (watcher.as_of().number, until));
+        quiet.changes.clear();
+        watcher.applied(&quiet);
+    }
+    expect_that!(watcher.as_of(), eq(at(0, 40)));
+    let second = changed(&mut watcher, 44);
+    expect_true!(second.applies_to(follower.as_of()));
+    // One that missed the first batch has to ask the store.
+    expect_false!(second.applies_to(at(0, 10)));
+}
