--- a/policy/src/relay/chain/search.rs
+++ b/policy/src/relay/chain/search.rs
@@ -182,11 +182,12 @@
         } = paths;
         let from = boundaries[at];
         let mut arrivals = Arrivals::new(self.domains);
-        for g in 0..self.groups.len() {
+        let mut steps = 0;
+        for (g, group) in self.groups.iter().enumerate() {
             let Some(holder) = self.sample(g) else {
                 continue;
             };
-            let domain = self.groups[g].domain;
+            let domain = group.domain;
             let base = match from {
                 0 if holder.limited => LIMITED_MS,
                 0 => 0.0,
@@ -198,7 +199,7 @@
             }
             let reached = boundaries.iter().enumerate().skip(at + 1);
             for (to_index, to) in reached.take_while(|(_, to)| **to <= holder.layers.1) {
-                self.steps += 1;
+                steps += 1;
                 let cost = base + holder.cost(to - from);
                 let path = &mut by_boundary[to_index][g];
                 if cost < path.cost {
@@ -206,6 +207,7 @@
                 }
             }
         }
+        self.steps += steps;
     }
 
     /// Reconstructs the cheapest chain from the paths to the last boundary. Of equal ones it takes the
--- a/policy/src/relay/failure_reports.rs
+++ b/policy/src/relay/failure_reports.rs
@@ -160,5 +160,5 @@
 /// `domain` are the live instances of its failure domain, with or without itself.
 pub fn is_prober<'a>(name: &Name, domain: impl Iterator<Item = &'a Name>, runner: &str) -> bool {
     let ranks = domain.map(|n| rank_for(n, runner));
-    is_among_first(PROBERS_PER_DOMAIN, rank_for(name, runner), ranks)
+    is_among_first(PROBERS_PER_DOMAIN, &rank_for(name, runner), ranks)
 }
--- a/policy/src/relay/placement.rs
+++ b/policy/src/relay/placement.rs
@@ -119,11 +119,14 @@
     domains_planned: u64,
 }
 
+/// A runner and the layer range that it has been ordered to hold.
+type LoadingRange = (Name, (u32, u32));
+
 /// What the plan of a failure domain depends on, besides the configuration.
 #[derive(Clone, Debug, PartialEq)]
 struct PlanInputs {
     generation: u64,
-    loading: Vec<(Name, (u32, u32))>,
+    loading: Vec<LoadingRange>,
     settled: bool,
     /// Until when the inputs remain as they are unless a runner changes, in milliseconds.
     valid_until_ms: Millis,
@@ -149,7 +152,7 @@
             self.engine = engine.clone();
             self.idle.clear();
         }
-        let mut pending: BTreeMap<&Name, Vec<(Name, (u32, u32))>> = BTreeMap::new();
+        let mut pending: BTreeMap<&Name, Vec<LoadingRange>> = BTreeMap::new();
         for (id, layers) in loading {
             if let Some(entry) = runners.entry(id) {
                 let of_domain = pending.entry(&entry.domain).or_default();
@@ -184,7 +187,7 @@
 fn plan_inputs(
     runners: &Runners,
     domain: &str,
-    loading: Vec<(Name, (u32, u32))>,
+    loading: Vec<LoadingRange>,
     now: Millis,
 ) -> PlanInputs {
     let healths = runners.in_domain(domain).map(|e| runners.health(&e.id));
--- a/policy/src/relay/quarantine.rs
+++ b/policy/src/relay/quarantine.rs
@@ -558,5 +558,5 @@
 ) -> bool {
     let key = request.to_string();
     let ranks = reachable.map(|n| rank_for(n, &key));
-    is_among_first(1, rank_for(name, &key), ranks)
+    is_among_first(1, &rank_for(name, &key), ranks)
 }
--- a/policy/src/relay/rate_limits.rs
+++ b/policy/src/relay/rate_limits.rs
@@ -217,7 +217,7 @@
     let shares = (rate + EXTRA_SHARERS).floor().min(fleet.most.max(1) as f64);
     let ranks = fleet.live.iter().map(|n| rank_for(n, &lifetime.runner));
     let own = rank_for(fleet.own, &lifetime.runner);
-    match is_among_first(shares as usize, own, ranks) {
+    match is_among_first(shares as usize, &own, ranks) {
         true => rate / shares,
         false => 0.0,
     }
--- a/policy/src/relay/rendezvous.rs
+++ b/policy/src/relay/rendezvous.rs
@@ -53,6 +53,10 @@
 }
 
 /// Returns whether the rank `own` is among the lowest `count` of `ranks`, which may include it.
-pub(crate) fn is_among_first<R: Ord>(count: usize, own: R, ranks: impl Iterator<Item = R>) -> bool {
-    ranks.filter(|rank| *rank < own).take(count).count() < count
+pub(crate) fn is_among_first<R: Ord>(
+    count: usize,
+    own: &R,
+    ranks: impl Iterator<Item = R>,
+) -> bool {
+    ranks.filter(|rank| rank < own).take(count).count() < count
 }
--- a/policy/src/relay/store_watch.rs
+++ b/policy/src/relay/store_watch.rs
@@ -147,7 +147,7 @@
     /// others within one.
     pub fn of<'a>(own: &Candidate, domain: impl Iterator<Item = &'a Candidate>) -> ConfirmScope {
         let ranks = domain.map(Candidate::rank);
-        match is_among_first(CONFIRMERS_PER_DOMAIN, own.rank(), ranks) {
+        match is_among_first(CONFIRMERS_PER_DOMAIN, &own.rank(), ranks) {
             true => ConfirmScope::Domain,
             false => ConfirmScope::Own,
         }
@@ -282,7 +282,7 @@
     #[must_use]
     pub fn notifies(&self, name: &str, domain: &str) -> bool {
         let ranks = self.0.iter().map(|n| rank_for(n, domain));
-        self.contains(name) && is_among_first(NOTIFIERS_PER_DOMAIN, rank_for(name, domain), ranks)
+        self.contains(name) && is_among_first(NOTIFIERS_PER_DOMAIN, &rank_for(name, domain), ranks)
     }
 }
 
