--- a/plugins/relay/src/configuration.rs
+++ b/plugins/relay/src/configuration.rs
@@ -20,8 +20,9 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
+use crate::duties;
+use crate::messages::{self, MAX_MESSAGE_BYTES, Message};
 use crate::node::Node;
-use crate::peers::{self, MAX_MESSAGE_BYTES, Message};
 use crate::watch::{back_off, count_call, max_backoff_ms, note_era};
 
 /// Interval between checks whether the configuration has to be confirmed.
@@ -71,7 +72,7 @@
         if !store_watch::may_confirm(age) {
             continue;
         }
-        let scope = peers::confirm_scope(node);
+        let scope = duties::confirm_scope(node);
         if !store_watch::should_confirm(age, node.random_f64(), read_ms, scope) {
             continue;
         }
@@ -169,14 +170,14 @@
         revision,
         spec: json.to_owned(),
     });
-    peers::send_to_all(&message, &receivers(node));
+    messages::send_to_all(&message, &receivers(node));
 }
 
 /// Returns the addresses of the instances that this one relays configurations to.
 fn receivers(node: &Node) -> Vec<std::net::SocketAddr> {
-    let own = peers::own_candidate(node);
-    let reaching = peers::neighbours_reaching_store(node);
-    let neighbours = peers::neighbours(node);
+    let own = duties::own_candidate(node);
+    let reaching = duties::neighbours_reaching_store(node);
+    let neighbours = duties::neighbours(node);
     let tree = RelayTree::of_configurations(&own, &reaching, &neighbours);
     let membership = node.membership.borrow();
     let children = tree.children(&own.name).iter();
--- a/plugins/relay/src/failure_detector.rs
+++ b/plugins/relay/src/failure_detector.rs
@@ -16,9 +16,9 @@
 use jacinthweir_policy::relay::store_watch;
 use tokio::time::sleep;
 
+use crate::duties;
 use crate::live_chains::LiveChain;
 use crate::node::Node;
-use crate::peers;
 use crate::runner_probe::{self, MAX_PROBES, ProbeResult, ProbeTarget, Suspect};
 
 /// Minimum time between two checks for silent chains, in milliseconds. If checks ran every few
@@ -426,7 +426,7 @@
     if suspects.is_empty() {
         return suspects;
     }
-    let neighbours = peers::neighbours(node);
+    let neighbours = duties::neighbours(node);
     let mut due = |id: &Name| {
         let is_prober = {
             let names = neighbours.iter().map(|c| &c.name);
--- a/plugins/relay/src/gossip.rs
+++ b/plugins/relay/src/gossip.rs
@@ -22,8 +22,8 @@
 use tokio::time::sleep;
 
 use crate::failure_detector;
+use crate::messages::{Message, send_to_all};
 use crate::node::Node;
-use crate::peers::{Message, send_to_all};
 use crate::quarantine;
 use crate::rate_limits;
 use crate::watch;
--- a/plugins/relay/src/lib.rs
+++ b/plugins/relay/src/lib.rs
@@ -13,6 +13,8 @@
 //! | `watch` | watches the store for the configuration and the runners |
 //! | `start` | takes the runners over from another instance at the start |
 //! | `runner_changes` | changes of runners, on their way from the store to all instances |
+//! | `messages` | messages between instances, and their transport |
+//! | `duties` | tasks done on behalf of others, and by whom |
 //! | `peers` | anti-entropy exchanges with other instances |
 //! | [`gossip`] | gossip of changes that cannot wait for the next exchange |
 //! | `placer` | placement lease, and placement orders to runners |
@@ -39,11 +41,13 @@
 mod chain_attempts;
 mod configuration;
 mod dump;
+mod duties;
 mod events;
 mod failure_detector;
 pub mod gossip;
 mod interrupted_run;
 mod live_chains;
+mod messages;
 mod node;
 mod peers;
 mod placer;
--- a/plugins/relay/src/peers.rs
+++ b/plugins/relay/src/peers.rs
@@ -6,52 +6,34 @@
 //! [`gossip`](crate::gossip).
 
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::{Method, Request, Response};
-use http_body_util::Full;
-use jacinthweir_clients::direct;
-use jacinthweir_policy::member::{MemberState, Phase};
-use jacinthweir_policy::membership::{
-    Action, Member, MemberDelta, MemberDigest, MemberRecord, Peer, ProbeOutcome,
-};
+use jacinthweir_policy::member::Phase;
+use jacinthweir_policy::membership::{Action, Member, MemberDigest, Peer, ProbeOutcome};
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::failure_reports::FailureReport;
-use jacinthweir_policy::relay::lease::Bid;
-use jacinthweir_policy::relay::loads::{HeadUse, Load, LoadDigest, LoadUpdate, ServiceCounts};
+use jacinthweir_policy::relay::loads::{HeadUse, Load, LoadUpdate, ServiceCounts};
 use jacinthweir_policy::relay::quarantine::CrashRecord;
 use jacinthweir_policy::relay::rate_limits::RateReport;
-use jacinthweir_policy::relay::rendezvous::Candidate;
-use jacinthweir_policy::relay::store_watch::{ConfirmScope, Watchers};
 use serde::{Deserialize, Serialize};
 use tokio::time::interval;
 
-use crate::configuration::{self, RelayedConfiguration};
-use crate::gossip::{self, News, Seen};
+use crate::configuration;
+use crate::duties;
+use crate::gossip::{self, Seen};
+use crate::messages::{Message, PEER_TIMEOUT, Reply, post};
 use crate::node::{Node, ROUND_MS};
-use crate::runner_changes::{self, RelayedChanges};
-use crate::start::{self, CopyOutcome, RunnersCopy};
+use crate::runner_changes;
+use crate::start::{self, CopyOutcome};
 use crate::{failure_detector, quarantine, rate_limits};
 
-/// Path to which instances post their messages.
-pub(crate) const PATH: &str = "/peer";
-
-/// Timeout of a message to a peer. Peers are a millisecond away; one that takes longer counts as
-/// silent for this round.
-pub(crate) const PEER_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// Timeout of the probe that an instance makes on behalf of a peer. It must be well below
 /// [`PEER_TIMEOUT`], for which that peer waits. Otherwise the peer never learns that the suspect
 /// was not reached, and an instance that lost power stays in entry answers for six seconds.
 const INDIRECT_PROBE_TIMEOUT: Duration = Duration::from_millis(200);
 const _: () = assert!(INDIRECT_PROBE_TIMEOUT.as_millis() * 2 <= PEER_TIMEOUT.as_millis());
 
-/// Maximum size of a message in bytes, enough for a digest of 10,000 instances.
-pub(crate) const MAX_MESSAGE_BYTES: usize = 320 << 10;
-
 /// Peers to which a change of this instance's phase is pushed at once.
 const ANNOUNCE_FANOUT: usize = 8;
 
@@ -117,56 +99,6 @@
     }
 }
 
-/// Message from one instance to another.
-#[derive(Serialize, Deserialize)]
-pub(crate) enum Message {
-    Exchange {
-        from: Name,
-        members: MemberDigest,
-        view: View,
-        #[serde(rename = "known")]
-        load_digest: LoadDigest,
-        #[serde(rename = "told")]
-        load_update: LoadUpdate,
-    },
-    Push {
-        from: Name,
-        members: MemberDelta,
-    },
-    /// Changes that cannot wait for the next exchange.
-    News(News),
-    /// Changes of runners' entries, from an instance that watches them.
-    Step(RelayedChanges),
-    /// A newer configuration, from an instance of the same failure domain.
-    Configuration(RelayedConfiguration),
-    /// Asks the receiver to probe the instance at an address.
-    Probe {
-        address: SocketAddr,
-    },
-    /// Asks for the receiver's own member record.
-    Own,
-    /// Asks for all runners that the receiver knows.
-    Runners,
-}
-
-/// Reply to a [`Message`].
-#[derive(Serialize, Deserialize)]
-pub(crate) enum Reply {
-    Exchange {
-        from: Name,
-        members: MemberDelta,
-        view: View,
-        #[serde(rename = "told")]
-        load_update: LoadUpdate,
-    },
-    Done,
-    Record(MemberRecord),
-    NotReached,
-    Runners(Box<RunnersCopy>),
-    /// The sender has what was asked for, and does not send it now.
-    Busy,
-}
-
 /// Starts the exchange rounds.
 pub(crate) fn spawn(node: &Rc<Node>) {
     let rounds = Rc::clone(node);
@@ -229,97 +161,6 @@
     execute(node, actions);
 }
 
-/// Time after the last new member within which a starting instance takes over no task for others, and
-/// the maximum time after its start, in milliseconds. Stronger instances may still become known.
-const DISCOVERY_MS: Millis = 600;
-const MAX_DISCOVERY_MS: Millis = 3_000;
-
-/// Returns this instance's bid for the placement lease. Of the live instances that reach the store,
-/// the strongest tries to acquire it, and of equal ones the first by name; where instances disagree,
-/// the lease in the store decides.
-pub(crate) fn bid(node: &Node) -> Bid {
-    let now = node.now();
-    if node.draining.get() || !node.reaches_store.get() {
-        return Bid::Abstain;
-    }
-    if is_discovering(node) {
-        return Bid::Retain;
-    }
-    let membership = node.membership.borrow();
-    let own = candidate(&membership.own().state);
-    let loads = node.loads.borrow();
-    let mut before = membership.active().filter(|m| candidate(m).precedes(&own));
-    match before.any(|m| loads.hears_store(&m.name, &m.domain, now)) {
-        true => Bid::Retain,
-        false => Bid::Acquire,
-    }
-}
-
-/// Whether this instance started a short time ago and new members become known.
-pub(crate) fn is_discovering(node: &Node) -> bool {
-    let now = node.now();
-    let last_joined_ms = node.membership.borrow().last_joined_ms();
-    now < MAX_DISCOVERY_MS && now < last_joined_ms + DISCOVERY_MS
-}
-
-/// Returns an instance as a candidate for tasks on behalf of others.
-pub(crate) fn candidate(m: &MemberState) -> Candidate {
-    Candidate {
-        name: m.name.clone(),
-        capacity: m.capacity,
-    }
-}
-
-/// Returns this instance as a candidate for tasks on behalf of others.
-pub(crate) fn own_candidate(node: &Node) -> Candidate {
-    candidate(&node.membership.borrow().own().state)
-}
-
-/// Returns the active instances that reach the store, possibly including this one.
-pub(crate) fn reaching_store(node: &Node) -> Vec<Candidate> {
-    let now = node.now();
-    let loads = node.loads.borrow();
-    let membership = node.membership.borrow();
-    let own = &node.settings.name;
-    let hears_store = |m: &MemberState| match m.name == *own {
-        true => node.reaches_store.get(),
-        false => loads.hears_store(&m.name, &m.domain, now),
-    };
-    let reaching = membership.active().filter(|m| hears_store(m));
-    reaching.map(candidate).collect()
-}
-
-/// Returns the instances that watch the runners for the whole fleet.
-pub(crate) fn watchers(node: &Node) -> Watchers {
-    Watchers::of(reaching_store(node).iter())
-}
-
-/// Returns for whom this instance confirms the configuration.
-pub(crate) fn confirm_scope(node: &Node) -> ConfirmScope {
-    let reaching = neighbours_reaching_store(node);
-    ConfirmScope::of(&own_candidate(node), reaching.iter())
-}
-
-/// Returns the other active instances of this instance's failure domain that reach the store.
-pub(crate) fn neighbours_reaching_store(node: &Node) -> Vec<Candidate> {
-    let now = node.now();
-    let loads = node.loads.borrow();
-    let mut candidates = neighbours(node);
-    candidates.retain(|c| loads.hears_store(&c.name, &node.settings.failure_domain, now));
-    candidates
-}
-
-/// Whether this instance watches the runners itself. The holder of the placement lease has to see
-/// the results of its orders at once, and an instance that does not reach the store has to notice
-/// when it does again.
-pub(crate) fn watches_runners(node: &Node) -> bool {
-    if node.lease.borrow().held(node.now()).is_some() {
-        return true;
-    }
-    let own = &node.settings.name;
-    !is_discovering(node) && (!node.reaches_store.get() || watchers(node).contains(own))
-}
-
 fn execute(node: &Rc<Node>, actions: Vec<Action>) {
     for action in actions {
         let node = Rc::clone(node);
@@ -486,20 +327,12 @@
     member.is_some_and(|m| m.state().domain == node.settings.failure_domain)
 }
 
-/// Returns the other active instances of this instance's failure domain.
-pub(crate) fn neighbours(node: &Node) -> Vec<Candidate> {
-    let membership = node.membership.borrow();
-    let near = membership.active().filter(|m| is_neighbour(node, m));
-    near.map(candidate).collect()
-}
-
 fn neighbour_count(node: &Node) -> usize {
     let membership = node.membership.borrow();
-    membership.live().filter(|m| is_neighbour(node, m)).count()
-}
-
-fn is_neighbour(node: &Node, m: &MemberState) -> bool {
-    m.domain == node.settings.failure_domain && m.name != node.settings.name
+    membership
+        .live()
+        .filter(|m| duties::is_neighbour(node, m))
+        .count()
 }
 
 fn write_own_load(node: &Node) {
@@ -549,61 +382,3 @@
     node.update_retry_loans();
     view.apply(node);
 }
-
-/// Posts a message to the instance at `address` and returns its reply.
-pub(crate) async fn post(
-    address: SocketAddr,
-    message: &Message,
-    timeout: Duration,
-) -> Result<Reply, String> {
-    post_encoded(address, encode(message)?, timeout, MAX_MESSAGE_BYTES).await
-}
-
-/// Posts a message whose reply may have up to `max_bytes` bytes.
-pub(crate) async fn post_for_long_reply(
-    address: SocketAddr,
-    message: &Message,
-    timeout: Duration,
-    max_bytes: usize,
-) -> Result<Reply, String> {
-    post_encoded(address, encode(message)?, timeout, max_bytes).await
-}
-
-/// Sends a message to several instances without waiting for their replies.
-pub(crate) fn send_to_all(message: &Message, receivers: &[SocketAddr]) {
-    let body = match encode(message) {
-        Ok(body) => body,
-        Err(cause) => return log::error!(cause; "cannot encode a message"),
-    };
-    for address in receivers.iter().copied() {
-        let body = body.clone();
-        tokio::task::spawn_local(async move {
-            // A receiver that misses it learns at its next exchange that it is behind.
-            if let Err(cause) = post_encoded(address, body, PEER_TIMEOUT, MAX_MESSAGE_BYTES).await {
-                log::debug!(address:% = address, cause; "message not delivered");
-            }
-        });
-    }
-}
-
-fn encode(message: &Message) -> Result<Bytes, String> {
-    let body = rmp_serde::to_vec(message).map_err(|e| e.to_string())?;
-    Ok(Bytes::from(body))
-}
-
-async fn post_encoded(
-    address: SocketAddr,
-    body: Bytes,
-    timeout: Duration,
-    max_bytes: usize,
-) -> Result<Reply, String> {
-    let mut req = Request::new(Full::new(body));
-    *req.method_mut() = Method::POST;
-    *req.uri_mut() = http::Uri::from_static(PATH);
-    let host = http::HeaderValue::from_str(&address.to_string()).map_err(|e| e.to_string())?;
-    req.headers_mut().insert(http::header::HOST, host);
-    let res: Response<Bytes> = direct::request(address, req, timeout, max_bytes)
-        .await
-        .map_err(|e| e.to_string())?;
-    rmp_serde::from_slice(res.body()).map_err(|e| e.to_string())
-}
--- a/plugins/relay/src/placer.rs
+++ b/plugins/relay/src/placer.rs
@@ -19,8 +19,8 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
+use crate::duties;
 use crate::node::Node;
-use crate::peers;
 use crate::watch::{count_call, note_era};
 
 /// Kind and name of the lease object in the store.
@@ -147,7 +147,7 @@
 /// Performs the next step of the lease protocol.
 async fn step_lease(node: &Node) {
     note_era(node);
-    let bid = peers::bid(node);
+    let bid = duties::bid(node);
     let sent = node.now();
     let step = node.lease.borrow_mut().step(sent, bid);
     let written = match step {
--- a/plugins/relay/src/quarantine.rs
+++ b/plugins/relay/src/quarantine.rs
@@ -16,8 +16,8 @@
 use jacinthweir_policy::relay::runners::RunnerEntry;
 use tokio::time::sleep;
 
+use crate::duties;
 use crate::node::Node;
-use crate::peers;
 use crate::request::ProxiedRequest;
 use crate::watch::count_call;
 
@@ -220,7 +220,7 @@
 
 /// Whether this instance is the one that writes a request's record.
 fn is_writer(node: &Node, request: Fingerprint) -> bool {
-    let reaching_store = peers::reaching_store(node);
+    let reaching_store = duties::reaching_store(node);
     node.reaches_store.get()
         && quarantine::is_writer(
             &node.settings.name,
--- a/plugins/relay/src/runner_changes.rs
+++ b/plugins/relay/src/runner_changes.rs
@@ -18,8 +18,9 @@
 use jacinthweir_policy::relay::store_watch::{ChangeBatch, RelayTree, RunnerChange};
 use serde::{Deserialize, Serialize};
 
+use crate::duties;
+use crate::messages::{self, Message};
 use crate::node::Node;
-use crate::peers::{self, Message};
 
 /// A batch on its way from a watcher to all instances of a failure domain.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -49,13 +50,13 @@
         &node.settings.failure_domain,
         |tree| tree.children(own).to_vec(),
     );
-    peers::send_to_all(&Message::Step(relayed), &receivers);
+    messages::send_to_all(&Message::Step(relayed), &receivers);
 }
 
 /// Sends changes to the first instances of each failure domain that this one notifies.
 fn notify_domains(node: &Node, batch: ChangeBatch) {
     let own = &node.settings.name;
-    let watchers = peers::watchers(node);
+    let watchers = duties::watchers(node);
     let domains: std::collections::BTreeSet<Name> = {
         let membership = node.membership.borrow();
         membership.active().map(|m| m.domain.clone()).collect()
@@ -65,7 +66,7 @@
         .flat_map(|d| receivers(node, own, d, |tree| tree.roots().to_vec()))
         .collect();
     let watcher = own.clone();
-    peers::send_to_all(
+    messages::send_to_all(
         &Message::Step(RelayedChanges { watcher, batch }),
         &receivers,
     );
@@ -83,7 +84,7 @@
     let members: Vec<(Candidate, &MemberState)> = membership
         .active()
         .filter(|m| *m.domain == *domain)
-        .map(|m| (peers::candidate(m), m))
+        .map(|m| (duties::candidate(m), m))
         .collect();
     let tree = RelayTree::of_changes(watcher, members.iter().map(|(c, _)| c));
     let selected = select(&tree);
--- a/plugins/relay/src/server.rs
+++ b/plugins/relay/src/server.rs
@@ -24,7 +24,7 @@
 
 use crate::answer::{RelayBody, complete, plain};
 use crate::node::Node;
-use crate::{RelayError, dump, peers, request};
+use crate::{RelayError, dump, messages, peers, request};
 
 /// Maximum number of addresses in an entry answer. Callers pick one at random.
 const MAX_ENTRY_ADDRESSES: usize = 64;
@@ -191,7 +191,7 @@
         ListenerKind::Entry if req.uri().path() == entry::ADDRESSES_PATH => {
             answer_entry(node, req.uri().query())
         }
-        ListenerKind::Peers if req.uri().path() == peers::PATH => answer_peer(node, req).await,
+        ListenerKind::Peers if req.uri().path() == messages::PATH => answer_peer(node, req).await,
         ListenerKind::Operators => answer_operator(node, &req),
         _ => plain(StatusCode::NOT_FOUND, "no such path"),
     }
@@ -236,7 +236,7 @@
 }
 
 async fn answer_peer(node: &Rc<Node>, req: Request<Incoming>) -> Response<RelayBody> {
-    let body = Limited::new(req.into_body(), peers::MAX_MESSAGE_BYTES)
+    let body = Limited::new(req.into_body(), messages::MAX_MESSAGE_BYTES)
         .collect()
         .await;
     let Ok(body) = body else {
--- a/plugins/relay/src/start.rs
+++ b/plugins/relay/src/start.rs
@@ -25,8 +25,9 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
+use crate::duties;
+use crate::messages::{self, Message, Reply};
 use crate::node::Node;
-use crate::peers::{self, Message, Reply};
 use crate::watch;
 
 /// Maximum size of a copy in bytes, enough for some 60,000 runners.
@@ -161,16 +162,16 @@
 /// Whether this instance is one of the strongest of its failure domain that are known, so that it reads
 /// the whole list for the others.
 fn reads_for_domain(node: &Node) -> bool {
-    if peers::is_discovering(node) {
+    if duties::is_discovering(node) {
         return false;
     }
     let membership = node.membership.borrow();
-    let own = peers::candidate(&membership.own().state);
+    let own = duties::candidate(&membership.own().state);
     let domain = &node.settings.failure_domain;
     let neighbours: Vec<Candidate> = membership
         .peers()
         .filter(|m| m.domain == *domain)
-        .map(peers::candidate)
+        .map(duties::candidate)
         .collect();
     ConfirmScope::of(&own, neighbours.iter()) == ConfirmScope::Domain
 }
@@ -192,7 +193,7 @@
 /// Asks an instance for the runners.
 async fn ask(address: SocketAddr) -> CopyOutcome {
     let asked =
-        peers::post_for_long_reply(address, &Message::Runners, COPY_TIMEOUT, MAX_COPY_BYTES);
+        messages::post_for_long_reply(address, &Message::Runners, COPY_TIMEOUT, MAX_COPY_BYTES);
     match asked.await {
         Ok(Reply::Runners(copy)) => CopyOutcome::Copy(copy),
         Ok(Reply::Busy) => CopyOutcome::Busy,
--- a/plugins/relay/src/watch.rs
+++ b/plugins/relay/src/watch.rs
@@ -19,8 +19,8 @@
 use tokio::time::sleep;
 
 use crate::configuration;
+use crate::duties;
 use crate::node::Node;
-use crate::peers;
 use crate::runner_changes;
 use crate::start;
 
@@ -236,7 +236,7 @@
 
 /// Returns the longest back-off after a failed call in a fleet of the current size.
 pub(crate) fn max_backoff_ms(node: &Node) -> Millis {
-    let bound = match peers::confirm_scope(node) {
+    let bound = match duties::confirm_scope(node) {
         ConfirmScope::Domain => DOMAIN_BACKOFF_BOUND_MS,
         ConfirmScope::Own => OWN_BACKOFF_BOUND_MS,
     };
@@ -447,11 +447,11 @@
 /// Whether other instances watch the store for this one.
 fn is_follower(node: &Node, what: Watched) -> bool {
     match what {
-        Watched::Runners => !peers::watches_runners(node),
+        Watched::Runners => !duties::watches_runners(node),
         Watched::Configuration => {
             let has_configuration = node.intent.borrow().is_some();
-            let is_own = || peers::confirm_scope(node) == ConfirmScope::Own;
-            has_configuration && (peers::is_discovering(node) || is_own())
+            let is_own = || duties::confirm_scope(node) == ConfirmScope::Own;
+            has_configuration && (duties::is_discovering(node) || is_own())
         }
     }
 }
