Relay: a batch of changes is passed on once for each watcher

Cause, by reading: while members become known, instances have different trees; two that each take the other for the child would send a batch back and forth for good.

Change: a batch is passed on if it goes beyond the last one of its watcher. Watchers without receivers of their own are left out as receivers, as before, so that a small fleet sends no message more.

--- a/plugins/relay/src/messages.rs
+++ b/plugins/relay/src/messages.rs
@@ -99,6 +99,9 @@
 
 /// Sends a message to several instances without waiting for their replies.
 pub(crate) fn send_to_all(message: &Message, receivers: &[SocketAddr]) {
+    if receivers.is_empty() {
+        return;
+    }
     let body = match encode(message) {
         Ok(body) => body,
         Err(cause) => return log::error!(cause; "cannot encode a message"),
--- a/plugins/relay/src/node.rs
+++ b/plugins/relay/src/node.rs
@@ -25,7 +25,9 @@
 use jacinthweir_policy::relay::shared_retry_budget::{
     RetryCounts, SharedRetryBudget, SharedRetryBudgetConfig,
 };
-use jacinthweir_policy::relay::store_watch::{Outdated, PeerProgress, RunnersProgress};
+use jacinthweir_policy::relay::store_watch::{
+    Outdated, PeerProgress, RelayedUntil, RunnersProgress,
+};
 use jacinthweir_policy::retry_priority::RetryPriority;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -115,6 +117,7 @@
     /// Whether the runners have been listed since the start.
     pub(crate) runners_listed: Cell<bool>,
     pub(crate) last_copy: LastCopy,
+    pub(crate) relayed_until: RefCell<RelayedUntil>,
     pub(crate) chains: RefCell<Chains>,
     pub(crate) membership: RefCell<Membership>,
     pub(crate) loads: RefCell<LoadTable>,
@@ -193,6 +196,7 @@
             peer_ahead: Notify::new(),
             runners_listed: Cell::new(false),
             last_copy: LastCopy::default(),
+            relayed_until: RefCell::default(),
             chains: RefCell::default(),
             membership: RefCell::new(membership),
             loads: RefCell::new(LoadTable::new(
--- a/plugins/relay/src/runner_changes.rs
+++ b/plugins/relay/src/runner_changes.rs
@@ -5,6 +5,7 @@
 //! on along a [`RelayTree`], so that an instance sends a batch to a few others however large the fleet
 //! is. An instance that misses a batch learns at an exchange that it is behind, and asks the store.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -15,7 +16,7 @@
 use jacinthweir_policy::relay::rendezvous::Candidate;
 use jacinthweir_policy::relay::revision::Revision;
 use jacinthweir_policy::relay::runners::RunnerEntry;
-use jacinthweir_policy::relay::store_watch::{ChangeBatch, RelayTree, RunnerChange};
+use jacinthweir_policy::relay::store_watch::{ChangeBatch, RelayTree, RunnerChange, Watchers};
 use serde::{Deserialize, Serialize};
 
 use crate::duties;
@@ -43,6 +44,11 @@
 /// Applies changes that another instance passed on, and passes them on itself.
 pub(crate) fn receive(node: &Rc<Node>, relayed: RelayedChanges) {
     let _applied = apply_batch(node, &relayed.batch);
+    let mut relayed_until = node.relayed_until.borrow_mut();
+    if !relayed_until.take_turn(&relayed.watcher, relayed.batch.until) {
+        return;
+    }
+    drop(relayed_until);
     let own = &node.settings.name;
     let receivers = receivers(
         node,
@@ -57,13 +63,13 @@
 fn notify_domains(node: &Node, batch: ChangeBatch) {
     let own = &node.settings.name;
     let watchers = duties::watchers(node);
-    let domains: std::collections::BTreeSet<Name> = {
+    let domains: BTreeSet<Name> = {
         let membership = node.membership.borrow();
         membership.active().map(|m| m.domain.clone()).collect()
     };
     let notified = domains.iter().filter(|d| watchers.notifies(own, d));
     let receivers: Vec<SocketAddr> = notified
-        .flat_map(|d| receivers(node, own, d, |tree| tree.roots().to_vec()))
+        .flat_map(|d| receivers(node, own, d, |tree| roots_to_notify(tree, &watchers)))
         .collect();
     let watcher = own.clone();
     messages::send_to_all(
@@ -72,6 +78,13 @@
     );
 }
 
+/// Returns the roots of a tree, but for watchers that would pass a batch on to nobody.
+fn roots_to_notify<'t>(tree: &RelayTree<'t>, watchers: &Watchers) -> Vec<&'t Name> {
+    let roots = tree.roots().iter().copied();
+    let needs_it = |name: &&Name| !watchers.contains(name) || !tree.children(name).is_empty();
+    roots.filter(needs_it).collect()
+}
+
 /// Returns the addresses of the instances of a failure domain that `select` chooses from the tree of
 /// the changes that `watcher` sends there.
 fn receivers(
--- a/policy/src/relay/store_watch.rs
+++ b/policy/src/relay/store_watch.rs
@@ -17,6 +17,8 @@
 //! next takes its place. In the same way two instances of each failure domain
 //! confirm the configuration for the domain ([`ConfirmScope`]).
 
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 
 use crate::prelude::*;
@@ -318,6 +320,25 @@
     }
 }
 
+/// Up to which revision an instance passed on the batches of each watcher.
+///
+/// Instances that do not know the same members have different trees. Without this, two of them could
+/// each take the other for its child and send a batch back and forth for good.
+#[derive(Clone, Debug, Default)]
+pub struct RelayedUntil(BTreeMap<Name, Revision>);
+
+impl RelayedUntil {
+    /// Returns whether a batch of `watcher` up to `until` has to be passed on, and records that it was.
+    pub fn take_turn(&mut self, watcher: &Name, until: Revision) -> bool {
+        let last = self.0.entry(watcher.clone()).or_default();
+        let is_new = *last < until;
+        if is_new {
+            *last = until;
+        }
+        is_new
+    }
+}
+
 /// How far an instance knows the runners' entries.
 ///
 /// The store has one revision for all kinds of objects, so a watch on the runners that shows no change
--- a/policy/tests/relay_store_watch.rs
+++ b/policy/tests/relay_store_watch.rs
@@ -5,8 +5,9 @@
 use jacinthweir_policy::relay::rendezvous::Candidate;
 use jacinthweir_policy::relay::revision::Revision;
 use jacinthweir_policy::relay::store_watch::{
-    ChangeBatch, ConfirmScope, Outdated, PeerProgress, RelayTree, RunnerChange, RunnersProgress,
-    Watchers, catch_up_ms, debounce_ms, runners_debounce_ms, scaled_interval_ms, should_confirm,
+    ChangeBatch, ConfirmScope, Outdated, PeerProgress, RelayTree, RelayedUntil, RunnerChange,
+    RunnersProgress, Watchers, catch_up_ms, debounce_ms, runners_debounce_ms, scaled_interval_ms,
+    should_confirm,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -420,3 +421,18 @@
     // One that missed the first batch has to ask the store.
     expect_false!(second.applies_to(at(0, 10)));
 }
+
+/// Two instances that do not know the same members each take the other for the receiver of a batch.
+/// Guards against a batch that goes back and forth between them.
+#[gtest]
+fn a_batch_is_passed_on_once_for_each_watcher() {
+    let mut relayed = RelayedUntil::default();
+    let (one, two) = (Name::from("one"), Name::from("two"));
+    expect_true!(relayed.take_turn(&one, at(0, 14)));
+    expect_false!(relayed.take_turn(&one, at(0, 14)));
+    expect_true!(relayed.take_turn(&two, at(0, 14)));
+    expect_true!(relayed.take_turn(&one, at(0, 20)));
+    expect_false!(relayed.take_turn(&one, at(0, 14)));
+    // The revisions of a restored store begin below.
+    expect_true!(relayed.take_turn(&one, at(1, 5)));
+}
