Relay: a small fleet starts as fast as before

Cause: an instance asked its seeds one after the other before it read the store; seeds that lost power with it answer nothing for 1.5 s each.

Change: all seeds are asked at once, and the store is read after 150 ms without an answer; up to 32 members an instance waits for its first exchanges only, 300 ms, and asks the store as early as before if a peer is ahead.

--- a/plugins/relay/src/duties.rs
+++ b/plugins/relay/src/duties.rs
@@ -10,10 +10,11 @@
 use jacinthweir_policy::relay::rendezvous::Candidate;
 use jacinthweir_policy::relay::store_watch::{ConfirmScope, Watchers};
 
-use crate::node::Node;
+use crate::node::{MAX_BEATS, Node, ROUND_MS};
 
-/// Time after the last new member within which a starting instance takes over no task for others, and
-/// the maximum time after its start, in milliseconds. Stronger instances may still become known.
+/// Time after the last new member within which a starting instance of a large fleet takes over no task
+/// for others, and the maximum time after its start, in milliseconds. Stronger instances may still become
+/// known.
 const DISCOVERY_MS: Millis = 600;
 const MAX_DISCOVERY_MS: Millis = 3_000;
 
@@ -38,11 +39,15 @@
     }
 }
 
-/// Whether this instance started a short time ago and new members become known.
+/// Whether this instance started a short time ago and does not know yet which instances there are: until
+/// its first exchanges, and in a large fleet while new members become known. In a small fleet every
+/// second without orders or a watch would cost callers more than a task that is done twice.
 pub(crate) fn is_discovering(node: &Node) -> bool {
     let now = node.now();
-    let last_joined_ms = node.membership.borrow().last_joined_ms();
-    now < MAX_DISCOVERY_MS && now < last_joined_ms + DISCOVERY_MS
+    let membership = node.membership.borrow();
+    let is_large = membership.members().count() > MAX_BEATS;
+    let joining = now < MAX_DISCOVERY_MS && now < membership.last_joined_ms() + DISCOVERY_MS;
+    now < ROUND_MS || (is_large && joining)
 }
 
 /// Returns an instance as a candidate for tasks on behalf of others.
--- a/plugins/relay/src/node.rs
+++ b/plugins/relay/src/node.rs
@@ -56,7 +56,7 @@
 const CROSS_DOMAIN_SENDERS: usize = 8;
 
 /// Members that an exchange lists in a larger fleet than that.
-const MAX_BEATS: usize = 32;
+pub(crate) const MAX_BEATS: usize = 32;
 
 /// Duration of the placement lease without renewal, in milliseconds: three renewal intervals, and
 /// short compared with the outage that a gap in a chain causes.
--- a/plugins/relay/src/start.rs
+++ b/plugins/relay/src/start.rs
@@ -14,6 +14,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use futures::stream::{FuturesUnordered, StreamExt};
 use jacinthweir_platform::runner;
 use jacinthweir_policy::member::MemberState;
 use jacinthweir_policy::prelude::*;
@@ -53,6 +54,10 @@
 /// Strongest instances of a failure domain, of which one is asked in every second request.
 const STRONGEST: usize = 8;
 
+/// Time within which a seed has to answer before the store is asked as well: a copy of 3,000 runners
+/// takes as long on a link of 20 Mbit/s.
+const SEED_HEAD_START: Duration = Duration::from_millis(150);
+
 /// Seeds that are asked at the start.
 const MAX_SEEDS: usize = 3;
 
@@ -112,36 +117,65 @@
 /// all of it. Returns the revision from which changes have to follow, or `None` if this instance has to
 /// read the whole list.
 pub(crate) async fn take_over_runners(node: &Node) -> Option<Revision> {
-    let mut has_read = false;
-    let mut askable = seeds(node);
+    let has_source = match first_answer(node).await {
+        FirstAnswer::Taken(revision) => return Some(revision),
+        FirstAnswer::Busy => true,
+        FirstAnswer::Nothing => false,
+    };
     let read_at = READ_AFTER_MS + (node.random_f64() * READ_JITTER_MS) as Millis;
-    while node.now() < read_at {
-        let mut busy = false;
-        for address in askable {
-            match ask(address).await {
-                CopyOutcome::Copy(copy) if is_current(node, &copy) => {
-                    return Some(take_over(node, address, *copy));
-                }
-                CopyOutcome::Busy => busy = true,
-                CopyOutcome::Copy(_) | CopyOutcome::None => {}
-            }
-        }
-        if !busy && !has_read {
-            has_read = true;
-            if let Some(revision) = read_short_list(node).await {
-                return Some(revision);
-            }
-        }
-        if reads_for_domain(node) {
-            return None;
+    while node.now() < read_at && (has_source || !reads_for_domain(node)) {
+        let seed = || seeds(node).first().copied();
+        if let Some(address) = some_neighbour(node).or_else(seed)
+            && let CopyOutcome::Copy(copy) = ask(address).await
+            && let Some(revision) = take_over(node, *copy)
+        {
+            return Some(revision);
         }
         let jitter_ms = (node.random_f64() * RETRY_JITTER_MS) as Millis;
         sleep(Duration::from_millis(RETRY_MS + jitter_ms)).await;
-        askable = some_neighbour(node).into_iter().collect();
     }
     None
 }
 
+/// Result of the first requests of an instance that starts.
+enum FirstAnswer {
+    /// The runners were taken over or read; changes follow from the revision.
+    Taken(Revision),
+    /// A seed has the runners, and sends them later.
+    Busy,
+    /// No seed has the runners, and the store's list is long.
+    Nothing,
+}
+
+/// Asks the seeds, and the store unless one of them answers soon that it has the runners. The seeds may be
+/// lost: an instance that waited for them would refuse its callers meanwhile.
+async fn first_answer(node: &Node) -> FirstAnswer {
+    let mut asked: FuturesUnordered<_> = seeds(node).into_iter().map(ask).collect();
+    let mut has_runners = false;
+    let head_start = sleep(SEED_HEAD_START);
+    tokio::pin!(head_start);
+    loop {
+        tokio::select! {
+            answer = asked.next() => match answer {
+                Some(CopyOutcome::Copy(copy)) => {
+                    if let Some(revision) = take_over(node, *copy) {
+                        return FirstAnswer::Taken(revision);
+                    }
+                }
+                Some(CopyOutcome::Busy) => has_runners = true,
+                Some(CopyOutcome::None) => {}
+                None => break,
+            },
+            () = &mut head_start => break,
+        }
+    }
+    if has_runners {
+        return FirstAnswer::Busy;
+    }
+    let read = read_short_list(node).await;
+    read.map_or(FirstAnswer::Nothing, FirstAnswer::Taken)
+}
+
 fn seeds(node: &Node) -> Vec<SocketAddr> {
     let own = node.settings.listen.peers;
     let others = node.settings.seeds.iter().copied().filter(|a| *a != own);
@@ -205,23 +239,19 @@
     }
 }
 
-/// Whether a copy is of the era of the store that this instance knows, if it knows one.
-fn is_current(node: &Node, copy: &RunnersCopy) -> bool {
-    let is_current = node.store.era().is_none_or(|era| era == copy.as_of.era);
-    if !is_current {
-        log::info!(as_of:% = copy.as_of; "runners of an earlier era not used");
-    }
-    is_current
-}
-
-/// Applies a copy from the instance at `address`. Returns the revision from which changes have to follow.
-fn take_over(node: &Node, address: SocketAddr, copy: RunnersCopy) -> Revision {
+/// Applies a copy, unless it is of another era of the store than this instance knows. Returns the
+/// revision from which changes have to follow.
+fn take_over(node: &Node, copy: RunnersCopy) -> Option<Revision> {
     let RunnersCopy {
         entries,
         as_of,
         newest,
     } = copy;
-    log::info!(address:% = address, runners = entries.len(), as_of:% = as_of; "runners taken over");
+    if node.store.era().is_some_and(|era| era != as_of.era) {
+        log::info!(as_of:% = as_of; "runners of an earlier era not used");
+        return None;
+    }
+    log::info!(runners = entries.len(), as_of:% = as_of; "runners taken over");
     watch::replace_runners(node, entries, as_of, newest, true);
-    as_of
+    Some(as_of)
 }
--- a/plugins/relay/src/watch.rs
+++ b/plugins/relay/src/watch.rs
@@ -169,7 +169,7 @@
         }
         let delay_ms = match what {
             Watched::Configuration => store_watch::catch_up_ms(node.live_instances()),
-            Watched::Runners => store_watch::RUNNERS_CATCH_UP_MS,
+            Watched::Runners => store_watch::runners_catch_up_ms(node.live_instances()),
         };
         let before = what.known(node);
         sleep(Duration::from_millis(delay_ms)).await;
@@ -410,6 +410,9 @@
 /// Interval between checks whether this instance has to watch the store itself.
 const ROLE_POLL: Duration = Duration::from_millis(500);
 
+/// The same while members become known.
+const DISCOVERY_POLL: Duration = Duration::from_millis(50);
+
 /// Timeout of a watch that only has to fetch missed changes, in milliseconds.
 const CATCH_UP_WATCH_MS: Millis = 1;
 
@@ -431,7 +434,11 @@
 /// Returns once this instance has to watch the store itself.
 async fn until_watcher(node: &Node, what: Watched) {
     while is_follower(node, what) {
-        sleep(ROLE_POLL).await;
+        let poll = match duties::is_discovering(node) {
+            true => DISCOVERY_POLL,
+            false => ROLE_POLL,
+        };
+        sleep(poll).await;
     }
 }
 
--- a/policy/src/relay/store_watch.rs
+++ b/policy/src/relay/store_watch.rs
@@ -81,10 +81,19 @@
 /// already has, in milliseconds.
 const CATCH_UP_MS: Millis = 120;
 
-/// How long an instance that knows less of the runners than its peers, and learns nothing new,
-/// waits for a batch before it asks the store, in milliseconds: longer than the longest debounce time
-/// and the way along the tree.
-pub const RUNNERS_CATCH_UP_MS: Millis = MAX_RUNNERS_DEBOUNCE_MS + 2 * CATCH_UP_MS;
+/// Number of instances up to which a batch of changes reaches all of them within two hops.
+const SHALLOW_INSTANCES: usize = 32;
+
+/// Returns how long an instance that knows less of the runners than its peers, and learns nothing new,
+/// waits for a batch before it asks the store, in milliseconds. In a large fleet that is longer than the
+/// longest debounce time and the way along the tree.
+#[must_use]
+pub fn runners_catch_up_ms(instances: usize) -> Millis {
+    match instances <= SHALLOW_INSTANCES {
+        true => catch_up_ms(1),
+        false => MAX_RUNNERS_DEBOUNCE_MS + 2 * CATCH_UP_MS,
+    }
+}
 
 /// Returns how long an instance that knows less than its peers waits for its own watch before it
 /// treats the watch as silent and issues a new call.
