--- a/plugins/relay/src/attempt.rs
+++ b/plugins/relay/src/attempt.rs
@@ -11,6 +11,7 @@
 
 use crate::node::Node;
 use crate::rate_limits;
+use crate::runner_connections::Outcome;
 
 /// Time limit for a new connection to a runner. The round trip takes about a millisecond, while a
 /// lost SYN is retransmitted only after seconds.
@@ -40,7 +41,10 @@
     req: Request<Full<bytes::Bytes>>,
 ) -> SendOutcome {
     rate_limits::record_sent(node, runner);
-    let res = match direct::send(runner.address, req, CONNECT_TIMEOUT).await {
+    let sent = direct::send(runner.address, req, CONNECT_TIMEOUT).await;
+    node.runner_connections
+        .record(Outcome::of(&sent), node.now());
+    let res = match sent {
         Ok(res) => res,
         Err(e) if e.is_unsent() => return SendOutcome::Unreached(e),
         Err(e) => return SendOutcome::Lost(e.to_string()),
--- a/plugins/relay/src/failure_detector.rs
+++ b/plugins/relay/src/failure_detector.rs
@@ -106,7 +106,11 @@
     let mut open: FuturesUnordered<_> = stages
         .map(|s| {
             let target = ProbeTarget::of(&node, &s.runner);
-            async move { (&s.runner, runner_probe::probe(target, MAX_PROBES).await) }
+            let node = &node;
+            async move {
+                let found = runner_probe::probe(node, target, MAX_PROBES).await;
+                (&s.runner, found)
+            }
         })
         .collect();
     let mut round = ProbeRound::new(open.len());
@@ -180,7 +184,7 @@
     let node = Rc::clone(node);
     tokio::task::spawn_local(async move {
         let Suspect { id, born_ms, .. } = &suspect;
-        match runner_probe::probe(suspect.target, 1).await {
+        match runner_probe::probe(&node, suspect.target, 1).await {
             ProbeResult::Report(report) => process_report(&node, id, *born_ms, &report),
             ProbeResult::Listening => record_answer(&node, id, *born_ms),
             ProbeResult::Refused => report_dead(&node, id, *born_ms, REFUSED_EVIDENCE),
@@ -286,7 +290,14 @@
     health.dead_since_ms = now;
     health.found_locally = false;
     health.reset_probe_backoff();
-    log::warn!(runner = id.as_ref(), born_ms, evidence; "runner counts as dead");
+    let accepted_ms_ago = node.runner_connections.accepted_ms_ago(now);
+    log::warn!(
+        runner = id.as_ref(),
+        born_ms,
+        evidence,
+        accepted_ms_ago:? = accepted_ms_ago;
+        "runner counts as dead"
+    );
     metrics::counter!("jacinthweir_runners_dead_total").increment(1);
     true
 }
@@ -448,7 +459,12 @@
         sleep(RECOVERY_INTERVAL).await;
         apply_failure_reports(node);
         let suspects = due_recovery_probes(node);
-        let found = join_all(suspects.iter().map(|s| runner_probe::probe(s.target, 1))).await;
+        let found = join_all(
+            suspects
+                .iter()
+                .map(|s| runner_probe::probe(node, s.target, 1)),
+        )
+        .await;
         let mut changed = false;
         for (Suspect { id, born_ms, .. }, found) in suspects.iter().zip(found) {
             match found {
--- a/plugins/relay/src/lib.rs
+++ b/plugins/relay/src/lib.rs
@@ -29,6 +29,7 @@
 //! | `answer` | final responses, and what they may contain |
 //! | `shutdown` | drain and shutdown |
 //! | `dump` | state dump for operators |
+//! | `runner_connections` | outcomes of connections to runners |
 //! | `runner_probe` | probes of a single runner, and confirmation of its silence |
 //!
 //! The runtime has one thread, so shared state needs no locks. A [`std::cell::RefCell`] is borrowed
@@ -55,6 +56,7 @@
 mod rate_limits;
 mod request;
 mod runner_changes;
+mod runner_connections;
 mod runner_probe;
 mod server;
 pub mod settings;
--- a/plugins/relay/src/node.rs
+++ b/plugins/relay/src/node.rs
@@ -38,6 +38,7 @@
 use crate::RelayError;
 use crate::live_chains::Chains;
 use crate::placer::Loading;
+use crate::runner_connections::RunnerConnections;
 use crate::settings::RelaySettings;
 use crate::start::LastCopy;
 
@@ -94,6 +95,7 @@
     pub(crate) runners_progress: Cell<RunnersProgress>,
     /// Failure reports of all instances about runners.
     pub(crate) failure_reports: RefCell<FailureReports>,
+    pub(crate) runner_connections: RunnerConnections,
     /// Rate limits that runners announced.
     pub(crate) rate_limits: RefCell<RunnerRateLimits>,
     /// Requests that crashed runners.
@@ -184,6 +186,7 @@
             runners_revision: Cell::default(),
             runners_progress: Cell::default(),
             failure_reports: RefCell::default(),
+            runner_connections: RunnerConnections::default(),
             rate_limits: RefCell::default(),
             quarantine: RefCell::default(),
             expired_quarantines: RefCell::default(),
--- a/plugins/relay/src/runner_probe.rs
+++ b/plugins/relay/src/runner_probe.rs
@@ -23,6 +23,7 @@
 
 use crate::failure_detector;
 use crate::node::Node;
+use crate::runner_connections::Outcome;
 
 /// Time limits of a probe. A live runner accepts a connection within two round trips of at most a
 /// millisecond each, however slow it is. One that runs at a tenth of its pace takes ten times as
@@ -126,14 +127,14 @@
 
 /// Probes a runner up to `max_probes` times. The next probe starts as soon as one fails or takes
 /// long.
-pub(crate) async fn probe(target: ProbeTarget, max_probes: usize) -> ProbeResult {
+pub(crate) async fn probe(node: &Node, target: ProbeTarget, max_probes: usize) -> ProbeResult {
     let mut open = FuturesUnordered::new();
     let mut left = max_probes;
     let mut found = ProbeResult::Silent("not asked".to_owned());
     loop {
         if left > 0 {
             metrics::counter!("jacinthweir_probes_total").increment(1);
-            open.push(runner::report(target.address, PROBE_TIMEOUTS));
+            open.push(report(node, target.address));
             left -= 1;
         }
         let next = async {
@@ -158,6 +159,17 @@
     }
 }
 
+/// Asks a runner for its report once.
+async fn report(node: &Node, address: SocketAddr) -> Result<Report, RunnerError> {
+    let report = runner::report(address, PROBE_TIMEOUTS).await;
+    let outcome = match &report {
+        Err(RunnerError::NoAnswer(e)) => Outcome::of::<()>(&Err(e.clone())),
+        _ => Outcome::Accepted,
+    };
+    node.runner_connections.record(outcome, node.now());
+    report
+}
+
 /// A lifetime of a runner that may be dead.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Suspect {
@@ -257,13 +269,17 @@
     let witnesses = witnesses(node, s);
     let mut open: FuturesUnordered<LocalBoxFuture<'_, RoundResult>> = FuturesUnordered::new();
     open.push(
-        probe(s.target, max_probes)
+        probe(node, s.target, max_probes)
             .map(RoundResult::Suspect)
             .boxed_local(),
     );
     let mut round = ProbeRound::new(MAX_ROUND_SIZE.min(witnesses.len()));
     for witness in witnesses {
-        open.push(probe(witness, 1).map(RoundResult::Witness).boxed_local());
+        open.push(
+            probe(node, witness, 1)
+                .map(RoundResult::Witness)
+                .boxed_local(),
+        );
     }
     let mut observed = ObservedTime::begin(node.now());
     let mut found = None;
