--- a/plugins/relay/src/attempt.rs
+++ b/plugins/relay/src/attempt.rs
@@ -41,7 +41,7 @@
     req: Request<Full<bytes::Bytes>>,
 ) -> SendOutcome {
     rate_limits::record_sent(node, runner);
-    let sent = direct::send(runner.address, req, CONNECT_TIMEOUT).await;
+    let sent = direct::send(node.runner_address(runner.address), req, CONNECT_TIMEOUT).await;
     node.runner_connections
         .record(Outcome::of(&sent), node.now());
     let res = match sent {
--- a/plugins/relay/src/node.rs
+++ b/plugins/relay/src/node.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -244,6 +245,13 @@
         }
     }
 
+    /// Returns the address at which this instance reaches the runner that the store lists at
+    /// `listed`.
+    pub(crate) fn runner_address(&self, listed: SocketAddr) -> SocketAddr {
+        let translated = self.settings.runner_addresses.get(&listed);
+        translated.copied().unwrap_or(listed)
+    }
+
     /// Returns a random number from 0 to 1.
     pub(crate) fn random_f64(&self) -> f64 {
         self.rng.borrow_mut().random()
--- a/plugins/relay/src/placer.rs
+++ b/plugins/relay/src/placer.rs
@@ -262,7 +262,14 @@
         return;
     };
     metrics::counter!("jacinthweir_orders_total").increment(1);
-    let answer = runner::place(m.address, m.layers, term, orders, ORDER_TIMEOUT).await;
+    let answer = runner::place(
+        node.runner_address(m.address),
+        m.layers,
+        term,
+        orders,
+        ORDER_TIMEOUT,
+    )
+    .await;
     if let Some(s) = node.runners.borrow_mut().health_mut(&m.runner) {
         s.orders = match &answer {
             Ok(Accepted::Started) => Some(orders + 1),
@@ -303,7 +310,7 @@
         return Some(orders);
     }
     metrics::counter!("jacinthweir_probes_total").increment(1);
-    let report = runner::report(m.address, ORDER_TIMEOUT).await;
+    let report = runner::report(node.runner_address(m.address), ORDER_TIMEOUT).await;
     let runner = m.runner.as_ref();
     let report = match report {
         Ok(report) => report,
--- a/plugins/relay/src/runner_probe.rs
+++ b/plugins/relay/src/runner_probe.rs
@@ -100,7 +100,7 @@
 impl ProbeTarget {
     pub(crate) fn of(node: &Node, e: &RunnerEntry) -> ProbeTarget {
         ProbeTarget {
-            address: e.address,
+            address: node.runner_address(e.address),
             sends_reports: node.holds_layers(&e.service),
         }
     }
@@ -310,7 +310,7 @@
     let runners = node.runners.borrow();
     let healthy = runners.entries().filter(|e| {
         let is_unhealthy = e.draining || runners.health(&e.id).dead;
-        !is_unhealthy && e.address != suspect.target.address
+        !is_unhealthy && e.id != suspect.id
     });
     node.with_rng(|rng| {
         healthy
--- a/plugins/relay/src/settings.rs
+++ b/plugins/relay/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of the relay: JSON with comments, validated as a whole.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::Path;
 
@@ -24,6 +25,10 @@
     pub seeds: Vec<SocketAddr>,
     /// Address of the platform's metadata store.
     pub store: SocketAddr,
+    /// Addresses at which this instance reaches runners that the store lists at others, as behind
+    /// network address translation.
+    #[serde(default)]
+    pub runner_addresses: BTreeMap<SocketAddr, SocketAddr>,
     /// Limits on incoming connections.
     #[serde(default)]
     pub limits: RelayLimits,
--- a/plugins/relay/src/stream.rs
+++ b/plugins/relay/src/stream.rs
@@ -345,7 +345,8 @@
 
     async fn reroute_along(&mut self, live: Rc<LiveChain>) -> Option<()> {
         self.in_flight.as_mut()?.move_to(Rc::clone(&live));
-        let ordered = runner::reroute(&live.chain, &self.rq.id, REROUTE_TIMEOUT).await;
+        let address = self.node.runner_address(live.chain.head().address);
+        let ordered = runner::reroute(address, &live.chain, &self.rq.id, REROUTE_TIMEOUT).await;
         let outcome = match &ordered {
             Ok(_) => "ordered".to_owned(),
             Err(e) => e.to_string(),
--- a/plugins/relay/tests/support/standin.rs
+++ b/plugins/relay/tests/support/standin.rs
@@ -2,11 +2,14 @@
 
 #[path = "standin/caller.rs"]
 mod caller;
+#[path = "standin/paths.rs"]
+mod paths;
 #[path = "standin/runner.rs"]
 mod runner;
 #[path = "standin/store.rs"]
 mod store;
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU8, Ordering};
@@ -19,6 +22,7 @@
 use tokio::time::{sleep, timeout};
 
 pub use caller::{Response, get, parse_response, send_raw, send_request};
+pub use paths::{Cut, NewConnections, OpenConnections, Paths};
 pub use runner::{BORN_MS, Behaviour, LETHAL, Runner};
 pub use store::Store;
 
@@ -103,7 +107,25 @@
 
     /// Starts another instance in the other failure domain without waiting for it.
     pub async fn start_unready_instance(&self, name: &str) -> (RelaySettings, Relay) {
+        self.start_with(name, BTreeMap::new()).await
+    }
+
+    /// Starts another instance in the other failure domain that reaches the runners over `paths`,
+    /// and waits until it is ready and known to the first one.
+    pub async fn start_instance_behind(&self, name: &str, paths: &Paths) -> (RelaySettings, Relay) {
+        let (settings, relay) = self.start_with(name, paths.addresses.clone()).await;
+        wait_for_chains(&settings, 2).await;
+        self.wait_for_dump(&format!("\"name\": \"{name}\"")).await;
+        (settings, relay)
+    }
+
+    async fn start_with(
+        &self,
+        name: &str,
+        runner_addresses: BTreeMap<SocketAddr, SocketAddr>,
+    ) -> (RelaySettings, Relay) {
         let mut settings = settings(self.settings.store);
+        settings.runner_addresses = runner_addresses;
         settings.name = name.into();
         settings.failure_domain = "b".into();
         settings.seeds = vec![self.settings.listen.peers];
@@ -273,6 +295,7 @@
         },
         seeds: Vec::new(),
         store,
+        runner_addresses: BTreeMap::new(),
         limits: RelayLimits::default(),
         processor: Processor::default(),
         bounds: Bounds {
--- a/plugins/relay/tests/support/standin/runner.rs
+++ b/plugins/relay/tests/support/standin/runner.rs
@@ -91,6 +91,8 @@
     pub serves_reports: Cell<bool>,
     /// Time that a report takes.
     pub report_delay: Cell<Duration>,
+    /// Time between two events of a stream.
+    pub event_interval: Cell<Duration>,
     pub received: RefCell<Vec<ReceivedRequest>>,
     /// Number of callers that disconnected before the end.
     pub disconnects: Cell<usize>,
@@ -123,6 +125,7 @@
             responses_paused: Cell::new(false),
             serves_reports: Cell::new(true),
             report_delay: Cell::default(),
+            event_interval: Cell::new(Duration::from_millis(10)),
             received: RefCell::default(),
             disconnects: Cell::new(0),
             reroutes: RefCell::default(),
@@ -381,7 +384,7 @@
                 self.disconnects.set(self.disconnects.get() + 1);
                 return;
             }
-            sleep(Duration::from_millis(10)).await;
+            sleep(self.event_interval.get()).await;
         }
         let _ = stream.write_all(b"0\r\n\r\n").await;
         let _ = stream.shutdown().await;
