--- a/plugins/relay/src/admission.rs
+++ b/plugins/relay/src/admission.rs
@@ -15,6 +15,7 @@
 use crate::answer::{Cause, SendRecord};
 use crate::live_chains::LiveChain;
 use crate::node::Node;
+use crate::reachability;
 use crate::request::ProxiedRequest;
 
 /// Fraction of the objective that a request may wait for room. The rest is the time-to-first-token
@@ -74,6 +75,9 @@
         {
             return Ok(live);
         }
+        if reachability::is_lost(node, &rq.service) {
+            return Err(Cause::NoPath);
+        }
         let now = node.now();
         let none = node.chains.borrow().of(&rq.service).is_empty();
         // Without a chain no release can be estimated, and one may appear shortly: an instance that
--- a/plugins/relay/src/answer.rs
+++ b/plugins/relay/src/answer.rs
@@ -126,6 +126,9 @@
     /// There is no chain or runner for the service.
     #[display("nothing serves it")]
     NoRunner,
+    /// This instance reaches no runner for the service.
+    #[display("no path to its runners")]
+    NoPath,
     /// No chain has room.
     #[display("no room")]
     NoRoom,
@@ -143,6 +146,13 @@
     Timeout,
 }
 
+/// What became of the sends of a request that no runner answered, as an extension of its answer.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SendFacts {
+    pub(crate) sends: u32,
+    pub(crate) may_have_run: bool,
+}
+
 /// Record of the sends of one request to runners.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct SendRecord {
@@ -186,6 +196,15 @@
 
     /// Returns the final answer of a request that no runner answered.
     pub(crate) fn failure(&self, cause: Cause, retry_after_ms: Millis) -> Response<RelayBody> {
+        let mut res = self.failure_response(cause, retry_after_ms);
+        res.extensions_mut().insert(SendFacts {
+            sends: self.sends,
+            may_have_run: self.may_have_run(),
+        });
+        res
+    }
+
+    fn failure_response(&self, cause: Cause, retry_after_ms: Millis) -> Response<RelayBody> {
         if self.may_have_run() {
             let status = match cause {
                 Cause::Timeout => StatusCode::GATEWAY_TIMEOUT,
--- a/plugins/relay/src/call.rs
+++ b/plugins/relay/src/call.rs
@@ -17,10 +17,12 @@
 use crate::answer::{Cause, RelayBody, SendRecord};
 use crate::attempt::{self, SendOutcome};
 use crate::failure_detector;
+use crate::forwarding::{self, Forwarded, Ran};
 use crate::interrupted_run::{self, InterruptedRun, Progress};
 use crate::node::Node;
 use crate::quarantine;
 use crate::rate_limits;
+use crate::reachability;
 use crate::request::{ProxiedRequest, count_outcome};
 
 /// Maximum answer size, in bytes: the answer is buffered in memory.
@@ -60,7 +62,6 @@
 
 /// Serves a call.
 pub(crate) async fn serve(node: &Rc<Node>, rq: ProxiedRequest) -> Response<RelayBody> {
-    node.count_request(&rq.service);
     let mut send_record = SendRecord::default();
     let mut tried: Vec<Name> = Vec::new();
     let mut last: Option<Response<RelayBody>> = None;
@@ -78,6 +79,15 @@
         if send_record.sends >= rq.max_attempts || unreached >= MAX_UNREACHED {
             break;
         }
+        if rq.origin.is_none() && reachability::is_lost(node, &rq.service) {
+            match forward(node, &rq, &mut send_record, &tried).await {
+                CallOutcome::Answered(res) => return res,
+                CallOutcome::Timeout => cause = Cause::Timeout,
+                CallOutcome::Failed(_) => cause = Cause::RunnerFailed,
+                CallOutcome::NotRun | CallOutcome::Unreached => cause = Cause::NoPath,
+            }
+            break;
+        }
         let Some(runner) = next_runner(node, &rq, &tried) else {
             break;
         };
@@ -122,6 +132,58 @@
     }
 }
 
+/// Sends a call through another instance.
+async fn forward(
+    node: &Node,
+    rq: &ProxiedRequest,
+    send_record: &mut SendRecord,
+    tried: &[Name],
+) -> CallOutcome {
+    if send_record.sends > 0 && !node.take_retry(&rq.service, send_record.retry_priority()) {
+        return CallOutcome::Failed(None);
+    }
+    let runners = node.runners.borrow();
+    let ran: Vec<Ran> = match send_record.may_have_run() {
+        true => tried
+            .iter()
+            .map(|id| (id.clone(), runners.health(id).born_ms))
+            .collect(),
+        false => Vec::new(),
+    };
+    drop(runners);
+    let may_have_run = send_record.may_have_run();
+    send_record.record_send();
+    let left = Duration::from_millis(rq.remaining_ms(node));
+    let (res, answered) = match forwarding::send(node, rq, None, &ran).await {
+        Forwarded::Answer { res, .. } => (res, true),
+        Forwarded::Refused { res, .. } => (res, false),
+        Forwarded::NotTaken => {
+            send_record.record_unreached();
+            return CallOutcome::Unreached;
+        }
+        Forwarded::Lost(_) => return CallOutcome::Failed(None),
+        Forwarded::Timeout => return CallOutcome::Timeout,
+    };
+    if !answered {
+        send_record.record_unreached();
+        if may_have_run {
+            return CallOutcome::NotRun;
+        }
+    }
+    let (parts, body) = res.into_parts();
+    match timeout(left, body.collect(MAX_ANSWER_BYTES)).await {
+        Ok(Ok(bytes)) => {
+            let mut res = Response::new(RelayBody::complete(bytes));
+            *res.status_mut() = parts.status;
+            *res.headers_mut() = forwarding::caller_headers(&parts.headers);
+            count_outcome("forwarded");
+            CallOutcome::Answered(res)
+        }
+        Ok(Err(_)) => CallOutcome::Failed(None),
+        Err(_) => CallOutcome::Timeout,
+    }
+}
+
 fn next_runner(node: &Node, rq: &ProxiedRequest, tried: &[Name]) -> Option<RunnerEntry> {
     let now = node.now();
     let runners = node.runners.borrow();
@@ -208,7 +270,7 @@
         SendOutcome::Unreached(e) => {
             log_attempt(rq, runner, "not reached", &e.to_string());
             avoid_for(node, runner, UNREACHED_AVOID_MS);
-            failure_detector::connection_failed(node, runner, &e);
+            failure_detector::connection_failed(node, runner);
             CallOutcome::Unreached
         }
         SendOutcome::Lost(cause) => {
--- a/plugins/relay/src/chain_attempts.rs
+++ b/plugins/relay/src/chain_attempts.rs
@@ -14,8 +14,9 @@
 use crate::answer::SendRecord;
 use crate::attempt::{self, SendOutcome};
 use crate::failure_detector;
+use crate::forwarding::{self, Forwarded};
 use crate::interrupted_run::{self, InterruptedRun, Progress};
-use crate::live_chains::{InFlight, LiveChain};
+use crate::live_chains::{InFlight, Interruption, LiveChain};
 use crate::node::Node;
 use crate::quarantine::lifetimes;
 use crate::request::ProxiedRequest;
@@ -46,6 +47,32 @@
 }
 
 impl ChainAttempts {
+    /// Returns the record of a request that has not been sent by this instance.
+    pub(crate) fn of(rq: &ProxiedRequest) -> ChainAttempts {
+        let ran = rq.origin.as_ref().map_or_else(Vec::new, |o| o.ran.clone());
+        ChainAttempts {
+            attempts: Attempts::resumed(ran),
+            ..ChainAttempts::default()
+        }
+    }
+
+    /// Sends the request through another instance and records the outcome.
+    pub(crate) async fn forward(
+        &mut self,
+        node: &Node,
+        rq: &ProxiedRequest,
+        last_event: Option<u64>,
+    ) -> Forwarded {
+        self.send_record.record_send();
+        let sent = forwarding::send(node, rq, last_event, self.attempts.ran()).await;
+        match &sent {
+            Forwarded::Answer { runner, .. } => self.attempts.record_forwarded(runner.clone()),
+            Forwarded::Lost(_) | Forwarded::Timeout => self.attempts.record_forwarded(None),
+            Forwarded::Refused { .. } | Forwarded::NotTaken => self.send_record.record_unreached(),
+        }
+        sent
+    }
+
     /// Returns whether the request may be sent through a chain.
     pub(crate) fn may_take(&self, node: &Node, rq: &ProxiedRequest, live: &LiveChain) -> bool {
         let is_excluded = self
@@ -118,10 +145,15 @@
     let left = Duration::from_millis(rq.remaining_ms(node));
     let sent = tokio::select! {
         sent = timeout(left, attempt::send(node, head, &rq.id, req)) => sent,
-        () = live.broken.cancelled() => {
-            log_attempt(rq, live, "chain broke", "");
-            record_interruption(node, rq, &in_flight, "chain broke");
-            return AttemptOutcome::Broken;
+        interruption = in_flight.interrupted() => {
+            log_attempt(rq, live, &interruption.to_string(), "");
+            return match interruption {
+                Interruption::ChainBroke => {
+                    record_interruption(node, rq, &in_flight, "chain broke");
+                    AttemptOutcome::Broken
+                }
+                Interruption::PathLost => AttemptOutcome::Lost,
+            };
         }
     };
     match sent {
@@ -141,7 +173,7 @@
         }
         Ok(SendOutcome::Unreached(e)) => {
             log_attempt(rq, live, "not reached", &e.to_string());
-            failure_detector::connection_failed(node, head, &e);
+            failure_detector::connection_failed(node, head);
             AttemptOutcome::Unreached
         }
         Ok(SendOutcome::Lost(cause)) => {
--- a/plugins/relay/src/dump.rs
+++ b/plugins/relay/src/dump.rs
@@ -61,6 +61,7 @@
         layers: entry.layers,
         draining: entry.draining,
         dead: health.dead,
+        unreachable: runners.is_unreachable(&entry.id),
         born_ms: entry.born_ms,
         orders: health.orders,
         pace: health.pace(),
--- a/plugins/relay/src/duties.rs
+++ b/plugins/relay/src/duties.rs
@@ -11,6 +11,7 @@
 use jacinthweir_policy::relay::store_watch::{ConfirmScope, Watchers};
 
 use crate::node::{MAX_BEATS, Node, ROUND_MS};
+use crate::reachability;
 
 /// Time after the last new member within which a starting instance of a large fleet takes over no task
 /// for others, and the maximum time after its start, in milliseconds. Stronger instances may still become
@@ -23,7 +24,8 @@
 /// the lease in the store decides.
 pub(crate) fn bid(node: &Node) -> Bid {
     let now = node.now();
-    if node.draining.get() || !node.reaches_store.get() {
+    let gives_orders = node.reaches_store.get() && !reachability::is_cut_off(node);
+    if node.draining.get() || !gives_orders {
         return Bid::Abstain;
     }
     if is_discovering(node) {
--- a/plugins/relay/src/failure_detector.rs
+++ b/plugins/relay/src/failure_detector.rs
@@ -7,18 +7,18 @@
 
 use futures::future::join_all;
 use futures::stream::{FuturesUnordered, StreamExt};
-use jacinthweir_clients::direct::DirectError;
 use jacinthweir_platform::runner::Report;
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::failure_reports::{self, Advice, FailureReport};
 use jacinthweir_policy::relay::runners::{PROBE_INTERVAL_MS, RunnerEntry};
 use jacinthweir_policy::relay::silence::ProbeRound;
 use jacinthweir_policy::relay::store_watch;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::duties;
 use crate::live_chains::LiveChain;
 use crate::node::Node;
+use crate::reachability;
 use crate::runner_probe::{self, MAX_PROBES, ProbeResult, ProbeTarget, Suspect};
 
 /// Minimum time between two checks for silent chains, in milliseconds. If checks ran every few
@@ -125,8 +125,7 @@
         match found {
             ProbeResult::Report(report) => process_report(&node, id, *born_ms, &report),
             ProbeResult::Listening => record_answer(&node, id, *born_ms),
-            ProbeResult::Refused => report_dead(&node, id, *born_ms, REFUSED_EVIDENCE),
-            ProbeResult::NoReport(_) | ProbeResult::Silent(_) => {
+            ProbeResult::Refused | ProbeResult::NoReport(_) | ProbeResult::Silent(_) => {
                 unanswered += 1;
                 silent_runners.push(runner);
             }
@@ -136,6 +135,10 @@
             suspects.for_each(|s| examine(&node, s, 1));
         }
     }
+    if round.is_unanswered() {
+        // This instance reaches the chain only through the first runner.
+        silent_runners.retain(|r| r.id == live.chain.head().id);
+    }
     silent_runners
         .into_iter()
         .for_each(|r| examine(&node, Suspect::of(&node, r), 0));
@@ -163,15 +166,11 @@
     );
 }
 
-/// Handles a failed connection to a runner. If there was no response at all, the runner is examined
-/// with witnesses; any other error shows that nothing listens there, and the runner is reported
-/// dead.
-pub(crate) fn connection_failed(node: &Rc<Node>, runner: &RunnerEntry, error: &DirectError) {
-    if error.is_unanswered() {
-        examine(node, Suspect::of(node, runner), 0);
-    } else {
-        report_dead(node, &runner.id, runner.born_ms, &error.to_string());
-    }
+/// Handles a failed connection to a runner: it gets no requests of this instance until it is known
+/// what is at fault.
+pub(crate) fn connection_failed(node: &Rc<Node>, runner: &RunnerEntry) {
+    reachability::mark_unreachable(node, &runner.id, runner.born_ms);
+    examine(node, Suspect::of(node, runner), 0);
 }
 
 /// Handles a broken connection to a runner, if a probe of it is due. A single probe shows at once
@@ -187,8 +186,9 @@
         match runner_probe::probe(&node, suspect.target, 1).await {
             ProbeResult::Report(report) => process_report(&node, id, *born_ms, &report),
             ProbeResult::Listening => record_answer(&node, id, *born_ms),
-            ProbeResult::Refused => report_dead(&node, id, *born_ms, REFUSED_EVIDENCE),
-            ProbeResult::NoReport(_) | ProbeResult::Silent(_) => examine(&node, suspect, 0),
+            ProbeResult::Refused | ProbeResult::NoReport(_) | ProbeResult::Silent(_) => {
+                examine(&node, suspect, 0);
+            }
         }
     });
 }
@@ -207,8 +207,9 @@
     });
 }
 
-/// Records that a runner answered, which refutes the failure reports on it.
+/// Records that a runner answered: its path works, and the failure reports on it are refuted.
 pub(crate) fn record_answer(node: &Node, id: &Name, born_ms: u64) {
+    reachability::mark_reached(node, id);
     node.failure_reports
         .borrow_mut()
         .refute(id, born_ms, node.now());
@@ -232,9 +233,6 @@
     }
 }
 
-/// Evidence that nothing listens at a runner's address.
-pub(crate) const REFUSED_EVIDENCE: &str = "connection refused";
-
 /// Declares a lifetime of a runner dead and notifies the other instances at once.
 pub(crate) fn report_dead(node: &Node, id: &Name, born_ms: u64, evidence: &str) {
     if mark_dead_and_report(node, id, born_ms, evidence) {
@@ -456,8 +454,9 @@
 /// example after a partition, are marked as recovered; for slow ones the current pace is recorded.
 async fn recovery_loop(node: &Rc<Node>) {
     loop {
-        sleep(RECOVERY_INTERVAL).await;
+        let _ = timeout(RECOVERY_INTERVAL, node.recovery_due.notified()).await;
         apply_failure_reports(node);
+        reachability::probe_paths(node).await;
         let suspects = due_recovery_probes(node);
         let found = join_all(
             suspects
--- /dev/null
+++ b/plugins/relay/src/forwarding.rs
@@ -0,0 +1,326 @@
+//! Requests that an instance sends through another one, because it reaches no runner for them itself.
+//!
+//! The other instance serves the request as if its caller had sent it there: it authorises, routes
+//! and admits it by its own state, and its answer is streamed back. A request is forwarded once at
+//! most. The answer's head says whether the request was sent to a runner, since only the instance
+//! that forwards it knows what became of earlier attempts.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use jacinthweir_clients::direct::{self, ResponseBody};
+use jacinthweir_platform::header;
+use jacinthweir_policy::prelude::*;
+use serde::{Deserialize, Serialize};
+use tokio::time::timeout;
+
+use crate::answer::{RelayBody, SendFacts, plain};
+use crate::attempt::CONNECT_TIMEOUT;
+use crate::node::Node;
+use crate::reachability::{self, PeerAddress};
+use crate::request::{self, ProxiedRequest};
+
+/// Path to which instances forward requests.
+pub(crate) const PATH: &str = "/peer/request";
+
+/// Bytes of a forwarded request beyond its body.
+const MAX_HEAD_BYTES: usize = 128 << 10;
+
+/// Instances that a request is offered to. Some may be cut off as well.
+const MAX_PEERS: usize = 3;
+
+/// What became of a forwarded request, in the head of the answer.
+const OUTCOME: HeaderName = HeaderName::from_static("jacinthweir-forwarded");
+
+/// First runner of a forwarded stream: its identity and the start of its lifetime.
+const RUNNER: HeaderName = HeaderName::from_static("jacinthweir-forwarded-runner");
+
+/// A runner that may have run a request: identity and lifetime.
+pub(crate) type Ran = (Name, u64);
+
+/// A request as sent to another instance.
+#[derive(Serialize, Deserialize)]
+pub(crate) struct ForwardedRequest {
+    from: Name,
+    /// Version of the configuration by which it was admitted.
+    version: u64,
+    method: String,
+    uri: String,
+    headers: Vec<(String, Bytes)>,
+    body: Bytes,
+    /// Time until the deadline, in milliseconds.
+    remaining_ms: Millis,
+    /// Time since it was received, in milliseconds.
+    waited_ms: Millis,
+    /// Runners that may have run it.
+    ran: Vec<Ran>,
+}
+
+/// What became of a forwarded request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Outcome {
+    /// A runner answered it, or it was denied.
+    Answered,
+    /// It was not sent to any runner.
+    NotSent,
+    /// It was sent, and has certainly not run.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+impl Outcome {
+    const ALL: [Outcome; 4] = [
+        Outcome::Answered,
+        Outcome::NotSent,
+        Outcome::NotRun,
+        Outcome::Unknown,
+    ];
+
+    fn text(self) -> &'static str {
+        match self {
+            Outcome::Answered => "answered",
+            Outcome::NotSent => "not-sent",
+            Outcome::NotRun => "not-run",
+            Outcome::Unknown => "unknown",
+        }
+    }
+
+    fn parse(text: &str) -> Option<Outcome> {
+        Outcome::ALL.into_iter().find(|o| o.text() == text)
+    }
+
+    /// Returns the outcome of a request that ended with `res`.
+    fn of(res: &Response<RelayBody>) -> Outcome {
+        match res.extensions().get::<SendFacts>() {
+            None => Outcome::Answered,
+            Some(facts) if facts.may_have_run => Outcome::Unknown,
+            Some(facts) if facts.sends > 0 => Outcome::NotRun,
+            Some(_) => Outcome::NotSent,
+        }
+    }
+}
+
+/// What another instance did with a request.
+pub(crate) enum Forwarded {
+    /// It was answered.
+    Answer {
+        peer: Name,
+        res: Response<ResponseBody>,
+        /// First runner of a stream.
+        runner: Option<Ran>,
+    },
+    /// It has certainly not run; `res` is the other instance's refusal.
+    Refused {
+        peer: Name,
+        res: Response<ResponseBody>,
+    },
+    /// No other instance took it.
+    NotTaken,
+    /// It may have run.
+    Lost(String),
+    /// The deadline has passed.
+    Timeout,
+}
+
+/// Sends a request to another instance that may reach runners for it.
+pub(crate) async fn send(
+    node: &Node,
+    rq: &ProxiedRequest,
+    last_event: Option<u64>,
+    ran: &[Ran],
+) -> Forwarded {
+    let message = ForwardedRequest::of(node, rq, last_event, ran);
+    let body = match rmp_serde::to_vec(&message) {
+        Ok(body) => Bytes::from(body),
+        Err(e) => {
+            log::error!(request = rq.id.as_ref(), cause:% = e; "cannot encode a request");
+            return Forwarded::NotTaken;
+        }
+    };
+    let mut refusal = Forwarded::NotTaken;
+    for peer in reachability::peers_with_paths(node, MAX_PEERS) {
+        let left = Duration::from_millis(rq.remaining_ms(node));
+        let sent = timeout(left, offer(&peer, body.clone())).await;
+        let forwarded = sent.unwrap_or(Forwarded::Timeout);
+        log_forwarded(node, rq, &peer, &forwarded);
+        match forwarded {
+            Forwarded::NotTaken => {}
+            Forwarded::Refused { ref res, .. } if is_not_sent(res) => refusal = forwarded,
+            settled => return settled,
+        }
+    }
+    refusal
+}
+
+fn is_not_sent(res: &Response<ResponseBody>) -> bool {
+    outcome(res.headers()) == Some(Outcome::NotSent)
+}
+
+fn outcome(headers: &HeaderMap) -> Option<Outcome> {
+    header::text(headers, &OUTCOME).and_then(Outcome::parse)
+}
+
+/// Offers a request to one instance.
+async fn offer(peer: &PeerAddress, body: Bytes) -> Forwarded {
+    let mut req = Request::new(Full::new(body));
+    *req.method_mut() = Method::POST;
+    *req.uri_mut() = http::Uri::from_static(PATH);
+    if let Some(host) = header::value(&peer.peers.to_string()) {
+        req.headers_mut().insert(http::header::HOST, host);
+    }
+    let res = match direct::send(peer.peers, req, CONNECT_TIMEOUT).await {
+        Ok(res) => res,
+        Err(e) if e.is_unsent() => return Forwarded::NotTaken,
+        Err(e) => return Forwarded::Lost(e.to_string()),
+    };
+    match outcome(res.headers()) {
+        Some(Outcome::Answered) => {
+            let runner = header::text(res.headers(), &RUNNER).and_then(parse_runner);
+            Forwarded::Answer {
+                peer: peer.name.clone(),
+                res,
+                runner,
+            }
+        }
+        Some(Outcome::NotSent | Outcome::NotRun) => Forwarded::Refused {
+            peer: peer.name.clone(),
+            res,
+        },
+        Some(Outcome::Unknown) => Forwarded::Lost("another instance got no answer".to_owned()),
+        None => Forwarded::NotTaken,
+    }
+}
+
+fn log_forwarded(node: &Node, rq: &ProxiedRequest, peer: &PeerAddress, forwarded: &Forwarded) {
+    let (outcome, cause) = match forwarded {
+        Forwarded::Answer { .. } => ("answered", ""),
+        Forwarded::Refused { .. } => ("refused", ""),
+        Forwarded::NotTaken => ("not taken", ""),
+        Forwarded::Lost(cause) => ("lost", cause.as_str()),
+        Forwarded::Timeout => ("timeout", ""),
+    };
+    log::info!(
+        request = rq.id.as_ref(),
+        peer = peer.name.as_ref(),
+        outcome,
+        cause,
+        after_ms = node.now() - rq.received_ms;
+        "forwarded to another instance"
+    );
+    metrics::counter!("jacinthweir_forwarded_total", "outcome" => outcome).increment(1);
+}
+
+impl ForwardedRequest {
+    fn of(
+        node: &Node,
+        rq: &ProxiedRequest,
+        last_event: Option<u64>,
+        ran: &[Ran],
+    ) -> ForwardedRequest {
+        let req = rq.caller_request(last_event);
+        let headers = req.headers().iter();
+        let headers = headers.map(|(name, value)| {
+            (
+                name.as_str().to_owned(),
+                Bytes::copy_from_slice(value.as_bytes()),
+            )
+        });
+        ForwardedRequest {
+            from: node.settings.name.clone(),
+            version: rq.version(),
+            method: req.method().to_string(),
+            uri: req.uri().to_string(),
+            headers: headers.collect(),
+            remaining_ms: rq.remaining_ms(node),
+            waited_ms: node.now() - rq.received_ms,
+            ran: ran.to_vec(),
+            body: req.into_body(),
+        }
+    }
+
+    /// Returns the request as its caller sent it, with the remaining time as its deadline.
+    fn decode(&self) -> Result<Request<Full<Bytes>>, http::Error> {
+        let mut req = Request::builder()
+            .method(self.method.as_str())
+            .uri(self.uri.as_str());
+        for (name, value) in &self.headers {
+            req = req.header(name.as_str(), HeaderValue::from_bytes(value)?);
+        }
+        let mut req = req.body(Full::new(self.body.clone()))?;
+        req.headers_mut()
+            .insert(header::DEADLINE_MS, self.remaining_ms.into());
+        Ok(req)
+    }
+}
+
+/// Serves a request that another instance forwarded.
+pub(crate) async fn serve(node: &Rc<Node>, req: Request<Incoming>) -> Response<RelayBody> {
+    let max_body = node.intent().map_or(0, |i| i.limits.body_bytes);
+    let body = Limited::new(req.into_body(), max_body + MAX_HEAD_BYTES)
+        .collect()
+        .await;
+    let message = body
+        .ok()
+        .and_then(|b| rmp_serde::from_slice::<ForwardedRequest>(&b.to_bytes()).ok());
+    let Some(message) = message else {
+        return plain(StatusCode::BAD_REQUEST, "message not understood");
+    };
+    let Ok(req) = message.decode() else {
+        return plain(StatusCode::BAD_REQUEST, "request not understood");
+    };
+    // By an older configuration it could be denied although the newer one allows it.
+    if node.intent().is_none_or(|i| i.version < message.version) {
+        return plain(StatusCode::CONFLICT, "the configuration here is older");
+    }
+    log::debug!(peer = message.from.as_ref(); "serving a request of another instance");
+    let origin = ForwardOrigin {
+        waited_ms: message.waited_ms,
+        ran: message.ran,
+    };
+    let mut res = request::serve_forwarded(node, req, origin).await;
+    let outcome = HeaderValue::from_static(Outcome::of(&res).text());
+    let runner = res
+        .extensions()
+        .get::<FirstRunner>()
+        .and_then(encode_runner);
+    res.headers_mut().insert(OUTCOME, outcome);
+    if let Some(runner) = runner {
+        res.headers_mut().insert(RUNNER, runner);
+    }
+    res
+}
+
+/// What a forwarded request went through at the instance that sent it.
+#[derive(Debug)]
+pub(crate) struct ForwardOrigin {
+    pub(crate) waited_ms: Millis,
+    /// Runners that may have run it.
+    pub(crate) ran: Vec<Ran>,
+}
+
+/// First runner of a stream, as an extension of its answer.
+#[derive(Clone, Debug)]
+pub(crate) struct FirstRunner(pub(crate) Ran);
+
+fn encode_runner(first: &FirstRunner) -> Option<HeaderValue> {
+    let FirstRunner((id, born_ms)) = first;
+    header::value(&format!("{born_ms} {id}"))
+}
+
+fn parse_runner(text: &str) -> Option<Ran> {
+    let (born_ms, id) = text.split_once(' ')?;
+    Some((id.into(), born_ms.parse().ok()?))
+}
+
+/// Returns the headers of an answer as they are passed on to the caller.
+pub(crate) fn caller_headers(headers: &HeaderMap) -> HeaderMap {
+    let mut headers = header::forwarded(headers);
+    headers.remove(OUTCOME);
+    headers.remove(RUNNER);
+    headers
+}
--- a/plugins/relay/src/lib.rs
+++ b/plugins/relay/src/lib.rs
@@ -26,9 +26,11 @@
 //! | `call` | requests with a single response |
 //! | `admission`, `chain_attempts`, `stream`, `events` | event streams: admission, attempts, response, events |
 //! | `rate_limits` | rate limits that runners announce |
+//! | `forwarding` | requests sent through another instance, for want of a path to the runners |
 //! | `answer` | final responses, and what they may contain |
 //! | `shutdown` | drain and shutdown |
 //! | `dump` | state dump for operators |
+//! | `reachability` | which runners and services this instance reaches itself |
 //! | `runner_connections` | outcomes of connections to runners |
 //! | `runner_probe` | probes of a single runner, and confirmation of its silence |
 //!
@@ -45,6 +47,7 @@
 mod duties;
 mod events;
 mod failure_detector;
+mod forwarding;
 pub mod gossip;
 mod interrupted_run;
 mod live_chains;
@@ -54,6 +57,7 @@
 mod placer;
 mod quarantine;
 mod rate_limits;
+mod reachability;
 mod request;
 mod runner_changes;
 mod runner_connections;
--- a/plugins/relay/src/live_chains.rs
+++ b/plugins/relay/src/live_chains.rs
@@ -36,6 +36,9 @@
     /// Cancelled when a runner of the chain is known to be dead, so that requests in flight move to
     /// another chain.
     pub(crate) broken: CancellationToken,
+    /// Cancelled when the path to the first runner is lost under the requests in flight, and then
+    /// replaced.
+    path_lost: RefCell<CancellationToken>,
     /// Tokens of this instance's requests that the chain has to prefill before their next event.
     prefill: Cell<f64>,
     /// Tokens in flight from this instance through the chain's first runner. Successive chains
@@ -210,6 +213,7 @@
             engine: engine.clone(),
             step_ms: Cell::new(chain.step_ms),
             broken: CancellationToken::new(),
+            path_lost: RefCell::default(),
             prefill: Cell::new(0.0),
             used: Rc::clone(self.used.entry(key).or_default()),
             chain,
@@ -271,6 +275,11 @@
         self.prefill.get()
     }
 
+    /// Interrupts the requests in flight, whose connections bring nothing any more.
+    pub(crate) fn interrupt_requests(&self) {
+        self.path_lost.take().cancel();
+    }
+
     /// Returns the description in logs: name, room and step time.
     fn summary(&self) -> String {
         let (room, step_ms) = (self.chain.room_tokens, self.step_ms.get());
@@ -320,12 +329,13 @@
         self.room_freed.notify_waiters();
     }
 
-    /// Whether a chain's first runner is in the same lifetime and not known to be dead.
-    pub(crate) fn is_head_alive(&self, live: &LiveChain) -> bool {
+    /// Whether a chain's first runner is in the same lifetime, not known to be dead, and reachable.
+    pub(crate) fn is_head_usable(&self, live: &LiveChain) -> bool {
         let (id, born_ms) = live.head();
         let runners = self.runners.borrow();
         let entry = runners.entry(id);
-        entry.is_some_and(|e| e.born_ms == born_ms) && !runners.health(id).dead
+        let is_alive = entry.is_some_and(|e| e.born_ms == born_ms) && !runners.health(id).dead;
+        is_alive && !runners.is_unreachable(id)
     }
 
     /// Returns the chain that replaced a broken one behind the same first runner.
@@ -349,6 +359,7 @@
         let now = self.now();
         let chains = self.chains.borrow();
         let live = chains.of(service);
+        let runners = self.runners.borrow();
         let loads = self.loads.borrow();
         let elsewhere = loads.used_tokens_by_head(service);
         let elsewhere = |head: &Name| elsewhere.get(head).copied().unwrap_or(0.0);
@@ -361,7 +372,8 @@
         let mut candidates = Vec::with_capacity(live.len());
         for (i, l) in live.iter().enumerate() {
             let is_limited = !rate_limits::allows(self, l.chain.head());
-            if is_limited || l.broken.is_cancelled() || !may_take(l) {
+            let is_avoided = is_limited || runners.is_unreachable(l.head().0);
+            if is_avoided || l.broken.is_cancelled() || !may_take(l) {
                 continue;
             }
             let domain = l.chain.domain.as_ref();
@@ -406,6 +418,59 @@
     metrics::gauge!("jacinthweir_chains_whole").set(total as f64);
 }
 
+/// A run whose answer is passed on.
+pub(crate) enum Run {
+    /// On a chain that this instance sent the request to.
+    Chain(InFlight),
+    /// Through another instance.
+    Peer(Name),
+}
+
+impl Run {
+    /// Returns the run on a chain.
+    pub(crate) fn on_chain(&self) -> Option<&InFlight> {
+        match self {
+            Run::Chain(in_flight) => Some(in_flight),
+            Run::Peer(_) => None,
+        }
+    }
+
+    pub(crate) fn on_chain_mut(&mut self) -> Option<&mut InFlight> {
+        match self {
+            Run::Chain(in_flight) => Some(in_flight),
+            Run::Peer(_) => None,
+        }
+    }
+
+    /// Returns the name in logs: of the chain, or of the other instance.
+    pub(crate) fn label(&self) -> String {
+        match self {
+            Run::Chain(in_flight) => in_flight.live.label(),
+            Run::Peer(name) => format!("through {name}"),
+        }
+    }
+
+    /// Waits until the run is interrupted by what this instance knows of it. The end of a run through
+    /// another instance shows in its answer.
+    pub(crate) async fn interrupted(&self) -> Interruption {
+        match self {
+            Run::Chain(in_flight) => in_flight.interrupted().await,
+            Run::Peer(_) => std::future::pending().await,
+        }
+    }
+}
+
+/// Why a request in flight cannot go on as it is.
+#[derive(Clone, Copy, Debug, derive_more::Display, PartialEq, Eq)]
+pub(crate) enum Interruption {
+    /// A runner of its chain is dead.
+    #[display("chain broke")]
+    ChainBroke,
+    /// This instance does not reach the first runner any more.
+    #[display("path lost")]
+    PathLost,
+}
+
 /// A request in flight on a chain. Its tokens and its silence are accounted to the chain until it
 /// is dropped.
 pub(crate) struct InFlight {
@@ -413,6 +478,7 @@
     pub(crate) live: Rc<LiveChain>,
     /// When the request was sent, in milliseconds.
     pub(crate) sent_ms: Millis,
+    path_lost: CancellationToken,
     tokens: f64,
     /// Tokens to prefill before the next event.
     prefill: Cell<f64>,
@@ -430,9 +496,11 @@
         {
             node.check_silence.notify_one();
         }
+        let path_lost = live.path_lost.borrow().clone();
         InFlight {
             node: Rc::clone(node),
             live,
+            path_lost,
             sent_ms: node.now(),
             tokens,
             prefill: Cell::new(tokens),
@@ -456,6 +524,14 @@
         self.sent_ms = sent_ms;
     }
 
+    /// Waits until the request is interrupted.
+    pub(crate) async fn interrupted(&self) -> Interruption {
+        tokio::select! {
+            () = self.live.broken.cancelled() => Interruption::ChainBroke,
+            () = self.path_lost.cancelled() => Interruption::PathLost,
+        }
+    }
+
     /// Records that bytes of the answer arrived.
     pub(crate) fn record_bytes(&self) {
         self.prefill_done();
--- a/plugins/relay/src/messages.rs
+++ b/plugins/relay/src/messages.rs
@@ -10,6 +10,7 @@
 use jacinthweir_policy::membership::{MemberDelta, MemberDigest, MemberRecord};
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::loads::{LoadDigest, LoadUpdate};
+use jacinthweir_policy::relay::reachability::PeerFinding;
 use serde::{Deserialize, Serialize};
 
 use crate::configuration::RelayedConfiguration;
@@ -54,6 +55,11 @@
     Probe {
         address: SocketAddr,
     },
+    /// Asks the receiver to probe a lifetime of a runner.
+    ProbeRunner {
+        runner: Name,
+        born_ms: u64,
+    },
     /// Asks for the receiver's own member record.
     Own,
     /// Asks for all runners that the receiver knows.
@@ -73,6 +79,8 @@
     Done,
     Record(MemberRecord),
     NotReached,
+    /// What the sender found of a runner.
+    Found(PeerFinding),
     Runners(Box<RunnersCopy>),
     /// The sender has what was asked for, and does not send it now.
     Busy,
--- a/plugins/relay/src/node.rs
+++ b/plugins/relay/src/node.rs
@@ -97,6 +97,10 @@
     /// Failure reports of all instances about runners.
     pub(crate) failure_reports: RefCell<FailureReports>,
     pub(crate) runner_connections: RunnerConnections,
+    /// When the paths to all runners that get requests were last checked, in milliseconds.
+    pub(crate) paths_checked_ms: Cell<Millis>,
+    /// Notified when dead and unreachable runners have to be probed at once.
+    pub(crate) recovery_due: Notify,
     /// Rate limits that runners announced.
     pub(crate) rate_limits: RefCell<RunnerRateLimits>,
     /// Requests that crashed runners.
@@ -188,6 +192,8 @@
             runners_progress: Cell::default(),
             failure_reports: RefCell::default(),
             runner_connections: RunnerConnections::default(),
+            paths_checked_ms: Cell::default(),
+            recovery_due: Notify::new(),
             rate_limits: RefCell::default(),
             quarantine: RefCell::default(),
             expired_quarantines: RefCell::default(),
--- a/plugins/relay/src/peers.rs
+++ b/plugins/relay/src/peers.rs
@@ -26,7 +26,7 @@
 use crate::node::{Node, ROUND_MS};
 use crate::runner_changes;
 use crate::start::{self, CopyOutcome};
-use crate::{failure_detector, quarantine, rate_limits};
+use crate::{failure_detector, quarantine, rate_limits, reachability};
 
 /// Timeout of the probe that an instance makes on behalf of a peer. It must be well below
 /// [`PEER_TIMEOUT`], for which that peer waits. Otherwise the peer never learns that the suspect
@@ -304,6 +304,9 @@
             configuration::receive(node, relayed);
             Reply::Done
         }
+        Message::ProbeRunner { runner, born_ms } => {
+            Reply::Found(reachability::probe_for_peer(node, &runner, born_ms).await)
+        }
         Message::Own => Reply::Record(node.membership.borrow().own().clone()),
         Message::Runners => match start::copy_runners(node) {
             CopyOutcome::Copy(copy) => Reply::Runners(copy),
@@ -352,7 +355,7 @@
     Load {
         written_ms: node.incarnation + node.now(),
         hears_store: node.reaches_store.get(),
-        serves: node.is_ready(),
+        serves: node.is_ready() && !reachability::is_cut_off(node),
         used: used.collect(),
         spent: spent
             .map(|(service, counts)| ServiceCounts { service, counts })
--- a/plugins/relay/src/request.rs
+++ b/plugins/relay/src/request.rs
@@ -6,7 +6,8 @@
 
 use bytes::Bytes;
 use http::request::Parts;
-use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
+use http_body::Body;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use jacinthweir_platform::header;
@@ -16,6 +17,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::answer::{ActiveRequest, Cause, RelayBody, SendRecord, plain};
+use crate::forwarding::ForwardOrigin;
 use crate::node::Node;
 use crate::{call, stream};
 
@@ -52,6 +54,10 @@
     pub(crate) priority: u32,
     pub(crate) tokens: Option<(u32, u32)>,
     pub(crate) last_event: Option<u64>,
+    /// Set if another instance forwarded the request.
+    pub(crate) origin: Option<ForwardOrigin>,
+    /// The caller's API key, with which another instance authorises the request.
+    key: Option<HeaderValue>,
     organisation: Option<Name>,
     host: Name,
     fingerprint: OnceCell<Fingerprint>,
@@ -114,6 +120,22 @@
         res
     }
 
+    /// Returns the request as its caller sent it, but for the event after which it goes on.
+    pub(crate) fn caller_request(&self, last_event: Option<u64>) -> Request<Bytes> {
+        let mut req = Request::new(self.body.clone());
+        *req.method_mut() = self.method.clone();
+        *req.uri_mut() = self.uri.clone();
+        let headers = req.headers_mut();
+        *headers = self.headers.clone();
+        if let Some(key) = &self.key {
+            headers.insert(header::KEY, key.clone());
+        }
+        if let Some(last) = last_event {
+            headers.insert(header::LAST_EVENT_ID, last.into());
+        }
+        req
+    }
+
     /// Returns the request as sent to `runner`, with the remaining time as its deadline.
     pub(crate) fn runner_request(&self, node: &Node, runner: &str) -> Request<Full<Bytes>> {
         let mut req = Request::new(Full::new(self.body.clone()));
@@ -136,8 +158,7 @@
     let active = ActiveRequest::open(node);
     let (parts, body) = req.into_parts();
     let mut res = match admit(node, parts, body, received_ms).await {
-        Ok(rq) if rq.engine().is_some() => stream::serve(node, rq).await,
-        Ok(rq) => call::serve(node, rq).await,
+        Ok(rq) => dispatch(node, rq).await,
         Err(res) => res,
     };
     if node.draining.get() {
@@ -148,12 +169,47 @@
     res
 }
 
-async fn admit(
+/// Serves a request that another instance received from a caller.
+pub(crate) async fn serve_forwarded(
+    node: &Rc<Node>,
+    req: Request<Full<Bytes>>,
+    origin: ForwardOrigin,
+) -> Response<RelayBody> {
+    let active = ActiveRequest::open(node);
+    let now = node.now();
+    let (parts, body) = req.into_parts();
+    let mut res = match admit(node, parts, body, now).await {
+        Ok(mut rq) => {
+            rq.received_ms = now.saturating_sub(origin.waited_ms);
+            rq.origin = Some(origin);
+            dispatch(node, rq).await
+        }
+        Err(res) => res,
+    };
+    res.body_mut().attach(active);
+    res
+}
+
+async fn dispatch(node: &Rc<Node>, rq: ProxiedRequest) -> Response<RelayBody> {
+    // The instance that forwards a request counts it.
+    if rq.origin.is_none() {
+        node.count_request(&rq.service);
+    }
+    match rq.engine() {
+        Some(_) => stream::serve(node, rq).await,
+        None => call::serve(node, rq).await,
+    }
+}
+
+async fn admit<B>(
     node: &Rc<Node>,
     parts: Parts,
-    body: Incoming,
+    body: B,
     received_ms: Millis,
-) -> Result<ProxiedRequest, Response<RelayBody>> {
+) -> Result<ProxiedRequest, Response<RelayBody>>
+where
+    B: Body<Data = Bytes, Error: Into<Box<dyn std::error::Error + Send + Sync>>>,
+{
     let id = header::text(&parts.headers, &header::REQUEST_ID).unwrap_or("-");
     let id = Name::from(id);
     wait_for_configuration(node).await;
@@ -208,6 +264,8 @@
         priority,
         tokens: header::tokens(&parts.headers),
         last_event: header::number(&parts.headers, &header::LAST_EVENT_ID),
+        origin: None,
+        key: parts.headers.get(header::KEY).cloned(),
         organisation: org.map(|o| o.name),
         host,
         fingerprint: OnceCell::new(),
@@ -252,12 +310,15 @@
     path.parse().unwrap_or_default()
 }
 
-async fn read_body(
+async fn read_body<B>(
     intent: &Intent,
     parts: &Parts,
-    body: Incoming,
+    body: B,
     id: &Name,
-) -> Result<Bytes, Response<RelayBody>> {
+) -> Result<Bytes, Response<RelayBody>>
+where
+    B: Body<Data = Bytes, Error: Into<Box<dyn std::error::Error + Send + Sync>>>,
+{
     let limits = &intent.limits;
     let declared = header::number(&parts.headers, &http::header::CONTENT_LENGTH);
     if declared.is_some_and(|n| n > limits.body_bytes as u64) {
--- a/plugins/relay/src/runner_probe.rs
+++ b/plugins/relay/src/runner_probe.rs
@@ -4,7 +4,8 @@
 //! repeatedly does not answer is dead or cut off, not busy. But the cause may also be the link of
 //! this instance, for example if other traffic fills it. Silence alone is therefore no proof.
 //! Healthy runners are probed at the same time as [witnesses](ProbeRound), and a runner is declared
-//! dead only if it stays silent for far longer than they take to answer.
+//! dead only if it stays silent for far longer than they take to answer, or refuses connections
+//! while they answer, and if no other instance reaches it.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -16,6 +17,7 @@
 use jacinthweir_clients::direct::{DirectError, RequestTimeouts};
 use jacinthweir_platform::runner::{self, Report, RunnerError};
 use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::relay::reachability::Verdict;
 use jacinthweir_policy::relay::runners::RunnerEntry;
 use jacinthweir_policy::relay::silence::ProbeRound;
 use rand::seq::IteratorRandom;
@@ -23,6 +25,7 @@
 
 use crate::failure_detector;
 use crate::node::Node;
+use crate::reachability;
 use crate::runner_connections::Outcome;
 
 /// Time limits of a probe. A live runner accepts a connection within two round trips of at most a
@@ -63,13 +66,20 @@
 
 /// Interval at which a round of probes is evaluated, in milliseconds.
 const EVALUATION_INTERVAL_MS: Millis = 8;
+const EVALUATION_INTERVAL: Duration = Duration::from_millis(EVALUATION_INTERVAL_MS);
 
 /// Time after which a runner that accepts connections but sends no report is declared dead, in
 /// milliseconds. It may have too many connections for a moment.
 const NO_REPORT_TIMEOUT_MS: Millis = 250;
 
-/// Pause between two rounds of probes to such a runner, in milliseconds.
-const NO_REPORT_PAUSE_MS: Millis = 60;
+/// Pause between two rounds of probes to such a runner.
+const NO_REPORT_PAUSE: Duration = Duration::from_millis(60);
+
+/// Pause after a round in which no witness answered.
+const UNWITNESSED_PAUSE: Duration = Duration::from_millis(150);
+
+/// Evidence that nothing listens at a runner's address.
+const REFUSED_EVIDENCE: &str = "connection refused";
 
 /// Maximum duration of an examination with witnesses, in milliseconds. Callers wait for two
 /// seconds.
@@ -80,7 +90,7 @@
 pub(crate) enum ProbeResult {
     /// The runner sent its report.
     Report(Report),
-    /// Its machine refused the connection: nothing listens there.
+    /// The connection was refused: nothing listens there, or the path refuses it.
     Refused,
     /// It accepts connections; runners of its service send no reports.
     Listening,
@@ -121,7 +131,7 @@
 
     /// Returns whether there was any response.
     pub(crate) fn is_response(&self) -> bool {
-        !matches!(self, ProbeResult::Silent(_))
+        !matches!(self, ProbeResult::Silent(_) | ProbeResult::Refused)
     }
 }
 
@@ -232,33 +242,36 @@
         silent_rounds += u32::from(witnessed);
         let is_certain = witnessed && silent_rounds >= MIN_SILENT_ROUNDS;
         let passed = node.now() - began;
-        let (cause, pause) = match found {
+        let pause = match (&found, witnessed) {
+            (ProbeResult::NoReport(_), _) => NO_REPORT_PAUSE,
+            (_, true) => EVALUATION_INTERVAL,
+            (_, false) => UNWITNESSED_PAUSE,
+        };
+        let (cause, is_certain) = match found {
             ProbeResult::Report(report) => {
                 return failure_detector::process_report(&node, &s.id, s.born_ms, &report);
             }
             ProbeResult::Listening => {
                 return failure_detector::record_answer(&node, &s.id, s.born_ms);
             }
-            ProbeResult::Refused => {
-                return failure_detector::report_dead(
-                    &node,
-                    &s.id,
-                    s.born_ms,
-                    failure_detector::REFUSED_EVIDENCE,
-                );
-            }
-            ProbeResult::Silent(cause) if is_certain => (Some(cause), 0),
-            ProbeResult::NoReport(cause) if is_certain && passed >= NO_REPORT_TIMEOUT_MS => {
-                (Some(cause), 0)
-            }
-            ProbeResult::NoReport(_) => (None, NO_REPORT_PAUSE_MS),
-            ProbeResult::Silent(_) => (None, EVALUATION_INTERVAL_MS),
+            ProbeResult::Refused => (REFUSED_EVIDENCE.to_owned(), witnessed),
+            ProbeResult::Silent(cause) => (cause, is_certain),
+            ProbeResult::NoReport(cause) => (cause, is_certain && passed >= NO_REPORT_TIMEOUT_MS),
         };
-        if let Some(cause) = cause {
-            let evidence = format!("{cause}, while witnesses answer");
-            return failure_detector::report_dead(&node, &s.id, s.born_ms, &evidence);
+        if is_certain || !witnessed {
+            match reachability::verdict(&node, &s, is_certain).await {
+                Verdict::Dead => {
+                    return failure_detector::report_dead(&node, &s.id, s.born_ms, &cause);
+                }
+                Verdict::Unreachable => {
+                    reachability::mark_unreachable(&node, &s.id, s.born_ms);
+                    reachability::interrupt_silent_requests(&node, &s.id);
+                    return reachability::check_paths(&node).await;
+                }
+                Verdict::Undecided => reachability::check_paths(&node).await,
+            }
         }
-        sleep(Duration::from_millis(pause)).await;
+        sleep(pause).await;
     }
     log::info!(runner = s.id.as_ref(), strikes = silent_rounds; "too few witnesses answer, runner is not declared dead");
 }
@@ -284,22 +297,28 @@
     let mut observed = ObservedTime::begin(node.now());
     let mut found = None;
     loop {
-        let next = timeout(Duration::from_millis(EVALUATION_INTERVAL_MS), open.next()).await;
+        let next = timeout(EVALUATION_INTERVAL, open.next()).await;
         let passed = observed.advance(node.now());
         match next {
             Ok(Some(RoundResult::Suspect(
-                settled @ (ProbeResult::Report(_) | ProbeResult::Listening | ProbeResult::Refused),
+                settled @ (ProbeResult::Report(_) | ProbeResult::Listening),
             ))) => return (settled, false),
             Ok(Some(RoundResult::Suspect(failed))) => found = Some(failed),
             Ok(Some(RoundResult::Witness(result))) if result.is_response() => {
                 round.answered(passed);
             }
             // No probe is pending any more; only the passing of time can still decide the round.
-            Ok(None) => sleep(Duration::from_millis(EVALUATION_INTERVAL_MS)).await,
+            Ok(None) => sleep(EVALUATION_INTERVAL).await,
             Ok(Some(RoundResult::Witness(_))) | Err(_) => {}
         }
-        let is_confirmed = round.indicates_dead(passed);
-        if let Some(failed) = found.take_if(|_| is_confirmed || passed >= WITNESS_TIMEOUT_MS) {
+        let is_confirmed = match found {
+            Some(ProbeResult::Refused) => round.has_quorum(),
+            _ => round.indicates_dead(passed),
+        };
+        // Witnesses that have failed cannot confirm a refusal any more.
+        let is_over = matches!(found, Some(ProbeResult::Refused)) && open.is_empty();
+        let is_over = is_over || passed >= WITNESS_TIMEOUT_MS;
+        if let Some(failed) = found.take_if(|_| is_confirmed || is_over) {
             return (failed, is_confirmed);
         }
     }
@@ -310,7 +329,8 @@
     let runners = node.runners.borrow();
     let healthy = runners.entries().filter(|e| {
         let is_unhealthy = e.draining || runners.health(&e.id).dead;
-        !is_unhealthy && e.id != suspect.id
+        let is_avoided = is_unhealthy || runners.is_unreachable(&e.id);
+        !is_avoided && e.id != suspect.id
     });
     node.with_rng(|rng| {
         healthy
--- a/plugins/relay/src/server.rs
+++ b/plugins/relay/src/server.rs
@@ -24,7 +24,7 @@
 
 use crate::answer::{RelayBody, complete, plain};
 use crate::node::Node;
-use crate::{RelayError, dump, messages, peers, request};
+use crate::{RelayError, dump, forwarding, messages, peers, reachability, request};
 
 /// Maximum number of addresses in an entry answer. Callers pick one at random.
 const MAX_ENTRY_ADDRESSES: usize = 64;
@@ -191,6 +191,9 @@
         ListenerKind::Entry if req.uri().path() == entry::ADDRESSES_PATH => {
             answer_entry(node, req.uri().query())
         }
+        ListenerKind::Peers if req.uri().path() == forwarding::PATH => {
+            forwarding::serve(node, req).await
+        }
         ListenerKind::Peers if req.uri().path() == messages::PATH => answer_peer(node, req).await,
         ListenerKind::Operators => answer_operator(node, &req),
         _ => plain(StatusCode::NOT_FOUND, "no such path"),
@@ -212,7 +215,7 @@
         max_addresses: MAX_ENTRY_ADDRESSES,
     };
     let own = &node.settings.name;
-    let ready = node.is_ready();
+    let ready = node.is_ready() && !reachability::is_cut_off(node);
     let membership = node.membership.borrow();
     let (loads, now) = (node.loads.borrow(), node.now());
     // An instance without a confirmed configuration, for example because the store rejects it,
--- a/plugins/relay/src/stream.rs
+++ b/plugins/relay/src/stream.rs
@@ -11,7 +11,7 @@
 use futures::stream::unfold;
 use http::{Response, StatusCode};
 use jacinthweir_clients::direct::ResponseBody;
-use jacinthweir_platform::{header, runner};
+use jacinthweir_platform::runner;
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::chain_selection;
 use jacinthweir_policy::retry_priority::RetryPriority;
@@ -21,10 +21,12 @@
 use crate::answer::{Cause, RelayBody, SendRecord, StreamCut};
 use crate::chain_attempts::{AttemptOutcome, ChainAttempts};
 use crate::events::EventSplitter;
+use crate::forwarding::{self, FirstRunner, Forwarded};
 use crate::interrupted_run::{self, InterruptedRun, Progress};
-use crate::live_chains::{InFlight, LiveChain};
+use crate::live_chains::{InFlight, Interruption, LiveChain, Run};
 use crate::node::Node;
 use crate::quarantine;
+use crate::reachability;
 use crate::request::{ProxiedRequest, count_outcome};
 
 /// Fraction of the caller's abandonment time, counted from the last event, within which a run must
@@ -49,8 +51,7 @@
 
 /// Serves a request through a chain of runners.
 pub(crate) async fn serve(node: &Rc<Node>, rq: ProxiedRequest) -> Response<RelayBody> {
-    node.count_request(&rq.service);
-    let mut attempts = ChainAttempts::default();
+    let mut attempts = ChainAttempts::of(&rq);
     let cause = loop {
         let until = admission::until(node, &rq, attempts.send_record);
         if let Some(held_ms) = quarantine::quarantined_ms(node, &rq, until).await {
@@ -58,7 +59,8 @@
         }
         let may_take = |live: &LiveChain| attempts.may_take(node, &rq, live);
         let live = match admission::wait(node, &rq, may_take, until).await {
-            Ok(live) => live,
+            Ok(live) => Some(live),
+            Err(Cause::NoPath) if rq.origin.is_none() => None,
             Err(cause) => break cause,
         };
         // The request may have been quarantined while it waited for room.
@@ -70,9 +72,23 @@
         {
             break Cause::RunnerFailed;
         }
+        let Some(live) = live else {
+            match attempts.forward(node, &rq, rq.last_event).await {
+                Forwarded::Answer { peer, res, .. } => {
+                    return forward(node, rq, Run::Peer(peer), res, attempts);
+                }
+                Forwarded::Refused { peer, res } if !attempts.send_record.may_have_run() => {
+                    return forward(node, rq, Run::Peer(peer), res, attempts);
+                }
+                Forwarded::Timeout => break Cause::Timeout,
+                Forwarded::Lost(_) if rq.class.repeatable() => continue,
+                Forwarded::Lost(_) => break Cause::RunnerFailed,
+                Forwarded::Refused { .. } | Forwarded::NotTaken => break Cause::NoPath,
+            }
+        };
         match attempts.attempt(node, &rq, &live, rq.last_event).await {
             AttemptOutcome::Stream(in_flight, res) => {
-                return forward(node, rq, in_flight, res, attempts);
+                return forward(node, rq, Run::Chain(in_flight), res, attempts);
             }
             AttemptOutcome::Timeout => break Cause::Timeout,
             AttemptOutcome::NotRun
@@ -104,13 +120,17 @@
 fn forward(
     node: &Rc<Node>,
     rq: ProxiedRequest,
-    in_flight: InFlight,
+    run: Run,
     res: Response<ResponseBody>,
     attempts: ChainAttempts,
 ) -> Response<RelayBody> {
     let (parts, body) = res.into_parts();
     let now = node.now();
-    in_flight.record_bytes();
+    let first_runner = run.on_chain().map(|p| {
+        p.record_bytes();
+        let (id, born_ms) = p.live.head();
+        FirstRunner((id.clone(), born_ms))
+    });
     metrics::histogram!("jacinthweir_first_event_seconds")
         .record((now - rq.received_ms) as f64 / 1e3);
     let forwarded = ForwardedStream {
@@ -122,7 +142,7 @@
         longest_gap_ms: 0,
         resumed: 0,
         attempts,
-        in_flight: Some(in_flight),
+        run: Some(run),
         body: Some(body),
         node: Rc::clone(node),
         rq,
@@ -134,7 +154,10 @@
     });
     let mut out = Response::new(RelayBody::stream(stream));
     *out.status_mut() = parts.status;
-    *out.headers_mut() = header::forwarded(&parts.headers);
+    *out.headers_mut() = forwarding::caller_headers(&parts.headers);
+    if let Some(first_runner) = first_runner {
+        out.extensions_mut().insert(first_runner);
+    }
     out
 }
 
@@ -142,7 +165,7 @@
 struct ForwardedStream {
     node: Rc<Node>,
     rq: ProxiedRequest,
-    in_flight: Option<InFlight>,
+    run: Option<Run>,
     body: Option<ResponseBody>,
     events: EventSplitter,
     /// Whether the answer is a success: only then does its body consist of events.
@@ -189,7 +212,7 @@
     Bytes(Bytes),
     End,
     RunFailed(String),
-    ChainBroke,
+    Interrupted(Interruption),
     Timeout,
 }
 
@@ -224,9 +247,11 @@
                         return self.cut(cause, Some(failure));
                     }
                 }
-                ReadOutcome::ChainBroke => {
-                    let cause = "chain broke".to_owned();
-                    self.record_interruption(&cause);
+                ReadOutcome::Interrupted(interruption) => {
+                    let cause = interruption.to_string();
+                    if interruption == Interruption::ChainBroke {
+                        self.record_interruption(&cause);
+                    }
                     if self.reroute().await.is_some() {
                         continue;
                     }
@@ -242,7 +267,7 @@
 
     async fn read(&mut self) -> ReadOutcome {
         let left = Duration::from_millis(self.rq.remaining_ms(&self.node));
-        let (Some(body), Some(in_flight)) = (&mut self.body, &self.in_flight) else {
+        let (Some(body), Some(run)) = (&mut self.body, &self.run) else {
             return ReadOutcome::RunFailed("no run".to_owned());
         };
         tokio::select! {
@@ -252,14 +277,19 @@
                 Some(Err(e)) => ReadOutcome::RunFailed(e.to_string()),
                 None => ReadOutcome::End,
             },
-            () = in_flight.live.broken.cancelled() => ReadOutcome::ChainBroke,
+            interruption = run.interrupted() => ReadOutcome::Interrupted(interruption),
             () = sleep(left) => ReadOutcome::Timeout,
         }
     }
 
+    /// Returns the current run if it is on a chain of this instance.
+    fn in_flight(&self) -> Option<&InFlight> {
+        self.run.as_ref().and_then(Run::on_chain)
+    }
+
     /// Records that the current run was interrupted.
     fn record_interruption(&self, cause: &str) {
-        if let Some(in_flight) = &self.in_flight {
+        if let Some(in_flight) = self.in_flight() {
             let progress =
                 Progress::Received(self.last_received_ms.saturating_sub(self.run_head_ms));
             let lifetimes = quarantine::lifetimes(&in_flight.live.chain);
@@ -279,7 +309,7 @@
         let gap = now - self.last_received_ms;
         self.last_received_ms = now;
         self.longest_gap_ms = self.longest_gap_ms.max(gap);
-        if let Some(in_flight) = &self.in_flight {
+        if let Some(in_flight) = self.in_flight() {
             in_flight.record_bytes();
             in_flight.live.gaps.borrow_mut().record(now, gap);
         }
@@ -290,7 +320,7 @@
         let per_event = self.rq.engine().map_or(1, |e| e.event_tokens);
         let (prompt, _) = admission::token_counts(&self.rq);
         let written = self.events.count() * u64::from(per_event);
-        if let Some(in_flight) = &mut self.in_flight {
+        if let Some(in_flight) = self.run.as_mut().and_then(Run::on_chain_mut) {
             in_flight.raise_tokens(f64::from(prompt) + written as f64);
         }
     }
@@ -309,11 +339,11 @@
         {
             return None;
         }
-        let broken = Rc::clone(&self.in_flight.as_ref()?.live);
+        let broken = Rc::clone(&self.in_flight()?.live);
         let in_time =
             self.last_received_ms + self.rq.max_gap_ms.saturating_sub(RESUME_FIRST_EVENT_MS);
         let until = self.last_received_ms + self.abandon_fraction_ms(REROUTE_FRACTION);
-        while self.node.now() < until && self.node.is_head_alive(&broken) {
+        while self.node.now() < until && self.node.is_head_usable(&broken) {
             // Without a retry another chain is of no use, so the run waits for the lost layers.
             let elsewhere = self.next_chain().filter(|_| self.may_run_again());
             let elsewhere = elsewhere.map(|l| l.prefill_tokens());
@@ -344,7 +374,8 @@
     }
 
     async fn reroute_along(&mut self, live: Rc<LiveChain>) -> Option<()> {
-        self.in_flight.as_mut()?.move_to(Rc::clone(&live));
+        let in_flight = self.run.as_mut().and_then(Run::on_chain_mut)?;
+        in_flight.move_to(Rc::clone(&live));
         let address = self.node.runner_address(live.chain.head().address);
         let ordered = runner::reroute(address, &live.chain, &self.rq.id, REROUTE_TIMEOUT).await;
         let outcome = match &ordered {
@@ -368,12 +399,9 @@
     async fn resume_elsewhere(&mut self, cause: &str) -> Result<(), ResumeFailure> {
         self.body = None;
         // The runner is probably dead but not yet detected as such, so its chain is excluded.
-        self.attempts.excluded = self
-            .in_flight
-            .take()
-            .iter()
-            .map(|p| Rc::clone(&p.live))
-            .collect();
+        let chain = self.in_flight().map(|p| Rc::clone(&p.live));
+        self.attempts.excluded = chain.into_iter().collect();
+        self.run = None;
         if !self.ok || !self.rq.class.repeatable() {
             return Err(ResumeFailure::NotRepeatable);
         }
@@ -398,9 +426,9 @@
                 position = None;
             }
             failure = match self.try_resume().await {
-                Ok((in_flight, res)) => {
+                Ok((run, res)) => {
                     drop(position);
-                    self.finish_resume(in_flight, res, cause);
+                    self.finish_resume(run, res, cause);
                     return Ok(());
                 }
                 Err(ResumeFailure::OutOfTime) => return Err(ResumeFailure::OutOfTime),
@@ -414,8 +442,10 @@
     }
 
     /// Tries once to resume the stream with another run.
-    async fn try_resume(&mut self) -> Result<(InFlight, Response<ResponseBody>), ResumeFailure> {
-        let live = self.next_chain().ok_or(ResumeFailure::NoChain)?;
+    async fn try_resume(&mut self) -> Result<(Run, Response<ResponseBody>), ResumeFailure> {
+        let Some(live) = self.next_chain() else {
+            return self.resume_through_peer().await;
+        };
         // Each send spends a retry, even one that a runner refuses.
         if !self
             .node
@@ -430,7 +460,7 @@
             .await
         {
             AttemptOutcome::Stream(in_flight, res) if res.status() == StatusCode::OK => {
-                Ok((in_flight, res))
+                Ok((Run::Chain(in_flight), res))
             }
             AttemptOutcome::Stream(..) => Err(ResumeFailure::NextFailed),
             AttemptOutcome::NotRun | AttemptOutcome::Unreached => Err(ResumeFailure::NextRefused),
@@ -440,25 +470,52 @@
         }
     }
 
+    /// Tries once to resume the stream through another instance, if this one reaches no runner.
+    async fn resume_through_peer(
+        &mut self,
+    ) -> Result<(Run, Response<ResponseBody>), ResumeFailure> {
+        let (node, rq) = (&self.node, &self.rq);
+        if rq.origin.is_some() || !reachability::is_lost(node, &rq.service) {
+            return Err(ResumeFailure::NoChain);
+        }
+        if !node.has_retry(&rq.service, RetryPriority::Committed) {
+            return Err(ResumeFailure::NoRetry);
+        }
+        let forwarded = self.attempts.forward(node, rq, self.events.last()).await;
+        // A request that the other instance did not send to a runner costs no retry.
+        if matches!(forwarded, Forwarded::Refused { .. } | Forwarded::NotTaken) {
+            return Err(ResumeFailure::NoChain);
+        }
+        node.take_retry(&rq.service, RetryPriority::Committed);
+        match forwarded {
+            Forwarded::Answer { peer, res, .. } if res.status() == StatusCode::OK => {
+                Ok((Run::Peer(peer), res))
+            }
+            Forwarded::Answer { .. } => Err(ResumeFailure::NextFailed),
+            Forwarded::Timeout => Err(ResumeFailure::OutOfTime),
+            _ => Err(ResumeFailure::NextLost),
+        }
+    }
+
     fn next_chain(&self) -> Option<Rc<LiveChain>> {
         let may_take = |live: &LiveChain| self.attempts.may_take(&self.node, &self.rq, live);
         self.node
             .choose_chain(&self.rq, chain_selection::MAX_FILL_RESUMED, may_take)
     }
 
-    fn finish_resume(&mut self, in_flight: InFlight, res: Response<ResponseBody>, cause: &str) {
+    fn finish_resume(&mut self, run: Run, res: Response<ResponseBody>, cause: &str) {
         self.resumed += 1;
         self.run_head_ms = self.node.now();
         count_outcome("resumed");
         log::info!(
             request = self.rq.id.as_ref(),
-            chain = in_flight.live.label(),
+            chain = run.label(),
             after:? = self.events.last(),
             silent_ms = self.node.now() - self.last_received_ms,
             cause;
             "resumed"
         );
-        self.in_flight = Some(in_flight);
+        self.run = Some(run);
         self.body = Some(res.into_body());
     }
 
@@ -470,7 +527,7 @@
         log::info!(
             request = self.rq.id.as_ref(),
             route = self.rq.route.as_ref(),
-            chain = self.in_flight.as_ref().map_or_else(String::new, |p| p.live.label()),
+            chain = self.run.as_ref().map_or_else(String::new, Run::label),
             resumed = self.resumed,
             first_after_ms = self.first_head_ms - self.rq.received_ms,
             longest_gap_ms = self.longest_gap_ms,
@@ -478,7 +535,7 @@
             after_ms;
             "answered"
         );
-        self.in_flight = None;
+        self.run = None;
         self.body = None;
         None
     }
@@ -489,7 +546,7 @@
         failure: Option<ResumeFailure>,
     ) -> Option<Result<Bytes, StreamCut>> {
         self.ended = true;
-        self.in_flight = None;
+        self.run = None;
         self.body = None;
         count_outcome("cut");
         log::warn!(
@@ -518,7 +575,7 @@
         count_outcome("left");
         log::info!(
             request = self.rq.id.as_ref(),
-            chain = self.in_flight.as_ref().map_or_else(String::new, |p| p.live.label()),
+            chain = self.run.as_ref().map_or_else(String::new, Run::label),
             events = self.events.count(),
             silent_ms = now - self.last_received_ms,
             after_ms = now - self.rq.received_ms;
--- a/policy/src/relay.rs
+++ b/policy/src/relay.rs
@@ -39,6 +39,7 @@
 pub mod placement;
 pub mod quarantine;
 pub mod rate_limits;
+pub mod reachability;
 pub mod rendezvous;
 pub mod revision;
 pub mod runners;
--- a/policy/src/relay/attempts.rs
+++ b/policy/src/relay/attempts.rs
@@ -19,6 +19,26 @@
 }
 
 impl Attempts {
+    /// Returns the record of a request that another instance sent to the runners `ran`.
+    #[must_use]
+    pub fn resumed(ran: Vec<(Name, u64)>) -> Attempts {
+        Attempts { ran, sends: 0 }
+    }
+
+    /// Returns the runners that may have run the request.
+    #[must_use]
+    pub fn ran(&self) -> &[(Name, u64)] {
+        &self.ran
+    }
+
+    /// Records that another instance sent the request to a runner, if it is known to which.
+    pub fn record_forwarded(&mut self, runner: Option<(Name, u64)>) {
+        match runner {
+            Some((id, born_ms)) => self.record_sent(&id, born_ms),
+            None => self.sends += 1,
+        }
+    }
+
     /// Records that the request is sent to a runner.
     pub fn record_sent(&mut self, id: &Name, born_ms: u64) {
         self.sends += 1;
--- a/policy/src/relay/failure_reports.rs
+++ b/policy/src/relay/failure_reports.rs
@@ -128,6 +128,13 @@
         }
     }
 
+    /// Returns whether an instance other than `own` reports a lifetime of a runner dead.
+    #[must_use]
+    pub fn is_reported_by_others(&self, runner: &Name, born_ms: u64, own: &Name) -> bool {
+        let suspicion = self.0.get(&(runner.clone(), born_ms));
+        suspicion.is_some_and(|s| s.reporters.iter().any(|r| r != own))
+    }
+
     /// Returns the runners with reports, by identity and lifetime.
     pub fn runners(&self) -> impl Iterator<Item = (&Name, u64)> {
         self.0.keys().map(|(runner, born_ms)| (runner, *born_ms))
--- a/policy/src/relay/runners.rs
+++ b/policy/src/relay/runners.rs
@@ -13,6 +13,7 @@
 use crate::prelude::*;
 use crate::relay::lifetime::Lifetime;
 use crate::relay::quarantine::LifetimeState;
+use crate::relay::reachability::UnreachableRunners;
 
 /// Entry of a runner in the store, written by the runner.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -245,6 +246,7 @@
     domains: BTreeMap<Name, DomainIndex>,
     /// Runners whose health may be notable.
     notable: BTreeSet<Name>,
+    unreachable: UnreachableRunners,
     /// Number of changes to any entry or health so far.
     changes: u64,
 }
@@ -490,6 +492,51 @@
         }
     }
 
+    /// Records that a lifetime of a runner did not accept a connection of this instance. Returns
+    /// whether that is new.
+    pub fn mark_unreachable(&mut self, id: &Name, born_ms: u64, now: Millis) -> bool {
+        let health = self.health(id);
+        let is_current = health.born_ms == born_ms && !health.dead;
+        is_current && self.unreachable.insert(id, born_ms, now)
+    }
+
+    /// Records that a runner answered this instance. Returns whether it was unreachable.
+    pub fn mark_reached(&mut self, id: &str) -> bool {
+        self.unreachable.remove(id)
+    }
+
+    /// Returns whether the current lifetime of a runner is alive and unreachable from this instance.
+    #[must_use]
+    pub fn is_unreachable(&self, id: &str) -> bool {
+        !self.unreachable.is_empty() && {
+            let health = self.health(id);
+            !health.dead && self.unreachable.contains(id, health.born_ms)
+        }
+    }
+
+    /// Returns whether all runners accept connections of this instance, as far as known.
+    #[must_use]
+    pub fn all_reachable(&self) -> bool {
+        self.unreachable.is_empty()
+    }
+
+    /// Returns up to `max` unreachable runners that are due for a probe, and records the probes.
+    pub fn due_path_probes(&mut self, now: Millis, max: usize) -> Vec<RunnerEntry> {
+        let Runners {
+            entries,
+            health,
+            unreachable,
+            ..
+        } = self;
+        let is_current = |id: &Name, born_ms: u64| {
+            let is_alive = health.get(id).is_some_and(|h| !h.dead);
+            is_alive && entries.get(id).is_some_and(|e| e.born_ms == born_ms)
+        };
+        let due = unreachable.due(now, max, is_current);
+        let entries = due.iter().filter_map(|id| self.entries.get(id));
+        entries.cloned().collect()
+    }
+
     /// Records the outcome of a request at a runner.
     pub fn record_outcome(&mut self, id: &str, failed: bool, now: Millis) {
         if let Some(s) = self.health.get_mut(id) {
@@ -516,6 +563,16 @@
             && s.misreported.is_none_or(|m| entry.layers != Some(m))
     }
 
+    /// Returns the runners of a plain service that may take a request now, whether or not this
+    /// instance reaches them.
+    pub fn of_service(&self, service: &str, now: Millis) -> impl Iterator<Item = &RunnerEntry> {
+        let of_service = self
+            .entries
+            .values()
+            .filter(move |e| *e.service == *service);
+        of_service.filter(move |e| self.usable(e, now))
+    }
+
     /// Returns the runners of a plain service that may take a request, best first: those with a low
     /// failure rate, then the least busy, where a runner outside the failure domain `domain` counts
     /// as one request busier. `draw` breaks ties at random, so that instances do not all choose the
@@ -527,8 +584,8 @@
         now: Millis,
         mut draw: impl FnMut() -> u32,
     ) -> Vec<&RunnerEntry> {
-        let of_service = self.entries.values().filter(|e| *e.service == *service);
-        let usable = of_service.filter(|e| self.usable(e, now));
+        let usable = self.of_service(service, now);
+        let usable = usable.filter(|e| !self.is_unreachable(&e.id));
         let mut ranked: Vec<_> = usable
             .map(|e| {
                 let s = self.health(&e.id);
--- a/policy/src/relay/silence.rs
+++ b/policy/src/relay/silence.rs
@@ -222,6 +222,12 @@
         }
     }
 
+    /// Returns whether the chain has been silent for longer than expected.
+    #[must_use]
+    pub fn is_overdue(&self, now: Millis) -> bool {
+        self.waiting > 0 && now >= self.last_bytes_ms + self.limit_ms()
+    }
+
     /// Returns when the chain's stages are due to be probed if no bytes arrive before, in
     /// milliseconds; `None` while no request waits.
     #[must_use]
@@ -274,14 +280,32 @@
         self.answers_ms.push(ms);
     }
 
+    /// Returns whether no runner has answered.
+    #[must_use]
+    pub fn is_unanswered(&self) -> bool {
+        self.answers_ms.is_empty()
+    }
+
+    /// Returns whether half of the runners have answered, so that a runner which refuses
+    /// connections does not do so because of this instance's path.
+    #[must_use]
+    pub fn has_quorum(&self) -> bool {
+        self.usual_ms().is_some()
+    }
+
     /// Returns whether a runner that has been silent for `ms` milliseconds is dead, because half of
     /// the runners took far less to answer. The slower half is ignored, since it may include slow
     /// runners.
     #[must_use]
     pub fn indicates_dead(&self, ms: Millis) -> bool {
+        let usual = self.usual_ms();
+        usual.is_some_and(|usual| ms >= (usual + 1) * DEAD_FACTOR)
+    }
+
+    /// Returns the time within which half of the runners answered, in milliseconds.
+    fn usual_ms(&self) -> Option<Millis> {
         // Answers are recorded in the order of their times.
         let half = self.probed / 2;
-        let usual = self.answers_ms.get(half.saturating_sub(1));
-        usual.is_some_and(|usual| ms >= (usual + 1) * DEAD_FACTOR)
+        self.answers_ms.get(half.saturating_sub(1)).copied()
     }
 }
--- a/wire/src/relay.rs
+++ b/wire/src/relay.rs
@@ -90,6 +90,9 @@
     pub draining: bool,
     /// Whether the runner is considered dead.
     pub dead: bool,
+    /// Whether it is alive, but does not accept connections of this instance.
+    #[serde(default)]
+    pub unreachable: bool,
     /// Unix time of the runner's start, in milliseconds.
     pub born_ms: u64,
     /// Number of accepted orders, if known.
