--- a/plugins/relay/src/attempt.rs
+++ b/plugins/relay/src/attempt.rs
@@ -1,5 +1,6 @@
 //! A single send of a request to a runner, and validation of the answer's head.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -7,6 +8,7 @@
 use http_body_util::Full;
 use jacinthweir_clients::direct::{self, DirectError, ResponseBody};
 use jacinthweir_platform::header;
+use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::runners::RunnerEntry;
 
 use crate::node::Node;
@@ -22,17 +24,53 @@
     /// The head of an answer to this request.
     Answer(Response<ResponseBody>),
     /// The runner states that it did not run the request.
-    NotRun {
-        status: StatusCode,
-        /// The runner at fault, if the answer names one.
-        at_fault: Option<SocketAddr>,
-    },
+    NotRun(Refusal),
     /// No connection could be established.
     Unreached(DirectError),
     /// No valid answer to this request: it may have run.
     Lost(String),
 }
 
+/// A runner's statement that it did not run a request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Refusal {
+    pub(crate) status: StatusCode,
+    /// The runner at fault, if the answer names one.
+    pub(crate) at_fault: Option<SocketAddr>,
+    /// Time for which the runner wants no requests of this instance, in milliseconds.
+    pub(crate) retry_after_ms: Option<Millis>,
+}
+
+impl Refusal {
+    /// Returns the runner that does not hold the layers that it was sent a request for.
+    pub(crate) fn misplaced_at(&self) -> Option<SocketAddr> {
+        let is_misdirected = self.status == StatusCode::MISDIRECTED_REQUEST;
+        self.at_fault.filter(|_| is_misdirected)
+    }
+
+    fn of(status: StatusCode, headers: &HeaderMap) -> Refusal {
+        let at_fault = header::text(headers, &header::AT_FAULT);
+        Refusal {
+            status,
+            at_fault: at_fault.and_then(|a| a.trim().parse().ok()),
+            retry_after_ms: header::retry_after_ms(headers),
+        }
+    }
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.status)?;
+        if let Some(address) = self.at_fault {
+            write!(f, " at {address}")?;
+        }
+        if let Some(ms) = self.retry_after_ms {
+            write!(f, ", again in {ms} ms")?;
+        }
+        Ok(())
+    }
+}
+
 /// Sends a request to a runner and waits for the head of the answer.
 pub(crate) async fn send(
     node: &Node,
@@ -55,11 +93,7 @@
     }
     let refused = headers.contains_key(header::NOT_RUN);
     if refused || res.status() == StatusCode::MISDIRECTED_REQUEST {
-        let at_fault = header::text(headers, &header::AT_FAULT);
-        return SendOutcome::NotRun {
-            status: res.status(),
-            at_fault: at_fault.and_then(|a| a.trim().parse().ok()),
-        };
+        return SendOutcome::NotRun(Refusal::of(res.status(), headers));
     }
     if header::text(headers, &header::REQUEST_ID) != Some(id) {
         return SendOutcome::Lost("the answer names another request".to_owned());
--- a/plugins/relay/src/call.rs
+++ b/plugins/relay/src/call.rs
@@ -258,9 +258,9 @@
     sent_ms: Millis,
 ) -> CallOutcome {
     match sent {
-        SendOutcome::NotRun { status, .. } => {
-            log_attempt(rq, runner, "not run", status.as_str());
-            let pause = match status {
+        SendOutcome::NotRun(refusal) => {
+            log_attempt(rq, runner, "not run", &refusal.to_string());
+            let pause = match refusal.status {
                 StatusCode::MISDIRECTED_REQUEST => MISDIRECTED_AVOID_MS,
                 _ => FULL_AVOID_MS,
             };
--- a/plugins/relay/src/chain_attempts.rs
+++ b/plugins/relay/src/chain_attempts.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http::{Response, StatusCode};
+use http::Response;
 use jacinthweir_clients::direct::ResponseBody;
 use jacinthweir_platform::header;
 use jacinthweir_policy::prelude::*;
@@ -161,12 +161,10 @@
             live.refusals.borrow_mut().record_accepted(node.now());
             AttemptOutcome::Stream(in_flight, res)
         }
-        Ok(SendOutcome::NotRun { status, at_fault }) => {
-            let at_fault_shown = at_fault.map_or_else(String::new, |a| a.to_string());
-            let cause = format!("{status} at {at_fault_shown}");
-            log_attempt(rq, live, "not run", &cause);
+        Ok(SendOutcome::NotRun(refusal)) => {
+            log_attempt(rq, live, "not run", &refusal.to_string());
             live.refusals.borrow_mut().record_refused(node.now());
-            if let Some(address) = at_fault.filter(|_| status == StatusCode::MISDIRECTED_REQUEST) {
+            if let Some(address) = refusal.misplaced_at() {
                 mark_misreported(node, address);
             }
             AttemptOutcome::NotRun
