Relay: tests of runners that ask for rest, which fail

What callers saw in the incident: a third of the streams refused, since two of three chains were asked again and again while their first runners had asked for three seconds of rest.

--- a/plugins/relay/tests/relay.rs
+++ b/plugins/relay/tests/relay.rs
@@ -11,6 +11,8 @@
 mod quarantine;
 #[path = "relay/rate_limits.rs"]
 mod rate_limits;
+#[path = "relay/rest.rs"]
+mod rest;
 #[path = "support/standin.rs"]
 mod standin;
 #[path = "relay/start.rs"]
--- a/plugins/relay/tests/support/standin/runner.rs
+++ b/plugins/relay/tests/support/standin/runner.rs
@@ -102,6 +102,8 @@
     pub arrivals: RefCell<Vec<Instant>>,
     /// Announced rate limit, in requests per second.
     pub rate_limit: Cell<Option<f64>>,
+    /// Time for which a refusal asks its recipient for no requests, in seconds.
+    pub rest: Cell<Option<f64>>,
     /// Cancelled when the runner crashes.
     lifetime: RefCell<CancellationToken>,
     /// Time from a crash to the restart.
@@ -131,6 +133,7 @@
             reroutes: RefCell::default(),
             arrivals: RefCell::default(),
             rate_limit: Cell::default(),
+            rest: Cell::default(),
             lifetime: RefCell::default(),
             downtime: Cell::new(RESTART_DELAY),
             born_ms: Cell::new(BORN_MS),
@@ -307,7 +310,15 @@
                 return;
             }
             Behaviour::ClosesConnection => return,
-            Behaviour::NotRun => response("503 Full", "X-Jacinthweir-Not-Run: 1\r\n", ""),
+            Behaviour::NotRun => {
+                let rest = self.rest.get();
+                let rest = rest.map_or(String::new(), |s| format!("Retry-After: {s}\r\n"));
+                response(
+                    "503 Full",
+                    &format!("{rest}X-Jacinthweir-Not-Run: 1\r\n"),
+                    "",
+                )
+            }
             Behaviour::ServerError => {
                 response("500 Failed", &format!("{request_id}{receipt}"), "failed")
             }
