Relay: streams whose connections live on over a lost path are not run again; avoided runners count as living

Now the requests behind a runner that another instance reaches are interrupted after twice the usual silence and at least 250 ms, looked at in each check as long as the path is lost.

Plain runners that get no requests for 250 ms after a failed connection did not count when it was asked whether any is reached, so calls were refused for that time instead of going through another instance.

--- a/plugins/relay/src/failure_detector.rs
+++ b/plugins/relay/src/failure_detector.rs
@@ -54,6 +54,7 @@
             log::info!("runners did not return after their store entries lapsed");
             node.rebuild_chains();
         }
+        reachability::interrupt_disconnected(node);
         let silent_chains: Vec<Rc<LiveChain>> = {
             let chains = node.chains.borrow();
             let alive = chains.all().filter(|l| !l.broken.is_cancelled());
--- a/plugins/relay/src/reachability.rs
+++ b/plugins/relay/src/reachability.rs
@@ -58,7 +58,7 @@
             .filter(|l| !l.broken.is_cancelled());
         Reach::of(usable.map(|l| !runners.is_unreachable(l.head().0)))
     } else {
-        let usable = runners.of_service(service, node.now());
+        let usable = runners.living(service);
         Reach::of(usable.map(|e| !runners.is_unreachable(&e.id)))
     }
 }
@@ -83,16 +83,28 @@
     }
 }
 
-/// Interrupts the requests that wait in silence behind a first runner which other instances reach.
-/// Requests whose connections still bring events are left alone: some cuts only affect new ones.
-pub(crate) fn interrupt_silent_requests(node: &Node, head: &Name) {
+/// Records that another instance reaches a runner that this one does not reach.
+pub(crate) fn confirm_unreachable(node: &Rc<Node>, id: &Name, born_ms: u64) {
+    mark_unreachable(node, id, born_ms);
+    node.runners.borrow_mut().confirm_unreachable(id);
+    node.check_silence.notify_one();
+}
+
+/// Interrupts the requests on connections that bring nothing any more because the path to their
+/// first runner is lost.
+pub(crate) fn interrupt_disconnected(node: &Node) {
+    if node.runners.borrow().all_reachable() {
+        return;
+    }
     let now = node.now();
+    let runners = node.runners.borrow();
     let chains = node.chains.borrow();
-    let behind = chains.all().filter(|l| l.head().0 == head);
-    for live in behind.filter(|l| l.silence.borrow().is_overdue(now)) {
-        let waiting = live.silence.borrow().waiting();
-        log::warn!(chain = live.label(), waiting; "the path to a chain is lost");
-        live.interrupt_requests();
+    for live in chains.all() {
+        let silence = live.silence.borrow();
+        if silence.is_disconnected(now) && runners.is_path_lost(live.head().0) {
+            log::warn!(chain = live.label(), waiting = silence.waiting(); "the path to a chain is lost");
+            live.interrupt_requests();
+        }
     }
 }
 
@@ -198,7 +210,6 @@
     let services: Vec<Name> = node
         .intent()
         .map_or_else(Vec::new, |i| i.services.keys().cloned().collect());
-    let now = node.now();
     let runners = node.runners.borrow();
     let chains = node.chains.borrow();
     let mut receivers = Vec::new();
@@ -207,7 +218,7 @@
             let heads = chains.of(service).iter().map(|l| l.chain.head().clone());
             receivers.extend(heads);
         } else {
-            receivers.extend(runners.of_service(service, now).cloned());
+            receivers.extend(runners.living(service).cloned());
         }
     }
     receivers.retain(|e| !runners.is_unreachable(&e.id));
--- a/plugins/relay/src/runner_probe.rs
+++ b/plugins/relay/src/runner_probe.rs
@@ -264,8 +264,7 @@
                     return failure_detector::report_dead(&node, &s.id, s.born_ms, &cause);
                 }
                 Verdict::Unreachable => {
-                    reachability::mark_unreachable(&node, &s.id, s.born_ms);
-                    reachability::interrupt_silent_requests(&node, &s.id);
+                    reachability::confirm_unreachable(&node, &s.id, s.born_ms);
                     return reachability::check_paths(&node).await;
                 }
                 Verdict::Undecided => reachability::check_paths(&node).await,
--- a/policy/src/relay/reachability.rs
+++ b/policy/src/relay/reachability.rs
@@ -113,6 +113,8 @@
 struct Unreachable {
     born_ms: u64,
     probed_ms: Millis,
+    /// Whether another instance reaches it.
+    reached_by_others: bool,
 }
 
 impl UnreachableRunners {
@@ -124,11 +126,27 @@
         let unreachable = Unreachable {
             born_ms,
             probed_ms: now,
+            reached_by_others: false,
         };
         self.0.insert(id.clone(), unreachable);
         true
     }
 
+    /// Records that another instance reaches an unreachable runner.
+    pub fn confirm(&mut self, id: &str) {
+        if let Some(unreachable) = self.0.get_mut(id) {
+            unreachable.reached_by_others = true;
+        }
+    }
+
+    /// Returns whether a lifetime of a runner is unreachable and another instance reaches it, so that
+    /// only the path is at fault.
+    #[must_use]
+    pub fn is_confirmed(&self, id: &str, born_ms: u64) -> bool {
+        let unreachable = self.0.get(id).filter(|u| u.born_ms == born_ms);
+        unreachable.is_some_and(|u| u.reached_by_others)
+    }
+
     /// Records that a runner answered. Returns whether it was unreachable; all others are then due
     /// for a probe, since what restored one path may have restored all.
     pub fn remove(&mut self, id: &str) -> bool {
--- a/policy/src/relay/runners.rs
+++ b/policy/src/relay/runners.rs
@@ -500,6 +500,20 @@
         is_current && self.unreachable.insert(id, born_ms, now)
     }
 
+    /// Records that another instance reaches an unreachable runner.
+    pub fn confirm_unreachable(&mut self, id: &str) {
+        self.unreachable.confirm(id);
+    }
+
+    /// Returns whether a runner is unreachable from this instance and reached by another.
+    #[must_use]
+    pub fn is_path_lost(&self, id: &str) -> bool {
+        !self.unreachable.is_empty() && {
+            let health = self.health(id);
+            !health.dead && self.unreachable.is_confirmed(id, health.born_ms)
+        }
+    }
+
     /// Records that a runner answered this instance. Returns whether it was unreachable.
     pub fn mark_reached(&mut self, id: &str) -> bool {
         self.unreachable.remove(id)
@@ -563,14 +577,14 @@
             && s.misreported.is_none_or(|m| entry.layers != Some(m))
     }
 
-    /// Returns the runners of a plain service that may take a request now, whether or not this
-    /// instance reaches them.
-    pub fn of_service(&self, service: &str, now: Millis) -> impl Iterator<Item = &RunnerEntry> {
+    /// Returns the living runners of a plain service, including those that get no requests of this
+    /// instance for a moment.
+    pub fn living(&self, service: &str) -> impl Iterator<Item = &RunnerEntry> {
         let of_service = self
             .entries
             .values()
             .filter(move |e| *e.service == *service);
-        of_service.filter(move |e| self.usable(e, now))
+        of_service.filter(|e| !e.draining && !self.health(&e.id).dead)
     }
 
     /// Returns the runners of a plain service that may take a request, best first: those with a low
@@ -584,8 +598,9 @@
         now: Millis,
         mut draw: impl FnMut() -> u32,
     ) -> Vec<&RunnerEntry> {
-        let usable = self.of_service(service, now);
-        let usable = usable.filter(|e| !self.is_unreachable(&e.id));
+        let usable = self
+            .living(service)
+            .filter(|e| self.usable(e, now) && !self.is_unreachable(&e.id));
         let mut ranked: Vec<_> = usable
             .map(|e| {
                 let s = self.health(&e.id);
--- a/policy/src/relay/silence.rs
+++ b/policy/src/relay/silence.rs
@@ -25,6 +25,12 @@
 /// needs most of that time.
 const SINGLE_MAX_MS: Millis = 600;
 
+/// Silence of connections over a lost path after which they bring nothing any more, as a multiple of
+/// the usual limit, and its lower bound in milliseconds. Some cuts affect new connections only, and
+/// the requests on the others must not run again.
+const DISCONNECTED_FACTOR: Millis = 2;
+const DISCONNECTED_MIN_MS: Millis = 250;
+
 /// Lower bound of the limit, as a multiple of the declared interval between two events.
 const MIN_LIMIT_FACTOR: f64 = 2.5;
 
@@ -222,10 +228,12 @@
         }
     }
 
-    /// Returns whether the chain has been silent for longer than expected.
+    /// Returns whether the chain has been silent for so long that its connections bring nothing any
+    /// more, given that the path to its first runner is lost.
     #[must_use]
-    pub fn is_overdue(&self, now: Millis) -> bool {
-        self.waiting > 0 && now >= self.last_bytes_ms + self.limit_ms()
+    pub fn is_disconnected(&self, now: Millis) -> bool {
+        let limit = (self.limit_ms() * DISCONNECTED_FACTOR).max(DISCONNECTED_MIN_MS);
+        self.waiting > 0 && now >= self.last_bytes_ms + limit
     }
 
     /// Returns when the chain's stages are due to be probed if no bytes arrive before, in
