Relay: a forwarded call runs on no more runners than its route allows

The runners that may have run it at the instance that forwards it count at the one that serves it, and are not asked again. The function that forwards is split up; its borrow of the runners ends before it waits.

--- a/plugins/relay/src/call.rs
+++ b/plugins/relay/src/call.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use http::{Response, StatusCode};
+use jacinthweir_clients::direct::ResponseBody;
 use jacinthweir_platform::header;
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::runners::RunnerEntry;
@@ -63,7 +64,9 @@
 /// Serves a call.
 pub(crate) async fn serve(node: &Rc<Node>, rq: ProxiedRequest) -> Response<RelayBody> {
     let mut send_record = SendRecord::default();
-    let mut tried: Vec<Name> = Vec::new();
+    let ran_elsewhere = rq.origin.as_ref().map_or(&[][..], |o| &o.ran);
+    let mut tried: Vec<Name> = ran_elsewhere.iter().map(|(id, _)| id.clone()).collect();
+    let max_sends = rq.max_attempts.saturating_sub(ran_elsewhere.len() as u32);
     let mut last: Option<Response<RelayBody>> = None;
     let mut cause = Cause::NoRunner;
     let mut unreached = 0;
@@ -76,7 +79,7 @@
             cause = Cause::Timeout;
             break;
         }
-        if send_record.sends >= rq.max_attempts || unreached >= MAX_UNREACHED {
+        if send_record.sends >= max_sends || unreached >= MAX_UNREACHED {
             break;
         }
         if rq.origin.is_none() && reachability::is_lost(node, &rq.service) {
@@ -96,7 +99,7 @@
         }
         tried.push(runner.id.clone());
         send_record.record_send();
-        let repeatable = rq.class.repeatable() && send_record.sends < rq.max_attempts;
+        let repeatable = rq.class.repeatable() && send_record.sends < max_sends;
         match attempt(node, &rq, &runner, repeatable).await {
             CallOutcome::Answered(res) => {
                 log_end(node, &rq, &runner, "answered", res.status().as_u16());
@@ -142,34 +145,45 @@
     if send_record.sends > 0 && !node.take_retry(&rq.service, send_record.retry_priority()) {
         return CallOutcome::Failed(None);
     }
-    let runners = node.runners.borrow();
-    let ran: Vec<Ran> = match send_record.may_have_run() {
-        true => tried
-            .iter()
-            .map(|id| (id.clone(), runners.health(id).born_ms))
-            .collect(),
+    let may_have_run = send_record.may_have_run();
+    let ran = match may_have_run {
+        true => lifetimes(node, tried),
         false => Vec::new(),
     };
-    drop(runners);
-    let may_have_run = send_record.may_have_run();
     send_record.record_send();
-    let left = Duration::from_millis(rq.remaining_ms(node));
-    let (res, answered) = match forwarding::send(node, rq, None, &ran).await {
-        Forwarded::Answer { res, .. } => (res, true),
-        Forwarded::Refused { res, .. } => (res, false),
-        Forwarded::NotTaken => {
+    match forwarding::send(node, rq, None, &ran).await {
+        Forwarded::Answer { res, .. } => read_forwarded(node, rq, res).await,
+        Forwarded::Refused { res, .. } => {
             send_record.record_unreached();
-            return CallOutcome::Unreached;
+            match may_have_run {
+                true => CallOutcome::NotRun,
+                false => read_forwarded(node, rq, res).await,
+            }
         }
-        Forwarded::Lost(_) => return CallOutcome::Failed(None),
-        Forwarded::Timeout => return CallOutcome::Timeout,
-    };
-    if !answered {
-        send_record.record_unreached();
-        if may_have_run {
-            return CallOutcome::NotRun;
+        Forwarded::NotTaken => {
+            send_record.record_unreached();
+            CallOutcome::Unreached
         }
+        Forwarded::Lost(_) => CallOutcome::Failed(None),
+        Forwarded::Timeout => CallOutcome::Timeout,
     }
+}
+
+fn lifetimes(node: &Node, ids: &[Name]) -> Vec<Ran> {
+    let runners = node.runners.borrow();
+    let lifetimes = ids
+        .iter()
+        .map(|id| (id.clone(), runners.health(id).born_ms));
+    lifetimes.collect()
+}
+
+/// Reads the answer that another instance passes on.
+async fn read_forwarded(
+    node: &Node,
+    rq: &ProxiedRequest,
+    res: Response<ResponseBody>,
+) -> CallOutcome {
+    let left = Duration::from_millis(rq.remaining_ms(node));
     let (parts, body) = res.into_parts();
     match timeout(left, body.collect(MAX_ANSWER_BYTES)).await {
         Ok(Ok(bytes)) => {
