Relay: a runner that asks for rest gets none of this instance's requests meanwhile

What callers saw: two of three first runners refused a part of their streams with 503 and Retry-After: 3; each instance sent to each of them five or six times more within that time, a repeat spent on each, and a third of the streams was refused for want of room.

Cause: Retry-After of a runner's refusal was not read. A refusal only began the chain's back-off of 100 ms, doubled to 1.6 s, which also ends with the chain.

Change: the rest belongs to the lifetime of the runner, for this instance alone. Neither streams, resumed ones included, nor calls are sent to it; chains begin at other runners where possible. While all runners that can be reached rest for longer than a request may wait, it is refused at once, with the end of the shortest rest and up to half a second as the time to return. Requests do not go through another instance because of a rest.

--- a/plugins/relay/src/admission.rs
+++ b/plugins/relay/src/admission.rs
@@ -17,6 +17,7 @@
 use crate::node::Node;
 use crate::reachability;
 use crate::request::ProxiedRequest;
+use crate::rest;
 
 /// Fraction of the objective that a request may wait for room. The rest is the time-to-first-token
 /// in a nearly full chain. A request that may have run already waits for the same time again, since
@@ -79,6 +80,9 @@
             return Err(Cause::NoPath);
         }
         let now = node.now();
+        if rest::shortest_ms(node, &rq.service).is_some_and(|ms| now + ms > until) {
+            return Err(Cause::Resting);
+        }
         let none = node.chains.borrow().of(&rq.service).is_empty();
         // Without a chain no release can be estimated, and one may appear shortly: an instance that
         // has just started gets requests from all its callers at once.
--- a/plugins/relay/src/answer.rs
+++ b/plugins/relay/src/answer.rs
@@ -129,6 +129,9 @@
     /// This instance reaches no runner for the service.
     #[display("no path to its runners")]
     NoPath,
+    /// All runners for the service asked for no requests for a while.
+    #[display("its runners asked for rest")]
+    Resting,
     /// No chain has room.
     #[display("no room")]
     NoRoom,
--- a/plugins/relay/src/attempt.rs
+++ b/plugins/relay/src/attempt.rs
@@ -13,6 +13,7 @@
 
 use crate::node::Node;
 use crate::rate_limits;
+use crate::rest;
 use crate::runner_connections::Outcome;
 
 /// Time limit for a new connection to a runner. The round trip takes about a millisecond, while a
@@ -93,7 +94,11 @@
     }
     let refused = headers.contains_key(header::NOT_RUN);
     if refused || res.status() == StatusCode::MISDIRECTED_REQUEST {
-        return SendOutcome::NotRun(Refusal::of(res.status(), headers));
+        let refusal = Refusal::of(res.status(), headers);
+        if let Some(ms) = refusal.retry_after_ms {
+            rest::record(node, runner, ms);
+        }
+        return SendOutcome::NotRun(refusal);
     }
     if header::text(headers, &header::REQUEST_ID) != Some(id) {
         return SendOutcome::Lost("the answer names another request".to_owned());
--- a/plugins/relay/src/call.rs
+++ b/plugins/relay/src/call.rs
@@ -25,6 +25,7 @@
 use crate::rate_limits;
 use crate::reachability;
 use crate::request::{ProxiedRequest, count_outcome};
+use crate::rest;
 
 /// Maximum answer size, in bytes: the answer is buffered in memory.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
@@ -92,6 +93,9 @@
             break;
         }
         let Some(runner) = next_runner(node, &rq, &tried) else {
+            if rest::shortest_ms(node, &rq.service).is_some() {
+                cause = Cause::Resting;
+            }
             break;
         };
         if send_record.sends > 0 && !node.take_retry(&rq.service, send_record.retry_priority()) {
@@ -129,8 +133,11 @@
             res
         }
         _ => {
-            let jitter_ms = (node.random_f64() * RETRY_AFTER_JITTER_MS) as Millis;
-            rq.unanswered_response(node, send_record, cause, RETRY_AFTER_MS + jitter_ms)
+            let retry_after_ms = match cause {
+                Cause::Resting => rest::retry_after_ms(node, &rq.service),
+                _ => RETRY_AFTER_MS + (node.random_f64() * RETRY_AFTER_JITTER_MS) as Millis,
+            };
+            rq.unanswered_response(node, send_record, cause, retry_after_ms)
         }
     }
 }
--- a/plugins/relay/src/lib.rs
+++ b/plugins/relay/src/lib.rs
@@ -27,6 +27,7 @@
 //! | `admission`, `chain_attempts`, `stream`, `events` | event streams: admission, attempts, response, events |
 //! | `rate_limits` | rate limits that runners announce |
 //! | `forwarding` | requests sent through another instance, for want of a path to the runners |
+//! | `rest` | runners that asked for no requests for a while |
 //! | `answer` | final responses, and what they may contain |
 //! | `shutdown` | drain and shutdown |
 //! | `dump` | state dump for operators |
@@ -59,6 +60,7 @@
 mod rate_limits;
 mod reachability;
 mod request;
+mod rest;
 mod runner_changes;
 mod runner_connections;
 mod runner_probe;
--- a/plugins/relay/src/live_chains.rs
+++ b/plugins/relay/src/live_chains.rs
@@ -372,7 +372,9 @@
         let mut candidates = Vec::with_capacity(live.len());
         for (i, l) in live.iter().enumerate() {
             let is_limited = !rate_limits::allows(self, l.chain.head());
-            let is_avoided = is_limited || runners.is_unreachable(l.head().0);
+            let head = l.head().0;
+            let is_avoided =
+                is_limited || runners.is_unreachable(head) || runners.rest_ms(head, now).is_some();
             if is_avoided || l.broken.is_cancelled() || !may_take(l) {
                 continue;
             }
--- a/plugins/relay/src/stream.rs
+++ b/plugins/relay/src/stream.rs
@@ -28,6 +28,7 @@
 use crate::quarantine;
 use crate::reachability;
 use crate::request::{ProxiedRequest, count_outcome};
+use crate::rest;
 
 /// Fraction of the caller's abandonment time, counted from the last event, within which a run must
 /// be resumed. The first event of the new run has to arrive within the rest.
@@ -109,10 +110,13 @@
     send_record: SendRecord,
     cause: Cause,
 ) -> Response<RelayBody> {
-    let retry_after_ms = node
-        .shortage
-        .borrow_mut()
-        .record_refused(node.now(), node.random_f64());
+    let retry_after_ms = match cause {
+        Cause::Resting => rest::retry_after_ms(node, &rq.service),
+        _ => node
+            .shortage
+            .borrow_mut()
+            .record_refused(node.now(), node.random_f64()),
+    };
     rq.unanswered_response(node, send_record, cause, retry_after_ms)
 }
 
--- a/policy/src/relay/chain.rs
+++ b/policy/src/relay/chain.rs
@@ -113,7 +113,7 @@
 /// chain inside a domain, so that chains cross domains only as a last resort.
 const CROSSING_MS: f64 = 1_000.0;
 
-/// Cost of a rate-limited runner at the head of a chain, in milliseconds per token: above the cost of
+/// Cost of a rate-limited or resting runner at the head of a chain, in milliseconds per token: above the cost of
 /// any chain inside a domain without it, and below [`CROSSING_MS`].
 const LIMITED_MS: f64 = 500.0;
 
@@ -125,10 +125,15 @@
     now: Millis,
 ) -> Option<Holder<'a>> {
     let holds = runners.holds_layers(entry, now);
-    holds.then(|| holder(entry, engine, &runners.health(&entry.id)))?
+    holds.then(|| holder(entry, engine, &runners.health(&entry.id), now))?
 }
 
-fn holder<'a>(entry: &'a RunnerEntry, engine: &Engine, s: &RunnerHealth) -> Option<Holder<'a>> {
+fn holder<'a>(
+    entry: &'a RunnerEntry,
+    engine: &Engine,
+    s: &RunnerHealth,
+    now: Millis,
+) -> Option<Holder<'a>> {
     let kind = engine.kinds.get(entry.kind.as_ref()?)?;
     let (from, to) = entry.layers?;
     let layers = (from, to.min(engine.layers));
@@ -136,7 +141,7 @@
     Some(Holder {
         entry,
         layers,
-        limited: s.limited,
+        limited: s.limited || s.rest_ms(now).is_some(),
         layer_ms: engine.step_ms * kind.pace * s.slowness() * share,
         room: engine.room(kind, entry.held(), 1),
         target_room: engine.room_tokens,
--- a/policy/src/relay/runners.rs
+++ b/policy/src/relay/runners.rs
@@ -51,6 +51,8 @@
     pub born_ms: u64,
     /// Time before which the runner gets no requests, in milliseconds.
     pub avoid_until_ms: Millis,
+    /// Time until which it wants no requests of this instance, in milliseconds.
+    pub rest_until_ms: Millis,
     /// Whether it is considered dead.
     pub dead: bool,
     /// When it was found dead, in milliseconds.
@@ -142,6 +144,18 @@
         self.recovered_ms.filter(|_| !self.dead)
     }
 
+    /// Records that it wants no requests of this instance for `ms` milliseconds.
+    pub fn rest_for(&mut self, ms: Millis, now: Millis) {
+        self.rest_until_ms = self.rest_until_ms.max(now + ms);
+    }
+
+    /// Returns how much longer it wants no requests of this instance, in milliseconds.
+    #[must_use]
+    pub fn rest_ms(&self, now: Millis) -> Option<Millis> {
+        let left = self.rest_until_ms.saturating_sub(now);
+        (left > 0).then_some(left)
+    }
+
     /// Makes the next probe due at once, since the runner answers another instance again.
     pub fn probe_soon(&mut self) {
         self.probed_ms = None;
@@ -279,15 +293,15 @@
         self.domains.get(domain).map_or(0, |d| d.generation)
     }
 
-    /// Returns when a runner of a failure domain that is avoided now may be used again, in
+    /// Returns when a runner of a failure domain that is avoided or rests now may be used again, in
     /// milliseconds, unless something changes before.
     #[must_use]
     pub fn next_usability_change_ms(&self, domain: &str, now: Millis) -> Millis {
         let healths = self
             .in_domain(domain)
             .filter_map(|e| self.health.get(&e.id));
-        let ends = healths.map(|h| h.avoid_until_ms).filter(|at| *at > now);
-        ends.min().unwrap_or(Millis::MAX)
+        let ends = healths.flat_map(|h| [h.avoid_until_ms, h.rest_until_ms]);
+        ends.filter(|at| *at > now).min().unwrap_or(Millis::MAX)
     }
 
     /// Counts a change in a failure domain and returns its index.
@@ -528,6 +542,12 @@
         }
     }
 
+    /// Returns how much longer a runner wants no requests of this instance, in milliseconds.
+    #[must_use]
+    pub fn rest_ms(&self, id: &str, now: Millis) -> Option<Millis> {
+        self.health.get(id).and_then(|h| h.rest_ms(now))
+    }
+
     /// Returns whether all runners accept connections of this instance, as far as known.
     #[must_use]
     pub fn all_reachable(&self) -> bool {
@@ -598,9 +618,10 @@
         now: Millis,
         mut draw: impl FnMut() -> u32,
     ) -> Vec<&RunnerEntry> {
-        let usable = self
-            .living(service)
-            .filter(|e| self.usable(e, now) && !self.is_unreachable(&e.id));
+        let usable = self.living(service).filter(|e| {
+            let can_take = self.usable(e, now) && !self.is_unreachable(&e.id);
+            can_take && self.rest_ms(&e.id, now).is_none()
+        });
         let mut ranked: Vec<_> = usable
             .map(|e| {
                 let s = self.health(&e.id);
