Relay: a runner whose answers say that it is leaving gets no more requests

Only entries and other instances' words were believed, and an entry written once more as ready took a draining back.

Now an answer marks the lifetime of the runner, for good: it stays draining whatever its entry says later, and other instances are told.

--- a/plugins/relay/src/attempt.rs
+++ b/plugins/relay/src/attempt.rs
@@ -90,6 +90,9 @@
     };
     let headers = res.headers();
     if res.status() != StatusCode::MISDIRECTED_REQUEST {
+        if headers.contains_key(header::LEAVING) {
+            node.runner_leaves(runner);
+        }
         rate_limits::record_answer(node, runner, header::rate_limit(headers));
     }
     let refused = headers.contains_key(header::NOT_RUN);
--- a/plugins/relay/src/node.rs
+++ b/plugins/relay/src/node.rs
@@ -22,7 +22,7 @@
 use jacinthweir_policy::relay::quarantine::Quarantine;
 use jacinthweir_policy::relay::rate_limits::RunnerRateLimits;
 use jacinthweir_policy::relay::revision::Revision;
-use jacinthweir_policy::relay::runners::Runners;
+use jacinthweir_policy::relay::runners::{RunnerEntry, Runners};
 use jacinthweir_policy::relay::shared_retry_budget::{
     RetryCounts, SharedRetryBudget, SharedRetryBudgetConfig,
 };
@@ -352,6 +352,16 @@
         self.membership.borrow().live().count().max(1)
     }
 
+    /// Records that a runner says in an answer that it is leaving. Its entry may say so later.
+    pub(crate) fn runner_leaves(&self, runner: &RunnerEntry) {
+        let RunnerEntry { id, born_ms, .. } = runner;
+        if self.runners.borrow_mut().mark_draining(id, *born_ms) {
+            log::info!(runner = id.as_ref(), born_ms; "runner says that it is leaving");
+            self.note_draining(id, *born_ms);
+            self.rebuild_chains();
+        }
+    }
+
     /// Records that a runner is draining, and gossips it.
     pub(crate) fn note_draining(&self, id: &Name, born_ms: u64) {
         let now = self.now();
--- a/plugins/relay/tests/relay.rs
+++ b/plugins/relay/tests/relay.rs
@@ -5,6 +5,8 @@
 mod configuration;
 #[path = "relay/failure_detection.rs"]
 mod failure_detection;
+#[path = "relay/leaving.rs"]
+mod leaving;
 #[path = "relay/partition.rs"]
 mod partition;
 #[path = "relay/quarantine.rs"]
--- a/plugins/relay/tests/support/standin/runner.rs
+++ b/plugins/relay/tests/support/standin/runner.rs
@@ -102,6 +102,8 @@
     pub arrivals: RefCell<Vec<Instant>>,
     /// Announced rate limit, in requests per second.
     pub rate_limit: Cell<Option<f64>>,
+    /// Whether the runner says in its answers that it is leaving.
+    pub leaving: Cell<bool>,
     /// Time for which a refusal asks its recipient for no requests, in seconds.
     pub rest: Cell<Option<f64>>,
     /// Cancelled when the runner crashes.
@@ -133,6 +135,7 @@
             reroutes: RefCell::default(),
             arrivals: RefCell::default(),
             rate_limit: Cell::default(),
+            leaving: Cell::default(),
             rest: Cell::default(),
             lifetime: RefCell::default(),
             downtime: Cell::new(RESTART_DELAY),
@@ -293,7 +296,14 @@
         }
         let limit = self.rate_limit.get();
         let limit = limit.map_or(String::new(), |l| format!("Server-Limit: {l}\r\n"));
-        let receipt = format!("{limit}X-Jacinthweir-Server-Stamp: of-{}\r\n", self.id);
+        let leaving = match self.leaving.get() {
+            true => "Server-Leaving: 1\r\n",
+            false => "",
+        };
+        let receipt = format!(
+            "{limit}{leaving}X-Jacinthweir-Server-Stamp: of-{}\r\n",
+            self.id
+        );
         let request_id = format!("X-Jacinthweir-Request-Id: {id}\r\n");
         let response = |status: &str, headers: &str, body: &str| {
             let length = body.len();
@@ -315,7 +325,7 @@
                 let rest = rest.map_or(String::new(), |s| format!("Retry-After: {s}\r\n"));
                 response(
                     "503 Full",
-                    &format!("{rest}X-Jacinthweir-Not-Run: 1\r\n"),
+                    &format!("{rest}{leaving}X-Jacinthweir-Not-Run: 1\r\n"),
                     "",
                 )
             }
--- a/policy/src/relay/runners.rs
+++ b/policy/src/relay/runners.rs
@@ -51,6 +51,8 @@
     pub born_ms: u64,
     /// Time before which the runner gets no requests, in milliseconds.
     pub avoid_until_ms: Millis,
+    /// Whether it has said that it is leaving, which it does not take back in the same lifetime.
+    leaving: bool,
     /// Time until which it wants no requests of this instance, in milliseconds.
     pub rest_until_ms: Millis,
     /// Whether it is considered dead.
@@ -365,7 +367,8 @@
         true
     }
 
-    /// Adds or replaces an entry. Returns whether the entry changed.
+    /// Adds or replaces an entry. Returns whether the entry changed. A runner that has said that it is
+    /// leaving stays draining, whatever its entry says.
     pub fn put(&mut self, entry: &RunnerEntry) -> bool {
         self.lapsed.remove(&entry.id);
         self.removed.remove(&entry.id);
@@ -381,8 +384,13 @@
         if health.dead || health.is_slow() {
             self.notable.insert(entry.id.clone());
         }
+        health.leaving |= entry.draining;
+        let entry = RunnerEntry {
+            draining: health.leaving,
+            ..entry.clone()
+        };
         let old = self.entries.insert(entry.id.clone(), entry.clone());
-        if old.as_ref() == Some(entry) {
+        if old.as_ref() == Some(&entry) {
             return false;
         }
         if let Some(old) = old.filter(|o| o.domain != entry.domain) {
@@ -392,9 +400,13 @@
         true
     }
 
-    /// Marks a runner as draining by a report of another instance. Returns whether it was not
-    /// known.
+    /// Marks a runner as draining by its own answer or a report of another instance. Returns whether
+    /// it was not known.
     pub fn mark_draining(&mut self, id: &str, born_ms: u64) -> bool {
+        let health = self.health.get_mut(id);
+        if let Some(health) = health.filter(|h| h.born_ms == born_ms) {
+            health.leaving = true;
+        }
         let entry = self.entries.get_mut(id);
         let Some(entry) = entry.filter(|e| e.born_ms == born_ms && !e.draining) else {
             return false;
