Relay: a stream that no other instance takes is not offered again at once; one that one takes goes on first

A stream whose path was lost was offered to three instances whenever any room became free here, and each refused for want of room. It now waits 150 ms between two offers. Another instance is tried only if the first can serve no such request at all (no path, no confirmed configuration), since room is the same for all. Where it is taken it precedes new requests, as an interrupted stream does at its own instance.

--- a/plugins/relay/src/admission.rs
+++ b/plugins/relay/src/admission.rs
@@ -72,7 +72,7 @@
     loop {
         let notified = node.room_freed.notified();
         if position.is_first()
-            && let Some(live) = node.choose_chain(rq, chain_selection::MAX_FILL, &may_take)
+            && let Some(live) = node.choose_chain(rq, max_fill(rq), &may_take)
         {
             return Ok(live);
         }
@@ -96,10 +96,25 @@
     }
 }
 
-/// Returns the queue rank of a new request: its priority, behind interrupted streams, which have
-/// rank 0.
+/// Returns the queue rank of a request: its priority, behind interrupted streams, which have rank 0.
 fn queue_rank(rq: &ProxiedRequest) -> u32 {
-    rq.priority.saturating_add(1)
+    match is_resumed(rq) {
+        true => 0,
+        false => rq.priority.saturating_add(1),
+    }
+}
+
+/// Returns the occupancy up to which a chain is filled for a request.
+fn max_fill(rq: &ProxiedRequest) -> f64 {
+    match is_resumed(rq) {
+        true => chain_selection::MAX_FILL_RESUMED,
+        false => chain_selection::MAX_FILL,
+    }
+}
+
+/// Whether another instance's stream goes on with the request.
+fn is_resumed(rq: &ProxiedRequest) -> bool {
+    rq.origin.as_ref().is_some_and(|o| o.is_resumed)
 }
 
 /// A position in the queue, released on drop.
--- a/plugins/relay/src/answer.rs
+++ b/plugins/relay/src/answer.rs
@@ -152,6 +152,7 @@
 /// What became of the sends of a request that no runner answered, as an extension of its answer.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct SendFacts {
+    pub(crate) cause: Cause,
     pub(crate) sends: u32,
     pub(crate) may_have_run: bool,
 }
@@ -201,6 +202,7 @@
     pub(crate) fn failure(&self, cause: Cause, retry_after_ms: Millis) -> Response<RelayBody> {
         let mut res = self.failure_response(cause, retry_after_ms);
         res.extensions_mut().insert(SendFacts {
+            cause,
             sends: self.sends,
             may_have_run: self.may_have_run(),
         });
--- a/plugins/relay/src/call.rs
+++ b/plugins/relay/src/call.rs
@@ -18,7 +18,7 @@
 use crate::answer::{Cause, RelayBody, SendRecord};
 use crate::attempt::{self, SendOutcome};
 use crate::failure_detector;
-use crate::forwarding::{self, Forwarded, Ran};
+use crate::forwarding::{self, Forwarded, Ran, StreamProgress};
 use crate::interrupted_run::{self, InterruptedRun, Progress};
 use crate::node::Node;
 use crate::quarantine;
@@ -158,7 +158,7 @@
         false => Vec::new(),
     };
     send_record.record_send();
-    match forwarding::send(node, rq, None, &ran).await {
+    match forwarding::send(node, rq, StreamProgress::none(rq), &ran).await {
         Forwarded::Answer { res, .. } => read_forwarded(node, rq, res).await,
         Forwarded::Refused { res, .. } => {
             send_record.record_unreached();
--- a/plugins/relay/src/chain_attempts.rs
+++ b/plugins/relay/src/chain_attempts.rs
@@ -14,7 +14,7 @@
 use crate::answer::SendRecord;
 use crate::attempt::{self, SendOutcome};
 use crate::failure_detector;
-use crate::forwarding::{self, Forwarded};
+use crate::forwarding::{self, Forwarded, StreamProgress};
 use crate::interrupted_run::{self, InterruptedRun, Progress};
 use crate::live_chains::{InFlight, Interruption, LiveChain};
 use crate::node::Node;
@@ -61,10 +61,10 @@
         &mut self,
         node: &Node,
         rq: &ProxiedRequest,
-        last_event: Option<u64>,
+        progress: StreamProgress,
     ) -> Forwarded {
         self.send_record.record_send();
-        let sent = forwarding::send(node, rq, last_event, self.attempts.ran()).await;
+        let sent = forwarding::send(node, rq, progress, self.attempts.ran()).await;
         match &sent {
             Forwarded::Answer { runner, .. } => self.attempts.record_forwarded(runner.clone()),
             Forwarded::Lost(_) | Forwarded::Timeout => self.attempts.record_forwarded(None),
--- a/plugins/relay/src/forwarding.rs
+++ b/plugins/relay/src/forwarding.rs
@@ -18,7 +18,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::timeout;
 
-use crate::answer::{RelayBody, SendFacts, plain};
+use crate::answer::{Cause, RelayBody, SendFacts, plain};
 use crate::attempt::CONNECT_TIMEOUT;
 use crate::node::Node;
 use crate::reachability::{self, PeerAddress};
@@ -56,18 +56,39 @@
     remaining_ms: Millis,
     /// Time since it was received, in milliseconds.
     waited_ms: Millis,
+    /// Whether it goes on with a stream whose caller has the beginning.
+    is_resumed: bool,
     /// Runners that may have run it.
     ran: Vec<Ran>,
 }
 
+/// How far the caller's stream is when its request is forwarded.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct StreamProgress {
+    /// Last event that the caller has.
+    pub(crate) last_event: Option<u64>,
+    /// Whether the caller has the head of the answer.
+    pub(crate) is_resumed: bool,
+}
+
+impl StreamProgress {
+    /// Nothing of the answer has been sent to the caller.
+    pub(crate) fn none(rq: &ProxiedRequest) -> StreamProgress {
+        StreamProgress {
+            last_event: rq.last_event,
+            is_resumed: false,
+        }
+    }
+}
+
 /// What became of a forwarded request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Outcome {
     /// A runner answered it, or it was denied.
     Answered,
-    /// It was not sent to any runner.
-    NotSent,
-    /// It was sent, and has certainly not run.
+    /// The instance cannot serve any such request now.
+    Unable,
+    /// It has certainly not run.
     NotRun,
     /// It may have run.
     Unknown,
@@ -76,7 +97,7 @@
 impl Outcome {
     const ALL: [Outcome; 4] = [
         Outcome::Answered,
-        Outcome::NotSent,
+        Outcome::Unable,
         Outcome::NotRun,
         Outcome::Unknown,
     ];
@@ -84,7 +105,7 @@
     fn text(self) -> &'static str {
         match self {
             Outcome::Answered => "answered",
-            Outcome::NotSent => "not-sent",
+            Outcome::Unable => "unable",
             Outcome::NotRun => "not-run",
             Outcome::Unknown => "unknown",
         }
@@ -99,8 +120,10 @@
         match res.extensions().get::<SendFacts>() {
             None => Outcome::Answered,
             Some(facts) if facts.may_have_run => Outcome::Unknown,
-            Some(facts) if facts.sends > 0 => Outcome::NotRun,
-            Some(_) => Outcome::NotSent,
+            Some(facts) => match facts.cause {
+                Cause::NoPath | Cause::Unconfirmed if facts.sends == 0 => Outcome::Unable,
+                _ => Outcome::NotRun,
+            },
         }
     }
 }
@@ -131,10 +154,10 @@
 pub(crate) async fn send(
     node: &Node,
     rq: &ProxiedRequest,
-    last_event: Option<u64>,
+    progress: StreamProgress,
     ran: &[Ran],
 ) -> Forwarded {
-    let message = ForwardedRequest::of(node, rq, last_event, ran);
+    let message = ForwardedRequest::of(node, rq, progress, ran);
     let body = match rmp_serde::to_vec(&message) {
         Ok(body) => Bytes::from(body),
         Err(e) => {
@@ -142,23 +165,16 @@
             return Forwarded::NotTaken;
         }
     };
-    let mut refusal = Forwarded::NotTaken;
     for peer in reachability::peers_with_paths(node, MAX_PEERS) {
         let left = Duration::from_millis(rq.remaining_ms(node));
         let sent = timeout(left, offer(&peer, body.clone())).await;
         let forwarded = sent.unwrap_or(Forwarded::Timeout);
         log_forwarded(node, rq, &peer, &forwarded);
-        match forwarded {
-            Forwarded::NotTaken => {}
-            Forwarded::Refused { ref res, .. } if is_not_sent(res) => refusal = forwarded,
-            settled => return settled,
+        if !matches!(forwarded, Forwarded::NotTaken) {
+            return forwarded;
         }
     }
-    refusal
-}
-
-fn is_not_sent(res: &Response<ResponseBody>) -> bool {
-    outcome(res.headers()) == Some(Outcome::NotSent)
+    Forwarded::NotTaken
 }
 
 fn outcome(headers: &HeaderMap) -> Option<Outcome> {
@@ -187,12 +203,12 @@
                 runner,
             }
         }
-        Some(Outcome::NotSent | Outcome::NotRun) => Forwarded::Refused {
+        Some(Outcome::NotRun) => Forwarded::Refused {
             peer: peer.name.clone(),
             res,
         },
         Some(Outcome::Unknown) => Forwarded::Lost("another instance got no answer".to_owned()),
-        None => Forwarded::NotTaken,
+        Some(Outcome::Unable) | None => Forwarded::NotTaken,
     }
 }
 
@@ -219,10 +235,10 @@
     fn of(
         node: &Node,
         rq: &ProxiedRequest,
-        last_event: Option<u64>,
+        progress: StreamProgress,
         ran: &[Ran],
     ) -> ForwardedRequest {
-        let req = rq.caller_request(last_event);
+        let req = rq.caller_request(progress.last_event);
         let headers = req.headers().iter();
         let headers = headers.map(|(name, value)| {
             (
@@ -238,6 +254,7 @@
             headers: headers.collect(),
             remaining_ms: rq.remaining_ms(node),
             waited_ms: node.now() - rq.received_ms,
+            is_resumed: progress.is_resumed,
             ran: ran.to_vec(),
             body: req.into_body(),
         }
@@ -280,6 +297,7 @@
     log::debug!(peer = message.from.as_ref(); "serving a request of another instance");
     let origin = ForwardOrigin {
         waited_ms: message.waited_ms,
+        is_resumed: message.is_resumed,
         ran: message.ran,
     };
     let mut res = request::serve_forwarded(node, req, origin).await;
@@ -299,6 +317,8 @@
 #[derive(Debug)]
 pub(crate) struct ForwardOrigin {
     pub(crate) waited_ms: Millis,
+    /// Whether it goes on with a stream whose caller has the beginning.
+    pub(crate) is_resumed: bool,
     /// Runners that may have run it.
     pub(crate) ran: Vec<Ran>,
 }
--- a/plugins/relay/src/stream.rs
+++ b/plugins/relay/src/stream.rs
@@ -21,7 +21,7 @@
 use crate::answer::{Cause, RelayBody, SendRecord, StreamCut};
 use crate::chain_attempts::{AttemptOutcome, ChainAttempts};
 use crate::events::EventSplitter;
-use crate::forwarding::{self, FirstRunner, Forwarded};
+use crate::forwarding::{self, FirstRunner, Forwarded, StreamProgress};
 use crate::interrupted_run::{self, InterruptedRun, Progress};
 use crate::live_chains::{InFlight, Interruption, LiveChain, Run};
 use crate::node::Node;
@@ -46,6 +46,10 @@
 /// Time limit for a runner's answer to a reroute order.
 const REROUTE_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Time after which an interrupted run is offered to other instances again. A run that is offered
+/// whenever room becomes free here would be offered hundreds of times a second.
+const FORWARD_INTERVAL: Duration = Duration::from_millis(150);
+
 /// Interval at which an interrupted run checks for a chain without a notification: changes in the
 /// load of other instances cause none.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -74,7 +78,7 @@
             break Cause::RunnerFailed;
         }
         let Some(live) = live else {
-            match attempts.forward(node, &rq, rq.last_event).await {
+            match attempts.forward(node, &rq, StreamProgress::none(&rq)).await {
                 Forwarded::Answer { peer, res, .. } => {
                     return forward(node, rq, Run::Peer(peer), res, attempts);
                 }
@@ -197,6 +201,8 @@
     AttemptsExhausted,
     #[display("no chain took it in time")]
     NoChain,
+    #[display("no other instance took it in time")]
+    NotForwarded,
     #[display("the next chain did not take it")]
     NextRefused,
     #[display("the next chain broke")]
@@ -438,8 +444,12 @@
                 Err(ResumeFailure::OutOfTime) => return Err(ResumeFailure::OutOfTime),
                 Err(failure) => failure,
             };
-            if matches!(failure, ResumeFailure::NoChain | ResumeFailure::NoRetry) {
-                let _ = timeout(POLL_INTERVAL, self.node.room_freed.notified()).await;
+            match failure {
+                ResumeFailure::NoChain | ResumeFailure::NoRetry => {
+                    let _ = timeout(POLL_INTERVAL, self.node.room_freed.notified()).await;
+                }
+                ResumeFailure::NotForwarded => sleep(FORWARD_INTERVAL).await,
+                _ => {}
             }
         }
         Err(failure)
@@ -485,10 +495,14 @@
         if !node.has_retry(&rq.service, RetryPriority::Committed) {
             return Err(ResumeFailure::NoRetry);
         }
-        let forwarded = self.attempts.forward(node, rq, self.events.last()).await;
+        let progress = StreamProgress {
+            last_event: self.events.last(),
+            is_resumed: true,
+        };
+        let forwarded = self.attempts.forward(node, rq, progress).await;
         // A request that the other instance did not send to a runner costs no retry.
         if matches!(forwarded, Forwarded::Refused { .. } | Forwarded::NotTaken) {
-            return Err(ResumeFailure::NoChain);
+            return Err(ResumeFailure::NotForwarded);
         }
         node.take_retry(&rq.service, RetryPriority::Committed);
         match forwarded {
