Relay: an instance that reaches only full chains sends requests through another one

Now a request that finds no room where part of the first runners is out of reach goes through another instance, which sees all chains. The test failed before (503) and passes.

--- a/plugins/relay/src/admission.rs
+++ b/plugins/relay/src/admission.rs
@@ -71,13 +71,13 @@
     let mut first_check = true;
     loop {
         let notified = node.room_freed.notified();
-        if position.is_first()
-            && let Some(live) = node.choose_chain(rq, max_fill(rq), &may_take)
-        {
-            return Ok(live);
-        }
-        if reachability::is_lost(node, &rq.service) {
-            return Err(Cause::NoPath);
+        if position.is_first() {
+            if let Some(live) = node.choose_chain(rq, max_fill(rq), &may_take) {
+                return Ok(live);
+            }
+            if may_have_room_elsewhere(node, rq) {
+                return Err(Cause::NoPath);
+            }
         }
         let now = node.now();
         if rest::shortest_ms(node, &rq.service).is_some_and(|ms| now + ms > until) {
@@ -96,6 +96,15 @@
     }
 }
 
+/// Returns whether another instance may have room for a request because it reaches runners that this
+/// one does not reach. A forwarded request waits for what is reached here.
+fn may_have_room_elsewhere(node: &Node, rq: &ProxiedRequest) -> bool {
+    match rq.origin {
+        Some(_) => reachability::is_lost(node, &rq.service),
+        None => reachability::is_impaired(node, &rq.service),
+    }
+}
+
 /// Returns the queue rank of a request: its priority, behind interrupted streams, which have rank 0.
 fn queue_rank(rq: &ProxiedRequest) -> u32 {
     match is_resumed(rq) {
--- a/plugins/relay/src/reachability.rs
+++ b/plugins/relay/src/reachability.rs
@@ -38,6 +38,13 @@
     !node.runners.borrow().all_reachable() && reach(node, service) == Reach::Lost
 }
 
+/// Returns whether another instance may have room for a service's requests where this one has none,
+/// because it does not reach all of the runners.
+pub(crate) fn is_impaired(node: &Node, service: &str) -> bool {
+    let is_impaired = || matches!(reach(node, service), Reach::Lost | Reach::Some);
+    !node.runners.borrow().all_reachable() && is_impaired()
+}
+
 /// Returns whether this instance reaches no service any more.
 pub(crate) fn is_cut_off(node: &Node) -> bool {
     if node.runners.borrow().all_reachable() {
--- a/plugins/relay/src/stream.rs
+++ b/plugins/relay/src/stream.rs
@@ -489,7 +489,7 @@
         &mut self,
     ) -> Result<(Run, Response<ResponseBody>), ResumeFailure> {
         let (node, rq) = (&self.node, &self.rq);
-        if rq.origin.is_some() || !reachability::is_lost(node, &rq.service) {
+        if rq.origin.is_some() || !reachability::is_impaired(node, &rq.service) {
             return Err(ResumeFailure::NoChain);
         }
         if !node.has_retry(&rq.service, RetryPriority::Committed) {
--- a/plugins/relay/tests/relay/partition.rs
+++ b/plugins/relay/tests/relay/partition.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures::future::join_all;
 use googletest::prelude::*;
 use jacinthweir_relay::{Relay, RelaySettings};
 use tokio::task::{JoinHandle, spawn_local};
@@ -139,6 +140,42 @@
     }
 }
 
+/// Returns the room of each chain that an instance uses, in tokens.
+async fn rooms(member: &Member) -> Vec<f64> {
+    let dump = get(member.settings.listen.operators, "GET /dump HTTP/1.1").await;
+    let dump: serde_json::Value = serde_json::from_str(&dump.body).expect("JSON");
+    let chains = dump["chains"].as_array().expect("chains").iter();
+    let rooms = chains.map(|c| c["room_tokens"].as_f64().expect("a number"));
+    rooms.collect()
+}
+
+/// Guards against requests that are refused for want of room at an instance that reaches the chains
+/// of one failure domain, while those of the other are idle.
+#[gtest]
+fn an_instance_that_reaches_only_full_chains_serves_through_another() {
+    run_single_threaded(async {
+        let (cluster, members) = open(1).await;
+        let member = &members[0];
+        for runner in &cluster.runners {
+            runner.event_interval.set(Duration::from_millis(500));
+        }
+        let rooms = rooms(member).await;
+        member.paths.cut_first(2, CUTS[0]);
+        for _ in 0..3 {
+            let _ = send_to(member, NOTES).await;
+        }
+        // Each fills more than half of a chain; there are two chains or more in each domain.
+        let tokens = rooms.iter().copied().fold(0.0, f64::max) * 0.6;
+        let headers = format!("X-Jacinthweir-Token-Counts: {tokens:.0},6\r\n");
+        let callers = member.settings.listen.callers;
+        let sent = (0..rooms.len()).map(|_| send_request(callers, NOTES, &headers, "prompt"));
+        for got in join_all(sent).await {
+            expect_that!(got.status, eq(200));
+            expect_true!(got.complete);
+        }
+    });
+}
+
 /// Starts a stream at an instance and waits until it has begun.
 async fn start_stream(cluster: &Cluster, member: &Rc<Member>) -> JoinHandle<Response> {
     let before = cluster.run_count();
--- a/plugins/relay/tests/support/standin/paths.rs
+++ b/plugins/relay/tests/support/standin/paths.rs
@@ -44,7 +44,8 @@
 
 /// Paths from one instance to all runners.
 pub struct Paths {
-    cut: watch::Sender<Option<Cut>>,
+    /// State of the path to each runner, in the order of the cluster: model runners, then plain ones.
+    cuts: Vec<watch::Sender<Option<Cut>>>,
     /// Address of the gateway for each runner's address.
     pub addresses: BTreeMap<SocketAddr, SocketAddr>,
 }
@@ -52,27 +53,38 @@
 impl Paths {
     /// Opens intact paths to all runners of a cluster.
     pub async fn open(cluster: &Cluster) -> Paths {
-        let (cut, state) = watch::channel(None);
+        let mut cuts = Vec::new();
         let ip = unique_loopback_ip();
         let mut addresses = BTreeMap::new();
         let runners = cluster.runners.iter().chain(&cluster.plain);
         for (port, runner) in (FIRST_PORT..).zip(runners) {
             let address: SocketAddr = (ip, port).into();
             let listener = TcpListener::bind(address).await.expect("a gateway");
-            spawn_local(run_gateway(listener, runner.address, state.clone()));
+            let (cut, state) = watch::channel(None);
+            spawn_local(run_gateway(listener, runner.address, state));
+            cuts.push(cut);
             addresses.insert(runner.address, address);
         }
-        Paths { cut, addresses }
+        Paths { cuts, addresses }
     }
 
     /// Cuts all paths.
     pub fn cut(&self, cut: Cut) {
-        self.cut.send_replace(Some(cut));
+        self.cut_first(self.cuts.len(), cut);
+    }
+
+    /// Cuts the paths to the first `count` runners.
+    pub fn cut_first(&self, count: usize, cut: Cut) {
+        for path in &self.cuts[..count] {
+            path.send_replace(Some(cut));
+        }
     }
 
     /// Restores all paths.
     pub fn restore(&self) {
-        self.cut.send_replace(None);
+        for path in &self.cuts {
+            path.send_replace(None);
+        }
     }
 }
 
--- a/policy/src/relay/reachability.rs
+++ b/policy/src/relay/reachability.rs
@@ -58,12 +58,14 @@
     }
 }
 
-/// How an instance can serve the requests for a service.
+/// Which of the runners to which a service's requests are sent an instance reaches.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reach {
-    /// It reaches at least one of the runners to which requests are sent.
-    Direct,
-    /// Such runners are alive, and it reaches none of them.
+    /// All of them.
+    All,
+    /// Some, so that others may be idle while the reached ones are full.
+    Some,
+    /// None, although there are such runners.
     Lost,
     /// There is no such runner.
     Nothing,
@@ -76,21 +78,22 @@
     pub fn of(runners: impl IntoIterator<Item = bool>) -> Reach {
         let mut reach = Reach::Nothing;
         for reachable in runners {
-            if reachable {
-                return Reach::Direct;
-            }
-            reach = Reach::Lost;
+            reach = match (reach, reachable) {
+                (Reach::Nothing | Reach::All, true) => Reach::All,
+                (Reach::Nothing | Reach::Lost, false) => Reach::Lost,
+                (Reach::Some, _) | (Reach::All, false) | (Reach::Lost, true) => Reach::Some,
+            };
         }
         reach
     }
 
-    /// Returns whether an instance with these reaches of its services has lost all paths.
+    /// Returns whether an instance with these reaches of its services reaches no runner at all.
     #[must_use]
     pub fn is_cut_off(services: impl IntoIterator<Item = Reach>) -> bool {
         let mut lost = false;
         for reach in services {
             match reach {
-                Reach::Direct => return false,
+                Reach::All | Reach::Some => return false,
                 Reach::Lost => lost = true,
                 Reach::Nothing => {}
             }
--- a/policy/tests/relay_reachability.rs
+++ b/policy/tests/relay_reachability.rs
@@ -160,10 +160,12 @@
 #[gtest]
 fn an_instance_is_cut_off_if_it_reaches_no_service() {
     expect_that!(Reach::of([]), eq(Reach::Nothing));
-    expect_that!(Reach::of([false, true]), eq(Reach::Direct));
+    expect_that!(Reach::of([true, true]), eq(Reach::All));
+    expect_that!(Reach::of([false, true, false]), eq(Reach::Some));
+    expect_that!(Reach::of([true, false, true]), eq(Reach::Some));
     expect_that!(Reach::of([false, false]), eq(Reach::Lost));
     expect_false!(Reach::is_cut_off([Reach::Nothing]));
-    expect_false!(Reach::is_cut_off([Reach::Lost, Reach::Direct]));
+    expect_false!(Reach::is_cut_off([Reach::Lost, Reach::Some]));
     expect_true!(Reach::is_cut_off([Reach::Lost, Reach::Nothing]));
 }
 
