--- a/plugins/relay/tests/relay.rs
+++ b/plugins/relay/tests/relay.rs
@@ -9,6 +9,8 @@
 mod leaving;
 #[path = "relay/partition.rs"]
 mod partition;
+#[path = "relay/partition_soak.rs"]
+mod partition_soak;
 #[path = "relay/quarantine.rs"]
 mod quarantine;
 #[path = "relay/rate_limits.rs"]
