--- a/ctl/src/text/relay.rs
+++ b/ctl/src/text/relay.rs
@@ -83,10 +83,11 @@
 
 fn state(r: &RunnerDump) -> String {
     let slow = r.pace.filter(|p| *p > 1.5);
-    match (r.dead, r.draining, slow) {
-        (true, _, _) => "dead".to_owned(),
-        (false, true, _) => "leaving".to_owned(),
-        (false, false, Some(pace)) => format!("slow x{pace:.1}"),
-        (false, false, None) => "well".to_owned(),
+    match slow {
+        _ if r.dead => "dead".to_owned(),
+        _ if r.unreachable => "unreachable".to_owned(),
+        _ if r.draining => "leaving".to_owned(),
+        Some(pace) => format!("slow x{pace:.1}"),
+        None => "well".to_owned(),
     }
 }
--- a/plugins/relay/src/duties.rs
+++ b/plugins/relay/src/duties.rs
@@ -110,6 +110,16 @@
     !is_discovering(node) && (!node.reaches_store.get() || watchers(node).contains(own))
 }
 
+/// Returns the other active instances of this instance's failure domain that serve callers. One that
+/// does not may be cut off from the runners.
+pub(crate) fn serving_neighbours(node: &Node) -> Vec<Candidate> {
+    let now = node.now();
+    let loads = node.loads.borrow();
+    let mut candidates = neighbours(node);
+    candidates.retain(|c| !loads.refuses(&c.name, &node.settings.failure_domain, now));
+    candidates
+}
+
 /// Returns the other active instances of this instance's failure domain.
 pub(crate) fn neighbours(node: &Node) -> Vec<Candidate> {
     let membership = node.membership.borrow();
--- a/plugins/relay/src/failure_detector.rs
+++ b/plugins/relay/src/failure_detector.rs
@@ -436,7 +436,7 @@
     if suspects.is_empty() {
         return suspects;
     }
-    let neighbours = duties::neighbours(node);
+    let neighbours = duties::serving_neighbours(node);
     let mut due = |id: &Name| {
         let is_prober = {
             let names = neighbours.iter().map(|c| &c.name);
