Relay: failover of streams in a module of its own; the examination of a runner in shorter steps; forwarded refusals

A refusal of another instance is answered as a refusal of this one, with the other's retry time, and logged as such; it was passed on as an answer before. Otherwise nothing decides differently.

--- a/plugins/relay/src/answer.rs
+++ b/plugins/relay/src/answer.rs
@@ -135,6 +135,9 @@
     /// No chain has room.
     #[display("no room")]
     NoRoom,
+    /// Another instance, to which the request was forwarded, refused it.
+    #[display("another instance refused")]
+    RefusedElsewhere,
     /// All runners tried refused the request.
     #[display("runners refused")]
     Refused,
--- a/plugins/relay/src/call.rs
+++ b/plugins/relay/src/call.rs
@@ -152,20 +152,18 @@
     if send_record.sends > 0 && !node.take_retry(&rq.service, send_record.retry_priority()) {
         return CallOutcome::Failed(None);
     }
-    let may_have_run = send_record.may_have_run();
-    let ran = match may_have_run {
+    let ran = match send_record.may_have_run() {
         true => lifetimes(node, tried),
         false => Vec::new(),
     };
     send_record.record_send();
     match forwarding::send(node, rq, StreamProgress::none(rq), &ran).await {
         Forwarded::Answer { res, .. } => read_forwarded(node, rq, res).await,
-        Forwarded::Refused { res, .. } => {
+        Forwarded::Refused { retry_after_ms } => {
             send_record.record_unreached();
-            match may_have_run {
-                true => CallOutcome::NotRun,
-                false => read_forwarded(node, rq, res).await,
-            }
+            let cause = Cause::RefusedElsewhere;
+            let res = rq.unanswered_response(node, *send_record, cause, retry_after_ms);
+            CallOutcome::Answered(res)
         }
         Forwarded::NotTaken => {
             send_record.record_unreached();
--- a/plugins/relay/src/forwarding.rs
+++ b/plugins/relay/src/forwarding.rs
@@ -137,10 +137,10 @@
         /// First runner of a stream.
         runner: Option<Ran>,
     },
-    /// It has certainly not run; `res` is the other instance's refusal.
+    /// The other instance refused it, and it has certainly not run.
     Refused {
-        peer: Name,
-        res: Response<ResponseBody>,
+        /// When the caller should retry, in milliseconds.
+        retry_after_ms: Millis,
     },
     /// No other instance took it.
     NotTaken,
@@ -204,8 +204,7 @@
             }
         }
         Some(Outcome::NotRun) => Forwarded::Refused {
-            peer: peer.name.clone(),
-            res,
+            retry_after_ms: header::retry_after_ms(res.headers()).unwrap_or(0),
         },
         Some(Outcome::Unknown) => Forwarded::Lost("another instance got no answer".to_owned()),
         Some(Outcome::Unable) | None => Forwarded::NotTaken,
--- a/plugins/relay/src/runner_probe.rs
+++ b/plugins/relay/src/runner_probe.rs
@@ -226,9 +226,9 @@
     }
 }
 
-/// Probes a runner together with witnesses until it answers or is declared dead. It was silent
-/// `silent_rounds` times already. While the link of this instance is full neither can be
-/// determined; the examination then ends after [`MAX_EXAMINATION_MS`] without a result.
+/// Probes a runner together with witnesses until it answers or there is a verdict. It was silent
+/// `silent_rounds` times already. While the link of this instance is full there is none; the
+/// examination then ends after [`MAX_EXAMINATION_MS`].
 pub(crate) async fn examine(node: Rc<Node>, s: Suspect, mut silent_rounds: u32) {
     let began = node.now();
     let mut max_probes = if silent_rounds == 0 {
@@ -240,14 +240,9 @@
         let (found, witnessed) = probe_with_witnesses(&node, &s, max_probes).await;
         max_probes = MAX_REPEAT_PROBES;
         silent_rounds += u32::from(witnessed);
-        let is_certain = witnessed && silent_rounds >= MIN_SILENT_ROUNDS;
-        let passed = node.now() - began;
-        let pause = match (&found, witnessed) {
-            (ProbeResult::NoReport(_), _) => NO_REPORT_PAUSE,
-            (_, true) => EVALUATION_INTERVAL,
-            (_, false) => UNWITNESSED_PAUSE,
-        };
-        let (cause, is_certain) = match found {
+        let pause = pause_after(&found, witnessed);
+        let is_silent_for_long = witnessed && silent_rounds >= MIN_SILENT_ROUNDS;
+        let (evidence, is_certain) = match found {
             ProbeResult::Report(report) => {
                 return failure_detector::process_report(&node, &s.id, s.born_ms, &report);
             }
@@ -255,26 +250,49 @@
                 return failure_detector::record_answer(&node, &s.id, s.born_ms);
             }
             ProbeResult::Refused => (REFUSED_EVIDENCE.to_owned(), witnessed),
-            ProbeResult::Silent(cause) => (cause, is_certain),
-            ProbeResult::NoReport(cause) => (cause, is_certain && passed >= NO_REPORT_TIMEOUT_MS),
-        };
-        if is_certain || !witnessed {
-            match reachability::verdict(&node, &s, is_certain).await {
-                Verdict::Dead => {
-                    return failure_detector::report_dead(&node, &s.id, s.born_ms, &cause);
-                }
-                Verdict::Unreachable => {
-                    reachability::confirm_unreachable(&node, &s.id, s.born_ms);
-                    return reachability::check_paths(&node).await;
-                }
-                Verdict::Undecided => reachability::check_paths(&node).await,
+            ProbeResult::Silent(cause) => (cause, is_silent_for_long),
+            ProbeResult::NoReport(cause) => {
+                let is_over = node.now() >= began + NO_REPORT_TIMEOUT_MS;
+                (cause, is_silent_for_long && is_over)
             }
+        };
+        // Without witnesses only another instance can tell.
+        if (is_certain || !witnessed) && settle(&node, &s, is_certain, &evidence).await {
+            return;
         }
         sleep(pause).await;
     }
     log::info!(runner = s.id.as_ref(), strikes = silent_rounds; "too few witnesses answer, runner is not declared dead");
 }
 
+/// Returns the pause after a round of probes.
+fn pause_after(found: &ProbeResult, witnessed: bool) -> Duration {
+    match found {
+        ProbeResult::NoReport(_) => NO_REPORT_PAUSE,
+        _ if witnessed => EVALUATION_INTERVAL,
+        _ => UNWITNESSED_PAUSE,
+    }
+}
+
+/// Acts on the verdict on a runner that does not answer. Returns whether there is one.
+async fn settle(node: &Rc<Node>, s: &Suspect, is_certain: bool, evidence: &str) -> bool {
+    match reachability::verdict(node, s, is_certain).await {
+        Verdict::Dead => {
+            failure_detector::report_dead(node, &s.id, s.born_ms, evidence);
+            true
+        }
+        Verdict::Unreachable => {
+            reachability::confirm_unreachable(node, &s.id, s.born_ms);
+            reachability::check_paths(node).await;
+            true
+        }
+        Verdict::Undecided => {
+            reachability::check_paths(node).await;
+            false
+        }
+    }
+}
+
 /// Probes a runner and witnesses at the same time. Returns the result for the runner, and whether
 /// enough witnesses answered while it did not.
 async fn probe_with_witnesses(node: &Node, s: &Suspect, max_probes: usize) -> (ProbeResult, bool) {
--- /dev/null
+++ b/plugins/relay/src/stream/failover.rs
@@ -0,0 +1,280 @@
+//! Failover of a stream whose run was interrupted.
+//!
+//! A run whose chain lost a later stage is rerouted by an order to its first runner. Otherwise another
+//! run goes on after the last complete event: on another chain, or through another instance if this
+//! one does not reach the runners.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::{Response, StatusCode};
+use jacinthweir_clients::direct::ResponseBody;
+use jacinthweir_platform::runner;
+use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::relay::chain_selection;
+use jacinthweir_policy::retry_priority::RetryPriority;
+use tokio::time::{sleep, timeout};
+
+use super::ForwardedStream;
+use crate::admission::QueuePosition;
+use crate::chain_attempts::AttemptOutcome;
+use crate::forwarding::{Forwarded, StreamProgress};
+use crate::live_chains::{LiveChain, Run};
+use crate::quarantine;
+use crate::reachability;
+use crate::request::count_outcome;
+
+/// Fraction of the caller's abandonment time, counted from the last event, within which a run must
+/// be resumed. The first event of the new run has to arrive within the rest.
+const RESUME_FRACTION: f64 = 0.85;
+
+/// Fraction of the same time during which a run waits for a runner with the layers that its chain
+/// lost. Most layers are loaded within a second; if they are not, a new run must still fit within
+/// [`RESUME_FRACTION`].
+const REROUTE_FRACTION: f64 = 0.65;
+
+/// Time to the first event of a new run, in milliseconds: 40 to 80 ms in a chain with little other
+/// prefill.
+const RESUME_FIRST_EVENT_MS: Millis = 80;
+
+/// Time limit for a runner's answer to a reroute order.
+const REROUTE_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Time after which an interrupted run is offered to other instances again. A run that is offered
+/// whenever room becomes free here would be offered hundreds of times a second.
+const FORWARD_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Interval at which an interrupted run checks for a chain without a notification: changes in the
+/// load of other instances cause none.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Reason why an interrupted stream was not resumed.
+#[derive(Clone, Copy, Debug, derive_more::Display, PartialEq, Eq)]
+pub(super) enum ResumeFailure {
+    #[display("it must not run again")]
+    NotRepeatable,
+    #[display("no repeat left")]
+    NoRetry,
+    #[display("no attempt left")]
+    AttemptsExhausted,
+    #[display("no chain took it in time")]
+    NoChain,
+    #[display("no other instance took it in time")]
+    NotForwarded,
+    #[display("the next chain did not take it")]
+    NextRefused,
+    #[display("the next chain broke")]
+    NextBroke,
+    #[display("the next run was lost")]
+    NextLost,
+    #[display("the next run failed")]
+    NextFailed,
+    #[display("its runners end under it")]
+    Quarantined,
+    #[display("out of time")]
+    OutOfTime,
+}
+
+impl ForwardedStream {
+    /// Reroutes the run around a dead stage, along the chain that replaces the broken one behind
+    /// the same first runner. Returns `None` if a new run is needed instead.
+    ///
+    /// A reroute spends no retry and needs no room in another chain. But the new stage prefills the
+    /// tokens of one run after the other, so the last of many runs waits long. To spread them, a
+    /// new run is preferred where it starts sooner and in time.
+    pub(super) async fn reroute(&mut self) -> Option<()> {
+        let decided = self.last_received_ms + self.abandon_fraction_ms(REROUTE_FRACTION);
+        if quarantine::quarantined_ms(&self.node, &self.rq, decided)
+            .await
+            .is_some()
+        {
+            return None;
+        }
+        let broken = Rc::clone(&self.in_flight()?.live);
+        let in_time =
+            self.last_received_ms + self.rq.max_gap_ms.saturating_sub(RESUME_FIRST_EVENT_MS);
+        let until = self.last_received_ms + self.abandon_fraction_ms(REROUTE_FRACTION);
+        while self.node.now() < until && self.node.is_head_usable(&broken) {
+            // Without a retry another chain is of no use, so the run waits for the lost layers.
+            let elsewhere = self.next_chain().filter(|_| self.may_run_again());
+            let elsewhere = elsewhere.map(|l| l.prefill_tokens());
+            let in_time = self.node.now() < in_time;
+            match (self.node.successor(&broken), elsewhere) {
+                (Some(live), Some(tokens)) if in_time && live.prefill_tokens() > tokens => {
+                    return None;
+                }
+                (Some(live), _) => return self.reroute_along(live).await,
+                (None, Some(_)) => return None,
+                (None, None) => {}
+            }
+            let _ = timeout(POLL_INTERVAL, self.node.room_freed.notified()).await;
+        }
+        None
+    }
+
+    fn may_run_again(&self) -> bool {
+        self.rq.class.repeatable()
+            && self
+                .node
+                .has_retry(&self.rq.service, RetryPriority::Committed)
+    }
+
+    /// Returns a fraction of the caller's abandonment time, in milliseconds.
+    fn abandon_fraction_ms(&self, fraction: f64) -> Millis {
+        (self.rq.abandon_after_ms as f64 * fraction) as Millis
+    }
+
+    async fn reroute_along(&mut self, live: Rc<LiveChain>) -> Option<()> {
+        let in_flight = self.run.as_mut().and_then(Run::on_chain_mut)?;
+        in_flight.move_to(Rc::clone(&live));
+        let address = self.node.runner_address(live.chain.head().address);
+        let ordered = runner::reroute(address, &live.chain, &self.rq.id, REROUTE_TIMEOUT).await;
+        let outcome = match &ordered {
+            Ok(_) => "ordered".to_owned(),
+            Err(e) => e.to_string(),
+        };
+        log::info!(
+            request = self.rq.id.as_ref(),
+            chain = live.label(),
+            runner = live.chain.head().id.as_ref(),
+            silent_ms = self.node.now() - self.last_received_ms,
+            outcome;
+            "rerouted"
+        );
+        metrics::counter!("jacinthweir_reroutes_total").increment(1);
+        ordered.ok().map(drop)
+    }
+
+    /// Resumes the stream with another run, after the last complete event. Tries until the caller's
+    /// time is over, since a chain or a retry that is missing now may become available.
+    pub(super) async fn resume_elsewhere(&mut self, cause: &str) -> Result<(), ResumeFailure> {
+        self.body = None;
+        // The runner is probably dead but not yet detected as such, so its chain is excluded.
+        let chain = self.in_flight().map(|p| Rc::clone(&p.live));
+        self.attempts.excluded = chain.into_iter().collect();
+        self.run = None;
+        if !self.ok || !self.rq.class.repeatable() {
+            return Err(ResumeFailure::NotRepeatable);
+        }
+        self.events.resume();
+        let until = self.last_received_ms + self.abandon_fraction_ms(RESUME_FRACTION);
+        let in_time = self.last_received_ms + self.rq.max_gap_ms;
+        let mut position = Some(QueuePosition::ahead_of_new_requests(&self.node));
+        let mut failure = ResumeFailure::NoChain;
+        while self.node.now() < until {
+            if quarantine::quarantined_ms(&self.node, &self.rq, until)
+                .await
+                .is_some()
+            {
+                return Err(ResumeFailure::Quarantined);
+            }
+            if self.attempts.is_exhausted(&self.rq) {
+                return Err(ResumeFailure::AttemptsExhausted);
+            }
+            // Only streams that can still be in time and lack nothing but room precede new
+            // requests.
+            if self.node.now() >= in_time || failure == ResumeFailure::NoRetry {
+                position = None;
+            }
+            failure = match self.try_resume().await {
+                Ok((run, res)) => {
+                    drop(position);
+                    self.finish_resume(run, res, cause);
+                    return Ok(());
+                }
+                Err(ResumeFailure::OutOfTime) => return Err(ResumeFailure::OutOfTime),
+                Err(failure) => failure,
+            };
+            match failure {
+                ResumeFailure::NoChain | ResumeFailure::NoRetry => {
+                    let _ = timeout(POLL_INTERVAL, self.node.room_freed.notified()).await;
+                }
+                ResumeFailure::NotForwarded => sleep(FORWARD_INTERVAL).await,
+                _ => {}
+            }
+        }
+        Err(failure)
+    }
+
+    /// Tries once to resume the stream with another run.
+    async fn try_resume(&mut self) -> Result<(Run, Response<ResponseBody>), ResumeFailure> {
+        let Some(live) = self.next_chain() else {
+            return self.resume_through_peer().await;
+        };
+        // Each send spends a retry, even one that a runner refuses.
+        if !self
+            .node
+            .take_retry(&self.rq.service, RetryPriority::Committed)
+        {
+            return Err(ResumeFailure::NoRetry);
+        }
+        let after = self.events.last();
+        match self
+            .attempts
+            .attempt(&self.node, &self.rq, &live, after)
+            .await
+        {
+            AttemptOutcome::Stream(in_flight, res) if res.status() == StatusCode::OK => {
+                Ok((Run::Chain(in_flight), res))
+            }
+            AttemptOutcome::Stream(..) => Err(ResumeFailure::NextFailed),
+            AttemptOutcome::NotRun | AttemptOutcome::Unreached => Err(ResumeFailure::NextRefused),
+            AttemptOutcome::Broken => Err(ResumeFailure::NextBroke),
+            AttemptOutcome::Lost => Err(ResumeFailure::NextLost),
+            AttemptOutcome::Timeout => Err(ResumeFailure::OutOfTime),
+        }
+    }
+
+    /// Tries once to resume the stream through another instance, if this one reaches no runner.
+    async fn resume_through_peer(
+        &mut self,
+    ) -> Result<(Run, Response<ResponseBody>), ResumeFailure> {
+        let (node, rq) = (&self.node, &self.rq);
+        if rq.origin.is_some() || !reachability::is_impaired(node, &rq.service) {
+            return Err(ResumeFailure::NoChain);
+        }
+        if !node.has_retry(&rq.service, RetryPriority::Committed) {
+            return Err(ResumeFailure::NoRetry);
+        }
+        let progress = StreamProgress {
+            last_event: self.events.last(),
+            is_resumed: true,
+        };
+        let forwarded = self.attempts.forward(node, rq, progress).await;
+        // A request that the other instance did not send to a runner costs no retry.
+        if matches!(forwarded, Forwarded::Refused { .. } | Forwarded::NotTaken) {
+            return Err(ResumeFailure::NotForwarded);
+        }
+        node.take_retry(&rq.service, RetryPriority::Committed);
+        match forwarded {
+            Forwarded::Answer { peer, res, .. } if res.status() == StatusCode::OK => {
+                Ok((Run::Peer(peer), res))
+            }
+            Forwarded::Answer { .. } => Err(ResumeFailure::NextFailed),
+            Forwarded::Timeout => Err(ResumeFailure::OutOfTime),
+            _ => Err(ResumeFailure::NextLost),
+        }
+    }
+
+    fn next_chain(&self) -> Option<Rc<LiveChain>> {
+        let may_take = |live: &LiveChain| self.attempts.may_take(&self.node, &self.rq, live);
+        self.node
+            .choose_chain(&self.rq, chain_selection::MAX_FILL_RESUMED, may_take)
+    }
+
+    fn finish_resume(&mut self, run: Run, res: Response<ResponseBody>, cause: &str) {
+        self.resumed += 1;
+        self.run_head_ms = self.node.now();
+        count_outcome("resumed");
+        log::info!(
+            request = self.rq.id.as_ref(),
+            chain = run.label(),
+            after:? = self.events.last(),
+            silent_ms = self.node.now() - self.last_received_ms,
+            cause;
+            "resumed"
+        );
+        self.run = Some(run);
+        self.body = Some(res.into_body());
+    }
+}
