Relay: a stream is offered again to a chain that had refused it, if no other is left

Runners were being replaced and taken away; of three chains one had none of its layers, one broke, and the third refused the streams once, since all came at the same moment. A chain that refuses is not asked again for the same request, which is right for new requests, that can be refused truthfully, and wrong for a stream under way, which waits for 1.7 s with nobody left to ask.

Now refusals are forgotten when no chain is left; the chain's back-off sets the pace, and the sends of a request stay bounded.

--- a/plugins/relay/src/chain_attempts.rs
+++ b/plugins/relay/src/chain_attempts.rs
@@ -42,8 +42,10 @@
 pub(crate) struct ChainAttempts {
     pub(crate) send_record: SendRecord,
     attempts: Attempts,
-    /// Chains that did not run the request, could not be reached, or broke while it was in flight.
-    pub(crate) excluded: Vec<Rc<LiveChain>>,
+    /// Chains that broke while the request was in flight.
+    pub(crate) broken: Vec<Rc<LiveChain>>,
+    /// Chains that did not run the request, or could not be reached.
+    refused: Vec<Rc<LiveChain>>,
 }
 
 impl ChainAttempts {
@@ -75,10 +77,8 @@
 
     /// Returns whether the request may be sent through a chain.
     pub(crate) fn may_take(&self, node: &Node, rq: &ProxiedRequest, live: &LiveChain) -> bool {
-        let is_excluded = self
-            .excluded
-            .iter()
-            .any(|l| std::ptr::eq(&raw const **l, live));
+        let mut excluded = self.broken.iter().chain(&self.refused);
+        let is_excluded = excluded.any(|l| std::ptr::eq(&raw const **l, live));
         let runners = node.runners.borrow();
         let ended = |id: &Name, born_ms: u64| {
             // A runner that does not answer this instance may still be alive. Its lifetime counts
@@ -89,6 +89,11 @@
         !is_excluded && self.attempts.allows(id, born_ms, rq.max_attempts, ended)
     }
 
+    /// Allows the chains that refused the request once more. Their back-off sets the pace.
+    pub(crate) fn forget_refusals(&mut self) {
+        self.refused.clear();
+    }
+
     /// Returns whether no further send of the request is allowed on any chain.
     pub(crate) fn is_exhausted(&self, rq: &ProxiedRequest) -> bool {
         self.attempts.is_exhausted(rq.max_attempts)
@@ -114,9 +119,9 @@
                     _ => self.send_record.record_not_run(),
                 }
                 self.attempts.record_not_run(id, born_ms, ran_before);
-                self.excluded.push(Rc::clone(live));
+                self.refused.push(Rc::clone(live));
             }
-            AttemptOutcome::Broken => self.excluded.push(Rc::clone(live)),
+            AttemptOutcome::Broken => self.broken.push(Rc::clone(live)),
             // A lost answer does not show that the chain is at fault.
             AttemptOutcome::Lost | AttemptOutcome::Stream(..) | AttemptOutcome::Timeout => {}
         }
--- a/plugins/relay/src/stream/failover.rs
+++ b/plugins/relay/src/stream/failover.rs
@@ -151,7 +151,8 @@
         self.body = None;
         // The runner is probably dead but not yet detected as such, so its chain is excluded.
         let chain = self.in_flight().map(|p| Rc::clone(&p.live));
-        self.attempts.excluded = chain.into_iter().collect();
+        self.attempts.broken = chain.into_iter().collect();
+        self.attempts.forget_refusals();
         self.run = None;
         if !self.ok || !self.rq.class.repeatable() {
             return Err(ResumeFailure::NotRepeatable);
@@ -199,6 +200,8 @@
     /// Tries once to resume the stream with another run.
     async fn try_resume(&mut self) -> Result<(Run, Response<ResponseBody>), ResumeFailure> {
         let Some(live) = self.next_chain() else {
+            // The next try may be taken by a chain that had no room for the last one.
+            self.attempts.forget_refusals();
             return self.resume_through_peer().await;
         };
         // Each send spends a retry, even one that a runner refuses.
--- a/plugins/relay/tests/relay/stream_failover.rs
+++ b/plugins/relay/tests/relay/stream_failover.rs
@@ -169,3 +169,32 @@
         expect_complete(stream).await;
     });
 }
+
+/// Guards against a stream that is cut although the only chain left takes it a moment later: a chain
+/// that had refused it once was not asked again.
+#[gtest]
+fn a_stream_is_offered_again_to_the_only_chain_left() {
+    run_single_threaded(async {
+        let cluster = Cluster::with_long_timeouts(|_| {}).await;
+        let (local, others) = cluster.runners.split_at(2);
+        local
+            .iter()
+            .for_each(|r| r.event_interval.set(Duration::from_millis(100)));
+        others
+            .iter()
+            .for_each(|r| r.behaviour.set(Behaviour::NotRun));
+        let stream = start_stream(&cluster, local).await;
+        local.iter().for_each(|r| r.crash());
+        let refused = async {
+            while others.iter().all(|r| r.arrivals.borrow().is_empty()) {
+                sleep(Duration::from_millis(1)).await;
+            }
+        };
+        timeout(TEST_TIMEOUT, refused).await.expect("a refusal");
+        sleep(Duration::from_millis(300)).await;
+        others
+            .iter()
+            .for_each(|r| r.behaviour.set(Behaviour::Normal));
+        expect_complete(stream).await;
+    });
+}
