Relay: admission and routing by fleet-wide flow where a service's streams have several priorities

Instances now exchange demand by priority and organisation and the flow through each chain; each computes the same plan: inflow of a chain follows what it releases, demand of all domains is divided by it, priorities and organisations get shares of the supply. Off unless the configuration declares several priorities for a service's streams.

--- a/plugins/relay/src/admission.rs
+++ b/plugins/relay/src/admission.rs
@@ -72,7 +72,7 @@
     loop {
         let notified = node.room_freed.notified();
         if position.is_first() {
-            if let Some(live) = node.choose_chain(rq, max_fill(rq), &may_take) {
+            if let Some(live) = node.choose_chain(rq, max_fill(node, rq), &may_take) {
                 return Ok(live);
             }
             if may_have_room_elsewhere(node, rq) {
@@ -114,10 +114,19 @@
 }
 
 /// Returns the occupancy up to which a chain is filled for a request.
-fn max_fill(rq: &ProxiedRequest) -> f64 {
-    match is_resumed(rq) {
-        true => chain_selection::MAX_FILL_RESUMED,
-        false => chain_selection::MAX_FILL,
+fn max_fill(node: &Node, rq: &ProxiedRequest) -> f64 {
+    match (is_resumed(rq), node.contention.plans_flow(&rq.service)) {
+        (true, _) => max_resumed_fill(node, rq),
+        (false, true) => chain_selection::MAX_PLANNED_FILL,
+        (false, false) => chain_selection::MAX_FILL,
+    }
+}
+
+/// Returns the occupancy up to which a chain is filled for a stream that resumes.
+pub(crate) fn max_resumed_fill(node: &Node, rq: &ProxiedRequest) -> f64 {
+    match node.contention.plans_flow(&rq.service) {
+        true => chain_selection::MAX_PLANNED_FILL_RESUMED,
+        false => chain_selection::MAX_FILL_RESUMED,
     }
 }
 
--- a/plugins/relay/src/answer.rs
+++ b/plugins/relay/src/answer.rs
@@ -135,6 +135,12 @@
     /// No chain has room.
     #[display("no room")]
     NoRoom,
+    /// The share of the request's priority is used up.
+    #[display("no room for its priority")]
+    NoRoomForPriority,
+    /// The request's organisation is above its fair share.
+    #[display("organisation above its share")]
+    OrganisationAboveShare,
     /// Another instance, to which the request was forwarded, refused it.
     #[display("another instance refused")]
     RefusedElsewhere,
--- a/plugins/relay/src/chain_attempts.rs
+++ b/plugins/relay/src/chain_attempts.rs
@@ -168,6 +168,7 @@
         }
         Ok(SendOutcome::NotRun(refusal)) => {
             log_attempt(rq, live, "not run", &refusal.to_string());
+            in_flight.refused();
             live.refusals.borrow_mut().record_refused(node.now());
             if let Some(address) = refusal.misplaced_at() {
                 mark_misreported(node, address);
@@ -176,6 +177,7 @@
         }
         Ok(SendOutcome::Unreached(e)) => {
             log_attempt(rq, live, "not reached", &e.to_string());
+            in_flight.refused();
             failure_detector::connection_failed(node, head);
             AttemptOutcome::Unreached
         }
--- /dev/null
+++ b/plugins/relay/src/contention.rs
@@ -0,0 +1,290 @@
+//! Contention control of this process: measures demand and flow, computes plan and shares from the
+//! figures of all instances, and answers for single requests.
+//!
+//! It owns its state and takes chains, loads and settings as arguments; `node` is only read. Decisions
+//! are made in [`jacinthweir_policy::relay::contention`].
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+
+use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::relay::chain_selection::{self, ChainCandidate};
+use jacinthweir_policy::relay::contention::flow_meter::{FlowMeter, ServiceFlow};
+use jacinthweir_policy::relay::contention::overload::Change;
+use jacinthweir_policy::relay::contention::scope::{self, ServiceScope};
+use jacinthweir_policy::relay::contention::{
+    ChainLoad, ContentionConfig, ControlStatus, Decision, ServiceControl,
+};
+use jacinthweir_policy::relay::intent::Intent;
+
+use crate::admission;
+use crate::answer::Cause;
+use crate::node::Node;
+use crate::peers;
+use crate::request::ProxiedRequest;
+
+/// Remaining time of a request, as a share of the longest seen on its route, below which it was refused
+/// before: its caller counts the time from its first attempt.
+const RETURNED_TIME_SHARE: f64 = 0.97;
+
+/// State of contention control.
+pub(crate) struct Contention {
+    cfg: ContentionConfig,
+    scopes: RefCell<BTreeMap<Name, ServiceScope>>,
+    meters: RefCell<BTreeMap<Name, FlowMeter>>,
+    controls: RefCell<BTreeMap<Name, ServiceControl>>,
+    /// Longest remaining time of requests seen on each route, in milliseconds.
+    time_limits: RefCell<BTreeMap<Name, Millis>>,
+}
+
+impl Contention {
+    /// Returns the state for settings `cfg`, before any configuration is known.
+    pub(crate) fn new(cfg: ContentionConfig) -> Contention {
+        Contention {
+            cfg,
+            scopes: RefCell::default(),
+            meters: RefCell::default(),
+            controls: RefCell::default(),
+            time_limits: RefCell::default(),
+        }
+    }
+
+    /// Determines to which services contention control applies under a configuration.
+    pub(crate) fn configure(&self, intent: &Intent) {
+        let scopes = scope::services(self.cfg.mode, intent);
+        let before = self.scopes.replace(scopes);
+        let scopes = self.scopes.borrow();
+        for service in scopes.keys().filter(|s| !before.contains_key(*s)) {
+            log::info!(service = service.as_ref(), version = intent.version; "contention control applies");
+        }
+        for service in before.keys().filter(|s| !scopes.contains_key(*s)) {
+            log::info!(service = service.as_ref(), version = intent.version; "contention control ends");
+        }
+        let applies = |service: &Name| scopes.contains_key(service);
+        self.meters.borrow_mut().retain(|s, _| applies(s));
+        self.controls.borrow_mut().retain(|s, _| applies(s));
+        let mut limits = self.time_limits.borrow_mut();
+        let routes = || intent.routes.values().flatten();
+        limits.retain(|name, _| routes().any(|r| r.name == *name));
+    }
+
+    /// Returns whether contention control applies to a service.
+    pub(crate) fn applies(&self, service: &str) -> bool {
+        self.scopes.borrow().contains_key(service)
+    }
+
+    /// Returns whether chains of a service are chosen by the flow plan.
+    pub(crate) fn plans_flow(&self, service: &str) -> bool {
+        self.cfg.flow && self.applies(service)
+    }
+
+    /// Calls `record` with the meter of a service, if contention control applies to it.
+    pub(crate) fn measure(&self, service: &Name, record: impl FnOnce(&mut FlowMeter)) {
+        if !self.applies(service) {
+            return;
+        }
+        let mut meters = self.meters.borrow_mut();
+        if !meters.contains_key(service) {
+            meters.insert(service.clone(), FlowMeter::default());
+        }
+        if let Some(meter) = meters.get_mut(service) {
+            record(meter);
+        }
+    }
+
+    /// Returns this instance's demand and flow at `now`, by service.
+    pub(crate) fn flows(&self, now: Millis) -> Vec<ServiceFlow> {
+        let mut meters = self.meters.borrow_mut();
+        let all = meters.iter_mut();
+        all.map(|(service, meter)| meter.flow(service, now))
+            .collect()
+    }
+
+    /// Returns the weights of chains in the flow plan by the first runners in `heads`, or `None` if
+    /// there is no plan.
+    pub(crate) fn weights<'a>(
+        &self,
+        service: &Name,
+        heads: impl Iterator<Item = &'a Name>,
+    ) -> Option<Vec<f64>> {
+        if !self.plans_flow(service) {
+            return None;
+        }
+        let controls = self.controls.borrow();
+        let control = controls.get(service)?;
+        heads.map(|head| control.weight(head)).collect()
+    }
+
+    /// Returns whether a service is overloaded and failure detection has to take that into account.
+    pub(crate) fn is_overloaded(&self, service: &str) -> bool {
+        let controls = self.controls.borrow();
+        let control = controls.get(service).filter(|_| self.cfg.overload);
+        control.is_some_and(|c| c.overloaded_since_ms().is_some())
+    }
+
+    /// Returns the share of a request's priority and organisation that is admitted, from 0 to 1.
+    pub(crate) fn share(&self, rq: &ProxiedRequest) -> f64 {
+        let controls = self.controls.borrow();
+        let control = controls.get(&rq.service);
+        control.map_or(1.0, |c| c.share(rq.priority, rq.organisation()))
+    }
+
+    /// Returns the state of each service for operators.
+    pub(crate) fn status(&self) -> Vec<(Name, Option<ControlStatus>)> {
+        let controls = self.controls.borrow();
+        let scopes = self.scopes.borrow();
+        let all = scopes.keys().map(|service| {
+            let status = controls.get(service).and_then(ServiceControl::status);
+            (service.clone(), status)
+        });
+        all.collect()
+    }
+
+    /// Returns whether a request was refused before.
+    fn is_returned(&self, rq: &ProxiedRequest) -> bool {
+        let time_ms = rq.deadline_ms.saturating_sub(rq.received_ms);
+        let mut limits = self.time_limits.borrow_mut();
+        let longest = limits.entry(rq.route.clone()).or_default();
+        *longest = time_ms.max(*longest);
+        (time_ms as f64) < *longest as f64 * RETURNED_TIME_SHARE
+    }
+}
+
+/// Measures an arriving request and decides whether it is admitted.
+///
+/// # Errors
+/// Returns why it is refused.
+pub(crate) fn admit(node: &Node, rq: &ProxiedRequest) -> Result<(), Cause> {
+    let contention = &node.contention;
+    if !contention.applies(&rq.service) {
+        return Ok(());
+    }
+    // The instance that forwards a request has admitted it.
+    if rq.origin.is_some() {
+        return Ok(());
+    }
+    let (now, tokens) = (node.now(), admission::tokens(rq));
+    contention.measure(&rq.service, |meter| {
+        meter.record_arrival(now, rq.priority, rq.organisation(), tokens);
+    });
+    refresh(node, &rq.service);
+    let returned = contention.is_returned(rq);
+    let controls = contention.controls.borrow();
+    let Some(control) = controls.get(&rq.service) else {
+        return Ok(());
+    };
+    let draw = node.random_f64();
+    let decision = control.decide(rq.priority, rq.organisation(), returned, draw);
+    let cause = match decision {
+        Decision::Admitted => return Ok(()),
+        Decision::NoRoomForPriority => Cause::NoRoomForPriority,
+        Decision::OrganisationAboveShare => Cause::OrganisationAboveShare,
+    };
+    metrics::counter!("jacinthweir_shed_total", "cause" => cause.to_string()).increment(1);
+    Err(cause)
+}
+
+/// Returns the retry delay of a refused request in milliseconds, if contention control has one for it.
+pub(crate) fn retry_after_ms(node: &Node, rq: &ProxiedRequest) -> Option<Millis> {
+    if !node.contention.is_overloaded(&rq.service) {
+        return None;
+    }
+    let mut controls = node.contention.controls.borrow_mut();
+    let control = controls.get_mut(&rq.service)?;
+    let (now, tokens) = (node.now(), admission::tokens(rq));
+    let instances = node.live_instances();
+    control.refused(now, tokens, rq.priority, instances, node.random_f64())
+}
+
+/// Computes plan and shares of a service again if they are due.
+pub(crate) fn refresh(node: &Node, service: &Name) {
+    let contention = &node.contention;
+    let Some(scope) = contention.scopes.borrow().get(service).copied() else {
+        return;
+    };
+    let now = node.now();
+    {
+        let mut controls = contention.controls.borrow_mut();
+        if !controls.contains_key(service) {
+            controls.insert(service.clone(), ServiceControl::default());
+        }
+        if !controls[service].is_due(now) {
+            return;
+        }
+    }
+    let mut meters = contention.meters.borrow_mut();
+    let own = match meters.get_mut(service) {
+        Some(meter) => meter.flow(service, now),
+        None => FlowMeter::default().flow(service, now),
+    };
+    drop(meters);
+    let neighbours = peers::neighbour_count(node);
+    let fleet = node.loads.borrow().fleet_flow(own, neighbours, now);
+    let chains = chain_loads(node, service, scope);
+    let domain = &node.settings.failure_domain;
+    let mut controls = contention.controls.borrow_mut();
+    let Some(control) = controls.get_mut(service) else {
+        return;
+    };
+    let change = control.compute(
+        now,
+        &contention.cfg,
+        domain,
+        chains,
+        &fleet,
+        scope.max_gap_ms,
+    );
+    report(service, control, change);
+}
+
+/// Returns occupancy and weights of the chains of a service that are intact.
+fn chain_loads(node: &Node, service: &Name, scope: ServiceScope) -> Vec<ChainLoad> {
+    let chains = node.chains.borrow();
+    let live = chains.of(service);
+    let candidates = node.chain_candidates(service, scope.max_gap_ms, &chains, |_| true);
+    let exponent = chain_selection::speed_exponent(&candidates);
+    let weight = |c: &ChainCandidate, near: bool| {
+        let candidate = ChainCandidate { near, ..*c };
+        chain_selection::draw_weight(&candidate, exponent, 0.0)
+    };
+    let loads = candidates.iter().map(|c| {
+        let chain = &live[c.chain].chain;
+        ChainLoad {
+            head: chain.head().id.clone(),
+            domain: chain.domain.clone(),
+            room_tokens: chain.room_tokens,
+            used_tokens: c.used_tokens,
+            weights: (weight(c, true), weight(c, false)),
+        }
+    });
+    loads.collect()
+}
+
+/// Logs a change of the overload state, and updates the metrics.
+fn report(service: &Name, control: &ServiceControl, change: Option<Change>) {
+    let Some(status) = control.status() else {
+        return;
+    };
+    let (supply, demand, age_ms) = (status.supply as u64, status.demand as u64, status.age_ms);
+    let shares: Vec<String> = status
+        .priorities
+        .iter()
+        .map(|(demand, share)| format!("{demand:.0}:{share:.2}"))
+        .collect();
+    let shares = shares.join(" ");
+    match change {
+        Some(Change::Began) => {
+            log::warn!(service = service.as_ref(), supply, demand, age_ms, shares; "overload begins");
+        }
+        Some(Change::Ended(lasted_ms)) => {
+            log::info!(service = service.as_ref(), supply, demand, age_ms, lasted_ms; "overload ends");
+        }
+        None => {}
+    }
+    let label = service.to_string();
+    let overloaded = f64::from(u8::from(status.overloaded_since_ms.is_some()));
+    metrics::gauge!("jacinthweir_overloaded", "service" => label.clone()).set(overloaded);
+    metrics::gauge!("jacinthweir_supply_tokens_per_s", "service" => label.clone())
+        .set(status.supply);
+    metrics::gauge!("jacinthweir_demand_tokens_per_s", "service" => label).set(status.demand);
+}
--- a/plugins/relay/src/lib.rs
+++ b/plugins/relay/src/lib.rs
@@ -44,6 +44,7 @@
 mod call;
 mod chain_attempts;
 mod configuration;
+mod contention;
 mod dump;
 mod duties;
 mod events;
--- a/plugins/relay/src/live_chains.rs
+++ b/plugins/relay/src/live_chains.rs
@@ -16,6 +16,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::admission;
+use crate::contention;
 use crate::node::Node;
 use crate::quarantine;
 use crate::rate_limits;
@@ -354,10 +355,36 @@
         fill: f64,
         may_take: impl Fn(&LiveChain) -> bool,
     ) -> Option<Rc<LiveChain>> {
-        let service = &rq.service;
         let tokens = admission::tokens(rq);
-        let now = self.now();
+        contention::refresh(self, &rq.service);
         let chains = self.chains.borrow();
+        let live = chains.of(&rq.service);
+        let candidates = self.chain_candidates(&rq.service, rq.max_gap_ms, &chains, may_take);
+        let heads = candidates.iter().map(|c| live[c.chain].head().0);
+        let chosen = match self.contention.weights(&rq.service, heads) {
+            Some(weights) => {
+                let draw = self.random_f64();
+                chain_selection::select_planned(&candidates, &weights, tokens, fill, draw)
+            }
+            None => {
+                let instances = self.live_instances();
+                let draw = || self.random_f64();
+                chain_selection::select_sampled(&candidates, tokens, fill, instances, draw)
+            }
+        };
+        chosen.map(|i| Rc::clone(&live[i]))
+    }
+
+    /// Returns the chains of a service that may get new requests and that `may_take` accepts.
+    /// `max_gap_ms` is the gap objective in milliseconds.
+    pub(crate) fn chain_candidates(
+        &self,
+        service: &Name,
+        max_gap_ms: Millis,
+        chains: &Chains,
+        may_take: impl Fn(&LiveChain) -> bool,
+    ) -> Vec<ChainCandidate> {
+        let now = self.now();
         let live = chains.of(service);
         let runners = self.runners.borrow();
         let loads = self.loads.borrow();
@@ -389,14 +416,11 @@
                 used_tokens,
                 silent_ms: l.silence.borrow().silent_ms(now),
                 backing_off: l.refusals.borrow().is_backing_off(now),
-                gap_share: gap_ms / rq.max_gap_ms.max(1) as f64,
+                gap_share: gap_ms / max_gap_ms.max(1) as f64,
                 event_ms: l.declared_event_ms(used_tokens).max(gap_ms),
             });
         }
-        let instances = self.live_instances();
-        let draw = || self.random_f64();
-        let chosen = chain_selection::select_sampled(&candidates, tokens, fill, instances, draw);
-        chosen.map(|i| Rc::clone(&live[i]))
+        candidates
     }
 }
 
@@ -484,6 +508,8 @@
     tokens: f64,
     /// Tokens to prefill before the next event.
     prefill: Cell<f64>,
+    /// Whether the chain did not take the request.
+    refused: Cell<bool>,
 }
 
 impl InFlight {
@@ -506,9 +532,15 @@
             sent_ms: node.now(),
             tokens,
             prefill: Cell::new(tokens),
+            refused: Cell::new(false),
         }
     }
 
+    /// Records that the chain did not take the request.
+    pub(crate) fn refused(&self) {
+        self.refused.set(true);
+    }
+
     /// Raises the request's tokens to `tokens`, if its answer is longer than expected.
     pub(crate) fn raise_tokens(&mut self, tokens: f64) {
         if tokens > self.tokens {
@@ -560,6 +592,13 @@
             .release_rate
             .borrow_mut()
             .record_released(now, self.tokens);
+        let (head, tokens) = (self.live.head().0, self.tokens);
+        self.node
+            .contention
+            .measure(&self.live.service, |meter| match self.refused.get() {
+                true => meter.record_refused(now, head, tokens),
+                false => meter.record_released(now, head, tokens),
+            });
         self.live.used.set(self.live.used.get() - self.tokens);
         self.live.silence.borrow_mut().request_ended();
         self.node.room_freed.notify_waiters();
--- a/plugins/relay/src/node.rs
+++ b/plugins/relay/src/node.rs
@@ -37,6 +37,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::RelayError;
+use crate::contention::Contention;
 use crate::live_chains::Chains;
 use crate::placer::Loading;
 use crate::runner_connections::RunnerConnections;
@@ -138,6 +139,7 @@
     /// Rate at which room is released.
     pub(crate) release_rate: RefCell<ReleaseRate>,
     pub(crate) shortage: RefCell<Shortage>,
+    pub(crate) contention: Contention,
     /// Notified when room is released or chains change.
     pub(crate) room_freed: Notify,
     /// When chains are next checked for silence, in milliseconds.
@@ -220,6 +222,7 @@
             queue: RefCell::default(),
             release_rate: RefCell::default(),
             shortage: RefCell::default(),
+            contention: Contention::new(settings.contention.clone()),
             room_freed: Notify::new(),
             next_silence_check_ms: Cell::new(0),
             check_silence: Notify::new(),
@@ -299,6 +302,7 @@
                 let version = offered.version;
                 log::info!(version, before = in_force.unwrap_or(0); "configuration in force");
                 metrics::gauge!("jacinthweir_configuration_version").set(version as f64);
+                self.contention.configure(&offered);
                 *self.intent.borrow_mut() = Some(Rc::new(offered));
                 let mut outdated = self.outdated.get();
                 outdated.in_force(version, self.now());
--- a/plugins/relay/src/peers.rs
+++ b/plugins/relay/src/peers.rs
@@ -330,7 +330,7 @@
     member.is_some_and(|m| m.state().domain == node.settings.failure_domain)
 }
 
-fn neighbour_count(node: &Node) -> usize {
+pub(crate) fn neighbour_count(node: &Node) -> usize {
     let membership = node.membership.borrow();
     membership
         .live()
@@ -360,6 +360,7 @@
         spent: spent
             .map(|(service, counts)| ServiceCounts { service, counts })
             .collect(),
+        flows: node.contention.flows(node.now()),
     }
 }
 
--- a/plugins/relay/src/request.rs
+++ b/plugins/relay/src/request.rs
@@ -74,6 +74,11 @@
         service.engine.as_ref().filter(|e| e.layers > 0)
     }
 
+    /// Returns the organisation whose key the request has.
+    pub(crate) fn organisation(&self) -> Option<&Name> {
+        self.organisation.as_ref()
+    }
+
     /// Returns the version of the configuration that the request is served under.
     pub(crate) fn version(&self) -> u64 {
         self.intent.version
@@ -107,6 +112,9 @@
             route = self.route.as_ref(),
             version = self.version(),
             cause:% = cause,
+            organisation = self.organisation.as_deref().unwrap_or("-"),
+            priority = self.priority,
+            share:% = format_args!("{:.2}", node.contention.share(self)),
             sends = send_record.sends,
             status = res.status().as_u16(),
             after_ms = node.now() - self.received_ms;
--- a/plugins/relay/src/settings.rs
+++ b/plugins/relay/src/settings.rs
@@ -8,6 +8,7 @@
 use jacinthweir_kernel::KernelError;
 use jacinthweir_kernel::settings::{LogSettings, open_with};
 use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::relay::contention::ContentionConfig;
 use serde::{Deserialize, Serialize};
 
 /// Settings of a relay.
@@ -35,6 +36,9 @@
     /// What the instance may use of its machine's processor.
     #[serde(default)]
     pub processor: Processor,
+    /// What applies while a service lacks room.
+    #[serde(default)]
+    pub contention: ContentionConfig,
     /// Service-level bounds.
     pub bounds: Bounds,
     /// Log settings.
@@ -185,6 +189,7 @@
                 faults.push(doc.fault_at(field, "must be greater than 0"));
             }
         }
+        faults.extend(contention_faults(&self.contention, doc));
         for (field, value) in [
             ("bounds.shutdown_s", b.shutdown_s),
             ("bounds.repeat_window_s", b.repeat_window_s),
@@ -198,3 +203,21 @@
         faults
     }
 }
+
+fn contention_faults(cfg: &ContentionConfig, doc: &Document) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    if !(cfg.target_fill > 0.0 && cfg.target_fill <= 1.0) {
+        let field = "contention.target_fill";
+        faults.push(doc.fault_at(field, "must be greater than 0 and at most 1"));
+    }
+    if !(0.0..=1.0).contains(&cfg.least_share) {
+        faults.push(doc.fault_at("contention.least_share", "must be from 0 to 1"));
+    }
+    for (organisation, weight) in &cfg.weights {
+        if !weight.is_finite() || *weight <= 0.0 {
+            let field = format!("contention.weights.{organisation}");
+            faults.push(doc.fault_at(&field, "must be greater than 0"));
+        }
+    }
+    faults
+}
--- a/plugins/relay/src/stream.rs
+++ b/plugins/relay/src/stream.rs
@@ -20,6 +20,7 @@
 use crate::admission;
 use crate::answer::{Cause, RelayBody, SendRecord, StreamCut};
 use crate::chain_attempts::{AttemptOutcome, ChainAttempts};
+use crate::contention;
 use crate::events::EventSplitter;
 use crate::forwarding::{self, FirstRunner, Forwarded, StreamProgress};
 use crate::interrupted_run::{self, InterruptedRun, Progress};
@@ -32,6 +33,9 @@
 /// Serves a request through a chain of runners.
 pub(crate) async fn serve(node: &Rc<Node>, rq: ProxiedRequest) -> Response<RelayBody> {
     let mut attempts = ChainAttempts::of(&rq);
+    if let Err(cause) = contention::admit(node, &rq) {
+        return refuse(node, &rq, attempts.send_record, cause);
+    }
     let cause = loop {
         let until = admission::until(node, &rq, attempts.send_record);
         if let Some(held_ms) = quarantine::quarantined_ms(node, &rq, until).await {
@@ -100,10 +104,10 @@
 ) -> Response<RelayBody> {
     let retry_after_ms = match cause {
         Cause::Resting => rest::retry_after_ms(node, &rq.service),
-        _ => node
-            .shortage
-            .borrow_mut()
-            .record_refused(node.now(), node.random_f64()),
+        _ => contention::retry_after_ms(node, rq).unwrap_or_else(|| {
+            let mut shortage = node.shortage.borrow_mut();
+            shortage.record_refused(node.now(), node.random_f64())
+        }),
     };
     rq.unanswered_response(node, send_record, cause, retry_after_ms)
 }
@@ -279,6 +283,9 @@
         if let Some(in_flight) = self.in_flight() {
             in_flight.record_bytes();
             in_flight.live.gaps.borrow_mut().record(now, gap);
+            let head = in_flight.live.head().0;
+            let contention = &self.node.contention;
+            contention.measure(&self.rq.service, |meter| meter.record_event(now, head, gap));
         }
     }
 
--- a/plugins/relay/src/stream/failover.rs
+++ b/plugins/relay/src/stream/failover.rs
@@ -11,12 +11,11 @@
 use jacinthweir_clients::direct::ResponseBody;
 use jacinthweir_platform::runner;
 use jacinthweir_policy::prelude::*;
-use jacinthweir_policy::relay::chain_selection;
 use jacinthweir_policy::retry_priority::RetryPriority;
 use tokio::time::{sleep, timeout};
 
 use super::ForwardedStream;
-use crate::admission::QueuePosition;
+use crate::admission::{self, QueuePosition};
 use crate::chain_attempts::AttemptOutcome;
 use crate::forwarding::{Forwarded, StreamProgress};
 use crate::live_chains::{LiveChain, Run};
@@ -211,6 +210,11 @@
         {
             return Err(ResumeFailure::NoRetry);
         }
+        let (now, tokens) = (self.node.now(), admission::tokens(&self.rq));
+        let contention = &self.node.contention;
+        contention.measure(&self.rq.service, |meter| {
+            meter.record_continued(now, tokens)
+        });
         let after = self.events.last();
         match self
             .attempts
@@ -261,8 +265,8 @@
 
     fn next_chain(&self) -> Option<Rc<LiveChain>> {
         let may_take = |live: &LiveChain| self.attempts.may_take(&self.node, &self.rq, live);
-        self.node
-            .choose_chain(&self.rq, chain_selection::MAX_FILL_RESUMED, may_take)
+        let fill = admission::max_resumed_fill(&self.node, &self.rq);
+        self.node.choose_chain(&self.rq, fill, may_take)
     }
 
     fn finish_resume(&mut self, run: Run, res: Response<ResponseBody>, cause: &str) {
--- a/policy/src/relay.rs
+++ b/policy/src/relay.rs
@@ -16,6 +16,7 @@
 //! | [`failure_reports`] | whether a quorum reports a runner dead, and which instances probe it |
 //! | [`chain_selection`] | which chain a request is sent to |
 //! | [`load_shedding`] | which requests wait in vain, and when the callers of refused ones return |
+//! | [`contention`] | which requests are admitted, and where they are sent, while chains lack room |
 //! | [`rate_limits`] | which share of a runner's announced rate limit an instance may use |
 //! | [`loads`] | what all instances have in flight, and which of it is gossiped |
 //! | [`attempts`] | on which runners, and how often, one request may be tried |
@@ -29,6 +30,7 @@
 pub mod chain;
 pub mod chain_selection;
 pub mod confirmation;
+pub mod contention;
 pub mod failure_reports;
 pub mod fingerprint;
 pub mod intent;
--- a/policy/src/relay/chain_selection.rs
+++ b/policy/src/relay/chain_selection.rs
@@ -23,6 +23,14 @@
 /// released before they retry.
 pub const MAX_FILL_RESUMED: f64 = 1.1;
 
+/// Fill limit for new requests where a flow plan keeps chains at their target. It is higher than
+/// [`MAX_FILL`], since occupancies are known late and vary around the target: with a limit at the target
+/// chains would be excluded and included by turns.
+pub const MAX_PLANNED_FILL: f64 = 1.1;
+
+/// Fill limit for resumed requests where a flow plan keeps chains at their target.
+pub const MAX_PLANNED_FILL_RESUMED: f64 = 1.2;
+
 /// Penalty of a chain in another failure domain, as a share of its room: it is preferred only if it
 /// is emptier by more than this. Requests and events are small, but traffic between failure domains
 /// is expensive.
@@ -211,6 +219,36 @@
     best.map(|c| c.chain)
 }
 
+/// Returns a chain with room for a request of `tokens` tokens within the share `fill`, drawn by the
+/// weights of a flow plan (`weights`, in the order of `candidates`); `draw` is a random number from 0 to
+/// 1. A suspected chain is taken only if no other has room.
+#[must_use]
+pub fn select_planned(
+    candidates: &[ChainCandidate],
+    weights: &[f64],
+    tokens: f64,
+    fill: f64,
+    draw: f64,
+) -> Option<usize> {
+    let weighted = candidates.iter().zip(weights);
+    let fitting = weighted.filter(|(c, _)| c.fits(tokens, fill));
+    let weighted: Vec<(usize, f64)> = fitting
+        .map(|(c, weight)| match c.is_suspected() {
+            true => (c.chain, weight * SUSPECT_WEIGHT),
+            false => (c.chain, *weight),
+        })
+        .collect();
+    let sum: f64 = weighted.iter().map(|(_, weight)| weight).sum();
+    let mut left = draw * sum;
+    for (chain, weight) in &weighted {
+        left -= weight;
+        if left < 0.0 {
+            return Some(*chain);
+        }
+    }
+    weighted.last().map(|(chain, _)| *chain)
+}
+
 /// Number of instances up to which each considers all chains; in a fleet of this size loads are known
 /// with little delay.
 const FULL_SCAN_INSTANCES: usize = 6;
@@ -264,7 +302,8 @@
 /// Load pattern: a failure domain is lost under high load. All room is needed then, and loads are known
 /// with delay: work that prefers fast chains overfills them while slow ones have room left. So the
 /// preference fades as the chains fill up.
-fn speed_exponent(candidates: &[ChainCandidate]) -> f64 {
+#[must_use]
+pub fn speed_exponent(candidates: &[ChainCandidate]) -> f64 {
     let room: f64 = candidates.iter().map(|c| c.room_tokens).sum();
     let used: f64 = candidates.iter().map(|c| c.used_tokens).sum();
     SPEED_EXPONENT * (1.0 - used / room.max(1.0)).clamp(0.0, 1.0)
@@ -275,7 +314,8 @@
 /// Load pattern: the chains of a fleet differ in speed by a factor of seven, and the load is half of
 /// what they have room for. If slow chains are filled as far as fast ones, most streams in flight are
 /// theirs, and every stream in flight is late when a chain breaks or all instances are lost.
-fn draw_weight(candidate: &ChainCandidate, speed_exponent: f64, tokens: f64) -> f64 {
+#[must_use]
+pub fn draw_weight(candidate: &ChainCandidate, speed_exponent: f64, tokens: f64) -> f64 {
     let free = (1.0 - candidate.fill_with(tokens)).max(MIN_WEIGHT);
     let near = if candidate.near { NEAR_WEIGHT } else { 1.0 };
     let suspected = if candidate.is_suspected() {
--- a/policy/src/relay/loads.rs
+++ b/policy/src/relay/loads.rs
@@ -19,6 +19,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::prelude::*;
+use crate::relay::contention::FleetFlow;
+use crate::relay::contention::flow_meter::{ServiceFlow, add_flows};
 use crate::relay::rendezvous::rank;
 use crate::relay::shared_retry_budget::RetryCounts;
 
@@ -73,13 +75,17 @@
     pub used: Vec<HeadUse>,
     /// Requests and retries.
     pub spent: Vec<ServiceCounts>,
+    /// Demand and flow of the services that contention control applies to.
+    #[serde(default)]
+    pub flows: Vec<ServiceFlow>,
 }
 
 impl Load {
     /// Returns whether two loads are equal except for the time of writing.
     fn same_content(&self, other: &Load) -> bool {
         let flags = |l: &Load| (l.hears_store, l.serves);
-        flags(self) == flags(other) && self.used == other.used && self.spent == other.spent
+        let same_figures = self.used == other.used && self.spent == other.spent;
+        flags(self) == flags(other) && same_figures && self.flows == other.flows
     }
 }
 
@@ -98,6 +104,9 @@
     pub without_store: BTreeSet<Name>,
     /// Members that refuse callers.
     pub refusing: BTreeSet<Name>,
+    /// Demand and flow of the services that contention control applies to.
+    #[serde(default)]
+    pub flows: Vec<ServiceFlow>,
 }
 
 /// The load of one instance in a message.
@@ -228,6 +237,13 @@
     all
 }
 
+/// Returns the flows of a domain as they are sent to others.
+fn into_sums(flows: BTreeMap<Name, ServiceFlow>) -> Vec<ServiceFlow> {
+    let mut sums: Vec<ServiceFlow> = flows.into_values().collect();
+    sums.iter_mut().for_each(ServiceFlow::truncate);
+    sums
+}
+
 fn service_counts(totals: &BTreeMap<Name, RetryCounts>) -> Vec<ServiceCounts> {
     let spent = totals.iter();
     spent
@@ -448,10 +464,12 @@
         let mut spent = BTreeMap::new();
         let mut without_store = BTreeSet::new();
         let mut refusing = BTreeSet::new();
+        let mut flows = BTreeMap::new();
         let own = std::iter::once((&self.name, &self.own));
         for (name, load) in own.chain(received.iter().map(|(name, r)| (*name, &r.value))) {
             add_uses(&mut used, &load.used);
             add_counts(&mut spent, &load.spent);
+            add_flows(&mut flows, &load.flows);
             if !load.hears_store {
                 without_store.insert(name.clone());
             }
@@ -466,9 +484,40 @@
             spent: service_counts(&spent),
             without_store,
             refusing,
+            flows: into_sums(flows),
         })
     }
 
+    /// Returns demand and flow of a service over all instances, with the figures `own` of this one.
+    /// `neighbours` is the number of other live instances of its domain.
+    #[must_use]
+    pub fn fleet_flow(&self, own: ServiceFlow, neighbours: usize, now: Millis) -> FleetFlow {
+        let service = own.service.clone();
+        let of_service = |flows: &[ServiceFlow]| {
+            let found = flows.iter().find(|f| f.service == service);
+            found.cloned().unwrap_or_default()
+        };
+        let mut sum = own;
+        let (mut known, mut age_ms) = (0, 0);
+        let members = self.members.values();
+        for received in members.filter(|r| r.is_fresh(now, MAX_LOAD_AGE_MS)) {
+            sum.add(&of_service(&received.value.flows));
+            known += 1;
+            age_ms += now - received.as_of_ms;
+        }
+        let mut ages_ms = vec![age_ms / (known as Millis).max(1)];
+        let mut domains = BTreeMap::from([(self.domain.clone(), sum)]);
+        for (domain, received) in self.fresh_domains(now) {
+            domains.insert(domain.clone(), of_service(&received.value.flows));
+            ages_ms.push(now - received.as_of_ms);
+        }
+        FleetFlow {
+            domains,
+            age_ms: ages_ms.iter().sum::<Millis>() / ages_ms.len() as Millis,
+            known_share: (known + 1) as f64 / (neighbours + 1) as f64,
+        }
+    }
+
     fn fresh_members(&self, now: Millis) -> impl Iterator<Item = (&Name, &Load)> {
         let fresh = self.members.iter();
         let fresh = fresh.filter(move |(_, r)| r.is_fresh(now, MAX_LOAD_AGE_MS));
