Relay: urgency levels order requests of organisations with equal priority; softer answer to refusals

Levels now put the organisation's priority first and order by the route's within it. Chains stood at 0.45 to 0.7 of their room while a fifth was refused: single bursts of refusals halved targets, which recovered within ten seconds; the factor now falls a quarter as fast and rises twice as fast. Continued streams are no longer taken from the supply: they are in the occupancy already.

--- a/plugins/relay/src/admission.rs
+++ b/plugins/relay/src/admission.rs
@@ -67,7 +67,7 @@
     if node.queue.borrow().len() >= MAX_WAITING {
         return Err(Cause::NoRoom);
     }
-    let position = QueuePosition::open(node, queue_rank(rq), tokens);
+    let position = QueuePosition::open(node, queue_rank(node, rq), tokens);
     let mut first_check = true;
     loop {
         let notified = node.room_freed.notified();
@@ -106,9 +106,10 @@
 }
 
 /// Returns the queue rank of a request: its priority, behind interrupted streams, which have rank 0.
-fn queue_rank(rq: &ProxiedRequest) -> u32 {
+fn queue_rank(node: &Node, rq: &ProxiedRequest) -> u32 {
     match is_resumed(rq) {
         true => 0,
+        false if node.contention.applies(&rq.service) => rq.urgency.saturating_add(1),
         false => rq.priority.saturating_add(1),
     }
 }
--- a/plugins/relay/src/contention.rs
+++ b/plugins/relay/src/contention.rs
@@ -122,11 +122,11 @@
         control.is_some_and(|c| c.overloaded_since_ms().is_some())
     }
 
-    /// Returns the share of a request's priority and organisation that is admitted, from 0 to 1.
+    /// Returns the share of a request's urgency level and organisation that is admitted, from 0 to 1.
     pub(crate) fn share(&self, rq: &ProxiedRequest) -> f64 {
         let controls = self.controls.borrow();
         let control = controls.get(&rq.service);
-        control.map_or(1.0, |c| c.share(rq.priority, rq.organisation()))
+        control.map_or(1.0, |c| c.share(rq.urgency, rq.organisation()))
     }
 
     /// Returns the state of each service for operators.
@@ -165,7 +165,7 @@
     }
     let (now, tokens) = (node.now(), admission::tokens(rq));
     contention.measure(&rq.service, |meter| {
-        meter.record_arrival(now, rq.priority, rq.organisation(), tokens);
+        meter.record_arrival(now, rq.urgency, rq.organisation(), tokens);
     });
     refresh(node, &rq.service);
     let returned = contention.is_returned(rq);
@@ -174,7 +174,7 @@
         return Ok(());
     };
     let draw = node.random_f64();
-    let decision = control.decide(rq.priority, rq.organisation(), returned, draw);
+    let decision = control.decide(rq.urgency, rq.organisation(), returned, draw);
     let cause = match decision {
         Decision::Admitted => return Ok(()),
         Decision::NoRoomForPriority => Cause::NoRoomForPriority,
@@ -193,7 +193,7 @@
     let control = controls.get_mut(&rq.service)?;
     let (now, tokens) = (node.now(), admission::tokens(rq));
     let instances = node.live_instances();
-    control.refused(now, tokens, rq.priority, instances, node.random_f64())
+    control.refused(now, tokens, rq.urgency, instances, node.random_f64())
 }
 
 /// Computes plan and shares of a service again if they are due.
--- a/plugins/relay/src/request.rs
+++ b/plugins/relay/src/request.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 use jacinthweir_platform::header;
 use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::relay::contention::urgency;
 use jacinthweir_policy::relay::fingerprint::Fingerprint;
 use jacinthweir_policy::relay::intent::{CallClass, Engine, Intent, Route};
 use tokio::time::{sleep, timeout};
@@ -52,6 +53,8 @@
     pub(crate) deadline_ms: Millis,
     pub(crate) max_attempts: u32,
     pub(crate) priority: u32,
+    /// Level that orders requests under contention, 0 for the most urgent.
+    pub(crate) urgency: u32,
     pub(crate) tokens: Option<(u32, u32)>,
     pub(crate) last_event: Option<u64>,
     /// Set if another instance forwarded the request.
@@ -114,6 +117,7 @@
             cause:% = cause,
             organisation = self.organisation.as_deref().unwrap_or("-"),
             priority = self.priority,
+            urgency = self.urgency,
             share:% = format_args!("{:.2}", node.contention.share(self)),
             sends = send_record.sends,
             status = res.status().as_u16(),
@@ -253,11 +257,17 @@
     {
         headers.insert(header::ORGANISATION, value);
     }
-    let priority = org
-        .as_ref()
-        .and_then(|o| o.priority)
-        .unwrap_or(route.priority);
-    headers.insert(header::PRIORITY, priority.min(LOWEST_PRIORITY).into());
+    let of_organisation = org.as_ref().and_then(|o| o.priority);
+    let urgency = urgency::level(of_organisation, route.priority);
+    let priority = of_organisation.unwrap_or(route.priority);
+    let runner_priority = match node.contention.applies(&service) {
+        true => urgency,
+        false => priority,
+    };
+    headers.insert(
+        header::PRIORITY,
+        runner_priority.min(LOWEST_PRIORITY).into(),
+    );
     Ok(ProxiedRequest {
         id,
         route: route.name.clone(),
@@ -270,6 +280,7 @@
         deadline_ms: received_ms + time_limit_ms(&parts.headers, &route),
         max_attempts: route.max_attempts,
         priority,
+        urgency,
         tokens: header::tokens(&parts.headers),
         last_event: header::number(&parts.headers, &header::LAST_EVENT_ID),
         origin: None,
--- a/plugins/relay/src/stream/failover.rs
+++ b/plugins/relay/src/stream/failover.rs
@@ -210,11 +210,6 @@
         {
             return Err(ResumeFailure::NoRetry);
         }
-        let (now, tokens) = (self.node.now(), admission::tokens(&self.rq));
-        let contention = &self.node.contention;
-        contention.measure(&self.rq.service, |meter| {
-            meter.record_continued(now, tokens)
-        });
         let after = self.events.last();
         match self
             .attempts
--- a/policy/src/relay/contention.rs
+++ b/policy/src/relay/contention.rs
@@ -26,6 +26,7 @@
 pub mod scope;
 mod service_control;
 pub mod shares;
+pub mod urgency;
 
 pub use service_control::{ChainLoad, ControlStatus, Decision, FleetFlow, ServiceControl};
 
@@ -78,7 +79,7 @@
             urgency: true,
             fair_share: true,
             overload: true,
-            target_fill: 0.9,
+            target_fill: 0.95,
             least_share: 0.5,
             weights: BTreeMap::new(),
         }
--- a/policy/src/relay/contention/flow_meter.rs
+++ b/policy/src/relay/contention/flow_meter.rs
@@ -9,11 +9,9 @@
 use serde::{Deserialize, Serialize};
 
 use super::rate::Rate;
+use super::urgency::LEVELS;
 use crate::prelude::*;
 
-/// Number of priorities that are told apart; less urgent ones count as the last.
-pub const PRIORITIES: usize = 10;
-
 /// Organisations that an instance lists by name, those with the highest demand.
 const MAX_ORGANISATIONS: usize = 8;
 
@@ -27,13 +25,13 @@
 /// Rate below which nothing is listed, in tokens or events per second.
 const MIN_RATE: f64 = 1.0;
 
-/// Demand of one organisation at one priority.
+/// Demand of one organisation at one urgency level.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OrganisationDemand {
     /// Organisation.
     pub organisation: Name,
-    /// Priority, below [`PRIORITIES`].
-    pub priority: u8,
+    /// Urgency level, below [`LEVELS`].
+    pub level: u8,
     /// Tokens of arriving requests per second.
     pub tokens_per_s: u32,
 }
@@ -80,10 +78,8 @@
 pub struct ServiceFlow {
     /// Service.
     pub service: Name,
-    /// Tokens per second of arriving requests by priority, the last ones omitted if 0.
+    /// Tokens per second of arriving requests by urgency level, the last ones omitted if 0.
     pub arriving: Vec<u32>,
-    /// Tokens per second of streams that continue after an interruption; they are always admitted.
-    pub continued: u32,
     /// Organisations with the highest demand.
     pub organisations: Vec<OrganisationDemand>,
     /// Flow through chains.
@@ -91,11 +87,10 @@
 }
 
 impl ServiceFlow {
-    /// Returns the tokens per second of arriving and continued requests.
+    /// Returns the tokens per second of arriving requests.
     #[must_use]
     pub fn demand(&self) -> f64 {
-        let arriving: f64 = self.arriving.iter().copied().map(f64::from).sum();
-        arriving + f64::from(self.continued)
+        self.arriving.iter().copied().map(f64::from).sum()
     }
 
     /// Adds the figures of other instances.
@@ -106,10 +101,9 @@
         for (sum, tokens) in self.arriving.iter_mut().zip(&other.arriving) {
             *sum = sum.saturating_add(*tokens);
         }
-        self.continued = self.continued.saturating_add(other.continued);
         for demand in &other.organisations {
             let same = |d: &&mut OrganisationDemand| {
-                d.organisation == demand.organisation && d.priority == demand.priority
+                d.organisation == demand.organisation && d.level == demand.level
             };
             match self.organisations.iter_mut().find(same) {
                 Some(sum) => {
@@ -135,7 +129,7 @@
 fn keep_largest(organisations: &mut Vec<OrganisationDemand>, max: usize) {
     organisations.sort_by(|a, b| {
         let by_demand = b.tokens_per_s.cmp(&a.tokens_per_s);
-        by_demand.then_with(|| (&a.organisation, a.priority).cmp(&(&b.organisation, b.priority)))
+        by_demand.then_with(|| (&a.organisation, a.level).cmp(&(&b.organisation, b.level)))
     });
     organisations.truncate(max);
 }
@@ -170,18 +164,27 @@
 }
 
 /// Measures one instance's part of a service's demand and flow.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct FlowMeter {
-    arriving: [Rate; PRIORITIES],
-    continued: Rate,
+    arriving: [Rate; LEVELS],
     organisations: BTreeMap<(Name, u8), Rate>,
     heads: BTreeMap<Name, HeadMeter>,
 }
 
-/// Returns the index of a priority in [`ServiceFlow::arriving`].
+impl Default for FlowMeter {
+    fn default() -> Self {
+        FlowMeter {
+            arriving: [Rate::default(); LEVELS],
+            organisations: BTreeMap::new(),
+            heads: BTreeMap::new(),
+        }
+    }
+}
+
+/// Returns the index of an urgency level in [`ServiceFlow::arriving`].
 #[must_use]
-pub fn priority_index(priority: u32) -> u8 {
-    (priority.min(PRIORITIES as u32 - 1)) as u8
+pub fn level_index(level: u32) -> u8 {
+    level.min(LEVELS as u32 - 1) as u8
 }
 
 impl FlowMeter {
@@ -189,24 +192,19 @@
     pub fn record_arrival(
         &mut self,
         now: Millis,
-        priority: u32,
+        level: u32,
         organisation: Option<&Name>,
         tokens: f64,
     ) {
-        let priority = priority_index(priority);
-        self.arriving[usize::from(priority)].record(now, tokens);
+        let level = level_index(level);
+        self.arriving[usize::from(level)].record(now, tokens);
         if let Some(organisation) = organisation {
-            let key = (organisation.clone(), priority);
+            let key = (organisation.clone(), level);
             let rate = self.organisations.entry(key).or_default();
             rate.record(now, tokens);
         }
     }
 
-    /// Records that a stream of `tokens` tokens continues on another chain.
-    pub fn record_continued(&mut self, now: Millis, tokens: f64) {
-        self.continued.record(now, tokens);
-    }
-
     /// Records that a request of `tokens` tokens ended on a chain.
     pub fn record_released(&mut self, now: Millis, head: &Name, tokens: f64) {
         self.head(head).released.record(now, tokens);
@@ -238,9 +236,9 @@
         self.heads.retain(|_, meter| !meter.is_idle(now));
         let listed = self.organisations.iter();
         let mut organisations: Vec<OrganisationDemand> = listed
-            .map(|((organisation, priority), rate)| OrganisationDemand {
+            .map(|((organisation, level), rate)| OrganisationDemand {
                 organisation: organisation.clone(),
-                priority: *priority,
+                level: *level,
                 tokens_per_s: rate.at(now) as u32,
             })
             .collect();
@@ -251,7 +249,6 @@
         ServiceFlow {
             service: service.clone(),
             arriving,
-            continued: self.continued.at(now) as u32,
             organisations,
             heads: self.head_flows(now),
         }
--- a/policy/src/relay/contention/inflow.rs
+++ b/policy/src/relay/contention/inflow.rs
@@ -19,11 +19,11 @@
 const REFUSED_SHARE: f64 = 0.02;
 
 /// Speed at which the target falls with the refused share, and rises otherwise, per second.
-const FALL_PER_S: f64 = 2.0;
-const RISE_PER_S: f64 = 0.05;
+const FALL_PER_S: f64 = 0.5;
+const RISE_PER_S: f64 = 0.1;
 
 /// Lower bound of the factor that refusals apply to the target.
-const MIN_REFUSAL_FACTOR: f64 = 0.5;
+const MIN_REFUSAL_FACTOR: f64 = 0.6;
 
 /// Mean gap between events, as a share of the smallest gap objective, up to which a chain is filled to
 /// its target and from which on it gets the least. The longest gap of a stream is 1.6 times the mean
--- a/policy/src/relay/contention/return_delay.rs
+++ b/policy/src/relay/contention/return_delay.rs
@@ -4,6 +4,7 @@
 //! same time, they meet the rest of the burst or each other. So their tokens are a debt that drains at
 //! the rate of free supply, and they return spread over the time in which it drains.
 
+use super::urgency;
 use crate::prelude::*;
 
 /// Minimum and maximum delay, in milliseconds. Callers wait for a third of their remaining time at
@@ -11,7 +12,7 @@
 const MIN_DELAY_MS: f64 = 1_500.0;
 const MAX_DELAY_MS: f64 = 6_000.0;
 
-/// Additional minimum delay for each step of lower priority, in milliseconds.
+/// Additional minimum delay for each step of lower priority of the route, in milliseconds.
 const PRIORITY_STEP_MS: f64 = 500.0;
 
 /// Free supply that is assumed at least, as a share of the supply: an overload ends.
@@ -32,7 +33,7 @@
         &mut self,
         now: Millis,
         tokens: f64,
-        priority: u32,
+        level: u32,
         (supply, spare): (f64, f64),
         draw: f64,
     ) -> Millis {
@@ -42,7 +43,7 @@
         self.debt_tokens = (self.debt_tokens - passed_s * free).max(0.0) + tokens;
         let drained_ms = self.debt_tokens / free * 1e3;
         let latest_ms = drained_ms.clamp(2.0 * MIN_DELAY_MS, MAX_DELAY_MS);
-        let earliest_ms = MIN_DELAY_MS + f64::from(priority) * PRIORITY_STEP_MS;
+        let earliest_ms = MIN_DELAY_MS + f64::from(urgency::priorities(level).1) * PRIORITY_STEP_MS;
         let earliest_ms = earliest_ms.min(latest_ms);
         (earliest_ms + (latest_ms - earliest_ms) * draw) as Millis
     }
--- a/policy/src/relay/contention/service_control.rs
+++ b/policy/src/relay/contention/service_control.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 
 use super::ContentionConfig;
-use super::flow_meter::{HeadFlow, OrganisationDemand, ServiceFlow, priority_index};
+use super::flow_meter::{HeadFlow, OrganisationDemand, ServiceFlow, level_index};
 use super::flow_plan::{DomainDemand, FlowPlan, PlanChain};
 use super::inflow::{self, ChainTarget};
 use super::overload::{Change, Overload};
@@ -57,7 +57,7 @@
 pub enum Decision {
     /// It is admitted.
     Admitted,
-    /// Its priority's share is used up.
+    /// The share of its urgency level is used up.
     NoRoomForPriority,
     /// Its organisation is above its share.
     OrganisationAboveShare,
@@ -82,7 +82,7 @@
     demand: f64,
     spare: f64,
     arriving: Vec<f64>,
-    priorities: Vec<f64>,
+    levels: Vec<f64>,
     organisations: BTreeMap<(u8, Name), (f64, f64)>,
     chains: BTreeMap<Name, PlannedChain>,
 }
@@ -109,9 +109,9 @@
     pub age_ms: Millis,
     /// Since when the service is overloaded, in milliseconds.
     pub overloaded_since_ms: Option<Millis>,
-    /// Demand in tokens per second and share of each priority.
+    /// Demand in tokens per second and share of each urgency level.
     pub priorities: Vec<(f64, f64)>,
-    /// Organisation, priority, demand in tokens per second, and share.
+    /// Organisation, urgency level, demand in tokens per second, and share.
     pub organisations: Vec<(Name, u8, f64, f64)>,
     /// First runner, room, occupancy and inflow of each chain, and its part of the own domain's flow.
     pub chains: Vec<(Name, f64, f64, f64, f64)>,
@@ -173,7 +173,7 @@
     #[must_use]
     pub fn decide(
         &self,
-        priority: u32,
+        level: u32,
         organisation: Option<&Name>,
         returned: bool,
         draw: f64,
@@ -181,10 +181,10 @@
         let Some(current) = &self.current else {
             return Decision::Admitted;
         };
-        let priority = priority_index(priority);
-        let share = current.share_of(priority);
+        let level = level_index(level);
+        let share = current.share_of(level);
         let own = organisation
-            .and_then(|name| current.organisations.get(&(priority, name.clone())))
+            .and_then(|name| current.organisations.get(&(level, name.clone())))
             .map_or(share, |(_, share)| *share);
         let effective = match returned {
             true => shares::of_returned(own),
@@ -212,16 +212,14 @@
         &mut self,
         now: Millis,
         tokens: f64,
-        priority: u32,
+        level: u32,
         instances: usize,
         draw: f64,
     ) -> Option<Millis> {
         let current = self.current.as_ref()?;
         let part = 1.0 / instances.max(1) as f64;
         let flow = (current.supply * part, current.spare * part);
-        let delay = self
-            .delays
-            .record_refused(now, tokens, priority, flow, draw);
+        let delay = self.delays.record_refused(now, tokens, level, flow, draw);
         Some(delay)
     }
 
@@ -231,16 +229,16 @@
         self.overload.since_ms()
     }
 
-    /// Returns the share of a priority, and of an organisation within it, from 0 to 1.
+    /// Returns the share of an urgency level, and of an organisation within it, from 0 to 1.
     #[must_use]
-    pub fn share(&self, priority: u32, organisation: Option<&Name>) -> f64 {
-        let priority = priority_index(priority);
+    pub fn share(&self, level: u32, organisation: Option<&Name>) -> f64 {
+        let level = level_index(level);
         let Some(current) = &self.current else {
             return 1.0;
         };
         let of_organisation =
-            organisation.and_then(|name| current.organisations.get(&(priority, name.clone())));
-        of_organisation.map_or_else(|| current.share_of(priority), |(_, share)| *share)
+            organisation.and_then(|name| current.organisations.get(&(level, name.clone())));
+        of_organisation.map_or_else(|| current.share_of(level), |(_, share)| *share)
     }
 
     /// Returns the state for operators, if there is a plan.
@@ -255,11 +253,9 @@
             demand: current.demand,
             age_ms: current.age_ms,
             overloaded_since_ms: self.overload.since_ms(),
-            priorities: arriving.zip(current.priorities.iter().copied()).collect(),
+            priorities: arriving.zip(current.levels.iter().copied()).collect(),
             organisations: organisations
-                .map(|((priority, name), (demand, share))| {
-                    (name.clone(), *priority, *demand, *share)
-                })
+                .map(|((level, name), (demand, share))| (name.clone(), *level, *demand, *share))
                 .collect(),
             chains: chains
                 .map(|c| {
@@ -286,8 +282,8 @@
 const NEGLIGIBLE_SHORTAGE: f64 = 1e-3;
 
 impl Computation {
-    fn share_of(&self, priority: u8) -> f64 {
-        let share = self.priorities.get(usize::from(priority));
+    fn share_of(&self, level: u8) -> f64 {
+        let share = self.levels.get(usize::from(level));
         share.copied().unwrap_or(1.0)
     }
 }
@@ -336,14 +332,13 @@
     let mut all = ServiceFlow::default();
     fleet.domains.values().for_each(|flow| all.add(flow));
     let arriving: Vec<f64> = all.arriving.iter().copied().map(f64::from).collect();
-    let for_new = (plan.supply - f64::from(all.continued)).max(0.0);
     let least = cfg.least_share;
-    let priorities = match cfg.urgency {
-        true => shares::by_priority(for_new, &arriving, least),
-        false => shares::equal(for_new, &arriving),
+    let levels = match cfg.urgency {
+        true => shares::by_priority(plan.supply, &arriving, least),
+        false => shares::equal(plan.supply, &arriving),
     };
     let organisations = match cfg.fair_share {
-        true => organisation_shares(cfg, &all.organisations, &arriving, &priorities),
+        true => organisation_shares(cfg, &all.organisations, &arriving, &levels),
         false => BTreeMap::new(),
     };
     Computation {
@@ -353,7 +348,7 @@
         demand: plan.demand,
         spare: plan.spare,
         arriving,
-        priorities,
+        levels,
         organisations,
         chains: planned
             .into_iter()
@@ -362,18 +357,18 @@
     }
 }
 
-/// Returns demand and share of each listed organisation, by priority.
+/// Returns demand and share of each listed organisation, by urgency level.
 fn organisation_shares(
     cfg: &ContentionConfig,
     listed: &[OrganisationDemand],
     arriving: &[f64],
-    priorities: &[f64],
+    levels: &[f64],
 ) -> BTreeMap<(u8, Name), (f64, f64)> {
     let mut all = BTreeMap::new();
-    for (i, (total, share)) in arriving.iter().zip(priorities).enumerate() {
-        let of_priority = listed.iter().filter(|d| usize::from(d.priority) == i);
-        let of_priority: Vec<&OrganisationDemand> = of_priority.collect();
-        let claims: Vec<Claim> = of_priority
+    for (i, (total, share)) in arriving.iter().zip(levels).enumerate() {
+        let of_level = listed.iter().filter(|d| usize::from(d.level) == i);
+        let of_level: Vec<&OrganisationDemand> = of_level.collect();
+        let claims: Vec<Claim> = of_level
             .iter()
             .map(|d| Claim {
                 tokens_per_s: f64::from(d.tokens_per_s),
@@ -382,8 +377,8 @@
             .collect();
         let granted = total * share;
         let shares = shares::by_organisation(granted, *total, &claims, cfg.least_share);
-        for (demand, share) in of_priority.iter().zip(shares) {
-            let key = (demand.priority, demand.organisation.clone());
+        for (demand, share) in of_level.iter().zip(shares) {
+            let key = (demand.level, demand.organisation.clone());
             all.insert(key, (f64::from(demand.tokens_per_s), share));
         }
     }
