Relay: flow of a chain counts each request once and in the units of the demand

The plan took chains for emptier than they were. A failed connection counted as a refusal by the chain, which lowered the target of an intact chain for the whole fleet.

--- a/plugins/relay/src/chain_attempts.rs
+++ b/plugins/relay/src/chain_attempts.rs
@@ -177,7 +177,7 @@
         }
         Ok(SendOutcome::Unreached(e)) => {
             log_attempt(rq, live, "not reached", &e.to_string());
-            in_flight.refused();
+            in_flight.unreached();
             failure_detector::connection_failed(node, head);
             AttemptOutcome::Unreached
         }
--- a/plugins/relay/src/live_chains.rs
+++ b/plugins/relay/src/live_chains.rs
@@ -506,10 +506,22 @@
     pub(crate) sent_ms: Millis,
     path_lost: CancellationToken,
     tokens: f64,
+    /// Tokens by which the request counts in the demand.
+    demand: f64,
     /// Tokens to prefill before the next event.
     prefill: Cell<f64>,
-    /// Whether the chain did not take the request.
-    refused: Cell<bool>,
+    ending: Cell<Ending>,
+}
+
+/// How the end of a request on a chain counts in the chain's flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Ending {
+    /// The chain released its tokens.
+    Released,
+    /// A runner of the chain refused it.
+    Refused,
+    /// Not at all: no runner received it, or the first runner keeps it along another path.
+    Uncounted,
 }
 
 impl InFlight {
@@ -531,14 +543,20 @@
             path_lost,
             sent_ms: node.now(),
             tokens,
+            demand: tokens,
             prefill: Cell::new(tokens),
-            refused: Cell::new(false),
+            ending: Cell::new(Ending::Released),
         }
     }
 
-    /// Records that the chain did not take the request.
+    /// Records that a runner of the chain refused the request.
     pub(crate) fn refused(&self) {
-        self.refused.set(true);
+        self.ending.set(Ending::Refused);
+    }
+
+    /// Records that no runner of the chain received the request.
+    pub(crate) fn unreached(&self) {
+        self.ending.set(Ending::Uncounted);
     }
 
     /// Raises the request's tokens to `tokens`, if its answer is longer than expected.
@@ -553,9 +571,11 @@
 
     /// Moves the request to another chain behind the same first runner.
     pub(crate) fn move_to(&mut self, live: Rc<LiveChain>) {
-        let sent_ms = self.sent_ms;
-        *self = InFlight::open(&self.node, live, self.tokens);
-        self.sent_ms = sent_ms;
+        let mut moved = InFlight::open(&self.node, live, self.tokens);
+        moved.sent_ms = self.sent_ms;
+        moved.demand = self.demand;
+        self.ending.set(Ending::Uncounted);
+        *self = moved;
     }
 
     /// Waits until the request is interrupted.
@@ -592,12 +612,15 @@
             .release_rate
             .borrow_mut()
             .record_released(now, self.tokens);
-        let (head, tokens) = (self.live.head().0, self.tokens);
+        // Released tokens are counted as the demand counts them: with those of answers that are longer
+        // than expected, a chain would appear to have room for more requests than ended.
+        let (head, tokens) = (self.live.head().0, self.demand);
         self.node
             .contention
-            .measure(&self.live.service, |meter| match self.refused.get() {
-                true => meter.record_refused(now, head, tokens),
-                false => meter.record_released(now, head, tokens),
+            .measure(&self.live.service, |meter| match self.ending.get() {
+                Ending::Released => meter.record_released(now, head, tokens),
+                Ending::Refused => meter.record_refused(now, head, tokens),
+                Ending::Uncounted => {}
             });
         self.live.used.set(self.live.used.get() - self.tokens);
         self.live.silence.borrow_mut().request_ended();
