Relay: contention control when paths are lost, plans are missing, and overload ends

An instance that had lost its paths to the runners refused its callers for want of room: the plan left out the chains that it did not reach, so supply was near 0, and requests were refused before they could be forwarded. The plan now includes these chains; only the choice of a chain leaves them out.

Without recent figures of the others requests were chosen by free room, but up to the fill limit of a plan; the limit now needs a plan. Overload ended only with the next request; it is now also checked in each exchange round. Its end was neither logged nor shown by the gauges if there was no plan or if a configuration ended contention control. After a configuration with a shorter time limit every request of the route counted as refused before. Requests that failed, and were not refused, counted in the return debt.

Shares are formatted only when the overload state changes; an event costs two look-ups less, and the figures of other instances are summed without a copy.

--- a/plugins/relay/src/admission.rs
+++ b/plugins/relay/src/admission.rs
@@ -115,7 +115,7 @@
 
 /// Returns the occupancy up to which a chain is filled for a request.
 fn max_fill(node: &Node, rq: &ProxiedRequest) -> f64 {
-    match (is_resumed(rq), node.contention.plans_flow(&rq.service)) {
+    match (is_resumed(rq), node.contention.has_plan(&rq.service)) {
         (true, _) => max_resumed_fill(node, rq),
         (false, true) => chain_selection::MAX_PLANNED_FILL,
         (false, false) => chain_selection::MAX_FILL,
@@ -124,7 +124,7 @@
 
 /// Returns the occupancy up to which a chain is filled for a stream that resumes.
 pub(crate) fn max_resumed_fill(node: &Node, rq: &ProxiedRequest) -> f64 {
-    match node.contention.plans_flow(&rq.service) {
+    match node.contention.has_plan(&rq.service) {
         true => chain_selection::MAX_PLANNED_FILL_RESUMED,
         false => chain_selection::MAX_FILL_RESUMED,
     }
--- a/plugins/relay/src/contention.rs
+++ b/plugins/relay/src/contention.rs
@@ -18,7 +18,7 @@
 use jacinthweir_policy::relay::intent::Intent;
 
 use crate::admission;
-use crate::answer::Cause;
+use crate::answer::{Cause, SendRecord};
 use crate::node::Node;
 use crate::peers;
 use crate::request::ProxiedRequest;
@@ -59,13 +59,19 @@
         }
         for service in before.keys().filter(|s| !scopes.contains_key(*s)) {
             log::info!(service = service.as_ref(), version = intent.version; "contention control ends");
+            set_gauges(service, false, 0.0, 0.0);
         }
         let applies = |service: &Name| scopes.contains_key(service);
         self.meters.borrow_mut().retain(|s, _| applies(s));
         self.controls.borrow_mut().retain(|s, _| applies(s));
         let mut limits = self.time_limits.borrow_mut();
         let routes = || intent.routes.values().flatten();
-        limits.retain(|name, _| routes().any(|r| r.name == *name));
+        limits.retain(|name, limit_ms| {
+            let route = routes().find(|r| r.name == *name);
+            // With a time limit that was longer before, every request would count as returned.
+            *limit_ms = route.map_or(0, |r| r.timeout_ms.min(*limit_ms));
+            route.is_some()
+        });
     }
 
     /// Returns whether contention control applies to a service.
@@ -73,22 +79,20 @@
         self.scopes.borrow().contains_key(service)
     }
 
-    /// Returns whether chains of a service are chosen by the flow plan.
-    pub(crate) fn plans_flow(&self, service: &str) -> bool {
-        self.cfg.flow && self.applies(service)
+    /// Returns whether chains of a service are chosen by a flow plan.
+    pub(crate) fn has_plan(&self, service: &str) -> bool {
+        let controls = self.controls.borrow();
+        let control = controls.get(service).filter(|_| self.cfg.flow);
+        control.is_some_and(|c| c.supply_and_demand().is_some())
     }
 
     /// Calls `record` with the meter of a service, if contention control applies to it.
     pub(crate) fn measure(&self, service: &Name, record: impl FnOnce(&mut FlowMeter)) {
-        if !self.applies(service) {
-            return;
-        }
         let mut meters = self.meters.borrow_mut();
-        if !meters.contains_key(service) {
-            meters.insert(service.clone(), FlowMeter::default());
-        }
         if let Some(meter) = meters.get_mut(service) {
             record(meter);
+        } else if self.applies(service) {
+            record(meters.entry(service.clone()).or_default());
         }
     }
 
@@ -107,11 +111,8 @@
         service: &Name,
         heads: impl Iterator<Item = &'a Name>,
     ) -> Option<Vec<f64>> {
-        if !self.plans_flow(service) {
-            return None;
-        }
         let controls = self.controls.borrow();
-        let control = controls.get(service)?;
+        let control = controls.get(service).filter(|_| self.cfg.flow)?;
         heads.map(|head| control.weight(head)).collect()
     }
 
@@ -184,9 +185,14 @@
     Err(cause)
 }
 
-/// Returns the retry delay of a refused request in milliseconds, if contention control has one for it.
-pub(crate) fn retry_after_ms(node: &Node, rq: &ProxiedRequest) -> Option<Millis> {
-    if !node.contention.is_overloaded(&rq.service) {
+/// Returns the retry delay of a request that was refused without having run, in milliseconds, if
+/// contention control has one for it.
+pub(crate) fn retry_after_ms(
+    node: &Node,
+    rq: &ProxiedRequest,
+    send_record: SendRecord,
+) -> Option<Millis> {
+    if send_record.may_have_run() || !node.contention.is_overloaded(&rq.service) {
         return None;
     }
     let mut controls = node.contention.controls.borrow_mut();
@@ -196,6 +202,18 @@
     control.refused(now, tokens, rq.priority, instances, node.random_f64())
 }
 
+/// Computes plan and shares of overloaded services again, so that overload ends without requests too.
+pub(crate) fn refresh_overloaded(node: &Node) {
+    let overloaded: Vec<Name> = {
+        let controls = node.contention.controls.borrow();
+        let overloaded = controls
+            .iter()
+            .filter(|(_, c)| c.overloaded_since_ms().is_some());
+        overloaded.map(|(service, _)| service.clone()).collect()
+    };
+    overloaded.iter().for_each(|service| refresh(node, service));
+}
+
 /// Computes plan and shares of a service again if they are due.
 pub(crate) fn refresh(node: &Node, service: &Name) {
     let contention = &node.contention;
@@ -237,11 +255,15 @@
     report(service, control, change);
 }
 
-/// Returns occupancy and weights of the chains of a service that are intact.
+/// Returns occupancy and weights of the chains of a service that are intact and accept requests. Those
+/// that only this instance does not reach are included: its requests for them are forwarded, and a plan
+/// without them would refuse requests for which the fleet has room.
 fn chain_loads(node: &Node, service: &Name, scope: ServiceScope) -> Vec<ChainLoad> {
     let chains = node.chains.borrow();
     let live = chains.of(service);
-    let candidates = node.chain_candidates(service, scope.max_gap_ms, &chains, |_| true);
+    let candidates = node.chain_candidates(service, scope.max_gap_ms, &chains, |l| {
+        node.accepts_requests(l)
+    });
     let exponent = chain_selection::speed_exponent(&candidates);
     let weight = |c: &ChainCandidate, near: bool| {
         let candidate = ChainCandidate { near, ..*c };
@@ -262,29 +284,44 @@
 
 /// Logs a change of the overload state, and updates the metrics.
 fn report(service: &Name, control: &ServiceControl, change: Option<Change>) {
-    let Some(status) = control.status() else {
-        return;
-    };
-    let (supply, demand, age_ms) = (status.supply as u64, status.demand as u64, status.age_ms);
-    let shares: Vec<String> = status
-        .priorities
+    let totals = control.supply_and_demand();
+    let (supply, demand) = totals.unwrap_or_default();
+    if let Some(change) = change {
+        log_change(service, control, change);
+    }
+    if change.is_some() || totals.is_some() {
+        let is_overloaded = control.overloaded_since_ms().is_some();
+        set_gauges(service, is_overloaded, supply, demand);
+    }
+}
+
+fn log_change(service: &Name, control: &ServiceControl, change: Change) {
+    // Without recent figures of other instances there is no plan, and overload ends.
+    let status = control.status();
+    let status = status.as_ref();
+    let supply = status.map_or(0, |s| s.supply as u64);
+    let demand = status.map_or(0, |s| s.demand as u64);
+    let age_ms = status.map(|s| s.age_ms);
+    let priorities = status.map_or(&[][..], |s| &s.priorities);
+    let shares: Vec<String> = priorities
         .iter()
         .map(|(demand, share)| format!("{demand:.0}:{share:.2}"))
         .collect();
     let shares = shares.join(" ");
     match change {
-        Some(Change::Began) => {
-            log::warn!(service = service.as_ref(), supply, demand, age_ms, shares; "overload begins");
+        Change::Began => {
+            log::warn!(service = service.as_ref(), supply, demand, age_ms:?, shares; "overload begins");
         }
-        Some(Change::Ended(lasted_ms)) => {
-            log::info!(service = service.as_ref(), supply, demand, age_ms, lasted_ms; "overload ends");
+        Change::Ended(lasted_ms) => {
+            log::info!(service = service.as_ref(), supply, demand, age_ms:?, lasted_ms; "overload ends");
         }
-        None => {}
     }
+}
+
+fn set_gauges(service: &Name, is_overloaded: bool, supply: f64, demand: f64) {
     let label = service.to_string();
-    let overloaded = f64::from(u8::from(status.overloaded_since_ms.is_some()));
+    let overloaded = f64::from(u8::from(is_overloaded));
     metrics::gauge!("jacinthweir_overloaded", "service" => label.clone()).set(overloaded);
-    metrics::gauge!("jacinthweir_supply_tokens_per_s", "service" => label.clone())
-        .set(status.supply);
-    metrics::gauge!("jacinthweir_demand_tokens_per_s", "service" => label).set(status.demand);
+    metrics::gauge!("jacinthweir_supply_tokens_per_s", "service" => label.clone()).set(supply);
+    metrics::gauge!("jacinthweir_demand_tokens_per_s", "service" => label).set(demand);
 }
--- a/plugins/relay/src/live_chains.rs
+++ b/plugins/relay/src/live_chains.rs
@@ -359,6 +359,7 @@
         contention::refresh(self, &rq.service);
         let chains = self.chains.borrow();
         let live = chains.of(&rq.service);
+        let may_take = |l: &LiveChain| self.reaches(l) && self.accepts_requests(l) && may_take(l);
         let candidates = self.chain_candidates(&rq.service, rq.max_gap_ms, &chains, may_take);
         let heads = candidates.iter().map(|c| live[c.chain].head().0);
         let chosen = match self.contention.weights(&rq.service, heads) {
@@ -375,7 +376,20 @@
         chosen.map(|i| Rc::clone(&live[i]))
     }
 
-    /// Returns the chains of a service that may get new requests and that `may_take` accepts.
+    /// Returns whether this instance reaches a chain's first runner.
+    fn reaches(&self, live: &LiveChain) -> bool {
+        !self.runners.borrow().is_unreachable(live.head().0)
+    }
+
+    /// Returns whether a chain's first runner accepts requests: it neither rests nor is its rate limit
+    /// used up.
+    pub(crate) fn accepts_requests(&self, live: &LiveChain) -> bool {
+        let runners = self.runners.borrow();
+        let rests = runners.rest_ms(live.head().0, self.now()).is_some();
+        !rests && rate_limits::allows(self, live.chain.head())
+    }
+
+    /// Returns the intact chains of a service that `may_take` accepts.
     /// `max_gap_ms` is the gap objective in milliseconds.
     pub(crate) fn chain_candidates(
         &self,
@@ -386,7 +400,6 @@
     ) -> Vec<ChainCandidate> {
         let now = self.now();
         let live = chains.of(service);
-        let runners = self.runners.borrow();
         let loads = self.loads.borrow();
         let elsewhere = loads.used_tokens_by_head(service);
         let elsewhere = |head: &Name| elsewhere.get(head).copied().unwrap_or(0.0);
@@ -398,11 +411,7 @@
         }
         let mut candidates = Vec::with_capacity(live.len());
         for (i, l) in live.iter().enumerate() {
-            let is_limited = !rate_limits::allows(self, l.chain.head());
-            let head = l.head().0;
-            let is_avoided =
-                is_limited || runners.is_unreachable(head) || runners.rest_ms(head, now).is_some();
-            if is_avoided || l.broken.is_cancelled() || !may_take(l) {
+            if l.broken.is_cancelled() || !may_take(l) {
                 continue;
             }
             let domain = l.chain.domain.as_ref();
--- a/plugins/relay/src/peers.rs
+++ b/plugins/relay/src/peers.rs
@@ -20,6 +20,7 @@
 use tokio::time::interval;
 
 use crate::configuration;
+use crate::contention;
 use crate::duties;
 use crate::gossip::{self, Seen};
 use crate::messages::{Message, PEER_TIMEOUT, Reply, post};
@@ -120,6 +121,7 @@
         let in_flight = u32::try_from(node.active.get()).unwrap_or(u32::MAX);
         node.membership.borrow_mut().set_in_flight(in_flight);
         node.loads.borrow_mut().expire(node.now());
+        contention::refresh_overloaded(node);
         let now = node.clocks();
         let actions = node.with_rng(|rng| node.membership.borrow_mut().tick(now, rng));
         execute(node, actions);
--- a/plugins/relay/src/stream.rs
+++ b/plugins/relay/src/stream.rs
@@ -104,7 +104,7 @@
 ) -> Response<RelayBody> {
     let retry_after_ms = match cause {
         Cause::Resting => rest::retry_after_ms(node, &rq.service),
-        _ => contention::retry_after_ms(node, rq).unwrap_or_else(|| {
+        _ => contention::retry_after_ms(node, rq, send_record).unwrap_or_else(|| {
             let mut shortage = node.shortage.borrow_mut();
             shortage.record_refused(node.now(), node.random_f64())
         }),
--- a/policy/src/relay/contention/service_control.rs
+++ b/policy/src/relay/contention/service_control.rs
@@ -197,6 +197,13 @@
         }
     }
 
+    /// Returns supply and demand in tokens per second, if there is a plan.
+    #[must_use]
+    pub fn supply_and_demand(&self) -> Option<(f64, f64)> {
+        let current = self.current.as_ref()?;
+        Some((current.supply, current.demand))
+    }
+
     /// Returns the relative probability with which a request is sent to the chain behind `head`, or
     /// `None` if there is no plan.
     #[must_use]
--- a/policy/src/relay/loads.rs
+++ b/policy/src/relay/loads.rs
@@ -237,6 +237,10 @@
     all
 }
 
+fn flow_of<'a>(flows: &'a [ServiceFlow], service: &str) -> Option<&'a ServiceFlow> {
+    flows.iter().find(|f| *f.service == *service)
+}
+
 /// Returns the flows of a domain as they are sent to others.
 fn into_sums(flows: BTreeMap<Name, ServiceFlow>) -> Vec<ServiceFlow> {
     let mut sums: Vec<ServiceFlow> = flows.into_values().collect();
@@ -493,22 +497,21 @@
     #[must_use]
     pub fn fleet_flow(&self, own: ServiceFlow, neighbours: usize, now: Millis) -> FleetFlow {
         let service = own.service.clone();
-        let of_service = |flows: &[ServiceFlow]| {
-            let found = flows.iter().find(|f| f.service == service);
-            found.cloned().unwrap_or_default()
-        };
         let mut sum = own;
         let (mut known, mut age_ms) = (0, 0);
         let members = self.members.values();
         for received in members.filter(|r| r.is_fresh(now, MAX_LOAD_AGE_MS)) {
-            sum.add(&of_service(&received.value.flows));
+            if let Some(flow) = flow_of(&received.value.flows, &service) {
+                sum.add(flow);
+            }
             known += 1;
             age_ms += now - received.as_of_ms;
         }
         let mut ages_ms = vec![age_ms / (known as Millis).max(1)];
         let mut domains = BTreeMap::from([(self.domain.clone(), sum)]);
         for (domain, received) in self.fresh_domains(now) {
-            domains.insert(domain.clone(), of_service(&received.value.flows));
+            let flow = flow_of(&received.value.flows, &service);
+            domains.insert(domain.clone(), flow.cloned().unwrap_or_default());
             ages_ms.push(now - received.as_of_ms);
         }
         FleetFlow {
