Relay: failure detection and forwarding need more evidence while a service is overloaded

In overload all chains are full: silences and gaps of living chains grow, and probes and forwarded requests add to the load. A chain is now probed after twice the usual silence, and for slowness only if its gaps are also twice those declared for its occupancy. Requests and interrupted streams are forwarded only if this instance reaches no chain. A dead runner is still found: limits stay within the time that callers wait, and probes, refused connections and lost paths are judged as before.

--- a/plugins/relay/src/admission.rs
+++ b/plugins/relay/src/admission.rs
@@ -75,7 +75,7 @@
             if let Some(live) = node.choose_chain(rq, max_fill(node, rq), &may_take) {
                 return Ok(live);
             }
-            if may_have_room_elsewhere(node, rq) {
+            if reachability::may_have_room_elsewhere(node, rq) {
                 return Err(Cause::NoPath);
             }
         }
@@ -96,15 +96,6 @@
     }
 }
 
-/// Returns whether another instance may have room for a request because it reaches runners that this
-/// one does not reach. A forwarded request waits for what is reached here.
-fn may_have_room_elsewhere(node: &Node, rq: &ProxiedRequest) -> bool {
-    match rq.origin {
-        Some(_) => reachability::is_lost(node, &rq.service),
-        None => reachability::is_impaired(node, &rq.service),
-    }
-}
-
 /// Returns the queue rank of a request: its priority, behind interrupted streams, which have rank 0.
 fn queue_rank(rq: &ProxiedRequest) -> u32 {
     match is_resumed(rq) {
--- a/plugins/relay/src/failure_detector.rs
+++ b/plugins/relay/src/failure_detector.rs
@@ -59,7 +59,7 @@
             let chains = node.chains.borrow();
             let alive = chains.all().filter(|l| !l.broken.is_cancelled());
             alive
-                .filter(|l| l.should_probe_runners(now))
+                .filter(|l| l.should_probe_runners(node, now))
                 .cloned()
                 .collect()
         };
@@ -83,7 +83,7 @@
 fn next_check_ms(node: &Node, now: Millis) -> Millis {
     let chains = node.chains.borrow();
     let alive = chains.all().filter(|l| !l.broken.is_cancelled());
-    let due = alive.filter_map(|l| l.due_ms()).min();
+    let due = alive.filter_map(|l| l.due_ms(node)).min();
     let longest = now + MAX_CHECK_INTERVAL_MS;
     due.unwrap_or(longest)
         .clamp(now + MIN_CHECK_INTERVAL_MS, longest)
--- a/plugins/relay/src/live_chains.rs
+++ b/plugins/relay/src/live_chains.rs
@@ -12,7 +12,7 @@
 };
 use jacinthweir_policy::relay::intent::Engine;
 use jacinthweir_policy::relay::runners::Runners;
-use jacinthweir_policy::relay::silence::{EventGaps, SilenceDetector};
+use jacinthweir_policy::relay::silence::{EventGaps, Evidence, SilenceDetector};
 use tokio_util::sync::CancellationToken;
 
 use crate::admission;
@@ -229,20 +229,35 @@
     }
 
     /// Whether the chain's runners should be probed, because it is silent or slow.
-    pub(crate) fn should_probe_runners(&self, now: Millis) -> bool {
-        let declared_ms = self.unloaded_event_ms();
-        let silent = self.silence.borrow_mut().should_probe(now);
-        silent || self.gaps.borrow_mut().should_probe(now, declared_ms)
+    pub(crate) fn should_probe_runners(&self, node: &Node, now: Millis) -> bool {
+        let (declared_ms, evidence) = (self.unloaded_event_ms(), self.evidence(node));
+        let silent = self.silence.borrow_mut().should_probe(now, evidence);
+        let mut gaps = self.gaps.borrow_mut();
+        silent || gaps.should_probe(now, declared_ms, evidence)
     }
 
     /// Returns when to probe the chain's runners unless bytes arrive before, in milliseconds.
-    pub(crate) fn due_ms(&self) -> Option<Millis> {
-        let declared_ms = self.unloaded_event_ms();
-        let silent = self.silence.borrow().due_ms();
-        let slow = self.gaps.borrow().due_ms(declared_ms);
+    pub(crate) fn due_ms(&self, node: &Node) -> Option<Millis> {
+        let (declared_ms, evidence) = (self.unloaded_event_ms(), self.evidence(node));
+        let silent = self.silence.borrow().due_ms(evidence);
+        let slow = self.gaps.borrow().due_ms(declared_ms, evidence);
         silent.into_iter().chain(slow).min()
     }
 
+    /// Returns the evidence that it takes to probe the chain's runners.
+    fn evidence(&self, node: &Node) -> Evidence {
+        if !node.contention.is_overloaded(&self.service) {
+            return Evidence::Usual;
+        }
+        let elsewhere = {
+            let loads = node.loads.borrow();
+            loads.used_tokens(&self.service, self.head().0)
+        };
+        Evidence::Overload {
+            occupied_gap_ms: self.declared_event_ms(self.used_tokens() + elsewhere),
+        }
+    }
+
     /// Whether a runner is dead, or has restarted since and lost its state.
     fn is_broken(&self, runners: &Runners) -> bool {
         self.chain.stages.iter().any(|s| {
@@ -540,7 +555,7 @@
         live.prefill.set(live.prefill.get() + tokens);
         live.silence.borrow_mut().request_sent(node.now());
         if live
-            .due_ms()
+            .due_ms(node)
             .is_some_and(|due| due < node.next_silence_check_ms.get())
         {
             node.check_silence.notify_one();
--- a/plugins/relay/src/reachability.rs
+++ b/plugins/relay/src/reachability.rs
@@ -14,6 +14,7 @@
 use crate::failure_detector;
 use crate::messages::{Message, Reply, post};
 use crate::node::Node;
+use crate::request::ProxiedRequest;
 use crate::runner_probe::{self, ProbeResult, ProbeTarget, Suspect};
 
 /// Instances that are asked about a runner: all others of a small fleet, since most of them may be cut
@@ -38,11 +39,14 @@
     !node.runners.borrow().all_reachable() && reach(node, service) == Reach::Lost
 }
 
-/// Returns whether another instance may have room for a service's requests where this one has none,
-/// because it does not reach all of the runners.
-pub(crate) fn is_impaired(node: &Node, service: &str) -> bool {
-    let is_impaired = || matches!(reach(node, service), Reach::Lost | Reach::Some);
-    !node.runners.borrow().all_reachable() && is_impaired()
+/// Returns whether another instance may have room for a request where this one has none, because it
+/// reaches runners that this one does not reach.
+pub(crate) fn may_have_room_elsewhere(node: &Node, rq: &ProxiedRequest) -> bool {
+    if node.runners.borrow().all_reachable() {
+        return false;
+    }
+    let is_overloaded = node.contention.is_overloaded(&rq.service);
+    reach(node, &rq.service).may_have_room_elsewhere(rq.origin.is_some(), is_overloaded)
 }
 
 /// Returns whether this instance reaches no service any more.
--- a/plugins/relay/src/stream/failover.rs
+++ b/plugins/relay/src/stream/failover.rs
@@ -237,12 +237,12 @@
         }
     }
 
-    /// Tries once to resume the stream through another instance, if this one reaches no runner.
+    /// Tries once to resume the stream through another instance, if that may have room for it.
     async fn resume_through_peer(
         &mut self,
     ) -> Result<(Run, Response<ResponseBody>), ResumeFailure> {
         let (node, rq) = (&self.node, &self.rq);
-        if rq.origin.is_some() || !reachability::is_impaired(node, &rq.service) {
+        if rq.origin.is_some() || !reachability::may_have_room_elsewhere(node, rq) {
             return Err(ResumeFailure::NoChain);
         }
         if !node.has_retry(&rq.service, RetryPriority::Committed) {
--- a/policy/src/relay/reachability.rs
+++ b/policy/src/relay/reachability.rs
@@ -87,6 +87,18 @@
         reach
     }
 
+    /// Returns whether another instance may have room for a request that has none here. A request that
+    /// was forwarded already, or whose service is overloaded, waits for the runners that are reached
+    /// here: while all chains are full, one more instance only adds its work to that of the others.
+    #[must_use]
+    pub fn may_have_room_elsewhere(self, is_forwarded: bool, is_overloaded: bool) -> bool {
+        match self {
+            Reach::Lost => true,
+            Reach::Some => !is_forwarded && !is_overloaded,
+            Reach::All | Reach::Nothing => false,
+        }
+    }
+
     /// Returns whether an instance with these reaches of its services reaches no runner at all.
     #[must_use]
     pub fn is_cut_off(services: impl IntoIterator<Item = Reach>) -> bool {
--- a/policy/src/relay/silence.rs
+++ b/policy/src/relay/silence.rs
@@ -10,9 +10,54 @@
 //! Silence points to a chain, not to a runner, so the stages of the chain are then probed one by
 //! one. A chain is not probed again for a while afterwards, so that a slow chain whose stages all
 //! answer is not probed again and again.
+//!
+//! While a service is overloaded, all its chains are full and the silences and gaps that occur by
+//! chance are longer; probes of living runners then add to the load. So more [`Evidence`] is needed. How
+//! probes are judged does not change.
 
 use crate::prelude::*;
 
+/// How much evidence it takes to probe a chain's runners.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Evidence {
+    /// The usual limits.
+    Usual,
+    /// Those of a chain whose service is overloaded.
+    Overload {
+        /// Declared gap between two events with the requests that are in the chain, in milliseconds.
+        occupied_gap_ms: f64,
+    },
+}
+
+impl Evidence {
+    /// Returns the factor for the limit of a silence.
+    fn silence_factor(self) -> Millis {
+        match self {
+            Evidence::Usual => 1,
+            Evidence::Overload { .. } => OVERLOAD_SILENCE_FACTOR,
+        }
+    }
+
+    /// Returns the mean gap above which a chain with a declared gap of `idle_gap_ms` while it is idle
+    /// counts as slow, in milliseconds.
+    fn slow_gap_ms(self, idle_gap_ms: f64) -> f64 {
+        let usual_ms = SLOW_MIN_MS.max(SLOW_FACTOR * idle_gap_ms);
+        match self {
+            Evidence::Usual => usual_ms,
+            Evidence::Overload { occupied_gap_ms } => {
+                usual_ms.max(OVERLOAD_SLOW_FACTOR * occupied_gap_ms)
+            }
+        }
+    }
+}
+
+/// Factor for the limit of a silence while the service is overloaded.
+const OVERLOAD_SILENCE_FACTOR: Millis = 2;
+
+/// Mean gap above which a chain of an overloaded service is slow, as a multiple of the gap declared for
+/// its occupancy.
+const OVERLOAD_SLOW_FACTOR: f64 = 2.0;
+
 /// Number of waiting requests from which on the chain's own pass interval sets the limit. All
 /// requests of a chain share its passes, so their bytes arrive together; a single request may be in
 /// prefill.
@@ -135,17 +180,18 @@
         self.mean_ms
     }
 
-    /// Returns when the stages of a chain with a declared gap of `declared_ms` are due to be probed
-    /// for their pace, in milliseconds; `None` while the chain is not slow.
+    /// Returns when the stages of a chain with a declared gap of `idle_gap_ms` while it is idle are due
+    /// to be probed for their pace, in milliseconds; `None` while the chain is not slow.
     #[must_use]
-    pub fn due_ms(&self, declared_ms: f64) -> Option<Millis> {
-        let slow = self.mean_ms > SLOW_MIN_MS && self.mean_ms > SLOW_FACTOR * declared_ms;
+    pub fn due_ms(&self, idle_gap_ms: f64, evidence: Evidence) -> Option<Millis> {
+        let slow = self.mean_ms > evidence.slow_gap_ms(idle_gap_ms);
         slow.then(|| self.probed_ms.map_or(0, |at| at + SLOW_PROBE_INTERVAL_MS))
     }
 
     /// Returns whether the stages are to be probed now, and records the probe if so.
-    pub fn should_probe(&mut self, now: Millis, declared_ms: f64) -> bool {
-        let is_due = self.due_ms(declared_ms).is_some_and(|due| now >= due);
+    pub fn should_probe(&mut self, now: Millis, idle_gap_ms: f64, evidence: Evidence) -> bool {
+        let due = self.due_ms(idle_gap_ms, evidence);
+        let is_due = due.is_some_and(|due| now >= due);
         if is_due {
             self.probed_ms = Some(now);
         }
@@ -220,8 +266,9 @@
     }
 
     /// Returns the silence after which the chain is suspected, in milliseconds.
-    fn limit_ms(&self) -> Millis {
+    fn limit_ms(&self, evidence: Evidence) -> Millis {
         let limit = self.interval.limit_ms(self.min_limit_ms) as Millis;
+        let limit = limit * evidence.silence_factor();
         match self.waiting {
             n if n >= MIN_WAITING => limit,
             _ => limit.max((limit * SINGLE_FACTOR).min(SINGLE_MAX_MS)),
@@ -229,26 +276,27 @@
     }
 
     /// Returns whether the chain has been silent for so long that its connections bring nothing any
-    /// more, given that the path to its first runner is lost.
+    /// more, given that the path to its first runner is lost. Overload does not change this, since the
+    /// lost path is evidence enough.
     #[must_use]
     pub fn is_disconnected(&self, now: Millis) -> bool {
-        let limit = (self.limit_ms() * DISCONNECTED_FACTOR).max(DISCONNECTED_MIN_MS);
+        let limit = (self.limit_ms(Evidence::Usual) * DISCONNECTED_FACTOR).max(DISCONNECTED_MIN_MS);
         self.waiting > 0 && now >= self.last_bytes_ms + limit
     }
 
     /// Returns when the chain's stages are due to be probed if no bytes arrive before, in
     /// milliseconds; `None` while no request waits.
     #[must_use]
-    pub fn due_ms(&self) -> Option<Millis> {
+    pub fn due_ms(&self, evidence: Evidence) -> Option<Millis> {
         let backoff = PROBE_BACKOFF_MS << self.probes.min(MAX_DOUBLINGS);
         let backoff_end = self.probed_ms.map_or(0, |at| at + backoff);
-        let limit_reached = self.last_bytes_ms + self.limit_ms().max(1);
+        let limit_reached = self.last_bytes_ms + self.limit_ms(evidence).max(1);
         (self.waiting > 0).then_some(backoff_end.max(limit_reached))
     }
 
     /// Returns whether the chain's stages are to be probed now, and records the probe if so.
-    pub fn should_probe(&mut self, now: Millis) -> bool {
-        let is_due = self.due_ms().is_some_and(|due| now >= due);
+    pub fn should_probe(&mut self, now: Millis, evidence: Evidence) -> bool {
+        let is_due = self.due_ms(evidence).is_some_and(|due| now >= due);
         if is_due {
             self.probed_ms = Some(now);
             self.probes += 1;
--- a/policy/tests/relay_failure_detection.rs
+++ b/policy/tests/relay_failure_detection.rs
@@ -6,7 +6,7 @@
 
 use googletest::prelude::*;
 use jacinthweir_policy::relay::runners::{PROBE_INTERVAL_MS, Runners};
-use jacinthweir_policy::relay::silence::{EventGaps, ProbeRound, SilenceDetector};
+use jacinthweir_policy::relay::silence::{EventGaps, Evidence, ProbeRound, SilenceDetector};
 use support::runner;
 
 /// Declared interval between two events, in milliseconds.
@@ -30,8 +30,8 @@
         if now % 120 == 0 {
             slow.bytes_received(now);
         }
-        slow_probes += usize::from(slow.should_probe(now));
-        if silent.should_probe(now) && probed_at.is_none() {
+        slow_probes += usize::from(slow.should_probe(now, Evidence::Usual));
+        if silent.should_probe(now, Evidence::Usual) && probed_at.is_none() {
             probed_at = Some(now);
         }
     }
@@ -47,20 +47,20 @@
     (0..5).for_each(|_| silence.request_sent(0));
     silence.bytes_received(400);
     silence.bytes_received(430);
-    let probed_at = (430..2_000).find(|now| silence.should_probe(*now));
+    let probed_at = (430..2_000).find(|now| silence.should_probe(*now, Evidence::Usual));
     expect_that!(probed_at, some(le(700)));
 }
 
 #[gtest]
 fn a_single_waiting_request_gets_a_longer_limit_and_an_idle_chain_is_not_silent() {
     let mut silence = SilenceDetector::new(EVENT_MS);
-    expect_false!(silence.should_probe(10_000));
+    expect_false!(silence.should_probe(10_000, Evidence::Usual));
     silence.request_sent(10_000);
-    expect_false!(silence.should_probe(10_300));
-    expect_true!(silence.should_probe(10_500));
-    expect_false!(silence.should_probe(10_600));
+    expect_false!(silence.should_probe(10_300, Evidence::Usual));
+    expect_true!(silence.should_probe(10_500, Evidence::Usual));
+    expect_false!(silence.should_probe(10_600, Evidence::Usual));
     silence.request_ended();
-    expect_false!(silence.should_probe(60_000));
+    expect_false!(silence.should_probe(60_000, Evidence::Usual));
 }
 
 /// A single stream is left in a chain with passes of 100 ms when a runner exits. With a multiple of
@@ -76,7 +76,7 @@
         now += interval;
         silence.bytes_received(now);
     }
-    let probed_at = (now..).find(|at| silence.should_probe(*at));
+    let probed_at = (now..).find(|at| silence.should_probe(*at, Evidence::Usual));
     expect_that!(probed_at.map(|at| at - now), some(le(1_000)));
 }
 
@@ -89,13 +89,13 @@
     (0..5).for_each(|_| silence.request_sent(0));
     let probes = (0..30_000)
         .step_by(50)
-        .filter(|now| silence.should_probe(*now))
+        .filter(|now| silence.should_probe(*now, Evidence::Usual))
         .count();
     expect_that!(probes, le(9));
     silence.bytes_received(30_000);
     let soon = (30_000..32_000)
         .step_by(50)
-        .filter(|now| silence.should_probe(*now))
+        .filter(|now| silence.should_probe(*now, Evidence::Usual))
         .count();
     expect_that!(soon, ge(2));
     let mut runners = Runners::default();
@@ -123,12 +123,12 @@
         let mut probes = 0;
         for interval in intervals.iter().cycle().take(200) {
             for at in now..now + interval {
-                probes += usize::from(silence.should_probe(at));
+                probes += usize::from(silence.should_probe(at, Evidence::Usual));
             }
             now += interval;
             silence.bytes_received(now);
         }
-        let last = (now..).find(|at| silence.should_probe(*at));
+        let last = (now..).find(|at| silence.should_probe(*at, Evidence::Usual));
         (probes, last.map_or(0, |at| at - now))
     };
     let (probes, after_ms) = probed_after(&[20, 21, 19]);
@@ -216,12 +216,12 @@
     for _ in 0..200 {
         gaps.record(0, 60);
     }
-    expect_false!(gaps.should_probe(0, 20.0));
+    expect_false!(gaps.should_probe(0, 20.0, Evidence::Usual));
     for _ in 0..200 {
         gaps.record(0, 400);
     }
-    expect_true!(gaps.should_probe(0, 20.0));
-    expect_false!(gaps.should_probe(100, 20.0));
+    expect_true!(gaps.should_probe(0, 20.0, Evidence::Usual));
+    expect_false!(gaps.should_probe(100, 20.0, Evidence::Usual));
 }
 
 /// Checks a chain that fails after three seconds until its stages are probed. Returns when that is,
@@ -238,10 +238,10 @@
         }
         if now >= check_at {
             checks += 1;
-            if silence.should_probe(now) && now >= FAILS_MS {
+            if silence.should_probe(now, Evidence::Usual) && now >= FAILS_MS {
                 return (now, checks);
             }
-            check_at = next(now, silence.due_ms());
+            check_at = next(now, silence.due_ms(Evidence::Usual));
         }
     }
     (u64::MAX, checks)
@@ -255,7 +255,10 @@
     let (due_ms, due_checks) = checks_until_probed(due);
     expect_that!(due_ms, le(polled_ms + 8));
     expect_that!(due_checks * 4, le(polled_checks));
-    expect_that!(SilenceDetector::new(EVENT_MS).due_ms(), none());
+    expect_that!(
+        SilenceDetector::new(EVENT_MS).due_ms(Evidence::Usual),
+        none()
+    );
 }
 
 /// Guards against a chain that gets no requests because of its gaps never getting any again.
@@ -269,3 +272,65 @@
     expect_that!(gaps.expected_ms(last), ge(280.0));
     expect_that!(gaps.expected_ms(last + 4_000), le(80.0));
 }
+
+/// Evidence for a chain of an overloaded service, with a declared gap of 60 ms at its occupancy.
+const OVERLOAD: Evidence = Evidence::Overload {
+    occupied_gap_ms: 60.0,
+};
+
+/// Returns the silence after which a chain with passes of 20 ms and `waiting` requests is probed.
+fn probed_after_ms(waiting: usize, evidence: Evidence) -> u64 {
+    let mut silence = SilenceDetector::new(EVENT_MS);
+    (0..waiting).for_each(|_| silence.request_sent(0));
+    for now in (20..=2_000).step_by(20) {
+        silence.bytes_received(now);
+    }
+    let probed_at = (2_000..).find(|at| silence.should_probe(*at, evidence));
+    probed_at.map_or(0, |at| at - 2_000)
+}
+
+/// Guards against probes of the living runners of full chains, which add to an overload, and against a
+/// dead runner that is found only after the callers of its chain have left.
+#[gtest]
+fn a_silence_is_twice_as_long_in_overload_and_still_ends_in_a_probe() {
+    let usual = probed_after_ms(5, Evidence::Usual);
+    let overload = probed_after_ms(5, OVERLOAD);
+    expect_that!(overload, eq(usual * 2));
+    expect_that!(overload, le(200));
+    // A single request may wait through the prefill of others, but its caller does not wait longer.
+    expect_that!(probed_after_ms(1, OVERLOAD), le(600));
+}
+
+/// Guards against connections over a lost path that are kept longer because the service is overloaded.
+#[gtest]
+fn overload_does_not_delay_the_interruption_on_a_lost_path() {
+    let mut silence = SilenceDetector::new(EVENT_MS);
+    (0..5).for_each(|_| silence.request_sent(0));
+    expect_false!(silence.should_probe(90, OVERLOAD));
+    expect_true!(silence.is_disconnected(250));
+}
+
+/// Guards against probes of full chains whose gaps are those declared for their occupancy.
+#[gtest]
+fn in_overload_gaps_are_compared_with_those_declared_for_the_occupancy() {
+    let gaps_of = |ms: u64| {
+        let mut gaps = EventGaps::default();
+        (0..400).for_each(|_| gaps.record(0, ms));
+        gaps
+    };
+    let (idle_ms, full) = (
+        10.0,
+        Evidence::Overload {
+            occupied_gap_ms: 100.0,
+        },
+    );
+    expect_true!(gaps_of(150).should_probe(0, idle_ms, Evidence::Usual));
+    expect_false!(gaps_of(190).should_probe(0, idle_ms, full));
+    expect_true!(gaps_of(210).should_probe(0, idle_ms, full));
+    // An almost empty chain is not probed for less than without overload.
+    let empty = Evidence::Overload {
+        occupied_gap_ms: 20.0,
+    };
+    expect_false!(gaps_of(110).should_probe(0, 20.0, empty));
+    expect_true!(gaps_of(130).should_probe(0, 20.0, empty));
+}
--- a/policy/tests/relay_reachability.rs
+++ b/policy/tests/relay_reachability.rs
@@ -207,3 +207,20 @@
         expect_that!(pair[1] - pair[0], le(700));
     }
 }
+
+/// Guards against instances that forward requests to each other while all chains are full, and against
+/// an instance without any path that refuses requests in overload although others could serve them.
+#[gtest]
+fn requests_are_forwarded_in_overload_only_if_no_chain_is_reached() {
+    let (own, forwarded) = (false, true);
+    let (usual, overload) = (false, true);
+    expect_true!(Reach::Some.may_have_room_elsewhere(own, usual));
+    expect_false!(Reach::Some.may_have_room_elsewhere(own, overload));
+    expect_false!(Reach::Some.may_have_room_elsewhere(forwarded, usual));
+    for is_overloaded in [usual, overload] {
+        expect_true!(Reach::Lost.may_have_room_elsewhere(own, is_overloaded));
+        expect_true!(Reach::Lost.may_have_room_elsewhere(forwarded, is_overloaded));
+        expect_false!(Reach::All.may_have_room_elsewhere(own, is_overloaded));
+        expect_false!(Reach::Nothing.may_have_room_elsewhere(own, is_overloaded));
+    }
+}
