--- a/plugins/relay/src/admission.rs
+++ b/plugins/relay/src/admission.rs
@@ -75,7 +75,7 @@
             if let Some(live) = node.choose_chain(rq, max_fill(node, rq), &may_take) {
                 return Ok(live);
             }
-            if may_have_room_elsewhere(node, rq) {
+            if reachability::may_have_room_elsewhere(node, rq) {
                 return Err(Cause::NoPath);
             }
         }
@@ -96,15 +96,6 @@
     }
 }
 
-/// Returns whether another instance may have room for a request because it reaches runners that this
-/// one does not reach. A forwarded request waits for what is reached here.
-fn may_have_room_elsewhere(node: &Node, rq: &ProxiedRequest) -> bool {
-    match rq.origin {
-        Some(_) => reachability::is_lost(node, &rq.service),
-        None => reachability::is_impaired(node, &rq.service),
-    }
-}
-
 /// Returns the queue rank of a request: its priority, behind interrupted streams, which have rank 0.
 fn queue_rank(node: &Node, rq: &ProxiedRequest) -> u32 {
     match is_resumed(rq) {
@@ -116,7 +107,7 @@
 
 /// Returns the occupancy up to which a chain is filled for a request.
 fn max_fill(node: &Node, rq: &ProxiedRequest) -> f64 {
-    match (is_resumed(rq), node.contention.plans_flow(&rq.service)) {
+    match (is_resumed(rq), node.contention.has_plan(&rq.service)) {
         (true, _) => max_resumed_fill(node, rq),
         (false, true) => chain_selection::MAX_PLANNED_FILL,
         (false, false) => chain_selection::MAX_FILL,
@@ -125,7 +116,7 @@
 
 /// Returns the occupancy up to which a chain is filled for a stream that resumes.
 pub(crate) fn max_resumed_fill(node: &Node, rq: &ProxiedRequest) -> f64 {
-    match node.contention.plans_flow(&rq.service) {
+    match node.contention.has_plan(&rq.service) {
         true => chain_selection::MAX_PLANNED_FILL_RESUMED,
         false => chain_selection::MAX_FILL_RESUMED,
     }
--- a/plugins/relay/src/live_chains.rs
+++ b/plugins/relay/src/live_chains.rs
@@ -12,7 +12,7 @@
 };
 use jacinthweir_policy::relay::intent::Engine;
 use jacinthweir_policy::relay::runners::Runners;
-use jacinthweir_policy::relay::silence::{EventGaps, SilenceDetector};
+use jacinthweir_policy::relay::silence::{EventGaps, Evidence, SilenceDetector};
 use tokio_util::sync::CancellationToken;
 
 use crate::admission;
@@ -229,20 +229,35 @@
     }
 
     /// Whether the chain's runners should be probed, because it is silent or slow.
-    pub(crate) fn should_probe_runners(&self, now: Millis) -> bool {
-        let declared_ms = self.unloaded_event_ms();
-        let silent = self.silence.borrow_mut().should_probe(now);
-        silent || self.gaps.borrow_mut().should_probe(now, declared_ms)
+    pub(crate) fn should_probe_runners(&self, node: &Node, now: Millis) -> bool {
+        let (declared_ms, evidence) = (self.unloaded_event_ms(), self.evidence(node));
+        let silent = self.silence.borrow_mut().should_probe(now, evidence);
+        let mut gaps = self.gaps.borrow_mut();
+        silent || gaps.should_probe(now, declared_ms, evidence)
     }
 
     /// Returns when to probe the chain's runners unless bytes arrive before, in milliseconds.
-    pub(crate) fn due_ms(&self) -> Option<Millis> {
-        let declared_ms = self.unloaded_event_ms();
-        let silent = self.silence.borrow().due_ms();
-        let slow = self.gaps.borrow().due_ms(declared_ms);
+    pub(crate) fn due_ms(&self, node: &Node) -> Option<Millis> {
+        let (declared_ms, evidence) = (self.unloaded_event_ms(), self.evidence(node));
+        let silent = self.silence.borrow().due_ms(evidence);
+        let slow = self.gaps.borrow().due_ms(declared_ms, evidence);
         silent.into_iter().chain(slow).min()
     }
 
+    /// Returns the evidence that it takes to probe the chain's runners.
+    fn evidence(&self, node: &Node) -> Evidence {
+        if !node.contention.is_overloaded(&self.service) {
+            return Evidence::Usual;
+        }
+        let elsewhere = {
+            let loads = node.loads.borrow();
+            loads.used_tokens(&self.service, self.head().0)
+        };
+        Evidence::Overload {
+            occupied_gap_ms: self.declared_event_ms(self.used_tokens() + elsewhere),
+        }
+    }
+
     /// Whether a runner is dead, or has restarted since and lost its state.
     fn is_broken(&self, runners: &Runners) -> bool {
         self.chain.stages.iter().any(|s| {
@@ -359,6 +374,7 @@
         contention::refresh(self, &rq.service);
         let chains = self.chains.borrow();
         let live = chains.of(&rq.service);
+        let may_take = |l: &LiveChain| self.reaches(l) && self.accepts_requests(l) && may_take(l);
         let candidates = self.chain_candidates(&rq.service, rq.max_gap_ms, &chains, may_take);
         let heads = candidates.iter().map(|c| live[c.chain].head().0);
         let chosen = match self.contention.weights(&rq.service, heads) {
@@ -375,7 +391,20 @@
         chosen.map(|i| Rc::clone(&live[i]))
     }
 
-    /// Returns the chains of a service that may get new requests and that `may_take` accepts.
+    /// Returns whether this instance reaches a chain's first runner.
+    fn reaches(&self, live: &LiveChain) -> bool {
+        !self.runners.borrow().is_unreachable(live.head().0)
+    }
+
+    /// Returns whether a chain's first runner accepts requests: it neither rests nor is its rate limit
+    /// used up.
+    pub(crate) fn accepts_requests(&self, live: &LiveChain) -> bool {
+        let runners = self.runners.borrow();
+        let rests = runners.rest_ms(live.head().0, self.now()).is_some();
+        !rests && rate_limits::allows(self, live.chain.head())
+    }
+
+    /// Returns the intact chains of a service that `may_take` accepts.
     /// `max_gap_ms` is the gap objective in milliseconds.
     pub(crate) fn chain_candidates(
         &self,
@@ -386,7 +415,6 @@
     ) -> Vec<ChainCandidate> {
         let now = self.now();
         let live = chains.of(service);
-        let runners = self.runners.borrow();
         let loads = self.loads.borrow();
         let elsewhere = loads.used_tokens_by_head(service);
         let elsewhere = |head: &Name| elsewhere.get(head).copied().unwrap_or(0.0);
@@ -398,11 +426,7 @@
         }
         let mut candidates = Vec::with_capacity(live.len());
         for (i, l) in live.iter().enumerate() {
-            let is_limited = !rate_limits::allows(self, l.chain.head());
-            let head = l.head().0;
-            let is_avoided =
-                is_limited || runners.is_unreachable(head) || runners.rest_ms(head, now).is_some();
-            if is_avoided || l.broken.is_cancelled() || !may_take(l) {
+            if l.broken.is_cancelled() || !may_take(l) {
                 continue;
             }
             let domain = l.chain.domain.as_ref();
@@ -506,10 +530,22 @@
     pub(crate) sent_ms: Millis,
     path_lost: CancellationToken,
     tokens: f64,
+    /// Tokens by which the request counts in the demand.
+    demand: f64,
     /// Tokens to prefill before the next event.
     prefill: Cell<f64>,
-    /// Whether the chain did not take the request.
-    refused: Cell<bool>,
+    ending: Cell<Ending>,
+}
+
+/// How the end of a request on a chain counts in the chain's flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Ending {
+    /// The chain released its tokens.
+    Released,
+    /// A runner of the chain refused it.
+    Refused,
+    /// Not at all: no runner received it, or the first runner keeps it along another path.
+    Uncounted,
 }
 
 impl InFlight {
@@ -519,7 +555,7 @@
         live.prefill.set(live.prefill.get() + tokens);
         live.silence.borrow_mut().request_sent(node.now());
         if live
-            .due_ms()
+            .due_ms(node)
             .is_some_and(|due| due < node.next_silence_check_ms.get())
         {
             node.check_silence.notify_one();
@@ -531,14 +567,20 @@
             path_lost,
             sent_ms: node.now(),
             tokens,
+            demand: tokens,
             prefill: Cell::new(tokens),
-            refused: Cell::new(false),
+            ending: Cell::new(Ending::Released),
         }
     }
 
-    /// Records that the chain did not take the request.
+    /// Records that a runner of the chain refused the request.
     pub(crate) fn refused(&self) {
-        self.refused.set(true);
+        self.ending.set(Ending::Refused);
+    }
+
+    /// Records that no runner of the chain received the request.
+    pub(crate) fn unreached(&self) {
+        self.ending.set(Ending::Uncounted);
     }
 
     /// Raises the request's tokens to `tokens`, if its answer is longer than expected.
@@ -553,9 +595,11 @@
 
     /// Moves the request to another chain behind the same first runner.
     pub(crate) fn move_to(&mut self, live: Rc<LiveChain>) {
-        let sent_ms = self.sent_ms;
-        *self = InFlight::open(&self.node, live, self.tokens);
-        self.sent_ms = sent_ms;
+        let mut moved = InFlight::open(&self.node, live, self.tokens);
+        moved.sent_ms = self.sent_ms;
+        moved.demand = self.demand;
+        self.ending.set(Ending::Uncounted);
+        *self = moved;
     }
 
     /// Waits until the request is interrupted.
@@ -592,12 +636,15 @@
             .release_rate
             .borrow_mut()
             .record_released(now, self.tokens);
-        let (head, tokens) = (self.live.head().0, self.tokens);
+        // Released tokens are counted as the demand counts them: with those of answers that are longer
+        // than expected, a chain would appear to have room for more requests than ended.
+        let (head, tokens) = (self.live.head().0, self.demand);
         self.node
             .contention
-            .measure(&self.live.service, |meter| match self.refused.get() {
-                true => meter.record_refused(now, head, tokens),
-                false => meter.record_released(now, head, tokens),
+            .measure(&self.live.service, |meter| match self.ending.get() {
+                Ending::Released => meter.record_released(now, head, tokens),
+                Ending::Refused => meter.record_refused(now, head, tokens),
+                Ending::Uncounted => {}
             });
         self.live.used.set(self.live.used.get() - self.tokens);
         self.live.silence.borrow_mut().request_ended();
--- a/plugins/relay/src/stream/failover.rs
+++ b/plugins/relay/src/stream/failover.rs
@@ -157,6 +157,7 @@
             return Err(ResumeFailure::NotRepeatable);
         }
         self.events.resume();
+        self.record_continued();
         let until = self.last_received_ms + self.abandon_fraction_ms(RESUME_FRACTION);
         let in_time = self.last_received_ms + self.rq.max_gap_ms;
         let mut position = Some(QueuePosition::ahead_of_new_requests(&self.node));
@@ -196,6 +197,15 @@
         Err(failure)
     }
 
+    /// Counts the stream in the demand, once for all tries and whichever instance takes it.
+    fn record_continued(&self) {
+        let (now, tokens) = (self.node.now(), admission::tokens(&self.rq));
+        let contention = &self.node.contention;
+        contention.measure(&self.rq.service, |meter| {
+            meter.record_continued(now, tokens)
+        });
+    }
+
     /// Tries once to resume the stream with another run.
     async fn try_resume(&mut self) -> Result<(Run, Response<ResponseBody>), ResumeFailure> {
         let Some(live) = self.next_chain() else {
@@ -227,12 +237,12 @@
         }
     }
 
-    /// Tries once to resume the stream through another instance, if this one reaches no runner.
+    /// Tries once to resume the stream through another instance, if that may have room for it.
     async fn resume_through_peer(
         &mut self,
     ) -> Result<(Run, Response<ResponseBody>), ResumeFailure> {
         let (node, rq) = (&self.node, &self.rq);
-        if rq.origin.is_some() || !reachability::is_impaired(node, &rq.service) {
+        if rq.origin.is_some() || !reachability::may_have_room_elsewhere(node, rq) {
             return Err(ResumeFailure::NoChain);
         }
         if !node.has_retry(&rq.service, RetryPriority::Committed) {
