--- a/plugins/relay/src/stream/failover.rs
+++ b/plugins/relay/src/stream/failover.rs
@@ -157,7 +157,6 @@
             return Err(ResumeFailure::NotRepeatable);
         }
         self.events.resume();
-        self.record_continued();
         let until = self.last_received_ms + self.abandon_fraction_ms(RESUME_FRACTION);
         let in_time = self.last_received_ms + self.rq.max_gap_ms;
         let mut position = Some(QueuePosition::ahead_of_new_requests(&self.node));
@@ -197,15 +196,6 @@
         Err(failure)
     }
 
-    /// Counts the stream in the demand, once for all tries and whichever instance takes it.
-    fn record_continued(&self) {
-        let (now, tokens) = (self.node.now(), admission::tokens(&self.rq));
-        let contention = &self.node.contention;
-        contention.measure(&self.rq.service, |meter| {
-            meter.record_continued(now, tokens)
-        });
-    }
-
     /// Tries once to resume the stream with another run.
     async fn try_resume(&mut self) -> Result<(Run, Response<ResponseBody>), ResumeFailure> {
         let Some(live) = self.next_chain() else {
