--- a/policy/src/relay/contention/service_control.rs
+++ b/policy/src/relay/contention/service_control.rs
@@ -192,7 +192,7 @@
         };
         match draw < effective {
             true => Decision::Admitted,
-            false if own < share => Decision::OrganisationAboveShare,
+            false if own < share * ABOVE_SHARE => Decision::OrganisationAboveShare,
             false => Decision::NoRoomForPriority,
         }
     }
@@ -289,6 +289,10 @@
     }
 }
 
+/// Share of an organisation, as a part of its priority's, below which a refusal is due to the
+/// organisation. Above it the difference may be due to rounding.
+const ABOVE_SHARE: f64 = 0.99;
+
 /// Shortage that rounding may cause, as a share of the demand.
 const NEGLIGIBLE_SHORTAGE: f64 = 1e-3;
 
