--- a/policy/tests/relay_contention_refusals.rs
+++ b/policy/tests/relay_contention_refusals.rs
@@ -8,14 +8,12 @@
     ChainLoad, ContentionConfig, Decision, FleetFlow, ServiceControl,
 };
 
-/// Guards against a refusal that names the organisation as its cause although no other one has a larger
-/// share: the share of a sole organisation differs from that of its priority by rounding.
-#[gtest]
-fn a_sole_organisation_is_refused_for_its_priority() {
+/// Returns the decision on a request of the only organisation, with arrivals of `tokens` tokens each.
+fn decision(tokens: f64, draw: f64) -> Decision {
     let (service, organisation, domain) = ("pool".into(), "org".into(), "a".into());
     let mut meter = FlowMeter::default();
     for i in 0..40 {
-        meter.record_arrival(1_000 + i, 2, Some(&organisation), 33.7);
+        meter.record_arrival(1_000 + i, 2, Some(&organisation), tokens);
     }
     let fleet = FleetFlow {
         domains: BTreeMap::from([("a".into(), meter.flow(&service, 1_040))]),
@@ -32,8 +30,17 @@
     let mut control = ServiceControl::default();
     let cfg = ContentionConfig::default();
     control.compute(1_040, &cfg, &domain, vec![chain], &fleet, 200);
-    let decision = control.decide(2, Some(&organisation), false, 0.9);
-    expect_that!(decision, eq(Decision::NoRoomForPriority));
-    let decision = control.decide(2, Some(&organisation), false, 0.1);
-    expect_that!(decision, eq(Decision::Admitted));
+    control.decide(2, Some(&organisation), false, draw)
+}
+
+/// Guards against a refusal that names the organisation as its cause although no other one has a larger
+/// share: the share of a sole organisation differs from that of its priority by rounding.
+#[gtest]
+fn a_sole_organisation_is_refused_for_its_priority() {
+    for i in 1..100 {
+        let tokens = 30.0 * 1.2_f64.powi(i);
+        let refused = decision(tokens, 0.9);
+        expect_that!(refused, eq(Decision::NoRoomForPriority), "{tokens}");
+        expect_that!(decision(tokens, 0.0), eq(Decision::Admitted), "{tokens}");
+    }
 }
