--- a/policy/tests/relay_loads.rs
+++ b/policy/tests/relay_loads.rs
@@ -46,6 +46,7 @@
             service: SERVICE.into(),
             counts,
         }],
+        flows: Vec::new(),
     }
 }
 
