Relay: a flow plan divides demand until no chain is exhausted

Demand was counted as not fitting while chains had inflow left, so requests were refused below the supply. The rounds stopped when little was moved in one of them: a chain of high weight that has next to no inflow left, or a residue of rounding, takes the demand of a round and passes hardly any on. A chain that is exhausted now has exactly no inflow, and the rounds stop after one that exhausts none, so there are at most one more than chains.

--- a/policy/src/relay/contention/flow_plan.rs
+++ b/policy/src/relay/contention/flow_plan.rs
@@ -42,9 +42,6 @@
     pub spare: f64,
 }
 
-/// Part of the demand below which what is left is not divided further.
-const NEGLIGIBLE: f64 = 1e-6;
-
 impl FlowPlan {
     /// Divides `demand` among `chains`.
     #[must_use]
@@ -55,22 +52,24 @@
         let mut flows = vec![vec![0.0; chains.len()]; demand.len()];
         for _ in 0..=chains.len() {
             let wanted = wanted_flows(chains, demand, &left, &waiting);
-            let mut moved = 0.0;
+            let mut exhausted = false;
             for c in 0..chains.len() {
                 let sum: f64 = wanted.iter().map(|of_domain| of_domain[c]).sum();
                 if sum <= 0.0 {
                     continue;
                 }
                 let scale = (left[c] / sum).min(1.0);
+                exhausted |= scale < 1.0;
                 for (d, of_domain) in wanted.iter().enumerate() {
                     let flow = of_domain[c] * scale;
                     flows[d][c] += flow;
                     waiting[d] -= flow;
-                    moved += flow;
                 }
-                left[c] = (left[c] - sum * scale).max(0.0);
+                // Exactly 0 when exhausted: with a residue from rounding, a chain of high weight would
+                // draw demand in the next rounds without taking it.
+                left[c] = if scale < 1.0 { 0.0 } else { left[c] - sum };
             }
-            if moved <= total * NEGLIGIBLE {
+            if !exhausted {
                 break;
             }
         }
