Relay: operators see the state of contention control in the dump, metrics and log

Operators had the gauges of supply and demand only, and could not see who pays while a service is overloaded, or why nothing is decided. The dump now has, by service: whether contention control is in force and if not why, supply, demand, age and completeness of the figures, overload and the share at which it began; by priority and listed organisation demand, share, since when it is reduced, and this instance's decisions as rates of the last 10 s; by chain room, occupancy, inflow, the factors of its target and its part of the own domain's flow; by failure domain the demand. New metrics: jacinthweir_admission_share, jacinthweir_admissions_total, jacinthweir_contention_in_force. A line is logged when an organisation's share falls below that of its priority and when it is back, for at most eight organisations at a time; the way back has to last 1 s.

The end of overload is now logged and the gauge cleared also when it ends because the figures became too old; both were left out. The relay's tests did not compile for want of the new settings field in their stand-in; they do now. The stand-in counts chains by their step time, since the plan has a room per chain as well. No decision changes.

--- a/plugins/relay/src/contention.rs
+++ b/plugins/relay/src/contention.rs
@@ -9,13 +9,16 @@
 
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::chain_selection::{self, ChainCandidate};
-use jacinthweir_policy::relay::contention::flow_meter::{FlowMeter, ServiceFlow};
+use jacinthweir_policy::relay::contention::flow_meter::{FlowMeter, ServiceFlow, priority_index};
 use jacinthweir_policy::relay::contention::overload::Change;
 use jacinthweir_policy::relay::contention::scope::{self, ServiceScope};
+use jacinthweir_policy::relay::contention::share_history::{Direction, ShareChange};
+use jacinthweir_policy::relay::contention::status::{ControlState, ControlStatus};
 use jacinthweir_policy::relay::contention::{
-    ChainLoad, ContentionConfig, ControlStatus, Decision, ServiceControl,
+    ChainLoad, ContentionConfig, Decision, Mode, ServiceControl,
 };
 use jacinthweir_policy::relay::intent::Intent;
+use jacinthweir_wire::relay::{ContentionDump, ServiceContentionDump};
 
 use crate::admission;
 use crate::answer::Cause;
@@ -59,6 +62,9 @@
         }
         for service in before.keys().filter(|s| !scopes.contains_key(*s)) {
             log::info!(service = service.as_ref(), version = intent.version; "contention control ends");
+            for name in ["jacinthweir_contention_in_force", "jacinthweir_overloaded"] {
+                metrics::gauge!(name, "service" => service.to_string()).set(0.0);
+            }
         }
         let applies = |service: &Name| scopes.contains_key(service);
         self.meters.borrow_mut().retain(|s, _| applies(s));
@@ -129,15 +135,30 @@
         control.map_or(1.0, |c| c.share(rq.priority, rq.organisation()))
     }
 
-    /// Returns the state of each service for operators.
-    pub(crate) fn status(&self) -> Vec<(Name, Option<ControlStatus>)> {
+    /// Returns the state of a service at `now` for operators.
+    fn status(&self, service: &str, now: Millis) -> ControlStatus {
+        if !self.applies(service) {
+            return ControlStatus::not_applied(match self.cfg.mode {
+                Mode::Off => ControlState::Off,
+                Mode::Auto | Mode::On => ControlState::OnePriority,
+            });
+        }
         let controls = self.controls.borrow();
-        let scopes = self.scopes.borrow();
-        let all = scopes.keys().map(|service| {
-            let status = controls.get(service).and_then(ServiceControl::status);
-            (service.clone(), status)
-        });
-        all.collect()
+        let control = controls.get(service);
+        control.map_or_else(ControlStatus::default, |c| c.status(now))
+    }
+
+    /// Returns the names of the settings whose components are disabled.
+    fn disabled(&self) -> Vec<Name> {
+        let cfg = &self.cfg;
+        let components = [
+            ("flow", cfg.flow),
+            ("urgency", cfg.urgency),
+            ("fair_share", cfg.fair_share),
+            ("overload", cfg.overload),
+        ];
+        let disabled = components.into_iter().filter(|(_, enabled)| !enabled);
+        disabled.map(|(field, _)| field.into()).collect()
     }
 
     /// Returns whether a request was refused before.
@@ -150,6 +171,27 @@
     }
 }
 
+/// Returns the state for operators, computed again where that is due: an instance without requests
+/// has not done so since the last one.
+pub(crate) fn dump(node: &Node) -> ContentionDump {
+    let contention = &node.contention;
+    let intent = node.intent();
+    let services = intent.iter().flat_map(|i| &i.services);
+    let services = services.filter(|(_, s)| s.engine.as_ref().is_some_and(|e| e.layers > 0));
+    let services = services.map(|(service, _)| {
+        refresh(node, service);
+        ServiceContentionDump {
+            service: service.clone(),
+            status: contention.status(service, node.now()),
+        }
+    });
+    ContentionDump {
+        mode: contention.cfg.mode,
+        disabled: contention.disabled(),
+        services: services.collect(),
+    }
+}
+
 /// Measures an arriving request and decides whether it is admitted.
 ///
 /// # Errors
@@ -169,12 +211,14 @@
     });
     refresh(node, &rq.service);
     let returned = contention.is_returned(rq);
-    let controls = contention.controls.borrow();
-    let Some(control) = controls.get(&rq.service) else {
+    let mut controls = contention.controls.borrow_mut();
+    let Some(control) = controls.get_mut(&rq.service) else {
         return Ok(());
     };
     let draw = node.random_f64();
     let decision = control.decide(rq.priority, rq.organisation(), returned, draw);
+    control.record_decision(now, rq.priority, rq.organisation(), decision);
+    count_decision(rq, decision);
     let cause = match decision {
         Decision::Admitted => return Ok(()),
         Decision::NoRoomForPriority => Cause::NoRoomForPriority,
@@ -184,6 +228,20 @@
     Err(cause)
 }
 
+fn count_decision(rq: &ProxiedRequest, decision: Decision) {
+    let outcome = match decision {
+        Decision::Admitted => "admitted",
+        Decision::NoRoomForPriority | Decision::OrganisationAboveShare => "refused",
+    };
+    metrics::counter!(
+        "jacinthweir_admissions_total",
+        "service" => rq.service.to_string(),
+        "priority" => priority_index(rq.priority).to_string(),
+        "outcome" => outcome,
+    )
+    .increment(1);
+}
+
 /// Returns the retry delay of a refused request in milliseconds, if contention control has one for it.
 pub(crate) fn retry_after_ms(node: &Node, rq: &ProxiedRequest) -> Option<Millis> {
     if !node.contention.is_overloaded(&rq.service) {
@@ -234,7 +292,10 @@
         &fleet,
         scope.max_gap_ms,
     );
-    report(service, control, change);
+    let status = control.status(now);
+    let share_changes = control.take_share_changes();
+    report(service, &status, change);
+    report_share_changes(service, &share_changes);
 }
 
 /// Returns occupancy and weights of the chains of a service that are intact.
@@ -261,30 +322,68 @@
 }
 
 /// Logs a change of the overload state, and updates the metrics.
-fn report(service: &Name, control: &ServiceControl, change: Option<Change>) {
-    let Some(status) = control.status() else {
-        return;
-    };
-    let (supply, demand, age_ms) = (status.supply as u64, status.demand as u64, status.age_ms);
-    let shares: Vec<String> = status
-        .priorities
-        .iter()
-        .map(|(demand, share)| format!("{demand:.0}:{share:.2}"))
-        .collect();
-    let shares = shares.join(" ");
+fn report(service: &Name, status: &ControlStatus, change: Option<Change>) {
+    let supply = status.supply_tokens_per_s.unwrap_or(0.0) as u64;
+    let (demand, age_ms) = (status.demand_tokens_per_s as u64, status.age_ms);
     match change {
         Some(Change::Began) => {
+            let priorities = status.priorities.iter();
+            let shares: Vec<String> = priorities
+                .map(|p| format!("{:.0}:{:.2}", p.demand_tokens_per_s, p.share))
+                .collect();
+            let shares = shares.join(" ");
             log::warn!(service = service.as_ref(), supply, demand, age_ms, shares; "overload begins");
         }
         Some(Change::Ended(lasted_ms)) => {
-            log::info!(service = service.as_ref(), supply, demand, age_ms, lasted_ms; "overload ends");
+            let state = status.state;
+            log::info!(
+                service = service.as_ref(), supply, demand, age_ms, lasted_ms, state:%;
+                "overload ends"
+            );
         }
         None => {}
     }
-    let label = service.to_string();
-    let overloaded = f64::from(u8::from(status.overloaded_since_ms.is_some()));
-    metrics::gauge!("jacinthweir_overloaded", "service" => label.clone()).set(overloaded);
-    metrics::gauge!("jacinthweir_supply_tokens_per_s", "service" => label.clone())
-        .set(status.supply);
-    metrics::gauge!("jacinthweir_demand_tokens_per_s", "service" => label).set(status.demand);
+    let gauge = |name: &'static str, value: f64| {
+        metrics::gauge!(name, "service" => service.to_string()).set(value);
+    };
+    let flag = |set: bool| f64::from(u8::from(set));
+    let in_force = status.state == ControlState::InForce;
+    gauge("jacinthweir_contention_in_force", flag(in_force));
+    gauge("jacinthweir_overloaded", flag(status.overload.is_some()));
+    if let Some(supply) = status.supply_tokens_per_s {
+        gauge("jacinthweir_supply_tokens_per_s", supply);
+        gauge(
+            "jacinthweir_demand_tokens_per_s",
+            status.demand_tokens_per_s,
+        );
+    }
+    for p in &status.priorities {
+        metrics::gauge!(
+            "jacinthweir_admission_share",
+            "service" => service.to_string(),
+            "priority" => p.priority.to_string(),
+        )
+        .set(p.share);
+    }
+}
+
+/// Logs changes of organisations' shares relative to those of their priorities.
+fn report_share_changes(service: &Name, changes: &[ShareChange]) {
+    for change in changes {
+        let organisation = change.organisation.as_ref();
+        let priority = change.priority;
+        let demand = change.demand_tokens_per_s as u64;
+        let share = format!("{:.2}", change.share);
+        let of_priority = format!("{:.2}", change.priority_share);
+        match change.direction {
+            Direction::Fell => log::info!(
+                service = service.as_ref(), organisation, priority, demand, share, of_priority;
+                "organisation's share falls below that of its priority"
+            ),
+            Direction::Back(lasted_ms) => log::info!(
+                service = service.as_ref(), organisation, priority, demand, share, of_priority, lasted_ms;
+                "organisation's share is that of its priority again"
+            ),
+        }
+    }
 }
--- a/plugins/relay/src/dump.rs
+++ b/plugins/relay/src/dump.rs
@@ -4,11 +4,13 @@
 use jacinthweir_policy::relay::runners::{RunnerEntry, Runners};
 use jacinthweir_wire::relay::{ChainDump, RelayDump, RunnerDump, StageDump};
 
+use crate::contention;
 use crate::live_chains::LiveChain;
 use crate::node::Node;
 
 /// Returns the state of the process as JSON.
 pub(crate) fn dump(node: &Node) -> String {
+    let contention = contention::dump(node);
     let now = node.now();
     let chains = node.chains.borrow();
     let runners = node.runners.borrow();
@@ -27,6 +29,7 @@
             .map(|e| runner(node, &runners, e))
             .collect(),
         members: node.membership.borrow().dump(now),
+        contention: Some(contention),
     };
     serde_json::to_string_pretty(&dump).unwrap_or_default()
 }
--- a/plugins/relay/tests/relay.rs
+++ b/plugins/relay/tests/relay.rs
@@ -3,6 +3,8 @@
 
 #[path = "relay/configuration.rs"]
 mod configuration;
+#[path = "relay/contention.rs"]
+mod contention;
 #[path = "relay/failure_detection.rs"]
 mod failure_detection;
 #[path = "relay/leaving.rs"]
--- a/plugins/relay/tests/support/standin.rs
+++ b/plugins/relay/tests/support/standin.rs
@@ -15,6 +15,7 @@
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
+use jacinthweir_policy::relay::contention::ContentionConfig;
 use jacinthweir_relay::settings::{Bounds, Listen, Processor, RelayLimits};
 use jacinthweir_relay::{Relay, RelaySettings};
 use serde_json::{Value, json};
@@ -227,7 +228,7 @@
         loop {
             let dump = get(settings.listen.operators, "GET /dump HTTP/1.1").await;
             let ready = get(settings.listen.ready, "GET /api/ready HTTP/1.1").await;
-            let chains = dump.body.matches("\"room_tokens\"").count();
+            let chains = dump.body.matches("\"step_ms\"").count();
             let broken = dump.body.matches("\"broken\": true").count();
             if chains - broken >= count && ready.status == 200 {
                 return;
@@ -298,6 +299,7 @@
         runner_addresses: BTreeMap::new(),
         limits: RelayLimits::default(),
         processor: Processor::default(),
+        contention: ContentionConfig::default(),
         bounds: Bounds {
             revocation_ms: 5_000,
             shutdown_s: 8.0,
--- a/policy/src/relay/contention.rs
+++ b/policy/src/relay/contention.rs
@@ -17,6 +17,7 @@
 //! - Nothing is refused while the supply covers the demand.
 //! - No priority and no organisation is admitted less than the least share of what all are.
 
+pub mod decision_meter;
 pub mod flow_meter;
 pub mod flow_plan;
 pub mod inflow;
@@ -25,9 +26,11 @@
 pub mod return_delay;
 pub mod scope;
 mod service_control;
+pub mod share_history;
 pub mod shares;
+pub mod status;
 
-pub use service_control::{ChainLoad, ControlStatus, Decision, FleetFlow, ServiceControl};
+pub use service_control::{ChainLoad, Decision, FleetFlow, ServiceControl};
 
 use std::collections::BTreeMap;
 
--- a/policy/src/relay/contention/service_control.rs
+++ b/policy/src/relay/contention/service_control.rs
@@ -4,12 +4,18 @@
 use std::collections::BTreeMap;
 
 use super::ContentionConfig;
+use super::decision_meter::DecisionMeter;
 use super::flow_meter::{HeadFlow, OrganisationDemand, ServiceFlow, priority_index};
 use super::flow_plan::{DomainDemand, FlowPlan, PlanChain};
 use super::inflow::{self, ChainTarget};
 use super::overload::{Change, Overload};
 use super::return_delay::ReturnDelays;
+use super::share_history::{ShareChange, ShareHistory};
 use super::shares::{self, Claim};
+use super::status::{
+    ChainStatus, ControlState, ControlStatus, DomainStatus, OrganisationStatus, OverloadStatus,
+    PriorityStatus,
+};
 use crate::prelude::*;
 
 /// Age of the figures of other instances above which contention control does not apply, in
@@ -69,6 +75,8 @@
     load: ChainLoad,
     flow: HeadFlow,
     inflow: f64,
+    refusal_factor: f64,
+    timeliness: f64,
     /// Part of the own domain's flow that goes to the chain, from 0 to 1.
     probability: f64,
 }
@@ -95,26 +103,39 @@
     current: Option<Computation>,
     checked_ms: Option<Millis>,
     overload: Overload,
+    /// Fraction of the demand that fitted when overload began.
+    began_share: f64,
     delays: ReturnDelays,
+    state: ControlState,
+    figures: Figures,
+    decisions: DecisionMeter,
+    history: ShareHistory,
+    /// Changes of shares that the caller has not taken yet.
+    share_changes: Vec<ShareChange>,
 }
 
-/// State of contention control of a service, for operators.
-#[derive(Clone, Debug, PartialEq)]
-pub struct ControlStatus {
-    /// Tokens per second that chains may take of the demand.
-    pub supply: f64,
-    /// Tokens per second that callers ask for.
-    pub demand: f64,
-    /// Mean age of the figures of other instances, in milliseconds.
-    pub age_ms: Millis,
-    /// Since when the service is overloaded, in milliseconds.
-    pub overloaded_since_ms: Option<Millis>,
-    /// Demand in tokens per second and share of each priority.
-    pub priorities: Vec<(f64, f64)>,
-    /// Organisation, priority, demand in tokens per second, and share.
-    pub organisations: Vec<(Name, u8, f64, f64)>,
-    /// First runner, room, occupancy and inflow of each chain, and its part of the own domain's flow.
-    pub chains: Vec<(Name, f64, f64, f64, f64)>,
+/// What the last computation was based on, also if there is no plan.
+#[derive(Clone, Debug, Default)]
+struct Figures {
+    age_ms: Millis,
+    known_share: f64,
+    domains: Vec<DomainStatus>,
+}
+
+impl Figures {
+    fn of(fleet: &FleetFlow) -> Figures {
+        let domains = fleet.domains.iter();
+        Figures {
+            age_ms: fleet.age_ms,
+            known_share: fleet.known_share,
+            domains: domains
+                .map(|(domain, flow)| DomainStatus {
+                    domain: domain.clone(),
+                    demand_tokens_per_s: flow.demand(),
+                })
+                .collect(),
+        }
+    }
 }
 
 impl ServiceControl {
@@ -137,8 +158,11 @@
         max_gap_ms: Millis,
     ) -> Option<Change> {
         self.checked_ms = Some(now);
-        if fleet.age_ms > MAX_AGE_MS || fleet.known_share < MIN_KNOWN_SHARE {
+        self.figures = Figures::of(fleet);
+        self.state = state_of(fleet);
+        if self.state != ControlState::InForce {
             self.current = None;
+            self.record_shares(now);
             return self.overload.record(now, 1.0);
         }
         let heads = head_sums(fleet);
@@ -150,13 +174,17 @@
             let target = self.targets.entry(load.head.clone()).or_default();
             target.update(now, flow.refused_share());
             let gap_share = flow.mean_gap_ms() / max_gap_ms.max(1) as f64;
-            let factor = target.refusal_factor() * inflow::timeliness(gap_share);
+            let (refusal_factor, timeliness) =
+                (target.refusal_factor(), inflow::timeliness(gap_share));
+            let factor = refusal_factor * timeliness;
             let target_tokens = load.room_tokens * cfg.target_fill * factor;
             let inflow = inflow::allowed(&flow, target_tokens, load.used_tokens, fleet.age_ms);
             planned.push(PlannedChain {
                 load,
                 flow,
                 inflow,
+                refusal_factor,
+                timeliness,
                 probability: 0.0,
             });
         }
@@ -166,7 +194,42 @@
             false => 1.0,
         };
         self.current = Some(computation);
-        self.overload.record(now, share + NEGLIGIBLE_SHORTAGE)
+        self.record_shares(now);
+        let change = self.overload.record(now, share + NEGLIGIBLE_SHORTAGE);
+        if change == Some(Change::Began) {
+            self.began_share = share.min(1.0);
+        }
+        change
+    }
+
+    /// Records the shares of the last computation for operators.
+    fn record_shares(&mut self, now: Millis) {
+        let none = Computation::default();
+        let current = self.current.as_ref().unwrap_or(&none);
+        let changes = self.history.record(
+            now,
+            &current.arriving,
+            &current.priorities,
+            &current.organisations,
+        );
+        self.share_changes.extend(changes);
+    }
+
+    /// Returns the changes of shares to report since the last call.
+    #[must_use]
+    pub fn take_share_changes(&mut self) -> Vec<ShareChange> {
+        std::mem::take(&mut self.share_changes)
+    }
+
+    /// Records a decision on a new request for operators.
+    pub fn record_decision(
+        &mut self,
+        now: Millis,
+        priority: u32,
+        organisation: Option<&Name>,
+        decision: Decision,
+    ) {
+        self.decisions.record(now, priority, organisation, decision);
     }
 
     /// Decides on a new request; `draw` is a random number from 0 to 1.
@@ -243,42 +306,72 @@
         of_organisation.map_or_else(|| current.share_of(priority), |(_, share)| *share)
     }
 
-    /// Returns the state for operators, if there is a plan.
+    /// Returns the state at `now` for operators.
     #[must_use]
-    pub fn status(&self) -> Option<ControlStatus> {
-        let current = self.current.as_ref()?;
-        let arriving = current.arriving.iter().copied();
-        let organisations = current.organisations.iter();
-        let chains = current.chains.values();
-        Some(ControlStatus {
-            supply: current.supply,
-            demand: current.demand,
-            age_ms: current.age_ms,
-            overloaded_since_ms: self.overload.since_ms(),
-            priorities: arriving.zip(current.priorities.iter().copied()).collect(),
-            organisations: organisations
-                .map(|((priority, name), (demand, share))| {
-                    (name.clone(), *priority, *demand, *share)
+    pub fn status(&self, now: Millis) -> ControlStatus {
+        let figures = &self.figures;
+        let current = self.current.as_ref();
+        let domains = figures.domains.iter();
+        let organisations = current.into_iter().flat_map(|c| &c.organisations);
+        let chains = current.into_iter().flat_map(|c| c.chains.values());
+        let priorities = self.history.priorities(now);
+        ControlStatus {
+            state: self.state,
+            supply_tokens_per_s: current.map(|c| c.supply),
+            demand_tokens_per_s: domains.map(|d| d.demand_tokens_per_s).sum(),
+            age_ms: figures.age_ms,
+            known_share: figures.known_share,
+            overload: self.overload.since_ms().map(|at| OverloadStatus {
+                lasted_ms: now.saturating_sub(at),
+                began_share: self.began_share,
+            }),
+            priorities: priorities
+                .map(|(priority, below_one_ms)| PriorityStatus {
+                    priority,
+                    demand_tokens_per_s: current.map_or(0.0, |c| c.demand_of(priority)),
+                    share: current.map_or(1.0, |c| c.share_of(priority)),
+                    below_one_ms,
+                    decisions: self.decisions.of_priority(now, priority),
                 })
                 .collect(),
-            chains: chains
-                .map(|c| {
-                    let ChainLoad {
-                        head,
-                        room_tokens,
-                        used_tokens,
-                        ..
-                    } = &c.load;
-                    (
-                        head.clone(),
-                        *room_tokens,
-                        *used_tokens,
-                        c.inflow,
-                        c.probability,
-                    )
+            organisations: organisations
+                .map(|(key, (demand, share))| OrganisationStatus {
+                    organisation: key.1.clone(),
+                    priority: key.0,
+                    demand_tokens_per_s: *demand,
+                    share: *share,
+                    below_one_ms: self.history.below_one_ms(now, key),
+                    below_priority_ms: self.history.below_priority_ms(now, key),
+                    decisions: self.decisions.of_organisation(now, key),
                 })
                 .collect(),
-        })
+            chains: chains.map(PlannedChain::status).collect(),
+            domains: figures.domains.clone(),
+        }
+    }
+}
+
+/// Returns whether the figures of the fleet suffice for decisions.
+fn state_of(fleet: &FleetFlow) -> ControlState {
+    match fleet.age_ms > MAX_AGE_MS {
+        true => ControlState::FiguresTooOld,
+        false if fleet.known_share < MIN_KNOWN_SHARE => ControlState::TooFewFigures,
+        false => ControlState::InForce,
+    }
+}
+
+impl PlannedChain {
+    fn status(&self) -> ChainStatus {
+        ChainStatus {
+            head: self.load.head.clone(),
+            domain: self.load.domain.clone(),
+            room_tokens: self.load.room_tokens,
+            used_tokens: self.load.used_tokens,
+            inflow_tokens_per_s: self.inflow,
+            refusal_factor: self.refusal_factor,
+            timeliness: self.timeliness,
+            flow_share: self.probability,
+        }
     }
 }
 
@@ -290,6 +383,11 @@
         let share = self.priorities.get(usize::from(priority));
         share.copied().unwrap_or(1.0)
     }
+
+    fn demand_of(&self, priority: u8) -> f64 {
+        let demand = self.arriving.get(usize::from(priority));
+        demand.copied().unwrap_or(0.0)
+    }
 }
 
 /// Returns the flow of each chain over all instances, by first runner.
--- a/wire/src/relay.rs
+++ b/wire/src/relay.rs
@@ -4,6 +4,8 @@
 
 use jacinthweir_policy::membership::MembershipDump;
 use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::relay::contention::Mode;
+use jacinthweir_policy::relay::contention::status::ControlStatus;
 use serde::{Deserialize, Serialize};
 
 /// Path of the state dump.
@@ -37,6 +39,30 @@
     pub runners: Vec<RunnerDump>,
     /// Known instances.
     pub members: MembershipDump,
+    /// Contention control; absent if the instance's build does not have it.
+    #[serde(default)]
+    pub contention: Option<ContentionDump>,
+}
+
+/// State of contention control.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ContentionDump {
+    /// When it applies, by the settings.
+    pub mode: Mode,
+    /// Components that are disabled in the settings, by the names of their fields.
+    #[serde(default)]
+    pub disabled: Vec<Name>,
+    /// Services whose runners hold layers, by name.
+    pub services: Vec<ServiceContentionDump>,
+}
+
+/// State of contention control of one service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ServiceContentionDump {
+    /// Service.
+    pub service: Name,
+    /// State.
+    pub status: ControlStatus,
 }
 
 /// A chain of runners.
