jwctl: shares, demand and overload show contention control at a relay

`shares` lists priorities and organisations, those with the most refused tokens first; `demand` failure domains and chains; `overload` since when a service is overloaded and the share at which it began. An older build, a relay without configuration, and settings or a configuration under which contention control applies to no service are refused with the reason and exit code 1.

--- a/ctl/src/args.rs
+++ b/ctl/src/args.rs
@@ -63,10 +63,39 @@
     Entry(Entry),
     /// See [`Relay`].
     Relay(Relay),
+    /// See [`Shares`].
+    Shares(Shares),
+    /// See [`Demand`].
+    Demand(Demand),
+    /// See [`Overload`].
+    Overload(Overload),
     /// See [`Day`].
     Day(Day),
 }
 
+impl Command {
+    /// Returns whether the command reads the state of a relay.
+    #[must_use]
+    pub fn reads_relay(&self) -> bool {
+        matches!(
+            self,
+            Command::Relay(_) | Command::Shares(_) | Command::Demand(_) | Command::Overload(_)
+        )
+    }
+
+    /// Returns the address of the relay whose state the command reads, if it is given as an argument.
+    #[must_use]
+    pub fn relay_address(&self) -> Option<SocketAddr> {
+        match self {
+            Command::Relay(relay) => relay.address,
+            Command::Shares(shares) => shares.address,
+            Command::Demand(demand) => demand.address,
+            Command::Overload(overload) => overload.address,
+            _ => None,
+        }
+    }
+}
+
 /// Show what a schema file would change, and the revision it was compared with.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "plan")]
@@ -149,6 +178,33 @@
     pub address: Option<SocketAddr>,
 }
 
+/// Show which share of each priority's and organisation's demand a relay admits, and who is refused.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "shares")]
+pub struct Shares {
+    /// operators' address of the relay; default: --server
+    #[argh(positional)]
+    pub address: Option<SocketAddr>,
+}
+
+/// Show the demand for each service by failure domain, and what its chains may take of it.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "demand")]
+pub struct Demand {
+    /// operators' address of the relay; default: --server
+    #[argh(positional)]
+    pub address: Option<SocketAddr>,
+}
+
+/// Show which services are overloaded, since when, and whether contention control is in force.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "overload")]
+pub struct Overload {
+    /// operators' address of the relay; default: --server
+    #[argh(positional)]
+    pub address: Option<SocketAddr>,
+}
+
 /// Show from a relay's log lines what became of the requests, window by window, without a server.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "day")]
--- a/ctl/src/client.rs
+++ b/ctl/src/client.rs
@@ -9,7 +9,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::args::{Args, Command};
+use crate::args::Args;
 use crate::error::CtlError;
 
 /// Environment variable that holds the server's address.
@@ -34,15 +34,11 @@
     /// Fails if no server or token is given, or if the token file cannot be read.
     pub fn from_args(args: &Args) -> Result<Client, CtlError> {
         // A relay's operators' listener is read-only and requires no token.
-        let token = match args.command {
-            Command::Relay(_) => String::new(),
-            _ => read_token(args.token_file.as_deref())?,
+        let token = match args.command.reads_relay() {
+            true => String::new(),
+            false => read_token(args.token_file.as_deref())?,
         };
-        let server_arg = match &args.command {
-            Command::Relay(relay) => relay.address.or(args.server),
-            _ => args.server,
-        };
-        let server = match server_arg {
+        let server = match args.command.relay_address().or(args.server) {
             Some(server) => server,
             None => server_from_env()?,
         };
--- a/ctl/src/command.rs
+++ b/ctl/src/command.rs
@@ -1,6 +1,7 @@
 //! Implementation of the commands.
 
 mod apply;
+mod contention;
 mod day;
 
 use std::path::Path;
@@ -20,6 +21,8 @@
 use crate::error::CtlError;
 use crate::text;
 
+pub use contention::InstanceContention;
+
 /// Runs a command and returns its output.
 ///
 /// # Errors
@@ -69,6 +72,18 @@
             let state: RelayDump = client.get(DUMP_PATH).await?;
             Ok(render(args, &state, text::relay))
         }
+        Command::Shares(_) => {
+            let state = contention::query(&client).await?;
+            Ok(render(args, &state, text::shares))
+        }
+        Command::Demand(_) => {
+            let state = contention::query(&client).await?;
+            Ok(render(args, &state, text::demand))
+        }
+        Command::Overload(_) => {
+            let state = contention::query(&client).await?;
+            Ok(render(args, &state, text::overload))
+        }
         Command::Entry(entry) => {
             let answer = entry_answer(&client, entry.domain.as_deref()).await?;
             Ok(render(args, &answer, text::entry))
--- a/ctl/src/text.rs
+++ b/ctl/src/text.rs
@@ -1,5 +1,6 @@
 //! Formats the output of the commands as text.
 
+mod contention;
 mod error;
 mod record;
 mod relay;
@@ -14,6 +15,7 @@
 
 use crate::table::Table;
 
+pub use contention::{demand, overload, shares};
 pub use error::error;
 pub use record::record;
 pub use relay::relay;
