--- a/ctl/src/day.rs
+++ b/ctl/src/day.rs
@@ -7,6 +7,7 @@
 
 pub mod plot;
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
@@ -15,6 +16,15 @@
 
 use crate::table::Table;
 
+/// Number of organisations in a report.
+const MAX_ORGANISATIONS: usize = 10;
+
+/// Value of a log line's organisation if the request had no key.
+const NO_ORGANISATION: &str = "-";
+
+/// Cause of a refusal because the organisation was above its share.
+const ABOVE_SHARE: &str = "organisation above its share";
+
 /// Latency thresholds and the window length of a report.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ReportOptions {
@@ -86,6 +96,30 @@
     pub broken: u64,
 }
 
+/// Number of requests with the same cause and priority that were not answered.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct CauseCount {
+    /// Cause.
+    pub cause: String,
+    /// Priority; absent if the log lines do not have it.
+    pub priority: Option<u64>,
+    /// Number of requests.
+    pub count: u64,
+}
+
+/// Requests of an organisation that were not answered.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct OrganisationCount {
+    /// Organisation.
+    pub organisation: String,
+    /// Number of requests.
+    pub count: u64,
+    /// Number of them that were refused because the organisation was above its share.
+    pub above_share: u64,
+    /// Lowest share that a request had, in hundredths; absent if the log lines do not have it.
+    pub lowest_share_percent: Option<u64>,
+}
+
 /// Request outcomes by window, as printed by `jwctl day`.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct DayReport {
@@ -95,6 +129,10 @@
     pub windows: BTreeMap<u64, Window>,
     /// The longest gap of each stream that was resumed or rerouted, in milliseconds, ascending.
     pub pauses_ms: Vec<u64>,
+    /// Requests that were not answered, by cause and priority.
+    pub causes: Vec<CauseCount>,
+    /// Organisations with the most requests that were not answered, the largest number first.
+    pub organisations: Vec<OrganisationCount>,
     /// Number of log lines read.
     pub lines: usize,
 }
@@ -119,6 +157,13 @@
         self.fields.get(key).and_then(Value::as_str).unwrap_or("")
     }
 
+    /// Returns a fraction in hundredths.
+    fn percent(&self, key: &str) -> Option<u64> {
+        let value = self.fields.get(key)?;
+        let fraction = value.as_f64().or_else(|| value.as_str()?.parse().ok())?;
+        Some((fraction * 100.0).round() as u64)
+    }
+
     /// Returns a numeric field; log lines usually hold numbers as strings.
     fn number(&self, key: &str) -> Option<u64> {
         let value = self.fields.get(key)?;
@@ -150,6 +195,12 @@
             let failovers = (resumed.contains(request), rerouted.contains(request));
             report.record(line, failovers, options);
         }
+        let unanswered = || {
+            let all = lines.iter();
+            all.filter(|l| l.text("message") == "not answered")
+        };
+        report.causes = causes(unanswered());
+        report.organisations = organisations(unanswered());
         report.pauses_ms.sort_unstable();
         report
     }
@@ -220,6 +271,73 @@
     }
 }
 
+/// Counts requests that were not answered by cause and priority.
+fn causes<'a>(lines: impl Iterator<Item = &'a LogLine>) -> Vec<CauseCount> {
+    let mut counts: BTreeMap<(&str, Option<u64>), u64> = BTreeMap::new();
+    for line in lines {
+        let key = (line.text("cause"), line.number("priority"));
+        *counts.entry(key).or_default() += 1;
+    }
+    let counts = counts.into_iter();
+    counts
+        .map(|((cause, priority), count)| CauseCount {
+            cause: cause.to_owned(),
+            priority,
+            count,
+        })
+        .collect()
+}
+
+/// Returns the [`MAX_ORGANISATIONS`] organisations with the most requests that were not answered.
+fn organisations<'a>(lines: impl Iterator<Item = &'a LogLine>) -> Vec<OrganisationCount> {
+    let mut counts: BTreeMap<&str, OrganisationCount> = BTreeMap::new();
+    for line in lines.filter(|l| !matches!(l.text("organisation"), "" | NO_ORGANISATION)) {
+        let name = line.text("organisation");
+        let count = counts.entry(name).or_insert_with(|| OrganisationCount {
+            organisation: name.to_owned(),
+            ..OrganisationCount::default()
+        });
+        count.count += 1;
+        count.above_share += u64::from(line.text("cause") == ABOVE_SHARE);
+        let shares = count.lowest_share_percent.into_iter();
+        count.lowest_share_percent = shares.chain(line.percent("share")).min();
+    }
+    let mut counts: Vec<OrganisationCount> = counts.into_values().collect();
+    counts.sort_by_key(|c| Reverse(c.count));
+    counts.truncate(MAX_ORGANISATIONS);
+    counts
+}
+
+impl DayReport {
+    fn cause_table(&self) -> Table {
+        let mut table = Table::new(&["not answered: cause", "priority", "requests"]);
+        for c in &self.causes {
+            let priority = c.priority.map_or("-".to_owned(), |p| p.to_string());
+            table.row([c.cause.clone(), priority, c.count.to_string()]);
+        }
+        table
+    }
+
+    fn organisation_table(&self) -> Table {
+        let mut table = Table::new(&[
+            "not answered: organisation",
+            "requests",
+            "above its share",
+            "lowest share",
+        ]);
+        for c in &self.organisations {
+            let share = c.lowest_share_percent;
+            table.row([
+                c.organisation.clone(),
+                c.count.to_string(),
+                c.above_share.to_string(),
+                share.map_or("-".to_owned(), |p| format!("{:.2}", p as f64 / 100.0)),
+            ]);
+        }
+        table
+    }
+}
+
 impl fmt::Display for DayReport {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let mut table = Table::new(&[
@@ -243,6 +361,15 @@
             table.row([from, a, b, c, d, e, g, h, dead, paced, w.broken.to_string()]);
         }
         write!(f, "{table}")?;
+        if !self.causes.is_empty() {
+            write!(f, "\n{}", self.cause_table())?;
+        }
+        if !self.organisations.is_empty() {
+            write!(f, "\n{}", self.organisation_table())?;
+        }
+        if !self.causes.is_empty() {
+            writeln!(f)?;
+        }
         if let (Some(p50_ms), Some(p90_ms)) =
             (self.pause_percentile_ms(0.5), self.pause_percentile_ms(0.9))
         {
--- a/ctl/tests/day.rs
+++ b/ctl/tests/day.rs
@@ -24,6 +24,17 @@
 {"at":"2026-01-28T11:56:05.000Z","message":"not answered","request":"f","cause":"no room","after_ms":"0"}
 "#;
 
+/// Lines of refused requests, some of an earlier build without organisation, priority and share.
+const REFUSALS: &str = r#"
+{"at":"2026-01-28T11:56:00.000Z","message":"not answered","request":"a","cause":"no room for its priority","organisation":"small","priority":"2","share":"0.50","after_ms":"0"}
+{"at":"2026-01-28T11:56:00.100Z","message":"not answered","request":"b","cause":"no room for its priority","organisation":"large","priority":"2","share":"0.41","after_ms":"0"}
+{"at":"2026-01-28T11:56:00.200Z","message":"not answered","request":"c","cause":"organisation above its share","organisation":"large","priority":"2","share":"0.29","after_ms":"0"}
+{"at":"2026-01-28T11:56:00.300Z","message":"not answered","request":"d","cause":"organisation above its share","organisation":"large","priority":0,"share":0.8,"after_ms":0}
+{"at":"2026-01-28T11:56:00.400Z","message":"not answered","request":"e","cause":"no room","after_ms":"0"}
+{"at":"2026-01-28T11:56:00.500Z","message":"not answered","request":"f","cause":"no room for its priority","organisation":"-","priority":"2","share":"0.50","after_ms":"0"}
+{"at":"2026-01-28T11:56:00.600Z","message":"answered","request":"g","organisation":"large","priority":"2","after_ms":"0"}
+"#;
+
 #[gtest]
 fn requests_are_counted_by_window_and_outcome() {
     let report = DayReport::from_lines(LINES.lines(), &OPTIONS);
@@ -69,5 +80,67 @@
     );
     let empty = DayReport::from_lines("".lines(), &OPTIONS);
     expect_that!(empty.windows.len(), eq(0));
+    expect_that!(empty.to_string(), not(contains_substring("not answered:")));
     expect_that!(plot::render_svg(&empty), ok(contains_substring("<svg")));
 }
+
+/// Guards against refusals that are attributed to the wrong cause, priority or organisation, and
+/// against lines of an earlier build that are lost or counted for an organisation.
+#[gtest]
+fn unanswered_requests_are_counted_by_cause_priority_and_organisation() {
+    let report = DayReport::from_lines(REFUSALS.lines(), &OPTIONS);
+    let causes = report.causes.iter();
+    let causes: Vec<_> = causes.map(|c| (&*c.cause, c.priority, c.count)).collect();
+    let expected = [
+        ("no room", None, 1),
+        ("no room for its priority", Some(2), 3),
+        ("organisation above its share", Some(0), 1),
+        ("organisation above its share", Some(2), 1),
+    ];
+    expect_that!(causes, eq(&expected));
+    let organisations = report.organisations.iter();
+    let organisations: Vec<_> = organisations
+        .map(|o| {
+            (
+                &*o.organisation,
+                o.count,
+                o.above_share,
+                o.lowest_share_percent,
+            )
+        })
+        .collect();
+    expect_that!(
+        organisations,
+        eq(&[("large", 3, 2, Some(29)), ("small", 1, 0, Some(50))])
+    );
+
+    let text = report.to_string();
+    let row = |start: &str| -> Vec<&str> {
+        let line = text.lines().find(|l| l.starts_with(start));
+        line.unwrap_or("").split_whitespace().collect()
+    };
+    expect_that!(row("large"), eq(&["large", "3", "2", "0.29"]));
+    expect_that!(row("no room  "), eq(&["no", "room", "-", "1"]));
+    let json = serde_json::to_value(&report).unwrap();
+    expect_that!(json["causes"][1]["count"].as_u64(), some(eq(3)));
+    expect_that!(
+        json["organisations"][0]["organisation"].as_str(),
+        some(eq("large"))
+    );
+}
+
+/// Guards against a report with a row for each of thousands of organisations.
+#[gtest]
+fn only_the_organisations_with_the_most_unanswered_requests_are_listed() {
+    let mut lines = Vec::new();
+    for organisation in 0..40 {
+        for _ in 0..=organisation {
+            lines.push(format!(
+                r#"{{"at":"2026-01-28T11:56:00.000Z","message":"not answered","cause":"no room","organisation":"org-{organisation}","priority":"1","share":"0.50"}}"#
+            ));
+        }
+    }
+    let report = DayReport::from_lines(lines.iter().map(String::as_str), &OPTIONS);
+    let listed: Vec<u64> = report.organisations.iter().map(|o| o.count).collect();
+    expect_that!(listed, eq(&(31..=40).rev().collect::<Vec<u64>>()));
+}
