--- a/plugins/relay/tests/support/standin.rs
+++ b/plugins/relay/tests/support/standin.rs
@@ -62,6 +62,11 @@
 
     /// Starts a cluster with the bounds that `change` sets.
     pub async fn with_bounds(change: impl FnOnce(&mut Bounds)) -> Cluster {
+        Cluster::with_settings(|settings| change(&mut settings.bounds)).await
+    }
+
+    /// Starts a cluster with the settings that `change` sets.
+    pub async fn with_settings(change: impl FnOnce(&mut RelaySettings)) -> Cluster {
         let (store, address) = Store::spawn().await;
         store.put("config", "main", &configuration(1));
         let mut runners = Vec::new();
@@ -73,7 +78,7 @@
             plain.push(Runner::spawn(&store, id, "orders", domain).await);
         }
         let mut settings = settings(address);
-        change(&mut settings.bounds);
+        change(&mut settings);
         let relay = Relay::spawn(settings.clone()).await.expect("a relay");
         let cluster = Cluster {
             store,
