--- a/policy/src/relay/contention/urgency.rs
+++ b/policy/src/relay/contention/urgency.rs
@@ -24,3 +24,10 @@
 pub fn priorities(level: u32) -> (u32, u32) {
     (level / ROUTE_LEVELS, level % ROUTE_LEVELS)
 }
+
+/// Returns a level as operators see it: the priorities of organisation and route, as in `1.2`.
+#[must_use]
+pub fn label(level: u32) -> String {
+    let (organisation, route) = priorities(level);
+    format!("{organisation}.{route}")
+}
--- a/policy/src/relay/loads.rs
+++ b/policy/src/relay/loads.rs
@@ -181,6 +181,8 @@
 struct Received<T> {
     value: T,
     as_of_ms: Millis,
+    /// Age that it had when it was received, in milliseconds, where that is not in `as_of_ms`.
+    relayed_ms: Millis,
 }
 
 impl<T> Received<T> {
@@ -188,6 +190,11 @@
     fn is_fresh(&self, now: Millis, max_age_ms: Millis) -> bool {
         now < self.as_of_ms + max_age_ms
     }
+
+    /// Returns the time since the value was written, in milliseconds.
+    fn age_ms(&self, now: Millis) -> Millis {
+        now.saturating_sub(self.as_of_ms) + self.relayed_ms
+    }
 }
 
 /// All loads known to one instance.
@@ -364,7 +371,7 @@
             .map(|(name, r)| MemberLoad {
                 name: name.clone(),
                 load: r.value.clone(),
-                age_ms: now.saturating_sub(r.as_of_ms),
+                age_ms: r.age_ms(now),
             })
             .collect()
     }
@@ -410,7 +417,8 @@
             add_counts(&mut self.spent, &m.load.spent);
             let received = Received {
                 value: m.load,
-                as_of_ms: now.saturating_sub(m.age_ms),
+                as_of_ms: now,
+                relayed_ms: m.age_ms,
             };
             if let Some(before) = self.members.insert(m.name, received) {
                 subtract_counts(&mut self.spent, &before.value.spent);
@@ -428,6 +436,7 @@
             let received = Received {
                 value: sum,
                 as_of_ms,
+                relayed_ms: 0,
             };
             if let Some(before) = self.domains.insert(domain, received) {
                 subtract_counts(&mut self.spent, &before.value.spent);
@@ -513,7 +522,7 @@
                 sum.add(flow);
             }
             known += 1;
-            age_ms += now - received.as_of_ms;
+            age_ms += received.age_ms(now);
         }
         let mut ages_ms = vec![age_ms / (known as Millis).max(1)];
         let mut domains = BTreeMap::from([(self.domain.clone(), sum)]);
