Relay: chains are drawn evenly by the flow plan

Chains of a fleet under steady overload stay closer to their target. Each instance drew the chain of each request independently, so the occupancy of a chain with room for 110 requests varied by a tenth even if all instances had the same plan. The draws of an instance now follow each other at the golden ratio, so that it sends nearly the planned number of its few requests per second to each chain.

--- a/plugins/relay/src/contention.rs
+++ b/plugins/relay/src/contention.rs
@@ -115,6 +115,14 @@
         heads.map(|head| control.weight(head)).collect()
     }
 
+    /// Returns the draw that chooses the chain of the next request of a service, from 0 to 1; `start` is
+    /// a random number.
+    pub(crate) fn choice_draw(&self, service: &str, start: f64) -> f64 {
+        let mut controls = self.controls.borrow_mut();
+        let control = controls.get_mut(service);
+        control.map_or(start, |c| c.choice_draw(start))
+    }
+
     /// Returns whether a service is overloaded and failure detection has to take that into account.
     pub(crate) fn is_overloaded(&self, service: &str) -> bool {
         let controls = self.controls.borrow();
--- a/plugins/relay/src/live_chains.rs
+++ b/plugins/relay/src/live_chains.rs
@@ -363,7 +363,7 @@
         let heads = candidates.iter().map(|c| live[c.chain].head().0);
         let chosen = match self.contention.weights(&rq.service, heads) {
             Some(weights) => {
-                let draw = self.random_f64();
+                let draw = self.contention.choice_draw(&rq.service, self.random_f64());
                 chain_selection::select_planned(&candidates, &weights, tokens, fill, draw)
             }
             None => {
--- a/policy/src/relay/contention.rs
+++ b/policy/src/relay/contention.rs
@@ -17,6 +17,7 @@
 //! - Nothing is refused while the supply covers the demand.
 //! - No priority and no organisation is admitted less than the least share of what all are.
 
+pub mod even_draws;
 pub mod flow_meter;
 pub mod flow_plan;
 pub mod inflow;
--- a/policy/src/relay/contention/service_control.rs
+++ b/policy/src/relay/contention/service_control.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 
 use super::ContentionConfig;
+use super::even_draws::EvenDraws;
 use super::flow_meter::{HeadFlow, OrganisationDemand, ServiceFlow, priority_index};
 use super::flow_plan::{DomainDemand, FlowPlan, PlanChain};
 use super::inflow::{self, ChainTarget};
@@ -96,6 +97,7 @@
     checked_ms: Option<Millis>,
     overload: Overload,
     delays: ReturnDelays,
+    choices: EvenDraws,
 }
 
 /// State of contention control of a service, for operators.
@@ -206,6 +208,12 @@
         Some(planned.map_or(0.0, |c| c.probability) + UNPLANNED_WEIGHT)
     }
 
+    /// Returns the draw that chooses the chain of the next request, from 0 to 1; `start` is a random
+    /// number for the first one.
+    pub fn choice_draw(&mut self, start: f64) -> f64 {
+        self.choices.next(start)
+    }
+
     /// Records a refused request and returns the retry delay for its caller in milliseconds, or `None`
     /// if there is no plan. `instances` is the number of live instances.
     pub fn refused(
--- a/policy/tests/support/contention.rs
+++ b/policy/tests/support/contention.rs
@@ -368,7 +368,11 @@
         let control = &self.instances[i].control;
         let weights = candidates.iter().map(|c| control.weight(&head(c.chain)));
         match weights.collect::<Option<Vec<f64>>>() {
-            Some(weights) => select_planned(&candidates, &weights, TOKENS, fill, self.rng.random()),
+            Some(weights) => {
+                let control = &mut self.instances[i].control;
+                let draw = control.choice_draw(self.rng.random());
+                select_planned(&candidates, &weights, TOKENS, fill, draw)
+            }
             None => {
                 let (rng, deciders) = (&mut self.rng, self.instances.len());
                 select_sampled(&candidates, TOKENS, MAX_FILL, deciders, || rng.random())
