Relay: organisations that are not listed get the share that the listed ones leave them

With many organisations a part of the supply stayed unused: what the listed ones get was computed as if all demand of the others were admitted, but these were admitted with the share of their priority only.

--- a/policy/src/relay/contention/service_control.rs
+++ b/policy/src/relay/contention/service_control.rs
@@ -85,6 +85,8 @@
     arriving: Vec<f64>,
     priorities: Vec<f64>,
     organisations: BTreeMap<(u8, Name), (f64, f64)>,
+    /// Share of organisations that are not listed, by priority.
+    unlisted: Vec<f64>,
     chains: BTreeMap<Name, PlannedChain>,
 }
 
@@ -185,9 +187,7 @@
         };
         let priority = priority_index(priority);
         let share = current.share_of(priority);
-        let own = organisation
-            .and_then(|name| current.organisations.get(&(priority, name.clone())))
-            .map_or(share, |(_, share)| *share);
+        let own = current.share_of_organisation(priority, organisation);
         let effective = match returned {
             true => shares::of_returned(own),
             false => own,
@@ -246,9 +246,10 @@
         let Some(current) = &self.current else {
             return 1.0;
         };
-        let of_organisation =
-            organisation.and_then(|name| current.organisations.get(&(priority, name.clone())));
-        of_organisation.map_or_else(|| current.share_of(priority), |(_, share)| *share)
+        match organisation {
+            Some(_) => current.share_of_organisation(priority, organisation),
+            None => current.share_of(priority),
+        }
     }
 
     /// Returns the state for operators, if there is a plan.
@@ -298,6 +299,13 @@
         let share = self.priorities.get(usize::from(priority));
         share.copied().unwrap_or(1.0)
     }
+
+    fn share_of_organisation(&self, priority: u8, organisation: Option<&Name>) -> f64 {
+        let listed = organisation.and_then(|o| self.organisations.get(&(priority, o.clone())));
+        let unlisted = || self.unlisted.get(usize::from(priority)).copied();
+        let share = listed.map(|(_, share)| *share).or_else(unlisted);
+        share.unwrap_or_else(|| self.share_of(priority))
+    }
 }
 
 /// Returns the flow of each chain over all instances, by first runner.
@@ -350,9 +358,9 @@
         true => shares::by_priority(for_new, &arriving, least),
         false => shares::equal(for_new, &arriving),
     };
-    let organisations = match cfg.fair_share {
+    let (organisations, unlisted) = match cfg.fair_share {
         true => organisation_shares(cfg, &all.organisations, &arriving, &priorities),
-        false => BTreeMap::new(),
+        false => Default::default(),
     };
     Computation {
         at_ms: now,
@@ -363,6 +371,7 @@
         arriving,
         priorities,
         organisations,
+        unlisted,
         chains: planned
             .into_iter()
             .map(|c| (c.load.head.clone(), c))
@@ -370,14 +379,14 @@
     }
 }
 
-/// Returns demand and share of each listed organisation, by priority.
+/// Returns demand and share of each listed organisation, by priority, and the shares of the others.
 fn organisation_shares(
     cfg: &ContentionConfig,
     listed: &[OrganisationDemand],
     arriving: &[f64],
     priorities: &[f64],
-) -> BTreeMap<(u8, Name), (f64, f64)> {
-    let mut all = BTreeMap::new();
+) -> (BTreeMap<(u8, Name), (f64, f64)>, Vec<f64>) {
+    let (mut all, mut unlisted) = (BTreeMap::new(), Vec::new());
     for (i, (total, share)) in arriving.iter().zip(priorities).enumerate() {
         let of_priority = listed.iter().filter(|d| usize::from(d.priority) == i);
         let of_priority: Vec<&OrganisationDemand> = of_priority.collect();
@@ -390,10 +399,11 @@
             .collect();
         let granted = total * share;
         let shares = shares::by_organisation(granted, *total, &claims, cfg.least_share);
-        for (demand, share) in of_priority.iter().zip(shares) {
+        unlisted.push(shares.unlisted);
+        for (demand, share) in of_priority.iter().zip(shares.listed) {
             let key = (demand.priority, demand.organisation.clone());
             all.insert(key, (f64::from(demand.tokens_per_s), share));
         }
     }
-    all
+    (all, unlisted)
 }
--- a/policy/src/relay/contention/shares.rs
+++ b/policy/src/relay/contention/shares.rs
@@ -50,44 +50,69 @@
 /// Number of halvings in the search for the level, enough for a relative error of 1e-9.
 const HALVINGS: u32 = 60;
 
+/// Shares of the organisations of one priority.
+#[derive(Clone, Debug, PartialEq)]
+pub struct OrganisationShares {
+    /// Share of each listed organisation.
+    pub listed: Vec<f64>,
+    /// Share of each of the others.
+    pub unlisted: f64,
+}
+
 /// Returns the weighted max-min share of each organisation's demand: those that ask for less than a
 /// level times their weight get all of it, the others the level. No share is below `least` times the
-/// share of the priority, which is `granted` of `total` tokens per second. Demand of organisations
-/// that are not listed is admitted before the level is found, since each of them is small.
+/// share of the priority, which is `granted` of `total` tokens per second. Organisations that are not
+/// listed are assumed to ask for as much as the smallest listed one, with a weight of 1, since the
+/// largest are listed.
 #[must_use]
-pub fn by_organisation(granted: f64, total: f64, claims: &[Claim], least: f64) -> Vec<f64> {
+pub fn by_organisation(
+    granted: f64,
+    total: f64,
+    claims: &[Claim],
+    least: f64,
+) -> OrganisationShares {
+    let same = |share: f64| OrganisationShares {
+        listed: vec![share; claims.len()],
+        unlisted: share,
+    };
     if granted >= total || total <= 0.0 {
-        return vec![1.0; claims.len()];
+        return same(1.0);
     }
-    let listed: f64 = claims.iter().map(|c| c.tokens_per_s).sum();
     let share = (granted / total).clamp(0.0, 1.0);
-    let unlisted = (total - listed).max(0.0);
-    // If even the small organisations' demand exceeds what is granted, all get the same share.
-    let budget = (granted - unlisted).max(listed * share * least);
+    let sizes = claims.iter().map(|c| c.tokens_per_s);
+    let smallest = sizes.clone().fold(f64::INFINITY, f64::min);
+    if !smallest.is_finite() {
+        return same(share);
+    }
+    let unlisted = (total - sizes.sum::<f64>()).max(0.0);
+    let small = Claim {
+        tokens_per_s: smallest,
+        weight: 1.0,
+    };
     let floor = share * least;
     let share_at = |level: f64, c: &Claim| {
         let fair = level * c.weight / c.tokens_per_s.max(f64::MIN_POSITIVE);
         fair.clamp(floor, 1.0)
     };
     let used = |level: f64| -> f64 {
-        claims
-            .iter()
-            .map(|c| c.tokens_per_s * share_at(level, c))
-            .sum()
+        let listed = claims.iter().map(|c| c.tokens_per_s * share_at(level, c));
+        listed.sum::<f64>() + unlisted * share_at(level, &small)
     };
-    let largest = claims
-        .iter()
-        .map(|c| c.tokens_per_s / c.weight.max(f64::MIN_POSITIVE));
+    let claims_and_small = claims.iter().chain([&small]);
+    let largest = claims_and_small.map(|c| c.tokens_per_s / c.weight.max(f64::MIN_POSITIVE));
     let (mut low, mut high) = (0.0, largest.fold(0.0, f64::max));
     for _ in 0..HALVINGS {
         let middle = (low + high) / 2.0;
-        if used(middle) > budget {
+        if used(middle) > granted {
             high = middle;
         } else {
             low = middle;
         }
     }
-    claims.iter().map(|c| share_at(low, c)).collect()
+    OrganisationShares {
+        listed: claims.iter().map(|c| share_at(low, c)).collect(),
+        unlisted: share_at(low, &small),
+    }
 }
 
 /// Returns the share of requests that were refused before, so that a second refusal is rare.
--- a/policy/tests/relay_contention_props.rs
+++ b/policy/tests/relay_contention_props.rs
@@ -2,7 +2,9 @@
 
 use googletest::prelude::*;
 use jacinthweir_policy::relay::contention::flow_plan::{DomainDemand, FlowPlan, PlanChain};
-use jacinthweir_policy::relay::contention::shares::{Claim, by_organisation, by_priority};
+use jacinthweir_policy::relay::contention::shares::{
+    Claim, OrganisationShares, by_organisation, by_priority,
+};
 use proptest::prelude::{Strategy, prop};
 use proptest::test_runner::{Config, RngSeed, TestRunner};
 
@@ -139,17 +141,22 @@
         let listed: f64 = claims.iter().map(|c| c.tokens_per_s).sum();
         let total = listed + unlisted;
         let (granted, floor) = (total * part, part * least);
-        let shares = by_organisation(granted, total, &claims, least);
+        let OrganisationShares {
+            listed: shares,
+            unlisted: of_unlisted,
+        } = by_organisation(granted, total, &claims, least);
         let admitted: f64 = claims
             .iter()
             .zip(&shares)
             .map(|(c, s)| c.tokens_per_s * s)
             .sum();
-        // Beyond what the unlisted ones leave, only the least share may be admitted.
-        let most = (granted - unlisted).max(listed * floor);
+        let admitted = admitted + unlisted * of_unlisted;
         let slack = ROUNDING * total;
-        proptest::prop_assert!(admitted <= most + slack, "{admitted} of {most}");
-        proptest::prop_assert!(admitted <= granted + slack);
+        proptest::prop_assert!(
+            (admitted - granted).abs() <= slack,
+            "{admitted} of {granted}"
+        );
+        proptest::prop_assert!(of_unlisted >= floor - ROUNDING && of_unlisted <= 1.0 + ROUNDING);
         for (a, share) in claims.iter().zip(&shares) {
             proptest::prop_assert!(*share >= floor - ROUNDING && *share <= 1.0 + ROUNDING);
             for (b, other) in claims.iter().zip(&shares) {
