--- a/plugins/relay/src/contention.rs
+++ b/plugins/relay/src/contention.rs
@@ -9,11 +9,12 @@
 
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::chain_selection::{self, ChainCandidate};
-use jacinthweir_policy::relay::contention::flow_meter::{FlowMeter, ServiceFlow, level_index};
+use jacinthweir_policy::relay::contention::flow_meter::{FlowMeter, ServiceFlow};
 use jacinthweir_policy::relay::contention::overload::Change;
 use jacinthweir_policy::relay::contention::scope::{self, ServiceScope};
 use jacinthweir_policy::relay::contention::share_history::{Direction, ShareChange};
 use jacinthweir_policy::relay::contention::status::{ControlState, ControlStatus};
+use jacinthweir_policy::relay::contention::urgency;
 use jacinthweir_policy::relay::contention::{
     ChainLoad, ContentionConfig, Decision, Mode, ServiceControl,
 };
@@ -121,6 +122,14 @@
         heads.map(|head| control.weight(head)).collect()
     }
 
+    /// Returns the draw that chooses the chain of the next request of a service, from 0 to 1; `start` is
+    /// a random number.
+    pub(crate) fn choice_draw(&self, service: &str, start: f64) -> f64 {
+        let mut controls = self.controls.borrow_mut();
+        let control = controls.get_mut(service);
+        control.map_or(start, |c| c.choice_draw(start))
+    }
+
     /// Returns whether a service is overloaded and failure detection has to take that into account.
     pub(crate) fn is_overloaded(&self, service: &str) -> bool {
         let controls = self.controls.borrow();
@@ -236,7 +245,7 @@
     metrics::counter!(
         "jacinthweir_admissions_total",
         "service" => rq.service.to_string(),
-        "level" => level_index(rq.urgency).to_string(),
+        "level" => urgency::label(rq.urgency),
         "outcome" => outcome,
     )
     .increment(1);
@@ -296,19 +305,11 @@
     let neighbours = peers::neighbour_count(node);
     let fleet = node.loads.borrow().fleet_flow(own, neighbours, now);
     let chains = chain_loads(node, service, scope);
-    let domain = &node.settings.failure_domain;
     let mut controls = contention.controls.borrow_mut();
     let Some(control) = controls.get_mut(service) else {
         return;
     };
-    let change = control.compute(
-        now,
-        &contention.cfg,
-        domain,
-        chains,
-        &fleet,
-        scope.max_gap_ms,
-    );
+    let change = control.compute(now, &contention.cfg, chains, &fleet, scope.max_gap_ms);
     let status = control.status(now);
     let share_changes = control.take_share_changes();
     report(service, &status, change);
@@ -350,9 +351,12 @@
         Some(Change::Began) => {
             let levels = status.levels.iter();
             let shares: Vec<String> = levels
-                .map(|p| format!("{:.0}:{:.2}", p.demand_tokens_per_s, p.share))
+                .map(|l| {
+                    let level = urgency::label(l.level.into());
+                    format!("{level}: {:.2} of {:.0}", l.share, l.demand_tokens_per_s)
+                })
                 .collect();
-            let shares = shares.join(" ");
+            let shares = shares.join(", ");
             log::warn!(service = service.as_ref(), supply, demand, age_ms, shares; "overload begins");
         }
         Some(Change::Ended(lasted_ms)) => {
@@ -362,6 +366,7 @@
                 "overload ends"
             );
         }
+        None => {}
     }
     let gauge = |name: &'static str, value: f64| {
         metrics::gauge!(name, "service" => service.to_string()).set(value);
@@ -377,13 +382,13 @@
             status.demand_tokens_per_s,
         );
     }
-    for p in &status.levels {
+    for l in &status.levels {
         metrics::gauge!(
             "jacinthweir_admission_share",
             "service" => service.to_string(),
-            "level" => p.level.to_string(),
+            "level" => urgency::label(l.level.into()),
         )
-        .set(p.share);
+        .set(l.share);
     }
 }
 
@@ -391,7 +396,7 @@
 fn report_share_changes(service: &Name, changes: &[ShareChange]) {
     for change in changes {
         let organisation = change.organisation.as_ref();
-        let level = change.level;
+        let level = urgency::label(change.level.into());
         let demand = change.demand_tokens_per_s as u64;
         let share = format!("{:.2}", change.share);
         let of_level = format!("{:.2}", change.level_share);
--- a/policy/src/relay/contention.rs
+++ b/policy/src/relay/contention.rs
@@ -18,6 +18,7 @@
 //! - No priority and no organisation is admitted less than the least share of what all are.
 
 pub mod decision_meter;
+pub mod even_draws;
 pub mod flow_meter;
 pub mod flow_plan;
 pub mod inflow;
--- a/policy/src/relay/contention/flow_meter.rs
+++ b/policy/src/relay/contention/flow_meter.rs
@@ -107,7 +107,7 @@
             };
             match self.organisations.iter_mut().find(same) {
                 Some(sum) => {
-                    sum.tokens_per_s = sum.tokens_per_s.saturating_add(demand.tokens_per_s)
+                    sum.tokens_per_s = sum.tokens_per_s.saturating_add(demand.tokens_per_s);
                 }
                 None => self.organisations.push(demand.clone()),
             }
--- a/policy/src/relay/contention/service_control.rs
+++ b/policy/src/relay/contention/service_control.rs
@@ -5,6 +5,7 @@
 
 use super::ContentionConfig;
 use super::decision_meter::DecisionMeter;
+use super::even_draws::EvenDraws;
 use super::flow_meter::{HeadFlow, OrganisationDemand, ServiceFlow, level_index};
 use super::flow_plan::{DomainDemand, FlowPlan, PlanChain};
 use super::inflow::{self, ChainTarget};
@@ -32,6 +33,8 @@
 /// Demand for a service and flow through its chains over all instances.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct FleetFlow {
+    /// Failure domain of this instance.
+    pub own_domain: Name,
     /// Sums of the failure domains.
     pub domains: BTreeMap<Name, ServiceFlow>,
     /// Mean age of the figures, in milliseconds.
@@ -91,7 +94,9 @@
     spare: f64,
     arriving: Vec<f64>,
     levels: Vec<f64>,
-    organisations: BTreeMap<(u8, Name), (f64, f64)>,
+    organisations: ListedShares,
+    /// Share of organisations that are not listed, by urgency level.
+    unlisted: Vec<f64>,
     chains: BTreeMap<Name, PlannedChain>,
 }
 
@@ -112,6 +117,7 @@
     history: ShareHistory,
     /// Changes of shares that the caller has not taken yet.
     share_changes: Vec<ShareChange>,
+    choices: EvenDraws,
 }
 
 /// What the last computation was based on, also if there is no plan.
@@ -146,13 +152,12 @@
             .is_none_or(|at| now >= at + COMPUTATION_INTERVAL_MS)
     }
 
-    /// Computes plan and shares at `now` for an instance of `domain`. `max_gap_ms` is the smallest gap
+    /// Computes plan and shares at `now`. `max_gap_ms` is the smallest gap
     /// objective of the service's streams. Returns whether overload began or ended.
     pub fn compute(
         &mut self,
         now: Millis,
         cfg: &ContentionConfig,
-        domain: &Name,
         chains: Vec<ChainLoad>,
         fleet: &FleetFlow,
         max_gap_ms: Millis,
@@ -188,7 +193,7 @@
                 probability: 0.0,
             });
         }
-        let computation = divide(now, cfg, domain, planned, fleet);
+        let computation = divide(now, cfg, planned, fleet);
         let share = match computation.demand > 0.0 {
             true => computation.supply / computation.demand,
             false => 1.0,
@@ -246,9 +251,7 @@
         };
         let level = level_index(level);
         let share = current.share_of(level);
-        let own = organisation
-            .and_then(|name| current.organisations.get(&(level, name.clone())))
-            .map_or(share, |(_, share)| *share);
+        let own = current.share_of_organisation(level, organisation);
         let effective = match returned {
             true => shares::of_returned(own),
             false => own,
@@ -276,6 +279,12 @@
         Some(planned.map_or(0.0, |c| c.probability) + UNPLANNED_WEIGHT)
     }
 
+    /// Returns the draw that chooses the chain of the next request, from 0 to 1; `start` is a random
+    /// number for the first one.
+    pub fn choice_draw(&mut self, start: f64) -> f64 {
+        self.choices.next(start)
+    }
+
     /// Records a refused request and returns the retry delay for its caller in milliseconds, or `None`
     /// if there is no plan. `instances` is the number of live instances.
     pub fn refused(
@@ -306,9 +315,10 @@
         let Some(current) = &self.current else {
             return 1.0;
         };
-        let of_organisation =
-            organisation.and_then(|name| current.organisations.get(&(level, name.clone())));
-        of_organisation.map_or_else(|| current.share_of(level), |(_, share)| *share)
+        match organisation {
+            Some(_) => current.share_of_organisation(level, organisation),
+            None => current.share_of(level),
+        }
     }
 
     /// Returns the state at `now` for operators.
@@ -397,6 +407,13 @@
         let demand = self.arriving.get(usize::from(level));
         demand.copied().unwrap_or(0.0)
     }
+
+    fn share_of_organisation(&self, level: u8, organisation: Option<&Name>) -> f64 {
+        let listed = organisation.and_then(|o| self.organisations.get(&(level, o.clone())));
+        let unlisted = || self.unlisted.get(usize::from(level)).copied();
+        let share = listed.map(|(_, share)| *share).or_else(unlisted);
+        share.unwrap_or_else(|| self.share_of(level))
+    }
 }
 
 /// Returns the flow of each chain over all instances, by first runner.
@@ -411,7 +428,6 @@
 fn divide(
     now: Millis,
     cfg: &ContentionConfig,
-    domain: &Name,
     mut planned: Vec<PlannedChain>,
     fleet: &FleetFlow,
 ) -> Computation {
@@ -433,7 +449,7 @@
         })
         .collect();
     let plan = FlowPlan::new(&chains, &demand);
-    let own = demand.iter().position(|d| d.domain == *domain);
+    let own = demand.iter().position(|d| d.domain == fleet.own_domain);
     if let Some(flows) = own.map(|d| &plan.flows[d]) {
         let sum: f64 = flows.iter().sum();
         for (chain, flow) in planned.iter_mut().zip(flows) {
@@ -448,9 +464,9 @@
         true => shares::by_priority(plan.supply, &arriving, least),
         false => shares::equal(plan.supply, &arriving),
     };
-    let organisations = match cfg.fair_share {
+    let (organisations, unlisted) = match cfg.fair_share {
         true => organisation_shares(cfg, &all.organisations, &arriving, &levels),
-        false => BTreeMap::new(),
+        false => Default::default(),
     };
     Computation {
         at_ms: now,
@@ -461,6 +477,7 @@
         arriving,
         levels,
         organisations,
+        unlisted,
         chains: planned
             .into_iter()
             .map(|c| (c.load.head.clone(), c))
@@ -469,13 +486,17 @@
 }
 
 /// Returns demand and share of each listed organisation, by urgency level.
+/// Demand and share of each listed organisation, by urgency level.
+type ListedShares = BTreeMap<(u8, Name), (f64, f64)>;
+
+/// Returns the shares of the listed organisations, and of the others by urgency level.
 fn organisation_shares(
     cfg: &ContentionConfig,
     listed: &[OrganisationDemand],
     arriving: &[f64],
     levels: &[f64],
-) -> BTreeMap<(u8, Name), (f64, f64)> {
-    let mut all = BTreeMap::new();
+) -> (ListedShares, Vec<f64>) {
+    let (mut all, mut unlisted) = (BTreeMap::new(), Vec::new());
     for (i, (total, share)) in arriving.iter().zip(levels).enumerate() {
         let of_level = listed.iter().filter(|d| usize::from(d.level) == i);
         let of_level: Vec<&OrganisationDemand> = of_level.collect();
@@ -488,10 +509,11 @@
             .collect();
         let granted = total * share;
         let shares = shares::by_organisation(granted, *total, &claims, cfg.least_share);
-        for (demand, share) in of_level.iter().zip(shares) {
+        unlisted.push(shares.unlisted);
+        for (demand, share) in of_level.iter().zip(shares.listed) {
             let key = (demand.level, demand.organisation.clone());
             all.insert(key, (f64::from(demand.tokens_per_s), share));
         }
     }
-    all
+    (all, unlisted)
 }
--- a/policy/src/relay/loads.rs
+++ b/policy/src/relay/loads.rs
@@ -532,6 +532,7 @@
             ages_ms.push(now - received.as_of_ms);
         }
         FleetFlow {
+            own_domain: self.domain.clone(),
             domains,
             age_ms: ages_ms.iter().sum::<Millis>() / ages_ms.len() as Millis,
             known_share: (known + 1) as f64 / (neighbours + 1) as f64,
--- a/policy/tests/contention_status.rs
+++ b/policy/tests/contention_status.rs
@@ -36,7 +36,6 @@
     let flow = ServiceFlow {
         service: "pool".into(),
         arriving: arriving.to_vec(),
-        continued: 0,
         organisations: vec![
             listed("large", arriving[1] - arriving[1] / 10),
             listed("small", arriving[1] / 10),
@@ -53,6 +52,7 @@
         ..ServiceFlow::default()
     };
     FleetFlow {
+        own_domain: "a".into(),
         domains: BTreeMap::from([("a".into(), flow), ("b".into(), other)]),
         age_ms: 400,
         known_share: 0.9,
@@ -72,8 +72,7 @@
 
 fn compute(control: &mut ServiceControl, now: Millis, fleet: &FleetFlow) {
     let cfg = ContentionConfig::default();
-    let domain = Name::from("a");
-    let _ = control.compute(now, &cfg, &domain, vec![chain()], fleet, MAX_GAP_MS);
+    let _ = control.compute(now, &cfg, vec![chain()], fleet, MAX_GAP_MS);
 }
 
 /// Guards against a status that omits who pays during overload, for how long, or the cause.
--- a/policy/tests/relay_contention.rs
+++ b/policy/tests/relay_contention.rs
@@ -225,12 +225,13 @@
             ..ServiceFlow::default()
         };
         let fleet = FleetFlow {
+            own_domain: "domain".into(),
             domains: [("domain".into(), flow)].into(),
             age_ms,
             known_share,
         };
         let (mut control, cfg) = (ServiceControl::default(), ContentionConfig::default());
-        control.compute(0, &cfg, &"domain".into(), vec![chain], &fleet, 300);
+        control.compute(0, &cfg, vec![chain], &fleet, 300);
         let is_planned = control.weight(&"head".into()).is_some();
         (control.decide(0, None, false, 0.5), is_planned)
     };
--- a/policy/tests/support/contention.rs
+++ b/policy/tests/support/contention.rs
@@ -209,7 +209,6 @@
             self.used[s.chain] -= TOKENS;
             let instance = &mut self.instances[s.instance];
             instance.used[s.chain] -= TOKENS;
-            instance.meter.record_continued(self.now, TOKENS);
             if let Some(chain) = self.choose(s.instance, MAX_PLANNED_FILL_RESUMED) {
                 self.send(s.instance, chain);
             }
@@ -368,7 +367,11 @@
         let control = &self.instances[i].control;
         let weights = candidates.iter().map(|c| control.weight(&head(c.chain)));
         match weights.collect::<Option<Vec<f64>>>() {
-            Some(weights) => select_planned(&candidates, &weights, TOKENS, fill, self.rng.random()),
+            Some(weights) => {
+                let control = &mut self.instances[i].control;
+                let draw = control.choice_draw(self.rng.random());
+                select_planned(&candidates, &weights, TOKENS, fill, draw)
+            }
             None => {
                 let (rng, deciders) = (&mut self.rng, self.instances.len());
                 select_sampled(&candidates, TOKENS, MAX_FILL, deciders, || rng.random())
@@ -397,9 +400,8 @@
         let (now, instance) = (self.now, &mut self.instances[i]);
         let own = instance.meter.flow(&SERVICE.into(), now);
         let fleet = instance.loads.fleet_flow(own, neighbours, now);
-        let domain = domain_name(instance.domain);
         let (cfg, chains) = (ContentionConfig::default(), chains.collect());
         let control = &mut instance.control;
-        control.compute(now, &cfg, &domain, chains, &fleet, MAX_GAP_MS);
+        control.compute(now, &cfg, chains, &fleet, MAX_GAP_MS);
     }
 }
