--- a/plugins/relay/tests/support/standin.rs
+++ b/plugins/relay/tests/support/standin.rs
@@ -306,6 +306,7 @@
             repeat_slack: 196.0,
             repeat_window_s: 10.0,
         },
+        contention: Default::default(),
         log: Default::default(),
     }
 }
