--- a/policy/tests/relay_contention_refusals.rs
+++ b/policy/tests/relay_contention_refusals.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use googletest::prelude::*;
+use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::contention::flow_meter::FlowMeter;
 use jacinthweir_policy::relay::contention::{
     ChainLoad, ContentionConfig, Decision, FleetFlow, ServiceControl,
@@ -10,12 +11,14 @@
 
 /// Returns the decision on a request of the only organisation, with arrivals of `tokens` tokens each.
 fn decision(tokens: f64, draw: f64) -> Decision {
-    let (service, organisation, domain) = ("pool".into(), "org".into(), "a".into());
+    let (service, organisation, domain): (Name, Name, Name) =
+        ("pool".into(), "org".into(), "a".into());
     let mut meter = FlowMeter::default();
     for i in 0..40 {
         meter.record_arrival(1_000 + i, 2, Some(&organisation), tokens);
     }
     let fleet = FleetFlow {
+        own_domain: domain.clone(),
         domains: BTreeMap::from([("a".into(), meter.flow(&service, 1_040))]),
         age_ms: 0,
         known_share: 1.0,
@@ -29,7 +32,7 @@
     };
     let mut control = ServiceControl::default();
     let cfg = ContentionConfig::default();
-    control.compute(1_040, &cfg, &domain, vec![chain], &fleet, 200);
+    control.compute(1_040, &cfg, vec![chain], &fleet, 200);
     control.decide(2, Some(&organisation), false, draw)
 }
 
