--- a/policy/src/relay/contention/service_control.rs
+++ b/policy/src/relay/contention/service_control.rs
@@ -74,6 +74,9 @@
     probability: f64,
 }
 
+/// Demand in tokens per second and share of organisations, by priority and name.
+type OrganisationFigures = BTreeMap<(u8, Name), (f64, f64)>;
+
 /// Result of a computation.
 #[derive(Clone, Debug, Default, PartialEq)]
 struct Computation {
@@ -84,7 +87,7 @@
     spare: f64,
     arriving: Vec<f64>,
     priorities: Vec<f64>,
-    organisations: BTreeMap<(u8, Name), (f64, f64)>,
+    organisations: OrganisationFigures,
     /// Share of organisations that are not listed, by priority.
     unlisted: Vec<f64>,
     chains: BTreeMap<Name, PlannedChain>,
@@ -385,7 +388,7 @@
     listed: &[OrganisationDemand],
     arriving: &[f64],
     priorities: &[f64],
-) -> (BTreeMap<(u8, Name), (f64, f64)>, Vec<f64>) {
+) -> (OrganisationFigures, Vec<f64>) {
     let (mut all, mut unlisted) = (BTreeMap::new(), Vec::new());
     for (i, (total, share)) in arriving.iter().zip(priorities).enumerate() {
         let of_priority = listed.iter().filter(|d| usize::from(d.priority) == i);
