Relay: size of an attempt's outcome

Clippy refused the size of the outcome after the request's tokens in the demand were added. They are whole tokens now, as the flow figures are.

--- a/plugins/relay/src/live_chains.rs
+++ b/plugins/relay/src/live_chains.rs
@@ -531,7 +531,7 @@
     path_lost: CancellationToken,
     tokens: f64,
     /// Tokens by which the request counts in the demand.
-    demand: f64,
+    demand: u32,
     /// Tokens to prefill before the next event.
     prefill: Cell<f64>,
     ending: Cell<Ending>,
@@ -567,7 +567,7 @@
             path_lost,
             sent_ms: node.now(),
             tokens,
-            demand: tokens,
+            demand: tokens.round() as u32,
             prefill: Cell::new(tokens),
             ending: Cell::new(Ending::Released),
         }
@@ -638,7 +638,7 @@
             .record_released(now, self.tokens);
         // Released tokens are counted as the demand counts them: with those of answers that are longer
         // than expected, a chain would appear to have room for more requests than ended.
-        let (head, tokens) = (self.live.head().0, self.demand);
+        let (head, tokens) = (self.live.head().0, f64::from(self.demand));
         self.node
             .contention
             .measure(&self.live.service, |meter| match self.ending.get() {
--- a/plugins/relay/src/stream/failover.rs
+++ b/plugins/relay/src/stream/failover.rs
@@ -202,7 +202,7 @@
         let (now, tokens) = (self.node.now(), admission::tokens(&self.rq));
         let contention = &self.node.contention;
         contention.measure(&self.rq.service, |meter| {
-            meter.record_continued(now, tokens)
+            meter.record_continued(now, tokens);
         });
     }
 
