Relay: contention control starts with complete rates; small organisations get what is reserved for them

A configuration that added a second priority while chains were full had all requests refused in the first moments: by rates that had just begun, full chains released almost nothing. An instance now plans only after it has measured requests for the time constant of a rate, and decides as without contention control until then.

Organisations that are not among the named ones had the share of their priority, although the shares of the named ones were computed as if all others were admitted; less was admitted than there was room for. They now have what the others leave. The sums are checked at seven levels of supply.

--- a/plugins/relay/src/contention.rs
+++ b/plugins/relay/src/contention.rs
@@ -231,9 +231,9 @@
         }
     }
     let mut meters = contention.meters.borrow_mut();
-    let own = match meters.get_mut(service) {
-        Some(meter) => meter.flow(service, now),
-        None => FlowMeter::default().flow(service, now),
+    let meter = meters.get_mut(service).filter(|m| m.is_warm(now));
+    let Some(own) = meter.map(|m| m.flow(service, now)) else {
+        return;
     };
     drop(meters);
     let neighbours = peers::neighbour_count(node);
--- a/policy/src/relay/contention/flow_meter.rs
+++ b/policy/src/relay/contention/flow_meter.rs
@@ -113,7 +113,7 @@
             };
             match self.organisations.iter_mut().find(same) {
                 Some(sum) => {
-                    sum.tokens_per_s = sum.tokens_per_s.saturating_add(demand.tokens_per_s)
+                    sum.tokens_per_s = sum.tokens_per_s.saturating_add(demand.tokens_per_s);
                 }
                 None => self.organisations.push(demand.clone()),
             }
@@ -176,8 +176,14 @@
     continued: Rate,
     organisations: BTreeMap<(Name, u8), Rate>,
     heads: BTreeMap<Name, HeadMeter>,
+    /// When the first request arrived.
+    since_ms: Option<Millis>,
 }
 
+/// Time from the first request after which the rates are complete enough to plan with, in milliseconds:
+/// the time constant of a rate.
+const WARM_UP_MS: Millis = 1_000;
+
 /// Returns the index of a priority in [`ServiceFlow::arriving`].
 #[must_use]
 pub fn priority_index(priority: u32) -> u8 {
@@ -193,6 +199,7 @@
         organisation: Option<&Name>,
         tokens: f64,
     ) {
+        self.since_ms.get_or_insert(now);
         let priority = priority_index(priority);
         self.arriving[usize::from(priority)].record(now, tokens);
         if let Some(organisation) = organisation {
@@ -202,6 +209,15 @@
         }
     }
 
+    /// Returns whether requests have been measured for long enough to plan with the rates.
+    ///
+    /// Load pattern: a configuration adds a second priority while chains are full. They have released
+    /// nothing yet by the new rates, so that a plan would leave no supply and refuse all requests.
+    #[must_use]
+    pub fn is_warm(&self, now: Millis) -> bool {
+        self.since_ms.is_some_and(|since| now >= since + WARM_UP_MS)
+    }
+
     /// Records that a stream of `tokens` tokens continues on another chain.
     pub fn record_continued(&mut self, now: Millis, tokens: f64) {
         self.continued.record(now, tokens);
--- a/policy/src/relay/contention/service_control.rs
+++ b/policy/src/relay/contention/service_control.rs
@@ -83,10 +83,19 @@
     spare: f64,
     arriving: Vec<f64>,
     priorities: Vec<f64>,
-    organisations: BTreeMap<(u8, Name), (f64, f64)>,
+    organisations: OrganisationShares,
     chains: BTreeMap<Name, PlannedChain>,
 }
 
+/// Shares of organisations; empty if organisations do not matter.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct OrganisationShares {
+    /// Demand and share of each listed organisation, by priority.
+    listed: BTreeMap<(u8, Name), (f64, f64)>,
+    /// Share of the other organisations, by priority.
+    unlisted: Vec<f64>,
+}
+
 /// Contention control of one service.
 #[derive(Clone, Debug, Default)]
 pub struct ServiceControl {
@@ -183,9 +192,7 @@
         };
         let priority = priority_index(priority);
         let share = current.share_of(priority);
-        let own = organisation
-            .and_then(|name| current.organisations.get(&(priority, name.clone())))
-            .map_or(share, |(_, share)| *share);
+        let own = current.share_of_organisation(priority, organisation);
         let effective = match returned {
             true => shares::of_returned(own),
             false => own,
@@ -245,9 +252,7 @@
         let Some(current) = &self.current else {
             return 1.0;
         };
-        let of_organisation =
-            organisation.and_then(|name| current.organisations.get(&(priority, name.clone())));
-        of_organisation.map_or_else(|| current.share_of(priority), |(_, share)| *share)
+        current.share_of_organisation(priority, organisation)
     }
 
     /// Returns the state for operators, if there is a plan.
@@ -255,7 +260,7 @@
     pub fn status(&self) -> Option<ControlStatus> {
         let current = self.current.as_ref()?;
         let arriving = current.arriving.iter().copied();
-        let organisations = current.organisations.iter();
+        let organisations = current.organisations.listed.iter();
         let chains = current.chains.values();
         Some(ControlStatus {
             supply: current.supply,
@@ -301,6 +306,19 @@
         let share = self.priorities.get(usize::from(priority));
         share.copied().unwrap_or(1.0)
     }
+
+    fn share_of_organisation(&self, priority: u8, organisation: Option<&Name>) -> f64 {
+        let listed =
+            organisation.and_then(|name| self.organisations.listed.get(&(priority, name.clone())));
+        let unlisted = || {
+            self.organisations
+                .unlisted
+                .get(usize::from(priority))
+                .copied()
+        };
+        let share = listed.map(|(_, share)| *share).or_else(unlisted);
+        share.unwrap_or_else(|| self.share_of(priority))
+    }
 }
 
 /// Returns the flow of each chain over all instances, by first runner.
@@ -355,7 +373,7 @@
     };
     let organisations = match cfg.fair_share {
         true => organisation_shares(cfg, &all.organisations, &arriving, &priorities),
-        false => BTreeMap::new(),
+        false => OrganisationShares::default(),
     };
     Computation {
         at_ms: now,
@@ -373,14 +391,14 @@
     }
 }
 
-/// Returns demand and share of each listed organisation, by priority.
+/// Returns the shares of organisations within their priorities.
 fn organisation_shares(
     cfg: &ContentionConfig,
     listed: &[OrganisationDemand],
     arriving: &[f64],
     priorities: &[f64],
-) -> BTreeMap<(u8, Name), (f64, f64)> {
-    let mut all = BTreeMap::new();
+) -> OrganisationShares {
+    let mut all = OrganisationShares::default();
     for (i, (total, share)) in arriving.iter().zip(priorities).enumerate() {
         let of_priority = listed.iter().filter(|d| usize::from(d.priority) == i);
         let of_priority: Vec<&OrganisationDemand> = of_priority.collect();
@@ -393,9 +411,12 @@
             .collect();
         let granted = total * share;
         let shares = shares::by_organisation(granted, *total, &claims, cfg.least_share);
+        let unlisted = shares::of_unlisted(granted, *total, &claims, cfg.least_share);
+        all.unlisted.push(unlisted);
         for (demand, share) in of_priority.iter().zip(shares) {
             let key = (demand.priority, demand.organisation.clone());
-            all.insert(key, (f64::from(demand.tokens_per_s), share));
+            let share = (f64::from(demand.tokens_per_s), share);
+            all.listed.insert(key, share);
         }
     }
     all
--- a/policy/src/relay/contention/shares.rs
+++ b/policy/src/relay/contention/shares.rs
@@ -90,6 +90,22 @@
     claims.iter().map(|c| share_at(low, c)).collect()
 }
 
+/// Returns the share of the demand of organisations that are not listed: what [`by_organisation`] leaves
+/// of `granted` at least.
+#[must_use]
+pub fn of_unlisted(granted: f64, total: f64, claims: &[Claim], least: f64) -> f64 {
+    if granted >= total || total <= 0.0 {
+        return 1.0;
+    }
+    let listed: f64 = claims.iter().map(|c| c.tokens_per_s).sum();
+    let unlisted = total - listed;
+    let share = (granted / total).clamp(0.0, 1.0);
+    if unlisted <= 0.0 {
+        return share;
+    }
+    ((granted - listed * share * least) / unlisted).clamp(0.0, 1.0)
+}
+
 /// Returns the share of requests that were refused before, so that a second refusal is rare.
 #[must_use]
 pub fn of_returned(share: f64) -> f64 {
--- a/policy/tests/relay_contention_refusals.rs
+++ b/policy/tests/relay_contention_refusals.rs
@@ -4,6 +4,7 @@
 
 use googletest::prelude::*;
 use jacinthweir_policy::relay::contention::flow_meter::FlowMeter;
+use jacinthweir_policy::relay::contention::shares::{self, Claim};
 use jacinthweir_policy::relay::contention::{
     ChainLoad, ContentionConfig, Decision, FleetFlow, ServiceControl,
 };
@@ -44,3 +45,45 @@
         expect_that!(decision(tokens, 0.0), eq(Decision::Admitted), "{tokens}");
     }
 }
+
+/// Guards against room that is reserved for small organisations and given to none: those that are not
+/// listed had the share of their priority, and less was admitted than there was room for.
+#[gtest]
+fn listed_and_other_organisations_together_get_what_is_granted() {
+    let claims = [300.0, 200.0].map(|tokens_per_s| Claim {
+        tokens_per_s,
+        weight: 1.0,
+    });
+    let (total, least) = (600.0, 0.5);
+    for granted in [0.0, 50.0, 90.0, 150.0, 300.0, 450.0, 600.0] {
+        let of_listed = shares::by_organisation(granted, total, &claims, least);
+        let of_unlisted = shares::of_unlisted(granted, total, &claims, least);
+        let listed = claims.iter().zip(&of_listed);
+        let listed: f64 = listed.map(|(c, share)| c.tokens_per_s * share).sum();
+        let admitted = listed + (total - 500.0) * of_unlisted;
+        expect_that!(admitted, near(granted, 1e-3), "{granted}");
+        expect_true!(
+            of_listed.iter().all(|share| *share <= of_unlisted + 1e-9),
+            "{granted}"
+        );
+    }
+}
+
+/// Guards against the refusal of a priority's first request, whose demand is not in the plan yet.
+#[gtest]
+fn a_priority_without_demand_has_all_of_its_share() {
+    expect_that!(shares::of_unlisted(0.0, 0.0, &[], 0.5), eq(1.0));
+    expect_that!(shares::by_priority(10.0, &[0.0, 100.0], 0.5)[0], eq(1.0));
+}
+
+/// Guards against requests that are refused in the first moments of contention control, while the rates
+/// show almost no release of full chains.
+#[gtest]
+fn rates_are_used_only_after_their_time_constant() {
+    let mut meter = FlowMeter::default();
+    expect_false!(meter.is_warm(10_000));
+    meter.record_arrival(10_000, 0, None, 100.0);
+    meter.record_arrival(10_900, 0, None, 100.0);
+    expect_false!(meter.is_warm(10_999));
+    expect_true!(meter.is_warm(11_000));
+}
