--- a/policy/src/relay/contention/flow_meter.rs
+++ b/policy/src/relay/contention/flow_meter.rs
@@ -169,6 +169,8 @@
     arriving: [Rate; LEVELS],
     organisations: BTreeMap<(Name, u8), Rate>,
     heads: BTreeMap<Name, HeadMeter>,
+    /// When the first request arrived.
+    since_ms: Option<Millis>,
 }
 
 impl Default for FlowMeter {
@@ -177,10 +179,15 @@
             arriving: [Rate::default(); LEVELS],
             organisations: BTreeMap::new(),
             heads: BTreeMap::new(),
+            since_ms: None,
         }
     }
 }
 
+/// Time from the first request after which the rates are complete enough to plan with, in milliseconds:
+/// the time constant of a rate.
+const WARM_UP_MS: Millis = 1_000;
+
 /// Returns the index of an urgency level in [`ServiceFlow::arriving`].
 #[must_use]
 pub fn level_index(level: u32) -> u8 {
@@ -196,6 +203,7 @@
         organisation: Option<&Name>,
         tokens: f64,
     ) {
+        self.since_ms.get_or_insert(now);
         let level = level_index(level);
         self.arriving[usize::from(level)].record(now, tokens);
         if let Some(organisation) = organisation {
@@ -205,6 +213,15 @@
         }
     }
 
+    /// Returns whether requests have been measured for long enough to plan with the rates.
+    ///
+    /// Load pattern: a configuration adds a second priority while chains are full. They have released
+    /// nothing yet by the new rates, so that a plan would leave no supply and refuse all requests.
+    #[must_use]
+    pub fn is_warm(&self, now: Millis) -> bool {
+        self.since_ms.is_some_and(|since| now >= since + WARM_UP_MS)
+    }
+
     /// Records that a request of `tokens` tokens ended on a chain.
     pub fn record_released(&mut self, now: Millis, head: &Name, tokens: f64) {
         self.head(head).released.record(now, tokens);
