Chains: the set of chains may be chosen for its throughput

While a service lacks room, operators saw a failure domain of 33 runners go from three chains (5, 9 and 11 runners) to two (5 and 8) after losses and returns, although every layer had holders for a third one: the cheapest chain was taken first and used single runners that further chains depended on.

Chains are now chosen by an objective of the engine. `Fastest`, the default, takes the cheapest chain first as before. Chains in use and placement choose alike. Services with contention control get `Throughput` when a configuration is put in force, unless `contention.chains` is off.

--- a/plugins/relay/src/contention.rs
+++ b/plugins/relay/src/contention.rs
@@ -15,7 +15,7 @@
 use jacinthweir_policy::relay::contention::{
     ChainLoad, ContentionConfig, ControlStatus, Decision, ServiceControl,
 };
-use jacinthweir_policy::relay::intent::Intent;
+use jacinthweir_policy::relay::intent::{ChainObjective, Intent};
 
 use crate::admission;
 use crate::answer::{Cause, SendRecord};
@@ -49,9 +49,13 @@
         }
     }
 
-    /// Determines to which services contention control applies under a configuration.
-    pub(crate) fn configure(&self, intent: &Intent) {
+    /// Determines to which services contention control applies under a configuration, and sets the
+    /// objective for their chains.
+    pub(crate) fn configure(&self, intent: &mut Intent) {
         let scopes = scope::services(self.cfg.mode, intent);
+        if self.cfg.chains {
+            scope::set_chain_objective(intent, &scopes, ChainObjective::Throughput);
+        }
         let before = self.scopes.replace(scopes);
         let scopes = self.scopes.borrow();
         for service in scopes.keys().filter(|s| !before.contains_key(*s)) {
--- a/plugins/relay/src/node.rs
+++ b/plugins/relay/src/node.rs
@@ -295,14 +295,14 @@
     }
 
     /// Puts a configuration in force if it is newer than the current one.
-    pub(crate) fn apply_configuration(&self, offered: Intent) {
+    pub(crate) fn apply_configuration(&self, mut offered: Intent) {
         let in_force = self.intent.borrow().as_ref().map(|i| i.version);
         match intent::compare_versions(in_force, offered.version) {
             VersionOrder::Newer => {
                 let version = offered.version;
                 log::info!(version, before = in_force.unwrap_or(0); "configuration in force");
                 metrics::gauge!("jacinthweir_configuration_version").set(version as f64);
-                self.contention.configure(&offered);
+                self.contention.configure(&mut offered);
                 *self.intent.borrow_mut() = Some(Rc::new(offered));
                 let mut outdated = self.outdated.get();
                 outdated.in_force(version, self.now());
--- a/policy/src/relay/chain.rs
+++ b/policy/src/relay/chain.rs
@@ -4,16 +4,19 @@
 //! one contiguous range and may run any part of it. [`ChainSearch`] finds the chains of least cost. The
 //! last layer that a runner holds increases strictly along a chain. This excludes no coverable layer,
 //! and prevents a runner from appearing twice in a chain, which runners refuse. [`ServiceChains`] keeps
-//! the chains of a service and searches only the failure domains that changed.
+//! the chains of a service and searches only the failure domains that changed. [`chain_set`] chooses the
+//! set of chains of a failure domain.
 //!
 //! Chains stay inside one failure domain if possible: each hop between domains moves the activations
 //! of every token, those of the prompt included, over a link that all chains share.
 //!
 //! *Room* is memory left beside the weights for the KV cache of requests.
 
+mod decomposition;
 mod search;
 mod service_chains;
 
+pub use decomposition::{ChainSet, chain_set, throughput};
 pub use search::ChainSearch;
 pub use service_chains::{ChainUpdate, ServiceChains};
 
--- a/policy/src/relay/chain/search.rs
+++ b/policy/src/relay/chain/search.rs
@@ -20,7 +20,7 @@
 /// What the cost of a chain depends on, in the order in which groups are sorted. Floating-point
 /// numbers are compared by their bits.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct GroupKey<'a> {
+pub(super) struct GroupKey<'a> {
     end: u32,
     start: u32,
     domain: &'a Name,
@@ -31,7 +31,7 @@
 }
 
 impl<'a> GroupKey<'a> {
-    fn of(holder: &Holder<'a>) -> GroupKey<'a> {
+    pub(super) fn of(holder: &Holder<'a>) -> GroupKey<'a> {
         GroupKey {
             end: holder.layers.1,
             start: holder.layers.0,
@@ -248,29 +248,38 @@
 
     /// Takes one member out of each group of a shape.
     fn take_chain(&mut self, shape: &Shape) -> Chain {
-        let mut stages = Vec::with_capacity(shape.len());
-        let mut step_ms = 0.0;
-        let mut room_tokens = f64::INFINITY;
-        for (g, (from, to)) in shape {
-            let Some(member) = self.groups[*g].members.pop() else {
-                continue;
-            };
-            let holder = &self.holders[member];
-            let used = f64::from(to - from);
-            step_ms += used * holder.layer_ms;
-            room_tokens = room_tokens.min(holder.room / used);
-            stages.push(Stage {
-                runner: holder.entry.clone(),
-                layers: (*from, *to),
-                room: holder.room,
-            });
-        }
-        Chain {
-            domain: None,
-            stages,
-            step_ms,
-            room_tokens,
+        let mut parts = Vec::with_capacity(shape.len());
+        for (g, layers) in shape {
+            if let Some(member) = self.groups[*g].members.pop() {
+                parts.push((&self.holders[member], *layers));
+            }
         }
+        build_chain(parts.into_iter())
+    }
+}
+
+/// Returns the chain of holders that run the given layers, in the order of layers.
+pub(super) fn build_chain<'a: 'h, 'h>(
+    parts: impl Iterator<Item = (&'h Holder<'a>, (u32, u32))>,
+) -> Chain {
+    let mut stages = Vec::new();
+    let mut step_ms = 0.0;
+    let mut room_tokens = f64::INFINITY;
+    for (holder, (from, to)) in parts {
+        let used = f64::from(to - from);
+        step_ms += used * holder.layer_ms;
+        room_tokens = room_tokens.min(holder.room / used);
+        stages.push(Stage {
+            runner: holder.entry.clone(),
+            layers: (from, to),
+            room: holder.room,
+        });
+    }
+    Chain {
+        domain: None,
+        stages,
+        step_ms,
+        room_tokens,
     }
 }
 
--- a/policy/src/relay/chain/service_chains.rs
+++ b/policy/src/relay/chain/service_chains.rs
@@ -9,7 +9,7 @@
 
 use std::collections::BTreeMap;
 
-use super::{Chain, ChainSearch, Holder, domain_holders};
+use super::{Chain, ChainSearch, ChainSet, Holder, chain_set, domain_holders};
 use crate::prelude::*;
 use crate::relay::intent::Engine;
 use crate::relay::runners::Runners;
@@ -110,7 +110,7 @@
             kept.valid_until_ms = runners.next_usability_change_ms(domain, now);
             let holders = domain_holders(runners, domain, service, engine, now);
             update.runners_examined += runners.in_domain(domain).count();
-            if kept.search(domain, &holders, engine.layers, &mut update) {
+            if kept.search(domain, &holders, engine, &mut update) {
                 update.changed.push(Some(domain.clone()));
             }
         }
@@ -152,7 +152,7 @@
         &mut self,
         domain: &Name,
         holders: &[Holder<'_>],
-        layers: u32,
+        engine: &Engine,
         update: &mut ChainUpdate,
     ) -> bool {
         let snapshots: Vec<HolderSnapshot> = holders.iter().map(HolderSnapshot::of).collect();
@@ -160,12 +160,12 @@
             return false;
         }
         self.holders = snapshots;
-        let mut search = ChainSearch::new(holders, layers);
-        self.chains = search.all_chains();
+        let ChainSet { chains, steps } = chain_set(holders, engine);
+        self.chains = chains;
         for chain in &mut self.chains {
             chain.domain = Some(domain.clone());
         }
-        update.search_steps += search.steps();
+        update.search_steps += steps;
         true
     }
 }
--- a/policy/src/relay/contention.rs
+++ b/policy/src/relay/contention.rs
@@ -57,6 +57,9 @@
     pub mode: Mode,
     /// Whether chains are chosen by the flow plan, rather than by free room.
     pub flow: bool,
+    /// Whether the chains of a failure domain are chosen for their total throughput, rather than the
+    /// cheapest first. Instances with different values use different chains.
+    pub chains: bool,
     /// Whether more urgent priorities are admitted first.
     pub urgency: bool,
     /// Whether organisations get max-min fair shares of their priority.
@@ -76,6 +79,7 @@
         ContentionConfig {
             mode: Mode::Auto,
             flow: true,
+            chains: true,
             urgency: true,
             fair_share: true,
             overload: true,
--- a/policy/src/relay/contention/scope.rs
+++ b/policy/src/relay/contention/scope.rs
@@ -4,7 +4,7 @@
 
 use super::Mode;
 use crate::prelude::*;
-use crate::relay::intent::{Intent, Route};
+use crate::relay::intent::{ChainObjective, Intent, Route};
 
 /// What the configuration says of a service that contention control applies to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -34,6 +34,20 @@
     found
 }
 
+/// Sets the objective for the chains of the services in `scopes`.
+pub fn set_chain_objective(
+    intent: &mut Intent,
+    scopes: &BTreeMap<Name, ServiceScope>,
+    objective: ChainObjective,
+) {
+    let services = intent.services.iter_mut();
+    for (_, service) in services.filter(|(name, _)| scopes.contains_key(*name)) {
+        if let Some(engine) = &mut service.engine {
+            engine.chain_objective = objective;
+        }
+    }
+}
+
 fn streaming_routes<'a>(intent: &'a Intent, service: &'a Name) -> impl Iterator<Item = &'a Route> {
     let all = intent.routes.values().flatten();
     all.filter(move |r| r.class.is_stream() && r.split.iter().any(|(name, _)| name == service))
--- a/policy/src/relay/intent.rs
+++ b/policy/src/relay/intent.rs
@@ -113,6 +113,19 @@
     pub usual_tokens: (u32, u32),
     /// Accelerators by kind.
     pub kinds: BTreeMap<Name, Accelerator>,
+    /// Objective for the chains of a failure domain. It is not declared: each instance sets it when it
+    /// puts a configuration in force.
+    pub chain_objective: ChainObjective,
+}
+
+/// What the set of chains of a failure domain is chosen for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ChainObjective {
+    /// The cheapest chain first.
+    #[default]
+    Fastest,
+    /// The largest throughput of all chains together.
+    Throughput,
 }
 
 /// An accelerator.
--- a/policy/src/relay/placement.rs
+++ b/policy/src/relay/placement.rs
@@ -28,7 +28,7 @@
 use self::holes::{fill_holes, lay_out};
 use self::second_copies::{add_second_copies, relieve_overfull};
 use crate::prelude::*;
-use crate::relay::chain::{Holder, cheapest_chain, disjoint_chains};
+use crate::relay::chain::{Holder, chain_set, cheapest_chain};
 use crate::relay::intent::{Accelerator, Engine};
 use crate::relay::runners::{RunnerEntry, Runners};
 
@@ -344,7 +344,8 @@
 ) -> bool {
     let holders: Vec<Holder<'_>> = pool.iter().filter_map(|s| as_holder(s, engine)).collect();
     let mut chain_of: BTreeMap<Name, usize> = BTreeMap::new();
-    for (i, chain) in disjoint_chains(&holders, engine.layers).iter().enumerate() {
+    let chains = chain_set(&holders, engine).chains;
+    for (i, chain) in chains.iter().enumerate() {
         chain_of.extend(chain.stages.iter().map(|s| (s.runner.id.clone(), i)));
     }
     let chained = |s: &PlannedRunner<'_>| chain_of.get(&s.entry.id).copied();
--- a/policy/tests/support/relay.rs
+++ b/policy/tests/support/relay.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use jacinthweir_policy::prelude::*;
-use jacinthweir_policy::relay::intent::{Accelerator, Engine};
+use jacinthweir_policy::relay::intent::{Accelerator, ChainObjective, Engine};
 use jacinthweir_policy::relay::placement::Move;
 use jacinthweir_policy::relay::runners::{RunnerEntry, Runners};
 
@@ -30,6 +30,7 @@
         load_ms: 14_000.0,
         usual_tokens: (775, 220),
         kinds: kinds.into_iter().map(|(n, k)| (Name::from(n), k)).collect(),
+        chain_objective: ChainObjective::Fastest,
     }
 }
 
