--- a/plugins/relay/src/contention.rs
+++ b/plugins/relay/src/contention.rs
@@ -18,7 +18,7 @@
 use jacinthweir_policy::relay::contention::{
     ChainLoad, ContentionConfig, Decision, Mode, ServiceControl,
 };
-use jacinthweir_policy::relay::intent::Intent;
+use jacinthweir_policy::relay::intent::{ChainObjective, Intent};
 use jacinthweir_wire::relay::{ContentionDump, ServiceContentionDump};
 
 use crate::admission;
@@ -53,9 +53,13 @@
         }
     }
 
-    /// Determines to which services contention control applies under a configuration.
-    pub(crate) fn configure(&self, intent: &Intent) {
+    /// Determines to which services contention control applies under a configuration, and sets the
+    /// objective for their chains.
+    pub(crate) fn configure(&self, intent: &mut Intent) {
         let scopes = scope::services(self.cfg.mode, intent);
+        if self.cfg.chains {
+            scope::set_chain_objective(intent, &scopes, ChainObjective::Throughput);
+        }
         let before = self.scopes.replace(scopes);
         let scopes = self.scopes.borrow();
         for service in scopes.keys().filter(|s| !before.contains_key(*s)) {
@@ -162,6 +166,7 @@
         let cfg = &self.cfg;
         let components = [
             ("flow", cfg.flow),
+            ("chains", cfg.chains),
             ("urgency", cfg.urgency),
             ("fair_share", cfg.fair_share),
             ("overload", cfg.overload),
--- a/policy/src/relay/contention/service_control.rs
+++ b/policy/src/relay/contention/service_control.rs
@@ -100,15 +100,6 @@
     chains: BTreeMap<Name, PlannedChain>,
 }
 
-/// Shares of organisations; empty if organisations do not matter.
-#[derive(Clone, Debug, Default, PartialEq)]
-struct OrganisationShares {
-    /// Demand and share of each listed organisation, by priority.
-    listed: BTreeMap<(u8, Name), (f64, f64)>,
-    /// Share of the other organisations, by priority.
-    unlisted: Vec<f64>,
-}
-
 /// Contention control of one service.
 #[derive(Clone, Debug, Default)]
 pub struct ServiceControl {
