--- a/plugins/relay/src/request.rs
+++ b/plugins/relay/src/request.rs
@@ -117,7 +117,7 @@
             cause:% = cause,
             organisation = self.organisation.as_deref().unwrap_or("-"),
             priority = self.priority,
-            urgency = self.urgency,
+            urgency = urgency::label(self.urgency),
             share:% = format_args!("{:.2}", node.contention.share(self)),
             sends = send_record.sends,
             status = res.status().as_u16(),
--- a/plugins/relay/tests/relay.rs
+++ b/plugins/relay/tests/relay.rs
@@ -3,6 +3,9 @@
 
 #[path = "relay/configuration.rs"]
 mod configuration;
+#[path = "relay/contention.rs"]
+mod contention;
+mod contention_operators;
 #[path = "relay/failure_detection.rs"]
 mod failure_detection;
 #[path = "relay/leaving.rs"]
--- a/plugins/relay/tests/support/standin.rs
+++ b/plugins/relay/tests/support/standin.rs
@@ -6,6 +6,8 @@
 mod paths;
 #[path = "standin/runner.rs"]
 mod runner;
+#[path = "standin/shared_link.rs"]
+mod shared_link;
 #[path = "standin/store.rs"]
 mod store;
 
@@ -15,6 +17,7 @@
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
+use jacinthweir_policy::relay::contention::ContentionConfig;
 use jacinthweir_relay::settings::{Bounds, Listen, Processor, RelayLimits};
 use jacinthweir_relay::{Relay, RelaySettings};
 use serde_json::{Value, json};
@@ -24,6 +27,7 @@
 pub use caller::{Response, get, parse_response, send_raw, send_request};
 pub use paths::{Cut, NewConnections, OpenConnections, Paths};
 pub use runner::{BORN_MS, Behaviour, LETHAL, Runner};
+pub use shared_link::open_shared_link;
 pub use store::Store;
 
 /// Maximum time to wait for any condition; a test that waits this long has failed.
@@ -61,6 +65,11 @@
 
     /// Starts a cluster with the bounds that `change` sets.
     pub async fn with_bounds(change: impl FnOnce(&mut Bounds)) -> Cluster {
+        Cluster::with_settings(|settings| change(&mut settings.bounds)).await
+    }
+
+    /// Starts a cluster with the settings that `change` sets.
+    pub async fn with_settings(change: impl FnOnce(&mut RelaySettings)) -> Cluster {
         let (store, address) = Store::spawn().await;
         store.put("config", "main", &configuration(1));
         let mut runners = Vec::new();
@@ -72,7 +81,7 @@
             plain.push(Runner::spawn(&store, id, "orders", domain).await);
         }
         let mut settings = settings(address);
-        change(&mut settings.bounds);
+        change(&mut settings);
         let relay = Relay::spawn(settings.clone()).await.expect("a relay");
         let cluster = Cluster {
             store,
@@ -227,7 +236,7 @@
         loop {
             let dump = get(settings.listen.operators, "GET /dump HTTP/1.1").await;
             let ready = get(settings.listen.ready, "GET /api/ready HTTP/1.1").await;
-            let chains = dump.body.matches("\"room_tokens\"").count();
+            let chains = dump.body.matches("\"step_ms\"").count();
             let broken = dump.body.matches("\"broken\": true").count();
             if chains - broken >= count && ready.status == 200 {
                 return;
@@ -280,7 +289,8 @@
     [127, high.max(1), low, TESTS.fetch_add(1, Ordering::Relaxed)]
 }
 
-fn settings(store: SocketAddr) -> RelaySettings {
+/// Returns the settings of an instance of failure domain `a`.
+pub fn settings(store: SocketAddr) -> RelaySettings {
     let ip = unique_loopback_ip();
     let ports: Vec<SocketAddr> = (7_001..7_006).map(|port| (ip, port).into()).collect();
     RelaySettings {
@@ -298,6 +308,7 @@
         runner_addresses: BTreeMap::new(),
         limits: RelayLimits::default(),
         processor: Processor::default(),
+        contention: ContentionConfig::default(),
         bounds: Bounds {
             revocation_ms: 5_000,
             shutdown_s: 8.0,
--- a/policy/src/relay/contention.rs
+++ b/policy/src/relay/contention.rs
@@ -17,6 +17,8 @@
 //! - Nothing is refused while the supply covers the demand.
 //! - No priority and no organisation is admitted less than the least share of what all are.
 
+pub mod decision_meter;
+pub mod even_draws;
 pub mod flow_meter;
 pub mod flow_plan;
 pub mod inflow;
@@ -25,10 +27,12 @@
 pub mod return_delay;
 pub mod scope;
 mod service_control;
+pub mod share_history;
 pub mod shares;
+pub mod status;
 pub mod urgency;
 
-pub use service_control::{ChainLoad, ControlStatus, Decision, FleetFlow, ServiceControl};
+pub use service_control::{ChainLoad, Decision, FleetFlow, ServiceControl};
 
 use std::collections::BTreeMap;
 
@@ -57,6 +61,9 @@
     pub mode: Mode,
     /// Whether chains are chosen by the flow plan, rather than by free room.
     pub flow: bool,
+    /// Whether the chains of a failure domain are chosen for their total throughput, rather than the
+    /// cheapest first. Instances with different values use different chains.
+    pub chains: bool,
     /// Whether more urgent priorities are admitted first.
     pub urgency: bool,
     /// Whether organisations get max-min fair shares of their priority.
@@ -76,6 +83,7 @@
         ContentionConfig {
             mode: Mode::Auto,
             flow: true,
+            chains: true,
             urgency: true,
             fair_share: true,
             overload: true,
--- a/policy/src/relay/contention/service_control.rs
+++ b/policy/src/relay/contention/service_control.rs
@@ -4,12 +4,19 @@
 use std::collections::BTreeMap;
 
 use super::ContentionConfig;
+use super::decision_meter::DecisionMeter;
+use super::even_draws::EvenDraws;
 use super::flow_meter::{HeadFlow, OrganisationDemand, ServiceFlow, level_index};
 use super::flow_plan::{DomainDemand, FlowPlan, PlanChain};
 use super::inflow::{self, ChainTarget};
 use super::overload::{Change, Overload};
 use super::return_delay::ReturnDelays;
+use super::share_history::{ShareChange, ShareHistory};
 use super::shares::{self, Claim};
+use super::status::{
+    ChainStatus, ControlState, ControlStatus, DomainStatus, LevelStatus, OrganisationStatus,
+    OverloadStatus,
+};
 use crate::prelude::*;
 
 /// Age of the figures of other instances above which contention control does not apply, in
@@ -26,6 +33,8 @@
 /// Demand for a service and flow through its chains over all instances.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct FleetFlow {
+    /// Failure domain of this instance.
+    pub own_domain: Name,
     /// Sums of the failure domains.
     pub domains: BTreeMap<Name, ServiceFlow>,
     /// Mean age of the figures, in milliseconds.
@@ -69,6 +78,8 @@
     load: ChainLoad,
     flow: HeadFlow,
     inflow: f64,
+    refusal_factor: f64,
+    timeliness: f64,
     /// Part of the own domain's flow that goes to the chain, from 0 to 1.
     probability: f64,
 }
@@ -83,7 +94,9 @@
     spare: f64,
     arriving: Vec<f64>,
     levels: Vec<f64>,
-    organisations: BTreeMap<(u8, Name), (f64, f64)>,
+    organisations: ListedShares,
+    /// Share of organisations that are not listed, by urgency level.
+    unlisted: Vec<f64>,
     chains: BTreeMap<Name, PlannedChain>,
 }
 
@@ -95,26 +108,40 @@
     current: Option<Computation>,
     checked_ms: Option<Millis>,
     overload: Overload,
+    /// Fraction of the demand that fitted when overload began.
+    began_share: f64,
     delays: ReturnDelays,
+    state: ControlState,
+    figures: Figures,
+    decisions: DecisionMeter,
+    history: ShareHistory,
+    /// Changes of shares that the caller has not taken yet.
+    share_changes: Vec<ShareChange>,
+    choices: EvenDraws,
 }
 
-/// State of contention control of a service, for operators.
-#[derive(Clone, Debug, PartialEq)]
-pub struct ControlStatus {
-    /// Tokens per second that chains may take of the demand.
-    pub supply: f64,
-    /// Tokens per second that callers ask for.
-    pub demand: f64,
-    /// Mean age of the figures of other instances, in milliseconds.
-    pub age_ms: Millis,
-    /// Since when the service is overloaded, in milliseconds.
-    pub overloaded_since_ms: Option<Millis>,
-    /// Demand in tokens per second and share of each urgency level.
-    pub priorities: Vec<(f64, f64)>,
-    /// Organisation, urgency level, demand in tokens per second, and share.
-    pub organisations: Vec<(Name, u8, f64, f64)>,
-    /// First runner, room, occupancy and inflow of each chain, and its part of the own domain's flow.
-    pub chains: Vec<(Name, f64, f64, f64, f64)>,
+/// What the last computation was based on, also if there is no plan.
+#[derive(Clone, Debug, Default)]
+struct Figures {
+    age_ms: Millis,
+    known_share: f64,
+    domains: Vec<DomainStatus>,
+}
+
+impl Figures {
+    fn of(fleet: &FleetFlow) -> Figures {
+        let domains = fleet.domains.iter();
+        Figures {
+            age_ms: fleet.age_ms,
+            known_share: fleet.known_share,
+            domains: domains
+                .map(|(domain, flow)| DomainStatus {
+                    domain: domain.clone(),
+                    demand_tokens_per_s: flow.demand(),
+                })
+                .collect(),
+        }
+    }
 }
 
 impl ServiceControl {
@@ -125,20 +152,22 @@
             .is_none_or(|at| now >= at + COMPUTATION_INTERVAL_MS)
     }
 
-    /// Computes plan and shares at `now` for an instance of `domain`. `max_gap_ms` is the smallest gap
+    /// Computes plan and shares at `now`. `max_gap_ms` is the smallest gap
     /// objective of the service's streams. Returns whether overload began or ended.
     pub fn compute(
         &mut self,
         now: Millis,
         cfg: &ContentionConfig,
-        domain: &Name,
         chains: Vec<ChainLoad>,
         fleet: &FleetFlow,
         max_gap_ms: Millis,
     ) -> Option<Change> {
         self.checked_ms = Some(now);
-        if fleet.age_ms > MAX_AGE_MS || fleet.known_share < MIN_KNOWN_SHARE {
+        self.figures = Figures::of(fleet);
+        self.state = state_of(fleet);
+        if self.state != ControlState::InForce {
             self.current = None;
+            self.record_shares(now);
             return self.overload.record(now, 1.0);
         }
         let heads = head_sums(fleet);
@@ -150,23 +179,62 @@
             let target = self.targets.entry(load.head.clone()).or_default();
             target.update(now, flow.refused_share());
             let gap_share = flow.mean_gap_ms() / max_gap_ms.max(1) as f64;
-            let factor = target.refusal_factor() * inflow::timeliness(gap_share);
+            let (refusal_factor, timeliness) =
+                (target.refusal_factor(), inflow::timeliness(gap_share));
+            let factor = refusal_factor * timeliness;
             let target_tokens = load.room_tokens * cfg.target_fill * factor;
             let inflow = inflow::allowed(&flow, target_tokens, load.used_tokens, fleet.age_ms);
             planned.push(PlannedChain {
                 load,
                 flow,
                 inflow,
+                refusal_factor,
+                timeliness,
                 probability: 0.0,
             });
         }
-        let computation = divide(now, cfg, domain, planned, fleet);
+        let computation = divide(now, cfg, planned, fleet);
         let share = match computation.demand > 0.0 {
             true => computation.supply / computation.demand,
             false => 1.0,
         };
         self.current = Some(computation);
-        self.overload.record(now, share + NEGLIGIBLE_SHORTAGE)
+        self.record_shares(now);
+        let change = self.overload.record(now, share + NEGLIGIBLE_SHORTAGE);
+        if change == Some(Change::Began) {
+            self.began_share = share.min(1.0);
+        }
+        change
+    }
+
+    /// Records the shares of the last computation for operators.
+    fn record_shares(&mut self, now: Millis) {
+        let none = Computation::default();
+        let current = self.current.as_ref().unwrap_or(&none);
+        let changes = self.history.record(
+            now,
+            &current.arriving,
+            &current.levels,
+            &current.organisations,
+        );
+        self.share_changes.extend(changes);
+    }
+
+    /// Returns the changes of shares to report since the last call.
+    #[must_use]
+    pub fn take_share_changes(&mut self) -> Vec<ShareChange> {
+        std::mem::take(&mut self.share_changes)
+    }
+
+    /// Records a decision on a new request for operators.
+    pub fn record_decision(
+        &mut self,
+        now: Millis,
+        level: u32,
+        organisation: Option<&Name>,
+        decision: Decision,
+    ) {
+        self.decisions.record(now, level, organisation, decision);
     }
 
     /// Decides on a new request; `draw` is a random number from 0 to 1.
@@ -183,16 +251,14 @@
         };
         let level = level_index(level);
         let share = current.share_of(level);
-        let own = organisation
-            .and_then(|name| current.organisations.get(&(level, name.clone())))
-            .map_or(share, |(_, share)| *share);
+        let own = current.share_of_organisation(level, organisation);
         let effective = match returned {
             true => shares::of_returned(own),
             false => own,
         };
         match draw < effective {
             true => Decision::Admitted,
-            false if own < share => Decision::OrganisationAboveShare,
+            false if own < share * ABOVE_SHARE => Decision::OrganisationAboveShare,
             false => Decision::NoRoomForPriority,
         }
     }
@@ -213,6 +279,12 @@
         Some(planned.map_or(0.0, |c| c.probability) + UNPLANNED_WEIGHT)
     }
 
+    /// Returns the draw that chooses the chain of the next request, from 0 to 1; `start` is a random
+    /// number for the first one.
+    pub fn choice_draw(&mut self, start: f64) -> f64 {
+        self.choices.next(start)
+    }
+
     /// Records a refused request and returns the retry delay for its caller in milliseconds, or `None`
     /// if there is no plan. `instances` is the number of live instances.
     pub fn refused(
@@ -243,48 +315,85 @@
         let Some(current) = &self.current else {
             return 1.0;
         };
-        let of_organisation =
-            organisation.and_then(|name| current.organisations.get(&(level, name.clone())));
-        of_organisation.map_or_else(|| current.share_of(level), |(_, share)| *share)
+        match organisation {
+            Some(_) => current.share_of_organisation(level, organisation),
+            None => current.share_of(level),
+        }
     }
 
-    /// Returns the state for operators, if there is a plan.
+    /// Returns the state at `now` for operators.
     #[must_use]
-    pub fn status(&self) -> Option<ControlStatus> {
-        let current = self.current.as_ref()?;
-        let arriving = current.arriving.iter().copied();
-        let organisations = current.organisations.iter();
-        let chains = current.chains.values();
-        Some(ControlStatus {
-            supply: current.supply,
-            demand: current.demand,
-            age_ms: current.age_ms,
-            overloaded_since_ms: self.overload.since_ms(),
-            priorities: arriving.zip(current.levels.iter().copied()).collect(),
-            organisations: organisations
-                .map(|((level, name), (demand, share))| (name.clone(), *level, *demand, *share))
+    pub fn status(&self, now: Millis) -> ControlStatus {
+        let figures = &self.figures;
+        let current = self.current.as_ref();
+        let domains = figures.domains.iter();
+        let organisations = current.into_iter().flat_map(|c| &c.organisations);
+        let chains = current.into_iter().flat_map(|c| c.chains.values());
+        let levels = self.history.levels(now);
+        ControlStatus {
+            state: self.state,
+            supply_tokens_per_s: current.map(|c| c.supply),
+            demand_tokens_per_s: domains.map(|d| d.demand_tokens_per_s).sum(),
+            age_ms: figures.age_ms,
+            known_share: figures.known_share,
+            overload: self.overload.since_ms().map(|at| OverloadStatus {
+                lasted_ms: now.saturating_sub(at),
+                began_share: self.began_share,
+            }),
+            levels: levels
+                .map(|(level, below_one_ms)| LevelStatus {
+                    level,
+                    demand_tokens_per_s: current.map_or(0.0, |c| c.demand_of(level)),
+                    share: current.map_or(1.0, |c| c.share_of(level)),
+                    below_one_ms,
+                    decisions: self.decisions.of_level(now, level),
+                })
                 .collect(),
-            chains: chains
-                .map(|c| {
-                    let ChainLoad {
-                        head,
-                        room_tokens,
-                        used_tokens,
-                        ..
-                    } = &c.load;
-                    (
-                        head.clone(),
-                        *room_tokens,
-                        *used_tokens,
-                        c.inflow,
-                        c.probability,
-                    )
+            organisations: organisations
+                .map(|(key, (demand, share))| OrganisationStatus {
+                    organisation: key.1.clone(),
+                    level: key.0,
+                    demand_tokens_per_s: *demand,
+                    share: *share,
+                    below_one_ms: self.history.below_one_ms(now, key),
+                    below_level_ms: self.history.below_level_ms(now, key),
+                    decisions: self.decisions.of_organisation(now, key),
                 })
                 .collect(),
-        })
+            chains: chains.map(PlannedChain::status).collect(),
+            domains: figures.domains.clone(),
+        }
+    }
+}
+
+/// Returns whether the figures of the fleet suffice for decisions.
+fn state_of(fleet: &FleetFlow) -> ControlState {
+    match fleet.age_ms > MAX_AGE_MS {
+        true => ControlState::FiguresTooOld,
+        false if fleet.known_share < MIN_KNOWN_SHARE => ControlState::TooFewFigures,
+        false => ControlState::InForce,
+    }
+}
+
+impl PlannedChain {
+    fn status(&self) -> ChainStatus {
+        ChainStatus {
+            head: self.load.head.clone(),
+            domain: self.load.domain.clone(),
+            room_tokens: self.load.room_tokens,
+            used_tokens: self.load.used_tokens,
+            inflow_tokens_per_s: self.inflow,
+            refusal_factor: self.refusal_factor,
+            timeliness: self.timeliness,
+            flow_share: self.probability,
+        }
     }
 }
 
+/// Share of an organisation, as a part of its level's, below which a refusal is due to the
+/// organisation. Above it the difference may be due to rounding.
+const ABOVE_SHARE: f64 = 0.99;
+
 /// Shortage that rounding may cause, as a share of the demand.
 const NEGLIGIBLE_SHORTAGE: f64 = 1e-3;
 
@@ -293,6 +402,18 @@
         let share = self.levels.get(usize::from(level));
         share.copied().unwrap_or(1.0)
     }
+
+    fn demand_of(&self, level: u8) -> f64 {
+        let demand = self.arriving.get(usize::from(level));
+        demand.copied().unwrap_or(0.0)
+    }
+
+    fn share_of_organisation(&self, level: u8, organisation: Option<&Name>) -> f64 {
+        let listed = organisation.and_then(|o| self.organisations.get(&(level, o.clone())));
+        let unlisted = || self.unlisted.get(usize::from(level)).copied();
+        let share = listed.map(|(_, share)| *share).or_else(unlisted);
+        share.unwrap_or_else(|| self.share_of(level))
+    }
 }
 
 /// Returns the flow of each chain over all instances, by first runner.
@@ -307,7 +428,6 @@
 fn divide(
     now: Millis,
     cfg: &ContentionConfig,
-    domain: &Name,
     mut planned: Vec<PlannedChain>,
     fleet: &FleetFlow,
 ) -> Computation {
@@ -329,7 +449,7 @@
         })
         .collect();
     let plan = FlowPlan::new(&chains, &demand);
-    let own = demand.iter().position(|d| d.domain == *domain);
+    let own = demand.iter().position(|d| d.domain == fleet.own_domain);
     if let Some(flows) = own.map(|d| &plan.flows[d]) {
         let sum: f64 = flows.iter().sum();
         for (chain, flow) in planned.iter_mut().zip(flows) {
@@ -344,9 +464,9 @@
         true => shares::by_priority(plan.supply, &arriving, least),
         false => shares::equal(plan.supply, &arriving),
     };
-    let organisations = match cfg.fair_share {
+    let (organisations, unlisted) = match cfg.fair_share {
         true => organisation_shares(cfg, &all.organisations, &arriving, &levels),
-        false => BTreeMap::new(),
+        false => Default::default(),
     };
     Computation {
         at_ms: now,
@@ -357,6 +477,7 @@
         arriving,
         levels,
         organisations,
+        unlisted,
         chains: planned
             .into_iter()
             .map(|c| (c.load.head.clone(), c))
@@ -365,13 +486,17 @@
 }
 
 /// Returns demand and share of each listed organisation, by urgency level.
+/// Demand and share of each listed organisation, by urgency level.
+type ListedShares = BTreeMap<(u8, Name), (f64, f64)>;
+
+/// Returns the shares of the listed organisations, and of the others by urgency level.
 fn organisation_shares(
     cfg: &ContentionConfig,
     listed: &[OrganisationDemand],
     arriving: &[f64],
     levels: &[f64],
-) -> BTreeMap<(u8, Name), (f64, f64)> {
-    let mut all = BTreeMap::new();
+) -> (ListedShares, Vec<f64>) {
+    let (mut all, mut unlisted) = (BTreeMap::new(), Vec::new());
     for (i, (total, share)) in arriving.iter().zip(levels).enumerate() {
         let of_level = listed.iter().filter(|d| usize::from(d.level) == i);
         let of_level: Vec<&OrganisationDemand> = of_level.collect();
@@ -384,10 +509,11 @@
             .collect();
         let granted = total * share;
         let shares = shares::by_organisation(granted, *total, &claims, cfg.least_share);
-        for (demand, share) in of_level.iter().zip(shares) {
+        unlisted.push(shares.unlisted);
+        for (demand, share) in of_level.iter().zip(shares.listed) {
             let key = (demand.level, demand.organisation.clone());
             all.insert(key, (f64::from(demand.tokens_per_s), share));
         }
     }
-    all
+    (all, unlisted)
 }
--- a/policy/src/relay/loads.rs
+++ b/policy/src/relay/loads.rs
@@ -116,6 +116,10 @@
     pub name: Name,
     /// Load.
     pub load: Load,
+    /// Age of the load at the time of sending, in milliseconds. A load passes through several
+    /// instances; the interval that contention control needs begins when it was written.
+    #[serde(default)]
+    pub age_ms: Millis,
 }
 
 /// The version of an instance's load that the sender has; an array of two numbers on the wire.
@@ -177,6 +181,8 @@
 struct Received<T> {
     value: T,
     as_of_ms: Millis,
+    /// Age that it had when it was received, in milliseconds, where that is not in `as_of_ms`.
+    relayed_ms: Millis,
 }
 
 impl<T> Received<T> {
@@ -184,6 +190,11 @@
     fn is_fresh(&self, now: Millis, max_age_ms: Millis) -> bool {
         now < self.as_of_ms + max_age_ms
     }
+
+    /// Returns the time since the value was written, in milliseconds.
+    fn age_ms(&self, now: Millis) -> Millis {
+        now.saturating_sub(self.as_of_ms) + self.relayed_ms
+    }
 }
 
 /// All loads known to one instance.
@@ -343,20 +354,24 @@
         MemberLoad {
             name: self.name.clone(),
             load: self.own.clone(),
+            age_ms: 0,
         }
     }
 
     fn newer_members(&self, known: &LoadDigest, now: Millis) -> Vec<MemberLoad> {
         let theirs: BTreeMap<u32, LoadVersion> =
             known.members.iter().map(|v| (v.key, *v)).collect();
-        let newer = self.fresh_members(now).filter(|(name, load)| {
-            let known = theirs.get(&LoadVersion::of(name, load).key);
-            known.is_none_or(|v| v.is_older_than(load))
+        let members = self.members.iter();
+        let newer = members.filter(|(name, r)| {
+            let known = theirs.get(&LoadVersion::of(name, &r.value).key);
+            let lacks = known.is_none_or(|v| v.is_older_than(&r.value));
+            lacks && r.is_fresh(now, MAX_LOAD_AGE_MS)
         });
         newer
-            .map(|(name, load)| MemberLoad {
+            .map(|(name, r)| MemberLoad {
                 name: name.clone(),
-                load: load.clone(),
+                load: r.value.clone(),
+                age_ms: r.age_ms(now),
             })
             .collect()
     }
@@ -403,6 +418,7 @@
             let received = Received {
                 value: m.load,
                 as_of_ms: now,
+                relayed_ms: m.age_ms,
             };
             if let Some(before) = self.members.insert(m.name, received) {
                 subtract_counts(&mut self.spent, &before.value.spent);
@@ -420,6 +436,7 @@
             let received = Received {
                 value: sum,
                 as_of_ms,
+                relayed_ms: 0,
             };
             if let Some(before) = self.domains.insert(domain, received) {
                 subtract_counts(&mut self.spent, &before.value.spent);
@@ -505,7 +522,7 @@
                 sum.add(flow);
             }
             known += 1;
-            age_ms += now - received.as_of_ms;
+            age_ms += received.age_ms(now);
         }
         let mut ages_ms = vec![age_ms / (known as Millis).max(1)];
         let mut domains = BTreeMap::from([(self.domain.clone(), sum)]);
@@ -515,6 +532,7 @@
             ages_ms.push(now - received.as_of_ms);
         }
         FleetFlow {
+            own_domain: self.domain.clone(),
             domains,
             age_ms: ages_ms.iter().sum::<Millis>() / ages_ms.len() as Millis,
             known_share: (known + 1) as f64 / (neighbours + 1) as f64,
--- a/policy/src/relay/placement.rs
+++ b/policy/src/relay/placement.rs
@@ -28,8 +28,8 @@
 use self::holes::{fill_holes, lay_out};
 use self::second_copies::{add_second_copies, relieve_overfull};
 use crate::prelude::*;
-use crate::relay::chain::{Holder, cheapest_chain, disjoint_chains};
-use crate::relay::intent::{Accelerator, Engine};
+use crate::relay::chain::{Holder, chain_set, cheapest_chain};
+use crate::relay::intent::{Accelerator, ChainObjective, Engine};
 use crate::relay::runners::{RunnerEntry, Runners};
 
 /// Shares of the declared room that a domain is planned for, tried in descending order. The last
@@ -344,7 +344,8 @@
 ) -> bool {
     let holders: Vec<Holder<'_>> = pool.iter().filter_map(|s| as_holder(s, engine)).collect();
     let mut chain_of: BTreeMap<Name, usize> = BTreeMap::new();
-    for (i, chain) in disjoint_chains(&holders, engine.layers).iter().enumerate() {
+    let chains = chain_set(&holders, engine).chains;
+    for (i, chain) in chains.iter().enumerate() {
         chain_of.extend(chain.stages.iter().map(|s| (s.runner.id.clone(), i)));
     }
     let chained = |s: &PlannedRunner<'_>| chain_of.get(&s.entry.id).copied();
@@ -388,11 +389,38 @@
         let mut tried = pool.to_vec();
         assign(&mut tried, engine, engine.room_tokens * share).then_some(tried)
     };
-    let filled = shares.clone().find_map(|share| copy(share, fill_holes));
+    let filled = shares.clone().find_map(|share| {
+        let filled = copy(share, fill_holes)?;
+        Some(match engine.chain_objective {
+            ChainObjective::Fastest => filled,
+            ChainObjective::Throughput => {
+                with_more_room(filled, |raise| copy(share * (1.0 + raise), fill_holes))
+            }
+        })
+    });
     let mut moving = shares.filter(|_| first && settled);
     filled.or_else(|| moving.find_map(|share| copy(share, lay_out)))
 }
 
+/// Steps in which the room of a copy is raised, as shares of the room that was tried.
+const ROOM_RAISES: [f64; 6] = [0.3, 0.25, 0.2, 0.15, 0.1, 0.05];
+
+/// Returns the copy with the most room that moves no more runners than `filled`; `copy` tries one with
+/// its room raised by a share.
+///
+/// Load pattern: a service lacks room. Runners that are filled one after the other leave the last one
+/// with few layers, and the chain has the room of the others; the same runners with equal parts have
+/// up to a fifth more.
+fn with_more_room<'a>(
+    filled: Vec<PlannedRunner<'a>>,
+    copy: impl Fn(f64) -> Option<Vec<PlannedRunner<'a>>>,
+) -> Vec<PlannedRunner<'a>> {
+    let moves = |copy: &[PlannedRunner<'_>]| copy.iter().filter(|s| s.moved.is_some()).count();
+    let raised = ROOM_RAISES.into_iter().filter_map(copy);
+    let mut raised = raised.filter(|copy| moves(copy) <= moves(&filled));
+    raised.next().unwrap_or(filled)
+}
+
 /// Assigns every layer to a holder with room for the given number of tokens; returns whether that
 /// succeeded.
 type AssignFn = fn(&mut [PlannedRunner<'_>], &Engine, f64) -> bool;
