--- a/plugins/relay/tests/relay.rs
+++ b/plugins/relay/tests/relay.rs
@@ -5,6 +5,7 @@
 mod configuration;
 #[path = "relay/contention.rs"]
 mod contention;
+#[path = "relay/contention_operators.rs"]
 mod contention_operators;
 #[path = "relay/failure_detection.rs"]
 mod failure_detection;
