--- a/policy/src/relay/contention/service_control.rs
+++ b/policy/src/relay/contention/service_control.rs
@@ -461,7 +461,7 @@
     let arriving: Vec<f64> = all.arriving.iter().copied().map(f64::from).collect();
     let least = cfg.least_share;
     let levels = match cfg.urgency {
-        true => shares::by_priority(plan.supply, &arriving, least),
+        true => shares::by_urgency(plan.supply, &arriving, least),
         false => shares::equal(plan.supply, &arriving),
     };
     let (organisations, unlisted) = match cfg.fair_share {
--- a/policy/src/relay/contention/shares.rs
+++ b/policy/src/relay/contention/shares.rs
@@ -1,14 +1,14 @@
-//! Shares of priorities and organisations when the supply does not cover the demand.
+//! Shares of urgency levels and organisations when the supply does not cover the demand.
 //!
 //! Load pattern: a burst of the least urgent streams beside the most urgent ones, or one organisation
 //! with ten times its usual traffic. Without shares a chain admits whoever comes first, so the kind or
 //! organisation that asks most gets most.
 
-/// Returns the share of each priority's demand that is admitted, the most urgent first. The more
+/// Returns the share of each urgency level's demand that is admitted, the most urgent first. The more
 /// urgent get what they ask for, up to what leaves `least` times the share of all to every less urgent
 /// one.
 #[must_use]
-pub fn by_priority(supply: f64, demand: &[f64], least: f64) -> Vec<f64> {
+pub fn by_urgency(supply: f64, demand: &[f64], least: f64) -> Vec<f64> {
     let total: f64 = demand.iter().sum();
     if total <= supply || total <= 0.0 {
         return vec![1.0; demand.len()];
@@ -26,7 +26,7 @@
     shares
 }
 
-/// Returns the share of all demand, the same for each priority.
+/// Returns the share of all demand, the same for each urgency level.
 #[must_use]
 pub fn equal(supply: f64, demand: &[f64]) -> Vec<f64> {
     let total: f64 = demand.iter().sum();
@@ -38,7 +38,7 @@
     vec![share; demand.len()]
 }
 
-/// Demand of an organisation within a priority.
+/// Demand of an organisation within an urgency level.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Claim {
     /// Tokens per second.
@@ -47,10 +47,10 @@
     pub weight: f64,
 }
 
-/// Number of halvings in the search for the level, enough for a relative error of 1e-9.
+/// Number of halvings in the search for the limit, enough for a relative error of 1e-9.
 const HALVINGS: u32 = 60;
 
-/// Shares of the organisations of one priority.
+/// Shares of the organisations of one urgency level.
 #[derive(Clone, Debug, PartialEq)]
 pub struct OrganisationShares {
     /// Share of each listed organisation.
@@ -60,8 +60,8 @@
 }
 
 /// Returns the weighted max-min share of each organisation's demand: those that ask for less than a
-/// level times their weight get all of it, the others the level. No share is below `least` times the
-/// share of the priority, which is `granted` of `total` tokens per second. Organisations that are not
+/// limit times their weight get all of it, the others the limit. No share is below `least` times the
+/// share of the urgency level, which is `granted` of `total` tokens per second. Organisations that are not
 /// listed are assumed to ask for as much as the smallest listed one, with a weight of 1, since the
 /// largest are listed.
 #[must_use]
@@ -90,13 +90,13 @@
         weight: 1.0,
     };
     let floor = share * least;
-    let share_at = |level: f64, c: &Claim| {
-        let fair = level * c.weight / c.tokens_per_s.max(f64::MIN_POSITIVE);
+    let share_at = |limit: f64, c: &Claim| {
+        let fair = limit * c.weight / c.tokens_per_s.max(f64::MIN_POSITIVE);
         fair.clamp(floor, 1.0)
     };
-    let used = |level: f64| -> f64 {
-        let listed = claims.iter().map(|c| c.tokens_per_s * share_at(level, c));
-        listed.sum::<f64>() + unlisted * share_at(level, &small)
+    let used = |limit: f64| -> f64 {
+        let listed = claims.iter().map(|c| c.tokens_per_s * share_at(limit, c));
+        listed.sum::<f64>() + unlisted * share_at(limit, &small)
     };
     let claims_and_small = claims.iter().chain([&small]);
     let largest = claims_and_small.map(|c| c.tokens_per_s / c.weight.max(f64::MIN_POSITIVE));
--- a/policy/tests/relay_contention_props.rs
+++ b/policy/tests/relay_contention_props.rs
@@ -3,7 +3,7 @@
 use googletest::prelude::*;
 use jacinthweir_policy::relay::contention::flow_plan::{DomainDemand, FlowPlan, PlanChain};
 use jacinthweir_policy::relay::contention::shares::{
-    Claim, OrganisationShares, by_organisation, by_priority,
+    Claim, OrganisationShares, by_organisation, by_urgency,
 };
 use proptest::prelude::{Strategy, prop};
 use proptest::test_runner::{Config, RngSeed, TestRunner};
@@ -99,7 +99,7 @@
 fn priorities_are_admitted_in_order_down_to_the_least_share() {
     let input = (0.0..200_000.0_f64, demands(), 0.0..=1.0_f64);
     let result = runner().run(&input, |(supply, demand, least)| {
-        let shares = by_priority(supply, &demand, least);
+        let shares = by_urgency(supply, &demand, least);
         let total: f64 = demand.iter().sum();
         let of_all = if total > 0.0 {
             (supply / total).min(1.0)
--- a/policy/tests/relay_contention_refusals.rs
+++ b/policy/tests/relay_contention_refusals.rs
@@ -77,7 +77,7 @@
 fn a_priority_without_demand_has_all_of_its_share() {
     let shares = shares::by_organisation(0.0, 0.0, &[], 0.5);
     expect_that!(shares.unlisted, eq(1.0));
-    expect_that!(shares::by_priority(10.0, &[0.0, 100.0], 0.5)[0], eq(1.0));
+    expect_that!(shares::by_urgency(10.0, &[0.0, 100.0], 0.5)[0], eq(1.0));
 }
 
 /// Guards against requests that are refused in the first moments of contention control, while the rates
