--- a/clients/src/direct.rs
+++ b/clients/src/direct.rs
@@ -12,7 +12,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use derive_more::{Display, Error};
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
@@ -192,50 +192,6 @@
     }
 }
 
-/// Time limits of a request for a long answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ProgressTimeouts {
-    /// Time limit until the head of the response, and between two parts of its body.
-    pub silence: Duration,
-    /// Time limit until the complete response has been received.
-    pub answer: Duration,
-}
-
-/// Sends `req` and reads the complete response, with a body of `limit` bytes at most. The request does
-/// not end while its response arrives, until the time limit of the whole answer.
-///
-/// Load pattern: hundreds of clients ask for a long answer at once and share the server's link. With a
-/// short limit for the whole answer none of them gets it, and all of them ask again.
-///
-/// # Errors
-/// See [`DirectError`].
-pub async fn request_long(
-    address: SocketAddr,
-    req: Request<Full<Bytes>>,
-    timeouts: ProgressTimeouts,
-    limit: usize,
-) -> Result<Response<Bytes>, DirectError> {
-    let ProgressTimeouts { silence, answer } = timeouts;
-    let silent = |_| DirectError::TimedOut;
-    let exchange = async {
-        let head = timeout(silence, send(address, req, silence)).await;
-        let (parts, mut body) = head.map_err(silent)??.into_parts();
-        let mut bytes = BytesMut::new();
-        while let Some(part) = timeout(silence, body.next()).await.map_err(silent)? {
-            bytes.extend_from_slice(&part?);
-            if bytes.len() > limit {
-                let cause = format!("an answer of more than {limit} bytes");
-                return Err(DirectError::Unknown { cause });
-            }
-        }
-        Ok(Response::from_parts(parts, bytes.freeze()))
-    };
-    match timeout(answer, exchange).await {
-        Ok(res) => res,
-        Err(_) => Err(DirectError::TimedOut),
-    }
-}
-
 async fn connect(address: SocketAddr, limit: Duration) -> Result<TcpStream, DirectError> {
     let unreached = |cause: String| DirectError::Unreached { cause };
     match timeout(limit, TcpStream::connect(address)).await {
--- a/plugins/relay/tests/support/standin.rs
+++ b/plugins/relay/tests/support/standin.rs
@@ -6,8 +6,6 @@
 mod paths;
 #[path = "standin/runner.rs"]
 mod runner;
-#[path = "standin/shared_link.rs"]
-mod shared_link;
 #[path = "standin/store.rs"]
 mod store;
 
@@ -27,7 +25,6 @@
 pub use caller::{Response, get, parse_response, send_raw, send_request};
 pub use paths::{Cut, NewConnections, OpenConnections, Paths};
 pub use runner::{BORN_MS, Behaviour, LETHAL, Runner};
-pub use shared_link::open_shared_link;
 pub use store::Store;
 
 /// Maximum time to wait for any condition; a test that waits this long has failed.
@@ -289,8 +286,7 @@
     [127, high.max(1), low, TESTS.fetch_add(1, Ordering::Relaxed)]
 }
 
-/// Returns the settings of an instance of failure domain `a`.
-pub fn settings(store: SocketAddr) -> RelaySettings {
+fn settings(store: SocketAddr) -> RelaySettings {
     let ip = unique_loopback_ip();
     let ports: Vec<SocketAddr> = (7_001..7_006).map(|port| (ip, port).into()).collect();
     RelaySettings {
