Relay: lines name the shared parts of a prompt

The lines of the incident do not tell whether the interrupted requests have a part of their prompts in common: the header with the parts was passed on and read by nobody. It is decoded (all parts but the last, which belongs to the request or its session), and the lines `sent` and `run broke off` name them; with the line `answered` of the same request they show which parts survive. No decision reads them yet.

--- a/plugins/relay/src/chain_attempts.rs
+++ b/plugins/relay/src/chain_attempts.rs
@@ -7,6 +7,7 @@
 use jacinthweir_clients::direct::ResponseBody;
 use jacinthweir_platform::header;
 use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::prompt_part;
 use jacinthweir_policy::relay::attempts::Attempts;
 use tokio::time::timeout;
 
@@ -214,6 +215,7 @@
         chain = live.label(),
         runner = live.chain.head().id.as_ref(),
         tokens = admission::tokens(rq) as u64,
+        parts = prompt_part::list(&rq.prompt_parts),
         used = live.used_tokens() as u64,
         room = live.chain.room_tokens as u64,
         after_ms = node.now() - rq.received_ms;
--- a/plugins/relay/src/interrupted_run.rs
+++ b/plugins/relay/src/interrupted_run.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::prompt_part;
 use jacinthweir_policy::relay::lifetime::Lifetime;
 use jacinthweir_policy::relay::quarantine::{BrokenRun, LifetimeState, SURVIVED_MS};
 
@@ -51,6 +52,7 @@
     log::info!(
         request = rq.id.as_ref(),
         fingerprint:% = rq.fingerprint(),
+        parts = prompt_part::list(&rq.prompt_parts),
         runner = lifetimes.first().map_or("", |l| &l.runner),
         begun = progress != Progress::NothingReceived,
         ran_ms:? = progress.ran_ms(),
--- a/plugins/relay/src/request.rs
+++ b/plugins/relay/src/request.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 use jacinthweir_platform::header;
 use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::prompt_part::PromptPart;
 use jacinthweir_policy::relay::contention::urgency;
 use jacinthweir_policy::relay::fingerprint::Fingerprint;
 use jacinthweir_policy::relay::intent::{CallClass, Engine, Intent, Route};
@@ -56,6 +57,8 @@
     /// Level that orders requests under contention, 0 for the most urgent.
     pub(crate) urgency: u32,
     pub(crate) tokens: Option<(u32, u32)>,
+    /// Parts of the prompt that other requests may share.
+    pub(crate) prompt_parts: Rc<[PromptPart]>,
     pub(crate) last_event: Option<u64>,
     /// Set if another instance forwarded the request.
     pub(crate) origin: Option<ForwardOrigin>,
@@ -282,6 +285,7 @@
         priority,
         urgency,
         tokens: header::tokens(&parts.headers),
+        prompt_parts: header::shared_prompt_parts(&parts.headers).into(),
         last_event: header::number(&parts.headers, &header::LAST_EVENT_ID),
         origin: None,
         key: parts.headers.get(header::KEY).cloned(),
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod membership;
 pub mod outcome;
 pub mod prelude;
+pub mod prompt_part;
 pub mod region;
 pub mod relay;
 pub mod retry;
