--- a/plugins/relay/tests/relay.rs
+++ b/plugins/relay/tests/relay.rs
@@ -29,6 +29,8 @@
 mod store_restore;
 #[path = "relay/stream_failover.rs"]
 mod stream_failover;
+#[path = "relay/unframed_answers.rs"]
+mod unframed_answers;
 
 use std::time::Duration;
 
--- a/plugins/relay/tests/support/standin/runner.rs
+++ b/plugins/relay/tests/support/standin/runner.rs
@@ -21,6 +21,9 @@
 /// Body of lethal requests: those that crash each runner which begins to run them.
 pub const LETHAL: &str = "lethal";
 
+/// Part of a prompt that crashes each runner which begins to write an answer on it.
+pub const LETHAL_PART: &str = "deadbeef";
+
 /// Time from the start of a lethal run to the crash of its runner.
 const CRASH_DELAY: Duration = Duration::from_millis(30);
 
@@ -46,6 +49,12 @@
     NoReceipt,
     /// Closes the connection within the third event.
     BreaksMidEvent,
+    /// Sends a complete response with neither a length nor chunks, and closes the connection.
+    EndsByClosing,
+    /// The same, but closes the connection within the third event.
+    EndsByClosingMidEvent,
+    /// The same, but resets the connection before the end of the response.
+    ResetsUnframedBody,
     /// Sends events until the caller disconnects.
     Endless,
     /// Pauses after the second event until it is ordered to continue along another chain.
@@ -69,7 +78,13 @@
     }
 
     fn is_lethal(&self) -> bool {
-        self.body == LETHAL.as_bytes()
+        self.body == LETHAL.as_bytes() || self.has_lethal_part()
+    }
+
+    fn has_lethal_part(&self) -> bool {
+        let parts = self.header("x-jacinthweir-prompt-prefix").unwrap_or("");
+        let mut ids = parts.split(',').filter_map(|p| p.split(':').next());
+        ids.any(|id| id == LETHAL_PART)
     }
 }
 
@@ -342,6 +357,13 @@
                     format!("HTTP/1.1 200 OK\r\n{request_id}{receipt}Content-Length: 100\r\n\r\n");
                 format!("{head}half an answer")
             }
+            Behaviour::EndsByClosing
+            | Behaviour::EndsByClosingMidEvent
+            | Behaviour::ResetsUnframedBody => {
+                return self
+                    .answer_unframed(stream, &format!("{request_id}{receipt}"), after, is_stream)
+                    .await;
+            }
             Behaviour::Normal
             | Behaviour::BreaksMidEvent
             | Behaviour::Endless
@@ -372,6 +394,37 @@
         self.lifetime.borrow().cancel();
     }
 
+    /// Sends a response whose end is that of its connection.
+    async fn answer_unframed(
+        &self,
+        stream: &mut TcpStream,
+        headers: &str,
+        after: Option<u64>,
+        is_stream: bool,
+    ) {
+        let events =
+            (after.unwrap_or(0) + 1..=6).map(|n| format!("id: {n}\ndata: {}\n\n", self.id));
+        let mut body = match is_stream {
+            true => events.collect(),
+            false => format!("answer of {}", self.id),
+        };
+        if self.behaviour.get() == Behaviour::EndsByClosingMidEvent {
+            let third = body.find("id: 3").expect("a third event");
+            body.truncate(third + 8);
+        }
+        let text = format!("HTTP/1.1 200 OK\r\n{headers}Connection: close\r\n\r\n{body}");
+        if self.behaviour.get() == Behaviour::ResetsUnframedBody {
+            // With a linger time of zero, closing the connection resets it.
+            let _ = stream.set_zero_linger();
+            let half = &text[..text.len() - body.len() / 2];
+            let _ = stream.write_all(half.as_bytes()).await;
+            sleep(CRASH_DELAY).await;
+            return;
+        }
+        let _ = stream.write_all(text.as_bytes()).await;
+        let _ = stream.shutdown().await;
+    }
+
     /// Sends the events after `after`, up to the sixth; each contains the runner's identifier.
     async fn stream(&self, stream: &mut TcpStream, headers: &str, after: Option<u64>) {
         let head = format!(
