Quarantine: parts of prompts that crash runners

Each shared part of a prompt is a suspect now, as a request is. What differs from requests: - every crash interrupts runs with the parts that all requests share, so a part is trusted for a second after a run with it survived, and survival is recorded after a second of output instead of at the end of the stream; what survives clears its parts everywhere - a part needs crashes under different requests; crashes 300 ms apart are distinct events - the runs of a lethal part are short: of several suspects the one whose longest run was shorter explains the crashes of the others, so that a request without it is still sent - a record that was cleared is removed from the store, and who sends an outdated one is told An error response of a runner no longer counts as survival, since the runner may not have begun.

The module moves from policy::relay to policy, since the product's own interface needs it too.

--- a/plugins/relay/src/call.rs
+++ b/plugins/relay/src/call.rs
@@ -247,10 +247,10 @@
             node.runners
                 .borrow_mut()
                 .record_outcome(&runner.id, failed, node.now());
-            if failed {
-                log_attempt(rq, runner, "failed", res.status().as_str());
+            match failed {
+                true => log_attempt(rq, runner, "failed", res.status().as_str()),
+                false => quarantine::record_survival(node, rq),
             }
-            quarantine::record_survival(node, rq);
             let res = to_caller(res);
             if failed {
                 CallOutcome::Failed(Some(res))
--- a/plugins/relay/src/gossip.rs
+++ b/plugins/relay/src/gossip.rs
@@ -12,8 +12,8 @@
 use std::time::Duration;
 
 use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::quarantine::CrashRecord;
 use jacinthweir_policy::relay::failure_reports::FailureReport;
-use jacinthweir_policy::relay::quarantine::CrashRecord;
 use jacinthweir_policy::relay::rate_limits::RateReport;
 use jacinthweir_policy::relay::revision::Revision;
 use jacinthweir_policy::relay::runners::NOTABLE_MS;
--- a/plugins/relay/src/interrupted_run.rs
+++ b/plugins/relay/src/interrupted_run.rs
@@ -2,10 +2,10 @@
 
 use std::rc::Rc;
 
+use jacinthweir_policy::lifetime::Lifetime;
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::prompt_part;
-use jacinthweir_policy::relay::lifetime::Lifetime;
-use jacinthweir_policy::relay::quarantine::{BrokenRun, LifetimeState, SURVIVED_MS};
+use jacinthweir_policy::quarantine::{BrokenRun, LifetimeState, SURVIVED_MS};
 
 use crate::node::Node;
 use crate::request::ProxiedRequest;
@@ -66,11 +66,11 @@
         Progress::Received(ms) if ms >= SURVIVED_MS => quarantine::record_survival(node, rq),
         Progress::Received(_) | Progress::NothingReceived => {
             node.quarantine.borrow_mut().record_broken_run(BrokenRun {
-                request: rq.fingerprint(),
+                subject: rq.subject(),
                 through: lifetimes,
                 seen_by: node.settings.name.clone(),
                 sent_ms,
-                begun: progress != Progress::NothingReceived,
+                ran_ms: progress.ran_ms(),
                 at_ms: node.now(),
             });
         }
--- a/plugins/relay/src/node.rs
+++ b/plugins/relay/src/node.rs
@@ -11,15 +11,14 @@
 use jacinthweir_policy::member::{MemberState, Phase};
 use jacinthweir_policy::membership::{Membership, MembershipConfig};
 use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::quarantine::{Quarantine, Suspect};
 use jacinthweir_policy::relay::confirmation::ConfigConfirmation;
 use jacinthweir_policy::relay::failure_reports::FailureReports;
-use jacinthweir_policy::relay::fingerprint::Fingerprint;
 use jacinthweir_policy::relay::intent::{self, Intent, VersionOrder};
 use jacinthweir_policy::relay::lease::Lease;
 use jacinthweir_policy::relay::load_shedding::{ReleaseRate, Shortage};
 use jacinthweir_policy::relay::loads::LoadTable;
 use jacinthweir_policy::relay::placement::Planner;
-use jacinthweir_policy::relay::quarantine::Quarantine;
 use jacinthweir_policy::relay::rate_limits::RunnerRateLimits;
 use jacinthweir_policy::relay::revision::Revision;
 use jacinthweir_policy::relay::runners::{RunnerEntry, Runners};
@@ -104,10 +103,10 @@
     pub(crate) recovery_due: Notify,
     /// Rate limits that runners announced.
     pub(crate) rate_limits: RefCell<RunnerRateLimits>,
-    /// Requests that crashed runners.
+    /// What crashed runners.
     pub(crate) quarantine: RefCell<Quarantine>,
-    /// Requests whose quarantine expired and whose record is still in the store.
-    pub(crate) expired_quarantines: RefCell<Vec<Fingerprint>>,
+    /// What is not quarantined any more and still in the store.
+    pub(crate) obsolete_quarantines: RefCell<Vec<Suspect>>,
     /// Lifetimes of suspected runners that are being probed together with witnesses.
     pub(crate) probed_suspects: RefCell<BTreeSet<(Name, u64)>>,
     /// Runners known to be draining: identity, lifetime, and when this instance learned of it.
@@ -198,7 +197,7 @@
             recovery_due: Notify::new(),
             rate_limits: RefCell::default(),
             quarantine: RefCell::default(),
-            expired_quarantines: RefCell::default(),
+            obsolete_quarantines: RefCell::default(),
             probed_suspects: RefCell::default(),
             draining_runners: RefCell::default(),
             gossip_due: Notify::new(),
--- a/plugins/relay/src/quarantine.rs
+++ b/plugins/relay/src/quarantine.rs
@@ -1,18 +1,19 @@
-//! Quarantine of requests that crash their runners: evaluates broken runs, merges the crash records
-//! of other instances, and persists quarantined requests in the store.
+//! Quarantine of requests and parts of prompts that crash their runners: evaluates broken runs, merges
+//! the crash records of other instances, and persists what is quarantined in the store.
 //!
-//! Instances have no persistent state, and all may be lost at once. Quarantined requests are
-//! therefore written to the store, and an instance reads them when it starts.
+//! Instances have no persistent state, and all may be lost at once. What is quarantined is therefore
+//! written to the store, and an instance reads it when it starts.
 
 use std::rc::Rc;
 use std::time::Duration;
 
 use jacinthweir_platform::store::StoreError;
+use jacinthweir_policy::lifetime::Lifetime;
 use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::prompt_part;
+use jacinthweir_policy::quarantine::{CrashRecord, Evaluation, NewCrash, Suspect, Verdict};
 use jacinthweir_policy::relay::chain::Chain;
-use jacinthweir_policy::relay::fingerprint::Fingerprint;
-use jacinthweir_policy::relay::lifetime::Lifetime;
-use jacinthweir_policy::relay::quarantine::{self, CrashRecord, Evaluation, Verdict};
+use jacinthweir_policy::relay::rendezvous;
 use jacinthweir_policy::relay::runners::RunnerEntry;
 use tokio::time::sleep;
 
@@ -21,10 +22,10 @@
 use crate::request::ProxiedRequest;
 use crate::watch::count_call;
 
-/// Kind of the store objects of quarantined requests. Each is named by its request's fingerprint.
+/// Kind of the store objects of what is quarantined. Each is named by its suspect.
 const KIND: &str = "jacinthweir-quarantine";
 
-/// Interval between checks whether the store has all quarantined requests.
+/// Interval between checks whether the store has all that is quarantined.
 const SYNC_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Pause after a failed call to the store.
@@ -53,7 +54,7 @@
     let quarantine = node.quarantine.borrow();
     match quarantine.is_idle() {
         true => Verdict::Allowed,
-        false => quarantine.verdict(rq.fingerprint(), node.now()),
+        false => quarantine.verdict(&rq.subject(), node.now()),
     }
 }
 
@@ -67,18 +68,30 @@
     loop {
         match verdict(node, rq) {
             Verdict::Allowed => return None,
-            Verdict::Quarantined(ms) => return Some(ms),
+            Verdict::Quarantined { suspect, left_ms } => {
+                log::info!(request = rq.id.as_ref(), suspect:%, left_ms; "quarantined");
+                return Some(left_ms);
+            }
             Verdict::Undecided if node.now() >= until => return Some(UNDECIDED_RETRY_MS),
             Verdict::Undecided => sleep(VERDICT_POLL).await,
         }
     }
 }
 
-/// Records that a run of a request completed or went on for long enough, which clears its crashes.
+/// Records that a run of a request completed or went on for long enough, which clears the crashes of
+/// the request and of the parts of its prompt.
 pub(crate) fn record_survival(node: &Node, rq: &ProxiedRequest) {
     let mut quarantine = node.quarantine.borrow_mut();
-    if !quarantine.is_idle() && quarantine.record_survival(rq.fingerprint(), node.now()) {
-        log::info!(request = rq.id.as_ref(), fingerprint:% = rq.fingerprint(); "crashes cleared");
+    if quarantine.is_idle() {
+        return quarantine.record_part_survivals(&rq.prompt_parts, node.now());
+    }
+    if quarantine.record_survival(&rq.subject(), node.now()) {
+        log::info!(
+            request = rq.id.as_ref(),
+            fingerprint:% = rq.fingerprint(),
+            parts = prompt_part::list(&rq.prompt_parts);
+            "crashes cleared"
+        );
         node.gossip_due.notify_one();
     }
 }
@@ -96,24 +109,46 @@
     if evaluation.is_news() {
         node.gossip_due.notify_one();
     }
-    node.expired_quarantines
+    node.obsolete_quarantines
         .borrow_mut()
-        .extend(evaluation.expired);
+        .extend(evaluation.obsolete);
 }
 
 fn log_crashes(evaluation: &Evaluation) {
     for crash in &evaluation.new_crashes {
         metrics::counter!("jacinthweir_strikes_total").increment(1);
-        log::warn!(
-            fingerprint:% = crash.request,
-            runner:% = crash.lifetime,
-            born_ms = crash.lifetime.born_ms,
+        log_crash(crash);
+    }
+}
+
+fn log_crash(crash: &NewCrash) {
+    let NewCrash {
+        suspect, lifetime, ..
+    } = crash;
+    match suspect {
+        Suspect::Request(fingerprint) => log::warn!(
+            fingerprint:%,
+            runner:% = lifetime,
+            born_ms = lifetime.born_ms,
             strikes = crash.count;
             "a runner ended under a request"
-        );
-        if crash.count == quarantine::CRASH_THRESHOLD {
-            log::warn!(fingerprint:% = crash.request; "request is quarantined");
+        ),
+        Suspect::Part(part) => log::warn!(
+            part:%,
+            runner:% = lifetime,
+            born_ms = lifetime.born_ms,
+            strikes = crash.count;
+            "a runner ended under a part of prompts"
+        ),
+    }
+    match suspect {
+        Suspect::Request(fingerprint) if crash.quarantines => {
+            log::warn!(fingerprint:%; "request is quarantined");
+        }
+        Suspect::Part(part) if crash.quarantines => {
+            log::warn!(part:%; "part of prompts is quarantined");
         }
+        Suspect::Request(_) | Suspect::Part(_) => {}
     }
 }
 
@@ -129,7 +164,7 @@
     }
 }
 
-/// Starts the task that reads quarantined requests from the store and keeps them up to date there.
+/// Starts the task that reads what is quarantined from the store and keeps it up to date there.
 pub(crate) fn spawn(node: &Rc<Node>) {
     let node = Rc::clone(node);
     tokio::task::spawn_local(async move {
@@ -140,7 +175,7 @@
 
 async fn run(node: &Node) {
     while let Err(cause) = read(node).await {
-        log::debug!(cause:% = cause; "cannot read quarantined requests");
+        log::debug!(cause:% = cause; "cannot read what is quarantined");
         sleep(RETRY_PAUSE).await;
     }
     loop {
@@ -148,13 +183,13 @@
         evaluate(node);
         let written = write(node).await;
         if let Err(cause) = written {
-            log::warn!(cause:% = cause; "cannot write quarantined requests");
+            log::warn!(cause:% = cause; "cannot write what is quarantined");
             sleep(RETRY_PAUSE).await;
         }
     }
 }
 
-/// Reads the quarantined requests from the store.
+/// Reads what is quarantined from the store.
 async fn read(node: &Node) -> Result<(), StoreError> {
     count_call("list");
     let listed = match node.store.list(KIND).await {
@@ -173,30 +208,30 @@
     });
     let records: Vec<CrashRecord> = records.collect();
     if !records.is_empty() {
-        log::info!(held = records.len(); "quarantined requests read");
+        log::info!(held = records.len(); "quarantine read");
     }
     merge_records(node, &records);
     Ok(())
 }
 
-/// Writes quarantined requests that the store lacks and removes expired ones, as far as this
-/// instance is their writer.
+/// Writes what is quarantined and missing in the store, and removes what is obsolete there, as far as
+/// this instance is its writer.
 async fn write(node: &Node) -> Result<(), StoreError> {
-    let expired = std::mem::take(&mut *node.expired_quarantines.borrow_mut());
-    for request in expired.into_iter().filter(|r| is_writer(node, *r)) {
+    let obsolete = std::mem::take(&mut *node.obsolete_quarantines.borrow_mut());
+    for suspect in obsolete.into_iter().filter(|s| is_writer(node, *s)) {
         count_call("remove");
-        node.store.remove(KIND, &request.to_string()).await?;
+        node.store.remove(KIND, &suspect.to_string()).await?;
     }
     let era = node.store.era().unwrap_or_default();
     for record in unstored(node, era) {
         count_call("create");
         let spec = serde_json::to_value(&record).unwrap_or_default();
-        let name = record.request.to_string();
+        let name = record.suspect.to_string();
         match node.store.create(KIND, &name, spec).await {
             Ok(_) | Err(StoreError::Conflict) => {
                 node.quarantine
                     .borrow_mut()
-                    .mark_stored(record.request, era);
+                    .mark_stored(record.suspect, era);
             }
             Err(e) => return Err(e),
         }
@@ -209,7 +244,7 @@
 fn unstored(node: &Node, era: u64) -> Vec<CrashRecord> {
     let quarantine = node.quarantine.borrow();
     let held = quarantine.quarantined(node.now());
-    let unstored = held.filter(|c| c.stored_era < Some(era) && is_writer(node, c.request));
+    let unstored = held.filter(|c| c.stored_era < Some(era) && is_writer(node, c.suspect));
     let written = unstored.map(|c| CrashRecord {
         stored_era: Some(era),
         age_ms: 0,
@@ -218,13 +253,10 @@
     written.collect()
 }
 
-/// Whether this instance is the one that writes a request's record.
-fn is_writer(node: &Node, request: Fingerprint) -> bool {
+/// Whether this instance is the one that writes a suspect's record.
+fn is_writer(node: &Node, suspect: Suspect) -> bool {
     let reaching_store = duties::reaching_store(node);
+    let names = reaching_store.iter().map(|c| &c.name);
     node.reaches_store.get()
-        && quarantine::is_writer(
-            &node.settings.name,
-            reaching_store.iter().map(|c| &c.name),
-            request,
-        )
+        && rendezvous::is_first_for(&node.settings.name, names, &suspect.to_string())
 }
--- a/plugins/relay/src/rate_limits.rs
+++ b/plugins/relay/src/rate_limits.rs
@@ -1,7 +1,7 @@
 //! Rate limits that runners announce in their answers: recorded, gossiped, and applied.
 
+use jacinthweir_policy::lifetime::Lifetime;
 use jacinthweir_policy::prelude::*;
-use jacinthweir_policy::relay::lifetime::Lifetime;
 use jacinthweir_policy::relay::rate_limits::{Fleet, RateReport};
 use jacinthweir_policy::relay::runners::RunnerEntry;
 
--- a/plugins/relay/src/request.rs
+++ b/plugins/relay/src/request.rs
@@ -2,6 +2,7 @@
 
 use std::cell::OnceCell;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,10 +12,11 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use jacinthweir_platform::header;
+use jacinthweir_policy::fingerprint::Fingerprint;
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::prompt_part::PromptPart;
+use jacinthweir_policy::quarantine::RunSubject;
 use jacinthweir_policy::relay::contention::urgency;
-use jacinthweir_policy::relay::fingerprint::Fingerprint;
 use jacinthweir_policy::relay::intent::{CallClass, Engine, Intent, Route};
 use tokio::time::{sleep, timeout};
 
@@ -58,7 +60,7 @@
     pub(crate) urgency: u32,
     pub(crate) tokens: Option<(u32, u32)>,
     /// Parts of the prompt that other requests may share.
-    pub(crate) prompt_parts: Rc<[PromptPart]>,
+    pub(crate) prompt_parts: Arc<[PromptPart]>,
     pub(crate) last_event: Option<u64>,
     /// Set if another instance forwarded the request.
     pub(crate) origin: Option<ForwardOrigin>,
@@ -99,6 +101,14 @@
         })
     }
 
+    /// Returns what is counted against this request if it crashes a runner.
+    pub(crate) fn subject(&self) -> RunSubject {
+        RunSubject {
+            request: self.fingerprint(),
+            parts: Arc::clone(&self.prompt_parts),
+        }
+    }
+
     /// Returns the time until the deadline, in milliseconds.
     pub(crate) fn remaining_ms(&self, node: &Node) -> Millis {
         self.deadline_ms.saturating_sub(node.now())
--- a/plugins/relay/src/stream.rs
+++ b/plugins/relay/src/stream.rs
@@ -14,6 +14,7 @@
 use http::Response;
 use jacinthweir_clients::direct::ResponseBody;
 use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::quarantine::SURVIVED_MS;
 use tokio::time::sleep;
 
 use self::failover::ResumeFailure;
@@ -135,6 +136,7 @@
         last_received_ms: now,
         first_head_ms: now,
         run_head_ms: now,
+        survived: false,
         longest_gap_ms: 0,
         resumed: 0,
         attempts,
@@ -171,6 +173,8 @@
     first_head_ms: Millis,
     /// When the head of the current run arrived.
     run_head_ms: Millis,
+    /// Whether the current run has survived, so that it does not crash its runner.
+    survived: bool,
     /// Longest time between two reads, which decides whether a complete answer counts as late.
     longest_gap_ms: Millis,
     resumed: u32,
@@ -280,6 +284,10 @@
         let gap = now - self.last_received_ms;
         self.last_received_ms = now;
         self.longest_gap_ms = self.longest_gap_ms.max(gap);
+        if !self.survived && now >= self.run_head_ms + SURVIVED_MS {
+            self.survived = true;
+            quarantine::record_survival(&self.node, &self.rq);
+        }
         if let Some(in_flight) = self.in_flight() {
             in_flight.record_bytes();
             in_flight.live.gaps.borrow_mut().record(now, gap);
@@ -301,7 +309,10 @@
 
     fn finish(&mut self) -> Option<Result<Bytes, StreamCut>> {
         self.ended = true;
-        quarantine::record_survival(&self.node, &self.rq);
+        // An error response does not show that the runner began to run the request.
+        if self.ok {
+            quarantine::record_survival(&self.node, &self.rq);
+        }
         let after_ms = self.node.now() - self.rq.received_ms;
         count_outcome("answered");
         log::info!(
--- a/plugins/relay/src/stream/failover.rs
+++ b/plugins/relay/src/stream/failover.rs
@@ -267,6 +267,7 @@
     fn finish_resume(&mut self, run: Run, res: Response<ResponseBody>, cause: &str) {
         self.resumed += 1;
         self.run_head_ms = self.node.now();
+        self.survived = false;
         count_outcome("resumed");
         log::info!(
             request = self.rq.id.as_ref(),
--- a/policy/src/prompt_part.rs
+++ b/policy/src/prompt_part.rs
@@ -6,10 +6,9 @@
 use sha2::{Digest, Sha256};
 
 /// Identifier of a part of a prompt: the same for all requests whose prompts contain the part.
-#[derive(
-    Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[display("{_0:08x}")]
+#[serde(from = "String", into = "String")]
 pub struct PromptPart(u128);
 
 impl PromptPart {
@@ -32,6 +31,18 @@
     }
 }
 
+impl From<String> for PromptPart {
+    fn from(id: String) -> PromptPart {
+        PromptPart::named(&id)
+    }
+}
+
+impl From<PromptPart> for String {
+    fn from(part: PromptPart) -> String {
+        part.to_string()
+    }
+}
+
 /// Returns parts as text, separated by commas.
 #[must_use]
 pub fn list(parts: &[PromptPart]) -> String {
--- a/policy/src/relay.rs
+++ b/policy/src/relay.rs
@@ -7,7 +7,6 @@
 //! | [`store_watch`] | how often an instance calls the store, and which instances watch it for others |
 //! | [`confirmation`] | whether the configuration is confirmed recently enough to act on it |
 //! | [`runners`] | entries and health of the runners |
-//! | [`lifetime`] | (a type) a lifetime of a runner |
 //! | [`revision`] | (a type) a revision of the store |
 //! | [`chain`] | which runners form a chain that runs all layers of a model |
 //! | [`placement`] | which runner holds which layers |
@@ -20,11 +19,10 @@
 //! | [`rate_limits`] | which share of a runner's announced rate limit an instance may use |
 //! | [`loads`] | what all instances have in flight, and which of it is gossiped |
 //! | [`attempts`] | on which runners, and how often, one request may be tried |
-//! | [`fingerprint`] | (a type) which attempts are of the same request |
-//! | [`quarantine`] | which requests crash runners and are not sent to any more of them |
 //! | [`shared_retry_budget`] | whether a request may be retried within the retry budget of all instances |
 //!
-//! None of them reads a clock or a socket.
+//! Which requests crash runners and are not sent to any more of them is decided in
+//! [`crate::quarantine`], as for the product's own interface. None of the modules reads a clock or a socket.
 
 pub mod attempts;
 pub mod chain;
@@ -32,14 +30,11 @@
 pub mod confirmation;
 pub mod contention;
 pub mod failure_reports;
-pub mod fingerprint;
 pub mod intent;
 pub mod lease;
-pub mod lifetime;
 pub mod load_shedding;
 pub mod loads;
 pub mod placement;
-pub mod quarantine;
 pub mod rate_limits;
 pub mod reachability;
 pub mod rendezvous;
--- a/policy/src/relay/rate_limits.rs
+++ b/policy/src/relay/rate_limits.rs
@@ -17,8 +17,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::lifetime::Lifetime;
 use crate::prelude::*;
-use crate::relay::lifetime::Lifetime;
 use crate::relay::rendezvous::{is_among_first, rank_for};
 
 /// Number of instances that share a rate beyond one per request a second. Each of them may send one
--- a/policy/src/relay/rendezvous.rs
+++ b/policy/src/relay/rendezvous.rs
@@ -52,6 +52,12 @@
     rank(name) ^ rank(key).rotate_left(17)
 }
 
+/// Returns whether `name` is the first of `names`, which may include it, for one key.
+pub fn is_first_for<'a>(name: &Name, names: impl Iterator<Item = &'a Name>, key: &str) -> bool {
+    let ranks = names.map(|n| rank_for(n, key));
+    is_among_first(1, &rank_for(name, key), ranks)
+}
+
 /// Returns whether the rank `own` is among the lowest `count` of `ranks`, which may include it.
 pub(crate) fn is_among_first<R: Ord>(
     count: usize,
--- a/policy/src/relay/runners.rs
+++ b/policy/src/relay/runners.rs
@@ -10,9 +10,9 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::lifetime::Lifetime;
 use crate::prelude::*;
-use crate::relay::lifetime::Lifetime;
-use crate::relay::quarantine::LifetimeState;
+use crate::quarantine::LifetimeState;
 use crate::relay::reachability::UnreachableRunners;
 
 /// Entry of a runner in the store, written by the runner.
--- a/policy/tests/relay_limits.rs
+++ b/policy/tests/relay_limits.rs
@@ -1,8 +1,8 @@
 //! Total rate that all instances send to a runner with an announced rate limit.
 
 use googletest::prelude::*;
+use jacinthweir_policy::lifetime::Lifetime;
 use jacinthweir_policy::prelude::*;
-use jacinthweir_policy::relay::lifetime::Lifetime;
 use jacinthweir_policy::relay::rate_limits::{Fleet, RateReport, RunnerRateLimits};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
--- a/policy/tests/relay_quarantine.rs
+++ b/policy/tests/relay_quarantine.rs
@@ -4,12 +4,12 @@
 mod lethal;
 
 use googletest::prelude::*;
-use jacinthweir_policy::relay::fingerprint::Fingerprint;
-use jacinthweir_policy::relay::lifetime::Lifetime;
-use jacinthweir_policy::relay::quarantine::{
-    BrokenRun, CRASH_THRESHOLD, CrashRecord, LifetimeState, Quarantine, Verdict,
+use jacinthweir_policy::fingerprint::Fingerprint;
+use jacinthweir_policy::lifetime::Lifetime;
+use jacinthweir_policy::quarantine::{
+    BrokenRun, CRASH_THRESHOLD, CrashRecord, LifetimeState, Quarantine, Suspect, Verdict,
 };
-use lethal::{Simulation, fingerprint};
+use lethal::{Lethal, Simulation, fingerprint, subject};
 use proptest::prelude::{any, proptest};
 use proptest::prop_assert_eq;
 
@@ -33,19 +33,19 @@
 /// Returns a broken run of request `n` that had begun and passed through the given runners.
 fn broken(n: u64, runners: impl IntoIterator<Item = u64>, at_ms: u64) -> BrokenRun {
     BrokenRun {
-        request: fingerprint(n),
+        subject: subject(n, &[]),
         through: runners.into_iter().map(lifetime).collect(),
         seen_by: "one".into(),
         sent_ms: at_ms.saturating_sub(1),
-        begun: true,
+        ran_ms: Some(100),
         at_ms,
     }
 }
 
 fn is_quarantined(quarantine: &Quarantine, n: u64, now: u64) -> bool {
     matches!(
-        quarantine.verdict(fingerprint(n), now),
-        Verdict::Quarantined(_)
+        quarantine.verdict(&subject(n, &[]), now),
+        Verdict::Quarantined { .. }
     )
 }
 
@@ -133,8 +133,8 @@
     quarantine.record_broken_run(broken(0, [3], 3));
     quarantine.record_broken_run(broken(1, [3], 3));
     let evaluation = quarantine.evaluate(3, |_| LifetimeState::Ended);
-    let charged: Vec<Fingerprint> = evaluation.new_crashes.iter().map(|c| c.request).collect();
-    expect_that!(charged, eq(&vec![fingerprint(0)]));
+    let charged: Vec<Suspect> = evaluation.new_crashes.iter().map(|c| c.suspect).collect();
+    expect_that!(charged, eq(&vec![Suspect::Request(fingerprint(0))]));
 }
 
 /// An instance that does not serve the lethal request itself sees only the other interrupted
@@ -155,7 +155,7 @@
     for n in 1..=3 {
         quarantine.record_broken_run(broken(0, [n], n));
         let waiting = BrokenRun {
-            begun: false,
+            ran_ms: None,
             ..broken(1, [n], n)
         };
         quarantine.record_broken_run(waiting);
@@ -172,13 +172,13 @@
     let mut quarantine = after_crashes(1..=2);
     quarantine.record_broken_run(broken(0, [3], 10));
     expect_that!(
-        quarantine.verdict(fingerprint(0), 10),
+        quarantine.verdict(&subject(0, &[]), 10),
         eq(Verdict::Undecided)
     );
     let evaluation = quarantine.evaluate(6_000, |_| LifetimeState::Running);
     expect_false!(evaluation.is_news());
     expect_that!(
-        quarantine.verdict(fingerprint(0), 6_000),
+        quarantine.verdict(&subject(0, &[]), 6_000),
         eq(Verdict::Allowed)
     );
 }
@@ -187,8 +187,8 @@
 #[gtest]
 fn a_completed_run_clears_all_crashes() {
     let mut quarantine = after_crashes(1..=2);
-    expect_true!(quarantine.record_survival(fingerprint(0), 10));
-    expect_false!(quarantine.record_survival(fingerprint(0), 11));
+    expect_true!(quarantine.record_survival(&subject(0, &[]), 10));
+    expect_false!(quarantine.record_survival(&subject(0, &[]), 11));
     // Records of the same crashes from another instance do not count any more.
     for record in updates(&after_crashes(1..=3)) {
         quarantine.merge(&record, 12);
@@ -263,7 +263,7 @@
             .flat_map(|(n, survives)| {
                 let mut one = after_crashes([*n]);
                 if *survives {
-                    one.record_survival(fingerprint(0), 5);
+                    one.record_survival(&subject(0, &[]), 5);
                 }
                 updates(&one)
             })
@@ -277,11 +277,11 @@
     }
 }
 
-/// Time after the third crash of a lethal request from which on its sends are counted, in
+/// Time after the last allowed crash of lethal requests from which on their sends are counted, in
 /// milliseconds.
 const GRACE_MS: u64 = 3_000;
 
-/// Sends of a lethal request allowed after that time.
+/// Sends of lethal requests allowed after that time.
 const MAX_LATE_SENDS: usize = 3;
 
 /// Simulates fleets of all sizes in which lethal requests arrive at any instance beside others, and
@@ -291,8 +291,8 @@
     let mut others = 0;
     let mut others_quarantined = 0;
     for seed in 0..60 {
-        let outcome = Simulation::new(seed).run(true);
-        for sends in outcome.sends_after(GRACE_MS) {
+        let outcome = Simulation::new(seed, Lethal::Requests).run(true);
+        for sends in outcome.sends_after(3, GRACE_MS) {
             expect_that!(sends, le(MAX_LATE_SENDS), "seed {seed}");
         }
         others += outcome.others;
@@ -306,9 +306,9 @@
 #[gtest]
 fn lethal_requests_are_sent_on_without_quarantine() {
     let fails = |seed| {
-        let outcome = Simulation::new(seed).run(false);
+        let outcome = Simulation::new(seed, Lethal::Requests).run(false);
         outcome
-            .sends_after(GRACE_MS)
+            .sends_after(3, GRACE_MS)
             .any(|sends| sends > MAX_LATE_SENDS)
     };
     let failed = (0..12).filter(|seed| fails(*seed)).count();
--- a/policy/tests/support/lethal.rs
+++ b/policy/tests/support/lethal.rs
@@ -1,11 +1,13 @@
-//! Simulation of a fleet in which some requests crash the runners that run them.
+//! Simulation of a fleet in which some requests, or all with one part of their prompts, crash the
+//! runners that run them.
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use jacinthweir_policy::relay::fingerprint::Fingerprint;
-use jacinthweir_policy::relay::lifetime::Lifetime;
-use jacinthweir_policy::relay::quarantine::{
-    BrokenRun, CrashRecord, LifetimeState, Quarantine, SURVIVED_MS, Verdict,
+use jacinthweir_policy::fingerprint::Fingerprint;
+use jacinthweir_policy::lifetime::Lifetime;
+use jacinthweir_policy::prompt_part::PromptPart;
+use jacinthweir_policy::quarantine::{
+    BrokenRun, CrashRecord, LifetimeState, Quarantine, RunSubject, SURVIVED_MS, Verdict,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -39,6 +41,36 @@
     Fingerprint::of(None, "host", "/path", &n.to_be_bytes())
 }
 
+/// Returns a request with parts of its prompt.
+pub fn subject(n: u64, parts: &[&str]) -> RunSubject {
+    let parts = parts.iter().map(|id| PromptPart::named(id));
+    RunSubject {
+        request: fingerprint(n),
+        parts: parts.collect(),
+    }
+}
+
+/// What crashes runners in a simulation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lethal {
+    /// One to three requests, which are repeated.
+    Requests,
+    /// All requests with one part, no two alike.
+    Part,
+}
+
+/// Part of the prompts of all requests.
+const COMMON_PART: &str = "5c1e07a2";
+
+/// The lethal part.
+const LETHAL_PART: &str = "deadbeef";
+
+/// Number of documents, of which each prompt contains one.
+const DOCUMENTS: u64 = 40;
+
+/// First number of the requests with the lethal part.
+const FIRST_WITH_PART: u64 = 1 << 32;
+
 struct Chain {
     /// Start of the current lifetime of its runner.
     born_ms: u64,
@@ -68,7 +100,8 @@
 
 /// Result of a simulation.
 pub struct Outcome {
-    /// Times of the crashes under each lethal request, and of its sends.
+    /// Times of the crashes under each lethal request, or under all with the lethal part, and of
+    /// their sends.
     lethal: BTreeMap<u64, (Vec<u64>, Vec<u64>)>,
     /// Number of other requests.
     pub others: usize,
@@ -77,15 +110,20 @@
 }
 
 impl Outcome {
-    /// Returns the number of sends of each lethal request later than `grace_ms` after its third
-    /// crash.
-    pub fn sends_after(&self, grace_ms: u64) -> impl Iterator<Item = usize> {
+    /// Returns the number of sends of each lethal request, or of all with the lethal part, later
+    /// than `grace_ms` after a crash, given by its number.
+    pub fn sends_after(&self, crash: usize, grace_ms: u64) -> impl Iterator<Item = usize> {
         self.lethal.values().filter_map(move |(crashes, sends)| {
-            let third = crashes.get(2)?;
-            let late = sends.iter().filter(|at| **at > third + grace_ms);
+            let at = crashes.get(crash - 1)?;
+            let late = sends.iter().filter(|sent| **sent > at + grace_ms);
             Some(late.count())
         })
     }
+
+    /// Returns the number of crashes under lethal requests.
+    pub fn crashes(&self) -> usize {
+        self.lethal.values().map(|(crashes, _)| crashes.len()).sum()
+    }
 }
 
 pub struct Simulation {
@@ -95,7 +133,9 @@
     runs: Vec<Run>,
     /// Requests with an undecided verdict: request, instance, sends, attempts.
     waiting: Vec<(u64, usize, usize, usize)>,
-    lethal: u64,
+    lethal: Lethal,
+    /// Number of lethal requests that are repeated, or of requests with the lethal part so far.
+    lethal_count: u64,
     repeat_ms: u64,
     load: f64,
     has_quarantine: bool,
@@ -103,7 +143,7 @@
 }
 
 impl Simulation {
-    pub fn new(seed: u64) -> Simulation {
+    pub fn new(seed: u64, lethal: Lethal) -> Simulation {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let instances = rng.random_range(1..=12);
         let chains = rng.random_range(2..=8);
@@ -122,7 +162,8 @@
             chains: (0..chains).map(chain).collect(),
             runs: Vec::new(),
             waiting: Vec::new(),
-            lethal: rng.random_range(1..=3),
+            lethal,
+            lethal_count: rng.random_range(1..=3),
             repeat_ms: rng.random_range(100..2_000),
             load: rng.random_range(0.05..0.5),
             has_quarantine: true,
@@ -137,14 +178,19 @@
 
     pub fn run(mut self, has_quarantine: bool) -> Outcome {
         self.has_quarantine = has_quarantine;
-        let mut next_ms: Vec<u64> = (0..self.lethal).map(|n| n * 400 + 1_000).collect();
-        let mut other = self.lethal;
+        let sources = match self.lethal {
+            Lethal::Requests => self.lethal_count,
+            Lethal::Part => 1,
+        };
+        let mut next_ms: Vec<u64> = (0..sources).map(|n| n * 400 + 1_000).collect();
+        let mut other = self.lethal_count;
         for now in (0..LENGTH_MS).step_by(STEP_MS as usize) {
-            for lethal in 0..self.lethal {
-                if now >= next_ms[lethal as usize] {
-                    next_ms[lethal as usize] =
+            for source in 0..sources {
+                if now >= next_ms[source as usize] {
+                    next_ms[source as usize] =
                         now + self.draw((self.repeat_ms / 2, self.repeat_ms * 2));
-                    self.arrive(lethal, 1, now);
+                    let request = self.next_lethal(source);
+                    self.arrive(request, 1, now);
                 }
             }
             if self.rng.random_bool(self.load) {
@@ -162,6 +208,33 @@
         self.out
     }
 
+    fn next_lethal(&mut self, source: u64) -> u64 {
+        match self.lethal {
+            Lethal::Requests => source,
+            Lethal::Part => {
+                self.lethal_count += 1;
+                FIRST_WITH_PART + self.lethal_count
+            }
+        }
+    }
+
+    /// Returns the lethal request, or 0 for the lethal part, that a request belongs to.
+    fn lethal_group(&self, request: u64) -> Option<u64> {
+        match self.lethal {
+            Lethal::Requests => Some(request).filter(|r| *r < self.lethal_count),
+            Lethal::Part => Some(0).filter(|_| request >= FIRST_WITH_PART),
+        }
+    }
+
+    fn subject(&self, request: u64) -> RunSubject {
+        let document = format!("d0c{}", request % DOCUMENTS);
+        match (self.lethal, request >= FIRST_WITH_PART) {
+            (Lethal::Requests, _) => subject(request, &[]),
+            (Lethal::Part, false) => subject(request, &[COMMON_PART, &document]),
+            (Lethal::Part, true) => subject(request, &[COMMON_PART, &document, LETHAL_PART]),
+        }
+    }
+
     fn draw(&mut self, (from, to): (u64, u64)) -> u64 {
         self.rng.random_range(from..to)
     }
@@ -172,12 +245,11 @@
     }
 
     fn send(&mut self, request: u64, instance: usize, sends: usize, attempts: usize, now: u64) {
-        let verdict = self.instances[instance]
-            .quarantine
-            .verdict(fingerprint(request), now);
+        let subject = self.subject(request);
+        let verdict = self.instances[instance].quarantine.verdict(&subject, now);
         match verdict {
-            Verdict::Quarantined(_) if self.has_quarantine => {
-                if request >= self.lethal {
+            Verdict::Quarantined { .. } if self.has_quarantine => {
+                if self.lethal_group(request).is_none() {
                     self.out.others_quarantined.insert(request);
                 }
                 return;
@@ -186,7 +258,7 @@
                 self.waiting.push((request, instance, sends, attempts));
                 return;
             }
-            Verdict::Allowed | Verdict::Undecided | Verdict::Quarantined(_) => {}
+            Verdict::Allowed | Verdict::Undecided | Verdict::Quarantined { .. } => {}
         }
         let up: Vec<usize> = (0..self.chains.len())
             .filter(|c| self.chains[*c].up_from_ms <= now)
@@ -196,9 +268,9 @@
         }
         let chain = up[self.rng.random_range(0..up.len())];
         let starts_ms = now + self.draw(START_MS);
-        let is_lethal = request < self.lethal;
-        if is_lethal {
-            self.out.lethal.entry(request).or_default().1.push(now);
+        let lethal_group = self.lethal_group(request);
+        if let Some(group) = lethal_group {
+            self.out.lethal.entry(group).or_default().1.push(now);
             let crash_ms = starts_ms + self.draw(CRASH_MS);
             let chain = &mut self.chains[chain];
             chain.crash_ms = Some(chain.crash_ms.map_or(crash_ms, |at| at.min(crash_ms)));
@@ -214,10 +286,9 @@
             },
             sent_ms: now,
             starts_ms,
-            ends_ms: if is_lethal {
-                u64::MAX
-            } else {
-                starts_ms + duration_ms
+            ends_ms: match lethal_group {
+                Some(_) => u64::MAX,
+                None => starts_ms + duration_ms,
             },
             sends,
             attempts,
@@ -225,7 +296,7 @@
     }
 
     fn retry(&mut self, request: u64, attempts: usize, now: u64) {
-        if attempts < MAX_ATTEMPTS && request >= self.lethal {
+        if attempts < MAX_ATTEMPTS && self.lethal_group(request).is_none() {
             self.arrive(request, attempts + 1, now);
         }
     }
@@ -261,20 +332,22 @@
     }
 
     fn fail_run(&mut self, run: &Run, now: u64) {
-        if run.request < self.lethal && run.starts_ms <= now {
-            self.out.lethal.entry(run.request).or_default().0.push(now);
+        let lethal_group = self.lethal_group(run.request);
+        if let Some(group) = lethal_group.filter(|_| run.starts_ms <= now) {
+            self.out.lethal.entry(group).or_default().0.push(now);
         }
+        let subject = self.subject(run.request);
         let quarantine = &mut self.instances[run.instance].quarantine;
         match now >= run.starts_ms + SURVIVED_MS {
             true => {
-                quarantine.record_survival(fingerprint(run.request), now);
+                quarantine.record_survival(&subject, now);
             }
             false => quarantine.record_broken_run(BrokenRun {
-                request: fingerprint(run.request),
+                subject,
                 through: vec![run.lifetime.clone()],
                 seen_by: format!("front-{}", run.instance).into(),
                 sent_ms: run.sent_ms,
-                begun: now >= run.starts_ms,
+                ran_ms: now.checked_sub(run.starts_ms),
                 at_ms: now,
             }),
         }
@@ -287,9 +360,10 @@
             .partition(|r| r.ends_ms <= now);
         self.runs = remaining;
         for run in completed {
+            let subject = self.subject(run.request);
             self.instances[run.instance]
                 .quarantine
-                .record_survival(fingerprint(run.request), now);
+                .record_survival(&subject, now);
         }
     }
 
