Quarantine: one test file for requests and parts; obsolete records stay due until the store removed them

A removal that failed was forgotten, and the record stayed in the store: instances that started later would have refused a sound request for ten minutes.

--- a/plugins/relay/src/quarantine.rs
+++ b/plugins/relay/src/quarantine.rs
@@ -217,10 +217,17 @@
 /// Writes what is quarantined and missing in the store, and removes what is obsolete there, as far as
 /// this instance is its writer.
 async fn write(node: &Node) -> Result<(), StoreError> {
-    let obsolete = std::mem::take(&mut *node.obsolete_quarantines.borrow_mut());
-    for suspect in obsolete.into_iter().filter(|s| is_writer(node, *s)) {
-        count_call("remove");
-        node.store.remove(KIND, &suspect.to_string()).await?;
+    loop {
+        let Some(suspect) = node.obsolete_quarantines.borrow().first().copied() else {
+            break;
+        };
+        if is_writer(node, suspect) {
+            count_call("remove");
+            node.store.remove(KIND, &suspect.to_string()).await?;
+        }
+        node.obsolete_quarantines
+            .borrow_mut()
+            .retain(|s| *s != suspect);
     }
     let era = node.store.era().unwrap_or_default();
     for record in unstored(node, era) {
--- a/policy/tests/relay_quarantine.rs
+++ b/policy/tests/quarantine.rs
@@ -2,6 +2,8 @@
 
 #[path = "support/lethal.rs"]
 mod lethal;
+#[path = "quarantine/parts.rs"]
+mod parts;
 
 use googletest::prelude::*;
 use jacinthweir_policy::fingerprint::Fingerprint;
--- a/policy/tests/lethal_parts.rs
+++ b/policy/tests/quarantine/parts.rs
@@ -1,15 +1,13 @@
 //! Quarantine of parts of prompts that crash the runners which begin to write an answer on them.
 
-#[path = "support/lethal.rs"]
-mod lethal;
-
 use googletest::prelude::*;
 use jacinthweir_policy::lifetime::Lifetime;
 use jacinthweir_policy::prompt_part::PromptPart;
 use jacinthweir_policy::quarantine::{
     BrokenRun, CrashRecord, LifetimeState, Quarantine, RunSubject, Suspect, Verdict,
 };
-use lethal::{Lethal, Simulation, subject};
+
+use crate::lethal::{Lethal, Simulation, subject};
 
 /// Time between two crashes that counts them as distinct, in milliseconds.
 const APART_MS: u64 = 1_000;
@@ -86,7 +84,8 @@
 #[gtest]
 fn crashes_under_one_request_quarantine_no_part() {
     let one = subject(1, &["a", "b"]);
-    let (quarantine, now) = quarantine_after(&[&[one.clone()], &[one.clone()], &[one.clone()]]);
+    let alone = std::slice::from_ref(&one);
+    let (quarantine, now) = quarantine_after(&[alone, alone, alone]);
     expect_that!(
         held_for(&quarantine, &one, now),
         some(eq(Suspect::Request(one.request)))
@@ -200,12 +199,11 @@
 /// against a quarantine that the others keep: it tells them.
 #[gtest]
 fn an_instance_that_trusts_a_part_clears_it_elsewhere() {
-    let mut crashes = Vec::new();
-    for n in 1..=3 {
-        crashes.push([subject(n, &["p"])]);
-    }
-    let crashes: Vec<&[RunSubject]> = crashes.iter().map(|c| c.as_slice()).collect();
-    let (mut one, now) = quarantine_after(&crashes);
+    let (mut one, now) = quarantine_after(&[
+        &[subject(1, &["p"])],
+        &[subject(2, &["p"])],
+        &[subject(3, &["p"])],
+    ]);
     let asked = subject(9, &["p"]);
     expect_that!(held_for(&one, &asked, now), some(anything()));
 
