Own interface: requests and messages that crash runners are quarantined

Now each attempt records how it ended; prompts' parts are the messages of a conversation but the last (of the same pipeline). Crashes are known by a newer incarnation in the upstreams' registry, or by its suspicion. Records travel with the gossip exchanges; what is quarantined is kept in the platform by the new plug-in `quarantine` and read at the start. Calls of plain services are counted in the same way by caller, call and body. Refused with the new code `quarantined` (503).

--- a/kernel/src/kernel.rs
+++ b/kernel/src/kernel.rs
@@ -15,6 +15,7 @@
 use jacinthweir_policy::member::{MemberState, Phase};
 use jacinthweir_policy::membership::{Membership, MembershipConfig};
 use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::quarantine::Quarantine;
 use jacinthweir_policy::route::{Router, RouterConfig};
 use jacinthweir_policy::time::Elapsed;
 use jacinthweir_policy::upstreams::{Upstreams, UpstreamsConfig};
@@ -76,6 +77,7 @@
     /// Admission control.
     pub gate: Arc<Gate>,
     upstreams: Mutex<Upstreams>,
+    pub(crate) quarantine: Mutex<Quarantine>,
     ready: AtomicBool,
     plugin_state: Mutex<BTreeMap<TypeId, Arc<dyn Any + Send + Sync>>>,
     router: Mutex<Router>,
@@ -112,6 +114,7 @@
             parts: Parts::default(),
             gate: Gate::open(clock),
             upstreams: Mutex::new(upstreams(&settings, clock)),
+            quarantine: Mutex::default(),
             ready: AtomicBool::new(false),
             plugin_state: Mutex::default(),
             membership: Mutex::new(membership(&settings, incarnation, clock)),
--- a/kernel/src/lib.rs
+++ b/kernel/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod parts;
 pub mod plugin;
 pub mod prelude;
+mod quarantine;
 pub mod records;
 pub mod reply;
 pub mod settings;
--- a/kernel/src/reply.rs
+++ b/kernel/src/reply.rs
@@ -104,6 +104,7 @@
         ErrorCode::KeyExpired => StatusCode::GONE,
         ErrorCode::OrganisationLimit | ErrorCode::Overloaded => StatusCode::TOO_MANY_REQUESTS,
         ErrorCode::NoCapacity
+        | ErrorCode::Quarantined
         | ErrorCode::PlatformDown
         | ErrorCode::NoConfiguration
         | ErrorCode::Draining => StatusCode::SERVICE_UNAVAILABLE,
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -5,6 +5,7 @@
 use jacinthweir_callers as _;
 use jacinthweir_operators as _;
 use jacinthweir_peers as _;
+use jacinthweir_quarantine as _;
 use jacinthweir_schema as _;
 use jacinthweir_services as _;
 use jacinthweir_upstreams as _;
--- a/plugins/callers/src/attempt.rs
+++ b/plugins/callers/src/attempt.rs
@@ -63,6 +63,7 @@
         }
         fault_point::reach(Step::Handed).await;
         let req = self.build_run_request(number, route);
+        self.evidence.record_sent(&self.cx, route);
         self.start_first_token_wait();
         let end = self.stream_attempt(&req, route).await;
         self.record_end(number, &end);
--- a/plugins/callers/src/driver.rs
+++ b/plugins/callers/src/driver.rs
@@ -19,6 +19,7 @@
 use crate::answer::AnswerHead;
 use crate::attempt::AttemptEnd;
 use crate::retry_state::{AwaitedToken, RetryStates};
+use crate::run_evidence::RunEvidence;
 
 /// Tokens buffered for a slow caller before backpressure reaches the upstream.
 const ANSWER_CHANNEL_CAPACITY: usize = 64;
@@ -45,6 +46,7 @@
 /// Reason for which a request ends without a complete answer.
 enum StopReason {
     Refused(Refusal),
+    Quarantined(Millis),
     NoRoute(String),
     RunnersRefused(Refused),
     GaveUp(String),
@@ -61,6 +63,7 @@
     /// Texts of the tokens received so far; a later attempt resumes after them.
     pub(crate) tokens: Vec<String>,
     pub(crate) retry_states: Arc<RetryStates>,
+    pub(crate) evidence: RunEvidence,
     awaited: AwaitedToken,
     waiting_since: Millis,
     avoid: Vec<RunnerId>,
@@ -90,6 +93,7 @@
             created: cx.clock.unix_ms() / 1000,
         };
         let (tx, rx) = mpsc::channel(ANSWER_CHANNEL_CAPACITY);
+        let evidence = RunEvidence::of(&accepted);
         let driver = Driver {
             cx: Arc::clone(cx),
             accepted,
@@ -97,6 +101,7 @@
             tx,
             tokens: Vec::new(),
             retry_states: Arc::clone(retry_states),
+            evidence,
             awaited: AwaitedToken::First,
             waiting_since: cx.clock.now(),
             avoid: Vec::new(),
@@ -166,11 +171,13 @@
             if self.remaining() == Duration::ZERO {
                 return Err(StopReason::DeadlinePassed);
             }
+            self.check_quarantine().await?;
             let route = self.find_route().await?;
             let number = self.running.journal().next_attempt();
             self.cx.router().record_sent(self.cx.clock.now(), &route);
             let end = self.run_attempt(number, &route).await;
             self.record_route_result(&route, &end);
+            self.evidence.record_end(&self.cx, &end);
             match end {
                 AttemptEnd::Completed(end) => {
                     self.retry_states
@@ -187,6 +194,16 @@
         }
     }
 
+    /// Refuses the request if it is quarantined.
+    async fn check_quarantine(&self) -> Result<(), StopReason> {
+        let subject = self.evidence.subject();
+        let held = self.cx.quarantined_ms(subject, self.accepted.deadline);
+        match held.await {
+            Some(ms) => Err(StopReason::Quarantined(ms)),
+            None => Ok(()),
+        }
+    }
+
     /// Returns a route for the next attempt.
     ///
     /// A request of which nothing ran fails at once if there is none. One that has started waits:
@@ -359,7 +376,10 @@
             }
             StopReason::DeadlinePassed => self.running.record_or_log(Event::DeadlinePassed),
             StopReason::CallerLeft => self.running.record_or_log(Event::CallerLeft),
-            StopReason::NoRoute(_) | StopReason::RunnersRefused(_) | StopReason::GaveUp(_) => {}
+            StopReason::Quarantined(_)
+            | StopReason::NoRoute(_)
+            | StopReason::RunnersRefused(_)
+            | StopReason::GaveUp(_) => {}
         }
     }
 
@@ -412,6 +432,7 @@
         let gap_ms = now.saturating_sub(self.waiting_since);
         let pipeline = &self.accepted.prompt.pipeline;
         self.retry_states.record_gap(pipeline, self.awaited, gap_ms);
+        self.evidence.record_token(&self.cx);
         self.awaited = AwaitedToken::Next;
     }
 
@@ -452,6 +473,10 @@
     fn refusal(self, outcome: Outcome) -> Refusal {
         let (code, message, retry_after_ms) = match self {
             StopReason::Refused(refusal) => (refusal.code, refusal.message, refusal.retry_after_ms),
+            StopReason::Quarantined(ms) => {
+                let msg = "runners crash when they run this request".to_owned();
+                (ErrorCode::Quarantined, msg, Some(ms))
+            }
             StopReason::NoRoute(msg) => (ErrorCode::NoCapacity, msg, Some(RETRY_AFTER_MS)),
             StopReason::RunnersRefused(refused) => {
                 let msg = format!("runners refused: {}", refused.code);
@@ -466,9 +491,10 @@
         };
         let code = match (code, outcome) {
             (ErrorCode::DeadlineExceeded, Outcome::NotRun) => ErrorCode::Overloaded,
-            (ErrorCode::NoCapacity | ErrorCode::Overloaded, Outcome::Failed) => {
-                ErrorCode::UpstreamFailed
-            }
+            (
+                ErrorCode::NoCapacity | ErrorCode::Overloaded | ErrorCode::Quarantined,
+                Outcome::Failed,
+            ) => ErrorCode::UpstreamFailed,
             (code, _) => code,
         };
         Refusal {
--- a/plugins/callers/src/lib.rs
+++ b/plugins/callers/src/lib.rs
@@ -13,6 +13,7 @@
 mod handler;
 mod prompt;
 mod retry_state;
+mod run_evidence;
 
 use jacinthweir_kernel::plugin;
 use jacinthweir_kernel::prelude::*;
--- a/plugins/services/src/dispatch.rs
+++ b/plugins/services/src/dispatch.rs
@@ -9,8 +9,11 @@
 use jacinthweir_clients::service::{ServiceAnswer, ServiceCall};
 use jacinthweir_kernel::fault_point::Step;
 use jacinthweir_kernel::prelude::*;
+use jacinthweir_policy::fingerprint::Fingerprint;
 use jacinthweir_policy::journal::{Event, Idempotency};
+use jacinthweir_policy::lifetime::Lifetime;
 use jacinthweir_policy::listed::ListedInstance;
+use jacinthweir_policy::quarantine::{BrokenRun, RunSubject};
 use jacinthweir_policy::retry::{self, AttemptFailure, Decision, GiveUp, TimeLeft};
 use jacinthweir_policy::schema::compiled::GroupServes;
 use jacinthweir_wire::caller::ErrorCode;
@@ -48,13 +51,22 @@
         let mut last_failure =
             CallFailure::new(ErrorCode::NoCapacity, "no upstream of the service is there")
                 .with_retry_after(None);
+        let subject = self.subject();
         loop {
+            let deadline = self.accepted.deadline.mono_ms;
+            if let Some(ms) = self.cx.quarantined_ms(&subject, deadline).await {
+                let msg = "upstreams crash when they run this call";
+                let failure = CallFailure::new(ErrorCode::Quarantined, msg);
+                return failed(tried.pop(), failure.with_retry_after(Some(ms)));
+            }
             let Some(upstream) = self.pick_upstream(&tried) else {
                 return failed(tried.pop(), last_failure);
             };
             let name = upstream.name.clone();
+            let sent_ms = self.cx.clock.now();
             let (end, cause) = match self.run_attempt(attempt, &upstream).await {
                 AttemptEnd::Replied(reply) => {
+                    self.cx.record_survival(&subject);
                     self.limits.budget().record_success();
                     let upstream = name;
                     return DispatchResult::Replied { upstream, reply };
@@ -65,6 +77,9 @@
                 request = self.running.request.as_ref();
                 "attempt {attempt} at {name} failed: {cause}"
             );
+            if end == AttemptFailure::BrokenOff {
+                self.record_broken_run(&subject, &upstream, sent_ms);
+            }
             last_failure = self.failure_after(end, &name, &cause);
             tried.push(name);
             match self.decide(end) {
@@ -76,6 +91,30 @@
         }
     }
 
+    /// Returns what is counted against the call if it crashes an upstream.
+    fn subject(&self) -> RunSubject {
+        let accepted = &self.accepted;
+        let org = Some(&*accepted.caller.organisation);
+        RunSubject {
+            request: Fingerprint::of(org, "", &accepted.target(), &accepted.body),
+            parts: Arc::default(),
+        }
+    }
+
+    fn record_broken_run(&self, subject: &RunSubject, upstream: &ListedInstance, sent_ms: Millis) {
+        self.cx.record_broken_run(BrokenRun {
+            subject: subject.clone(),
+            through: vec![Lifetime {
+                runner: upstream.name.clone(),
+                born_ms: upstream.incarnation,
+            }],
+            seen_by: self.cx.settings.name.clone(),
+            sent_ms,
+            ran_ms: None,
+            at_ms: self.cx.clock.now(),
+        });
+    }
+
     fn decide(&self, failure: AttemptFailure) -> Decision {
         let time = TimeLeft {
             left_ms: self.remaining_ms(),
--- a/policy/src/upstreams.rs
+++ b/policy/src/upstreams.rs
@@ -130,6 +130,12 @@
     pub fn listed(&self) -> &ListedInstance {
         &self.record.listed
     }
+
+    /// Returns when it last answered this instance, in milliseconds.
+    #[must_use]
+    pub fn answered_ms(&self) -> Option<Millis> {
+        self.answered_ms
+    }
 }
 
 /// Registry of upstreams on this instance.
--- a/testkit/examples/measure_membership.rs
+++ b/testkit/examples/measure_membership.rs
@@ -211,11 +211,13 @@
         from: fleet::name(0).into(),
         members: MemberDigest::default(),
         upstreams: UpstreamDigest::default(),
+        crashes: Vec::new(),
     };
     let answer = ExchangeAnswer {
         from: fleet::name(1).into(),
         members: MemberDelta::default(),
         upstreams: UpstreamDelta::default(),
+        crashes: Vec::new(),
     };
     let inner = encoded_size(&exchange.members) + encoded_size(&exchange.upstreams);
     let inner = inner + encoded_size(&answer.members) + encoded_size(&answer.upstreams);
--- a/testkit/src/caller.rs
+++ b/testkit/src/caller.rs
@@ -7,7 +7,9 @@
 
 use futures::StreamExt;
 use jacinthweir_policy::prelude::*;
-use jacinthweir_wire::caller::{Completion, CompletionRequest, EntryAnswer, ErrorBody, ErrorCode};
+use jacinthweir_wire::caller::{
+    ChatMessage, ChatRequest, Completion, CompletionRequest, EntryAnswer, ErrorBody, ErrorCode,
+};
 use jacinthweir_wire::header;
 use reqwest::{RequestBuilder, Response};
 use serde::{Deserialize, Serialize};
@@ -64,6 +66,19 @@
     pub deadline_ms: Option<u64>,
 }
 
+/// A submission to a model as a conversation.
+#[derive(Clone, Debug)]
+pub struct ChatCall {
+    /// Pipeline.
+    pub pipeline: Name,
+    /// Messages.
+    pub messages: Vec<ChatMessage>,
+    /// Maximum number of tokens.
+    pub max_tokens: u32,
+    /// Deadline, in milliseconds; `None` for the pipeline's default.
+    pub deadline_ms: Option<u64>,
+}
+
 /// A submission to a plain service.
 #[derive(Clone, Debug)]
 pub struct ServiceCall {
@@ -136,6 +151,19 @@
         self.submit(req, BodyKind::Stream, show).await
     }
 
+    /// Submits a conversation and reads the stream to its end.
+    pub async fn chat(&self, at: SocketAddr, call: &ChatCall) -> Observation {
+        let body = ChatRequest {
+            model: call.pipeline.clone(),
+            messages: call.messages.clone(),
+            stream: true,
+            max_tokens: Some(call.max_tokens),
+        };
+        let req = self.client.post(format!("http://{at}/v1/chat/completions"));
+        let req = with_deadline(req.json(&body), call.deadline_ms);
+        self.submit(req, BodyKind::Stream, &mut |_| {}).await
+    }
+
     /// Calls a plain service.
     pub async fn call(&self, at: SocketAddr, call: &ServiceCall) -> Observation {
         let url = format!("http://{at}/v1/services/{}/{}", call.service, call.call);
--- a/testkit/src/runner/drive.rs
+++ b/testkit/src/runner/drive.rs
@@ -20,6 +20,8 @@
 
 /// Timeout for releasing the slot of a later stage.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Exit code of a runner that crashes on a lethal prompt.
+const CRASH_EXIT_CODE: i32 = 3;
 /// Token at which frame faults are injected, counted within the attempt.
 const FAULT_TOKEN: u32 = 2;
 
@@ -203,10 +205,18 @@
             if let Some(ended) = self.send_token(tx, frame, index - first).await {
                 return ended;
             }
+            self.crash_if_lethal();
         }
         AttemptEnd::Complete
     }
 
+    fn crash_if_lethal(&self) {
+        let lethal = self.state.lock().overrides.lethal.clone();
+        if lethal.is_some_and(|text| self.req.prompt.contains(&text)) {
+            std::process::exit(CRASH_EXIT_CODE);
+        }
+    }
+
     /// Sends a token frame with the faults that a test has requested.
     async fn send_token(
         &self,
--- a/testkit/src/runner/overrides.rs
+++ b/testkit/src/runner/overrides.rs
@@ -30,6 +30,9 @@
     pub late: Option<u32>,
     /// Whether cancellations are acknowledged but ignored: the attempt continues.
     pub ignore_cancel: Option<bool>,
+    /// Text that crashes the runner's process once it has sent the first token of an answer to a
+    /// prompt that contains it.
+    pub lethal: Option<String>,
 }
 
 impl Overrides {
@@ -47,6 +50,7 @@
         self.duplicate = other.duplicate.or(self.duplicate);
         self.late = other.late.or(self.late);
         self.ignore_cancel = other.ignore_cancel.or(self.ignore_cancel);
+        self.lethal = other.lethal.clone().or(self.lethal.take());
     }
 
     /// Consumes and returns the frame faults of one attempt.
--- a/wire/src/caller.rs
+++ b/wire/src/caller.rs
@@ -167,6 +167,8 @@
     Overloaded,
     /// 503: no chain of stages or no upstream is available.
     NoCapacity,
+    /// 503: upstreams crash when they run the request, or requests with one of its messages.
+    Quarantined,
     /// 503: the platform cannot be reached and the call is not idempotent.
     PlatformDown,
     /// 503: this instance has no confirmed configuration.
--- a/wire/src/peer.rs
+++ b/wire/src/peer.rs
@@ -17,6 +17,7 @@
 pub use jacinthweir_policy::member::{MemberState, Phase};
 pub use jacinthweir_policy::membership::{MemberDelta, MemberDigest, MemberRecord};
 use jacinthweir_policy::prelude::*;
+pub use jacinthweir_policy::quarantine::CrashRecord;
 pub use jacinthweir_policy::upstreams::{PollKind, UpstreamDelta, UpstreamDigest};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -30,6 +31,9 @@
     pub members: MemberDigest,
     /// Digest of the upstream records.
     pub upstreams: UpstreamDigest,
+    /// Crash records: recent ones, and those of what is quarantined.
+    #[serde(default)]
+    pub crashes: Vec<CrashRecord>,
 }
 
 /// Second message of an exchange: the records that are newer at the receiver, and requests for
@@ -42,6 +46,9 @@
     pub members: MemberDelta,
     /// Upstream records.
     pub upstreams: UpstreamDelta,
+    /// Crash records, as in [`Exchange`].
+    #[serde(default)]
+    pub crashes: Vec<CrashRecord>,
 }
 
 /// Third message of an exchange, sent only if records were requested, and the answer to it.
