--- a/policy/src/quarantine.rs
+++ b/policy/src/quarantine.rs
@@ -61,6 +61,9 @@
 /// next runs with a part that many requests contain survive as well.
 pub const TRUST_MS: Millis = 1_000;
 
+/// Smallest difference between runs that are much shorter or longer than others, in milliseconds.
+const RUN_MARGIN_MS: Millis = 50;
+
 /// How long a broken run waits for evidence that its runner ended, in milliseconds: the entry of a
 /// runner that fails silently is removed after three missed heartbeats of a second or more.
 const BROKEN_RUN_RETENTION_MS: Millis = 5_000;
@@ -182,6 +185,13 @@
     runs.iter().filter_map(|r| r.ran_ms).max().unwrap_or(0)
 }
 
+/// Returns the request whose run began last, and so is the likeliest cause of the crash among them.
+fn likeliest_request(runs: &[&BrokenRun]) -> Option<Fingerprint> {
+    let begun = runs.iter().filter(|r| r.ran_ms.is_some());
+    let last = begun.min_by_key(|r| (r.ran_ms, r.subject.request));
+    last.or(runs.first()).map(|r| r.subject.request)
+}
+
 /// Drops the suspects of which no run had begun, provided that there are others.
 fn retain_begun(interrupted: &mut Interrupted) {
     let has_begun = |runs: &Vec<&BrokenRun>| runs.iter().any(|r| r.ran_ms.is_some());
@@ -190,6 +200,24 @@
     }
 }
 
+/// Returns whether a lethal part accounts for the quarantine of another suspect. The runs of a lethal part
+/// are short: it is the one whose longest run was shorter, if the crashes that are not its own would not
+/// suffice. Two parts that always ran together differ in nothing.
+fn is_explained_by_part(crashes: &Crashes, part: &Crashes) -> bool {
+    match part.longest_ms().cmp(&crashes.longest_ms()) {
+        Ordering::Less => !crashes.is_quarantined_without(part),
+        Ordering::Equal => crashes.is_subset_of(part),
+        Ordering::Greater => false,
+    }
+}
+
+/// Returns whether a lethal request accounts for the quarantine of a part: all crashes are its own as
+/// well. Its runs are also those of its parts, so they have to be much shorter than those of this one.
+fn is_explained_by_request(part: &Crashes, request: &Crashes) -> bool {
+    let much_longer_ms = 2 * request.longest_ms() + RUN_MARGIN_MS;
+    part.longest_ms() > much_longer_ms && part.is_subset_of(request)
+}
+
 /// Pending broken runs and counted crashes of one instance.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
@@ -293,7 +321,7 @@
             let request = Suspect::Request(run.subject.request);
             interrupted.entry(request).or_default().push(run);
         }
-        let count = |s: &Suspect| self.suspects.get(s).map_or(0, Crashes::count);
+        let count = |s: &Suspect| self.count_before(s, l);
         let most = interrupted.keys().map(count).max().unwrap_or(0);
         interrupted.retain(|s, _| count(s) == most);
         if most + 1 >= CRASH_THRESHOLD {
@@ -303,8 +331,7 @@
     }
 
     /// Counts the end of a lifetime against the likeliest of the parts that it interrupted and that are
-    /// not trusted: of those with earlier crashes, if there are any, each for which no other has more of
-    /// them and ran for no longer.
+    /// not trusted: each for which no other has more earlier crashes and ran for no longer.
     fn charge_parts(&mut self, runs: &[BrokenRun], l: &Lifetime, now: Millis) -> Vec<NewCrash> {
         let mut interrupted = Interrupted::new();
         for run in runs {
@@ -318,10 +345,7 @@
             }
         }
         retain_begun(&mut interrupted);
-        let count = |s: &Suspect| self.suspects.get(s).map_or(0, Crashes::count);
-        if interrupted.keys().any(|s| count(s) > 0) {
-            interrupted.retain(|s, _| count(s) > 0);
-        }
+        let count = |s: &Suspect| self.count_before(s, l);
         let evidence: Vec<(usize, Millis)> = interrupted
             .iter()
             .map(|(s, runs)| (count(s), longest_ms(runs)))
@@ -336,6 +360,13 @@
         self.charge(&interrupted, l, now)
     }
 
+    /// Returns the number of crashes of a suspect other than the end of a lifetime, which another
+    /// instance may have counted already.
+    fn count_before(&self, suspect: &Suspect, l: &Lifetime) -> usize {
+        let crashes = self.suspects.get(suspect);
+        crashes.map_or(0, |c| c.count_without(l))
+    }
+
     /// Returns the quarantined suspects that other instances charged with the end of a lifetime, and
     /// that did not run here.
     fn quarantined_elsewhere(
@@ -365,7 +396,7 @@
         now: Millis,
     ) -> Option<NewCrash> {
         let first = runs.iter().map(|run| CrashedRun::from(*run)).min()?;
-        let run = first.with_longest_ms(longest_ms(runs));
+        let run = first.with_suspected(likeliest_request(runs), longest_ms(runs));
         let crashes = self.crashes_mut(suspect, now);
         let was_quarantined = crashes.is_quarantined();
         if !crashes.add(l, run, now, now) {
@@ -414,7 +445,7 @@
             };
             let left_ms = crashes.expires_ms().saturating_sub(now);
             if crashes.is_quarantined() && left_ms > 0 {
-                if !self.is_explained(crashes, subject) {
+                if !self.is_explained(suspect, crashes, subject) {
                     return Verdict::Quarantined { suspect, left_ms };
                 }
                 continue;
@@ -438,21 +469,16 @@
         }
     }
 
-    /// Returns whether another quarantined part, which a request does not contain, accounts for the
-    /// quarantine of the request or one of its parts. The runs of a lethal part are short: it is the one
-    /// whose longest run was shorter, if the crashes that are not its own would not suffice. Two parts
-    /// that always ran together differ in nothing.
-    fn is_explained(&self, crashes: &Crashes, subject: &RunSubject) -> bool {
-        let mut others = self.suspects.iter().filter(|(other, c)| {
-            matches!(other, Suspect::Part(_)) && !subject.contains(**other) && c.is_quarantined()
-        });
-        others.any(
-            |(_, other)| match other.longest_ms().cmp(&crashes.longest_ms()) {
-                Ordering::Less => !crashes.is_quarantined_without(other),
-                Ordering::Equal => crashes.is_subset_of(other),
-                Ordering::Greater => false,
-            },
-        )
+    /// Returns whether something else that is quarantined, and that a request does not contain, accounts
+    /// for the quarantine of the request or one of its parts, so that it may be sent.
+    fn is_explained(&self, suspect: Suspect, crashes: &Crashes, subject: &RunSubject) -> bool {
+        let others = self.suspects.iter();
+        let mut others = others.filter(|(s, c)| !subject.contains(**s) && c.is_quarantined());
+        others.any(|(other, c)| match (other, suspect) {
+            (Suspect::Part(_), _) => is_explained_by_part(crashes, c),
+            (Suspect::Request(_), Suspect::Part(_)) => is_explained_by_request(crashes, c),
+            (Suspect::Request(_), Suspect::Request(_)) => false,
+        })
     }
 
     /// Merges a record from another instance or the store. Returns whether it contained anything
--- a/policy/src/quarantine/crashes.rs
+++ b/policy/src/quarantine/crashes.rs
@@ -68,8 +68,18 @@
         }
     }
 
-    pub(super) fn with_longest_ms(self, longest_ms: Millis) -> CrashedRun {
-        CrashedRun { longest_ms, ..self }
+    /// Returns this run with what is known of all runs that the crash interrupted: the request of the
+    /// likeliest, and the longest time for which one of them had produced output, in milliseconds.
+    pub(super) fn with_suspected(
+        self,
+        request: Option<Fingerprint>,
+        longest_ms: Millis,
+    ) -> CrashedRun {
+        CrashedRun {
+            request,
+            longest_ms,
+            ..self
+        }
     }
 
     fn to_crash(&self, lifetime: &Lifetime, now: Millis) -> Crash {
@@ -204,6 +214,14 @@
         count_distinct(self.suspect, &self.counted_runs())
     }
 
+    /// Returns the same without the end of a lifetime.
+    pub(super) fn count_without(&self, l: &Lifetime) -> usize {
+        let counted = self.runs.iter();
+        let counted = counted.filter(|(other, _)| *other != l && !self.cleared.contains(*other));
+        let runs: Vec<&CrashedRun> = counted.map(|(_, run)| run).collect();
+        count_distinct(self.suspect, &runs)
+    }
+
     pub(super) fn is_quarantined(&self) -> bool {
         suffices(self.suspect, &self.counted_runs())
     }
@@ -242,7 +260,10 @@
             // order of merges.
             let longest_ms = run.longest_ms.max(known.longest_ms);
             let first = run.min(known.clone());
-            *known = first.with_longest_ms(longest_ms);
+            *known = CrashedRun {
+                longest_ms,
+                ..first
+            };
             return false;
         }
         if self.runs.len() >= MAX_LIFETIMES {
--- a/policy/tests/quarantine/parts.rs
+++ b/policy/tests/quarantine/parts.rs
@@ -316,3 +316,28 @@
     let failed = (0..12).filter(|seed| fails(*seed)).count();
     expect_that!(failed, gt(9));
 }
+
+/// A lethal request is repeated, and its crashes interrupt runs of other requests with a part in common.
+/// Guards against a quarantine of that part beside the lethal request.
+#[gtest]
+fn a_part_that_a_lethal_request_interrupted_is_not_quarantined() {
+    let mut quarantine = Quarantine::default();
+    let mut now = 1_000;
+    let bystander = |n| subject(n, &["common"]);
+    for n in 0..3 {
+        now += APART_MS;
+        quarantine.record_broken_run(broken(subject(1, &["own"]), n, now));
+        for other in [10 + n, 20 + n] {
+            quarantine.record_broken_run(BrokenRun {
+                ran_ms: Some(600),
+                ..broken(bystander(other), n, now)
+            });
+        }
+        let _evaluation = quarantine.evaluate(now, |_| LifetimeState::Ended);
+    }
+    expect_that!(
+        held_for(&quarantine, &subject(1, &["own"]), now),
+        some(eq(Suspect::Request(subject(1, &[]).request)))
+    );
+    expect_that!(held_for(&quarantine, &bystander(30), now), none());
+}
