Quarantine: a request quarantined elsewhere does not hide the lethal one

What ran elsewhere stands back behind a run that was shorter, as with parts. The test fails without it (by reading: the charge was skipped whatever ran); the older test of the rule is unchanged.

--- a/node/tests/listeners.rs
+++ b/node/tests/listeners.rs
@@ -55,6 +55,7 @@
             "callers",
             "operators",
             "peers",
+            "quarantine",
             "schema",
             "services",
             "upstreams"
--- a/policy/src/quarantine.rs
+++ b/policy/src/quarantine.rs
@@ -11,19 +11,22 @@
 //! counted against the suspects. At [`CRASH_THRESHOLD`] counted crashes a suspect is quarantined: no
 //! instance sends the request, or any request with the part, to any runner.
 //!
-//! Most of the suspects are harmless. If some of the suspects of a crash have earlier crashes against
-//! them, only those with the most are charged with another. A harmless suspect is cleared once it is
-//! sent elsewhere: a run that completes, or that produces output for [`SURVIVED_MS`], clears all
-//! crashes counted against its request and its parts. A runner that answers again in the lifetime that
-//! was believed to have ended clears the crash of that lifetime.
+//! Most of the suspects are harmless. Of the requests that a crash interrupted, only those with the
+//! most earlier crashes are charged with another. A harmless suspect is cleared once it is sent
+//! elsewhere: a run that completes, or that produces output for [`SURVIVED_MS`], clears all crashes
+//! counted against its request and its parts. A runner that answers again in the lifetime that was
+//! believed to have ended clears the crash of that lifetime.
 //!
-//! Parts are shared, which tells more about them than is known of a request:
+//! Parts are shared, so that more is known of them than of a request:
 //! - A part that many requests contain is interrupted by every crash. It is trusted, and not charged,
 //!   if a run with it survived less than [`TRUST_MS`] before.
+//! - The runs of a lethal part are short, since they crash their runner soon after they begin. A part
+//!   is not charged beside one that has more earlier crashes and ran for no longer.
 //! - One request that is repeated says nothing about its parts: a part is quarantined only if
 //!   different requests with it crashed runners.
-//! - Parts that always occur together are charged together. A request that lacks one of them is sent
-//!   if that one accounts for all crashes of the others; its run tells which one is lethal.
+//! - A harmless part may be quarantined together with the lethal one, since a crash interrupts both. A
+//!   request that lacks the lethal one is sent all the same if that one accounts for the crashes of the
+//!   others: its longest run was shorter, and the crashes that are not its own would not suffice.
 //!
 //! Some requests have the same fingerprint, or a part, at many instances at a time. A lost rack
 //! interrupts all of them, each by the loss of another runner, in a single event. Crashes seen by
@@ -304,17 +307,15 @@
     /// Counts the end of a lifetime against the likeliest of the requests that it interrupted, and
     /// against the likeliest of their parts.
     fn attribute_crash(&mut self, runs: &[BrokenRun], l: &Lifetime, now: Millis) -> Vec<NewCrash> {
-        let mut new_crashes = Vec::new();
-        if self.quarantined_elsewhere(l, runs).next().is_none() {
-            new_crashes = self.charge_requests(runs, l, now);
-        }
+        let mut new_crashes = self.charge_requests(runs, l, now);
         new_crashes.extend(self.charge_parts(runs, l, now));
         new_crashes
     }
 
     /// Counts the end of a lifetime against the likeliest of the requests that it interrupted: those
     /// with the most crashes so far, and if that would quarantine them, those whose run had begun,
-    /// provided that there are any.
+    /// provided that there are any. If something quarantined ran elsewhere, only those are
+    /// charged that ran for less.
     fn charge_requests(&mut self, runs: &[BrokenRun], l: &Lifetime, now: Millis) -> Vec<NewCrash> {
         let mut interrupted = Interrupted::new();
         for run in runs {
@@ -327,11 +328,16 @@
         if most + 1 >= CRASH_THRESHOLD {
             retain_begun(&mut interrupted);
         }
+        if let Some(elsewhere_ms) = self.shortest_elsewhere_ms(l, runs) {
+            let is_shorter = |r: &&BrokenRun| r.ran_ms.is_some_and(|ms| ms < elsewhere_ms);
+            interrupted.retain(|_, runs| runs.iter().all(is_shorter));
+        }
         self.charge(&interrupted, l, now)
     }
 
     /// Counts the end of a lifetime against the likeliest of the parts that it interrupted and that are
-    /// not trusted: each for which no other has more earlier crashes and ran for no longer.
+    /// not trusted: each for which no other has more earlier crashes and ran for no longer, and nothing
+    /// quarantined that ran elsewhere had shorter runs.
     fn charge_parts(&mut self, runs: &[BrokenRun], l: &Lifetime, now: Millis) -> Vec<NewCrash> {
         let mut interrupted = Interrupted::new();
         for run in runs {
@@ -350,12 +356,11 @@
             .iter()
             .map(|(s, runs)| (count(s), longest_ms(runs)))
             .collect();
-        let elsewhere = self.quarantined_elsewhere(l, runs);
-        let elsewhere = elsewhere.map(Crashes::longest_ms).min();
+        let elsewhere_ms = self.shortest_elsewhere_ms(l, runs);
         interrupted.retain(|s, runs| {
             let (own_count, own_ms) = (count(s), longest_ms(runs));
             let is_likelier = |(count, ms): &(usize, Millis)| *count > own_count && *ms <= own_ms;
-            !evidence.iter().any(is_likelier) && elsewhere.is_none_or(|ms| ms >= own_ms)
+            !evidence.iter().any(is_likelier) && elsewhere_ms.is_none_or(|ms| ms >= own_ms)
         });
         self.charge(&interrupted, l, now)
     }
@@ -367,20 +372,17 @@
         crashes.map_or(0, |c| c.count_without(l))
     }
 
-    /// Returns the quarantined suspects that other instances charged with the end of a lifetime, and
-    /// that did not run here.
-    fn quarantined_elsewhere(
-        &self,
-        l: &Lifetime,
-        runs: &[BrokenRun],
-    ) -> impl Iterator<Item = &Crashes> {
+    /// Returns the longest run of the quarantined suspect with the shortest runs, in milliseconds, of those
+    /// that other instances charged with the end of a lifetime and that did not run here.
+    fn shortest_elsewhere_ms(&self, l: &Lifetime, runs: &[BrokenRun]) -> Option<Millis> {
         let charged = self.suspects.iter();
         let charged = charged.filter(|(_, c)| c.is_counted(l) && c.is_quarantined());
-        charged
-            .filter(|(s, _)| !runs.iter().any(|run| run.subject.contains(**s)))
-            .map(|(_, c)| c)
+        let ran_here = |s: Suspect| runs.iter().any(|run| run.subject.contains(s));
+        let elsewhere = charged.filter(|(s, _)| !ran_here(**s));
+        elsewhere.map(|(_, c)| c.longest_ms()).min()
     }
 
+    /// Counts the end of a lifetime against each of the suspects that it interrupted.
     fn charge(&mut self, interrupted: &Interrupted, l: &Lifetime, now: Millis) -> Vec<NewCrash> {
         let charged = interrupted.iter();
         let new_crashes = charged.filter_map(|(s, runs)| self.count_crash(*s, l, runs, now));
--- a/policy/tests/quarantine.rs
+++ b/policy/tests/quarantine.rs
@@ -149,6 +149,27 @@
     expect_true!(evaluation.new_crashes.is_empty());
 }
 
+/// A harmless request was quarantined elsewhere for the same crash a moment before. Guards against
+/// passing over the lethal one for it: the lethal one had run for less.
+#[gtest]
+fn a_quarantine_elsewhere_does_not_hide_a_request_with_shorter_runs() {
+    let mut elsewhere = Quarantine::default();
+    for n in 1..=3 {
+        elsewhere.record_broken_run(BrokenRun {
+            ran_ms: Some(400),
+            ..broken(1, [n], n)
+        });
+        let _evaluation = elsewhere.evaluate(n, |_| LifetimeState::Ended);
+    }
+    let mut quarantine = after_crashes(1..=2);
+    for record in updates(&elsewhere) {
+        quarantine.merge(&record, 3);
+    }
+    quarantine.record_broken_run(broken(0, [3], 3));
+    let _evaluation = quarantine.evaluate(3, |_| LifetimeState::Ended);
+    expect_true!(is_quarantined(&quarantine, 0, 3));
+}
+
 /// A request that was queued on the same three runners was present at each crash, but had not
 /// begun.
 #[gtest]
