--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -7,6 +7,7 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import socket
 import tempfile
@@ -41,10 +42,24 @@
         self.file.close()
 
 
+# Below the ports that the system gives to outgoing connections, which could take one while a
+# listener is closed.
+PORTS = range(12_000, 30_000)
+GIVEN_PORTS = set()
+
+
 def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    while True:
+        port = random.choice(PORTS)
+        if port in GIVEN_PORTS:
+            continue
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        GIVEN_PORTS.add(port)
+        return port
 
 
 async def read_head(reader):
