Lines: who closed a run first and why it was given up; panics; on what evidence a runner ended

Nothing that decides changes. A cut says which side closed the run's connection first and how long ago (run_closed_by, run_closed_ms_ago) and is counted by that and by the reason to give up; the connection of a caller that ends with an error says which side ended it; an answer that is dropped by a panic no longer reads as a caller that left; panics reach the structured log and a metric; a strike names the evidence on which its lifetime counts as ended.

--- a/kernel/src/logs.rs
+++ b/kernel/src/logs.rs
@@ -105,6 +105,20 @@
     }
 }
 
+/// Logs and counts panics, also those of tasks that nothing awaits. They are still printed to standard
+/// error.
+fn log_panics() {
+    let print = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        print(panic);
+        metrics::counter!("jacinthweir_panics_total").increment(1);
+        let location = panic.location().map(ToString::to_string);
+        let location = location.unwrap_or_default();
+        let what = panic.payload_as_str().unwrap_or("unknown");
+        log::error!(location, what; "panic");
+    }));
+}
+
 fn apply(
     cfg: &LogSettings,
     instance: &str,
@@ -129,7 +143,9 @@
     applied.map_err(|e| KernelError::SetUp {
         what: "logs",
         cause: e.to_string(),
-    })
+    })?;
+    log_panics();
+    Ok(())
 }
 
 fn level(level: LogLevel) -> LevelFilter {
--- a/plugins/relay/src/failure_detector.rs
+++ b/plugins/relay/src/failure_detector.rs
@@ -10,7 +10,7 @@
 use jacinthweir_platform::runner::Report;
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::failure_reports::{self, Advice, FailureReport};
-use jacinthweir_policy::relay::runners::{PROBE_INTERVAL_MS, RunnerEntry};
+use jacinthweir_policy::relay::runners::{DeathEvidence, PROBE_INTERVAL_MS, RunnerEntry};
 use jacinthweir_policy::relay::silence::ProbeRound;
 use jacinthweir_policy::relay::store_watch;
 use tokio::time::{sleep, timeout};
@@ -221,7 +221,7 @@
 /// dead.
 pub(crate) fn process_report(node: &Node, id: &Name, born_ms: u64, report: &Report) {
     if !report.is_from_lifetime(born_ms) {
-        return report_dead(node, id, born_ms, "runner has restarted");
+        return report_dead(node, id, born_ms, DeathEvidence::Restarted);
     }
     record_answer(node, id, born_ms);
     let mut changed = set_pace(node, id, report.pace, node.now());
@@ -235,7 +235,7 @@
 }
 
 /// Declares a lifetime of a runner dead and notifies the other instances at once.
-pub(crate) fn report_dead(node: &Node, id: &Name, born_ms: u64, evidence: &str) {
+pub(crate) fn report_dead(node: &Node, id: &Name, born_ms: u64, evidence: DeathEvidence) {
     if mark_dead_and_report(node, id, born_ms, evidence) {
         node.gossip_due.notify_one();
         node.rebuild_chains();
@@ -256,7 +256,7 @@
 
 /// Marks a lifetime of a runner as dead and records a failure report of this instance. Returns
 /// whether it was not marked before.
-fn mark_dead_and_report(node: &Node, id: &Name, born_ms: u64, evidence: &str) -> bool {
+fn mark_dead_and_report(node: &Node, id: &Name, born_ms: u64, evidence: DeathEvidence) -> bool {
     let found = mark_dead(node, id, born_ms, evidence);
     if found {
         let report = FailureReport {
@@ -276,7 +276,7 @@
 
 /// Marks a lifetime of a runner as dead because of `evidence`. Returns whether it was not marked
 /// before.
-fn mark_dead(node: &Node, id: &Name, born_ms: u64, evidence: &str) -> bool {
+fn mark_dead(node: &Node, id: &Name, born_ms: u64, evidence: DeathEvidence) -> bool {
     let now = node.now();
     let mut runners = node.runners.borrow_mut();
     let Some(health) = runners.health_mut(id) else {
@@ -287,13 +287,14 @@
     }
     health.dead = true;
     health.dead_since_ms = now;
+    health.death_evidence = Some(evidence);
     health.found_locally = false;
     health.reset_probe_backoff();
     let accepted_ms_ago = node.runner_connections.accepted_ms_ago(now);
     log::warn!(
         runner = id.as_ref(),
         born_ms,
-        evidence,
+        evidence:%,
         accepted_ms_ago:? = accepted_ms_ago;
         "runner counts as dead"
     );
@@ -307,12 +308,7 @@
         runners.at(address).map(|e| (e.id.clone(), e.born_ms))
     };
     found.is_some_and(|(id, born_ms)| {
-        mark_dead_and_report(
-            node,
-            &id,
-            born_ms,
-            "requests at another runner are stalled on it",
-        )
+        mark_dead_and_report(node, &id, born_ms, DeathEvidence::Stalled)
     })
 }
 
@@ -360,7 +356,7 @@
         drop(reports);
         match advice {
             Advice::MarkDead => {
-                changed |= mark_dead(node, &id, born_ms, "reported dead by other instances");
+                changed |= mark_dead(node, &id, born_ms, DeathEvidence::Reported);
             }
             Advice::Probe => probe_reported(node, &id, born_ms),
             Advice::Wait => {}
--- a/plugins/relay/src/quarantine.rs
+++ b/plugins/relay/src/quarantine.rs
@@ -14,7 +14,7 @@
 use jacinthweir_policy::quarantine::{CrashRecord, Evaluation, NewCrash, Suspect, Verdict};
 use jacinthweir_policy::relay::chain::Chain;
 use jacinthweir_policy::relay::rendezvous;
-use jacinthweir_policy::relay::runners::RunnerEntry;
+use jacinthweir_policy::relay::runners::{RunnerEntry, Runners};
 use tokio::time::sleep;
 
 use crate::duties;
@@ -105,7 +105,7 @@
     let runners = node.runners.borrow();
     let evaluation = quarantine.evaluate(node.now(), |l| runners.lifetime_state(l));
     drop(quarantine);
-    log_crashes(&evaluation);
+    log_crashes(&runners, &evaluation);
     if evaluation.is_news() {
         node.gossip_due.notify_one();
     }
@@ -114,30 +114,34 @@
         .extend(evaluation.obsolete);
 }
 
-fn log_crashes(evaluation: &Evaluation) {
+fn log_crashes(runners: &Runners, evaluation: &Evaluation) {
     for crash in &evaluation.new_crashes {
         metrics::counter!("jacinthweir_strikes_total").increment(1);
-        log_crash(crash);
+        log_crash(runners, crash);
     }
 }
 
-fn log_crash(crash: &NewCrash) {
+fn log_crash(runners: &Runners, crash: &NewCrash) {
     let NewCrash {
         suspect, lifetime, ..
     } = crash;
+    let evidence = runners.end_evidence(lifetime).map(|e| e.to_string());
+    let evidence = evidence.unwrap_or_default();
     match suspect {
         Suspect::Request(fingerprint) => log::warn!(
             fingerprint:%,
             runner:% = lifetime,
             born_ms = lifetime.born_ms,
-            strikes = crash.count;
+            strikes = crash.count,
+            evidence;
             "a runner ended under a request"
         ),
         Suspect::Part(part) => log::warn!(
             part:%,
             runner:% = lifetime,
             born_ms = lifetime.born_ms,
-            strikes = crash.count;
+            strikes = crash.count,
+            evidence;
             "a runner ended under a part of prompts"
         ),
     }
--- a/plugins/relay/src/runner_probe.rs
+++ b/plugins/relay/src/runner_probe.rs
@@ -18,7 +18,7 @@
 use jacinthweir_platform::runner::{self, Report, RunnerError};
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::reachability::Verdict;
-use jacinthweir_policy::relay::runners::RunnerEntry;
+use jacinthweir_policy::relay::runners::{DeathEvidence, RunnerEntry};
 use jacinthweir_policy::relay::silence::ProbeRound;
 use rand::seq::IteratorRandom;
 use tokio::time::{sleep, timeout};
@@ -78,9 +78,6 @@
 /// Pause after a round in which no witness answered.
 const UNWITNESSED_PAUSE: Duration = Duration::from_millis(150);
 
-/// Evidence that nothing listens at a runner's address.
-const REFUSED_EVIDENCE: &str = "connection refused";
-
 /// Maximum duration of an examination with witnesses, in milliseconds. Callers wait for two
 /// seconds.
 const MAX_EXAMINATION_MS: Millis = 1_000;
@@ -129,6 +126,15 @@
         }
     }
 
+    /// Returns why there is no report.
+    fn cause(&self) -> &str {
+        match self {
+            ProbeResult::NoReport(cause) | ProbeResult::Silent(cause) => cause,
+            ProbeResult::Refused => "connection refused",
+            ProbeResult::Report(_) | ProbeResult::Listening => "",
+        }
+    }
+
     /// Returns whether there was any response.
     pub(crate) fn is_response(&self) -> bool {
         !matches!(self, ProbeResult::Silent(_) | ProbeResult::Refused)
@@ -242,22 +248,28 @@
         silent_rounds += u32::from(witnessed);
         let pause = pause_after(&found, witnessed);
         let is_silent_for_long = witnessed && silent_rounds >= MIN_SILENT_ROUNDS;
-        let (evidence, is_certain) = match found {
+        let (evidence, is_certain) = match &found {
             ProbeResult::Report(report) => {
-                return failure_detector::process_report(&node, &s.id, s.born_ms, &report);
+                return failure_detector::process_report(&node, &s.id, s.born_ms, report);
             }
             ProbeResult::Listening => {
                 return failure_detector::record_answer(&node, &s.id, s.born_ms);
             }
-            ProbeResult::Refused => (REFUSED_EVIDENCE.to_owned(), witnessed),
-            ProbeResult::Silent(cause) => (cause, is_silent_for_long),
-            ProbeResult::NoReport(cause) => {
+            ProbeResult::Refused => (DeathEvidence::Refused, witnessed),
+            ProbeResult::Silent(_) => (DeathEvidence::Silent, is_silent_for_long),
+            ProbeResult::NoReport(_) => {
                 let is_over = node.now() >= began + NO_REPORT_TIMEOUT_MS;
-                (cause, is_silent_for_long && is_over)
+                (DeathEvidence::NoReport, is_silent_for_long && is_over)
             }
         };
+        log::debug!(
+            runner = s.id.as_ref(),
+            witnessed,
+            cause = found.cause();
+            "runner does not answer"
+        );
         // Without witnesses only another instance can tell.
-        if (is_certain || !witnessed) && settle(&node, &s, is_certain, &evidence).await {
+        if (is_certain || !witnessed) && settle(&node, &s, is_certain, evidence).await {
             return;
         }
         sleep(pause).await;
@@ -275,7 +287,7 @@
 }
 
 /// Acts on the verdict on a runner that does not answer. Returns whether there is one.
-async fn settle(node: &Rc<Node>, s: &Suspect, is_certain: bool, evidence: &str) -> bool {
+async fn settle(node: &Rc<Node>, s: &Suspect, is_certain: bool, evidence: DeathEvidence) -> bool {
     match reachability::verdict(node, s, is_certain).await {
         Verdict::Dead => {
             failure_detector::report_dead(node, &s.id, s.born_ms, evidence);
--- a/plugins/relay/src/server.rs
+++ b/plugins/relay/src/server.rs
@@ -170,6 +170,7 @@
         .header_read_timeout(Duration::from_millis(limits.idle_timeout_ms))
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
         .max_headers(MAX_HEADERS);
+    let caller = stream.peer_addr().ok();
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let ended = tokio::select! {
@@ -180,7 +181,44 @@
         }
     };
     if let Err(e) = ended {
-        log::debug!(face:% = kind, cause:% = e; "connection ended");
+        log_connection_error(kind, caller, &e);
+    }
+}
+
+fn log_connection_error(kind: ListenerKind, peer: Option<SocketAddr>, e: &hyper::Error) {
+    let closed_by = Closer::of(e);
+    metrics::counter!("jacinthweir_connection_errors_total", "face" => kind.to_string(), "closed_by" => closed_by.to_string())
+        .increment(1);
+    let level = match kind {
+        ListenerKind::Callers => log::Level::Info,
+        _ => log::Level::Debug,
+    };
+    log::log!(level, face:% = kind, peer:? = peer, closed_by:%, cause:? = e; "connection ended early");
+}
+
+/// Side that ended a connection before the end of an exchange.
+#[derive(Clone, Copy, Debug, derive_more::Display, PartialEq, Eq)]
+enum Closer {
+    /// This instance cut an answer.
+    #[display("instance")]
+    Instance,
+    /// This instance closed it because no request came in time.
+    #[display("timeout")]
+    Timeout,
+    /// The peer closed or reset it, or sent something that is no request.
+    #[display("peer")]
+    Peer,
+}
+
+impl Closer {
+    fn of(e: &hyper::Error) -> Closer {
+        if e.is_user() {
+            Closer::Instance
+        } else if e.is_timeout() {
+            Closer::Timeout
+        } else {
+            Closer::Peer
+        }
     }
 }
 
--- a/plugins/relay/src/stream.rs
+++ b/plugins/relay/src/stream.rs
@@ -138,6 +138,7 @@
         run_head_ms: now,
         survived: false,
         longest_gap_ms: 0,
+        run_end: None,
         resumed: 0,
         attempts,
         run: Some(run),
@@ -177,11 +178,29 @@
     survived: bool,
     /// Longest time between two reads, which decides whether a complete answer counts as late.
     longest_gap_ms: Millis,
+    /// End of the last run whose end was noticed.
+    run_end: Option<RunEnd>,
     resumed: u32,
     attempts: ChainAttempts,
     ended: bool,
 }
 
+/// Side that closed the connection of a run first.
+#[derive(Clone, Copy, Debug, derive_more::Display, PartialEq, Eq)]
+enum Closer {
+    #[display("runner")]
+    Runner,
+    #[display("instance")]
+    Instance,
+}
+
+/// End of a run before that of its answer.
+#[derive(Clone, Copy, Debug)]
+struct RunEnd {
+    closer: Closer,
+    at_ms: Millis,
+}
+
 /// Outcome of reading from the current run.
 enum ReadOutcome {
     Bytes(Bytes),
@@ -211,12 +230,14 @@
                 }
                 ReadOutcome::End => {
                     let cause = "ended within an event".to_owned();
+                    self.record_run_end(Closer::Runner);
                     self.record_interruption(&cause);
                     if let Err(failure) = self.resume_elsewhere(&cause).await {
                         return self.cut(cause, Some(failure));
                     }
                 }
                 ReadOutcome::RunFailed(cause) => {
+                    self.record_run_end(Closer::Runner);
                     self.record_interruption(&cause);
                     if let Err(failure) = self.resume_elsewhere(&cause).await {
                         return self.cut(cause, Some(failure));
@@ -262,6 +283,12 @@
         self.run.as_ref().and_then(Run::on_chain)
     }
 
+    /// Records that the connection of the current run is closed.
+    fn record_run_end(&mut self, closer: Closer) {
+        let at_ms = self.node.now();
+        self.run_end = Some(RunEnd { closer, at_ms });
+    }
+
     /// Records that the current run was interrupted.
     fn record_interruption(&self, cause: &str) {
         if let Some(in_flight) = self.in_flight() {
@@ -337,14 +364,29 @@
         failure: Option<ResumeFailure>,
     ) -> Option<Result<Bytes, StreamCut>> {
         self.ended = true;
+        if self.body.is_some() && self.run_end.is_none() {
+            self.record_run_end(Closer::Instance);
+        }
         self.run = None;
         self.body = None;
         count_outcome("cut");
+        let given_up = failure.map_or("", ResumeFailure::name);
+        let run_closed_by = self
+            .run_end
+            .map_or_else(String::new, |e| e.closer.to_string());
+        metrics::counter!(
+            "jacinthweir_streams_cut_total",
+            "run_closed_by" => run_closed_by.clone(),
+            "given_up" => given_up
+        )
+        .increment(1);
         log::warn!(
             request = self.rq.id.as_ref(),
             route = self.rq.route.as_ref(),
             cause = cause.as_str(),
-            given_up = failure.map_or_else(String::new, |g| g.to_string()),
+            given_up,
+            run_closed_by,
+            run_closed_ms_ago:? = self.run_end.map(|e| self.node.now() - e.at_ms),
             sends = self.attempts.send_record.sends,
             silent_ms = self.node.now() - self.last_received_ms,
             last_event:? = self.events.last(),
@@ -356,12 +398,17 @@
 }
 
 impl Drop for ForwardedStream {
-    /// Logs and counts a caller that left. Its connection drops the answer and with it this value;
-    /// there is no other indication.
+    /// Logs and counts a caller that left, or a panic in the task of its connection. The connection
+    /// drops the answer and with it this value; there is no other indication.
     fn drop(&mut self) {
         if self.ended {
             return;
         }
+        if std::thread::panicking() {
+            count_outcome("panicked");
+            log::error!(request = self.rq.id.as_ref(); "answer lost in a panic");
+            return;
+        }
         let now = self.node.now();
         count_outcome("left");
         log::info!(
--- a/plugins/relay/src/stream/failover.rs
+++ b/plugins/relay/src/stream/failover.rs
@@ -14,7 +14,7 @@
 use jacinthweir_policy::retry_priority::RetryPriority;
 use tokio::time::{sleep, timeout};
 
-use super::ForwardedStream;
+use super::{Closer, ForwardedStream};
 use crate::admission::{self, QueuePosition};
 use crate::chain_attempts::AttemptOutcome;
 use crate::forwarding::{Forwarded, StreamProgress};
@@ -48,32 +48,40 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Reason why an interrupted stream was not resumed.
-#[derive(Clone, Copy, Debug, derive_more::Display, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ResumeFailure {
-    #[display("it must not run again")]
     NotRepeatable,
-    #[display("no repeat left")]
     NoRetry,
-    #[display("no attempt left")]
     AttemptsExhausted,
-    #[display("no chain took it in time")]
     NoChain,
-    #[display("no other instance took it in time")]
     NotForwarded,
-    #[display("the next chain did not take it")]
     NextRefused,
-    #[display("the next chain broke")]
     NextBroke,
-    #[display("the next run was lost")]
     NextLost,
-    #[display("the next run failed")]
     NextFailed,
-    #[display("its runners end under it")]
     Quarantined,
-    #[display("out of time")]
     OutOfTime,
 }
 
+impl ResumeFailure {
+    /// Returns the reason as it appears in logs and metrics.
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            ResumeFailure::NotRepeatable => "it must not run again",
+            ResumeFailure::NoRetry => "no repeat left",
+            ResumeFailure::AttemptsExhausted => "no attempt left",
+            ResumeFailure::NoChain => "no chain took it in time",
+            ResumeFailure::NotForwarded => "no other instance took it in time",
+            ResumeFailure::NextRefused => "the next chain did not take it",
+            ResumeFailure::NextBroke => "the next chain broke",
+            ResumeFailure::NextLost => "the next run was lost",
+            ResumeFailure::NextFailed => "the next run failed",
+            ResumeFailure::Quarantined => "its runners end under it",
+            ResumeFailure::OutOfTime => "out of time",
+        }
+    }
+}
+
 impl ForwardedStream {
     /// Reroutes the run around a dead stage, along the chain that replaces the broken one behind
     /// the same first runner. Returns `None` if a new run is needed instead.
@@ -147,7 +155,9 @@
     /// Resumes the stream with another run, after the last complete event. Tries until the caller's
     /// time is over, since a chain or a retry that is missing now may become available.
     pub(super) async fn resume_elsewhere(&mut self, cause: &str) -> Result<(), ResumeFailure> {
-        self.body = None;
+        if self.body.take().is_some() && self.run_end.is_none() {
+            self.record_run_end(Closer::Instance);
+        }
         // The runner is probably dead but not yet detected as such, so its chain is excluded.
         let chain = self.in_flight().map(|p| Rc::clone(&p.live));
         self.attempts.broken = chain.into_iter().collect();
@@ -266,6 +276,7 @@
 
     fn finish_resume(&mut self, run: Run, res: Response<ResponseBody>, cause: &str) {
         self.resumed += 1;
+        self.run_end = None;
         self.run_head_ms = self.node.now();
         self.survived = false;
         count_outcome("resumed");
--- a/policy/src/relay/runners.rs
+++ b/policy/src/relay/runners.rs
@@ -44,6 +44,32 @@
     }
 }
 
+/// Evidence on which a lifetime of a runner counts as dead.
+#[derive(Clone, Copy, Debug, derive_more::Display, PartialEq, Eq)]
+pub enum DeathEvidence {
+    /// It refuses connections, while witnesses accept them and no other instance reaches it.
+    #[display("connection refused")]
+    Refused,
+    /// Another lifetime answers at its address.
+    #[display("runner has restarted")]
+    Restarted,
+    /// It does not answer, while witnesses do and no other instance reaches it.
+    #[display("silent while witnesses answer")]
+    Silent,
+    /// It accepts connections and sends no report, while witnesses do.
+    #[display("no report while witnesses answer")]
+    NoReport,
+    /// Another runner reports that its requests are stalled on it.
+    #[display("requests at another runner are stalled on it")]
+    Stalled,
+    /// A quorum of other instances reported it dead.
+    #[display("reported dead by other instances")]
+    Reported,
+    /// Its entry is gone from the store.
+    #[display("entry removed")]
+    EntryRemoved,
+}
+
 /// Health of a runner as known to this instance.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RunnerHealth {
@@ -59,6 +85,8 @@
     pub dead: bool,
     /// When it was found dead, in milliseconds.
     pub dead_since_ms: Millis,
+    /// On what evidence it was last found dead.
+    pub death_evidence: Option<DeathEvidence>,
     /// Whether this instance found it dead itself, rather than by a quorum of reports.
     pub found_locally: bool,
     /// Range of layers that its entry still lists although it refused a request for part of it.
@@ -518,6 +546,19 @@
         }
     }
 
+    /// Returns the evidence on which a lifetime counts as ended.
+    #[must_use]
+    pub fn end_evidence(&self, l: &Lifetime) -> Option<DeathEvidence> {
+        let health = self.health(&l.runner);
+        match self.entries.get(&l.runner) {
+            Some(e) if e.born_ms != l.born_ms => Some(DeathEvidence::Restarted),
+            _ if health.born_ms != l.born_ms => None,
+            _ if health.dead => health.death_evidence,
+            Some(_) => None,
+            None => Some(DeathEvidence::EntryRemoved),
+        }
+    }
+
     /// Records that a lifetime of a runner did not accept a connection of this instance. Returns
     /// whether that is new.
     pub fn mark_unreachable(&mut self, id: &Name, born_ms: u64, now: Millis) -> bool {
