--- a/plugins/relay/tests/support/standin/runner.rs
+++ b/plugins/relay/tests/support/standin/runner.rs
@@ -277,6 +277,7 @@
     }
 
     async fn order(&self, stream: &mut TcpStream, body: &[u8]) {
+        self.wait_while_paused().await;
         let order: Value = serde_json::from_slice(body).expect("JSON");
         if order["operation"] == "repath" {
             let text = |name: &str| order[name].as_str().expect("a text").to_owned();
@@ -329,6 +330,7 @@
                 .crash_mid_run(stream, &format!("{request_id}{receipt}"), is_stream)
                 .await;
         }
+        self.wait_while_paused().await;
         let text = match behaviour {
             Behaviour::Unresponsive | Behaviour::HangsRequests => {
                 sleep(TEST_TIMEOUT).await;
