Recovery: a runner that answers again no longer ends the task that probes dead runners

Callers saw runners that had been silent once stay unused for good, each chain through them gone, and streams closed with 'no chain took it in time'. mark_recovered_if_dead held the runners borrowed while record_answer borrowed them again; the panic ended the recovery task, and nothing starts it anew. Runners::mark_recovered now changes the health and returns before anything else is called.

Before: a_runner_is_used_again_after_each_silence fails (the second death never ends, 'RefCell already borrowed'), streams_go_on_after_three_of_their_runners_fell_silent as well; after: both pass.

--- a/plugins/relay/src/failure_detector.rs
+++ b/plugins/relay/src/failure_detector.rs
@@ -481,12 +481,11 @@
 
 /// Marks a dead runner that answered as recovered. Returns whether it was marked as dead.
 fn mark_recovered_if_dead(node: &Node, id: &Name, born_ms: u64) -> bool {
-    let mut runners = node.runners.borrow_mut();
-    let Some(health) = runners.health_mut(id).filter(|s| s.dead) else {
-        return false;
-    };
-    health.mark_recovered(node.now());
-    record_answer(node, id, born_ms);
-    log::info!(runner = id.as_ref(); "runner answers again");
-    true
+    let now = node.now();
+    let was_dead = node.runners.borrow_mut().mark_recovered(id, now);
+    if was_dead {
+        record_answer(node, id, born_ms);
+        log::info!(runner = id.as_ref(); "runner answers again");
+    }
+    was_dead
 }
--- a/plugins/relay/tests/relay/failure_detection.rs
+++ b/plugins/relay/tests/relay/failure_detection.rs
@@ -235,14 +235,7 @@
         send_request(cluster.callers(), LOOKUP, "", "").await;
         cluster.wait_for_dead(1).await;
         plain.register("ready");
-        let recovered = async {
-            while cluster.dead_runners().await > 0 {
-                sleep(Duration::from_millis(20)).await;
-            }
-        };
-        timeout(TEST_TIMEOUT, recovered)
-            .await
-            .expect("a recovered runner");
+        cluster.wait_until_none_is_dead().await;
     });
 }
 
--- a/plugins/relay/tests/relay/silent_runners.rs
+++ b/plugins/relay/tests/relay/silent_runners.rs
@@ -176,3 +176,24 @@
         }
     });
 }
+
+/// Guards against a recovery task that ends with the first runner that answers again: those that are
+/// silent later were never used again.
+#[gtest]
+fn a_runner_is_used_again_after_each_silence() {
+    run_single_threaded(async {
+        let cluster = cluster_with_slow_streams(|_| {}).await;
+        let head = cluster.local_runner((0, 2));
+        leave_one_chain(&cluster);
+        for _ in 0..2 {
+            head.responses_paused.set(true);
+            let streams = ["one", "two"].map(|body| start_stream(&cluster, "", body));
+            cluster.wait_for_dead(1).await;
+            head.responses_paused.set(false);
+            cluster.wait_until_none_is_dead().await;
+            for stream in streams {
+                stream.await.expect("it ends");
+            }
+        }
+    });
+}
--- a/plugins/relay/tests/support/standin.rs
+++ b/plugins/relay/tests/support/standin.rs
@@ -205,6 +205,18 @@
         timeout(TEST_TIMEOUT, found).await.expect("dead runners");
     }
 
+    /// Waits until no runner counts as dead at the relay.
+    pub async fn wait_until_none_is_dead(&self) {
+        let recovered = async {
+            while self.dead_runners().await > 0 {
+                sleep(Duration::from_millis(5)).await;
+            }
+        };
+        timeout(TEST_TIMEOUT, recovered)
+            .await
+            .expect("recovered runners");
+    }
+
     /// Returns the runner in the relay's failure domain that holds a range of layers.
     pub fn local_runner(&self, layers: (u64, u64)) -> &Runner {
         let mut local = self.runners[..2].iter();
--- a/policy/src/relay/runners.rs
+++ b/policy/src/relay/runners.rs
@@ -522,6 +522,15 @@
         notable.filter_map(|id| Some((entries.get(id)?, health.get(id)?)))
     }
 
+    /// Records that a runner answers again at `now`. Returns whether it was considered dead.
+    pub fn mark_recovered(&mut self, id: &Name, now: Millis) -> bool {
+        let health = self.health_mut(id).filter(|h| h.dead);
+        health.is_some_and(|health| {
+            health.mark_recovered(now);
+            true
+        })
+    }
+
     /// Returns the health of a runner for modification.
     pub fn health_mut(&mut self, id: &Name) -> Option<&mut RunnerHealth> {
         if let Some(domain) = self.entries.get(id).map(|e| e.domain.clone()) {
