Quarantine: a silence is no crash

A sound runner may fall silent for a second or so. It counted as dead after some 50 ms, and each request that it interrupted, and each part of their prompts, was charged with a crash; three of these within the time that a runner takes to answer again quarantined the request or the part: new requests were refused, and a stream that is interrupted while quarantined is closed at once.

A lifetime that counts as dead has evidence now; only a refused connection (while witnesses accept theirs and no other instance reaches it), another lifetime at its address, or a removed entry shows that it has ended. A silent one is LifetimeState::Silent: runs that it broke wait for such evidence, and are dropped when the runner answers again.

Before, by reading: lifetime_state took every dead runner for ended. silent_runners_quarantine_nothing and a_silent_runner_that_restarts_has_crashed hold it.

--- a/plugins/relay/src/interrupted_run.rs
+++ b/plugins/relay/src/interrupted_run.rs
@@ -77,14 +77,15 @@
     }
 }
 
-/// Probes the first runner of an interrupted run, unless one of its runners is already known to
-/// have ended.
+/// Probes the first runner of an interrupted run, unless one of its runners already counts as dead.
 fn probe_first(node: &Rc<Node>, lifetimes: &[Lifetime]) {
     let is_explained = {
         let runners = node.runners.borrow();
-        lifetimes
-            .iter()
-            .any(|l| runners.lifetime_state(l) == LifetimeState::Ended)
+        let is_dead = |l| {
+            let state = runners.lifetime_state(l);
+            matches!(state, LifetimeState::Ended | LifetimeState::Silent)
+        };
+        lifetimes.iter().any(is_dead)
     };
     if let Some(first) = lifetimes.first().filter(|_| !is_explained) {
         failure_detector::connection_lost(node, &first.runner, first.born_ms);
--- a/policy/src/quarantine.rs
+++ b/policy/src/quarantine.rs
@@ -9,7 +9,8 @@
 //! A request whose run breaks off is a suspect, and so is each part of its prompt that other requests
 //! may share: its runner may have crashed because of it. If the runner has crashed, the crash is
 //! counted against the suspects. At [`CRASH_THRESHOLD`] counted crashes a suspect is quarantined: no
-//! instance sends the request, or any request with the part, to any runner.
+//! instance sends the request, or any request with the part, to any runner. A runner that is only silent
+//! has not crashed: a run that it broke waits for evidence, and is dropped if the runner answers again.
 //!
 //! Most of the suspects are harmless. Of the requests that a crash interrupted, only those with the
 //! most earlier crashes are charged with another. A harmless suspect is cleared once it is sent
@@ -100,6 +101,8 @@
 pub enum LifetimeState {
     /// It goes on, or nothing is known of it.
     Running,
+    /// The runner does not answer. A sound one may be silent for a second or more.
+    Silent,
     /// It has ended.
     Ended,
     /// The runner was believed dead and has answered since this time, in milliseconds.
@@ -148,6 +151,22 @@
     pub at_ms: Millis,
 }
 
+impl BrokenRun {
+    /// Returns the first of its lifetimes that has ended.
+    fn ending(&self, lifetime_state: impl Fn(&Lifetime) -> LifetimeState) -> Option<Lifetime> {
+        let mut through = self.through.iter();
+        let ended = through.find(|l| lifetime_state(l) == LifetimeState::Ended);
+        ended.cloned()
+    }
+
+    /// Returns whether a runner that was believed dead when the run broke off has answered since.
+    fn is_refuted(&self, lifetime_state: impl Fn(&Lifetime) -> LifetimeState) -> bool {
+        self.through
+            .iter()
+            .any(|l| matches!(lifetime_state(l), LifetimeState::Recovered(at) if at >= self.at_ms))
+    }
+}
+
 /// A crash that this instance newly counted against a suspect.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct NewCrash {
@@ -285,10 +304,9 @@
         let mut evaluation = Evaluation::default();
         let mut interrupted: BTreeMap<Lifetime, Vec<BrokenRun>> = BTreeMap::new();
         for run in std::mem::take(&mut self.broken_runs) {
-            let mut through = run.through.iter();
-            let ended = through.find(|l| lifetime_state(l) == LifetimeState::Ended);
-            match ended.cloned() {
+            match run.ending(&lifetime_state) {
                 Some(l) => interrupted.entry(l).or_default().push(run),
+                None if run.is_refuted(&lifetime_state) => {}
                 None if now < run.at_ms + BROKEN_RUN_RETENTION_MS => self.broken_runs.push(run),
                 None => {}
             }
--- a/policy/src/quarantine/crashes.rs
+++ b/policy/src/quarantine/crashes.rs
@@ -335,7 +335,7 @@
     ) -> bool {
         let has_recovered = |l: &Lifetime, learned_ms: Millis| match lifetime_state(l) {
             LifetimeState::Recovered(at_ms) => at_ms >= learned_ms,
-            LifetimeState::Running | LifetimeState::Ended => false,
+            LifetimeState::Running | LifetimeState::Silent | LifetimeState::Ended => false,
         };
         let recovered: Vec<Lifetime> = self
             .learned_ms
--- a/policy/src/relay/runners.rs
+++ b/policy/src/relay/runners.rs
@@ -70,6 +70,20 @@
     EntryRemoved,
 }
 
+impl DeathEvidence {
+    /// Returns whether it shows that the lifetime has ended, rather than that the runner is silent.
+    #[must_use]
+    pub fn is_proof(self) -> bool {
+        match self {
+            DeathEvidence::Refused | DeathEvidence::Restarted | DeathEvidence::EntryRemoved => true,
+            DeathEvidence::Silent
+            | DeathEvidence::NoReport
+            | DeathEvidence::Stalled
+            | DeathEvidence::Reported => false,
+        }
+    }
+}
+
 /// Health of a runner as known to this instance.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RunnerHealth {
@@ -547,7 +561,10 @@
         match self.entries.get(&l.runner) {
             Some(e) if e.born_ms != l.born_ms => LifetimeState::Ended,
             _ if s.born_ms != l.born_ms => LifetimeState::Running,
-            _ if s.dead => LifetimeState::Ended,
+            _ if s.dead && s.death_evidence.is_some_and(DeathEvidence::is_proof) => {
+                LifetimeState::Ended
+            }
+            Some(_) if s.dead => LifetimeState::Silent,
             Some(_) => s
                 .recovered_ms()
                 .map_or(LifetimeState::Running, LifetimeState::Recovered),
--- a/policy/tests/quarantine.rs
+++ b/policy/tests/quarantine.rs
@@ -4,6 +4,9 @@
 mod lethal;
 #[path = "quarantine/parts.rs"]
 mod parts;
+#[path = "support/relay.rs"]
+#[allow(dead_code, reason = "other tests use the rest")]
+mod support;
 
 use googletest::prelude::*;
 use jacinthweir_policy::fingerprint::Fingerprint;
@@ -11,9 +14,11 @@
 use jacinthweir_policy::quarantine::{
     BrokenRun, CRASH_THRESHOLD, CrashRecord, LifetimeState, Quarantine, Suspect, Verdict,
 };
+use jacinthweir_policy::relay::runners::{DeathEvidence, RunnerEntry, Runners};
 use lethal::{Lethal, Simulation, fingerprint, subject};
 use proptest::prelude::{any, proptest};
 use proptest::prop_assert_eq;
+use support::runner;
 
 fn lifetime(n: u64) -> Lifetime {
     Lifetime {
@@ -337,3 +342,47 @@
     let failed = (0..12).filter(|seed| fails(*seed)).count();
     expect_that!(failed, gt(9));
 }
+
+/// Guards against a silence that is counted as a crash: sound requests whose runners were silent would be
+/// refused, and their streams closed.
+#[gtest]
+fn silent_runners_quarantine_nothing() {
+    let silent: Vec<u64> = (0..4).collect();
+    let mut runners = Runners::default();
+    let mut quarantine = Quarantine::default();
+    for n in &silent {
+        runners.put(&RunnerEntry {
+            born_ms: *n,
+            ..runner(&format!("i-{n}"), "a", "card")
+        });
+        quarantine.record_broken_run(broken(0, [*n], *n));
+        let health = runners.health_mut(&lifetime(*n).runner).expect("known");
+        health.dead = true;
+        health.death_evidence = Some(DeathEvidence::Silent);
+        let evaluation = quarantine.evaluate(*n, |l| runners.lifetime_state(l));
+        expect_that!(evaluation.new_crashes, is_empty());
+    }
+    expect_that!(
+        quarantine.verdict(&subject(0, &[]), 4),
+        eq(Verdict::Allowed)
+    );
+
+    for n in &silent {
+        runners.mark_recovered(&lifetime(*n).runner, 10);
+    }
+    let evaluation = quarantine.evaluate(10, |l| runners.lifetime_state(l));
+    expect_that!(evaluation.new_crashes, is_empty());
+    expect_true!(quarantine.is_idle());
+}
+
+/// A runner that was silent turns out to have crashed. Guards against forgetting the runs that it
+/// interrupted.
+#[gtest]
+fn a_silent_runner_that_restarts_has_crashed() {
+    let mut quarantine = Quarantine::default();
+    quarantine.record_broken_run(broken(0, [0], 0));
+    let evaluation = quarantine.evaluate(1, |_| LifetimeState::Silent);
+    expect_that!(evaluation.new_crashes, is_empty());
+    let evaluation = quarantine.evaluate(2_000, |_| LifetimeState::Ended);
+    expect_that!(evaluation.new_crashes.len(), eq(1));
+}
