Streams: the search for another run ends at the deadline

Callers of a stream whose runner was lost got no final answer before the time in which callers abandon a stream had passed (1.7 s and more), however short the route's time limit: reroute and resume_elsewhere look at the former only. The search as a whole is bounded by the deadline now; the stream then ends as one that ran out of time. Before, a_stream_without_a_runner_ends_at_its_deadline fails; after, it passes.

--- a/plugins/relay/src/stream.rs
+++ b/plugins/relay/src/stream.rs
@@ -205,8 +205,10 @@
                     self.record_run_end(Closer::Runner);
                     self.body = None;
                     self.record_interruption(&cause);
-                    if let Failover::Failed(failure) = self.fail_over(&cause).await {
-                        return self.cut(cause, Some(failure));
+                    match self.fail_over(&cause).await {
+                        Failover::Continued => {}
+                        Failover::Read(read) => went_on = Some(read),
+                        Failover::Failed(failure) => return self.cut(cause, Some(failure)),
                     }
                 }
                 ReadOutcome::Interrupted(interruption) => {
@@ -217,7 +219,7 @@
                     self.is_interrupted = true;
                     match self.fail_over(&cause).await {
                         Failover::Continued => self.is_interrupted = false,
-                        Failover::RunWentOn(read) => went_on = Some(read),
+                        Failover::Read(read) => went_on = Some(read),
                         Failover::Failed(failure) if self.body.is_some() => {
                             self.log_awaited(failure);
                         }
--- a/plugins/relay/src/stream/failover.rs
+++ b/plugins/relay/src/stream/failover.rs
@@ -105,8 +105,8 @@
 pub(super) enum Failover {
     /// The stream goes on.
     Continued,
-    /// The interrupted run went on by itself.
-    RunWentOn(ReadOutcome),
+    /// The interrupted run went on by itself, or the deadline has passed.
+    Read(ReadOutcome),
     /// Nothing else takes the stream.
     Failed(ResumeFailure),
 }
@@ -115,6 +115,9 @@
     /// Looks for another way for the stream to go on, until its run goes on by itself.
     pub(super) async fn fail_over(&mut self, cause: &str) -> Failover {
         let silent = SilentBody::new(self.body.take());
+        let left = Duration::from_millis(self.rq.remaining_ms(&self.node));
+        let deadline = sleep(left);
+        tokio::pin!(deadline);
         let mut ended = None;
         let found = {
             let search = self.search(&silent);
@@ -130,6 +133,7 @@
                         read => break Err(read),
                     },
                     found = &mut search => break Ok(found),
+                    () = &mut deadline => break Err(ReadOutcome::Timeout),
                 }
             }
         };
@@ -139,7 +143,7 @@
             log::info!(request = self.rq.id.as_ref(), cause; "interrupted run ended");
         }
         match found {
-            Err(read) => Failover::RunWentOn(read),
+            Err(read) => Failover::Read(read),
             Ok(Ok(Continuation::SameRun)) => Failover::Continued,
             Ok(Ok(Continuation::NextRun(run, res))) => {
                 self.finish_resume(run, res, cause);
--- a/plugins/relay/tests/relay/silent_runners.rs
+++ b/plugins/relay/tests/relay/silent_runners.rs
@@ -69,6 +69,12 @@
     cluster
 }
 
+/// Leaves no retry to any request.
+fn without_retries(bounds: &mut Bounds) {
+    bounds.repeat_ratio = 0.0;
+    bounds.repeat_slack = 0.0;
+}
+
 /// Makes all runners but the first of the relay's own failure domain refuse all requests.
 fn leave_one_chain(cluster: &Cluster) {
     cluster.set_behaviour(Behaviour::NotRun);
@@ -127,11 +133,7 @@
 #[gtest]
 fn a_stream_without_a_retry_outlives_the_silence_of_its_runner() {
     run_single_threaded(async {
-        let cluster = cluster_with_slow_streams(|bounds| {
-            bounds.repeat_ratio = 0.0;
-            bounds.repeat_slack = 0.0;
-        });
-        let cluster = cluster.await;
+        let cluster = cluster_with_slow_streams(without_retries).await;
         expect_one_run_despite_silence(&cluster).await;
     });
 }
@@ -196,3 +198,17 @@
         }
     });
 }
+
+/// Guards against a stream that is held past its route's time limit while another run is sought.
+#[gtest]
+fn a_stream_without_a_runner_ends_at_its_deadline() {
+    run_single_threaded(async {
+        let cluster = cluster_with_slow_streams(without_retries).await;
+        let deadline = "X-Jacinthweir-Deadline-Ms: 1000\r\n";
+        let stream = start_stream(&cluster, deadline, "prompt");
+        first_to_run(&cluster.runners).await.crash();
+        // Callers wait for ten seconds.
+        let ended = timeout(Duration::from_secs(5), stream).await;
+        expect_that!(ended, ok(anything()));
+    });
+}
