--- a/plugins/relay/src/server.rs
+++ b/plugins/relay/src/server.rs
@@ -189,8 +189,9 @@
     let closed_by = Closer::of(e);
     metrics::counter!("jacinthweir_connection_errors_total", "face" => kind.to_string(), "closed_by" => closed_by.to_string())
         .increment(1);
-    let level = match kind {
-        ListenerKind::Callers => log::Level::Info,
+    // Callers leave connections idle all the time.
+    let level = match (kind, closed_by) {
+        (ListenerKind::Callers, Closer::Instance | Closer::Peer) => log::Level::Info,
         _ => log::Level::Debug,
     };
     log::log!(level, face:% = kind, peer:? = peer, closed_by:%, cause:? = e; "connection ended early");
