--- a/plugins/relay/src/answer.rs
+++ b/plugins/relay/src/answer.rs
@@ -182,13 +182,13 @@
         self.unresolved += 1;
     }
 
-    /// Records that the last send certainly did not run: the connection failed, or the runner
+    /// Records that one of the sends certainly did not run: the connection failed, or the runner
     /// states it.
     pub(crate) fn record_not_run(&mut self) {
         self.unresolved = self.unresolved.saturating_sub(1);
     }
 
-    /// Records that the connection for the last send failed, so that the runner received nothing.
+    /// Records that the connection for one of the sends failed, so that the runner received nothing.
     pub(crate) fn record_unreached(&mut self) {
         self.record_not_run();
         self.sends = self.sends.saturating_sub(1);
--- a/plugins/relay/src/quarantine.rs
+++ b/plugins/relay/src/quarantine.rs
@@ -58,6 +58,11 @@
     }
 }
 
+/// Returns whether a request may be sent now: it is not quarantined, and no verdict on it is open.
+pub(crate) fn may_send(node: &Node, rq: &ProxiedRequest) -> bool {
+    verdict(node, rq) == Verdict::Allowed
+}
+
 /// Returns how long a request is quarantined, in milliseconds; `None` if it may be sent. Waits for
 /// an undecided verdict up to the time `until`.
 pub(crate) async fn quarantined_ms(
--- a/plugins/relay/tests/relay.rs
+++ b/plugins/relay/tests/relay.rs
@@ -21,6 +21,8 @@
 mod rate_limits;
 #[path = "relay/rest.rs"]
 mod rest;
+#[path = "relay/silent_calls.rs"]
+mod silent_calls;
 #[path = "relay/silent_runners.rs"]
 mod silent_runners;
 #[path = "support/standin.rs"]
--- a/plugins/relay/tests/relay/partition.rs
+++ b/plugins/relay/tests/relay/partition.rs
@@ -10,6 +10,7 @@
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::silent_calls::fall_silent;
 use crate::standin::{
     Behaviour, Cluster, Cut, NewConnections, OpenConnections, Paths, Response, TEST_TIMEOUT, get,
     run_single_threaded, send_request,
@@ -260,6 +261,27 @@
     });
 }
 
+/// Guards against a failure response to a call through another instance while the runner that has it is
+/// silent and the others refuse it.
+#[gtest]
+fn calls_through_another_instance_outlive_the_silence_of_their_runner() {
+    run_single_threaded(async {
+        let (cluster, members) = open(1).await;
+        let member = &members[0];
+        member.paths.cut(CUTS[0]);
+        let _ = send_to(member, LOOKUP).await;
+        sleep(DETECTION).await;
+        cluster.plain[1].behaviour.set(Behaviour::NotRun);
+        for line in [LOOKUP, PAY] {
+            let before = cluster.run_count();
+            fall_silent(&cluster.plain[0]);
+            let got = send_to(member, line).await;
+            expect_that!(got.status, eq(200), "{line}");
+            expect_that!(cluster.run_count(), eq(before + 1), "{line}");
+        }
+    });
+}
+
 /// Guards against a request that may have run at another instance and is reported as not run, or
 /// runs again: the runner accepts it and closes the connection.
 #[gtest]
--- a/plugins/relay/tests/support/standin/runner.rs
+++ b/plugins/relay/tests/support/standin/runner.rs
@@ -9,7 +9,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
 use super::TEST_TIMEOUT;
@@ -333,8 +333,7 @@
         self.wait_while_paused().await;
         let text = match behaviour {
             Behaviour::Unresponsive | Behaviour::HangsRequests => {
-                sleep(TEST_TIMEOUT).await;
-                return;
+                return self.hang(stream).await;
             }
             Behaviour::ClosesConnection => return,
             Behaviour::NotRun => {
@@ -386,6 +385,13 @@
         let _ = stream.shutdown().await;
     }
 
+    /// Sends nothing until the caller disconnects.
+    async fn hang(&self, stream: &mut TcpStream) {
+        if let Ok(Ok(0) | Err(_)) = timeout(TEST_TIMEOUT, stream.read(&mut [0])).await {
+            self.disconnects.set(self.disconnects.get() + 1);
+        }
+    }
+
     /// Begins a response and crashes the runner, which interrupts all its runs.
     async fn crash_mid_run(&self, stream: &mut TcpStream, headers: &str, is_stream: bool) {
         let head = format!("HTTP/1.1 200 OK\r\n{headers}Transfer-Encoding: chunked\r\n\r\n");
