Calls: a runner that was not reached may run a forwarded call for another instance

Callers of an instance that had lost its paths got 504 for idempotent calls whose runner hung: a call that was sent to another instance named every runner tried as one that may have run it, those that had not accepted a connection included. They used up the call's attempts, and the other instance refused it.

A forwarded call now names only the runners that received it, those that refused it included.

Before: a_call_whose_runner_hangs_is_sent_through_another_instance_to_an_unreached_runner fails (504 at its deadline); after: it passes.

--- a/plugins/relay/src/call.rs
+++ b/plugins/relay/src/call.rs
@@ -22,6 +22,7 @@
 
 use crate::admission;
 use crate::answer::{Cause, RelayBody, SendRecord};
+use crate::forwarding::Ran;
 use crate::node::Node;
 use crate::quarantine;
 use crate::rate_limits;
@@ -33,7 +34,7 @@
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 
 /// Maximum number of failed connection attempts per call.
-const MAX_UNREACHED: u32 = 3;
+const MAX_UNREACHED: usize = 3;
 
 /// Interval between looks for a further runner or retry while sends are open, in milliseconds.
 const HEDGE_POLL_MS: Millis = 20;
@@ -51,7 +52,7 @@
     /// The runner states that it did not run the call.
     NotRun,
     /// The runner did not accept a connection.
-    Unreached,
+    Unreached(Name),
     /// No other instance took the call.
     NotTaken,
     /// Another instance refused the call, and it has certainly not run there.
@@ -78,8 +79,8 @@
     max_sends: u32,
     /// Runners to which the call was sent.
     tried: Vec<Name>,
-    /// Number of failed connection attempts.
-    unreached: u32,
+    /// Those of them that did not accept a connection.
+    unreached: Vec<Name>,
     /// Whether it was sent through another instance, which makes all further sends.
     is_forwarded: bool,
     /// Time from which a further send may start while others are open, in milliseconds.
@@ -102,7 +103,7 @@
             send_record: SendRecord::default(),
             max_sends: rq.max_attempts.saturating_sub(ran_elsewhere.len() as u32),
             tried: ran_elsewhere.iter().map(|(id, _)| id.clone()).collect(),
-            unreached: 0,
+            unreached: Vec::new(),
             is_forwarded: false,
             hedge_from_ms: 0,
             failure: None,
@@ -141,9 +142,10 @@
 
     /// Returns whether the limits of the call permit a further send.
     fn may_send(&self) -> bool {
-        let has_sends = self.send_record.sends < self.max_sends && self.unreached < MAX_UNREACHED;
+        let has_sends = self.send_record.sends < self.max_sends;
+        let has_connects = self.unreached.len() < MAX_UNREACHED;
         let may_run = !self.is_forwarded && !self.must_not_run_again();
-        has_sends && may_run && self.rq.remaining_ms(self.node) > 0
+        has_sends && has_connects && may_run && self.rq.remaining_ms(self.node) > 0
     }
 
     /// Returns whether it is time for a send.
@@ -182,16 +184,25 @@
         if !self.take_retry() {
             return;
         }
-        let ran = match self.send_record.may_have_run() {
-            true => forward::lifetimes(self.node, &self.tried),
-            false => Vec::new(),
-        };
+        let ran = self.received_by();
         self.is_forwarded = true;
         self.record_start();
         let sent = forward::run(self.node, self.rq, ran);
         self.open.push(Box::pin(sent));
     }
 
+    /// Returns the runners that received the call if any of them may have run it. The others may run it
+    /// for another instance.
+    fn received_by(&self) -> Vec<Ran> {
+        if !self.send_record.may_have_run() {
+            return Vec::new();
+        }
+        let runners = self.node.runners.borrow();
+        let received = self.tried.iter().filter(|id| !self.unreached.contains(id));
+        let lifetimes = received.map(|id| (id.clone(), runners.health(id).born_ms));
+        lifetimes.collect()
+    }
+
     /// Takes a retry for a further send. The first send needs none.
     fn take_retry(&self) -> bool {
         let priority = self.send_record.retry_priority();
@@ -224,9 +235,9 @@
                 self.send_record.record_not_run();
                 self.cause = Cause::Refused;
             }
-            SendEnd::Unreached => {
+            SendEnd::Unreached(runner) => {
                 self.send_record.record_unreached();
-                self.unreached += 1;
+                self.unreached.push(runner);
             }
             SendEnd::NotTaken => {
                 self.send_record.record_unreached();
--- a/plugins/relay/src/call/forward.rs
+++ b/plugins/relay/src/call/forward.rs
@@ -4,7 +4,6 @@
 
 use http::Response;
 use jacinthweir_clients::direct::ResponseBody;
-use jacinthweir_policy::prelude::*;
 use tokio::time::timeout;
 
 use super::{MAX_ANSWER_BYTES, SendEnd};
@@ -24,15 +23,6 @@
     }
 }
 
-/// Returns the lifetimes of the runners `ids`.
-pub(super) fn lifetimes(node: &Node, ids: &[Name]) -> Vec<Ran> {
-    let runners = node.runners.borrow();
-    let lifetimes = ids
-        .iter()
-        .map(|id| (id.clone(), runners.health(id).born_ms));
-    lifetimes.collect()
-}
-
 /// Reads the answer that another instance passes on.
 async fn read_answer(node: &Node, rq: &ProxiedRequest, res: Response<ResponseBody>) -> SendEnd {
     let left = Duration::from_millis(rq.remaining_ms(node));
--- a/plugins/relay/src/call/send.rs
+++ b/plugins/relay/src/call/send.rs
@@ -113,7 +113,7 @@
                 self.log("not reached", &e.to_string());
                 self.avoid_runner_for(UNREACHED_AVOID_MS);
                 failure_detector::connection_failed(self.node, self.runner);
-                SendEnd::Unreached
+                SendEnd::Unreached(self.runner.id.clone())
             }
             Err(SendOutcome::Lost(cause)) => self.end_lost(&cause),
             Err(SendOutcome::Answer(_)) => SendEnd::Failed(None),
--- a/plugins/relay/tests/relay/partition.rs
+++ b/plugins/relay/tests/relay/partition.rs
@@ -282,6 +282,35 @@
     });
 }
 
+/// Sends an idempotent call to an instance whose paths are cut for new connections while the first
+/// runner of the call runs it.
+async fn call_during_cut(cluster: &Cluster, member: &Rc<Member>) -> Response {
+    let called = Rc::clone(member);
+    let call = spawn_local(async move { send_to(&called, LOOKUP).await });
+    let begun = async {
+        while cluster.plain[1].run_count() == 0 {
+            sleep(Duration::from_millis(1)).await;
+        }
+    };
+    timeout(TEST_TIMEOUT, begun).await.expect("a run");
+    member.paths.cut(CUTS[1]);
+    call.await.expect("it ends")
+}
+
+/// Guards against a call that hangs at the only runner of its instance, while the one that the instance
+/// does not reach could run it for another instance.
+#[gtest]
+fn a_call_whose_runner_hangs_is_sent_through_another_instance_to_an_unreached_runner() {
+    run_single_threaded(async {
+        let (cluster, members) = open(1).await;
+        cluster.plain[1].behaviour.set(Behaviour::HangsRequests);
+        let got = call_during_cut(&cluster, &members[0]).await;
+        expect_that!(got.status, eq(200));
+        expect_that!(got.body, eq("answer of p1"));
+        expect_that!(cluster.plain[0].run_count(), eq(1));
+    });
+}
+
 /// Guards against a request that may have run at another instance and is reported as not run, or
 /// runs again: the runner accepts it and closes the connection.
 #[gtest]
