Calls: a failure through another instance no longer ends a call whose own runner is silent

Callers got a runner's 5xx through another instance at once, while the run that their own instance had started before it lost its paths was open and about to answer. A 5xx that another instance passes on now counts as the failure of that send, as it does from a runner: it is forwarded once all sends have ended, and counted as runner_failed in place of forwarded.

Before: a_call_outlives_the_silence_of_its_runner_and_a_failure_through_another_instance fails (500); after: it passes.

--- a/plugins/relay/src/call/forward.rs
+++ b/plugins/relay/src/call/forward.rs
@@ -32,6 +32,9 @@
             let mut res = Response::new(RelayBody::complete(bytes));
             *res.status_mut() = parts.status;
             *res.headers_mut() = forwarding::caller_headers(&parts.headers);
+            if parts.status.is_server_error() {
+                return SendEnd::Failed(Some(res));
+            }
             count_outcome("forwarded");
             SendEnd::Answered(res)
         }
--- a/plugins/relay/tests/relay/partition.rs
+++ b/plugins/relay/tests/relay/partition.rs
@@ -311,6 +311,21 @@
     });
 }
 
+/// Guards against forwarding a failure that another instance passes on, while the silent runner of
+/// this one is about to answer.
+#[gtest]
+fn a_call_outlives_the_silence_of_its_runner_and_a_failure_through_another_instance() {
+    run_single_threaded(async {
+        let (cluster, members) = open(1).await;
+        fall_silent(&cluster.plain[1]);
+        cluster.plain[0].behaviour.set(Behaviour::ServerError);
+        let got = call_during_cut(&cluster, &members[0]).await;
+        expect_that!(got.status, eq(200));
+        expect_that!(got.body, eq("answer of p2"));
+        expect_that!(cluster.plain[0].run_count(), eq(1));
+    });
+}
+
 /// Guards against a request that may have run at another instance and is reported as not run, or
 /// runs again: the runner accepts it and closes the connection.
 #[gtest]
