--- a/plugins/relay/tests/relay/partition.rs
+++ b/plugins/relay/tests/relay/partition.rs
@@ -10,7 +10,7 @@
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::silent_calls::fall_silent;
+use crate::silent_calls::{expect_both_end_with, fall_silent, open_call, wait_for_both_to_run};
 use crate::standin::{
     Behaviour, Cluster, Cut, NewConnections, OpenConnections, Paths, Response, TEST_TIMEOUT, get,
     run_single_threaded, send_request,
@@ -326,6 +326,26 @@
     });
 }
 
+/// Guards against runs that go on after the caller of another instance has left.
+#[gtest]
+fn a_caller_that_leaves_ends_the_runs_of_its_call_through_another_instance() {
+    run_single_threaded(async {
+        let (cluster, members) = open(1).await;
+        let member = &members[0];
+        member.paths.cut(CUTS[0]);
+        let _ = send_to(member, LOOKUP).await;
+        sleep(DETECTION).await;
+        cluster
+            .plain
+            .iter()
+            .for_each(|r| r.received.borrow_mut().clear());
+        cluster.set_behaviour(Behaviour::HangsRequests);
+        let caller = open_call(member.settings.listen.callers, LOOKUP).await;
+        wait_for_both_to_run(&cluster).await;
+        expect_both_end_with(&cluster, caller).await;
+    });
+}
+
 /// Guards against a request that may have run at another instance and is reported as not run, or
 /// runs again: the runner accepts it and closes the connection.
 #[gtest]
--- a/plugins/relay/tests/relay/silent_calls.rs
+++ b/plugins/relay/tests/relay/silent_calls.rs
@@ -1,5 +1,6 @@
 //! Calls whose sound runner falls silent for a second or so and then answers.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -147,8 +148,19 @@
     });
 }
 
-/// Waits until both runners of a plain service have begun to run a call.
-async fn wait_for_both_to_run(cluster: &Cluster) {
+/// Sends a call without waiting for its answer.
+pub async fn open_call(callers: SocketAddr, line: &str) -> TcpStream {
+    let mut caller = TcpStream::connect(callers).await.expect("a connection");
+    let head = format!(
+        "{line}\r\nHost: site.example\r\nX-Jacinthweir-Request-Id: r9\r\n\
+         X-Jacinthweir-Key: key\r\nContent-Length: 0\r\n\r\n"
+    );
+    caller.write_all(head.as_bytes()).await.expect("sent");
+    caller
+}
+
+/// Waits until both plain runners have begun to run a call.
+pub async fn wait_for_both_to_run(cluster: &Cluster) {
     let begun = async {
         while cluster.plain.iter().any(|r| r.run_count() == 0) {
             sleep(Duration::from_millis(5)).await;
@@ -157,6 +169,22 @@
     timeout(TEST_TIMEOUT, begun).await.expect("two runs");
 }
 
+/// Expects that both plain runners soon see their connection closed, and have not seen it before.
+pub async fn expect_both_end_with(cluster: &Cluster, caller: TcpStream) {
+    sleep(Duration::from_millis(50)).await;
+    for runner in &cluster.plain {
+        expect_that!(runner.disconnects.get(), eq(0), "{}", runner.id);
+    }
+    drop(caller);
+    let disconnected = async {
+        while cluster.plain.iter().any(|r| r.disconnects.get() == 0) {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let limit = Duration::from_millis(500);
+    expect_that!(timeout(limit, disconnected).await, ok(anything()));
+}
+
 /// Guards against a run that is abandoned while its caller waits, and against runs that go on after
 /// their caller has left.
 #[gtest]
@@ -164,25 +192,24 @@
     run_single_threaded(async {
         let cluster = Cluster::open().await;
         cluster.set_behaviour(Behaviour::HangsRequests);
-        let mut caller = TcpStream::connect(cluster.callers()).await.unwrap();
-        let head = format!(
-            "{LOOKUP}\r\nHost: site.example\r\nX-Jacinthweir-Request-Id: r9\r\n\
-             X-Jacinthweir-Key: key\r\nContent-Length: 0\r\n\r\n"
-        );
-        caller.write_all(head.as_bytes()).await.unwrap();
+        let caller = open_call(cluster.callers(), LOOKUP).await;
         wait_for_both_to_run(&cluster).await;
-        sleep(Duration::from_millis(50)).await;
-        for runner in &cluster.plain {
-            expect_that!(runner.disconnects.get(), eq(0), "{}", runner.id);
+        expect_both_end_with(&cluster, caller).await;
+    });
+}
+
+/// Guards against calls that are sent to a late runner first, again and again, since its sends are no
+/// longer given up.
+#[gtest]
+fn a_runner_that_is_late_is_avoided() {
+    run_single_threaded(async {
+        let cluster = Cluster::open().await;
+        cluster.plain[0].behaviour.set(Behaviour::HangsRequests);
+        for _ in 0..8 {
+            let got = call(&cluster, LOOKUP).await;
+            expect_answer_of(&got, &cluster.plain[1]);
         }
-        drop(caller);
-        let disconnected = async {
-            while cluster.plain.iter().any(|r| r.disconnects.get() == 0) {
-                sleep(Duration::from_millis(5)).await;
-            }
-        };
-        let limit = Duration::from_millis(500);
-        expect_that!(timeout(limit, disconnected).await, ok(anything()));
+        expect_that!(cluster.plain[0].run_count(), le(3));
     });
 }
 
