--- a/plugins/relay/tests/relay/partition.rs
+++ b/plugins/relay/tests/relay/partition.rs
@@ -10,6 +10,7 @@
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::silent_calls::{expect_both_end_with, fall_silent, open_call, wait_for_both_to_run};
 use crate::standin::{
     Behaviour, Cluster, Cut, NewConnections, OpenConnections, Paths, Response, TEST_TIMEOUT, get,
     run_single_threaded, send_request,
@@ -260,6 +261,91 @@
     });
 }
 
+/// Guards against a failure response to a call through another instance while the runner that has it is
+/// silent and the others refuse it.
+#[gtest]
+fn calls_through_another_instance_outlive_the_silence_of_their_runner() {
+    run_single_threaded(async {
+        let (cluster, members) = open(1).await;
+        let member = &members[0];
+        member.paths.cut(CUTS[0]);
+        let _ = send_to(member, LOOKUP).await;
+        sleep(DETECTION).await;
+        cluster.plain[1].behaviour.set(Behaviour::NotRun);
+        for line in [LOOKUP, PAY] {
+            let before = cluster.run_count();
+            fall_silent(&cluster.plain[0]);
+            let got = send_to(member, line).await;
+            expect_that!(got.status, eq(200), "{line}");
+            expect_that!(cluster.run_count(), eq(before + 1), "{line}");
+        }
+    });
+}
+
+/// Sends an idempotent call to an instance whose paths are cut for new connections while the first
+/// runner of the call runs it.
+async fn call_during_cut(cluster: &Cluster, member: &Rc<Member>) -> Response {
+    let called = Rc::clone(member);
+    let call = spawn_local(async move { send_to(&called, LOOKUP).await });
+    let begun = async {
+        while cluster.plain[1].run_count() == 0 {
+            sleep(Duration::from_millis(1)).await;
+        }
+    };
+    timeout(TEST_TIMEOUT, begun).await.expect("a run");
+    member.paths.cut(CUTS[1]);
+    call.await.expect("it ends")
+}
+
+/// Guards against a call that hangs at the only runner of its instance, while the one that the instance
+/// does not reach could run it for another instance.
+#[gtest]
+fn a_call_whose_runner_hangs_is_sent_through_another_instance_to_an_unreached_runner() {
+    run_single_threaded(async {
+        let (cluster, members) = open(1).await;
+        cluster.plain[1].behaviour.set(Behaviour::HangsRequests);
+        let got = call_during_cut(&cluster, &members[0]).await;
+        expect_that!(got.status, eq(200));
+        expect_that!(got.body, eq("answer of p1"));
+        expect_that!(cluster.plain[0].run_count(), eq(1));
+    });
+}
+
+/// Guards against forwarding a failure that another instance passes on, while the silent runner of
+/// this one is about to answer.
+#[gtest]
+fn a_call_outlives_the_silence_of_its_runner_and_a_failure_through_another_instance() {
+    run_single_threaded(async {
+        let (cluster, members) = open(1).await;
+        fall_silent(&cluster.plain[1]);
+        cluster.plain[0].behaviour.set(Behaviour::ServerError);
+        let got = call_during_cut(&cluster, &members[0]).await;
+        expect_that!(got.status, eq(200));
+        expect_that!(got.body, eq("answer of p2"));
+        expect_that!(cluster.plain[0].run_count(), eq(1));
+    });
+}
+
+/// Guards against runs that go on after the caller of another instance has left.
+#[gtest]
+fn a_caller_that_leaves_ends_the_runs_of_its_call_through_another_instance() {
+    run_single_threaded(async {
+        let (cluster, members) = open(1).await;
+        let member = &members[0];
+        member.paths.cut(CUTS[0]);
+        let _ = send_to(member, LOOKUP).await;
+        sleep(DETECTION).await;
+        cluster
+            .plain
+            .iter()
+            .for_each(|r| r.received.borrow_mut().clear());
+        cluster.set_behaviour(Behaviour::HangsRequests);
+        let caller = open_call(member.settings.listen.callers, LOOKUP).await;
+        wait_for_both_to_run(&cluster).await;
+        expect_both_end_with(&cluster, caller).await;
+    });
+}
+
 /// Guards against a request that may have run at another instance and is reported as not run, or
 /// runs again: the runner accepts it and closes the connection.
 #[gtest]
