Tasks: a relay's task that ends by itself ends the process, a listener starts again

Callers saw an instance that served on without one of its tasks: after a panic in the recovery task it never sent to a runner again that it had once found dead, and nothing said so. The 17 places that started tasks dropped the JoinHandle, and with it the panic. tasks.rs is now the one place that starts them (spawn_local elsewhere is refused by clippy): each of the 14 long-lived tasks has a name, and its end without cancellation is logged with the panic, counted, and ends the process with exit code 1; listeners, whose state is their socket, start again up to three times. A panic in a piece of work is logged and counted by its kind.

Tests: supervised_tasks ends each task by a panic and by a return in the test process, relay_tasks by a panic in real processes.

--- a/kernel/src/fault_point.rs
+++ b/kernel/src/fault_point.rs
@@ -15,6 +15,9 @@
 //! | `sleep:MS` | this task sleeps for that many milliseconds; other tasks keep running |
 //! | `hold:PATH` | this task waits until the file at this path exists |
 //!
+//! Each long-lived task of a relay has a point as well, `task.TASK.INSTANCE` ([`end_task`]), with the actions
+//! `panic` and `return`.
+//!
 //! A point logs `fault point STEP: ACTION` before its action and `fault point STEP passed` after
 //! it.
 
@@ -84,7 +87,7 @@
 }
 
 #[cfg(feature = "failpoints")]
-pub use armed::{open, reach};
+pub use armed::{end_task, open, reach};
 
 /// Reads the actions from the environment; does nothing in this build.
 #[cfg(not(feature = "failpoints"))]
@@ -111,6 +114,8 @@
     const FILE_VARIABLE: &str = "FAILPOINTS_FILE";
     /// Interval at which a hold checks for its file.
     const HOLD_POLL_INTERVAL: Duration = Duration::from_millis(5);
+    /// Interval at which a task checks whether its end is armed.
+    const TASK_POLL_INTERVAL: Duration = Duration::from_millis(10);
     /// Time within which a stop signal to the process takes effect on this thread.
     const STOP_DELAY: Duration = Duration::from_millis(50);
 
@@ -135,6 +140,21 @@
         log::warn!("fault point {step} passed");
     }
 
+    /// Ends the task `task` of an instance, by a panic or by returning, as soon as that is armed.
+    pub async fn end_task(instance: &str, task: &str) {
+        let point = format!("task.{task}.{instance}");
+        loop {
+            read_file();
+            match action(&point).as_deref() {
+                None => {}
+                Some("panic") => panic!("fault point {point}"),
+                Some("return") => return,
+                Some(action) => log::error!("fault point {point}: unknown action {action}"),
+            }
+            tokio::time::sleep(TASK_POLL_INTERVAL).await;
+        }
+    }
+
     fn action(step: &str) -> Option<String> {
         fail::fail_point!(step, |arg: Option<String>| arg);
         None
@@ -152,6 +172,9 @@
         for step in Step::ALL {
             fail::remove(step.to_string());
         }
+        for (point, _) in last_read.lines().filter_map(|line| line.split_once('=')) {
+            fail::remove(point);
+        }
         for (step, actions) in text.lines().filter_map(|line| line.split_once('=')) {
             if let Err(e) = fail::cfg(step, actions) {
                 log::error!("fault point {step}: {e}");
--- a/plugins/relay/src/configuration.rs
+++ b/plugins/relay/src/configuration.rs
@@ -23,6 +23,7 @@
 use crate::duties;
 use crate::messages::{self, MAX_MESSAGE_BYTES, Message};
 use crate::node::Node;
+use crate::tasks::{self, TaskName};
 use crate::watch::{back_off, count_call, max_backoff_ms, note_era};
 
 /// Interval between checks whether the configuration has to be confirmed.
@@ -54,11 +55,8 @@
 
 /// Starts the task that confirms the configuration.
 pub(crate) fn spawn(node: &Rc<Node>) {
-    let node = Rc::clone(node);
-    tokio::task::spawn_local(async move {
-        let stop = node.stop.clone();
-        let _ = stop.run_until_cancelled(confirm(&node)).await;
-    });
+    let name = TaskName::ConfigurationConfirmation;
+    tasks::spawn(node, &node.stop, name, async |node| confirm(&node).await);
 }
 
 /// Reads the configuration whenever its last confirmation is old.
--- a/plugins/relay/src/failure_detector.rs
+++ b/plugins/relay/src/failure_detector.rs
@@ -20,6 +20,7 @@
 use crate::node::Node;
 use crate::reachability;
 use crate::runner_probe::{self, MAX_PROBES, ProbeResult, ProbeTarget, Suspect};
+use crate::tasks::{self, Job, TaskName};
 
 /// Minimum time between two checks for silent chains, in milliseconds. If checks ran every few
 /// milliseconds, an instance would spend more time on them than on its callers' events.
@@ -33,15 +34,11 @@
 
 /// Starts the tasks of the failure detector.
 pub(crate) fn spawn(node: &Rc<Node>) {
-    let detecting = Rc::clone(node);
-    tokio::task::spawn_local(async move {
-        let stop = detecting.stop.clone();
-        let _ = stop.run_until_cancelled(detect(&detecting)).await;
-    });
-    let recovering = Rc::clone(node);
-    tokio::task::spawn_local(async move {
-        let stop = recovering.stop.clone();
-        let _ = stop.run_until_cancelled(recovery_loop(&recovering)).await;
+    let name = TaskName::SilenceDetection;
+    tasks::spawn(node, &node.stop, name, async |node| detect(&node).await);
+    let name = TaskName::Recovery;
+    tasks::spawn(node, &node.stop, name, async |node| {
+        recovery_loop(&node).await;
     });
 }
 
@@ -64,7 +61,7 @@
                 .collect()
         };
         for live in silent_chains {
-            tokio::task::spawn_local(probe_stages(Rc::clone(node), live));
+            tasks::spawn_job(Job::StageProbes, probe_stages(Rc::clone(node), live));
         }
     }
 }
@@ -182,7 +179,7 @@
         return;
     };
     let node = Rc::clone(node);
-    tokio::task::spawn_local(async move {
+    tasks::spawn_job(Job::RunnerProbe, async move {
         let Suspect { id, born_ms, .. } = &suspect;
         match runner_probe::probe(&node, suspect.target, 1).await {
             ProbeResult::Report(report) => process_report(&node, id, *born_ms, &report),
@@ -202,7 +199,7 @@
         return;
     }
     let node = Rc::clone(node);
-    tokio::task::spawn_local(async move {
+    tasks::spawn_job(Job::Examination, async move {
         runner_probe::examine(Rc::clone(&node), suspect, silent_rounds).await;
         node.probed_suspects.borrow_mut().remove(&lifetime);
     });
--- a/plugins/relay/src/gossip.rs
+++ b/plugins/relay/src/gossip.rs
@@ -26,6 +26,7 @@
 use crate::node::Node;
 use crate::quarantine;
 use crate::rate_limits;
+use crate::tasks::{self, TaskName};
 use crate::watch;
 
 /// Instances that a gossip message is sent to.
@@ -118,10 +119,8 @@
 
 /// Starts the task that sends gossip.
 pub(crate) fn spawn(node: &Rc<Node>) {
-    let node = Rc::clone(node);
-    tokio::task::spawn_local(async move {
-        let stop = node.stop.clone();
-        let _ = stop.run_until_cancelled(run(&node)).await;
+    tasks::spawn(node, &node.stop, TaskName::Gossip, async |node| {
+        run(&node).await;
     });
 }
 
--- a/plugins/relay/src/lib.rs
+++ b/plugins/relay/src/lib.rs
@@ -34,6 +34,7 @@
 //! | `reachability` | which runners and services this instance reaches itself |
 //! | `runner_connections` | outcomes of connections to runners |
 //! | `runner_probe` | probes of a single runner, and confirmation of its silence |
+//! | `tasks` | starts and supervises all tasks |
 //!
 //! The runtime has one thread, so shared state needs no locks. A [`std::cell::RefCell`] is borrowed
 //! for one decision and never across an await point.
@@ -70,20 +71,22 @@
 mod shutdown;
 mod start;
 mod stream;
+mod tasks;
 mod watch;
 
 pub use events::{EventError, EventSplitter};
 pub use jacinthweir_policy::drain::DrainOutcome;
 pub use settings::RelaySettings;
+pub use tasks::{OnEnd, TaskName};
 
 use std::rc::Rc;
 
 use derive_more::{Display, Error};
-use jacinthweir_kernel::{KernelError, logs};
+use jacinthweir_kernel::{KernelError, fault_point, logs};
 
 use crate::node::Node;
 
-/// Error that prevents the relay from starting.
+/// Error that prevents the relay from starting or ends it.
 #[derive(Debug, Display, Error)]
 pub enum RelayError {
     /// Logs, metrics or signal handlers cannot be set up.
@@ -99,6 +102,12 @@
         /// Error of the operating system.
         cause: std::io::Error,
     },
+    /// A task ended that the process cannot do without.
+    #[display("task {task} ended")]
+    TaskEnded {
+        /// The task.
+        task: TaskName,
+    },
 }
 
 /// A relay that runs on the current thread's task set.
@@ -125,6 +134,12 @@
         Ok(Relay { node, servers })
     }
 
+    /// Waits until a task has ended that the process cannot do without, and returns its name. The state
+    /// of this relay may then be torn, so its process has to end at once.
+    pub async fn task_ended(&self) -> TaskName {
+        self.node.failed_task.wait().await
+    }
+
     /// Removes this instance from entry answers, waits until the requests in progress have ended,
     /// and stops. Shortly before the shutdown bound it stops waiting and returns
     /// [`DrainOutcome::Cut`]; the remaining requests end with the process.
@@ -146,18 +161,31 @@
 ///
 /// # Errors
 /// Logs, metrics or signal handlers cannot be set up, or a listener other than the operators'
-/// cannot be bound.
+/// cannot be bound. A task ended that the process cannot do without: the connections of callers are then
+/// closed by the end of the process, which the caller of this function must not delay.
 pub async fn run(
     settings: RelaySettings,
     path: std::path::PathBuf,
 ) -> Result<DrainOutcome, RelayError> {
     logs::open_stdout(&settings.log, &settings.name).map_err(RelayError::SetUp)?;
+    fault_point::open();
     let mut signals = shutdown::Signals::open()?;
     let relay = Relay::spawn(settings).await?;
     log::info!(incarnation = relay.node.incarnation; "started");
-    signals.wait_for_termination(&path).await;
-    let outcome = relay.shut_down().await;
-    log::info!(ended:% = outcome; "stopped");
+    let node = Rc::clone(&relay.node);
+    let serve = async {
+        signals.wait_for_termination(&path).await;
+        relay.shut_down().await
+    };
+    let outcome = tokio::select! {
+        biased;
+        task = node.failed_task.wait() => Err(RelayError::TaskEnded { task }),
+        outcome = serve => Ok(outcome),
+    };
+    match &outcome {
+        Ok(outcome) => log::info!(ended:% = outcome; "stopped"),
+        Err(cause) => log::error!(cause:% = cause; "stopped"),
+    }
     logs::flush();
-    Ok(outcome)
+    outcome
 }
--- a/plugins/relay/src/messages.rs
+++ b/plugins/relay/src/messages.rs
@@ -18,6 +18,7 @@
 use crate::peers::View;
 use crate::runner_changes::RelayedChanges;
 use crate::start::RunnersCopy;
+use crate::tasks::{self, Job};
 
 /// Path to which instances post their messages.
 pub(crate) const PATH: &str = "/peer";
@@ -116,7 +117,7 @@
     };
     for address in receivers.iter().copied() {
         let body = body.clone();
-        tokio::task::spawn_local(async move {
+        tasks::spawn_job(Job::Message, async move {
             // A receiver that misses it learns at its next exchange that it is behind.
             if let Err(cause) = post_encoded(address, body, PEER_TIMEOUT, MAX_MESSAGE_BYTES).await {
                 log::debug!(address:% = address, cause; "message not delivered");
--- a/plugins/relay/src/node.rs
+++ b/plugins/relay/src/node.rs
@@ -42,6 +42,7 @@
 use crate::runner_connections::RunnerConnections;
 use crate::settings::RelaySettings;
 use crate::start::LastCopy;
+use crate::tasks::FailedTask;
 
 /// Timeout of a call to the store. It usually answers within a few milliseconds, and within some
 /// hundred when it is slow.
@@ -77,6 +78,8 @@
     pub incarnation: u64,
     /// Cancelled when the process shuts down.
     pub stop: CancellationToken,
+    /// The task that ends the process, if any.
+    pub(crate) failed_task: FailedTask,
     pub(crate) stats: Stats,
     pub(crate) store: Store,
     pub(crate) intent: RefCell<Option<Rc<Intent>>>,
@@ -178,6 +181,7 @@
         let node = Node {
             incarnation,
             stop: CancellationToken::new(),
+            failed_task: FailedTask::default(),
             stats: Stats::open().map_err(RelayError::SetUp)?,
             store: Store::new(settings.store, STORE_TIMEOUT),
             intent: RefCell::default(),
--- a/plugins/relay/src/peers.rs
+++ b/plugins/relay/src/peers.rs
@@ -27,6 +27,7 @@
 use crate::node::{Node, ROUND_MS};
 use crate::runner_changes;
 use crate::start::{self, CopyOutcome};
+use crate::tasks::{self, Job, TaskName};
 use crate::{failure_detector, quarantine, rate_limits, reachability};
 
 /// Timeout of the probe that an instance makes on behalf of a peer. It must be well below
@@ -102,10 +103,8 @@
 
 /// Starts the exchange rounds.
 pub(crate) fn spawn(node: &Rc<Node>) {
-    let rounds = Rc::clone(node);
-    tokio::task::spawn_local(async move {
-        let stop = rounds.stop.clone();
-        let _ = stop.run_until_cancelled(run(&rounds)).await;
+    tasks::spawn(node, &node.stop, TaskName::Exchanges, async |node| {
+        run(&node).await;
     });
 }
 
@@ -172,16 +171,18 @@
                 round,
                 digest,
             } => {
-                tokio::task::spawn_local(async move { exchange(&node, peer, round, digest).await })
+                let exchange = async move { exchange(&node, peer, round, digest).await };
+                tasks::spawn_job(Job::Exchange, exchange);
             }
             Action::Probe {
                 via,
                 suspect,
                 round,
             } => {
-                tokio::task::spawn_local(async move { probe_via(&node, via, suspect, round).await })
+                let probe = async move { probe_via(&node, via, suspect, round).await };
+                tasks::spawn_job(Job::PeerProbe, probe);
             }
-        };
+        }
     }
 }
 
--- a/plugins/relay/src/placer.rs
+++ b/plugins/relay/src/placer.rs
@@ -21,6 +21,7 @@
 
 use crate::duties;
 use crate::node::Node;
+use crate::tasks::{self, TaskName};
 use crate::watch::{count_call, note_era};
 
 /// Kind and name of the lease object in the store.
@@ -68,10 +69,8 @@
 
 /// Starts the task that sends orders while this instance holds the lease.
 pub(crate) fn spawn(node: &Rc<Node>) {
-    let node = Rc::clone(node);
-    tokio::task::spawn_local(async move {
-        let stop = node.stop.clone();
-        let _ = stop.run_until_cancelled(run(&node)).await;
+    tasks::spawn(node, &node.stop, TaskName::Placement, async |node| {
+        run(&node).await;
     });
 }
 
--- a/plugins/relay/src/quarantine.rs
+++ b/plugins/relay/src/quarantine.rs
@@ -20,6 +20,7 @@
 use crate::duties;
 use crate::node::Node;
 use crate::request::ProxiedRequest;
+use crate::tasks::{self, TaskName};
 use crate::watch::count_call;
 
 /// Kind of the store objects of what is quarantined. Each is named by its suspect.
@@ -170,10 +171,8 @@
 
 /// Starts the task that reads what is quarantined from the store and keeps it up to date there.
 pub(crate) fn spawn(node: &Rc<Node>) {
-    let node = Rc::clone(node);
-    tokio::task::spawn_local(async move {
-        let stop = node.stop.clone();
-        let _ = stop.run_until_cancelled(run(&node)).await;
+    tasks::spawn(node, &node.stop, TaskName::QuarantineSync, async |node| {
+        run(&node).await;
     });
 }
 
--- a/plugins/relay/src/server.rs
+++ b/plugins/relay/src/server.rs
@@ -24,6 +24,7 @@
 
 use crate::answer::{RelayBody, complete, plain};
 use crate::node::Node;
+use crate::tasks::{self, Job, TaskName};
 use crate::{RelayError, dump, forwarding, messages, peers, reachability, request};
 
 /// Maximum number of addresses in an entry answer. Callers pick one at random.
@@ -56,6 +57,19 @@
     Operators,
 }
 
+impl ListenerKind {
+    /// Returns the task that accepts its connections.
+    fn task(self) -> TaskName {
+        match self {
+            ListenerKind::Callers => TaskName::CallersListener,
+            ListenerKind::Ready => TaskName::ReadinessListener,
+            ListenerKind::Entry => TaskName::EntryListener,
+            ListenerKind::Peers => TaskName::PeersListener,
+            ListenerKind::Operators => TaskName::OperatorsListener,
+        }
+    }
+}
+
 /// Shutdown controls of the listeners.
 pub(crate) struct Servers {
     /// Cancelled to stop accepting connections from callers.
@@ -102,15 +116,11 @@
             ListenerKind::Callers => servers.refuse.clone(),
             _ => node.stop.clone(),
         };
-        let accepting = accept(
-            Rc::clone(node),
-            kind,
-            listener,
-            servers.finish.clone(),
-            servers.callers.clone(),
-        );
-        tokio::task::spawn_local(async move {
-            let _ = stop.run_until_cancelled(accepting).await;
+        let listener = Rc::new(listener);
+        let (finish, callers) = (servers.finish.clone(), servers.callers.clone());
+        tasks::spawn(node, &stop, kind.task(), move |node| {
+            let listener = Rc::clone(&listener);
+            accept(node, kind, listener, finish.clone(), callers.clone())
         });
     }
     Ok(servers)
@@ -119,7 +129,7 @@
 async fn accept(
     node: Rc<Node>,
     kind: ListenerKind,
-    listener: TcpListener,
+    listener: Rc<TcpListener>,
     finish: CancellationToken,
     callers: TaskTracker,
 ) {
@@ -141,10 +151,11 @@
                 continue;
             }
             let connection = serve_connection(Rc::clone(&node), kind, stream, finish.clone());
-            callers.spawn_local(connection);
+            tasks::spawn_tracked(&callers, Job::Connection, connection);
         } else {
             let none = CancellationToken::new();
-            tokio::task::spawn_local(serve_connection(Rc::clone(&node), kind, stream, none));
+            let connection = serve_connection(Rc::clone(&node), kind, stream, none);
+            tasks::spawn_job(Job::Connection, connection);
         }
     }
 }
--- a/plugins/relay/src/watch.rs
+++ b/plugins/relay/src/watch.rs
@@ -23,6 +23,7 @@
 use crate::node::Node;
 use crate::runner_changes;
 use crate::start;
+use crate::tasks::{self, TaskName};
 
 /// Timeout of a watch on the configuration in a small fleet, in milliseconds. A watch whose
 /// connection fell silent hides a change until the next read at the latest.
@@ -184,10 +185,12 @@
 
 /// Starts the watch on `what`.
 fn spawn_watch(node: &Rc<Node>, what: Watched) {
-    let node = Rc::clone(node);
-    tokio::task::spawn_local(async move {
-        let stop = node.stop.clone();
-        let _ = stop.run_until_cancelled(run(&node, what)).await;
+    let name = match what {
+        Watched::Configuration => TaskName::ConfigurationWatch,
+        Watched::Runners => TaskName::RunnersWatch,
+    };
+    tasks::spawn(node, &node.stop, name, async move |node| {
+        run(&node, what).await;
     });
 }
 
--- a/plugins/relay/tests/relay.rs
+++ b/plugins/relay/tests/relay.rs
@@ -1,6 +1,9 @@
 //! End-to-end tests of the relay against stand-ins for store, runners and callers, over real
 //! sockets.
 
+// A panic in a task of a test fails the test where it is awaited.
+#![allow(clippy::disallowed_methods)]
+
 #[path = "relay/configuration.rs"]
 mod configuration;
 #[path = "relay/contention.rs"]
