Failure detector: a runner is examined again after a panic in its examination

A panic between the two ends of examine left the lifetime in probed_suspects: the runner was never examined again, so a silent one got requests for as long as the process lived. A guard removes the mark when dropped.

Before (the mark kept while panicking): a_runner_is_examined_again_after_a_panic_in_its_examination fails, no dead runner after 20 s; after: it passes.

--- a/kernel/src/fault_point.rs
+++ b/kernel/src/fault_point.rs
@@ -16,7 +16,7 @@
 //! | `hold:PATH` | this task waits until the file at this path exists |
 //!
 //! Each long-lived task of a relay has a point as well, `task.TASK.INSTANCE` ([`end_task`]), with the actions
-//! `panic` and `return`.
+//! `panic` and `return`, and so has each examination of a runner, with `panic` ([`panic_in_job`]).
 //!
 //! A point logs `fault point STEP: ACTION` before its action and `fault point STEP passed` after
 //! it.
@@ -87,7 +87,7 @@
 }
 
 #[cfg(feature = "failpoints")]
-pub use armed::{end_task, open, reach};
+pub use armed::{end_task, open, panic_in_job, reach};
 
 /// Reads the actions from the environment; does nothing in this build.
 #[cfg(not(feature = "failpoints"))]
@@ -155,6 +155,17 @@
         }
     }
 
+    /// Panics if that is armed for the job `job` of an instance.
+    pub fn panic_in_job(instance: &str, job: &str) {
+        read_file();
+        let point = format!("task.{job}.{instance}");
+        match action(&point).as_deref() {
+            None => {}
+            Some("panic") => panic!("fault point {point}"),
+            Some(action) => log::error!("fault point {point}: unknown action {action}"),
+        }
+    }
+
     fn action(step: &str) -> Option<String> {
         fail::fail_point!(step, |arg: Option<String>| arg);
         None
--- a/plugins/relay/src/failure_detector.rs
+++ b/plugins/relay/src/failure_detector.rs
@@ -194,17 +194,43 @@
 /// Starts an examination of a runner with witnesses, unless one is in progress. `silent_rounds` is
 /// the number of rounds of probes in which the runner was already silent.
 fn examine(node: &Rc<Node>, suspect: Suspect, silent_rounds: u32) {
-    let lifetime = (suspect.id.clone(), suspect.born_ms);
-    if !node.probed_suspects.borrow_mut().insert(lifetime.clone()) {
+    let Some(examined) = ExaminedSuspect::open(node, &suspect) else {
         return;
-    }
+    };
     let node = Rc::clone(node);
     tasks::spawn_job(Job::Examination, async move {
-        runner_probe::examine(Rc::clone(&node), suspect, silent_rounds).await;
-        node.probed_suspects.borrow_mut().remove(&lifetime);
+        let _examined = examined;
+        tasks::reach_fault_point(&node, Job::Examination);
+        runner_probe::examine(node, suspect, silent_rounds).await;
     });
 }
 
+/// Marks a lifetime of a runner as being examined until dropped, after a panic too: otherwise it would
+/// never be examined again.
+struct ExaminedSuspect {
+    node: Rc<Node>,
+    lifetime: (Name, u64),
+}
+
+impl ExaminedSuspect {
+    /// Returns `None` if the lifetime is being examined already.
+    fn open(node: &Rc<Node>, suspect: &Suspect) -> Option<ExaminedSuspect> {
+        let lifetime = (suspect.id.clone(), suspect.born_ms);
+        let is_new = node.probed_suspects.borrow_mut().insert(lifetime.clone());
+        is_new.then(|| ExaminedSuspect {
+            node: Rc::clone(node),
+            lifetime,
+        })
+    }
+}
+
+impl Drop for ExaminedSuspect {
+    fn drop(&mut self) {
+        let mut probed = self.node.probed_suspects.borrow_mut();
+        probed.remove(&self.lifetime);
+    }
+}
+
 /// Records that a runner answered: its path works, and the failure reports on it are refuted.
 pub(crate) fn record_answer(node: &Node, id: &Name, born_ms: u64) {
     reachability::mark_reached(node, id);
--- a/plugins/relay/src/tasks.rs
+++ b/plugins/relay/src/tasks.rs
@@ -253,6 +253,15 @@
     metrics::counter!("jacinthweir_tasks_ended_total", "task" => task.to_string()).increment(1);
 }
 
+/// Panics if a test wants that of this job.
+#[cfg(feature = "failpoints")]
+pub(crate) fn reach_fault_point(node: &Node, job: Job) {
+    jacinthweir_kernel::fault_point::panic_in_job(&node.settings.name, &job.to_string());
+}
+
+#[cfg(not(feature = "failpoints"))]
+pub(crate) fn reach_fault_point(_node: &Node, _job: Job) {}
+
 /// Runs `task` until a test ends it.
 #[cfg(feature = "failpoints")]
 async fn with_fault_point(node: &Node, name: TaskName, task: impl Future<Output = ()>) {
--- a/plugins/relay/tests/supervised_tasks.rs
+++ b/plugins/relay/tests/supervised_tasks.rs
@@ -13,7 +13,7 @@
 use fail::FailScenario;
 use googletest::prelude::*;
 use jacinthweir_relay::{OnEnd, Relay, RelaySettings, TaskName};
-use standin::{Cluster, TEST_TIMEOUT, get, run_single_threaded, send_request};
+use standin::{Behaviour, Cluster, TEST_TIMEOUT, get, run_single_threaded, send_request};
 use tokio::time::{sleep, timeout};
 
 const NOTES: &str = "POST /notes/1?q=2 HTTP/1.1";
@@ -131,3 +131,29 @@
         }
     });
 }
+
+/// Guards against a silent runner that is never examined again, and gets requests for ever, since an
+/// examination of it panicked.
+#[gtest]
+fn a_runner_is_examined_again_after_a_panic_in_its_examination() {
+    let _scenario = FailScenario::setup();
+    run_single_threaded(async {
+        let cluster = Cluster::open().await;
+        let settings = &cluster.settings;
+        arm(settings, "examination", "1*return(panic)->off");
+        cluster.runners[0].behaviour.set(Behaviour::Unresponsive);
+        let calls = async {
+            loop {
+                send_request(cluster.callers(), NOTES, TOKENS, "prompt").await;
+            }
+        };
+        let found = async {
+            wait_until_ended(settings, "examination", 1).await;
+            cluster.wait_for_dead(1).await;
+        };
+        tokio::select! {
+            () = calls => {}
+            () = found => {}
+        }
+    });
+}
