Tests: random orders of failures played to the failure detector of two instances

Runners fall silent, answer, restart, and are cut off from one instance, under a steady load; then all failures end. The test fails if a task of an instance ends or a piece of work panics, and if a runner that answers is not used again or no stream is served.

--- a/plugins/relay/tests/relay.rs
+++ b/plugins/relay/tests/relay.rs
@@ -12,6 +12,8 @@
 mod contention_operators;
 #[path = "relay/failure_detection.rs"]
 mod failure_detection;
+#[path = "relay/failure_orders.rs"]
+mod failure_orders;
 #[path = "relay/leaving.rs"]
 mod leaving;
 #[path = "relay/partition.rs"]
--- a/plugins/relay/tests/support/standin/runner.rs
+++ b/plugins/relay/tests/support/standin/runner.rs
@@ -202,6 +202,11 @@
         self.lifetime.borrow().cancel();
     }
 
+    /// Crashes the runner, which starts again after a moment.
+    pub fn restart(&self) {
+        self.lifetime.borrow().cancel();
+    }
+
     /// Returns the number of lethal requests that the runner began to run.
     pub fn lethal_run_count(&self) -> usize {
         let received = self.received.borrow();
