--- a/plugins/relay/src/tasks.rs
+++ b/plugins/relay/src/tasks.rs
@@ -93,8 +93,8 @@
     /// Returns what happens when this task ends by itself.
     ///
     /// Most tasks change shared state in several steps. A panic between two of them leaves it torn, and
-    /// a task that starts again would act on it; an instance keeps nothing, so a new process is sound
-    /// within a second or so. A listener only accepts: its socket stays open, each connection has a task
+    /// a task that starts again would act on it; an instance keeps nothing, so a new process starts from
+    /// a sound one. A listener only accepts: its socket stays open, each connection has a task
     /// of its own, and a new process would cut all streams for nothing.
     #[must_use]
     pub fn on_end(self) -> OnEnd {
