--- a/plugins/relay/src/failure_detector.rs
+++ b/plugins/relay/src/failure_detector.rs
@@ -20,6 +20,7 @@
 use crate::node::Node;
 use crate::reachability;
 use crate::runner_probe::{self, MAX_PROBES, ProbeResult, ProbeTarget, Suspect};
+use crate::tasks::{self, Job, TaskName};
 
 /// Minimum time between two checks for silent chains, in milliseconds. If checks ran every few
 /// milliseconds, an instance would spend more time on them than on its callers' events.
@@ -33,15 +34,11 @@
 
 /// Starts the tasks of the failure detector.
 pub(crate) fn spawn(node: &Rc<Node>) {
-    let detecting = Rc::clone(node);
-    tokio::task::spawn_local(async move {
-        let stop = detecting.stop.clone();
-        let _ = stop.run_until_cancelled(detect(&detecting)).await;
-    });
-    let recovering = Rc::clone(node);
-    tokio::task::spawn_local(async move {
-        let stop = recovering.stop.clone();
-        let _ = stop.run_until_cancelled(recovery_loop(&recovering)).await;
+    let name = TaskName::SilenceDetection;
+    tasks::spawn(node, &node.stop, name, async |node| detect(&node).await);
+    let name = TaskName::Recovery;
+    tasks::spawn(node, &node.stop, name, async |node| {
+        recovery_loop(&node).await;
     });
 }
 
@@ -64,7 +61,7 @@
                 .collect()
         };
         for live in silent_chains {
-            tokio::task::spawn_local(probe_stages(Rc::clone(node), live));
+            tasks::spawn_job(Job::StageProbes, probe_stages(Rc::clone(node), live));
         }
     }
 }
@@ -182,7 +179,7 @@
         return;
     };
     let node = Rc::clone(node);
-    tokio::task::spawn_local(async move {
+    tasks::spawn_job(Job::RunnerProbe, async move {
         let Suspect { id, born_ms, .. } = &suspect;
         match runner_probe::probe(&node, suspect.target, 1).await {
             ProbeResult::Report(report) => process_report(&node, id, *born_ms, &report),
@@ -197,17 +194,43 @@
 /// Starts an examination of a runner with witnesses, unless one is in progress. `silent_rounds` is
 /// the number of rounds of probes in which the runner was already silent.
 fn examine(node: &Rc<Node>, suspect: Suspect, silent_rounds: u32) {
-    let lifetime = (suspect.id.clone(), suspect.born_ms);
-    if !node.probed_suspects.borrow_mut().insert(lifetime.clone()) {
+    let Some(examined) = ExaminedSuspect::open(node, &suspect) else {
         return;
-    }
+    };
     let node = Rc::clone(node);
-    tokio::task::spawn_local(async move {
-        runner_probe::examine(Rc::clone(&node), suspect, silent_rounds).await;
-        node.probed_suspects.borrow_mut().remove(&lifetime);
+    tasks::spawn_job(Job::Examination, async move {
+        let _examined = examined;
+        tasks::reach_fault_point(&node, Job::Examination);
+        runner_probe::examine(node, suspect, silent_rounds).await;
     });
 }
 
+/// Marks a lifetime of a runner as being examined until dropped, after a panic too: otherwise it would
+/// never be examined again.
+struct ExaminedSuspect {
+    node: Rc<Node>,
+    lifetime: (Name, u64),
+}
+
+impl ExaminedSuspect {
+    /// Returns `None` if the lifetime is being examined already.
+    fn open(node: &Rc<Node>, suspect: &Suspect) -> Option<ExaminedSuspect> {
+        let lifetime = (suspect.id.clone(), suspect.born_ms);
+        let is_new = node.probed_suspects.borrow_mut().insert(lifetime.clone());
+        is_new.then(|| ExaminedSuspect {
+            node: Rc::clone(node),
+            lifetime,
+        })
+    }
+}
+
+impl Drop for ExaminedSuspect {
+    fn drop(&mut self) {
+        let mut probed = self.node.probed_suspects.borrow_mut();
+        probed.remove(&self.lifetime);
+    }
+}
+
 /// Records that a runner answered: its path works, and the failure reports on it are refuted.
 pub(crate) fn record_answer(node: &Node, id: &Name, born_ms: u64) {
     reachability::mark_reached(node, id);
--- a/plugins/relay/tests/relay.rs
+++ b/plugins/relay/tests/relay.rs
@@ -1,6 +1,9 @@
 //! End-to-end tests of the relay against stand-ins for store, runners and callers, over real
 //! sockets.
 
+// A panic in a task of a test fails the test where it is awaited.
+#![allow(clippy::disallowed_methods)]
+
 #[path = "relay/configuration.rs"]
 mod configuration;
 #[path = "relay/contention.rs"]
@@ -9,6 +12,8 @@
 mod contention_operators;
 #[path = "relay/failure_detection.rs"]
 mod failure_detection;
+#[path = "relay/failure_orders.rs"]
+mod failure_orders;
 #[path = "relay/leaving.rs"]
 mod leaving;
 #[path = "relay/partition.rs"]
