--- a/plugins/relay/src/failure_detector.rs
+++ b/plugins/relay/src/failure_detector.rs
@@ -517,7 +517,9 @@
         dead.map(|s| Suspect::of(node, &s.runner)).collect()
     };
     let node = Rc::clone(node);
-    tokio::task::spawn_local(async move { probe_recovery(&node, &dead).await });
+    tasks::spawn_job(Job::RunnerProbe, async move {
+        probe_recovery(&node, &dead).await;
+    });
 }
 
 /// Marks a dead runner that answered as recovered. Returns whether it was marked as dead.
