--- a/plugins/relay/tests/relay/silent_runners.rs
+++ b/plugins/relay/tests/relay/silent_runners.rs
@@ -196,3 +196,109 @@
         }
     });
 }
+
+/// Time within which a stream whose chain is broken continues elsewhere; its caller leaves later.
+const FAILOVER_LIMIT: Duration = Duration::from_secs(5);
+
+/// Starts a stream that stops after its second event, and returns the runners of its domain and of the
+/// other one, each with the first runner of the chain in front.
+async fn start_stalled_stream(
+    cluster: &Cluster,
+) -> (JoinHandle<Response>, [Rc<Runner>; 2], [Rc<Runner>; 2]) {
+    cluster.runners.iter().for_each(|r| r.last_event.set(2));
+    let stream = start_stream(cluster, "", "prompt");
+    let head = first_to_run(&cluster.runners).await;
+    sleep(3 * EVENT_INTERVAL).await;
+    let (mut own, mut other) = (cluster.runners[..2].to_vec(), cluster.runners[2..].to_vec());
+    if other.iter().any(|r| r.id == head.id) {
+        std::mem::swap(&mut own, &mut other);
+    }
+    for chain in [&mut own, &mut other] {
+        chain.sort_by_key(|r| r.layers());
+    }
+    let pair = |v: Vec<Rc<Runner>>| v.try_into().ok().expect("two runners");
+    (stream, pair(own), pair(other))
+}
+
+/// An event was on its way when a later runner of the chain crashed. Guards against a stream that is
+/// bound for good to a chain which is broken, because one event came after the interruption.
+#[gtest]
+fn a_stream_continues_elsewhere_after_a_last_event_from_a_broken_chain() {
+    run_single_threaded(async {
+        let cluster = cluster_with_slow_streams(|_| {}).await;
+        let (stream, [head, tail], [next, _]) = start_stalled_stream(&cluster).await;
+        next.responses_paused.set(true);
+        tail.crash();
+        first_to_run(&[Rc::clone(&next)]).await;
+        head.last_event.set(3);
+        sleep(EVENT_INTERVAL).await;
+        next.responses_paused.set(false);
+        next.last_event.set(6);
+        let got = timeout(FAILOVER_LIMIT, expect_complete(stream)).await;
+        expect_true!(got.is_ok());
+    });
+}
+
+/// Guards against a second run on a runner that answers again but has not begun its answer yet.
+#[gtest]
+fn a_runner_that_answers_again_is_not_sent_its_open_request_again() {
+    run_single_threaded(async {
+        let cluster = cluster_with_slow_streams(|_| {}).await;
+        leave_one_chain(&cluster);
+        cluster.runners[..2].iter().for_each(|r| {
+            r.answer_delay.set(Duration::from_millis(1_500));
+            fall_silent(r);
+        });
+        let stream = start_stream(&cluster, "", "prompt");
+        expect_complete(stream).await;
+        expect_that!(cluster.run_count(), eq(1));
+    });
+}
+
+/// Guards against a failure response to a call whose first runner is silent for longer than the
+/// objective, where nothing else may be tried and time is left.
+#[gtest]
+fn a_call_without_a_retry_outlives_the_silence_of_its_runner() {
+    run_single_threaded(async {
+        let cluster = Cluster::with_bounds(|bounds| {
+            bounds.repeat_ratio = 0.0;
+            bounds.repeat_slack = 0.0;
+        });
+        let cluster = cluster.await;
+        cluster.plain.iter().for_each(fall_silent);
+        let got = send_request(cluster.callers(), LOOKUP, "", "").await;
+        expect_that!(got.status, eq(200));
+        expect_true!(got.complete);
+    });
+}
+
+/// A later runner is silent for a moment, its chain is replaced, the stream goes on, and then that runner
+/// crashes. Guards against a stream that no chain in use watches any more.
+#[gtest]
+fn a_stream_that_went_on_continues_elsewhere_once_its_runner_crashes() {
+    run_single_threaded(async {
+        let cluster = cluster_with_slow_streams(|_| {}).await;
+        let (stream, [head, tail], [next, _]) = start_stalled_stream(&cluster).await;
+        next.responses_paused.set(true);
+        tail.responses_paused.set(true);
+        first_to_run(&[Rc::clone(&next)]).await;
+        let replaced = async {
+            while head.layers() != Some((0, 4)) {
+                sleep(Duration::from_millis(1)).await;
+            }
+        };
+        timeout(TEST_TIMEOUT, replaced)
+            .await
+            .expect("a replaced chain");
+        tail.responses_paused.set(false);
+        head.last_event.set(3);
+        cluster.wait_until_none_is_dead().await;
+        head.last_event.set(4);
+        sleep(2 * EVENT_INTERVAL).await;
+        tail.crash();
+        next.responses_paused.set(false);
+        next.last_event.set(6);
+        let got = timeout(FAILOVER_LIMIT, expect_complete(stream)).await;
+        expect_true!(got.is_ok());
+    });
+}
--- a/plugins/relay/tests/support/standin/runner.rs
+++ b/plugins/relay/tests/support/standin/runner.rs
@@ -108,6 +108,10 @@
     pub report_delay: Cell<Duration>,
     /// Time between two events of a stream.
     pub event_interval: Cell<Duration>,
+    /// Last event that streams may send unless they are ordered to continue along another chain.
+    pub last_event: Cell<u64>,
+    /// Time from the end of a pause to the head of an answer.
+    pub answer_delay: Cell<Duration>,
     pub received: RefCell<Vec<ReceivedRequest>>,
     /// Number of callers that disconnected before the end.
     pub disconnects: Cell<usize>,
@@ -145,6 +149,8 @@
             serves_reports: Cell::new(true),
             report_delay: Cell::default(),
             event_interval: Cell::new(Duration::from_millis(10)),
+            last_event: Cell::new(u64::MAX),
+            answer_delay: Cell::default(),
             received: RefCell::default(),
             disconnects: Cell::new(0),
             reroutes: RefCell::default(),
@@ -332,6 +338,7 @@
         }
         if behaviour == Behaviour::Normal {
             self.wait_while_paused().await;
+            sleep(self.answer_delay.get()).await;
         }
         let text = match behaviour {
             Behaviour::Unresponsive | Behaviour::HangsRequests => {
@@ -458,6 +465,9 @@
             {
                 sleep(Duration::from_millis(10)).await;
             }
+            while event > self.last_event.get() && self.reroutes.borrow().is_empty() {
+                sleep(Duration::from_millis(5)).await;
+            }
             if write_chunk(stream, &text).await.is_err() {
                 self.disconnects.set(self.disconnects.get() + 1);
                 return;
--- a/policy/tests/quarantine.rs
+++ b/policy/tests/quarantine.rs
@@ -386,3 +386,21 @@
     let evaluation = quarantine.evaluate(2_000, |_| LifetimeState::Ended);
     expect_that!(evaluation.new_crashes.len(), eq(1));
 }
+
+/// One runner of a chain was silent and answers again, another one has crashed. Guards against dropping
+/// the run while the crash is not known yet.
+#[gtest]
+fn a_runner_that_answers_again_does_not_excuse_another_one_of_the_chain() {
+    let mut quarantine = Quarantine::default();
+    quarantine.record_broken_run(broken(0, [0, 1], 0));
+    let evaluation = quarantine.evaluate(500, |l| match *l == lifetime(0) {
+        true => LifetimeState::Recovered(400),
+        false => LifetimeState::Silent,
+    });
+    expect_that!(evaluation.new_crashes, is_empty());
+    let evaluation = quarantine.evaluate(2_000, |l| match *l == lifetime(0) {
+        true => LifetimeState::Recovered(400),
+        false => LifetimeState::Ended,
+    });
+    expect_that!(evaluation.new_crashes.len(), eq(1));
+}
