Quarantine: a runner that was silent first and crashed counts as crashed

A dead runner kept the evidence of its first finding: one that was silent, or named by others, and then refused connections was never counted, so a lethal request could go on to further runners. A proof that comes later, by a probe of the recovery task or another examination, replaces it now. And a run was dropped as soon as one runner of its chain answered again, although another one was still silent: all have to.

the_crash_of_a_runner_that_was_silent_before_is_counted and a_runner_that_answers_again_does_not_excuse_another_one_of_the_chain failed before and pass.

--- a/plugins/relay/src/failure_detector.rs
+++ b/plugins/relay/src/failure_detector.rs
@@ -305,7 +305,11 @@
     let Some(health) = runners.health_mut(id) else {
         return false;
     };
-    if health.dead || health.born_ms != born_ms {
+    if health.born_ms != born_ms {
+        return false;
+    }
+    if health.dead {
+        health.strengthen_evidence(evidence);
         return false;
     }
     health.dead = true;
@@ -495,6 +499,10 @@
                 changed |= set_pace(node, id, report.pace, node.now());
             }
             ProbeResult::Listening => {}
+            ProbeResult::Refused => {
+                strengthen_evidence(node, id, *born_ms, DeathEvidence::Refused);
+                continue;
+            }
             _ => continue,
         }
         changed |= mark_recovered_if_dead(node, id, *born_ms);
@@ -505,6 +513,14 @@
     }
 }
 
+/// Records evidence that a lifetime which counts as dead has ended.
+fn strengthen_evidence(node: &Node, id: &Name, born_ms: u64, evidence: DeathEvidence) {
+    let mut runners = node.runners.borrow_mut();
+    if let Some(health) = runners.health_mut(id).filter(|h| h.born_ms == born_ms) {
+        health.strengthen_evidence(evidence);
+    }
+}
+
 /// Probes the dead stages of a chain whose run went on, once for each chain.
 pub(crate) fn recheck(node: &Rc<Node>, live: &LiveChain) {
     if live.rechecked.replace(true) {
--- a/policy/src/quarantine.rs
+++ b/policy/src/quarantine.rs
@@ -159,11 +159,12 @@
         ended.cloned()
     }
 
-    /// Returns whether a runner that was believed dead when the run broke off has answered since.
+    /// Returns whether the runners that were believed dead when the run broke off have answered since.
     fn is_refuted(&self, lifetime_state: impl Fn(&Lifetime) -> LifetimeState) -> bool {
-        self.through
-            .iter()
-            .any(|l| matches!(lifetime_state(l), LifetimeState::Recovered(at) if at >= self.at_ms))
+        let states: Vec<LifetimeState> = self.through.iter().map(lifetime_state).collect();
+        let has_recovered =
+            |s: &LifetimeState| matches!(s, LifetimeState::Recovered(at) if *at >= self.at_ms);
+        states.iter().any(has_recovered) && !states.contains(&LifetimeState::Silent)
     }
 }
 
--- a/policy/src/relay/runners.rs
+++ b/policy/src/relay/runners.rs
@@ -169,6 +169,14 @@
         due
     }
 
+    /// Records evidence that the runner, which counts as dead, has ended. A runner that was silent at
+    /// first may turn out to have crashed.
+    pub fn strengthen_evidence(&mut self, evidence: DeathEvidence) {
+        if self.dead && evidence.is_proof() {
+            self.death_evidence = Some(evidence);
+        }
+    }
+
     /// Records that the runner answers again at `now`.
     pub fn mark_recovered(&mut self, now: Millis) {
         self.dead = false;
