Streams: offers to other instances that they refuse cost no retry

Found by review. A request with an open send and no path of its own was offered to other instances each 40 ms, and each offer took a retry of the shared budget even if nobody sent it on (60 retries for 11 arrivals); other streams then had none. As for resumed streams, a retry is taken for what was sent only, and the offers are 150 ms apart. What became of an open send is recorded before the next decision, and a send that the runner refused after all leads to another chain.

offers_that_other_instances_refuse_spend_no_retries failed before and passes.

--- a/plugins/relay/src/stream/begin.rs
+++ b/plugins/relay/src/stream/begin.rs
@@ -24,8 +24,8 @@
 use crate::quarantine;
 use crate::request::ProxiedRequest;
 
-/// Time after which a request with an open send is offered to the chains again.
-const RETRY_INTERVAL: Duration = Duration::from_millis(40);
+/// Time after which a request with an open send is offered to the chains, or to other instances, again.
+const RETRY_INTERVAL: Duration = Duration::from_millis(150);
 
 /// Why a request is not answered by a runner.
 #[derive(Clone, Copy, Debug)]
@@ -76,6 +76,9 @@
 ) -> Result<Begun, Refusal> {
     let mut silent = SilentSends::default();
     loop {
+        for (send, sent) in silent.take_ended() {
+            settle(node, rq, attempts, send, sent);
+        }
         let may_repeat = rq.class.repeatable() || !attempts.send_record.may_have_run();
         let pass = match (may_repeat, silent.is_empty()) {
             (true, _) => tokio::select! {
@@ -91,18 +94,17 @@
             Pass::Unanswered => {}
             Pass::Silent(send) => silent.push(send),
             Pass::Refused(refusal) => {
+                if silent.is_empty() || rq.remaining_ms(node) == 0 {
+                    return Err(refusal);
+                }
                 let is_final = !may_repeat || attempts.is_exhausted(rq);
-                let next = await_silent(node, rq, attempts, &mut silent, is_final).await;
-                match next {
+                match await_silent(node, rq, attempts, &mut silent, is_final).await {
                     Some(Pass::Begun(begun)) => return Ok(begun),
-                    _ if silent.is_empty() || rq.remaining_ms(node) == 0 => return Err(refusal),
+                    None if is_final => return Err(refusal),
                     _ => {}
                 }
             }
         }
-        for (send, sent) in silent.take_ended() {
-            settle(node, rq, attempts, send, sent);
-        }
     }
 }
 
@@ -115,9 +117,6 @@
     silent: &mut SilentSends,
     until_deadline: bool,
 ) -> Option<Pass> {
-    if silent.is_empty() {
-        return None;
-    }
     let left = Duration::from_millis(rq.remaining_ms(node));
     let wait = match until_deadline {
         true => left,
@@ -156,13 +155,13 @@
     if let Some(held_ms) = quarantine::quarantined_ms(node, rq, until).await {
         return Pass::Refused(Refusal::until(Cause::Quarantined, held_ms));
     }
+    let Some(live) = live else {
+        return forward_once(node, rq, attempts).await;
+    };
     let record = attempts.send_record;
     if record.sends > 0 && !node.take_retry(&rq.service, record.retry_priority()) {
         return Pass::Refused(Cause::RunnerFailed.into());
     }
-    let Some(live) = live else {
-        return forward_once(node, rq, attempts).await;
-    };
     match attempts.attempt(node, rq, &live, rq.last_event).await {
         AttemptOutcome::Stream(in_flight, res) => Pass::Begun((Run::Chain(in_flight), res)),
         AttemptOutcome::Silent(send) => Pass::Silent(send),
@@ -174,10 +173,16 @@
 }
 
 async fn forward_once(node: &Rc<Node>, rq: &ProxiedRequest, attempts: &mut ChainAttempts) -> Pass {
-    if attempts.is_exhausted(rq) {
+    let record = attempts.send_record;
+    let (is_retry, priority) = (record.sends > 0, record.retry_priority());
+    if attempts.is_exhausted(rq) || is_retry && !node.has_retry(&rq.service, priority) {
         return Pass::Refused(Cause::RunnerFailed.into());
     }
     let forwarded = attempts.forward(node, rq, StreamProgress::none(rq)).await;
+    // A request that the other instance did not send to a runner costs no retry.
+    if is_retry && !matches!(forwarded, Forwarded::Refused { .. } | Forwarded::NotTaken) {
+        node.take_retry(&rq.service, priority);
+    }
     match forwarded {
         Forwarded::Answer { peer, res, .. } => Pass::Begun((Run::Peer(peer), res)),
         Forwarded::Refused { retry_after_ms } => {
