Streams: a request is not sent to a runner on which it is still open

First runners of open sends are excluded, and so is that of an open run whose chain broke; a run is accounted to another path once the order to take it was accepted.

a_runner_that_answers_again_is_not_sent_its_open_request_again failed before and passes.

--- a/plugins/relay/src/chain_attempts.rs
+++ b/plugins/relay/src/chain_attempts.rs
@@ -92,6 +92,8 @@
     pub(crate) broken: Vec<Rc<LiveChain>>,
     /// Chains that did not run the request, or could not be reached.
     refused: Vec<Rc<LiveChain>>,
+    /// First runners, by identity and lifetime, of sends that are open while their chain is silent.
+    open: Vec<(Name, u64)>,
 }
 
 impl ChainAttempts {
@@ -132,7 +134,8 @@
             runners.entry(id).is_none_or(|e| e.born_ms != born_ms)
         };
         let (id, born_ms) = live.head();
-        !is_excluded && self.attempts.allows(id, born_ms, rq.max_attempts, ended)
+        let is_open = self.open.iter().any(|(i, b)| (i, *b) == (id, born_ms));
+        !is_excluded && !is_open && self.attempts.allows(id, born_ms, rq.max_attempts, ended)
     }
 
     /// Allows the chains that refused the request once more. Their back-off sets the pace.
@@ -183,6 +186,8 @@
         interruption: Interruption,
     ) {
         let live = &send.in_flight.live;
+        let (id, born_ms) = live.head();
+        self.open.push((id.clone(), born_ms));
         log_attempt(rq, live, "silent", &interruption.to_string());
         match interruption {
             Interruption::ChainBroke => {
@@ -194,6 +199,16 @@
         }
     }
 
+    /// Ends a send whose chain is silent.
+    pub(crate) fn abandon(&mut self, send: &OpenSend) {
+        self.close(&send.in_flight.live);
+    }
+
+    fn close(&mut self, live: &LiveChain) {
+        let (id, born_ms) = live.head();
+        self.open.retain(|(i, b)| (i, *b) != (id, born_ms));
+    }
+
     /// Records how a send ended.
     pub(crate) fn record_outcome(
         &mut self,
@@ -208,6 +223,7 @@
             ..
         } = send;
         let live = Rc::clone(&in_flight.live);
+        self.close(&live);
         match sent {
             SendOutcome::Answer(res) => {
                 live.refusals.borrow_mut().record_accepted(node.now());
--- a/plugins/relay/src/stream/failover.rs
+++ b/plugins/relay/src/stream/failover.rs
@@ -236,8 +236,6 @@
     }
 
     async fn reroute_along(&mut self, live: Rc<LiveChain>) -> Option<()> {
-        let in_flight = self.run.as_mut().and_then(Run::on_chain_mut)?;
-        in_flight.move_to(Rc::clone(&live));
         let address = self.node.runner_address(live.chain.head().address);
         let ordered = runner::reroute(address, &live.chain, &self.rq.id, REROUTE_TIMEOUT).await;
         let outcome = match &ordered {
@@ -253,7 +251,10 @@
             "rerouted"
         );
         metrics::counter!("jacinthweir_reroutes_total").increment(1);
-        ordered.ok().map(drop)
+        ordered.ok()?;
+        let in_flight = self.run.as_mut().and_then(Run::on_chain_mut)?;
+        in_flight.move_to(live);
+        Some(())
     }
 
     /// Looks for another run that goes on after the last complete event. Tries until the caller's
@@ -315,7 +316,7 @@
         &mut self,
         silent: &SilentBody,
     ) -> Result<(Run, Response<ResponseBody>), ResumeFailure> {
-        let Some(live) = self.next_chain() else {
+        let Some(live) = self.next_chain_beside(silent) else {
             // The next try may be taken by a chain that had no room for the last one.
             self.attempts.forget_refusals();
             return self.resume_through_peer().await;
@@ -344,7 +345,10 @@
             }
             AttemptOutcome::Stream(..) => Err(ResumeFailure::NextFailed),
             AttemptOutcome::NotRun | AttemptOutcome::Unreached => Err(ResumeFailure::NextRefused),
-            AttemptOutcome::Silent(_) => Err(ResumeFailure::NextBroke),
+            AttemptOutcome::Silent(send) => {
+                self.attempts.abandon(&send);
+                Err(ResumeFailure::NextBroke)
+            }
             AttemptOutcome::Lost => Err(ResumeFailure::NextLost),
             AttemptOutcome::Timeout => Err(ResumeFailure::OutOfTime),
         }
@@ -381,8 +385,23 @@
         }
     }
 
+    /// Returns a chain for another run while the former one may be open. One that does not begin on the
+    /// runner of an open run, whose chain broke.
+    fn next_chain_beside(&self, silent: &SilentBody) -> Option<Rc<LiveChain>> {
+        let open_head = self
+            .in_flight()
+            .filter(|p| silent.is_open() && p.live.broken.is_cancelled())
+            .map(|p| p.live.head());
+        self.choose_next(|live| Some(live.head()) != open_head)
+    }
+
     fn next_chain(&self) -> Option<Rc<LiveChain>> {
-        let may_take = |live: &LiveChain| self.attempts.may_take(&self.node, &self.rq, live);
+        self.choose_next(|_| true)
+    }
+
+    fn choose_next(&self, accepts: impl Fn(&LiveChain) -> bool) -> Option<Rc<LiveChain>> {
+        let may_take =
+            |live: &LiveChain| accepts(live) && self.attempts.may_take(&self.node, &self.rq, live);
         let fill = admission::max_resumed_fill(&self.node, &self.rq);
         self.node.choose_chain(&self.rq, fill, may_take)
     }
