Streams: a run that went on behind a broken chain is watched by its own silence

Found by review. A run that gave one byte after its chain had broken was bound to that chain for good: the chain is checked no more, and its runners may have been replaced, so the caller of a run that then ended waited until it left. Such a run is watched by its own silence now, as long as callers allow between two events, and another one is sought again.

a_stream_continues_elsewhere_after_a_last_event_from_a_broken_chain and a_stream_that_went_on_continues_elsewhere_once_its_runner_crashes failed before and pass.

--- a/plugins/relay/src/stream.rs
+++ b/plugins/relay/src/stream.rs
@@ -96,7 +96,10 @@
         survived: false,
         longest_gap_ms: 0,
         run_end: None,
-        is_interrupted: run.on_chain().is_some_and(|p| p.live.broken.is_cancelled()),
+        watch: match run.on_chain() {
+            Some(p) if p.live.broken.is_cancelled() => Watch::Silence,
+            _ => Watch::Chain,
+        },
         resumed: 0,
         attempts,
         run: Some(run),
@@ -138,13 +141,25 @@
     longest_gap_ms: Millis,
     /// End of the last run whose end was noticed.
     run_end: Option<RunEnd>,
-    /// Whether the interruption of the current run was noticed, and the run is still open.
-    is_interrupted: bool,
+    /// What shows that the current run does not go on.
+    watch: Watch,
     resumed: u32,
     attempts: ChainAttempts,
     ended: bool,
 }
 
+/// What shows that a run does not go on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Watch {
+    /// Its chain breaks, or the path to it is lost.
+    Chain,
+    /// Nothing comes from it for as long as callers allow between two events. It went on after its
+    /// chain had broken, so nothing else watches it.
+    Silence,
+    /// Nothing: no other run takes the stream.
+    None,
+}
+
 /// Side that closed the connection of a run first.
 #[derive(Clone, Copy, Debug, derive_more::Display, PartialEq, Eq)]
 enum Closer {
@@ -213,14 +228,15 @@
                 }
                 ReadOutcome::Interrupted(interruption) => {
                     let cause = interruption.to_string();
-                    if interruption == Interruption::ChainBroke {
+                    if interruption == Interruption::ChainBroke && self.watch == Watch::Chain {
                         self.record_interruption(&cause);
                     }
-                    self.is_interrupted = true;
+                    self.watch = Watch::Silence;
                     match self.fail_over(&cause).await {
-                        Failover::Continued => self.is_interrupted = false,
+                        Failover::Continued => self.watch = Watch::Chain,
                         Failover::Read(read) => went_on = Some(read),
                         Failover::Failed(failure) if self.body.is_some() => {
+                            self.watch = Watch::None;
                             self.log_awaited(failure);
                         }
                         Failover::Failed(failure) => return self.cut(cause, Some(failure)),
@@ -244,15 +260,20 @@
 
     async fn read(&mut self) -> ReadOutcome {
         let left = Duration::from_millis(self.rq.remaining_ms(&self.node));
+        let silent_from = self.last_received_ms + self.rq.max_gap_ms;
+        let allowed = Duration::from_millis(silent_from.saturating_sub(self.node.now()));
         let (Some(body), Some(run)) = (&mut self.body, &self.run) else {
             return ReadOutcome::RunFailed("no run".to_owned());
         };
         tokio::select! {
             biased;
             read = body.next() => ReadOutcome::of(read),
-            interruption = run.interrupted(), if !self.is_interrupted => {
+            interruption = run.interrupted(), if self.watch == Watch::Chain => {
                 ReadOutcome::Interrupted(interruption)
             }
+            () = sleep(allowed), if self.watch == Watch::Silence => {
+                ReadOutcome::Interrupted(Interruption::ChainBroke)
+            }
             () = sleep(left) => ReadOutcome::Timeout,
         }
     }
@@ -270,8 +291,9 @@
     /// Handles bytes of a run that was interrupted: the silent runners of its chain answer again.
     fn run_went_on(&mut self) {
         let silent_ms = self.node.now() - self.last_received_ms;
+        self.watch = Watch::Silence;
         if self.return_to_chain() {
-            self.is_interrupted = false;
+            self.watch = Watch::Chain;
             log::info!(request = self.rq.id.as_ref(), silent_ms; "silent run went on");
         } else if let Some(in_flight) = self.in_flight() {
             failure_detector::recheck(&self.node, &in_flight.live);
@@ -307,7 +329,7 @@
     }
 
     fn record_received(&mut self) {
-        if self.is_interrupted {
+        if self.watch != Watch::Chain {
             self.run_went_on();
         }
         let now = self.node.now();
--- a/plugins/relay/src/stream/failover.rs
+++ b/plugins/relay/src/stream/failover.rs
@@ -409,7 +409,6 @@
     fn finish_resume(&mut self, run: Run, res: Response<ResponseBody>, cause: &str) {
         self.resumed += 1;
         self.run_end = None;
-        self.is_interrupted = false;
         self.events.resume();
         self.run_head_ms = self.node.now();
         self.survived = false;
