--- a/plugins/relay/tests/refused_elsewhere.rs
+++ b/plugins/relay/tests/refused_elsewhere.rs
@@ -1,6 +1,9 @@
 //! Retries of a request that other instances refuse. Counters are those of the process, so this test has
 //! one of its own.
 
+// Stand-ins run as tasks of the test.
+#![allow(clippy::disallowed_methods)]
+
 #[path = "support/standin.rs"]
 #[allow(dead_code, unused_imports, reason = "other tests use the rest")]
 mod standin;
