Callers: a silence ends no attempt unless another one may begin

Callers whose runner was silent for a second got their answer cut, though its run was open and would have gone on.

A silent attempt now stays open while the driver looks for another route, and is given up only once there is one that avoids the silent runners, the request is not quarantined, and the retry policy grants the retry. Else the driver waits for it until it speaks, its connection ends, a runner of it shows a newer incarnation, or the deadline passes.

An attempt given up for another route can't go on if that route's runners refuse the new one; if no retry is left then, the answer ends.

--- a/kernel/src/quarantine.rs
+++ b/kernel/src/quarantine.rs
@@ -64,6 +64,13 @@
         }
     }
 
+    /// Returns whether a request may be sent to an upstream, as far as it is known now.
+    #[must_use]
+    pub fn may_send(&self, subject: &RunSubject) -> bool {
+        let verdict = self.quarantine().verdict(subject, self.clock.now());
+        verdict == Verdict::Allowed
+    }
+
     /// Records that a run completed or went on for long enough, which clears the crashes of its
     /// request and of the parts of its prompt.
     pub fn record_survival(&self, subject: &RunSubject) {
--- a/plugins/callers/src/attempt.rs
+++ b/plugins/callers/src/attempt.rs
@@ -1,7 +1,5 @@
 //! Runs one attempt of a request along a route of model runners.
 
-use std::time::Duration;
-
 use jacinthweir_clients::ClientError;
 use jacinthweir_clients::runner::{Frames, RunStart};
 use jacinthweir_kernel::fault_point::Step;
@@ -9,7 +7,6 @@
 use jacinthweir_policy::journal::{self, Event, Verdict};
 use jacinthweir_policy::route::Route;
 use jacinthweir_wire::runner::*;
-use tokio::time::timeout;
 
 use crate::driver::{AnswerPart, Driver};
 
@@ -24,8 +21,8 @@
     NeverSent,
     /// The attempt failed midway; holds the runner at fault, if known.
     Broken(Option<Name>),
-    /// No frame arrived within the stall threshold.
-    Stalled,
+    /// No frame arrived within the stall threshold, and the request moves to another route.
+    Stalled(Route),
     /// The caller's deadline passed.
     DeadlinePassed,
     /// The caller disconnected.
@@ -98,13 +95,8 @@
 
     async fn stream_attempt(&mut self, req: &RunRequest, route: &Route) -> AttemptEnd {
         let cx = Arc::clone(&self.cx);
-        let started = timeout(self.frame_timeout(), cx.runners.run(req)).await;
-        let mut frames = match started {
-            Err(_) if self.remaining() == Duration::ZERO => return AttemptEnd::DeadlinePassed,
-            Err(_) => {
-                self.record_stall();
-                return AttemptEnd::Stalled;
-            }
+        let mut frames = match self.wait_for_output(route, cx.runners.run(req)).await {
+            Err(end) => return end,
             Ok(Err(e)) => return self.start_failure(&e, route),
             Ok(Ok(RunStart::Refused(refused))) => return AttemptEnd::Refused(refused),
             Ok(Ok(RunStart::Accepted(frames))) => frames,
@@ -134,24 +126,10 @@
         req: &RunRequest,
         route: &Route,
     ) -> Progress {
-        let wait = self.frame_timeout();
-        let received = tokio::select! {
-            received = timeout(wait, frames.next()) => received,
-            () = self.tx.closed() => return Progress::End(AttemptEnd::CallerLeft),
-        };
+        let received = self.wait_for_output(route, frames.next()).await;
         let first = || route.stages.first().map(|s| s.name.clone());
         match received {
-            Err(_) if self.remaining() == Duration::ZERO => {
-                Progress::End(AttemptEnd::DeadlinePassed)
-            }
-            Err(_) => {
-                info!(
-                    request = req.request.as_ref();
-                    "attempt {} stalled: no frame for {} ms", req.attempt, wait.as_millis()
-                );
-                self.record_stall();
-                Progress::End(AttemptEnd::Stalled)
-            }
+            Err(end) => Progress::End(end),
             Ok(Err(e)) => {
                 info!(request = req.request.as_ref(); "attempt {} lost: {e}", req.attempt);
                 Progress::End(AttemptEnd::Broken(first()))
@@ -248,7 +226,7 @@
                     .unwrap_or_else(|| Name::from("stream broke off"));
                 Event::Lost { attempt, cause }
             }
-            AttemptEnd::Stalled => Event::Lost {
+            AttemptEnd::Stalled(_) => Event::Lost {
                 attempt,
                 cause: "no frame in time".into(),
             },
--- a/plugins/callers/src/driver.rs
+++ b/plugins/callers/src/driver.rs
@@ -44,13 +44,20 @@
 }
 
 /// Reason for which a request ends without a complete answer.
-enum StopReason {
+pub(crate) enum StopReason {
+    /// This instance refused it.
     Refused(Refusal),
+    /// It is quarantined for this time, in milliseconds.
     Quarantined(Millis),
+    /// No route leads to all layers.
     NoRoute(String),
+    /// The runners refused its last attempt.
     RunnersRefused(Refused),
+    /// Its last attempt failed and it may not be tried again.
     GaveUp(String),
+    /// The caller's deadline passed.
     DeadlinePassed,
+    /// The caller disconnected.
     CallerLeft,
 }
 
@@ -64,9 +71,13 @@
     pub(crate) tokens: Vec<String>,
     pub(crate) retry_states: Arc<RetryStates>,
     pub(crate) evidence: RunEvidence,
+    /// Runners that failed this request, which its next attempts avoid where they can.
+    pub(crate) avoid: Vec<RunnerId>,
+    /// Start of the wait for the next token.
+    pub(crate) waiting_since: Millis,
     awaited: AwaitedToken,
-    waiting_since: Millis,
-    avoid: Vec<RunnerId>,
+    /// Whether the wait for the next token has exceeded the stall threshold.
+    is_stalled: bool,
     last_refusal: Option<Refused>,
 }
 
@@ -102,9 +113,10 @@
             tokens: Vec::new(),
             retry_states: Arc::clone(retry_states),
             evidence,
-            awaited: AwaitedToken::First,
-            waiting_since: cx.clock.now(),
             avoid: Vec::new(),
+            waiting_since: cx.clock.now(),
+            awaited: AwaitedToken::First,
+            is_stalled: false,
             last_refusal: None,
         };
         cx.tasks.spawn(driver.drive());
@@ -167,12 +179,15 @@
 
     /// Runs attempts until one completes the answer or no further attempt may be made.
     async fn run_attempts(&mut self) -> Result<EndFrame, StopReason> {
+        let mut found = None;
         loop {
             if self.remaining() == Duration::ZERO {
                 return Err(StopReason::DeadlinePassed);
             }
-            self.check_quarantine().await?;
-            let route = self.find_route().await?;
+            let route = match found.take() {
+                Some(route) => route,
+                None => self.next_route().await?,
+            };
             let number = self.running.journal().next_attempt();
             self.cx.router().record_sent(self.cx.clock.now(), &route);
             let end = self.run_attempt(number, &route).await;
@@ -189,11 +204,20 @@
                 AttemptEnd::Refused(refused) => self.after_refusal(&route, refused)?,
                 AttemptEnd::NeverSent => self.after_never_sent(&route)?,
                 AttemptEnd::Broken(runner) => self.after_break(&route, runner.as_ref())?,
-                AttemptEnd::Stalled => self.after_stall(&route)?,
+                AttemptEnd::Stalled(other) => {
+                    self.after_stall(&route, &other);
+                    found = Some(other);
+                }
             }
         }
     }
 
+    /// Returns a route for the next attempt of a request that is not quarantined.
+    async fn next_route(&mut self) -> Result<Route, StopReason> {
+        self.check_quarantine().await?;
+        self.find_route().await
+    }
+
     /// Refuses the request if it is quarantined.
     async fn check_quarantine(&self) -> Result<(), StopReason> {
         let subject = self.evidence.subject();
@@ -246,7 +270,7 @@
             .or_else(|_| self.pick_route_avoiding(&self.avoid))
     }
 
-    fn pick_route_avoiding(&self, avoid: &[RunnerId]) -> Result<Route, StopReason> {
+    pub(crate) fn pick_route_avoiding(&self, avoid: &[RunnerId]) -> Result<Route, StopReason> {
         let now = self.cx.clock.now();
         let router = self.cx.router();
         let name = self.model_name();
@@ -276,7 +300,7 @@
                 let first = route.stages.first().map(|s| s.runner);
                 router.record_failure(now, route, first);
             }
-            AttemptEnd::Stalled => router.record_failure(now, route, None),
+            AttemptEnd::Stalled(_) => router.record_failure(now, route, None),
             AttemptEnd::Refused(refused) if refused.code == RefusedCode::Unreachable => {
                 let runner = refused.runner.as_ref().and_then(|name| router.runner(name));
                 router.record_failure(now, route, runner);
@@ -321,19 +345,17 @@
         self.may_retry(AttemptFailure::BrokenOff)
     }
 
-    /// Handles a stall, which does not tell which stage is at fault: the next attempt avoids the
-    /// runners that have shown no progress since, or all runners of the route if all have.
-    fn after_stall(&mut self, route: &Route) -> Result<(), StopReason> {
+    /// Handles a silent attempt that was given up for another route: later attempts avoid the runners
+    /// that the other route avoids.
+    fn after_stall(&mut self, route: &Route, other: &Route) {
         metrics::counter!("jacinthweir_stalls_total").increment(1);
-        let mut suspects = self.retry_states.record_stall(route, self.waiting_since);
-        if suspects.is_empty() {
-            suspects = route.stages.iter().map(|s| s.runner).collect();
+        let is_kept = |runner: RunnerId| other.stages.iter().any(|s| s.runner == runner);
+        for stage in route.stages.iter().filter(|s| !is_kept(s.runner)) {
+            self.avoid(stage.runner);
         }
-        suspects.into_iter().for_each(|runner| self.avoid(runner));
-        self.may_retry(AttemptFailure::BrokenOff)
     }
 
-    fn may_retry(&self, end: AttemptFailure) -> Result<(), StopReason> {
+    pub(crate) fn may_retry(&self, end: AttemptFailure) -> Result<(), StopReason> {
         let pipeline = &self.accepted.prompt.pipeline;
         let in_flight = u32::try_from(self.cx.gate.in_flight()).unwrap_or(u32::MAX);
         let left_ms = self.remaining_ms();
@@ -424,6 +446,7 @@
     pub(crate) fn start_first_token_wait(&mut self) {
         self.awaited = AwaitedToken::First;
         self.waiting_since = self.cx.clock.now();
+        self.is_stalled = false;
     }
 
     /// Records the gap before a received token.
@@ -431,7 +454,15 @@
         let now = self.cx.clock.now();
         let gap_ms = now.saturating_sub(self.waiting_since);
         let pipeline = &self.accepted.prompt.pipeline;
-        self.retry_states.record_gap(pipeline, self.awaited, gap_ms);
+        if std::mem::take(&mut self.is_stalled) {
+            let request = self.running.request.as_ref();
+            info!(request; "attempt goes on after {gap_ms} ms without a token");
+            metrics::counter!("jacinthweir_silences_ended_total").increment(1);
+            self.retry_states
+                .record_false_suspicion(pipeline, self.awaited, gap_ms);
+        } else {
+            self.retry_states.record_gap(pipeline, self.awaited, gap_ms);
+        }
         self.evidence.record_token(&self.cx);
         self.awaited = AwaitedToken::Next;
     }
@@ -442,8 +473,14 @@
         self.waiting_since = self.cx.clock.now();
     }
 
-    /// Records that no frame arrived within the stall threshold.
-    pub(crate) fn record_stall(&self) {
+    /// Records once for each silence that no frame arrived within the stall threshold.
+    pub(crate) fn record_stall(&mut self) {
+        if std::mem::replace(&mut self.is_stalled, true) {
+            return;
+        }
+        let silent_ms = self.cx.clock.now().saturating_sub(self.waiting_since);
+        let request = self.running.request.as_ref();
+        info!(request; "attempt is silent: no token for {silent_ms} ms");
         self.retry_states
             .record_suspicion(&self.accepted.prompt.pipeline, self.awaited);
     }
--- a/plugins/callers/src/lib.rs
+++ b/plugins/callers/src/lib.rs
@@ -14,6 +14,7 @@
 mod prompt;
 mod retry_state;
 mod run_evidence;
+mod stall;
 
 use jacinthweir_kernel::plugin;
 use jacinthweir_kernel::prelude::*;
--- a/plugins/callers/src/retry_state.rs
+++ b/plugins/callers/src/retry_state.rs
@@ -84,11 +84,23 @@
         self.with_state(pipeline, |state| state.detector(awaited).record_gap(gap_ms));
     }
 
-    /// Records that an attempt was abandoned as stalled.
+    /// Records that an attempt counts as stalled.
     pub(crate) fn record_suspicion(&self, pipeline: &Name, awaited: AwaitedToken) {
         self.with_state(pipeline, |state| state.detector(awaited).record_suspicion());
     }
 
+    /// Records that an attempt that counted as stalled gave a token after `gap_ms`.
+    pub(crate) fn record_false_suspicion(
+        &self,
+        pipeline: &Name,
+        awaited: AwaitedToken,
+        gap_ms: u64,
+    ) {
+        self.with_state(pipeline, |state| {
+            state.detector(awaited).record_false_suspicion(gap_ms);
+        });
+    }
+
     /// Records a token as progress of all runners of its route.
     pub(crate) fn record_token(&self, route: &Route) {
         let runners = route.stages.iter().map(|s| s.runner);
@@ -96,12 +108,12 @@
             .record_token(self.clock.now(), runners);
     }
 
-    /// Records that a route gave no token from `since` until now; returns the suspected runners.
-    pub(crate) fn record_stall(&self, route: &Route, since: Millis) -> Vec<RunnerId> {
+    /// Records that a route gave no token from `since` until now.
+    pub(crate) fn record_stall(&self, route: &Route, since: Millis) {
         let stages = route.stages.iter();
         let runners = stages.map(|s| (s.runner, s.name.clone()));
-        self.lock_stall_suspects()
-            .record_stall(self.clock.now(), since, runners)
+        let mut suspects = self.lock_stall_suspects();
+        suspects.record_stall(self.clock.now(), since, runners);
     }
 
     /// Returns the runners suspected of stalls, which new work avoids where it can.
--- a/plugins/callers/src/run_evidence.rs
+++ b/plugins/callers/src/run_evidence.rs
@@ -51,6 +51,14 @@
         self.survived = false;
     }
 
+    /// Returns a runner of the current attempt that has restarted since the attempt was sent, which
+    /// ended the attempt even if its connection shows no end.
+    pub(crate) fn restarted_runner(&self, cx: &Kernel) -> Option<Name> {
+        let mut through = self.through.iter();
+        let restarted = through.find(|l| cx.lifetime(&l.runner).born_ms > l.born_ms);
+        restarted.map(|l| l.runner.clone())
+    }
+
     /// Records a token of the current attempt.
     pub(crate) fn record_token(&mut self, cx: &Kernel) {
         let now = cx.clock.now();
@@ -66,7 +74,7 @@
     pub(crate) fn record_end(&self, cx: &Kernel, end: &AttemptEnd) {
         match end {
             AttemptEnd::Completed(_) => cx.record_survival(&self.subject),
-            AttemptEnd::Broken(_) | AttemptEnd::Stalled if !self.survived => {
+            AttemptEnd::Broken(_) | AttemptEnd::Stalled(_) if !self.survived => {
                 cx.record_broken_run(BrokenRun {
                     subject: self.subject.clone(),
                     through: self.through.clone(),
@@ -77,7 +85,7 @@
                 });
             }
             AttemptEnd::Broken(_)
-            | AttemptEnd::Stalled
+            | AttemptEnd::Stalled(_)
             | AttemptEnd::Refused(_)
             | AttemptEnd::NeverSent
             | AttemptEnd::DeadlinePassed
--- a/policy/src/retry/stall.rs
+++ b/policy/src/retry/stall.rs
@@ -95,7 +95,7 @@
         silent_ms >= self.threshold_ms()
     }
 
-    /// Records that an attempt was abandoned as stalled.
+    /// Records that an attempt counts as stalled.
     pub fn record_suspicion(&mut self) {
         self.suspicions += 1;
     }
--- a/testkit/src/recovery/suspicions.rs
+++ b/testkit/src/recovery/suspicions.rs
@@ -15,7 +15,7 @@
     pub false_upstreams: u64,
     /// Suspicions of instances by other instances.
     pub instances: u64,
-    /// Attempts abandoned as stalled.
+    /// Silences of attempts that counted as stalls.
     pub stalls: u64,
     /// Retries allowed by the retry budget.
     pub retries: u64,
