Quarantine: a silence, or a suspicion by silence, is no crash

Sound requests with a message were refused as 'quarantined' after sound runners had been silent under three requests with it: a runner whose polls two observers found unanswered counted as ended, and so did one that was missing from the platform's list and did not answer.

An upstream now counts as ended under a run only with a newer incarnation, or if it is suspected and its host refuses the connections of the observer's polls. PollOutcome tells a refusal from any other failure; the record of an upstream carries it to the other instances ('refused', left out where there is none, so that records of older instances have the same hash). A suspicion itself, and what new work avoids, is as before. The end of a machine that refuses nothing counts once its runner is back with a newer incarnation within the five seconds for which a broken run is kept.

--- a/kernel/src/quarantine.rs
+++ b/kernel/src/quarantine.rs
@@ -119,6 +119,8 @@
     }
 }
 
+/// Returns what is known of a lifetime. Only a newer incarnation, or a host that refuses connections,
+/// shows that it has ended: a sound upstream that is silent for a while may be suspected as well.
 fn lifetime_state(upstreams: &Upstreams, l: &Lifetime) -> LifetimeState {
     let Some(u) = upstreams.get(&l.runner) else {
         return LifetimeState::Ended;
@@ -127,8 +129,10 @@
     match upstreams.availability(u) {
         _ if incarnation > l.born_ms => LifetimeState::Ended,
         _ if incarnation < l.born_ms => LifetimeState::Running,
-        Availability::Suspected | Availability::Unlisted => LifetimeState::Ended,
-        Availability::Stale => LifetimeState::Running,
+        _ if u.record.ended() => LifetimeState::Ended,
+        Availability::Suspected | Availability::Unlisted | Availability::Stale => {
+            LifetimeState::Running
+        }
         Availability::Open | Availability::Leaving => u
             .answered_ms()
             .map_or(LifetimeState::Running, LifetimeState::Recovered),
--- a/plugins/upstreams/src/poll.rs
+++ b/plugins/upstreams/src/poll.rs
@@ -1,5 +1,6 @@
 //! Polls the upstreams that this instance observes.
 
+use std::io::ErrorKind;
 use std::time::Duration;
 
 use futures::StreamExt;
@@ -48,11 +49,14 @@
     match poll.kind {
         PollKind::Load => match cx.runners.load(poll.address).await {
             Ok(report) => PollOutcome::Report(report),
-            Err(e) => poll_failed(&poll.name, &e.to_string()),
+            Err(e) => poll_failed(&poll.name, &e.to_string(), e.had_no_effect()),
         },
         PollKind::Connect => match connect(cx, poll).await {
             Ok(()) => PollOutcome::Connected,
-            Err(e) => poll_failed(&poll.name, &e.to_string()),
+            Err(e) => {
+                let is_refused = e.kind() == ErrorKind::ConnectionRefused;
+                poll_failed(&poll.name, &e.to_string(), is_refused)
+            }
         },
     }
 }
@@ -64,10 +68,13 @@
     Ok(())
 }
 
-fn poll_failed(name: &Name, cause: &str) -> PollOutcome {
+fn poll_failed(name: &Name, cause: &str, is_refused: bool) -> PollOutcome {
     debug!("poll of {name} failed: {cause}");
     metrics::counter!("jacinthweir_polls_failed_total").increment(1);
-    PollOutcome::Failed
+    match is_refused {
+        true => PollOutcome::Refused,
+        false => PollOutcome::Failed,
+    }
 }
 
 /// Asks other observers to confirm failed polls, each in a new task.
--- a/policy/src/upstreams.rs
+++ b/policy/src/upstreams.rs
@@ -106,6 +106,8 @@
     pub unlisted: u32,
     hash: u32,
     failures: u32,
+    /// Whether its host refused the last failed poll of this instance.
+    is_refused: bool,
     confirmed_by: Vec<Name>,
     stale: bool,
     answered_ms: Option<Millis>,
@@ -119,6 +121,7 @@
             load: None,
             unlisted: 0,
             failures: 0,
+            is_refused: false,
             confirmed_by: Vec::new(),
             stale: false,
             answered_ms: None,
--- a/policy/src/upstreams/observe.rs
+++ b/policy/src/upstreams/observe.rs
@@ -16,7 +16,9 @@
     Report(LoadReport),
     /// The service accepted a connection.
     Connected,
-    /// Time-out, connection failure or invalid response.
+    /// Its host refused the connection: the process that listened there has ended.
+    Refused,
+    /// Time-out, any other connection failure, or invalid response; the upstream may be sound.
     Failed,
 }
 
@@ -75,9 +77,10 @@
                 self.apply_report(now, report);
             }
             PollOutcome::Connected => self.connected(now, &poll.name, poll.incarnation),
-            PollOutcome::Failed | PollOutcome::Report(_) => {
+            PollOutcome::Refused | PollOutcome::Failed | PollOutcome::Report(_) => {
                 if poll.started_ms >= self.resumed_ms {
-                    return self.on_failure(&poll.name, poll.incarnation);
+                    let is_refused = *outcome == PollOutcome::Refused;
+                    return self.on_failure(&poll.name, poll.incarnation, is_refused);
                 }
             }
         }
@@ -88,7 +91,7 @@
     /// request.
     pub fn connect_failed(&mut self, now: Now, name: &str, incarnation: u64) -> Vec<Confirm> {
         self.detect_suspension(now);
-        self.on_failure(name, incarnation)
+        self.on_failure(name, incarnation, false)
     }
 
     /// Records that an upstream accepted a connection.
@@ -123,11 +126,16 @@
         }
     }
 
-    fn on_failure(&mut self, name: &str, incarnation: u64) -> Vec<Confirm> {
+    fn on_failure(&mut self, name: &str, incarnation: u64, is_refused: bool) -> Vec<Confirm> {
         let Some(u) = self.upstreams.get_mut(name) else {
             return Vec::new();
         };
-        if u.listed().incarnation != incarnation || u.record.suspected() {
+        if u.listed().incarnation != incarnation {
+            return Vec::new();
+        }
+        u.is_refused = is_refused;
+        if u.record.suspected() {
+            self.record_end_if_refused(name);
             return Vec::new();
         }
         u.failures += 1;
@@ -193,7 +201,7 @@
                 self.cap_failures(&confirm.name, failures);
                 return;
             }
-            ConfirmOutcome::Polled(PollOutcome::Failed) => {}
+            ConfirmOutcome::Polled(PollOutcome::Refused | PollOutcome::Failed) => {}
         }
         if u.failures >= self.cfg.max_failures && !u.confirmed_by.contains(&confirm.via) {
             u.confirmed_by.push(confirm.via.clone());
@@ -230,5 +238,18 @@
             self.counts.unconfirmed += 1;
         }
         self.changed.insert(u.listed().name.clone());
+        self.record_end_if_refused(name);
+    }
+
+    /// Records that a suspected upstream has ended if its host refused the last poll. A suspicion alone
+    /// does not show it, since a sound upstream may be silent for a while.
+    fn record_end_if_refused(&mut self, name: &str) {
+        let Some(u) = self.upstreams.get_mut(name) else {
+            return;
+        };
+        if u.is_refused && !u.record.ended() {
+            u.record.refused = u.record.floor;
+            u.hash = u.record.hash();
+        }
     }
 }
--- a/policy/src/upstreams/record.rs
+++ b/policy/src/upstreams/record.rs
@@ -3,7 +3,7 @@
 //! Several instances observe the same runner, and none of them owns its record. Each part is
 //! therefore merged by a join of its own, so that all instances converge whatever the order in
 //! which records arrive: leaving is irrevocable, the profile with the greatest report number wins,
-//! and so does the greatest suspicion floor.
+//! and so do the greatest floors of suspicion and of refusal.
 
 use crate::listed::{ListedInstance, ListedState};
 use crate::load::{HeldLayers, LoadReport};
@@ -24,6 +24,10 @@
     /// Sequence number of the newest report at the time of the last suspicion: the upstream is
     /// suspected until `number` exceeds it.
     pub floor: Option<u64>,
+    /// Sequence number of the newest report at the time of the last suspicion of an upstream whose
+    /// host refused connections: the upstream has ended unless `number` exceeds it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub refused: Option<u64>,
 }
 
 /// Capabilities of a runner: the part of its reports that changes rarely.
@@ -75,6 +79,7 @@
             profile: None,
             number: 0,
             floor: None,
+            refused: None,
         }
     }
 
@@ -90,6 +95,12 @@
         self.floor.is_some_and(|floor| self.number <= floor)
     }
 
+    /// Whether the upstream is suspected and its host refused connections: its process has ended.
+    #[must_use]
+    pub fn ended(&self) -> bool {
+        self.refused.is_some_and(|floor| self.number <= floor)
+    }
+
     /// Merges another record with the same name; returns whether this one changed.
     pub fn merge(&mut self, other: &UpstreamRecord) -> bool {
         match other.listed.incarnation.cmp(&self.listed.incarnation) {
@@ -108,6 +119,7 @@
             *self = other.clone();
         }
         self.floor = before.floor.max(other.floor);
+        self.refused = before.refused.max(other.refused);
         if before.leaving() || other.leaving() {
             self.listed.state = ListedState::Leaving;
         }
--- a/policy/tests/merge.rs
+++ b/policy/tests/merge.rs
@@ -52,6 +52,7 @@
         incarnation in 1..3u64,
         number in 0..4u64,
         floor in proptest::option::of(0..4u64),
+        refused in proptest::option::of(0..4u64),
         leaving in any::<bool>(),
         end in proptest::option::of(1..3u32),
         port in 1..3u16,
@@ -74,6 +75,7 @@
             }),
             number,
             floor,
+            refused,
         }
     }
 }
