Callers: a silent attempt stays open until another one is accepted

A runner was silent for 1.2 s while all others were full. The streams through it were given up for routes whose runners refused them at once; that used up the retry budget, and callers got their answers cut though the silent runner went on.

Another attempt is now handed over beside the silent one, which is given up only once the other is accepted. A frame of the silent attempt ends the other. The other's connection is closed without a cancel, which at the runners would end the earlier attempts too.

Neither may give a token or the end while both are open (new fault), and frames of an attempt that is over are dropped as before. That a refusal comes before any token is now checked for each attempt by itself.

--- a/plugins/callers/src/attempt.rs
+++ b/plugins/callers/src/attempt.rs
@@ -10,6 +10,18 @@
 
 use crate::driver::{AnswerPart, Driver};
 
+/// An attempt that was accepted while the one before it was silent.
+#[derive(derive_more::Debug)]
+pub(crate) struct Successor {
+    /// What was sent.
+    pub(crate) req: RunRequest,
+    /// Its route.
+    pub(crate) route: Route,
+    /// Its frames.
+    #[debug(skip)]
+    pub(crate) frames: Frames,
+}
+
 /// How an attempt ended.
 #[derive(Debug)]
 pub(crate) enum AttemptEnd {
@@ -21,8 +33,8 @@
     NeverSent,
     /// The attempt failed midway; holds the runner at fault, if known.
     Broken(Option<Name>),
-    /// No frame arrived within the stall threshold, and the request moves to another route.
-    Stalled(Route),
+    /// No frame arrived within the stall threshold, and another attempt was accepted meanwhile.
+    Stalled(Box<Successor>),
     /// The caller's deadline passed.
     DeadlinePassed,
     /// The caller disconnected.
@@ -44,9 +56,32 @@
 
 impl Driver {
     /// Runs attempt `number` along `route`.
-    ///
-    /// The hand-over is recorded in the journal before the first byte may be sent.
     pub(crate) async fn run_attempt(&mut self, number: u32, route: &Route) -> AttemptEnd {
+        if !self.hand_over(number, route).await {
+            return AttemptEnd::NeverSent;
+        }
+        let req = self.build_run_request(number, route);
+        self.evidence.record_sent(&self.cx, route);
+        self.start_first_token_wait();
+        let end = match self.start_attempt(&req, route).await {
+            Ok(frames) => self.stream_frames(frames, &req, route).await,
+            Err(end) => end,
+        };
+        self.finish_attempt(&req, end)
+    }
+
+    /// Goes on with an attempt that was accepted while the one before it was silent.
+    pub(crate) async fn continue_attempt(&mut self, successor: Box<Successor>) -> AttemptEnd {
+        let Successor { req, route, frames } = *successor;
+        self.evidence.record_sent(&self.cx, &route);
+        self.start_first_token_wait();
+        let end = self.stream_frames(frames, &req, &route).await;
+        self.finish_attempt(&req, end)
+    }
+
+    /// Records the hand-over of attempt `number` in the journal, before the first byte may be sent.
+    /// Returns whether it may be.
+    pub(crate) async fn hand_over(&mut self, number: u32, route: &Route) -> bool {
         let handed = Event::Dispatched {
             attempt: number,
             upstream: describe_route(route),
@@ -56,24 +91,25 @@
                 request = self.running.request.as_ref();
                 "attempt not sent: the journal refused its hand-over: {fault}"
             );
-            return AttemptEnd::NeverSent;
+            return false;
         }
         fault_point::reach(Step::Handed).await;
-        let req = self.build_run_request(number, route);
-        self.evidence.record_sent(&self.cx, route);
-        self.start_first_token_wait();
-        let end = self.stream_attempt(&req, route).await;
-        self.record_end(number, &end);
+        true
+    }
+
+    /// Records the end of an attempt, and cancels it where it may still run.
+    fn finish_attempt(&mut self, req: &RunRequest, end: AttemptEnd) -> AttemptEnd {
+        self.record_end(req.attempt, &end);
         if !matches!(
             end,
             AttemptEnd::Completed(_) | AttemptEnd::Refused(_) | AttemptEnd::NeverSent
         ) {
-            self.cancel(&req);
+            self.cancel(req);
         }
         end
     }
 
-    fn build_run_request(&self, attempt: u32, route: &Route) -> RunRequest {
+    pub(crate) fn build_run_request(&self, attempt: u32, route: &Route) -> RunRequest {
         let stages = route.stages.iter().map(|s| Stage {
             runner: s.name.clone(),
             address: s.address,
@@ -93,14 +129,26 @@
         }
     }
 
-    async fn stream_attempt(&mut self, req: &RunRequest, route: &Route) -> AttemptEnd {
+    async fn start_attempt(
+        &mut self,
+        req: &RunRequest,
+        route: &Route,
+    ) -> Result<Frames, AttemptEnd> {
         let cx = Arc::clone(&self.cx);
-        let mut frames = match self.wait_for_output(route, cx.runners.run(req)).await {
-            Err(end) => return end,
-            Ok(Err(e)) => return self.start_failure(&e, route),
-            Ok(Ok(RunStart::Refused(refused))) => return AttemptEnd::Refused(refused),
-            Ok(Ok(RunStart::Accepted(frames))) => frames,
-        };
+        let start = cx.runners.run(req);
+        match self.wait_for_output(req.attempt, route, start).await? {
+            Err(e) => Err(self.start_failure(&e, route)),
+            Ok(RunStart::Refused(refused)) => Err(AttemptEnd::Refused(refused)),
+            Ok(RunStart::Accepted(frames)) => Ok(frames),
+        }
+    }
+
+    async fn stream_frames(
+        &mut self,
+        mut frames: Frames,
+        req: &RunRequest,
+        route: &Route,
+    ) -> AttemptEnd {
         loop {
             match self.next_frame(&mut frames, req, route).await {
                 Progress::Continue => {}
@@ -109,7 +157,7 @@
         }
     }
 
-    fn start_failure(&self, e: &ClientError, route: &Route) -> AttemptEnd {
+    pub(crate) fn start_failure(&self, e: &ClientError, route: &Route) -> AttemptEnd {
         let first = route.stages.first().map(|s| s.name.clone());
         info!(request = self.running.request.as_ref(); "attempt could not be started: {e}");
         match e {
@@ -126,7 +174,8 @@
         req: &RunRequest,
         route: &Route,
     ) -> Progress {
-        let received = self.wait_for_output(route, frames.next()).await;
+        let next = frames.next();
+        let received = self.wait_for_output(req.attempt, route, next).await;
         let first = || route.stages.first().map(|s| s.name.clone());
         match received {
             Err(end) => Progress::End(end),
@@ -212,7 +261,7 @@
         Progress::End(AttemptEnd::Broken(None))
     }
 
-    fn record_end(&self, attempt: u32, end: &AttemptEnd) {
+    pub(crate) fn record_end(&self, attempt: u32, end: &AttemptEnd) {
         let event = match end {
             AttemptEnd::Completed(end) => Event::Ended {
                 attempt,
--- a/plugins/callers/src/driver.rs
+++ b/plugins/callers/src/driver.rs
@@ -17,7 +17,7 @@
 
 use crate::accept::Accepted;
 use crate::answer::AnswerHead;
-use crate::attempt::AttemptEnd;
+use crate::attempt::{AttemptEnd, Successor};
 use crate::retry_state::{AwaitedToken, RetryStates};
 use crate::run_evidence::RunEvidence;
 
@@ -179,18 +179,9 @@
 
     /// Runs attempts until one completes the answer or no further attempt may be made.
     async fn run_attempts(&mut self) -> Result<EndFrame, StopReason> {
-        let mut found = None;
+        let mut successor = None;
         loop {
-            if self.remaining() == Duration::ZERO {
-                return Err(StopReason::DeadlinePassed);
-            }
-            let route = match found.take() {
-                Some(route) => route,
-                None => self.next_route().await?,
-            };
-            let number = self.running.journal().next_attempt();
-            self.cx.router().record_sent(self.cx.clock.now(), &route);
-            let end = self.run_attempt(number, &route).await;
+            let (route, end) = self.next_attempt(successor.take()).await?;
             self.record_route_result(&route, &end);
             self.evidence.record_end(&self.cx, &end);
             match end {
@@ -204,18 +195,32 @@
                 AttemptEnd::Refused(refused) => self.after_refusal(&route, refused)?,
                 AttemptEnd::NeverSent => self.after_never_sent(&route)?,
                 AttemptEnd::Broken(runner) => self.after_break(&route, runner.as_ref())?,
-                AttemptEnd::Stalled(other) => {
-                    self.after_stall(&route, &other);
-                    found = Some(other);
+                AttemptEnd::Stalled(next) => {
+                    self.after_stall(&route, &next.route);
+                    successor = Some(next);
                 }
             }
         }
     }
 
-    /// Returns a route for the next attempt of a request that is not quarantined.
-    async fn next_route(&mut self) -> Result<Route, StopReason> {
+    /// Runs the next attempt: `successor`, or one along a new route.
+    async fn next_attempt(
+        &mut self,
+        successor: Option<Box<Successor>>,
+    ) -> Result<(Route, AttemptEnd), StopReason> {
+        if let Some(successor) = successor {
+            let route = successor.route.clone();
+            return Ok((route, self.continue_attempt(successor).await));
+        }
+        if self.remaining() == Duration::ZERO {
+            return Err(StopReason::DeadlinePassed);
+        }
         self.check_quarantine().await?;
-        self.find_route().await
+        let route = self.find_route().await?;
+        let number = self.running.journal().next_attempt();
+        self.cx.router().record_sent(self.cx.clock.now(), &route);
+        let end = self.run_attempt(number, &route).await;
+        Ok((route, end))
     }
 
     /// Refuses the request if it is quarantined.
@@ -288,7 +293,7 @@
         picked.map_err(|e| StopReason::NoRoute(e.to_string()))
     }
 
-    fn record_route_result(&self, route: &Route, end: &AttemptEnd) {
+    pub(crate) fn record_route_result(&self, route: &Route, end: &AttemptEnd) {
         let now = self.cx.clock.now();
         let mut router = self.cx.router();
         match end {
@@ -370,7 +375,7 @@
         }
     }
 
-    fn avoid_named_or_first(&mut self, route: &Route, name: Option<&Name>) {
+    pub(crate) fn avoid_named_or_first(&mut self, route: &Route, name: Option<&Name>) {
         let named = name.and_then(|name| self.cx.router().runner(name));
         match named {
             Some(runner) => self.avoid(runner),
@@ -437,8 +442,17 @@
 
     /// Returns how long to wait for the next frame.
     pub(crate) fn frame_timeout(&self) -> Duration {
+        self.timeout_for(self.awaited)
+    }
+
+    /// Returns how long to wait for the start of an attempt.
+    pub(crate) fn start_timeout(&self) -> Duration {
+        self.timeout_for(AwaitedToken::First)
+    }
+
+    fn timeout_for(&self, awaited: AwaitedToken) -> Duration {
         let pipeline = &self.accepted.prompt.pipeline;
-        let threshold = self.retry_states.stall_threshold(pipeline, self.awaited);
+        let threshold = self.retry_states.stall_threshold(pipeline, awaited);
         self.remaining().min(threshold)
     }
 
@@ -473,11 +487,12 @@
         self.waiting_since = self.cx.clock.now();
     }
 
-    /// Records once for each silence that no frame arrived within the stall threshold.
-    pub(crate) fn record_stall(&mut self) {
+    /// Records once for each silence that no frame of `attempt` arrived within the stall threshold.
+    pub(crate) fn record_stall(&mut self, attempt: u32) {
         if std::mem::replace(&mut self.is_stalled, true) {
             return;
         }
+        self.running.record_or_log(Event::Silent { attempt });
         let silent_ms = self.cx.clock.now().saturating_sub(self.waiting_since);
         let request = self.running.request.as_ref();
         info!(request; "attempt is silent: no token for {silent_ms} ms");
--- a/policy/src/journal.rs
+++ b/policy/src/journal.rs
@@ -12,6 +12,8 @@
 //! - the caller's tokens are 0, 1, 2, … without gaps or duplicates, over all attempts;
 //! - non-idempotent work is dispatched again only if every earlier attempt is known not to have
 //!   run;
+//! - an attempt is dispatched while another is open only if that one is silent; of the two, the first
+//!   that gives a token, or is accepted, goes on, and the other is over before that is recorded;
 //! - nothing is dispatched after [`Event::Closed`], so a reported outcome stays true.
 //!
 //! Tokens and steps beyond [`MAX_STEPS`] are counted but not stored, so that the size of a journal
@@ -58,6 +60,10 @@
     /// Dispatched to an upstream without a result so far, so it may be running.
     #[display("handed")]
     Dispatched,
+    /// Dispatched, and silent for long enough that another attempt may be dispatched beside it. It goes
+    /// on with its next token.
+    #[display("silent")]
+    Silent,
     /// Its connection was never opened, so no byte was sent.
     #[display("never sent")]
     NeverSent,
@@ -75,6 +81,13 @@
     Lost,
 }
 
+impl AttemptState {
+    /// Returns whether the attempt may be running, and its frames belong to the answer.
+    fn is_open(self) -> bool {
+        matches!(self, AttemptState::Dispatched | AttemptState::Silent)
+    }
+}
+
 /// One attempt.
 #[derive(Clone, Debug)]
 pub struct Attempt {
@@ -84,6 +97,8 @@
     pub upstream: Name,
     /// Its known state.
     pub state: AttemptState,
+    /// Whether it gave a token.
+    has_tokens: bool,
 }
 
 /// Ordered history of one request.
@@ -93,7 +108,6 @@
     idempotency: Idempotency,
     attempts: Vec<Attempt>,
     tokens: u32,
-    tokens_at_dispatch: u32,
     recorded: Option<Outcome>,
     closed: Option<Outcome>,
     dropped_frames: u32,
@@ -109,7 +123,6 @@
             idempotency,
             attempts: Vec::new(),
             tokens: 0,
-            tokens_at_dispatch: 0,
             recorded: None,
             closed: None,
             dropped_frames: 0,
@@ -219,18 +232,17 @@
             .all(|a| matches!(a.state, AttemptState::NeverSent | AttemptState::Refused))
     }
 
-    /// Returns whether the latest attempt received the end of the answer.
+    /// Returns whether an attempt received the end of the answer.
     fn has_ended(&self) -> bool {
-        self.attempts
-            .last()
-            .is_some_and(|a| a.state == AttemptState::Ended)
+        let mut attempts = self.attempts.iter();
+        attempts.any(|a| a.state == AttemptState::Ended)
     }
 
     /// Returns whether some attempt may have run without a known result.
     fn has_unknown_result(&self) -> bool {
         self.attempts
             .iter()
-            .any(|a| matches!(a.state, AttemptState::Dispatched | AttemptState::Lost))
+            .any(|a| a.state.is_open() || a.state == AttemptState::Lost)
     }
 
     fn attempt(&self, number: u32) -> Option<&Attempt> {
@@ -242,7 +254,8 @@
             Event::Dispatched { attempt, upstream } => self.dispatch(*attempt, upstream),
             Event::NeverSent { attempt } => self.set_state(*attempt, AttemptState::NeverSent),
             Event::RefusedByUpstream { attempt } => self.set_state(*attempt, AttemptState::Refused),
-            Event::Token { .. } => self.tokens += 1,
+            Event::Silent { attempt } => self.set_state(*attempt, AttemptState::Silent),
+            Event::Token { attempt, .. } => self.apply_token(*attempt),
             Event::Ended { attempt, .. } => self.set_state(*attempt, AttemptState::Ended),
             Event::Broken { attempt, .. } => self.set_state(*attempt, AttemptState::Broken),
             Event::Lost { attempt, .. } => self.set_state(*attempt, AttemptState::Lost),
@@ -259,14 +272,22 @@
     }
 
     fn dispatch(&mut self, number: u32, upstream: &Name) {
-        self.tokens_at_dispatch = self.tokens;
         self.attempts.push(Attempt {
             number,
             upstream: upstream.clone(),
             state: AttemptState::Dispatched,
+            has_tokens: false,
         });
     }
 
+    fn apply_token(&mut self, number: u32) {
+        self.tokens += 1;
+        if let Some(attempt) = self.attempts.iter_mut().find(|a| a.number == number) {
+            attempt.state = AttemptState::Dispatched;
+            attempt.has_tokens = true;
+        }
+    }
+
     fn set_state(&mut self, number: u32, state: AttemptState) {
         if let Some(attempt) = self.attempts.iter_mut().find(|a| a.number == number) {
             attempt.state = state;
--- a/policy/src/journal/event.rs
+++ b/policy/src/journal/event.rs
@@ -43,6 +43,12 @@
         /// Attempt number.
         attempt: u32,
     },
+    /// The attempt has given no frame for long enough that another may be dispatched beside it.
+    #[display("attempt {attempt} is silent")]
+    Silent {
+        /// Attempt number.
+        attempt: u32,
+    },
     /// A token was accepted for the caller. Counted, but not stored as a step.
     #[display("attempt {attempt} gave token {index}")]
     Token {
--- a/policy/src/journal/frame.rs
+++ b/policy/src/journal/frame.rs
@@ -5,7 +5,7 @@
 //! upstream. A frame is accepted only if its request, attempt and index all match; otherwise it is
 //! counted and dropped, and the driver closes the connection that it was received on.
 
-use super::{AttemptState, Journal};
+use super::Journal;
 use derive_more::Display;
 
 /// Identification that a frame carries.
@@ -36,7 +36,7 @@
     /// Its attempt was never dispatched.
     #[display("attempt not handed")]
     NotDispatched,
-    /// A newer attempt has been dispatched.
+    /// A newer attempt has been dispatched, and this one is over.
     #[display("stale attempt")]
     StaleAttempt,
     /// Its attempt is already over.
@@ -91,12 +91,10 @@
             return Some(DropReason::Closed);
         }
         let latest = self.attempts.last().map_or(0, |a| a.number);
-        if frame.attempt < latest {
-            return Some(DropReason::StaleAttempt);
-        }
         match self.attempt(frame.attempt).map(|a| a.state) {
+            Some(state) if state.is_open() => None,
+            _ if frame.attempt < latest => Some(DropReason::StaleAttempt),
             None => Some(DropReason::NotDispatched),
-            Some(AttemptState::Dispatched) => None,
             Some(_) => Some(DropReason::AttemptOver),
         }
     }
--- a/policy/src/journal/verify.rs
+++ b/policy/src/journal/verify.rs
@@ -1,6 +1,6 @@
 //! Checks each event of a journal against the earlier ones.
 
-use super::{AttemptState, End, Event, Idempotency, Journal, MAX_ATTEMPTS};
+use super::{Attempt, AttemptState, End, Event, Idempotency, Journal, MAX_ATTEMPTS};
 use crate::prelude::*;
 use derive_more::{Display, Error};
 
@@ -19,12 +19,18 @@
         /// Attempt number.
         attempt: u32,
     },
-    /// The attempt is dispatched while the previous attempt is still open.
+    /// The attempt is dispatched while an earlier one is open and not silent, or two are open.
     #[display("attempt {attempt} handed over while the one before it is open")]
     StillOpen {
         /// Attempt number.
         attempt: u32,
     },
+    /// The attempt gives a token, or the end, while another one is open.
+    #[display("attempt {attempt} goes on while another is open")]
+    NotAlone {
+        /// Attempt number.
+        attempt: u32,
+    },
     /// The attempt is dispatched after an earlier attempt received the end of the answer.
     #[display("attempt {attempt} handed over after the answer had ended")]
     DispatchedAfterEnd {
@@ -135,9 +141,9 @@
             Event::RefusedByUpstream { attempt } | Event::NeverSent { attempt } => {
                 self.check_not_run(*attempt)
             }
-            Event::Broken { attempt, .. } | Event::Lost { attempt, .. } => {
-                self.check_open(*attempt)
-            }
+            Event::Silent { attempt }
+            | Event::Broken { attempt, .. }
+            | Event::Lost { attempt, .. } => self.check_open(*attempt),
             Event::Token { attempt, index } => self.check_token(*attempt, *index),
             Event::Ended { attempt, tokens } => self.check_end(*attempt, *tokens),
             Event::Closed { outcome } => self.check_outcome(*outcome),
@@ -183,27 +189,39 @@
         if self.has_ended() {
             return Err(Fault::DispatchedAfterEnd { attempt });
         }
-        if self
-            .attempts
-            .iter()
-            .any(|a| a.state == AttemptState::Dispatched)
-        {
+        if !self.has_room_to_dispatch() {
             return Err(Fault::StillOpen { attempt });
         }
         Ok(())
     }
 
+    /// Returns whether no attempt is open, or a single silent one.
+    fn has_room_to_dispatch(&self) -> bool {
+        let mut open = self.attempts.iter().filter(|a| a.state.is_open());
+        let is_silent = |a: &Attempt| a.state == AttemptState::Silent;
+        open.next().is_none_or(is_silent) && open.next().is_none()
+    }
+
+    /// Checks that a token belongs to the only attempt that goes on.
+    fn check_alone(&self, attempt: u32) -> Result<(), Fault> {
+        let mut open = self.attempts.iter().filter(|a| a.state.is_open());
+        match open.all(|a| a.number == attempt) {
+            true => Ok(()),
+            false => Err(Fault::NotAlone { attempt }),
+        }
+    }
+
     fn check_open(&self, attempt: u32) -> Result<(), Fault> {
         match self.attempt(attempt).map(|a| a.state) {
             None => Err(Fault::NeverDispatched { attempt }),
-            Some(AttemptState::Dispatched) => Ok(()),
+            Some(state) if state.is_open() => Ok(()),
             Some(_) => Err(Fault::AttemptOver { attempt }),
         }
     }
 
     fn check_not_run(&self, attempt: u32) -> Result<(), Fault> {
         self.check_open(attempt)?;
-        match self.tokens_at_dispatch < self.tokens {
+        match self.attempt(attempt).is_some_and(|a| a.has_tokens) {
             true => Err(Fault::RefusedAfterTokens { attempt }),
             false => Ok(()),
         }
@@ -211,6 +229,7 @@
 
     fn check_token(&self, attempt: u32, index: u32) -> Result<(), Fault> {
         self.check_open(attempt)?;
+        self.check_alone(attempt)?;
         let expected = self.tokens;
         match index.cmp(&expected) {
             std::cmp::Ordering::Less => Err(Fault::TokenRepeated { index, expected }),
@@ -221,6 +240,7 @@
 
     fn check_end(&self, attempt: u32, tokens: u32) -> Result<(), Fault> {
         self.check_open(attempt)?;
+        self.check_alone(attempt)?;
         let given = self.tokens;
         match tokens == given {
             true => Ok(()),
--- a/policy/tests/journal.rs
+++ b/policy/tests/journal.rs
@@ -60,6 +60,7 @@
         },
         "never-sent" => Event::NeverSent { attempt: number(1) },
         "refused" => Event::RefusedByUpstream { attempt: number(1) },
+        "silent" => Event::Silent { attempt: number(1) },
         "token" => Event::Token {
             attempt: number(1),
             index: number(2),
--- a/testkit/tests/silence.rs
+++ b/testkit/tests/silence.rs
@@ -1,6 +1,7 @@
 //! Tests of answers whose runner falls silent for a moment and goes on: a sound runner may do so, and the
 //! answer goes on with it.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use googletest::prelude::*;
@@ -34,6 +35,10 @@
 const LINK_US: u64 = 100;
 /// Longest time after which routes follow the state of the runners.
 const ROUTES_UPDATED: Duration = Duration::from_millis(300);
+/// Holders of the last layers in a fleet of the usual size.
+const LAST_RUNNERS: [usize; 2] = [4, 6];
+/// Streams that run at a time where several do.
+const STREAMS: usize = 12;
 /// Interval between two looks at what the runners received.
 const POLL: Duration = Duration::from_millis(10);
 
@@ -217,3 +222,45 @@
     expect_that!(attempts(&fleet).await, eq(&all));
     fleet.stop().await.expect("the fleet stops");
 }
+
+/// Makes all runners refuse new attempts as busy, or take them again.
+async fn set_refuse(fleet: &Fleet, refuse: bool) {
+    for i in 0..fleet.runners.len() {
+        let overrides = Overrides {
+            refuse: Some(refuse),
+            ..Overrides::default()
+        };
+        fleet.runner_admin(i).set(&overrides).await.expect("sets");
+    }
+}
+
+/// Returns the runner of the last layers that runs the most streams.
+async fn busiest_last_runner(fleet: &Fleet) -> usize {
+    let mut busiest = (0, 0);
+    for i in LAST_RUNNERS {
+        let witness = fleet.runner_admin(i).witness().await;
+        let ran = witness.expect("the runner answers").ran;
+        let streams: BTreeSet<Name> = ran.into_iter().map(|token| token.request).collect();
+        busiest = busiest.max((streams.len(), i));
+    }
+    busiest.1
+}
+
+/// Guards against ending the answers of a runner that is silent for a moment because all others are full
+/// meanwhile, which uses up the retry budget.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_outlive_a_silence_while_other_runners_are_full() {
+    let fleet = start_fleet(FleetCfg::small(DEPLOYMENT).runners).await;
+    let mut streams: Vec<Stream> = (0..STREAMS).map(|_| Stream::start(&fleet)).collect();
+    for stream in &mut streams {
+        stream.read_tokens(WARM_UP_TOKENS).await;
+    }
+    set_refuse(&fleet, true).await;
+    silence(&fleet, busiest_last_runner(&fleet).await).await;
+    set_refuse(&fleet, false).await;
+    for stream in streams {
+        stream.expect_whole_answer().await;
+    }
+    fleet.stop().await.expect("the fleet stops");
+}
