--- a/kernel/src/quarantine.rs
+++ b/kernel/src/quarantine.rs
@@ -64,6 +64,13 @@
         }
     }
 
+    /// Returns whether a request may be sent to an upstream, as far as it is known now.
+    #[must_use]
+    pub fn may_send(&self, subject: &RunSubject) -> bool {
+        let verdict = self.quarantine().verdict(subject, self.clock.now());
+        verdict == Verdict::Allowed
+    }
+
     /// Records that a run completed or went on for long enough, which clears the crashes of its
     /// request and of the parts of its prompt.
     pub fn record_survival(&self, subject: &RunSubject) {
@@ -112,6 +119,8 @@
     }
 }
 
+/// Returns what is known of a lifetime. Only a newer incarnation, or a host that refuses connections,
+/// shows that it has ended: a sound upstream that is silent for a while may be suspected as well.
 fn lifetime_state(upstreams: &Upstreams, l: &Lifetime) -> LifetimeState {
     let Some(u) = upstreams.get(&l.runner) else {
         return LifetimeState::Ended;
@@ -120,8 +129,10 @@
     match upstreams.availability(u) {
         _ if incarnation > l.born_ms => LifetimeState::Ended,
         _ if incarnation < l.born_ms => LifetimeState::Running,
-        Availability::Suspected | Availability::Unlisted => LifetimeState::Ended,
-        Availability::Stale => LifetimeState::Running,
+        _ if u.record.ended() => LifetimeState::Ended,
+        Availability::Suspected | Availability::Unlisted | Availability::Stale => {
+            LifetimeState::Running
+        }
         Availability::Open | Availability::Leaving => u
             .answered_ms()
             .map_or(LifetimeState::Running, LifetimeState::Recovered),
--- a/plugins/callers/src/attempt.rs
+++ b/plugins/callers/src/attempt.rs
@@ -1,7 +1,5 @@
 //! Runs one attempt of a request along a route of model runners.
 
-use std::time::Duration;
-
 use jacinthweir_clients::ClientError;
 use jacinthweir_clients::runner::{Frames, RunStart};
 use jacinthweir_kernel::fault_point::Step;
@@ -9,10 +7,21 @@
 use jacinthweir_policy::journal::{self, Event, Verdict};
 use jacinthweir_policy::route::Route;
 use jacinthweir_wire::runner::*;
-use tokio::time::timeout;
 
 use crate::driver::{AnswerPart, Driver};
 
+/// An attempt that was accepted while the one before it was silent.
+#[derive(derive_more::Debug)]
+pub(crate) struct Successor {
+    /// What was sent.
+    pub(crate) req: RunRequest,
+    /// Its route.
+    pub(crate) route: Route,
+    /// Its frames.
+    #[debug(skip)]
+    pub(crate) frames: Frames,
+}
+
 /// How an attempt ended.
 #[derive(Debug)]
 pub(crate) enum AttemptEnd {
@@ -24,8 +33,8 @@
     NeverSent,
     /// The attempt failed midway; holds the runner at fault, if known.
     Broken(Option<Name>),
-    /// No frame arrived within the stall threshold.
-    Stalled,
+    /// No frame arrived within the stall threshold, and another attempt was accepted meanwhile.
+    Stalled(Box<Successor>),
     /// The caller's deadline passed.
     DeadlinePassed,
     /// The caller disconnected.
@@ -47,9 +56,32 @@
 
 impl Driver {
     /// Runs attempt `number` along `route`.
-    ///
-    /// The hand-over is recorded in the journal before the first byte may be sent.
     pub(crate) async fn run_attempt(&mut self, number: u32, route: &Route) -> AttemptEnd {
+        if !self.hand_over(number, route).await {
+            return AttemptEnd::NeverSent;
+        }
+        let req = self.build_run_request(number, route);
+        self.evidence.record_sent(&self.cx, route);
+        self.start_first_token_wait();
+        let end = match self.start_attempt(&req, route).await {
+            Ok(frames) => self.stream_frames(frames, &req, route).await,
+            Err(end) => end,
+        };
+        self.finish_attempt(&req, end)
+    }
+
+    /// Goes on with an attempt that was accepted while the one before it was silent.
+    pub(crate) async fn continue_attempt(&mut self, successor: Box<Successor>) -> AttemptEnd {
+        let Successor { req, route, frames } = *successor;
+        self.evidence.record_sent(&self.cx, &route);
+        self.start_first_token_wait();
+        let end = self.stream_frames(frames, &req, &route).await;
+        self.finish_attempt(&req, end)
+    }
+
+    /// Records the hand-over of attempt `number` in the journal, before the first byte may be sent.
+    /// Returns whether it may be.
+    pub(crate) async fn hand_over(&mut self, number: u32, route: &Route) -> bool {
         let handed = Event::Dispatched {
             attempt: number,
             upstream: describe_route(route),
@@ -59,24 +91,25 @@
                 request = self.running.request.as_ref();
                 "attempt not sent: the journal refused its hand-over: {fault}"
             );
-            return AttemptEnd::NeverSent;
+            return false;
         }
         fault_point::reach(Step::Handed).await;
-        let req = self.build_run_request(number, route);
-        self.evidence.record_sent(&self.cx, route);
-        self.start_first_token_wait();
-        let end = self.stream_attempt(&req, route).await;
-        self.record_end(number, &end);
+        true
+    }
+
+    /// Records the end of an attempt, and cancels it where it may still run.
+    fn finish_attempt(&mut self, req: &RunRequest, end: AttemptEnd) -> AttemptEnd {
+        self.record_end(req.attempt, &end);
         if !matches!(
             end,
             AttemptEnd::Completed(_) | AttemptEnd::Refused(_) | AttemptEnd::NeverSent
         ) {
-            self.cancel(&req);
+            self.cancel(req);
         }
         end
     }
 
-    fn build_run_request(&self, attempt: u32, route: &Route) -> RunRequest {
+    pub(crate) fn build_run_request(&self, attempt: u32, route: &Route) -> RunRequest {
         let stages = route.stages.iter().map(|s| Stage {
             runner: s.name.clone(),
             address: s.address,
@@ -96,19 +129,26 @@
         }
     }
 
-    async fn stream_attempt(&mut self, req: &RunRequest, route: &Route) -> AttemptEnd {
+    async fn start_attempt(
+        &mut self,
+        req: &RunRequest,
+        route: &Route,
+    ) -> Result<Frames, AttemptEnd> {
         let cx = Arc::clone(&self.cx);
-        let started = timeout(self.frame_timeout(), cx.runners.run(req)).await;
-        let mut frames = match started {
-            Err(_) if self.remaining() == Duration::ZERO => return AttemptEnd::DeadlinePassed,
-            Err(_) => {
-                self.record_stall();
-                return AttemptEnd::Stalled;
-            }
-            Ok(Err(e)) => return self.start_failure(&e, route),
-            Ok(Ok(RunStart::Refused(refused))) => return AttemptEnd::Refused(refused),
-            Ok(Ok(RunStart::Accepted(frames))) => frames,
-        };
+        let start = cx.runners.run(req);
+        match self.wait_for_output(req.attempt, route, start).await? {
+            Err(e) => Err(self.start_failure(&e, route)),
+            Ok(RunStart::Refused(refused)) => Err(AttemptEnd::Refused(refused)),
+            Ok(RunStart::Accepted(frames)) => Ok(frames),
+        }
+    }
+
+    async fn stream_frames(
+        &mut self,
+        mut frames: Frames,
+        req: &RunRequest,
+        route: &Route,
+    ) -> AttemptEnd {
         loop {
             match self.next_frame(&mut frames, req, route).await {
                 Progress::Continue => {}
@@ -117,7 +157,7 @@
         }
     }
 
-    fn start_failure(&self, e: &ClientError, route: &Route) -> AttemptEnd {
+    pub(crate) fn start_failure(&self, e: &ClientError, route: &Route) -> AttemptEnd {
         let first = route.stages.first().map(|s| s.name.clone());
         info!(request = self.running.request.as_ref(); "attempt could not be started: {e}");
         match e {
@@ -134,24 +174,11 @@
         req: &RunRequest,
         route: &Route,
     ) -> Progress {
-        let wait = self.frame_timeout();
-        let received = tokio::select! {
-            received = timeout(wait, frames.next()) => received,
-            () = self.tx.closed() => return Progress::End(AttemptEnd::CallerLeft),
-        };
+        let next = frames.next();
+        let received = self.wait_for_output(req.attempt, route, next).await;
         let first = || route.stages.first().map(|s| s.name.clone());
         match received {
-            Err(_) if self.remaining() == Duration::ZERO => {
-                Progress::End(AttemptEnd::DeadlinePassed)
-            }
-            Err(_) => {
-                info!(
-                    request = req.request.as_ref();
-                    "attempt {} stalled: no frame for {} ms", req.attempt, wait.as_millis()
-                );
-                self.record_stall();
-                Progress::End(AttemptEnd::Stalled)
-            }
+            Err(end) => Progress::End(end),
             Ok(Err(e)) => {
                 info!(request = req.request.as_ref(); "attempt {} lost: {e}", req.attempt);
                 Progress::End(AttemptEnd::Broken(first()))
@@ -234,7 +261,7 @@
         Progress::End(AttemptEnd::Broken(None))
     }
 
-    fn record_end(&self, attempt: u32, end: &AttemptEnd) {
+    pub(crate) fn record_end(&self, attempt: u32, end: &AttemptEnd) {
         let event = match end {
             AttemptEnd::Completed(end) => Event::Ended {
                 attempt,
@@ -248,7 +275,7 @@
                     .unwrap_or_else(|| Name::from("stream broke off"));
                 Event::Lost { attempt, cause }
             }
-            AttemptEnd::Stalled => Event::Lost {
+            AttemptEnd::Stalled(_) => Event::Lost {
                 attempt,
                 cause: "no frame in time".into(),
             },
--- a/plugins/callers/src/driver.rs
+++ b/plugins/callers/src/driver.rs
@@ -17,7 +17,7 @@
 
 use crate::accept::Accepted;
 use crate::answer::AnswerHead;
-use crate::attempt::AttemptEnd;
+use crate::attempt::{AttemptEnd, Successor};
 use crate::retry_state::{AwaitedToken, RetryStates};
 use crate::run_evidence::RunEvidence;
 
@@ -44,13 +44,20 @@
 }
 
 /// Reason for which a request ends without a complete answer.
-enum StopReason {
+pub(crate) enum StopReason {
+    /// This instance refused it.
     Refused(Refusal),
+    /// It is quarantined for this time, in milliseconds.
     Quarantined(Millis),
+    /// No route leads to all layers.
     NoRoute(String),
+    /// The runners refused its last attempt.
     RunnersRefused(Refused),
+    /// Its last attempt failed and it may not be tried again.
     GaveUp(String),
+    /// The caller's deadline passed.
     DeadlinePassed,
+    /// The caller disconnected.
     CallerLeft,
 }
 
@@ -64,9 +71,13 @@
     pub(crate) tokens: Vec<String>,
     pub(crate) retry_states: Arc<RetryStates>,
     pub(crate) evidence: RunEvidence,
+    /// Runners that failed this request, which its next attempts avoid where they can.
+    pub(crate) avoid: Vec<RunnerId>,
+    /// Start of the wait for the next token.
+    pub(crate) waiting_since: Millis,
     awaited: AwaitedToken,
-    waiting_since: Millis,
-    avoid: Vec<RunnerId>,
+    /// Whether the wait for the next token has exceeded the stall threshold.
+    is_stalled: bool,
     last_refusal: Option<Refused>,
 }
 
@@ -102,9 +113,10 @@
             tokens: Vec::new(),
             retry_states: Arc::clone(retry_states),
             evidence,
-            awaited: AwaitedToken::First,
-            waiting_since: cx.clock.now(),
             avoid: Vec::new(),
+            waiting_since: cx.clock.now(),
+            awaited: AwaitedToken::First,
+            is_stalled: false,
             last_refusal: None,
         };
         cx.tasks.spawn(driver.drive());
@@ -167,15 +179,9 @@
 
     /// Runs attempts until one completes the answer or no further attempt may be made.
     async fn run_attempts(&mut self) -> Result<EndFrame, StopReason> {
+        let mut successor = None;
         loop {
-            if self.remaining() == Duration::ZERO {
-                return Err(StopReason::DeadlinePassed);
-            }
-            self.check_quarantine().await?;
-            let route = self.find_route().await?;
-            let number = self.running.journal().next_attempt();
-            self.cx.router().record_sent(self.cx.clock.now(), &route);
-            let end = self.run_attempt(number, &route).await;
+            let (route, end) = self.next_attempt(successor.take()).await?;
             self.record_route_result(&route, &end);
             self.evidence.record_end(&self.cx, &end);
             match end {
@@ -189,11 +195,34 @@
                 AttemptEnd::Refused(refused) => self.after_refusal(&route, refused)?,
                 AttemptEnd::NeverSent => self.after_never_sent(&route)?,
                 AttemptEnd::Broken(runner) => self.after_break(&route, runner.as_ref())?,
-                AttemptEnd::Stalled => self.after_stall(&route)?,
+                AttemptEnd::Stalled(next) => {
+                    self.after_stall(&route, &next.route);
+                    successor = Some(next);
+                }
             }
         }
     }
 
+    /// Runs the next attempt: `successor`, or one along a new route.
+    async fn next_attempt(
+        &mut self,
+        successor: Option<Box<Successor>>,
+    ) -> Result<(Route, AttemptEnd), StopReason> {
+        if let Some(successor) = successor {
+            let route = successor.route.clone();
+            return Ok((route, self.continue_attempt(successor).await));
+        }
+        if self.remaining() == Duration::ZERO {
+            return Err(StopReason::DeadlinePassed);
+        }
+        self.check_quarantine().await?;
+        let route = self.find_route().await?;
+        let number = self.running.journal().next_attempt();
+        self.cx.router().record_sent(self.cx.clock.now(), &route);
+        let end = self.run_attempt(number, &route).await;
+        Ok((route, end))
+    }
+
     /// Refuses the request if it is quarantined.
     async fn check_quarantine(&self) -> Result<(), StopReason> {
         let subject = self.evidence.subject();
@@ -246,7 +275,7 @@
             .or_else(|_| self.pick_route_avoiding(&self.avoid))
     }
 
-    fn pick_route_avoiding(&self, avoid: &[RunnerId]) -> Result<Route, StopReason> {
+    pub(crate) fn pick_route_avoiding(&self, avoid: &[RunnerId]) -> Result<Route, StopReason> {
         let now = self.cx.clock.now();
         let router = self.cx.router();
         let name = self.model_name();
@@ -264,7 +293,7 @@
         picked.map_err(|e| StopReason::NoRoute(e.to_string()))
     }
 
-    fn record_route_result(&self, route: &Route, end: &AttemptEnd) {
+    pub(crate) fn record_route_result(&self, route: &Route, end: &AttemptEnd) {
         let now = self.cx.clock.now();
         let mut router = self.cx.router();
         match end {
@@ -276,7 +305,7 @@
                 let first = route.stages.first().map(|s| s.runner);
                 router.record_failure(now, route, first);
             }
-            AttemptEnd::Stalled => router.record_failure(now, route, None),
+            AttemptEnd::Stalled(_) => router.record_failure(now, route, None),
             AttemptEnd::Refused(refused) if refused.code == RefusedCode::Unreachable => {
                 let runner = refused.runner.as_ref().and_then(|name| router.runner(name));
                 router.record_failure(now, route, runner);
@@ -321,19 +350,17 @@
         self.may_retry(AttemptFailure::BrokenOff)
     }
 
-    /// Handles a stall, which does not tell which stage is at fault: the next attempt avoids the
-    /// runners that have shown no progress since, or all runners of the route if all have.
-    fn after_stall(&mut self, route: &Route) -> Result<(), StopReason> {
+    /// Handles a silent attempt that was given up for another route: later attempts avoid the runners
+    /// that the other route avoids.
+    fn after_stall(&mut self, route: &Route, other: &Route) {
         metrics::counter!("jacinthweir_stalls_total").increment(1);
-        let mut suspects = self.retry_states.record_stall(route, self.waiting_since);
-        if suspects.is_empty() {
-            suspects = route.stages.iter().map(|s| s.runner).collect();
+        let is_kept = |runner: RunnerId| other.stages.iter().any(|s| s.runner == runner);
+        for stage in route.stages.iter().filter(|s| !is_kept(s.runner)) {
+            self.avoid(stage.runner);
         }
-        suspects.into_iter().for_each(|runner| self.avoid(runner));
-        self.may_retry(AttemptFailure::BrokenOff)
     }
 
-    fn may_retry(&self, end: AttemptFailure) -> Result<(), StopReason> {
+    pub(crate) fn may_retry(&self, end: AttemptFailure) -> Result<(), StopReason> {
         let pipeline = &self.accepted.prompt.pipeline;
         let in_flight = u32::try_from(self.cx.gate.in_flight()).unwrap_or(u32::MAX);
         let left_ms = self.remaining_ms();
@@ -348,7 +375,7 @@
         }
     }
 
-    fn avoid_named_or_first(&mut self, route: &Route, name: Option<&Name>) {
+    pub(crate) fn avoid_named_or_first(&mut self, route: &Route, name: Option<&Name>) {
         let named = name.and_then(|name| self.cx.router().runner(name));
         match named {
             Some(runner) => self.avoid(runner),
@@ -415,8 +442,17 @@
 
     /// Returns how long to wait for the next frame.
     pub(crate) fn frame_timeout(&self) -> Duration {
+        self.timeout_for(self.awaited)
+    }
+
+    /// Returns how long to wait for the start of an attempt.
+    pub(crate) fn start_timeout(&self) -> Duration {
+        self.timeout_for(AwaitedToken::First)
+    }
+
+    fn timeout_for(&self, awaited: AwaitedToken) -> Duration {
         let pipeline = &self.accepted.prompt.pipeline;
-        let threshold = self.retry_states.stall_threshold(pipeline, self.awaited);
+        let threshold = self.retry_states.stall_threshold(pipeline, awaited);
         self.remaining().min(threshold)
     }
 
@@ -424,6 +460,7 @@
     pub(crate) fn start_first_token_wait(&mut self) {
         self.awaited = AwaitedToken::First;
         self.waiting_since = self.cx.clock.now();
+        self.is_stalled = false;
     }
 
     /// Records the gap before a received token.
@@ -431,7 +468,15 @@
         let now = self.cx.clock.now();
         let gap_ms = now.saturating_sub(self.waiting_since);
         let pipeline = &self.accepted.prompt.pipeline;
-        self.retry_states.record_gap(pipeline, self.awaited, gap_ms);
+        if std::mem::take(&mut self.is_stalled) {
+            let request = self.running.request.as_ref();
+            info!(request; "attempt goes on after {gap_ms} ms without a token");
+            metrics::counter!("jacinthweir_silences_ended_total").increment(1);
+            self.retry_states
+                .record_false_suspicion(pipeline, self.awaited, gap_ms);
+        } else {
+            self.retry_states.record_gap(pipeline, self.awaited, gap_ms);
+        }
         self.evidence.record_token(&self.cx);
         self.awaited = AwaitedToken::Next;
     }
@@ -442,8 +487,15 @@
         self.waiting_since = self.cx.clock.now();
     }
 
-    /// Records that no frame arrived within the stall threshold.
-    pub(crate) fn record_stall(&self) {
+    /// Records once for each silence that no frame of `attempt` arrived within the stall threshold.
+    pub(crate) fn record_stall(&mut self, attempt: u32) {
+        if std::mem::replace(&mut self.is_stalled, true) {
+            return;
+        }
+        self.running.record_or_log(Event::Silent { attempt });
+        let silent_ms = self.cx.clock.now().saturating_sub(self.waiting_since);
+        let request = self.running.request.as_ref();
+        info!(request; "attempt is silent: no token for {silent_ms} ms");
         self.retry_states
             .record_suspicion(&self.accepted.prompt.pipeline, self.awaited);
     }
