Streams: a run that takes over is watched by its chain, whatever ended the one before

By reading: after a run that had gone on behind a broken chain was closed by its runner, the next one was watched by its silence instead of its chain, and a slow chain would have been left for another. The watch is set where a run takes over.

--- a/plugins/relay/src/stream.rs
+++ b/plugins/relay/src/stream.rs
@@ -233,7 +233,7 @@
                     }
                     self.watch = Watch::Silence;
                     match self.fail_over(&cause).await {
-                        Failover::Continued => self.watch = Watch::Chain,
+                        Failover::Continued => {}
                         Failover::Read(read) => went_on = Some(read),
                         Failover::Failed(failure) if self.body.is_some() => {
                             self.watch = Watch::None;
--- a/plugins/relay/src/stream/failover.rs
+++ b/plugins/relay/src/stream/failover.rs
@@ -25,7 +25,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::silent_body::SilentBody;
-use super::{Closer, ForwardedStream, ReadOutcome};
+use super::{Closer, ForwardedStream, ReadOutcome, Watch};
 use crate::admission::{self, QueuePosition};
 use crate::chain_attempts::AttemptOutcome;
 use crate::forwarding::{Forwarded, StreamProgress};
@@ -144,7 +144,10 @@
         }
         match found {
             Err(read) => Failover::Read(read),
-            Ok(Ok(Continuation::SameRun)) => Failover::Continued,
+            Ok(Ok(Continuation::SameRun)) => {
+                self.watch = Watch::Chain;
+                Failover::Continued
+            }
             Ok(Ok(Continuation::NextRun(run, res))) => {
                 self.finish_resume(run, res, cause);
                 Failover::Continued
@@ -409,6 +412,7 @@
     fn finish_resume(&mut self, run: Run, res: Response<ResponseBody>, cause: &str) {
         self.resumed += 1;
         self.run_end = None;
+        self.watch = Watch::Chain;
         self.events.resume();
         self.run_head_ms = self.node.now();
         self.survived = false;
