Quarantine: a run waits on while none of its silent runners has answered

A pending run was dropped when any runner of its chain had answered since; in the own interface every sound runner answers each poll, so the runs of a crashed one were dropped before its restart showed. A run is now dropped only if a runner of it was silent while it waited, and all silent ones have answered again.

--- a/policy/src/quarantine.rs
+++ b/policy/src/quarantine.rs
@@ -159,15 +159,21 @@
         ended.cloned()
     }
 
-    /// Returns whether the runners that were believed dead when the run broke off have answered since.
-    fn is_refuted(&self, lifetime_state: impl Fn(&Lifetime) -> LifetimeState) -> bool {
-        let states: Vec<LifetimeState> = self.through.iter().map(lifetime_state).collect();
-        let has_recovered =
-            |s: &LifetimeState| matches!(s, LifetimeState::Recovered(at) if *at >= self.at_ms);
-        states.iter().any(has_recovered) && !states.contains(&LifetimeState::Silent)
+    /// Returns whether a runner of it is silent.
+    fn is_silent(&self, lifetime_state: impl Fn(&Lifetime) -> LifetimeState) -> bool {
+        let mut through = self.through.iter();
+        through.any(|l| lifetime_state(l) == LifetimeState::Silent)
     }
 }
 
+/// A broken run that waits for evidence.
+#[derive(Clone, Debug)]
+struct PendingRun {
+    run: BrokenRun,
+    /// Whether a runner of it has been silent.
+    was_silent: bool,
+}
+
 /// A crash that this instance newly counted against a suspect.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct NewCrash {
@@ -244,7 +250,7 @@
 /// Pending broken runs and counted crashes of one instance.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
-    broken_runs: Vec<BrokenRun>,
+    broken_runs: Vec<PendingRun>,
     suspects: BTreeMap<Suspect, Crashes>,
     /// When a run with a part last survived at this instance, in milliseconds.
     survivals: BTreeMap<PromptPart, Millis>,
@@ -259,7 +265,10 @@
 
     /// Records a run that broke off.
     pub fn record_broken_run(&mut self, run: BrokenRun) {
-        self.broken_runs.push(run);
+        self.broken_runs.push(PendingRun {
+            run,
+            was_silent: false,
+        });
     }
 
     /// Clears the crashes of a request and its parts after a run that completed or went on for long
@@ -267,7 +276,7 @@
     pub fn record_survival(&mut self, subject: &RunSubject, now: Millis) -> bool {
         self.record_part_survivals(&subject.parts, now);
         self.broken_runs
-            .retain(|b| b.subject.request != subject.request);
+            .retain(|b| b.run.subject.request != subject.request);
         let mut is_news = false;
         for suspect in subject.suspects() {
             if let Some(crashes) = self.suspects.get_mut(&suspect) {
@@ -304,12 +313,18 @@
     ) -> Evaluation {
         let mut evaluation = Evaluation::default();
         let mut interrupted: BTreeMap<Lifetime, Vec<BrokenRun>> = BTreeMap::new();
-        for run in std::mem::take(&mut self.broken_runs) {
-            match run.ending(&lifetime_state) {
-                Some(l) => interrupted.entry(l).or_default().push(run),
-                None if run.is_refuted(&lifetime_state) => {}
-                None if now < run.at_ms + BROKEN_RUN_RETENTION_MS => self.broken_runs.push(run),
-                None => {}
+        for mut pending in std::mem::take(&mut self.broken_runs) {
+            if let Some(l) = pending.run.ending(&lifetime_state) {
+                interrupted.entry(l).or_default().push(pending.run);
+                continue;
+            }
+            let is_silent = pending.run.is_silent(&lifetime_state);
+            // All runners that were silent have answered again.
+            let is_refuted = pending.was_silent && !is_silent;
+            let is_expired = now >= pending.run.at_ms + BROKEN_RUN_RETENTION_MS;
+            if !is_refuted && !is_expired {
+                pending.was_silent = is_silent;
+                self.broken_runs.push(pending);
             }
         }
         for (lifetime, runs) in &interrupted {
@@ -481,7 +496,7 @@
 
     /// Returns whether a broken run waits for evidence that would be counted against a suspect.
     fn is_pending(&self, suspect: Suspect) -> bool {
-        let mut pending = self.broken_runs.iter();
+        let mut pending = self.broken_runs.iter().map(|p| &p.run);
         match suspect {
             Suspect::Request(request) => pending.any(|b| b.subject.request == request),
             Suspect::Part(part) => pending.any(|b| {
