Lines: an idle connection that times out keeps its line; one name for one type

Two enums of the relay were called Closer; that of the listeners is ClosedBy. Nothing that decides changes; the relay's tests pass (103 and those of the other files).

--- a/plugins/relay/src/server.rs
+++ b/plugins/relay/src/server.rs
@@ -197,20 +197,25 @@
 }
 
 fn log_connection_error(kind: ListenerKind, peer: Option<SocketAddr>, e: &hyper::Error) {
-    let closed_by = Closer::of(e);
-    metrics::counter!("jacinthweir_connection_errors_total", "face" => kind.to_string(), "closed_by" => closed_by.to_string())
-        .increment(1);
-    // Callers leave connections idle all the time.
-    let level = match (kind, closed_by) {
-        (ListenerKind::Callers, Closer::Instance | Closer::Peer) => log::Level::Info,
-        _ => log::Level::Debug,
-    };
-    log::log!(level, face:% = kind, peer:? = peer, closed_by:%, cause:? = e; "connection ended early");
+    let closed_by = ClosedBy::of(e);
+    metrics::counter!(
+        "jacinthweir_connection_errors_total",
+        "face" => kind.to_string(),
+        "closed_by" => closed_by.to_string()
+    )
+    .increment(1);
+    match (kind, closed_by) {
+        // Callers leave connections idle all the time.
+        (ListenerKind::Callers, ClosedBy::Instance | ClosedBy::Peer) => {
+            log::info!(face:% = kind, peer:?, closed_by:%, cause:? = e; "connection ended early");
+        }
+        _ => log::debug!(face:% = kind, cause:% = e; "connection ended"),
+    }
 }
 
 /// Side that ended a connection before the end of an exchange.
 #[derive(Clone, Copy, Debug, derive_more::Display, PartialEq, Eq)]
-enum Closer {
+enum ClosedBy {
     /// This instance cut an answer.
     #[display("instance")]
     Instance,
@@ -222,14 +227,14 @@
     Peer,
 }
 
-impl Closer {
-    fn of(e: &hyper::Error) -> Closer {
+impl ClosedBy {
+    fn of(e: &hyper::Error) -> ClosedBy {
         if e.is_user() {
-            Closer::Instance
+            ClosedBy::Instance
         } else if e.is_timeout() {
-            Closer::Timeout
+            ClosedBy::Timeout
         } else {
-            Closer::Peer
+            ClosedBy::Peer
         }
     }
 }
