Streams: a second silence has a name, and a run that the search ended has a closer

A run that had gone on behind a broken chain and fell silent again was interrupted as 'chain broke', so the reader had to know the state of the watch to tell them apart; it is 'silent again' now. A cut after the search had closed the silent run, to try the same first runner over a restored path, said run_closed_by=""; it says instance.

--- a/plugins/relay/src/chain_attempts.rs
+++ b/plugins/relay/src/chain_attempts.rs
@@ -195,7 +195,7 @@
                 self.broken.push(Rc::clone(live));
             }
             // The path says nothing about the chain.
-            Interruption::PathLost => {}
+            Interruption::PathLost | Interruption::SilentAgain => {}
         }
     }
 
--- a/plugins/relay/src/live_chains.rs
+++ b/plugins/relay/src/live_chains.rs
@@ -522,6 +522,9 @@
     /// This instance does not reach the first runner any more.
     #[display("path lost")]
     PathLost,
+    /// Nothing has come for too long from a run that went on after its chain had broken.
+    #[display("silent again")]
+    SilentAgain,
 }
 
 /// A request in flight on a chain. Its tokens and its silence are accounted to the chain until it
--- a/plugins/relay/src/stream.rs
+++ b/plugins/relay/src/stream.rs
@@ -228,7 +228,7 @@
                 }
                 ReadOutcome::Interrupted(interruption) => {
                     let cause = interruption.to_string();
-                    if interruption == Interruption::ChainBroke && self.watch == Watch::Chain {
+                    if interruption == Interruption::ChainBroke {
                         self.record_interruption(&cause);
                     }
                     self.watch = Watch::Silence;
@@ -272,7 +272,7 @@
                 ReadOutcome::Interrupted(interruption)
             }
             () = sleep(allowed), if self.watch == Watch::Silence => {
-                ReadOutcome::Interrupted(Interruption::ChainBroke)
+                ReadOutcome::Interrupted(Interruption::SilentAgain)
             }
             () = sleep(left) => ReadOutcome::Timeout,
         }
--- a/plugins/relay/src/stream/failover.rs
+++ b/plugins/relay/src/stream/failover.rs
@@ -137,10 +137,15 @@
                 }
             }
         };
+        let was_open = self.run_end.is_none();
         self.body = silent.into_inner();
-        if let Some(cause) = ended {
-            self.record_run_end(Closer::Runner);
-            log::info!(request = self.rq.id.as_ref(), cause; "interrupted run ended");
+        match ended {
+            Some(cause) => {
+                self.record_run_end(Closer::Runner);
+                log::info!(request = self.rq.id.as_ref(), cause; "interrupted run ended");
+            }
+            None if was_open && self.body.is_none() => self.record_run_end(Closer::Instance),
+            None => {}
         }
         match found {
             Err(read) => Failover::Read(read),
@@ -388,8 +393,8 @@
         }
     }
 
-    /// Returns a chain for another run while the former one may be open. One that does not begin on the
-    /// runner of an open run, whose chain broke.
+    /// Returns a chain for another run. While the former run is open and its chain is broken, it is one
+    /// that begins on another runner.
     fn next_chain_beside(&self, silent: &SilentBody) -> Option<Rc<LiveChain>> {
         let open_head = self
             .in_flight()
