Retry budget: an instance that restarts does not spend its part again

What callers saw: nothing by itself; runners in trouble got more retries than the users' bound.

Three hypotheses: (1) new lifetimes spend their guaranteed part again, (2) the others are lent what the dead had spent, (3) sends that the budget does not count. Nothing told them apart, so the new line "retries in the window" came first.

The part of the slack: none until a window after the start. The share of the own requests: from when an instance of the failure domain that has run for a window has told what the former lifetime spent, less that. Loans: none for 3 s, void 3 s after the last exchange; an instance that is not heard, or has not run for a window, counts as having spent its part, and lends nothing. Retries of ended lifetimes count until they leave the window (loads/former.rs), also where a whole failure domain ends and its new sums know nothing of them. The platform says when the system starts for the first time; then nothing was spent before (setting first_start).

Tests: relay_retry_budget_kills (new), retry_budget (new, relay). refusable_requests_leave_some_retries_to_others now says that the five others are heard: with counts that say nothing of them no loan is given any more. relay/contention decodes the reply of an exchange, which has one field more. Exchanges with instances of the code before fail to be decoded, as after earlier changes of their messages.

--- a/plugins/relay/src/lib.rs
+++ b/plugins/relay/src/lib.rs
@@ -28,6 +28,7 @@
 //! | `rate_limits` | rate limits that runners announce |
 //! | `forwarding` | requests sent through another instance, for want of a path to the runners |
 //! | `rest` | runners that asked for no requests for a while |
+//! | `retry_budgets` | the retry budgets that this instance shares with the others |
 //! | `answer` | final responses, and what they may contain |
 //! | `shutdown` | drain and shutdown |
 //! | `dump` | state dump for operators |
@@ -63,6 +64,7 @@
 mod reachability;
 mod request;
 mod rest;
+mod retry_budgets;
 mod runner_changes;
 mod runner_connections;
 mod runner_probe;
@@ -171,7 +173,8 @@
     fault_point::open();
     let mut signals = shutdown::Signals::open()?;
     let relay = Relay::spawn(settings).await?;
-    log::info!(incarnation = relay.node.incarnation; "started");
+    let first_start = relay.node.settings.first_start;
+    log::info!(incarnation = relay.node.incarnation, first_start; "started");
     let node = Rc::clone(&relay.node);
     let serve = async {
         signals.wait_for_termination(&path).await;
--- a/plugins/relay/src/messages.rs
+++ b/plugins/relay/src/messages.rs
@@ -9,7 +9,7 @@
 use jacinthweir_clients::direct;
 use jacinthweir_policy::membership::{MemberDelta, MemberDigest, MemberRecord};
 use jacinthweir_policy::prelude::*;
-use jacinthweir_policy::relay::loads::{LoadDigest, LoadUpdate};
+use jacinthweir_policy::relay::loads::{LoadDigest, LoadUpdate, ServiceCounts};
 use jacinthweir_policy::relay::reachability::PeerFinding;
 use serde::{Deserialize, Serialize};
 
@@ -76,6 +76,9 @@
         view: View,
         #[serde(rename = "told")]
         load_update: LoadUpdate,
+        /// What former lifetimes of the receiver spent of the retry budgets, if the sender knows.
+        #[serde(default)]
+        former: Option<Vec<ServiceCounts>>,
     },
     Done,
     Record(MemberRecord),
--- a/plugins/relay/src/node.rs
+++ b/plugins/relay/src/node.rs
@@ -22,9 +22,7 @@
 use jacinthweir_policy::relay::rate_limits::RunnerRateLimits;
 use jacinthweir_policy::relay::revision::Revision;
 use jacinthweir_policy::relay::runners::{RunnerEntry, Runners};
-use jacinthweir_policy::relay::shared_retry_budget::{
-    RetryCounts, SharedRetryBudget, SharedRetryBudgetConfig,
-};
+use jacinthweir_policy::relay::shared_retry_budget::SharedRetryBudgetConfig;
 use jacinthweir_policy::relay::store_watch::{
     Outdated, PeerProgress, RelayedUntil, RunnersProgress,
 };
@@ -39,6 +37,7 @@
 use crate::contention::Contention;
 use crate::live_chains::Chains;
 use crate::placer::Loading;
+use crate::retry_budgets::RetryBudgets;
 use crate::runner_connections::RunnerConnections;
 use crate::settings::RelaySettings;
 use crate::start::LastCopy;
@@ -135,7 +134,7 @@
     pub(crate) loading: RefCell<Loading>,
     /// Placement of each service.
     pub(crate) planners: RefCell<BTreeMap<Name, Planner>>,
-    pub(crate) retry_budgets: RefCell<BTreeMap<Name, SharedRetryBudget>>,
+    pub(crate) retry_budgets: RetryBudgets,
     /// Tokens of the requests that wait for room, in the order in which they are admitted.
     pub(crate) queue: RefCell<BTreeMap<(u32, u64), f64>>,
     /// Rate at which room is released.
@@ -177,6 +176,9 @@
             mono_ms: 0,
             unix_ms: incarnation,
         };
+        let retry_budget = retry_budget_config(&settings);
+        let loads = LoadTable::new(settings.name.clone(), settings.failure_domain.clone());
+        let loads = loads.with_retry_window(0, retry_budget.window_ms);
         let membership = Membership::new(own, settings.seeds.clone(), cfg, now);
         let node = Node {
             incarnation,
@@ -214,14 +216,11 @@
             relayed_until: RefCell::default(),
             chains: RefCell::default(),
             membership: RefCell::new(membership),
-            loads: RefCell::new(LoadTable::new(
-                settings.name.clone(),
-                settings.failure_domain.clone(),
-            )),
+            loads: RefCell::new(loads),
             lease: RefCell::new(Lease::new(settings.name.clone(), LEASE_MS)),
             loading: RefCell::default(),
             planners: RefCell::default(),
-            retry_budgets: RefCell::default(),
+            retry_budgets: RetryBudgets::new(retry_budget, settings.first_start),
             queue: RefCell::default(),
             release_rate: RefCell::default(),
             shortage: RefCell::default(),
@@ -306,6 +305,7 @@
                 log::info!(version, before = in_force.unwrap_or(0); "configuration in force");
                 metrics::gauge!("jacinthweir_configuration_version").set(version as f64);
                 self.contention.configure(&mut offered);
+                self.retry_budgets.open(offered.services.keys());
                 *self.intent.borrow_mut() = Some(Rc::new(offered));
                 let mut outdated = self.outdated.get();
                 outdated.in_force(version, self.now());
@@ -334,24 +334,16 @@
 
     /// Whether the shared retry budget of a service permits another retry.
     pub(crate) fn has_retry(&self, service: &Name, priority: RetryPriority) -> bool {
-        let cfg = self.retry_budget_config();
         let instances = self.peak_instances();
-        let mut budgets = self.retry_budgets.borrow_mut();
-        let budget = budgets.entry(service.clone()).or_default();
-        budget.has_retry(self.now(), &cfg, instances, priority)
+        let budgets = &self.retry_budgets;
+        budgets.has_retry(service, self.now(), instances, priority)
     }
 
     /// Takes one retry out of the shared retry budget of a service.
     pub(crate) fn take_retry(&self, service: &Name, priority: RetryPriority) -> bool {
-        let cfg = self.retry_budget_config();
         let instances = self.peak_instances();
-        let now = self.now();
-        let mut budgets = self.retry_budgets.borrow_mut();
-        let budget = budgets.entry(service.clone()).or_default();
-        let taken = budget.take_retry(now, &cfg, instances, priority);
-        let outcome = if taken { "taken" } else { "refused" };
-        metrics::counter!("jacinthweir_repeats_total", "outcome" => outcome).increment(1);
-        taken
+        let budgets = &self.retry_budgets;
+        budgets.take_retry(service, self.now(), instances, priority)
     }
 
     /// Returns the number of live instances, this one included.
@@ -389,45 +381,21 @@
         most
     }
 
-    /// Counts a request towards the retry budget of its service.
-    pub(crate) fn count_request(&self, service: &Name) {
-        let cfg = self.retry_budget_config();
-        let now = self.now();
-        let mut budgets = self.retry_budgets.borrow_mut();
-        budgets
-            .entry(service.clone())
-            .or_default()
-            .record_request(now, &cfg);
-    }
-
-    /// Returns this instance's requests and retries in the budget window, by service.
-    pub(crate) fn retry_counts(&self) -> Vec<(Name, RetryCounts)> {
-        let cfg = self.retry_budget_config();
-        let now = self.now();
-        let mut budgets = self.retry_budgets.borrow_mut();
-        let all = budgets.iter_mut();
-        all.map(|(service, s)| (service.clone(), s.counts(now, &cfg)))
-            .collect()
-    }
-
     /// Updates from the other instances' counts how much of their unused budget this one may use.
     pub(crate) fn update_retry_loans(&self) {
-        let cfg = self.retry_budget_config();
-        let now = self.now();
         let instances = self.peak_instances();
         let loads = self.loads.borrow();
-        for (service, budget) in self.retry_budgets.borrow_mut().iter_mut() {
-            budget.update_loan(now, &cfg, loads.retry_counts(service), instances);
-        }
+        let budgets = &self.retry_budgets;
+        budgets.update_loans(&loads, self.now(), instances);
     }
+}
 
-    fn retry_budget_config(&self) -> SharedRetryBudgetConfig {
-        let b = &self.settings.bounds;
-        SharedRetryBudgetConfig {
-            ratio: b.repeat_ratio,
-            slack: b.repeat_slack,
-            window_ms: b.repeat_window_ms(),
-        }
+fn retry_budget_config(settings: &RelaySettings) -> SharedRetryBudgetConfig {
+    let bounds = &settings.bounds;
+    SharedRetryBudgetConfig {
+        ratio: bounds.repeat_ratio,
+        slack: bounds.repeat_slack,
+        window_ms: bounds.repeat_window_ms(),
     }
 }
 
--- a/plugins/relay/src/peers.rs
+++ b/plugins/relay/src/peers.rs
@@ -14,7 +14,7 @@
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::quarantine::CrashRecord;
 use jacinthweir_policy::relay::failure_reports::FailureReport;
-use jacinthweir_policy::relay::loads::{HeadUse, Load, LoadUpdate, ServiceCounts};
+use jacinthweir_policy::relay::loads::{HeadUse, Load, LoadUpdate};
 use jacinthweir_policy::relay::rate_limits::RateReport;
 use serde::{Deserialize, Serialize};
 use tokio::time::interval;
@@ -120,6 +120,7 @@
         let in_flight = u32::try_from(node.active.get()).unwrap_or(u32::MAX);
         node.membership.borrow_mut().set_in_flight(in_flight);
         node.loads.borrow_mut().expire(node.now());
+        log_retries(node);
         contention::refresh_overloaded(node);
         let now = node.clocks();
         let actions = node.with_rng(|rng| node.membership.borrow_mut().tick(now, rng));
@@ -127,6 +128,14 @@
     }
 }
 
+/// Logs what is spent of the shared retry budgets.
+fn log_retries(node: &Node) {
+    let instances = node.peak_instances();
+    let loads = node.loads.borrow();
+    let budgets = &node.retry_budgets;
+    budgets.log_spent(&loads, node.now(), instances);
+}
+
 /// Logs which instances joined or left the set of live ones, and updates `before`.
 fn log_changes(node: &Node, before: &mut BTreeSet<Name>) {
     let membership = node.membership.borrow();
@@ -203,13 +212,16 @@
         }
     };
     let reply = post(peer.address, &message, PEER_TIMEOUT).await;
-    let (from, members, view, load_update) = match reply {
+    let (from, members, view, load_update, former) = match reply {
         Ok(Reply::Exchange {
             from,
             members,
             view,
             load_update,
-        }) if peer.name.as_ref().is_none_or(|n| *n == from) => (from, members, view, load_update),
+            former,
+        }) if peer.name.as_ref().is_none_or(|n| *n == from) => {
+            (from, members, view, load_update, former)
+        }
         other => {
             let cause = other
                 .err()
@@ -226,6 +238,9 @@
         }
     };
     accept_confirmation(node, sent_ms, &view);
+    if let Some(former) = former {
+        node.retry_budgets.record_former(&former);
+    }
     apply_exchange(node, &view, load_update);
     let push = {
         let mut membership = node.membership.borrow_mut();
@@ -288,6 +303,7 @@
                     neighbour_count(node),
                     node.now(),
                 ),
+                former: loads.former_counts(&from, node.now()),
             }
         }
         Message::Push { from, members } => {
@@ -354,16 +370,14 @@
         head: head.clone(),
         tokens: tokens as u32,
     });
-    let spent = node.retry_counts().into_iter();
     Load {
         written_ms: node.incarnation + node.now(),
         hears_store: node.reaches_store.get(),
         serves: node.is_ready() && !reachability::is_cut_off(node),
         used: used.collect(),
-        spent: spent
-            .map(|(service, counts)| ServiceCounts { service, counts })
-            .collect(),
+        spent: node.retry_budgets.counts(node.now()),
         flows: node.contention.flows(node.now()),
+        started_ms: node.incarnation,
     }
 }
 
--- a/plugins/relay/src/request.rs
+++ b/plugins/relay/src/request.rs
@@ -218,7 +218,7 @@
 async fn dispatch(node: &Rc<Node>, rq: ProxiedRequest) -> Response<RelayBody> {
     // The instance that forwards a request counts it.
     if rq.origin.is_none() {
-        node.count_request(&rq.service);
+        node.retry_budgets.record_request(&rq.service, node.now());
     }
     match rq.engine() {
         Some(_) => stream::serve(node, rq).await,
--- a/plugins/relay/src/settings.rs
+++ b/plugins/relay/src/settings.rs
@@ -39,6 +39,10 @@
     /// What applies while a service lacks room.
     #[serde(default)]
     pub contention: ContentionConfig,
+    /// Whether the whole system starts for the first time, so that no instance ran before. Otherwise an
+    /// instance keeps back its part of the retry budget for a window, which a former lifetime may have spent.
+    #[serde(default)]
+    pub first_start: bool,
     /// Service-level bounds.
     pub bounds: Bounds,
     /// Log settings.
--- a/plugins/relay/tests/relay.rs
+++ b/plugins/relay/tests/relay.rs
@@ -26,6 +26,8 @@
 mod rate_limits;
 #[path = "relay/rest.rs"]
 mod rest;
+#[path = "relay/retry_budget.rs"]
+mod retry_budget;
 #[path = "relay/silent_calls.rs"]
 mod silent_calls;
 #[path = "relay/silent_runners.rs"]
--- a/plugins/relay/tests/relay/contention.rs
+++ b/plugins/relay/tests/relay/contention.rs
@@ -145,7 +145,7 @@
 
 #[derive(Deserialize)]
 enum Reply {
-    Exchange(IgnoredAny, IgnoredAny, IgnoredAny, LoadUpdate),
+    Exchange(IgnoredAny, IgnoredAny, IgnoredAny, LoadUpdate, IgnoredAny),
 }
 
 /// Returns the number of flows in the load that an instance of domain "a" sends within it.
@@ -170,7 +170,7 @@
         .windows(4)
         .position(|w| w == b"\r\n\r\n")
         .expect("a head");
-    let Reply::Exchange(_, _, _, update) =
+    let Reply::Exchange(_, _, _, update, _) =
         rmp_serde::from_slice(&got[end + 4..]).expect("a reply to an exchange");
     let own = update.members.iter().find(|m| *m.name == *settings.name);
     own.expect("its own load").load.flows.len()
--- a/plugins/relay/tests/support/standin.rs
+++ b/plugins/relay/tests/support/standin.rs
@@ -317,6 +317,7 @@
         limits: RelayLimits::default(),
         processor: Processor::default(),
         contention: ContentionConfig::default(),
+        first_start: true,
         bounds: Bounds {
             revocation_ms: 5_000,
             shutdown_s: 8.0,
--- a/policy/src/relay/loads.rs
+++ b/policy/src/relay/loads.rs
@@ -11,6 +11,10 @@
 //! - Of two loads of an instance the one written later counts; of two sums of a domain, the younger
 //!   one. A sum is sent with its age instead of a timestamp, since clocks differ.
 //! - Only a member of the domain that has recent loads of most other members computes a sum.
+//! - Retries count until they leave the window of the retry budget, also if their instance ends or
+//!   restarts before that.
+
+mod former;
 
 use std::cell::OnceCell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -18,6 +22,7 @@
 use derive_more::{From, Into};
 use serde::{Deserialize, Serialize};
 
+use self::former::FormerLifetimes;
 use crate::prelude::*;
 use crate::relay::contention::FleetFlow;
 use crate::relay::contention::flow_meter::{ServiceFlow, add_flows};
@@ -78,6 +83,9 @@
     /// Demand and flow of the services that contention control applies to.
     #[serde(default)]
     pub flows: Vec<ServiceFlow>,
+    /// Start of the writer's lifetime by its clock, in milliseconds.
+    #[serde(default)]
+    pub started_ms: u64,
 }
 
 impl Load {
@@ -107,6 +115,10 @@
     /// Demand and flow of the services that contention control applies to.
     #[serde(default)]
     pub flows: Vec<ServiceFlow>,
+    /// How long the instance that computed the sum had been running, in milliseconds, when the included loads
+    /// were written. It does not know the lifetimes that ended before it started.
+    #[serde(default)]
+    pub sender_up_ms: Millis,
 }
 
 /// The load of one instance in a message.
@@ -197,6 +209,21 @@
     }
 }
 
+impl Received<Load> {
+    /// Returns when the lifetime of the writer began, in milliseconds.
+    fn lifetime_began_ms(&self) -> Millis {
+        let up_ms = self.value.written_ms.saturating_sub(self.value.started_ms);
+        self.as_of_ms.saturating_sub(up_ms + self.relayed_ms)
+    }
+}
+
+impl Received<DomainLoad> {
+    /// Returns when the instance that computed the sum started, in milliseconds.
+    fn sender_started_ms(&self) -> Millis {
+        self.as_of_ms.saturating_sub(self.value.sender_up_ms)
+    }
+}
+
 /// All loads known to one instance.
 #[derive(Clone, Debug)]
 pub struct LoadTable {
@@ -208,6 +235,9 @@
     domains: BTreeMap<Name, Received<DomainLoad>>,
     /// Requests and retries of all other instances, kept with each change.
     spent: BTreeMap<Name, RetryCounts>,
+    former: FormerLifetimes,
+    /// When this instance started, in milliseconds.
+    started_ms: Millis,
     /// Tokens in flight of all other instances, by service and first runner. Requests are rarer than
     /// exchanges, so it is computed for the first one after a change.
     used: OnceCell<HeadTotals>,
@@ -281,10 +311,21 @@
             members: BTreeMap::new(),
             domains: BTreeMap::new(),
             spent: BTreeMap::new(),
+            former: FormerLifetimes::default(),
+            started_ms: 0,
             used: OnceCell::new(),
         }
     }
 
+    /// Returns the table of an instance that started at `started_ms` and shares a retry budget with a
+    /// window of `window_ms` milliseconds.
+    #[must_use]
+    pub fn with_retry_window(mut self, started_ms: Millis, window_ms: Millis) -> Self {
+        self.started_ms = started_ms;
+        self.former = FormerLifetimes::new(started_ms, window_ms);
+        self
+    }
+
     /// Sets the load of this instance at `now`. An unchanged load is written again only after
     /// [`REWRITE_AFTER_MS`], since the other instances have it.
     pub fn set_own(&mut self, load: Load, now: Millis) {
@@ -415,13 +456,19 @@
         let fresh = fresh.filter(|r| r.is_fresh(now, MAX_LOAD_AGE_MS));
         if fresh.is_none_or(|r| r.value.written_ms < m.load.written_ms) {
             add_counts(&mut self.spent, &m.load.spent);
+            self.former
+                .member_returned(&m.name, &m.load, &mut self.spent);
+            let started_ms = m.load.started_ms;
             let received = Received {
                 value: m.load,
                 as_of_ms: now,
                 relayed_ms: m.age_ms,
             };
-            if let Some(before) = self.members.insert(m.name, received) {
+            if let Some(before) = self.members.insert(m.name.clone(), received) {
                 subtract_counts(&mut self.spent, &before.value.spent);
+                if before.value.started_ms != started_ms {
+                    self.former.member_ended(&m.name, &before, &mut self.spent);
+                }
             }
             self.used.take();
         }
@@ -429,8 +476,12 @@
 
     fn apply_domain(&mut self, sum: DomainLoad, now: Millis) {
         let as_of_ms = now.saturating_sub(sum.age_ms);
-        let known = self.domains.get(&sum.domain);
-        if sum.domain != self.domain && known.is_none_or(|r| r.as_of_ms < as_of_ms) {
+        if sum.domain == self.domain {
+            self.former.own_sum(&sum.spent, as_of_ms);
+            return;
+        }
+        let before = self.domains.get(&sum.domain);
+        if before.is_none_or(|r| r.as_of_ms < as_of_ms) {
             add_counts(&mut self.spent, &sum.spent);
             let domain = sum.domain.clone();
             let received = Received {
@@ -438,6 +489,7 @@
                 as_of_ms,
                 relayed_ms: 0,
             };
+            self.former.sum_replaced(&received, before, now);
             if let Some(before) = self.domains.insert(domain, received) {
                 subtract_counts(&mut self.spent, &before.value.spent);
             }
@@ -448,15 +500,18 @@
     /// Drops what is too old at `now`.
     pub fn expire(&mut self, now: Millis) {
         let stale = |_: &Name, r: &mut Received<Load>| !r.is_fresh(now, MAX_LOAD_AGE_MS);
-        for (_, r) in self.members.extract_if(.., stale) {
+        for (name, r) in self.members.extract_if(.., stale) {
             subtract_counts(&mut self.spent, &r.value.spent);
+            self.former.member_ended(&name, &r, &mut self.spent);
             self.used.take();
         }
         let stale = |_: &Name, r: &mut Received<DomainLoad>| !r.is_fresh(now, MAX_SUM_AGE_MS);
-        for (_, r) in self.domains.extract_if(.., stale) {
+        for (domain, r) in self.domains.extract_if(.., stale) {
             subtract_counts(&mut self.spent, &r.value.spent);
+            self.former.sum_ended(&domain, &r);
             self.used.take();
         }
+        self.former.expire(now, &mut self.spent);
     }
 
     fn head_totals(&self) -> HeadTotals {
@@ -481,6 +536,7 @@
             return None;
         }
         let ages: Millis = received.iter().map(|(_, r)| now - r.as_of_ms).sum();
+        let age_ms = ages / (received.len() as Millis + 1);
         let mut used = HeadTotals::new();
         let mut spent = BTreeMap::new();
         let mut without_store = BTreeSet::new();
@@ -498,14 +554,19 @@
                 refusing.insert(name.clone());
             }
         }
+        for counts in self.former.members() {
+            add_counts(&mut spent, counts);
+        }
+        add_counts(&mut spent, &self.former.missing_in_members(&self.members));
         Some(DomainLoad {
             domain: self.domain.clone(),
-            age_ms: ages / (received.len() as Millis + 1),
+            age_ms,
             used: head_uses(&used),
             spent: service_counts(&spent),
             without_store,
             refusing,
             flows: into_sums(flows),
+            sender_up_ms: now.saturating_sub(self.started_ms + age_ms),
         })
     }
 
@@ -567,10 +628,29 @@
         totals.get(service).unwrap_or(&NONE)
     }
 
-    /// Returns the requests and retries of other instances for a service.
+    /// Returns the requests and retries of other instances for a service, with the retries of instances
+    /// that ended within the window of the retry budget.
     #[must_use]
     pub fn retry_counts(&self, service: &str) -> RetryCounts {
-        self.spent.get(service).copied().unwrap_or_default()
+        let mut counts = self.spent.get(service).copied().unwrap_or_default();
+        counts += self.former.missing_in_sums(service, &self.domains);
+        let missing = self.former.missing_in_members(&self.members);
+        let missing = missing.iter().find(|s| *s.service == *service);
+        counts += missing.map(|s| s.counts).unwrap_or_default();
+        counts
+    }
+
+    /// Returns the retries of the former lifetimes of an instance of the own domain, by service. `None` if
+    /// the instance has run for a whole window of the retry budget, or this one has not, so that it cannot
+    /// know.
+    #[must_use]
+    pub fn former_counts(&self, name: &str, now: Millis) -> Option<Vec<ServiceCounts>> {
+        let received = self.members.get(name)?;
+        let is_new = !self
+            .former
+            .is_whole_window(received.lifetime_began_ms(), now);
+        let knows = self.former.is_whole_window(self.started_ms, now);
+        (is_new && knows).then(|| self.former.of_instance(name))
     }
 
     /// Returns whether another instance recently reported that it receives updates of the store.
--- a/policy/src/relay/shared_retry_budget.rs
+++ b/policy/src/relay/shared_retry_budget.rs
@@ -13,6 +13,19 @@
 //! Borrowed retries are subtracted from the guaranteed parts of the other instances. Otherwise they
 //! would be spent twice, and exceed the bound once the others need their parts.
 //!
+//! An instance that restarts does not know what its former lifetime spent, and neither does anybody else
+//! exactly: the last counts that it sent are older than its end. So it has no part of the slack until a
+//! window has passed since its start. The share of its own requests is guaranteed once an instance that ran
+//! before has told what the former lifetime spent, and less that; the missing part of the slack covers what
+//! it did not report. After some exchanges it may borrow like the others. The same holds for an instance that
+//! replaces another under a new name.
+//!
+//! Invariants:
+//! - Parts of the slack that may be spent, or may have been spent within the window, never exceed the slack.
+//! - An instance that isn't heard, or that started within the window, counts as if it had spent its part of
+//!   the slack. It lends nothing.
+//! - Nobody borrows without recent counts of the others.
+//!
 //! Requests that can be refused truthfully leave the last retries to those that cannot: see [`RetryPriority`].
 
 use std::collections::VecDeque;
@@ -42,8 +55,27 @@
     pub repeats: u32,
     /// Retries beyond the guaranteed part of their instance.
     pub borrowed: u32,
-    /// Instances with such retries.
+    /// Instances with a part of the slack that have such retries.
     pub borrowers: u32,
+    /// Instances that have a part of the slack, since they have run for a window.
+    #[serde(default)]
+    pub established: u32,
+}
+
+impl RetryCounts {
+    /// Returns the part that still counts after the end of an instance.
+    pub(crate) fn of_ended(self) -> RetryCounts {
+        RetryCounts {
+            repeats: self.repeats,
+            borrowed: self.borrowed,
+            ..RetryCounts::default()
+        }
+    }
+
+    /// Returns the instances that retries are borrowed from.
+    fn lenders(self) -> u32 {
+        self.established.saturating_sub(self.borrowers)
+    }
 }
 
 impl std::ops::AddAssign for RetryCounts {
@@ -52,6 +84,7 @@
         self.repeats = self.repeats.saturating_add(other.repeats);
         self.borrowed = self.borrowed.saturating_add(other.borrowed);
         self.borrowers = self.borrowers.saturating_add(other.borrowers);
+        self.established = self.established.saturating_add(other.established);
     }
 }
 
@@ -61,6 +94,7 @@
         self.repeats = self.repeats.saturating_sub(other.repeats);
         self.borrowed = self.borrowed.saturating_sub(other.borrowed);
         self.borrowers = self.borrowers.saturating_sub(other.borrowers);
+        self.established = self.established.saturating_sub(other.established);
     }
 }
 
@@ -84,13 +118,26 @@
 /// as well.
 const MIN_INSTANCES: usize = 6;
 
+/// Time after its start for which an instance borrows nothing, in milliseconds: the counts of all others
+/// arrive within it.
+const SETTLING_MS: Millis = 3_000;
+
+/// Time after which a loan is void unless an exchange renews it, in milliseconds. It equals the age up to
+/// which the counts that it was computed from are valid.
+const LOAN_TTL_MS: Millis = 3_000;
+
 /// Requests and retries of this instance in the window, for one service.
 #[derive(Clone, Debug, Default)]
 pub struct SharedRetryBudget {
     requests: VecDeque<Millis>,
     repeats: VecDeque<Millis>,
-    /// Retries that may still be borrowed.
+    /// When this instance started, or `None` if it has always been running.
+    started_ms: Option<Millis>,
+    /// Retries of the former lifetime, if known.
+    former: Option<u32>,
+    /// Retries that may still be borrowed until `loan_until_ms`.
     loan: f64,
+    loan_until_ms: Millis,
     /// Retries that others borrowed from the guaranteed part of this instance.
     lent: f64,
     /// Number of instances at the last exchange.
@@ -98,6 +145,25 @@
 }
 
 impl SharedRetryBudget {
+    /// Returns the budget of an instance that started at `now`.
+    #[must_use]
+    pub fn started(now: Millis) -> Self {
+        SharedRetryBudget {
+            started_ms: Some(now),
+            ..SharedRetryBudget::default()
+        }
+    }
+
+    /// Records what the former lifetime of this instance spent within the window, as another instance says.
+    pub fn record_former(&mut self, retries: u32) {
+        self.former = self.former.max(Some(retries));
+    }
+
+    /// Returns whether this instance has run for longer than `ms` milliseconds.
+    fn has_run_for(&self, ms: Millis, now: Millis) -> bool {
+        self.started_ms.is_none_or(|started| now > started + ms)
+    }
+
     /// Records a request for the service.
     pub fn record_request(&mut self, now: Millis, cfg: &SharedRetryBudgetConfig) {
         self.requests.push_back(now);
@@ -110,13 +176,15 @@
         drop_old(&mut self.repeats, now, cfg.window_ms);
         let count = |times: &VecDeque<Millis>| u32::try_from(times.len()).unwrap_or(u32::MAX);
         let (requests, repeats) = (count(&self.requests), count(&self.repeats));
-        let part = guaranteed_part(requests, cfg, self.instances);
+        let part = self.guaranteed_part(requests, now, cfg, self.instances);
         let borrowed = (f64::from(repeats) - part).max(0.0) as u32;
+        let is_established = self.has_run_for(cfg.window_ms, now);
         RetryCounts {
             requests,
             repeats,
             borrowed,
-            borrowers: u32::from(borrowed > 0),
+            borrowers: u32::from(is_established && borrowed > 0),
+            established: u32::from(is_established),
         }
     }
 
@@ -129,15 +197,39 @@
         instances: usize,
     ) {
         self.instances = instances;
-        let lenders = instances.saturating_sub(others.borrowers as usize).max(1);
-        self.lent = f64::from(others.borrowed) / lenders as f64;
         let own = self.counts(now, cfg);
-        let requests = f64::from(own.requests) + f64::from(others.requests);
-        let repeats = f64::from(own.repeats) + f64::from(others.repeats);
-        let bound = cfg.ratio * requests + cfg.slack;
+        let mut all = others;
+        all += own;
+        self.lent = match own.established {
+            0 => 0.0,
+            _ => f64::from(others.borrowed) / f64::from(others.lenders() + 1),
+        };
+        let bound = cfg.ratio * f64::from(all.requests) + cfg.slack;
+        let spent = f64::from(all.repeats) + self.unknown_spending(all, now, cfg);
         let further = instances.saturating_sub(MIN_INSTANCES) as f64;
         let divisor = LOAN_DIVISOR + LOAN_DIVISOR_STEP * further;
-        self.loan = ((LENT_SHARE * bound - repeats) / divisor).max(0.0);
+        self.loan = match self.has_run_for(SETTLING_MS, now) {
+            true => ((LENT_SHARE * bound - spent) / divisor).max(0.0),
+            false => 0.0,
+        };
+        self.loan_until_ms = now + LOAN_TTL_MS;
+    }
+
+    /// Returns what instances may have spent of the slack without being in the counts `all`: the parts of
+    /// those that are not heard, and of those that started within the window.
+    fn unknown_spending(
+        &self,
+        all: RetryCounts,
+        now: Millis,
+        cfg: &SharedRetryBudgetConfig,
+    ) -> f64 {
+        // An instance that has just started may not know yet how many there are.
+        let instances = match self.has_run_for(cfg.window_ms, now) {
+            true => self.instances,
+            false => self.instances.max(MIN_INSTANCES),
+        };
+        let unknown = instances.saturating_sub(all.established as usize);
+        unknown as f64 * GUARANTEED_SHARE * part_of_slack(cfg, self.instances)
     }
 
     /// Returns whether a retry is available in a fleet of `instances` instances.
@@ -150,8 +242,13 @@
     ) -> bool {
         let guaranteed = self.guaranteed(now, cfg, instances);
         let reserved = need.reserved(guaranteed.total);
-        let available = guaranteed.left >= 1.0 || self.loan >= 1.0;
-        available && guaranteed.left.max(0.0) + self.loan >= 1.0 + reserved
+        let loan = if now < self.loan_until_ms {
+            self.loan
+        } else {
+            0.0
+        };
+        let available = guaranteed.left >= 1.0 || loan >= 1.0;
+        available && guaranteed.left.max(0.0) + loan >= 1.0 + reserved
     }
 
     /// Spends a retry if one is available in a fleet of `instances` instances; returns whether it was.
@@ -179,20 +276,35 @@
         instances: usize,
     ) -> Guaranteed {
         let own = self.counts(now, cfg);
-        let total = guaranteed_part(own.requests, cfg, instances) - self.lent;
+        let total = self.guaranteed_part(own.requests, now, cfg, instances) - self.lent;
         let total = total.max(0.0);
         Guaranteed {
             total,
             left: total - f64::from(own.repeats),
         }
     }
+
+    /// Returns the guaranteed part of this instance, one of `instances`, before subtraction of what others
+    /// borrowed.
+    fn guaranteed_part(
+        &self,
+        requests: u32,
+        now: Millis,
+        cfg: &SharedRetryBudgetConfig,
+        instances: usize,
+    ) -> f64 {
+        let of_requests = cfg.ratio * f64::from(requests);
+        if self.has_run_for(cfg.window_ms, now) {
+            return GUARANTEED_SHARE * (of_requests + part_of_slack(cfg, instances));
+        }
+        let spent_before = self.former.map_or(f64::INFINITY, f64::from);
+        (GUARANTEED_SHARE * of_requests - spent_before).max(0.0)
+    }
 }
 
-/// Returns the guaranteed part of one of `instances` instances, before subtraction of what others
-/// borrowed.
-fn guaranteed_part(requests: u32, cfg: &SharedRetryBudgetConfig, instances: usize) -> f64 {
-    let of_slack = cfg.slack / instances.max(MIN_INSTANCES) as f64;
-    GUARANTEED_SHARE * (cfg.ratio * f64::from(requests) + of_slack)
+/// Returns the part of the slack of one of `instances` instances.
+fn part_of_slack(cfg: &SharedRetryBudgetConfig, instances: usize) -> f64 {
+    cfg.slack / instances.max(MIN_INSTANCES) as f64
 }
 
 /// The guaranteed part of an instance, and the unspent rest of it.
--- a/policy/tests/relay_loads.rs
+++ b/policy/tests/relay_loads.rs
@@ -47,7 +47,7 @@
             service: SERVICE.into(),
             counts,
         }],
-        flows: Vec::new(),
+        ..Load::default()
     }
 }
 
--- /dev/null
+++ b/policy/tests/relay_retry_budget_kills.rs
@@ -0,0 +1,107 @@
+//! The retry budget of a service while instances are killed and start again.
+
+#[path = "support/retry_fleet.rs"]
+mod support;
+
+use googletest::prelude::*;
+use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::relay::shared_retry_budget::SharedRetryBudgetConfig;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use support::Fleet;
+
+const SEEDS: u64 = 120;
+
+/// When answers begin to be lost, in milliseconds: all instances have run for a window.
+const TROUBLE_MS: Millis = 12_000;
+const END_MS: Millis = 40_000;
+
+fn config(slack: f64) -> SharedRetryBudgetConfig {
+    SharedRetryBudgetConfig {
+        ratio: 0.2,
+        slack,
+        window_ms: 10_000,
+    }
+}
+
+/// Which instances are killed.
+#[derive(Clone, Copy, Debug)]
+enum Kills {
+    /// A share of all at once, so many times within a window.
+    Share { times: usize },
+    /// A whole failure domain, so that none of its members knows what the others spent.
+    Domain,
+    /// All, one after the other.
+    InTurn,
+}
+
+impl Kills {
+    /// Returns the times and shares of the kills, the first at a random moment of a window.
+    fn times(self, instances: usize, rng: &mut ChaCha8Rng) -> Vec<Millis> {
+        let first = rng.random_range(TROUBLE_MS..TROUBLE_MS + 10_000) / 10 * 10;
+        match self {
+            Kills::Share { times } => {
+                let more = (1..times).map(|_| first + rng.random_range(0..900) * 10);
+                std::iter::once(first).chain(more).collect()
+            }
+            Kills::Domain => vec![first],
+            Kills::InTurn => {
+                let gap = rng.random_range(10..150) * 10;
+                (0..instances as Millis).map(|i| first + i * gap).collect()
+            }
+        }
+    }
+}
+
+/// Plays a fleet whose runners lose answers and crash while its instances are killed.
+fn play(sizes: &[usize], slack: f64, kills: Kills, seed: u64) -> Fleet {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let failure_rate = rng.random_range(0.1..0.6);
+    let streams = rng.random_range(0..40);
+    let crashes = [0; 2].map(|_| rng.random_range(TROUBLE_MS..END_MS) / 10 * 10);
+    let kill_times = kills.times(sizes.iter().sum(), &mut rng);
+    let mut fleet = Fleet::start(sizes, config(slack), rng);
+    for now in (0..END_MS).step_by(10) {
+        fleet.tick(now);
+        let failure_rate = if now < TROUBLE_MS { 0.0 } else { failure_rate };
+        fleet.request(failure_rate, now);
+        for (i, _) in kill_times.iter().enumerate().filter(|(_, t)| **t == now) {
+            match kills {
+                Kills::Share { .. } => fleet.kill_share(0.6, now),
+                Kills::Domain => fleet.kill_domain(now),
+                Kills::InTurn => fleet.kill(i, now),
+            }
+        }
+        if crashes.contains(&now) {
+            fleet.retry_streams(streams, now);
+        }
+    }
+    fleet
+}
+
+/// Instances that were killed spent their part of the retry budget again, or the others were lent what the
+/// dead had spent, so that runners in trouble got more retries than allowed.
+#[gtest]
+fn killed_instances_do_not_spend_the_retry_budget_again() {
+    let fleets = [
+        (&[3, 2, 1][..], 196.0),
+        (&[2, 2, 2], 196.0),
+        (&[2], 100.0),
+        (&[10, 10, 10], 260.0),
+    ];
+    let kills = [
+        Kills::Share { times: 1 },
+        Kills::Share { times: 2 },
+        Kills::Share { times: 3 },
+        Kills::Domain,
+        Kills::InTurn,
+    ];
+    for (sizes, slack) in fleets {
+        for seed in 0..SEEDS {
+            let kills = kills[seed as usize % kills.len()];
+            let (excess, from) = play(sizes, slack, kills, seed).worst_excess();
+            let case = format!("{sizes:?}, {kills:?}, seed {seed}, window from {from} ms");
+            expect_that!(excess, le(0.0), "{case}");
+        }
+    }
+}
--- a/policy/tests/relay_rules.rs
+++ b/policy/tests/relay_rules.rs
@@ -496,8 +496,13 @@
     expect_that!(owed, ge(10));
     expect_that!(refusable, ge(owed));
 
-    // A loan is available to both as well, except for the reserved part.
-    other.update_loan(0, &cfg, RetryCounts::default(), 6);
+    // A loan is available to both as well, except for the reserved part. The five others are heard and have
+    // spent nothing.
+    let others = RetryCounts {
+        established: 5,
+        ..RetryCounts::default()
+    };
+    other.update_loan(0, &cfg, others, 6);
     let refusable = (0..1_000).filter(|_| other.take_retry(0, &cfg, 6, RetryPriority::Refusable));
     expect_that!(refusable.count(), gt(0));
     let owed = (0..1_000).filter(|_| other.take_retry(0, &cfg, 6, RetryPriority::Committed));
