Answers without end are given up at once, and all bodies share one bound

What callers saw: as long as bytes came that were no answer, their request waited until its deadline, beside connections that took processor time and bandwidth. Bodies were bounded one by one, 8 MB each, and not together.

Cause: the HTTP library bounds a head, an extension and trailers, but neither the number of informational heads nor the digits of a chunk's size.

A connection counts the bytes that it received and those that reached the reader of the answer, and fails once they are too far apart: 64 KiB, and eight for each delivered one (a chunk of one byte takes six). All requests of the relay have it: of callers, probes, reports, orders, the store, other instances; and, in the own interface, calls of services and runs, which now use the same transport, with a new connection each. Comments in the place of events, 256 KiB at most, end a run like a line without end; both now go on through another chain, where they cut the stream before. One pool for all bodies that are held as a whole and for partial events (limits.buffer_bytes, 48 MiB; a quarter is left to bodies of 16 KiB and less): of answers, requests, messages of other instances, the store. The reservation is that of the bytes, so that it lasts until a slow caller has them. What finds no room is given up: an answer counts as lost, a request gets 503 before it runs.

Calls that can be repeated are answered by another runner, PAY fails having run once. A stream whose head never comes may fail with 502: both of its sends may go to the faulty chain, as before.

Not covered: the own interface's pooled connections (load reports, cache events, platform, peers) read heads until their short timeouts; their bodies are bounded. Lines of its runs, 256 KiB each at most, are not in the pool.

--- a/clients/src/direct.rs
+++ b/clients/src/direct.rs
@@ -7,15 +7,22 @@
 //! request.
 //!
 //! Dropping the response closes the connection immediately, which signals the server to stop work.
+//!
+//! Bytes that are no answer end the request early, and all whole bodies share one pool of memory.
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
-use http::{Request, Response};
-use http_body_util::{BodyExt, Full, Limited};
+use http::header::{CONTENT_TYPE, HOST};
+use http::{HeaderValue, Method, Request, Response, Uri};
+use http_body::{Body, Frame};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -23,6 +30,9 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use crate::bounded_stream::{BoundedStream, Received};
+use crate::buffers::{self, CollectError};
+
 /// Size of the read buffer of a connection, in bytes. The minimum of the library, since answers and
 /// events are small and a process has hundreds of connections.
 const READ_BUFFER_BYTES: usize = 8 << 10;
@@ -76,6 +86,7 @@
 #[derive(Debug)]
 pub struct ResponseBody {
     incoming: Incoming,
+    received: Arc<Received>,
     _connection: Connection,
 }
 
@@ -92,10 +103,11 @@
     /// Returns the next bytes, or `None` at the end of the body.
     ///
     /// # Errors
-    /// Returns an error if the connection is closed before the end of the body.
+    /// Returns an error if the connection is closed before the end of the body, or brings too many bytes
+    /// that are none of it.
     pub async fn next(&mut self) -> Option<Result<Bytes, DirectError>> {
         loop {
-            match self.incoming.frame().await? {
+            match self.frame().await? {
                 Ok(frame) => {
                     if let Ok(data) = frame.into_data() {
                         return Some(Ok(data));
@@ -109,12 +121,56 @@
     /// Reads the whole body, of `limit` bytes at most.
     ///
     /// # Errors
-    /// Returns an error if the body is longer or the connection is closed before its end.
+    /// Returns an error if the body is longer, the pool of buffers has no room for it, or the connection is
+    /// closed before its end or brings too many bytes that are none of it.
     pub async fn collect(self, limit: usize) -> Result<Bytes, DirectError> {
-        let body = Limited::new(self.incoming, limit).collect().await;
-        let body = body.map_err(|e| unknown_error(&*e))?;
-        Ok(body.to_bytes())
+        let body = buffers::collect(self, limit).await;
+        body.map_err(|e| match e {
+            CollectError::Unreadable(e) => unknown_error(&*e),
+            CollectError::TooLong | CollectError::NoBuffer(_) => unknown_error(&e),
+        })
+    }
+}
+
+impl Body for ResponseBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let frame = ready!(Pin::new(&mut self.incoming).poll_frame(cx));
+        if let Some(Ok(frame)) = &frame
+            && let Some(data) = frame.data_ref()
+        {
+            self.received.record_delivered(data.len());
+        }
+        Poll::Ready(frame)
+    }
+}
+
+/// Content type of JSON.
+pub(crate) const JSON: HeaderValue = HeaderValue::from_static("application/json");
+
+/// Returns a request that posts `body` to `path` at `address`.
+pub(crate) fn post(
+    address: SocketAddr,
+    path: Uri,
+    content_type: Option<HeaderValue>,
+    body: Bytes,
+) -> Request<Full<Bytes>> {
+    let mut req = Request::new(Full::new(body));
+    *req.method_mut() = Method::POST;
+    *req.uri_mut() = path;
+    let headers = req.headers_mut();
+    if let Some(kind) = content_type {
+        headers.insert(CONTENT_TYPE, kind);
+    }
+    if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
+        headers.insert(HOST, host);
     }
+    req
 }
 
 /// Sends `req` to `address` and waits for the head of the response.
@@ -127,9 +183,13 @@
     connect_timeout: Duration,
 ) -> Result<Response<ResponseBody>, DirectError> {
     let stream = connect(address, connect_timeout).await?;
+    let received = Arc::new(Received::default());
     let handshake = http1::Builder::new()
         .max_buf_size(READ_BUFFER_BYTES)
-        .handshake(TokioIo::new(stream))
+        .handshake(TokioIo::new(BoundedStream::new(
+            stream,
+            Arc::clone(&received),
+        )))
         .await;
     let (mut sender, connection) = handshake.map_err(|e| DirectError::Unreached {
         cause: e.to_string(),
@@ -145,6 +205,7 @@
         .map_err(|e| unknown_error(&e))?;
     let body = |incoming| ResponseBody {
         incoming,
+        received,
         _connection: connection,
     };
     Ok(res.map(body))
--- a/clients/src/error.rs
+++ b/clients/src/error.rs
@@ -2,6 +2,9 @@
 
 use derive_more::{Display, Error};
 
+use crate::buffers::CollectError;
+use crate::direct::DirectError;
+
 /// Failure of a call.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
 pub enum ClientError {
@@ -52,6 +55,30 @@
     }
 }
 
+impl From<DirectError> for ClientError {
+    fn from(e: DirectError) -> Self {
+        let cause = e.to_string();
+        match e {
+            DirectError::Refused => ClientError::NoEffect { cause },
+            DirectError::Unreached { .. } | DirectError::TimedOut | DirectError::Unknown { .. } => {
+                ClientError::Unknown { cause }
+            }
+        }
+    }
+}
+
+impl From<CollectError> for ClientError {
+    fn from(e: CollectError) -> Self {
+        let cause = e.to_string();
+        match e {
+            CollectError::TooLong => ClientError::BadAnswer { cause },
+            CollectError::NoBuffer(_) | CollectError::Unreadable(_) => {
+                ClientError::Unknown { cause }
+            }
+        }
+    }
+}
+
 /// Returns whether the server's kernel refused the connection. Any other connect error (time-out,
 /// reset) does not prove that nothing was sent.
 fn was_refused(e: &reqwest::Error) -> bool {
--- a/clients/src/lib.rs
+++ b/clients/src/lib.rs
@@ -3,6 +3,8 @@
 //! A client never retries a call and never follows a redirect: whether a call may be retried is
 //! decided by the policy. Each error says what is known about the effect of the call.
 
+mod bounded_stream;
+pub mod buffers;
 pub mod direct;
 pub mod error;
 pub mod peer;
@@ -14,6 +16,9 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
+use serde::de::DeserializeOwned;
+
 /// Time limit for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -29,15 +34,6 @@
     Ok(client)
 }
 
-/// Creates a client that opens a new connection for each call.
-///
-/// If the server closes a pooled connection while a call is being written, it is unknown whether
-/// the call ran. With a new connection, a refused connection proves that it did not.
-fn unpooled() -> Result<reqwest::Client, ClientError> {
-    let client = base().pool_max_idle_per_host(0).build()?;
-    Ok(client)
-}
-
 fn base() -> reqwest::ClientBuilder {
     reqwest::Client::builder()
         .no_proxy()
@@ -47,3 +43,19 @@
         .tcp_nodelay(true)
         .http1_only()
 }
+
+/// Maximum size of an answer of the platform, of another instance, or of a runner that does not run a
+/// request, in bytes.
+const MAX_ANSWER_BYTES: usize = 8 << 20;
+
+/// Reads a whole answer.
+async fn read_whole(res: reqwest::Response) -> Result<Bytes, ClientError> {
+    let body = reqwest::Body::from(res);
+    Ok(buffers::collect(body, MAX_ANSWER_BYTES).await?)
+}
+
+/// Reads and decodes a whole answer in JSON.
+async fn read_json<T: DeserializeOwned>(res: reqwest::Response) -> Result<T, ClientError> {
+    let bytes = read_whole(res).await?;
+    serde_json::from_slice(&bytes).map_err(ClientError::bad_answer)
+}
--- a/clients/src/peer.rs
+++ b/clients/src/peer.rs
@@ -53,7 +53,7 @@
                 res.status()
             )));
         }
-        let bytes = res.bytes().await?;
+        let bytes = crate::read_whole(res).await?;
         rmp_serde::from_slice(&bytes).map_err(ClientError::bad_answer)
     }
 
@@ -111,7 +111,7 @@
         let req = self.client.get(url).bearer_auth(&self.token);
         let res = req.timeout(self.timeout).send().await?;
         match res.status() {
-            StatusCode::OK => Ok(Some(res.bytes().await?)),
+            StatusCode::OK => Ok(Some(crate::read_whole(res).await?)),
             StatusCode::NOT_FOUND => Ok(None),
             status => Err(ClientError::bad_answer(format!("peer answered {status}"))),
         }
--- a/clients/src/platform.rs
+++ b/clients/src/platform.rs
@@ -85,7 +85,7 @@
             .send()
             .await?;
         match res.status() {
-            StatusCode::OK => Ok(Some(res.json().await?)),
+            StatusCode::OK => Ok(Some(crate::read_json(res).await?)),
             StatusCode::NOT_FOUND => Ok(None),
             status => Err(status_error(status)),
         }
@@ -127,7 +127,7 @@
 /// Reads the version from the answer to a write. If the body is truncated after the status line,
 /// the status is known but the version is not.
 async fn written_version(res: reqwest::Response) -> Result<u64, ClientError> {
-    let body: Written = res.json().await?;
+    let body: Written = crate::read_json(res).await?;
     Ok(body.version)
 }
 
--- a/clients/src/runner.rs
+++ b/clients/src/runner.rs
@@ -3,13 +3,15 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use futures::{StreamExt, TryStreamExt};
+use futures::{StreamExt, TryStreamExt, stream};
+use http::Uri;
 use jacinthweir_wire::runner::*;
 use reqwest::StatusCode;
 use tokio_util::codec::{FramedRead, LinesCodec};
 use tokio_util::io::StreamReader;
 
-use crate::ClientError;
+use crate::direct::{self, JSON, ResponseBody};
+use crate::{CONNECT_TIMEOUT, ClientError};
 
 /// Maximum length of a line of a runner's answer, in bytes. A longer line fails the attempt.
 const MAX_FRAME_BYTES: usize = 256 * 1024;
@@ -69,12 +71,20 @@
                 cause: "empty route".into(),
             });
         };
-        let url = format!("http://{}/v1/run", first.address);
-        let res = self.client.post(url).json(req).send().await?;
+        let body = serde_json::to_vec(req).map_err(ClientError::bad_answer)?;
+        let req = direct::post(
+            first.address,
+            Uri::from_static("/v1/run"),
+            Some(JSON),
+            body.into(),
+        );
+        let res = direct::send(first.address, req, CONNECT_TIMEOUT).await?;
         match res.status() {
-            StatusCode::OK => Ok(RunStart::Accepted(frames(res))),
+            StatusCode::OK => Ok(RunStart::Accepted(frames(res.into_body()))),
             StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
-                Ok(RunStart::Refused(res.json().await?))
+                let body = res.into_body().collect(MAX_FRAME_BYTES).await?;
+                let refused = serde_json::from_slice(&body).map_err(ClientError::bad_answer)?;
+                Ok(RunStart::Refused(refused))
             }
             status => Err(ClientError::bad_answer(format!("runner answered {status}"))),
         }
@@ -126,15 +136,15 @@
     async fn read<T: serde::de::DeserializeOwned>(&self, url: String) -> Result<T, ClientError> {
         let res = self.client.get(url).timeout(self.timeout).send().await?;
         match res.status() {
-            StatusCode::OK => Ok(res.json().await?),
+            StatusCode::OK => crate::read_json(res).await,
             status => Err(ClientError::bad_answer(format!("runner answered {status}"))),
         }
     }
 }
 
-fn frames(res: reqwest::Response) -> Frames {
-    let bytes = res.bytes_stream().map_err(std::io::Error::other);
-    let reader = StreamReader::new(bytes);
+fn frames(body: ResponseBody) -> Frames {
+    let bytes = stream::unfold(body, async |mut body| Some((body.next().await?, body)));
+    let reader = StreamReader::new(Box::pin(bytes.map_err(std::io::Error::other)));
     let lines = FramedRead::new(reader, LinesCodec::new_with_max_length(MAX_FRAME_BYTES));
     let lines = lines.map_err(|e| ClientError::Unknown {
         cause: e.to_string(),
--- a/clients/src/service.rs
+++ b/clients/src/service.rs
@@ -8,10 +8,15 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::response::Parts;
+use http::{HeaderMap, HeaderValue, Request, StatusCode};
+use http_body_util::Full;
 use jacinthweir_wire::header;
-use reqwest::{Response, StatusCode};
+use tokio::time::timeout;
 
-use crate::ClientError;
+use crate::buffers;
+use crate::direct::{self, DirectError};
+use crate::{CONNECT_TIMEOUT, ClientError};
 
 /// Maximum size of the answer of a plain service, in bytes.
 pub const MAX_ANSWER_BYTES: usize = 1024 * 1024;
@@ -57,19 +62,15 @@
 }
 
 /// Client of plain services.
-#[derive(Clone, Debug)]
-pub struct ServiceClient {
-    client: reqwest::Client,
-}
+#[derive(Clone, Debug, Default)]
+#[non_exhaustive]
+pub struct ServiceClient {}
 
 impl ServiceClient {
     /// Creates a client that does not reuse connections, retry or follow redirects.
-    ///
-    /// # Errors
-    /// Returns an error if the HTTP client cannot be built.
-    pub fn open() -> Result<ServiceClient, ClientError> {
-        let client = crate::unpooled()?;
-        Ok(ServiceClient { client })
+    #[must_use]
+    pub fn open() -> ServiceClient {
+        ServiceClient::default()
     }
 
     /// Makes the call once.
@@ -78,52 +79,71 @@
     /// See [`ClientError`]. Only [`ClientError::NoEffect`] means that nothing ran. An answer that
     /// names another request or attempt is [`ClientError::BadAnswer`]; the call may have run.
     pub async fn call(&self, call: &ServiceCall) -> Result<ServiceAnswer, ClientError> {
-        let url = format!("http://{}/call/{}", call.address, call.call);
-        let mut req = self.client.post(url).timeout(call.timeout);
-        req = req
-            .header(header::REQUEST, &call.request)
-            .header(header::ATTEMPT, call.attempt);
-        if let Some(key) = &call.key {
-            req = req.header(header::IDEMPOTENCY_KEY, key);
-        }
-        if let Some(kind) = &call.content_type {
-            req = req.header(reqwest::header::CONTENT_TYPE, kind);
-        }
-        let res = req.body(call.body.clone()).send().await?;
-        if is_refusal(&res) {
+        let answer = timeout(call.timeout, self.exchange(call)).await;
+        answer.unwrap_or_else(|_| Err(DirectError::TimedOut.into()))
+    }
+
+    async fn exchange(&self, call: &ServiceCall) -> Result<ServiceAnswer, ClientError> {
+        let res = direct::send(call.address, request(call)?, CONNECT_TIMEOUT).await?;
+        let (parts, body) = res.into_parts();
+        if is_refusal(&parts) {
             return Ok(ServiceAnswer::Refused {
-                retry_after_ms: retry_after_ms(&res),
+                retry_after_ms: retry_after_ms(&parts.headers),
             });
         }
-        check_echo(&res, call)?;
-        let status = res.status().as_u16();
-        let content_type = text_header(&res, "content-type");
-        let body = bounded_body(res).await?;
+        check_echo(&parts.headers, call)?;
+        let body = buffers::collect(body, MAX_ANSWER_BYTES).await?;
         Ok(ServiceAnswer::Answered {
-            status,
-            content_type,
+            status: parts.status.as_u16(),
+            content_type: text_header(&parts.headers, "content-type"),
             body,
         })
     }
 }
 
-fn is_refusal(res: &Response) -> bool {
-    let status = res.status();
-    let may_refuse =
-        status == StatusCode::TOO_MANY_REQUESTS || status == StatusCode::SERVICE_UNAVAILABLE;
-    may_refuse && text_header(res, header::RAN).as_deref() == Some("no")
+fn request(call: &ServiceCall) -> Result<Request<Full<Bytes>>, ClientError> {
+    let path = format!("/call/{}", call.call);
+    let path = path.parse().map_err(no_effect)?;
+    let kind = header_value(call.content_type.as_deref())?;
+    let mut req = direct::post(call.address, path, kind, call.body.clone());
+    let headers = req.headers_mut();
+    headers.insert(header::ATTEMPT, call.attempt.into());
+    if let Some(request) = header_value(Some(&call.request))? {
+        headers.insert(header::REQUEST, request);
+    }
+    if let Some(key) = header_value(call.key.as_deref())? {
+        headers.insert(header::IDEMPOTENCY_KEY, key);
+    }
+    Ok(req)
 }
 
-fn retry_after_ms(res: &Response) -> Option<u64> {
-    let seconds: u64 = text_header(res, "retry-after")?.parse().ok()?;
+fn header_value(text: Option<&str>) -> Result<Option<HeaderValue>, ClientError> {
+    let value = text.map(HeaderValue::from_str).transpose();
+    value.map_err(no_effect)
+}
+
+fn no_effect(cause: impl std::fmt::Display) -> ClientError {
+    ClientError::NoEffect {
+        cause: cause.to_string(),
+    }
+}
+
+fn is_refusal(head: &Parts) -> bool {
+    let may_refuse = head.status == StatusCode::TOO_MANY_REQUESTS
+        || head.status == StatusCode::SERVICE_UNAVAILABLE;
+    may_refuse && text_header(&head.headers, header::RAN).as_deref() == Some("no")
+}
+
+fn retry_after_ms(headers: &HeaderMap) -> Option<u64> {
+    let seconds: u64 = text_header(headers, "retry-after")?.parse().ok()?;
     seconds.checked_mul(1000)
 }
 
 /// Checks that the answer belongs to this request and attempt, so that the caller never receives
 /// the answer to another one.
-fn check_echo(res: &Response, call: &ServiceCall) -> Result<(), ClientError> {
-    let request = text_header(res, header::REQUEST);
-    let attempt = text_header(res, header::ATTEMPT);
+fn check_echo(headers: &HeaderMap, call: &ServiceCall) -> Result<(), ClientError> {
+    let request = text_header(headers, header::REQUEST);
+    let attempt = text_header(headers, header::ATTEMPT);
     let matches = request.as_deref() == Some(call.request.as_str())
         && attempt == Some(call.attempt.to_string());
     if matches {
@@ -134,20 +154,7 @@
     )))
 }
 
-fn text_header(res: &Response, name: &str) -> Option<String> {
-    let value = res.headers().get(name)?;
+fn text_header(headers: &HeaderMap, name: &str) -> Option<String> {
+    let value = headers.get(name)?;
     value.to_str().ok().map(str::to_owned)
 }
-
-async fn bounded_body(mut res: Response) -> Result<Bytes, ClientError> {
-    let mut body = Vec::new();
-    while let Some(chunk) = res.chunk().await? {
-        if body.len() + chunk.len() > MAX_ANSWER_BYTES {
-            return Err(ClientError::bad_answer(format!(
-                "answer exceeds {MAX_ANSWER_BYTES} bytes"
-            )));
-        }
-        body.extend_from_slice(&chunk);
-    }
-    Ok(Bytes::from(body))
-}
--- a/clients/tests/unframed_answers.rs
+++ b/clients/tests/unframed_answers.rs
@@ -50,7 +50,7 @@
         let (stream, _) = listener.accept().await.expect("a connection");
         serve(stream, end).await;
     });
-    let client = ServiceClient::open().expect("a client");
+    let client = ServiceClient::open();
     let call = ServiceCall {
         address,
         call: "lookup".to_owned(),
--- a/kernel/src/kernel.rs
+++ b/kernel/src/kernel.rs
@@ -108,7 +108,7 @@
             platform: Arc::new(platform),
             peers: PeerClient::open(settings.tokens.peers.to_string(), peer_timeout)?,
             runners: RunnerClient::open(upstream_timeout)?,
-            services: ServiceClient::open()?,
+            services: ServiceClient::open(),
             records: Arc::new(Records::open(settings.limits.records)),
             config: ConfigCell::default(),
             parts: Parts::default(),
--- a/plugins/relay/src/events.rs
+++ b/plugins/relay/src/events.rs
@@ -9,8 +9,10 @@
 
 use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error};
+use jacinthweir_clients::buffers::{PoolExhausted, Reservation};
 
-/// Maximum event size, in bytes. It is far above the size of a token and bounds the buffer.
+/// Maximum size of an event, and of a sequence of events without ids, in bytes. It is far above the size of a
+/// token and bounds the buffer; comments without end keep no stream open.
 const MAX_EVENT_BYTES: usize = 256 << 10;
 
 /// Reason why a stream cannot be forwarded.
@@ -24,15 +26,21 @@
         /// Id of the event that arrived.
         found: u64,
     },
-    /// An event exceeds the maximum size.
+    /// An event exceeds the maximum size, or there is none in as many bytes.
     #[display("an event is too long")]
     TooLong,
+    /// There is no memory for a partial event.
+    #[display("{_0}")]
+    NoBuffer(PoolExhausted),
 }
 
 /// Splits a byte stream into complete events.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
+    reservation: Reservation,
+    /// Bytes since the last event with an id.
+    without_id: usize,
     /// Length of the prefix of the buffer that contains no end of an event.
     searched: usize,
     last: Option<u64>,
@@ -75,6 +83,7 @@
     /// event.
     pub fn resume(&mut self) {
         self.buffer.clear();
+        self.without_id = 0;
         self.searched = 0;
         self.resumed = true;
     }
@@ -94,9 +103,11 @@
                 self.count += 1;
             }
         }
-        if self.buffer.len() > MAX_EVENT_BYTES {
+        if self.buffer.len() > MAX_EVENT_BYTES || self.without_id > MAX_EVENT_BYTES {
             return Err(EventError::TooLong);
         }
+        let reserved = self.reservation.resize(self.buffer.len());
+        reserved.map_err(EventError::NoBuffer)?;
         Ok(complete.freeze())
     }
 
@@ -119,8 +130,10 @@
     /// Returns whether an event is to be forwarded, and records its id.
     fn should_forward(&mut self, event: &[u8]) -> Result<bool, EventError> {
         let Some(id) = event_id(event) else {
+            self.without_id += event.len();
             return Ok(true);
         };
+        self.without_id = 0;
         if let Some(last) = self.last.filter(|_| self.resumed) {
             if id <= last {
                 return Ok(false);
--- a/plugins/relay/src/forwarding.rs
+++ b/plugins/relay/src/forwarding.rs
@@ -10,8 +10,9 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
+use jacinthweir_clients::buffers;
 use jacinthweir_clients::direct::{self, ResponseBody};
 use jacinthweir_platform::header;
 use jacinthweir_policy::prelude::*;
@@ -277,12 +278,10 @@
 /// Serves a request that another instance forwarded.
 pub(crate) async fn serve(node: &Rc<Node>, req: Request<Incoming>) -> Response<RelayBody> {
     let max_body = node.intent().map_or(0, |i| i.limits.body_bytes);
-    let body = Limited::new(req.into_body(), max_body + MAX_HEAD_BYTES)
-        .collect()
-        .await;
+    let body = buffers::collect(req.into_body(), max_body + MAX_HEAD_BYTES).await;
     let message = body
         .ok()
-        .and_then(|b| rmp_serde::from_slice::<ForwardedRequest>(&b.to_bytes()).ok());
+        .and_then(|b| rmp_serde::from_slice::<ForwardedRequest>(&b).ok());
     let Some(message) = message else {
         return plain(StatusCode::BAD_REQUEST, "message not understood");
     };
--- a/plugins/relay/src/peers.rs
+++ b/plugins/relay/src/peers.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use jacinthweir_clients::buffers;
 use jacinthweir_policy::member::Phase;
 use jacinthweir_policy::membership::{Action, Member, MemberDigest, Peer, ProbeOutcome};
 use jacinthweir_policy::prelude::*;
@@ -121,6 +122,7 @@
         node.membership.borrow_mut().set_in_flight(in_flight);
         node.loads.borrow_mut().expire(node.now());
         log_retries(node);
+        metrics::gauge!("jacinthweir_buffered_bytes").set(buffers::reserved_bytes() as f64);
         contention::refresh_overloaded(node);
         let now = node.clocks();
         let actions = node.with_rng(|rng| node.membership.borrow_mut().tick(now, rng));
--- a/plugins/relay/src/request.rs
+++ b/plugins/relay/src/request.rs
@@ -9,8 +9,9 @@
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
 use http_body::Body;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
+use jacinthweir_clients::buffers::{self, CollectError};
 use jacinthweir_platform::header;
 use jacinthweir_policy::fingerprint::Fingerprint;
 use jacinthweir_policy::prelude::*;
@@ -360,13 +361,17 @@
     }
     // A slow body occupies memory while no work is done for it.
     let time = Duration::from_millis(limits.idle_timeout_ms);
-    match timeout(time, Limited::new(body, limits.body_bytes).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
+    match timeout(time, buffers::collect(body, limits.body_bytes)).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(CollectError::TooLong)) => {
             log::info!(request = id.as_ref(); "body too large");
             Err(plain(StatusCode::PAYLOAD_TOO_LARGE, "body too large"))
         }
-        Ok(Err(e)) => {
+        Ok(Err(e @ CollectError::NoBuffer(_))) => {
+            log::warn!(request = id.as_ref(), cause:% = e; "not answered");
+            Err(plain(StatusCode::SERVICE_UNAVAILABLE, "no buffer left"))
+        }
+        Ok(Err(CollectError::Unreadable(e))) => {
             log::info!(request = id.as_ref(), cause:% = e; "body not readable");
             Err(plain(StatusCode::BAD_REQUEST, "body not readable"))
         }
--- a/plugins/relay/src/server.rs
+++ b/plugins/relay/src/server.rs
@@ -7,11 +7,11 @@
 
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use jacinthweir_clients::buffers;
 use jacinthweir_platform::entry;
 use jacinthweir_policy::entry::{EntryConfig, entry_answer};
 use jacinthweir_policy::member::MemberState;
@@ -294,13 +294,11 @@
 }
 
 async fn answer_peer(node: &Rc<Node>, req: Request<Incoming>) -> Response<RelayBody> {
-    let body = Limited::new(req.into_body(), messages::MAX_MESSAGE_BYTES)
-        .collect()
-        .await;
+    let body = buffers::collect(req.into_body(), messages::MAX_MESSAGE_BYTES).await;
     let Ok(body) = body else {
         return plain(StatusCode::BAD_REQUEST, "message not readable");
     };
-    match peers::handle_message(node, &body.to_bytes()).await {
+    match peers::handle_message(node, &body).await {
         Some(reply) => complete(StatusCode::OK, "application/msgpack", reply.into()),
         None => plain(StatusCode::BAD_REQUEST, "message not understood"),
     }
--- a/plugins/relay/src/settings.rs
+++ b/plugins/relay/src/settings.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
+use jacinthweir_clients::buffers::DEFAULT_POOL_BYTES;
 use jacinthweir_document::{Document, Fault};
 use jacinthweir_kernel::KernelError;
 use jacinthweir_kernel::settings::{LogSettings, open_with};
@@ -30,7 +31,7 @@
     /// network address translation.
     #[serde(default)]
     pub runner_addresses: BTreeMap<SocketAddr, SocketAddr>,
-    /// Limits on incoming connections.
+    /// Limits on incoming connections, and on memory.
     #[serde(default)]
     pub limits: RelayLimits,
     /// What the instance may use of its machine's processor.
@@ -66,18 +67,23 @@
     pub operators: SocketAddr,
 }
 
-/// Limits on incoming connections.
+/// Limits on incoming connections, and on memory.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct RelayLimits {
     /// Maximum number of connections of callers. A small instance has some thousand file
     /// descriptors, and each request in progress uses a second one.
     pub connections: usize,
+    /// Maximum total size of all bodies that are held as a whole and of partial events, in bytes.
+    pub buffer_bytes: usize,
 }
 
 impl Default for RelayLimits {
     fn default() -> Self {
-        RelayLimits { connections: 1_500 }
+        RelayLimits {
+            connections: 1_500,
+            buffer_bytes: DEFAULT_POOL_BYTES,
+        }
     }
 }
 
@@ -178,6 +184,7 @@
         let b = &self.bounds;
         for (field, value) in [
             ("limits.connections", self.limits.connections as u64),
+            ("limits.buffer_bytes", self.limits.buffer_bytes as u64),
             ("bounds.revocation_ms", b.revocation_ms),
             ("bounds.entry_ttl_ms", b.entry_ttl_ms),
         ] {
--- a/plugins/relay/src/stream.rs
+++ b/plugins/relay/src/stream.rs
@@ -27,7 +27,7 @@
 use crate::answer::{Cause, RelayBody, SendRecord, StreamCut};
 use crate::chain_attempts::ChainAttempts;
 use crate::contention;
-use crate::events::EventSplitter;
+use crate::events::{EventError, EventSplitter};
 use crate::failure_detector;
 use crate::forwarding::{self, FirstRunner};
 use crate::interrupted_run::{self, InterruptedRun, Progress};
@@ -212,7 +212,8 @@
                     match pushed {
                         Ok(complete) if complete.is_empty() => {}
                         Ok(complete) => return Some(Ok(complete)),
-                        Err(e) => return self.cut(e.to_string(), None),
+                        Err(e @ EventError::Gap { .. }) => return self.cut(e.to_string(), None),
+                        Err(e) => went_on = Some(ReadOutcome::RunFailed(e.to_string())),
                     }
                 }
                 ReadOutcome::End => return self.finish(),
--- a/plugins/relay/src/stream/failover.rs
+++ b/plugins/relay/src/stream/failover.rs
@@ -98,7 +98,7 @@
     /// Along another path behind the same first runner, within the same response.
     SameRun,
     /// With another run.
-    NextRun(Run, Response<ResponseBody>),
+    NextRun(Run, Box<Response<ResponseBody>>),
 }
 
 /// Result of the search for a continuation.
@@ -154,7 +154,7 @@
                 Failover::Continued
             }
             Ok(Ok(Continuation::NextRun(run, res))) => {
-                self.finish_resume(run, res, cause);
+                self.finish_resume(run, *res, cause);
                 Failover::Continued
             }
             Ok(Err(failure)) => Failover::Failed(failure),
@@ -303,7 +303,7 @@
             failure = match self.try_resume(silent).await {
                 Ok((run, res)) => {
                     drop(position);
-                    return Ok(Continuation::NextRun(run, res));
+                    return Ok(Continuation::NextRun(run, Box::new(res)));
                 }
                 Err(ResumeFailure::OutOfTime) => return Err(ResumeFailure::OutOfTime),
                 Err(failure) => failure,
--- a/plugins/relay/tests/support/standin/runner.rs
+++ b/plugins/relay/tests/support/standin/runner.rs
@@ -57,6 +57,11 @@
     ResetsUnframedBody,
     /// Sends events until the caller disconnects.
     Endless,
+    /// Sends bytes that are no answer until the caller disconnects.
+    NoAnswerWithoutEnd(NoAnswer),
+    /// Sends a whole answer of as many bytes.
+    #[allow(dead_code, reason = "one test binary uses it")]
+    LongAnswer(usize),
     /// Pauses after the second event until it is ordered to continue along another chain.
     StallsUntilRerouted,
     /// Accepts requests without a response, but serves reports.
@@ -65,6 +70,39 @@
     Unresponsive,
 }
 
+/// Bytes that are no answer, as a runner repeats them.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum NoAnswer {
+    /// Informational heads before the answer.
+    Informational,
+    /// Header lines of the answer.
+    HeaderLines,
+    /// Leading zeros of the first chunk's size.
+    ChunkSize,
+    /// Comments in the place of events.
+    Comments,
+    /// A line of an event.
+    EventLine,
+    /// A body without a length.
+    Body,
+}
+
+impl NoAnswer {
+    /// Returns what follows the status line and `headers` at first, and what is repeated after that.
+    fn bytes(self, headers: &str) -> (String, &'static str) {
+        let head = format!("HTTP/1.1 200 OK\r\n{headers}");
+        let unframed = format!("{head}Connection: close\r\n\r\n");
+        match self {
+            NoAnswer::Informational => (String::new(), "HTTP/1.1 102 Processing\r\n\r\n"),
+            NoAnswer::HeaderLines => (head, "x-more: 1\r\n"),
+            NoAnswer::ChunkSize => (format!("{head}Transfer-Encoding: chunked\r\n\r\n"), "0"),
+            NoAnswer::Comments => (unframed, ": none\n\n"),
+            NoAnswer::EventLine => (format!("{unframed}data: "), "a"),
+            NoAnswer::Body => (unframed, "a"),
+        }
+    }
+}
+
 /// Request that a runner received.
 #[derive(Clone, Debug)]
 pub struct ReceivedRequest {
@@ -115,6 +153,8 @@
     pub received: RefCell<Vec<ReceivedRequest>>,
     /// Number of callers that disconnected before the end.
     pub disconnects: Cell<usize>,
+    /// Most bytes sent on one connection that are no answer.
+    pub sent_without_end: Cell<usize>,
     /// Orders to continue along another chain, as pairs of request identifier and path.
     pub reroutes: RefCell<Vec<(String, String)>>,
     /// Arrival times of all requests, including refused ones.
@@ -147,6 +187,7 @@
             behaviour: Cell::new(Behaviour::Normal),
             responses_paused: Cell::new(false),
             serves_reports: Cell::new(true),
+            sent_without_end: Cell::default(),
             report_delay: Cell::default(),
             event_interval: Cell::new(Duration::from_millis(10)),
             last_event: Cell::new(u64::MAX),
@@ -275,6 +316,9 @@
 
     async fn report(&self, stream: &mut TcpStream) {
         self.wait_while_paused().await;
+        if let Behaviour::NoAnswerWithoutEnd(bytes) = self.behaviour.get() {
+            return self.send_without_end(stream, bytes, "").await;
+        }
         if !self.serves_reports.get() {
             return write_json(stream, "404 Not Found", &Value::Null).await;
         }
@@ -367,6 +411,14 @@
                 response("200 OK", &format!("{other}{receipt}"), "another's")
             }
             Behaviour::NoReceipt => response("200 OK", &request_id, "answer"),
+            Behaviour::NoAnswerWithoutEnd(bytes) => {
+                let headers = format!("{request_id}{receipt}");
+                return self.send_without_end(stream, bytes, &headers).await;
+            }
+            Behaviour::LongAnswer(length) => {
+                let headers = format!("{request_id}{receipt}");
+                response("200 OK", &headers, &"a".repeat(length))
+            }
             Behaviour::TruncatesBody => {
                 let head =
                     format!("HTTP/1.1 200 OK\r\n{request_id}{receipt}Content-Length: 100\r\n\r\n");
@@ -406,6 +458,19 @@
         }
     }
 
+    /// Sends bytes that are no answer until the caller disconnects.
+    async fn send_without_end(&self, stream: &mut TcpStream, bytes: NoAnswer, headers: &str) {
+        let (mut next, piece) = bytes.bytes(headers);
+        let mut sent = 0;
+        while stream.write_all(next.as_bytes()).await.is_ok() {
+            sent += next.len();
+            next = piece.repeat(1_000);
+        }
+        let most = self.sent_without_end.get().max(sent);
+        self.sent_without_end.set(most);
+        self.disconnects.set(self.disconnects.get() + 1);
+    }
+
     /// Begins a response and crashes the runner, which interrupts all its runs.
     async fn crash_mid_run(&self, stream: &mut TcpStream, headers: &str, is_stream: bool) {
         let head = format!("HTTP/1.1 200 OK\r\n{headers}Transfer-Encoding: chunked\r\n\r\n");
