Buffers: long bodies leave a part of the pool to other instances and the store

Found on reading the change before it landed: long answers of faulty runners could take the whole pool but for short bodies, so that longer messages of other instances and answers of the store would find no room, and the instance be cut off from both. Bodies are now for data or for control traffic; only the latter, and short ones, use the last quarter. all_bodies_share_one_bound checks it (its last quarter went to short bodies only before).

--- a/clients/src/buffers.rs
+++ b/clients/src/buffers.rs
@@ -3,8 +3,9 @@
 //! Each body has a limit of its own, but hundreds of them arrive at the same time. If each of many upstreams
 //! sends a body as long as it may, they exceed the memory of a small instance, which is then killed with all
 //! requests in progress. So every body that is read as a whole takes its memory from one pool, and is given
-//! up if there is none left. Long bodies leave a part of the pool to short ones, so that one kind of fault
-//! does not take the answers of all others with it.
+//! up if there is none left. Long requests and answers leave a part of the pool to short ones, and to what
+//! instances need to work together: otherwise faulty upstreams would also cut an instance off from the store
+//! and from the others.
 //!
 //! A reservation is released with the last reference to the bytes.
 
@@ -22,8 +23,18 @@
 /// Length up to which a body is short, in bytes.
 const SHORT_BYTES: usize = 16 << 10;
 
-/// Divisor of the pool for the part that is left to short bodies.
-const SHORT_PART: usize = 4;
+/// Divisor of the pool for the part that is left to short bodies and to control traffic.
+const RESERVED_PART: usize = 4;
+
+/// What a body is for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Purpose {
+    /// Requests of callers and answers to them.
+    #[default]
+    Data,
+    /// Messages between instances, the store, reports and orders.
+    Control,
+}
 
 static POOL_BYTES: AtomicUsize = AtomicUsize::new(DEFAULT_POOL_BYTES);
 static RESERVED_BYTES: AtomicUsize = AtomicUsize::new(0);
@@ -46,36 +57,43 @@
 
 /// Reserved bytes of the pool; released when dropped.
 #[derive(Debug, Default)]
-pub struct Reservation(usize);
+pub struct Reservation {
+    bytes: usize,
+    purpose: Purpose,
+}
 
 impl Reservation {
+    fn new(purpose: Purpose) -> Self {
+        Reservation { bytes: 0, purpose }
+    }
+
     /// Changes the reservation to `bytes` bytes.
     ///
     /// # Errors
     /// The pool has no room for more; the reservation is unchanged.
     pub fn resize(&mut self, bytes: usize) -> Result<(), PoolExhausted> {
-        if bytes <= self.0 {
-            RESERVED_BYTES.fetch_sub(self.0 - bytes, Ordering::Relaxed);
-            self.0 = bytes;
+        if bytes <= self.bytes {
+            RESERVED_BYTES.fetch_sub(self.bytes - bytes, Ordering::Relaxed);
+            self.bytes = bytes;
             return Ok(());
         }
         let pool = POOL_BYTES.load(Ordering::Relaxed);
-        let usable = match bytes <= SHORT_BYTES {
-            true => pool,
-            false => pool - pool / SHORT_PART,
+        let usable = match self.purpose {
+            Purpose::Data if bytes > SHORT_BYTES => pool - pool / RESERVED_PART,
+            Purpose::Data | Purpose::Control => pool,
         };
-        let more = bytes - self.0;
+        let more = bytes - self.bytes;
         let reserve = |reserved: usize| reserved.checked_add(more).filter(|n| *n <= usable);
         let updated = RESERVED_BYTES.try_update(Ordering::Relaxed, Ordering::Relaxed, reserve);
         updated.map_err(|_| PoolExhausted)?;
-        self.0 = bytes;
+        self.bytes = bytes;
         Ok(())
     }
 }
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        RESERVED_BYTES.fetch_sub(self.0, Ordering::Relaxed);
+        RESERVED_BYTES.fetch_sub(self.bytes, Ordering::Relaxed);
     }
 }
 
@@ -109,13 +127,13 @@
 ///
 /// # Errors
 /// See [`CollectError`].
-pub async fn collect<B>(body: B, limit: usize) -> Result<Bytes, CollectError>
+pub async fn collect<B>(body: B, limit: usize, purpose: Purpose) -> Result<Bytes, CollectError>
 where
     B: Body<Data = Bytes, Error: Into<Box<dyn StdError + Send + Sync>>>,
 {
     let mut body = std::pin::pin!(body);
     let mut bytes = Vec::new();
-    let mut reservation = Reservation::default();
+    let mut reservation = Reservation::new(purpose);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|e| CollectError::Unreadable(e.into()))?;
         let Ok(data) = frame.into_data() else {
--- a/clients/src/direct.rs
+++ b/clients/src/direct.rs
@@ -31,7 +31,7 @@
 use tokio::time::timeout;
 
 use crate::bounded_stream::{BoundedStream, Received};
-use crate::buffers::{self, CollectError};
+use crate::buffers::{self, CollectError, Purpose};
 
 /// Size of the read buffer of a connection, in bytes. The minimum of the library, since answers and
 /// events are small and a process has hundreds of connections.
@@ -123,8 +123,8 @@
     /// # Errors
     /// Returns an error if the body is longer, the pool of buffers has no room for it, or the connection is
     /// closed before its end or brings too many bytes that are none of it.
-    pub async fn collect(self, limit: usize) -> Result<Bytes, DirectError> {
-        let body = buffers::collect(self, limit).await;
+    pub async fn collect(self, limit: usize, purpose: Purpose) -> Result<Bytes, DirectError> {
+        let body = buffers::collect(self, limit, purpose).await;
         body.map_err(|e| match e {
             CollectError::Unreadable(e) => unknown_error(&*e),
             CollectError::TooLong | CollectError::NoBuffer(_) => unknown_error(&e),
@@ -231,7 +231,7 @@
 }
 
 /// Sends `req` and reads the complete response, with a body of `limit` bytes at most, within
-/// `timeouts`.
+/// `timeouts`. For control traffic.
 ///
 /// # Errors
 /// See [`DirectError`].
@@ -245,7 +245,10 @@
     let exchange = async {
         let res = send(address, req, timeouts.connect).await?;
         let (parts, body) = res.into_parts();
-        Ok(Response::from_parts(parts, body.collect(limit).await?))
+        Ok(Response::from_parts(
+            parts,
+            body.collect(limit, Purpose::Control).await?,
+        ))
     };
     match timeout(timeouts.answer, exchange).await {
         Ok(res) => res,
--- a/clients/src/lib.rs
+++ b/clients/src/lib.rs
@@ -19,6 +19,8 @@
 use bytes::Bytes;
 use serde::de::DeserializeOwned;
 
+use crate::buffers::Purpose;
+
 /// Time limit for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -51,7 +53,7 @@
 /// Reads a whole answer.
 async fn read_whole(res: reqwest::Response) -> Result<Bytes, ClientError> {
     let body = reqwest::Body::from(res);
-    Ok(buffers::collect(body, MAX_ANSWER_BYTES).await?)
+    Ok(buffers::collect(body, MAX_ANSWER_BYTES, Purpose::Control).await?)
 }
 
 /// Reads and decodes a whole answer in JSON.
--- a/clients/src/runner.rs
+++ b/clients/src/runner.rs
@@ -10,6 +10,7 @@
 use tokio_util::codec::{FramedRead, LinesCodec};
 use tokio_util::io::StreamReader;
 
+use crate::buffers::Purpose;
 use crate::direct::{self, JSON, ResponseBody};
 use crate::{CONNECT_TIMEOUT, ClientError};
 
@@ -82,7 +83,10 @@
         match res.status() {
             StatusCode::OK => Ok(RunStart::Accepted(frames(res.into_body()))),
             StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
-                let body = res.into_body().collect(MAX_FRAME_BYTES).await?;
+                let body = res
+                    .into_body()
+                    .collect(MAX_FRAME_BYTES, Purpose::Data)
+                    .await?;
                 let refused = serde_json::from_slice(&body).map_err(ClientError::bad_answer)?;
                 Ok(RunStart::Refused(refused))
             }
--- a/clients/src/service.rs
+++ b/clients/src/service.rs
@@ -14,7 +14,7 @@
 use jacinthweir_wire::header;
 use tokio::time::timeout;
 
-use crate::buffers;
+use crate::buffers::{self, Purpose};
 use crate::direct::{self, DirectError};
 use crate::{CONNECT_TIMEOUT, ClientError};
 
@@ -92,7 +92,7 @@
             });
         }
         check_echo(&parts.headers, call)?;
-        let body = buffers::collect(body, MAX_ANSWER_BYTES).await?;
+        let body = buffers::collect(body, MAX_ANSWER_BYTES, Purpose::Data).await?;
         Ok(ServiceAnswer::Answered {
             status: parts.status.as_u16(),
             content_type: text_header(&parts.headers, "content-type"),
--- a/clients/tests/buffers.rs
+++ b/clients/tests/buffers.rs
@@ -4,18 +4,22 @@
 use googletest::prelude::*;
 use http_body_util::Full;
 use jacinthweir_clients::buffers::{
-    CollectError, Reservation, collect, reserved_bytes, set_pool_bytes,
+    CollectError, Purpose, Reservation, collect, reserved_bytes, set_pool_bytes,
 };
 
 const POOL_BYTES: usize = 1 << 20;
 const LIMIT: usize = POOL_BYTES;
 
+async fn read_for(purpose: Purpose, length: usize) -> std::result::Result<Bytes, CollectError> {
+    collect(Full::new(Bytes::from(vec![1; length])), LIMIT, purpose).await
+}
+
 async fn read(length: usize) -> std::result::Result<Bytes, CollectError> {
-    collect(Full::new(Bytes::from(vec![1; length])), LIMIT).await
+    read_for(Purpose::Data, length).await
 }
 
 /// Guards against bodies that are each within their limit and together exceed the memory of the process,
-/// and against long ones that leave no memory to short ones.
+/// and against long ones that leave no memory to short ones and to the messages of other instances.
 #[gtest]
 #[tokio::test]
 async fn all_bodies_share_one_bound() {
@@ -29,6 +33,8 @@
     let refused = read(100_000).await;
     expect_that!(refused, err(matches_pattern!(CollectError::NoBuffer(_))));
     expect_that!(read(10_000).await.map(|b| b.len()), ok(eq(&10_000)));
+    let message = read_for(Purpose::Control, 100_000).await;
+    expect_that!(message.map(|b| b.len()), ok(eq(&100_000)));
     let too_long = read(LIMIT + 1).await;
     expect_that!(too_long, err(matches_pattern!(CollectError::TooLong)));
 
--- a/plugins/relay/src/call/forward.rs
+++ b/plugins/relay/src/call/forward.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use http::Response;
+use jacinthweir_clients::buffers::Purpose;
 use jacinthweir_clients::direct::ResponseBody;
 use tokio::time::timeout;
 
@@ -27,7 +28,7 @@
 async fn read_answer(node: &Node, rq: &ProxiedRequest, res: Response<ResponseBody>) -> SendEnd {
     let left = Duration::from_millis(rq.remaining_ms(node));
     let (parts, body) = res.into_parts();
-    match timeout(left, body.collect(MAX_ANSWER_BYTES)).await {
+    match timeout(left, body.collect(MAX_ANSWER_BYTES, Purpose::Data)).await {
         Ok(Ok(bytes)) => {
             let mut res = Response::new(RelayBody::complete(bytes));
             *res.status_mut() = parts.status;
--- a/plugins/relay/src/call/send.rs
+++ b/plugins/relay/src/call/send.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use http::{Response, StatusCode};
+use jacinthweir_clients::buffers::Purpose;
 use jacinthweir_platform::header;
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::runners::RunnerEntry;
@@ -72,7 +73,7 @@
     match attempt::send(node, runner, &rq.id, req).await {
         SendOutcome::Answer(res) => {
             let (parts, body) = res.into_parts();
-            match body.collect(MAX_ANSWER_BYTES).await {
+            match body.collect(MAX_ANSWER_BYTES, Purpose::Data).await {
                 Ok(bytes) => Ok(Response::from_parts(parts, bytes)),
                 Err(e) => Err(SendOutcome::Lost(e.to_string())),
             }
--- a/plugins/relay/src/forwarding.rs
+++ b/plugins/relay/src/forwarding.rs
@@ -12,7 +12,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use jacinthweir_clients::buffers;
+use jacinthweir_clients::buffers::{self, Purpose};
 use jacinthweir_clients::direct::{self, ResponseBody};
 use jacinthweir_platform::header;
 use jacinthweir_policy::prelude::*;
@@ -278,7 +278,7 @@
 /// Serves a request that another instance forwarded.
 pub(crate) async fn serve(node: &Rc<Node>, req: Request<Incoming>) -> Response<RelayBody> {
     let max_body = node.intent().map_or(0, |i| i.limits.body_bytes);
-    let body = buffers::collect(req.into_body(), max_body + MAX_HEAD_BYTES).await;
+    let body = buffers::collect(req.into_body(), max_body + MAX_HEAD_BYTES, Purpose::Data).await;
     let message = body
         .ok()
         .and_then(|b| rmp_serde::from_slice::<ForwardedRequest>(&b).ok());
--- a/plugins/relay/src/request.rs
+++ b/plugins/relay/src/request.rs
@@ -11,7 +11,7 @@
 use http_body::Body;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use jacinthweir_clients::buffers::{self, CollectError};
+use jacinthweir_clients::buffers::{self, CollectError, Purpose};
 use jacinthweir_platform::header;
 use jacinthweir_policy::fingerprint::Fingerprint;
 use jacinthweir_policy::prelude::*;
@@ -361,7 +361,12 @@
     }
     // A slow body occupies memory while no work is done for it.
     let time = Duration::from_millis(limits.idle_timeout_ms);
-    match timeout(time, buffers::collect(body, limits.body_bytes)).await {
+    match timeout(
+        time,
+        buffers::collect(body, limits.body_bytes, Purpose::Data),
+    )
+    .await
+    {
         Ok(Ok(body)) => Ok(body),
         Ok(Err(CollectError::TooLong)) => {
             log::info!(request = id.as_ref(); "body too large");
--- a/plugins/relay/src/server.rs
+++ b/plugins/relay/src/server.rs
@@ -11,7 +11,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use jacinthweir_clients::buffers;
+use jacinthweir_clients::buffers::{self, Purpose};
 use jacinthweir_platform::entry;
 use jacinthweir_policy::entry::{EntryConfig, entry_answer};
 use jacinthweir_policy::member::MemberState;
@@ -294,7 +294,12 @@
 }
 
 async fn answer_peer(node: &Rc<Node>, req: Request<Incoming>) -> Response<RelayBody> {
-    let body = buffers::collect(req.into_body(), messages::MAX_MESSAGE_BYTES).await;
+    let body = buffers::collect(
+        req.into_body(),
+        messages::MAX_MESSAGE_BYTES,
+        Purpose::Control,
+    )
+    .await;
     let Ok(body) = body else {
         return plain(StatusCode::BAD_REQUEST, "message not readable");
     };
