Configuration: a new instance does not act on one that its peers have replaced

Cause: the first configuration that a new instance read counted as confirmed, and a newer version at its peers was waited for for 1.5 s, which is meant for an instance whose watch is about to deliver it.

Change: the first configuration is acted on once a peer that acts on its own has none newer, or after a second if no such peer answers; never while a peer has a newer one. Peers that have only just started confirm nothing, so that two new instances do not take each other's word for an old copy. Neither does such an instance deny anything (503 in place of 401 and 404). The first start of the whole system waits for nobody.

--- a/plugins/relay/src/node.rs
+++ b/plugins/relay/src/node.rs
@@ -15,6 +15,7 @@
 use jacinthweir_policy::quarantine::{Quarantine, Suspect};
 use jacinthweir_policy::relay::confirmation::ConfigConfirmation;
 use jacinthweir_policy::relay::failure_reports::FailureReports;
+use jacinthweir_policy::relay::first_configuration::FirstConfiguration;
 use jacinthweir_policy::relay::intent::{self, Intent, VersionOrder};
 use jacinthweir_policy::relay::lease::Lease;
 use jacinthweir_policy::relay::load_shedding::{ReleaseRate, Shortage};
@@ -86,6 +87,8 @@
     /// Store revision of the object that holds the configuration in force.
     pub(crate) configuration_revision: Cell<Option<Revision>>,
     pub(crate) config_confirmation: RefCell<ConfigConfirmation>,
+    /// Whether the first configuration may be acted on.
+    pub(crate) first_configuration: Cell<FirstConfiguration>,
     pub(crate) runners: RefCell<Runners>,
     /// Whether the most recently completed call to the store got an answer.
     pub(crate) reaches_store: Cell<bool>,
@@ -193,6 +196,10 @@
             config_confirmation: RefCell::new(ConfigConfirmation::new(
                 settings.bounds.revocation_ms,
             )),
+            first_configuration: Cell::new(match settings.first_start {
+                true => FirstConfiguration::of_first_start(),
+                false => FirstConfiguration::default(),
+            }),
             runners: RefCell::default(),
             reaches_store: Cell::new(false),
             era: Cell::default(),
@@ -312,6 +319,9 @@
                 let mut outdated = self.outdated.get();
                 outdated.in_force(version, self.now());
                 self.outdated.set(outdated);
+                let mut first = self.first_configuration.get();
+                first.in_force(version);
+                self.first_configuration.set(first);
                 self.gossip_due.notify_one();
                 self.rebuild_chains();
             }
@@ -326,7 +336,23 @@
     pub(crate) fn may_serve(&self) -> bool {
         let now = self.now();
         let is_confirmed = self.config_confirmation.borrow().may_serve(now);
-        self.intent.borrow().is_some() && is_confirmed && !self.outdated.get().is_outdated(now)
+        self.acts_on_configuration() && is_confirmed && !self.outdated.get().is_outdated(now)
+    }
+
+    /// Whether this instance acts on the configuration in force, rather than waiting for its peers to confirm
+    /// the first one.
+    pub(crate) fn acts_on_configuration(&self) -> bool {
+        let first = self.first_configuration.get();
+        let own = self.intent.borrow().as_ref().map(|i| i.version);
+        own.is_some_and(|own| first.is_confirmed(own, self.now()))
+    }
+
+    /// Records that a peer has `version` in force, and whether it acts on it.
+    pub(crate) fn record_peer_configuration(&self, version: u64, is_confirmed: bool) {
+        let own = self.intent.borrow().as_ref().map(|i| i.version);
+        let mut first = self.first_configuration.get();
+        first.record_peer(version, is_confirmed, own);
+        self.first_configuration.set(first);
     }
 
     /// Whether this instance accepts callers.
