Configuration: instances that all start again do not wait for one that ran before

Three messages of peers that have only just started now end the wait: an instance exchanges with peers at random, so one that ran before would most likely be among them. As soon as one is heard that has a newer version, the old one is not acted on, as before.

--- a/plugins/relay/src/node.rs
+++ b/plugins/relay/src/node.rs
@@ -319,9 +319,7 @@
                 let mut outdated = self.outdated.get();
                 outdated.in_force(version, self.now());
                 self.outdated.set(outdated);
-                let mut first = self.first_configuration.get();
-                first.in_force(version);
-                self.first_configuration.set(first);
+                self.update_first_configuration(|first, _| first.in_force(version));
                 self.gossip_due.notify_one();
                 self.rebuild_chains();
             }
@@ -347,11 +345,14 @@
         own.is_some_and(|own| first.is_confirmed(own, self.now()))
     }
 
-    /// Records that a peer has `version` in force, and whether it acts on it.
-    pub(crate) fn record_peer_configuration(&self, version: u64, is_confirmed: bool) {
+    /// Updates what is known about the first configuration, given the own version.
+    pub(crate) fn update_first_configuration(
+        &self,
+        update: impl FnOnce(&mut FirstConfiguration, Option<u64>),
+    ) {
         let own = self.intent.borrow().as_ref().map(|i| i.version);
         let mut first = self.first_configuration.get();
-        first.record_peer(version, is_confirmed, own);
+        update(&mut first, own);
         self.first_configuration.set(first);
     }
 
--- a/plugins/relay/src/peers.rs
+++ b/plugins/relay/src/peers.rs
@@ -100,7 +100,9 @@
 
     fn apply(&self, node: &Rc<Node>) {
         self.seen.apply(node);
-        node.record_peer_configuration(self.seen.version, self.acts_on_configuration);
+        node.update_first_configuration(|first, own| {
+            first.record_peer(self.seen.version, self.acts_on_configuration, own);
+        });
         failure_detector::receive_failure_reports(node, &self.failure_reports);
         quarantine::merge_records(node, &self.crash_records);
         rate_limits::merge_reports(node, &self.rate_reports);
--- a/policy/src/relay/first_configuration.rs
+++ b/policy/src/relay/first_configuration.rs
@@ -5,15 +5,20 @@
 //! old configuration as the newest. If it served at once, it would accept revoked keys until its peers are
 //! heard and its watch has been given up.
 //!
-//! So the first configuration is acted on once a peer that ran before has none that is newer, or, if no such
-//! peer answers, after [`START_WAIT_MS`]. While a peer is known to have a newer one, it is not.
+//! So the first configuration is acted on once a peer that ran before has none that is newer. If all instances
+//! start at the same time there is no such peer, and waiting for one would refuse all callers meanwhile. So
+//! it is also acted on, for as long as no peer is known to have a newer one, after [`PEERS_STARTING`] messages
+//! of peers that have only started themselves, or after [`START_WAIT_MS`].
 
 use crate::prelude::*;
 
-/// Time after the start for which an instance waits for a peer that ran before, in milliseconds: three
-/// exchange rounds. If all instances start at the same time there is none.
+/// Time after the start for which an instance waits for its peers, in milliseconds: three exchange rounds.
 pub const START_WAIT_MS: Millis = 1_000;
 
+/// Messages of starting peers after which an instance takes all others to be starting: it exchanges with peers
+/// chosen at random, so that one that ran before would most likely be among them.
+pub const PEERS_STARTING: u32 = 3;
+
 /// State of the first configuration of an instance, from its start at time zero.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct FirstConfiguration {
@@ -21,6 +26,8 @@
     newest: u64,
     /// Whether a peer that has been confirmed itself was heard.
     heard_confirmed: bool,
+    /// Messages of peers that have not been confirmed.
+    heard_starting: u32,
     confirmed: bool,
 }
 
@@ -37,8 +44,14 @@
     /// Records that a peer has `version` in force while this instance has `own`. `is_confirmed` tells whether
     /// the peer acts on it.
     pub fn record_peer(&mut self, version: u64, is_confirmed: bool, own: Option<u64>) {
-        self.newest = self.newest.max(version);
         self.heard_confirmed |= is_confirmed;
+        self.heard_starting += u32::from(!is_confirmed);
+        self.record_version(version, own);
+    }
+
+    /// Records that a peer has `version` in force, while this instance has `own`.
+    pub fn record_version(&mut self, version: u64, own: Option<u64>) {
+        self.newest = self.newest.max(version);
         self.update(own);
     }
 
@@ -54,6 +67,8 @@
     /// Returns whether this instance may act on `own`, which it has in force at `now`.
     #[must_use]
     pub fn is_confirmed(&self, own: u64, now: Millis) -> bool {
-        self.confirmed || (now >= START_WAIT_MS && own >= self.newest)
+        let only_starting = !self.heard_confirmed && self.heard_starting >= PEERS_STARTING;
+        let has_waited = only_starting || now >= START_WAIT_MS;
+        self.confirmed || (has_waited && own >= self.newest)
     }
 }
