--- a/plugins/relay/src/node.rs
+++ b/plugins/relay/src/node.rs
@@ -15,7 +15,6 @@
 use jacinthweir_policy::quarantine::{Quarantine, Suspect};
 use jacinthweir_policy::relay::confirmation::ConfigConfirmation;
 use jacinthweir_policy::relay::failure_reports::FailureReports;
-use jacinthweir_policy::relay::first_configuration::FirstConfiguration;
 use jacinthweir_policy::relay::intent::{self, Intent, VersionOrder};
 use jacinthweir_policy::relay::lease::Lease;
 use jacinthweir_policy::relay::load_shedding::{ReleaseRate, Shortage};
@@ -87,8 +86,6 @@
     /// Store revision of the object that holds the configuration in force.
     pub(crate) configuration_revision: Cell<Option<Revision>>,
     pub(crate) config_confirmation: RefCell<ConfigConfirmation>,
-    /// Whether the first configuration may be acted on.
-    pub(crate) first_configuration: Cell<FirstConfiguration>,
     pub(crate) runners: RefCell<Runners>,
     /// Whether the most recently completed call to the store got an answer.
     pub(crate) reaches_store: Cell<bool>,
@@ -196,10 +193,6 @@
             config_confirmation: RefCell::new(ConfigConfirmation::new(
                 settings.bounds.revocation_ms,
             )),
-            first_configuration: Cell::new(match settings.first_start {
-                true => FirstConfiguration::of_first_start(),
-                false => FirstConfiguration::default(),
-            }),
             runners: RefCell::default(),
             reaches_store: Cell::new(false),
             era: Cell::default(),
@@ -319,7 +312,6 @@
                 let mut outdated = self.outdated.get();
                 outdated.in_force(version, self.now());
                 self.outdated.set(outdated);
-                self.update_first_configuration(|first, _| first.in_force(version));
                 self.gossip_due.notify_one();
                 self.rebuild_chains();
             }
@@ -334,26 +326,7 @@
     pub(crate) fn may_serve(&self) -> bool {
         let now = self.now();
         let is_confirmed = self.config_confirmation.borrow().may_serve(now);
-        self.acts_on_configuration() && is_confirmed && !self.outdated.get().is_outdated(now)
-    }
-
-    /// Whether this instance acts on the configuration in force, rather than waiting for its peers to confirm
-    /// the first one.
-    pub(crate) fn acts_on_configuration(&self) -> bool {
-        let first = self.first_configuration.get();
-        let own = self.intent.borrow().as_ref().map(|i| i.version);
-        own.is_some_and(|own| first.is_confirmed(own, self.now()))
-    }
-
-    /// Updates what is known about the first configuration, given the own version.
-    pub(crate) fn update_first_configuration(
-        &self,
-        update: impl FnOnce(&mut FirstConfiguration, Option<u64>),
-    ) {
-        let own = self.intent.borrow().as_ref().map(|i| i.version);
-        let mut first = self.first_configuration.get();
-        update(&mut first, own);
-        self.first_configuration.set(first);
+        self.intent.borrow().is_some() && is_confirmed && !self.outdated.get().is_outdated(now)
     }
 
     /// Whether this instance accepts callers.
--- a/plugins/relay/src/peers.rs
+++ b/plugins/relay/src/peers.rs
@@ -59,9 +59,6 @@
     /// Recent rates that runners announced.
     #[serde(rename = "limits")]
     rate_reports: Vec<RateReport>,
-    /// Whether the instance acts on its configuration.
-    #[serde(default)]
-    acts_on_configuration: bool,
 }
 
 /// Age up to which a failure report is sent in exchanges, in milliseconds. All instances have it after
@@ -94,15 +91,11 @@
                 .borrow()
                 .updates(CRASH_RECORD_AGE_MS, true, node.now())
                 .collect(),
-            acts_on_configuration: node.acts_on_configuration(),
         }
     }
 
     fn apply(&self, node: &Rc<Node>) {
         self.seen.apply(node);
-        node.update_first_configuration(|first, own| {
-            first.record_peer(self.seen.version, self.acts_on_configuration, own);
-        });
         failure_detector::receive_failure_reports(node, &self.failure_reports);
         quarantine::merge_records(node, &self.crash_records);
         rate_limits::merge_reports(node, &self.rate_reports);
--- a/plugins/relay/src/request.rs
+++ b/plugins/relay/src/request.rs
@@ -18,7 +18,6 @@
 use jacinthweir_policy::prompt_part::PromptPart;
 use jacinthweir_policy::quarantine::RunSubject;
 use jacinthweir_policy::relay::contention::urgency;
-use jacinthweir_policy::relay::first_configuration::START_WAIT_MS;
 use jacinthweir_policy::relay::intent::{CallClass, Engine, Intent, Route};
 use tokio::time::{sleep, timeout};
 
@@ -321,11 +320,7 @@
 
 async fn wait_for_configuration(node: &Node) {
     let until = node.now() + STARTUP_WAIT_MS;
-    let is_starting = || {
-        let is_starting = node.config_confirmation.borrow().is_starting(node.now());
-        is_starting || (node.now() < START_WAIT_MS && !node.acts_on_configuration())
-    };
-    while node.now() < until && is_starting() {
+    while node.now() < until && node.config_confirmation.borrow().is_starting(node.now()) {
         sleep(STARTUP_POLL_INTERVAL).await;
     }
 }
@@ -403,7 +398,7 @@
 /// denial.
 fn deny(node: &Node, id: &Name, status: StatusCode, why: &str) -> Response<RelayBody> {
     let age = node.config_confirmation.borrow().age_ms(node.now());
-    if age.is_none_or(|age| age > MAX_DENIAL_AGE_MS) || !node.acts_on_configuration() {
+    if age.is_none_or(|age| age > MAX_DENIAL_AGE_MS) {
         return unconfirmed(node, id);
     }
     let version = node.intent().map_or(0, |i| i.version);
--- a/plugins/relay/src/settings.rs
+++ b/plugins/relay/src/settings.rs
@@ -41,8 +41,7 @@
     #[serde(default)]
     pub contention: ContentionConfig,
     /// Whether the whole system starts for the first time, so that no instance ran before. Otherwise an
-    /// instance keeps back its part of the retry budget for a window, which a former lifetime may have spent,
-    /// and waits for its peers to confirm the first configuration.
+    /// instance keeps back its part of the retry budget for a window, which a former lifetime may have spent.
     #[serde(default)]
     pub first_start: bool,
     /// Service-level bounds.
--- a/plugins/relay/src/watch.rs
+++ b/plugins/relay/src/watch.rs
@@ -146,7 +146,6 @@
     let mut outdated = node.outdated.get();
     outdated.record_peer(version, own, node.now());
     node.outdated.set(outdated);
-    node.update_first_configuration(|first, own| first.record_version(version, own));
     notify_if_behind(node, Watched::Configuration);
 }
 
--- a/policy/src/relay.rs
+++ b/policy/src/relay.rs
@@ -3,7 +3,6 @@
 //!
 //! | module | decides |
 //! |---|---|
-//! | [`first_configuration`] | whether an instance that has just started may act on the configuration that it read |
 //! | [`intent`] | which configuration is in force, which route a request takes, whose key it has |
 //! | [`store_watch`] | how often an instance calls the store, and which instances watch it for others |
 //! | [`confirmation`] | whether the configuration is confirmed recently enough to act on it |
@@ -32,7 +31,6 @@
 pub mod confirmation;
 pub mod contention;
 pub mod failure_reports;
-pub mod first_configuration;
 pub mod intent;
 pub mod lease;
 pub mod load_shedding;
