Retry budget: a part of the share of own requests while nobody can tell what was spent

What callers saw: after the loss of power of all instances a large site sent nothing once more for ten seconds. After such a loss there is no instance that ran before, so none got any share for a window.

Change: 0.3 of the ratio for own requests, a third of the share, until an instance that ran before has told. It is bounded by simulation, not by proof.

--- a/policy/src/relay/shared_retry_budget.rs
+++ b/policy/src/relay/shared_retry_budget.rs
@@ -17,8 +17,8 @@
 //! exactly: the last counts that it sent are older than its end. So it has no part of the slack until a
 //! window has passed since its start. The share of its own requests is guaranteed once an instance that ran
 //! before has told what the former lifetime spent, and less that; the missing part of the slack covers what
-//! it did not report. After some exchanges it may borrow like the others. The same holds for an instance that
-//! replaces another under a new name.
+//! it did not report. Until then it has a part of that share. After some exchanges it may borrow like the
+//! others. The same holds for an instance that replaces another under a new name.
 //!
 //! Invariants:
 //! - Parts of the slack that may be spent, or may have been spent within the window, never exceed the slack.
@@ -103,6 +103,10 @@
 /// only requests that arrive at it, and the window of the bound may begin at any time.
 const GUARANTEED_SHARE: f64 = 0.88;
 
+/// Share of the retries for its own requests that an instance has while nobody has told it what its former
+/// lifetime spent. It is not 0, since a fleet that starts again as a whole has nobody to tell.
+const UNKNOWN_FORMER_SHARE: f64 = 0.3;
+
 /// Share of the bound up to which instances may borrow. Above it each has its guaranteed part only.
 const LENT_SHARE: f64 = 0.58;
 
@@ -290,8 +294,10 @@
         if self.has_run_for(cfg.window_ms, now) {
             return GUARANTEED_SHARE * (of_requests + part_of_slack(cfg, instances));
         }
-        let spent_before = self.former.map_or(f64::INFINITY, f64::from);
-        (GUARANTEED_SHARE * of_requests - spent_before).max(0.0)
+        match self.former {
+            Some(retries) => (GUARANTEED_SHARE * of_requests - f64::from(retries)).max(0.0),
+            None => UNKNOWN_FORMER_SHARE * of_requests,
+        }
     }
 }
 
--- a/policy/tests/relay_retry_budget_kills.rs
+++ b/policy/tests/relay_retry_budget_kills.rs
@@ -29,6 +29,8 @@
 enum Kills {
     /// A share of all at once, so many times within a window.
     Share { times: usize },
+    /// All at once, so that nobody knows what they spent.
+    All,
     /// A whole failure domain, so that none of its members knows what the others spent.
     Domain,
     /// All, one after the other.
@@ -44,7 +46,7 @@
                 let more = (1..times).map(|_| first + rng.random_range(0..900) * 10);
                 std::iter::once(first).chain(more).collect()
             }
-            Kills::Domain => vec![first],
+            Kills::All | Kills::Domain => vec![first],
             Kills::InTurn => {
                 let gap = rng.random_range(10..150) * 10;
                 (0..instances as Millis).map(|i| first + i * gap).collect()
@@ -68,6 +70,7 @@
         for (i, _) in kill_times.iter().enumerate().filter(|(_, t)| **t == now) {
             match kills {
                 Kills::Share { .. } => fleet.kill_share(0.6, now),
+                Kills::All => fleet.kill_share(1.0, now),
                 Kills::Domain => fleet.kill_domain(now),
                 Kills::InTurn => fleet.kill(i, now),
             }
@@ -93,6 +96,7 @@
         Kills::Share { times: 1 },
         Kills::Share { times: 2 },
         Kills::Share { times: 3 },
+        Kills::All,
         Kills::Domain,
         Kills::InTurn,
     ];
