Lines: sends that are not the first of their request, beside the retries that were taken

Sends that no instance counts and counted ones beyond the bound looked alike: the line 'retries in the window' told what was taken out of the budget, not what was sent, and an instance that serves a request of another one did not know whether it had been sent before.

An instance that offers a request to another one now says what became of its own sends; the line has 'resends', and jacinthweir_resends_total counts them. No decision uses either.

--- a/plugins/relay/src/answer.rs
+++ b/plugins/relay/src/answer.rs
@@ -16,6 +16,7 @@
 use jacinthweir_platform::header;
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::retry_priority::RetryPriority;
+use serde::{Deserialize, Serialize};
 
 use crate::node::Node;
 
@@ -166,6 +167,18 @@
     pub(crate) may_have_run: bool,
 }
 
+/// What became of the sends of a request before another instance gets it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum PriorSends {
+    /// It was not sent to a runner.
+    #[default]
+    None,
+    /// It was sent, and has certainly not run.
+    NotRun,
+    /// It may have run.
+    MayHaveRun,
+}
+
 /// Record of the sends of one request to runners.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct SendRecord {
@@ -199,6 +212,15 @@
         self.unresolved > 0
     }
 
+    /// Returns the sends as another instance is told of them.
+    pub(crate) fn as_prior(&self) -> PriorSends {
+        match (self.sends, self.may_have_run()) {
+            (0, _) => PriorSends::None,
+            (_, false) => PriorSends::NotRun,
+            (_, true) => PriorSends::MayHaveRun,
+        }
+    }
+
     /// Returns the priority of a further send of the request.
     pub(crate) fn retry_priority(&self) -> RetryPriority {
         match self.may_have_run() {
--- a/plugins/relay/src/call.rs
+++ b/plugins/relay/src/call.rs
@@ -173,6 +173,9 @@
             return;
         }
         self.tried.push(runner.id.clone());
+        if rq.is_resend(&self.send_record) {
+            node.retry_budgets.record_resend(&rq.service, node.now());
+        }
         self.record_start();
         let is_hedged = rq.class.repeatable() && self.send_record.sends < self.max_sends;
         let sent = send::run(node, rq, runner, is_hedged);
@@ -185,9 +188,10 @@
             return;
         }
         let ran = self.received_by();
+        let prior = self.send_record.as_prior();
         self.is_forwarded = true;
         self.record_start();
-        let sent = forward::run(self.node, self.rq, ran);
+        let sent = forward::run(self.node, self.rq, prior, ran);
         self.open.push(Box::pin(sent));
     }
 
--- a/plugins/relay/src/call/forward.rs
+++ b/plugins/relay/src/call/forward.rs
@@ -8,14 +8,19 @@
 use tokio::time::timeout;
 
 use super::{MAX_ANSWER_BYTES, SendEnd};
-use crate::answer::RelayBody;
+use crate::answer::{PriorSends, RelayBody};
 use crate::forwarding::{self, Forwarded, Ran, StreamProgress};
 use crate::node::Node;
 use crate::request::{ProxiedRequest, count_outcome};
 
 /// Sends a call through another instance, which does not send it to the runners `ran`.
-pub(super) async fn run(node: &Node, rq: &ProxiedRequest, ran: Vec<Ran>) -> SendEnd {
-    match forwarding::send(node, rq, StreamProgress::none(rq), &ran).await {
+pub(super) async fn run(
+    node: &Node,
+    rq: &ProxiedRequest,
+    prior: PriorSends,
+    ran: Vec<Ran>,
+) -> SendEnd {
+    match forwarding::send(node, rq, StreamProgress::none(rq), prior, &ran).await {
         Forwarded::Answer { res, .. } => read_answer(node, rq, res).await,
         Forwarded::Refused { retry_after_ms } => SendEnd::RefusedElsewhere { retry_after_ms },
         Forwarded::NotTaken => SendEnd::NotTaken,
--- a/plugins/relay/src/chain_attempts.rs
+++ b/plugins/relay/src/chain_attempts.rs
@@ -113,8 +113,9 @@
         rq: &ProxiedRequest,
         progress: StreamProgress,
     ) -> Forwarded {
+        let prior = self.send_record.as_prior();
         self.send_record.record_send();
-        let sent = forwarding::send(node, rq, progress, self.attempts.ran()).await;
+        let sent = forwarding::send(node, rq, progress, prior, self.attempts.ran()).await;
         match &sent {
             Forwarded::Answer { runner, .. } => self.attempts.record_forwarded(runner.clone()),
             Forwarded::Lost(_) | Forwarded::Timeout => self.attempts.record_forwarded(None),
@@ -158,6 +159,9 @@
     ) -> AttemptOutcome {
         let (id, born_ms) = live.head();
         let ran_before = self.attempts.may_have_run(id, born_ms);
+        if rq.is_resend(&self.send_record) {
+            node.retry_budgets.record_resend(&rq.service, node.now());
+        }
         self.send_record.record_send();
         self.attempts.record_sent(id, born_ms);
         let mut send = OpenSend::open(node, rq, live, after, ran_before);
--- a/plugins/relay/src/forwarding.rs
+++ b/plugins/relay/src/forwarding.rs
@@ -19,7 +19,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::timeout;
 
-use crate::answer::{Cause, RelayBody, SendFacts, plain};
+use crate::answer::{Cause, PriorSends, RelayBody, SendFacts, plain};
 use crate::attempt::CONNECT_TIMEOUT;
 use crate::node::Node;
 use crate::reachability::{self, PeerAddress};
@@ -61,6 +61,9 @@
     is_resumed: bool,
     /// Runners that may have run it.
     ran: Vec<Ran>,
+    /// What became of its sends by the instance that forwards it.
+    #[serde(default)]
+    prior: PriorSends,
 }
 
 /// How far the caller's stream is when its request is forwarded.
@@ -156,9 +159,10 @@
     node: &Node,
     rq: &ProxiedRequest,
     progress: StreamProgress,
+    prior: PriorSends,
     ran: &[Ran],
 ) -> Forwarded {
-    let message = ForwardedRequest::of(node, rq, progress, ran);
+    let message = ForwardedRequest::of(node, rq, progress, prior, ran);
     let body = match rmp_serde::to_vec(&message) {
         Ok(body) => Bytes::from(body),
         Err(e) => {
@@ -236,6 +240,7 @@
         node: &Node,
         rq: &ProxiedRequest,
         progress: StreamProgress,
+        prior: PriorSends,
         ran: &[Ran],
     ) -> ForwardedRequest {
         let req = rq.caller_request(progress.last_event);
@@ -256,6 +261,7 @@
             waited_ms: node.now() - rq.received_ms,
             is_resumed: progress.is_resumed,
             ran: ran.to_vec(),
+            prior,
             body: req.into_body(),
         }
     }
@@ -297,6 +303,7 @@
         waited_ms: message.waited_ms,
         is_resumed: message.is_resumed,
         ran: message.ran,
+        prior: message.prior,
     };
     let mut res = request::serve_forwarded(node, req, origin).await;
     let outcome = HeaderValue::from_static(Outcome::of(&res).text());
@@ -319,6 +326,8 @@
     pub(crate) is_resumed: bool,
     /// Runners that may have run it.
     pub(crate) ran: Vec<Ran>,
+    /// What became of its sends there.
+    pub(crate) prior: PriorSends,
 }
 
 /// First runner of a stream, as an extension of its answer.
--- a/plugins/relay/src/request.rs
+++ b/plugins/relay/src/request.rs
@@ -21,7 +21,7 @@
 use jacinthweir_policy::relay::intent::{CallClass, Engine, Intent, Route};
 use tokio::time::{sleep, timeout};
 
-use crate::answer::{ActiveRequest, Cause, RelayBody, SendRecord, plain};
+use crate::answer::{ActiveRequest, Cause, PriorSends, RelayBody, SendRecord, plain};
 use crate::forwarding::ForwardOrigin;
 use crate::node::Node;
 use crate::{call, stream};
@@ -115,6 +115,17 @@
         self.deadline_ms.saturating_sub(node.now())
     }
 
+    /// Returns what became of the sends by the instance that forwarded the request.
+    pub(crate) fn prior_sends(&self) -> PriorSends {
+        self.origin.as_ref().map_or(PriorSends::None, |o| o.prior)
+    }
+
+    /// Returns whether a send is not the first one of the request, with the `record` of its sends by this
+    /// instance.
+    pub(crate) fn is_resend(&self, record: &SendRecord) -> bool {
+        record.sends > 0 || self.prior_sends() != PriorSends::None
+    }
+
     /// Logs and counts a request that no runner answered, and returns its final answer.
     pub(crate) fn unanswered_response(
         &self,
--- a/plugins/relay/src/retry_budgets.rs
+++ b/plugins/relay/src/retry_budgets.rs
@@ -4,7 +4,7 @@
 //! what they decide, and logs what is spent.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::loads::{LoadTable, ServiceCounts};
@@ -24,8 +24,10 @@
     budgets: RefCell<BTreeMap<Name, SharedRetryBudget>>,
     /// Retries of the former lifetimes of this instance by service, once another instance has told them.
     former: RefCell<Option<BTreeMap<Name, u32>>>,
+    /// Sends beyond the first of their request in the window by service, whether a retry was taken or not.
+    resends: RefCell<BTreeMap<Name, VecDeque<Millis>>>,
     logged_ms: Cell<Millis>,
-    /// Whether a retry was asked for since the last log line.
+    /// Whether a retry was asked for, or a request sent again, since the last log line.
     asked: Cell<bool>,
 }
 
@@ -37,6 +39,7 @@
             first_start,
             budgets: RefCell::default(),
             former: RefCell::default(),
+            resends: RefCell::default(),
             logged_ms: Cell::default(),
             asked: Cell::default(),
         }
@@ -117,6 +120,26 @@
         taken
     }
 
+    /// Counts a send by this instance that is not the first of its request.
+    pub(crate) fn record_resend(&self, service: &Name, now: Millis) {
+        self.asked.set(true);
+        metrics::counter!("jacinthweir_resends_total").increment(1);
+        let mut resends = self.resends.borrow_mut();
+        resends.entry(service.clone()).or_default().push_back(now);
+    }
+
+    /// Returns the number of sends in the window that are not the first of their request.
+    fn resends(&self, service: &Name, now: Millis) -> usize {
+        let mut resends = self.resends.borrow_mut();
+        let Some(times) = resends.get_mut(service) else {
+            return 0;
+        };
+        while times.front().is_some_and(|t| t + self.cfg.window_ms < now) {
+            times.pop_front();
+        }
+        times.len()
+    }
+
     /// Returns this instance's requests and retries in the window, by service.
     pub(crate) fn counts(&self, now: Millis) -> Vec<ServiceCounts> {
         let mut budgets = self.budgets.borrow_mut();
@@ -145,17 +168,31 @@
         self.logged_ms.set(now);
         for ServiceCounts { service, counts } in self.counts(now) {
             if counts.requests + counts.repeats > 0 {
-                log_counts(&service, counts, loads.retry_counts(&service), instances);
+                let others = loads.retry_counts(&service);
+                log_counts(
+                    &service,
+                    counts,
+                    self.resends(&service, now),
+                    others,
+                    instances,
+                );
             }
         }
     }
 }
 
-fn log_counts(service: &Name, own: RetryCounts, others: RetryCounts, instances: usize) {
+fn log_counts(
+    service: &Name,
+    own: RetryCounts,
+    resends: usize,
+    others: RetryCounts,
+    instances: usize,
+) {
     log::info!(
         service = service.as_ref(),
         requests = own.requests,
         retries = own.repeats,
+        resends,
         borrowed = own.borrowed,
         others_requests = others.requests,
         others_retries = others.repeats,
