Retry budget: the instance that sends a request again takes the retry, when it sends

What callers saw: repeats piled up at the runners beyond what is allowed (BUDGET), where instances lose their paths and go through others.

Cause: a request that went through another instance was paid for by the one that offered it, around a wait. It asked whether a retry was free, offered the request, and took the retry afterwards, whatever the answer was; so all streams that lost their path together passed on one free retry. The first send of the other instance was counted by nobody if a runner refused it, or if the wait was broken off because the silent run went on or the caller left. The class: a limit that is checked before a wait and charged after it.

Change: each send to a runner consumes a SendPermit, which the sending instance takes at that moment; for a send that is not the first of its request, also before the offer, that takes a retry. The offering instance says with the request what became of its own sends, and charges nothing. An offer that reaches no runner costs no retry, as before. A request without a retry has a cause of its own (no retry left) in lines.

--- a/plugins/relay/src/answer.rs
+++ b/plugins/relay/src/answer.rs
@@ -151,6 +151,9 @@
     /// A runner failed or sent an invalid answer.
     #[display("runner failed")]
     RunnerFailed,
+    /// The request was sent before, and the retry budget permits no further send.
+    #[display("no retry left")]
+    NoRetry,
     /// The request is quarantined because runners crash when they run it, or this is undecided.
     #[display("its runners end under it")]
     Quarantined,
--- a/plugins/relay/src/attempt.rs
+++ b/plugins/relay/src/attempt.rs
@@ -15,6 +15,7 @@
 use crate::rate_limits;
 use crate::rest;
 use crate::runner_connections::Outcome;
+use crate::send_permit::SendPermit;
 
 /// Time limit for a new connection to a runner. The round trip takes about a millisecond, while a
 /// lost SYN is retransmitted only after seconds.
@@ -75,6 +76,7 @@
 /// Sends a request to a runner and waits for the head of the answer.
 pub(crate) async fn send(
     node: &Node,
+    _permit: SendPermit,
     runner: &RunnerEntry,
     id: &str,
     req: Request<Full<bytes::Bytes>>,
--- a/plugins/relay/src/call.rs
+++ b/plugins/relay/src/call.rs
@@ -29,6 +29,7 @@
 use crate::reachability;
 use crate::request::{ProxiedRequest, count_outcome};
 use crate::rest;
+use crate::send_permit::SendPermit;
 
 /// Maximum answer size, in bytes: the answer is buffered in memory.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
@@ -169,24 +170,21 @@
             }
             return;
         };
-        if !self.take_retry() {
+        let Some(permit) = SendPermit::take(node, rq, &self.send_record) else {
+            if !is_hedge {
+                self.cause = Cause::NoRetry;
+            }
             return;
-        }
+        };
         self.tried.push(runner.id.clone());
-        if rq.is_resend(&self.send_record) {
-            node.retry_budgets.record_resend(&rq.service, node.now());
-        }
         self.record_start();
         let is_hedged = rq.class.repeatable() && self.send_record.sends < self.max_sends;
-        let sent = send::run(node, rq, runner, is_hedged);
+        let sent = send::run(node, permit, rq, runner, is_hedged);
         self.open.push(Box::pin(sent));
     }
 
     /// Starts a send through another instance.
     fn start_forwarding(&mut self) {
-        if !self.take_retry() {
-            return;
-        }
         let ran = self.received_by();
         let prior = self.send_record.as_prior();
         self.is_forwarded = true;
@@ -207,12 +205,6 @@
         lifetimes.collect()
     }
 
-    /// Takes a retry for a further send. The first send needs none.
-    fn take_retry(&self) -> bool {
-        let priority = self.send_record.retry_priority();
-        self.send_record.sends == 0 || self.node.take_retry(&self.rq.service, priority)
-    }
-
     fn record_start(&mut self) {
         self.send_record.record_send();
         self.hedge_from_ms = self.node.now() + self.rq.objective_ms.max(1);
--- a/plugins/relay/src/call/send.rs
+++ b/plugins/relay/src/call/send.rs
@@ -20,6 +20,7 @@
 use crate::node::Node;
 use crate::quarantine;
 use crate::request::{ProxiedRequest, count_outcome};
+use crate::send_permit::SendPermit;
 
 /// How long a runner is avoided after it rejected a request as misdirected (status 421), in
 /// milliseconds.
@@ -36,6 +37,7 @@
 /// send counts as late after the route's objective.
 pub(super) async fn run(
     node: &Rc<Node>,
+    permit: SendPermit,
     rq: &ProxiedRequest,
     runner: RunnerEntry,
     is_hedged: bool,
@@ -48,7 +50,7 @@
         sent_ms: node.now(),
         is_late: false,
     };
-    let mut received = pin!(exchange(node, rq, &runner));
+    let mut received = pin!(exchange(node, permit, rq, &runner));
     let objective_ms = rq.objective_ms.max(1);
     if is_hedged && objective_ms < rq.remaining_ms(node) {
         match timeout(Duration::from_millis(objective_ms), &mut received).await {
@@ -66,11 +68,12 @@
 /// Sends a call and receives the whole answer. Returns the outcome of the send if there is none.
 async fn exchange(
     node: &Node,
+    permit: SendPermit,
     rq: &ProxiedRequest,
     runner: &RunnerEntry,
 ) -> Result<Response<Bytes>, SendOutcome> {
     let req = rq.runner_request(node, &runner.id);
-    match attempt::send(node, runner, &rq.id, req).await {
+    match attempt::send(node, permit, runner, &rq.id, req).await {
         SendOutcome::Answer(res) => {
             let (parts, body) = res.into_parts();
             match body.collect(MAX_ANSWER_BYTES, Purpose::Data).await {
--- a/plugins/relay/src/chain_attempts.rs
+++ b/plugins/relay/src/chain_attempts.rs
@@ -24,6 +24,7 @@
 use crate::node::Node;
 use crate::quarantine::lifetimes;
 use crate::request::ProxiedRequest;
+use crate::send_permit::SendPermit;
 
 /// Outcome of an attempt on a chain.
 pub(crate) enum AttemptOutcome {
@@ -53,6 +54,7 @@
     /// Sends a request through a chain. With `after`, it resumes a stream after that event.
     fn open(
         node: &Rc<Node>,
+        permit: SendPermit,
         rq: &ProxiedRequest,
         live: &Rc<LiveChain>,
         after: Option<u64>,
@@ -69,7 +71,7 @@
         }
         log_sent(node, rq, live);
         let (node, live, id) = (Rc::clone(node), Rc::clone(live), rq.id.clone());
-        let sent = async move { attempt::send(&node, live.chain.head(), &id, req).await };
+        let sent = async move { attempt::send(&node, permit, live.chain.head(), &id, req).await };
         OpenSend {
             in_flight,
             sent: sent.boxed_local(),
@@ -153,18 +155,16 @@
     pub(crate) async fn attempt(
         &mut self,
         node: &Rc<Node>,
+        permit: SendPermit,
         rq: &ProxiedRequest,
         live: &Rc<LiveChain>,
         after: Option<u64>,
     ) -> AttemptOutcome {
         let (id, born_ms) = live.head();
         let ran_before = self.attempts.may_have_run(id, born_ms);
-        if rq.is_resend(&self.send_record) {
-            node.retry_budgets.record_resend(&rq.service, node.now());
-        }
         self.send_record.record_send();
         self.attempts.record_sent(id, born_ms);
-        let mut send = OpenSend::open(node, rq, live, after, ran_before);
+        let mut send = OpenSend::open(node, permit, rq, live, after, ran_before);
         let left = Duration::from_millis(rq.remaining_ms(node));
         let sent = tokio::select! {
             sent = timeout(left, send.sent.as_mut()) => sent,
--- a/plugins/relay/src/lib.rs
+++ b/plugins/relay/src/lib.rs
@@ -27,6 +27,7 @@
 //! | `admission`, `chain_attempts`, `stream`, `events` | event streams: admission, attempts, response, events |
 //! | `rate_limits` | rate limits that runners announce |
 //! | `forwarding` | requests sent through another instance, for want of a path to the runners |
+//! | `send_permit` | permission for each send to a runner, with a retry of the budget if it needs one |
 //! | `rest` | runners that asked for no requests for a while |
 //! | `retry_budgets` | the retry budgets that this instance shares with the others |
 //! | `answer` | final responses, and what they may contain |
@@ -68,6 +69,7 @@
 mod runner_changes;
 mod runner_connections;
 mod runner_probe;
+mod send_permit;
 mod server;
 pub mod settings;
 mod shutdown;
--- a/plugins/relay/src/stream/begin.rs
+++ b/plugins/relay/src/stream/begin.rs
@@ -23,6 +23,7 @@
 use crate::node::Node;
 use crate::quarantine;
 use crate::request::ProxiedRequest;
+use crate::send_permit::SendPermit;
 
 /// Time after which a request with an open send is offered to the chains, or to other instances, again.
 const RETRY_INTERVAL: Duration = Duration::from_millis(150);
@@ -158,11 +159,11 @@
     let Some(live) = live else {
         return forward_once(node, rq, attempts).await;
     };
-    let record = attempts.send_record;
-    if record.sends > 0 && !node.take_retry(&rq.service, record.retry_priority()) {
-        return Pass::Refused(Cause::RunnerFailed.into());
-    }
-    match attempts.attempt(node, rq, &live, rq.last_event).await {
+    let Some(permit) = SendPermit::take(node, rq, &attempts.send_record) else {
+        return Pass::Refused(Cause::NoRetry.into());
+    };
+    let after = rq.last_event;
+    match attempts.attempt(node, permit, rq, &live, after).await {
         AttemptOutcome::Stream(in_flight, res) => Pass::Begun((Run::Chain(in_flight), res)),
         AttemptOutcome::Silent(send) => Pass::Silent(send),
         AttemptOutcome::Timeout => Pass::Refused(Cause::Timeout.into()),
@@ -173,17 +174,10 @@
 }
 
 async fn forward_once(node: &Rc<Node>, rq: &ProxiedRequest, attempts: &mut ChainAttempts) -> Pass {
-    let record = attempts.send_record;
-    let (is_retry, priority) = (record.sends > 0, record.retry_priority());
-    if attempts.is_exhausted(rq) || is_retry && !node.has_retry(&rq.service, priority) {
+    if attempts.is_exhausted(rq) {
         return Pass::Refused(Cause::RunnerFailed.into());
     }
-    let forwarded = attempts.forward(node, rq, StreamProgress::none(rq)).await;
-    // A request that the other instance did not send to a runner costs no retry.
-    if is_retry && !matches!(forwarded, Forwarded::Refused { .. } | Forwarded::NotTaken) {
-        node.take_retry(&rq.service, priority);
-    }
-    match forwarded {
+    match attempts.forward(node, rq, StreamProgress::none(rq)).await {
         Forwarded::Answer { peer, res, .. } => Pass::Begun((Run::Peer(peer), res)),
         Forwarded::Refused { retry_after_ms } => {
             Pass::Refused(Refusal::until(Cause::RefusedElsewhere, retry_after_ms))
--- a/plugins/relay/src/stream/failover.rs
+++ b/plugins/relay/src/stream/failover.rs
@@ -33,6 +33,7 @@
 use crate::quarantine;
 use crate::reachability;
 use crate::request::count_outcome;
+use crate::send_permit::SendPermit;
 
 /// Fraction of the caller's abandonment time, counted from the last event, within which a run must
 /// be resumed. The first event of the new run has to arrive within the rest.
@@ -330,12 +331,10 @@
             return self.resume_through_peer().await;
         };
         // Each send spends a retry, even one that a runner refuses.
-        if !self
-            .node
-            .take_retry(&self.rq.service, RetryPriority::Committed)
-        {
+        let record = &self.attempts.send_record;
+        let Some(permit) = SendPermit::take(&self.node, &self.rq, record) else {
             return Err(ResumeFailure::NoRetry);
-        }
+        };
         if self
             .in_flight()
             .is_some_and(|p| p.live.head() == live.head())
@@ -345,7 +344,7 @@
         let after = self.events.last();
         match self
             .attempts
-            .attempt(&self.node, &self.rq, &live, after)
+            .attempt(&self.node, permit, &self.rq, &live, after)
             .await
         {
             AttemptOutcome::Stream(in_flight, res) if res.status() == StatusCode::OK => {
@@ -370,26 +369,18 @@
         if rq.origin.is_some() || !reachability::may_have_room_elsewhere(node, rq) {
             return Err(ResumeFailure::NoChain);
         }
-        if !node.has_retry(&rq.service, RetryPriority::Committed) {
-            return Err(ResumeFailure::NoRetry);
-        }
         let progress = StreamProgress {
             last_event: self.events.last(),
             is_resumed: true,
         };
-        let forwarded = self.attempts.forward(node, rq, progress).await;
-        // A request that the other instance did not send to a runner costs no retry.
-        if matches!(forwarded, Forwarded::Refused { .. } | Forwarded::NotTaken) {
-            return Err(ResumeFailure::NotForwarded);
-        }
-        node.take_retry(&rq.service, RetryPriority::Committed);
-        match forwarded {
+        match self.attempts.forward(node, rq, progress).await {
+            Forwarded::Refused { .. } | Forwarded::NotTaken => Err(ResumeFailure::NotForwarded),
             Forwarded::Answer { peer, res, .. } if res.status() == StatusCode::OK => {
                 Ok((Run::Peer(peer), res))
             }
             Forwarded::Answer { .. } => Err(ResumeFailure::NextFailed),
             Forwarded::Timeout => Err(ResumeFailure::OutOfTime),
-            _ => Err(ResumeFailure::NextLost),
+            Forwarded::Lost(_) => Err(ResumeFailure::NextLost),
         }
     }
 
