Test, failing: callers that move bring a second share of the retry budget

What callers cause: most requests of 71 instances fail, and 60% of the callers move to the other instances within a window, because their instances are killed or get no further requests.

--- a/policy/tests/relay_retry_budget_kills.rs
+++ b/policy/tests/relay_retry_budget_kills.rs
@@ -82,6 +82,55 @@
     fleet
 }
 
+/// Sizes of the failure domains of a large fleet.
+const LARGE: [usize; 4] = [18, 19, 21, 13];
+
+/// Where the callers of most instances go after the trouble began.
+#[derive(Clone, Copy, Debug)]
+enum Move {
+    /// Their instances are killed.
+    Killed,
+    /// Their instances are up and get no further requests.
+    Left,
+}
+
+/// Plays a large fleet of whose requests and streams most fail, and 60% of whose callers move to the other
+/// instances.
+fn play_move(cause: Move, seed: u64) -> Fleet {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let moved_ms = rng.random_range(TROUBLE_MS + 500..TROUBLE_MS + 9_000) / 10 * 10;
+    let mut fleet = Fleet::start(&LARGE, config(326.0), rng);
+    for now in (0..TROUBLE_MS + 16_000).step_by(10) {
+        fleet.tick(now);
+        let is_calm = now < TROUBLE_MS;
+        for _ in 0..3 {
+            fleet.request(if is_calm { 0.0 } else { 0.9 }, now);
+        }
+        if !is_calm && (now - TROUBLE_MS).is_multiple_of(4_000) {
+            fleet.retry_streams(17, now);
+        }
+        match cause {
+            Move::Killed if now == moved_ms => fleet.kill_share(0.6, now),
+            Move::Left if now == moved_ms => fleet.move_callers(0.6),
+            Move::Killed | Move::Left => {}
+        }
+    }
+    fleet
+}
+
+/// Guards against instances that retry for the requests of callers that came to them, while the instances
+/// that these left have spent as much within the same window.
+#[gtest]
+fn callers_that_move_bring_no_second_share_of_the_retry_budget() {
+    for seed in 0..6 {
+        for cause in [Move::Killed, Move::Left] {
+            let (excess, from) = play_move(cause, seed).worst_excess();
+            let case = format!("{cause:?}, seed {seed}, window from {from} ms");
+            expect_that!(excess, le(0.0), "{case}");
+        }
+    }
+}
+
 /// Instances that were killed spent their part of the retry budget again, or the others were lent what the
 /// dead had spent, so that runners in trouble got more retries than allowed.
 #[gtest]
--- a/policy/tests/support/retry_fleet.rs
+++ b/policy/tests/support/retry_fleet.rs
@@ -33,6 +33,8 @@
     heard: BTreeSet<Name>,
     /// When it starts again, if it is down.
     down_until: Option<Millis>,
+    /// Whether callers send requests to it.
+    has_callers: bool,
 }
 
 impl Instance {
@@ -44,6 +46,7 @@
             loads: loads.with_retry_window(now, cfg.window_ms),
             started_ms: now,
             down_until: None,
+            has_callers: true,
             name,
             domain,
         }
@@ -127,6 +130,14 @@
         self.instances[i].down_until = Some(now + down_ms);
     }
 
+    /// Has the callers of a share of the instances send their requests to the others.
+    pub fn move_callers(&mut self, share: f64) {
+        let count = (share * self.instances.len() as f64).round() as usize;
+        let left = (0..self.instances.len()).sample(&mut self.rng, count);
+        left.into_iter()
+            .for_each(|i| self.instances[i].has_callers = false);
+    }
+
     /// Starts the instances that are due at `now`, and exchanges between those whose round it is.
     pub fn tick(&mut self, now: Millis) {
         for i in 0..self.instances.len() {
@@ -199,9 +210,10 @@
 
     /// Sends a request to a random instance; each of its attempts fails with `failure_rate`.
     pub fn request(&mut self, failure_rate: f64, now: Millis) {
-        let up = (0..self.instances.len()).filter(|i| self.instances[*i].down_until.is_none());
+        let serves = |i: &Instance| i.down_until.is_none() && i.has_callers;
+        let serving = (0..self.instances.len()).filter(|i| serves(&self.instances[*i]));
         self.requests.push(now);
-        let Some(i) = up.choose(&mut self.rng) else {
+        let Some(i) = serving.choose(&mut self.rng) else {
             return;
         };
         self.instances[i].budget.record_request(now, &self.cfg);
