Retry budget: loans are not renewed before the others can know what was borrowed

What callers cause: most requests of 91 instances fail at once while half of their exchanges are lost, as between instances that get little processor time.

Cause: a loan was computed anew at each exchange from counts that are up to seconds old, so an instance borrowed several times on the same counts. The class again: a limit checked on knowledge that does not include what was charged to it since.

Change: what an instance borrowed in the last 1.5 s counts against its next loan.

--- a/policy/src/relay/shared_retry_budget.rs
+++ b/policy/src/relay/shared_retry_budget.rs
@@ -8,7 +8,8 @@
 //! part needs no communication. But callers are not spread evenly while instances are down, and an
 //! instance that has used up its part would cut streams while the parts of others are unused. So it
 //! may borrow beyond its part what it was lent at the last exchange: a fraction of what all instances
-//! have left, small enough that the bound holds if others borrow between the same two exchanges.
+//! have left, small enough that the bound holds if others borrow between the same two exchanges. What it
+//! borrowed counts against the next loans until the others can know of it.
 //!
 //! Borrowed retries are subtracted from the guaranteed parts of the other instances. Otherwise they
 //! would be spent twice, and exceed the bound once the others need their parts.
@@ -119,6 +120,9 @@
 /// beside the guaranteed parts.
 const LOAN_DIVISOR_STEP: f64 = LENT_SHARE / (1.0 - GUARANTEED_SHARE);
 
+/// Age that counts may have when the other instances use them, in milliseconds.
+const LEAD_MS: Millis = 1_500;
+
 /// Time after which a loan is void unless an exchange renews it, in milliseconds. It equals the age up to
 /// which the counts that it was computed from are valid.
 const LOAN_TTL_MS: Millis = 3_000;
@@ -134,6 +138,8 @@
     former: Option<u32>,
     /// Retries that may still be borrowed until `loan_until_ms`.
     loan: f64,
+    /// When the last loans were spent.
+    loans: VecDeque<Millis>,
     loan_until_ms: Millis,
     /// Retries that others borrowed from the guaranteed part of this instance.
     lent: f64,
@@ -205,8 +211,11 @@
         let spent = f64::from(all.repeats) + self.unknown_spending(all, now, cfg);
         let further = instances.saturating_sub(MIN_INSTANCES) as f64;
         let divisor = LOAN_DIVISOR + LOAN_DIVISOR_STEP * further;
+        // The counts may not show yet what was borrowed on the last ones.
+        drop_old(&mut self.loans, now, LEAD_MS);
+        let lent = (LENT_SHARE * bound - spent) / divisor - self.loans.len() as f64;
         self.loan = match self.has_run_for(SETTLING_MS, now) {
-            true => ((LENT_SHARE * bound - spent) / divisor).max(0.0),
+            true => lent.max(0.0),
             false => 0.0,
         };
         self.loan_until_ms = now + LOAN_TTL_MS;
@@ -261,6 +270,7 @@
         }
         if self.guaranteed(now, cfg, instances).left < 1.0 {
             self.loan -= 1.0;
+            self.loans.push_back(now);
         }
         self.repeats.push_back(now);
         true
--- a/policy/tests/relay_retry_budget_kills.rs
+++ b/policy/tests/relay_retry_budget_kills.rs
@@ -1,4 +1,5 @@
-//! The retry budget of a service while instances are killed and start again.
+//! The retry budget of a service while instances are killed and start again, lose their callers, or hear little
+//! of each other.
 
 #[path = "support/retry_fleet.rs"]
 mod support;
@@ -85,6 +86,34 @@
 /// Sizes of the failure domains of a large fleet.
 const LARGE: [usize; 4] = [18, 19, 21, 13];
 
+/// Plays a fleet of whose requests and streams most fail at once, and which loses half of its exchanges.
+fn play_flood(sizes: &[usize], seed: u64) -> Fleet {
+    let rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut fleet = Fleet::start(sizes, config(326.0), rng);
+    fleet.lose_exchanges(0.5);
+    for now in (0..TROUBLE_MS + 11_000).step_by(10) {
+        fleet.tick(now);
+        let is_calm = now < TROUBLE_MS;
+        for _ in 0..5 {
+            fleet.request(if is_calm { 0.0 } else { 0.9 }, now);
+        }
+        if !is_calm && (now - TROUBLE_MS).is_multiple_of(4_000) {
+            fleet.retry_streams(17, now);
+        }
+    }
+    fleet
+}
+
+/// Guards against instances that borrow again and again on counts that do not show yet what the others
+/// borrowed.
+#[gtest]
+fn loans_are_not_renewed_before_others_can_know_of_them() {
+    for seed in 0..4 {
+        let (excess, from) = play_flood(&[30, 30, 31], seed).worst_excess();
+        expect_that!(excess, le(0.0), "seed {seed}, window from {from} ms");
+    }
+}
+
 /// Where the callers of most instances go after the trouble began.
 #[derive(Clone, Copy, Debug)]
 enum Move {
--- a/policy/tests/support/retry_fleet.rs
+++ b/policy/tests/support/retry_fleet.rs
@@ -19,7 +19,7 @@
 /// Peers that an instance exchanges with in a round.
 const FANOUT: usize = 2;
 
-/// Share of the exchanges that are lost.
+/// Share of the exchanges that are lost, unless a test says otherwise.
 const LOST_EXCHANGES: f64 = 0.1;
 
 /// One instance.
@@ -83,6 +83,7 @@
     cfg: SharedRetryBudgetConfig,
     rng: ChaCha8Rng,
     renamed: usize,
+    lost_exchanges: f64,
 }
 
 impl Fleet {
@@ -103,9 +104,15 @@
             cfg,
             rng,
             renamed: 0,
+            lost_exchanges: LOST_EXCHANGES,
         }
     }
 
+    /// Loses a share of the exchanges, as between instances that get little processor time.
+    pub fn lose_exchanges(&mut self, share: f64) {
+        self.lost_exchanges = share;
+    }
+
     /// Kills a share of the instances at `now`.
     pub fn kill_share(&mut self, share: f64, now: Millis) {
         let count = (share * self.instances.len() as f64).round() as usize;
@@ -166,7 +173,7 @@
         let peers = others.sample(&mut self.rng, FANOUT);
         for to in peers {
             let is_up = self.instances[to].down_until.is_none();
-            if is_up && !self.rng.random_bool(LOST_EXCHANGES) {
+            if is_up && !self.rng.random_bool(self.lost_exchanges) {
                 self.exchange(from, to, now);
             }
         }
