Retry budget: callers that move bring no second share of it

What callers cause: an instance spends the share of its requests, and its callers go to other instances within the same window, since it is killed, stopped or gets no further ones. The others had a share of the same callers' next requests.

Cause: what an instance spent beyond the share of its present requests was subtracted from the others' parts only while it lived, in equal portions that small parts could not bear, rounded down for each instance, and as late as the counts are old.

Change: an ended instance's requests leave the window, computed by the others, while its retries stay; what exceeds its part is subtracted like that of living instances. It is subtracted in proportion to the parts of those that have not borrowed, rounded up, and for 1.5 s later where callers leave. Counts have two fields more and one less, so exchanges with instances of the code before are not decoded.

--- a/plugins/relay/src/retry_budgets.rs
+++ b/plugins/relay/src/retry_budgets.rs
@@ -154,7 +154,7 @@
     /// Updates from the other instances' counts how much of their unused budget this one may use.
     pub(crate) fn update_loans(&self, loads: &LoadTable, now: Millis, instances: usize) {
         for (service, budget) in self.budgets.borrow_mut().iter_mut() {
-            budget.update_loan(now, &self.cfg, loads.retry_counts(service), instances);
+            budget.update_loan(now, &self.cfg, loads.retry_counts(service, now), instances);
         }
     }
 
@@ -168,7 +168,7 @@
         self.logged_ms.set(now);
         for ServiceCounts { service, counts } in self.counts(now) {
             if counts.requests + counts.repeats > 0 {
-                let others = loads.retry_counts(&service);
+                let others = loads.retry_counts(&service, now);
                 log_counts(
                     &service,
                     counts,
--- a/policy/src/relay/loads.rs
+++ b/policy/src/relay/loads.rs
@@ -233,7 +233,7 @@
     own_written: Option<Millis>,
     members: BTreeMap<Name, Received<Load>>,
     domains: BTreeMap<Name, Received<DomainLoad>>,
-    /// Requests and retries of all other instances, kept with each change.
+    /// Requests and retries of all other instances that are heard, kept with each change.
     spent: BTreeMap<Name, RetryCounts>,
     former: FormerLifetimes,
     /// When this instance started, in milliseconds.
@@ -456,8 +456,7 @@
         let fresh = fresh.filter(|r| r.is_fresh(now, MAX_LOAD_AGE_MS));
         if fresh.is_none_or(|r| r.value.written_ms < m.load.written_ms) {
             add_counts(&mut self.spent, &m.load.spent);
-            self.former
-                .member_returned(&m.name, &m.load, &mut self.spent);
+            self.former.member_returned(&m.name, &m.load);
             let started_ms = m.load.started_ms;
             let received = Received {
                 value: m.load,
@@ -467,7 +466,7 @@
             if let Some(before) = self.members.insert(m.name.clone(), received) {
                 subtract_counts(&mut self.spent, &before.value.spent);
                 if before.value.started_ms != started_ms {
-                    self.former.member_ended(&m.name, &before, &mut self.spent);
+                    self.former.member_ended(&m.name, &before);
                 }
             }
             self.used.take();
@@ -502,7 +501,7 @@
         let stale = |_: &Name, r: &mut Received<Load>| !r.is_fresh(now, MAX_LOAD_AGE_MS);
         for (name, r) in self.members.extract_if(.., stale) {
             subtract_counts(&mut self.spent, &r.value.spent);
-            self.former.member_ended(&name, &r, &mut self.spent);
+            self.former.member_ended(&name, &r);
             self.used.take();
         }
         let stale = |_: &Name, r: &mut Received<DomainLoad>| !r.is_fresh(now, MAX_SUM_AGE_MS);
@@ -511,7 +510,7 @@
             self.former.sum_ended(&domain, &r);
             self.used.take();
         }
-        self.former.expire(now, &mut self.spent);
+        self.former.expire(now);
     }
 
     fn head_totals(&self) -> HeadTotals {
@@ -554,10 +553,9 @@
                 refusing.insert(name.clone());
             }
         }
-        for counts in self.former.members() {
-            add_counts(&mut spent, counts);
-        }
-        add_counts(&mut spent, &self.former.missing_in_members(&self.members));
+        self.former.add_members(&mut spent, now);
+        let missing = self.former.missing_in_members(&self.members, now);
+        add_counts(&mut spent, &missing);
         Some(DomainLoad {
             domain: self.domain.clone(),
             age_ms,
@@ -631,10 +629,11 @@
     /// Returns the requests and retries of other instances for a service, with the retries of instances
     /// that ended within the window of the retry budget.
     #[must_use]
-    pub fn retry_counts(&self, service: &str) -> RetryCounts {
+    pub fn retry_counts(&self, service: &str, now: Millis) -> RetryCounts {
         let mut counts = self.spent.get(service).copied().unwrap_or_default();
-        counts += self.former.missing_in_sums(service, &self.domains);
-        let missing = self.former.missing_in_members(&self.members);
+        counts += self.former.members_counts(service, now);
+        counts += self.former.missing_in_sums(service, &self.domains, now);
+        let missing = self.former.missing_in_members(&self.members, now);
         let missing = missing.iter().find(|s| *s.service == *service);
         counts += missing.map(|s| s.counts).unwrap_or_default();
         counts
--- a/policy/src/relay/loads/former.rs
+++ b/policy/src/relay/loads/former.rs
@@ -10,18 +10,17 @@
 
 use std::collections::BTreeMap;
 
-use super::{
-    DomainLoad, Load, Received, ServiceCounts, add_counts, service_counts, subtract_counts,
-};
+use super::{DomainLoad, Load, Received, ServiceCounts, add_counts, service_counts};
 use crate::prelude::*;
-use crate::relay::shared_retry_budget::RetryCounts;
+use crate::relay::shared_retry_budget::{LEAD_MS, RetryCounts};
 
 /// Name of an instance, and when its lifetime began by its own clock.
 type Lifetime = (Name, u64);
 
-/// Retries up to a point in time, without the requests that they were for.
+/// Requests and retries up to a point in time.
 #[derive(Clone, Debug)]
 struct Spent {
+    /// Counts of the instances as they were heard last.
     counts: Vec<ServiceCounts>,
     as_of_ms: Millis,
     /// Start of the instance that computed them, in milliseconds.
@@ -31,22 +30,25 @@
 impl Spent {
     fn of(spent: &[ServiceCounts], as_of_ms: Millis, sender_started_ms: Millis) -> Spent {
         let counts = spent.iter().filter(|s| s.counts.repeats > 0);
-        let counts = counts.map(|s| ServiceCounts {
-            service: s.service.clone(),
-            counts: s.counts.of_ended(),
-        });
         Spent {
-            counts: counts.collect(),
+            counts: counts.cloned().collect(),
             as_of_ms,
             sender_started_ms,
         }
     }
+
+    /// Returns the share of the requests that has not left a window of `window_ms` milliseconds [`LEAD_MS`]
+    /// after `now`, if they arrived evenly.
+    fn requests_left(&self, window_ms: Millis, now: Millis) -> f64 {
+        let age_ms = (now + LEAD_MS).saturating_sub(self.as_of_ms);
+        1.0 - (age_ms as f64 / window_ms.max(1) as f64).min(1.0)
+    }
 }
 
 fn counts_for(spent: &[ServiceCounts], service: &str) -> RetryCounts {
     let mut counts = RetryCounts::default();
     for s in spent.iter().filter(|s| *s.service == *service) {
-        counts += s.counts.of_ended();
+        counts += s.counts;
     }
     counts
 }
@@ -75,36 +77,20 @@
         }
     }
 
-    /// Records that the lifetime that wrote `last` is no longer heard, and adds what it spent to `totals`.
-    pub(super) fn member_ended(
-        &mut self,
-        name: &Name,
-        last: &Received<Load>,
-        totals: &mut BTreeMap<Name, RetryCounts>,
-    ) {
+    /// Records that the lifetime that wrote `last` is no longer heard.
+    pub(super) fn member_ended(&mut self, name: &Name, last: &Received<Load>) {
         let began_ms = last.lifetime_began_ms();
         let spent = Spent::of(&last.value.spent, last.as_of_ms, began_ms);
         if spent.counts.is_empty() || self.window_ms == 0 {
             return;
         }
-        add_counts(totals, &spent.counts);
         let lifetime = (name.clone(), last.value.started_ms);
-        if let Some(before) = self.members.insert(lifetime, spent) {
-            subtract_counts(totals, &before.counts);
-        }
+        self.members.insert(lifetime, spent);
     }
 
     /// Records that a lifetime is heard again, so that its own load counts.
-    pub(super) fn member_returned(
-        &mut self,
-        name: &Name,
-        load: &Load,
-        totals: &mut BTreeMap<Name, RetryCounts>,
-    ) {
-        let lifetime = (name.clone(), load.started_ms);
-        if let Some(before) = self.members.remove(&lifetime) {
-            subtract_counts(totals, &before.counts);
-        }
+    pub(super) fn member_returned(&mut self, name: &Name, load: &Load) {
+        self.members.remove(&(name.clone(), load.started_ms));
     }
 
     /// Records that the sum `last` of another domain is not renewed.
@@ -150,19 +136,32 @@
     }
 
     /// Drops what has left the window at `now`.
-    pub(super) fn expire(&mut self, now: Millis, totals: &mut BTreeMap<Name, RetryCounts>) {
+    pub(super) fn expire(&mut self, now: Millis) {
         let window_ms = self.window_ms;
         let has_left = |b: &Spent| now > b.as_of_ms + window_ms;
-        for (_, b) in self.members.extract_if(.., |_, b| has_left(b)) {
-            subtract_counts(totals, &b.counts);
-        }
+        self.members.retain(|_, b| !has_left(b));
         self.domains.retain(|_, b| !has_left(b));
         self.own_domain.take_if(|b| has_left(b));
     }
 
+    /// Adds the counts of the ended lifetimes of the own domain that are known one by one to `totals`.
+    pub(super) fn add_members(&self, totals: &mut BTreeMap<Name, RetryCounts>, now: Millis) {
+        for spent in self.members.values() {
+            let left = spent.requests_left(self.window_ms, now);
+            for s in &spent.counts {
+                *totals.entry(s.service.clone()).or_default() += s.counts.of_ended(left);
+            }
+        }
+    }
+
     /// Returns the counts of the ended lifetimes of the own domain that are known one by one.
-    pub(super) fn members(&self) -> impl Iterator<Item = &[ServiceCounts]> {
-        self.members.values().map(|b| b.counts.as_slice())
+    pub(super) fn members_counts(&self, service: &str, now: Millis) -> RetryCounts {
+        let mut counts = RetryCounts::default();
+        for spent in self.members.values() {
+            let left = spent.requests_left(self.window_ms, now);
+            counts += counts_for(&spent.counts, service).of_ended(left);
+        }
+        counts
     }
 
     /// Returns the retries of the former lifetimes of an instance of the own domain, by service.
@@ -181,12 +180,15 @@
         &self,
         service: &str,
         sums: &BTreeMap<Name, Received<DomainLoad>>,
+        now: Millis,
     ) -> RetryCounts {
         let mut missing = RetryCounts::default();
         for (domain, bound) in &self.domains {
-            let mut counts = counts_for(&bound.counts, service);
+            let left = bound.requests_left(self.window_ms, now);
+            let mut counts = counts_for(&bound.counts, service).of_ended(left);
             if let Some(present) = sums.get(domain) {
-                counts -= counts_for(&present.value.spent, service);
+                // Its requests are those of lifetimes that have a part for them.
+                counts -= counts_for(&present.value.spent, service).of_ended(0.0);
             }
             missing += counts;
         }
@@ -198,17 +200,20 @@
     pub(super) fn missing_in_members(
         &self,
         members: &BTreeMap<Name, Received<Load>>,
+        now: Millis,
     ) -> Vec<ServiceCounts> {
         let Some(bound) = &self.own_domain else {
             return Vec::new();
         };
+        let left = bound.requests_left(self.window_ms, now);
         let mut missing = bound.counts.clone();
         for s in &mut missing {
+            s.counts = s.counts.of_ended(left);
             let ran = members
                 .values()
                 .filter(|r| r.lifetime_began_ms() <= bound.as_of_ms);
             for r in ran {
-                s.counts -= counts_for(&r.value.spent, &s.service);
+                s.counts -= counts_for(&r.value.spent, &s.service).of_ended(left);
             }
         }
         missing
--- a/policy/src/relay/shared_retry_budget.rs
+++ b/policy/src/relay/shared_retry_budget.rs
@@ -12,7 +12,10 @@
 //! borrowed counts against the next loans until the others can know of it.
 //!
 //! Borrowed retries are subtracted from the guaranteed parts of the other instances. Otherwise they
-//! would be spent twice, and exceed the bound once the others need their parts.
+//! would be spent twice, and exceed the bound once the others need their parts. The same holds for
+//! retries of an instance whose callers have moved to others: as its requests leave the window, its part
+//! shrinks below what it spent, while the parts of the others grow by the requests of these callers. Of
+//! an instance that ended, the others compute how its requests leave the window.
 //!
 //! An instance that restarts does not know what its former lifetime spent, and neither does anybody else
 //! exactly: the last counts that it sent are older than its end. So it has no part of the slack until a
@@ -57,27 +60,68 @@
     pub repeats: u32,
     /// Retries beyond the guaranteed part of their instance.
     pub borrowed: u32,
-    /// Instances with a part of the slack that have such retries.
-    pub borrowers: u32,
     /// Instances that have a part of the slack, since they have run for a window.
     #[serde(default)]
     pub established: u32,
+    /// Guaranteed parts, in retries, of the instances that have not borrowed.
+    #[serde(default)]
+    pub lenders_part: u32,
+    /// What instances spent that ended within the window; their retries are in `repeats`, too.
+    #[serde(default)]
+    pub ended: EndedCounts,
+}
+
+/// Requests and retries of instances that ended.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndedCounts {
+    /// Requests that have not left the window.
+    pub requests: u32,
+    /// Retries.
+    pub repeats: u32,
+    /// Instances that had a part of the slack. Nobody else has it until the window has passed.
+    pub established: u32,
+}
+
+impl EndedCounts {
+    /// Returns the retries beyond the guaranteed parts, in a fleet of `instances` instances.
+    fn borrowed(self, cfg: &SharedRetryBudgetConfig, instances: usize) -> f64 {
+        let of_slack = f64::from(self.established) * part_of_slack(cfg, instances);
+        let part = GUARANTEED_SHARE * (cfg.ratio * f64::from(self.requests) + of_slack);
+        (f64::from(self.repeats) - part).max(0.0)
+    }
+}
+
+impl std::ops::AddAssign for EndedCounts {
+    fn add_assign(&mut self, other: EndedCounts) {
+        self.requests = self.requests.saturating_add(other.requests);
+        self.repeats = self.repeats.saturating_add(other.repeats);
+        self.established = self.established.saturating_add(other.established);
+    }
+}
+
+impl std::ops::SubAssign for EndedCounts {
+    fn sub_assign(&mut self, other: EndedCounts) {
+        self.requests = self.requests.saturating_sub(other.requests);
+        self.repeats = self.repeats.saturating_sub(other.repeats);
+        self.established = self.established.saturating_sub(other.established);
+    }
 }
 
 impl RetryCounts {
-    /// Returns the part that still counts after the end of an instance.
-    pub(crate) fn of_ended(self) -> RetryCounts {
+    /// Returns what still counts after the end of the instances with these counts, while `left` of their
+    /// requests have not left the window: a share from 0 to 1.
+    pub(crate) fn of_ended(self, left: f64) -> RetryCounts {
+        let requests = (f64::from(self.requests) * left) as u32;
         RetryCounts {
             repeats: self.repeats,
-            borrowed: self.borrowed,
+            ended: EndedCounts {
+                requests: requests + (f64::from(self.ended.requests) * left) as u32,
+                repeats: self.repeats,
+                established: self.established + self.ended.established,
+            },
             ..RetryCounts::default()
         }
     }
-
-    /// Returns the instances that retries are borrowed from.
-    fn lenders(self) -> u32 {
-        self.established.saturating_sub(self.borrowers)
-    }
 }
 
 impl std::ops::AddAssign for RetryCounts {
@@ -85,8 +129,9 @@
         self.requests = self.requests.saturating_add(other.requests);
         self.repeats = self.repeats.saturating_add(other.repeats);
         self.borrowed = self.borrowed.saturating_add(other.borrowed);
-        self.borrowers = self.borrowers.saturating_add(other.borrowers);
         self.established = self.established.saturating_add(other.established);
+        self.lenders_part = self.lenders_part.saturating_add(other.lenders_part);
+        self.ended += other.ended;
     }
 }
 
@@ -95,8 +140,9 @@
         self.requests = self.requests.saturating_sub(other.requests);
         self.repeats = self.repeats.saturating_sub(other.repeats);
         self.borrowed = self.borrowed.saturating_sub(other.borrowed);
-        self.borrowers = self.borrowers.saturating_sub(other.borrowers);
         self.established = self.established.saturating_sub(other.established);
+        self.lenders_part = self.lenders_part.saturating_sub(other.lenders_part);
+        self.ended -= other.ended;
     }
 }
 
@@ -120,8 +166,9 @@
 /// beside the guaranteed parts.
 const LOAN_DIVISOR_STEP: f64 = LENT_SHARE / (1.0 - GUARANTEED_SHARE);
 
-/// Age that counts may have when the other instances use them, in milliseconds.
-const LEAD_MS: Millis = 1_500;
+/// Age that counts may have when the other instances use them, in milliseconds. What an instance borrows as
+/// its callers leave is computed for as much later.
+pub(super) const LEAD_MS: Millis = 1_500;
 
 /// Time after which a loan is void unless an exchange renews it, in milliseconds. It equals the age up to
 /// which the counts that it was computed from are valid.
@@ -141,8 +188,8 @@
     /// When the last loans were spent.
     loans: VecDeque<Millis>,
     loan_until_ms: Millis,
-    /// Retries that others borrowed from the guaranteed part of this instance.
-    lent: f64,
+    /// Share of the guaranteed part of this instance, from 0 to 1, that others borrowed.
+    lent_share: f64,
     /// Number of instances at the last exchange.
     instances: usize,
 }
@@ -180,17 +227,30 @@
         let count = |times: &VecDeque<Millis>| u32::try_from(times.len()).unwrap_or(u32::MAX);
         let (requests, repeats) = (count(&self.requests), count(&self.repeats));
         let part = self.guaranteed_part(requests, now, cfg, self.instances);
-        let borrowed = (f64::from(repeats) - part).max(0.0) as u32;
+        let soon = self.guaranteed_part(self.requests_soon(now, cfg), now, cfg, self.instances);
+        // Rounded up: of seventy instances, the rests would add up to dozens of retries.
+        let borrowed = (f64::from(repeats) - soon).max(0.0).ceil() as u32;
         let is_established = self.has_run_for(cfg.window_ms, now);
         RetryCounts {
             requests,
             repeats,
             borrowed,
-            borrowers: u32::from(is_established && borrowed > 0),
             established: u32::from(is_established),
+            lenders_part: if borrowed == 0 { part as u32 } else { 0 },
+            ended: EndedCounts::default(),
         }
     }
 
+    /// Returns the requests that the window will hold [`LEAD_MS`] later if callers are leaving this instance,
+    /// and at most those that it holds now. Twice the present rate is expected, so that chance does not
+    /// look like leaving.
+    fn requests_soon(&self, now: Millis, cfg: &SharedRetryBudgetConfig) -> u32 {
+        let since = |ms: Millis| self.requests.len() - self.requests.partition_point(|t| *t < ms);
+        let kept = since((now + LEAD_MS).saturating_sub(cfg.window_ms));
+        let expected = kept + 2 * since(now.saturating_sub(LEAD_MS));
+        u32::try_from(expected.min(self.requests.len())).unwrap_or(u32::MAX)
+    }
+
     /// Recomputes the loan from the counts of all other instances; there are `instances` in total.
     pub fn update_loan(
         &mut self,
@@ -203,10 +263,9 @@
         let own = self.counts(now, cfg);
         let mut all = others;
         all += own;
-        self.lent = match own.established {
-            0 => 0.0,
-            _ => f64::from(others.borrowed) / f64::from(others.lenders() + 1),
-        };
+        let borrowed = f64::from(others.borrowed) + others.ended.borrowed(cfg, instances);
+        let lenders_part = f64::from(all.lenders_part).max(1.0);
+        self.lent_share = (borrowed / lenders_part).min(1.0);
         let bound = cfg.ratio * f64::from(all.requests) + cfg.slack;
         let spent = f64::from(all.repeats) + self.unknown_spending(all, now, cfg);
         let further = instances.saturating_sub(MIN_INSTANCES) as f64;
@@ -283,8 +342,8 @@
         instances: usize,
     ) -> Guaranteed {
         let own = self.counts(now, cfg);
-        let total = self.guaranteed_part(own.requests, now, cfg, instances) - self.lent;
-        let total = total.max(0.0);
+        let part = self.guaranteed_part(own.requests, now, cfg, instances);
+        let total = part * (1.0 - self.lent_share);
         Guaranteed {
             total,
             left: total - f64::from(own.repeats),
--- a/policy/tests/relay_loads.rs
+++ b/policy/tests/relay_loads.rs
@@ -120,8 +120,8 @@
         loads.used_tokens(SERVICE, &head(0)),
         approx_eq(f64::from(100 * others))
     );
-    expect_that!(loads.retry_counts(SERVICE).requests, eq(10 * others));
-    expect_that!(loads.retry_counts(SERVICE).repeats, eq(others));
+    expect_that!(loads.retry_counts(SERVICE, now).requests, eq(10 * others));
+    expect_that!(loads.retry_counts(SERVICE, now).repeats, eq(others));
     expect_that!(loads.used_tokens(SERVICE, "elsewhere"), approx_eq(0.0));
 }
 
@@ -262,10 +262,10 @@
     expect_that!(loads.used_tokens(SERVICE, &head(0)), approx_eq(150.0));
     tell(&mut loads, 1, 30, 2_500);
     expect_that!(loads.used_tokens(SERVICE, &head(0)), approx_eq(80.0));
-    expect_that!(loads.retry_counts(SERVICE).requests, eq(20));
+    expect_that!(loads.retry_counts(SERVICE, 2_500).requests, eq(20));
     loads.expire(4_100);
     expect_that!(loads.used_tokens(SERVICE, &head(0)), approx_eq(30.0));
-    expect_that!(loads.retry_counts(SERVICE).requests, eq(10));
+    expect_that!(loads.retry_counts(SERVICE, 4_100).requests, eq(10));
 }
 
 /// The control of flow has to act more slowly the older its figures are. If the age of a load began anew at
--- a/policy/tests/support/retry_fleet.rs
+++ b/policy/tests/support/retry_fleet.rs
@@ -69,7 +69,7 @@
     }
 
     fn update_loan(&mut self, now: Millis, cfg: &SharedRetryBudgetConfig) {
-        let others = self.loads.retry_counts(SERVICE);
+        let others = self.loads.retry_counts(SERVICE, now);
         let instances = self.heard.len();
         self.budget.update_loan(now, cfg, others, instances);
     }
