--- /dev/null
+++ b/review/standins-2/main.rs
@@ -0,0 +1,64 @@
+//! Cases of the second review, each as a scenario against the real program.
+//!
+//! `standin CASE FOLDER` plays a case and writes `record.txt` in FOLDER. It exits with 1 if the rule was
+//! broken, 0 if it held, and 2 if the case could not run.
+
+mod added_routes;
+mod fleet;
+mod http;
+mod json;
+mod record;
+mod retired_service;
+mod revoked_upload;
+mod scene;
+mod slow_reader;
+mod store;
+mod sys;
+mod unframed_stream;
+mod unreadable_entry;
+
+use std::process::ExitCode;
+use std::thread;
+use std::time::Duration;
+
+/// Time after which a case is ended, with all processes that it started.
+const TIME_LIMIT: Duration = Duration::from_secs(110);
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().collect();
+    if let [_, role, id, born] = &args[..]
+        && role == "model-runner"
+    {
+        return unframed_stream::run_model_runner(id, born);
+    }
+    let [_, case, folder] = &args[..] else {
+        eprintln!("usage: standin CASE FOLDER");
+        return ExitCode::from(2);
+    };
+    let trouble = std::env::var("TROUBLE").map_or(true, |v| v != "0");
+    let record = record::Record::open(folder.as_ref(), trouble);
+    thread::spawn(|| {
+        thread::sleep(TIME_LIMIT);
+        fleet::kill_all();
+        std::process::exit(2);
+    });
+    let result = match case.as_str() {
+        "slow-reader" => slow_reader::play(&record, trouble),
+        "unreadable-entry" => unreadable_entry::play(&record, trouble),
+        "added-routes" => added_routes::play(&record, trouble),
+        "unframed-stream" => unframed_stream::play(&record, trouble),
+        "revoked-upload" => revoked_upload::play(&record, trouble),
+        "retired-service" => retired_service::play(&record, trouble),
+        _ => Err(format!("no such case: {case}")),
+    };
+    let code = match &result {
+        Ok(true) => 0,
+        Ok(false) => 1,
+        Err(_) => 2,
+    };
+    match result {
+        Ok(held) => record.write(&format!("result: {}", if held { "held" } else { "broken" })),
+        Err(cause) => record.write(&format!("result: could not run: {cause}")),
+    }
+    ExitCode::from(code)
+}
