--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod http;
 mod json;
+mod raised_limit;
 mod record;
 mod retired_service;
 mod revoked_upload;
@@ -49,6 +50,7 @@
         "unframed-stream" => unframed_stream::play(&record, trouble),
         "revoked-upload" => revoked_upload::play(&record, trouble),
         "retired-service" => retired_service::play(&record, trouble),
+        "raised-limit" => raised_limit::play(&record, trouble),
         _ => Err(format!("no such case: {case}")),
     };
     let code = match &result {
--- a/review/standins-2/scene.rs
+++ b/review/standins-2/scene.rs
@@ -60,6 +60,8 @@
 pub struct Scene {
     pub store: Arc<Store>,
     pub arrivals: Arc<Mutex<Vec<Arrival>>>,
+    /// Longest head of a request that the desired state allows, in bytes.
+    pub max_header_bytes: AtomicUsize,
     runners: Vec<Runner>,
     folder: PathBuf,
     beats: AtomicUsize,
@@ -89,6 +91,7 @@
         let mut scene = Scene {
             store: Store::spawn(),
             arrivals: Arc::default(),
+            max_header_bytes: AtomicUsize::new(16_384),
             runners: Vec::new(),
             folder: std::env::temp_dir().join(format!("jw-review-2-{}", std::process::id())),
             beats: AtomicUsize::new(1),
@@ -226,8 +229,9 @@
         let services = of_runners.into_iter().filter(|s| *s != left_out);
         let services: Vec<String> = services.map(encode_service).collect();
         let services = services.join(",");
+        let head_bytes = self.max_header_bytes.load(Ordering::SeqCst);
         let spec = format!(
-            r#"{{"version":{version},"routes":[{routes}],"services":[{services}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{tenants}]}}"#
+            r#"{{"version":{version},"routes":[{routes}],"services":[{services}],"limits":{{"maxHeaderBytes":{head_bytes},"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{tenants}]}}"#
         );
         self.store.put("config", "main", &spec);
     }
