--- a/review/standins-2/fleet.rs
+++ b/review/standins-2/fleet.rs
@@ -166,6 +166,17 @@
         }
     }
 
+    /// Returns the processor time that the process has used.
+    pub fn processor_time(&self) -> Duration {
+        let pid = self.child.as_ref().map_or(0, Child::id);
+        let stat = fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+        let (_, fields) = stat.rsplit_once(')').unwrap_or_default();
+        let fields: Vec<i64> = fields.split(' ').filter_map(|f| f.parse().ok()).collect();
+        // After the state, which is no number: user and system time are the 11th and the 12th.
+        let ticks: i64 = fields.iter().skip(10).take(2).sum();
+        Duration::from_millis(ticks.unsigned_abs() * 10)
+    }
+
     /// Returns the last line that the process logged.
     pub fn last_line(&self) -> String {
         let log = fs::read_to_string(&self.log).unwrap_or_default();
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -3,6 +3,7 @@
 //! `standin CASE FOLDER` plays a case and writes `record.txt` in FOLDER. It exits with 1 if the rule was
 //! broken, 0 if it held, and 2 if the case could not run.
 
+mod absurd_range;
 mod added_routes;
 mod fleet;
 mod http;
@@ -10,6 +11,7 @@
 mod raised_limit;
 mod record;
 mod retired_service;
+mod returned_entry;
 mod revoked_upload;
 mod scene;
 mod slow_reader;
@@ -44,6 +46,7 @@
         std::process::exit(2);
     });
     let result = match case.as_str() {
+        "absurd-range" => absurd_range::play(&record, trouble),
         "slow-reader" => slow_reader::play(&record, trouble),
         "unreadable-entry" => unreadable_entry::play(&record, trouble),
         "added-routes" => added_routes::play(&record, trouble),
@@ -51,6 +54,7 @@
         "revoked-upload" => revoked_upload::play(&record, trouble),
         "retired-service" => retired_service::play(&record, trouble),
         "raised-limit" => raised_limit::play(&record, trouble),
+        "returned-entry" => returned_entry::play(&record, trouble),
         _ => Err(format!("no such case: {case}")),
     };
     let code = match &result {
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -9,6 +9,7 @@
 use crate::http::{self, Request};
 use crate::json;
 
+#[derive(Clone)]
 struct Object {
     revision: u64,
     spec: String,
@@ -24,9 +25,18 @@
 
 #[derive(Default)]
 struct State {
+    /// Rises by one each time the store comes back from an older copy.
+    era: u64,
     revision: u64,
     objects: BTreeMap<(String, String), Object>,
     history: Vec<Event>,
+    is_away: bool,
+}
+
+/// A copy of the store's contents.
+pub struct Copy {
+    revision: u64,
+    objects: BTreeMap<(String, String), Object>,
 }
 
 /// Stands in a spec for a byte that is not part of any UTF-8 text.
@@ -125,6 +135,32 @@
         store
     }
 
+    /// Takes a copy of the contents.
+    pub fn copy(&self) -> Copy {
+        let state = self.state.lock().unwrap();
+        Copy {
+            revision: state.revision,
+            objects: state.objects.clone(),
+        }
+    }
+
+    /// Ends all calls and refuses further ones.
+    pub fn go_away(&self) {
+        self.state.lock().unwrap().is_away = true;
+        self.changed.notify_all();
+    }
+
+    /// Comes back from a copy.
+    pub fn come_back(&self, copy: Copy) {
+        let mut state = self.state.lock().unwrap();
+        *state = State {
+            era: state.era + 1,
+            revision: copy.revision,
+            objects: copy.objects,
+            ..State::default()
+        };
+    }
+
     /// Writes an object as the operator or a runner does.
     pub fn put(&self, kind: &str, name: &str, spec: &str) {
         self.state.lock().unwrap().put(kind, name, spec);
@@ -142,9 +178,16 @@
         let rest = path.strip_prefix("/api/objects/").unwrap_or("");
         let (kind, name) = rest.split_once('/').unwrap_or((rest, ""));
         let (status, body) = self.handle(req, kind, name);
+        let (era, is_away) = {
+            let state = self.state.lock().unwrap();
+            (state.era, state.is_away)
+        };
+        if is_away {
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
         let headers = [
             ("Content-Type", "application/json".to_owned()),
-            ("Store-Era", "0".to_owned()),
+            ("Store-Era", era.to_string()),
         ];
         http::respond(to, status, &headers, &with_unreadable_bytes(&body))
     }
@@ -166,7 +209,7 @@
             },
             "GET" if req.query("watch").is_some() => {
                 drop(state);
-                (200, self.watch(req, kind))
+                self.watch(req, kind)
             }
             "GET" => (200, state.list(kind)),
             "POST" => {
@@ -199,17 +242,20 @@
         }
     }
 
-    fn watch(&self, req: &Request, kind: &str) -> String {
+    fn watch(&self, req: &Request, kind: &str) -> (u16, String) {
         let number = |name| req.query(name).and_then(|v| v.parse::<u64>().ok());
         let after = number("watch").unwrap_or(0);
         let until = Instant::now() + Duration::from_millis(number("waitMs").unwrap_or(0));
         let mut state = self.state.lock().unwrap();
+        if after > state.revision {
+            return (410, "{}".to_owned());
+        }
         loop {
             let events = state.events(kind, after);
             let left = until.saturating_duration_since(Instant::now());
-            if !events.is_empty() || left.is_zero() {
+            if !events.is_empty() || left.is_zero() || state.is_away {
                 let (events, as_of) = (events.join(","), state.revision);
-                return format!(r#"{{"events":[{events}],"asOf":{as_of}}}"#);
+                return (200, format!(r#"{{"events":[{events}],"asOf":{as_of}}}"#));
             }
             state = self.changed.wait_timeout(state, left).unwrap().0;
         }
