--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -20,6 +20,7 @@
 mod unframed_stream;
 mod unreadable_entry;
 
+use std::panic::{self, AssertUnwindSafe};
 use std::process::ExitCode;
 use std::thread;
 use std::time::Duration;
@@ -45,18 +46,11 @@
         fleet::kill_all();
         std::process::exit(2);
     });
-    let result = match case.as_str() {
-        "absurd-range" => absurd_range::play(&record, trouble),
-        "slow-reader" => slow_reader::play(&record, trouble),
-        "unreadable-entry" => unreadable_entry::play(&record, trouble),
-        "added-routes" => added_routes::play(&record, trouble),
-        "unframed-stream" => unframed_stream::play(&record, trouble),
-        "revoked-upload" => revoked_upload::play(&record, trouble),
-        "retired-service" => retired_service::play(&record, trouble),
-        "raised-limit" => raised_limit::play(&record, trouble),
-        "returned-entry" => returned_entry::play(&record, trouble),
-        _ => Err(format!("no such case: {case}")),
-    };
+    let played = panic::catch_unwind(AssertUnwindSafe(|| play(case, &record, trouble)));
+    let result = played.unwrap_or_else(|_| Err("a panic".to_owned()));
+    if result.is_err() {
+        fleet::kill_all();
+    }
     let code = match &result {
         Ok(true) => 0,
         Ok(false) => 1,
@@ -68,3 +62,19 @@
     }
     ExitCode::from(code)
 }
+
+/// Plays a case; returns whether the rule held.
+fn play(case: &str, record: &record::Record, trouble: bool) -> Result<bool, String> {
+    match case {
+        "unreadable-entry" => unreadable_entry::play(record, trouble),
+        "absurd-range" => absurd_range::play(record, trouble),
+        "slow-reader" => slow_reader::play(record, trouble),
+        "unframed-stream" => unframed_stream::play(record, trouble),
+        "added-routes" => added_routes::play(record, trouble),
+        "raised-limit" => raised_limit::play(record, trouble),
+        "returned-entry" => returned_entry::play(record, trouble),
+        "retired-service" => retired_service::play(record, trouble),
+        "revoked-upload" => revoked_upload::play(record, trouble),
+        _ => Err(format!("no such case: {case}")),
+    }
+}
