Watchdog: an event loop without progress is told, then ended

A process in that state logs nothing, no metric can be read, and as it does not end, the platform does not start it again.

Sight: a thread of its own ticks each second and logs, from the third tick without a beat of the event loop on, what the loop is doing (a task, a job, the placement plan, the chain search); after ten it ends the process with code 70. It counts ticks and not time, so a stop with SIGSTOP, or a frozen machine, costs one tick. `jacinthweir_plans_total`, `jacinthweir_plan_ms_total` and a line for a plan of 100 ms or more tell of plans that end.

--- a/kernel/src/lib.rs
+++ b/kernel/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod reply;
 pub mod settings;
 pub mod stats;
+pub mod watchdog;
 
 pub use error::KernelError;
 pub use kernel::Kernel;
--- a/plugins/relay/src/lib.rs
+++ b/plugins/relay/src/lib.rs
@@ -36,11 +36,12 @@
 //! | `reachability` | which runners and services this instance reaches itself |
 //! | `runner_connections` | outcomes of connections to runners |
 //! | `runner_probe` | probes of a single runner, and confirmation of its silence |
-//! | `tasks` | starts and supervises all tasks |
+//! | `tasks`, `activity` | starts and supervises all tasks; what the process is doing, for its watchdog |
 //!
 //! The runtime has one thread, so shared state needs no locks. A [`std::cell::RefCell`] is borrowed
 //! for one decision and never across an await point.
 
+mod activity;
 mod admission;
 mod answer;
 mod attempt;
@@ -86,7 +87,7 @@
 use std::rc::Rc;
 
 use derive_more::{Display, Error};
-use jacinthweir_kernel::{KernelError, fault_point, logs};
+use jacinthweir_kernel::{KernelError, fault_point, logs, watchdog};
 
 use crate::node::Node;
 
@@ -173,6 +174,7 @@
 ) -> Result<DrainOutcome, RelayError> {
     logs::open_stdout(&settings.log, &settings.name).map_err(RelayError::SetUp)?;
     fault_point::open();
+    let heartbeat = watchdog::spawn(activity::describe).map_err(RelayError::SetUp)?;
     let mut signals = shutdown::Signals::open()?;
     let relay = Relay::spawn(settings).await?;
     let first_start = relay.node.settings.first_start;
@@ -186,6 +188,7 @@
         biased;
         task = node.failed_task.wait() => Err(RelayError::TaskEnded { task }),
         outcome = serve => Ok(outcome),
+        never = heartbeat.run() => match never {},
     };
     match &outcome {
         Ok(outcome) => log::info!(ended:% = outcome; "stopped"),
--- a/plugins/relay/src/live_chains.rs
+++ b/plugins/relay/src/live_chains.rs
@@ -15,6 +15,7 @@
 use jacinthweir_policy::relay::silence::{EventGaps, Evidence, SilenceDetector};
 use tokio_util::sync::CancellationToken;
 
+use crate::activity::{self, Activity};
 use crate::admission;
 use crate::contention;
 use crate::node::Node;
@@ -137,7 +138,10 @@
         now: Millis,
     ) -> Vec<Option<Name>> {
         let computed = self.computed.entry(service.clone()).or_default();
-        let update = computed.update(runners, service, engine, now);
+        let update = {
+            let _current = activity::enter(Activity::ChainSearch);
+            computed.update(runners, service, engine, now)
+        };
         let mut replaced = Vec::new();
         for domain in update.changed {
             let chains = self.computed[service].of_domain(domain.as_deref()).to_vec();
--- a/plugins/relay/src/placer.rs
+++ b/plugins/relay/src/placer.rs
@@ -19,6 +19,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
+use crate::activity::{self, Activity};
 use crate::duties;
 use crate::node::Node;
 use crate::tasks::{self, TaskName};
@@ -42,6 +43,9 @@
 /// Time for which a runner gets no further order after one without an answer, in milliseconds.
 const UNANSWERED_BACKOFF_MS: Millis = 1_500;
 
+/// Duration of a plan from which on it is logged, in milliseconds. It delays each event of each stream.
+const LONG_PLAN_MS: Millis = 100;
+
 /// Layer ranges that runners were ordered to hold and do not report yet.
 #[derive(Default)]
 pub(crate) struct Loading(BTreeMap<Name, Pending>);
@@ -249,7 +253,21 @@
     let wanted = loading.0.iter().map(|(id, p)| (id.clone(), p.layers));
     let mut planners = node.planners.borrow_mut();
     let planner = planners.entry(service.clone()).or_default();
-    planner.plan(&runners, service, engine, &wanted.collect(), now)
+    let moves = {
+        let _current = activity::enter(Activity::PlacementPlan);
+        planner.plan(&runners, service, engine, &wanted.collect(), now)
+    };
+    note_duration(service, node.now().saturating_sub(now));
+    moves
+}
+
+/// Records how long a plan took; all requests of this instance waited meanwhile.
+fn note_duration(service: &Name, ms: Millis) {
+    metrics::counter!("jacinthweir_plans_total").increment(1);
+    metrics::counter!("jacinthweir_plan_ms_total").increment(ms);
+    if ms >= LONG_PLAN_MS {
+        log::warn!(service = service.as_ref(), ms; "a placement plan took long");
+    }
 }
 
 async fn send_order(node: &Node, engine: &Engine, term: u64, m: &Move) {
--- a/plugins/relay/src/tasks.rs
+++ b/plugins/relay/src/tasks.rs
@@ -8,7 +8,9 @@
 
 use std::any::Any;
 use std::cell::Cell;
+use std::future::poll_fn;
 use std::panic::AssertUnwindSafe;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -18,6 +20,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::activity::{self, Activity};
 use crate::node::Node;
 
 /// Pause before a task starts again. If it panicked at once each time, an immediate start would occupy
@@ -204,7 +207,7 @@
 }
 
 async fn run_job(job: Job, work: impl Future<Output = ()>) {
-    if let End::Panicked(what) = run_to_end(work).await {
+    if let End::Panicked(what) = run_to_end(Activity::Job(job), work).await {
         log::error!(task:% = job, what; "a task panicked");
         count_end(&job);
     }
@@ -219,7 +222,7 @@
     let mut restarts = 0;
     loop {
         let run = async { start(Rc::clone(&node)).await };
-        let run = run_to_end(with_fault_point(&node, name, run));
+        let run = run_to_end(Activity::Task(name), with_fault_point(&node, name, run));
         let Some(end) = stop.run_until_cancelled(run).await else {
             return;
         };
@@ -234,10 +237,15 @@
     }
 }
 
-/// Runs a task until it returns or panics.
-async fn run_to_end(task: impl Future<Output = ()>) -> End {
+/// Runs a task until it returns or panics. `activity` is current while it is polled.
+async fn run_to_end(activity: Activity, task: impl Future<Output = ()>) -> End {
+    let mut task = pin!(task);
+    let named = poll_fn(|cx| {
+        let _current = activity::enter(activity);
+        task.as_mut().poll(cx)
+    });
     // The state that a panic leaves torn is dealt with by the caller: see `TaskName::on_end`.
-    match AssertUnwindSafe(task).catch_unwind().await {
+    match AssertUnwindSafe(named).catch_unwind().await {
         Ok(()) => End::Returned,
         Err(panic) => End::Panicked(panic_text(&*panic)),
     }
