Entries: layers out of range name no runner, and a plan's work is bounded

The instance that gives orders answers nothing any more, its lease runs out, the next one follows, until no process answers.

Cause: the placement plan walks through each layer that an entry lists, and the list came from the store as it was written. The search for chains clipped ranges to the model, the plan did not.

An entry that lists layers beyond the model of its service names no runner, in plans and in chains. Each such entry is logged and counted once (`jacinthweir_entries_rejected_total`). Besides, whatever the input is: the plan counts holders by layer in place of asking each runner about each layer, has 40 million visits and no moves beyond that; the search for chains has as many extensions and a million paths, and keeps the chains that it has.

Tests: `entries_far_beyond_the_model_name_no_runner_and_stop_nobody` (real sockets), `ranges_beyond_the_model_take_no_work`, `a_plan_that_takes_too_much_work_is_given_up_once`, `a_search_over_entries_that_all_differ_ends_with_the_chains_it_has`.

--- a/plugins/relay/src/dump.rs
+++ b/plugins/relay/src/dump.rs
@@ -1,6 +1,7 @@
 //! State dump for operators.
 
 use jacinthweir_policy::relay::chain::Stage;
+use jacinthweir_policy::relay::held_range::HeldRange;
 use jacinthweir_policy::relay::runners::{RunnerEntry, Runners};
 use jacinthweir_wire::relay::{ChainDump, RelayDump, RunnerDump, StageDump};
 
@@ -61,7 +62,7 @@
         address: entry.address,
         domain: entry.domain.clone(),
         kind: entry.kind.clone(),
-        layers: entry.layers,
+        layers: entry.layers.map(HeldRange::bounds),
         draining: entry.draining,
         dead: health.dead,
         unreachable: runners.is_unreachable(&entry.id),
--- a/plugins/relay/src/lib.rs
+++ b/plugins/relay/src/lib.rs
@@ -13,6 +13,7 @@
 //! | `watch` | watches the store for the configuration and the runners |
 //! | `start` | takes the runners over from another instance at the start |
 //! | `runner_changes` | changes of runners, on their way from the store to all instances |
+//! | `rejected_entries` | entries that name no runner to use |
 //! | `messages` | messages between instances, and their transport |
 //! | `duties` | tasks done on behalf of others, and by whom |
 //! | `peers` | anti-entropy exchanges with other instances |
@@ -64,6 +65,7 @@
 mod quarantine;
 mod rate_limits;
 mod reachability;
+mod rejected_entries;
 mod request;
 mod rest;
 mod retry_budgets;
--- a/plugins/relay/src/live_chains.rs
+++ b/plugins/relay/src/live_chains.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 
 use jacinthweir_policy::prelude::*;
-use jacinthweir_policy::relay::chain::{Chain, ServiceChains, Stage};
+use jacinthweir_policy::relay::chain::{Chain, MAX_STEPS, ServiceChains, Stage};
 use jacinthweir_policy::relay::chain_selection::{
     self, ChainCandidate, FormerOccupancy, RefusalBackoff,
 };
@@ -142,6 +142,9 @@
             let _current = activity::enter(Activity::ChainSearch);
             computed.update(runners, service, engine, now)
         };
+        if update.search_steps >= MAX_STEPS {
+            log::error!(service = service.as_ref(); "a search for chains takes too much work");
+        }
         let mut replaced = Vec::new();
         for domain in update.changed {
             let chains = self.computed[service].of_domain(domain.as_deref()).to_vec();
--- a/plugins/relay/src/node.rs
+++ b/plugins/relay/src/node.rs
@@ -38,7 +38,9 @@
 use crate::contention::Contention;
 use crate::live_chains::Chains;
 use crate::placer::Loading;
+use crate::rejected_entries::RejectedEntries;
 use crate::retry_budgets::RetryBudgets;
+use crate::runner_changes;
 use crate::runner_connections::RunnerConnections;
 use crate::settings::RelaySettings;
 use crate::start::LastCopy;
@@ -87,6 +89,8 @@
     pub(crate) configuration_revision: Cell<Option<Revision>>,
     pub(crate) config_confirmation: RefCell<ConfigConfirmation>,
     pub(crate) runners: RefCell<Runners>,
+    /// Entries that name no runner to use.
+    pub(crate) rejected_entries: RejectedEntries,
     /// Whether the most recently completed call to the store got an answer.
     pub(crate) reaches_store: Cell<bool>,
     /// Era of the store that this instance knows. A restore from an older copy begins a new era.
@@ -224,6 +228,7 @@
             planners: RefCell::default(),
             retry_budgets: RetryBudgets::new(retry_budget, settings.first_start),
             queue: RefCell::default(),
+            rejected_entries: RejectedEntries::default(),
             release_rate: RefCell::default(),
             shortage: RefCell::default(),
             contention: Contention::new(settings.contention.clone()),
@@ -313,6 +318,7 @@
                 outdated.in_force(version, self.now());
                 self.outdated.set(outdated);
                 self.gossip_due.notify_one();
+                runner_changes::note_misfits(self, self.runners.borrow().entries());
                 self.rebuild_chains();
             }
             VersionOrder::Same => {}
--- a/plugins/relay/src/placer.rs
+++ b/plugins/relay/src/placer.rs
@@ -13,6 +13,7 @@
 use jacinthweir_platform::runner::{self, Accepted, RunnerError};
 use jacinthweir_platform::store::{Object, StoreError};
 use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::relay::held_range::HeldRange;
 use jacinthweir_policy::relay::intent::Engine;
 use jacinthweir_policy::relay::lease::{Grant, LeaseStep};
 use jacinthweir_policy::relay::placement::Move;
@@ -247,16 +248,21 @@
         let Some(entry) = runners.entry(id) else {
             return false;
         };
-        let done = entry.layers == Some(pending.layers);
+        let done = entry.layers.map(HeldRange::bounds) == Some(pending.layers);
         entry.born_ms == pending.born_ms && !done && now < pending.until_ms
     });
     let wanted = loading.0.iter().map(|(id, p)| (id.clone(), p.layers));
     let mut planners = node.planners.borrow_mut();
     let planner = planners.entry(service.clone()).or_default();
+    let given_up = planner.given_up();
     let moves = {
         let _current = activity::enter(Activity::PlacementPlan);
         planner.plan(&runners, service, engine, &wanted.collect(), now)
     };
+    if planner.given_up() > given_up {
+        metrics::counter!("jacinthweir_plans_given_up_total").increment(1);
+        log::error!(service = service.as_ref(); "a placement plan takes too much work: no orders");
+    }
     note_duration(service, node.now().saturating_sub(now));
     moves
 }
--- a/plugins/relay/src/runner_changes.rs
+++ b/plugins/relay/src/runner_changes.rs
@@ -13,6 +13,7 @@
 use jacinthweir_platform::store::{Changes, Object};
 use jacinthweir_policy::member::MemberState;
 use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::relay::held_range::HeldRange;
 use jacinthweir_policy::relay::rendezvous::Candidate;
 use jacinthweir_policy::relay::revision::Revision;
 use jacinthweir_policy::relay::runners::RunnerEntry;
@@ -34,7 +35,7 @@
 /// Applies changes that a watch returned, before which there was none since the revision `since`, and sends them to the instances
 /// that this one notifies.
 pub(crate) fn observe(node: &Node, since: Revision, changes: Changes) {
-    let batch = change_batch(since, changes);
+    let batch = change_batch(node, since, changes);
     log_batch(node, &batch);
     if apply_batch(node, &batch) && !batch.changes.is_empty() {
         notify_domains(node, batch);
@@ -112,7 +113,7 @@
 }
 
 /// Returns the changes that a watch returned, before which there was none since the revision `since`.
-fn change_batch(since: Revision, changes: Changes) -> ChangeBatch {
+fn change_batch(node: &Node, since: Revision, changes: Changes) -> ChangeBatch {
     let until = changes.revision;
     let mut newest = Revision::default();
     let mut decoded = Vec::with_capacity(changes.changes.len());
@@ -122,7 +123,7 @@
             // The object carries its last revision, which is older than the deletion.
             newest = newest.max(until);
             decoded.push(RunnerChange::Gone(change.object.meta.name.clone()));
-        } else if let Some(entry) = decode(&change.object) {
+        } else if let Some(entry) = decode(node, &change.object) {
             decoded.push(RunnerChange::Put(entry));
         }
     }
@@ -152,8 +153,12 @@
         match change {
             RunnerChange::Gone(id) => {
                 log::info!(runner = id.as_ref(); "runner is gone from the store");
+                node.rejected_entries.forget(id);
+            }
+            RunnerChange::Put(entry) => {
+                log_entry(node, entry);
+                note_misfits(node, [entry]);
             }
-            RunnerChange::Put(entry) => log_entry(node, entry),
         }
     }
 }
@@ -190,7 +195,7 @@
     if old == Some(entry) {
         return;
     }
-    let (from, to) = entry.layers.unwrap_or_default();
+    let (from, to) = entry.layers.map_or((0, 0), HeldRange::bounds);
     log::info!(
         runner = entry.id.as_ref(),
         address:% = entry.address,
@@ -202,14 +207,33 @@
     );
 }
 
-/// Decodes a runner's entry, or logs why it cannot be decoded.
-pub(crate) fn decode(object: &Object) -> Option<RunnerEntry> {
-    match runner::decode_entry(&object.meta.name, &object.spec) {
+/// Decodes a runner's entry; `None` if it names no runner to use.
+pub(crate) fn decode(node: &Node, object: &Object) -> Option<RunnerEntry> {
+    let name = &object.meta.name;
+    match runner::decode_entry(name, &object.spec) {
         Ok(entry) => Some(entry),
-        Err(e) => {
-            let name: &Name = &object.meta.name;
-            log::warn!(runner = name.as_ref(), cause:% = e; "cannot decode a runner's entry");
+        Err(cause) => {
+            node.rejected_entries.record(name, &cause);
             None
         }
     }
 }
+
+/// Records which of `entries` list layers that the model of their service has not. They name no runner
+/// to use under the configuration in force.
+pub(crate) fn note_misfits<'a>(node: &Node, entries: impl IntoIterator<Item = &'a RunnerEntry>) {
+    let Some(intent) = node.intent() else {
+        return;
+    };
+    for entry in entries {
+        let service = intent.services.get(&entry.service);
+        let layers = service.and_then(|s| s.engine.as_ref()).map(|e| e.layers);
+        match (layers, entry.layers) {
+            (Some(layers), Some(held)) if !entry.fits_model(layers) => {
+                let cause = format!("layers {held} of a model of {layers}");
+                node.rejected_entries.record(&entry.id, &cause);
+            }
+            _ => node.rejected_entries.forget(&entry.id),
+        }
+    }
+}
--- a/plugins/relay/src/watch.rs
+++ b/plugins/relay/src/watch.rs
@@ -311,7 +311,7 @@
     let entries = listed
         .objects
         .iter()
-        .filter_map(runner_changes::decode)
+        .filter_map(|object| runner_changes::decode(node, object))
         .collect();
     replace_runners(node, entries, listed.revision, newest, may_lack_entries);
 }
@@ -334,6 +334,7 @@
     }
     runners.replace(entries, now);
     drop(runners);
+    runner_changes::note_misfits(node, node.runners.borrow().entries());
     node.runners_progress.set(RunnersProgress::listed(as_of));
     node.runners_listed.set(true);
     node.rebuild_chains();
--- a/plugins/relay/tests/relay.rs
+++ b/plugins/relay/tests/relay.rs
@@ -4,6 +4,8 @@
 // A panic in a task of a test fails the test where it is awaited.
 #![allow(clippy::disallowed_methods)]
 
+#[path = "relay/absurd_entries.rs"]
+mod absurd_entries;
 #[path = "relay/answers_without_end.rs"]
 mod answers_without_end;
 #[path = "relay/configuration.rs"]
--- a/policy/examples/relay_cost.rs
+++ b/policy/examples/relay_cost.rs
@@ -15,6 +15,7 @@
 use argh::FromArgs;
 use jacinthweir_policy::relay::chain::{ServiceChains, chains};
 use jacinthweir_policy::relay::chain_selection::{ChainCandidate, MAX_FILL, select};
+use jacinthweir_policy::relay::held_range::HeldRange;
 use jacinthweir_policy::relay::placement::Planner;
 use jacinthweir_policy::relay::runners::Runners;
 use support::{SERVICE, apply_moves, engine, runner};
@@ -118,7 +119,7 @@
     });
     let registered = update(&|r| {
         let mut entry = runner("runner-new", "domain-0", KINDS[0]);
-        entry.layers = Some((0, 40));
+        entry.layers = HeldRange::new(0, 40).ok();
         r.put(&entry);
     });
     let slow = update(&|r| {
--- a/policy/src/relay.rs
+++ b/policy/src/relay.rs
@@ -7,6 +7,7 @@
 //! | [`store_watch`] | how often an instance calls the store, and which instances watch it for others |
 //! | [`confirmation`] | whether the configuration is confirmed recently enough to act on it |
 //! | [`runners`] | entries and health of the runners |
+//! | [`held_range`] | (a type) a range of layers that a runner holds |
 //! | [`revision`] | (a type) a revision of the store |
 //! | [`chain`] | which runners form a chain that runs all layers of a model |
 //! | [`placement`] | which runner holds which layers |
@@ -31,6 +32,7 @@
 pub mod confirmation;
 pub mod contention;
 pub mod failure_reports;
+pub mod held_range;
 pub mod intent;
 pub mod lease;
 pub mod load_shedding;
--- a/policy/src/relay/chain.rs
+++ b/policy/src/relay/chain.rs
@@ -17,7 +17,7 @@
 mod service_chains;
 
 pub use decomposition::{ChainSet, chain_set, throughput};
-pub use search::ChainSearch;
+pub use search::{ChainSearch, MAX_STEPS};
 pub use service_chains::{ChainUpdate, ServiceChains};
 
 use crate::prelude::*;
@@ -127,7 +127,7 @@
     engine: &Engine,
     now: Millis,
 ) -> Option<Holder<'a>> {
-    let holds = runners.holds_layers(entry, now);
+    let holds = entry.fits_model(engine.layers) && runners.holds_layers(entry, now);
     holds.then(|| holder(entry, engine, &runners.health(&entry.id), now))?
 }
 
@@ -138,8 +138,7 @@
     now: Millis,
 ) -> Option<Holder<'a>> {
     let kind = engine.kinds.get(entry.kind.as_ref()?)?;
-    let (from, to) = entry.layers?;
-    let layers = (from, to.min(engine.layers));
+    let layers = entry.layers?.bounds();
     let share = 1.0 / f64::from(engine.layers);
     Some(Holder {
         entry,
--- a/policy/src/relay/chain/search.rs
+++ b/policy/src/relay/chain/search.rs
@@ -71,6 +71,12 @@
     };
 }
 
+/// Maximum number of path extensions of all searches over a set of holders, and of paths that a search holds
+/// at a time. Entries of other writers that differ from each other make as many groups as they are; with
+/// more of them the search ends with the chains that it has.
+pub const MAX_STEPS: u64 = 40_000_000;
+const MAX_PATHS: usize = 1 << 20;
+
 /// The best known paths to each boundary, by group.
 #[derive(Debug)]
 struct Paths {
@@ -162,14 +168,22 @@
 
     /// Returns the cheapest paths to all boundaries.
     fn search(&mut self) -> Paths {
-        let boundaries = self.boundaries();
+        let mut boundaries = self.boundaries();
+        if boundaries.len() * self.groups.len() > MAX_PATHS {
+            self.steps = MAX_STEPS;
+        }
+        if self.steps >= MAX_STEPS {
+            boundaries = vec![self.layers];
+        }
         let none = vec![Path::NONE; self.groups.len()];
         let mut paths = Paths {
             by_boundary: vec![none; boundaries.len()],
             boundaries,
         };
         for at in 0..paths.boundaries.len() - 1 {
-            self.extend_paths(&mut paths, at);
+            if self.steps < MAX_STEPS {
+                self.extend_paths(&mut paths, at);
+            }
         }
         paths
     }
--- a/policy/src/relay/placement.rs
+++ b/policy/src/relay/placement.rs
@@ -20,15 +20,19 @@
 //! a domain is planned for is lowered in steps until the model fits: after the loss of many runners
 //! a domain with little room still serves more requests than one without a complete chain.
 
+mod coverage;
 mod holes;
 mod second_copies;
+mod work;
 
 use std::collections::BTreeMap;
 
 use self::holes::{fill_holes, lay_out};
 use self::second_copies::{add_second_copies, relieve_overfull};
+use self::work::WorkBudget;
 use crate::prelude::*;
 use crate::relay::chain::{Holder, chain_set, cheapest_chain};
+use crate::relay::held_range::HeldRange;
 use crate::relay::intent::{Accelerator, ChainObjective, Engine};
 use crate::relay::runners::{RunnerEntry, Runners};
 
@@ -83,9 +87,9 @@
 }
 
 impl PlannedRunner<'_> {
-    fn covers(&self, layer: u32) -> bool {
-        self.layers
-            .is_some_and(|(from, to)| from <= layer && layer < to)
+    /// Whether it keeps the layers that it has.
+    fn stays(&self) -> bool {
+        !self.busy && self.moved.is_none()
     }
 
     fn held_layers(&self) -> u32 {
@@ -117,6 +121,24 @@
     /// Inputs of the last plan of each domain, if it had no moves.
     idle: BTreeMap<Name, PlanInputs>,
     domains_planned: u64,
+    given_up: u64,
+    most_work: u64,
+}
+
+/// What the plan of a failure domain is made with.
+#[derive(Debug)]
+struct PlanContext<'a> {
+    engine: &'a Engine,
+    work: WorkBudget,
+}
+
+impl<'a> PlanContext<'a> {
+    fn new(engine: &'a Engine) -> PlanContext<'a> {
+        PlanContext {
+            engine,
+            work: WorkBudget::new(),
+        }
+    }
 }
 
 /// A runner and the layer range that it has been ordered to hold.
@@ -139,6 +161,19 @@
         self.domains_planned
     }
 
+    /// Returns how many plans of a failure domain were given up, because they took too much work.
+    #[must_use]
+    pub fn given_up(&self) -> u64 {
+        self.given_up
+    }
+
+    /// Returns the most work that the plan of a failure domain took so far, in visits of a layer or
+    /// runner.
+    #[must_use]
+    pub fn most_work(&self) -> u64 {
+        self.most_work
+    }
+
     /// Returns the next moves, as [`plan`] does.
     pub fn plan(
         &mut self,
@@ -171,8 +206,14 @@
             }
             let inputs = plan_inputs(runners, domain, pending, now);
             let planned = planned_runners(runners, domain, service, engine, loading, now);
-            let of_domain = plan_around_slow(&planned, engine, inputs.settled);
+            let cx = PlanContext::new(engine);
+            let mut of_domain = plan_around_slow(&planned, &cx, inputs.settled);
             self.domains_planned += 1;
+            self.most_work = self.most_work.max(cx.work.spent());
+            if cx.work.is_exhausted() {
+                of_domain.clear();
+                self.given_up += 1;
+            }
             match of_domain.is_empty() {
                 true => self.idle.insert(domain.clone(), inputs),
                 false => self.idle.remove(domain),
@@ -218,7 +259,8 @@
     now: Millis,
 ) -> Vec<PlannedRunner<'a>> {
     let mut planned = Vec::new();
-    for entry in runners.in_domain(domain).filter(|e| *e.service == *service) {
+    let of_service = runners.in_domain(domain).filter(|e| *e.service == *service);
+    for entry in of_service.filter(|e| e.fits_model(engine.layers)) {
         let kind = entry.kind.as_ref().and_then(|k| engine.kinds.get(k));
         let Some(mut kind) = kind.copied().filter(|_| runners.usable(entry, now)) else {
             continue;
@@ -230,7 +272,7 @@
         planned.push(PlannedRunner {
             entry,
             kind,
-            layers: pending.or(reported),
+            layers: pending.or(reported.map(HeldRange::bounds)),
             busy: pending.is_some(),
             slow: slowness >= SLOW_FACTOR,
             moved: None,
@@ -249,21 +291,25 @@
 /// them, and prompts queue there until the time-to-first-token objective is missed, although other
 /// runners have memory for their layers. Slow runners keep their layers and are usable again as
 /// soon as they recover.
-fn plan_around_slow(planned: &[PlannedRunner<'_>], engine: &Engine, settled: bool) -> Vec<Move> {
+fn plan_around_slow(
+    planned: &[PlannedRunner<'_>],
+    cx: &PlanContext<'_>,
+    settled: bool,
+) -> Vec<Move> {
     if planned.iter().any(|s| s.slow) {
         let quick: Vec<PlannedRunner<'_>> = planned.iter().filter(|s| !s.slow).cloned().collect();
-        match plan_copies(&quick, engine, false) {
-            Some(moves) if moves.is_empty() || improves_chain(planned, &moves, engine) => {
+        match plan_copies(&quick, cx, false) {
+            Some(moves) if moves.is_empty() || improves_chain(planned, &moves, cx) => {
                 return moves;
             }
             _ => {}
         }
-        let moves = take_over(&quick, engine);
-        if improves_chain(planned, &moves, engine) {
+        let moves = take_over(&quick, cx);
+        if improves_chain(planned, &moves, cx) {
             return moves;
         }
     }
-    plan_copies(planned, engine, settled).unwrap_or_default()
+    plan_copies(planned, cx, settled).unwrap_or_default()
 }
 
 /// Maximum ratio of the step time after moves that bypass slow runners to the present one. Such
@@ -272,26 +318,23 @@
 
 /// Returns whether the moves reduce the step time of the best chain to [`MAX_STEP_RATIO`] of the
 /// present one or less, or make a chain complete where there was none.
-fn improves_chain(planned: &[PlannedRunner<'_>], moves: &[Move], engine: &Engine) -> bool {
+fn improves_chain(planned: &[PlannedRunner<'_>], moves: &[Move], cx: &PlanContext<'_>) -> bool {
     let mut moved = planned.to_vec();
     for runner in &mut moved {
         if let Some(m) = moves.iter().find(|m| m.runner == runner.entry.id) {
             runner.layers = Some(m.layers);
         }
     }
-    match (best_step_ms(planned, engine), best_step_ms(&moved, engine)) {
+    match (best_step_ms(planned, cx), best_step_ms(&moved, cx)) {
         (Some(before), Some(after)) => after <= before * MAX_STEP_RATIO,
         (None, Some(_)) => true,
         (_, None) => false,
     }
 }
 
-fn best_step_ms(planned: &[PlannedRunner<'_>], engine: &Engine) -> Option<f64> {
-    let holders: Vec<Holder<'_>> = planned
-        .iter()
-        .filter_map(|s| as_holder(s, engine))
-        .collect();
-    cheapest_chain(&holders, engine.layers).map(|chain| chain.step_ms)
+fn best_step_ms(planned: &[PlannedRunner<'_>], cx: &PlanContext<'_>) -> Option<f64> {
+    let holders: Vec<Holder<'_>> = planned.iter().filter_map(|s| as_holder(s, cx)).collect();
+    cheapest_chain(&holders, cx.engine.layers).map(|chain| chain.step_ms)
 }
 
 /// Minimum share of the declared room when runners take over layers of slow ones. A chain with a
@@ -300,10 +343,10 @@
 
 /// Returns moves by which runners at normal speed take over layers that only slow ones hold, as
 /// many as fit. The delay that a slow stage adds to each pass is proportional to its layers.
-fn take_over(quick: &[PlannedRunner<'_>], engine: &Engine) -> Vec<Move> {
+fn take_over(quick: &[PlannedRunner<'_>], cx: &PlanContext<'_>) -> Vec<Move> {
     let mut planned = quick.to_vec();
     // A partial take-over improves_chain the pass as well.
-    let _complete = fill_holes(&mut planned, engine, engine.room_tokens * TAKE_OVER_ROOM);
+    let _complete = fill_holes(&mut planned, cx, cx.engine.room_tokens * TAKE_OVER_ROOM);
     planned.iter().filter_map(as_move).collect()
 }
 
@@ -315,21 +358,25 @@
 /// Returns the moves that give a domain as many copies of the model as it can hold, or `None` if it
 /// has no complete chain after them. `settled` states that all live runners are known and none was
 /// lost within [`LOSS_CONFIRM_MS`]; only then may the whole domain be laid out anew.
-fn plan_copies(planned: &[PlannedRunner<'_>], engine: &Engine, settled: bool) -> Option<Vec<Move>> {
+fn plan_copies(
+    planned: &[PlannedRunner<'_>],
+    cx: &PlanContext<'_>,
+    settled: bool,
+) -> Option<Vec<Move>> {
     let mut pool = planned.to_vec();
     let mut placed = Vec::new();
-    take_chains(&mut pool, &mut placed, engine);
-    while let Some(filled) = next_copy(&pool, engine, placed.is_empty(), settled) {
+    take_chains(&mut pool, &mut placed, cx);
+    while let Some(filled) = next_copy(&pool, cx, placed.is_empty(), settled) {
         pool = filled;
-        if !take_chains(&mut pool, &mut placed, engine) {
+        if !take_chains(&mut pool, &mut placed, cx) {
             break;
         }
     }
     let chained = placed.len();
     placed.extend(pool);
     if chained > 0 {
-        add_second_copies(&mut placed, engine, engine.room_tokens);
-        relieve_overfull(&mut placed, chained, engine);
+        add_second_copies(&mut placed, cx, cx.engine.room_tokens);
+        relieve_overfull(&mut placed, chained, cx);
     }
     let moves = placed.iter().filter_map(as_move).collect();
     (chained > 0).then_some(moves)
@@ -340,11 +387,11 @@
 fn take_chains<'a>(
     pool: &mut Vec<PlannedRunner<'a>>,
     placed: &mut Vec<PlannedRunner<'a>>,
-    engine: &Engine,
+    cx: &PlanContext<'_>,
 ) -> bool {
-    let holders: Vec<Holder<'_>> = pool.iter().filter_map(|s| as_holder(s, engine)).collect();
+    let holders: Vec<Holder<'_>> = pool.iter().filter_map(|s| as_holder(s, cx)).collect();
     let mut chain_of: BTreeMap<Name, usize> = BTreeMap::new();
-    let chains = chain_set(&holders, engine).chains;
+    let chains = chain_set(&holders, cx.engine).chains;
     for (i, chain) in chains.iter().enumerate() {
         chain_of.extend(chain.stages.iter().map(|s| (s.runner.id.clone(), i)));
     }
@@ -356,15 +403,15 @@
     !chain_of.is_empty()
 }
 
-fn as_holder<'a>(runner: &PlannedRunner<'a>, engine: &Engine) -> Option<Holder<'a>> {
-    let share = 1.0 / f64::from(engine.layers.max(1));
+fn as_holder<'a>(runner: &PlannedRunner<'a>, cx: &PlanContext<'_>) -> Option<Holder<'a>> {
+    let share = 1.0 / f64::from(cx.engine.layers.max(1));
     Some(Holder {
         entry: runner.entry,
         layers: runner.layers?,
         limited: false,
-        layer_ms: engine.step_ms * runner.kind.pace * share,
-        room: engine.room(&runner.kind, runner.held_layers(), 1),
-        target_room: engine.room_tokens,
+        layer_ms: cx.engine.step_ms * runner.kind.pace * share,
+        room: cx.engine.room(&runner.kind, runner.held_layers(), 1),
+        target_room: cx.engine.room_tokens,
     })
 }
 
@@ -373,25 +420,21 @@
 /// runner can take the missing layers.
 fn next_copy<'a>(
     pool: &[PlannedRunner<'a>],
-    engine: &Engine,
+    cx: &PlanContext<'_>,
     first: bool,
     settled: bool,
 ) -> Option<Vec<PlannedRunner<'a>>> {
     let least = if first { 0.0 } else { MIN_FURTHER_COPY_ROOM };
-    let most = if first {
-        max_room_share(pool, engine)
-    } else {
-        1.0
-    };
+    let most = if first { max_room_share(pool, cx) } else { 1.0 };
     let shares = ROOM_STEPS.into_iter();
     let shares = shares.filter(|s| (least..=most).contains(s));
     let copy = |share: f64, assign: AssignFn| {
         let mut tried = pool.to_vec();
-        assign(&mut tried, engine, engine.room_tokens * share).then_some(tried)
+        assign(&mut tried, cx, cx.engine.room_tokens * share).then_some(tried)
     };
     let filled = shares.clone().find_map(|share| {
         let filled = copy(share, fill_holes)?;
-        Some(match engine.chain_objective {
+        Some(match cx.engine.chain_objective {
             ChainObjective::Fastest => filled,
             ChainObjective::Throughput => {
                 with_more_room(filled, |raise| copy(share * (1.0 + raise), fill_holes))
@@ -423,15 +466,17 @@
 
 /// Assigns every layer to a holder with room for the given number of tokens; returns whether that
 /// succeeded.
-type AssignFn = fn(&mut [PlannedRunner<'_>], &Engine, f64) -> bool;
+type AssignFn = fn(&mut [PlannedRunner<'_>], &PlanContext<'_>, f64) -> bool;
 
 /// Returns the largest share of the declared room that a domain may be planned for. A share above 1
 /// must allow as many copies as a share of 1, with [`SPARE_SHARE`] left for second holders.
-fn max_room_share(pool: &[PlannedRunner<'_>], engine: &Engine) -> f64 {
+fn max_room_share(pool: &[PlannedRunner<'_>], cx: &PlanContext<'_>) -> f64 {
     let copies = |share: f64| {
-        let tokens = engine.room_tokens * share;
-        let places = pool.iter().map(|s| engine.layers_beside(&s.kind, tokens));
-        f64::from(places.sum::<u32>()) / f64::from(engine.layers.max(1))
+        let tokens = cx.engine.room_tokens * share;
+        let places = pool
+            .iter()
+            .map(|s| cx.engine.layers_beside(&s.kind, tokens));
+        f64::from(places.sum::<u32>()) / f64::from(cx.engine.layers.max(1))
     };
     let declared = copies(1.0).floor();
     let fits = |share: &f64| copies(*share) >= declared + SPARE_SHARE;
--- a/policy/src/relay/placement/second_copies.rs
+++ b/policy/src/relay/placement/second_copies.rs
@@ -1,17 +1,22 @@
 //! Second holders for layers that have one, or only holders that are slow or short of room.
 
-use super::{MoveReason, PlannedRunner};
-use crate::relay::intent::{Accelerator, Engine};
+use super::coverage::Coverage;
+use super::{MoveReason, PlanContext, PlannedRunner};
+use crate::relay::intent::Accelerator;
 
 /// Assigns to each empty runner the range for which a further holder has the highest gain. Of equal
 /// ranges the last one is taken, where the many small runners have their small ranges.
-pub(super) fn add_second_copies(planned: &mut [PlannedRunner<'_>], engine: &Engine, tokens: f64) {
+pub(super) fn add_second_copies(
+    planned: &mut [PlannedRunner<'_>],
+    cx: &PlanContext<'_>,
+    tokens: f64,
+) {
     for i in 0..planned.len() {
         if planned[i].layers.is_some() || planned[i].busy {
             continue;
         }
-        let count = engine.layers_beside(&planned[i].kind, tokens);
-        let Some(range) = best_range(planned, engine, &planned[i].kind, count) else {
+        let count = cx.engine.layers_beside(&planned[i].kind, tokens);
+        let Some(range) = best_range(planned, cx, &planned[i].kind, count) else {
             continue;
         };
         planned[i].layers = Some(range);
@@ -25,51 +30,70 @@
 /// When it returns, their layers have two holders each; without this step they would keep their
 /// ranges, and the domain would refuse requests for lack of room permanently. Each move gives at
 /// least one more layer a holder with sufficient room and takes none away, so the moves terminate.
-pub(super) fn relieve_overfull(planned: &mut [PlannedRunner<'_>], chained: usize, engine: &Engine) {
-    if !planned.iter().any(|s| is_overfull(s, engine)) {
+pub(super) fn relieve_overfull(
+    planned: &mut [PlannedRunner<'_>],
+    chained: usize,
+    cx: &PlanContext<'_>,
+) {
+    if !planned.iter().any(|s| is_overfull(s, cx)) {
         return;
     }
     for i in chained..planned.len() {
-        if !can_move_away(planned, i, engine) {
+        if !can_move_away(planned, i, cx) {
             continue;
         }
-        let short = |layer: u32| {
-            let mut holders = planned.iter().filter(|s| s.covers(layer)).peekable();
-            holders.peek().is_some() && holders.all(|s| is_overfull(s, engine))
-        };
-        let short: Vec<bool> = (0..engine.layers).map(short).collect();
-        let count = engine.layers_beside(&planned[i].kind, engine.room_tokens);
-        let count = count.clamp(1, engine.layers);
-        let relieved = |from: &u32| {
-            let range = *from as usize..(*from + count) as usize;
-            short[range].iter().filter(|s| **s).count()
-        };
-        let best = (0..=engine.layers - count).max_by_key(relieved);
-        if let Some(from) = best.filter(|from| relieved(from) > 0) {
+        let count = cx
+            .engine
+            .layers_beside(&planned[i].kind, cx.engine.room_tokens);
+        let count = count.clamp(1, cx.engine.layers);
+        if let Some(from) = most_relieved(planned, count, cx) {
             planned[i].layers = Some((from, from + count));
             planned[i].moved = Some(MoveReason::SecondCopy);
         }
     }
 }
 
+/// Returns the first layer of the range of `count` layers with the most layers whose holders are all
+/// short of room; `None` if there is no such layer.
+fn most_relieved(planned: &[PlannedRunner<'_>], count: u32, cx: &PlanContext<'_>) -> Option<u32> {
+    let layers = cx.engine.layers;
+    if !cx.work.spend(2 * (planned.len() + layers as usize)) {
+        return None;
+    }
+    let all = Coverage::of(planned, layers, |_| true);
+    let overfull = Coverage::of(planned, layers, |s| is_overfull(s, cx));
+    let is_short = |layer: u32| {
+        let holders = all.holders(layer);
+        holders > 0 && holders == overfull.holders(layer)
+    };
+    // Number of such layers before each layer.
+    let mut before = vec![0_u32];
+    for layer in 0..layers {
+        before.push(before[layer as usize] + u32::from(is_short(layer)));
+    }
+    let relieved = |from: &u32| before[(*from + count) as usize] - before[*from as usize];
+    let best = (0..=layers - count).max_by_key(relieved);
+    best.filter(|from| relieved(from) > 0)
+}
+
 /// Returns whether another runner without a move in progress holds each layer of this one, with
 /// sufficient room unless this one is short of room too.
-fn can_move_away(planned: &[PlannedRunner<'_>], index: usize, engine: &Engine) -> bool {
+fn can_move_away(planned: &[PlannedRunner<'_>], index: usize, cx: &PlanContext<'_>) -> bool {
     let runner = &planned[index];
-    let Some((from, to)) = runner
-        .layers
-        .filter(|_| !runner.busy && runner.moved.is_none())
-    else {
+    let Some(layers) = runner.layers.filter(|_| runner.stays()) else {
         return false;
     };
-    let has_room = engine.layers_beside(&runner.kind, engine.room_tokens) > 0;
-    let overfull = is_overfull(runner, engine);
-    let stays = |layer: u32| {
-        let others = planned.iter().enumerate().filter(|(i, _)| *i != index);
-        let mut holders = others.filter(|(_, s)| !s.busy && s.moved.is_none() && s.covers(layer));
-        holders.any(|(_, s)| overfull || !is_overfull(s, engine))
-    };
-    has_room && (from..to).all(stays)
+    let work = planned.len() + cx.engine.layers as usize + runner.held_layers() as usize;
+    if !cx.work.spend(work) {
+        return false;
+    }
+    let has_room = cx.engine.layers_beside(&runner.kind, cx.engine.room_tokens) > 0;
+    let overfull = is_overfull(runner, cx);
+    let stay = Coverage::of(planned, cx.engine.layers, |s| {
+        s.stays() && (overfull || !is_overfull(s, cx))
+    });
+    // The runner itself is one of them.
+    has_room && stay.has_everywhere(layers, 2)
 }
 
 /// Gain of a second holder for a layer with a single one.
@@ -84,19 +108,21 @@
 /// Returns the range of `count` layers for which a holder of `kind` has the highest total gain.
 fn best_range(
     planned: &[PlannedRunner<'_>],
-    engine: &Engine,
+    cx: &PlanContext<'_>,
     kind: &Accelerator,
     count: u32,
 ) -> Option<(u32, u32)> {
-    let count = count.min(engine.layers);
-    if count == 0 {
+    let layers = cx.engine.layers;
+    let count = count.min(layers);
+    let held: u32 = planned.iter().map(PlannedRunner::held_layers).sum();
+    let work = planned.len() + held as usize + layers as usize * (1 + count as usize);
+    if count == 0 || !cx.work.spend(work) {
         return None;
     }
-    let gains: Vec<f64> = (0..engine.layers)
-        .map(|layer| gain(planned, engine, kind, layer))
-        .collect();
+    let holders = holders_by_layer(planned, cx);
+    let gains: Vec<f64> = holders.iter().map(|h| h.gain(kind)).collect();
     let mut best: Option<(f64, u32)> = None;
-    for from in 0..=engine.layers - count {
+    for from in 0..=layers - count {
         let sum: f64 = gains[from as usize..(from + count) as usize].iter().sum();
         if sum > 0.0 && best.is_none_or(|(b, _)| sum >= b) {
             best = Some((sum, from));
@@ -105,22 +131,51 @@
     best.map(|(_, from)| (from, from + count))
 }
 
-/// Returns the gain of one more holder of `kind` for a layer.
-fn gain(planned: &[PlannedRunner<'_>], engine: &Engine, kind: &Accelerator, layer: u32) -> f64 {
-    let holders: Vec<&PlannedRunner<'_>> = planned.iter().filter(|s| s.covers(layer)).collect();
-    let fastest = holders.iter().map(|s| s.kind.pace).min_by(f64::total_cmp);
-    let mut gain = 0.0;
-    if holders.len() == 1 {
-        gain += GAIN_ALONE;
+/// The holders of one layer.
+#[derive(Clone, Copy, Debug, Default)]
+struct LayerHolders {
+    count: u32,
+    overfull: u32,
+    /// Least pace of a holder.
+    fastest: Option<f64>,
+}
+
+impl LayerHolders {
+    /// Returns the gain of one more holder of `kind`.
+    fn gain(&self, kind: &Accelerator) -> f64 {
+        let mut gain = 0.0;
+        if self.count == 1 {
+            gain += GAIN_ALONE;
+        }
+        if self.count > 0 && self.count == self.overfull {
+            gain += GAIN_ROOM;
+        }
+        let faster = |pace| pace / kind.pace.max(1e-3) - 1.0;
+        gain + GAIN_PACE * self.fastest.map_or(0.0, faster).max(0.0)
     }
-    if !holders.is_empty() && holders.iter().all(|s| is_overfull(s, engine)) {
-        gain += GAIN_ROOM;
+}
+
+/// Returns the holders of each layer of the model.
+fn holders_by_layer(planned: &[PlannedRunner<'_>], cx: &PlanContext<'_>) -> Vec<LayerHolders> {
+    let layers = cx.engine.layers as usize;
+    let mut by_layer = vec![LayerHolders::default(); layers];
+    for runner in planned {
+        let Some((from, to)) = runner.layers else {
+            continue;
+        };
+        let to = layers.min(to as usize);
+        let overfull = u32::from(is_overfull(runner, cx));
+        for holders in by_layer.get_mut(from as usize..to).into_iter().flatten() {
+            holders.count += 1;
+            holders.overfull += overfull;
+            let pace = runner.kind.pace;
+            holders.fastest = Some(holders.fastest.map_or(pace, |f| f.min(pace)));
+        }
     }
-    let faster = fastest.map_or(0.0, |pace| pace / kind.pace.max(1e-3) - 1.0);
-    gain + GAIN_PACE * faster.max(0.0)
+    by_layer
 }
 
 /// Returns whether a runner holds more layers than the target room allows.
-fn is_overfull(runner: &PlannedRunner<'_>, engine: &Engine) -> bool {
-    runner.held_layers() > engine.layers_beside(&runner.kind, engine.room_tokens)
+fn is_overfull(runner: &PlannedRunner<'_>, cx: &PlanContext<'_>) -> bool {
+    runner.held_layers() > cx.engine.layers_beside(&runner.kind, cx.engine.room_tokens)
 }
--- a/policy/src/relay/runners.rs
+++ b/policy/src/relay/runners.rs
@@ -12,10 +12,11 @@
 
 use serde::{Deserialize, Serialize};
 
-pub use self::health::{DeathEvidence, NOTABLE_MS, PROBE_INTERVAL_MS, RunnerHealth};
+pub use self::health::{DeathEvidence, NOTABLE_MS, PACES, PROBE_INTERVAL_MS, RunnerHealth};
 use crate::lifetime::Lifetime;
 use crate::prelude::*;
 use crate::quarantine::LifetimeState;
+use crate::relay::held_range::HeldRange;
 use crate::relay::reachability::UnreachableRunners;
 
 /// Entry of a runner in the store, written by the runner.
@@ -35,15 +36,22 @@
     pub born_ms: u64,
     /// Accelerator type.
     pub kind: Option<Name>,
-    /// Range of layers held, the end exclusive.
-    pub layers: Option<(u32, u32)>,
+    /// Range of layers held.
+    pub layers: Option<HeldRange>,
 }
 
 impl RunnerEntry {
+    /// Returns whether it lists no layers beyond the `layers` of the service's model. An entry that does
+    /// comes from another writer and names no runner to use.
+    #[must_use]
+    pub fn fits_model(&self, layers: u32) -> bool {
+        self.layers.is_none_or(|held| held.is_within(layers))
+    }
+
     /// Returns the number of layers held.
     #[must_use]
     pub fn held(&self) -> u32 {
-        self.layers.map_or(0, |(from, to)| to.saturating_sub(from))
+        self.layers.map_or(0, HeldRange::count)
     }
 }
 
--- a/policy/src/relay/runners/health.rs
+++ b/policy/src/relay/runners/health.rs
@@ -1,6 +1,9 @@
 //! Health of one lifetime of a runner, as observed by this instance.
 
+use std::ops::RangeInclusive;
+
 use crate::prelude::*;
+use crate::relay::held_range::HeldRange;
 
 /// Half-life of a runner's failure rate, in milliseconds.
 const FAILURE_HALF_LIFE_MS: f64 = 2_000.0;
@@ -65,7 +68,7 @@
     /// Whether this instance found it dead itself, rather than by a quorum of reports.
     pub found_locally: bool,
     /// Range of layers that its entry still lists although it refused a request for part of it.
-    pub misreported: Option<(u32, u32)>,
+    pub misreported: Option<HeldRange>,
     /// Whether it advertises a rate limit.
     pub limited: bool,
     /// Number of orders that it has accepted, if known.
@@ -88,6 +91,9 @@
     probes: u32,
 }
 
+/// Paces that a runner may report; 1 is the declared speed. One that is a million times slower is of no use.
+pub const PACES: RangeInclusive<f64> = 1e-6..=1e6;
+
 /// Change of a runner's pace from which on chains are rebuilt.
 const PACE_STEP: f64 = 0.5;
 
@@ -209,10 +215,11 @@
         self.pace.map(|(pace, _)| pace)
     }
 
-    /// Records a pace reported at `at_ms`. Returns whether it is newer than the known one and
-    /// differs enough for chains to be rebuilt.
+    /// Records a pace reported at `at_ms`, if it is one of [`PACES`]. Returns whether it is newer than the
+    /// known one and differs enough for chains to be rebuilt.
     pub fn set_pace(&mut self, pace: f64, at_ms: Millis) -> bool {
-        if self.pace.is_some_and(|(_, known_ms)| at_ms <= known_ms) {
+        let is_old = self.pace.is_some_and(|(_, known_ms)| at_ms <= known_ms);
+        if is_old || !PACES.contains(&pace) {
             return false;
         }
         let before = self.slowness();
--- a/policy/src/schema/verify.rs
+++ b/policy/src/schema/verify.rs
@@ -16,8 +16,7 @@
 pub const MAX_ORGANISATIONS: usize = 100_000;
 /// Maximum number of entries of any other list. Bounds the linear scans that resolve references.
 pub const MAX_ENTRIES: usize = 1000;
-/// Maximum number of layers of a model.
-pub const MAX_LAYERS: u32 = 10_000;
+pub use crate::layers::MAX_LAYERS;
 /// Maximum value of a pipeline's `max_tokens`.
 pub const MAX_TOKENS: u32 = 1_000_000;
 /// Maximum default deadline, in milliseconds: one day.
--- a/policy/tests/relay_chain_decomposition.rs
+++ b/policy/tests/relay_chain_decomposition.rs
@@ -12,6 +12,7 @@
     Chain, Holder, ServiceChains, chain_set, chains, disjoint_chains, domain_holders, throughput,
 };
 use jacinthweir_policy::relay::contention::{Mode, scope};
+use jacinthweir_policy::relay::held_range::HeldRange;
 use jacinthweir_policy::relay::intent::{
     Accelerator, CallClass, ChainObjective, Engine, Intent, Route, Service,
 };
@@ -20,7 +21,7 @@
 use proptest::prelude::{Just, Strategy, any, prop_assert, prop_assert_eq, proptest};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use support::{SERVICE, add_domain, apply_moves, engine, runner};
+use support::{SERVICE, add_domain, apply_moves, engine, held, runner};
 
 const DOMAIN: &str = "east";
 
@@ -46,7 +47,7 @@
 
 fn holder_entry(id: &str, kind: &str, layers: (u32, u32)) -> RunnerEntry {
     RunnerEntry {
-        layers: Some(layers),
+        layers: held(layers),
         ..runner(id, DOMAIN, kind)
     }
 }
@@ -67,7 +68,7 @@
         for stage in &chain.stages {
             let id = &stage.runner.id;
             let (from, to) = stage.layers;
-            let held = stage.runner.layers.unwrap_or_default();
+            let held = stage.runner.layers.map_or((0, 0), HeldRange::bounds);
             if from != next || to <= from {
                 return Err(format!("{id}: {from}..{to} follows {next}"));
             }
--- a/policy/tests/relay_fleet_size.rs
+++ b/policy/tests/relay_fleet_size.rs
@@ -13,7 +13,7 @@
 use jacinthweir_policy::relay::runners::Runners;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use support::{SERVICE, apply_moves, engine, runner};
+use support::{SERVICE, apply_moves, engine, held, runner};
 
 /// Accelerator kinds of ten runners of a failure domain.
 const KINDS: [&str; 10] = [
@@ -128,7 +128,7 @@
             let domain = format!("domain-{}", rng.random_range(0..4));
             let mut entry = runner(&id, &domain, KINDS[i / 3 % KINDS.len()]);
             let from = rng.random_range(0..60);
-            entry.layers = Some((from, from + rng.random_range(1..20)));
+            entry.layers = held((from, from + rng.random_range(1..20)));
             runners.put(&entry);
         }
         2 => {
--- a/policy/tests/relay_placement.rs
+++ b/policy/tests/relay_placement.rs
@@ -12,7 +12,7 @@
 use jacinthweir_policy::relay::placement::{MoveReason, plan};
 use jacinthweir_policy::relay::runners::{RunnerEntry, Runners};
 use proptest::prelude::{Strategy, any, prop_assert, prop_assert_eq, proptest};
-use support::{SERVICE, add_domain, apply_moves, engine, runner, settle};
+use support::{SERVICE, add_domain, apply_moves, engine, held, runner, settle};
 
 const MIXED: [(&str, usize); 3] = [("a100", 2), ("v100", 4), ("l4", 4)];
 
@@ -30,7 +30,7 @@
             return Err(format!("{}: {from}..{to} follows {next}", stage.runner.id));
         }
         let held = runners.entry(&stage.runner.id).and_then(|e| e.layers);
-        if !held.is_some_and(|(a, b)| a <= from && to <= b) {
+        if !held.is_some_and(|h| h.bounds().0 <= from && to <= h.bounds().1) {
             return Err(format!("{} does not hold {from}..{to}", stage.runner.id));
         }
         if !seen.insert(stage.runner.id.clone()) {
@@ -120,7 +120,7 @@
     let mut runners = Runners::default();
     let mut put = |id: &str, kind: &str, layers| {
         let mut entry = runner(id, "east", kind);
-        entry.layers = Some(layers);
+        entry.layers = held(layers);
         runners.put(&entry);
     };
     put("a100", "a100", (0, 28));
@@ -248,7 +248,7 @@
         ("c", "east", (40, 60)),
     ] {
         let mut entry = runner(id, domain, "a100");
-        entry.layers = Some(layers);
+        entry.layers = held(layers);
         runners.put(&entry);
     }
     let across = chains_of(&runners);
@@ -256,7 +256,7 @@
     expect_that!(across[0].domain, none());
     expect_that!(check_chain(&across[0], &runners), ok(anything()));
     let mut whole = runner("d", "east", "a100");
-    whole.layers = Some((60, 80));
+    whole.layers = held((60, 80));
     runners.put(&whole);
     let inside = chains_of(&runners);
     assert_that!(inside.len(), eq(1));
@@ -272,7 +272,7 @@
         ("c", "v100", (40, 80)),
     ] {
         let mut entry = runner(id, "east", kind);
-        entry.layers = Some(layers);
+        entry.layers = held(layers);
         runners.put(&entry);
     }
     expect_true!(chains_of(&runners)[0].has("b"));
@@ -327,13 +327,13 @@
 fn misreported_layers_are_ignored_until_the_entry_changes() {
     let mut runners = Runners::default();
     let mut entry = runner("a", "east", "a100");
-    entry.layers = Some((0, 80));
+    entry.layers = held((0, 80));
     runners.put(&entry);
-    runners.health_mut(&entry.id).expect("known").misreported = Some((0, 80));
+    runners.health_mut(&entry.id).expect("known").misreported = held((0, 80));
     expect_that!(chains_of(&runners), is_empty());
-    entry.layers = Some((0, 79));
+    entry.layers = held((0, 79));
     runners.put(&entry);
-    entry.layers = Some((0, 80));
+    entry.layers = held((0, 80));
     runners.health_mut(&entry.id).expect("known").misreported = None;
     runners.put(&entry);
     expect_that!(chains_of(&runners).len(), eq(1));
@@ -390,7 +390,7 @@
         for (i, (from, count, kind, domain)) in ranges.into_iter().enumerate() {
             let kind = ["a100", "v100", "l4"][kind];
             let mut entry = runner(&format!("r{i}"), ["east", "west"][domain], kind);
-            entry.layers = Some((from, (from + count).min(80)));
+            entry.layers = held((from, (from + count).min(80)));
             runners.put(&entry);
         }
         for chain in chains_of(&runners) {
@@ -466,7 +466,7 @@
         ("rest-2", "a100", (54, 80)),
     ] {
         let mut entry = runner(id, "d", kind);
-        entry.layers = Some(layers);
+        entry.layers = held(layers);
         runners.put(&entry);
     }
     runners
@@ -478,7 +478,7 @@
     let mut runners = Runners::default();
     for (id, layers) in [("a", (0, 40)), ("b", (0, 40)), ("c", (40, 80))] {
         let mut entry = runner(id, "east", "a100");
-        entry.layers = Some(layers);
+        entry.layers = held(layers);
         runners.put(&entry);
     }
     let first = chains_of(&runners)[0].head().id.clone();
--- a/policy/tests/support/relay.rs
+++ b/policy/tests/support/relay.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::relay::held_range::HeldRange;
 use jacinthweir_policy::relay::intent::{Accelerator, ChainObjective, Engine};
 use jacinthweir_policy::relay::placement::Move;
 use jacinthweir_policy::relay::runners::{RunnerEntry, Runners};
@@ -34,6 +35,11 @@
     }
 }
 
+/// Returns a range of layers that a runner holds.
+pub fn held((from, to): (u32, u32)) -> Option<HeldRange> {
+    Some(HeldRange::new(from, to).expect("a range of layers"))
+}
+
 /// Returns a runner without layers.
 pub fn runner(id: &str, domain: &str, kind: &str) -> RunnerEntry {
     let number = id
@@ -68,7 +74,7 @@
             .entry(&m.runner)
             .expect("a runner that is known")
             .clone();
-        entry.layers = Some(m.layers);
+        entry.layers = held(m.layers);
         runners.put(&entry);
     }
 }
