Numbers from outside: held to their range where they are decoded

Nobody has seen these at callers.

- Headers: `Server-Limit: nan` was taken for a rate; now it leaves the former one in force.
`Last-Event-Id:` overflowed.

--- a/clients/src/runner.rs
+++ b/clients/src/runner.rs
@@ -12,6 +12,7 @@
 
 use crate::buffers::Purpose;
 use crate::direct::{self, JSON, ResponseBody};
+use crate::service::MAX_RETRY_AFTER_MS;
 use crate::{CONNECT_TIMEOUT, ClientError};
 
 /// Maximum length of a line of a runner's answer, in bytes. A longer line fails the attempt.
@@ -88,7 +89,7 @@
                     .collect(MAX_FRAME_BYTES, Purpose::Data)
                     .await?;
                 let refused = serde_json::from_slice(&body).map_err(ClientError::bad_answer)?;
-                Ok(RunStart::Refused(refused))
+                Ok(RunStart::Refused(bounded(refused)))
             }
             status => Err(ClientError::bad_answer(format!("runner answered {status}"))),
         }
@@ -121,7 +122,8 @@
     /// # Errors
     /// See [`ClientError`].
     pub async fn load(&self, runner: SocketAddr) -> Result<LoadReport, ClientError> {
-        self.read(format!("http://{runner}/v1/load")).await
+        let report: LoadReport = self.read(format!("http://{runner}/v1/load")).await?;
+        report.checked().map_err(ClientError::bad_answer)
     }
 
     /// Fetches a runner's cache events after a sequence number.
@@ -146,6 +148,14 @@
     }
 }
 
+/// Returns a refusal whose time to wait is no longer than a runner may ask for.
+fn bounded(refused: Refused) -> Refused {
+    Refused {
+        retry_after_ms: refused.retry_after_ms.min(MAX_RETRY_AFTER_MS),
+        ..refused
+    }
+}
+
 fn frames(body: ResponseBody) -> Frames {
     let bytes = stream::unfold(body, async |mut body| Some((body.next().await?, body)));
     let reader = StreamReader::new(Box::pin(bytes.map_err(std::io::Error::other)));
--- a/clients/src/service.rs
+++ b/clients/src/service.rs
@@ -134,9 +134,12 @@
     may_refuse && text_header(&head.headers, header::RAN).as_deref() == Some("no")
 }
 
+/// Longest time for which an upstream may ask to be left alone, in milliseconds.
+pub(crate) const MAX_RETRY_AFTER_MS: u64 = 600_000;
+
 fn retry_after_ms(headers: &HeaderMap) -> Option<u64> {
     let seconds: u64 = text_header(headers, "retry-after")?.parse().ok()?;
-    seconds.checked_mul(1000)
+    Some(seconds.saturating_mul(1000).min(MAX_RETRY_AFTER_MS))
 }
 
 /// Checks that the answer belongs to this request and attempt, so that the caller never receives
--- a/kernel/src/fault_point.rs
+++ b/kernel/src/fault_point.rs
@@ -16,7 +16,7 @@
 //! | `hold:PATH` | this task waits until the file at this path exists |
 //!
 //! Each long-lived task of a relay has a point as well, `task.TASK.INSTANCE` ([`end_task`]), with the actions
-//! `panic` and `return`, and so has each examination of a runner, with `panic` ([`panic_in_job`]).
+//! `panic`, `return` and `hang`, and so has each examination of a runner, with `panic` ([`panic_in_job`]).
 //!
 //! A point logs `fault point STEP: ACTION` before its action and `fault point STEP passed` after
 //! it.
@@ -140,7 +140,8 @@
         log::warn!("fault point {step} passed");
     }
 
-    /// Ends the task `task` of an instance, by a panic or by returning, as soon as that is armed.
+    /// Ends the task `task` of an instance, by a panic or by returning, as soon as that is armed. Or lets it
+    /// occupy its thread for good.
     pub async fn end_task(instance: &str, task: &str) {
         let point = format!("task.{task}.{instance}");
         loop {
@@ -149,6 +150,9 @@
                 None => {}
                 Some("panic") => panic!("fault point {point}"),
                 Some("return") => return,
+                Some("hang") => loop {
+                    std::hint::spin_loop();
+                },
                 Some(action) => log::error!("fault point {point}: unknown action {action}"),
             }
             tokio::time::sleep(TASK_POLL_INTERVAL).await;
--- a/kernel/src/lifecycle.rs
+++ b/kernel/src/lifecycle.rs
@@ -14,7 +14,7 @@
 use crate::fault_point::{self, Step};
 use crate::listener::RunningListener;
 use crate::plugin::{ListenerKind, sorted};
-use crate::{Kernel, KernelError, Settings, logs};
+use crate::{Kernel, KernelError, Settings, logs, watchdog};
 
 pub use jacinthweir_policy::drain::DrainOutcome;
 
@@ -33,6 +33,8 @@
 pub async fn run(settings: Settings) -> Result<DrainOutcome, KernelError> {
     logs::open(&settings.log, &settings.name)?;
     fault_point::open();
+    let heartbeat = watchdog::spawn(|| "all threads of the runtime".to_owned())?;
+    tokio::spawn(async move { heartbeat.run().await });
     let mut signals = Signals::open()?;
     let cx = Kernel::open(settings)?;
     cx.tasks
--- a/plugins/relay/src/events.rs
+++ b/plugins/relay/src/events.rs
@@ -138,7 +138,7 @@
             if id <= last {
                 return Ok(false);
             }
-            if id != last + 1 {
+            if Some(id) != last.checked_add(1) {
                 return Err(EventError::Gap { last, found: id });
             }
         }
--- a/plugins/relay/src/rate_limits.rs
+++ b/plugins/relay/src/rate_limits.rs
@@ -1,5 +1,6 @@
 //! Rate limits that runners announce in their answers: recorded, gossiped, and applied.
 
+use jacinthweir_platform::header::AnnouncedRate;
 use jacinthweir_policy::lifetime::Lifetime;
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::rate_limits::{Fleet, RateReport};
@@ -9,7 +10,12 @@
 use crate::quarantine::lifetime;
 
 /// Records the rate that a runner's answer announces, or that it announces none.
-pub(crate) fn record_answer(node: &Node, runner: &RunnerEntry, rate: Option<f64>) {
+pub(crate) fn record_answer(node: &Node, runner: &RunnerEntry, announced: AnnouncedRate) {
+    let rate = match announced {
+        AnnouncedRate::Unlimited => None,
+        AnnouncedRate::Limited(rate) => Some(rate),
+        AnnouncedRate::Invalid => return,
+    };
     let now = node.now();
     let mut limits = node.rate_limits.borrow_mut();
     if rate.is_none() && limits.is_idle() {
