Routes: weights of many services are added without overflow

Six services with the largest weight overflowed their sum of 32 bits. Weights are whole numbers below 2^53 in a floating-point sum, so the choice is the same. The property test of configurations has six services now and fails before (attempt to add with overflow).

--- a/policy/src/relay/intent.rs
+++ b/policy/src/relay/intent.rs
@@ -264,8 +264,8 @@
     /// Returns the service for a request, by a random number `draw` from 0 to 1.
     #[must_use]
     pub fn service(&self, draw: f64) -> Option<&Name> {
-        let total: u32 = self.split.iter().map(|(_, w)| w).sum();
-        let mut left = draw * f64::from(total);
+        let total: f64 = self.split.iter().map(|(_, w)| f64::from(*w)).sum();
+        let mut left = draw * total;
         for (service, weight) in &self.split {
             left -= f64::from(*weight);
             if left < 0.0 {
