--- a/node/tests/relay_tasks.rs
+++ b/node/tests/relay_tasks.rs
@@ -7,7 +7,9 @@
 use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
+use jacinthweir_kernel::watchdog::EXIT_STALLED;
 use jacinthweir_relay::{OnEnd, TaskName};
+use rustix::process::{Pid, Signal, kill_process};
 
 /// Maximum time to wait for any condition; a test that waits this long has failed.
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
@@ -22,11 +24,19 @@
 
 impl Process {
     fn start(task: TaskName) -> Process {
+        Process::start_at(&task.to_string(), addresses(100 + task as u8))
+    }
+
+    /// Starts a process for a test, whose addresses end with `host`.
+    fn start_as(test: &str, host: u8) -> Process {
+        Process::start_at(test, addresses(host))
+    }
+
+    fn start_at(name: &str, addresses: [SocketAddr; 6]) -> Process {
         let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
-        let file = |end: &str| dir.join(format!("{task}-{}.{end}", std::process::id()));
+        let file = |end: &str| dir.join(format!("{name}-{}.{end}", std::process::id()));
         let actions = file("failpoints");
         std::fs::write(&actions, "").expect("the file of actions");
-        let addresses = addresses(task);
         std::fs::write(file("json"), settings(&addresses)).expect("the settings");
         let mut child = Command::new(env!("CARGO_BIN_EXE_jacinthweir"))
             .arg("--relay-settings")
@@ -53,6 +63,11 @@
         std::fs::write(&self.actions, line).expect("the file of actions");
     }
 
+    fn signal(&self, signal: Signal) {
+        let pid = Pid::from_child(&self.child);
+        kill_process(pid, signal).expect("a process that lives");
+    }
+
     /// Reads the log up to a line that contains `expected`, and returns that line.
     fn wait_for_line(&mut self, expected: &str) -> String {
         let mut line = String::new();
@@ -86,9 +101,9 @@
 
 /// Returns addresses that only this test uses: those for callers, readiness, entry, peers, operators, and
 /// one on which no store listens.
-fn addresses(task: TaskName) -> [SocketAddr; 6] {
+fn addresses(host: u8) -> [SocketAddr; 6] {
     let [_, _, high, low] = std::process::id().to_be_bytes();
-    let ip = [127, high.max(1), low, 100 + task as u8];
+    let ip = [127, high.max(1), low, host];
     [7_001, 7_002, 7_003, 7_004, 7_005, 7_006].map(|port| (ip, port).into())
 }
 
@@ -124,6 +139,35 @@
     }
 }
 
+/// Guards against a process that hangs for good: its only thread was in a task that never ended, and neither
+/// the process nor its platform did anything about it. It ends by its watchdog, which says where it hung.
+#[gtest]
+fn a_task_that_occupies_the_only_thread_ends_the_process() {
+    let task = TaskName::Placement;
+    let mut process = Process::start_as("hang", 150);
+    process.arm(task, "return(hang)");
+    let stalled = process.wait_for_line("\"message\":\"the event loop makes no progress\"");
+    expect_that!(
+        stalled,
+        contains_substring("\"activity\":\"task placement\"")
+    );
+    process.wait_for_line("ending the process");
+    expect_that!(process.wait().code(), some(eq(i32::from(EXIT_STALLED))));
+}
+
+/// Guards against the end of a sound process that was stopped for longer than a stalled one may live.
+#[gtest]
+fn a_process_that_was_stopped_goes_on() {
+    let mut process = Process::start_as("stop", 151);
+    process.signal(Signal::STOP);
+    std::thread::sleep(Duration::from_secs(13));
+    process.signal(Signal::CONT);
+    std::thread::sleep(Duration::from_secs(3));
+    expect_that!(process.child.try_wait().expect("a state"), none());
+    let stream = TcpStream::connect(process.callers);
+    expect_that!(stream.is_ok(), eq(true));
+}
+
 /// Guards against a process that ends, with all streams of its callers, because of a single panic in a
 /// listener.
 #[gtest]
