--- a/plugins/relay/tests/relay.rs
+++ b/plugins/relay/tests/relay.rs
@@ -18,6 +18,8 @@
 mod failure_detection;
 #[path = "relay/failure_orders.rs"]
 mod failure_orders;
+#[path = "relay/half_heads.rs"]
+mod half_heads;
 #[path = "relay/leaving.rs"]
 mod leaving;
 #[path = "relay/partition.rs"]
@@ -32,6 +34,8 @@
 mod rest;
 #[path = "relay/retry_budget.rs"]
 mod retry_budget;
+#[path = "relay/runners_of_a_request.rs"]
+mod runners_of_a_request;
 #[path = "relay/silent_calls.rs"]
 mod silent_calls;
 #[path = "relay/silent_runners.rs"]
--- /dev/null
+++ b/plugins/relay/tests/relay/runners_of_a_request.rs
@@ -0,0 +1,126 @@
+//! How many runners a request may run on, and which of them it is sent to next.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use googletest::prelude::*;
+use jacinthweir_relay::{Relay, RelaySettings};
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+use crate::standin::{
+    Behaviour, Cluster, Cut, HeadCut, NewConnections, OpenConnections, Paths, Runner, TEST_TIMEOUT,
+    get, run_single_threaded, send_request, wait_for_chains,
+};
+use crate::{LOOKUP, NOTES, TOKENS};
+
+/// Runners that a stream of the cluster may run on.
+const MAX_RUNNERS: usize = 2;
+
+/// Starts a cluster with a third chain, all runners of which behave as `behaviour`.
+async fn cluster_of_three_chains(behaviour: Behaviour) -> (Cluster, Vec<Rc<Runner>>) {
+    let cluster = Cluster::with_long_timeouts(|_| {}).await;
+    let mut runners = cluster.runners.clone();
+    for id in ["c1", "c2"] {
+        runners.push(Runner::spawn(&cluster.store, id, "pool", "c").await);
+    }
+    wait_for_chains(&cluster.settings, 3).await;
+    runners.iter().for_each(|r| r.behaviour.set(behaviour));
+    (cluster, runners)
+}
+
+/// Returns the number of runners that began to run a request.
+fn runners_that_ran(runners: &[Rc<Runner>]) -> usize {
+    runners.iter().filter(|r| r.run_count() > 0).count()
+}
+
+async fn wait_until(what: &str, condition: impl Fn() -> bool) {
+    let met = async {
+        while !condition() {
+            sleep(Duration::from_millis(1)).await;
+        }
+    };
+    timeout(TEST_TIMEOUT, met).await.expect(what);
+}
+
+/// The first runner of a stream leaves: its entry is removed, and it goes on with what it runs. Then its run
+/// breaks off, and so does the next one. Guards against a third runner where two are allowed.
+#[gtest]
+fn a_runner_that_left_the_store_counts_among_those_of_a_request() {
+    run_single_threaded(async {
+        let (cluster, runners) = cluster_of_three_chains(Behaviour::BreaksMidEvent).await;
+        for runner in &runners {
+            runner.event_interval.set(Duration::from_millis(400));
+        }
+        let callers = cluster.callers();
+        let stream = spawn_local(send_request(callers, NOTES, TOKENS, "prompt"));
+        wait_until("a run", || runners_that_ran(&runners) > 0).await;
+        let first = runners.iter().find(|r| r.run_count() > 0).expect("one");
+        cluster.store.remove("servers", &first.id);
+        let got = stream.await.expect("an answer");
+        expect_false!(got.complete);
+        expect_that!(runners_that_ran(&runners), eq(MAX_RUNNERS));
+    });
+}
+
+/// Starts an instance that reaches no runner.
+async fn instance_without_paths(cluster: &Cluster) -> (RelaySettings, Relay) {
+    let paths = Paths::open(cluster).await;
+    let started = cluster.start_instance_behind("cut", &paths).await;
+    paths.cut(Cut {
+        new: NewConnections::Refused,
+        open: OpenConnections::Reset,
+    });
+    let (callers, operators) = (started.0.listen.callers, started.0.listen.operators);
+    let lost = async {
+        loop {
+            let dump = get(operators, "GET /dump HTTP/1.1").await;
+            if dump.body.matches("\"unreachable\": true").count() >= 4 {
+                return;
+            }
+            // Only requests show that there is no path.
+            send_request(callers, LOOKUP, "", "").await;
+            send_request(callers, NOTES, TOKENS, "prompt").await;
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(TEST_TIMEOUT, lost).await.expect("no path");
+    started
+}
+
+/// All runners break off: in the head of an answer, or in the middle of a stream. Guards against requests
+/// through another instance whose runners the instance that sends them does not learn of, and which run
+/// on a third one.
+#[gtest]
+fn runners_that_another_instance_sends_a_request_to_count_as_well() {
+    run_single_threaded(async {
+        for behaviour in [
+            Behaviour::EndsWithinHead(HeadCut::HeaderName),
+            Behaviour::BreaksMidEvent,
+        ] {
+            let (cluster, runners) = cluster_of_three_chains(Behaviour::Normal).await;
+            let (member, _relay) = instance_without_paths(&cluster).await;
+            runners.iter().for_each(|r| r.received.borrow_mut().clear());
+            runners.iter().for_each(|r| r.behaviour.set(behaviour));
+            let got = send_request(member.listen.callers, NOTES, TOKENS, "prompt").await;
+            expect_false!(got.status == 200 && got.complete, "{behaviour:?}");
+            expect_that!(runners_that_ran(&runners), le(MAX_RUNNERS), "{behaviour:?}");
+        }
+    });
+}
+
+/// One runner breaks off each answer. Guards against sending a request to it again and again, each time
+/// with a retry of the budget, while another chain would serve it.
+#[gtest]
+fn a_request_goes_on_at_another_runner_than_the_one_that_broke_off() {
+    run_single_threaded(async {
+        for behaviour in [Behaviour::ClosesConnection, Behaviour::BreaksMidEvent] {
+            let cluster = Cluster::open().await;
+            let local = &cluster.runners[..2];
+            local.iter().for_each(|r| r.behaviour.set(behaviour));
+            let got = send_request(cluster.callers(), NOTES, TOKENS, "prompt").await;
+            expect_true!(got.complete, "{behaviour:?}");
+            expect_that!(cluster.run_count(), eq(2), "{behaviour:?}");
+        }
+    });
+}
--- a/plugins/relay/tests/support/standin/runner.rs
+++ b/plugins/relay/tests/support/standin/runner.rs
@@ -57,6 +57,8 @@
     ResetsUnframedBody,
     /// Sends events until the caller disconnects.
     Endless,
+    /// Closes the connection within the head of the answer.
+    EndsWithinHead(HeadCut),
     /// Sends bytes that are no answer until the caller disconnects.
     NoAnswerWithoutEnd(NoAnswer),
     /// Sends a whole answer of as many bytes.
@@ -70,6 +72,46 @@
     Unresponsive,
 }
 
+/// Where a head ends too early.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum HeadCut {
+    /// Behind the status line.
+    StatusLine,
+    /// Within the name of a header.
+    HeaderName,
+    /// Behind the last header, without the empty line.
+    LastHeader,
+    /// Behind the first half of the empty line.
+    EmptyLine,
+    /// Within the head that follows an informational one.
+    AfterInformational,
+}
+
+impl HeadCut {
+    /// All of them.
+    pub const ALL: [HeadCut; 5] = [
+        HeadCut::StatusLine,
+        HeadCut::HeaderName,
+        HeadCut::LastHeader,
+        HeadCut::EmptyLine,
+        HeadCut::AfterInformational,
+    ];
+
+    /// Returns the bytes up to the cut of a head with `headers`.
+    fn bytes(self, headers: &str) -> String {
+        const STATUS_LINE: &str = "HTTP/1.1 200 OK\r\n";
+        match self {
+            HeadCut::StatusLine => STATUS_LINE.to_owned(),
+            HeadCut::HeaderName => format!("{STATUS_LINE}{headers}Content-"),
+            HeadCut::LastHeader => format!("{STATUS_LINE}{headers}"),
+            HeadCut::EmptyLine => format!("{STATUS_LINE}{headers}\r"),
+            HeadCut::AfterInformational => {
+                format!("HTTP/1.1 103 Early Hints\r\n\r\n{STATUS_LINE}{headers}Content-")
+            }
+        }
+    }
+}
+
 /// Bytes that are no answer, as a runner repeats them.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum NoAnswer {
@@ -411,6 +453,7 @@
                 response("200 OK", &format!("{other}{receipt}"), "another's")
             }
             Behaviour::NoReceipt => response("200 OK", &request_id, "answer"),
+            Behaviour::EndsWithinHead(cut) => cut.bytes(&format!("{request_id}{receipt}")),
             Behaviour::NoAnswerWithoutEnd(bytes) => {
                 let headers = format!("{request_id}{receipt}");
                 return self.send_without_end(stream, bytes, &headers).await;
--- a/testkit/src/fleet/instance.rs
+++ b/testkit/src/fleet/instance.rs
@@ -13,7 +13,7 @@
 use jacinthweir_wire::platform::{ListedInstance, ListedState};
 
 use super::deployment::Deployment;
-use super::process::{Process, ProcessSpec, program};
+use super::process::{Output, Process, ProcessSpec, program};
 use crate::http::unix_ms;
 use crate::{Error, Operator, Result};
 
@@ -90,6 +90,7 @@
             env: spec.env.clone(),
             args: vec!["--settings".into(), path.into()],
             log: dir.join(format!("{name}.log")),
+            output: Output::Handle,
         })?;
         Ok(Self {
             name,
--- a/testkit/src/fleet/process.rs
+++ b/testkit/src/fleet/process.rs
@@ -30,6 +30,17 @@
     pub env: Vec<(OsString, OsString)>,
     /// File that standard error is appended to.
     pub log: PathBuf,
+    /// Where standard output goes.
+    pub output: Output,
+}
+
+/// Where the standard output of a process goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// To the handle, which reads its first line.
+    Handle,
+    /// To the log.
+    Log,
 }
 
 /// A child process; killed on drop.
@@ -192,11 +203,15 @@
         .create(true)
         .append(true)
         .open(&spec.log)?;
+    let output = match spec.output {
+        Output::Handle => Stdio::piped(),
+        Output::Log => log.try_clone()?.into(),
+    };
     let child = Command::new(&spec.program)
         .args(&spec.args)
         .envs(spec.env.iter().map(|(name, value)| (name, value)))
         .stdin(Stdio::null())
-        .stdout(Stdio::piped())
+        .stdout(output)
         .stderr(log)
         .kill_on_drop(true)
         .spawn()
--- a/testkit/src/fleet/standin.rs
+++ b/testkit/src/fleet/standin.rs
@@ -9,7 +9,7 @@
 use serde::Serialize;
 
 use super::deployment::{Deployment, RunnerSlot};
-use super::process::{Process, ProcessSpec, program};
+use super::process::{Output, Process, ProcessSpec, program};
 use crate::http::unix_ms;
 use crate::{Error, PlatformCfg, Result, RunnerCfg, ServiceCfg};
 
@@ -160,6 +160,7 @@
         program: program("jw-standin")?,
         args: args(kind, cfg)?,
         log: dir.join(format!("{name}.log")),
+        output: Output::Handle,
     })?;
     let address = wait_listening(&mut process).await?;
     Ok((process, address))
--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod relay;
 pub mod runner;
 pub mod service;
+pub mod soak;
 pub mod text;
 
 pub use caller::Caller;
--- /dev/null
+++ b/testkit/src/soak.rs
@@ -0,0 +1,376 @@
+//! Fault soak: real programs as processes of their own, under load and series of faults.
+//!
+//! The programs under test may be those of another checkout, so that several commits can be played
+//! with the same seed. Stand-ins of the platform's store, of the runners and of callers run in this
+//! process. The verdict is taken only from what callers and runners saw ([`observed`], [`check`]).
+//!
+//! The same seed draws the same faults and the same load; what the processes make of them also
+//! depends on the scheduler of the machine.
+
+pub mod caller;
+pub mod check;
+pub mod fault;
+pub mod instance;
+pub mod message;
+pub mod observed;
+pub mod runner;
+pub mod site;
+pub mod store;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::seq::IteratorRandom;
+use rand_chacha::ChaCha8Rng;
+use tokio::sync::{Mutex as AsyncMutex, watch};
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use self::caller::{Callers, Lethal};
+use self::check::{Violation, Window};
+use self::fault::{Fault, Plan};
+use self::instance::{Instance, InstanceSpec};
+use self::observed::{End, Observed, Record, Target};
+use self::runner::{Place, Pool, Runner, Trouble};
+use self::site::Site;
+use self::store::Store;
+use crate::Result;
+use crate::relay::Link;
+
+/// Instances.
+pub const INSTANCES: usize = 6;
+
+/// Time for chains to form before the load begins.
+const WARM_UP: Duration = Duration::from_secs(5);
+
+/// Time that a shutdown may take.
+const GRACE: Duration = Duration::from_secs(9);
+
+/// Lethal requests a second.
+const LETHAL_PER_S: f64 = 4.0;
+
+/// Last part of the loopback addresses of the store, the runners' entries, the instances' paths to
+/// runners, and the instances.
+const STORE_HOST: u8 = 2;
+const RUNNER_HOST: u8 = 1;
+const FIRST_GATEWAY_HOST: u8 = 10;
+const FIRST_INSTANCE_HOST: u8 = 100;
+
+/// Port of the store, and of the first runner.
+const STORE_PORT: u16 = 7_000;
+const FIRST_RUNNER_PORT: u16 = 8_000;
+
+/// Parameters of a soak.
+#[derive(Clone, Debug)]
+pub struct SoakCfg {
+    /// Program under test.
+    pub program: PathBuf,
+    /// Whether it knows the setting `first_start`.
+    pub knows_first_start: bool,
+    /// Deployment.
+    pub site: Site,
+    /// Seed of faults and load.
+    pub seed: u64,
+    /// Duration of the load.
+    pub length: Duration,
+    /// Faults.
+    pub plan: Plan,
+    /// Folder for the logs of the instances.
+    pub folder: PathBuf,
+}
+
+/// Result of a soak.
+#[derive(Debug)]
+pub struct SoakResult {
+    /// Broken rules.
+    pub violations: Vec<Violation>,
+    /// Worst window of each service.
+    pub windows: Vec<Window>,
+    /// How many requests ended in which way.
+    pub ends: BTreeMap<End, usize>,
+    /// Everything that was seen.
+    pub observed: Observed,
+}
+
+/// Plays a soak.
+///
+/// # Errors
+/// Fails if an instance or a stand-in can't be started.
+pub async fn run(cfg: SoakCfg) -> Result<SoakResult> {
+    let soak = Soak::start(cfg).await?;
+    soak.play().await
+}
+
+struct Soak {
+    cfg: SoakCfg,
+    pool: Arc<Pool>,
+    runners: Vec<Arc<Runner>>,
+    instances: Vec<Arc<AsyncMutex<Instance>>>,
+    callers: Arc<Callers>,
+    /// Instances started so far.
+    started: Mutex<u8>,
+}
+
+/// Returns a loopback address of this process.
+fn ip(host: u8) -> [u8; 4] {
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    [127, high.max(1), low, host]
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Soak {
+    async fn start(cfg: SoakCfg) -> Result<Arc<Soak>> {
+        let record = Arc::new(Record::default());
+        let store = Store::bind((ip(STORE_HOST), STORE_PORT).into()).await?;
+        store.put("config", "main", &cfg.site.configuration(1));
+        let pool = Arc::new(Pool {
+            store,
+            record: Arc::clone(&record),
+            troubles: Mutex::default(),
+            links: (0..INSTANCES)
+                .map(|_| watch::Sender::new(Link::Pass))
+                .collect(),
+            alive: watch::Sender::default(),
+        });
+        let places = places(cfg.site);
+        let runners = places.iter().map(|place| {
+            let seed = cfg.seed.wrapping_add(place.index as u64);
+            Runner::spawn(place.clone(), Arc::clone(&pool), seed)
+        });
+        let callers = Arc::new(Callers::new(cfg.site, record, cfg.seed));
+        let mut soak = Soak {
+            runners: runners.collect(),
+            pool,
+            instances: Vec::new(),
+            callers,
+            started: Mutex::default(),
+            cfg,
+        };
+        for slot in 0..INSTANCES {
+            let instance = Instance::spawn(soak.next_spec(slot), true)?;
+            soak.instances.push(Arc::new(AsyncMutex::new(instance)));
+        }
+        for instance in &soak.instances {
+            let instance = instance.lock().await;
+            instance.wait_until_ready().await?;
+            lock(&soak.callers.addresses).push(instance.spec().callers());
+        }
+        sleep(WARM_UP).await;
+        Ok(Arc::new(soak))
+    }
+
+    /// Returns what the next instance in a slot is started with. It has a name and address of its own.
+    fn next_spec(&self, slot: usize) -> InstanceSpec {
+        let mut started = lock(&self.started);
+        let number = *started;
+        *started += 1;
+        let host = FIRST_INSTANCE_HOST + number;
+        let places = places(self.cfg.site);
+        InstanceSpec {
+            program: self.cfg.program.clone(),
+            folder: self.cfg.folder.clone(),
+            name: format!("front-{number}"),
+            domain: self.cfg.site.domains()[slot % 3],
+            ip: ip(host),
+            seeds: (0..3)
+                .map(|n| (ip(FIRST_INSTANCE_HOST + n), 7_004).into())
+                .collect(),
+            store: (ip(STORE_HOST), STORE_PORT).into(),
+            runner_addresses: places
+                .iter()
+                .map(|p| (p.address, p.gateways[slot]))
+                .collect(),
+            knows_first_start: self.cfg.knows_first_start,
+        }
+    }
+
+    async fn play(self: Arc<Self>) -> Result<SoakResult> {
+        let stop = CancellationToken::new();
+        let busy = Arc::new(AtomicBool::new(true));
+        for _ in 0..self.cfg.plan.busy_threads {
+            let busy = Arc::clone(&busy);
+            std::thread::spawn(move || while busy.load(Ordering::Relaxed) {});
+        }
+        let Plan {
+            rate, call_weight, ..
+        } = self.cfg.plan;
+        let load = Arc::clone(&self.callers).run(rate, call_weight, stop.clone());
+        let load = tokio::spawn(load);
+        if let Some(lethal) = self.cfg.plan.lethal {
+            self.pool
+                .record
+                .with(|o| o.lethal_is_part = lethal == Lethal::Part);
+            let callers = Arc::clone(&self.callers);
+            tokio::spawn(callers.run_lethal(lethal, LETHAL_PER_S, stop.clone()));
+        }
+        let begun_ms = self.pool.record.now();
+        let faults = TaskTracker::new();
+        let mut rng = ChaCha8Rng::seed_from_u64(self.cfg.seed);
+        for step in self.cfg.plan.steps.clone() {
+            let wait_ms = (begun_ms + step.at_ms).saturating_sub(self.pool.record.now());
+            sleep(Duration::from_millis(wait_ms)).await;
+            let chosen = self.choose(step.fault, &mut rng);
+            let soak = Arc::clone(&self);
+            faults.spawn(async move { soak.inject(step.fault, chosen).await });
+        }
+        let length_ms = u64::try_from(self.cfg.length.as_millis()).unwrap_or(u64::MAX);
+        let left_ms = (begun_ms + length_ms).saturating_sub(self.pool.record.now());
+        sleep(Duration::from_millis(left_ms)).await;
+        faults.close();
+        faults.wait().await;
+        stop.cancel();
+        let _ = load.await;
+        busy.store(false, Ordering::Relaxed);
+        Ok(self.result())
+    }
+
+    fn result(&self) -> SoakResult {
+        let observed = self.pool.record.with(|o| o.clone());
+        let mut ends = BTreeMap::new();
+        for end in observed.sent.values().filter_map(|s| s.end) {
+            *ends.entry(end).or_default() += 1;
+        }
+        SoakResult {
+            violations: check::check(&observed),
+            windows: check::densest_windows(&observed),
+            ends,
+            observed,
+        }
+    }
+
+    /// Returns the targets of a fault.
+    fn choose(&self, fault: Fault, rng: &mut ChaCha8Rng) -> Vec<usize> {
+        match fault {
+            Fault::Runners { .. } | Fault::SilentStore { .. } => Vec::new(),
+            Fault::CrashRunners { service, count, .. } => {
+                let service = self.cfg.site.services()[service];
+                let of_service = self.runners.iter().filter(|r| r.service() == service);
+                of_service.map(|r| r.index()).sample(rng, count)
+            }
+            Fault::Kill { count } | Fault::Stop { count, .. } | Fault::Cut { count, .. } => {
+                (0..INSTANCES).sample(rng, count)
+            }
+            Fault::ShutDown | Fault::Replace => (0..INSTANCES).sample(rng, 1),
+        }
+    }
+
+    async fn inject(self: Arc<Self>, fault: Fault, chosen: Vec<usize>) {
+        log::info!("{fault}: {chosen:?}");
+        match fault {
+            Fault::Runners {
+                service,
+                behaviour,
+                share,
+                for_ms,
+            } => {
+                let service = self.cfg.site.services()[service];
+                let trouble = Trouble { behaviour, share };
+                lock(&self.pool.troubles).insert(service, trouble);
+                sleep(Duration::from_millis(for_ms)).await;
+                lock(&self.pool.troubles).remove(service);
+            }
+            Fault::CrashRunners { down_ms, .. } => {
+                for index in chosen {
+                    self.runners[index].crash(Duration::from_millis(down_ms));
+                }
+            }
+            Fault::SilentStore { for_ms } => {
+                let from = self.pool.record.now();
+                self.pool
+                    .store
+                    .fall_silent(Duration::from_millis(for_ms))
+                    .await;
+                self.pool.record.disturbed(Target::Store, from);
+            }
+            Fault::Cut { hangs, for_ms, .. } => {
+                let from = self.pool.record.now();
+                self.set_links(&chosen, if hangs { Link::Hang } else { Link::Cut });
+                sleep(Duration::from_millis(for_ms)).await;
+                self.set_links(&chosen, Link::Pass);
+                for slot in chosen {
+                    self.pool.record.disturbed(Target::Paths(slot), from);
+                }
+            }
+            Fault::Kill { .. } | Fault::Stop { .. } | Fault::ShutDown | Fault::Replace => {
+                let tasks = TaskTracker::new();
+                for slot in chosen {
+                    let soak = Arc::clone(&self);
+                    tasks.spawn(async move { soak.disturb(fault, slot).await });
+                }
+                tasks.close();
+                tasks.wait().await;
+            }
+        }
+    }
+
+    fn set_links(&self, slots: &[usize], link: Link) {
+        for slot in slots {
+            self.pool.links[*slot].send_replace(link);
+        }
+    }
+
+    /// Does something to the instance in a slot, after what is being done to it.
+    async fn disturb(&self, fault: Fault, slot: usize) {
+        let mut instance = self.instances[slot].lock().await;
+        let from = self.pool.record.now();
+        let done = match fault {
+            Fault::Stop { for_ms, .. } => stand_still(&instance, for_ms).await,
+            Fault::ShutDown => match instance.shut_down(GRACE).await {
+                Ok(()) => instance.restart().await,
+                Err(e) => Err(e),
+            },
+            Fault::Replace => self.replace(&mut instance, slot),
+            _ => instance.restart().await,
+        };
+        self.pool.record.disturbed(Target::Instance(slot), from);
+        if let Err(e) = done {
+            log::error!("{fault}, slot {slot}: {e}");
+        }
+    }
+
+    /// Kills an instance and starts another one in its place.
+    fn replace(&self, instance: &mut Instance, slot: usize) -> Result<()> {
+        let former = instance.spec().callers();
+        let next = Instance::spawn(self.next_spec(slot), false)?;
+        let address: SocketAddr = next.spec().callers();
+        // The former process is killed when its handle is dropped.
+        *instance = next;
+        let mut addresses = lock(&self.callers.addresses);
+        addresses.retain(|a| *a != former);
+        addresses.push(address);
+        Ok(())
+    }
+}
+
+async fn stand_still(instance: &Instance, for_ms: u64) -> Result<()> {
+    instance.process().freeze()?;
+    sleep(Duration::from_millis(for_ms)).await;
+    instance.process().wake()
+}
+
+/// Returns addresses and places of all runners of a site.
+fn places(site: Site) -> Vec<Place> {
+    let runners = site.runners().into_iter().enumerate();
+    let places = runners.map(|(index, (service, domain, card))| {
+        let port = FIRST_RUNNER_PORT + u16::try_from(index).unwrap_or(0);
+        let slots = (0..INSTANCES).map(|slot| FIRST_GATEWAY_HOST + slot as u8);
+        Place {
+            index,
+            address: (ip(RUNNER_HOST), port).into(),
+            gateways: slots.map(|host| (ip(host), port).into()).collect(),
+            service,
+            domain,
+            card,
+        }
+    });
+    places.collect()
+}
--- /dev/null
+++ b/testkit/src/soak/check.rs
@@ -0,0 +1,262 @@
+//! The rules named BUDGET, counted from what callers and runners saw.
+//!
+//! Each rule is counted as the users' pages word it. Where a rule holds for machines in touch only, a
+//! disturbance of the instance or of the store within the window before excuses it.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::observed::{Arrival, End, Millis, Observed, Sent, Target};
+use super::site::{BUDGET_RATIO, BUDGET_SLACK, BUDGET_WINDOW_MS, STABLE_WINDOW_MS};
+
+/// Requests that may run on more runners than their route allows.
+const MAX_TOO_MANY_RUNNERS: usize = 3;
+
+/// Time by which a runner may be left more time than the caller has, in milliseconds.
+const DEADLINE_SLACK_MS: u64 = 500;
+
+/// Requests that may leave a runner too much time, in any case and as a share.
+const MAX_LATE_DEADLINES: usize = 20;
+const MAX_LATE_DEADLINE_SHARE: f64 = 0.2;
+
+/// Requests that may reach a runner that rests, and the time in which they may.
+const MAX_AT_REST: usize = 2;
+const REST_SLACK_MS: Millis = 500;
+
+/// Crashes after which a request is known, arrivals that it may have later.
+const KNOWN_REQUEST_CRASHES: usize = 3;
+const MAX_LETHAL: usize = 3;
+
+/// Crashes after which a part of prompts is known.
+const KNOWN_PART_CRASHES: usize = 5;
+
+/// Step at which windows of the retry budget begin, in milliseconds.
+const STEP_MS: Millis = 100;
+
+/// A broken rule.
+#[derive(Clone, Debug, PartialEq, derive_more::Display)]
+pub enum Violation {
+    /// A service got more repeats in a window than the budget allows.
+    #[display("{service}: {repeats} repeats from {from_ms} ms on, {allowed:.0} allowed")]
+    Repeats {
+        /// Service.
+        service: &'static str,
+        /// Beginning of the window.
+        from_ms: Millis,
+        /// Arrivals beyond the first of each request.
+        repeats: usize,
+        /// Repeats that are allowed.
+        allowed: f64,
+    },
+    /// Requests ran on more runners than their route allows.
+    #[display("{} requests ran on too many runners: {}", _0.len(), _0.join(" "))]
+    TooManyRunners(Vec<String>),
+    /// Runners were left more time than there was.
+    #[display("{_0} requests left too much time")]
+    LateDeadlines(usize),
+    /// Requests reached a runner that wanted nothing from their instance.
+    #[display("{_0} requests reached a resting runner")]
+    AtRest(usize),
+    /// Lethal requests reached runners after they were known.
+    #[display("{_0} lethal requests reached runners")]
+    Lethal(usize),
+    /// Successes that are not a runner's whole answer.
+    #[display("{_0} successes are no whole answer")]
+    Garbled(usize),
+}
+
+/// Returns the broken rules.
+#[must_use]
+pub fn check(o: &Observed) -> Vec<Violation> {
+    let mut violations: Vec<Violation> = densest_windows(o)
+        .into_iter()
+        .filter(|w| w.excess() > 0.0)
+        .map(Window::into_violation)
+        .collect();
+    violations.extend(too_many_runners(o));
+    violations.extend(late_deadlines(o));
+    violations.extend(at_rest(o));
+    violations.extend(lethal(o));
+    let garbled = o
+        .sent
+        .values()
+        .filter(|s| s.end == Some(End::Garbled))
+        .count();
+    violations.extend((garbled > 0).then_some(Violation::Garbled(garbled)));
+    violations
+}
+
+/// The window of a service that comes nearest to the bound, or exceeds it most.
+#[derive(Clone, Copy, Debug)]
+pub struct Window {
+    /// Service.
+    pub service: &'static str,
+    /// Beginning.
+    pub from_ms: Millis,
+    /// Arrivals beyond the first of each request.
+    pub repeats: usize,
+    /// Repeats that are allowed.
+    pub allowed: f64,
+}
+
+impl Window {
+    /// Returns the repeats beyond the bound; negative below it.
+    #[must_use]
+    pub fn excess(&self) -> f64 {
+        self.repeats as f64 - self.allowed
+    }
+
+    fn into_violation(self) -> Violation {
+        Violation::Repeats {
+            service: self.service,
+            from_ms: self.from_ms,
+            repeats: self.repeats,
+            allowed: self.allowed,
+        }
+    }
+}
+
+/// Returns the worst window of each service.
+#[must_use]
+pub fn densest_windows(o: &Observed) -> Vec<Window> {
+    let mut repeats: BTreeMap<&'static str, Vec<Millis>> = BTreeMap::new();
+    let mut seen = BTreeSet::new();
+    for arrival in &o.arrivals {
+        if !seen.insert(&arrival.id)
+            && let Some(sent) = o.sent.get(&arrival.id)
+        {
+            repeats.entry(sent.service).or_default().push(arrival.at_ms);
+        }
+    }
+    let worst = repeats.into_iter().filter_map(|(service, times)| {
+        let mut requests: Vec<Millis> = of_service(o, service).map(|s| s.at_ms).collect();
+        requests.sort_unstable();
+        let begins = (0..=times.iter().max()? / STEP_MS).map(|step| step * STEP_MS);
+        let windows = begins.map(|from_ms| Window {
+            service,
+            from_ms,
+            repeats: count(&times, from_ms),
+            allowed: allowed(&requests, from_ms),
+        });
+        windows.max_by(|a, b| a.excess().total_cmp(&b.excess()))
+    });
+    worst.collect()
+}
+
+fn of_service<'a>(o: &'a Observed, service: &'a str) -> impl Iterator<Item = &'a Sent> {
+    o.sent.values().filter(move |s| s.service == service)
+}
+
+/// Returns how many of the sorted `times` a window holds.
+fn count(times: &[Millis], from_ms: Millis) -> usize {
+    let before = |ms: Millis| times.partition_point(|t| *t < ms);
+    before(from_ms + BUDGET_WINDOW_MS) - before(from_ms)
+}
+
+/// Returns the repeats that are allowed in a window, by the requests in it, in the one before it or in the
+/// one half a window before it.
+fn allowed(requests: &[Millis], from_ms: Millis) -> f64 {
+    let half = BUDGET_WINDOW_MS / 2;
+    let begins = [
+        from_ms,
+        from_ms.saturating_sub(half),
+        from_ms.saturating_sub(2 * half),
+    ];
+    let most = begins.map(|from| count(requests, from)).into_iter().max();
+    BUDGET_RATIO * most.unwrap_or(0) as f64 + BUDGET_SLACK
+}
+
+/// Returns whether an instance is in touch at a moment.
+fn is_in_touch(o: &Observed, instance: usize, at_ms: Millis) -> bool {
+    let from = at_ms.saturating_sub(STABLE_WINDOW_MS);
+    let targets = [Target::Instance(instance), Target::Store];
+    !targets
+        .into_iter()
+        .any(|target| o.is_disturbed(target, from, at_ms))
+}
+
+fn too_many_runners(o: &Observed) -> Option<Violation> {
+    let mut runners: BTreeMap<&str, BTreeSet<usize>> = BTreeMap::new();
+    for a in o.arrivals.iter().filter(|a| a.ran) {
+        let until = o
+            .sent
+            .get(&a.id)
+            .map_or(a.at_ms, |s| s.at_ms + s.deadline_ms);
+        let targets = [Target::Runner(a.runner), Target::Paths(a.instance)];
+        if !targets
+            .into_iter()
+            .any(|target| o.is_disturbed(target, a.at_ms, until))
+        {
+            runners.entry(&a.id).or_default().insert(a.runner);
+        }
+    }
+    let exceeds = |id: &str, count: usize| {
+        let sent = o.sent.get(id);
+        sent.is_some_and(|s| count > s.max_attempts as usize)
+    };
+    let found = runners.iter().filter(|(id, r)| exceeds(id, r.len()));
+    let found: Vec<String> = found.map(|(id, _)| (*id).to_owned()).collect();
+    (found.len() > MAX_TOO_MANY_RUNNERS).then_some(Violation::TooManyRunners(found))
+}
+
+fn late_deadlines(o: &Observed) -> Option<Violation> {
+    let mut first: BTreeMap<&str, &Arrival> = BTreeMap::new();
+    let (mut late, mut late_resends) = (0, 0);
+    for a in &o.arrivals {
+        let Some(sent) = o.sent.get(&a.id) else {
+            continue;
+        };
+        let before = first.get(a.id.as_str()).copied();
+        first.entry(&a.id).or_insert(a);
+        let since = a.at_ms.saturating_sub(STABLE_WINDOW_MS);
+        let is_held_up = o.is_disturbed(Target::Paths(a.instance), since, a.at_ms);
+        if is_held_up || !is_in_touch(o, a.instance, a.at_ms) {
+            continue;
+        }
+        let Some(left) = a.deadline_ms else {
+            late += 1;
+            continue;
+        };
+        let is_late_resend = before.is_some_and(|b| a.at_ms > b.at_ms + DEADLINE_SLACK_MS);
+        late_resends += usize::from(is_late_resend);
+        let ends = a.at_ms + left;
+        let allowed = before
+            .filter(|_| is_late_resend)
+            .map_or(0, |b| b.at_ms + b.deadline_ms.unwrap_or(0));
+        let own = sent.at_ms + sent.deadline_ms;
+        let exceeds_both = is_late_resend && ends > allowed.max(own) + DEADLINE_SLACK_MS;
+        if left > sent.deadline_ms + DEADLINE_SLACK_MS || exceeds_both {
+            late += 1;
+        }
+    }
+    let most = MAX_LATE_DEADLINES.max((MAX_LATE_DEADLINE_SHARE * late_resends as f64) as usize);
+    (late > most).then_some(Violation::LateDeadlines(late))
+}
+
+fn at_rest(o: &Observed) -> Option<Violation> {
+    let reached = |rest: &&super::observed::Rest| {
+        let (from, to) = (rest.at_ms + REST_SLACK_MS, rest.at_ms + rest.for_ms);
+        let is_of = |a: &&Arrival| a.runner == rest.runner && a.instance == rest.instance;
+        let arrivals = o.arrivals.iter().filter(is_of);
+        let count = arrivals.filter(|a| (from..to).contains(&a.at_ms)).count();
+        let instance = Target::Instance(rest.instance);
+        count > MAX_AT_REST && !o.is_disturbed(instance, rest.at_ms, to)
+    };
+    let found = o.rests.iter().filter(reached).count();
+    (found > 0).then_some(Violation::AtRest(found))
+}
+
+/// Counts lethal arrivals. Which of the two rules applies is told by their paths: a soak sends either one
+/// request again and again, or requests that share a part.
+fn lethal(o: &Observed) -> Option<Violation> {
+    let crashes: Vec<&Arrival> = o.arrivals.iter().filter(|a| a.crashes).collect();
+    let known = match o.lethal_is_part {
+        true => KNOWN_PART_CRASHES,
+        false => KNOWN_REQUEST_CRASHES,
+    };
+    let known_at = crashes.get(known - 1)?.at_ms + STABLE_WINDOW_MS;
+    let later = crashes.iter().filter(|a| a.at_ms > known_at);
+    let found = later
+        .filter(|a| is_in_touch(o, a.instance, a.at_ms))
+        .count();
+    (found > MAX_LETHAL).then_some(Violation::Lethal(found))
+}
--- /dev/null
+++ b/testkit/src/soak/observed.rs
@@ -0,0 +1,144 @@
+//! What callers and runners saw: the only source of a soak's verdict.
+
+use std::collections::BTreeMap;
+use std::sync::{Mutex, PoisonError};
+use std::time::Instant;
+
+/// Time since the start of the soak, in milliseconds.
+pub type Millis = u64;
+
+/// A request that a caller sent.
+#[derive(Clone, Debug)]
+pub struct Sent {
+    /// When it was sent.
+    pub at_ms: Millis,
+    /// Service of its route.
+    pub service: &'static str,
+    /// Maximum number of runners that may run it.
+    pub max_attempts: u32,
+    /// Time that the caller waits, in milliseconds.
+    pub deadline_ms: u64,
+    /// What the caller got, once it has ended.
+    pub end: Option<End>,
+}
+
+/// What a caller got.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum End {
+    /// A success that is a runner's whole answer.
+    Served,
+    /// A success that is complete by its framing, and not a runner's whole answer.
+    Garbled,
+    /// A success that broke off.
+    Cut,
+    /// A status that promises that the request has not run.
+    Refused,
+    /// Another failure.
+    Failed,
+    /// No answer: the connection failed, or the caller gave up.
+    Unanswered,
+}
+
+/// A request that reached a runner.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// When it arrived.
+    pub at_ms: Millis,
+    /// Identifier of the request.
+    pub id: String,
+    /// Index of the runner.
+    pub runner: usize,
+    /// Index of the instance that sent it.
+    pub instance: usize,
+    /// Time that the instance left for it, in milliseconds.
+    pub deadline_ms: Option<u64>,
+    /// Whether the runner began to work on it.
+    pub ran: bool,
+    /// Whether it crashes the runner.
+    pub crashes: bool,
+}
+
+/// A runner turned an instance away for a while.
+#[derive(Clone, Copy, Debug)]
+pub struct Rest {
+    /// When.
+    pub at_ms: Millis,
+    /// Index of the runner.
+    pub runner: usize,
+    /// Index of the instance.
+    pub instance: usize,
+    /// How long the runner wants nothing from it.
+    pub for_ms: Millis,
+}
+
+/// Something happened to an instance, a runner or the store from outside.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Target {
+    /// An instance, by index.
+    Instance(usize),
+    /// The paths of an instance to all runners.
+    Paths(usize),
+    /// A runner, by index.
+    Runner(usize),
+    /// The store.
+    Store,
+}
+
+/// Everything that was seen.
+#[derive(Clone, Debug, Default)]
+pub struct Observed {
+    /// Requests by identifier.
+    pub sent: BTreeMap<String, Sent>,
+    /// Arrivals at runners, in order.
+    pub arrivals: Vec<Arrival>,
+    /// Times for which runners wanted nothing.
+    pub rests: Vec<Rest>,
+    /// Whether lethal requests share a part of their prompt, rather than being the same.
+    pub lethal_is_part: bool,
+    /// Disturbances, each with its first and last moment.
+    pub disturbed: Vec<(Target, Millis, Millis)>,
+}
+
+impl Observed {
+    /// Returns whether a disturbance of `target` overlaps the time from `from` to `to`.
+    #[must_use]
+    pub fn is_disturbed(&self, target: Target, from: Millis, to: Millis) -> bool {
+        let mut of_target = self.disturbed.iter().filter(|d| d.0 == target);
+        of_target.any(|(_, begin, end)| *begin <= to && from <= *end)
+    }
+}
+
+/// Record of a running soak.
+#[derive(Debug)]
+pub struct Record {
+    started: Instant,
+    observed: Mutex<Observed>,
+}
+
+impl Default for Record {
+    fn default() -> Self {
+        Record {
+            started: Instant::now(),
+            observed: Mutex::default(),
+        }
+    }
+}
+
+impl Record {
+    /// Returns the time since the start.
+    #[must_use]
+    pub fn now(&self) -> Millis {
+        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(Millis::MAX)
+    }
+
+    /// Changes what was seen.
+    pub fn with<T>(&self, f: impl FnOnce(&mut Observed) -> T) -> T {
+        f(&mut self.observed.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Records a disturbance that began at `from` and ends now.
+    pub fn disturbed(&self, target: Target, from: Millis) {
+        let now = self.now();
+        self.with(|o| o.disturbed.push((target, from, now)));
+    }
+}
