Attempts: a missing entry does not end a runner's lifetime

What callers saw: nothing.

Cause: a runner whose entry is missing counted as ended, so that it no longer counted among those that a request may run on. A runner that leaves without saying so removes its entry at once and serves on for seconds.

Change: a lifetime has ended if its entry shows another one, or the runner was found dead.

--- a/plugins/relay/src/chain_attempts.rs
+++ b/plugins/relay/src/chain_attempts.rs
@@ -131,11 +131,7 @@
         let mut excluded = self.broken.iter().chain(&self.refused);
         let is_excluded = excluded.any(|l| std::ptr::eq(&raw const **l, live));
         let runners = node.runners.borrow();
-        let ended = |id: &Name, born_ms: u64| {
-            // A runner that does not answer this instance may still be alive. Its lifetime counts
-            // as ended only when its store entry is gone or shows another start.
-            runners.entry(id).is_none_or(|e| e.born_ms != born_ms)
-        };
+        let ended = |id: &Name, born_ms: u64| runners.has_ended(id, born_ms);
         let (id, born_ms) = live.head();
         let is_open = self.open.iter().any(|(i, b)| (i, *b) == (id, born_ms));
         !is_excluded && !is_open && self.attempts.allows(id, born_ms, rq.max_attempts, ended)
--- a/policy/src/relay/runners.rs
+++ b/policy/src/relay/runners.rs
@@ -294,6 +294,17 @@
         self.health.get(id).copied().unwrap_or_default()
     }
 
+    /// Returns whether a lifetime of a runner is known to have ended. A missing entry alone does not show
+    /// it: a runner that leaves may remove its entry at once and go on with what it runs for seconds.
+    #[must_use]
+    pub fn has_ended(&self, id: &str, born_ms: u64) -> bool {
+        match (self.entries.get(id), self.health.get(id)) {
+            (Some(entry), _) => entry.born_ms != born_ms,
+            (None, Some(health)) => health.born_ms != born_ms || health.dead,
+            (None, None) => true,
+        }
+    }
+
     /// Returns the runners that are dead or slow, or whose health changed within [`NOTABLE_MS`].
     pub fn notable(&mut self, now: Millis) -> impl Iterator<Item = (&RunnerEntry, &RunnerHealth)> {
         let Runners {
--- a/policy/tests/relay_rules.rs
+++ b/policy/tests/relay_rules.rs
@@ -157,6 +157,23 @@
     expect_false!(attempts.allows(&c, 1, 2, |_, _| true));
 }
 
+/// A runner that leaves may remove its entry and go on with what it runs. Guards against taking it for ended:
+/// only another lifetime, or its death, shows that.
+#[gtest]
+fn a_missing_entry_does_not_end_a_lifetime() {
+    let entry = runner("a", "one", "card");
+    let born_ms = entry.born_ms;
+    let mut runners = Runners::default();
+    expect_true!(runners.has_ended("a", born_ms));
+    runners.put(&entry);
+    expect_false!(runners.has_ended("a", born_ms));
+    expect_true!(runners.has_ended("a", born_ms + 1));
+    runners.remove(&entry.id, 100_000);
+    expect_false!(runners.has_ended("a", born_ms));
+    runners.health_mut(&entry.id).expect("its health").dead = true;
+    expect_true!(runners.has_ended("a", born_ms));
+}
+
 /// The chain of a stream breaks, and another run may resume the stream until its caller abandons it. That
 /// time depends on the route: with a large gap objective the caller waits twice as long, and a fixed time
 /// would cut streams that are still awaited.
