Streams: the limits on the sends and runners of a request hold across instances

What callers saw: nothing. What runners saw: one stream 16 times, 15 of them retries of the shared budget, where its route allows two runners and four sends. Its instance reaches no runner, so that it passes the stream to another one, and the runners break it off.

Cause: each instance counted sends and runners for itself. The one that passed the stream on counted one send for whatever the other did, and learnt of one runner at most; a failure told it nothing. So the limits multiplied, and a third runner could run the request.

Change: an instance that passes a stream on says how often it was sent, and is told with the answer how often by now and which runners may have run it, also if that failed. What comes after the head of an answer is one send at most, which the instance that passed it on counts as untold, and as a runner of its own. Headers carry it, so that instances of the code before understand each other as they did. A request that may not be sent any more is no longer held for room.

--- a/plugins/relay/src/call.rs
+++ b/plugins/relay/src/call.rs
@@ -96,7 +96,7 @@
 
 impl<'a> Call<'a> {
     fn new(node: &'a Rc<Node>, rq: &'a ProxiedRequest) -> Call<'a> {
-        let ran_elsewhere = rq.origin.as_ref().map_or(&[][..], |o| &o.ran);
+        let ran_elsewhere = rq.origin.as_ref().map_or(&[][..], |o| o.attempts.ran());
         Call {
             node,
             rq,
--- a/plugins/relay/src/call/forward.rs
+++ b/plugins/relay/src/call/forward.rs
@@ -5,6 +5,7 @@
 use http::Response;
 use jacinthweir_clients::buffers::Purpose;
 use jacinthweir_clients::direct::ResponseBody;
+use jacinthweir_policy::relay::attempts::Attempts;
 use tokio::time::timeout;
 
 use super::{MAX_ANSWER_BYTES, SendEnd};
@@ -20,11 +21,12 @@
     prior: PriorSends,
     ran: Vec<Ran>,
 ) -> SendEnd {
-    match forwarding::send(node, rq, StreamProgress::none(rq), prior, &ran).await {
+    let attempts = Attempts::resumed(ran, 0, 0);
+    match forwarding::send(node, rq, StreamProgress::none(rq), prior, &attempts).await {
         Forwarded::Answer { res, .. } => read_answer(node, rq, res).await,
-        Forwarded::Refused { retry_after_ms } => SendEnd::RefusedElsewhere { retry_after_ms },
+        Forwarded::Refused { retry_after_ms, .. } => SendEnd::RefusedElsewhere { retry_after_ms },
         Forwarded::NotTaken => SendEnd::NotTaken,
-        Forwarded::Lost(_) => SendEnd::Failed(None),
+        Forwarded::Lost { .. } => SendEnd::Failed(None),
         Forwarded::Timeout => SendEnd::Timeout,
     }
 }
--- a/plugins/relay/src/chain_attempts.rs
+++ b/plugins/relay/src/chain_attempts.rs
@@ -104,13 +104,26 @@
 impl ChainAttempts {
     /// Returns the record of a request that has not been sent by this instance.
     pub(crate) fn of(rq: &ProxiedRequest) -> ChainAttempts {
-        let ran = rq.origin.as_ref().map_or_else(Vec::new, |o| o.ran.clone());
+        let attempts = rq
+            .origin
+            .as_ref()
+            .map_or_else(Attempts::default, |o| o.attempts.clone());
         ChainAttempts {
-            attempts: Attempts::resumed(ran),
+            attempts,
             ..ChainAttempts::default()
         }
     }
 
+    /// Returns how often the request was sent, and where it may have run.
+    pub(crate) fn attempts(&self) -> &Attempts {
+        &self.attempts
+    }
+
+    /// Records that another instance may have sent the request once without telling it.
+    pub(crate) fn record_untold(&mut self) {
+        self.attempts.record_untold();
+    }
+
     /// Sends the request through another instance and records the outcome.
     pub(crate) async fn forward(
         &mut self,
@@ -120,11 +133,20 @@
     ) -> Forwarded {
         let prior = self.send_record.as_prior();
         self.send_record.record_send();
-        let sent = forwarding::send(node, rq, progress, prior, self.attempts.ran()).await;
+        let sent = forwarding::send(node, rq, progress, prior, &self.attempts).await;
         match &sent {
-            Forwarded::Answer { runner, .. } => self.attempts.record_forwarded(runner.clone()),
-            Forwarded::Lost(_) | Forwarded::Timeout => self.attempts.record_forwarded(None),
-            Forwarded::Refused { .. } | Forwarded::NotTaken => self.send_record.record_unreached(),
+            Forwarded::Answer { told, .. } => self.attempts.record_forwarded(told.clone()),
+            Forwarded::Lost {
+                told: Some(told), ..
+            } => self.attempts.record_forwarded(told.clone()),
+            Forwarded::Lost { told: None, .. } | Forwarded::Timeout => {
+                self.record_untold();
+            }
+            Forwarded::Refused { told, .. } => {
+                self.attempts.record_forwarded(told.clone());
+                self.send_record.record_unreached();
+            }
+            Forwarded::NotTaken => self.send_record.record_unreached(),
         }
         sent
     }
--- a/plugins/relay/src/forwarding.rs
+++ b/plugins/relay/src/forwarding.rs
@@ -16,6 +16,7 @@
 use jacinthweir_clients::direct::{self, ResponseBody};
 use jacinthweir_platform::header;
 use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::relay::attempts::Attempts;
 use serde::{Deserialize, Serialize};
 use tokio::time::timeout;
 
@@ -37,9 +38,16 @@
 /// What became of a forwarded request, in the head of the answer.
 const OUTCOME: HeaderName = HeaderName::from_static("jacinthweir-forwarded");
 
-/// First runner of a forwarded stream: its identity and the start of its lifetime.
+/// A runner that may have run a forwarded stream: its identity and the start of its lifetime. There is one
+/// such header for each.
 const RUNNER: HeaderName = HeaderName::from_static("jacinthweir-forwarded-runner");
 
+/// How often a stream was sent to runners, in the request and in the answer.
+const SENDS: HeaderName = HeaderName::from_static("jacinthweir-forwarded-sends");
+
+/// How many of these sends may have run on runners that are not known.
+const UNTOLD: HeaderName = HeaderName::from_static("jacinthweir-forwarded-untold");
+
 /// A runner that may have run a request: identity and lifetime.
 pub(crate) type Ran = (Name, u64);
 
@@ -138,18 +146,24 @@
     Answer {
         peer: Name,
         res: Response<ResponseBody>,
-        /// First runner of a stream.
-        runner: Option<Ran>,
+        /// Sends of a stream so far.
+        told: Attempts,
     },
     /// The other instance refused it, and it has certainly not run.
     Refused {
         /// When the caller should retry, in milliseconds.
         retry_after_ms: Millis,
+        /// Sends of a stream so far.
+        told: Attempts,
     },
     /// No other instance took it.
     NotTaken,
     /// It may have run.
-    Lost(String),
+    Lost {
+        cause: String,
+        /// Sends of a stream so far, if the other instance told them.
+        told: Option<Attempts>,
+    },
     /// The deadline has passed.
     Timeout,
 }
@@ -160,9 +174,9 @@
     rq: &ProxiedRequest,
     progress: StreamProgress,
     prior: PriorSends,
-    ran: &[Ran],
+    attempts: &Attempts,
 ) -> Forwarded {
-    let message = ForwardedRequest::of(node, rq, progress, prior, ran);
+    let message = ForwardedRequest::of(node, rq, progress, prior, attempts.ran());
     let body = match rmp_serde::to_vec(&message) {
         Ok(body) => Bytes::from(body),
         Err(e) => {
@@ -172,7 +186,7 @@
     };
     for peer in reachability::peers_with_paths(node, MAX_PEERS) {
         let left = Duration::from_millis(rq.remaining_ms(node));
-        let sent = timeout(left, offer(&peer, body.clone())).await;
+        let sent = timeout(left, offer(&peer, body.clone(), attempts)).await;
         let forwarded = sent.unwrap_or(Forwarded::Timeout);
         log_forwarded(node, rq, &peer, &forwarded);
         if !matches!(forwarded, Forwarded::NotTaken) {
@@ -187,31 +201,37 @@
 }
 
 /// Offers a request to one instance.
-async fn offer(peer: &PeerAddress, body: Bytes) -> Forwarded {
+async fn offer(peer: &PeerAddress, body: Bytes, attempts: &Attempts) -> Forwarded {
     let mut req = Request::new(Full::new(body));
     *req.method_mut() = Method::POST;
     *req.uri_mut() = http::Uri::from_static(PATH);
     if let Some(host) = header::value(&peer.peers.to_string()) {
         req.headers_mut().insert(http::header::HOST, host);
     }
+    tell_counts(attempts, req.headers_mut());
     let res = match direct::send(peer.peers, req, CONNECT_TIMEOUT).await {
         Ok(res) => res,
         Err(e) if e.is_unsent() => return Forwarded::NotTaken,
-        Err(e) => return Forwarded::Lost(e.to_string()),
+        Err(e) => {
+            let cause = e.to_string();
+            return Forwarded::Lost { cause, told: None };
+        }
     };
+    let told = SentSoFar::told(res.headers());
     match outcome(res.headers()) {
-        Some(Outcome::Answered) => {
-            let runner = header::text(res.headers(), &RUNNER).and_then(parse_runner);
-            Forwarded::Answer {
-                peer: peer.name.clone(),
-                res,
-                runner,
-            }
-        }
+        Some(Outcome::Answered) => Forwarded::Answer {
+            peer: peer.name.clone(),
+            res,
+            told,
+        },
         Some(Outcome::NotRun) => Forwarded::Refused {
             retry_after_ms: header::retry_after_ms(res.headers()).unwrap_or(0),
+            told,
+        },
+        Some(Outcome::Unknown) => Forwarded::Lost {
+            cause: "another instance got no answer".to_owned(),
+            told: Some(told),
         },
-        Some(Outcome::Unknown) => Forwarded::Lost("another instance got no answer".to_owned()),
         Some(Outcome::Unable) | None => Forwarded::NotTaken,
     }
 }
@@ -221,7 +241,7 @@
         Forwarded::Answer { .. } => ("answered", ""),
         Forwarded::Refused { .. } => ("refused", ""),
         Forwarded::NotTaken => ("not taken", ""),
-        Forwarded::Lost(cause) => ("lost", cause.as_str()),
+        Forwarded::Lost { cause, .. } => ("lost", cause.as_str()),
         Forwarded::Timeout => ("timeout", ""),
     };
     log::info!(
@@ -284,6 +304,7 @@
 /// Serves a request that another instance forwarded.
 pub(crate) async fn serve(node: &Rc<Node>, req: Request<Incoming>) -> Response<RelayBody> {
     let max_body = node.intent().map_or(0, |i| i.limits.body_bytes);
+    let (sends, untold) = told_counts(req.headers());
     let body = buffers::collect(req.into_body(), max_body + MAX_HEAD_BYTES, Purpose::Data).await;
     let message = body
         .ok()
@@ -302,18 +323,15 @@
     let origin = ForwardOrigin {
         waited_ms: message.waited_ms,
         is_resumed: message.is_resumed,
-        ran: message.ran,
+        attempts: Attempts::resumed(message.ran, sends, untold),
         prior: message.prior,
     };
     let mut res = request::serve_forwarded(node, req, origin).await;
     let outcome = HeaderValue::from_static(Outcome::of(&res).text());
-    let runner = res
-        .extensions()
-        .get::<FirstRunner>()
-        .and_then(encode_runner);
+    let sent = res.extensions_mut().remove::<SentSoFar>();
     res.headers_mut().insert(OUTCOME, outcome);
-    if let Some(runner) = runner {
-        res.headers_mut().insert(RUNNER, runner);
+    if let Some(sent) = sent {
+        sent.tell(res.headers_mut());
     }
     res
 }
@@ -324,19 +342,46 @@
     pub(crate) waited_ms: Millis,
     /// Whether it goes on with a stream whose caller has the beginning.
     pub(crate) is_resumed: bool,
-    /// Runners that may have run it.
-    pub(crate) ran: Vec<Ran>,
+    /// How often it was sent, and where it may have run.
+    pub(crate) attempts: Attempts,
     /// What became of its sends there.
     pub(crate) prior: PriorSends,
 }
 
-/// First runner of a stream, as an extension of its answer.
+/// Sends of a stream up to the head of its answer, as an extension of it.
 #[derive(Clone, Debug)]
-pub(crate) struct FirstRunner(pub(crate) Ran);
+pub(crate) struct SentSoFar(pub(crate) Attempts);
+
+impl SentSoFar {
+    /// Adds the sends to the head of the answer to the instance that forwarded the stream.
+    fn tell(&self, headers: &mut HeaderMap) {
+        tell_counts(&self.0, headers);
+        for (id, born_ms) in self.0.ran() {
+            if let Some(runner) = header::value(&format!("{born_ms} {id}")) {
+                headers.append(RUNNER, runner);
+            }
+        }
+    }
+
+    /// Returns the sends that the head of an answer tells.
+    fn told(headers: &HeaderMap) -> Attempts {
+        let runners = headers.get_all(RUNNER).iter();
+        let runners = runners.filter_map(|v| parse_runner(v.to_str().ok()?));
+        let (sends, untold) = told_counts(headers);
+        Attempts::resumed(runners.collect(), sends, untold)
+    }
+}
+
+fn tell_counts(attempts: &Attempts, headers: &mut HeaderMap) {
+    headers.insert(SENDS, attempts.sends().into());
+    headers.insert(UNTOLD, attempts.untold().into());
+}
 
-fn encode_runner(first: &FirstRunner) -> Option<HeaderValue> {
-    let FirstRunner((id, born_ms)) = first;
-    header::value(&format!("{born_ms} {id}"))
+/// Returns how often a stream was sent, and how many of these sends are on runners that are not known.
+fn told_counts(headers: &HeaderMap) -> (u32, u32) {
+    let count = |name| header::number(headers, name).unwrap_or(0);
+    let bounded = |count| u32::try_from(count).unwrap_or(u32::MAX);
+    (bounded(count(&SENDS)), bounded(count(&UNTOLD)))
 }
 
 fn parse_runner(text: &str) -> Option<Ran> {
@@ -349,5 +394,7 @@
     let mut headers = header::forwarded(headers);
     headers.remove(OUTCOME);
     headers.remove(RUNNER);
+    headers.remove(SENDS);
+    headers.remove(UNTOLD);
     headers
 }
--- a/plugins/relay/src/stream.rs
+++ b/plugins/relay/src/stream.rs
@@ -24,12 +24,12 @@
 use self::begin::Refusal;
 use self::failover::{Failover, ResumeFailure};
 use crate::admission;
-use crate::answer::{Cause, RelayBody, SendRecord, StreamCut};
+use crate::answer::{Cause, RelayBody, StreamCut};
 use crate::chain_attempts::ChainAttempts;
 use crate::contention;
 use crate::events::{EventError, EventSplitter};
 use crate::failure_detector;
-use crate::forwarding::{self, FirstRunner};
+use crate::forwarding::{self, SentSoFar};
 use crate::interrupted_run::{self, InterruptedRun, Progress};
 use crate::live_chains::{InFlight, Interruption, Run};
 use crate::node::Node;
@@ -41,20 +41,21 @@
 pub(crate) async fn serve(node: &Rc<Node>, rq: ProxiedRequest) -> Response<RelayBody> {
     let mut attempts = ChainAttempts::of(&rq);
     if let Err(cause) = contention::admit(node, &rq) {
-        return refuse(node, &rq, attempts.send_record, cause.into());
+        return refuse(node, &rq, &attempts, cause.into());
     }
     match begin::begin(node, &rq, &mut attempts).await {
         Ok((run, res)) => forward(node, rq, run, res, attempts),
-        Err(refusal) => refuse(node, &rq, attempts.send_record, refusal),
+        Err(refusal) => refuse(node, &rq, &attempts, refusal),
     }
 }
 
 fn refuse(
     node: &Node,
     rq: &ProxiedRequest,
-    send_record: SendRecord,
+    attempts: &ChainAttempts,
     refusal: Refusal,
 ) -> Response<RelayBody> {
+    let send_record = attempts.send_record;
     let Refusal {
         cause,
         retry_after_ms,
@@ -67,7 +68,10 @@
             shortage.record_refused(node.now(), node.random_f64())
         }),
     };
-    rq.unanswered_response(node, send_record, cause, retry_after_ms)
+    let mut res = rq.unanswered_response(node, send_record, cause, retry_after_ms);
+    let sent = SentSoFar(attempts.attempts().clone());
+    res.extensions_mut().insert(sent);
+    res
 }
 
 /// Forwards a runner's answer to the caller.
@@ -80,11 +84,10 @@
 ) -> Response<RelayBody> {
     let (parts, body) = res.into_parts();
     let now = node.now();
-    let first_runner = run.on_chain().map(|p| {
-        p.record_bytes();
-        let (id, born_ms) = p.live.head();
-        FirstRunner((id.clone(), born_ms))
-    });
+    if let Some(in_flight) = run.on_chain() {
+        in_flight.record_bytes();
+    }
+    let sent = SentSoFar(attempts.attempts().clone());
     metrics::histogram!("jacinthweir_first_event_seconds")
         .record((now - rq.received_ms) as f64 / 1e3);
     let forwarded = ForwardedStream {
@@ -101,6 +104,7 @@
             _ => Watch::Chain,
         },
         resumed: 0,
+        told_sends: attempts.attempts().sends(),
         attempts,
         run: Some(run),
         body: Some(body),
@@ -115,9 +119,7 @@
     let mut out = Response::new(RelayBody::stream(stream));
     *out.status_mut() = parts.status;
     *out.headers_mut() = forwarding::caller_headers(&parts.headers);
-    if let Some(first_runner) = first_runner {
-        out.extensions_mut().insert(first_runner);
-    }
+    out.extensions_mut().insert(sent);
     out
 }
 
@@ -144,6 +146,8 @@
     /// What shows that the current run does not go on.
     watch: Watch,
     resumed: u32,
+    /// Sends up to the head of the answer.
+    told_sends: u32,
     attempts: ChainAttempts,
     ended: bool,
 }
@@ -219,8 +223,12 @@
                 ReadOutcome::End => return self.finish(),
                 ReadOutcome::RunFailed(cause) => {
                     self.record_run_end(Closer::Runner);
-                    if let Some(Run::Chain(in_flight)) = &self.run {
-                        self.attempts.record_broken_off(&in_flight.live);
+                    match &self.run {
+                        Some(Run::Chain(in_flight)) => {
+                            self.attempts.record_broken_off(&in_flight.live);
+                        }
+                        Some(Run::Peer(_)) => self.attempts.record_untold(),
+                        None => {}
                     }
                     self.body = None;
                     self.record_interruption(&cause);
--- a/plugins/relay/src/stream/begin.rs
+++ b/plugins/relay/src/stream/begin.rs
@@ -142,6 +142,9 @@
 
 /// Waits for room in a chain and sends the request through it, or through another instance.
 async fn send_once(node: &Rc<Node>, rq: &ProxiedRequest, attempts: &mut ChainAttempts) -> Pass {
+    if attempts.is_exhausted(rq) {
+        return Pass::Refused(Cause::RunnerFailed.into());
+    }
     let until = admission::until(node, rq, attempts.send_record);
     if let Some(held_ms) = quarantine::quarantined_ms(node, rq, until).await {
         return Pass::Refused(Refusal::until(Cause::Quarantined, held_ms));
@@ -173,16 +176,13 @@
 }
 
 async fn forward_once(node: &Rc<Node>, rq: &ProxiedRequest, attempts: &mut ChainAttempts) -> Pass {
-    if attempts.is_exhausted(rq) {
-        return Pass::Refused(Cause::RunnerFailed.into());
-    }
     match attempts.forward(node, rq, StreamProgress::none(rq)).await {
         Forwarded::Answer { peer, res, .. } => Pass::Begun((Run::Peer(peer), res)),
-        Forwarded::Refused { retry_after_ms } => {
+        Forwarded::Refused { retry_after_ms, .. } => {
             Pass::Refused(Refusal::until(Cause::RefusedElsewhere, retry_after_ms))
         }
         Forwarded::Timeout => Pass::Refused(Cause::Timeout.into()),
-        Forwarded::Lost(_) => Pass::Unanswered,
+        Forwarded::Lost { .. } => Pass::Unanswered,
         Forwarded::NotTaken => Pass::Refused(Cause::NoPath.into()),
     }
 }
--- a/plugins/relay/src/stream/failover.rs
+++ b/plugins/relay/src/stream/failover.rs
@@ -293,7 +293,7 @@
             {
                 return Err(ResumeFailure::Quarantined);
             }
-            if self.attempts.is_exhausted(&self.rq) {
+            if self.is_exhausted() {
                 return Err(ResumeFailure::AttemptsExhausted);
             }
             // Only streams that can still be in time and lack nothing but room precede new
@@ -320,6 +320,13 @@
         Err(failure)
     }
 
+    /// Returns whether no further send is allowed. One by which an instance goes on with another one's
+    /// stream is not told to that instance, which allows for one.
+    fn is_exhausted(&self) -> bool {
+        let is_untold = self.attempts.attempts().sends() > self.told_sends;
+        self.attempts.is_exhausted(&self.rq) || (is_untold && self.rq.origin.is_some())
+    }
+
     /// Tries once to resume the stream with another run.
     async fn try_resume(
         &mut self,
@@ -380,7 +387,7 @@
             }
             Forwarded::Answer { .. } => Err(ResumeFailure::NextFailed),
             Forwarded::Timeout => Err(ResumeFailure::OutOfTime),
-            Forwarded::Lost(_) => Err(ResumeFailure::NextLost),
+            Forwarded::Lost { .. } => Err(ResumeFailure::NextLost),
         }
     }
 
--- a/policy/src/relay/attempts.rs
+++ b/policy/src/relay/attempts.rs
@@ -4,6 +4,9 @@
 //! ended no longer counts, and one that is tried again counts once. Only the first runner of a chain
 //! counts: it stays alive when a later stage dies, and has run the request. Otherwise a request that
 //! is resumed after each dead stage would run on three runners where two are allowed.
+//!
+//! The limits hold for the request, not for each instance that sends it: an instance that passes a request
+//! on says how often it was sent and where it may have run, and is told the same with the answer.
 
 use crate::prelude::*;
 
@@ -16,13 +19,16 @@
 pub struct Attempts {
     ran: Vec<(Name, u64)>,
     sends: u32,
+    /// Sends by other instances that each may have run on a runner which is not known.
+    untold: u32,
 }
 
 impl Attempts {
-    /// Returns the record of a request that another instance sent to the runners `ran`.
+    /// Returns the record of a request that another instance sent `sends` times, and that may have run on
+    /// the runners `ran` and on `untold` others.
     #[must_use]
-    pub fn resumed(ran: Vec<(Name, u64)>) -> Attempts {
-        Attempts { ran, sends: 0 }
+    pub fn resumed(ran: Vec<(Name, u64)>, sends: u32, untold: u32) -> Attempts {
+        Attempts { ran, sends, untold }
     }
 
     /// Returns the runners that may have run the request.
@@ -31,17 +37,39 @@
         &self.ran
     }
 
-    /// Records that another instance sent the request to a runner, if it is known to which.
-    pub fn record_forwarded(&mut self, runner: Option<(Name, u64)>) {
-        match runner {
-            Some((id, born_ms)) => self.record_sent(&id, born_ms),
-            None => self.sends += 1,
+    /// Returns how often the request was sent.
+    #[must_use]
+    pub fn sends(&self) -> u32 {
+        self.sends
+    }
+
+    /// Returns the number of sends that each may have run on a runner which is not known.
+    #[must_use]
+    pub fn untold(&self) -> u32 {
+        self.untold
+    }
+
+    /// Records what another instance tells of the request, which was passed to it with this record.
+    pub fn record_forwarded(&mut self, told: Attempts) {
+        self.sends = self.sends.max(told.sends);
+        self.untold = self.untold.max(told.untold);
+        for (id, born_ms) in told.ran {
+            if !self.may_have_run(&id, born_ms) {
+                self.ran.push((id, born_ms));
+            }
         }
     }
 
+    /// Records that another instance, to which the request was passed, may have sent it once without telling
+    /// it.
+    pub fn record_untold(&mut self) {
+        self.sends = self.sends.saturating_add(1);
+        self.untold = self.untold.saturating_add(1);
+    }
+
     /// Records that the request is sent to a runner.
     pub fn record_sent(&mut self, id: &Name, born_ms: u64) {
-        self.sends += 1;
+        self.sends = self.sends.saturating_add(1);
         if !self.may_have_run(id, born_ms) {
             self.ran.push((id.clone(), born_ms));
         }
@@ -64,7 +92,7 @@
     /// Returns whether no further send is allowed on a route with a limit of `max_runners` runners.
     #[must_use]
     pub fn is_exhausted(&self, max_runners: u32) -> bool {
-        self.sends >= max_runners + MAX_EXTRA_SENDS
+        self.sends >= max_runners.saturating_add(MAX_EXTRA_SENDS)
     }
 
     /// Returns whether the request may be sent to a runner on a route with a limit of `max_runners` runners;
@@ -80,6 +108,7 @@
             return false;
         }
         let living = self.ran.iter().filter(|(i, b)| !ended(i, *b)).count();
-        self.may_have_run(id, born_ms) || living < max_runners as usize
+        self.may_have_run(id, born_ms)
+            || living.saturating_add(self.untold as usize) < max_runners as usize
     }
 }
