Streams: an instance that tells nothing of a stream counts as having sent it once

What runners would see during an upgrade: an instance of the code before tells no sends, which counted as none, so that a stream passed on to it had no limit on its sends but the deadline. No test: it needs an instance of that code.

--- a/plugins/relay/src/chain_attempts.rs
+++ b/plugins/relay/src/chain_attempts.rs
@@ -119,6 +119,13 @@
         &self.attempts
     }
 
+    fn record_told(&mut self, told: Option<Attempts>) {
+        match told {
+            Some(told) => self.attempts.record_forwarded(told),
+            None => self.record_untold(),
+        }
+    }
+
     /// Records that another instance may have sent the request once without telling it.
     pub(crate) fn record_untold(&mut self) {
         self.attempts.record_untold();
@@ -135,15 +142,12 @@
         self.send_record.record_send();
         let sent = forwarding::send(node, rq, progress, prior, &self.attempts).await;
         match &sent {
-            Forwarded::Answer { told, .. } => self.attempts.record_forwarded(told.clone()),
-            Forwarded::Lost {
-                told: Some(told), ..
-            } => self.attempts.record_forwarded(told.clone()),
-            Forwarded::Lost { told: None, .. } | Forwarded::Timeout => {
-                self.record_untold();
+            Forwarded::Answer { told, .. } | Forwarded::Lost { told, .. } => {
+                self.record_told(told.clone());
             }
+            Forwarded::Timeout => self.record_untold(),
             Forwarded::Refused { told, .. } => {
-                self.attempts.record_forwarded(told.clone());
+                self.record_told(told.clone());
                 self.send_record.record_unreached();
             }
             Forwarded::NotTaken => self.send_record.record_unreached(),
--- a/plugins/relay/src/forwarding.rs
+++ b/plugins/relay/src/forwarding.rs
@@ -146,15 +146,15 @@
     Answer {
         peer: Name,
         res: Response<ResponseBody>,
-        /// Sends of a stream so far.
-        told: Attempts,
+        /// Sends of a stream so far, if the other instance told them.
+        told: Option<Attempts>,
     },
     /// The other instance refused it, and it has certainly not run.
     Refused {
         /// When the caller should retry, in milliseconds.
         retry_after_ms: Millis,
-        /// Sends of a stream so far.
-        told: Attempts,
+        /// Sends of a stream so far, if the other instance told them.
+        told: Option<Attempts>,
     },
     /// No other instance took it.
     NotTaken,
@@ -230,7 +230,7 @@
         },
         Some(Outcome::Unknown) => Forwarded::Lost {
             cause: "another instance got no answer".to_owned(),
-            told: Some(told),
+            told,
         },
         Some(Outcome::Unable) | None => Forwarded::NotTaken,
     }
@@ -363,12 +363,15 @@
         }
     }
 
-    /// Returns the sends that the head of an answer tells.
-    fn told(headers: &HeaderMap) -> Attempts {
+    /// Returns the sends that the head of an answer tells; `None` if it tells none.
+    fn told(headers: &HeaderMap) -> Option<Attempts> {
+        if !headers.contains_key(SENDS) {
+            return None;
+        }
         let runners = headers.get_all(RUNNER).iter();
         let runners = runners.filter_map(|v| parse_runner(v.to_str().ok()?));
         let (sends, untold) = told_counts(headers);
-        Attempts::resumed(runners.collect(), sends, untold)
+        Some(Attempts::resumed(runners.collect(), sends, untold))
     }
 }
 
