--- a/testkit/src/soak.rs
+++ b/testkit/src/soak.rs
@@ -136,6 +136,7 @@
             store,
             record: Arc::clone(&record),
             troubles: Mutex::default(),
+            limits: Mutex::default(),
             links: (0..INSTANCES)
                 .map(|_| watch::Sender::new(Link::Pass))
                 .collect(),
@@ -251,7 +252,7 @@
     fn choose(&self, fault: Fault, rng: &mut ChaCha8Rng) -> Vec<usize> {
         match fault {
             Fault::Runners { .. } | Fault::SilentStore { .. } => Vec::new(),
-            Fault::CrashRunners { service, count, .. } => {
+            Fault::CrashRunners { service, count, .. } | Fault::Limit { service, count, .. } => {
                 let service = self.cfg.site.services()[service];
                 let of_service = self.runners.iter().filter(|r| r.service() == service);
                 of_service.map(|r| r.index()).sample(rng, count)
@@ -283,6 +284,11 @@
                     self.runners[index].crash(Duration::from_millis(down_ms));
                 }
             }
+            Fault::Limit { per_s, for_ms, .. } => {
+                lock(&self.pool.limits).extend(chosen.iter().map(|index| (*index, per_s)));
+                sleep(Duration::from_millis(for_ms)).await;
+                lock(&self.pool.limits).retain(|index, _| !chosen.contains(index));
+            }
             Fault::SilentStore { for_ms } => {
                 let from = self.pool.record.now();
                 self.pool
--- a/testkit/src/soak/check.rs
+++ b/testkit/src/soak/check.rs
@@ -1,4 +1,4 @@
-//! The rules named BUDGET, counted from what callers and runners saw.
+//! The rules named BUDGET, and that of announced limits, counted from what callers and runners saw.
 //!
 //! Each rule is counted as the users' pages word it. Where a rule holds for machines in touch only, a
 //! disturbance of the instance or of the store within the window before excuses it.
@@ -59,6 +59,18 @@
     /// Lethal requests reached runners after they were known.
     #[display("{_0} lethal requests reached runners")]
     Lethal(usize),
+    /// A runner got more requests than it said it takes.
+    #[display("runner {runner}: {requests} requests from {from_ms} ms on, {allowed:.1} allowed")]
+    Limit {
+        /// Index of the runner.
+        runner: usize,
+        /// Beginning of the window.
+        from_ms: Millis,
+        /// Requests in it.
+        requests: usize,
+        /// Requests that are allowed.
+        allowed: f64,
+    },
     /// Successes that are not a runner's whole answer.
     #[display("{_0} successes are no whole answer")]
     Garbled(usize),
@@ -76,6 +88,7 @@
     violations.extend(late_deadlines(o));
     violations.extend(at_rest(o));
     violations.extend(lethal(o));
+    violations.extend(above_limits(o));
     let garbled = o
         .sent
         .values()
@@ -245,6 +258,63 @@
     (found > 0).then_some(Violation::AtRest(found))
 }
 
+/// Window of an announced limit, in milliseconds, and what it allows: a multiple, and some requests more.
+const LIMIT_WINDOW_MS: Millis = 4_000;
+const LIMIT_FACTOR: f64 = 1.5;
+const LIMIT_SLACK: f64 = 5.0;
+
+/// Time after which an instance knows a limit that it has passed on, in milliseconds.
+const LIMIT_KNOWN_MS: Millis = 500;
+
+/// Returns the first window of each runner in which it got more than it said it takes, from instances that
+/// had passed its answer on. The limits of a soak don't change while they are named.
+fn above_limits(o: &Observed) -> Vec<Violation> {
+    let mut by_runner: BTreeMap<usize, Vec<&Arrival>> = BTreeMap::new();
+    for a in &o.arrivals {
+        by_runner.entry(a.runner).or_default().push(a);
+    }
+    let found = by_runner
+        .into_iter()
+        .filter_map(|(runner, arrivals)| above_limit(o, runner, &arrivals));
+    found.collect()
+}
+
+fn above_limit(o: &Observed, runner: usize, arrivals: &[&Arrival]) -> Option<Violation> {
+    let named: Vec<&&Arrival> = arrivals
+        .iter()
+        .filter(|a| a.limit_per_s.is_some())
+        .collect();
+    let (first, last) = (named.first()?, named.last()?);
+    let per_s = first.limit_per_s?;
+    let allowed = LIMIT_FACTOR * per_s * LIMIT_WINDOW_MS as f64 / 1e3 + LIMIT_SLACK;
+    let knows = |a: &Arrival| {
+        let before = |n: &&&&Arrival| n.at_ms + LIMIT_KNOWN_MS <= a.at_ms;
+        let mut told = named.iter().filter(before);
+        told.any(|n| n.instance == a.instance)
+    };
+    let mut from_ms = first.at_ms + STABLE_WINDOW_MS;
+    while from_ms + LIMIT_WINDOW_MS <= last.at_ms {
+        let window = from_ms..from_ms + LIMIT_WINDOW_MS;
+        let counts = |a: &&&Arrival| {
+            let targets = [Target::Instance(a.instance), Target::Paths(a.instance)];
+            let mut targets = targets.into_iter();
+            let is_excused = targets.any(|t| o.is_disturbed(t, first.at_ms, window.end));
+            window.contains(&a.at_ms) && !is_excused && knows(a)
+        };
+        let requests = arrivals.iter().filter(counts).count();
+        if requests as f64 > allowed {
+            return Some(Violation::Limit {
+                runner,
+                from_ms,
+                requests,
+                allowed,
+            });
+        }
+        from_ms += STEP_MS;
+    }
+    None
+}
+
 /// Counts lethal arrivals. Which of the two rules applies is told by their paths: a soak sends either one
 /// request again and again, or requests that share a part.
 fn lethal(o: &Observed) -> Option<Violation> {
--- a/testkit/src/soak/fault.rs
+++ b/testkit/src/soak/fault.rs
@@ -25,6 +25,18 @@
         /// How long.
         for_ms: u64,
     },
+    /// Runners of a service say how many requests a second they take.
+    #[display("service {service}: {count} runners take {per_s} a second, {for_ms} ms")]
+    Limit {
+        /// Service.
+        service: usize,
+        /// How many runners.
+        count: usize,
+        /// Requests a second for each.
+        per_s: f64,
+        /// How long.
+        for_ms: u64,
+    },
     /// Runners of a service crash and start again.
     #[display("service {service}: {count} runners crash, {down_ms} ms")]
     CrashRunners {
@@ -100,6 +112,9 @@
 /// Time without faults at the beginning, and at the end.
 const CALM_MS: u64 = 6_000;
 
+/// Share of plans in which runners say how many requests they take.
+const LIMIT_SHARE: f64 = 0.5;
+
 /// Time between two periods of trouble.
 const PAUSE_MS: u64 = 100;
 
@@ -119,15 +134,21 @@
         for _ in 0..rng.random_range(3..=5) {
             steps.extend(draw_series(&mut rng, CALM_MS..end_ms));
         }
-        steps.sort_by_key(|step| step.at_ms);
         let is_lethal = rng.random_bool(LETHAL_SHARE);
         let lethal = [Lethal::Request, Lethal::Part].choose(&mut rng).copied();
+        let busy_threads = *[0, 0, 4, 8].choose(&mut rng).unwrap_or(&0);
+        let rate = *[1.0, 1.0, 1.5].choose(&mut rng).unwrap_or(&1.0);
+        let call_weight = *[1.0, 8.0].choose(&mut rng).unwrap_or(&1.0);
+        if rng.random_bool(LIMIT_SHARE) {
+            steps.push(draw_limit(&mut rng, CALM_MS..end_ms));
+        }
+        steps.sort_by_key(|step| step.at_ms);
         Plan {
             steps,
             lethal: lethal.filter(|_| is_lethal),
-            busy_threads: *[0, 0, 4, 8].choose(&mut rng).unwrap_or(&0),
-            rate: *[1.0, 1.0, 1.5].choose(&mut rng).unwrap_or(&1.0),
-            call_weight: *[1.0, 8.0].choose(&mut rng).unwrap_or(&1.0),
+            busy_threads,
+            rate,
+            call_weight,
         }
     }
 }
@@ -165,6 +186,19 @@
     steps
 }
 
+fn draw_limit(rng: &mut impl Rng, times: std::ops::Range<u64>) -> Step {
+    let fault = Fault::Limit {
+        service: usize::from(rng.random_bool(0.3)),
+        count: rng.random_range(1..=3),
+        per_s: *[0.5, 1.0, 3.0].choose(rng).unwrap_or(&1.0),
+        for_ms: rng.random_range(9_000..18_000),
+    };
+    Step {
+        at_ms: rng.random_range(times),
+        fault,
+    }
+}
+
 /// Draws a series of one kind of fault.
 fn draw_series(rng: &mut impl Rng, times: std::ops::Range<u64>) -> Vec<Step> {
     let kind = rng.random_range(0..8);
--- a/testkit/src/soak/observed.rs
+++ b/testkit/src/soak/observed.rs
@@ -56,6 +56,8 @@
     pub ran: bool,
     /// Whether it crashes the runner.
     pub crashes: bool,
+    /// Requests a second that the runner's answer says it takes from all instances.
+    pub limit_per_s: Option<f64>,
 }
 
 /// A runner turned an instance away for a while.
--- a/testkit/src/soak/runner.rs
+++ b/testkit/src/soak/runner.rs
@@ -93,6 +93,7 @@
     /// Headers of the answer.
     receipt: String,
     deadline_ms: Option<u64>,
+    limit_per_s: Option<f64>,
     is_stream: bool,
     chain: Vec<SocketAddr>,
     first_event: u64,
@@ -104,14 +105,17 @@
         let id = head.header("x-jacinthweir-request-id").unwrap_or("");
         let chain = head.header("x-jacinthweir-hop-count");
         let after = head.number("last-event-id").unwrap_or(0);
+        let limit_per_s = runner.limit_per_s();
+        let limit = limit_per_s.map_or_else(String::new, |l| format!("Server-Limit: {l}\r\n"));
         Run {
             id: id.to_owned(),
             at_ms: runner.pool.record.now(),
             instance,
             receipt: format!(
-                "X-Jacinthweir-Request-Id: {id}\r\nX-Jacinthweir-Server-Stamp: {}.{id}\r\n",
+                "X-Jacinthweir-Request-Id: {id}\r\nX-Jacinthweir-Server-Stamp: {}.{id}\r\n{limit}",
                 runner.name()
             ),
+            limit_per_s,
             deadline_ms: head.number("x-jacinthweir-deadline-ms"),
             is_stream: chain.is_some(),
             chain: parse_chain(chain.unwrap_or("")),
@@ -166,6 +170,8 @@
     pub record: Arc<Record>,
     /// What they do with requests, by service.
     pub troubles: Mutex<BTreeMap<&'static str, Trouble>>,
+    /// Requests a second that runners say they take, by index.
+    pub limits: Mutex<BTreeMap<usize, f64>>,
     /// State of each instance's paths to all runners.
     pub links: Vec<watch::Sender<Link>>,
     /// Addresses of the runners that are alive.
@@ -382,6 +388,13 @@
         response("202 Accepted", "", "{}")
     }
 
+    /// Returns the limit that the runner names.
+    fn limit_per_s(&self) -> Option<f64> {
+        let limits = self.pool.limits.lock();
+        let limits = limits.unwrap_or_else(PoisonError::into_inner);
+        limits.get(&self.place.index).copied()
+    }
+
     fn draw_behaviour(&self) -> Behaviour {
         let troubles = self.pool.troubles.lock();
         let troubles = troubles.unwrap_or_else(PoisonError::into_inner);
@@ -452,6 +465,8 @@
 
     fn record_arrival(&self, run: &Run, behaviour: Behaviour, crashes: bool) {
         let (runner, instance) = (self.place.index, run.instance);
+        let answers = [Behaviour::Sound, Behaviour::Error];
+        let is_answered = answers.contains(&behaviour) && !crashes;
         self.pool.record.with(|o| {
             o.arrivals.push(Arrival {
                 at_ms: run.at_ms,
@@ -461,6 +476,7 @@
                 deadline_ms: run.deadline_ms,
                 ran: !matches!(behaviour, Behaviour::Busy | Behaviour::Rest),
                 crashes,
+                limit_per_s: run.limit_per_s.filter(|_| is_answered),
             });
             if behaviour == Behaviour::Rest {
                 o.rests.push(Rest {
--- a/testkit/tests/soak.rs
+++ b/testkit/tests/soak.rs
@@ -39,6 +39,7 @@
         deadline_ms: Some(DEADLINE_MS),
         ran: true,
         crashes: false,
+        limit_per_s: None,
     }
 }
 
@@ -135,6 +136,28 @@
     expect_that!(check(&o), is_empty());
 }
 
+#[gtest]
+fn requests_above_an_announced_limit_are_found() {
+    // One request in 100 ms is 40 in a window, where 1.5 times four seconds of six are 36, and five more.
+    let mut o = Observed::default();
+    for number in 0..100 {
+        let limit_per_s = Some(6.0);
+        o.arrivals.push(Arrival {
+            limit_per_s,
+            ..arrival(number, number * 100, 0)
+        });
+    }
+    expect_that!(check(&o), is_empty());
+    o.arrivals.extend((0..2).map(|n| arrival(n, 6_001 + n, 0)));
+    let found = check(&o);
+    expect_that!(
+        found,
+        elements_are![matches_pattern!(Violation::Limit { .. })]
+    );
+    o.disturbed.push((Target::Paths(0), 3_000, 3_001));
+    expect_that!(check(&o), is_empty());
+}
+
 #[gtest]
 fn a_success_that_is_no_whole_answer_is_found() {
     let mut o = plain_history();
