--- a/clients/tests/answers_without_end.rs
+++ b/clients/tests/answers_without_end.rs
@@ -1,7 +1,9 @@
 //! Servers that send bytes without end which are no answer, or no whole one, until their client closes.
 
+#[path = "support/requests.rs"]
+mod requests;
+
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use bytes::Bytes;
 use googletest::prelude::*;
@@ -10,16 +12,13 @@
 use jacinthweir_clients::ClientError;
 use jacinthweir_clients::direct::{self, DirectError};
 use jacinthweir_clients::runner::{RunStart, RunnerClient};
-use jacinthweir_clients::service::{ServiceCall, ServiceClient};
-use jacinthweir_wire::runner::{LayerRange, RunRequest, Stage};
+use jacinthweir_clients::service::ServiceClient;
+use requests::{DEADLINE, run_request, service_call};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
-/// Far longer than any of these requests takes: a test that waits for it shows that bytes were read on.
-const DEADLINE: Duration = Duration::from_secs(20);
-
 const MAX_BODY_BYTES: usize = 256 << 10;
 
 /// What the system's socket buffers may take in addition to what the client reads.
@@ -130,38 +129,6 @@
     expect_that!(got, ok(eq(&200_000)));
 }
 
-fn service_call(address: SocketAddr) -> ServiceCall {
-    ServiceCall {
-        address,
-        call: "lookup".to_owned(),
-        request: "r".to_owned(),
-        attempt: 1,
-        key: None,
-        content_type: None,
-        body: Bytes::new(),
-        timeout: DEADLINE,
-    }
-}
-
-fn run_request(address: SocketAddr) -> RunRequest {
-    RunRequest {
-        request: "r".into(),
-        attempt: 1,
-        model: "m".into(),
-        route: vec![Stage {
-            runner: "one".into(),
-            address,
-            layers: LayerRange { start: 0, end: 1 },
-        }],
-        prompt: String::new(),
-        resume: Vec::new(),
-        max_tokens: 1,
-        priority: 0,
-        deadline_ms: 1,
-        kv_from: None,
-    }
-}
-
 /// Reads all frames of a run until an error; returns whether it ended within the deadline.
 async fn run_fails(address: SocketAddr) -> bool {
     let client = RunnerClient::open(DEADLINE).expect("a client");
--- a/clients/tests/half_heads.rs
+++ b/clients/tests/half_heads.rs
@@ -1,8 +1,10 @@
 //! Servers that close their connection within the head of an answer. No client may take that for an
 //! answer, however little of it is missing, and on whichever answer of a connection.
 
+#[path = "support/requests.rs"]
+mod requests;
+
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use bytes::Bytes;
 use googletest::prelude::*;
@@ -13,13 +15,11 @@
 use jacinthweir_clients::peer::PeerClient;
 use jacinthweir_clients::platform::{HttpPlatform, Platform};
 use jacinthweir_clients::runner::{RunStart, RunnerClient};
-use jacinthweir_clients::service::{ServiceCall, ServiceClient};
-use jacinthweir_wire::runner::{LayerRange, RunRequest, Stage};
+use jacinthweir_clients::service::ServiceClient;
+use requests::{DEADLINE, run_request, service_call};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
-const DEADLINE: Duration = Duration::from_secs(20);
-
 const MAX_BODY_BYTES: usize = 64 << 10;
 
 /// Head of a service's answer without a length: all that follows it up to the close is the body.
@@ -76,38 +76,6 @@
     expect_that!(fetch(whole).await, ok(is_empty()));
 }
 
-fn service_call(address: SocketAddr) -> ServiceCall {
-    ServiceCall {
-        address,
-        call: "lookup".to_owned(),
-        request: "r".to_owned(),
-        attempt: 1,
-        key: None,
-        content_type: None,
-        body: Bytes::new(),
-        timeout: DEADLINE,
-    }
-}
-
-fn run_request(address: SocketAddr) -> RunRequest {
-    RunRequest {
-        request: "r".into(),
-        attempt: 1,
-        model: "m".into(),
-        route: vec![Stage {
-            runner: "one".into(),
-            address,
-            layers: LayerRange { start: 0, end: 1 },
-        }],
-        prompt: String::new(),
-        resume: Vec::new(),
-        max_tokens: 1,
-        priority: 0,
-        deadline_ms: 1,
-        kv_from: None,
-    }
-}
-
 /// Returns whether a failure leaves open whether the call has run.
 fn may_have_run<T>(got: std::result::Result<T, ClientError>) -> bool {
     got.is_err_and(|e| !matches!(e, ClientError::NoEffect { .. }))
--- a/plugins/relay/tests/relay/half_heads.rs
+++ b/plugins/relay/tests/relay/half_heads.rs
@@ -1,16 +1,9 @@
 //! Runners that close their connection within the head of an answer. Callers must not get a success
 //! with an empty or short body that is framed as whole.
 
-use std::time::Duration;
-
 use googletest::prelude::*;
-use jacinthweir_relay::{Relay, RelaySettings};
-use tokio::time::sleep;
 
-use crate::standin::{
-    Behaviour, Cluster, Cut, HeadCut, NewConnections, OpenConnections, Paths, TEST_TIMEOUT, get,
-    run_single_threaded, send_request,
-};
+use crate::standin::{Behaviour, Cluster, HeadCut, run_single_threaded, send_request};
 use crate::{LOOKUP, NOTES, PAY, TOKENS};
 
 fn cuts() -> impl Iterator<Item = Behaviour> {
@@ -90,39 +83,12 @@
     });
 }
 
-/// Starts an instance that reaches no runner, so that it sends its requests through the first one.
-async fn instance_without_paths(cluster: &Cluster) -> (RelaySettings, Relay) {
-    let paths = Paths::open(cluster).await;
-    let started = cluster.start_instance_behind("cut", &paths).await;
-    paths.cut(Cut {
-        new: NewConnections::Refused,
-        open: OpenConnections::Reset,
-    });
-    let lost = async {
-        let is_lost = |dump: &str| dump.matches("\"unreachable\": true").count() >= 4;
-        while !is_lost(
-            &get(started.0.listen.operators, "GET /dump HTTP/1.1")
-                .await
-                .body,
-        ) {
-            // Only requests show that there is no path.
-            send_request(started.0.listen.callers, LOOKUP, "", "").await;
-            send_request(started.0.listen.callers, NOTES, TOKENS, "prompt").await;
-            sleep(Duration::from_millis(5)).await;
-        }
-    };
-    tokio::time::timeout(TEST_TIMEOUT, lost)
-        .await
-        .expect("no path");
-    started
-}
-
 /// The same for requests that go through another instance, which alone sees the half of the head.
 #[gtest]
 fn half_a_head_is_no_answer_through_another_instance() {
     run_single_threaded(async {
         let cluster = Cluster::with_long_timeouts(|_| {}).await;
-        let (member, _relay) = instance_without_paths(&cluster).await;
+        let (member, _relay) = cluster.start_instance_without_paths().await;
         for cut in cuts() {
             cluster.set_behaviour(Behaviour::Normal);
             cluster.plain[0].behaviour.set(cut);
--- a/plugins/relay/tests/relay/runners_of_a_request.rs
+++ b/plugins/relay/tests/relay/runners_of_a_request.rs
@@ -4,15 +4,14 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use jacinthweir_relay::{Relay, RelaySettings};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
 use crate::standin::{
-    Behaviour, Cluster, Cut, HeadCut, NewConnections, OpenConnections, Paths, Runner, TEST_TIMEOUT,
-    get, run_single_threaded, send_request, wait_for_chains,
+    Behaviour, Cluster, HeadCut, Runner, TEST_TIMEOUT, run_single_threaded, send_request,
+    wait_for_chains,
 };
-use crate::{LOOKUP, NOTES, TOKENS};
+use crate::{NOTES, TOKENS};
 
 /// Runners that a stream of the cluster may run on.
 const MAX_RUNNERS: usize = 2;
@@ -67,31 +66,6 @@
     });
 }
 
-/// Starts an instance that reaches no runner.
-async fn instance_without_paths(cluster: &Cluster) -> (RelaySettings, Relay) {
-    let paths = Paths::open(cluster).await;
-    let started = cluster.start_instance_behind("cut", &paths).await;
-    paths.cut(Cut {
-        new: NewConnections::Refused,
-        open: OpenConnections::Reset,
-    });
-    let (callers, operators) = (started.0.listen.callers, started.0.listen.operators);
-    let lost = async {
-        loop {
-            let dump = get(operators, "GET /dump HTTP/1.1").await;
-            if dump.body.matches("\"unreachable\": true").count() >= 4 {
-                return;
-            }
-            // Only requests show that there is no path.
-            send_request(callers, LOOKUP, "", "").await;
-            send_request(callers, NOTES, TOKENS, "prompt").await;
-            sleep(Duration::from_millis(5)).await;
-        }
-    };
-    timeout(TEST_TIMEOUT, lost).await.expect("no path");
-    started
-}
-
 /// All runners break off: in the head of an answer, or in the middle of a stream. Guards against limits on
 /// the runners and sends of a request that each instance counts by itself, so that a request which goes
 /// through another instance takes the product of both, each send with a retry of the budget.
@@ -105,7 +79,7 @@
         ] {
             let cluster = cluster_of_three_chains().await;
             let runners = &cluster.runners;
-            let (member, _relay) = instance_without_paths(&cluster).await;
+            let (member, _relay) = cluster.start_instance_without_paths().await;
             cluster.set_behaviour(behaviour);
             for _ in 0..requests {
                 runners.iter().for_each(|r| r.received.borrow_mut().clear());
--- a/plugins/relay/tests/support/standin.rs
+++ b/plugins/relay/tests/support/standin.rs
@@ -125,6 +125,33 @@
         (settings, relay)
     }
 
+    /// Starts another instance that has lost its paths to all runners, and waits until it knows.
+    pub async fn start_instance_without_paths(&self) -> (RelaySettings, Relay) {
+        let paths = Paths::open(self).await;
+        let (settings, relay) = self.start_instance_behind("cut", &paths).await;
+        paths.cut(Cut {
+            new: NewConnections::Refused,
+            open: OpenConnections::Reset,
+        });
+        // The first runners of two chains, and two plain ones.
+        const RECEIVERS: usize = 4;
+        let (callers, operators) = (settings.listen.callers, settings.listen.operators);
+        let lost = async {
+            loop {
+                let dump = get(operators, "GET /dump HTTP/1.1").await;
+                if dump.body.matches("\"unreachable\": true").count() >= RECEIVERS {
+                    return;
+                }
+                // Only requests show that there is no path.
+                send_request(callers, "GET /lookup/1 HTTP/1.1", "", "").await;
+                send_request(callers, "POST /notes/1 HTTP/1.1", "", "prompt").await;
+                sleep(Duration::from_millis(5)).await;
+            }
+        };
+        timeout(TEST_TIMEOUT, lost).await.expect("no path");
+        (settings, relay)
+    }
+
     async fn start_with(
         &self,
         name: &str,
