--- a/testkit/src/soak/check.rs
+++ b/testkit/src/soak/check.rs
@@ -5,7 +5,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::observed::{Arrival, End, Millis, Observed, Sent, Target};
+use super::observed::{Arrival, End, Millis, Observed, Rest, Sent, Target};
 use super::site::{BUDGET_RATIO, BUDGET_SLACK, BUDGET_WINDOW_MS, STABLE_WINDOW_MS};
 
 /// Requests that may run on more runners than their route allows.
@@ -246,7 +246,7 @@
 }
 
 fn at_rest(o: &Observed) -> Option<Violation> {
-    let reached = |rest: &&super::observed::Rest| {
+    let reached = |rest: &&Rest| {
         let (from, to) = (rest.at_ms + REST_SLACK_MS, rest.at_ms + rest.for_ms);
         let is_of = |a: &&Arrival| a.runner == rest.runner && a.instance == rest.instance;
         let arrivals = o.arrivals.iter().filter(is_of);
@@ -315,8 +315,8 @@
     None
 }
 
-/// Counts lethal arrivals. Which of the two rules applies is told by their paths: a soak sends either one
-/// request again and again, or requests that share a part.
+/// Counts arrivals of lethal requests. A soak sends either one request again and again, or requests that
+/// share a part.
 fn lethal(o: &Observed) -> Option<Violation> {
     let crashes: Vec<&Arrival> = o.arrivals.iter().filter(|a| a.crashes).collect();
     let known = match o.lethal_is_part {
