Soak tests: one soak for each test program

All soaks of a process use the same addresses: the second one of a program failed with 'Address already in use'. The short soak with a lethal part has a program of its own.

--- a/testkit/tests/soak.rs
+++ b/testkit/tests/soak.rs
@@ -1,16 +1,18 @@
 //! The fault soak: a short run, and for each of its checks a history that it must reject.
 
+#[path = "soak/play.rs"]
+mod play;
+
 use std::time::Duration;
 
 use googletest::prelude::*;
-use jacinthweir_testkit::fleet::process::program;
 use jacinthweir_testkit::soak::check::{Violation, check};
 use jacinthweir_testkit::soak::fault::{LethalKind, Plan};
 use jacinthweir_testkit::soak::observed::{
     Arrival, End, LethalCrash, Observed, Rest, Sent, Target,
 };
 use jacinthweir_testkit::soak::site::Site;
-use jacinthweir_testkit::soak::{self, SoakCfg};
+use play::play;
 
 const SERVICE: &str = "pool";
 const ROUTE: &str = "notes";
@@ -267,34 +269,9 @@
     }
 }
 
-/// Plays a soak that has to break no rule.
-async fn play(site: Site, seed: u64, lethal: LethalKind) {
-    let folder = tempfile::tempdir().expect("a folder");
-    let length = Duration::from_secs(30);
-    let cfg = SoakCfg {
-        program: program("jacinthweir").expect("the program"),
-        knows_first_start: true,
-        site,
-        seed,
-        length,
-        plan: Plan::draw(seed, length, lethal),
-        folder: folder.path().to_owned(),
-    };
-    let result = soak::run(cfg).await.expect("it is played");
-    expect_that!(result.violations, is_empty());
-    expect_that!(result.ends.get(&End::Served), some(gt(&0)));
-}
-
 /// Guards against retries that pile up in series of faults, as real processes show them.
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_short_soak_breaks_no_rule() {
     play(Site::TltRoster, 2, LethalKind::Drawn).await;
 }
-
-/// Guards against a quarantine of what the bystanders of crashes share, in place of the lethal part.
-#[gtest]
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn sound_requests_are_served_beside_lethal_parts() {
-    play(Site::TltRoster, 5, LethalKind::Part).await;
-}
