Soak: instances start with the addresses of those that run

Instances that replace others were started with the addresses of the first three, which may have been replaced before.

--- a/testkit/src/soak.rs
+++ b/testkit/src/soak.rs
@@ -18,7 +18,7 @@
 pub mod store;
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -35,7 +35,7 @@
 use self::caller::Callers;
 use self::check::{Violation, Window};
 use self::fault::{Fault, Plan};
-use self::instance::{Instance, InstanceSpec};
+use self::instance::{Instance, InstanceSpec, PEERS_PORT};
 use self::observed::{End, Observed, Record, Target};
 use self::runner::{Place, Pool, Runner, Trouble};
 use self::site::Site;
@@ -179,9 +179,7 @@
             name: format!("front-{number}"),
             domain: self.cfg.site.domains()[slot % 3],
             ip: ip(host),
-            seeds: (0..3)
-                .map(|n| (ip(FIRST_INSTANCE_HOST + n), 7_004).into())
-                .collect(),
+            seeds: self.seeds(),
             store: (ip(STORE_HOST), STORE_PORT).into(),
             runner_addresses: places
                 .iter()
@@ -191,6 +189,19 @@
         }
     }
 
+    /// Returns addresses at which instances hear each other: of those that callers know, or of the first ones.
+    fn seeds(&self) -> Vec<SocketAddr> {
+        let known = lock(&self.callers.addresses);
+        let hosts: Vec<IpAddr> = match known.is_empty() {
+            true => (0..3).map(|n| ip(FIRST_INSTANCE_HOST + n).into()).collect(),
+            false => known.values().map(SocketAddr::ip).collect(),
+        };
+        hosts
+            .into_iter()
+            .map(|host| (host, PEERS_PORT).into())
+            .collect()
+    }
+
     async fn play(self: Arc<Self>) -> Result<SoakResult> {
         let stop = CancellationToken::new();
         let busy = Arc::new(AtomicBool::new(true));
@@ -325,6 +336,7 @@
     /// Does something to the instance in a slot, after what is being done to it.
     async fn disturb(&self, fault: Fault, slot: usize) {
         let mut instance = self.instances[slot].lock().await;
+        instance.set_seeds(self.seeds());
         let from = self.pool.record.now();
         let done = match fault {
             Fault::Stop { for_ms, .. } => stand_still(&instance, for_ms).await,
--- a/testkit/src/soak/instance.rs
+++ b/testkit/src/soak/instance.rs
@@ -21,8 +21,11 @@
 /// Interval between two questions whether an instance is ready.
 const READY_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Port at which an instance hears others.
+pub const PEERS_PORT: u16 = 7_004;
+
 /// Ports of an instance: callers, readiness, entry, peers, operators.
-const PORTS: [u16; 5] = [7_001, 7_002, 7_003, 7_004, 7_005];
+const PORTS: [u16; 5] = [7_001, 7_002, 7_003, PEERS_PORT, 7_005];
 
 /// What an instance is started with.
 #[derive(Clone, Debug)]
@@ -120,6 +123,11 @@
         &self.spec
     }
 
+    /// Sets the addresses at which it looks for others from its next start on.
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.spec.seeds = seeds;
+    }
+
     /// Returns its process.
     #[must_use]
     pub fn process(&self) -> &Process {
