Quarantine: log lines name suspects again under their former keys

Beside the line of a crash there is again one for each suspect against which several crashes count, with strikes, and one for each suspect that is quarantined or released; together says how many are refused only together.

--- a/kernel/src/quarantine.rs
+++ b/kernel/src/quarantine.rs
@@ -11,7 +11,7 @@
 use jacinthweir_policy::prompt_part;
 use jacinthweir_policy::quarantine::{
     BrokenRun, Change, CrashReport, Evaluation, LifetimeState, Quarantine, RunSubject, SeenCrash,
-    Suspect, Verdict,
+    SuspectCrashes, Verdict,
 };
 use jacinthweir_policy::upstreams::{Availability, Upstreams};
 
@@ -146,21 +146,21 @@
             lifetime,
             own_runs,
             all_runs,
+            suspects,
         } = crash;
         metrics::counter!("jacinthweir_strikes_total").increment(1);
         log::warn!(runner:% = lifetime, own_runs, all_runs; "an upstream ended under runs");
+        for SuspectCrashes { suspect, count } in suspects {
+            log::warn!(suspect:%, runner:% = lifetime, strikes = count; "an upstream ended under a run");
+        }
     }
     for change in &evaluation.changes {
-        log_change(change);
-    }
-}
-
-fn log_change(change: &Change) {
-    let (Change::Quarantined(suspects) | Change::Released(suspects)) = change;
-    let suspects: Vec<String> = suspects.iter().map(Suspect::to_string).collect();
-    let suspects = suspects.join(",");
-    match change {
-        Change::Quarantined(_) => log::warn!(suspects; "quarantined for the crashes of upstreams"),
-        Change::Released(_) => log::warn!(suspects; "released from quarantine"),
+        let (Change::Quarantined(suspects) | Change::Released(suspects)) = change;
+        for suspect in suspects {
+            match change {
+                Change::Quarantined(_) => log::warn!(suspect:%; "suspect is quarantined"),
+                Change::Released(_) => log::warn!(suspect:%; "suspect is released"),
+            }
+        }
     }
 }
--- a/plugins/quarantine/src/lib.rs
+++ b/plugins/quarantine/src/lib.rs
@@ -105,7 +105,7 @@
         }
     }
     if !reports.is_empty() {
-        info!(crashes = reports.len(); "quarantine read");
+        info!(held = reports.len(); "quarantine read");
     }
     cx.merge_crash_reports(&reports);
     Ok(former)
--- a/plugins/relay/src/quarantine.rs
+++ b/plugins/relay/src/quarantine.rs
@@ -12,7 +12,7 @@
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::prompt_part::{self, PromptPart};
 use jacinthweir_policy::quarantine::{
-    Change, CrashReport, Evaluation, FormerRecord, SeenCrash, Suspect, Verdict,
+    Change, CrashReport, Evaluation, FormerRecord, SeenCrash, Suspect, SuspectCrashes, Verdict,
 };
 use jacinthweir_policy::relay::chain::Chain;
 use jacinthweir_policy::relay::rendezvous;
@@ -136,26 +136,57 @@
 }
 
 fn log_crash(runners: &Runners, crash: &SeenCrash) {
-    let lifetime = &crash.lifetime;
+    let SeenCrash {
+        lifetime,
+        own_runs,
+        all_runs,
+        suspects,
+    } = crash;
     let evidence = runners.end_evidence(lifetime).map(|e| e.to_string());
     let evidence = evidence.unwrap_or_default();
-    log::warn!(
-        runner:% = lifetime,
-        born_ms = lifetime.born_ms,
-        own_runs = crash.own_runs,
-        all_runs = crash.all_runs,
-        evidence;
-        "a runner ended under requests"
-    );
+    let born_ms = lifetime.born_ms;
+    log::warn!(runner:% = lifetime, born_ms, own_runs, all_runs, evidence; "a runner ended under requests");
+    for SuspectCrashes { suspect, count } in suspects {
+        match suspect {
+            Suspect::Request(fingerprint) => log::warn!(
+                fingerprint:%,
+                runner:% = lifetime,
+                born_ms,
+                strikes = count,
+                evidence;
+                "a runner ended under a request"
+            ),
+            Suspect::Part(part) => log::warn!(
+                part:%,
+                runner:% = lifetime,
+                born_ms,
+                strikes = count,
+                evidence;
+                "a runner ended under a part of prompts"
+            ),
+        }
+    }
 }
 
+/// Logs a change. Requests with all of its suspects are refused, or not any more.
 fn log_change(change: &Change) {
     let (Change::Quarantined(suspects) | Change::Released(suspects)) = change;
-    let suspects: Vec<String> = suspects.iter().map(Suspect::to_string).collect();
-    let suspects = suspects.join(",");
-    match change {
-        Change::Quarantined(_) => log::warn!(suspects; "quarantined for the crashes of runners"),
-        Change::Released(_) => log::warn!(suspects; "released from quarantine"),
+    let together = suspects.len();
+    for suspect in suspects {
+        match (change, suspect) {
+            (Change::Quarantined(_), Suspect::Request(fingerprint)) => {
+                log::warn!(fingerprint:%, together; "request is quarantined");
+            }
+            (Change::Quarantined(_), Suspect::Part(part)) => {
+                log::warn!(part:%, together; "part of prompts is quarantined");
+            }
+            (Change::Released(_), Suspect::Request(fingerprint)) => {
+                log::warn!(fingerprint:%, together; "request is released");
+            }
+            (Change::Released(_), Suspect::Part(part)) => {
+                log::warn!(part:%, together; "part of prompts is released");
+            }
+        }
     }
 }
 
@@ -222,7 +253,7 @@
         node.obsolete_quarantines.borrow_mut().push(name);
     }
     if !reports.is_empty() {
-        log::info!(crashes = reports.len(); "quarantine read");
+        log::info!(held = reports.len(); "quarantine read");
     }
     merge_reports(node, &reports);
     Ok(())
--- a/policy/src/quarantine.rs
+++ b/policy/src/quarantine.rs
@@ -180,6 +180,15 @@
     was_silent: bool,
 }
 
+/// A suspect, and the crashes that count against it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SuspectCrashes {
+    /// Suspect.
+    pub suspect: Suspect,
+    /// Number of crashes.
+    pub count: usize,
+}
+
 /// A crash of which this instance has seen interrupted runs.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SeenCrash {
@@ -189,6 +198,8 @@
     pub own_runs: usize,
     /// Interrupted runs that are known from all instances.
     pub all_runs: usize,
+    /// Suspects that it interrupted and against which several crashes count.
+    pub suspects: Vec<SuspectCrashes>,
 }
 
 /// A change of what is quarantined.
@@ -328,6 +339,9 @@
         }
         self.is_stale |= evaluation.is_news();
         self.search(now);
+        for seen in &mut evaluation.seen_crashes {
+            seen.suspects = self.suspects_of(&seen.lifetime);
+        }
         evaluation.obsolete = self.drop_obsolete(now);
         self.search(now);
         evaluation.changes = self.changes(now);
@@ -345,9 +359,20 @@
             lifetime: l.clone(),
             own_runs,
             all_runs: crash.run_count(),
+            suspects: Vec::new(),
         })
     }
 
+    /// Returns the suspects that a crash interrupted and against which several crashes count.
+    fn suspects_of(&self, l: &Lifetime) -> Vec<SuspectCrashes> {
+        let suspects = self.crashes.get(l).into_iter().flat_map(Crash::suspects);
+        let counted = suspects.filter_map(|suspect| {
+            let count = self.culprits.crash_count(suspect)?;
+            Some(SuspectCrashes { suspect, count })
+        });
+        counted.collect()
+    }
+
     /// Adds a crash that was last needed at `needed_ms`, unless it is known; returns `None` if there is no
     /// room for it beside those for which something is quarantined.
     fn make_room(&mut self, l: &Lifetime, now: Millis, needed_ms: Millis) -> Option<()> {
--- a/policy/src/quarantine/culprits.rs
+++ b/policy/src/quarantine/culprits.rs
@@ -58,6 +58,16 @@
     pub(super) unexplained: BTreeMap<Suspect, usize>,
 }
 
+impl Culprits {
+    /// Returns the number of crashes for which a suspect may be responsible, if there are several.
+    pub(super) fn crash_count(&self, suspect: Suspect) -> Option<usize> {
+        let mut found = self.found.iter();
+        let culprit = found.find(|c| c.suspects.contains(&suspect));
+        let count = culprit.map(|c| c.crashes.len());
+        count.or_else(|| self.unexplained.get(&suspect).copied())
+    }
+}
+
 /// Returns the crashes at which a suspect is quarantined. A part that is known to have survived needs more:
 /// it is shared by sound requests.
 pub(super) fn threshold(suspect: Suspect, is_familiar: bool) -> usize {
