Shutdown: open requests get a final answer at the bound

Callers saw a closed connection for each request that was still at work, or waited in a queue, when the shutdown bound was reached. They learnt nothing from it: a call that may not be repeated could not be sent again although no runner had it.

Cause: the process stopped waiting 0.3 s before the bound and ended; what the sends of a request had come to stayed inside its task.

Change: two cancellation tokens (shutdown::LastSteps) are passed down. From the first on no send starts (SendPermit, the one place that all sends pass), so what waits for room or a retry ends as 503 with Retry-After. At the second the work of each request is dropped and its record of sends decides: 503 if no send can have run, else 504. A body that is still being read ends as 503. Streams whose head is out are cut without a regular end. A forwarded request tells its outcome; one that was not sent is "unable", so that another instance is asked.

Tests (relay/shutdown.rs), before the change, all three failed: requests_at_work_at_the_shutdown_bound_are_answered_504 and requests_that_wait_at_the_shutdown_bound_are_answered_503 (no answer within 20 s, connection left to the end of the process), a_stream_at_the_shutdown_bound_is_broken_off (goes on for ever in the test). After: these three and the two older tests of a shutdown pass.

--- a/plugins/relay/src/admission.rs
+++ b/plugins/relay/src/admission.rs
@@ -71,6 +71,9 @@
     let position = QueuePosition::open(node, queue_rank(node, rq), tokens);
     let mut first_check = true;
     loop {
+        if !node.last_steps.may_send() {
+            return Err(Cause::Stopping);
+        }
         let notified = node.room_freed.notified();
         if position.is_first() {
             let fill = max_fill(node, rq);
--- a/plugins/relay/src/answer.rs
+++ b/plugins/relay/src/answer.rs
@@ -157,6 +157,9 @@
     /// The request is quarantined because runners crash when they run it, or this is undecided.
     #[display("its runners end under it")]
     Quarantined,
+    /// This instance stops.
+    #[display("this instance stops")]
+    Stopping,
     /// The deadline has passed.
     #[display("out of time")]
     Timeout,
@@ -246,7 +249,7 @@
     fn failure_response(&self, cause: Cause, retry_after_ms: Millis) -> Response<RelayBody> {
         if self.may_have_run() {
             let status = match cause {
-                Cause::Timeout => StatusCode::GATEWAY_TIMEOUT,
+                Cause::Timeout | Cause::Stopping => StatusCode::GATEWAY_TIMEOUT,
                 _ => StatusCode::BAD_GATEWAY,
             };
             return plain(status, &cause.to_string());
--- a/plugins/relay/src/call.rs
+++ b/plugins/relay/src/call.rs
@@ -30,6 +30,7 @@
 use crate::request::{ProxiedRequest, count_outcome};
 use crate::rest;
 use crate::send_permit::SendPermit;
+use crate::shutdown;
 
 /// Maximum answer size, in bytes: the answer is buffered in memory.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
@@ -68,7 +69,9 @@
 
 /// Serves a call.
 pub(crate) async fn serve(node: &Rc<Node>, rq: ProxiedRequest) -> Response<RelayBody> {
-    Call::new(node, &rq).answer().await
+    let mut call = Call::new(node, &rq);
+    let answered = node.last_steps.run_until_answers_due(call.answer()).await;
+    answered.unwrap_or_else(|| call.stopped())
 }
 
 /// A call in progress. Dropping it ends all of its sends.
@@ -114,7 +117,7 @@
     }
 
     /// Sends the call until a send succeeds, or all have ended and no further one is possible.
-    async fn answer(mut self) -> Response<RelayBody> {
+    async fn answer(&mut self) -> Response<RelayBody> {
         loop {
             if self.open.is_empty() && !self.must_not_run_again() {
                 let until = admission::until(self.node, self.rq, self.send_record);
@@ -170,11 +173,13 @@
             }
             return;
         };
-        let Some(permit) = SendPermit::take(node, rq, &self.send_record) else {
-            if !is_hedge {
-                self.cause = Cause::NoRetry;
+        let permit = match SendPermit::take(node, rq, &self.send_record) {
+            Ok(permit) => permit,
+            Err(_) if is_hedge => return,
+            Err(cause) => {
+                self.cause = cause;
+                return;
             }
-            return;
         };
         self.tried.push(runner.id.clone());
         self.record_start();
@@ -256,7 +261,7 @@
     }
 
     /// Returns the answer to a call of which no send succeeded.
-    fn failed(mut self) -> Response<RelayBody> {
+    fn failed(&mut self) -> Response<RelayBody> {
         if let Some(res) = self.failure.take()
             && self.send_record.may_have_run()
         {
@@ -270,9 +275,16 @@
         self.unanswered(self.cause, retry_after_ms)
     }
 
+    /// Returns the answer to a call that has none when this instance stops.
+    fn stopped(&mut self) -> Response<RelayBody> {
+        self.cause = Cause::Stopping;
+        self.failed()
+    }
+
     fn retry_after_ms(&self) -> Millis {
         match (self.cause, self.retry_after_ms) {
             (Cause::RefusedElsewhere, Some(ms)) => ms,
+            (Cause::Stopping, _) => shutdown::RETRY_AFTER_MS,
             (Cause::Resting, _) => rest::retry_after_ms(self.node, &self.rq.service),
             _ => RETRY_AFTER_MS + (self.node.random_f64() * RETRY_AFTER_JITTER_MS) as Millis,
         }
--- a/plugins/relay/src/forwarding.rs
+++ b/plugins/relay/src/forwarding.rs
@@ -133,7 +133,9 @@
             None => Outcome::Answered,
             Some(facts) if facts.may_have_run => Outcome::Unknown,
             Some(facts) => match facts.cause {
-                Cause::NoPath | Cause::Unconfirmed if facts.sends == 0 => Outcome::Unable,
+                Cause::NoPath | Cause::Unconfirmed | Cause::Stopping if facts.sends == 0 => {
+                    Outcome::Unable
+                }
                 _ => Outcome::NotRun,
             },
         }
--- a/plugins/relay/src/node.rs
+++ b/plugins/relay/src/node.rs
@@ -43,6 +43,7 @@
 use crate::runner_changes;
 use crate::runner_connections::RunnerConnections;
 use crate::settings::RelaySettings;
+use crate::shutdown::LastSteps;
 use crate::start::LastCopy;
 use crate::tasks::FailedTask;
 
@@ -155,6 +156,8 @@
     /// Caller requests in progress, from their head to the last byte of their answer.
     pub(crate) active: Rc<Cell<usize>>,
     pub(crate) draining: Cell<bool>,
+    /// Last steps of the shutdown.
+    pub(crate) last_steps: LastSteps,
     pub(crate) sequence: Cell<u64>,
     instances_seen: Cell<usize>,
     start: Duration,
@@ -237,6 +240,7 @@
             check_silence: Notify::new(),
             active: Rc::default(),
             draining: Cell::new(false),
+            last_steps: LastSteps::default(),
             sequence: Cell::new(0),
             instances_seen: Cell::new(0),
             start,
--- a/plugins/relay/src/request.rs
+++ b/plugins/relay/src/request.rs
@@ -24,7 +24,7 @@
 use crate::answer::{ActiveRequest, Cause, PriorSends, RelayBody, SendRecord, plain};
 use crate::forwarding::ForwardOrigin;
 use crate::node::Node;
-use crate::{call, stream};
+use crate::{call, shutdown, stream};
 
 /// Lowest priority that runners know. Lower priorities of a route or an organisation are sent as
 /// this one.
@@ -194,7 +194,7 @@
     let received_ms = node.now();
     let active = ActiveRequest::open(node);
     let (parts, body) = req.into_parts();
-    let mut res = match admit(node, parts, body, received_ms).await {
+    let mut res = match admit_in_time(node, parts, body, received_ms).await {
         Ok(rq) => dispatch(node, rq).await,
         Err(res) => res,
     };
@@ -215,7 +215,7 @@
     let active = ActiveRequest::open(node);
     let now = node.now();
     let (parts, body) = req.into_parts();
-    let mut res = match admit(node, parts, body, now).await {
+    let mut res = match admit_in_time(node, parts, body, now).await {
         Ok(mut rq) => {
             rq.received_ms = now.saturating_sub(origin.waited_ms);
             rq.origin = Some(origin);
@@ -238,6 +238,24 @@
     }
 }
 
+/// Admits a request unless this instance stops before that.
+async fn admit_in_time<B>(
+    node: &Rc<Node>,
+    parts: Parts,
+    body: B,
+    received_ms: Millis,
+) -> Result<ProxiedRequest, Response<RelayBody>>
+where
+    B: Body<Data = Bytes, Error: Into<Box<dyn std::error::Error + Send + Sync>>>,
+{
+    let id = Name::from(header::text(&parts.headers, &header::REQUEST_ID).unwrap_or("-"));
+    let admitted = admit(node, parts, body, received_ms);
+    match node.last_steps.run_until_answers_due(admitted).await {
+        Some(admitted) => admitted,
+        None => Err(stopping(&id)),
+    }
+}
+
 async fn admit<B>(
     node: &Rc<Node>,
     parts: Parts,
@@ -405,6 +423,12 @@
     SendRecord::default().failure(Cause::Unconfirmed, UNCONFIRMED_RETRY_MS)
 }
 
+fn stopping(id: &Name) -> Response<RelayBody> {
+    log::info!(request = id.as_ref(); "refused: this instance stops");
+    count_outcome("stopping");
+    SendRecord::default().failure(Cause::Stopping, shutdown::RETRY_AFTER_MS)
+}
+
 /// Denies a request, or answers "unconfirmed" if the configuration's confirmation is too old for a
 /// denial.
 fn deny(node: &Node, id: &Name, status: StatusCode, why: &str) -> Response<RelayBody> {
--- a/plugins/relay/src/stream.rs
+++ b/plugins/relay/src/stream.rs
@@ -36,6 +36,7 @@
 use crate::quarantine;
 use crate::request::{ProxiedRequest, count_outcome};
 use crate::rest;
+use crate::shutdown;
 
 /// Serves a request through a chain of runners.
 pub(crate) async fn serve(node: &Rc<Node>, rq: ProxiedRequest) -> Response<RelayBody> {
@@ -43,7 +44,9 @@
     if let Err(cause) = contention::admit(node, &rq) {
         return refuse(node, &rq, &attempts, cause.into());
     }
-    match begin::begin(node, &rq, &mut attempts).await {
+    let begin = begin::begin(node, &rq, &mut attempts);
+    let begun = node.last_steps.run_until_answers_due(begin).await;
+    match begun.unwrap_or_else(|| Err(Cause::Stopping.into())) {
         Ok((run, res)) => forward(node, rq, run, res, attempts),
         Err(refusal) => refuse(node, &rq, &attempts, refusal),
     }
@@ -62,6 +65,7 @@
     } = refusal;
     let retry_after_ms = match (cause, retry_after_ms) {
         (_, Some(ms)) => ms,
+        (Cause::Stopping, None) => shutdown::RETRY_AFTER_MS,
         (Cause::Resting, None) => rest::retry_after_ms(node, &rq.service),
         (_, None) => contention::retry_after_ms(node, rq, send_record).unwrap_or_else(|| {
             let mut shortage = node.shortage.borrow_mut();
@@ -200,7 +204,18 @@
 }
 
 impl ForwardedStream {
+    /// Returns the next events for the caller. A stream that goes on when this instance stops is cut, since
+    /// a regular end would make it look complete.
     async fn next(&mut self) -> Option<Result<Bytes, StreamCut>> {
+        let node = Rc::clone(&self.node);
+        let next = self.next_events();
+        match node.last_steps.run_until_answers_due(next).await {
+            Some(next) => next,
+            None => self.cut(Cause::Stopping.to_string(), None),
+        }
+    }
+
+    async fn next_events(&mut self) -> Option<Result<Bytes, StreamCut>> {
         let mut went_on = None;
         while !self.ended {
             let read = match went_on.take() {
--- a/plugins/relay/src/stream/begin.rs
+++ b/plugins/relay/src/stream/begin.rs
@@ -161,8 +161,9 @@
     let Some(live) = live else {
         return forward_once(node, rq, attempts).await;
     };
-    let Some(permit) = SendPermit::take(node, rq, &attempts.send_record) else {
-        return Pass::Refused(Cause::NoRetry.into());
+    let permit = match SendPermit::take(node, rq, &attempts.send_record) {
+        Ok(permit) => permit,
+        Err(cause) => return Pass::Refused(cause.into()),
     };
     let after = rq.last_event;
     match attempts.attempt(node, permit, rq, &live, after).await {
--- a/plugins/relay/src/stream/failover.rs
+++ b/plugins/relay/src/stream/failover.rs
@@ -27,6 +27,7 @@
 use super::silent_body::SilentBody;
 use super::{Closer, ForwardedStream, ReadOutcome, Watch};
 use crate::admission::{self, QueuePosition};
+use crate::answer::Cause;
 use crate::chain_attempts::AttemptOutcome;
 use crate::forwarding::{Forwarded, StreamProgress};
 use crate::live_chains::{InFlight, LiveChain, Run};
@@ -72,6 +73,7 @@
     NextLost,
     NextFailed,
     Quarantined,
+    Stopping,
     OutOfTime,
 }
 
@@ -89,6 +91,7 @@
             ResumeFailure::NextLost => "the next run was lost",
             ResumeFailure::NextFailed => "the next run failed",
             ResumeFailure::Quarantined => "its runners end under it",
+            ResumeFailure::Stopping => "this instance stops",
             ResumeFailure::OutOfTime => "out of time",
         }
     }
@@ -339,8 +342,10 @@
         };
         // Each send spends a retry, even one that a runner refuses.
         let record = &self.attempts.send_record;
-        let Some(permit) = SendPermit::take(&self.node, &self.rq, record) else {
-            return Err(ResumeFailure::NoRetry);
+        let permit = match SendPermit::take(&self.node, &self.rq, record) {
+            Ok(permit) => permit,
+            Err(Cause::Stopping) => return Err(ResumeFailure::Stopping),
+            Err(_) => return Err(ResumeFailure::NoRetry),
         };
         if self
             .in_flight()
--- a/plugins/relay/tests/relay.rs
+++ b/plugins/relay/tests/relay.rs
@@ -36,6 +36,8 @@
 mod retry_budget;
 #[path = "relay/runners_of_a_request.rs"]
 mod runners_of_a_request;
+#[path = "relay/shutdown.rs"]
+mod shutdown;
 #[path = "relay/silent_calls.rs"]
 mod silent_calls;
 #[path = "relay/silent_runners.rs"]
--- /dev/null
+++ b/plugins/relay/tests/relay/shutdown.rs
@@ -0,0 +1,138 @@
+//! What becomes of requests that are open at the shutdown bound, or arrive shortly before it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use googletest::prelude::*;
+use tokio::task::{JoinHandle, spawn_local};
+use tokio::time::{sleep, timeout};
+
+use crate::standin::{
+    Behaviour, Cluster, Response, TEST_TIMEOUT, configuration, get, run_single_threaded, send_raw,
+    send_request,
+};
+use crate::{LOOKUP, NOTES, PAY, TOKENS};
+
+/// Shutdown bound of the instances, in seconds.
+const SHUTDOWN_S: f64 = 2.0;
+
+/// Time limit of all routes, in milliseconds: far longer than the shutdown and the test.
+const ROUTE_TIMEOUT_MS: u64 = 120_000;
+
+/// Interval between two checks of a condition.
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Starts a cluster whose requests outlast the shutdown bound.
+async fn open_cluster() -> Cluster {
+    let cluster = Cluster::with_bounds(|bounds| bounds.shutdown_s = SHUTDOWN_S).await;
+    let mut configuration = configuration(2);
+    for route in configuration["routes"].as_array_mut().expect("routes") {
+        route["timeoutMs"] = ROUTE_TIMEOUT_MS.into();
+        route["targetLatencyMs"] = ROUTE_TIMEOUT_MS.into();
+    }
+    cluster.store.put("config", "main", &configuration);
+    cluster.wait_for_version(2).await;
+    cluster
+}
+
+/// Sends a request in a task of its own.
+fn spawn_request(callers: SocketAddr, line: &'static str) -> JoinHandle<Response> {
+    spawn_local(async move { send_request(callers, line, TOKENS, "body").await })
+}
+
+/// Waits until the runners have begun to run `count` requests.
+async fn wait_for_runs(cluster: &Cluster, count: usize) {
+    let begun = async {
+        while cluster.run_count() < count {
+            sleep(POLL_INTERVAL).await;
+        }
+    };
+    timeout(TEST_TIMEOUT, begun).await.expect("runs");
+}
+
+/// Waits until the relay knows no chain.
+async fn wait_until_no_chain(cluster: &Cluster) {
+    let operators = cluster.settings.listen.operators;
+    let gone = async {
+        while get(operators, "GET /dump HTTP/1.1")
+            .await
+            .body
+            .contains("\"step_ms\"")
+        {
+            sleep(POLL_INTERVAL).await;
+        }
+    };
+    timeout(TEST_TIMEOUT, gone).await.expect("no chain");
+}
+
+async fn shut_down(cluster: &mut Cluster) {
+    let relay = cluster.relay.take().expect("a relay");
+    timeout(TEST_TIMEOUT, relay.shut_down())
+        .await
+        .expect("the end");
+}
+
+fn expect_not_run(got: &Response) {
+    expect_that!(got.status, eq(503));
+    expect_that!(got.complete, eq(true));
+    expect_that!(got.header("retry-after"), some(anything()));
+}
+
+/// Guards against requests that end as closed connections when their runners are still at work at the
+/// bound: the caller learns nothing.
+#[gtest]
+fn requests_at_work_at_the_shutdown_bound_are_answered_504() {
+    run_single_threaded(async {
+        let mut cluster = open_cluster().await;
+        cluster.set_behaviour(Behaviour::HangsRequests);
+        let lines = [LOOKUP, PAY, NOTES];
+        let open = lines.map(|line| spawn_request(cluster.callers(), line));
+        wait_for_runs(&cluster, lines.len()).await;
+        shut_down(&mut cluster).await;
+        for (line, open) in lines.into_iter().zip(open) {
+            let got = open.await.expect("an answer");
+            expect_that!(got.status, eq(504), "{line}");
+            expect_that!(got.complete, eq(true), "{line}");
+        }
+    });
+}
+
+/// Guards against requests that have reached no runner and end as closed connections at the bound:
+/// callers must not repeat work that may have run.
+#[gtest]
+fn requests_that_wait_at_the_shutdown_bound_are_answered_503() {
+    run_single_threaded(async {
+        let mut cluster = open_cluster().await;
+        for runner in &cluster.runners {
+            cluster.store.remove("servers", &runner.id);
+        }
+        wait_until_no_chain(&cluster).await;
+        let callers = cluster.callers();
+        let queued = spawn_request(callers, NOTES);
+        let half_body = format!(
+            "{PAY}\r\nHost: site.example\r\nX-Jacinthweir-Request-Id: r2\r\n\
+             X-Jacinthweir-Key: key\r\nContent-Length: 10\r\n\r\nhalf"
+        );
+        let unread = spawn_local(async move { send_raw(callers, half_body.as_bytes()).await });
+        shut_down(&mut cluster).await;
+        for open in [queued, unread] {
+            expect_not_run(&open.await.expect("an answer"));
+        }
+        expect_that!(cluster.run_count(), eq(0));
+    });
+}
+
+/// Guards against streams that look complete although the bound ended them.
+#[gtest]
+fn a_stream_at_the_shutdown_bound_is_broken_off() {
+    run_single_threaded(async {
+        let mut cluster = open_cluster().await;
+        cluster.set_behaviour(Behaviour::Endless);
+        let open = spawn_request(cluster.callers(), NOTES);
+        wait_for_runs(&cluster, 1).await;
+        shut_down(&mut cluster).await;
+        let got = open.await.expect("an answer");
+        expect_that!(got.status, eq(200));
+        expect_that!(got.complete, eq(false));
+    });
+}
