Shutdown: a stopping instance takes no forwarded requests

A call that another instance forwarded during the grace was taken and run, up to the bound, where it could only be cut: a call that may not be repeated was then lost although another instance could have served it.

Cause: the listener for instances serves until the process ends, and nothing asked whether the instance drains; gossip makes others stop only some hundred milliseconds later.

Change: from the signal on a forwarded request is refused as "unable" once its body is read (a connection closed with unread bytes is reset, which the other instance must take for "may have run"). The other instance asks a further one. Instances that drain were not asked once gossip told so, and still are not; two that stop at once therefore do not forward to each other.

--- a/plugins/relay/src/forwarding.rs
+++ b/plugins/relay/src/forwarding.rs
@@ -321,6 +321,12 @@
     if node.intent().is_none_or(|i| i.version < message.version) {
         return plain(StatusCode::CONFLICT, "the configuration here is older");
     }
+    // Its body has been read before: a connection that is closed with unread bytes is reset, and the other
+    // instance could not tell whether the request ran.
+    if node.draining.get() {
+        log::info!(peer = message.from.as_ref(); "refused a forwarded request: this instance stops");
+        return with_outcome(request::stopping());
+    }
     log::debug!(peer = message.from.as_ref(); "serving a request of another instance");
     let origin = ForwardOrigin {
         waited_ms: message.waited_ms,
@@ -329,12 +335,16 @@
         prior: message.prior,
     };
     let mut res = request::serve_forwarded(node, req, origin).await;
-    let outcome = HeaderValue::from_static(Outcome::of(&res).text());
-    let sent = res.extensions_mut().remove::<SentSoFar>();
-    res.headers_mut().insert(OUTCOME, outcome);
-    if let Some(sent) = sent {
+    if let Some(sent) = res.extensions_mut().remove::<SentSoFar>() {
         sent.tell(res.headers_mut());
     }
+    with_outcome(res)
+}
+
+/// Tells the instance that forwarded a request what became of it.
+fn with_outcome(mut res: Response<RelayBody>) -> Response<RelayBody> {
+    let outcome = HeaderValue::from_static(Outcome::of(&res).text());
+    res.headers_mut().insert(OUTCOME, outcome);
     res
 }
 
--- a/plugins/relay/src/request.rs
+++ b/plugins/relay/src/request.rs
@@ -252,7 +252,10 @@
     let admitted = admit(node, parts, body, received_ms);
     match node.last_steps.run_until_answers_due(admitted).await {
         Some(admitted) => admitted,
-        None => Err(stopping(&id)),
+        None => {
+            log::info!(request = id.as_ref(); "refused: this instance stops");
+            Err(stopping())
+        }
     }
 }
 
@@ -423,8 +426,8 @@
     SendRecord::default().failure(Cause::Unconfirmed, UNCONFIRMED_RETRY_MS)
 }
 
-fn stopping(id: &Name) -> Response<RelayBody> {
-    log::info!(request = id.as_ref(); "refused: this instance stops");
+/// Counts a request that was not sent because this instance stops, and returns its final answer.
+pub(crate) fn stopping() -> Response<RelayBody> {
     count_outcome("stopping");
     SendRecord::default().failure(Cause::Stopping, shutdown::RETRY_AFTER_MS)
 }
--- a/plugins/relay/tests/relay/shutdown.rs
+++ b/plugins/relay/tests/relay/shutdown.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
 use googletest::prelude::*;
 use jacinthweir_relay::DrainOutcome;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -191,3 +192,81 @@
         drop(caller);
     });
 }
+
+/// A call as another instance forwards it.
+fn forwarded_call(version: u64) -> Vec<u8> {
+    const REMAINING_MS: u64 = 10_000;
+    let headers = [
+        ("host", "site.example"),
+        ("x-jacinthweir-request-id", "r1"),
+        ("x-jacinthweir-key", "key"),
+    ];
+    let headers = headers.map(|(name, value)| (name, Bytes::from_static(value.as_bytes())));
+    let body = Bytes::from_static(b"body");
+    let (waited_ms, is_resumed, ran) = (0_u64, false, Vec::<(String, u64)>::new());
+    let message = (
+        "other",
+        version,
+        "POST",
+        "/pay/1",
+        headers.to_vec(),
+        body,
+        REMAINING_MS,
+        waited_ms,
+        is_resumed,
+        ran,
+    );
+    rmp_serde::to_vec(&message).expect("a message")
+}
+
+async fn forward_call(cluster: &Cluster) -> Response {
+    let message = forwarded_call(1);
+    let head = format!(
+        "POST /peer/request HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\nConnection: close\r\n\r\n",
+        message.len()
+    );
+    let request = [head.into_bytes(), message].concat();
+    send_raw(cluster.settings.listen.peers, &request).await
+}
+
+/// Guards against calls that another instance forwards late in the grace, that are taken, and cut at the
+/// bound: one that is not taken goes to another instance.
+#[gtest]
+fn a_stopping_instance_takes_no_forwarded_call() {
+    run_single_threaded(async {
+        let mut cluster = Cluster::open().await;
+        let taken = forward_call(&cluster).await;
+        expect_that!(taken.header("jacinthweir-forwarded"), some(eq("answered")));
+        expect_that!(cluster.run_count(), eq(1));
+        let relay = cluster.relay.take().expect("a relay");
+        let ending = spawn_local(relay.shut_down());
+        cluster.wait_for_dump("\"draining\": true").await;
+        let late = forward_call(&cluster).await;
+        expect_that!(late.header("jacinthweir-forwarded"), some(eq("unable")));
+        expect_not_run(&late);
+        expect_that!(cluster.run_count(), eq(1));
+        timeout(TEST_TIMEOUT, ending)
+            .await
+            .expect("the end")
+            .expect("an outcome");
+    });
+}
+
+/// Guards against a caller that gets no answer because the instance to which its call was forwarded stops:
+/// the call may have run there.
+#[gtest]
+fn a_forwarded_call_at_work_at_the_bound_ends_as_unknown() {
+    run_single_threaded(async {
+        let mut cluster = open_cluster().await;
+        let (cut, _relay) = cluster.start_instance_without_paths().await;
+        cluster.set_behaviour(Behaviour::HangsRequests);
+        let before = cluster.run_count();
+        let open = spawn_request(cut.listen.callers, PAY);
+        wait_for_runs(&cluster, before + 1).await;
+        shut_down(&mut cluster).await;
+        let got = open.await.expect("an answer");
+        expect_that!(got.status, eq(502));
+        expect_that!(got.complete, eq(true));
+        expect_that!(cluster.run_count(), eq(before + 1));
+    });
+}
