Start: a turn for which no other instance is known does not delay the busy seed

What happened: an instance that knows nobody but a busy seed used up its turn on "some other instance", found none, and asked the seed again 750 ms later, as if a request were unanswered.

Test: a_busy_seed_is_asked_on_time_by_an_instance_that_knows_no_other (policy/tests/relay_start_sources.rs).

--- a/plugins/relay/src/start.rs
+++ b/plugins/relay/src/start.rs
@@ -184,10 +184,12 @@
     /// Asks an instance if one is due, and waits a moment for an answer. Returns the revision from which
     /// changes have to follow if the answer is a copy that can be used.
     async fn ask_once(&mut self) -> Option<Revision> {
-        if let Some(due) = self.sources.next_ask(self.node.now())
-            && let Some(address) = self.address(due)
-        {
-            self.asked.push(ask(address).boxed_local());
+        let now = self.node.now();
+        if let Some(due) = self.sources.next_ask(now) {
+            match self.address(due) {
+                Some(address) => self.asked.push(ask(address).boxed_local()),
+                None => self.sources.record_no_candidate(now),
+            }
         }
         let answer = async {
             match self.asked.next().await {
--- a/policy/src/relay/start_sources.rs
+++ b/policy/src/relay/start_sources.rs
@@ -12,7 +12,8 @@
 //!    [`WHOLE_LIST_MS`] to [`WHOLE_LIST_MS`] + [`WHOLE_LIST_JITTER_MS`].
 //!
 //! Invariants: no instance waits only for others that start, since it also asks those that were found to
-//! have the runners, and others at random; and each wait for a source ends by itself, whatever the source does.
+//! have the runners, and others at random; and each wait for a source ends by itself, whatever the source
+//! does.
 //! So an instance of a small fleet reads the first page after [`BUSY_WAIT_MS`] at the latest, and any
 //! instance reads the whole list after eight seconds at the latest.
 
@@ -175,6 +176,11 @@
         Some(ask)
     }
 
+    /// Records that no instance is known that could be asked as [`next_ask`](Self::next_ask) said.
+    pub fn record_no_candidate(&mut self, now: Millis) {
+        self.next_ask_ms = now + ASK_MS;
+    }
+
     /// Returns the read of the store that is due at `now`, if any, and records that it is made. Must not be
     /// called during a read.
     pub fn next_read(&mut self, now: Millis, role: FleetRole) -> Option<Read> {
--- a/policy/tests/relay_start_sources.rs
+++ b/policy/tests/relay_start_sources.rs
@@ -198,6 +198,32 @@
     }
 }
 
+/// Guards against an instance that lets the turn of its busy seed pass, since it looked for another instance
+/// to ask and knows none.
+#[gtest]
+fn a_busy_seed_is_asked_on_time_by_an_instance_that_knows_no_other() {
+    /// Time in which a busy instance is asked again three times: the delays of 150, 300 and 600 ms, with
+    /// the jitter, of which a request may be 150 ms early.
+    const THREE_REQUESTS_MS: Millis = 1_200;
+    for seed in 0..SEEDS {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut sources = StartSources::new(0, vec![address(1)], rng.random());
+        sources.record_no_copy(0, address(1), NoCopy::Busy, rng.random());
+        let mut again = 0;
+        for now in 0..=THREE_REQUESTS_MS {
+            match sources.next_ask(now) {
+                Some(Ask::Again(seed)) => {
+                    again += 1;
+                    sources.record_no_copy(now, seed, NoCopy::Busy, rng.random());
+                }
+                Some(_) => sources.record_no_candidate(now),
+                None => {}
+            }
+        }
+        expect_that!(again, ge(3), "seed {seed}");
+    }
+}
+
 /// Guards against a request to a busy instance in every moment: a thousand instances would keep it from its
 /// callers.
 #[gtest]
