A start reads its settings without a pool thread; the operators' listener is open when the start returns

The relay's test long_answers_of_a_runner_share_a_bound failed in its first run with 'Connection refused': it asks the operators' listener directly after Relay::spawn, and that listener was opened by its task, later. It is now opened within the start as before, and only a failure is tried again in the background. The test passes again (one run).

The settings file was read on a thread of tokio's pool. That pool panics if the machine has no thread left, so that a failed start would have looked like a panic of the program, and a blocked read delayed the end of the runtime. It is read on a thread of its own, or on the main one if there is none. Not reproduced with a failed thread: with an address space of 24 MB or less the program (debug) isn't even loaded, with 32 MB it serves.

--- a/kernel/src/settings.rs
+++ b/kernel/src/settings.rs
@@ -6,12 +6,14 @@
 use std::collections::BTreeSet;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
+use std::thread;
 use std::time::{Duration, Instant};
 
 use jacinthweir_document::{Document, Fault};
 use jacinthweir_policy::prelude::*;
 use serde::{Deserialize, Serialize};
+use tokio::sync::oneshot;
 
 use crate::{KernelError, logs};
 
@@ -359,7 +361,7 @@
     let start = Instant::now();
     let mut is_logged = false;
     loop {
-        let text = read_apart(path.to_owned()).await?;
+        let text = read_apart(path).await;
         let is_final = is_whole(&text) || start.elapsed() >= WHOLE_TIMEOUT;
         match parse_read(path, text, parse) {
             Err(e) if !is_final && !is_logged => {
@@ -373,13 +375,17 @@
     }
 }
 
-/// Reads a file on another thread: a read may block, and signals have to be obeyed meanwhile.
-async fn read_apart(path: PathBuf) -> Result<std::io::Result<String>, KernelError> {
-    let read = tokio::task::spawn_blocking(|| std::fs::read_to_string(path));
-    read.await.map_err(|e| KernelError::SetUp {
-        what: "settings",
-        cause: e.to_string(),
-    })
+/// Reads a file on another thread: a read may block, and signals have to be obeyed meanwhile. On a machine
+/// that has no thread left, it is read on this one.
+async fn read_apart(path: &Path) -> std::io::Result<String> {
+    let (tx, rx) = oneshot::channel();
+    let owned = path.to_owned();
+    let reader = thread::Builder::new().name("settings".to_owned());
+    let spawned = reader.spawn(move || tx.send(std::fs::read_to_string(owned)));
+    match spawned {
+        Ok(_) => rx.await.unwrap_or_else(|e| Err(std::io::Error::other(e))),
+        Err(_) => std::fs::read_to_string(path),
+    }
 }
 
 /// Whether what was read of a settings file does not change by itself.
--- a/node/tests/starts.rs
+++ b/node/tests/starts.rs
@@ -200,8 +200,8 @@
     let taken = TcpListener::bind(addresses.operators).expect("a listener");
     let settings = addresses.relay_settings();
     let mut relay = Process::start("operators", Form::Relay, &settings);
-    relay.wait_for_line(STARTED);
     relay.wait_for_line("operators' listener unavailable");
+    relay.wait_for_line(STARTED);
     drop(taken);
     relay.wait_for_line("operators' listener is open");
     expect_that!(accepts(addresses.operators), eq(true));
--- a/plugins/relay/src/server.rs
+++ b/plugins/relay/src/server.rs
@@ -135,40 +135,37 @@
     servers
 }
 
-/// Serves operators as soon as their address is free. The deployment uses the same operators' port on every
-/// machine, and on some of them it may be taken; serving callers does not depend on this listener.
+/// Serves operators, now or as soon as their address is free. The deployment uses the same operators' port on
+/// every machine, and on some of them it may be taken; serving callers does not depend on this listener.
 fn serve_operators(node: &Rc<Node>, servers: &Servers) {
     let kind = ListenerKind::Operators;
-    let opened: Rc<OnceCell<Rc<TcpListener>>> = Rc::default();
+    let address = node.settings.listen.operators;
+    let opened = match sockets::listen(&kind, address) {
+        Ok(socket) => OnceCell::new_with(Some(Rc::new(socket))),
+        Err(e) => {
+            log::error!(address:%, cause:% = e.cause; "operators' listener unavailable: no metrics and no dump");
+            OnceCell::new()
+        }
+    };
+    let opened = Rc::new(opened);
     let (finish, callers) = (servers.finish.clone(), servers.callers.clone());
-    tasks::spawn(node, &node.stop, kind.task(), move |node: Rc<Node>| {
+    tasks::spawn(node, &node.stop, kind.task(), move |node| {
         let (opened, finish, callers) = (Rc::clone(&opened), finish.clone(), callers.clone());
         async move {
-            let address = node.settings.listen.operators;
-            let socket = opened.get_or_init(|| listen_for_operators(address)).await;
+            let socket = opened.get_or_init(|| retry_operators(address)).await;
             accept(node, kind, Rc::clone(socket), finish, callers).await;
         }
     });
 }
 
-/// Opens the operators' listener, and tries again for as long as that fails.
-async fn listen_for_operators(address: SocketAddr) -> Rc<TcpListener> {
-    let mut is_logged = false;
+/// Tries to open the operators' listener until that succeeds.
+async fn retry_operators(address: SocketAddr) -> Rc<TcpListener> {
     loop {
-        match sockets::listen(&ListenerKind::Operators, address) {
-            Ok(socket) => {
-                if is_logged {
-                    log::info!(address:%; "operators' listener is open");
-                }
-                return Rc::new(socket);
-            }
-            Err(e) if !is_logged => {
-                is_logged = true;
-                log::error!(address:%, cause:% = e.cause; "operators' listener unavailable: no metrics and no dump");
-            }
-            Err(_) => {}
-        }
         sleep(OPERATORS_RETRY).await;
+        if let Ok(socket) = sockets::listen(&ListenerKind::Operators, address) {
+            log::info!(address:%; "operators' listener is open");
+            return Rc::new(socket);
+        }
     }
 }
 
