The last line is written also where no thread is left to write it

What operators saw: a relay (debug build) with an address space of 31,744 KB ended with code 1 and no line: the thread of the log could not be started, and neither could the one that writes the last line. That line is then written by the main thread.

--- a/kernel/src/logs.rs
+++ b/kernel/src/logs.rs
@@ -5,9 +5,9 @@
 
 use std::fmt::Write;
 use std::io::Write as _;
-use std::sync::OnceLock;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant, SystemTime};
 
 use log::kv::{Error, Key, Value, VisitSource};
@@ -122,16 +122,23 @@
 }
 
 /// Writes a line to standard error for a bounded time: on a thread of its own, since that blocks if
-/// nobody reads it.
+/// nobody reads it. On a machine that has no thread left, which may be what the line says, on this one.
 fn write_stderr(text: String) {
+    let text = Arc::new(text);
     let (tx, rx) = sync_channel(1);
+    let written = Arc::clone(&text);
     let writer = std::thread::Builder::new().stack_size(STACK_BYTES);
     let spawned = writer.spawn(move || {
-        let _ = writeln!(std::io::stderr(), "{text}");
+        let _ = writeln!(std::io::stderr(), "{written}");
         let _ = tx.try_send(());
     });
-    if spawned.is_ok() {
-        let _ = rx.recv_timeout(FLUSH_TIMEOUT);
+    match spawned {
+        Ok(_) => {
+            let _ = rx.recv_timeout(FLUSH_TIMEOUT);
+        }
+        Err(_) => {
+            let _ = writeln!(std::io::stderr(), "{text}");
+        }
     }
 }
 
