A forwarded request counts as not taken only if the instance refuses it

What answered at another instance's address without saying what became of the request counted as not having taken it, whatever its status: a 200 or a 500 made a 503 of a non-idempotent call, by which its caller would repeat what may have run; with several instances it was offered to the next one.

Cause: a missing outcome header was read as "unable". Instances send it with each request that they serve; without it they only refuse what they cannot serve, with 400, 404 or 409.

Change: without an outcome a 4xx means not taken, anything else that the request may have run.

relay/no_status only_a_refusal_says_that_a_forwarded_request_was_not_taken failed before: 503 in the place of 502 for 200, 302, 500 and 503; 400 and 409 passed.

--- a/plugins/relay/src/forwarding.rs
+++ b/plugins/relay/src/forwarding.rs
@@ -232,7 +232,13 @@
             cause: "another instance got no answer".to_owned(),
             told,
         },
-        Some(Outcome::Unable) | None => Forwarded::NotTaken,
+        Some(Outcome::Unable) => Forwarded::NotTaken,
+        // An instance refuses what it can't take before it serves any of it.
+        None if res.status().is_client_error() => Forwarded::NotTaken,
+        None => Forwarded::Lost {
+            cause: format!("answered {} without an outcome", res.status()),
+            told: None,
+        },
     }
 }
 
--- a/plugins/relay/tests/relay/no_status.rs
+++ b/plugins/relay/tests/relay/no_status.rs
@@ -196,3 +196,30 @@
         }
     });
 }
+
+/// What answers at another instance's address says nothing of the request's outcome. Guards against a 503, by
+/// which a caller would repeat what may have run. An instance that has not taken it says so with a 4xx.
+#[gtest]
+fn only_a_refusal_says_that_a_forwarded_request_was_not_taken() {
+    run_single_threaded(async {
+        let mut cluster = Cluster::with_long_timeouts(|_| {}).await;
+        let (member, _relay) = cluster.start_instance_without_paths().await;
+        drop(cluster.relay.take());
+        let other = FalseInstance::spawn(cluster.settings.listen.peers).await;
+        for (status, expected) in [
+            ("200", 502),
+            ("302", 502),
+            ("500", 502),
+            ("503", 502),
+            ("400", 503),
+            ("409", 503),
+        ] {
+            let outcome = "";
+            other.answer.set(FalseAnswer::NoStatus { status, outcome });
+            let before = other.requests.get();
+            let got = send_request(member.listen.callers, PAY, "", "").await;
+            expect_that!(got.status, eq(expected), "{status}");
+            expect_that!(other.requests.get(), gt(before), "{status}");
+        }
+    });
+}
