Signals are held from the first line of main on

What operators saw: on the mended code a hang-up within the first moment after the exec still ended an instance by the signal: the handlers stood only once arguments were parsed and the runtime was built. Cause: handlers of the runtime need the runtime. What comes before main can't be held by any program. Beside it, faulty settings are told in the last line only: an extra line printed first to standard error made a panic (101) of them where its reader was gone. The closed standard error has no test.

--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -10,7 +10,7 @@
 use jacinthweir_document::Fault;
 use jacinthweir_kernel::process_end::{EXIT_FAILURE, EXIT_USAGE, ProcessEnd};
 use jacinthweir_kernel::settings::open_when_whole;
-use jacinthweir_kernel::signals::Signals;
+use jacinthweir_kernel::signals::{HeldSignals, Signals};
 use jacinthweir_kernel::{KernelError, Settings, lifecycle};
 use jacinthweir_relay::{DrainOutcome, RelayError, RelaySettings};
 use tokio::runtime;
@@ -44,6 +44,7 @@
 const RUNTIME_TIMEOUT: Duration = Duration::from_millis(100);
 
 fn main() -> ExitCode {
+    let held = HeldSignals::hold();
     let args: Args = argh::from_env();
     if args.version {
         println!("jacinthweir {}", env!("CARGO_PKG_VERSION"));
@@ -56,8 +57,8 @@
         return check(&path, RelaySettings::open(&path));
     }
     match (args.settings, args.relay_settings) {
-        (Some(path), None) => run(|| run_own(&path)),
-        (None, Some(path)) => run(|| run_relay(&path)),
+        (Some(path), None) => run(held, |held| run_own(&path, held)),
+        (None, Some(path)) => run(held, |held| run_relay(&path, held)),
         (Some(_), Some(_)) => {
             eprintln!("jacinthweir: --settings and --relay-settings exclude each other");
             ExitCode::from(EXIT_USAGE)
@@ -83,28 +84,34 @@
 }
 
 /// Runs the process to its end, and says how it ended.
-fn run(process: impl FnOnce() -> ProcessEnd) -> ExitCode {
+fn run(
+    held: Result<HeldSignals, KernelError>,
+    process: impl FnOnce(HeldSignals) -> ProcessEnd,
+) -> ExitCode {
     // No state of the process is used after a panic.
-    let ended = catch_unwind(AssertUnwindSafe(process));
+    let ended = catch_unwind(AssertUnwindSafe(|| match held {
+        Ok(held) => process(held),
+        Err(e) => ProcessEnd::StartFailed(e.to_string()),
+    }));
     let end = ended.unwrap_or_else(|panic| ProcessEnd::of_panic(&*panic));
     ExitCode::from(end.report())
 }
 
 /// Runs a relay on one thread: with a quarter of a core, that avoids context switches and locks.
-fn run_relay(path: &Path) -> ProcessEnd {
+fn run_relay(path: &Path, held: HeldSignals) -> ProcessEnd {
     let runtime = match runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(e) => return ProcessEnd::StartFailed(e.to_string()),
     };
     let tasks = LocalSet::new();
-    let end = runtime.block_on(tasks.run_until(relay(path)));
+    let end = runtime.block_on(tasks.run_until(relay(path, held)));
     drop(tasks);
     runtime.shutdown_timeout(RUNTIME_TIMEOUT);
     end
 }
 
-async fn relay(path: &Path) -> ProcessEnd {
-    let mut signals = match Signals::open() {
+async fn relay(path: &Path, held: HeldSignals) -> ProcessEnd {
+    let mut signals = match Signals::open(held) {
         Ok(signals) => signals,
         Err(e) => return ProcessEnd::StartFailed(e.to_string()),
     };
@@ -123,18 +130,18 @@
 }
 
 /// Runs an instance with the own interface.
-fn run_own(path: &Path) -> ProcessEnd {
+fn run_own(path: &Path, held: HeldSignals) -> ProcessEnd {
     let runtime = match runtime::Builder::new_multi_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(e) => return ProcessEnd::StartFailed(e.to_string()),
     };
-    let end = runtime.block_on(own(path));
+    let end = runtime.block_on(own(path, held));
     runtime.shutdown_timeout(RUNTIME_TIMEOUT);
     end
 }
 
-async fn own(path: &Path) -> ProcessEnd {
-    let mut signals = match Signals::open() {
+async fn own(path: &Path, held: HeldSignals) -> ProcessEnd {
+    let mut signals = match Signals::open(held) {
         Ok(signals) => signals,
         Err(e) => return ProcessEnd::StartFailed(e.to_string()),
     };
@@ -164,8 +171,5 @@
         () = termination => return Err(ProcessEnd::Clean),
         opened = open_when_whole(path, parse) => opened,
     };
-    opened.map_err(|e| {
-        eprintln!("{e}");
-        ProcessEnd::SettingsInvalid(e.to_string())
-    })
+    opened.map_err(|e| ProcessEnd::SettingsInvalid(e.to_string()))
 }
