Hang-up: settings whose read hangs do not end the instance

Cause: a hang-up that is acted on after the settings were read has them checked, and the check read the file on the event loop. The file was a pipe without a writer, so the read hung, the loop stalled, and the watchdog ended the process. Change: the check has a thread of its own, one at a time.

--- a/node/tests/starts.rs
+++ b/node/tests/starts.rs
@@ -309,3 +309,22 @@
         expect_that!(printed, not(contains_substring(WAITING_FOR_SETTINGS)));
     }
 }
+
+/// Guards against a hang-up that has the settings read on the event loop: a read that hangs stalls it, and
+/// the watchdog ends the process.
+#[gtest]
+fn a_hang_up_outlives_a_settings_file_whose_read_hangs() {
+    let path = settings_path("hanging");
+    let _ = std::fs::remove_file(&path);
+    let made = Command::new("mkfifo").arg(&path).status();
+    assert!(made.expect("the command").success(), "no pipe");
+    let mut process = Process::start_with(Form::Relay, &path);
+    let settings = Form::Relay.settings(&Addresses::of(20));
+    std::fs::write(&path, settings).expect("the settings");
+    process.wait_for_line("started");
+    process.signal("HUP");
+    // A signal that comes together with a termination is not acted on.
+    std::thread::sleep(std::time::Duration::from_millis(500));
+    process.signal("TERM");
+    expect_end(process.wait(), "clean", 0);
+}
--- a/plugins/relay/src/shutdown.rs
+++ b/plugins/relay/src/shutdown.rs
@@ -12,6 +12,8 @@
 use std::future::Future;
 use std::path::Path;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
 use std::time::Duration;
 
 use jacinthweir_kernel::signals::Signals;
@@ -108,9 +110,30 @@
     signals.termination(|| check_settings(path)).await;
 }
 
+/// Whether a check of the settings file is running.
+static IS_CHECKING: AtomicBool = AtomicBool::new(false);
+
+/// Starts a check of the settings file, unless one is running. It has a thread of its own: a read that hangs
+/// would stall the event loop, and the watchdog would end the process.
+fn check_settings(path: &Path) {
+    if IS_CHECKING.swap(true, Ordering::Relaxed) {
+        return;
+    }
+    let path = path.to_owned();
+    let checker = thread::Builder::new().name("settings".to_owned());
+    let spawned = checker.spawn(move || {
+        log_check(&path);
+        IS_CHECKING.store(false, Ordering::Relaxed);
+    });
+    if let Err(e) = spawned {
+        IS_CHECKING.store(false, Ordering::Relaxed);
+        log::warn!(cause:% = e; "settings file not checked");
+    }
+}
+
 /// Validates the settings file for the next start and logs its faults. Settings are only read at
 /// start; what changes at run time comes from the store and from peers.
-fn check_settings(path: &Path) {
+fn log_check(path: &Path) {
     match RelaySettings::open(path) {
         Ok(_) => log::info!("settings file is valid; it takes effect at the next start"),
         Err(e) => {
