Addresses: a typed target that escapes the parts others named

Names that other writers chose are put into addresses as they are: the next page of the store's list, objects of the store, keys of the own platform. A `+`, `%`, `&`, `#`, `?` or space in one makes the request ask for something else, or for `/`.

--- a/clients/src/lib.rs
+++ b/clients/src/lib.rs
@@ -12,8 +12,10 @@
 mod pooled;
 pub mod runner;
 pub mod service;
+pub mod target;
 
 pub use error::ClientError;
+pub use target::Target;
 
 use std::time::Duration;
 
