Relay: a list that is not whole removes no runner; calls that bring nothing are paced

Besides, runners that a list did not reach were removed until their next check-in.

Change: entries that name no runner are dropped page by page. A list that is not whole adds what it has, removes nothing, is read again after 1 s to 30 s, and is passed on to no other instance as a copy. Lists that follow each other pause 0.1 to 0.8 s, watches that end at once without a change 20 to 640 ms. The series of failures ends with a watch that succeeds, not with a list.

--- a/plugins/relay/src/node.rs
+++ b/plugins/relay/src/node.rs
@@ -131,6 +131,8 @@
     pub(crate) peer_ahead: Notify,
     /// Whether the runners have been listed since the start.
     pub(crate) runners_listed: Cell<bool>,
+    /// Whether the last list of the runners lacked some that the store may have.
+    pub(crate) runners_partial: Cell<bool>,
     pub(crate) last_copy: LastCopy,
     pub(crate) relayed_until: RefCell<RelayedUntil>,
     pub(crate) chains: RefCell<Chains>,
@@ -221,6 +223,7 @@
             peer_revisions: RefCell::default(),
             peer_ahead: Notify::new(),
             runners_listed: Cell::new(false),
+            runners_partial: Cell::new(false),
             last_copy: LastCopy::default(),
             relayed_until: RefCell::default(),
             chains: RefCell::default(),
--- a/plugins/relay/src/quarantine.rs
+++ b/plugins/relay/src/quarantine.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use jacinthweir_platform::store::StoreError;
+use jacinthweir_platform::store::{Object, StoreError};
 use jacinthweir_policy::lifetime::Lifetime;
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::prompt_part::{self, PromptPart};
@@ -228,30 +228,14 @@
 /// Reads what is quarantined from the store.
 async fn read(node: &Node) -> Result<(), StoreError> {
     count_call("list");
-    let listed = match node.store.list(KIND).await {
+    let keep = |object: Object| reports_of(node, &object);
+    let listed = match node.store.list(KIND, keep).await {
         Ok(listed) => listed,
         // The kind does not exist before the first write.
         Err(StoreError::Refused { status: 404 }) => return Ok(()),
         Err(e) => return Err(e),
     };
-    let mut reports = Vec::new();
-    for object in &listed.objects {
-        let spec = &object.spec;
-        let cause = match spec.decode::<CrashReport>("crash report") {
-            Ok(report) => {
-                reports.push(report);
-                continue;
-            }
-            Err(cause) => cause,
-        };
-        let Ok(record) = spec.decode::<FormerRecord>("crash record") else {
-            log::warn!(object = object.meta.name.as_ref(), cause:%; "bad crash report");
-            continue;
-        };
-        reports.extend(Vec::from(record));
-        let name = object.meta.name.as_ref().to_owned();
-        node.obsolete_quarantines.borrow_mut().push(name);
-    }
+    let reports: Vec<CrashReport> = listed.kept.into_iter().flatten().collect();
     if !reports.is_empty() {
         log::info!(held = reports.len(); "quarantine read");
     }
@@ -259,6 +243,22 @@
     Ok(())
 }
 
+/// Decodes an object of the store; `None` if it holds no crash reports.
+fn reports_of(node: &Node, object: &Object) -> Option<Vec<CrashReport>> {
+    let spec = &object.spec;
+    let cause = match spec.decode::<CrashReport>("crash report") {
+        Ok(report) => return Some(vec![report]),
+        Err(cause) => cause,
+    };
+    let Ok(record) = spec.decode::<FormerRecord>("crash record") else {
+        log::warn!(object = object.meta.name.as_ref(), cause:%; "bad crash report");
+        return None;
+    };
+    let name = object.meta.name.as_ref().to_owned();
+    node.obsolete_quarantines.borrow_mut().push(name);
+    Some(Vec::from(record))
+}
+
 /// Writes what is quarantined and missing in the store, and removes what is obsolete there, as far as
 /// this instance is its writer.
 async fn write(node: &Node) -> Result<(), StoreError> {
--- a/plugins/relay/src/start.rs
+++ b/plugins/relay/src/start.rs
@@ -48,6 +48,7 @@
 use crate::duties;
 use crate::messages::{self, Message, Reply};
 use crate::node::{MAX_BEATS, Node};
+use crate::runner_changes;
 use crate::watch;
 
 /// Maximum size of a copy in bytes, enough for some 60,000 runners.
@@ -109,7 +110,7 @@
 
 /// Returns the runners for an instance that starts.
 pub(crate) fn copy_runners(node: &Node) -> CopyOutcome {
-    if !node.runners_listed.get() {
+    if !node.runners_listed.get() || node.runners_partial.get() {
         return CopyOutcome::None;
     }
     if !node.last_copy.take_turn(node.now()) {
@@ -270,12 +271,16 @@
 /// Reads the list of the runners if it is short, and returns its revision.
 async fn read_short_list(node: &Node) -> Result<Revision, PageMiss> {
     watch::count_call("list");
-    let listed = node.store.list_if_short(runner::ENTRIES).await;
+    let keep = |object| runner_changes::decode(node, &object);
+    let listed = node.store.list_first_page(runner::ENTRIES, keep).await;
     let listed = listed.map_err(|_| PageMiss::Failed)?;
     node.reaches_store.set(true);
-    let listed = listed.ok_or(PageMiss::Longer)?;
-    watch::apply_runners(node, &listed, true);
-    Ok(listed.revision)
+    if !listed.end.is_whole() {
+        return Err(PageMiss::Longer);
+    }
+    let revision = listed.revision;
+    watch::apply_runners(node, listed, true);
+    Ok(revision)
 }
 
 /// Whether this instance is one of the strongest of its failure domain that are known, so that it reads
--- a/plugins/relay/src/watch.rs
+++ b/plugins/relay/src/watch.rs
@@ -5,17 +5,23 @@
 //! first change; its timeout is determined by [`store_watch`]. Three things show that no change was
 //! missed: any response of the watch, even an empty one; a read of the configuration when its
 //! confirmation is old; and the revisions that other instances have seen. When the history has been
-//! compacted, or a call fails, the objects are listed again.
+//! compacted, or a call fails, the objects are listed again. What brings this instance no further is
+//! paced by [`store_pacing`](jacinthweir_policy::relay::store_pacing).
+//!
+//! A list that is not whole removes no runner: what it lacks may exist. It is read again later, and until
+//! then the instance serves with what it has and follows the changes.
 
+use std::cell::RefMut;
 use std::future::pending;
 use std::rc::Rc;
 use std::time::Duration;
 
-use jacinthweir_platform::store::{ObjectList, StoreError};
+use jacinthweir_platform::store::{List, Object, StoreError};
 use jacinthweir_platform::{desired, runner};
 use jacinthweir_policy::prelude::*;
 use jacinthweir_policy::relay::revision::Revision;
-use jacinthweir_policy::relay::runners::RunnerEntry;
+use jacinthweir_policy::relay::runners::{RunnerEntry, Runners};
+use jacinthweir_policy::relay::store_pacing::{ListPacing, PartialLists, WatchPacing, WatchResult};
 use jacinthweir_policy::relay::store_watch::{self, ConfirmScope, RunnersProgress};
 use tokio::time::sleep;
 
@@ -200,6 +206,8 @@
     let mut failures = 0;
     let mut lost_ms = None;
     let mut first = true;
+    let mut lists = ListPacing::default();
+    let mut partial = PartialLists::default();
     // Until this instance has the runners.
     let mut search = (what == Watched::Runners).then(|| RunnersSearch::open(node));
     let mut taken_over = match &mut search {
@@ -209,21 +217,28 @@
     loop {
         let outage = lost_ms.is_some_and(|at| node.now() >= at + OUTAGE_MS);
         let known = match taken_over.take() {
-            Some(revision) => Ok(revision),
+            Some(revision) => Ok(Known::whole(revision)),
             None => tokio::select! {
-                listed = list(node, what, first || outage) => listed,
-                revision = copied(&mut search) => Ok(revision),
+                listed = list(node, what, first || outage, &mut lists) => listed,
+                revision = copied(&mut search) => Ok(Known::whole(revision)),
             },
         };
         let error = match known {
-            Ok(revision) => {
+            Ok(known) => {
                 if let Some(at) = lost_ms.take() {
                     log::info!(what:% = what, after_ms = node.now() - at; "store is reachable");
                 }
-                failures = 0;
                 first = false;
                 search = None;
-                watch(node, what, revision).await
+                let repeat_ms = partial.record(known.is_whole);
+                let watched = watch(node, what, known.revision, &mut failures);
+                tokio::select! {
+                    error = watched => error,
+                    () = repeat_due(repeat_ms) => {
+                        log::info!(what:% = what, after_ms = repeat_ms; "the last list was not whole, listing again");
+                        continue;
+                    }
+                }
             }
             Err(e) => e,
         };
@@ -247,6 +262,31 @@
     }
 }
 
+/// What an instance knows after a list, or after a copy from another instance.
+struct Known {
+    /// Revision from which changes have to follow.
+    revision: Revision,
+    /// Whether the list reached its end.
+    is_whole: bool,
+}
+
+impl Known {
+    fn whole(revision: Revision) -> Known {
+        Known {
+            revision,
+            is_whole: true,
+        }
+    }
+}
+
+/// Returns after `ms` milliseconds, or never.
+async fn repeat_due(ms: Option<Millis>) {
+    match ms {
+        Some(ms) => sleep(Duration::from_millis(ms)).await,
+        None => pending().await,
+    }
+}
+
 /// Returns once the search, if any, has found the runners at another instance.
 async fn copied(search: &mut Option<RunnersSearch<'_>>) -> Revision {
     match search {
@@ -295,71 +335,129 @@
     }
 }
 
-/// Lists the objects and returns the revision of the list. With `may_lack_entries`, the store was
-/// unreachable for so long that entries of live runners may be missing.
-async fn list(node: &Node, what: Watched, may_lack_entries: bool) -> Result<Revision, StoreError> {
-    let sent = node.now();
+/// Lists the objects. With `may_lack_entries`, the store was unreachable for so long that entries of live
+/// runners may be missing.
+async fn list(
+    node: &Node,
+    what: Watched,
+    may_lack_entries: bool,
+    pacing: &mut ListPacing,
+) -> Result<Known, StoreError> {
+    let pause_ms = pacing.next_pause_ms(node.now());
+    if pause_ms > 0 {
+        log::info!(what:% = what, pause_ms; "lists follow each other, waiting");
+        metrics::counter!("jacinthweir_store_list_pauses_total").increment(1);
+        sleep(Duration::from_millis(pause_ms)).await;
+    }
     count_call("list");
-    let listed = node.store.list(what.kind()).await?;
-    node.reaches_store.set(true);
     match what {
-        Watched::Configuration => {
-            let found = listed
-                .objects
-                .iter()
-                .find(|o| *o.meta.name == *desired::NAME);
-            if let Some(object) = found
-                && configuration::apply(node, object)
-            {
-                node.config_confirmation.borrow_mut().confirm(sent);
-            }
-        }
+        Watched::Configuration => list_configuration(node).await,
         Watched::Runners => {
-            apply_runners(node, &listed, may_lack_entries);
+            let keep = |object| runner_changes::decode(node, &object);
+            let listed = node.store.list(runner::ENTRIES, keep).await?;
+            node.reaches_store.set(true);
+            let known = Known {
+                revision: listed.revision,
+                is_whole: listed.end.is_whole(),
+            };
+            apply_runners(node, listed, may_lack_entries);
+            Ok(known)
         }
     }
-    Ok(listed.revision)
 }
 
-/// Replaces the runners by a list of the store. With `may_lack_entries`, entries of live runners may be
-/// missing.
-pub(crate) fn apply_runners(node: &Node, listed: &ObjectList, may_lack_entries: bool) {
-    let revisions = listed.objects.iter().map(|o| o.meta.revision);
-    let newest = revisions.max().unwrap_or_default();
-    let entries = listed
-        .objects
-        .iter()
-        .filter_map(|object| runner_changes::decode(node, object))
-        .collect();
-    replace_runners(node, entries, listed.revision, newest, may_lack_entries);
+/// Lists the objects of the configuration's kind, of which one holds it.
+async fn list_configuration(node: &Node) -> Result<Known, StoreError> {
+    let sent = node.now();
+    let is_configuration = |object: &Object| *object.meta.name == *desired::NAME;
+    let keep = |object| Some(object).filter(is_configuration);
+    let listed = node.store.list(desired::KIND, keep).await?;
+    node.reaches_store.set(true);
+    let mut found = listed.kept.into_iter().last();
+    if found.is_none() && !listed.end.is_whole() {
+        count_call("get");
+        found = node.store.get(desired::KIND, desired::NAME).await?;
+    }
+    if let Some(object) = &found
+        && configuration::apply(node, object)
+    {
+        node.config_confirmation.borrow_mut().confirm(sent);
+    }
+    Ok(Known {
+        revision: listed.revision,
+        is_whole: found.is_some() || listed.end.is_whole(),
+    })
 }
 
-/// Replaces the runners by `entries`, which are those of the store as of the revision `as_of`; `newest`
-/// is the newest revision of an entry.
-pub(crate) fn replace_runners(
+/// Replaces the runners by a list of the store, or adds what it has if it is not whole. With
+/// `may_lack_entries`, entries of live runners may be missing.
+pub(crate) fn apply_runners(node: &Node, listed: List<RunnerEntry>, may_lack_entries: bool) {
+    let List {
+        kept,
+        revision,
+        newest,
+        end,
+        ..
+    } = listed;
+    if end.is_whole() {
+        return replace_runners(node, kept, revision, newest, may_lack_entries);
+    }
+    let mut runners = begin_list(node, revision, newest, may_lack_entries);
+    runners.merge(&kept);
+    drop(runners);
+    node.runners_partial.set(true);
+    end_list(node, revision);
+}
+
+/// Returns the runners, to which a list as of a revision is applied.
+fn begin_list(
     node: &Node,
-    entries: Vec<RunnerEntry>,
     as_of: Revision,
     newest: Revision,
     may_lack_entries: bool,
-) {
+) -> RefMut<'_, Runners> {
     runner_changes::note_revision(node, newest);
-    let now = node.now();
     let mut runners = node.runners.borrow_mut();
     let restored = as_of.era != node.runners_progress.get().as_of().era;
     if may_lack_entries || restored {
-        runners.store_recovered(now);
+        runners.store_recovered(node.now());
     }
-    runners.replace(entries, now);
-    drop(runners);
+    runners
+}
+
+/// Records that the runners are known as of a revision.
+fn end_list(node: &Node, as_of: Revision) {
     runner_changes::note_misfits(node, node.runners.borrow().entries());
     node.runners_progress.set(RunnersProgress::listed(as_of));
     node.runners_listed.set(true);
     node.rebuild_chains();
 }
 
-/// Watches from `revision` on until a call fails, and returns its error.
-async fn watch(node: &Node, what: Watched, mut revision: Revision) -> StoreError {
+/// Replaces the runners by `entries`, which are those of the store as of the revision `as_of`; `newest`
+/// is the newest revision of an entry.
+pub(crate) fn replace_runners(
+    node: &Node,
+    entries: Vec<RunnerEntry>,
+    as_of: Revision,
+    newest: Revision,
+    may_lack_entries: bool,
+) {
+    let mut runners = begin_list(node, as_of, newest, may_lack_entries);
+    runners.replace(entries, node.now());
+    drop(runners);
+    node.runners_partial.set(false);
+    end_list(node, as_of);
+}
+
+/// Watches from `revision` on until a call fails, and returns its error. The first watch that succeeds ends
+/// the series of `failures`.
+async fn watch(
+    node: &Node,
+    what: Watched,
+    mut revision: Revision,
+    failures: &mut u32,
+) -> StoreError {
+    let mut pacing = WatchPacing::default();
     loop {
         let timeout_ms = follower_wait(node, what).await;
         revision = match what {
@@ -393,7 +491,14 @@
             Err(e) => return e,
         };
         node.reaches_store.set(true);
+        *failures = 0;
         let count = changes.changes.len();
+        let pause_ms = pacing.record(WatchResult {
+            changes: count,
+            got_on: changes.revision > revision,
+            lasted_ms: node.now() - sent,
+            timeout_ms,
+        });
         match what {
             Watched::Configuration => {
                 revision = changes.revision;
@@ -408,7 +513,21 @@
         if count > 0 {
             sleep(Duration::from_millis(debounce_ms(node, what, count))).await;
         }
+        pause_watches(what, pacing, pause_ms).await;
+    }
+}
+
+/// Pauses after watches that brought nothing, and logs the first pause and each time as many watches again.
+async fn pause_watches(what: Watched, pacing: WatchPacing, pause_ms: Millis) {
+    if pause_ms == 0 {
+        return;
+    }
+    metrics::counter!("jacinthweir_store_idle_watches_total").increment(1);
+    let idle = pacing.idle();
+    if idle.is_power_of_two() {
+        log::warn!(what:% = what, idle, pause_ms; "watches end at once and bring nothing, waiting");
     }
+    sleep(Duration::from_millis(pause_ms)).await;
 }
 
 /// Returns the debounce interval after a batch of `count` changes, in milliseconds; changes within it
--- a/policy/src/relay.rs
+++ b/policy/src/relay.rs
@@ -5,6 +5,7 @@
 //! |---|---|
 //! | [`intent`] | which configuration is in force, which route a request takes, whose key it has |
 //! | [`store_watch`] | how often an instance calls the store, and which instances watch it for others |
+//! | [`store_pacing`] | how soon calls to the store that bring an instance no further follow each other |
 //! | [`start_sources`] | from where an instance that starts gets the runners |
 //! | [`confirmation`] | whether the configuration is confirmed recently enough to act on it |
 //! | [`runners`] | entries and health of the runners |
@@ -48,4 +49,5 @@
 pub mod shared_retry_budget;
 pub mod silence;
 pub mod start_sources;
+pub mod store_pacing;
 pub mod store_watch;
--- a/policy/src/relay/runners.rs
+++ b/policy/src/relay/runners.rs
@@ -263,6 +263,13 @@
         }
     }
 
+    /// Adds or replaces the entries of a list that may lack some. Nothing is removed.
+    pub fn merge(&mut self, list: &[RunnerEntry]) {
+        for entry in list {
+            self.put(entry);
+        }
+    }
+
     /// Returns the entries, ordered by identity.
     pub fn entries(&self) -> impl Iterator<Item = &RunnerEntry> {
         self.entries.values()
