Relay: a partial list hides no removal that the store would tell of

Order: a list of the runners ends early; the instance knows a runner behind it by its changes. The store refuses for a moment, and the runner leaves. The next list does not reach it, and the watch began at the revision of that list, after the removal.

Cause: the revision of a list that is not whole was taken for the one up to which all runners are known.

Change: a partial list leaves the revision where it was, so that the watch tells of what happened since, unless the store no longer has that history or is of another era. In these cases a removal behind the end of a partial list cannot be seen until a list is whole; probes and refusals of the runner are left.

--- a/plugins/relay/src/start.rs
+++ b/plugins/relay/src/start.rs
@@ -49,7 +49,7 @@
 use crate::messages::{self, Message, Reply};
 use crate::node::{MAX_BEATS, Node};
 use crate::runner_changes;
-use crate::watch;
+use crate::watch::{self, Gaps};
 
 /// Maximum size of a copy in bytes, enough for some 60,000 runners.
 const MAX_COPY_BYTES: usize = 4 << 20;
@@ -279,7 +279,11 @@
         return Err(PageMiss::Longer);
     }
     let revision = listed.revision;
-    watch::apply_runners(node, listed, true);
+    let gaps = Gaps {
+        may_lack_entries: true,
+        history_is_gone: false,
+    };
+    watch::apply_runners(node, listed, gaps);
     Ok(revision)
 }
 
--- a/plugins/relay/src/watch.rs
+++ b/plugins/relay/src/watch.rs
@@ -9,7 +9,8 @@
 //! paced by [`store_pacing`](jacinthweir_policy::relay::store_pacing).
 //!
 //! A list that is not whole removes no runner: what it lacks may exist. It is read again later, and until
-//! then the instance serves with what it has and follows the changes.
+//! then the instance serves with what it has and follows the changes from where it knew all of them, since
+//! only these tell of a removal that the list does not show.
 
 use std::cell::RefMut;
 use std::future::pending;
@@ -206,6 +207,7 @@
     let mut failures = 0;
     let mut lost_ms = None;
     let mut first = true;
+    let mut history_is_gone = false;
     let mut lists = ListPacing::default();
     let mut partial = PartialLists::default();
     // Until this instance has the runners.
@@ -219,7 +221,7 @@
         let known = match taken_over.take() {
             Some(revision) => Ok(Known::whole(revision)),
             None => tokio::select! {
-                listed = list(node, what, first || outage, &mut lists) => listed,
+                listed = list(node, what, Gaps { may_lack_entries: first || outage, history_is_gone }, &mut lists) => listed,
                 revision = copied(&mut search) => Ok(Known::whole(revision)),
             },
         };
@@ -229,6 +231,7 @@
                     log::info!(what:% = what, after_ms = node.now() - at; "store is reachable");
                 }
                 first = false;
+                history_is_gone = false;
                 search = None;
                 let repeat_ms = partial.record(known.is_whole);
                 let watched = watch(node, what, known.revision, &mut failures);
@@ -244,6 +247,7 @@
         };
         if matches!(error, StoreError::Compacted | StoreError::Restored) {
             log::info!(what:% = what, cause:% = error; "listing again");
+            history_is_gone = true;
             continue;
         }
         failures += 1;
@@ -262,6 +266,15 @@
     }
 }
 
+/// What may be missing in a list, or between it and what was known before.
+#[derive(Clone, Copy)]
+pub(crate) struct Gaps {
+    /// Entries of live runners, since the store was unreachable for so long that their leases may have lapsed.
+    pub(crate) may_lack_entries: bool,
+    /// Changes since the last list, which the store no longer has.
+    pub(crate) history_is_gone: bool,
+}
+
 /// What an instance knows after a list, or after a copy from another instance.
 struct Known {
     /// Revision from which changes have to follow.
@@ -335,12 +348,11 @@
     }
 }
 
-/// Lists the objects. With `may_lack_entries`, the store was unreachable for so long that entries of live
-/// runners may be missing.
+/// Lists the objects.
 async fn list(
     node: &Node,
     what: Watched,
-    may_lack_entries: bool,
+    gaps: Gaps,
     pacing: &mut ListPacing,
 ) -> Result<Known, StoreError> {
     let pause_ms = pacing.next_pause_ms(node.now());
@@ -360,7 +372,7 @@
                 revision: listed.revision,
                 is_whole: listed.end.is_whole(),
             };
-            apply_runners(node, listed, may_lack_entries);
+            apply_runners(node, listed, gaps);
             Ok(known)
         }
     }
@@ -389,9 +401,9 @@
     })
 }
 
-/// Replaces the runners by a list of the store, or adds what it has if it is not whole. With
-/// `may_lack_entries`, entries of live runners may be missing.
-pub(crate) fn apply_runners(node: &Node, listed: List<RunnerEntry>, may_lack_entries: bool) {
+/// Replaces the runners by a list of the store, or adds what it has if it is not whole.
+pub(crate) fn apply_runners(node: &Node, listed: List<RunnerEntry>, gaps: Gaps) {
+    let may_lack_entries = gaps.may_lack_entries;
     let List {
         kept,
         revision,
@@ -402,11 +414,17 @@
     if end.is_whole() {
         return replace_runners(node, kept, revision, newest, may_lack_entries);
     }
+    let before = node.runners_progress.get();
+    let is_followed = node.runners_listed.get() && before.as_of().era == revision.era;
+    let progress = match is_followed && !gaps.history_is_gone {
+        true => before,
+        false => RunnersProgress::listed(revision),
+    };
     let mut runners = begin_list(node, revision, newest, may_lack_entries);
     runners.merge(&kept);
     drop(runners);
     node.runners_partial.set(true);
-    end_list(node, revision);
+    end_list(node, progress);
 }
 
 /// Returns the runners, to which a list as of a revision is applied.
@@ -425,10 +443,10 @@
     runners
 }
 
-/// Records that the runners are known as of a revision.
-fn end_list(node: &Node, as_of: Revision) {
+/// Records how far the runners are known after a list.
+fn end_list(node: &Node, progress: RunnersProgress) {
     runner_changes::note_misfits(node, node.runners.borrow().entries());
-    node.runners_progress.set(RunnersProgress::listed(as_of));
+    node.runners_progress.set(progress);
     node.runners_listed.set(true);
     node.rebuild_chains();
 }
@@ -446,7 +464,7 @@
     runners.replace(entries, node.now());
     drop(runners);
     node.runners_partial.set(false);
-    end_list(node, as_of);
+    end_list(node, RunnersProgress::listed(as_of));
 }
 
 /// Watches from `revision` on until a call fails, and returns its error. The first watch that succeeds ends
