--- a/policy/src/relay.rs
+++ b/policy/src/relay.rs
@@ -9,6 +9,7 @@
 //! | [`start_sources`] | from where an instance that starts gets the runners |
 //! | [`confirmation`] | whether the configuration is confirmed recently enough to act on it |
 //! | [`runners`] | entries and health of the runners |
+//! | [`rejected_entries`] | which entries that name no runner to use are logged |
 //! | [`held_range`] | (a type) a range of layers that a runner holds |
 //! | [`revision`] | (a type) a revision of the store |
 //! | [`chain`] | which runners form a chain that runs all layers of a model |
@@ -43,6 +44,7 @@
 pub mod placement;
 pub mod rate_limits;
 pub mod reachability;
+pub mod rejected_entries;
 pub mod rendezvous;
 pub mod revision;
 pub mod runners;
