Runners: failure domains without runners are forgotten

What is seen: the runners' index keeps each failure domain that an entry ever named, with the chains of each service and the plan for it. An entry of another writer that names another domain at each write (512 bytes of name) adds one each time, and each round walks through all of them.

Change: a domain goes with its last runner. Chains of a domain that is gone are reported as changed, so that none stays in use, and the planner forgets it.

Evidence: failure_domains_without_runners_are_forgotten listed east and zone-0 to zone-99 before; the twin test that the chains of such a domain end held before and holds now.

--- a/policy/src/relay/chain/service_chains.rs
+++ b/policy/src/relay/chain/service_chains.rs
@@ -94,11 +94,14 @@
         now: Millis,
     ) -> ChainUpdate {
         let mut update = ChainUpdate::default();
+        let gone = |domain: &Name, _: &mut DomainChains| !runners.has_domain(domain);
+        let gone: Vec<Name> = self.domains.extract_if(.., gone).map(|(d, _)| d).collect();
+        let mut touched = !gone.is_empty();
+        update.changed.extend(gone.into_iter().map(Some));
         if self.engine != *engine {
             self.engine = engine.clone();
             self.domains.clear();
         }
-        let mut touched = false;
         for domain in runners.domains() {
             let generation = runners.generation(domain);
             let kept = self.domains.entry(domain.clone()).or_default();
--- a/policy/src/relay/placement.rs
+++ b/policy/src/relay/placement.rs
@@ -194,6 +194,7 @@
                 of_domain.push((id.clone(), *layers));
             }
         }
+        self.idle.retain(|domain, _| runners.has_domain(domain));
         let mut moves = Vec::new();
         for domain in runners.domains() {
             let pending = pending.remove(domain).unwrap_or_default();
--- a/policy/src/relay/runners.rs
+++ b/policy/src/relay/runners.rs
@@ -97,11 +97,17 @@
 }
 
 impl Runners {
-    /// Returns the failure domains that have or had runners, in ascending order.
+    /// Returns the failure domains that have runners, in ascending order.
     pub fn domains(&self) -> impl Iterator<Item = &Name> {
         self.domains.keys()
     }
 
+    /// Returns whether a failure domain has runners.
+    #[must_use]
+    pub fn has_domain(&self, domain: &str) -> bool {
+        self.domains.contains_key(domain)
+    }
+
     /// Returns the entries of a failure domain, ordered by identity.
     pub fn in_domain(&self, domain: &str) -> impl Iterator<Item = &RunnerEntry> {
         let index = self.domains.get(domain);
@@ -110,7 +116,7 @@
     }
 
     /// Returns a number that grows with each change to an entry of a failure domain, and whenever the
-    /// health of one of its runners may have changed.
+    /// health of one of its runners may have changed; 0 while it has no runners.
     #[must_use]
     pub fn generation(&self, domain: &str) -> u64 {
         self.domains.get(domain).map_or(0, |d| d.generation)
@@ -135,6 +141,16 @@
         index
     }
 
+    /// Removes a runner from the index of a failure domain. A domain without runners is forgotten, since
+    /// other writers may name any number of them.
+    fn remove_from_domain(&mut self, id: &Name, domain: &Name) {
+        let index = self.touch(domain);
+        index.ids.remove(id);
+        if index.ids.is_empty() {
+            self.domains.remove(domain);
+        }
+    }
+
     /// Records that the store answers again, or for the first time. Entries may be missing for a
     /// while.
     ///
@@ -183,7 +199,7 @@
         let Some(entry) = self.entries.remove(id) else {
             return false;
         };
-        self.touch(&entry.domain).ids.remove(id);
+        self.remove_from_domain(id, &entry.domain);
         self.removed.insert(id.clone(), now + REMOVED_RETENTION_MS);
         true
     }
@@ -210,7 +226,7 @@
             return false;
         }
         if let Some(old) = old.filter(|o| o.domain != entry.domain) {
-            self.touch(&old.domain).ids.remove(&entry.id);
+            self.remove_from_domain(&entry.id, &old.domain);
         }
         self.touch(&entry.domain).ids.insert(entry.id.clone());
         true
--- a/policy/tests/relay_fleet_size.rs
+++ b/policy/tests/relay_fleet_size.rs
@@ -148,3 +148,33 @@
         }
     }
 }
+
+/// Guards against memory and work for each round that grow with an entry of another writer, which names another
+/// failure domain each time it is written.
+#[gtest]
+fn failure_domains_without_runners_are_forgotten() {
+    let mut runners = Runners::default();
+    runners.put(&runner("i-1", "east", "a100"));
+    for n in 0..100 {
+        runners.put(&runner("a00", &format!("zone-{n}"), "a100"));
+    }
+    runners.remove(&"a00".into(), 0);
+    let domains: Vec<&str> = runners.domains().map(AsRef::as_ref).collect();
+    expect_that!(domains, eq(&vec!["east"]));
+}
+
+/// Guards against chains of runners that are gone, which a forgotten failure domain would keep.
+#[gtest]
+fn the_chains_of_a_forgotten_failure_domain_end() {
+    let mut runners = Runners::default();
+    let mut entry = runner("i-1", "east", "a100");
+    entry.layers = held((0, 80));
+    runners.put(&entry);
+    let mut chains = ServiceChains::default();
+    chains.update(&runners, SERVICE, &engine(), 0);
+    expect_that!(chains.chains().count(), eq(1));
+    runners.remove(&entry.id, 1);
+    let update = chains.update(&runners, SERVICE, &engine(), 1);
+    expect_that!(update.changed, contains(eq(&Some("east".into()))));
+    expect_that!(chains.chains().count(), eq(0));
+}
