Reports of peers: no more runners than a fleet has

What is seen: failure reports and rate reports that other instances send are kept for 30 s by the runner that they name, whether anybody has it (an unknown runner counts as one of lifetime 0), without a bound.

Change: 4,096 of each, over three times the runners of the design; further ones are dropped.

Evidence, on the code before: 'reports.record(&of(MAX_REPORTED), 0) Expected: is equal to false Actual: true', 'runners().count() Expected: is equal to 4096 Actual: 4097'.

--- a/policy/src/relay/failure_reports.rs
+++ b/policy/src/relay/failure_reports.rs
@@ -39,6 +39,9 @@
 /// sooner.
 const RETENTION_MS: Millis = 30_000;
 
+/// Maximum number of lifetimes with reports, several times the runners of a large fleet.
+pub const MAX_REPORTED: usize = 4_096;
+
 /// How long after an answer of the runner a report only triggers a probe, in milliseconds.
 const REFUTED_MS: Millis = 10_000;
 
@@ -81,10 +84,14 @@
 pub struct FailureReports(BTreeMap<(Name, u64), Suspicion>);
 
 impl FailureReports {
-    /// Records a report of another instance or of this one. Returns whether it added a reporter.
+    /// Records a report of another instance or of this one. Returns whether it added a reporter. One on a
+    /// further lifetime is dropped if there are [`MAX_REPORTED`].
     pub fn record(&mut self, report: &FailureReport, now: Millis) -> bool {
         self.0.retain(|_, s| now < s.updated_ms + RETENTION_MS);
         let key = (report.runner.clone(), report.born_ms);
+        if self.0.len() >= MAX_REPORTED && !self.0.contains_key(&key) {
+            return false;
+        }
         let suspicion = self.0.entry(key).or_default();
         let before = suspicion.reporters.len();
         if before == 0 {
--- a/policy/src/relay/rate_limits.rs
+++ b/policy/src/relay/rate_limits.rs
@@ -37,6 +37,9 @@
 /// Time for which a report is valid unless it is renewed, in milliseconds.
 const REPORT_TTL_MS: Millis = 30_000;
 
+/// Maximum number of reports, several times the runners of a large fleet.
+pub const MAX_RATES: usize = 4_096;
+
 /// Relative change of a rate above which it is sent to other instances at once.
 const SIGNIFICANT_CHANGE: f64 = 0.05;
 
@@ -141,7 +144,7 @@
     }
 
     /// Merges a report, received from the runner or from another instance; returns whether it is a
-    /// significant change.
+    /// significant change. One of a further runner is dropped if there are [`MAX_RATES`].
     pub fn merge(&mut self, s: &RateReport, now: Millis) -> bool {
         let is_usable = s.rate.is_none_or(|r| r.is_finite() && r >= 0.0);
         if !is_usable || s.age_ms >= REPORT_TTL_MS {
@@ -149,6 +152,9 @@
         }
         let announced_ms = now.saturating_sub(s.age_ms);
         let Some(known) = self.rates.get_mut(&s.lifetime) else {
+            if self.rates.len() >= MAX_RATES {
+                return false;
+            }
             let new = RunnerRate {
                 rate: s.rate,
                 announced_ms,
--- a/policy/tests/relay_failure_reports.rs
+++ b/policy/tests/relay_failure_reports.rs
@@ -4,7 +4,9 @@
 
 use googletest::prelude::*;
 use jacinthweir_policy::prelude::*;
-use jacinthweir_policy::relay::failure_reports::{self, Advice, FailureReport, FailureReports};
+use jacinthweir_policy::relay::failure_reports::{
+    self, Advice, FailureReport, FailureReports, MAX_REPORTED,
+};
 use rand::SeedableRng;
 use rand::seq::IteratorRandom;
 use rand_chacha::ChaCha8Rng;
@@ -220,3 +222,23 @@
         "i-1"
     ));
 }
+
+/// Guards against memory that grows with the reports of other instances, of runners that nobody has.
+#[gtest]
+fn reports_on_more_runners_than_a_fleet_has_are_dropped() {
+    let mut reports = FailureReports::default();
+    let of = |n: usize| FailureReport {
+        runner: format!("i-{n}").into(),
+        ..report(&[1])
+    };
+    for n in 0..MAX_REPORTED {
+        expect_true!(reports.record(&of(n), 0));
+    }
+    expect_false!(reports.record(&of(MAX_REPORTED), 0));
+    expect_that!(reports.runners().count(), eq(MAX_REPORTED));
+    let second = FailureReport {
+        reporters: [instance(2)].into(),
+        ..of(0)
+    };
+    expect_true!(reports.record(&second, 0));
+}
--- a/policy/tests/relay_limits.rs
+++ b/policy/tests/relay_limits.rs
@@ -3,7 +3,7 @@
 use googletest::prelude::*;
 use jacinthweir_policy::lifetime::Lifetime;
 use jacinthweir_policy::prelude::*;
-use jacinthweir_policy::relay::rate_limits::{Fleet, RateReport, RunnerRateLimits};
+use jacinthweir_policy::relay::rate_limits::{Fleet, MAX_RATES, RateReport, RunnerRateLimits};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -245,3 +245,22 @@
         }
     }
 }
+
+/// Guards against memory that grows with the rates that other instances report, of runners that nobody has.
+#[gtest]
+fn rates_of_more_runners_than_a_fleet_has_are_dropped() {
+    let mut limits = RunnerRateLimits::default();
+    let report = |n: u64| RateReport {
+        lifetime: Lifetime {
+            runner: format!("i-{n}").into(),
+            born_ms: n,
+        },
+        rate: Some(1.0),
+        age_ms: 0,
+    };
+    for n in 0..=MAX_RATES as u64 {
+        let is_kept = limits.merge(&report(n), 1);
+        expect_that!(is_kept, eq(n < MAX_RATES as u64));
+    }
+    expect_that!(limits.recent_reports(1, false, 1).len(), eq(MAX_RATES));
+}
