Quarantine: an object that cannot be removed delays no write, and a list keeps no reports

What callers see: a request that crashes its runners is sent again and again by instances that start later, since what is quarantined is never written to the store.

Cause: an instance removes what is obsolete before it writes what is missing, and ends at the first removal that fails. An object of another writer that reads as a former release's record counts as obsolete; if its name is too long for an address, or its removal is refused, that is so each second, for ever. Beside it, a list of the kind kept all decoded reports (up to 50,000 objects) before it merged them, and each failed list named the same objects again.

Change: writes come first. Objects whose names an instance cannot have written (over 128 bytes) are left alone; a thousand at most wait to be removed, each once. Reports are merged as they are decoded, into what is bounded.

Evidence: a_quarantine_is_written_beside_an_object_that_cannot_be_removed on the code before: 'written.is_ok() Expected: is equal to true Actual: false', after 20 s.

--- a/plugins/relay/src/quarantine.rs
+++ b/plugins/relay/src/quarantine.rs
@@ -29,6 +29,12 @@
 /// that ended.
 const KIND: &str = "jacinthweir-quarantine";
 
+/// Maximum length of the name of an object that an instance wrote, in bytes. Longer ones are of others.
+const MAX_OBJECT_NAME_BYTES: usize = 128;
+
+/// Maximum number of objects that wait to be removed. The others are removed by an instance that starts later.
+const MAX_OBSOLETE: usize = 1_000;
+
 /// Interval between checks whether the store has all that is quarantined.
 const SYNC_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -228,18 +234,21 @@
 /// Reads what is quarantined from the store.
 async fn read(node: &Node) -> Result<(), StoreError> {
     count_call("list");
-    let keep = |object: Object| reports_of(node, &object);
-    let listed = match node.store.list(KIND, keep).await {
+    let merge = |object: Object| {
+        let reports = reports_of(node, &object)?;
+        merge_reports(node, &reports);
+        Some(reports.len())
+    };
+    let listed = match node.store.list(KIND, merge).await {
         Ok(listed) => listed,
         // The kind does not exist before the first write.
         Err(StoreError::Refused { status: 404 }) => return Ok(()),
         Err(e) => return Err(e),
     };
-    let reports: Vec<CrashReport> = listed.kept.into_iter().flatten().collect();
-    if !reports.is_empty() {
-        log::info!(held = reports.len(); "quarantine read");
+    let held: usize = listed.kept.into_iter().sum();
+    if held > 0 {
+        log::info!(held; "quarantine read");
     }
-    merge_reports(node, &reports);
     Ok(())
 }
 
@@ -254,26 +263,39 @@
         log::warn!(object = object.meta.name.as_ref(), cause:%; "bad crash report");
         return None;
     };
-    let name = object.meta.name.as_ref().to_owned();
-    node.obsolete_quarantines.borrow_mut().push(name);
+    let name = object.meta.name.as_ref();
+    if name.len() > MAX_OBJECT_NAME_BYTES {
+        log::warn!(object = name; "a crash record of another writer");
+        return None;
+    }
+    let mut obsolete = node.obsolete_quarantines.borrow_mut();
+    if obsolete.len() < MAX_OBSOLETE {
+        obsolete.insert(name.to_owned());
+    }
     Some(Vec::from(record))
 }
 
-/// Writes what is quarantined and missing in the store, and removes what is obsolete there, as far as
-/// this instance is its writer.
+/// Writes what is quarantined and missing in the store, and then removes what is obsolete there, as far as
+/// this instance is its writer. A removal that fails delays no write.
 async fn write(node: &Node) -> Result<(), StoreError> {
+    write_missing(node).await?;
+    remove_obsolete(node).await
+}
+
+async fn remove_obsolete(node: &Node) -> Result<(), StoreError> {
     loop {
         let Some(name) = node.obsolete_quarantines.borrow().first().cloned() else {
-            break;
+            return Ok(());
         };
         if is_writer(node, &name) {
             count_call("remove");
             node.store.remove(KIND, &name).await?;
         }
-        node.obsolete_quarantines
-            .borrow_mut()
-            .retain(|n| *n != name);
+        node.obsolete_quarantines.borrow_mut().remove(&name);
     }
+}
+
+async fn write_missing(node: &Node) -> Result<(), StoreError> {
     let era = node.store.era().unwrap_or_default();
     for report in unstored(node, era) {
         count_call("create");
--- a/plugins/relay/tests/relay/quarantine.rs
+++ b/plugins/relay/tests/relay/quarantine.rs
@@ -4,6 +4,7 @@
 
 use googletest::prelude::*;
 use jacinthweir_relay::RelaySettings;
+use serde_json::json;
 use tokio::time::{sleep, timeout};
 
 use crate::standin::{
@@ -154,6 +155,29 @@
     });
 }
 
+/// Guards against a quarantine that is never written: the store had an object of another writer that looks like a
+/// former release's and whose name no call can hold, and its removal was tried first, for ever.
+#[gtest]
+fn a_quarantine_is_written_beside_an_object_that_cannot_be_removed() {
+    run_single_threaded(async {
+        let mut cluster = Cluster::open().await;
+        drop(cluster.relay.take());
+        let name = "x".repeat(8 << 10);
+        let record = json!({ "request": "5c1e07a2", "ends": [], "void": [], "age_ms": 0 });
+        cluster.store.put("jacinthweir-quarantine", &name, &record);
+        let (new, _relay) = cluster.start_ready_instance("new").await;
+        let written = async {
+            while cluster.store.names("jacinthweir-quarantine").len() < 2 {
+                wait_for_chains(&new, 1).await;
+                send_request(new.listen.callers, NOTES, TOKENS, LETHAL).await;
+                sleep(Duration::from_millis(200)).await;
+            }
+        };
+        let written = timeout(TEST_TIMEOUT, written).await;
+        expect_true!(written.is_ok());
+    });
+}
+
 /// The same for a call of a plain service, which is answered without a stream.
 #[gtest]
 fn a_call_that_crashed_three_runners_is_quarantined() {
