--- a/kernel/src/logs.rs
+++ b/kernel/src/logs.rs
@@ -3,14 +3,14 @@
 //!
 //! A line about a request carries the request id under the key `request`.
 
-use std::fmt::Write;
+pub mod line;
+
 use std::io::Write as _;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 use std::sync::{Arc, OnceLock};
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, Instant};
 
-use log::kv::{Error, Key, Value, VisitSource};
 use log::{LevelFilter, Record};
 
 use crate::KernelError;
@@ -51,11 +51,8 @@
 }
 
 impl Style {
-    fn line(&self, msg: &str, record: &Record<'_>) -> String {
-        match self.format {
-            LogFormat::Json => json_line(&self.instance, msg, record),
-            LogFormat::Text => text_line(&self.instance, msg, record),
-        }
+    fn line(&self, record: &Record<'_>) -> String {
+        line::encode(self.format, &self.instance, record)
     }
 }
 
@@ -114,10 +111,9 @@
 }
 
 fn line(record: &Record<'_>) -> String {
-    let msg = record.args().to_string();
     match STYLE.get() {
-        Some(style) => style.line(&msg, record),
-        None => json_line("", &msg, record),
+        Some(style) => style.line(record),
+        None => line::encode(LogFormat::Json, "", record),
     }
 }
 
@@ -221,8 +217,8 @@
         .level_for("jacinthweir", level(cfg.level))
         .filter(|m| m.level() <= log::Level::Warn || m.target().starts_with("jacinthweir"))
         .level(level(cfg.level))
-        .format(move |out, msg, record| {
-            let line = style.line(&msg.to_string(), record);
+        .format(move |out, _, record| {
+            let line = style.line(record);
             out.finish(format_args!("{line}"));
         })
         .chain(output);
@@ -243,44 +239,3 @@
         LogLevel::Debug => LevelFilter::Debug,
     }
 }
-
-fn json_line(instance: &str, msg: &str, record: &Record<'_>) -> String {
-    let mut line = serde_json::Map::new();
-    let at = humantime::format_rfc3339_millis(SystemTime::now()).to_string();
-    line.insert("at".into(), at.into());
-    line.insert(
-        "level".into(),
-        record.level().as_str().to_lowercase().into(),
-    );
-    line.insert("instance".into(), instance.into());
-    line.insert("module".into(), record.target().into());
-    line.insert("message".into(), msg.into());
-    let mut fields = Fields(&mut line);
-    let _ = record.key_values().visit(&mut fields);
-    serde_json::Value::Object(line).to_string()
-}
-
-struct Fields<'a>(&'a mut serde_json::Map<String, serde_json::Value>);
-
-impl<'kvs> VisitSource<'kvs> for Fields<'_> {
-    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
-        self.0.insert(key.to_string(), value.to_string().into());
-        Ok(())
-    }
-}
-
-fn text_line(instance: &str, msg: &str, record: &Record<'_>) -> String {
-    let at = humantime::format_rfc3339_millis(SystemTime::now());
-    let mut line = format!("{at} {:5} {instance} {msg}", record.level());
-    let mut pairs = Pairs(&mut line);
-    let _ = record.key_values().visit(&mut pairs);
-    line
-}
-
-struct Pairs<'a>(&'a mut String);
-
-impl<'kvs> VisitSource<'kvs> for Pairs<'_> {
-    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
-        write!(self.0, " {key}={value}").map_err(|_| Error::msg("line"))
-    }
-}
