Logs: lines that wait are bounded in bytes

What is seen: while nobody reads standard output, 2,048 lines wait in memory, of any length: with lines at their bound some 16 MB and, with control characters in them, 100 MB, of 64 MB for control.

Change: the queue, in a file of its own, holds 4 MiB at most. Lines beyond are dropped, counted and told of as before.

Evidence, the queue without the bound: 'tx.try_send(Line::Text(long.clone())) Expected: is an error ... Actual: Ok(())'. The sizes in the first paragraph are computed from the bounds, not measured.

--- a/kernel/src/logs.rs
+++ b/kernel/src/logs.rs
@@ -4,15 +4,17 @@
 //! A line about a request carries the request id under the key `request`.
 
 pub mod line;
+pub mod queue;
 
 use std::io::Write as _;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::sync::mpsc::{TrySendError, sync_channel};
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use log::{LevelFilter, Record};
 
+use self::queue::{Line, LineReceiver, LineSender};
 use crate::KernelError;
 use crate::settings::{LogFormat, LogLevel, LogSettings};
 
@@ -24,12 +26,6 @@
     apply(cfg, instance, fern::Output::stderr("\n"))
 }
 
-/// Maximum number of lines waiting to be written.
-///
-/// Writing to standard output blocks if nobody reads it. Without a bound, queued lines would then
-/// exhaust memory; without the queue, requests would block.
-const QUEUED_LINES: usize = 2_048;
-
 /// How long [`flush`] waits for the queue to drain.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -39,7 +35,7 @@
 /// Stack size of a thread that writes lines, in bytes.
 const STACK_BYTES: usize = 128 << 10;
 
-static QUEUE: OnceLock<SyncSender<Line>> = OnceLock::new();
+static QUEUE: OnceLock<LineSender> = OnceLock::new();
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 
 /// Format of the log and name of the instance, once the log is open.
@@ -56,19 +52,13 @@
     }
 }
 
-enum Line {
-    Text(String),
-    /// Requests a reply once all preceding lines are written.
-    Flush(SyncSender<()>),
-}
-
 /// Installs the process-wide logger, which writes to standard output and never blocks. Lines that
 /// do not fit into the queue are dropped, and their number is logged.
 ///
 /// # Errors
 /// Returns an error if a logger is already installed or the writer thread cannot be started.
 pub fn open_stdout(cfg: &LogSettings, instance: &str) -> Result<(), KernelError> {
-    let (tx, rx) = sync_channel(QUEUED_LINES);
+    let (tx, rx) = queue::open();
     let spawned = std::thread::Builder::new()
         .name("logs".to_owned())
         .stack_size(STACK_BYTES)
@@ -139,7 +129,7 @@
 }
 
 /// Queues a line, and returns whether there was room before the deadline.
-fn send_until(queue: &SyncSender<Line>, mut line: Line, deadline: Instant) -> bool {
+fn send_until(queue: &LineSender, mut line: Line, deadline: Instant) -> bool {
     loop {
         match queue.try_send(line) {
             Ok(()) => return true,
@@ -150,7 +140,7 @@
     }
 }
 
-fn flush_until(queue: &SyncSender<Line>, deadline: Instant) {
+fn flush_until(queue: &LineSender, deadline: Instant) {
     let (tx, rx) = sync_channel(1);
     if send_until(queue, Line::Flush(tx), deadline) {
         // Lines not written by then are lost: the exit must not wait for a reader.
@@ -166,9 +156,9 @@
     }
 }
 
-fn write_lines(rx: &Receiver<Line>) {
+fn write_lines(rx: &LineReceiver) {
     let mut out = std::io::stdout();
-    while let Ok(line) = rx.recv() {
+    while let Some(line) = rx.recv() {
         // Standard output may be closed; there is nowhere left to report a write error.
         match line {
             Line::Text(text) => {
