Services: nothing is kept of those that the configuration no longer has

What is seen: an instance keeps the chains, the plan and the retry budget of each service that any configuration ever had. The chains are walked through by failure detection and dumped, as if in use, with runners that are long gone; the budget's counts are in each exchange with another instance, whose size is bounded: with some thousand former names exchanges would fail (computed, not measured). Operators rename services at will.

Change: chains of a service that is gone are retired as replaced ones are, so that requests in flight end as before; its plan goes, and its budget once it has nothing in the window.

Evidence: nothing_is_kept_of_a_service_that_the_configuration_no_longer_has on the code before: two chains of the renamed service.

--- a/plugins/relay/src/live_chains.rs
+++ b/plugins/relay/src/live_chains.rs
@@ -157,6 +157,17 @@
         replaced
     }
 
+    /// Retires the chains of services that `is_kept` rejects.
+    fn retain_services(&mut self, is_kept: impl Fn(&Name) -> bool, now: Millis) {
+        self.computed.retain(|service, _| is_kept(service));
+        let gone = self.current.extract_if(.., |service, _| !is_kept(service));
+        for live in gone.flat_map(|(_, chains)| chains) {
+            self.paths.retire(&live, now);
+            self.replaced.push(live);
+        }
+        self.replaced.retain(|l| l.silence.borrow().waiting() > 0);
+    }
+
     /// Returns the position of a failure domain's chains among those of a service.
     fn range_of(&self, service: &str, domain: Option<&Name>) -> Range<usize> {
         // Chains are sorted by domain, and one that crosses domains comes last.
@@ -328,8 +339,9 @@
         let now = self.now();
         let runners = self.runners.borrow();
         let mut chains = self.chains.borrow_mut();
-        for (service, spec) in &intent.services {
-            let Some(engine) = spec.engine.as_ref().filter(|e| e.layers > 0) else {
+        chains.retain_services(|service| intent.engine(service).is_some(), now);
+        for service in intent.services.keys() {
+            let Some(engine) = intent.engine(service) else {
                 continue;
             };
             for domain in chains.update(&runners, service, engine, now) {
--- a/plugins/relay/src/node.rs
+++ b/plugins/relay/src/node.rs
@@ -301,8 +301,7 @@
     /// Whether the runners of a service hold layers. Only these runners give reports.
     pub(crate) fn holds_layers(&self, service: &str) -> bool {
         let intent = self.intent.borrow();
-        let spec = intent.as_ref().and_then(|i| i.services.get(service));
-        spec.is_some_and(|s| s.engine.as_ref().is_some_and(|e| e.layers > 0))
+        intent.as_ref().is_some_and(|i| i.engine(service).is_some())
     }
 
     /// The configuration in force.
@@ -319,7 +318,11 @@
                 log::info!(version, before = in_force.unwrap_or(0); "configuration in force");
                 metrics::gauge!("jacinthweir_configuration_version").set(version as f64);
                 self.contention.configure(&mut offered);
-                self.retry_budgets.open(offered.services.keys());
+                self.retry_budgets.configure(&offered, self.now());
+                let is_kept = |service: &Name| offered.services.contains_key(service);
+                self.planners
+                    .borrow_mut()
+                    .retain(|service, _| is_kept(service));
                 *self.intent.borrow_mut() = Some(Rc::new(offered));
                 let mut outdated = self.outdated.get();
                 outdated.in_force(version, self.now());
--- a/plugins/relay/src/retry_budgets.rs
+++ b/plugins/relay/src/retry_budgets.rs
@@ -7,6 +7,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::relay::intent::Intent;
 use jacinthweir_policy::relay::loads::{LoadTable, ServiceCounts};
 use jacinthweir_policy::relay::shared_retry_budget::{
     RetryCounts, SharedRetryBudget, SharedRetryBudgetConfig,
@@ -45,8 +46,18 @@
         }
     }
 
-    /// Opens the budgets of `services`, so that the others learn that this instance has spent nothing.
-    pub(crate) fn open<'a>(&self, services: impl Iterator<Item = &'a Name>) {
+    /// Opens the budgets of a configuration's services, so that the others learn that this instance has spent
+    /// nothing. Budgets of former services go when they have nothing in the window.
+    pub(crate) fn configure(&self, intent: &Intent, now: Millis) {
+        let mut budgets = self.budgets.borrow_mut();
+        budgets.retain(|service, budget| {
+            let counts = budget.counts(now, &self.cfg);
+            intent.services.contains_key(service) || counts.requests + counts.repeats > 0
+        });
+        let mut resends = self.resends.borrow_mut();
+        resends.retain(|service, _| budgets.contains_key(service));
+        drop(budgets);
+        let services = intent.services.keys();
         services.for_each(|service| self.with(service, |_| ()));
     }
 
--- a/policy/src/relay/intent.rs
+++ b/policy/src/relay/intent.rs
@@ -211,6 +211,13 @@
         }
     }
 
+    /// Returns the engine of a service whose runners hold layers.
+    #[must_use]
+    pub fn engine(&self, service: &str) -> Option<&Engine> {
+        let engine = self.services.get(service)?.engine.as_ref();
+        engine.filter(|e| e.layers > 0)
+    }
+
     /// Returns the route of a request: the one of the host with the longest matching prefix of `path`.
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
