Clients: addresses of the own interface are typed targets

What was seen: with the stand-in platform, an object `a00 ` can't be read or written ("invalid uri character"); `a05#` and `a06?b` read, write and delete another object; `a03+` lists none; the deletion of the key `config/parts/7f?version=1&`, which the platform listed, deletes the part `config/parts/7f`. A plain service runs the call `a06` for `a06?b`. `jwctl request f.1%3Fx` makes an instance ask another one for `/peer/requests/f.1?x`, with the token of all instances.

Cause: keys, prefixes, hashes, ids and calls were put into the address as they are.

Change: `pooled::request` takes a `Target`; so do the clients of the platform, of other instances, of runners and of plain services. The slashes of a key still separate parts; a key with an empty part, which servers drop, is escaped whole. `PeerClient::post` takes a literal path.

On the wire: a plain key's, call's and id's path is what it was.

--- a/clients/src/peer.rs
+++ b/clients/src/peer.rs
@@ -11,8 +11,8 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::ClientError;
 use crate::pooled::{self, Answer, PooledClient};
+use crate::{ClientError, Target};
 
 /// Client of other instances.
 #[derive(Clone, Debug)]
@@ -38,13 +38,19 @@
     ///
     /// # Errors
     /// See [`ClientError`].
-    pub async fn post<Q, A>(&self, peer: SocketAddr, path: &str, msg: &Q) -> Result<A, ClientError>
+    pub async fn post<Q, A>(
+        &self,
+        peer: SocketAddr,
+        path: &'static str,
+        msg: &Q,
+    ) -> Result<A, ClientError>
     where
         Q: Serialize,
         A: DeserializeOwned,
     {
         let body = rmp_serde::to_vec_named(msg).map_err(ClientError::bad_answer)?;
-        let answer = self.send(Method::POST, peer, path, body.into()).await?;
+        let target = Target::new(path);
+        let answer = self.send(Method::POST, peer, &target, body.into()).await?;
         if answer.status != StatusCode::OK {
             let status = answer.status;
             return Err(ClientError::bad_answer(format!("{peer} answered {status}")));
@@ -58,7 +64,8 @@
     /// # Errors
     /// See [`ClientError`].
     pub async fn part(&self, peer: SocketAddr, hash: &str) -> Result<Option<Bytes>, ClientError> {
-        self.fetch(peer, &format!("/peer/parts/{hash}")).await
+        let target = Target::new("/peer/parts").segment(hash);
+        self.fetch(peer, &target).await
     }
 
     /// Fetches the head of the configuration in force on `peer`, or `None` if it has none.
@@ -66,7 +73,7 @@
     /// # Errors
     /// See [`ClientError`].
     pub async fn head(&self, peer: SocketAddr) -> Result<Option<Head>, ClientError> {
-        let Some(bytes) = self.fetch(peer, "/peer/head").await? else {
+        let Some(bytes) = self.fetch(peer, &Target::new("/peer/head")).await? else {
             return Ok(None);
         };
         let head = rmp_serde::from_slice(&bytes).map_err(ClientError::bad_answer)?;
@@ -83,8 +90,8 @@
         peer: SocketAddr,
         id: &str,
     ) -> Result<Option<RequestRecord>, ClientError> {
-        let bytes = self.fetch(peer, &format!("/peer/requests/{id}")).await?;
-        let Some(bytes) = bytes else {
+        let target = Target::new("/peer/requests").segment(id);
+        let Some(bytes) = self.fetch(peer, &target).await? else {
             return Ok(None);
         };
         let record = rmp_serde::from_slice(&bytes).map_err(ClientError::bad_answer)?;
@@ -96,7 +103,7 @@
     /// # Errors
     /// See [`ClientError`].
     pub async fn own_record(&self, peer: SocketAddr) -> Result<MemberRecord, ClientError> {
-        let bytes = self.fetch(peer, "/peer/self").await?;
+        let bytes = self.fetch(peer, &Target::new("/peer/self")).await?;
         let bytes = bytes.ok_or_else(|| ClientError::bad_answer("no such path"))?;
         rmp_serde::from_slice(&bytes).map_err(ClientError::bad_answer)
     }
@@ -105,10 +112,10 @@
         &self,
         method: Method,
         peer: SocketAddr,
-        path: &str,
+        target: &Target,
         body: Bytes,
     ) -> Result<Answer, ClientError> {
-        let mut req = pooled::request(method, peer, path, body)?;
+        let mut req = pooled::request(method, peer, target, body)?;
         let token = HeaderValue::from_str(&format!("Bearer {}", self.token));
         let mut token = token.map_err(pooled::no_effect)?;
         token.set_sensitive(true);
@@ -116,8 +123,8 @@
         self.client.send(req, self.timeout).await
     }
 
-    async fn fetch(&self, peer: SocketAddr, path: &str) -> Result<Option<Bytes>, ClientError> {
-        let answer = self.send(Method::GET, peer, path, Bytes::new()).await?;
+    async fn fetch(&self, peer: SocketAddr, target: &Target) -> Result<Option<Bytes>, ClientError> {
+        let answer = self.send(Method::GET, peer, target, Bytes::new()).await?;
         match answer.status {
             StatusCode::OK => Ok(Some(answer.read_whole().await?)),
             StatusCode::NOT_FOUND => Ok(None),
--- a/clients/src/platform.rs
+++ b/clients/src/platform.rs
@@ -10,9 +10,9 @@
 use jacinthweir_wire::platform::*;
 use serde::de::DeserializeOwned;
 
-use crate::ClientError;
 use crate::direct::JSON;
 use crate::pooled::{self, Answer, PooledClient};
+use crate::{ClientError, Target};
 
 /// Result of a conditional write.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -74,19 +74,19 @@
     async fn send(
         &self,
         method: Method,
-        path: &str,
+        target: &Target,
         timeout: Duration,
     ) -> Result<Answer, ClientError> {
-        let req = pooled::request(method, self.address, path, Bytes::new())?;
+        let req = pooled::request(method, self.address, target, Bytes::new())?;
         self.client.send(req, timeout).await
     }
 
     async fn read<T: DeserializeOwned>(
         &self,
-        path: &str,
+        target: &Target,
         timeout: Duration,
     ) -> Result<Option<T>, ClientError> {
-        let answer = self.send(Method::GET, path, timeout).await?;
+        let answer = self.send(Method::GET, target, timeout).await?;
         match answer.status {
             StatusCode::OK => Ok(Some(answer.read_json().await?)),
             StatusCode::NOT_FOUND => Ok(None),
@@ -100,10 +100,10 @@
         value: String,
         condition: Condition,
     ) -> Result<PutResult, ClientError> {
-        let path = format!("/objects/{key}");
+        let target = object_target(key);
         let body = serde_json::to_vec(&PutObject { value, condition });
         let body = body.map_err(pooled::no_effect)?;
-        let mut req = pooled::request(Method::PUT, self.address, &path, body.into())?;
+        let mut req = pooled::request(Method::PUT, self.address, &target, body.into())?;
         req.headers_mut().insert(CONTENT_TYPE, JSON);
         let answer = self.client.send(req, self.timeout).await?;
         match answer.status {
@@ -116,8 +116,8 @@
     }
 
     async fn delete_object(&self, key: &str, version: u64) -> Result<bool, ClientError> {
-        let path = format!("/objects/{key}?version={version}");
-        let answer = self.send(Method::DELETE, &path, self.timeout).await?;
+        let target = object_target(key).field("version", &version);
+        let answer = self.send(Method::DELETE, &target, self.timeout).await?;
         match answer.status {
             StatusCode::OK => Ok(true),
             StatusCode::NOT_FOUND | StatusCode::PRECONDITION_FAILED => Ok(false),
@@ -126,6 +126,18 @@
     }
 }
 
+/// Returns the target of an object.
+///
+/// The slashes of a key separate the parts of a path. Servers drop empty parts, so that the slashes of a key
+/// that has one are escaped.
+fn object_target(key: &str) -> Target {
+    let target = Target::new("/objects");
+    if key.split('/').any(str::is_empty) {
+        return target.segment(key);
+    }
+    key.split('/').fold(target, Target::segment)
+}
+
 /// Reads the version from the answer to a write. If the body is truncated after the status line,
 /// the status is known but the version is not.
 async fn written_version(answer: Answer) -> Result<u64, ClientError> {
@@ -147,7 +159,7 @@
 
 impl Platform for HttpPlatform {
     fn get<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<Object>, ClientError>> {
-        Box::pin(async move { self.read(&format!("/objects/{key}"), self.timeout).await })
+        Box::pin(async move { self.read(&object_target(key), self.timeout).await })
     }
 
     fn put<'a>(
@@ -169,8 +181,8 @@
 
     fn list<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, Result<ObjectList, ClientError>> {
         Box::pin(async move {
-            let path = format!("/objects?prefix={prefix}");
-            let list = self.read(&path, self.timeout).await?;
+            let target = Target::new("/objects").field("prefix", prefix);
+            let list = self.read(&target, self.timeout).await?;
             list.ok_or_else(|| ClientError::bad_answer("no list"))
         })
     }
@@ -182,16 +194,19 @@
         wait: Duration,
     ) -> BoxFuture<'a, Result<WatchAnswer, ClientError>> {
         Box::pin(async move {
-            let wait_ms = wait.as_millis();
-            let path = format!("/watch?prefix={prefix}&after={after}&wait_ms={wait_ms}");
-            let answer = self.read(&path, wait + self.timeout).await?;
+            let target = Target::new("/watch")
+                .field("prefix", prefix)
+                .field("after", &after)
+                .field("wait_ms", &wait.as_millis());
+            let answer = self.read(&target, wait + self.timeout).await?;
             answer.ok_or_else(|| ClientError::bad_answer("no watch"))
         })
     }
 
     fn instances(&self) -> BoxFuture<'_, Result<InstanceList, ClientError>> {
         Box::pin(async move {
-            let list = self.read("/instances", self.timeout).await?;
+            let target = Target::new("/instances");
+            let list = self.read(&target, self.timeout).await?;
             list.ok_or_else(|| ClientError::bad_answer("no instance list"))
         })
     }
--- a/clients/src/pooled.rs
+++ b/clients/src/pooled.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use futures::FutureExt;
 use futures::future::BoxFuture;
+use http::uri::{Authority, Scheme};
 use http::{Method, Request, StatusCode, Uri};
 use http_body_util::Full;
 use hyper_util::client::legacy::connect::{Connected, Connection};
@@ -24,7 +25,7 @@
 use crate::bounded_stream::{BoundedStream, CountedBody, Received};
 use crate::buffers::{self, Purpose};
 use crate::direct::{DirectError, READ_BUFFER_BYTES};
-use crate::{CONNECT_TIMEOUT, ClientError};
+use crate::{CONNECT_TIMEOUT, ClientError, Target};
 
 /// Time after which idle connections are closed. It is well below the idle time-out of the servers, since a
 /// request written to a connection that the server is closing is lost without an answer.
@@ -74,18 +75,20 @@
     }
 }
 
-/// Returns a request to `path` at `address`.
+/// Returns a request of `target` at `address`.
 pub(crate) fn request(
     method: Method,
     address: SocketAddr,
-    path: &str,
+    target: &Target,
     body: Bytes,
 ) -> Result<Request<Full<Bytes>>, ClientError> {
-    let uri: Result<Uri, _> = format!("http://{address}{path}").parse();
-    let uri = uri.map_err(no_effect)?;
+    let authority = Authority::try_from(address.to_string()).map_err(no_effect)?;
+    let mut parts = target.to_uri().map_err(no_effect)?.into_parts();
+    parts.scheme = Some(Scheme::HTTP);
+    parts.authority = Some(authority);
     let mut req = Request::new(Full::new(body));
     *req.method_mut() = method;
-    *req.uri_mut() = uri;
+    *req.uri_mut() = Uri::from_parts(parts).map_err(no_effect)?;
     Ok(req)
 }
 
--- a/clients/src/runner.rs
+++ b/clients/src/runner.rs
@@ -16,7 +16,7 @@
 use crate::direct::{self, JSON, ResponseBody};
 use crate::pooled::{self, PooledClient};
 use crate::service::MAX_RETRY_AFTER_MS;
-use crate::{CONNECT_TIMEOUT, ClientError};
+use crate::{CONNECT_TIMEOUT, ClientError, Target};
 
 /// Maximum length of a line of a runner's answer, in bytes. A longer line fails the attempt.
 const MAX_FRAME_BYTES: usize = 256 * 1024;
@@ -102,7 +102,8 @@
     /// See [`ClientError`].
     pub async fn cancel(&self, runner: SocketAddr, msg: &CancelRequest) -> Result<(), ClientError> {
         let body = serde_json::to_vec(msg).map_err(ClientError::bad_answer)?;
-        let mut req = pooled::request(Method::POST, runner, "/v1/cancel", body.into())?;
+        let target = Target::new("/v1/cancel");
+        let mut req = pooled::request(Method::POST, runner, &target, body.into())?;
         req.headers_mut().insert(CONTENT_TYPE, JSON);
         let answer = self.client.send(req, self.timeout).await?;
         if answer.status.is_success() {
@@ -117,7 +118,7 @@
     /// # Errors
     /// See [`ClientError`].
     pub async fn load(&self, runner: SocketAddr) -> Result<LoadReport, ClientError> {
-        let report: LoadReport = self.read(runner, "/v1/load").await?;
+        let report: LoadReport = self.read(runner, &Target::new("/v1/load")).await?;
         report.checked().map_err(ClientError::bad_answer)
     }
 
@@ -130,16 +131,16 @@
         runner: SocketAddr,
         after: u64,
     ) -> Result<CacheEvents, ClientError> {
-        let path = format!("/v1/cache-events?after={after}");
-        self.read(runner, &path).await
+        let target = Target::new("/v1/cache-events").field("after", &after);
+        self.read(runner, &target).await
     }
 
     async fn read<T: DeserializeOwned>(
         &self,
         runner: SocketAddr,
-        path: &str,
+        target: &Target,
     ) -> Result<T, ClientError> {
-        let req = pooled::request(Method::GET, runner, path, Bytes::new())?;
+        let req = pooled::request(Method::GET, runner, target, Bytes::new())?;
         let answer = self.client.send(req, self.timeout).await?;
         match answer.status {
             StatusCode::OK => answer.read_json().await,
--- a/clients/src/service.rs
+++ b/clients/src/service.rs
@@ -17,7 +17,7 @@
 use crate::buffers::{self, Purpose};
 use crate::direct::{self, DirectError};
 use crate::pooled::no_effect;
-use crate::{CONNECT_TIMEOUT, ClientError};
+use crate::{CONNECT_TIMEOUT, ClientError, Target};
 
 /// Maximum size of the answer of a plain service, in bytes.
 pub const MAX_ANSWER_BYTES: usize = 1024 * 1024;
@@ -103,10 +103,10 @@
 }
 
 fn request(call: &ServiceCall) -> Result<Request<Full<Bytes>>, ClientError> {
-    let path = format!("/call/{}", call.call);
-    let path = path.parse().map_err(no_effect)?;
+    let target = Target::new("/call").segment(&call.call);
+    let uri = target.to_uri().map_err(no_effect)?;
     let kind = header_value(call.content_type.as_deref())?;
-    let mut req = direct::post(call.address, path, kind, call.body.clone());
+    let mut req = direct::post(call.address, uri, kind, call.body.clone());
     let headers = req.headers_mut();
     headers.insert(header::ATTEMPT, call.attempt.into());
     if let Some(request) = header_value(Some(&call.request))? {
