Quarantine: one stored object that cannot be read holds up no other one

What callers saw: an instance that starts beside an object `quarantine/...` that cannot be read (another writer's name, a read that fails each time) never learns what is quarantined, and evaluates no crash of its own: lethal requests crash runner after runner there.

Cause: all objects were read one after the other, again from the first at each failure, each second for ever; only then the evaluation began. Their number had no bound.

Change: the crashes are evaluated from the start, and the stored ones are read beside it, each for itself.

--- a/plugins/quarantine/src/lib.rs
+++ b/plugins/quarantine/src/lib.rs
@@ -5,6 +5,8 @@
 //! written to the platform, and an instance reads it when it starts. Recent changes travel with the
 //! exchanges of the peers plug-in. All decisions are made in [`jacinthweir_policy::quarantine`].
 
+mod stored;
+
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -13,10 +15,11 @@
 use jacinthweir_kernel::prelude::*;
 use jacinthweir_policy::lifetime::Lifetime;
 use jacinthweir_policy::prompt_part::PromptPart;
-use jacinthweir_policy::quarantine::{CrashReport, FormerRecord, Suspect};
+use jacinthweir_policy::quarantine::{CrashReport, Suspect};
 use jacinthweir_policy::relay::rendezvous;
 use jacinthweir_wire::platform::Condition;
 use linkme::distributed_slice;
+use tokio::sync::mpsc;
 
 #[distributed_slice(PLUGINS)]
 static QUARANTINE: Plugin = Plugin {
@@ -36,9 +39,6 @@
 /// Evaluations between two checks whether the platform has all that is quarantined.
 const EVALUATIONS_PER_SYNC: u32 = 20;
 
-/// Pause after a failed read from the platform.
-const RETRY_PAUSE: Duration = Duration::from_secs(1);
-
 /// Era with which records are marked as stored: whether the platform still has them is seen in its
 /// list.
 const STORED_ERA: u64 = 1;
@@ -60,57 +60,30 @@
 }
 
 async fn run(cx: Arc<Kernel>) {
-    let mut obsolete = read_until_done(&cx).await;
+    let (former_tx, former_rx) = mpsc::unbounded_channel();
+    let read = stored::read(&cx, former_tx);
+    tokio::join!(read, evaluate(&cx, former_rx));
+}
+
+/// Evaluates broken runs until the instance stops. `former` brings keys that are not needed any more, since
+/// former releases wrote them.
+async fn evaluate(cx: &Kernel, mut former: mpsc::UnboundedReceiver<String>) {
+    let mut obsolete = BTreeSet::new();
     loop {
         for _ in 0..EVALUATIONS_PER_SYNC {
             tokio::time::sleep(EVALUATE_INTERVAL).await;
             obsolete.extend(cx.evaluate_quarantine().iter().map(key));
         }
-        match sync(&cx, &obsolete).await {
+        while let Ok(key) = former.try_recv() {
+            obsolete.insert(key);
+        }
+        match sync(cx, &obsolete).await {
             Ok(()) => obsolete.clear(),
             Err(e) => warn!("cannot write what is quarantined: {e}"),
         }
     }
 }
 
-/// Reads what is quarantined from the platform until that succeeds. Returns the keys that are not needed any
-/// more, since former releases wrote them.
-async fn read_until_done(cx: &Kernel) -> BTreeSet<String> {
-    loop {
-        match read(cx).await {
-            Ok(former) => return former,
-            Err(e) => debug!("cannot read what is quarantined: {e}"),
-        }
-        tokio::time::sleep(RETRY_PAUSE).await;
-    }
-}
-
-async fn read(cx: &Kernel) -> Result<BTreeSet<String>, ClientError> {
-    let listed = cx.platform.list(KEYS).await?;
-    let mut reports = Vec::new();
-    let mut former = BTreeSet::new();
-    for object in listed.objects.iter().filter(|o| o.version > 0) {
-        let Some(object) = cx.platform.get(&object.key).await? else {
-            continue;
-        };
-        match serde_json::from_str::<CrashReport>(&object.value) {
-            Ok(report) => reports.push(report),
-            Err(e) => match serde_json::from_str::<FormerRecord>(&object.value) {
-                Ok(record) => {
-                    reports.extend(Vec::from(record));
-                    former.insert(object.key);
-                }
-                Err(_) => warn!("bad crash report {}: {e}", object.key),
-            },
-        }
-    }
-    if !reports.is_empty() {
-        info!(held = reports.len(); "quarantine read");
-    }
-    cx.merge_crash_reports(&reports);
-    Ok(former)
-}
-
 /// Writes the crashes for which something is quarantined and that are missing in the platform, and removes
 /// what is obsolete there, as far as this instance is its writer.
 async fn sync(cx: &Kernel, obsolete: &BTreeSet<String>) -> Result<(), ClientError> {
