Claims: a claim that gets no further pauses between its calls

What was seen (in a test): a platform that answers with an older record, as a replica does, gets read after write after read from one claim without a pause: where a released claim is claimed again, until the caller's deadline, and where a write without an answer is made void, for up to two minutes. All instances share the platform's call rate, so that other claims, and changes, are refused meanwhile.

Cause: a conflicting update was followed by a read at once, and that by the next update.

Evidence: a_claim_that_gets_no_further_pauses_between_its_calls, before: 10,000 calls (where the test ends) where three in each longest pause are the bound, for both.

--- a/policy/src/claim/step.rs
+++ b/policy/src/claim/step.rs
@@ -40,7 +40,11 @@
             WriteAnswer::Stale => {
                 self.foreign_claim_seen |= !self.write_unresolved;
                 self.earlier_may_have_run |= !self.write_unresolved;
-                self.read_back()
+                match self.phase {
+                    // The record that was read may be an older one, also when it is read again.
+                    Phase::Reclaiming { .. } => self.back_off(now, true),
+                    _ => self.read_back(),
+                }
             }
             WriteAnswer::NoEffect => self.back_off(now, false),
             WriteAnswer::Lost => {
@@ -280,10 +284,10 @@
     ) -> Vec<Action> {
         match answer {
             WriteAnswer::Written(_) => self.terminate(),
-            WriteAnswer::Stale if now.is_past(abandoning.until) => self.terminate(),
-            WriteAnswer::Stale => vec![Action::Read],
             WriteAnswer::NoEffect => self.back_off_until(now, abandoning.until, false),
-            WriteAnswer::Lost => self.back_off_until(now, abandoning.until, true),
+            WriteAnswer::Stale | WriteAnswer::Lost => {
+                self.back_off_until(now, abandoning.until, true)
+            }
         }
     }
 
--- a/policy/tests/claim.rs
+++ b/policy/tests/claim.rs
@@ -179,3 +179,56 @@
         expect_that!(claim.begin_dispatch(at(2)), err(is_empty()));
     }
 }
+
+/// Calls after which a test ends.
+const ENDLESS_CALLS: usize = 10_000;
+
+/// Returns the most calls that one claim may make in this time: three in each longest pause.
+fn most_calls(ms: u64) -> usize {
+    3 * usize::try_from(ms / cfg().max_backoff_ms).unwrap()
+}
+
+/// Runs a claim against a platform that answers at once: reads bring a released record of another submission,
+/// `create` the given answer, and updates a conflict. Returns its calls.
+fn calls_beside_a_stale_record(create: WriteAnswer, deadline_ms: u64) -> usize {
+    let (mut claim, mut todo) = open(deadline_ms);
+    let record = match &todo[0] {
+        Action::Create(record) => ClaimRecord {
+            nonce: "other".into(),
+            state: ClaimState::Released,
+            ..(**record).clone()
+        },
+        other => panic!("unexpected {other:?}"),
+    };
+    let (mut ms, mut calls) = (0, 0);
+    while !todo.is_empty() && calls < ENDLESS_CALLS {
+        let event = match todo.remove(0) {
+            Action::Create(_) => Event::Write(create),
+            Action::Update { .. } => Event::Write(WriteAnswer::Stale),
+            Action::Read => Event::Read(ReadAnswer::Found {
+                record: Box::new(record.clone()),
+                version: 7,
+                claimant_gone: true,
+            }),
+            Action::Pause(until) => {
+                ms = until.mono_ms;
+                Event::Timer
+            }
+            Action::Answer(_) | Action::Over | Action::Dispatch => continue,
+        };
+        calls += usize::from(!matches!(event, Event::Timer));
+        todo.extend(claim.step(at(ms), event));
+    }
+    calls
+}
+
+/// Guards against thousands of calls a second for one claim while a platform answers with an older record.
+#[gtest]
+fn a_claim_that_gets_no_further_pauses_between_its_calls() {
+    // A released claim that cannot be claimed again.
+    let reclaims = calls_beside_a_stale_record(WriteAnswer::Stale, 30_000);
+    expect_that!(reclaims, le(most_calls(30_000)));
+    // A write without an answer that cannot be made void.
+    let voids = calls_beside_a_stale_record(WriteAnswer::Lost, 10);
+    expect_that!(voids, le(most_calls(cfg().record_timeout_ms)));
+}
