Parts of the configuration: an object that cannot be deleted keeps no other one

What was seen: beside an object `config/parts/...` of another writer whose name is too long for an address (or whose deletion fails each time), no part behind it is ever deleted, so that the store grows with each commit. The deletions of a pass followed each other without a pause.

Cause: the first failure ended the pass, and the next one began with the same object.

Change: each deletion stands for itself, a failure is counted (jacinthweir_platform_errors_total, call "delete_part"), and 50 ms lie between two of them.

Evidence: an_object_that_cannot_be_deleted_keeps_no_part, before: time-out after 30 s.

--- a/plugins/schema/src/garbage_collection.rs
+++ b/plugins/schema/src/garbage_collection.rs
@@ -12,6 +12,9 @@
 use crate::head::{self, StoredHead};
 use crate::keys;
 
+/// Pause after each deletion, which is one of the writes that all instances together may make.
+const DELETION_PAUSE: Duration = Duration::from_millis(50);
+
 /// Collects periodically until the instance stops.
 pub(crate) async fn run(cx: Arc<Kernel>) {
     let period = Duration::from_millis(cx.settings.timing.part_clean_ms);
@@ -47,13 +50,25 @@
     });
     let unreferenced = unreferenced_parts(&head, version, parts);
     for (hash, version) in deletable(previous, &unreferenced) {
-        if cx.platform.delete(&keys::part(&hash), version).await? {
-            metrics::counter!("jacinthweir_config_parts_deleted_total").increment(1);
-        }
+        delete(cx, &hash, version).await;
+        tokio::time::sleep(DELETION_PAUSE).await;
     }
     Ok(unreferenced)
 }
 
+/// Deletes a part. One that cannot be deleted does not keep the others; a later pass tries it again.
+async fn delete(cx: &Kernel, hash: &str, version: u64) {
+    match cx.platform.delete(&keys::part(hash), version).await {
+        Ok(true) => metrics::counter!("jacinthweir_config_parts_deleted_total").increment(1),
+        Ok(false) => {}
+        Err(e) => {
+            metrics::counter!("jacinthweir_platform_errors_total", "call" => "delete_part")
+                .increment(1);
+            debug!("a part could not be deleted: {e}");
+        }
+    }
+}
+
 /// Whether the stored head is the one in force here.
 ///
 /// After a rollback or a fork of the platform nothing is deleted: the parts that the stored head
--- a/plugins/schema/tests/schema/apply.rs
+++ b/plugins/schema/tests/schema/apply.rs
@@ -7,7 +7,7 @@
 use jacinthweir_clients::platform::Platform as _;
 use jacinthweir_testkit::platform::fault::Fault;
 use jacinthweir_wire::operator::{ApplyRefused, PlanReply};
-use jacinthweir_wire::platform::Condition;
+use jacinthweir_wire::platform::{Condition, PutObject};
 use reqwest::StatusCode;
 use serde_json::json;
 
@@ -185,6 +185,38 @@
     cluster.wait_for_revision(5).await;
 }
 
+/// Guards against parts that are kept for good beside an object of another writer that cannot be deleted.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_object_that_cannot_be_deleted_keeps_no_part() {
+    let cluster = start_cluster(1).await;
+    // Its name is too long for an address of the product.
+    let name = "0".repeat(8 << 10);
+    let url = format!(
+        "http://{}/objects/config/parts/{name}",
+        cluster.platform.address
+    );
+    let put = PutObject {
+        value: String::new(),
+        condition: Condition::Any,
+    };
+    let answer = cluster.client.put(url).json(&put).send().await.unwrap();
+    expect_that!(answer.status(), eq(StatusCode::OK));
+    for revision in 1..=3 {
+        let change = format!("c{revision}");
+        let applied = cluster.apply(0, revision - 1, &change, revision as u32);
+        applied.await.unwrap();
+    }
+    let wait = async {
+        while cluster.stored_parts().await != 3 {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    tokio::time::timeout(TIMEOUT, wait)
+        .await
+        .expect("only the core, one slice and the odd object remain");
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_wrong_token_is_refused() {
