Relay: runners whose reports allow no order are asked ever more rarely

What callers saw: nothing at once; a runner that stays busy, refuses connections, or differs from its entry was asked for its report in each placement round, ten times a second, each priced as a probe and logged.

Cause: an order that could not be sent left nothing behind that would hold the next one up.

Change: after such a report the runner is asked again after 0.1 s to 1.6 s, doubled each time. A new entry of the runner ends the pause, so one that has finished its load or started again gets its order as soon as before. Counted as `jacinthweir_orders_not_sent_total`.

--- a/plugins/relay/src/placer.rs
+++ b/plugins/relay/src/placer.rs
@@ -13,10 +13,12 @@
 use jacinthweir_platform::runner::{self, Accepted, RunnerError};
 use jacinthweir_platform::store::{Object, StoreError};
 use jacinthweir_policy::prelude::*;
+use jacinthweir_policy::relay::backoff::Backoff;
 use jacinthweir_policy::relay::held_range::HeldRange;
 use jacinthweir_policy::relay::intent::Engine;
 use jacinthweir_policy::relay::lease::{Grant, LeaseStep};
 use jacinthweir_policy::relay::placement::Move;
+use jacinthweir_policy::relay::runners::RunnerEntry;
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
@@ -44,12 +46,22 @@
 /// Time for which a runner gets no further order after one without an answer, in milliseconds.
 const UNANSWERED_BACKOFF_MS: Millis = 1_500;
 
+/// First pause after a report without which a runner gets no order, and the longest one, in milliseconds. Such a
+/// runner does not answer, is busy, or differs from its entry, which may take seconds or last for good.
+const FIRST_UNREADY_PAUSE_MS: Millis = 100;
+const MAX_UNREADY_PAUSE_MS: Millis = 1_600;
+
 /// Duration of a plan from which on it is logged, in milliseconds. It delays each event of each stream.
 const LONG_PLAN_MS: Millis = 100;
 
-/// Layer ranges that runners were ordered to hold and do not report yet.
+/// What the entries of runners that get orders do not show yet.
 #[derive(Default)]
-pub(crate) struct Loading(BTreeMap<Name, Pending>);
+pub(crate) struct Loading {
+    /// Layer ranges that runners were ordered to hold and do not report yet.
+    pending: BTreeMap<Name, Pending>,
+    /// Runners whose reports did not allow an order.
+    unready: BTreeMap<Name, Unready>,
+}
 
 struct Pending {
     layers: (u32, u32),
@@ -57,9 +69,31 @@
     until_ms: Millis,
 }
 
+struct Unready {
+    entry: RunnerEntry,
+    backoff: Backoff,
+}
+
 impl Loading {
     pub(crate) fn len(&self) -> usize {
-        self.0.len()
+        self.pending.len()
+    }
+
+    /// Returns whether a runner may be asked for its report. A new entry ends each pause.
+    fn may_ask(&self, entry: &RunnerEntry, now: Millis) -> bool {
+        let unready = self.unready.get(&entry.id).filter(|u| u.entry == *entry);
+        unready.is_none_or(|u| u.backoff.is_over(now))
+    }
+
+    fn record_unready(&mut self, entry: RunnerEntry, now: Millis) {
+        let before = self.unready.remove(&entry.id).filter(|u| u.entry == entry);
+        let mut backoff = before.map_or_else(
+            || Backoff::new(FIRST_UNREADY_PAUSE_MS, MAX_UNREADY_PAUSE_MS),
+            |u| u.backoff,
+        );
+        backoff.record_failure(now);
+        let id = entry.id.clone();
+        self.unready.insert(id, Unready { entry, backoff });
     }
 }
 
@@ -244,14 +278,15 @@
     let now = node.now();
     let runners = node.runners.borrow();
     let mut loading = node.loading.borrow_mut();
-    loading.0.retain(|id, pending| {
+    loading.unready.retain(|id, _| runners.entry(id).is_some());
+    loading.pending.retain(|id, pending| {
         let Some(entry) = runners.entry(id) else {
             return false;
         };
         let done = entry.layers.map(HeldRange::bounds) == Some(pending.layers);
         entry.born_ms == pending.born_ms && !done && now < pending.until_ms
     });
-    let wanted = loading.0.iter().map(|(id, p)| (id.clone(), p.layers));
+    let wanted = loading.pending.iter().map(|(id, p)| (id.clone(), p.layers));
     let mut planners = node.planners.borrow_mut();
     let planner = planners.entry(service.clone()).or_default();
     let given_up = planner.given_up();
@@ -277,13 +312,19 @@
 }
 
 async fn send_order(node: &Node, engine: &Engine, term: u64, m: &Move) {
-    let born_ms = {
-        let runners = node.runners.borrow();
-        runners.entry(&m.runner).map_or(0, |e| e.born_ms)
+    let Some(entry) = node.runners.borrow().entry(&m.runner).cloned() else {
+        return;
     };
-    let Some(orders) = accepted_orders(node, m).await else {
+    let born_ms = entry.born_ms;
+    if !node.loading.borrow().may_ask(&entry, node.now()) {
         return;
+    }
+    let Some(orders) = accepted_orders(node, m).await else {
+        metrics::counter!("jacinthweir_orders_not_sent_total").increment(1);
+        let now = node.now();
+        return node.loading.borrow_mut().record_unready(entry, now);
     };
+    node.loading.borrow_mut().unready.remove(&m.runner);
     metrics::counter!("jacinthweir_orders_total").increment(1);
     let answer = runner::place(
         node.runner_address(m.address),
@@ -321,7 +362,7 @@
     };
     node.loading
         .borrow_mut()
-        .0
+        .pending
         .insert(m.runner.clone(), pending);
 }
 
--- a/plugins/relay/tests/relay/repeated_calls.rs
+++ b/plugins/relay/tests/relay/repeated_calls.rs
@@ -4,10 +4,10 @@
 
 use googletest::prelude::*;
 use serde_json::json;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::LOOKUP;
-use crate::standin::{Cluster, configuration, run_single_threaded, send_request};
+use crate::standin::{Cluster, TEST_TIMEOUT, configuration, run_single_threaded, send_request};
 
 /// Time for which calls are counted.
 const WINDOW: Duration = Duration::from_secs(4);
@@ -38,3 +38,37 @@
         }
     });
 }
+
+/// Reports in [`WINDOW`] that a runner is asked for which takes no order: at most one in 1.6 s, after five faster
+/// ones.
+const MAX_REPORTS: usize = 8;
+
+/// Guards against ten requests a second for the report of a runner that takes no order, and against one that gets
+/// none once it takes them.
+#[gtest]
+fn a_runner_that_stays_busy_is_asked_rarely_and_gets_its_order_later() {
+    run_single_threaded(async {
+        let cluster = Cluster::open().await;
+        let runner = &cluster.runners[0];
+        runner.is_busy.set(true);
+        runner.restart();
+        while runner.layers().is_some() {
+            sleep(Duration::from_millis(20)).await;
+        }
+        let before = runner.reports.get();
+        sleep(WINDOW).await;
+        expect_that!(runner.reports.get() - before, le(MAX_REPORTS));
+
+        runner.is_busy.set(false);
+        wait_until(|| runner.layers().is_some()).await;
+    });
+}
+
+async fn wait_until(condition: impl Fn() -> bool) {
+    let fulfilled = async {
+        while !condition() {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(TEST_TIMEOUT, fulfilled).await.expect("fulfilled");
+}
--- a/plugins/relay/tests/support/standin/runner.rs
+++ b/plugins/relay/tests/support/standin/runner.rs
@@ -207,6 +207,10 @@
     pub responses_paused: Cell<bool>,
     /// Whether the runner serves reports, which is optional for a plain service.
     pub serves_reports: Cell<bool>,
+    /// Whether reports say that an order is in progress.
+    pub is_busy: Cell<bool>,
+    /// Reports that it was asked for.
+    pub reports: Cell<usize>,
     /// Time that a report takes.
     pub report_delay: Cell<Duration>,
     /// Time between two events of a stream.
@@ -253,6 +257,8 @@
             responses_paused: Cell::new(false),
             serves_reports: Cell::new(true),
             sent_without_end: Cell::default(),
+            is_busy: Cell::default(),
+            reports: Cell::default(),
             report_delay: Cell::default(),
             event_interval: Cell::new(Duration::from_millis(10)),
             last_event: Cell::new(u64::MAX),
@@ -380,6 +386,7 @@
     }
 
     async fn report(&self, stream: &mut TcpStream) {
+        self.reports.set(self.reports.get() + 1);
         self.wait_while_paused().await;
         if let Behaviour::NoAnswerWithoutEnd(bytes) = self.behaviour.get() {
             return self.send_without_end(stream, bytes, "").await;
@@ -391,7 +398,8 @@
         let layers = self.layers.get();
         let layers = layers.map(|(from, target)| json!({ "from": from, "target": target }));
         let report = json!({
-            "sequence": self.orders.get(), "born": self.born_ms.get(), "busy": false, "layers": layers,
+            "sequence": self.orders.get(), "born": self.born_ms.get(), "busy": self.is_busy.get(),
+            "layers": layers,
         });
         write_json(stream, "200 OK", &report).await;
     }
