Relay: a lease object that another writer replaced is taken over

What callers saw: nothing at once; from then on no runner got an order, so a chain that broke, or a runner that started, stayed without layers for good.

Cause: a lease object that could not be decoded was taken for a missing one. The store refuses to create an object that exists, the instance read it again, and so on without end. A term of 2^64 - 1 was taken as it is: the next term is out of range (a debug build ended there: "attempt to add with overflow" in lease.rs; a release build wraps to term 0, which runners that require a fence refuse).

Change: such an object, or one with a term beyond 53 bits, stands for a grant to nobody (`Grant::unreadable`). It is taken over once it was seen unchanged for the whole TTL, with a term above its revision, which no term of that era exceeds: each grant was a change of its own. Logged, and counted as `jacinthweir_leases_unreadable_total`. A write whose answer holds no lease is followed by a read.

Evidence: a_lease_that_another_writer_replaced_is_taken_over: before, a new runner has no layers after 20 s, with `{"holder": 5}`; with the huge term the panic above. It passes now, as does the unit case.

--- a/plugins/relay/src/placer.rs
+++ b/plugins/relay/src/placer.rs
@@ -16,7 +16,7 @@
 use jacinthweir_policy::relay::backoff::Backoff;
 use jacinthweir_policy::relay::held_range::HeldRange;
 use jacinthweir_policy::relay::intent::Engine;
-use jacinthweir_policy::relay::lease::{Grant, LeaseStep};
+use jacinthweir_policy::relay::lease::{Grant, LeaseStep, MAX_TERM};
 use jacinthweir_policy::relay::placement::Move;
 use jacinthweir_policy::relay::runners::RunnerEntry;
 use serde::{Deserialize, Serialize};
@@ -207,7 +207,10 @@
     note_reachability(node, written.as_ref().err());
     match written.as_ref().map(grant_of) {
         Ok(Some(grant)) => node.lease.borrow_mut().write_accepted(sent, grant),
-        Ok(None) => log::error!("cannot decode the lease that was written"),
+        Ok(None) => {
+            log::error!("cannot decode the lease that was written");
+            node.lease.borrow_mut().write_failed(node.now());
+        }
         Err(cause) => {
             log::warn!(cause:% = cause; "cannot write the lease");
             node.lease.borrow_mut().write_failed(node.now());
@@ -221,7 +224,7 @@
     note_reachability(node, found.as_ref().err());
     match found {
         Ok(object) => {
-            let grant = object.as_ref().and_then(grant_of);
+            let grant = object.as_ref().map(grant_or_unreadable);
             node.lease.borrow_mut().observe(node.now(), grant);
         }
         Err(StoreError::Refused { .. } | StoreError::NoAnswer(_)) => {}
@@ -249,13 +252,24 @@
     serde_json::to_value(spec).unwrap_or_default()
 }
 
+/// Returns the grant that an object holds. One that holds none was replaced by another writer.
+fn grant_or_unreadable(object: &Object) -> Grant {
+    grant_of(object).unwrap_or_else(|| {
+        let revision = object.meta.revision;
+        log::warn!(revision:% = revision; "the lease cannot be decoded");
+        metrics::counter!("jacinthweir_leases_unreadable_total").increment(1);
+        Grant::unreadable(revision)
+    })
+}
+
 fn grant_of(object: &Object) -> Option<Grant> {
     let spec: LeaseSpec = object.spec.decode("lease").ok()?;
-    Some(Grant {
+    let grant = Grant {
         holder: spec.holder,
         term: spec.term,
         revision: object.meta.revision,
-    })
+    };
+    Some(grant).filter(|g| g.term <= MAX_TERM)
 }
 
 /// Sends the orders of the current plan of each service.
--- a/plugins/relay/tests/relay/repeated_calls.rs
+++ b/plugins/relay/tests/relay/repeated_calls.rs
@@ -7,7 +7,9 @@
 use tokio::time::{sleep, timeout};
 
 use crate::LOOKUP;
-use crate::standin::{Cluster, TEST_TIMEOUT, configuration, run_single_threaded, send_request};
+use crate::standin::{
+    Cluster, Runner, TEST_TIMEOUT, configuration, run_single_threaded, send_request,
+};
 
 /// Time for which calls are counted.
 const WINDOW: Duration = Duration::from_secs(4);
@@ -64,6 +66,25 @@
     });
 }
 
+/// Guards against a fleet without orders, in which chains stay broken: the lease object is not a lease, since
+/// another writer replaced it, and was taken for a missing one, whose creation the store refuses. Its term may be
+/// one that no other follows, at which an instance ended.
+#[gtest]
+fn a_lease_that_another_writer_replaced_is_taken_over() {
+    run_single_threaded(async {
+        for lease in [
+            json!({ "holder": 5 }),
+            json!({ "holder": "x", "term": u64::MAX, "renewed": 1 }),
+        ] {
+            let cluster = Cluster::open().await;
+            cluster.store.put("jacinthweir-leases", "orders", &lease);
+            cluster.wait_for_dump("\"gives_orders\": null").await;
+            let runner = Runner::spawn(&cluster.store, "a3", "pool", "a").await;
+            wait_until(|| runner.layers().is_some()).await;
+        }
+    });
+}
+
 async fn wait_until(condition: impl Fn() -> bool) {
     let fulfilled = async {
         while !condition() {
--- a/policy/src/relay/lease.rs
+++ b/policy/src/relay/lease.rs
@@ -24,6 +24,23 @@
     pub revision: Revision,
 }
 
+impl Grant {
+    /// Returns what stands for an object that another writer made unreadable: a grant to nobody, which is taken
+    /// over as any other one that is not renewed.
+    ///
+    /// Its term is no lower than any that was granted in the era of the store, since each grant was a change
+    /// of its own, and the terms of an era count its grants.
+    #[must_use]
+    pub fn unreadable(revision: Revision) -> Grant {
+        let count = revision.number.min(u64::from(u32::MAX));
+        Grant {
+            holder: Name::default(),
+            term: (revision.era << TERM_BITS) | count,
+            revision,
+        }
+    }
+}
+
 /// Whether an instance is a candidate for the lease.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Bid {
@@ -82,6 +99,9 @@
 /// Low bits of a term, which count within an era. Orders carry terms as numbers of 53 bits.
 const TERM_BITS: u32 = 32;
 
+/// Largest term. An object with a larger one is of another writer.
+pub const MAX_TERM: u64 = (1 << 53) - 1;
+
 impl Lease {
     /// Returns the view of instance `own`, which has not read the lease yet.
     #[must_use]
--- a/policy/tests/relay_lease.rs
+++ b/policy/tests/relay_lease.rs
@@ -93,6 +93,33 @@
     expect_that!(lease.step(1_400, Bid::Acquire), eq(&LeaseStep::Read));
 }
 
+/// Guards against an object of another writer that is taken for a missing one, so that nobody ever holds the
+/// lease, and against a term that runners refuse as lower than one that they have seen.
+#[gtest]
+fn an_unreadable_lease_is_taken_over_with_a_greater_term() {
+    let mut lease = Lease::new(Name::from("a"), 2_400);
+    lease.write_accepted(0, grant("a", 7, 10));
+    lease.write_failed(800);
+    let mut steps = (800..8_000).step_by(100).filter_map(|now| {
+        let step = lease.step(now, Bid::Acquire);
+        if step == LeaseStep::Read {
+            lease.observe(now, Some(Grant::unreadable(at(11))));
+            expect_that!(lease.held(now), none());
+        }
+        matches!(step, LeaseStep::Create { .. } | LeaseStep::Replace { .. }).then_some((now, step))
+    });
+    let (now, step) = steps.next().expect("a write");
+    // The object may have been replaced beside a holder that still renews it.
+    expect_that!(now, ge(800 + 2_400));
+    let taken = LeaseStep::Replace {
+        term: 12,
+        revision: at(11),
+    };
+    expect_that!(step, eq(&taken));
+    let restored = Revision { era: 2, number: 5 };
+    expect_that!(Grant::unreadable(restored).term, eq((2 << 32) + 5));
+}
+
 /// The store is restored from an older copy that lacks the last holder's grant. Its term must not
 /// be issued again, since the orders of both holders would look like those of one.
 #[gtest]
