Test: a partial list hides a removal that the store would tell of (red, for the owner of watch.rs)

What callers see: requests go to a runner that left (DRAIN) for as long as the lists of an instance are partial.

Order: the list of the runners ends early (another writer's object without a name); the instance knows a runner behind it and follows its changes. The store refuses for a moment, and the runner leaves. The instance lists again, the list does not reach the runner, and the watch begins at the revision of that list, after the removal. The same may happen whenever a partial list is read again while a watch is open.

Cause: `end_list` takes the revision of a list that is not whole for the one up to which all runners are known.

--- a/plugins/relay/tests/relay/store_loops.rs
+++ b/plugins/relay/tests/relay/store_loops.rs
@@ -199,3 +199,25 @@
         let (_settings, _relay) = cluster.start_instance("two").await;
     });
 }
+
+/// Guards against a runner that is kept for good, and sent requests, though it left while the store refused an
+/// instance whose lists are partial: the list that follows does not reach its entry, and the watch from there
+/// begins after its removal, which the store would still tell of.
+#[gtest]
+fn a_partial_list_hides_no_removal_that_the_store_would_tell_of() {
+    run_single_threaded(async {
+        let cluster = with_partial_list().await;
+        follow_changes(&cluster).await;
+        cluster.store.refuses.set(true);
+        let before = cluster.store.calls();
+        let refused = async {
+            while cluster.store.calls() < before + 8 {
+                sleep(Duration::from_millis(20)).await;
+            }
+        };
+        timeout(TEST_TIMEOUT, refused).await.expect("refused calls");
+        cluster.store.remove(ENTRIES, "zz");
+        cluster.store.refuses.set(false);
+        wait_until_gone(&cluster.settings, "zz").await;
+    });
+}
