--- a/plugins/relay/tests/relay.rs
+++ b/plugins/relay/tests/relay.rs
@@ -34,6 +34,8 @@
 mod quarantine;
 #[path = "relay/rate_limits.rs"]
 mod rate_limits;
+#[path = "relay/repeated_calls.rs"]
+mod repeated_calls;
 #[path = "relay/rest.rs"]
 mod rest;
 #[path = "relay/retry_budget.rs"]
@@ -50,6 +52,8 @@
 mod standin;
 #[path = "relay/start.rs"]
 mod start;
+#[path = "relay/store_loops.rs"]
+mod store_loops;
 #[path = "relay/store_restore.rs"]
 mod store_restore;
 #[path = "relay/stream_failover.rs"]
