--- a/plugins/relay/tests/relay/names_of_others.rs
+++ b/plugins/relay/tests/relay/names_of_others.rs
@@ -1,9 +1,45 @@
 //! Names of operators, runners and callers that hold other characters than those of an identifier.
 
+use std::net::SocketAddr;
+
 use googletest::prelude::*;
+use serde_json::json;
+
+use crate::standin::{
+    Cluster, ReceivedRequest, Response, configuration, run_single_threaded, send_raw, send_request,
+};
+use crate::{LOOKUP, NOTES, TOKENS};
+
+/// Sends a call with a key and an identifier, each byte for byte.
+async fn call(cluster: &Cluster, key: &[u8], id: &[u8]) -> Response {
+    call_at(cluster.callers(), key, id).await
+}
 
-use crate::standin::{Cluster, ReceivedRequest, run_single_threaded, send_request};
-use crate::{NOTES, TOKENS};
+async fn call_at(callers: SocketAddr, key: &[u8], id: &[u8]) -> Response {
+    let head = format!("{LOOKUP}\r\nHost: site.example\r\nConnection: close\r\n");
+    let pieces = [
+        head.as_bytes(),
+        b"X-Jacinthweir-Key: ",
+        key,
+        b"\r\nX-Jacinthweir-Request-Id: ",
+        id,
+        b"\r\n\r\n",
+    ];
+    send_raw(callers, &pieces.concat()).await
+}
+
+/// Starts a cluster whose configuration has these organisations as well, with a key each.
+async fn cluster_with_organisations(organisations: &[(&str, &str)]) -> Cluster {
+    let cluster = Cluster::open().await;
+    let mut configuration = configuration(2);
+    let tenants = organisations.iter();
+    let tenants = tenants.map(|(name, key)| json!({ "name": name, "apiKeys": [key] }));
+    let declared = configuration["tenants"].as_array_mut().expect("a list");
+    declared.extend(tenants);
+    cluster.store.put("config", "main", &configuration);
+    cluster.wait_for_version(2).await;
+    cluster
+}
 
 /// Returns the last request that a plain runner received.
 fn last_received(cluster: &Cluster) -> ReceivedRequest {
@@ -14,6 +50,22 @@
     received.last().expect("a request")
 }
 
+/// Guards against 401 for a key that the desired state holds, spelled with letters beyond ASCII.
+#[gtest]
+fn a_key_beyond_ascii_is_known_and_its_organisation_is_told() {
+    run_single_threaded(async {
+        let cluster = cluster_with_organisations(&[("orgé", "a05é")]).await;
+        let got = call(&cluster, "a05é".as_bytes(), b"r1").await;
+        expect_that!(got.status, eq(200));
+        let sent = last_received(&cluster);
+        expect_that!(sent.header("x-jacinthweir-tenant"), some(eq("orgé")));
+        // Other bytes than those of the desired state are another key.
+        for unknown in [&b"a05\xe9"[..], b"a05", "a05e\u{301}".as_bytes()] {
+            expect_that!(call(&cluster, unknown, b"r1").await.status, eq(401));
+        }
+    });
+}
+
 /// Targets that mean the same to some servers, or that a library may write in another way.
 const TARGETS: [&str; 22] = [
     "/lookup/a%20b",
