Relay: identifiers of requests are compared as bytes

What callers saw: 502 after a run, twice for a call that may be repeated, for each request whose identifier is no visible ASCII.

Cause: such an identifier was read as `-`, and the one that the answer echoes as none, so the answer was taken for another request's.

Change: the answer's header is compared with the request's, byte for byte. Logs, reports and orders have it as text, what is no UTF-8 replaced.

--- a/plugins/relay/src/attempt.rs
+++ b/plugins/relay/src/attempt.rs
@@ -78,7 +78,6 @@
     node: &Node,
     _permit: SendPermit,
     runner: &RunnerEntry,
-    id: &str,
     req: Request<Full<bytes::Bytes>>,
 ) -> SendOutcome {
     rate_limits::record_sent(node, runner);
@@ -91,6 +90,7 @@
         Err(e) => return SendOutcome::Lost(e.to_string()),
     };
     let headers = res.headers();
+    let id = req.headers().get(header::REQUEST_ID).cloned();
     if res.status() != StatusCode::MISDIRECTED_REQUEST {
         if headers.contains_key(header::LEAVING) {
             node.runner_leaves(runner);
@@ -105,7 +105,7 @@
         }
         return SendOutcome::NotRun(refusal);
     }
-    if header::text(headers, &header::REQUEST_ID) != Some(id) {
+    if id.is_none() || headers.get(header::REQUEST_ID) != id.as_ref() {
         return SendOutcome::Lost("the answer names another request".to_owned());
     }
     if res.status().is_success() && !is_valid_success(headers) {
--- a/plugins/relay/src/call/send.rs
+++ b/plugins/relay/src/call/send.rs
@@ -73,7 +73,7 @@
     runner: &RunnerEntry,
 ) -> Result<Response<Bytes>, SendOutcome> {
     let req = rq.runner_request(node, &runner.id);
-    match attempt::send(node, permit, runner, &rq.id, req).await {
+    match attempt::send(node, permit, runner, req).await {
         SendOutcome::Answer(res) => {
             let (parts, body) = res.into_parts();
             match body.collect(MAX_ANSWER_BYTES, Purpose::Data).await {
--- a/plugins/relay/src/chain_attempts.rs
+++ b/plugins/relay/src/chain_attempts.rs
@@ -70,8 +70,8 @@
                 .insert(header::LAST_EVENT_ID, after.into());
         }
         log_sent(node, rq, live);
-        let (node, live, id) = (Rc::clone(node), Rc::clone(live), rq.id.clone());
-        let sent = async move { attempt::send(&node, permit, live.chain.head(), &id, req).await };
+        let (node, live) = (Rc::clone(node), Rc::clone(live));
+        let sent = async move { attempt::send(&node, permit, live.chain.head(), req).await };
         OpenSend {
             in_flight,
             sent: sent.boxed_local(),
--- a/plugins/relay/src/request.rs
+++ b/plugins/relay/src/request.rs
@@ -248,7 +248,7 @@
 where
     B: Body<Data = Bytes, Error: Into<Box<dyn std::error::Error + Send + Sync>>>,
 {
-    let id = Name::from(header::text(&parts.headers, &header::REQUEST_ID).unwrap_or("-"));
+    let id = id_text(&parts.headers);
     let admitted = admit(node, parts, body, received_ms);
     match node.last_steps.run_until_answers_due(admitted).await {
         Some(admitted) => admitted,
@@ -268,8 +268,7 @@
 where
     B: Body<Data = Bytes, Error: Into<Box<dyn std::error::Error + Send + Sync>>>,
 {
-    let id = header::text(&parts.headers, &header::REQUEST_ID).unwrap_or("-");
-    let id = Name::from(id);
+    let id = id_text(&parts.headers);
     wait_for_configuration(node).await;
     let Some(intent) = node.intent() else {
         return Err(unconfirmed(node, &id));
@@ -373,6 +372,15 @@
 
 fn origin_form(uri: &Uri) -> Uri {
     let path = uri.path_and_query().map_or("/", |p| p.as_str());
+/// Returns the identifier of a request as text for logs and reports; bytes that are no UTF-8 are replaced.
+fn id_text(headers: &HeaderMap) -> Name {
+    match headers.get(header::REQUEST_ID) {
+        Some(id) => Name::from(&*String::from_utf8_lossy(id.as_bytes())),
+        None => Name::from("-"),
+    }
+}
+
+/// Returns the host that a request names, without a port.
     path.parse().unwrap_or_default()
 }
 
--- a/plugins/relay/tests/relay/names_of_others.rs
+++ b/plugins/relay/tests/relay/names_of_others.rs
@@ -66,6 +66,32 @@
     });
 }
 
+/// Guards against 502 after a run: the answer was taken for another request's, since an identifier that is
+/// no visible ASCII was not compared.
+#[gtest]
+fn an_identifier_of_any_bytes_is_forwarded_and_compared_as_it_is() {
+    run_single_threaded(async {
+        let cluster = Cluster::open().await;
+        let (cut, _relay) = cluster.start_instance_without_paths().await;
+        let take_received = || cluster.plain.iter().flat_map(|r| r.received.take());
+        take_received().for_each(drop);
+        for id in ["é".as_bytes(), b"a\xe9", b"a+b%20", b"a b\tc"] {
+            let line = [b"equest-id: ", id, b"\r\n"].concat();
+            for callers in [cluster.callers(), cut.listen.callers] {
+                let got = call_at(callers, b"key", id).await;
+                expect_that!(got.status, eq(200), "{id:?}");
+                let text = String::from_utf8_lossy(id);
+                let told = got.header("x-jacinthweir-request-id");
+                expect_that!(told, some(eq(&*text)), "{id:?}");
+                let received: Vec<_> = take_received().collect();
+                expect_that!(received.len(), eq(1), "{id:?}");
+                let mut windows = received[0].raw_head.windows(line.len());
+                expect_true!(windows.any(|w| w == line), "{id:?}");
+            }
+        }
+    });
+}
+
 /// Targets that mean the same to some servers, or that a library may write in another way.
 const TARGETS: [&str; 22] = [
     "/lookup/a%20b",
