Relay: requests of an organisation that no header can name are refused

Cause: a header whose value HTTP doesn't allow was left out.

Change: such a request is refused at once as not run (503, again in 5 s), with a line that says why.

--- a/plugins/relay/src/answer.rs
+++ b/plugins/relay/src/answer.rs
@@ -141,6 +141,9 @@
     /// This instance has no confirmed configuration.
     #[display("no confirmed configuration")]
     Unconfirmed,
+    /// No header holds the name of the request's organisation.
+    #[display("no header holds its organisation's name")]
+    UnnamedOrganisation,
     /// There is no chain or runner for the service.
     #[display("nothing serves it")]
     NoRunner,
--- a/plugins/relay/src/request.rs
+++ b/plugins/relay/src/request.rs
@@ -39,6 +39,13 @@
 /// instance may serve the request at once.
 const UNCONFIRMED_RETRY_MS: Millis = 400;
 
+/// `Retry-After` of a request whose organisation cannot be named to runners, in milliseconds. Only another
+/// configuration changes that.
+const UNNAMED_RETRY_MS: Millis = 5_000;
+
+/// Characters of a name that no header holds in a log line.
+const MAX_LOGGED_CHARS: usize = 64;
+
 /// An admitted request.
 pub(crate) struct ProxiedRequest {
     pub(crate) id: Name,
@@ -286,6 +293,13 @@
     if !node.may_serve() {
         return Err(unconfirmed(node, &id));
     }
+    let mut headers = header::forwarded(&parts.headers);
+    if let Some(org) = &org {
+        let Some(name) = header::value(&org.name) else {
+            return Err(unnamed(&intent, &id, &org.name));
+        };
+        headers.insert(header::ORGANISATION, name);
+    }
     let body = read_body(&intent, &parts, body, &id).await?;
     let draw = node.random_f64();
     let Some(service) = route.service(draw).cloned() else {
@@ -296,12 +310,6 @@
             "the route has no service",
         ));
     };
-    let mut headers = header::forwarded(&parts.headers);
-    if let Some(org) = &org
-        && let Some(value) = header::value(&org.name)
-    {
-        headers.insert(header::ORGANISATION, value);
-    }
     let of_organisation = org.as_ref().and_then(|o| o.priority);
     let urgency = urgency::level(of_organisation, route.priority);
     let priority = of_organisation.unwrap_or(route.priority);
@@ -439,6 +447,20 @@
     count_outcome("stopping");
     SendRecord::default().failure(Cause::Stopping, shutdown::RETRY_AFTER_MS)
 }
+/// Refuses a request of an organisation whose name no header holds. Without the header it would run under no
+/// organisation.
+fn unnamed(intent: &Intent, id: &Name, organisation: &Name) -> Response<RelayBody> {
+    let beginning: String = organisation.chars().take(MAX_LOGGED_CHARS).collect();
+    log::warn!(
+        request = id.as_ref(),
+        organisation:? = beginning,
+        version = intent.version;
+        "refused: no header holds the organisation's name"
+    );
+    count_outcome("refused");
+    SendRecord::default().failure(Cause::UnnamedOrganisation, UNNAMED_RETRY_MS)
+}
+
 
 /// Denies a request, or answers "unconfirmed" if the configuration's confirmation is too old for a
 /// denial.
--- a/plugins/relay/tests/relay/names_of_others.rs
+++ b/plugins/relay/tests/relay/names_of_others.rs
@@ -67,6 +67,29 @@
     });
 }
 
+/// Guards against a run under no organisation, or another one: HTTP changes or forbids these names.
+#[gtest]
+fn a_request_of_an_organisation_whose_name_no_header_holds_is_refused_without_a_run() {
+    run_single_threaded(async {
+        let long = "o".repeat(100_000);
+        let names = [
+            ("or\ng", "k1"),
+            (" org", "k2"),
+            ("org\t", "k3"),
+            ("o\u{7f}", "k4"),
+            (&long, "k5"),
+        ];
+        let cluster = cluster_with_organisations(&names).await;
+        for (name, key) in names {
+            let got = call(&cluster, key.as_bytes(), b"r1").await;
+            expect_that!(got.status, eq(503), "{name:?}");
+            expect_that!(got.header("retry-after"), some(anything()), "{name:?}");
+        }
+        expect_that!(cluster.run_count(), eq(0));
+        expect_that!(call(&cluster, b"key", b"r1").await.status, eq(200));
+    });
+}
+
 /// Guards against 502 after a run: the answer was taken for another request's, since an identifier that is
 /// no visible ASCII was not compared.
 #[gtest]
