Relay: targets are taken over as they are, not parsed again

Cause: path and query were parsed once more, and what can't be parsed became `/`.

Evidence, on the code before: `Expected: starts with prefix "GET /?b=c HTTP/1.1", Actual: "GET / HTTP/1.1"`.

--- a/plugins/relay/src/request.rs
+++ b/plugins/relay/src/request.rs
@@ -372,14 +372,6 @@
         .min(route.timeout_ms)
 }
 
-fn host(parts: &Parts) -> &str {
-    let named = header::text(&parts.headers, &http::header::HOST);
-    let named = named.or_else(|| parts.uri.host()).unwrap_or("");
-    named.rsplit_once(':').map_or(named, |(host, _)| host)
-}
-
-fn origin_form(uri: &Uri) -> Uri {
-    let path = uri.path_and_query().map_or("/", |p| p.as_str());
 /// Returns the identifier of a request as text for logs and reports; bytes that are no UTF-8 are replaced.
 fn id_text(headers: &HeaderMap) -> Name {
     match headers.get(header::REQUEST_ID) {
@@ -389,7 +381,20 @@
 }
 
 /// Returns the host that a request names, without a port.
-    path.parse().unwrap_or_default()
+fn host(parts: &Parts) -> &str {
+    let named = header::text(&parts.headers, &http::header::HOST);
+    let named = named.or_else(|| parts.uri.host()).unwrap_or("");
+    match named.rsplit_once(':') {
+        // The last colon of an IPv6 address without a port is within its brackets.
+        Some((host, port)) if port.bytes().all(|b| b.is_ascii_digit()) => host,
+        _ => named,
+    }
+}
+
+/// Returns the path and query of a target, with the bytes that the caller sent.
+fn origin_form(uri: &Uri) -> Uri {
+    let path_and_query = uri.path_and_query().cloned();
+    path_and_query.map_or_else(Uri::default, Uri::from)
 }
 
 async fn read_body<B>(
--- a/plugins/relay/tests/relay/names_of_others.rs
+++ b/plugins/relay/tests/relay/names_of_others.rs
@@ -240,3 +240,22 @@
         }
     });
 }
+
+/// Guards against a run without the caller's query: a target in absolute form may have one and no path.
+#[gtest]
+fn a_query_without_a_path_reaches_the_runner() {
+    run_single_threaded(async {
+        let cluster = Cluster::open().await;
+        let mut configuration = configuration(2);
+        configuration["routes"][1]["pathPrefix"] = "/".into();
+        cluster.store.put("config", "main", &configuration);
+        cluster.wait_for_version(2).await;
+        let line = "GET http://site.example?b=c HTTP/1.1";
+        let got = send_request(cluster.callers(), line, "", "").await;
+        expect_that!(got.status, eq(200));
+        expect_that!(
+            last_received(&cluster).head,
+            starts_with("GET /?b=c HTTP/1.1\r\n")
+        );
+    });
+}
