Routes: hosts in any case, escaped letters of a prefix

What callers saw: 404 for routes that are there: a host in another case than the desired state's, with an empty port or an IPv6 address; a prefix with letters that no address holds, which callers escape; a host beyond ASCII.

Change: the case of a host's letters means nothing unless the desired state tells hosts apart by it; a byte of a prefix that no path holds may be escaped. What a path holds as it is isn't unescaped, so `%2F` never begins a part. The fingerprint of a request doesn't depend on the host's case, so that a quarantine can't be passed by it.

Evidence, on the code before: `Expected: is equal to 200, Actual: 404` for the six spellings of the test; the three that name another route have 404 before and after.

--- a/plugins/relay/src/request.rs
+++ b/plugins/relay/src/request.rs
@@ -104,8 +104,8 @@
     /// first use, since most requests succeed and never need it.
     pub(crate) fn fingerprint(&self) -> Fingerprint {
         *self.fingerprint.get_or_init(|| {
-            let path = self.uri.path();
-            Fingerprint::of(self.organisation.as_deref(), &self.host, path, &self.body)
+            let (host, path) = (self.host.to_ascii_lowercase(), self.uri.path());
+            Fingerprint::of(self.organisation.as_deref(), &host, path, &self.body)
         })
     }
 
@@ -447,11 +447,6 @@
     SendRecord::default().failure(Cause::Unconfirmed, UNCONFIRMED_RETRY_MS)
 }
 
-/// Counts a request that was not sent because this instance stops, and returns its final answer.
-pub(crate) fn stopping() -> Response<RelayBody> {
-    count_outcome("stopping");
-    SendRecord::default().failure(Cause::Stopping, shutdown::RETRY_AFTER_MS)
-}
 /// Refuses a request of an organisation whose name no header holds. Without the header it would run under no
 /// organisation.
 fn unnamed(intent: &Intent, id: &Name, organisation: &Name) -> Response<RelayBody> {
@@ -466,6 +461,11 @@
     SendRecord::default().failure(Cause::UnnamedOrganisation, UNNAMED_RETRY_MS)
 }
 
+/// Counts a request that was not sent because this instance stops, and returns its final answer.
+pub(crate) fn stopping() -> Response<RelayBody> {
+    count_outcome("stopping");
+    SendRecord::default().failure(Cause::Stopping, shutdown::RETRY_AFTER_MS)
+}
 
 /// Denies a request, or answers "unconfirmed" if the configuration's confirmation is too old for a
 /// denial.
--- a/plugins/relay/tests/relay/names_of_others.rs
+++ b/plugins/relay/tests/relay/names_of_others.rs
@@ -259,3 +259,41 @@
         );
     });
 }
+
+/// Guards against 404 for a route that is there: hosts differ in case or name a port, and callers escape
+/// the letters of a prefix that no address holds.
+#[gtest]
+fn a_route_is_found_however_its_host_and_prefix_are_spelled() {
+    run_single_threaded(async {
+        let cluster = Cluster::open().await;
+        let mut configuration = configuration(2);
+        let hosts = ["Site.Example", "[::1]", "sité.example"];
+        let routes = hosts.map(|host| {
+            let mut route = configuration["routes"][1].clone();
+            route["host"] = host.into();
+            route["pathPrefix"] = "/a é/".into();
+            route
+        });
+        configuration["routes"] = routes.to_vec().into();
+        cluster.store.put("config", "main", &configuration);
+        cluster.wait_for_version(2).await;
+        for (host, path, status) in [
+            ("Site.Example", "/a%20é/", 200),
+            ("sITE.eXAMPLE:80", "/a%20%C3%A9/1", 200),
+            ("site.example:", "/a%20%c3%a9/", 200),
+            ("[::1]", "/a%20é/", 200),
+            ("[::1]:80", "/a%20é/", 200),
+            ("sité.example", "/a%20é/", 200),
+            ("site.example", "/a%20%C3%A8/", 404),
+            ("site.example", "/a%20é%2F", 404),
+            ("other.example", "/a%20é/", 404),
+        ] {
+            let head = format!(
+                "GET {path} HTTP/1.1\r\nHost: {host}\r\nX-Jacinthweir-Key: key\r\n\
+                 X-Jacinthweir-Request-Id: r1\r\nConnection: close\r\n\r\n"
+            );
+            let got = send_raw(cluster.callers(), head.as_bytes()).await;
+            expect_that!(got.status, eq(status), "{host} {path}");
+        }
+    });
+}
--- a/policy/src/relay/intent.rs
+++ b/policy/src/relay/intent.rs
@@ -214,8 +214,18 @@
     /// Returns the route of a request: the one of the host with the longest matching prefix of `path`.
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
-        let routes = self.routes.get(host)?;
-        routes.iter().find(|r| path.starts_with(&*r.prefix))
+        let mut routes = self.routes_of(host)?.iter();
+        routes.find(|r| r.takes(path))
+    }
+
+    /// Returns the routes of a host. The case of its letters means nothing, unless the configuration tells
+    /// hosts apart by it.
+    fn routes_of(&self, host: &str) -> Option<&Vec<Route>> {
+        let mut others = self.routes.iter();
+        self.routes.get(host).or_else(|| {
+            let same = others.find(|(other, _)| other.eq_ignore_ascii_case(host));
+            same.map(|(_, routes)| routes)
+        })
     }
 
     /// Returns the organisation that `key` belongs to, or `Ok(None)` if the request needs no key.
@@ -245,7 +255,31 @@
 const ABANDON_OBJECTIVES: Millis = 4;
 const ABANDON_GAPS: Millis = 8;
 
+/// ASCII characters that no path of an address holds, so that callers escape them.
+const NOT_IN_PATHS: &[u8] = b" \"#<>?[\\]^`{|}";
+
+/// Number of bytes of an escape, such as `%20`.
+const ESCAPE_BYTES: usize = 3;
+
+/// Removes `byte` from the beginning of a path, or its escape if paths do not hold it.
+fn strip_byte(path: &[u8], byte: u8) -> Option<&[u8]> {
+    if let Some(rest) = path.strip_prefix(&[byte]) {
+        return Some(rest);
+    }
+    let is_escaped = !byte.is_ascii_graphic() || NOT_IN_PATHS.contains(&byte);
+    let (escape, rest) = path.split_at_checked(ESCAPE_BYTES)?;
+    let is_same = is_escaped && escape.eq_ignore_ascii_case(format!("%{byte:02x}").as_bytes());
+    is_same.then_some(rest)
+}
+
 impl Route {
+    /// Returns whether `path` begins with the prefix. Bytes of the prefix that no path holds may be escaped.
+    #[must_use]
+    pub fn takes(&self, path: &str) -> bool {
+        let mut prefix = self.prefix.bytes();
+        prefix.try_fold(path.as_bytes(), strip_byte).is_some()
+    }
+
     /// Returns the largest inter-token gap that is still in time, in milliseconds.
     #[must_use]
     pub fn max_gap_ms(&self) -> Millis {
