--- a/plugins/relay/src/server.rs
+++ b/plugins/relay/src/server.rs
@@ -331,7 +331,7 @@
         false => !loads.refuses(&m.name, &m.domain, now),
     };
     let live = membership.live().filter(|m| serves(m));
-    let answer = node.with_rng(|rng| entry_answer(live, domain, &cfg, rng));
+    let answer = node.with_rng(|rng| entry_answer(live, domain.as_deref(), &cfg, rng));
     let mut found: Vec<SocketAddr> = answer.addresses.iter().map(|a| a.address).collect();
     if found.is_empty() && !node.draining.get() {
         // No instance is known to serve. This one at least tells callers when to retry.
