Instance list: an entry of another type leaves the other ones listed

What callers saw: one entry of the platform's list whose address is a map, whose group is a sequence or whose state is unheard of, and no instance can read the list any more: an instance that starts then knows no runner and no service ("invalid type: map, expected socket address"), and one that runs learns of no change.

Cause: the list was decoded as a whole.

Change: entries that cannot be decoded are left out and counted; their number is told when it changes, and is the gauge jacinthweir_listed_instances_rejected. A list that is none is an error, as before.

--- a/plugins/upstreams/src/list.rs
+++ b/plugins/upstreams/src/list.rs
@@ -11,9 +11,17 @@
 /// announce it themselves.
 pub(crate) async fn run(cx: Arc<Kernel>) {
     let period = Duration::from_millis(cx.settings.timing.list_poll_ms);
+    let mut rejected = 0;
     loop {
         match cx.platform.instances().await {
-            Ok(list) => apply_list(&cx, &list.instances),
+            Ok(list) => {
+                if list.rejected != rejected {
+                    rejected = list.rejected;
+                    warn!(rejected; "entries of the instance list cannot be decoded, the others are used");
+                }
+                metrics::gauge!("jacinthweir_listed_instances_rejected").set(rejected as f64);
+                apply_list(&cx, &list.instances);
+            }
             Err(e) => {
                 metrics::counter!("jacinthweir_platform_errors_total", "call" => "instances")
                     .increment(1);
--- a/testkit/src/platform/instances.rs
+++ b/testkit/src/platform/instances.rs
@@ -48,6 +48,7 @@
         }
         InstanceList {
             instances: self.visible.values().cloned().collect(),
+            rejected: 0,
         }
     }
 
--- a/wire/src/platform.rs
+++ b/wire/src/platform.rs
@@ -13,6 +13,7 @@
 //! the call had no effect. If the connection breaks or times out, the effect of a write is unknown.
 
 pub use jacinthweir_policy::listed::{ENTRY_GROUP, ListedInstance, ListedState};
+use serde::de::IgnoredAny;
 use serde::{Deserialize, Serialize};
 
 /// An object with its version.
@@ -81,7 +82,39 @@
 
 /// The platform's list of instances, which may be stale.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(from = "WireInstanceList")]
 pub struct InstanceList {
     /// All listed instances: upstreams and instances of this system.
     pub instances: Vec<ListedInstance>,
+    /// Number of entries that cannot be decoded. Others write to the list as well, so one such entry leaves the
+    /// rest of it in force.
+    #[serde(skip)]
+    pub rejected: usize,
+}
+
+#[derive(Deserialize)]
+struct WireInstanceList {
+    instances: Vec<WireEntry>,
+}
+
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum WireEntry {
+    Listed(ListedInstance),
+    Rejected(IgnoredAny),
+}
+
+impl From<WireInstanceList> for InstanceList {
+    fn from(list: WireInstanceList) -> InstanceList {
+        let entries = list.instances.len();
+        let listed = list.instances.into_iter().filter_map(|entry| match entry {
+            WireEntry::Listed(instance) => Some(instance),
+            WireEntry::Rejected(_) => None,
+        });
+        let instances: Vec<ListedInstance> = listed.collect();
+        InstanceList {
+            rejected: entries - instances.len(),
+            instances,
+        }
+    }
 }
