jwctl: `request ..` is a wrong use

What was seen: `jwctl request ..` asks the instance for `/operator/`, and `request .` for `/operator/requests/` ("no such path", exit code 1, which says that the instance refused).

Cause: the check of the id lets dots pass, and the HTTP client normalises the path.

Change: an id of dots alone, or none, is a wrong use (exit code 2), as the other ids are that cannot be one part of a path.

Evidence: an_id_that_cannot_be_one_part_of_a_path_is_a_wrong_use, before: exit code 1 for `.` and `..`, the nine others held. Now all eleven hold, and the other tests of jwctl.

--- a/ctl/src/command.rs
+++ b/ctl/src/command.rs
@@ -149,7 +149,9 @@
 /// Request ids consist of the accepted characters only, so any other value is a usage error.
 fn path_segment(value: &str) -> Result<&str, CtlError> {
     let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
-    if !value.is_empty() && value.chars().all(allowed) {
+    // Clients remove `.` and `..` when they normalise a path, which would change its target.
+    let is_dots = value.chars().all(|c| c == '.');
+    if !is_dots && value.chars().all(allowed) {
         return Ok(value);
     }
     let message = format!("`{value}` is not a request id");
--- a/ctl/tests/jwctl.rs
+++ b/ctl/tests/jwctl.rs
@@ -184,6 +184,19 @@
     );
 }
 
+/// Guards against a call of another path than that of a request.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_id_that_cannot_be_one_part_of_a_path_is_a_wrong_use() {
+    let instance = start_instance("ids").await;
+    for id in [
+        "", "a00 ", "a01%", "a02&b=", "a03+", "a04é", "a05#", "a06?b", "a/b", ".", "..",
+    ] {
+        let refused = instance.run(&["request", id]).await;
+        expect_that!(refused.exit, eq(2), "{id:?}: {}", refused.err);
+    }
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn apply_without_a_response_reports_an_unknown_outcome() {
