--- a/plugins/services/src/sweep.rs
+++ b/plugins/services/src/sweep.rs
@@ -63,7 +63,10 @@
 async fn sweep(cx: &Kernel, prefix: &str) {
     let listed = match cx.platform.list(prefix).await {
         Ok(listed) => listed,
-        Err(e) => return info!("claims {prefix}* could not be listed: {e}"),
+        Err(e) => {
+            record_failure();
+            return info!("claims {prefix}* could not be listed: {e}");
+        }
     };
     let cfg = claim_config(cx);
     let pause = Duration::from_secs_f64(cx.live_instances().max(1) as f64 / MAX_DELETIONS_PER_S);
@@ -73,8 +76,15 @@
         }
         match cx.platform.delete(&object.key, object.version).await {
             Ok(_) => metrics::counter!("jacinthweir_claims_deleted_total").increment(1),
-            Err(e) => info!("claim {} could not be deleted: {e}", object.key),
+            Err(e) => {
+                record_failure();
+                info!("claim {} could not be deleted: {e}", object.key);
+            }
         }
         tokio::time::sleep(pause).await;
     }
 }
+
+fn record_failure() {
+    metrics::counter!("jacinthweir_platform_errors_total", "call" => "sweep").increment(1);
+}
