--- a/ctl/tests/jwctl.rs
+++ b/ctl/tests/jwctl.rs
@@ -197,6 +197,25 @@
     }
 }
 
+/// Guards against an id that is decoded twice, or as a form.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_operators_listener_decodes_an_id_once() {
+    let instance = start_instance("decoding").await;
+    for (sent, read) in [
+        ("a%2525", "a%25"),
+        ("a+", "a+"),
+        ("%C3%A9%3F%23", "é?#"),
+        ("a%2Fb", "a/b"),
+    ] {
+        let url = format!("http://{}/operator/requests/{sent}.1", instance.operators);
+        let call = reqwest::Client::new().get(url).bearer_auth(TOKEN);
+        let text = call.send().await.unwrap().text().await.unwrap();
+        let told = format!("no live instance {read} that could know it");
+        expect_that!(text, contains_substring(told));
+    }
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn apply_without_a_response_reports_an_unknown_outcome() {
