Soak: objects of other writers, pages, forgotten history, shares of a processor (--names)

Another writer's objects with names of any characters, short pages, 410 and cut watches in series, and a quarter of a processor are drawn from the seed apart from the other faults. Each instance reaches the store at an address of its own, so that its calls can be counted; reads above the rate and 401 for known keys are rules now.

--- a/testkit/examples/soak.rs
+++ b/testkit/examples/soak.rs
@@ -44,6 +44,9 @@
     /// play faults around the starts of instances, too
     #[argh(switch)]
     starts: bool,
+    /// play objects of another writer, pages and forgotten history of the store, and shares of processors, too
+    #[argh(switch)]
+    names: bool,
     /// print the faults of each seed
     #[argh(switch)]
     faults: bool,
@@ -78,6 +81,9 @@
     if args.starts {
         plan = plan.with_starts(seed, length);
     }
+    if args.names {
+        plan = plan.with_names(seed, length);
+    }
     if args.faults {
         for step in &plan.steps {
             println!("  {:6} ms  {}", step.at_ms, step.fault);
@@ -85,6 +91,15 @@
         for step in &plan.starts {
             println!("  {:6} ms  {}", step.at_ms, step.fault);
         }
+        if let Some(names) = &plan.names {
+            println!("  pages of {}", names.page_items);
+            for (name, spec) in &names.before {
+                println!("  there before  {name}: {spec}");
+            }
+            for step in &names.steps {
+                println!("  {:6} ms  {}", step.at_ms, step.fault);
+            }
+        }
         for wave in &plan.waves {
             println!("  {:6} ms  {wave}", wave.at_ms);
         }
--- a/testkit/src/soak.rs
+++ b/testkit/src/soak.rs
@@ -14,7 +14,10 @@
 mod inject;
 pub mod instance;
 pub mod message;
+pub mod name_fault;
+mod naming;
 pub mod observed;
+pub mod odd_object;
 pub mod runner;
 pub mod site;
 pub mod start_fault;
@@ -41,8 +44,9 @@
 use self::fault::Plan;
 use self::instance::{Instance, InstanceSpec, PEERS_PORT};
 use self::observed::{End, Observed, Record};
+use self::odd_object::OddName;
 use self::runner::{Place, Pool, Runner};
-use self::site::Site;
+use self::site::{ALL_KEYS, Site, USUAL_KEYS};
 use self::store::Store;
 use crate::Result;
 use crate::relay::Link;
@@ -62,9 +66,8 @@
 /// Time that a shutdown may take.
 const GRACE: Duration = Duration::from_secs(9);
 
-/// Last part of the loopback addresses of the store, the runners' entries, the instances' paths to
+/// Last part of the loopback addresses of the runners' entries, the instances' paths to the store and to
 /// runners, and the instances.
-const STORE_HOST: u8 = 2;
 const RUNNER_HOST: u8 = 1;
 const FIRST_GATEWAY_HOST: u8 = 10;
 const FIRST_INSTANCE_HOST: u8 = 100;
@@ -153,8 +156,15 @@
 impl Soak {
     async fn start(cfg: SoakCfg) -> Result<Arc<Soak>> {
         let record = Arc::new(Record::default());
-        let store = Store::bind((ip(STORE_HOST), STORE_PORT).into()).await?;
-        store.put("config", "main", &cfg.site.configuration(1));
+        let names = cfg.plan.names.as_ref();
+        let keys = names.map_or(&USUAL_KEYS[..], |_| &ALL_KEYS[..]);
+        let addresses = (0..INSTANCES).map(store_address).collect();
+        let page_items = names.map(|n| n.page_items);
+        let store = Store::bind(addresses, page_items, Arc::clone(&record)).await?;
+        store.put("config", "main", &cfg.site.configuration(1, keys));
+        for (OddName { kind, name }, spec) in names.iter().flat_map(|n| &n.before) {
+            store.put(kind, name, &spec.to_value());
+        }
         let pool = Arc::new(Pool {
             store,
             record: Arc::clone(&record),
@@ -170,7 +180,7 @@
             let seed = cfg.seed.wrapping_add(place.index as u64);
             Runner::spawn(place.clone(), Arc::clone(&pool), seed)
         });
-        let callers = Arc::new(Callers::new(cfg.site, record, cfg.seed));
+        let callers = Arc::new(Callers::new(cfg.site, keys, record, cfg.seed));
         let mut soak = Soak {
             runners: runners.collect(),
             pool,
@@ -219,7 +229,7 @@
             domain: self.cfg.site.domains()[slot % 3],
             ip: ip(host),
             seeds: self.seeds(),
-            store: (ip(STORE_HOST), STORE_PORT).into(),
+            store: store_address(slot),
             runner_addresses: places
                 .iter()
                 .map(|p| (p.address, p.gateways[slot]))
@@ -266,6 +276,7 @@
         let begun_ms = self.pool.record.now();
         let faults = TaskTracker::new();
         faults.spawn(Arc::clone(&self).play_starts(begun_ms));
+        faults.spawn(Arc::clone(&self).play_names(begun_ms));
         let mut rng = ChaCha8Rng::seed_from_u64(self.cfg.seed);
         for step in self.cfg.plan.steps.clone() {
             let wait_ms = (begun_ms + step.at_ms).saturating_sub(self.pool.record.now());
@@ -308,16 +319,26 @@
     }
 }
 
+/// Returns the address of the machine at which the instance in a slot reaches the store and runners.
+fn gateway(slot: usize) -> [u8; 4] {
+    ip(FIRST_GATEWAY_HOST + slot as u8)
+}
+
+fn store_address(slot: usize) -> SocketAddr {
+    (gateway(slot), STORE_PORT).into()
+}
+
 /// Returns addresses and places of all runners of a site.
 fn places(site: Site) -> Vec<Place> {
     let runners = site.runners().into_iter().enumerate();
     let places = runners.map(|(index, (service, domain, card))| {
         let port = FIRST_RUNNER_PORT + u16::try_from(index).unwrap_or(0);
-        let slots = (0..INSTANCES).map(|slot| FIRST_GATEWAY_HOST + slot as u8);
         Place {
             index,
             address: (ip(RUNNER_HOST), port).into(),
-            gateways: slots.map(|host| (ip(host), port).into()).collect(),
+            gateways: (0..INSTANCES)
+                .map(|slot| (gateway(slot), port).into())
+                .collect(),
             service,
             domain,
             card,
--- a/testkit/src/soak/caller.rs
+++ b/testkit/src/soak/caller.rs
@@ -35,6 +35,9 @@
 /// Share of requests that open a new connection.
 const NEW_CONNECTIONS: f64 = 0.2;
 
+/// Requests of which one may have another key than the usual one.
+const OTHER_KEY_INTERVAL: usize = 6;
+
 /// A connection of a caller.
 type Connection = BufReader<TcpStream>;
 
@@ -60,6 +63,8 @@
 /// All callers.
 pub struct Callers {
     site: Site,
+    /// API keys that they may use; the first is the usual one.
+    keys: &'static [&'static str],
     record: Arc<Record>,
     /// Addresses of the instances, by index, as callers have learnt them.
     pub addresses: Mutex<BTreeMap<usize, SocketAddr>>,
@@ -71,9 +76,15 @@
 impl Callers {
     /// Creates callers of a site.
     #[must_use]
-    pub fn new(site: Site, record: Arc<Record>, seed: u64) -> Callers {
+    pub fn new(
+        site: Site,
+        keys: &'static [&'static str],
+        record: Arc<Record>,
+        seed: u64,
+    ) -> Callers {
         Callers {
             site,
+            keys,
             record,
             addresses: Mutex::default(),
             kept: Mutex::default(),
@@ -130,7 +141,7 @@
         let may_retry = match end {
             End::Refused => true,
             End::Failed | End::Unanswered => class.kind == "idempotent",
-            End::Served | End::Garbled | End::Cut => false,
+            End::Served | End::Garbled | End::Cut | End::Denied => false,
         };
         if may_retry && retry_after <= limit {
             sleep(retry_after).await;
@@ -162,7 +173,7 @@
         };
         self.record.with(|o| o.sent.insert(id.clone(), sent));
         let limit = Duration::from_millis(class.limit_ms);
-        let text = request_text(&class, lethal, &id);
+        let text = request_text(&class, lethal, &id, self.key(number, lethal));
         let exchanged = timeout(limit, self.exchange(&class, &id, &text, tries > 0)).await;
         let (end, retry_after) = exchanged.unwrap_or((End::Unanswered, Duration::ZERO));
         self.record.with(|o| {
@@ -173,6 +184,15 @@
         (end, retry_after)
     }
 
+    /// Returns the API key of a request. Lethal ones share the usual key with most of the sound ones.
+    fn key(&self, number: u64, lethal: Option<Lethal>) -> &'static str {
+        let number = usize::try_from(number).unwrap_or(0);
+        match lethal.is_none() && number.is_multiple_of(OTHER_KEY_INTERVAL) {
+            true => self.keys[number / OTHER_KEY_INTERVAL % self.keys.len()],
+            false => KEY,
+        }
+    }
+
     async fn exchange(
         &self,
         class: &Class,
@@ -205,6 +225,7 @@
                 match status {
                     200 if body == expected_answer(class, id) => End::Served,
                     200 => End::Garbled,
+                    401 => End::Denied,
                     408 | 421 | 429 | 503 => End::Refused,
                     _ => End::Failed,
                 }
@@ -254,7 +275,7 @@
 }
 
 /// Returns a request as a caller sends it.
-fn request_text(class: &Class, lethal: Option<Lethal>, id: &str) -> String {
+fn request_text(class: &Class, lethal: Option<Lethal>, id: &str, key: &str) -> String {
     let (body, path) = match lethal {
         Some(Lethal::Request) => (LETHAL_BODY, "lethal"),
         Some(Lethal::Part(_)) | None => (id, id),
@@ -271,7 +292,7 @@
     };
     format!(
         "POST /{}/{path} HTTP/1.1\r\nHost: {HOST}\r\nX-Jacinthweir-Request-Id: {id}\r\n\
-         X-Jacinthweir-Key: {KEY}\r\nX-Jacinthweir-Deadline-Ms: {}\r\n{tokens}\
+         X-Jacinthweir-Key: {key}\r\nX-Jacinthweir-Deadline-Ms: {}\r\n{tokens}\
          Content-Length: {}\r\n\r\n{body}",
         class.route,
         class.limit_ms,
--- a/testkit/src/soak/fault.rs
+++ b/testkit/src/soak/fault.rs
@@ -9,6 +9,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::caller::Lethal;
+use super::name_fault::{self, NamePlan};
 use super::runner::Behaviour;
 use super::start_fault::{self, StartStep};
 
@@ -149,6 +150,8 @@
     pub waves: Vec<Wave>,
     /// Faults around the starts of instances, in the order of their time.
     pub starts: Vec<StartStep>,
+    /// Faults of the store's contents.
+    pub names: Option<NamePlan>,
     /// Threads that keep processors busy.
     pub busy_threads: usize,
     /// Requests a second, relative to those of the site.
@@ -221,6 +224,7 @@
             steps,
             waves: draw_waves(seed, length_ms, kind),
             starts: Vec::new(),
+            names: None,
             busy_threads,
             rate,
             call_weight,
@@ -235,6 +239,15 @@
             ..self
         }
     }
+
+    /// Adds faults of the store's contents.
+    #[must_use]
+    pub fn with_names(self, seed: u64, length: Duration) -> Plan {
+        Plan {
+            names: Some(name_fault::draw(seed, length)),
+            ..self
+        }
+    }
 }
 
 /// Share of the time in which the runners of a service are in trouble.
--- a/testkit/src/soak/observed.rs
+++ b/testkit/src/soak/observed.rs
@@ -41,6 +41,8 @@
     Cut,
     /// A status that promises that the request has not run.
     Refused,
+    /// 401, although the desired state holds the key.
+    Denied,
     /// Another failure.
     Failed,
     /// No answer: the connection failed, or the caller gave up.
@@ -68,6 +70,15 @@
     pub limit_per_s: Option<f64>,
 }
 
+/// A read call that reached the store and counts towards its rate.
+#[derive(Clone, Copy, Debug)]
+pub struct Read {
+    /// When it arrived.
+    pub at_ms: Millis,
+    /// Index of the instance that made it.
+    pub instance: usize,
+}
+
 /// A crash of a runner under a lethal request.
 #[derive(Clone, Debug)]
 pub struct LethalCrash {
@@ -162,6 +173,8 @@
     pub sent: BTreeMap<String, Sent>,
     /// Arrivals at runners, in order.
     pub arrivals: Vec<Arrival>,
+    /// Read calls to the store.
+    pub reads: Vec<Read>,
     /// Times for which runners wanted nothing.
     pub rests: Vec<Rest>,
     /// Crashes under lethal requests, in order.
--- a/testkit/src/soak/site.rs
+++ b/testkit/src/soak/site.rs
@@ -32,6 +32,11 @@
 /// API key of the callers.
 pub const KEY: &str = "key-of-the-organisation";
 
+/// API keys of the organisation.
+pub const USUAL_KEYS: [&str; 1] = [KEY];
+/// API keys of the organisation, with others whose characters mean something in an address, or are not ASCII.
+pub const ALL_KEYS: [&str; 5] = [KEY, "key-é", "key-%C3%A9", "key%41+b", "key+a%20&b="];
+
 /// Retries that the users allow for each request, in addition, and in which window.
 pub const BUDGET_RATIO: f64 = 0.2;
 /// Retries that the users allow in addition.
@@ -39,6 +44,9 @@
 /// Window of the budget, in milliseconds.
 pub const BUDGET_WINDOW_MS: u64 = 10_000;
 
+/// Read calls that the store allows all instances together in a second.
+pub const READS_PER_S: usize = 2_000;
+
 /// Time from which machines have to follow a change, in milliseconds.
 pub const STABLE_WINDOW_MS: u64 = 3_000;
 
@@ -251,9 +259,9 @@
         runners
     }
 
-    /// Returns the desired state of the operator.
+    /// Returns the desired state of the operator, with the API keys of its only organisation.
     #[must_use]
-    pub fn configuration(self, version: u64) -> Value {
+    pub fn configuration(self, version: u64, keys: &[&str]) -> Value {
         let [pool, plain] = self.services();
         let [pool_connections, plain_connections] = self.connections();
         let routes: Vec<Value> = self.classes().iter().map(route).collect();
@@ -276,7 +284,7 @@
                 "maxHeaderBytes": 16_384, "maxBodyBytes": 4_194_304, "headerTimeoutMs": 3_000,
                 "idleTimeoutMs": 15_000,
             },
-            "tenants": [{ "name": "organisation", "apiKeys": [KEY], "priority": 1 }],
+            "tenants": [{ "name": "organisation", "apiKeys": keys, "priority": 1 }],
         })
     }
 }
--- a/testkit/tests/soak.rs
+++ b/testkit/tests/soak.rs
@@ -4,6 +4,8 @@
 mod play;
 #[path = "soak/processes.rs"]
 mod processes;
+#[path = "soak/store.rs"]
+mod store;
 
 use std::time::Duration;
 
@@ -274,6 +276,14 @@
     }
 }
 
+/// Guards against a key that is compared as text, so that its callers are refused.
+#[gtest]
+fn a_known_key_that_gets_401_is_found() {
+    let mut o = plain_history();
+    o.sent.get_mut("r0").expect("a request").end = Some(End::Denied);
+    expect_that!(check(&o), elements_are![eq(&Violation::Denied(1))]);
+}
+
 /// Guards against plays of former seeds that can't be repeated.
 #[gtest]
 fn faults_around_starts_leave_the_others_of_a_seed_as_they_are() {
@@ -289,6 +299,21 @@
     expect_that!(plan.with_starts(7, length), eq(&with_starts));
 }
 
+/// Guards against plays of former seeds that can't be repeated.
+#[gtest]
+fn faults_of_the_stores_contents_leave_the_others_of_a_seed_as_they_are() {
+    let length = Duration::from_secs(40);
+    let plan = Plan::draw(7, length, LethalKind::Drawn).with_starts(7, length);
+    let with_names = plan.clone().with_names(7, length);
+    expect_that!(plan.clone().with_names(7, length), eq(&with_names));
+    expect_that!(plan.clone().with_names(8, length), not(eq(&with_names)));
+    let without = Plan {
+        names: None,
+        ..with_names
+    };
+    expect_that!(without, eq(&plan));
+}
+
 /// Guards against retries that pile up in series of faults, as real processes show them.
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
