--- a/plugins/relay/src/watch.rs
+++ b/plugins/relay/src/watch.rs
@@ -208,6 +208,7 @@
     let mut lost_ms = None;
     let mut first = true;
     let mut history_is_gone = false;
+    let mut kept = KeptRevision::default();
     let mut lists = ListPacing::default();
     let mut partial = PartialLists::default();
     // Until this instance has the runners.
@@ -235,13 +236,15 @@
                 search = None;
                 let repeat_ms = partial.record(known.is_whole);
                 let watched = watch(node, what, known.revision, &mut failures);
-                tokio::select! {
+                let error = tokio::select! {
                     error = watched => error,
-                    () = repeat_due(repeat_ms) => {
+                    () = repeat_due(node, what, repeat_ms) => {
                         log::info!(what:% = what, after_ms = repeat_ms; "the last list was not whole, listing again");
                         continue;
                     }
-                }
+                };
+                history_is_gone = kept.record_failure(what.known(node));
+                error
             }
             Err(e) => e,
         };
@@ -292,11 +295,38 @@
     }
 }
 
-/// Returns after `ms` milliseconds, or never.
-async fn repeat_due(ms: Option<Millis>) {
-    match ms {
-        Some(ms) => sleep(Duration::from_millis(ms)).await,
-        None => pending().await,
+/// Failed watches from one revision, which partial lists keep. An answer that is too large to be read fails each
+/// time, so that the revision has to be given up.
+#[derive(Default)]
+struct KeptRevision {
+    revision: Revision,
+    failures: u32,
+}
+
+/// Failed watches after which a revision that partial lists keep is given up.
+const MAX_KEPT_FAILURES: u32 = 3;
+
+impl KeptRevision {
+    /// Records that a watch from `revision` failed. Returns whether the revision is given up.
+    fn record_failure(&mut self, revision: Revision) -> bool {
+        self.failures = match self.revision == revision {
+            true => self.failures + 1,
+            false => 1,
+        };
+        self.revision = revision;
+        self.failures >= MAX_KEPT_FAILURES
+    }
+}
+
+/// Returns after `ms` milliseconds, or never. Instances that others notify of changes leave it to these to read
+/// the list again.
+async fn repeat_due(node: &Node, what: Watched, ms: Option<Millis>) {
+    let Some(ms) = ms else {
+        return pending().await;
+    };
+    sleep(Duration::from_millis(ms)).await;
+    while is_follower(node, what) {
+        sleep(Duration::from_millis(ms)).await;
     }
 }
 
--- a/plugins/relay/tests/relay/store_loops.rs
+++ b/plugins/relay/tests/relay/store_loops.rs
@@ -167,10 +167,16 @@
 
 /// Waits until the instance watches the runners again.
 async fn follow_changes(cluster: &Cluster) {
-    // Behind the object without a name, so that only a watch shows it.
-    let runner = Runner::spawn(&cluster.store, "zy", "orders", "a").await;
+    follow_changes_of(cluster, "zy").await;
+}
+
+/// Waits until the instance has seen a change of a runner, whose name is behind the object without one, so that
+/// only a watch shows it.
+async fn follow_changes_of(cluster: &Cluster, id: &str) {
+    let runner = Runner::spawn(&cluster.store, id, "orders", "a").await;
+    let quoted = format!("\"{id}\"");
     let seen = async {
-        while !dump(&cluster.settings).await.contains("\"zy\"") {
+        while !dump(&cluster.settings).await.contains(&quoted) {
             runner.register("ready");
             sleep(Duration::from_millis(20)).await;
         }
@@ -221,3 +227,19 @@
         wait_until_gone(&cluster.settings, "zz").await;
     });
 }
+
+/// Guards against an instance that follows no change any more: an answer of the watch is larger than it reads,
+/// and partial lists keep the revision from which it watches.
+#[gtest]
+fn a_watch_answer_that_is_too_large_does_not_end_the_following_of_changes() {
+    const ENTRY_BYTES: usize = 500_000;
+    run_single_threaded(async {
+        let cluster = with_partial_list().await;
+        follow_changes(&cluster).await;
+        let entry = json!({ "service": [], "padding": "x".repeat(ENTRY_BYTES) });
+        for n in 0..12 {
+            cluster.store.put(ENTRIES, &format!("a{n:02}"), &entry);
+        }
+        follow_changes_of(&cluster, "zx").await;
+    });
+}
--- a/policy/src/relay/failure_reports.rs
+++ b/policy/src/relay/failure_reports.rs
@@ -40,7 +40,7 @@
 const RETENTION_MS: Millis = 30_000;
 
 /// Maximum number of lifetimes with reports, several times the runners of a large fleet.
-pub const MAX_REPORTED: usize = 4_096;
+pub const MAX_REPORTED: usize = 16_384;
 
 /// How long after an answer of the runner a report only triggers a probe, in milliseconds.
 const REFUTED_MS: Millis = 10_000;
--- a/policy/src/relay/rate_limits.rs
+++ b/policy/src/relay/rate_limits.rs
@@ -38,7 +38,7 @@
 const REPORT_TTL_MS: Millis = 30_000;
 
 /// Maximum number of reports, several times the runners of a large fleet.
-pub const MAX_RATES: usize = 4_096;
+pub const MAX_RATES: usize = 16_384;
 
 /// Relative change of a rate above which it is sent to other instances at once.
 const SIGNIFICANT_CHANGE: f64 = 0.05;
