--- a/kernel/src/sockets.rs
+++ b/kernel/src/sockets.rs
@@ -18,7 +18,7 @@
 use tokio::time::{Instant, sleep};
 
 /// Maximum number of connections waiting to be accepted.
-const BACKLOG: u32 = 4_096;
+const BACKLOG: u32 = 1_024;
 
 /// Interval between two attempts to bind an address.
 const RETRY: Duration = Duration::from_millis(50);
